Workspace, schema and gRPC over compio

Cause: the repository was empty; every part needs the schema and the transport first. Ruled out: tonic's own transport, which needs another runtime. Conclusion: the parts can be built side by side against one schema.

--- /dev/null
+++ b/crates/jaylock-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated log, the configuration it holds, leases, and the clients that follow it.
--- /dev/null
+++ b/crates/jaylock-daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon: one instance of the fleet, assembled from its parts.
--- /dev/null
+++ b/crates/jaylock-observe/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and the report on service-level burn.
--- /dev/null
+++ b/crates/jaylock-operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' side: the service that answers them and the command-line tool.
--- /dev/null
+++ b/crates/jaylock-router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The callers' and backend servers' side: routing, limits, retries and whole answers.
--- /dev/null
+++ b/crates/jaylock-rpc/src/lib.rs
@@ -0,0 +1,46 @@
+//! The schema between jaylock's processes, and gRPC over compio.
+
+mod channel;
+mod server;
+mod traffic;
+
+pub use self::channel::{Channel, ChannelSettings};
+pub use self::server::{Access, Routes, ServerSettings, serve};
+pub use self::traffic::{Counted, Traffic, traffic};
+
+use std::time::Duration;
+
+use send_wrapper::SendWrapper;
+use tonic::Status;
+
+/// Messages, clients and servers made from `proto/jaylock.proto`.
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+pub mod v1 {
+    include!("generated/jaylock.v1.rs");
+}
+
+/// Lets a future of this thread stand where tonic asks for one that may move between threads.
+pub fn local<F: Future>(future: F) -> SendWrapper<F> {
+    SendWrapper::new(future)
+}
+
+/// Wraps a value of this thread for use in a tonic service, which asks for one that may move.
+pub fn pinned<T>(value: T) -> SendWrapper<T> {
+    SendWrapper::new(value)
+}
+
+/// Runs a call and gives up on it after `limit`.
+///
+/// # Errors
+/// The call's own status, or `deadline exceeded`.
+pub async fn within<T>(
+    limit: Duration,
+    call: impl Future<Output = Result<T, Status>>,
+) -> Result<T, Status> {
+    match compio::time::timeout(limit, call).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(Status::deadline_exceeded(
+            "no answer in time, ask again or another instance",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/jaylock-share/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sharing of model capacity: the scheduler of a pool and the routers' client of it.
--- /dev/null
+++ b/crates/jaylock-tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! The tests of every part, and the macro that names their cases.
--- /dev/null
+++ b/crates/jaylock-types/src/lib.rs
@@ -0,0 +1,16 @@
+//! Identifiers, sizes and rates that every part of jaylock shares.
+
+mod clock;
+mod identifier;
+mod number;
+mod secret;
+
+pub use self::clock::{Clock, SystemClock, unix_ms};
+pub use self::identifier::{
+    AdapterId, BackendId, DomainId, InstanceId, InvalidId, ModelId, OrganisationId, PoolId,
+    RequestId, ServiceId, VersionId,
+};
+pub use self::number::{
+    ByteSize, Epoch, Fence, Incarnation, Index, InvalidNumber, Revision, Term, Tokens, Weight,
+};
+pub use self::secret::{KeyHash, Secret};
--- /dev/null
+++ b/crates/jaylock-types/src/number.rs
@@ -0,0 +1,122 @@
+use std::fmt::{self, Display, Formatter};
+use std::str::FromStr;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// A text that can't serve as a size, rate or count.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("\"{text}\" is no {kind}: write {remedy}")]
+pub struct InvalidNumber {
+    kind: &'static str,
+    text: CompactString,
+    remedy: &'static str,
+}
+
+macro_rules! number {
+    ($($(#[$doc:meta])* $name:ident: $kind:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize,
+            Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The number after this one.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl Display for $name {
+            fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+                Display::fmt(&self.0, f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = InvalidNumber;
+
+            fn from_str(text: &str) -> Result<Self, InvalidNumber> {
+                let invalid = |_| InvalidNumber {
+                    kind: $kind,
+                    text: text.into(),
+                    remedy: "a whole number",
+                };
+                text.parse().map(Self).map_err(invalid)
+            }
+        }
+    )*};
+}
+
+number! {
+    /// Counts the leaders of the replicated log.
+    Term: "term";
+    /// Position of an entry in the replicated log, from 1.
+    Index: "log index";
+    /// Counts the accepted changes of operators.
+    Revision: "revision";
+    /// Counts the schedulers of a pool.
+    Epoch: "epoch";
+    /// Orders the orders to a model engine; an older one is void.
+    Fence: "fencing number";
+    /// Counts the starts of a process.
+    Incarnation: "incarnation";
+    /// Tokens generated or expected.
+    Tokens: "number of tokens";
+    /// Share of capacity relative to other organisations.
+    Weight: "weight";
+}
+
+/// A size in bytes, written as `64KiB`, `2MiB` or a bare number of bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ByteSize(pub usize);
+
+/// Units of [`ByteSize`], largest first.
+const UNITS: [(&str, usize); 4] = [
+    ("GiB", 1 << 30),
+    ("MiB", 1 << 20),
+    ("KiB", 1 << 10),
+    ("B", 1),
+];
+
+impl Display for ByteSize {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let fits = |unit: &usize| self.0 >= *unit && self.0.is_multiple_of(*unit);
+        match UNITS.iter().find(|(_, unit)| fits(unit)) {
+            Some((name, unit)) => write!(f, "{}{name}", self.0 / unit),
+            None => write!(f, "{}B", self.0),
+        }
+    }
+}
+
+impl FromStr for ByteSize {
+    type Err = InvalidNumber;
+
+    fn from_str(text: &str) -> Result<Self, InvalidNumber> {
+        let invalid = || InvalidNumber {
+            kind: "size",
+            text: text.into(),
+            remedy: "a whole number followed by B, KiB, MiB or GiB",
+        };
+        let split = text
+            .find(|c: char| !c.is_ascii_digit())
+            .unwrap_or(text.len());
+        let (digits, suffix) = text.split_at(split);
+        let count: usize = digits.parse().map_err(|_| invalid())?;
+        let name = if suffix.is_empty() {
+            "B"
+        } else {
+            suffix.trim()
+        };
+        let unit = UNITS
+            .iter()
+            .find(|(known, _)| *known == name)
+            .ok_or_else(invalid)?;
+        count.checked_mul(unit.1).map(Self).ok_or_else(invalid)
+    }
+}
--- /dev/null
+++ b/crates/jaylock-types/src/secret.rs
@@ -0,0 +1,52 @@
+use std::fmt::{self, Debug, Display, Formatter};
+
+use compact_str::CompactString;
+use sha2::{Digest, Sha256};
+
+/// A word that proves who is calling; it never shows in logs.
+#[derive(Clone, PartialEq, Eq, Default)]
+pub struct Secret(CompactString);
+
+impl Secret {
+    /// Takes a secret as it stands in settings or a header.
+    #[must_use]
+    pub fn new(text: &str) -> Self {
+        Self(text.into())
+    }
+
+    /// The secret itself, for sending.
+    #[must_use]
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+
+    /// Whether `other` is the same secret; takes the same time for every text.
+    #[must_use]
+    pub fn matches(&self, other: &str) -> bool {
+        KeyHash::of(&self.0) == KeyHash::of(other)
+    }
+}
+
+impl Debug for Secret {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+/// SHA-256 of a caller's key; the key itself is never stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyHash(pub [u8; 32]);
+
+impl KeyHash {
+    /// Hashes a key.
+    #[must_use]
+    pub fn of(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+}
+
+impl Display for KeyHash {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|b| write!(f, "{b:02x}"))
+    }
+}
