--- /dev/null
+++ b/crates/jaylock-control/src/view.rs
@@ -0,0 +1,76 @@
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use futures_channel::oneshot;
+use jaylock_rpc::v1::Configuration;
+use jaylock_types::{Index, Revision};
+
+/// The configuration in force at this instance; clones share it.
+#[derive(Clone, Default)]
+pub struct ConfigView {
+    shared: Rc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    current: RefCell<Rc<Configuration>>,
+    waiting: RefCell<Vec<oneshot::Sender<()>>>,
+    connected: Cell<bool>,
+}
+
+impl ConfigView {
+    /// The newest configuration that was offered.
+    #[must_use]
+    pub fn current(&self) -> Rc<Configuration> {
+        self.shared.current.borrow().clone()
+    }
+
+    /// Log index of the last change in force; 0 before the first one.
+    #[must_use]
+    pub fn index(&self) -> Index {
+        Index(self.shared.current.borrow().index)
+    }
+
+    /// Count of operators' changes in force.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        Revision(self.shared.current.borrow().revision)
+    }
+
+    /// Puts a configuration in force, unless it is not newer than the current one.
+    ///
+    /// Returns whether it was taken.
+    pub fn offer(&self, configuration: Configuration) -> bool {
+        if Index(configuration.index) <= self.index() {
+            return false;
+        }
+        *self.shared.current.borrow_mut() = Rc::new(configuration);
+        for waiter in self.shared.waiting.take() {
+            let _ = waiter.send(());
+        }
+        true
+    }
+
+    /// Waits until a configuration newer than `index` is in force.
+    pub async fn newer_than(&self, index: Index) -> Rc<Configuration> {
+        while self.index() <= index {
+            let (sender, receiver) = oneshot::channel();
+            self.shared.waiting.borrow_mut().push(sender);
+            let _ = receiver.await;
+        }
+        self.current()
+    }
+
+    /// Whether control or a majority of the other instances was heard lately.
+    ///
+    /// While it is false, the instance admits no request.
+    #[must_use]
+    pub fn is_connected(&self) -> bool {
+        self.shared.connected.get()
+    }
+
+    /// Notes whether control or a majority of the other instances was heard lately.
+    pub fn set_connected(&self, connected: bool) {
+        self.shared.connected.set(connected);
+    }
+}
--- /dev/null
+++ b/crates/jaylock-observe/src/record.rs
@@ -0,0 +1,52 @@
+use std::time::Duration;
+
+use jaylock_types::{OrganisationId, PoolId, RequestId, Tokens};
+
+/// What a request was for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestKind {
+    /// A model's answer.
+    Model,
+    /// A plain service's answer.
+    Service,
+}
+
+/// Whether a request ran, as its caller was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Run {
+    /// No byte left for a backend server.
+    NotRun,
+    /// It ran and its outcome is known.
+    Ran,
+    /// It may have run.
+    Unknown,
+}
+
+/// One finished request, as its router saw it.
+#[derive(Debug, Clone)]
+pub struct RequestRecord {
+    /// Identifier that the caller was told.
+    pub request: RequestId,
+    /// Organisation whose key was sent.
+    pub organisation: OrganisationId,
+    /// Pool that served it or would have.
+    pub pool: PoolId,
+    /// What it was for.
+    pub kind: RequestKind,
+    /// HTTP status of the answer.
+    pub status: u16,
+    /// Whether it ran.
+    pub run: Run,
+    /// Whether the caller got the whole answer.
+    pub whole: bool,
+    /// Tokens generated.
+    pub tokens: Tokens,
+    /// Time spent waiting for slots.
+    pub waited: Duration,
+    /// Time from arrival to the first token or byte of the answer.
+    pub first_token: Option<Duration>,
+    /// Time from arrival to the end.
+    pub total: Duration,
+    /// Attempts at backend servers.
+    pub attempts: u32,
+}
