Orders to engines under fencing numbers

Cause: nothing yet makes engines hold what the configuration wants, and a late order may undo a newer one. Ruled out: ordering from the log's leader (it would need every engine's state; the pool's scheduler has it); unloading before loading (takes the last copy away). Change: jaylock-orders: a plan of one step at a time, each order with the log index as its fencing number, the newest order sent again until the engine shows it. cases! uses gtest; seeded() fixes proptest's seed.

--- a/crates/jaylock-control/src/view.rs
+++ b/crates/jaylock-control/src/view.rs
@@ -40,6 +40,7 @@
     /// Puts a configuration in force, unless it is not newer than the current one.
     ///
     /// Returns whether it was taken.
+    #[must_use = "an older configuration is not taken"]
     pub fn offer(&self, configuration: Configuration) -> bool {
         if Index(configuration.index) <= self.index() {
             return false;
--- a/crates/jaylock-tests/src/lib.rs
+++ b/crates/jaylock-tests/src/lib.rs
@@ -1,5 +1,26 @@
 //! The tests of every part, and the macro that names their cases.
 
+use proptest::test_runner::{Config, RngSeed};
+
+/// Seed of every property test, unless `JAYLOCK_SEED` names another.
+const SEED: u64 = 20_261_203;
+
+/// Configuration of a property test that runs the same cases every time.
+///
+/// `JAYLOCK_SEED` in the environment tries other cases.
+#[must_use]
+pub fn seeded(cases: u32) -> Config {
+    let given = std::env::var("JAYLOCK_SEED")
+        .ok()
+        .and_then(|s| s.parse().ok());
+    Config {
+        cases,
+        rng_seed: RngSeed::Fixed(given.unwrap_or(SEED)),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
 /// Names test cases: each becomes a test function of its own.
 ///
 /// A synchronous case is `name => block;`, an asynchronous one `async name => block;` and runs on
@@ -8,14 +29,14 @@
 macro_rules! cases {
     () => {};
     (async $name:ident => $body:block; $($rest:tt)*) => {
-        #[test]
+        #[::googletest::gtest]
         fn $name() {
             compio::runtime::Runtime::new().expect("a runtime").block_on(async $body);
         }
         $crate::cases!($($rest)*);
     };
     ($name:ident => $body:block; $($rest:tt)*) => {
-        #[test]
+        #[::googletest::gtest]
         fn $name() $body
         $crate::cases!($($rest)*);
     };
--- /dev/null
+++ b/crates/jaylock-tests/tests/orders/plan.rs
@@ -0,0 +1,127 @@
+use googletest::prelude::*;
+use jaylock_orders::{Step, holds, next_step};
+use jaylock_rpc::v1::{Adapter, BackendReport};
+use jaylock_tests::{cases, seeded};
+use jaylock_types::PoolId;
+use proptest::prelude::*;
+
+use crate::fakes::{FakeEngine, Fleet, POOL, loaded, model};
+
+/// More steps than any plan over the generated fleets may need.
+const MOST_STEPS: usize = 200;
+
+cases! {
+    a_new_version_is_loaded_beside_the_old_one => {
+        let fleet = Fleet::new(vec![serving("dossier", "1")]);
+        fleet.configure(vec![model("dossier", "2", 1)], vec![]);
+        let models = vec![loaded("dossier", "1"), loaded("dossier", "2")];
+        let Some(Step::Issue(order)) = step(&fleet) else {
+            panic!("an order is due")
+        };
+        expect_that!(order.models, eq(&models));
+    };
+
+    a_leaving_engine_gets_no_order => {
+        let fleet = Fleet::new(vec![FakeEngine::default()]);
+        fleet.configure(vec![model("dossier", "1", 1)], vec![]);
+        let leaving = fleet.reports().into_iter().map(|r| BackendReport { leaving: true, ..r });
+        let engines: Vec<_> = leaving.collect();
+        expect_that!(next_step(&fleet.view().current(), &pool(), &engines), none());
+    };
+
+    models_without_wanted_copies_are_left_alone => {
+        let fleet = Fleet::new(vec![serving("dossier", "1")]);
+        fleet.configure(vec![model("dossier", "2", 0)], vec![]);
+        expect_that!(step(&fleet), none());
+    };
+}
+
+proptest! {
+    #![proptest_config(seeded(64))]
+
+    /// Whatever is loaded at first, every wanted copy is loaded in the end, and on the way no served
+    /// model is without an engine.
+    #[test]
+    fn plans_converge_and_never_unload_the_last_copy(
+        start in prop::collection::vec(prop::collection::vec((0..3_u8, 0..3_u8), 0..3), 1..6),
+        wanted in prop::collection::vec((0..3_u8, 0..4_u32), 3),
+        adapter_copies in 0..3_u32,
+    ) {
+        let engines = start.iter().map(|models| engine(models)).collect();
+        let fleet = Fleet::new(engines);
+        let models = wanted.iter().enumerate();
+        let models: Vec<_> = models
+            .map(|(at, (version, copies))| model(&name(at), &version.to_string(), *copies))
+            .collect();
+        let adapter = Adapter {
+            id: "binder".into(),
+            model: name(0),
+            version: "1".into(),
+            copies: adapter_copies,
+        };
+        fleet.configure(models.clone(), vec![adapter]);
+        let served: Vec<_> = models.iter().filter(|m| count(&fleet, &m.id) > 0).collect();
+        for _ in 0..MOST_STEPS {
+            let Some(step) = step(&fleet) else { break };
+            apply(&fleet, step);
+            for model in &served {
+                prop_assert!(count(&fleet, &model.id) > 0, "{} lost its last copy", model.id);
+            }
+        }
+        prop_assert_eq!(step(&fleet), None);
+        for model in &models {
+            let reports = fleet.reports();
+            let copies = reports.iter().filter(|r| holds(r, &model.id, &model.version)).count();
+            let possible = reports.len().min(model.copies as usize);
+            prop_assert!(copies >= possible, "{} has {copies} of {possible}", model.id);
+        }
+    }
+}
+
+fn pool() -> PoolId {
+    POOL.parse().expect("a pool name")
+}
+
+fn step(fleet: &Fleet) -> Option<Step> {
+    next_step(&fleet.view().current(), &pool(), &fleet.reports())
+}
+
+fn apply(fleet: &Fleet, step: Step) {
+    let (Step::Issue(order) | Step::Repeat(order)) = step;
+    let at = fleet.reports().iter().position(|r| r.id == order.backend);
+    fleet
+        .deliver(at.expect("a known engine"), &order)
+        .expect("the newest order is taken");
+}
+
+fn count(fleet: &Fleet, model: &str) -> usize {
+    fleet
+        .reports()
+        .iter()
+        .filter(|r| r.models.iter().any(|m| m.model == model))
+        .count()
+}
+
+fn name(at: usize) -> String {
+    format!("model-{at}")
+}
+
+fn engine(models: &[(u8, u8)]) -> FakeEngine {
+    let mut models: Vec<_> = models
+        .iter()
+        .map(|(at, version)| loaded(&name(usize::from(*at)), &version.to_string()))
+        .collect();
+    models.sort_unstable_by(|a, b| (&a.model, &a.version).cmp(&(&b.model, &b.version)));
+    models.dedup();
+    FakeEngine {
+        models,
+        ..FakeEngine::default()
+    }
+}
+
+fn serving(model: &str, version: &str) -> FakeEngine {
+    FakeEngine {
+        models: vec![loaded(model, version)],
+        ..FakeEngine::default()
+    }
+}
