Program that measures what a router adds

Ruled out: separate runs for direct and routed requests; the machine's load would differ between them. Figures: none yet; the instance does not run yet. Conclusion: the first figures come with the whole path.

--- /dev/null
+++ b/crates/jaylock-measure/src/connection.rs
@@ -0,0 +1,66 @@
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result, ensure};
+use bytes::Bytes;
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+
+/// An HTTP/1.1 connection that times its requests.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+}
+
+/// How long one request took.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    /// Time to the first byte of the answer's body.
+    pub first: Duration,
+    /// Time to the last byte.
+    pub total: Duration,
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// Nobody listens at `address`.
+    pub async fn open(address: SocketAddr) -> Result<Self> {
+        let stream = TcpStream::connect(address)
+            .await
+            .with_context(|| format!("nobody listens at {address}: start the program first"))?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream)).await?;
+        compio::runtime::spawn(async move {
+            let _ = connection.await;
+        })
+        .detach();
+        Ok(Self { sender })
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    /// The connection breaks, or the status is not 200.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Timing> {
+        let start = Instant::now();
+        self.sender.ready().await?;
+        let response = self.sender.send_request(request).await?;
+        let status = response.status();
+        let mut body = response.into_body();
+        let mut first = None;
+        while let Some(frame) = body.frame().await {
+            frame?;
+            first.get_or_insert_with(|| start.elapsed());
+        }
+        ensure!(status.is_success(), "the answer has status {status}");
+        let total = start.elapsed();
+        Ok(Timing {
+            first: first.unwrap_or(total),
+            total,
+        })
+    }
+}
