Settings of an instance, checked key by key, and the example fleets

Cause: an instance learns its addresses, failure domain, bounds and secrets from an INI file, and a fault there has to be found before the process serves anyone. Ruled out: the library's own errors alone, because rust-ini gives no line for a value, takes "key: value" and runs a key over several lines; and a parser wholly of our own. A small scan keeps the lines, the library reads the values. Conclusion: every error names file, line, key and remedy; secrets are never shown.

--- /dev/null
+++ b/crates/jaylock-settings/src/control.rs
@@ -0,0 +1,109 @@
+use std::fmt::{self, Display, Formatter};
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use jaylock_types::{DomainId, InstanceId};
+
+use crate::key::{Key, Part};
+use crate::value::{COUNT, DURATION, count, duration};
+
+/// The replicated log and the leases that it hands out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ControlSettings {
+    /// Replicas of the log at the first start of the fleet; sorted by instance.
+    pub replicas: Vec<ReplicaAddress>,
+    /// Time between two messages of the leader to each replica.
+    pub heartbeat: Duration,
+    /// Silence of the leader after which a replica stands for election.
+    pub election: Duration,
+    /// How long an instance counts as alive after its last renewal.
+    pub lease: Duration,
+    /// How long a replica may be lost before a spare instance takes its place.
+    pub replace_after: Duration,
+    /// Entries of the log after which a snapshot is taken.
+    pub snapshot_entries: u64,
+}
+
+impl Default for ControlSettings {
+    fn default() -> Self {
+        Self {
+            replicas: Vec::new(),
+            heartbeat: Duration::from_millis(150),
+            election: Duration::from_secs(1),
+            lease: Duration::from_secs(3),
+            replace_after: Duration::from_secs(20),
+            snapshot_entries: 2000,
+        }
+    }
+}
+
+impl Part for ControlSettings {
+    const SECTION: &'static str = "control";
+    const KEYS: &'static [Key<Self>] = &[
+        Key::obligatory("replicas", REPLICAS, |s, v| {
+            replicas(v).map(|list| s.replicas = list)
+        }),
+        Key::optional("heartbeat", DURATION, |s, v| {
+            duration(v).map(|d| s.heartbeat = d)
+        }),
+        Key::optional("election", DURATION, |s, v| {
+            duration(v).map(|d| s.election = d)
+        }),
+        Key::optional("lease", DURATION, |s, v| duration(v).map(|d| s.lease = d)),
+        Key::optional("replace_after", DURATION, |s, v| {
+            duration(v).map(|d| s.replace_after = d)
+        }),
+        Key::optional("snapshot_entries", COUNT, |s, v| {
+            count(v).map(|n| s.snapshot_entries = n)
+        }),
+    ];
+}
+
+/// A replica of the log and where it is reached, written as `id@ip:port@domain`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplicaAddress {
+    /// Instance that holds it.
+    pub instance: InstanceId,
+    /// Where other instances reach it.
+    pub peer_address: SocketAddr,
+    /// Failure domain it stands in.
+    pub domain: DomainId,
+}
+
+impl Display for ReplicaAddress {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}@{}", self.instance, self.peer_address, self.domain)
+    }
+}
+
+impl FromStr for ReplicaAddress {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut parts = text.split('@');
+        let mut next = || parts.next().ok_or(REPLICAS);
+        let replica = Self {
+            instance: next()?.parse().map_err(|_| REPLICAS)?,
+            peer_address: next()?.parse().map_err(|_| REPLICAS)?,
+            domain: next()?.parse().map_err(|_| REPLICAS)?,
+        };
+        match parts.next() {
+            None => Ok(replica),
+            Some(_) => Err(REPLICAS),
+        }
+    }
+}
+
+/// Reads a list without doubles.
+fn replicas(text: &str) -> Option<Vec<ReplicaAddress>> {
+    let words = text.split([',', ' ']).filter(|w| !w.is_empty());
+    let mut list: Vec<ReplicaAddress> = words.map(|w| w.parse().ok()).collect::<Option<_>>()?;
+    list.sort_by(|a, b| a.instance.cmp(&b.instance));
+    let doubled = list.windows(2).any(|w| w[0].instance == w[1].instance);
+    (!list.is_empty() && !doubled).then_some(list)
+}
+
+/// What the list of replicas looks like.
+const REPLICAS: &str = "different replicas as id@ip:port@domain, separated by commas, such as \
+     a1@127.0.0.1:7090@amman-a";
--- /dev/null
+++ b/crates/jaylock-settings/src/document.rs
@@ -0,0 +1,164 @@
+use compact_str::{CompactString, format_compact};
+use ini::{Ini, ParseOption};
+
+use crate::{Error, Problem, Result};
+
+/// The sections of a settings file, with the line of each key.
+#[derive(Debug)]
+pub(crate) struct Document {
+    pub file: CompactString,
+    pub lines: usize,
+    /// Sorted by name.
+    pub sections: Vec<Section>,
+}
+
+/// A section and its keys.
+#[derive(Debug)]
+pub(crate) struct Section {
+    pub name: CompactString,
+    pub line: usize,
+    /// Sorted by name.
+    pub entries: Vec<Entry>,
+}
+
+/// A key, its value and where it stands.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub key: CompactString,
+    pub value: CompactString,
+    pub line: usize,
+}
+
+impl Document {
+    /// Reads the text; duplicates of sections and keys are errors.
+    pub fn parse(text: &str, file: &str) -> Result<Self> {
+        let mut document = Self {
+            file: file.into(),
+            lines: text.lines().count().max(1),
+            sections: Vec::new(),
+        };
+        document.scan(text)?;
+        document.fill(text)?;
+        Ok(document)
+    }
+
+    /// The section of that name, if it stands in the file.
+    pub fn section(&self, name: &str) -> Option<&Section> {
+        let found = self
+            .sections
+            .binary_search_by(|s| s.name.as_str().cmp(name));
+        found.ok().map(|at| &self.sections[at])
+    }
+
+    pub fn error(&self, line: usize, problem: Problem) -> Error {
+        Error {
+            file: self.file.clone(),
+            line,
+            problem: Box::new(problem),
+        }
+    }
+
+    /// Notes the line of each section and key, which the library does not keep.
+    fn scan(&mut self, text: &str) -> Result<()> {
+        let mut current = None;
+        for (at, raw) in text.lines().enumerate() {
+            let line = at + 1;
+            let trimmed = raw.trim();
+            if trimmed.is_empty() || trimmed.starts_with(['#', ';']) {
+                continue;
+            }
+            if let Some(name) = section_name(trimmed) {
+                self.add_section(name, line)?;
+                current = Some(CompactString::from(name));
+                continue;
+            }
+            let key = key_name(trimmed)
+                .ok_or_else(|| self.error(line, Problem::Syntax(trimmed.into())))?;
+            let Some(section) = &current else {
+                return Err(self.error(line, Problem::NoSection(key.into())));
+            };
+            self.add_key(section, key, line)?;
+        }
+        Ok(())
+    }
+
+    fn add_section(&mut self, name: &str, line: usize) -> Result<()> {
+        match self
+            .sections
+            .binary_search_by(|s| s.name.as_str().cmp(name))
+        {
+            Ok(at) => {
+                let first = self.sections[at].line;
+                let name = name.into();
+                Err(self.error(line, Problem::DuplicateSection { name, first }))
+            }
+            Err(at) => {
+                let section = Section {
+                    name: name.into(),
+                    line,
+                    entries: Vec::new(),
+                };
+                self.sections.insert(at, section);
+                Ok(())
+            }
+        }
+    }
+
+    fn add_key(&mut self, section: &str, key: &str, line: usize) -> Result<()> {
+        let Some(found) = self.sections.iter_mut().find(|s| s.name == section) else {
+            return Ok(());
+        };
+        match found.entries.binary_search_by(|e| e.key.as_str().cmp(key)) {
+            Ok(at) => {
+                let first = found.entries[at].line;
+                let problem = Problem::DuplicateKey {
+                    section: section.into(),
+                    key: key.into(),
+                    first,
+                };
+                Err(self.error(line, problem))
+            }
+            Err(at) => {
+                let entry = Entry {
+                    key: key.into(),
+                    value: CompactString::default(),
+                    line,
+                };
+                found.entries.insert(at, entry);
+                Ok(())
+            }
+        }
+    }
+
+    /// Takes the values from the library.
+    fn fill(&mut self, text: &str) -> Result<()> {
+        let options = ParseOption {
+            enabled_quote: false,
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        let parsed = Ini::load_from_str_opt(text, options).map_err(|error| {
+            let problem = Problem::Syntax(format_compact!("{}", error.msg));
+            self.error(error.line, problem)
+        })?;
+        for section in &mut self.sections {
+            for entry in &mut section.entries {
+                let value = parsed.get_from(Some(section.name.as_str()), &entry.key);
+                entry.value = value.unwrap_or_default().trim().into();
+            }
+        }
+        Ok(())
+    }
+}
+
+fn section_name(line: &str) -> Option<&str> {
+    let inner = line.strip_prefix('[')?.strip_suffix(']')?;
+    Some(inner.trim())
+}
+
+fn key_name(line: &str) -> Option<&str> {
+    let (key, _) = line.split_once('=')?;
+    let key = key.trim();
+    let allowed = |c: char| c.is_ascii_lowercase() || c == '_';
+    (!key.is_empty() && key.chars().all(allowed)).then_some(key)
+}
--- /dev/null
+++ b/crates/jaylock-settings/src/objectives.rs
@@ -0,0 +1,110 @@
+use std::fmt::{self, Display, Formatter};
+use std::str::FromStr;
+use std::time::Duration;
+
+use crate::key::{Key, Part};
+use crate::value::{DURATION, duration, parsed};
+
+/// Service levels that the burn report counts against.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ObjectiveSettings {
+    /// Share of requests that end with a whole answer.
+    pub availability: Percentage,
+    /// Time to the first token.
+    pub first_token: Duration,
+    /// Share of requests whose first token comes within that time.
+    pub first_token_target: Percentage,
+    /// Wait of short look-ups for a slot.
+    pub short_wait: Duration,
+    /// Share of short look-ups that wait no longer than that.
+    pub short_wait_target: Percentage,
+    /// Time to the end of long work.
+    pub completion: Duration,
+    /// Share of long work that ends whole within that time.
+    pub completion_target: Percentage,
+}
+
+impl Default for ObjectiveSettings {
+    fn default() -> Self {
+        Self {
+            availability: Percentage(99_900),
+            first_token: Duration::from_secs(1),
+            first_token_target: Percentage(95_000),
+            short_wait: Duration::from_secs(1),
+            short_wait_target: Percentage(99_000),
+            completion: Duration::from_mins(10),
+            completion_target: Percentage(99_000),
+        }
+    }
+}
+
+impl Part for ObjectiveSettings {
+    const SECTION: &'static str = "objectives";
+    const KEYS: &'static [Key<Self>] = &[
+        Key::optional("availability", TARGET, |s, v| {
+            parsed(v).map(|p| s.availability = p)
+        }),
+        Key::optional("first_token", DURATION, |s, v| {
+            duration(v).map(|d| s.first_token = d)
+        }),
+        Key::optional("first_token_target", TARGET, |s, v| {
+            parsed(v).map(|p| s.first_token_target = p)
+        }),
+        Key::optional("short_wait", DURATION, |s, v| {
+            duration(v).map(|d| s.short_wait = d)
+        }),
+        Key::optional("short_wait_target", TARGET, |s, v| {
+            parsed(v).map(|p| s.short_wait_target = p)
+        }),
+        Key::optional("completion", DURATION, |s, v| {
+            duration(v).map(|d| s.completion = d)
+        }),
+        Key::optional("completion_target", TARGET, |s, v| {
+            parsed(v).map(|p| s.completion_target = p)
+        }),
+    ];
+}
+
+/// A share above 0 % and below 100 %, in thousandths of a percent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Percentage(u32);
+
+/// Thousandths of a percent that make the whole.
+const WHOLE: u32 = 100_000;
+
+impl Percentage {
+    /// The share as a number between 0 and 1.
+    #[must_use]
+    pub fn ratio(self) -> f64 {
+        f64::from(self.0) / f64::from(WHOLE)
+    }
+}
+
+impl Display for Percentage {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let text = format!("{}.{:03}", self.0 / 1000, self.0 % 1000);
+        let short = text.trim_end_matches('0').trim_end_matches('.');
+        write!(f, "{short}%")
+    }
+}
+
+impl FromStr for Percentage {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text.strip_suffix('%').ok_or(TARGET)?.trim_end();
+        let (whole, part) = number.split_once('.').unwrap_or((number, "0"));
+        let digits = |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+        if !digits(whole) || !digits(part) || whole.len() > 2 || part.len() > 3 {
+            return Err(TARGET);
+        }
+        let thousandths: u32 = format!("{whole}{part:0<3}").parse().map_err(|_| TARGET)?;
+        match thousandths {
+            0 => Err(TARGET),
+            share => Ok(Self(share)),
+        }
+    }
+}
+
+/// What a target looks like.
+const TARGET: &str = "a percentage below 100% with at most three decimals, such as 99.9%";
--- /dev/null
+++ b/crates/jaylock-tests/tests/product/main.rs
@@ -0,0 +1,4 @@
+//! Settings, the operators' side and the command-line tool.
+
+mod examples;
+mod settings;
