Stand-ins for a model engine, a plain service and a weight store

Ruled out: a body made by stream::unfold, which asks for Send futures that compio's timers are not; the run is a task of its own that ends when its reader closes the channel. Conclusion: ready for the router; announcing is not yet tried against a real instance.

--- /dev/null
+++ b/crates/jaylock-standin/src/arguments.rs
@@ -0,0 +1,114 @@
+//! Arguments that the programs of the stand-ins share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clap::builder::ValueParser;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use jaylock_types::unix_ms;
+
+use crate::Announcement;
+
+/// The arguments that every backend server takes.
+#[must_use]
+pub fn backend_command(name: &'static str, about: &'static str) -> Command {
+    let instance = many("instance", "Instance to announce to, IP:PORT").value_parser(address());
+    Command::new(name)
+        .about(about)
+        .arg(instance.required(true))
+        .arg(option("listen", "127.0.0.1:0", "Where to listen"))
+        .arg(option("id", "backend-1", "Name of this backend server"))
+        .arg(option(
+            "pool",
+            "main",
+            "Pool, or the name of the plain service",
+        ))
+        .arg(option("domain", "local", "Failure domain"))
+        .arg(option("token", "standin", "Proof of identity"))
+        .arg(option("slots", "8", "Requests at once").value_parser(value_parser!(u32)))
+        .arg(flag(
+            "faults",
+            "Let words in prompts and bodies bring about faults",
+        ))
+}
+
+/// An argument with a value.
+#[must_use]
+pub fn option(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).default_value(default).help(help)
+}
+
+/// An argument that may be given more than once.
+#[must_use]
+pub fn many(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .action(ArgAction::Append)
+        .help(help)
+}
+
+/// An argument without a value.
+#[must_use]
+pub fn flag(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .action(ArgAction::SetTrue)
+        .help(help)
+}
+
+/// An argument that is a time in ms.
+#[must_use]
+pub fn time(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    option(name, default, help).value_parser(value_parser!(u64))
+}
+
+/// Reads addresses of the form IP:PORT.
+#[must_use]
+pub fn address() -> ValueParser {
+    value_parser!(SocketAddr).into()
+}
+
+/// The text of an argument.
+#[must_use]
+pub fn text_of(arguments: &ArgMatches, name: &str) -> String {
+    arguments.get_one(name).cloned().unwrap_or_default()
+}
+
+/// The texts of an argument that may be given more than once.
+#[must_use]
+pub fn texts_of(arguments: &ArgMatches, name: &str) -> Vec<String> {
+    let values = arguments.get_many(name).unwrap_or_default();
+    values.cloned().collect()
+}
+
+/// The addresses of an argument that may be given more than once.
+#[must_use]
+pub fn addresses_of(arguments: &ArgMatches, name: &str) -> Vec<SocketAddr> {
+    let values = arguments.get_many(name).unwrap_or_default();
+    values.copied().collect()
+}
+
+/// The time of an argument in ms.
+#[must_use]
+pub fn time_of(arguments: &ArgMatches, name: &str) -> Duration {
+    let value = arguments.get_one(name).copied();
+    Duration::from_millis(value.unwrap_or_default())
+}
+
+/// The announcement that the common arguments describe, without models.
+#[must_use]
+pub fn announcement(arguments: &ArgMatches, kind: &str, address: SocketAddr) -> Announcement {
+    Announcement {
+        id: text_of(arguments, "id"),
+        incarnation: unix_ms(),
+        pool: text_of(arguments, "pool"),
+        kind: kind.into(),
+        address,
+        domain: text_of(arguments, "domain"),
+        token: text_of(arguments, "token"),
+        slots: arguments.get_one("slots").copied().unwrap_or_default(),
+        checks_orders: false,
+        models: Vec::new(),
+        fence: 0,
+    }
+}
--- /dev/null
+++ b/crates/jaylock-standin/src/bin/standin-store.rs
@@ -0,0 +1,35 @@
+//! A stand-in weight store, for tests and the demonstration.
+
+use std::rc::Rc;
+
+use anyhow::Result;
+use clap::Command;
+use compio::net::TcpListener;
+use jaylock_standin::arguments::{option, text_of, time, time_of};
+use jaylock_standin::{Store, StoreSettings};
+
+#[compio::main]
+async fn main() -> Result<()> {
+    jaylock_standin::log_to_stderr();
+    let given = command().get_matches();
+    let listener = TcpListener::bind(text_of(&given, "listen")).await?;
+    println!("listening {}", listener.local_addr()?);
+    let store = Rc::new(Store::new(StoreSettings {
+        load_pause: time_of(&given, "pause-ms"),
+    }));
+    let handler = move |request| store.clone().handle(request);
+    compio::runtime::spawn(jaylock_standin::serve(listener, handler)).detach();
+    jaylock_standin::terminated().await?;
+    Ok(())
+}
+
+fn command() -> Command {
+    Command::new("standin-store")
+        .about("A stand-in weight store")
+        .arg(option("listen", "127.0.0.1:0", "Where to listen"))
+        .arg(time(
+            "pause-ms",
+            "200",
+            "Least time between two loads, in ms",
+        ))
+}
--- /dev/null
+++ b/crates/jaylock-standin/src/client.rs
@@ -0,0 +1,114 @@
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+/// Time for a short call, from connecting to the end of its answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A call that got no usable answer.
+#[derive(Debug, Error)]
+pub enum HttpError {
+    /// No connection.
+    #[error("can't connect, try another address: {0}")]
+    Connect(io::Error),
+    /// The connection broke.
+    #[error("the connection broke, try again: {0}")]
+    Broken(#[from] hyper::Error),
+    /// No answer in time.
+    #[error("no answer in time, try another address")]
+    Timeout,
+    /// The answer is not what was asked for.
+    #[error("the answer makes no sense, check the versions of both sides: {0}")]
+    Senseless(#[from] serde_json::Error),
+    /// The answer is an error.
+    #[error("the answer was {0}")]
+    Status(StatusCode),
+    /// The request can't be written.
+    #[error("the request can't be written, check its address and headers: {0}")]
+    Request(#[from] http::Error),
+}
+
+/// Sends one request on a connection of its own; the answer's body is still to be read.
+///
+/// Dropping the answer closes the connection.
+///
+/// # Errors
+/// No connection, or it broke before the head of the answer.
+pub async fn send(
+    address: SocketAddr,
+    mut request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, HttpError> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(HttpError::Connect)?;
+    let _ = stream.set_nodelay(true);
+    let stream = HyperStream::new_plain(stream);
+    let (mut sender, connection) = http1::handshake(stream).await?;
+    compio::runtime::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!(target: "standin", "connection to {address} ended: {error}");
+        }
+    })
+    .detach();
+    let host = HeaderValue::try_from(address.to_string()).map_err(http::Error::from)?;
+    request.headers_mut().insert(header::HOST, host);
+    Ok(sender.send_request(request).await?)
+}
+
+/// Posts a value in JSON and gives the status of the answer and its body.
+///
+/// # Errors
+/// As [`send`], or no whole answer within 2 s.
+pub async fn post<T: Serialize>(
+    address: SocketAddr,
+    path: &str,
+    value: &T,
+) -> Result<(StatusCode, Bytes), HttpError> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::from(serde_json::to_vec(value)?))?;
+    exchange(address, request).await
+}
+
+/// Gets a value in JSON.
+///
+/// # Errors
+/// As [`send`], no whole answer within 2 s, or an answer other than 200 in the expected form.
+pub async fn read_json<T: DeserializeOwned>(
+    address: SocketAddr,
+    path: &str,
+) -> Result<T, HttpError> {
+    let request = Request::builder().uri(path).body(Full::default())?;
+    let (status, body) = exchange(address, request).await?;
+    if status != StatusCode::OK {
+        return Err(HttpError::Status(status));
+    }
+    Ok(serde_json::from_slice(&body)?)
+}
+
+async fn exchange(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<(StatusCode, Bytes), HttpError> {
+    let call = async {
+        let response = send(address, request).await?;
+        let status = response.status();
+        let body = response.into_body().collect().await?.to_bytes();
+        Ok((status, body))
+    };
+    let outcome = compio::time::timeout(CALL_TIMEOUT, call).await;
+    outcome.unwrap_or(Err(HttpError::Timeout))
+}
--- /dev/null
+++ b/crates/jaylock-standin/src/http.rs
@@ -0,0 +1,97 @@
+use std::convert::Infallible;
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioTimer, HyperStream};
+use http::{Request, Response, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Collected, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use serde::Serialize;
+use thiserror::Error;
+
+/// Largest body that a stand-in reads, in bytes.
+const LARGEST_BODY: usize = 16 << 20;
+
+/// Body of an answer; an error cuts the connection.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// The connection is to be closed without an answer.
+#[derive(Debug, Clone, Copy, Error)]
+#[error("the connection is closed without an answer")]
+pub struct Closed;
+
+/// Serves HTTP/1 until the returned future is dropped, each connection in a task of its own.
+pub async fn serve<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Result<Response<Body>, Closed>> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                compio::runtime::spawn(serve_connection(stream, handler.clone())).detach();
+            }
+            Err(error) => {
+                log::warn!(target: "standin", "accept failed: {error}");
+                compio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<H, F>(stream: TcpStream, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Result<Response<Body>, Closed>>,
+{
+    let _ = stream.set_nodelay(true);
+    let stream = HyperStream::new_plain(stream);
+    let connection = http1::Builder::new()
+        .timer(CompioTimer)
+        .serve_connection(stream, service_fn(handler));
+    if let Err(error) = connection.await {
+        log::debug!(target: "standin", "connection ended: {error}");
+    }
+}
+
+/// Reads a body to its end.
+///
+/// # Errors
+/// The connection broke, or the body is longer than 16 MiB.
+pub async fn read(body: Incoming) -> Result<Bytes, Closed> {
+    let collected = Limited::new(body, LARGEST_BODY).collect().await;
+    collected.map(Collected::to_bytes).map_err(|_| Closed)
+}
+
+/// An answer whose body is whole, with its length.
+#[must_use]
+pub fn whole(status: StatusCode, kind: &'static str, body: Bytes) -> Response<Body> {
+    let body = Full::new(body).map_err(|never: Infallible| match never {});
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = status;
+    let kind = http::HeaderValue::from_static(kind);
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// An answer in JSON.
+#[must_use]
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    whole(status, "application/json", body.into())
+}
+
+/// An answer that says the request did not run.
+#[must_use]
+pub fn not_run(reason: &str) -> Response<Body> {
+    let body = serde_json::json!({"error": {"kind": "not-run", "message": reason}});
+    let mut response = json(StatusCode::SERVICE_UNAVAILABLE, &body);
+    let yes = http::HeaderValue::from_static("true");
+    response.headers_mut().insert("x-not-run", yes);
+    response
+}
--- a/crates/jaylock-standin/src/lib.rs
+++ b/crates/jaylock-standin/src/lib.rs
@@ -1,1 +1,28 @@
 //! Stand-ins for a model engine, a plain service and a weight store, for tests and the demonstration.
+
+mod address;
+mod answer;
+pub mod arguments;
+mod backend;
+mod chat;
+mod client;
+mod engine;
+mod fault;
+mod http;
+mod process;
+mod service;
+mod slots;
+mod store;
+
+pub use self::address::{AddressBook, Routers};
+pub use self::answer::Answer;
+pub use self::backend::{Announcement, Backend, Heartbeat, LoadedModel, Registration};
+pub use self::chat::{ChatRequest, Choice, Chunk, Completion, Delta, Message, Usage};
+pub use self::client::{HttpError, post, read_json, send};
+pub use self::engine::{Engine, EngineSettings};
+pub use self::fault::Fault;
+pub use self::http::{Body, Closed, json, not_run, read, serve, whole};
+pub use self::process::{Server, log_to_stderr, run, terminated};
+pub use self::service::{PlainService, RunNote, ServiceSettings};
+pub use self::slots::{Slot, Slots};
+pub use self::store::{Store, StoreSettings};
--- /dev/null
+++ b/crates/jaylock-standin/src/process.rs
@@ -0,0 +1,80 @@
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpListener;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use log::LevelFilter;
+
+use crate::{Backend, Body, Closed, Registration, serve};
+
+/// Number of the signal that asks a process to end.
+const SIGTERM: i32 = 15;
+/// Pause between two looks at whether the last request has ended.
+const BUSY_CHECK: Duration = Duration::from_millis(20);
+/// Time for the last bytes to leave after the last request has ended.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
+/// A backend server that a process of its own runs.
+pub trait Server: Backend + 'static {
+    /// Answers one HTTP request, or has its connection closed.
+    fn handle(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Result<Response<Body>, Closed>> + 'static;
+    /// Takes no new requests from now on.
+    fn leave(&self);
+    /// Whether a request runs or waits.
+    fn is_busy(&self) -> bool;
+}
+
+/// Serves until the process is asked to end; then leaves, finishes what runs and returns.
+///
+/// # Errors
+/// The operating system takes no handler for the signal.
+pub async fn run<S: Server>(
+    listener: TcpListener,
+    server: S,
+    seeds: Vec<SocketAddr>,
+) -> io::Result<()> {
+    let server = Rc::new(server);
+    let shared = server.clone();
+    let handler = move |request| shared.clone().handle(request);
+    compio::runtime::spawn(serve(listener, handler)).detach();
+    let registration = Rc::new(Registration::new(server.clone(), seeds));
+    let announcing = registration.clone();
+    compio::runtime::spawn(async move { announcing.run().await }).detach();
+    terminated().await?;
+    registration.leave().await;
+    server.leave();
+    while server.is_busy() {
+        compio::time::sleep(BUSY_CHECK).await;
+    }
+    compio::time::sleep(FLUSH_TIME).await;
+    Ok(())
+}
+
+/// Writes the log to the standard error stream, one line an event.
+pub fn log_to_stderr() {
+    let outcome = fern::Dispatch::new()
+        .level(LevelFilter::Warn)
+        .level_for("standin", LevelFilter::Info)
+        .format(|out, message, record| {
+            out.finish(format_args!("{} [standin] {message}", record.level()));
+        })
+        .chain(io::stderr())
+        .apply();
+    if let Err(error) = outcome {
+        log::warn!(target: "standin", "the log was set up before: {error}");
+    }
+}
+
+/// Waits until the process is asked to end.
+///
+/// # Errors
+/// The operating system takes no handler for the signal.
+pub async fn terminated() -> io::Result<()> {
+    compio::signal::unix::signal(SIGTERM).await
+}
--- /dev/null
+++ b/crates/jaylock-standin/src/store.rs
@@ -0,0 +1,65 @@
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+
+use crate::{Body, Closed, json};
+
+/// Settings of a stand-in weight store.
+#[derive(Debug, Clone)]
+pub struct StoreSettings {
+    /// Least time between two loads.
+    pub load_pause: Duration,
+}
+
+impl Default for StoreSettings {
+    fn default() -> Self {
+        Self {
+            load_pause: Duration::from_millis(200),
+        }
+    }
+}
+
+/// A weight store that gives one model at a time and refuses what comes too early.
+pub struct Store {
+    settings: StoreSettings,
+    next: Cell<Instant>,
+}
+
+impl Store {
+    /// Makes a store that is ready for its first load.
+    #[must_use]
+    pub fn new(settings: StoreSettings) -> Self {
+        Self {
+            settings,
+            next: Cell::new(Instant::now()),
+        }
+    }
+
+    /// Answers one HTTP request, `GET /v1/weights/MODEL/VERSION`.
+    ///
+    /// # Errors
+    /// Never; the form is that of the other stand-ins.
+    #[allow(clippy::unused_async)]
+    pub async fn handle(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Closed> {
+        let Some(name) = request.uri().path().strip_prefix("/v1/weights/") else {
+            let body = serde_json::json!({"error": "no such path"});
+            return Ok(json(StatusCode::NOT_FOUND, &body));
+        };
+        let now = Instant::now();
+        if now < self.next.get() {
+            let body = serde_json::json!({"error": "too many loads, come back later"});
+            let mut response = json(StatusCode::TOO_MANY_REQUESTS, &body);
+            let second = HeaderValue::from_static("1");
+            response.headers_mut().insert(header::RETRY_AFTER, second);
+            return Ok(response);
+        }
+        self.next.set(now + self.settings.load_pause);
+        Ok(json(StatusCode::OK, &serde_json::json!({"weights": name})))
+    }
+}
