--- /dev/null
+++ b/crates/jaylock-router/src/account.rs
@@ -0,0 +1,72 @@
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use http::StatusCode;
+use jaylock_observe::{Observer, RequestKind, RequestRecord, Run};
+use jaylock_types::{PoolId, Tokens};
+
+use crate::call::Call;
+use crate::router::Shared;
+
+/// Status in the record of a request whose caller hung up.
+const HUNG_UP: u16 = 499;
+
+/// Counts a request while it is in progress and reports it when dropped.
+pub struct Account {
+    /// What is known so far.
+    pub record: RequestRecord,
+    observer: Observer,
+    arrived: Instant,
+    _busy: Rc<()>,
+}
+
+impl Account {
+    /// Opens the account of a request.
+    pub fn new(shared: &Shared, call: &Call, pool: PoolId, kind: RequestKind) -> Self {
+        let record = RequestRecord {
+            request: call.request.clone(),
+            organisation: call.organisation.clone(),
+            pool,
+            kind,
+            status: HUNG_UP,
+            run: Run::NotRun,
+            whole: false,
+            tokens: Tokens(0),
+            waited: Duration::ZERO,
+            first_token: None,
+            total: Duration::ZERO,
+            attempts: 0,
+        };
+        Self {
+            record,
+            observer: shared.observer.clone(),
+            arrived: call.arrived,
+            _busy: shared.busy(),
+        }
+    }
+
+    /// Notes a step, for explaining the request later.
+    pub fn step(&self, text: impl Into<CompactString>) {
+        self.observer.step(&self.record.request, text);
+    }
+
+    /// Notes the first token or byte.
+    pub fn first(&mut self) {
+        let since = self.arrived.elapsed();
+        self.record.first_token.get_or_insert(since);
+    }
+
+    /// Notes the status of the answer and whether the request ran.
+    pub fn answered(&mut self, status: StatusCode, run: Run) {
+        self.record.status = status.as_u16();
+        self.record.run = run;
+    }
+}
+
+impl Drop for Account {
+    fn drop(&mut self) {
+        self.record.total = self.arrived.elapsed();
+        self.observer.finished(&self.record);
+    }
+}
--- /dev/null
+++ b/crates/jaylock-router/src/answer.rs
@@ -0,0 +1,181 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use jaylock_observe::Run;
+use jaylock_rpc::v1::refusal::Reason;
+use jaylock_types::RequestId;
+use serde::Serialize;
+
+use crate::body::Body;
+
+/// Header with the identifier of a request.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Header that says whether a request ran.
+pub const RUN: &str = "x-run";
+/// Header that marks an answer that was recorded earlier.
+pub const RECORDED: &str = "x-recorded";
+
+/// An answer that carries no result, with the reason and the remedy.
+#[derive(Debug, Clone)]
+pub struct Refusal {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Short word for programs.
+    pub kind: &'static str,
+    /// The reason, for people.
+    pub message: CompactString,
+    /// What the caller can do.
+    pub remedy: &'static str,
+    /// Whether the request ran.
+    pub run: Run,
+    /// When to ask again.
+    pub retry_after: Option<Duration>,
+    /// Other addresses to ask.
+    pub others: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct RefusalBody<'a> {
+    error: RefusalText<'a>,
+    #[serde(skip_serializing_if = "<[String]>::is_empty")]
+    routers: &'a [String],
+}
+
+#[derive(Serialize)]
+struct RefusalText<'a> {
+    kind: &'a str,
+    message: &'a str,
+    remedy: &'a str,
+    run: &'a str,
+}
+
+impl Refusal {
+    /// A refusal of a request of which no byte left for a backend server.
+    pub fn not_run(
+        status: StatusCode,
+        kind: &'static str,
+        message: impl Into<CompactString>,
+        remedy: &'static str,
+    ) -> Self {
+        Self {
+            status,
+            kind,
+            message: message.into(),
+            remedy,
+            run: Run::NotRun,
+            retry_after: None,
+            others: Vec::new(),
+        }
+    }
+
+    /// A refusal in the words of a scheduler.
+    pub fn of_capacity(refusal: &jaylock_rpc::v1::Refusal) -> Self {
+        let (status, kind, message) = match refusal.reason() {
+            Reason::QueueFull => (
+                StatusCode::TOO_MANY_REQUESTS,
+                "queue-full",
+                "too many requests of this organisation wait",
+            ),
+            Reason::NoBackend => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no-backend",
+                "no backend server serves this now",
+            ),
+            Reason::Overloaded | Reason::Unspecified => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "overloaded",
+                "the fleet has more work than it can queue",
+            ),
+        };
+        let wait = Duration::from_millis(refusal.retry_after_ms.into());
+        Self::not_run(
+            status,
+            kind,
+            message,
+            "ask again after the time in retry-after",
+        )
+        .after(wait)
+    }
+
+    /// Adds when to ask again.
+    pub fn after(mut self, wait: Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+
+    /// Changes what is said about the run.
+    pub fn ran(mut self, run: Run) -> Self {
+        self.run = run;
+        self
+    }
+
+    /// Adds other addresses to ask.
+    pub fn elsewhere(mut self, others: Vec<String>) -> Self {
+        self.others = others;
+        self
+    }
+
+    /// The JSON form of the refusal.
+    pub fn json(&self) -> Vec<u8> {
+        let error = RefusalText {
+            kind: self.kind,
+            message: &self.message,
+            remedy: self.remedy,
+            run: run_word(self.run),
+        };
+        let body = RefusalBody {
+            error,
+            routers: &self.others,
+        };
+        serde_json::to_vec(&body).unwrap_or_default()
+    }
+
+    /// The refusal as an answer to a request.
+    pub fn response(&self, request: &RequestId) -> Response<Body> {
+        let mut response = json(request, self.status, self.run, self.json());
+        if let Some(wait) = self.retry_after {
+            let seconds = wait.as_millis().div_ceil(1000).max(1);
+            put(response.headers_mut(), "retry-after", &seconds.to_string());
+        }
+        response
+    }
+}
+
+/// A JSON answer.
+pub fn json(
+    request: &RequestId,
+    status: StatusCode,
+    run: Run,
+    body: impl Into<Bytes>,
+) -> Response<Body> {
+    let mut response = Response::new(Body::whole(body));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    put(headers, header::CONTENT_TYPE.as_str(), "application/json");
+    mark(headers, request, run);
+    response
+}
+
+/// Puts the identifier of the request and whether it ran into an answer's head.
+pub fn mark(headers: &mut HeaderMap, request: &RequestId, run: Run) {
+    put(headers, REQUEST_ID, request.as_str());
+    put(headers, RUN, run_word(run));
+}
+
+/// Sets a header field; a value that no header takes is left out.
+pub fn put(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+/// The word of a run state in headers and bodies.
+pub fn run_word(run: Run) -> &'static str {
+    match run {
+        Run::NotRun => "not-run",
+        Run::Ran => "ran",
+        Run::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/jaylock-router/src/attempt.rs
@@ -0,0 +1,264 @@
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use futures_util::FutureExt;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use jaylock_types::RequestId;
+use thiserror::Error;
+
+use crate::answer::{REQUEST_ID, put};
+use crate::body;
+use crate::call::DEADLINE;
+use crate::chat::Chat;
+use crate::event::EventParser;
+use crate::link::{Link, LinkError};
+use crate::piece::{Check, Piece, PieceChecker};
+use crate::router::Shared;
+
+/// Header by which a backend server says that it didn't run a request.
+pub const NOT_RUN: &str = "x-not-run";
+/// Longest event of an engine's stream, in bytes.
+const EVENT_LIMIT: usize = 1 << 20;
+/// Time for the end of a stream to arrive after its last event.
+const TAIL_WAIT: Duration = Duration::from_millis(200);
+
+/// Why an attempt failed.
+#[derive(Debug, Clone, Error)]
+pub enum Failure {
+    /// No connection could be opened; no byte left.
+    #[error("no connection: {0}")]
+    Unreachable(CompactString),
+    /// The backend server said that it did not run the request.
+    #[error("the backend server declined the request")]
+    Declined,
+    /// The connection ended before the answer was whole.
+    #[error("the connection broke: {0}")]
+    Broken(CompactString),
+    /// No byte came for too long.
+    #[error("the backend server is silent")]
+    Silent,
+    /// The answer can't be trusted.
+    #[error("{0}")]
+    Faulty(CompactString),
+    /// The backend server's final word, to be passed on.
+    #[error("the backend server answered {0}")]
+    Final(StatusCode, Bytes),
+}
+
+/// Where a resumed answer goes on.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Position {
+    /// Number of the last piece passed on.
+    pub last: u64,
+    /// Whether that piece ended the answer.
+    pub finished: bool,
+}
+
+/// One run of a request on a model engine, read as a stream.
+pub struct Attempt {
+    shared: Rc<Shared>,
+    link: Link,
+    body: Incoming,
+    parser: EventParser,
+    checker: PieceChecker,
+}
+
+impl Attempt {
+    /// Sends a request to an engine and waits for the head of its answer.
+    pub async fn start(
+        shared: &Rc<Shared>,
+        chat: &Chat,
+        address: SocketAddr,
+        position: Position,
+        left: Duration,
+    ) -> Result<Self, Failure> {
+        let id = RequestId::random();
+        let request = || chat_request(chat, &id, address, position, left);
+        let limit = shared.settings.first_byte;
+        let exchange = exchange(shared, address, shared.settings.idle, request);
+        let (link, response) = silence_limit(limit, exchange).await??;
+        let response = check_head(response, &id, shared).await?;
+        Ok(Self {
+            shared: shared.clone(),
+            link,
+            body: response.into_body(),
+            parser: EventParser::default(),
+            checker: PieceChecker::new(id.as_str(), position.last, position.finished),
+        })
+    }
+
+    /// The next piece, or none when the answer is whole.
+    pub async fn next(&mut self) -> Result<Option<Piece>, Failure> {
+        loop {
+            while let Some(event) = self.parser.next_event() {
+                match self.checker.check(&event) {
+                    Check::Pass(piece) => return Ok(Some(piece)),
+                    Check::Drop => {}
+                    Check::Whole => return Ok(None),
+                    Check::Broken(reason) => return Err(Failure::Faulty(reason.into())),
+                }
+            }
+            self.fill().await?;
+        }
+    }
+
+    /// Keeps the connection for another request, once the answer is whole.
+    pub fn close(self) {
+        let Self {
+            shared,
+            link,
+            mut body,
+            ..
+        } = self;
+        if let Some(None) = body.frame().now_or_never() {
+            shared.links.put(link);
+            return;
+        }
+        compio::runtime::spawn(async move {
+            if let Ok(None) = compio::time::timeout(TAIL_WAIT, body.frame()).await {
+                shared.links.put(link);
+            }
+        })
+        .detach();
+    }
+
+    async fn fill(&mut self) -> Result<(), Failure> {
+        if self.parser.pending() > EVENT_LIMIT {
+            return Err(Failure::Faulty("a piece is too long".into()));
+        }
+        let limit = self.shared.settings.silence;
+        match silence_limit(limit, self.body.frame()).await? {
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    self.parser.feed(data);
+                }
+                Ok(())
+            }
+            Some(Err(error)) => Err(Failure::Broken(format_compact!("{error}"))),
+            None => Err(Failure::Broken("the stream ended early".into())),
+        }
+    }
+}
+
+/// Sends a request over an idle or a new connection; nothing is sent twice.
+pub async fn exchange(
+    shared: &Shared,
+    address: SocketAddr,
+    fresh: Duration,
+    request: impl Fn() -> Request<Full<Bytes>>,
+) -> Result<(Link, Response<Incoming>), Failure> {
+    if let Some(mut link) = shared.links.take(address, fresh) {
+        match link.send(request()).await {
+            Ok(response) => return Ok((link, response)),
+            Err(LinkError::Unsent) => {}
+            Err(error) => return Err(Failure::Broken(format_compact!("{error}"))),
+        }
+    }
+    let opened = Link::open(address, shared.settings.connect_timeout).await;
+    let mut link = opened.map_err(|e| Failure::Unreachable(format_compact!("{e}")))?;
+    match link.send(request()).await {
+        Ok(response) => Ok((link, response)),
+        Err(LinkError::Unsent) => Err(Failure::Unreachable("the connection closed".into())),
+        Err(error) => Err(Failure::Broken(format_compact!("{error}"))),
+    }
+}
+
+/// Gives up on a backend server that stays silent.
+pub async fn silence_limit<T>(
+    limit: Duration,
+    wait: impl Future<Output = T>,
+) -> Result<T, Failure> {
+    compio::time::timeout(limit, wait)
+        .await
+        .map_err(|_| Failure::Silent)
+}
+
+/// Whether the answer carries another request's identifier.
+pub fn is_crossed(response: &Response<Incoming>, id: &RequestId) -> bool {
+    let echoed = response.headers().get(REQUEST_ID);
+    echoed.is_some_and(|e| e.as_bytes() != id.as_str().as_bytes())
+}
+
+/// Whether the backend server says that it did not run this very request.
+pub fn is_declined(response: &Response<Incoming>, id: &RequestId) -> bool {
+    let headers = response.headers();
+    let echoed = headers.get(REQUEST_ID).map(http::HeaderValue::as_bytes);
+    response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && headers.get(NOT_RUN).is_some_and(|v| v == "true")
+        && echoed == Some(id.as_str().as_bytes())
+}
+
+fn chat_request(
+    chat: &Chat,
+    id: &RequestId,
+    address: SocketAddr,
+    position: Position,
+    left: Duration,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(chat.body.clone()));
+    *request.method_mut() = http::Method::POST;
+    *request.uri_mut() = http::Uri::from_static("/v1/chat/completions");
+    let headers = request.headers_mut();
+    put(headers, "host", &address.to_string());
+    put(headers, "content-type", "application/json");
+    put(headers, "accept", "text/event-stream");
+    put(headers, REQUEST_ID, id.as_str());
+    put(headers, "x-model-version", &chat.version);
+    put(headers, DEADLINE, &left.as_millis().to_string());
+    if !chat.adapter.is_empty() {
+        put(headers, "x-adapter", &chat.adapter);
+    }
+    if position.last > 0 {
+        put(headers, "last-event-id", &position.last.to_string());
+    }
+    request
+}
+
+async fn check_head(
+    response: Response<Incoming>,
+    id: &RequestId,
+    shared: &Shared,
+) -> Result<Response<Incoming>, Failure> {
+    if is_declined(&response, id) {
+        return Err(Failure::Declined);
+    }
+    if is_crossed(&response, id) {
+        return Err(Failure::Faulty("the answer is another request's".into()));
+    }
+    let status = response.status();
+    if status.is_client_error() {
+        return Err(final_word(response, shared).await);
+    }
+    if status != StatusCode::OK {
+        let reason = format_compact!("the engine answered {status}");
+        return Err(Failure::Faulty(reason));
+    }
+    Ok(response)
+}
+
+async fn final_word(response: Response<Incoming>, shared: &Shared) -> Failure {
+    let status = response.status();
+    let settings = &shared.settings;
+    match body::read(
+        response.into_body(),
+        settings.record_bound,
+        settings.silence,
+    )
+    .await
+    {
+        Ok(body) => Failure::Final(status, body),
+        Err(_) => Failure::Broken("the answer broke off".into()),
+    }
+}
+
+/// The content type of an answer.
+pub fn content_type(response: &Response<Incoming>) -> CompactString {
+    let value = response.headers().get(header::CONTENT_TYPE);
+    let value = value.and_then(|v| v.to_str().ok());
+    value.unwrap_or("application/octet-stream").into()
+}
--- /dev/null
+++ b/crates/jaylock-router/src/body.rs
@@ -0,0 +1,83 @@
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use futures_util::stream::LocalBoxStream;
+use http_body::Frame;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use jaylock_types::ByteSize;
+
+/// The body of an answer.
+pub enum Body {
+    /// All of it is known.
+    Whole(Option<Bytes>),
+    /// It is made while it is sent; dropping it ends the work behind it.
+    Stream(LocalBoxStream<'static, Bytes>),
+}
+
+impl Body {
+    /// A body that is known as a whole.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()))
+    }
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let next = match &mut *self {
+            Self::Whole(bytes) => bytes.take(),
+            Self::Stream(stream) => ready!(Pin::new(stream).poll_next(cx)),
+        };
+        Poll::Ready(next.map(|bytes| Ok(Frame::data(bytes))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Stream(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                let length = bytes.as_ref().map_or(0, Bytes::len);
+                http_body::SizeHint::with_exact(length as u64)
+            }
+            Self::Stream(_) => http_body::SizeHint::default(),
+        }
+    }
+}
+
+/// Why a body was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadError {
+    /// It is longer than the bound.
+    TooLong,
+    /// It did not arrive in time.
+    TooSlow,
+    /// It ended before its announced length, or was malformed.
+    Broken,
+}
+
+/// Reads a body of bounded length in bounded time.
+pub async fn read(body: Incoming, bound: ByteSize, limit: Duration) -> Result<Bytes, ReadError> {
+    let collecting = Limited::new(body, bound.0).collect();
+    let outcome = compio::time::timeout(limit, collecting).await;
+    let collected = outcome.map_err(|_| ReadError::TooSlow)?;
+    match collected {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(ReadError::TooLong),
+        Err(_) => Err(ReadError::Broken),
+    }
+}
--- /dev/null
+++ b/crates/jaylock-router/src/call.rs
@@ -0,0 +1,185 @@
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, StatusCode};
+use hyper::body::Incoming;
+use jaylock_observe::Run;
+use jaylock_types::{OrganisationId, RequestId};
+use sha2::{Digest, Sha256};
+
+use crate::address;
+use crate::answer::Refusal;
+use crate::body::{self, ReadError};
+use crate::router::Shared;
+
+/// Header with the time that is left for a request, in ms.
+pub const DEADLINE: &str = "x-deadline-ms";
+
+/// An admitted request of a caller.
+pub struct Call {
+    /// Identifier that the caller is told.
+    pub request: RequestId,
+    /// Organisation of the key.
+    pub organisation: OrganisationId,
+    /// When its head arrived.
+    pub arrived: Instant,
+    /// When its caller stops waiting.
+    pub deadline: Instant,
+    /// Method, path and header fields.
+    pub head: Parts,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// Admits a request: checks who sends it and whether this router serves, and reads its body.
+    pub async fn admit(
+        shared: &Shared,
+        request: RequestId,
+        head: Parts,
+        incoming: Incoming,
+    ) -> Result<Self, Refusal> {
+        let arrived = Instant::now();
+        let organisation = identify(shared, &head.headers)?;
+        check_service(shared)?;
+        let limit = time_left(&head.headers, shared.settings.deadline)?;
+        let body = read(shared, incoming).await?;
+        let call = Self {
+            request,
+            organisation,
+            arrived,
+            deadline: arrived + limit,
+            head,
+            body,
+        };
+        call.check_quarantine(shared)?;
+        Ok(call)
+    }
+
+    /// What is left until the deadline.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// SHA-256 of organisation and body, by which a request that crashes backend servers is known.
+    pub fn fingerprint(&self) -> [u8; 32] {
+        let mut hash = Sha256::new();
+        hash.update(self.organisation.as_str());
+        hash.update([0]);
+        hash.update(&self.body);
+        hash.finalize().into()
+    }
+
+    fn check_quarantine(&self, shared: &Shared) -> Result<(), Refusal> {
+        let current = shared.view.current();
+        let wanted = self.fingerprint();
+        let found = current
+            .quarantines
+            .binary_search_by(|q| q.fingerprint.as_slice().cmp(&wanted));
+        let Ok(at) = found else {
+            return Ok(());
+        };
+        let now = jaylock_types::unix_ms();
+        let left = current.quarantines[at].until_ms.saturating_sub(now);
+        if left == 0 {
+            return Ok(());
+        }
+        Err(quarantined(Duration::from_millis(left)))
+    }
+}
+
+/// The refusal of a request that crashed backend servers.
+pub fn quarantined(left: Duration) -> Refusal {
+    Refusal::not_run(
+        StatusCode::UNPROCESSABLE_ENTITY,
+        "quarantined",
+        "a request with this body crashed two backend servers",
+        "change the request, or ask the operators to look at it",
+    )
+    .after(left)
+}
+
+/// The refusal of a request whose time is over.
+pub fn late(run: Run) -> Refusal {
+    Refusal::not_run(
+        StatusCode::GATEWAY_TIMEOUT,
+        "deadline",
+        "the time limit of the request is over",
+        "allow more time in x-deadline-ms, or ask again later",
+    )
+    .ran(run)
+    .after(Duration::from_secs(1))
+}
+
+fn identify(shared: &Shared, headers: &HeaderMap) -> Result<OrganisationId, Refusal> {
+    let found = shared.organisations.find(&shared.view, headers);
+    found.ok_or_else(|| {
+        Refusal::not_run(
+            StatusCode::UNAUTHORIZED,
+            "unknown-key",
+            "no organisation has this key",
+            "send a valid key as \"authorization: Bearer KEY\"",
+        )
+    })
+}
+
+fn check_service(shared: &Shared) -> Result<(), Refusal> {
+    let (kind, message) = if shared.is_closed() {
+        ("leaving", "this instance is stopping")
+    } else if !shared.view.is_connected() {
+        ("disconnected", "this instance is cut off from the fleet")
+    } else {
+        return Ok(());
+    };
+    let refusal = Refusal::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        kind,
+        message,
+        "ask one of the other addresses",
+    );
+    let wait = shared.settings.retry_after;
+    Err(refusal.after(wait).elsewhere(address::others(shared)))
+}
+
+fn time_left(headers: &HeaderMap, default: Duration) -> Result<Duration, Refusal> {
+    let Some(value) = headers.get(DEADLINE) else {
+        return Ok(default);
+    };
+    let parsed = value.to_str().ok().and_then(|v| v.parse().ok());
+    let parsed = parsed.map(Duration::from_millis);
+    parsed.ok_or_else(|| {
+        Refusal::not_run(
+            StatusCode::BAD_REQUEST,
+            "malformed",
+            "x-deadline-ms is no whole number",
+            "send the milliseconds that are left",
+        )
+    })
+}
+
+/// Reads the body of a request within the router's bounds.
+pub async fn read(shared: &Shared, incoming: Incoming) -> Result<Bytes, Refusal> {
+    let settings = &shared.settings;
+    let outcome = body::read(incoming, settings.body_bound, settings.slow_sender).await;
+    outcome.map_err(|error| match error {
+        ReadError::TooLong => Refusal::not_run(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "too-long",
+            "the body is over the bound of this fleet",
+            "send a shorter body",
+        ),
+        ReadError::TooSlow => Refusal::not_run(
+            StatusCode::REQUEST_TIMEOUT,
+            "too-slow",
+            "the body did not arrive in time",
+            "send it again, faster",
+        ),
+        ReadError::Broken => Refusal::not_run(
+            StatusCode::BAD_REQUEST,
+            "truncated",
+            "the body ended early or was malformed",
+            "send it again with the right length",
+        ),
+    })
+}
--- /dev/null
+++ b/crates/jaylock-router/src/chat.rs
@@ -0,0 +1,205 @@
+use std::hash::Hasher;
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use http::StatusCode;
+use jaylock_rpc::v1::{Ask, Configuration, Model};
+use jaylock_types::PoolId;
+use serde_json::{Map, Value};
+
+use crate::answer::Refusal;
+
+/// Bytes of prompt text in one prefix block.
+const BLOCK: usize = 256;
+/// Prefixes told to the scheduler at most.
+const PREFIX_LIMIT: usize = 16;
+/// Bytes of text in a token, for estimates.
+const TOKEN_BYTES: usize = 4;
+
+/// A request for a model, checked against the configuration.
+pub struct Chat {
+    /// Pool that serves the model.
+    pub pool: PoolId,
+    /// Model, without its adapter.
+    pub model: CompactString,
+    /// Version that is in force.
+    pub version: CompactString,
+    /// Adapter; empty for none.
+    pub adapter: CompactString,
+    /// Whether the caller wants server-sent events.
+    pub stream: bool,
+    /// What the scheduler is asked, without its ticket.
+    pub ask: Ask,
+    /// Body for the engine.
+    pub body: Bytes,
+}
+
+impl Chat {
+    /// Reads the body of a request for a model.
+    pub fn parse(body: &Bytes, configuration: &Configuration) -> Result<Self, Refusal> {
+        let value: Value =
+            serde_json::from_slice(body).map_err(|e| malformed(&format_compact!("{e}")))?;
+        let Value::Object(mut fields) = value else {
+            return Err(malformed("the body is no JSON object"));
+        };
+        let stream = flag(&fields, "stream")?;
+        let (model, adapter) = target(&fields, configuration)?;
+        let prompt = prompt(&fields)?;
+        let ask = Ask {
+            model: model.id.clone(),
+            version: model.version.clone(),
+            adapter: adapter.to_string(),
+            limit: limit(&fields)?,
+            prompt_tokens: u32::try_from(prompt.len() / TOKEN_BYTES).unwrap_or(u32::MAX),
+            prefixes: prefixes(&prompt),
+            ..Ask::default()
+        };
+        fields.insert("model".into(), model.id.clone().into());
+        fields.insert("stream".into(), true.into());
+        let pool = model.pool.parse();
+        let body = serde_json::to_vec(&fields).unwrap_or_default();
+        Ok(Self {
+            pool: pool.map_err(|_| unknown("the model has no pool"))?,
+            model: model.id.as_str().into(),
+            version: model.version.as_str().into(),
+            adapter,
+            stream,
+            ask,
+            body: body.into(),
+        })
+    }
+}
+
+/// Hashes of ever longer prefixes of a prompt, shortest first.
+pub fn prefixes(prompt: &str) -> Vec<u64> {
+    let mut hasher = Fnv::default();
+    let blocks = prompt.as_bytes().chunks_exact(BLOCK).take(PREFIX_LIMIT);
+    let chain = blocks.map(|block| {
+        hasher.write(block);
+        hasher.finish()
+    });
+    chain.collect()
+}
+
+/// The 64-bit FNV-1a hash, the same in every process.
+struct Fnv(u64);
+
+impl Default for Fnv {
+    fn default() -> Self {
+        Self(0xcbf2_9ce4_8422_2325)
+    }
+}
+
+impl Hasher for Fnv {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    }
+}
+
+fn target<'a>(
+    fields: &Map<String, Value>,
+    configuration: &'a Configuration,
+) -> Result<(&'a Model, CompactString), Refusal> {
+    let Some(name) = fields.get("model").and_then(Value::as_str) else {
+        return Err(malformed("model is missing or no text"));
+    };
+    let named = fields.get("adapter").and_then(Value::as_str);
+    let (model, adapter) = match find(configuration, name) {
+        Some(model) => (model, named.unwrap_or_default()),
+        None => split(configuration, name, named)?,
+    };
+    if !adapter.is_empty() && !has_adapter(configuration, adapter, &model.id) {
+        return Err(unknown("no such adapter is configured for this model"));
+    }
+    Ok((model, adapter.into()))
+}
+
+fn split<'a, 'b>(
+    configuration: &'a Configuration,
+    name: &'b str,
+    named: Option<&str>,
+) -> Result<(&'a Model, &'b str), Refusal> {
+    let parts = name.rsplit_once(':').filter(|_| named.is_none());
+    let found = parts.and_then(|(m, adapter)| Some((find(configuration, m)?, adapter)));
+    found.ok_or_else(|| unknown("no such model is configured"))
+}
+
+fn find<'a>(configuration: &'a Configuration, name: &str) -> Option<&'a Model> {
+    let models = &configuration.models;
+    let at = models.binary_search_by(|m| m.id.as_str().cmp(name)).ok()?;
+    Some(&models[at])
+}
+
+fn has_adapter(configuration: &Configuration, name: &str, model: &str) -> bool {
+    let adapters = configuration.adapters.iter();
+    adapters
+        .into_iter()
+        .any(|a| a.id == name && a.model == model)
+}
+
+fn prompt(fields: &Map<String, Value>) -> Result<String, Refusal> {
+    let Some(Value::Array(messages)) = fields.get("messages") else {
+        return Err(malformed("messages is missing or no list"));
+    };
+    let mut text = String::new();
+    for message in messages {
+        let Value::Object(message) = message else {
+            return Err(malformed("a message is no JSON object"));
+        };
+        for key in ["role", "content"] {
+            match message.get(key) {
+                Some(Value::String(part)) => text.push_str(part),
+                Some(other) => text.push_str(&other.to_string()),
+                None => {}
+            }
+            text.push('\n');
+        }
+    }
+    Ok(text)
+}
+
+fn limit(fields: &Map<String, Value>) -> Result<u32, Refusal> {
+    let keys = ["max_completion_tokens", "max_tokens"];
+    let value = keys
+        .iter()
+        .find_map(|k| fields.get(*k).filter(|v| !v.is_null()));
+    let Some(value) = value else {
+        return Ok(0);
+    };
+    let limit = value.as_u64().and_then(|v| u32::try_from(v).ok());
+    limit.ok_or_else(|| malformed("max_tokens is no whole number"))
+}
+
+fn flag(fields: &Map<String, Value>, key: &str) -> Result<bool, Refusal> {
+    match fields.get(key) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(flag)) => Ok(*flag),
+        Some(_) => Err(malformed(&format_compact!(
+            "{key} is neither true nor false"
+        ))),
+    }
+}
+
+fn malformed(reason: &str) -> Refusal {
+    Refusal::not_run(
+        StatusCode::BAD_REQUEST,
+        "malformed",
+        reason,
+        "send the common chat-completions form",
+    )
+}
+
+fn unknown(reason: &'static str) -> Refusal {
+    Refusal::not_run(
+        StatusCode::NOT_FOUND,
+        "unknown-model",
+        reason,
+        "ask the operators which models are configured",
+    )
+}
--- /dev/null
+++ b/crates/jaylock-router/src/claim.rs
@@ -0,0 +1,282 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::{Response, StatusCode, header};
+use jaylock_observe::Run;
+use jaylock_rpc::v1::applied::Result as Outcome;
+use jaylock_rpc::v1::claim_state::Kind;
+use jaylock_rpc::v1::command::Body as CommandBody;
+use jaylock_rpc::v1::{Applied, Claim, ClaimState, Command, ReleaseClaim, Settle};
+use jaylock_types::{RequestId, unix_ms};
+use sha2::{Digest, Sha256};
+
+use crate::answer::{RECORDED, Refusal, mark, put};
+use crate::body::Body;
+use crate::call::Call;
+use crate::router::Shared;
+
+/// Header that names a request that may not be repeated.
+pub const KEY: &str = "idempotency-key";
+/// Longest key, in bytes.
+const KEY_LIMIT: usize = 255;
+/// Wait between two tries to record what became of a claim.
+const RECORD_STEP: Duration = Duration::from_millis(500);
+
+/// The right to run a request once; it must be settled or released.
+pub struct HeldClaim {
+    shared: Rc<Shared>,
+    organisation: String,
+    key: String,
+}
+
+/// What a claim led to.
+pub enum Claimed {
+    /// The request may run now.
+    Held(HeldClaim),
+    /// It ran before; the recorded answer.
+    Recorded(Settle),
+}
+
+/// The answer of a backend server, as far as it is recorded.
+#[derive(Debug, Clone)]
+pub struct Record {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Content type.
+    pub content_type: CompactString,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl HeldClaim {
+    /// Commits a claim before the first byte of a request leaves.
+    pub async fn take(shared: &Rc<Shared>, call: &Call) -> Result<Claimed, Refusal> {
+        let key = key(call)?;
+        let held = Self {
+            shared: shared.clone(),
+            organisation: call.organisation.to_string(),
+            key: key.clone(),
+        };
+        let claim = Claim {
+            organisation: held.organisation.clone(),
+            key,
+            fingerprint: fingerprint(call).to_vec(),
+            router: shared.identity.instance.to_string(),
+            incarnation: shared.identity.incarnation.0,
+            request: call.request.to_string(),
+            at_ms: unix_ms(),
+        };
+        let outcome = shared
+            .claims
+            .propose(command(CommandBody::Claim(claim)))
+            .await;
+        let Ok(applied) = outcome else {
+            // The claim may be committed later, and nobody else could give it back.
+            held.release();
+            return Err(no_control(shared));
+        };
+        held.judge(applied)
+    }
+
+    /// Records the outcome; resolves once it is durable or `settle_wait` has passed.
+    pub async fn settle(self, record: Option<&Record>) {
+        let bound = self.shared.settings.record_bound.0;
+        let settle = Settle {
+            organisation: self.organisation.clone(),
+            key: self.key.clone(),
+            router: self.shared.identity.instance.to_string(),
+            incarnation: self.shared.identity.incarnation.0,
+            known: record.is_some(),
+            status: record.map_or(0, |r| r.status.as_u16().into()),
+            content_type: record.map_or_else(String::new, |r| r.content_type.to_string()),
+            body: record
+                .filter(|r| r.body.len() <= bound)
+                .map_or_else(Vec::new, |r| r.body.to_vec()),
+            body_dropped: record.is_some_and(|r| r.body.len() > bound),
+        };
+        let recording = self.record(CommandBody::Settle(settle));
+        let wait = self.shared.settings.settle_wait;
+        let _ = compio::time::timeout(wait, recording).await;
+    }
+
+    /// Gives the claim back; only while no byte has left.
+    pub fn release(self) {
+        let release = ReleaseClaim {
+            organisation: self.organisation.clone(),
+            key: self.key.clone(),
+            router: self.shared.identity.instance.to_string(),
+            incarnation: self.shared.identity.incarnation.0,
+        };
+        drop(self.record(CommandBody::ReleaseClaim(release)));
+    }
+
+    /// Proposes until control confirms; the task goes on when the receiver is dropped.
+    fn record(&self, body: CommandBody) -> futures_channel::oneshot::Receiver<()> {
+        let (done, waiting) = futures_channel::oneshot::channel();
+        let shared = self.shared.clone();
+        let busy = shared.busy();
+        let command = command(body);
+        compio::runtime::spawn(async move {
+            while let Err(error) = shared.claims.propose(command.clone()).await {
+                log::warn!(target: "router", "a claim's outcome waits: {error}");
+                compio::time::sleep(RECORD_STEP).await;
+            }
+            let _ = done.send(());
+            drop(busy);
+        })
+        .detach();
+        waiting
+    }
+
+    fn judge(self, applied: Applied) -> Result<Claimed, Refusal> {
+        let state = match applied.result {
+            Some(Outcome::Claim(state)) => state,
+            other => {
+                log::warn!(target: "router", "control answered a claim with {other:?}");
+                self.release();
+                return Err(refused_claim());
+            }
+        };
+        if state.kind() == Kind::Granted {
+            return Ok(Claimed::Held(self));
+        }
+        judge_claim(state)
+    }
+}
+
+/// What a claim that was not granted means for its caller.
+fn judge_claim(state: ClaimState) -> Result<Claimed, Refusal> {
+    let (status, kind, message, remedy, run, wait) = match state.kind() {
+        Kind::Settled => match state.outcome {
+            Some(outcome) if outcome.known => return Ok(Claimed::Recorded(outcome)),
+            _ => return Err(unknown_outcome()),
+        },
+        Kind::Unknown => return Err(unknown_outcome()),
+        Kind::Pending => (
+            StatusCode::CONFLICT,
+            "pending",
+            "a request with this key is running",
+            "ask again with the same key after the time in retry-after",
+            Run::Unknown,
+            Some(Duration::from_secs(1)),
+        ),
+        Kind::Mismatch => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "key-mismatch",
+            "this key was used for another request",
+            "use a new key for a new request",
+            Run::NotRun,
+            None,
+        ),
+        Kind::Expired => (
+            StatusCode::CONFLICT,
+            "key-expired",
+            "this key is older than the claims that are remembered",
+            "find out from your records whether it ran, then use a new key",
+            Run::NotRun,
+            None,
+        ),
+        Kind::Full => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "claims-full",
+            "the claims of this organisation are at their bound",
+            "ask again with the same key later",
+            Run::NotRun,
+            Some(Duration::from_mins(1)),
+        ),
+        Kind::Granted | Kind::Unspecified => return Err(refused_claim()),
+    };
+    let refusal = Refusal::not_run(status, kind, message, remedy).ran(run);
+    Err(match wait {
+        Some(wait) => refusal.after(wait),
+        None => refusal,
+    })
+}
+
+/// The recorded answer of an earlier run.
+pub fn recorded(request: &RequestId, settle: Settle) -> Response<Body> {
+    let status = u16::try_from(settle.status).ok();
+    let status = status.and_then(|s| StatusCode::from_u16(s).ok());
+    let mut response = Response::new(Body::whole(settle.body));
+    *response.status_mut() = status.unwrap_or(StatusCode::OK);
+    let headers = response.headers_mut();
+    put(headers, header::CONTENT_TYPE.as_str(), &settle.content_type);
+    put(headers, RECORDED, "true");
+    if settle.body_dropped {
+        put(headers, "x-body-dropped", "true");
+    }
+    mark(headers, request, Run::Ran);
+    response
+}
+
+/// The refusal of a request that may have run, and will not run again.
+pub fn unknown_outcome() -> Refusal {
+    Refusal::not_run(
+        StatusCode::CONFLICT,
+        "outcome-unknown",
+        "nobody can say whether this request ran",
+        "find out from the service; this key never runs again",
+    )
+    .ran(Run::Unknown)
+}
+
+fn key(call: &Call) -> Result<String, Refusal> {
+    let Some(value) = call.head.headers.get(KEY) else {
+        return Err(Refusal::not_run(
+            StatusCode::PRECONDITION_REQUIRED,
+            "key-missing",
+            "this request may not be repeated and has no key",
+            "send it with an idempotency-key header, the same one in every resend",
+        ));
+    };
+    let text = value.to_str().unwrap_or_default();
+    if text.is_empty() || text.len() > KEY_LIMIT {
+        return Err(Refusal::not_run(
+            StatusCode::BAD_REQUEST,
+            "malformed",
+            "the idempotency-key is malformed",
+            "use 1 to 255 printable ASCII characters",
+        ));
+    }
+    Ok(text.to_owned())
+}
+
+/// SHA-256 of method, path and body.
+fn fingerprint(call: &Call) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    hash.update(call.head.method.as_str());
+    hash.update([0]);
+    hash.update(call.head.uri.path_and_query().map_or("", |p| p.as_str()));
+    hash.update([0]);
+    hash.update(&call.body);
+    hash.finalize().into()
+}
+
+fn command(body: CommandBody) -> Command {
+    Command {
+        id: RequestId::random().into(),
+        expected_revision: None,
+        body: Some(body),
+    }
+}
+
+fn no_control(shared: &Shared) -> Refusal {
+    Refusal::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "no-control",
+        "the claim of this request was not confirmed",
+        "send it again with the same key after the time in retry-after",
+    )
+    .after(shared.settings.retry_after)
+}
+
+fn refused_claim() -> Refusal {
+    Refusal::not_run(
+        StatusCode::INTERNAL_SERVER_ERROR,
+        "claim-refused",
+        "the claim of this request was refused",
+        "tell the operators",
+    )
+}
--- /dev/null
+++ b/crates/jaylock-router/src/completion.rs
@@ -0,0 +1,170 @@
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http::{Response, StatusCode, header};
+use jaylock_observe::Run;
+use jaylock_types::RequestId;
+use serde_json::{Map, Value, json};
+
+use crate::account::Account;
+use crate::answer::{self, Refusal, mark, put};
+use crate::body::Body;
+use crate::call::Call;
+use crate::chat::Chat;
+use crate::generation::Generation;
+use crate::piece::Piece;
+use crate::router::Shared;
+
+/// Answers a request for a model.
+pub async fn answer(shared: &Rc<Shared>, call: Call) -> Result<Response<Body>, Refusal> {
+    let chat = Chat::parse(&call.body, &shared.view.current())?;
+    let account = Account::new(
+        shared,
+        &call,
+        chat.pool.clone(),
+        jaylock_observe::RequestKind::Model,
+    );
+    let streams = chat.stream;
+    let generation = Generation::new(shared.clone(), call, chat, account);
+    if streams {
+        streamed(generation).await
+    } else {
+        whole(generation).await
+    }
+}
+
+async fn streamed(mut generation: Generation) -> Result<Response<Body>, Refusal> {
+    let request = generation.call().request.clone();
+    let first = generation.next().await?;
+    let run = generation.run();
+    let state = Passing {
+        request: request.clone(),
+        first,
+        generation: Some(generation),
+    };
+    let stream = stream::unfold(state, Passing::next).boxed_local();
+    let mut response = Response::new(Body::Stream(stream));
+    let headers = response.headers_mut();
+    put(headers, header::CONTENT_TYPE.as_str(), "text/event-stream");
+    put(headers, header::CACHE_CONTROL.as_str(), "no-cache");
+    mark(headers, &request, run);
+    Ok(response)
+}
+
+async fn whole(mut generation: Generation) -> Result<Response<Body>, Refusal> {
+    let mut assembly = Assembly::default();
+    while let Some(piece) = generation.next().await? {
+        assembly.add(&piece);
+    }
+    let request = &generation.call().request;
+    let body = assembly.finish(request, &generation.chat().model);
+    Ok(answer::json(request, StatusCode::OK, Run::Ran, body))
+}
+
+/// An answer that is passed on while it is made.
+struct Passing {
+    request: RequestId,
+    first: Option<Piece>,
+    generation: Option<Generation>,
+}
+
+impl Passing {
+    async fn next(mut self) -> Option<(Bytes, Self)> {
+        let generation = self.generation.as_mut()?;
+        let step = match self.first.take() {
+            Some(first) => Ok(Some(first)),
+            None => generation.next().await,
+        };
+        let text = match step {
+            Ok(Some(piece)) => self.piece(piece),
+            Ok(None) => self.end("data: [DONE]\n\n".into()),
+            Err(refusal) => {
+                let text = String::from_utf8(refusal.json()).unwrap_or_default();
+                self.end(format!("event: error\ndata: {text}\n\n"))
+            }
+        };
+        Some((text.into(), self))
+    }
+
+    fn piece(&self, mut piece: Piece) -> String {
+        let id = Value::from(self.request.as_str());
+        piece.chunk.insert("id".into(), id);
+        let text = Value::Object(piece.chunk).to_string();
+        format!("id: {}\ndata: {text}\n\n", piece.number)
+    }
+
+    fn end(&mut self, text: String) -> String {
+        self.generation = None;
+        text
+    }
+}
+
+/// Puts the pieces of an answer together.
+#[derive(Default)]
+struct Assembly {
+    choices: Vec<Choice>,
+    usage: Option<Value>,
+    created: Option<Value>,
+}
+
+struct Choice {
+    index: u64,
+    text: String,
+    reason: Value,
+}
+
+impl Assembly {
+    fn add(&mut self, piece: &Piece) {
+        let chunk: &Map<String, Value> = &piece.chunk;
+        if let Some(usage) = chunk.get("usage").filter(|u| !u.is_null()) {
+            self.usage = Some(usage.clone());
+        }
+        if self.created.is_none() {
+            self.created = chunk.get("created").cloned();
+        }
+        let choices = chunk.get("choices").and_then(Value::as_array);
+        for part in choices.into_iter().flatten() {
+            let choice = self.choice(part["index"].as_u64().unwrap_or(0));
+            choice
+                .text
+                .push_str(part["delta"]["content"].as_str().unwrap_or_default());
+            if part["finish_reason"].is_string() {
+                choice.reason = part["finish_reason"].clone();
+            }
+        }
+    }
+
+    fn choice(&mut self, index: u64) -> &mut Choice {
+        let found = self.choices.binary_search_by_key(&index, |c| c.index);
+        let at = found.unwrap_or_else(|at| {
+            let choice = Choice {
+                index,
+                text: String::new(),
+                reason: Value::Null,
+            };
+            self.choices.insert(at, choice);
+            at
+        });
+        &mut self.choices[at]
+    }
+
+    fn finish(self, request: &RequestId, model: &str) -> String {
+        let choices = self.choices.into_iter().map(|c| {
+            json!({
+                "index": c.index,
+                "message": {"role": "assistant", "content": c.text},
+                "finish_reason": c.reason,
+            })
+        });
+        let answer = json!({
+            "id": request.as_str(),
+            "object": "chat.completion",
+            "created": self.created.unwrap_or(Value::from(0)),
+            "model": model,
+            "choices": choices.collect::<Vec<Value>>(),
+            "usage": self.usage,
+        });
+        answer.to_string()
+    }
+}
--- /dev/null
+++ b/crates/jaylock-router/src/event.rs
@@ -0,0 +1,101 @@
+use bytes::{Buf, Bytes, BytesMut};
+
+/// One server-sent event.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Event {
+    /// Number that a resumed stream goes on after.
+    pub id: Option<u64>,
+    /// Kind of event; empty for a plain one.
+    pub kind: String,
+    /// Its data lines, joined.
+    pub data: Bytes,
+}
+
+/// Splits a byte stream into server-sent events, wherever the bytes are cut.
+#[derive(Debug, Default)]
+pub struct EventParser {
+    buffer: BytesMut,
+    scanned: usize,
+}
+
+impl EventParser {
+    /// Takes the next bytes of the stream.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole event, if one is there.
+    pub fn next_event(&mut self) -> Option<Event> {
+        loop {
+            let block = self.next_block()?;
+            if let Some(event) = parse(&block) {
+                return Some(event);
+            }
+        }
+    }
+
+    /// Bytes that belong to no whole event yet.
+    #[must_use]
+    pub fn pending(&self) -> usize {
+        self.buffer.len()
+    }
+
+    fn next_block(&mut self) -> Option<Bytes> {
+        let start = self.scanned.saturating_sub(3);
+        let Some((at, length)) = find_end(&self.buffer, start) else {
+            self.scanned = self.buffer.len();
+            return None;
+        };
+        let block = self.buffer.split_to(at).freeze();
+        self.buffer.advance(length);
+        self.scanned = 0;
+        Some(block)
+    }
+}
+
+fn find_end(buffer: &[u8], start: usize) -> Option<(usize, usize)> {
+    for (at, _) in buffer
+        .iter()
+        .enumerate()
+        .skip(start)
+        .filter(|(_, b)| **b == b'\n')
+    {
+        let rest = &buffer[at..];
+        if rest.starts_with(b"\n\n") {
+            return Some((at, 2));
+        }
+        if rest.starts_with(b"\n\r\n") {
+            return Some((at, 3));
+        }
+    }
+    None
+}
+
+/// Reads the lines of an event; none for a block that holds only comments.
+fn parse(block: &[u8]) -> Option<Event> {
+    let mut event = Event::default();
+    let mut data = BytesMut::new();
+    let mut lines = 0;
+    for line in block.split(|b| *b == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let Some(colon) = line.iter().position(|b| *b == b':') else {
+            continue;
+        };
+        let (name, value) = (&line[..colon], &line[colon + 1..]);
+        let value = value.strip_prefix(b" ").unwrap_or(value);
+        match name {
+            b"id" => event.id = std::str::from_utf8(value).ok()?.parse().ok(),
+            b"event" => event.kind = String::from_utf8_lossy(value).into_owned(),
+            b"data" => {
+                if lines > 0 {
+                    data.extend_from_slice(b"\n");
+                }
+                data.extend_from_slice(value);
+                lines += 1;
+            }
+            _ => {}
+        }
+    }
+    event.data = data.freeze();
+    (lines > 0).then_some(event)
+}
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -1,1 +1,29 @@
 //! The callers' and backend servers' side: routing, limits, retries and whole answers.
+
+mod account;
+mod address;
+mod announce;
+mod answer;
+mod attempt;
+mod body;
+mod call;
+mod chat;
+mod claim;
+mod completion;
+mod event;
+mod generation;
+mod link;
+mod organisation;
+mod piece;
+mod port;
+mod router;
+mod server;
+mod service;
+mod settings;
+mod slot;
+
+pub use self::event::{Event, EventParser};
+pub use self::piece::{Check, Piece, PieceChecker};
+pub use self::port::{Capacity, Claims, NoControl};
+pub use self::router::Router;
+pub use self::settings::{RouterIdentity, RouterSettings};
--- /dev/null
+++ b/crates/jaylock-router/src/link.rs
@@ -0,0 +1,122 @@
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use futures_channel::oneshot;
+use futures_util::future::select;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use thiserror::Error;
+
+/// Idle connections kept for each address.
+const IDLE_LIMIT: usize = 16;
+
+/// A connection to a backend server; dropping it closes it at once.
+pub struct Link {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    answered: Instant,
+    _stop: oneshot::Sender<()>,
+}
+
+/// How a request failed on a connection.
+#[derive(Debug, Error)]
+pub enum LinkError {
+    /// No byte of it left.
+    #[error("the connection closed before the request left")]
+    Unsent,
+    /// It may have reached the backend server.
+    #[error("the connection broke: {0}")]
+    Broken(hyper::Error),
+}
+
+impl Link {
+    /// Opens a connection.
+    pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let opening = compio::time::timeout(limit, TcpStream::connect(address)).await;
+        let stream = opening.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        stream.set_nodelay(true)?;
+        let stream = HyperStream::new_plain(stream);
+        let (sender, connection) = http1::handshake(stream).await.map_err(io::Error::other)?;
+        let (stop, stopped) = oneshot::channel::<()>();
+        compio::runtime::spawn(async move {
+            select(connection, stopped).await;
+        })
+        .detach();
+        Ok(Self {
+            address,
+            sender,
+            answered: Instant::now(),
+            _stop: stop,
+        })
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, LinkError> {
+        self.sender.ready().await.map_err(|_| LinkError::Unsent)?;
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => match error.take_message() {
+                Some(_) => Err(LinkError::Unsent),
+                None => Err(LinkError::Broken(error.into_error())),
+            },
+        }
+    }
+
+    /// Notes that a whole answer came over it.
+    pub fn touch(&mut self) {
+        self.answered = Instant::now();
+    }
+}
+
+/// Idle connections to backend servers, sorted by address.
+#[derive(Default)]
+pub struct Links {
+    idle: RefCell<Vec<(SocketAddr, Vec<Link>)>>,
+}
+
+impl Links {
+    /// An idle connection that answered within `fresh`.
+    pub fn take(&self, address: SocketAddr, fresh: Duration) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        let at = idle.binary_search_by_key(&address, |e| e.0).ok()?;
+        while let Some(link) = idle[at].1.pop() {
+            if !link.sender.is_closed() && link.answered.elapsed() <= fresh {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose last answer was read to its end.
+    pub fn put(&self, mut link: Link) {
+        if link.sender.is_closed() {
+            return;
+        }
+        link.touch();
+        let mut idle = self.idle.borrow_mut();
+        match idle.binary_search_by_key(&link.address, |e| e.0) {
+            Ok(at) if idle[at].1.len() < IDLE_LIMIT => idle[at].1.push(link),
+            Ok(_) => {}
+            Err(at) => idle.insert(at, (link.address, vec![link])),
+        }
+    }
+
+    /// Closes the connections that have been idle for longer than `limit`.
+    pub fn prune(&self, limit: Duration) {
+        let mut idle = self.idle.borrow_mut();
+        for (_, links) in idle.iter_mut() {
+            links.retain(|l| !l.sender.is_closed() && l.answered.elapsed() <= limit);
+        }
+        idle.retain(|(_, links)| !links.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/jaylock-router/src/piece.rs
@@ -0,0 +1,127 @@
+use std::rc::Rc;
+
+use serde_json::{Map, Value};
+
+use crate::event::Event;
+
+/// Pieces of other attempts or repeated pieces that an attempt survives.
+const STRAY_LIMIT: u32 = 16;
+
+/// One piece of a model's answer that may be passed on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Piece {
+    /// Its number within the answer, from 1.
+    pub number: u64,
+    /// The chunk, as the engine made it.
+    pub chunk: Map<String, Value>,
+}
+
+/// What became of an event of an engine's stream.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Check {
+    /// The next piece of this answer.
+    Pass(Piece),
+    /// A piece of another attempt or one that was seen before.
+    Drop,
+    /// The answer is whole.
+    Whole,
+    /// The stream can't be trusted any more; the reason.
+    Broken(&'static str),
+}
+
+/// Checks the events of one attempt: its identifier, the order of the pieces and the end.
+#[derive(Debug, Clone)]
+pub struct PieceChecker {
+    attempt: Rc<str>,
+    last: u64,
+    finished: bool,
+    strays: u32,
+}
+
+impl PieceChecker {
+    /// Expects the pieces after `last`; `finished` tells whether the last one ended the answer.
+    #[must_use]
+    pub fn new(attempt: &str, last: u64, finished: bool) -> Self {
+        Self {
+            attempt: attempt.into(),
+            last,
+            finished,
+            strays: 0,
+        }
+    }
+
+    /// Judges the next event.
+    pub fn check(&mut self, event: &Event) -> Check {
+        if event.data.as_ref() == b"[DONE]" {
+            return self.check_end();
+        }
+        if event.kind == "error" {
+            return Check::Broken("the engine reported an error");
+        }
+        let Ok(Value::Object(chunk)) = serde_json::from_slice(&event.data) else {
+            return Check::Broken("a piece is no JSON object");
+        };
+        if chunk.get("id").and_then(Value::as_str) != Some(&self.attempt) {
+            return self.stray("pieces of other answers came");
+        }
+        let Some(number) = event.id else {
+            return Check::Broken("a piece has no number");
+        };
+        if number <= self.last {
+            return self.stray("pieces came again and again");
+        }
+        if number > self.last + 1 {
+            return Check::Broken("a piece is missing");
+        }
+        if self.finished && has_text(&chunk) {
+            return Check::Broken("a piece came after the end");
+        }
+        self.last = number;
+        self.finished |= is_finish(&chunk);
+        Check::Pass(Piece { number, chunk })
+    }
+
+    /// Whether a piece with the reason of the end was passed.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        self.finished
+    }
+
+    fn check_end(&self) -> Check {
+        if self.finished {
+            Check::Whole
+        } else {
+            Check::Broken("the end came before the last piece")
+        }
+    }
+
+    fn stray(&mut self, reason: &'static str) -> Check {
+        self.strays += 1;
+        if self.strays > STRAY_LIMIT {
+            return Check::Broken(reason);
+        }
+        Check::Drop
+    }
+}
+
+fn choices(chunk: &Map<String, Value>) -> &[Value] {
+    match chunk.get("choices") {
+        Some(Value::Array(choices)) => choices,
+        _ => &[],
+    }
+}
+
+fn is_finish(chunk: &Map<String, Value>) -> bool {
+    choices(chunk)
+        .iter()
+        .any(|c| c["finish_reason"].is_string())
+}
+
+fn has_text(chunk: &Map<String, Value>) -> bool {
+    let text = |c: &Value| {
+        c["delta"]["content"]
+            .as_str()
+            .is_some_and(|t| !t.is_empty())
+    };
+    choices(chunk).iter().any(text)
+}
--- /dev/null
+++ b/crates/jaylock-tests/tests/router/fleet.rs
@@ -0,0 +1,182 @@
+//! One router with its fakes, and a caller.
+
+use std::net::SocketAddr;
+
+use compio::net::TcpListener;
+use jaylock_control::ConfigView;
+use jaylock_observe::Observer;
+use jaylock_router::{Router, RouterIdentity, RouterSettings};
+use jaylock_rpc::v1::{
+    Adapter, Configuration, Instance, Model, Organisation, RepeatableRoute, Service,
+};
+use jaylock_types::{Incarnation, KeyHash};
+
+use crate::port::{FakeCapacity, FakeClaims};
+
+/// A router under test.
+pub struct Fleet {
+    pub router: Router,
+    pub view: ConfigView,
+    pub capacity: FakeCapacity,
+    pub claims: FakeClaims,
+    pub address: SocketAddr,
+    client: cyper::Client,
+    _serving: compio::runtime::JoinHandle<()>,
+}
+
+/// An answer as its caller saw it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Answer {
+    pub status: u16,
+    pub run: String,
+    pub retry: String,
+    pub recorded: bool,
+    pub body: String,
+}
+
+impl Fleet {
+    /// Starts a router before the given backend servers.
+    pub async fn start(backends: &[SocketAddr], settings: RouterSettings) -> Self {
+        Self::with_claims(backends, settings, FakeClaims::default()).await
+    }
+
+    /// Starts a router that shares its claims with others.
+    pub async fn with_claims(
+        backends: &[SocketAddr],
+        settings: RouterSettings,
+        claims: FakeClaims,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let view = ConfigView::default();
+        assert!(view.offer(configuration(address)));
+        view.set_connected(true);
+        let capacity = FakeCapacity::default();
+        *capacity.0.backends.borrow_mut() = backends.to_vec();
+        let identity = RouterIdentity {
+            instance: "a".parse().expect("an instance"),
+            incarnation: Incarnation(1),
+            domain: "amman-a".parse().expect("a domain"),
+            address,
+        };
+        let (ports, observer) = ((capacity.clone(), claims.clone()), Observer::default());
+        let router = Router::new(identity, view.clone(), ports.0, ports.1, observer, settings);
+        let serving = router.clone();
+        let serving = compio::runtime::spawn(async move { serving.serve(listener).await });
+        let client = cyper::Client::new().expect("a client");
+        Self {
+            router,
+            view,
+            capacity,
+            claims,
+            address,
+            client,
+            _serving: serving,
+        }
+    }
+
+    /// Sends a request with header fields.
+    pub async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        fields: &[(&str, &str)],
+        body: &str,
+    ) -> Answer {
+        let url = format!("http://{}{path}", self.address);
+        let method = method.parse().expect("a method");
+        let mut request = self.client.request(method, url).expect("a request");
+        for (name, value) in fields {
+            request = request.header(*name, *value).expect("a header");
+        }
+        let response = request
+            .body(body.to_owned())
+            .send()
+            .await
+            .expect("an answer");
+        let headers = response.headers().clone();
+        let field = |n: &str| {
+            headers
+                .get(n)
+                .map_or("", |v| v.to_str().unwrap_or("?"))
+                .to_owned()
+        };
+        Answer {
+            status: response.status().as_u16(),
+            run: field("x-run"),
+            retry: field("retry-after"),
+            recorded: field("x-recorded") == "true",
+            body: response
+                .text()
+                .await
+                .unwrap_or_else(|e| format!("cut: {e}")),
+        }
+    }
+
+    /// Asks for a model's answer.
+    pub async fn chat(&self, body: &str) -> Answer {
+        let key = ("authorization", "Bearer key-1");
+        self.send("POST", "/v1/chat/completions", &[key], body)
+            .await
+    }
+
+    /// Calls a plain service under an idempotency key.
+    pub async fn once(&self, key: &str, body: &str) -> Answer {
+        let fields = [("authorization", "Bearer key-1"), ("idempotency-key", key)];
+        self.send("POST", "/services/caseapp/refund", &fields, body)
+            .await
+    }
+}
+
+/// The body of a request for a model.
+pub fn ask(stream: bool) -> String {
+    format!(
+        "{{\"model\":\"m\",\"messages\":[{{\"role\":\"user\",\"content\":\"hi\"}}],\"stream\":{stream}}}"
+    )
+}
+
+fn configuration(address: SocketAddr) -> Configuration {
+    let instance = |id: &str, caller: String, leaving| Instance {
+        id: id.into(),
+        domain: "amman-a".into(),
+        caller_address: caller,
+        leaving,
+        ..Instance::default()
+    };
+    let (model, version) = ("m".to_owned(), "1".to_owned());
+    Configuration {
+        revision: 1,
+        index: 1,
+        organisations: vec![Organisation {
+            id: "shop".into(),
+            weight: 1,
+            key_hashes: vec![KeyHash::of("key-1").0.to_vec()],
+            queue_limit: 0,
+        }],
+        models: vec![Model {
+            id: model.clone(),
+            version: version.clone(),
+            pool: "p".into(),
+            copies: 1,
+        }],
+        adapters: vec![Adapter {
+            id: "x".into(),
+            model,
+            version,
+            copies: 1,
+        }],
+        services: vec![Service {
+            id: "caseapp".into(),
+            repeatable: vec![RepeatableRoute {
+                method: "GET".into(),
+                prefix: "/look".into(),
+            }],
+        }],
+        instances: vec![
+            instance("a", address.to_string(), false),
+            instance("b", "127.0.0.1:1".into(), false),
+            instance("c", "127.0.0.1:2".into(), true),
+        ],
+        ..Configuration::default()
+    }
+}
--- /dev/null
+++ b/crates/jaylock-tests/tests/router/paths.rs
@@ -0,0 +1,108 @@
+//! The simple paths: address list, announcements, models, services, claims, unknown keys.
+
+use googletest::prelude::*;
+use jaylock_router::RouterSettings;
+use jaylock_tests::cases;
+
+use crate::backend::{Backend, plain, whole_stream};
+use crate::fleet::{Fleet, ask};
+
+const KEY: (&str, &str) = ("authorization", "Bearer key-1");
+
+const ANNOUNCEMENT: &str = r#"{"id":"e1","incarnation":1,"pool":"p","kind":"engine",
+    "address":"127.0.0.1:9","domain":"amman-a","token":"t","slots":8,"checks_orders":true,
+    "models":[{"model":"m","version":"1","adapters":[]}],"fence":0}"#;
+
+async fn fleet() -> Fleet {
+    Fleet::start(&[], RouterSettings::default()).await
+}
+
+cases! {
+    async address_list_names_instances_that_stay => {
+        let answer = fleet().await.send("GET", "/v1/routers", &[], "").await;
+        assert_that!(answer.status, eq(200));
+        assert_that!(answer.body, contains_substring("\"keep_ms\":2000"));
+        assert_that!(answer.body, contains_substring("127.0.0.1:1\""));
+        assert_that!(answer.body, not(contains_substring("127.0.0.1:2\"")));
+    };
+    async unknown_key_is_refused_not_run => {
+        let fleet = fleet().await;
+        let wrong = ("authorization", "Bearer other");
+        let answer = fleet.send("POST", "/v1/chat/completions", &[wrong], &ask(false)).await;
+        assert_that!(answer.status, eq(401));
+        assert_that!(answer.run, eq("not-run"));
+        assert_that!(fleet.capacity.0.asks.borrow().len(), eq(0));
+    };
+    async whole_answer_is_put_together => {
+        let engine = Backend::start(|seen| whole_stream(seen, 3)).await;
+        let fleet = Fleet::start(&[engine.address], RouterSettings::default()).await;
+        let answer = fleet.chat(&ask(false)).await;
+        assert_that!(answer.status, eq(200));
+        assert_that!(answer.run, eq("ran"));
+        assert_that!(answer.body, contains_substring("\"content\":\"t1 t2 t3 \""));
+        assert_that!(answer.body, contains_substring("\"finish_reason\":\"stop\""));
+        let ends = fleet.capacity.0.ends.borrow();
+        assert_that!(ends.len(), eq(1));
+        assert_that!(ends[0].outcome, eq(0));
+    };
+    async streamed_answer_has_an_explicit_end => {
+        let engine = Backend::start(|seen| whole_stream(seen, 3)).await;
+        let fleet = Fleet::start(&[engine.address], RouterSettings::default()).await;
+        let answer = fleet.chat(&ask(true)).await;
+        assert_that!(answer.status, eq(200));
+        assert_that!(answer.body.matches("\nid: ").count(), eq(3));
+        assert_that!(answer.body, ends_with("data: [DONE]\n\n"));
+        assert_that!(answer.body, not(contains_substring(engine.seen.borrow()[0].id())));
+    };
+    async model_and_adapter_must_be_configured => {
+        let fleet = fleet().await;
+        let unknown = fleet.chat(&ask(false).replace("\"m\"", "\"z\"")).await;
+        assert_that!((unknown.status, unknown.run.as_str()), eq((404, "not-run")));
+        let adapter = fleet.chat(&ask(false).replace("\"m\"", "\"m:z\"")).await;
+        assert_that!(adapter.status, eq(404));
+        let broken = fleet.chat("{\"model\":").await;
+        assert_that!((broken.status, broken.run.as_str()), eq((400, "not-run")));
+    };
+    async resend_under_a_key_gets_the_recorded_answer => {
+        let service = Backend::start(|seen| plain(seen, 201, "refunded")).await;
+        let fleet = Fleet::start(&[service.address], RouterSettings::default()).await;
+        let first = fleet.once("k", "5 JOD").await;
+        assert_that!((first.status, first.body.as_str()), eq((201, "refunded")));
+        assert_that!(first.recorded, eq(false));
+        let second = fleet.once("k", "5 JOD").await;
+        assert_that!((second.status, second.body.as_str()), eq((201, "refunded")));
+        assert_that!(second.recorded, eq(true));
+        let other = fleet.once("k", "6 JOD").await;
+        assert_that!((other.status, other.run.as_str()), eq((422, "not-run")));
+        assert_that!(service.count(), eq(1));
+        assert_that!(service.seen.borrow()[0].head, starts_with("post /refund http/1.1"));
+    };
+    async once_only_call_without_a_key_is_refused => {
+        let service = Backend::start(|seen| plain(seen, 200, "ok")).await;
+        let fleet = Fleet::start(&[service.address], RouterSettings::default()).await;
+        let answer = fleet.send("POST", "/services/caseapp/refund", &[KEY], "x").await;
+        assert_that!((answer.status, answer.run.as_str()), eq((428, "not-run")));
+        let look = fleet.send("GET", "/services/caseapp/look/1", &[KEY], "").await;
+        assert_that!((look.status, look.run.as_str()), eq((200, "ran")));
+        assert_that!(service.count(), eq(1));
+    };
+    async announcement_heartbeat_and_leave_reach_the_scheduler => {
+        let fleet = fleet().await;
+        let post = async |path: &str, body: &str| fleet.send("POST", path, &[], body).await.status;
+        let heartbeat = r#"{"id":"e1","incarnation":1,"running":2,"waiting":1,
+            "cached":["00000000000000ff"],"evicted":[],"models":[],"fence":3}"#;
+        assert_that!(post("/v1/backends/heartbeat", heartbeat).await, eq(404));
+        assert_that!(post("/v1/backends/announce", ANNOUNCEMENT).await, eq(200));
+        let thief = ANNOUNCEMENT.replace("\"t\"", "\"other\"");
+        assert_that!(post("/v1/backends/announce", &thief).await, eq(409));
+        assert_that!(post("/v1/backends/announce", "{}").await, eq(400));
+        assert_that!(post("/v1/backends/heartbeat", heartbeat).await, eq(200));
+        let leave = r#"{"id":"e1","incarnation":1}"#;
+        assert_that!(post("/v1/backends/leave", leave).await, eq(200));
+        let reports = fleet.capacity.0.reports.borrow();
+        assert_that!(reports.len(), eq(3));
+        assert_that!(reports[1].cached, elements_are![eq(&255)]);
+        assert_that!((reports[1].running, reports[1].fence), eq((2, 3)));
+        assert_that!(reports[2].leaving, eq(true));
+    };
+}
--- /dev/null
+++ b/crates/jaylock-tests/tests/router/port.rs
@@ -0,0 +1,162 @@
+//! Fakes of the schedulers and of the replicated log.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use jaylock_router::{Capacity, Claims, NoControl};
+use jaylock_rpc::v1::applied::Result as Outcome;
+use jaylock_rpc::v1::claim_state::Kind;
+use jaylock_rpc::v1::command::Body;
+use jaylock_rpc::v1::{
+    Applied, Ask, BackendReport, BackendVerdict, Claim, ClaimState, Command, Done, End, Grant,
+    Progress, Quarantine, Refusal, Settle,
+};
+use jaylock_types::PoolId;
+
+/// Grants every ask at once: the backend servers in turn, but for those to avoid.
+#[derive(Clone, Default)]
+pub struct FakeCapacity(pub Rc<CapacityState>);
+
+#[derive(Default)]
+pub struct CapacityState {
+    pub backends: RefCell<Vec<SocketAddr>>,
+    pub refusals: RefCell<VecDeque<Refusal>>,
+    pub never: Cell<bool>,
+    pub asks: RefCell<Vec<Ask>>,
+    pub ends: RefCell<Vec<End>>,
+    pub reports: RefCell<Vec<BackendReport>>,
+    pub verdicts: RefCell<Vec<BackendVerdict>>,
+}
+
+impl CapacityState {
+    fn grant(&self, ask: Ask) -> Result<Grant, Refusal> {
+        let ticket = self.asks.borrow().len() as u64 + 1;
+        let avoid = ask.avoid.clone();
+        self.asks.borrow_mut().push(ask);
+        if let Some(refusal) = self.refusals.borrow_mut().pop_front() {
+            return Err(refusal);
+        }
+        let backends = self.backends.borrow();
+        let mut usable = backends.iter().map(SocketAddr::to_string);
+        let found = usable.find(|b| !avoid.contains(b));
+        found
+            .map(|address| Grant {
+                ticket,
+                backend: address.clone(),
+                address,
+                epoch: 1,
+            })
+            .ok_or(Refusal {
+                ticket,
+                reason: 2,
+                retry_after_ms: 1500,
+            })
+    }
+}
+
+impl Capacity for FakeCapacity {
+    fn ask<'a>(&'a self, _: &'a PoolId, ask: Ask) -> LocalBoxFuture<'a, Result<Grant, Refusal>> {
+        async move {
+            let granted = self.0.grant(ask);
+            if self.0.never.get() {
+                futures_util::future::pending::<()>().await;
+            }
+            granted
+        }
+        .boxed_local()
+    }
+
+    fn progress(&self, _: &PoolId, _: Progress) {}
+
+    fn end(&self, _: &PoolId, end: End) {
+        self.0.ends.borrow_mut().push(end);
+    }
+
+    fn report(&self, report: BackendReport) {
+        self.0.reports.borrow_mut().push(report);
+    }
+
+    fn verdict(&self, backend: &str) -> Option<BackendVerdict> {
+        let verdicts = self.0.verdicts.borrow();
+        verdicts.iter().find(|v| v.backend == backend).cloned()
+    }
+}
+
+/// Keeps claims and quarantines in memory; several routers may share it.
+#[derive(Clone, Default)]
+pub struct FakeClaims(pub Rc<ClaimsState>);
+
+#[derive(Default)]
+pub struct ClaimsState {
+    pub silent: Cell<bool>,
+    pub claims: RefCell<Vec<(Claim, Option<Settle>)>>,
+    pub quarantines: RefCell<Vec<Quarantine>>,
+    pub answer: Cell<Option<Kind>>,
+}
+
+impl ClaimsState {
+    fn apply(&self, body: Body) -> Outcome {
+        match body {
+            Body::Claim(claim) => Outcome::Claim(self.claim(claim)),
+            Body::Settle(settle) => {
+                let mut claims = self.claims.borrow_mut();
+                let entry = claims.iter_mut().find(|(c, _)| c.key == settle.key);
+                entry.expect("a claim to settle").1 = Some(settle);
+                Outcome::Done(Done {})
+            }
+            Body::ReleaseClaim(release) => {
+                self.claims
+                    .borrow_mut()
+                    .retain(|(c, _)| c.key != release.key);
+                Outcome::Done(Done {})
+            }
+            Body::PutQuarantine(quarantine) => {
+                self.quarantines.borrow_mut().push(quarantine);
+                Outcome::Done(Done {})
+            }
+            _ => Outcome::Refused("not faked".into()),
+        }
+    }
+
+    fn claim(&self, claim: Claim) -> ClaimState {
+        let mut claims = self.claims.borrow_mut();
+        let found = claims.iter().find(|(c, _)| c.key == claim.key);
+        let kind = match (self.answer.get(), found) {
+            (Some(kind), _) => kind,
+            (None, None) => Kind::Granted,
+            (None, Some((first, _))) if first.fingerprint != claim.fingerprint => Kind::Mismatch,
+            (None, Some((_, None))) => Kind::Pending,
+            (None, Some((_, Some(_)))) => Kind::Settled,
+        };
+        let outcome = found.and_then(|(_, settle)| settle.clone());
+        if kind == Kind::Granted {
+            claims.push((claim, None));
+        }
+        ClaimState {
+            kind: kind.into(),
+            outcome,
+            request: String::new(),
+        }
+    }
+}
+
+impl Claims for FakeClaims {
+    fn propose(&self, command: Command) -> LocalBoxFuture<'_, Result<Applied, NoControl>> {
+        async move {
+            if self.0.silent.get() {
+                return Err(NoControl("cut off".into()));
+            }
+            let result = command.body.map(|body| self.0.apply(body));
+            Ok(Applied {
+                index: 1,
+                revision: 1,
+                result,
+            })
+        }
+        .boxed_local()
+    }
+}
