--- a/crates/jaylock-standin/src/bin/standin-engine.rs
+++ b/crates/jaylock-standin/src/bin/standin-engine.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use anyhow::{Context, Result};
-use clap::{Arg, ArgMatches, Command};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use compio::net::TcpListener;
-use jaylock_standin::arguments::{self, flag, many, text_of, texts_of, time, time_of};
+use jaylock_standin::arguments::{self, flag, many, option, text_of, texts_of, time, time_of};
 use jaylock_standin::{Announcement, Engine, EngineSettings, LoadedModel};
 
 #[compio::main]
@@ -33,6 +33,7 @@
         announcement,
         token_time: time_of(given, "token-ms"),
         prefill_time: time_of(given, "prefill-ms"),
+        cache_blocks: given.get_one("cache-blocks").copied().unwrap_or_default(),
         load_time: time_of(given, "load-ms"),
         store: given.get_one("store").copied(),
         faults: given.get_flag("faults"),
@@ -54,6 +55,7 @@
     let store = Arg::new("store")
         .long("store")
         .value_parser(arguments::address());
+    let blocks = option("cache-blocks", "512", "Prompt blocks that its cache holds");
     arguments::backend_command("standin-engine", "A stand-in model engine")
         .arg(store.help("Weight store to load from, IP:PORT"))
         .arg(many("model", "Model that it holds, NAME@VERSION"))
@@ -64,6 +66,7 @@
             "5",
             "Time before the first token, in ms",
         ))
+        .arg(blocks.value_parser(value_parser!(usize)))
         .arg(time("load-ms", "100", "Time for loading a model, in ms"))
         .arg(flag(
             "checks-orders",
--- a/crates/jaylock-standin/src/engine.rs
+++ b/crates/jaylock-standin/src/engine.rs
@@ -12,9 +12,11 @@
 use hyper::body::{Frame, Incoming};
 use serde::Deserialize;
 
+use crate::cache::PrefixCache;
+use crate::run::{Run, event};
 use crate::{
-    Announcement, Answer, Backend, Body, ChatRequest, Choice, Chunk, Closed, Completion, Delta,
-    Fault, Heartbeat, LoadedModel, Message, Server, Slot, Slots, Usage, json, not_run, read,
+    Announcement, Answer, Backend, Body, ChatRequest, Closed, Fault, Heartbeat, LoadedModel,
+    Server, Slots, json, not_run, read,
 };
 
 /// Exit status of a process that a request crashed.
@@ -31,8 +33,10 @@
     pub announcement: Announcement,
     /// Time for each token.
     pub token_time: Duration,
-    /// Time before the first token.
+    /// Time before the first token, and for each prompt block that the cache does not hold.
     pub prefill_time: Duration,
+    /// Prompt blocks that its cache holds.
+    pub cache_blocks: usize,
     /// Time for loading a model, when no weight store is named.
     pub load_time: Duration,
     /// Weight store to fetch models from.
@@ -47,20 +51,10 @@
     slots: Slots,
     models: RefCell<Vec<LoadedModel>>,
     fence: Cell<u64>,
+    cache: RefCell<PrefixCache>,
     is_leaving: Cell<bool>,
 }
 
-/// One request that runs.
-struct Run {
-    request: ChatRequest,
-    attempt: String,
-    /// Pieces that the caller has already.
-    start: u32,
-    answer: Answer,
-    fault: Option<Fault>,
-    _slot: Slot,
-}
-
 #[derive(Deserialize)]
 struct Order {
     fence: u64,
@@ -75,6 +69,7 @@
             slots: Slots::new(settings.announcement.slots),
             models: RefCell::new(settings.announcement.models.clone()),
             fence: Cell::new(settings.announcement.fence),
+            cache: RefCell::new(PrefixCache::new(settings.cache_blocks)),
             is_leaving: Cell::new(false),
             settings,
         }
@@ -122,29 +117,23 @@
     }
 
     async fn complete(&self, run: Run) -> Response<Body> {
-        compio::time::sleep(self.settings.prefill_time).await;
-        crash_if(run.fault == Some(Fault::Crash));
+        self.prefill(&run).await;
         compio::time::sleep(self.settings.token_time * run.answer.length()).await;
-        let choice = Choice {
-            message: Some(Message {
-                role: "assistant".into(),
-                content: run.answer.text(),
-            }),
-            finish_reason: Some(run.answer.finish_reason().into()),
-            ..Choice::default()
-        };
-        let completion = Completion {
-            id: run.id(),
-            object: "chat.completion".into(),
-            model: run.request.model.clone(),
-            choices: vec![choice],
-            usage: Usage::new(&run.request.prompt(), run.answer.length()),
-        };
-        let mut response = json(StatusCode::OK, &completion);
+        let mut response = json(StatusCode::OK, &run.whole());
         echo(&mut response, &run.attempt);
         response
     }
 
+    /// Reads the prompt; what the cache holds of it costs no time.
+    async fn prefill(&self, run: &Run) {
+        let missing = self.cache.borrow_mut().admit(&run.request.prefixes());
+        compio::time::sleep(self.settings.prefill_time * (1 + missing)).await;
+        if run.fault == Some(Fault::Crash) {
+            log::error!(target: "standin", "a request crashes this engine");
+            std::process::exit(CRASHED);
+        }
+    }
+
     fn stream(self: Rc<Self>, run: Run) -> Response<Body> {
         let (sender, receiver) = mpsc::channel(0);
         let mut response = Response::new(StreamBody::new(receiver).boxed_unsync());
@@ -160,11 +149,10 @@
     }
 
     async fn generate(&self, run: Run, mut sender: Sender) -> Result<(), mpsc::SendError> {
-        compio::time::sleep(self.settings.prefill_time).await;
-        crash_if(run.fault == Some(Fault::Crash));
+        self.prefill(&run).await;
         for position in run.start + 1..=run.answer.length() {
             compio::time::sleep(self.settings.token_time).await;
-            let event = event(Some(position), &run.piece(position));
+            let event = event(position, &run.piece(position));
             if run.fault == Some(Fault::Double(position)) {
                 sender.send(frame(event.clone())).await?;
             }
@@ -181,7 +169,10 @@
                 return Ok(());
             }
         }
-        sender.send(frame(event(None, &run.last()))).await?;
+        if run.start <= run.answer.length() {
+            let last = run.answer.length() + 1;
+            sender.send(frame(event(last, &run.last()))).await?;
+        }
         sender.send(frame("data: [DONE]\n\n".into())).await
     }
 
@@ -253,62 +244,20 @@
     }
 
     fn heartbeat(&self) -> Heartbeat {
+        let (cached, evicted) = self.cache.borrow_mut().take_events();
         Heartbeat {
+            cached,
+            evicted,
             id: self.settings.announcement.id.clone(),
             incarnation: self.settings.announcement.incarnation,
             running: self.slots.running(),
             waiting: self.slots.waiting(),
             models: self.models.borrow().clone(),
             fence: self.fence.get(),
-            ..Heartbeat::default()
-        }
-    }
-}
-
-impl Run {
-    fn id(&self) -> String {
-        if self.fault == Some(Fault::Crossed) {
-            return format!("{}-of-another", self.attempt);
-        }
-        self.attempt.clone()
-    }
-
-    fn piece(&self, position: u32) -> Chunk {
-        let delta = Delta {
-            content: Some(self.answer.piece(position)),
-        };
-        self.chunk(delta, None)
-    }
-
-    fn last(&self) -> Chunk {
-        let usage = Usage::new(&self.request.prompt(), self.answer.length());
-        let mut chunk = self.chunk(Delta::default(), Some(usage));
-        chunk.choices[0].finish_reason = Some(self.answer.finish_reason().into());
-        chunk
-    }
-
-    fn chunk(&self, delta: Delta, usage: Option<Usage>) -> Chunk {
-        Chunk {
-            id: self.id(),
-            object: "chat.completion.chunk".into(),
-            model: self.request.model.clone(),
-            choices: vec![Choice {
-                delta: Some(delta),
-                ..Choice::default()
-            }],
-            usage,
         }
     }
 }
 
-fn event(position: Option<u32>, chunk: &Chunk) -> String {
-    let data = serde_json::to_string(chunk).unwrap_or_default();
-    match position {
-        Some(position) => format!("id: {position}\ndata: {data}\n\n"),
-        None => format!("data: {data}\n\n"),
-    }
-}
-
 #[allow(clippy::unnecessary_wraps)]
 fn frame(text: String) -> io::Result<Frame<Bytes>> {
     Ok(Frame::data(text.into()))
@@ -320,13 +269,6 @@
     }
 }
 
-fn crash_if(wanted: bool) {
-    if wanted {
-        log::error!(target: "standin", "a request crashes this engine");
-        std::process::exit(CRASHED);
-    }
-}
-
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
     let value = headers.get(name).and_then(|v| v.to_str().ok());
     value.unwrap_or_default()
--- /dev/null
+++ b/crates/jaylock-standin/src/events.rs
@@ -0,0 +1,61 @@
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+/// One server-sent event.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Event {
+    /// Number of the piece; unset on the last chunks.
+    pub id: Option<u32>,
+    /// What it carries.
+    pub data: String,
+}
+
+/// Reads server-sent events from the body of an answer.
+pub struct Events {
+    body: Incoming,
+    buffer: Vec<u8>,
+}
+
+impl Events {
+    /// Starts at the beginning of a body.
+    #[must_use]
+    pub fn new(body: Incoming) -> Self {
+        Self {
+            body,
+            buffer: Vec::new(),
+        }
+    }
+
+    /// The next event; `None` at the end of the body.
+    ///
+    /// # Errors
+    /// The connection broke.
+    pub async fn next(&mut self) -> Result<Option<Event>, hyper::Error> {
+        loop {
+            if let Some(event) = self.take() {
+                return Ok(Some(event));
+            }
+            let Some(frame) = self.body.frame().await else {
+                return Ok(None);
+            };
+            if let Some(data) = frame?.data_ref() {
+                self.buffer.extend_from_slice(data);
+            }
+        }
+    }
+
+    fn take(&mut self) -> Option<Event> {
+        let end = self.buffer.windows(2).position(|w| w == b"\n\n")?;
+        let block: Vec<u8> = self.buffer.drain(..end + 2).collect();
+        let mut event = Event::default();
+        for line in String::from_utf8_lossy(&block).lines() {
+            if let Some(id) = line.strip_prefix("id:") {
+                event.id = id.trim().parse().ok();
+            }
+            if let Some(data) = line.strip_prefix("data:") {
+                event.data.push_str(data.trim_start());
+            }
+        }
+        Some(event)
+    }
+}
--- a/crates/jaylock-standin/src/service.rs
+++ b/crates/jaylock-standin/src/service.rs
@@ -157,7 +157,8 @@
 }
 
 /// SHA-256 of a body, in hex.
-fn digest(body: &[u8]) -> String {
+#[must_use]
+pub fn digest(body: &[u8]) -> String {
     let mut text = String::new();
     for byte in Sha256::digest(body) {
         // Writing to a string never fails.
