Replicated log, configuration and leases: the whole path, thin

Cause: routers, schedulers and operators need configuration, claims and leases that survive. The schema gains Entry.at_ms, VoteRequest.handover, VoteReply.last_index and AppendRequest.campaign. Conclusion: usable by the other parts; failures are not proved yet.

--- /dev/null
+++ b/crates/jaylock-control/src/follower.rs
@@ -0,0 +1,169 @@
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use jaylock_rpc::v1::{Instance, RenewRequest};
+use jaylock_types::PoolId;
+
+use crate::gossip::Gossip;
+use crate::{ConfigView, ControlClient, FollowerSettings};
+
+/// Keeps an instance's configuration up to date and its lease renewed.
+pub struct Follower {
+    client: ControlClient,
+    view: ConfigView,
+    shared: Rc<Shared>,
+    settings: FollowerSettings,
+}
+
+struct Shared {
+    instance: RefCell<Instance>,
+    lease: InstanceLease,
+    pools: RefCell<Vec<PoolId>>,
+}
+
+/// The right of an instance to act; clones share it.
+#[derive(Clone, Default)]
+pub struct InstanceLease {
+    end: Rc<Cell<Option<Instant>>>,
+}
+
+impl InstanceLease {
+    /// Whether the lease of the last renewal, counted from when it was sent, still holds.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        self.end.get().is_some_and(|end| Instant::now() < end)
+    }
+}
+
+/// Changes what an instance tells control with its next renewal; clones share it.
+#[derive(Clone)]
+pub struct FollowerHandle {
+    shared: Rc<Shared>,
+}
+
+impl FollowerHandle {
+    /// Says that the instance has begun a graceful shutdown.
+    pub fn leave(&self) {
+        self.shared.instance.borrow_mut().leaving = true;
+    }
+
+    /// Names the pools announced here that no scheduler serves.
+    pub fn set_unserved(&self, pools: Vec<PoolId>) {
+        *self.shared.pools.borrow_mut() = pools;
+    }
+}
+
+impl Follower {
+    /// Sets up a follower; nothing is sent before [`Follower::run`].
+    #[must_use]
+    pub fn new(
+        client: ControlClient,
+        view: ConfigView,
+        instance: Instance,
+        settings: FollowerSettings,
+    ) -> Self {
+        let shared = Shared {
+            instance: instance.into(),
+            lease: InstanceLease::default(),
+            pools: Vec::new().into(),
+        };
+        Self {
+            client,
+            view,
+            shared: Rc::new(shared),
+            settings,
+        }
+    }
+
+    /// The lease that this follower renews.
+    #[must_use]
+    pub fn lease(&self) -> InstanceLease {
+        self.shared.lease.clone()
+    }
+
+    /// A handle that changes what the instance tells control.
+    #[must_use]
+    pub fn handle(&self) -> FollowerHandle {
+        FollowerHandle {
+            shared: self.shared.clone(),
+        }
+    }
+
+    /// Follows until the future is dropped.
+    pub async fn run(self) {
+        let instance = self.shared.instance.borrow().id.clone();
+        let gossip = Gossip::new(
+            instance,
+            self.view.clone(),
+            self.lease(),
+            self.client.channel_settings(),
+            self.settings.clone(),
+        );
+        futures_util::join!(self.watch(), self.renew(), gossip.run());
+    }
+
+    /// Reads through the leader first, then watches one replica after another.
+    async fn watch(&self) {
+        while self.view.index().0 == 0 {
+            match self.client.read().await {
+                Ok(configuration) if configuration.index > 0 => {
+                    let _ = self.view.offer(configuration);
+                }
+                Ok(_) => compio::time::sleep(self.settings.renew_every / 4).await,
+                Err(error) => log::warn!(target: "follower", "no configuration yet: {error}"),
+            }
+        }
+        let mut turn = rand::random_range(0..usize::MAX / 2);
+        loop {
+            self.watch_one(turn).await;
+            turn += 1;
+            compio::time::sleep(Duration::from_millis(rand::random_range(20..100))).await;
+        }
+    }
+
+    async fn watch_one(&self, turn: usize) {
+        let index = self.view.index().0;
+        let mut stream = match self.client.watch(index, turn).await {
+            Ok(stream) => stream,
+            Err(status) => {
+                log::debug!(target: "follower", "no watch: {}", status.message());
+                return;
+            }
+        };
+        while let Ok(Some(configuration)) = stream.message().await {
+            self.client.learn(&configuration);
+            if self.view.offer(configuration) {
+                log::debug!(target: "follower", "index {} is in force", self.view.index());
+            }
+        }
+    }
+
+    async fn renew(&self) {
+        loop {
+            let started = Instant::now();
+            let request = RenewRequest {
+                instance: Some(self.shared.instance.borrow().clone()),
+                revision: self.view.revision().0,
+                index: self.view.index().0,
+                pools: self
+                    .shared
+                    .pools
+                    .borrow()
+                    .iter()
+                    .map(ToString::to_string)
+                    .collect(),
+            };
+            match self.client.renew_timed(request).await {
+                Ok((reply, sent)) => {
+                    let lease = Duration::from_millis(reply.lease_ms.into());
+                    self.shared.lease.end.set(Some(sent + lease));
+                    self.view.set_connected(true);
+                }
+                Err(error) => log::warn!(target: "follower", "the lease is not renewed: {error}"),
+            }
+            let pause = self.settings.renew_every.saturating_sub(started.elapsed());
+            compio::time::sleep(pause).await;
+        }
+    }
+}
--- a/crates/jaylock-control/src/lib.rs
+++ b/crates/jaylock-control/src/lib.rs
@@ -1,5 +1,27 @@
 //! The replicated log, the configuration it holds, leases, and the clients that follow it.
 
+mod client;
+mod error;
+mod follower;
+mod gossip;
+mod leases;
+mod members;
+mod replica;
+mod service;
+mod settings;
+mod signal;
+mod state;
+mod storage;
+mod transport;
 mod view;
 
+pub use self::client::ControlClient;
+pub use self::error::{Error, Result};
+pub use self::follower::{Follower, FollowerHandle, InstanceLease};
+pub use self::gossip::PeerService;
+pub use self::replica::{Ports, Replica};
+pub use self::service::{ControlService, ReplicaService};
+pub use self::settings::{ClientSettings, FollowerSettings, ReplicaSettings};
+pub use self::storage::{Disk, FileDisk, FileName};
+pub use self::transport::{Answer, RpcTransport, Transport};
 pub use self::view::ConfigView;
--- /dev/null
+++ b/crates/jaylock-control/src/replica/mod.rs
@@ -0,0 +1,121 @@
+//! One replica of the log: election, replication, commit.
+
+mod core;
+mod election;
+mod handover;
+mod join;
+mod lead;
+mod log;
+mod peer;
+mod progress;
+pub(crate) mod receive;
+mod shared;
+mod writer;
+
+use std::rc::Rc;
+
+use jaylock_rpc::v1::Member;
+use jaylock_rpc::v1::control_server::ControlServer;
+use jaylock_rpc::v1::replica_server::ReplicaServer;
+use jaylock_types::{Clock, SystemClock};
+
+use crate::service::{ControlService, ReplicaService};
+use crate::storage::{Disk, Store};
+use crate::transport::{LARGEST_MESSAGE, RpcTransport, Transport};
+use crate::{ReplicaSettings, Result};
+
+pub(crate) use self::core::Core;
+pub(crate) use self::progress::Progress;
+pub(crate) use self::shared::{Refusal, Shared};
+
+/// A replica of the log on this instance's disk; clones share it.
+#[derive(Clone)]
+pub struct Replica {
+    shared: Rc<Shared>,
+}
+
+/// What a replica reaches the world through.
+pub struct Ports {
+    /// The other replicas.
+    pub transport: Rc<dyn Transport>,
+    /// The time.
+    pub clock: Rc<dyn Clock>,
+}
+
+impl Replica {
+    /// Reads what the disk holds and reaches the other replicas by gRPC.
+    ///
+    /// `identity` names the instance, its address and failure domain; the disk tells its
+    /// generation. `bootstrap` lists the members of a new group.
+    ///
+    /// # Errors
+    /// [`Error::Disk`](crate::Error::Disk) and [`Error::Corrupt`](crate::Error::Corrupt).
+    pub async fn open(
+        identity: Member,
+        bootstrap: Vec<Member>,
+        disk: impl Disk,
+        settings: ReplicaSettings,
+    ) -> Result<Self> {
+        let ports = Ports {
+            transport: Rc::new(RpcTransport::new(settings.channel.clone())),
+            clock: Rc::new(SystemClock),
+        };
+        Self::open_with(identity, bootstrap, disk, ports, settings).await
+    }
+
+    /// The same through other ports.
+    ///
+    /// # Errors
+    /// As [`Replica::open`].
+    pub async fn open_with(
+        identity: Member,
+        bootstrap: Vec<Member>,
+        disk: impl Disk,
+        ports: Ports,
+        settings: ReplicaSettings,
+    ) -> Result<Self> {
+        let store = Store::new(Rc::new(disk));
+        let shared = Shared::load(identity, bootstrap, store, ports, settings).await?;
+        Ok(Self {
+            shared: Rc::new(shared),
+        })
+    }
+
+    /// The services through which other replicas and instances reach it.
+    #[must_use]
+    pub fn services(&self) -> (ReplicaServer<ReplicaService>, ControlServer<ControlService>) {
+        let replica = ReplicaServer::new(ReplicaService::new(self.shared.clone()))
+            .max_decoding_message_size(LARGEST_MESSAGE);
+        let control = ControlServer::new(ControlService::new(self.shared.clone()))
+            .max_decoding_message_size(LARGEST_MESSAGE);
+        (replica, control)
+    }
+
+    /// Takes part in the group until the future is dropped or the disk fails.
+    pub async fn run(self) {
+        join::join(&self.shared).await;
+        let _writer = compio::runtime::spawn(writer::write(self.shared.clone()));
+        while !self.shared.is_halted() {
+            election::follow(&self.shared).await;
+            lead::lead(&self.shared).await;
+        }
+    }
+
+    /// Whether it leads and may answer by itself.
+    #[must_use]
+    pub fn is_leader(&self) -> bool {
+        self.shared.holds_lease()
+    }
+
+    /// Why it takes part no more, if its disk has failed.
+    #[must_use]
+    pub fn halted(&self) -> Option<String> {
+        let core = self.shared.core.borrow();
+        core.halted.as_ref().map(ToString::to_string)
+    }
+
+    /// Stops leading and lets the best of the others take over at once.
+    pub async fn step_down(&self) {
+        handover::hand_over(&self.shared).await;
+    }
+}
--- /dev/null
+++ b/crates/jaylock-control/src/service.rs
@@ -0,0 +1,204 @@
+use std::pin::Pin;
+use std::rc::Rc;
+
+use futures_util::{Stream, StreamExt};
+use jaylock_rpc::v1::command::Body;
+use jaylock_rpc::v1::control_server::Control;
+use jaylock_rpc::v1::replica_server::Replica;
+use jaylock_rpc::v1::{
+    AppendReply, AppendRequest, Command, Configuration, EventsReply, EventsRequest, InstallReply,
+    InstallRequest, LagReply, LagRequest, ProposeReply, ProposeRequest, ReadReply, ReadRequest,
+    RenewReply, RenewRequest, VoteReply, VoteRequest, WatchRequest,
+};
+use jaylock_rpc::{local, pinned};
+use send_wrapper::SendWrapper;
+use tonic::{Request, Response, Status};
+
+use crate::leases;
+use crate::replica::{Refusal, Shared, receive};
+
+/// Bytes of a command's id.
+const LONGEST_ID: usize = 64;
+
+/// Answer to a call.
+type Answer<T> = Result<Response<T>, Status>;
+
+/// What a replica answers to the others.
+#[derive(Clone)]
+pub struct ReplicaService {
+    shared: SendWrapper<Rc<Shared>>,
+}
+
+impl ReplicaService {
+    pub(crate) fn new(shared: Rc<Shared>) -> Self {
+        Self {
+            shared: pinned(shared),
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Replica for ReplicaService {
+    async fn vote(&self, request: Request<VoteRequest>) -> Answer<VoteReply> {
+        let handler = receive::vote((*self.shared).clone(), request.into_inner());
+        local(receive::whole(handler)).await.map(Response::new)
+    }
+
+    async fn append(&self, request: Request<AppendRequest>) -> Answer<AppendReply> {
+        let handler = receive::append((*self.shared).clone(), request.into_inner());
+        local(receive::whole(handler)).await.map(Response::new)
+    }
+
+    async fn install(&self, request: Request<InstallRequest>) -> Answer<InstallReply> {
+        let handler = receive::install((*self.shared).clone(), request.into_inner());
+        local(receive::whole(handler)).await.map(Response::new)
+    }
+}
+
+/// What a replica answers to instances and operators.
+#[derive(Clone)]
+pub struct ControlService {
+    shared: SendWrapper<Rc<Shared>>,
+}
+
+impl ControlService {
+    pub(crate) fn new(shared: Rc<Shared>) -> Self {
+        Self {
+            shared: pinned(shared),
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Control for ControlService {
+    type WatchStream = Pin<Box<dyn Stream<Item = Result<Configuration, Status>> + Send>>;
+
+    async fn propose(&self, request: Request<ProposeRequest>) -> Answer<ProposeReply> {
+        let command = request.into_inner().command.unwrap_or_default();
+        check(&command)?;
+        let submitted = local(self.shared.submit(command)).await;
+        let reply = match submitted {
+            Ok(applied) => ProposeReply {
+                applied: Some(applied),
+                leader_address: None,
+            },
+            Err(refusal) => ProposeReply {
+                applied: None,
+                leader_address: Some(elsewhere(refusal)?),
+            },
+        };
+        Ok(Response::new(reply))
+    }
+
+    async fn read(&self, _: Request<ReadRequest>) -> Answer<ReadReply> {
+        let reply = match self.shared.newest() {
+            Ok(configuration) => ReadReply {
+                configuration: Some((*configuration).clone()),
+                leader_address: None,
+            },
+            Err(refusal) => ReadReply {
+                configuration: None,
+                leader_address: Some(elsewhere(refusal)?),
+            },
+        };
+        Ok(Response::new(reply))
+    }
+
+    async fn watch(&self, request: Request<WatchRequest>) -> Answer<Self::WatchStream> {
+        let index = request.into_inner().index;
+        let shared = (*self.shared).clone();
+        let stream = futures_util::stream::unfold(index, move |index| {
+            let shared = shared.clone();
+            async move { next_after(&shared, index).await }
+        });
+        let stream = SendWrapper::new(stream.map(Ok));
+        Ok(Response::new(Box::pin(stream)))
+    }
+
+    async fn renew(&self, request: Request<RenewRequest>) -> Answer<RenewReply> {
+        let renewed = local(leases::renew(&self.shared, request.into_inner())).await;
+        let reply = match renewed {
+            Ok(reply) => reply,
+            Err(refusal) => RenewReply {
+                lease_ms: 0,
+                leader_address: Some(elsewhere(refusal)?),
+            },
+        };
+        Ok(Response::new(reply))
+    }
+
+    async fn lag(&self, _: Request<LagRequest>) -> Answer<LagReply> {
+        let reply = match self.shared.newest() {
+            Ok(_) => LagReply {
+                instances: self.shared.leases.borrow().lag(),
+                leader_address: None,
+            },
+            Err(refusal) => LagReply {
+                instances: Vec::new(),
+                leader_address: Some(elsewhere(refusal)?),
+            },
+        };
+        Ok(Response::new(reply))
+    }
+
+    async fn events(&self, request: Request<EventsRequest>) -> Answer<EventsReply> {
+        let most = request.into_inner().most;
+        let events = self.shared.core.borrow().state.events(most);
+        Ok(Response::new(EventsReply { events }))
+    }
+}
+
+/// The next configuration after an index; ends the watch when the replica is cut off.
+async fn next_after(shared: &Shared, index: u64) -> Option<(Configuration, u64)> {
+    loop {
+        let seen = shared.changed.count();
+        let current = shared.core.borrow().state.configuration().clone();
+        if current.index > index {
+            let index = current.index;
+            return Some(((*current).clone(), index));
+        }
+        if shared.is_halted() {
+            return None;
+        }
+        let silence = shared.settings.election * SILENT_ELECTIONS;
+        let waited = compio::time::timeout(silence, shared.changed.past(seen)).await;
+        if waited.is_err() && is_cut_off(shared) {
+            return None;
+        }
+    }
+}
+
+/// Election times without a leader after which a replica ends its watches.
+const SILENT_ELECTIONS: u32 = 4;
+
+fn is_cut_off(shared: &Shared) -> bool {
+    let silence = shared.settings.election * SILENT_ELECTIONS;
+    let heard = shared.core.borrow().heard;
+    !shared.holds_lease() && shared.now().duration_since(heard) > silence
+}
+
+/// Address of the leader, or the status of a refusal that no other replica can mend.
+fn elsewhere(refusal: Refusal) -> Result<String, Status> {
+    match refusal {
+        Refusal::NotLeader(address) => Ok(address),
+        Refusal::Unable(status) => Err(status),
+    }
+}
+
+fn check(command: &Command) -> Result<(), Status> {
+    if command.id.is_empty() || command.id.len() > LONGEST_ID {
+        return Err(Status::invalid_argument("a command id has 1 to 64 bytes"));
+    }
+    let own = matches!(
+        command.body,
+        None | Some(
+            Body::PutMember(_) | Body::RemoveMember(_) | Body::AssignPool(_) | Body::Noop(_)
+        )
+    );
+    if own {
+        return Err(Status::invalid_argument(
+            "only the leader itself makes this change",
+        ));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/jaylock-control/src/settings.rs
@@ -0,0 +1,97 @@
+use std::time::Duration;
+
+use jaylock_rpc::ChannelSettings;
+
+/// Settings of a replica of the log.
+#[derive(Debug, Clone)]
+pub struct ReplicaSettings {
+    /// Connections to the other replicas.
+    pub channel: ChannelSettings,
+    /// Time between two messages of the leader to each replica.
+    pub heartbeat: Duration,
+    /// Shortest silence of the leader after which another replica stands for election; the
+    /// longest is twice as much.
+    pub election: Duration,
+    /// How long a leader answers after a majority was last heard; shorter than `election`.
+    pub lease: Duration,
+    /// Time for the answer of another replica.
+    pub answer_timeout: Duration,
+    /// Voting replicas that the group keeps.
+    pub replicas: usize,
+    /// Silence of a replica after which a spare instance takes its place.
+    pub replace_after: Duration,
+    /// How long an instance may act after a renewal was sent.
+    pub instance_lease: Duration,
+    /// Entries after which a snapshot is written.
+    pub snapshot_entries: u64,
+    /// Entries kept before a snapshot, for replicas that are a little behind.
+    pub kept_entries: u64,
+    /// Commands that may wait for their commit at once.
+    pub pending_limit: usize,
+}
+
+impl Default for ReplicaSettings {
+    fn default() -> Self {
+        Self {
+            channel: ChannelSettings::default(),
+            heartbeat: Duration::from_millis(100),
+            election: Duration::from_millis(500),
+            lease: Duration::from_millis(400),
+            answer_timeout: Duration::from_millis(400),
+            replicas: 3,
+            replace_after: Duration::from_secs(30),
+            instance_lease: Duration::from_secs(3),
+            snapshot_entries: 4096,
+            kept_entries: 1024,
+            pending_limit: 4096,
+        }
+    }
+}
+
+/// Settings of a client of the control replicas.
+#[derive(Debug, Clone)]
+pub struct ClientSettings {
+    /// Time in which an answer is sought.
+    pub deadline: Duration,
+    /// Time for one replica to answer.
+    pub answer_timeout: Duration,
+    /// Pause after all replicas were asked in vain.
+    pub pause: Duration,
+}
+
+impl Default for ClientSettings {
+    fn default() -> Self {
+        Self {
+            deadline: Duration::from_secs(10),
+            answer_timeout: Duration::from_secs(2),
+            pause: Duration::from_millis(50),
+        }
+    }
+}
+
+/// Settings of an instance that follows the configuration.
+#[derive(Debug, Clone)]
+pub struct FollowerSettings {
+    /// Time between two renewals of the lease.
+    pub renew_every: Duration,
+    /// Time between two exchanges with another instance.
+    pub gossip_every: Duration,
+    /// Time for another instance to answer.
+    pub answer_timeout: Duration,
+    /// How long a heard answer counts as being connected.
+    pub heard_for: Duration,
+    /// Silence of a watch after which another replica is asked.
+    pub watch_silence: Duration,
+}
+
+impl Default for FollowerSettings {
+    fn default() -> Self {
+        Self {
+            renew_every: Duration::from_secs(1),
+            gossip_every: Duration::from_secs(1),
+            answer_timeout: Duration::from_secs(1),
+            heard_for: Duration::from_secs(3),
+            watch_silence: Duration::from_secs(5),
+        }
+    }
+}
--- /dev/null
+++ b/crates/jaylock-control/src/state/mod.rs
@@ -0,0 +1,244 @@
+//! The state machine: what the entries of the log amount to.
+
+mod answers;
+mod changes;
+mod claims;
+mod events;
+mod fleet;
+mod ordered;
+
+use std::rc::Rc;
+
+use jaylock_rpc::v1::applied::Result as Outcome;
+use jaylock_rpc::v1::command::Body;
+use jaylock_rpc::v1::{Applied, Command, Configuration, Done, Entry, Event, Member};
+
+use self::answers::Answers;
+use self::claims::Claims;
+use self::events::Events;
+use crate::storage::Image;
+
+pub(crate) use self::fleet::{find_instance, put_member, remove_member};
+
+/// The state after the entries up to an index; equal on every replica.
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    index: u64,
+    term: u64,
+    at_ms: u64,
+    configuration: Rc<Configuration>,
+    answers: Answers,
+    claims: Claims,
+    events: Events,
+}
+
+/// Whether a command is a decision of operators, the fleet's own, or leaves the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Class {
+    /// Raises revision and index.
+    Operator,
+    /// Raises the index alone.
+    Fleet,
+    /// Raises neither.
+    Other,
+}
+
+impl State {
+    /// The state before the first entry.
+    pub fn initial(members: Vec<Member>) -> Self {
+        let configuration = Configuration {
+            members,
+            ..Configuration::default()
+        };
+        Self {
+            configuration: Rc::new(configuration),
+            ..Self::default()
+        }
+    }
+
+    /// The state that an image holds.
+    pub fn restore(image: Image) -> Self {
+        Self {
+            index: image.index,
+            term: image.term,
+            at_ms: image.at_ms,
+            configuration: Rc::new(image.configuration.unwrap_or_default()),
+            answers: Answers::restore(image.answers, image.forgotten_ms),
+            claims: Claims::restore(image.claims, image.swept_ms),
+            events: Events::restore(image.events),
+        }
+    }
+
+    /// An image of the state.
+    pub fn image(&self) -> Image {
+        Image {
+            index: self.index,
+            term: self.term,
+            at_ms: self.at_ms,
+            configuration: Some((*self.configuration).clone()),
+            answers: self.answers.records(),
+            forgotten_ms: self.answers.forgotten_ms(),
+            claims: self.claims.records(),
+            swept_ms: self.claims.swept_ms(),
+            events: self.events.newest(u32::MAX),
+        }
+    }
+
+    /// Index of the last entry applied.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// Term of the last entry applied.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Time of the last entry applied, Unix ms.
+    pub fn at_ms(&self) -> u64 {
+        self.at_ms
+    }
+
+    pub fn configuration(&self) -> &Rc<Configuration> {
+        &self.configuration
+    }
+
+    /// The newest `most` events, oldest first.
+    pub fn events(&self, most: u32) -> Vec<Event> {
+        self.events.newest(most)
+    }
+
+    /// Applies the next entry and says what became of its command.
+    pub fn apply(&mut self, entry: &Entry) -> Applied {
+        self.index = entry.index;
+        self.term = entry.term;
+        self.at_ms = self.at_ms.max(entry.at_ms);
+        self.claims.sweep(self.at_ms);
+        let Some(command) = &entry.command else {
+            return self.applied(Outcome::Done(Done {}));
+        };
+        if let Some(first) = self.answers.find(&command.id) {
+            return first.clone();
+        }
+        let outcome = self.execute(command);
+        let applied = self.applied(outcome);
+        if is_remembered(command) {
+            self.answers
+                .remember(&command.id, applied.clone(), self.at_ms);
+        }
+        applied
+    }
+
+    fn applied(&self, outcome: Outcome) -> Applied {
+        Applied {
+            index: self.index,
+            revision: self.configuration.revision,
+            result: Some(outcome),
+        }
+    }
+
+    fn execute(&mut self, command: &Command) -> Outcome {
+        let Some(body) = &command.body else {
+            return refused("the command is empty: send one of the known changes");
+        };
+        let revision = self.configuration.revision;
+        if command.expected_revision.is_some_and(|e| e != revision) {
+            return Outcome::Conflict(revision);
+        }
+        if is_remembered(command) && self.answers.is_forgotten(&command.id) {
+            return refused(
+                "the command is older than the answers that are remembered: read the configuration and send it under a new id",
+            );
+        }
+        match self.change(body) {
+            Ok(outcome) => outcome,
+            Err(reason) => Outcome::Refused(reason),
+        }
+    }
+
+    fn change(&mut self, body: &Body) -> Result<Outcome, String> {
+        match body {
+            Body::Claim(claim) => return self.claims.claim(claim, self.at_ms, &self.configuration),
+            Body::Settle(settle) => return self.claims.settle(settle),
+            Body::ReleaseClaim(release) => return self.claims.release(release),
+            Body::RecordEvent(event) => {
+                self.record(&event.part, event.text.clone());
+                return Ok(Outcome::Done(Done {}));
+            }
+            Body::Noop(_) => return Ok(Outcome::Done(Done {})),
+            _ => {}
+        }
+        // The change is tried on a copy that is shared with nobody, so that a refusal leaves no trace.
+        let mut next = (*self.configuration).clone();
+        let change = changes::change(&mut next, body, self.index, self.at_ms)?;
+        if class(body) == Class::Operator {
+            next.revision += 1;
+        }
+        next.index = self.index;
+        self.configuration = Rc::new(next);
+        if let Body::RemoveInstance(gone) = body {
+            self.claims.lose(&gone.id, gone.incarnation);
+        }
+        if let Body::PutInstance(instance) = body {
+            self.claims.lose(&instance.id, instance.incarnation - 1);
+        }
+        if let Some(text) = change.event {
+            self.record("control", text);
+        }
+        Ok(change.outcome)
+    }
+
+    fn record(&mut self, part: &str, text: String) {
+        self.events.push(Event {
+            index: self.index,
+            at_ms: self.at_ms,
+            part: part.into(),
+            text,
+        });
+    }
+}
+
+fn class(body: &Body) -> Class {
+    match body {
+        Body::PutOrganisation(_)
+        | Body::RemoveOrganisation(_)
+        | Body::PutModel(_)
+        | Body::RemoveModel(_)
+        | Body::PutAdapter(_)
+        | Body::RemoveAdapter(_)
+        | Body::PutService(_)
+        | Body::RemoveService(_)
+        | Body::DrainBackend(_)
+        | Body::UndrainBackend(_) => Class::Operator,
+        Body::PutInstance(_)
+        | Body::RemoveInstance(_)
+        | Body::AssignPool(_)
+        | Body::PutQuarantine(_)
+        | Body::IssueOrder(_)
+        | Body::PutMember(_)
+        | Body::RemoveMember(_) => Class::Fleet,
+        Body::Claim(_)
+        | Body::Settle(_)
+        | Body::ReleaseClaim(_)
+        | Body::RecordEvent(_)
+        | Body::Noop(_) => Class::Other,
+    }
+}
+
+/// Whether a resend gets the remembered answer.
+///
+/// Claims answer a resend by themselves, and the rest comes from the leader alone.
+fn is_remembered(command: &Command) -> bool {
+    let Some(body) = &command.body else {
+        return false;
+    };
+    class(body) == Class::Operator
+        || matches!(
+            body,
+            Body::PutQuarantine(_) | Body::IssueOrder(_) | Body::RecordEvent(_)
+        )
+}
+
+fn refused(reason: &str) -> Outcome {
+    Outcome::Refused(reason.into())
+}
--- /dev/null
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -0,0 +1,4 @@
+//! The replicated log, its leases and its clients under failure.
+
+mod fleet;
+mod whole;
