Tests of commands, damaged disks and lost replicas

Cause: the mechanisms of the log had no test under failure. Ruled out: real processes for these points, the ports place the fault sooner and more exactly. Change: a group of replicas over disks and a network in memory; tests of resends, races, claims, torn and corrupt files, full disks, lost disks, spares, three losses of five, handing over.

--- a/crates/jaylock-control/src/members.rs
+++ b/crates/jaylock-control/src/members.rs
@@ -50,7 +50,7 @@
     let reborn = leading
         .peers
         .iter()
-        .find(|p| p.generation > p.member.generation);
+        .find(|p| p.generation > 0 && p.generation != p.member.generation);
     if let Some(progress) = reborn {
         return Some(Body::PutMember(Member {
             generation: progress.generation,
--- a/crates/jaylock-control/src/replica/log.rs
+++ b/crates/jaylock-control/src/replica/log.rs
@@ -30,16 +30,22 @@
     }
 
     /// A log with entries read from disk, in the order in which they were written.
-    pub fn restore(index: u64, term: u64, entries: Vec<Entry>) -> Self {
+    ///
+    /// `None` when one is missing between.
+    pub fn restore(index: u64, term: u64, entries: Vec<Entry>) -> Option<Self> {
         let mut log = Self::after(index, term);
         for entry in entries {
-            if entry.index > log.base_index && entry.index <= log.last_index() + 1 {
-                log.truncate(entry.index - 1);
-                log.push(entry);
+            if entry.index <= log.base_index {
+                continue;
             }
+            if entry.index > log.last_index() + 1 {
+                return None;
+            }
+            log.truncate(entry.index - 1);
+            log.push(entry);
         }
         log.synced = log.last_index();
-        log
+        Some(log)
     }
 
     pub fn base_index(&self) -> u64 {
--- a/crates/jaylock-control/src/replica/mod.rs
+++ b/crates/jaylock-control/src/replica/mod.rs
@@ -84,11 +84,24 @@
     /// The services through which other replicas and instances reach it.
     #[must_use]
     pub fn services(&self) -> (ReplicaServer<ReplicaService>, ControlServer<ControlService>) {
-        let replica = ReplicaServer::new(ReplicaService::new(self.shared.clone()))
-            .max_decoding_message_size(LARGEST_MESSAGE);
-        let control = ControlServer::new(ControlService::new(self.shared.clone()))
-            .max_decoding_message_size(LARGEST_MESSAGE);
-        (replica, control)
+        let replica = ReplicaServer::new(self.replica_service());
+        let control = ControlServer::new(self.control_service());
+        (
+            replica.max_decoding_message_size(LARGEST_MESSAGE),
+            control.max_decoding_message_size(LARGEST_MESSAGE),
+        )
+    }
+
+    /// What it answers to the other replicas.
+    #[must_use]
+    pub fn replica_service(&self) -> ReplicaService {
+        ReplicaService::new(self.shared.clone())
+    }
+
+    /// What it answers to instances and operators.
+    #[must_use]
+    pub fn control_service(&self) -> ControlService {
+        ControlService::new(self.shared.clone())
     }
 
     /// Takes part in the group until the future is dropped or the disk fails.
--- a/crates/jaylock-control/src/replica/receive.rs
+++ b/crates/jaylock-control/src/replica/receive.rs
@@ -61,7 +61,8 @@
         (core.ballot.clone(), core.heard)
     };
     // Whoever heard a leader lately votes for no other: that is what the leader's lease rests on.
-    let is_bound = shared.now().duration_since(heard) < shared.settings.election;
+    let silence = shared.now().duration_since(heard);
+    let is_bound = silence < shared.settings.election || shared.holds_lease();
     if ballot.generation == 0 || (is_bound && !request.handover) || request.term < ballot.term {
         return Ok(false);
     }
--- a/crates/jaylock-control/src/replica/shared.rs
+++ b/crates/jaylock-control/src/replica/shared.rs
@@ -58,7 +58,8 @@
         let contents = store.load().await?;
         let image = contents.image.unwrap_or_default();
         let state = State::restore(image);
-        let log = Log::restore(state.index(), state.term(), contents.entries);
+        let log = Log::restore(state.index(), state.term(), contents.entries)
+            .ok_or_else(|| store.incomplete())?;
         let ballot = contents.ballot.unwrap_or_default();
         let now = ports.clock.now();
         Ok(Self {
--- a/crates/jaylock-control/src/storage/store.rs
+++ b/crates/jaylock-control/src/storage/store.rs
@@ -60,6 +60,11 @@
         self.write_one(FileName::Log, &Batch { entries }).await
     }
 
+    /// The error of a log that lacks entries between the snapshot and its end.
+    pub fn incomplete(&self) -> Error {
+        self.corrupt(FileName::Log, 0)
+    }
+
     async fn read_log(&self) -> Result<Vec<Entry>> {
         let Some(bytes) = self.read(FileName::Log).await? else {
             return Ok(Vec::new());
--- /dev/null
+++ b/crates/jaylock-tests/tests/control/commands.rs
@@ -0,0 +1,158 @@
+//! Operators' commands: resends, races, and what bounds the memory of answers and claims.
+
+use googletest::prelude::*;
+use jaylock_rpc::v1::applied::Result as Outcome;
+use jaylock_rpc::v1::claim_state::Kind;
+use jaylock_rpc::v1::command::Body;
+use jaylock_rpc::v1::{Applied, Claim, Command, Instance, InstanceGone, Organisation, Settle};
+
+use crate::group::Group;
+
+/// A command that creates an organisation.
+pub fn create(id: &str, expected: Option<u64>) -> Command {
+    Command {
+        id: format!("create-{id}"),
+        expected_revision: expected,
+        body: Some(Body::PutOrganisation(Organisation {
+            id: id.into(),
+            weight: 1,
+            ..Organisation::default()
+        })),
+    }
+}
+
+fn command(body: Body) -> Command {
+    Command {
+        id: uuid::Uuid::now_v7().to_string(),
+        expected_revision: None,
+        body: Some(body),
+    }
+}
+
+fn claim(router: &str, incarnation: u64, request: &str, key: &str) -> Command {
+    command(Body::Claim(Claim {
+        organisation: "shop".into(),
+        key: key.into(),
+        fingerprint: vec![1; 32],
+        router: router.into(),
+        incarnation,
+        request: request.into(),
+        at_ms: 0,
+    }))
+}
+
+fn kind(applied: &Applied) -> Option<Kind> {
+    match &applied.result {
+        Some(Outcome::Claim(state)) => Some(state.kind()),
+        _ => None,
+    }
+}
+
+fn instance(id: &str, incarnation: u64) -> Instance {
+    Instance {
+        id: id.into(),
+        incarnation,
+        ..Instance::default()
+    }
+}
+
+/// Keeps the leases of two instances alive until it is dropped.
+async fn renew(group: &Group, instances: &[Instance]) {
+    loop {
+        for instance in instances {
+            for at in 0..group.machines().len() {
+                let _ = group.renew_at(at, instance, &[]).await;
+            }
+        }
+    }
+}
+
+jaylock_tests::cases! {
+    async a_resend_gets_the_first_answer_after_restarts_of_all => {
+        let group = Group::new(3, 3).await;
+        let first = group.propose(create("a", Some(0))).await;
+        expect_that!(first.result, some(matches_pattern!(Outcome::Done(_))));
+        for round in 0..100 {
+            group.propose(create(&format!("more{round}"), None)).await;
+        }
+        for machine in group.machines() {
+            machine.kill();
+        }
+        for at in 0..3 {
+            group.start(at).await.expect("a replica");
+        }
+        expect_that!(group.propose(create("a", Some(0))).await, eq(&first));
+        expect_that!(group.read().await.revision, eq(101));
+    };
+
+    async of_two_commands_at_one_revision_one_wins => {
+        let group = Group::new(3, 3).await;
+        group.leader().await;
+        for round in 0..10 {
+            let (a, b) = (format!("a{round}"), format!("b{round}"));
+            let (a, b) = futures_util::join!(
+                group.propose(create(&a, Some(round))),
+                group.propose(create(&b, Some(round))),
+            );
+            let won = |applied: &&Applied| matches!(applied.result, Some(Outcome::Done(_)));
+            expect_that!([&a, &b].into_iter().filter(won).count(), eq(1));
+            let lost = Outcome::Conflict(round + 1);
+            let conflict = some(eq(&lost));
+            expect_that!([a.result, b.result], contains(conflict));
+        }
+    };
+
+    async a_claim_is_granted_once => {
+        let group = Group::new(1, 1).await;
+        let instances = [instance("x", 1), instance("y", 1)];
+        let renewing = renew(&group, &instances);
+        let trying = async {
+            group.until("instances", |c| c.instances.len() == 2).await;
+            let ask = async |command| kind(&group.propose(command).await);
+            expect_that!(ask(claim("x", 1, "q1", "key")).await, some(eq(Kind::Granted)));
+            expect_that!(ask(claim("x", 1, "q1", "key")).await, some(eq(Kind::Granted)));
+            expect_that!(ask(claim("x", 1, "q2", "key")).await, some(eq(Kind::Pending)));
+            expect_that!(ask(claim("y", 1, "q3", "key")).await, some(eq(Kind::Pending)));
+            let settle = Settle {
+                organisation: "shop".into(),
+                key: "key".into(),
+                router: "x".into(),
+                incarnation: 1,
+                known: true,
+                status: 200,
+                body: b"done".to_vec(),
+                ..Settle::default()
+            };
+            group.propose(command(Body::Settle(settle))).await;
+            expect_that!(ask(claim("y", 1, "q3", "key")).await, some(eq(Kind::Settled)));
+
+            expect_that!(ask(claim("y", 1, "q4", "other")).await, some(eq(Kind::Granted)));
+            let gone = InstanceGone {
+                id: "y".into(),
+                incarnation: 1,
+                reason: "test".into(),
+            };
+            group.propose(command(Body::RemoveInstance(gone))).await;
+            expect_that!(ask(claim("x", 1, "q5", "other")).await, some(eq(Kind::Unknown)));
+            expect_that!(ask(claim("y", 1, "q4", "other")).await, some(eq(Kind::Unknown)));
+            let old = "01800000-0000-7000-8000-000000000000";
+            expect_that!(ask(claim("x", 1, "q6", old)).await, some(eq(Kind::Expired)));
+        };
+        futures_util::future::select(std::pin::pin!(renewing), std::pin::pin!(trying)).await;
+    };
+
+    async an_old_resend_is_not_applied_twice => {
+        let group = Group::new(1, 1).await;
+        let old = command(create("a", None).body.expect("a body"));
+        group.propose(old.clone()).await;
+        let make = |at: usize| create(&format!("n{at}"), None);
+        for batch in 0..101 {
+            let batch = (batch * 100..batch * 100 + 100).map(|at| group.propose(make(at)));
+            futures_util::future::join_all(batch).await;
+        }
+        let again = group.propose(old).await;
+        expect_that!(again.result, some(matches_pattern!(Outcome::Refused(_))));
+        let again = group.propose(create("n0", Some(1))).await;
+        expect_that!(again.result, some(matches_pattern!(Outcome::Conflict(_))));
+    };
+}
--- /dev/null
+++ b/crates/jaylock-tests/tests/control/losses.rs
@@ -0,0 +1,177 @@
+//! Replicas that are killed, isolated, lose their disks or are lost for good.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jaylock_rpc::v1::{Configuration, Instance};
+
+use crate::commands::create;
+use crate::group::Group;
+
+fn is_voter(configuration: &Configuration, instance: &str) -> bool {
+    let voters = configuration.members.iter().filter(|m| m.voter);
+    voters.into_iter().any(|m| m.instance == instance)
+}
+
+fn voters(configuration: &Configuration) -> usize {
+    configuration.members.iter().filter(|m| m.voter).count()
+}
+
+/// Renews the leases of every machine that runs, as its instance would.
+async fn live(group: &Group) {
+    loop {
+        for (at, machine) in group.machines().iter().enumerate() {
+            if machine.replica().is_none() || machine.cut.get() {
+                continue;
+            }
+            let instance = Instance {
+                id: machine.member.instance.clone(),
+                incarnation: 1,
+                domain: machine.member.domain.clone(),
+                peer_address: machine.member.peer_address.clone(),
+                disk: true,
+                ..Instance::default()
+            };
+            for leader in group.leaders() {
+                let _ = group.renew_at(leader, &instance, &[]).await;
+            }
+            let _ = at;
+        }
+        compio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Runs a test while every running machine renews its lease.
+async fn alongside(group: &Group, test: impl Future<Output = ()>) {
+    futures_util::future::select(std::pin::pin!(live(group)), std::pin::pin!(test)).await;
+}
+
+jaylock_tests::cases! {
+    async a_killed_leader_is_followed_by_another => {
+        let group = Group::new(3, 3).await;
+        for round in 0..4 {
+            group.propose(create(&format!("a{round}"), Some(round))).await;
+            let leader = group.leader().await;
+            group.machine(leader).kill();
+            expect_that!(group.read().await.revision, eq(round + 1));
+            group.start(leader).await.expect("a replica");
+        }
+    };
+
+    async an_isolated_leader_stops_within_its_lease => {
+        let group = Group::new(3, 3).await;
+        group.propose(create("a", Some(0))).await;
+        let old = group.leader().await;
+        group.machine(old).cut.set(true);
+        compio::time::sleep(group.settings.lease).await;
+        expect_false!(group.machine(old).replica().expect("a replica").is_leader());
+        group.propose(create("b", Some(1))).await;
+        let new = group.leader().await;
+        group.machine(old).cut.set(false);
+        compio::time::sleep(group.settings.election * 4).await;
+        expect_that!(group.leader().await, eq(new));
+        expect_that!(group.read().await.revision, eq(2));
+    };
+
+    async a_lost_disk_counts_only_after_it_caught_up => {
+        let group = Group::new(3, 3).await;
+        for at in 0..60 {
+            group.propose(create(&format!("a{at}"), Some(at))).await;
+        }
+        let leader = group.leader().await;
+        let lost = (leader + 1) % 3;
+        let machine = group.machine(lost);
+        machine.kill();
+        machine.medium.wipe();
+        group.start(lost).await.expect("a replica");
+        let name = machine.member.instance.as_str();
+        let wanted = |c: &Configuration| {
+            is_voter(c, name) && c.members.iter().any(|m| m.instance == name && m.generation > 1)
+        };
+        group.until("the new generation votes", wanted).await;
+        let other = (leader + 2) % 3;
+        group.machine(other).kill();
+        expect_that!(group.read().await.revision, eq(60));
+        group.propose(create("b", Some(60))).await;
+    };
+
+    async two_lost_disks_of_three_make_no_new_group => {
+        let group = Group::new(3, 3).await;
+        group.propose(create("a", Some(0))).await;
+        let leader = group.leader().await;
+        group.machine(leader).kill();
+        for at in (0..3).filter(|at| *at != leader) {
+            group.machine(at).kill();
+            group.machine(at).medium.wipe();
+            group.start(at).await.expect("a replica");
+        }
+        compio::time::sleep(group.settings.election * 6).await;
+        expect_that!(group.leaders(), is_empty());
+        group.start(leader).await.expect("a replica");
+        compio::time::sleep(group.settings.election * 6).await;
+        for at in 0..3 {
+            expect_that!(group.read_from(at).await, none());
+        }
+    };
+
+    async a_spare_takes_the_place_of_a_lost_replica => {
+        let group = Group::new(6, 3).await;
+        alongside(&group, async {
+            group.propose(create("a", Some(0))).await;
+            group.until("instances", |c| c.instances.len() == 6).await;
+            let lost = (group.leader().await + 1) % 3;
+            group.machine(lost).kill();
+            let name = group.machine(lost).member.instance.clone();
+            let wanted = |c: &Configuration| {
+                voters(c) == 3 && c.members.iter().all(|m| m.instance != name)
+            };
+            let repaired = group.until("three voters", wanted).await;
+            let mut domains: Vec<_> = repaired.members.iter().map(|m| &m.domain).collect();
+            domains.sort();
+            expect_that!(domains, elements_are![eq(&"d0"), eq(&"d1"), eq(&"d2")]);
+        }).await;
+    };
+
+    async three_losses_of_five_with_repair_between_lose_nothing => {
+        let group = Group::new(8, 5).await;
+        let revision = Cell::new(0);
+        alongside(&group, async {
+            group.until("instances", |c| c.instances.len() == 8).await;
+            for loss in 0..3 {
+                for _ in 0..10 {
+                    let at = revision.get();
+                    group.propose(create(&format!("a{at}"), Some(at))).await;
+                    revision.set(at + 1);
+                }
+                let lost = if loss == 1 { group.leader().await } else {
+                    let leader = group.leader().await;
+                    let members = group.read().await.members;
+                    let named = |at: &usize| members.iter().any(|m| m.instance == format!("r{at}"));
+                    (0..8).find(|at| named(at) && *at != leader).expect("a follower")
+                };
+                group.machine(lost).kill();
+                let name = group.machine(lost).member.instance.clone();
+                let wanted = |c: &Configuration| {
+                    voters(c) == 5 && c.members.iter().all(|m| m.instance != name)
+                };
+                group.until("five voters", wanted).await;
+                expect_that!(group.read().await.revision, eq(revision.get()));
+            }
+            group.propose(create("last", Some(30))).await;
+        }).await;
+        expect_that!(revision.get(), eq(30));
+    };
+
+    async stepping_down_hands_over_at_once => {
+        let group = Group::new(3, 3).await;
+        for _ in 0..3 {
+            let old = group.leader().await;
+            let replica = group.machine(old).replica().expect("a replica");
+            replica.step_down().await;
+            expect_false!(replica.is_leader());
+            group.read().await;
+            expect_that!(group.leader().await, not(eq(old)));
+        }
+    };
+}
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -1,4 +1,9 @@
 //! The replicated log, its leases and its clients under failure.
 
+mod commands;
+mod damage;
+mod disk;
 mod fleet;
+mod group;
+mod losses;
 mod whole;
