History checker under random faults; two faults that it found

Cause: (1) an instance that froze for longer than its lease renewed it on waking and acted on a pool that had gone to another meanwhile: its view was older than the renewal (schedule of cuts and freezes, "[0, 1] hold the pool at once"). (2) A leader kept its notes on a removed replica, took it for lost and removed it again for ever: the log grew without end. Change: RenewReply.index; the lease holds once that index is in force. Leaders keep notes on members only. Property tests of random kills, lost disks, cuts, freezes and handings over against a history: linear reads and writes, one content an index, one leader, one holder of a pool.

--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -2,8 +2,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jaylock_rpc::v1::{Instance, RenewRequest};
-use jaylock_types::PoolId;
+use jaylock_rpc::v1::{Instance, RenewReply, RenewRequest};
+use jaylock_types::{Index, PoolId};
 
 use crate::gossip::Gossip;
 use crate::{ConfigView, ControlClient, FollowerSettings};
@@ -34,6 +34,10 @@
     pub fn is_valid(&self) -> bool {
         self.end.get().is_some_and(|end| Instant::now() < end)
     }
+
+    fn extend(&self, end: Instant) {
+        self.end.set(self.end.get().max(Some(end)));
+    }
 }
 
 /// Changes what an instance tells control with its next renewal; clones share it.
@@ -139,6 +143,21 @@
         }
     }
 
+    /// Holds the lease from when the configuration that it was renewed under is in force.
+    fn hold(&self, reply: &RenewReply, sent: Instant) {
+        let end = sent + Duration::from_millis(reply.lease_ms.into());
+        let before = Index(reply.index.saturating_sub(1));
+        let (lease, view) = (self.lease(), self.view.clone());
+        let waiting = async move {
+            let in_force = view.newer_than(before);
+            if compio::time::timeout_at(end, in_force).await.is_ok() {
+                lease.extend(end);
+                view.set_connected(true);
+            }
+        };
+        compio::runtime::spawn(waiting).detach();
+    }
+
     async fn renew(&self) {
         loop {
             let started = Instant::now();
@@ -155,11 +174,7 @@
                     .collect(),
             };
             match self.client.renew_timed(request).await {
-                Ok((reply, sent)) => {
-                    let lease = Duration::from_millis(reply.lease_ms.into());
-                    self.shared.lease.end.set(Some(sent + lease));
-                    self.view.set_connected(true);
-                }
+                Ok((reply, sent)) => self.hold(&reply, sent),
                 Err(error) => log::warn!(target: "follower", "the lease is not renewed: {error}"),
             }
             let pause = self.settings.renew_every.saturating_sub(started.elapsed());
--- a/crates/jaylock-control/src/leases.rs
+++ b/crates/jaylock-control/src/leases.rs
@@ -128,11 +128,12 @@
     let now = shared.now();
     shared.leases.borrow_mut().renew(&request, instance, now);
     // The answer counts only if this replica led until now.
-    shared.newest()?;
+    let index = shared.newest()?.index;
     let lease_ms = shared.settings.instance_lease.as_millis();
     Ok(RenewReply {
         lease_ms: u32::try_from(lease_ms).unwrap_or(u32::MAX),
         leader_address: None,
+        index,
     })
 }
 
--- a/crates/jaylock-control/src/replica/lead.rs
+++ b/crates/jaylock-control/src/replica/lead.rs
@@ -4,6 +4,7 @@
 use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::{Event, Member, Noop};
 
+use super::progress::is_same;
 use super::{Progress, Shared, peer};
 use crate::{leases, members};
 
@@ -51,17 +52,27 @@
     true
 }
 
-/// Keeps one task for each other member.
+/// Keeps one task for each other member, and notes on none else.
 fn serve_members(shared: &Rc<Shared>, peers: &mut Vec<Peer>) {
     let current = shared.core.borrow().members.clone();
-    peers.retain(|p| {
-        current
-            .iter()
-            .any(|m| super::progress::is_same(m, &p.member))
-    });
+    let stays = |member: &Member| current.iter().any(|m| is_same(m, member));
+    peers.retain(|p| stays(&p.member));
     let served: Vec<Member> = peers.iter().map(|p| p.member.clone()).collect();
-    for member in peer::newcomers(shared, &served) {
-        enter(shared, &member);
+    let newcomers = peer::newcomers(shared, &served);
+    {
+        let mut core = shared.core.borrow_mut();
+        let next = core.log.last_index() + 1;
+        let Some(leading) = core.leading_mut() else {
+            return;
+        };
+        leading.peers.retain(|p| stays(&p.member));
+        for member in &newcomers {
+            if leading.progress(member).is_none() {
+                leading.peers.push(Progress::new(member.clone(), next));
+            }
+        }
+    }
+    for member in newcomers {
         let task = peer::replicate(shared.clone(), member.clone());
         peers.push(Peer {
             member,
@@ -70,20 +81,6 @@
     }
 }
 
-fn enter(shared: &Shared, member: &Member) {
-    let mut core = shared.core.borrow_mut();
-    let next = core.log.last_index() + 1;
-    let Some(leading) = core.leading_mut() else {
-        return;
-    };
-    leading.peers.retain(|p| {
-        p.member.instance != member.instance || super::progress::is_same(&p.member, member)
-    });
-    if leading.progress(member).is_none() {
-        leading.peers.push(Progress::new(member.clone(), next));
-    }
-}
-
 /// Commits an entry of the new term, and with it everything before.
 async fn commit_first(shared: Rc<Shared>) {
     if shared.submit_body(Body::Noop(Noop {})).await.is_err() {
--- a/crates/jaylock-control/src/service.rs
+++ b/crates/jaylock-control/src/service.rs
@@ -120,8 +120,8 @@
         let reply = match renewed {
             Ok(reply) => reply,
             Err(refusal) => RenewReply {
-                lease_ms: 0,
                 leader_address: Some(elsewhere(refusal)?),
+                ..RenewReply::default()
             },
         };
         Ok(Response::new(reply))
--- a/crates/jaylock-tests/tests/control/group.rs
+++ b/crates/jaylock-tests/tests/control/group.rs
@@ -10,8 +10,9 @@
 use jaylock_rpc::v1::control_server::Control;
 use jaylock_rpc::v1::replica_server::Replica as Peer;
 use jaylock_rpc::v1::{
-    AppendReply, AppendRequest, Applied, Command, Configuration, InstallReply, InstallRequest,
-    Instance, Member, ProposeRequest, ReadRequest, RenewRequest, VoteReply, VoteRequest,
+    AppendReply, AppendRequest, Applied, Command, Configuration, EventsRequest, InstallReply,
+    InstallRequest, Instance, Member, ProposeRequest, ReadRequest, RenewReply, RenewRequest,
+    VoteReply, VoteRequest,
 };
 use jaylock_types::SystemClock;
 use tonic::{Request, Status};
@@ -240,13 +241,13 @@
         reply.ok()?.configuration
     }
 
-    /// Renews an instance's lease at one machine and says how long it holds.
+    /// Renews an instance's lease at one machine.
     pub async fn renew_at(
         &self,
         at: usize,
         instance: &Instance,
         pools: &[&str],
-    ) -> Option<Duration> {
+    ) -> Option<RenewReply> {
         let request = RenewRequest {
             instance: Some(instance.clone()),
             pools: pools.iter().map(ToString::to_string).collect(),
@@ -254,8 +255,20 @@
         };
         let call = across!(self.machines, at, at, control_service, renew, request);
         let reply: Result<_, Status> = compio::time::timeout(self.limit(), call).await.ok()?;
-        let reply = reply.ok()?;
-        (reply.lease_ms > 0).then_some(Duration::from_millis(reply.lease_ms.into()))
+        reply.ok().filter(|r| r.lease_ms > 0)
+    }
+
+    /// Changes of members that the record of repairs holds.
+    pub async fn members_changed(&self) -> usize {
+        let at = self.leader().await;
+        let replica = self.machines[at].replica().expect("a replica");
+        let request = Request::new(EventsRequest { most: u32::MAX });
+        let reply = replica.control_service().events(request).await;
+        let events = reply.expect("events").into_inner().events;
+        events
+            .iter()
+            .filter(|e| e.text.starts_with("replica on"))
+            .count()
     }
 
     /// Asks machine after machine until one has committed a command.
--- a/crates/jaylock-tests/tests/control/losses.rs
+++ b/crates/jaylock-tests/tests/control/losses.rs
@@ -21,7 +21,7 @@
 /// Renews the leases of every machine that runs, as its instance would.
 async fn live(group: &Group) {
     loop {
-        for (at, machine) in group.machines().iter().enumerate() {
+        for machine in group.machines() {
             if machine.replica().is_none() || machine.cut.get() {
                 continue;
             }
@@ -36,7 +36,6 @@
             for leader in group.leaders() {
                 let _ = group.renew_at(leader, &instance, &[]).await;
             }
-            let _ = at;
         }
         compio::time::sleep(Duration::from_millis(50)).await;
     }
@@ -130,6 +129,13 @@
             let mut domains: Vec<_> = repaired.members.iter().map(|m| &m.domain).collect();
             domains.sort();
             expect_that!(domains, elements_are![eq(&"d0"), eq(&"d1"), eq(&"d2")]);
+            // The repaired group comes to rest.
+            compio::time::sleep(group.settings.replace_after).await;
+            let before = group.read().await.members;
+            let events = group.members_changed().await;
+            compio::time::sleep(group.settings.replace_after).await;
+            expect_that!(group.members_changed().await, eq(events));
+            expect_that!(group.read().await.members, eq(&before));
         }).await;
     };
 
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -5,5 +5,7 @@
 mod disk;
 mod fleet;
 mod group;
+mod history;
 mod losses;
+mod schedules;
 mod whole;
