Each mechanism of the log, seen failing when it is off

Ruled out: more random schedules for those: what they guard against is narrow, so each is brought about on its own. Change: tests of syncing before an answer (slow disks, all crash), of votes of a lost disk, of bound voters, of waiting out leases after a change of leader, of a view that never goes back.

--- a/crates/jaylock-tests/tests/control/disk.rs
+++ b/crates/jaylock-tests/tests/control/disk.rs
@@ -17,6 +17,8 @@
     start: Cell<u64>,
     /// Whether writes fail for lack of space.
     pub full: Cell<bool>,
+    /// Time that each write takes on top, ms.
+    pub slow: Cell<u64>,
     /// Whether operations wait.
     pub frozen: Cell<bool>,
 }
@@ -59,6 +61,7 @@
     /// Waits as a disk does; fails when it is full, never returns after a crash.
     async fn spend(&self, bytes: &[u8], file: FileName) -> io::Result<()> {
         compio::time::sleep(Duration::from_micros(rand::random_range(50..1500))).await;
+        compio::time::sleep(Duration::from_millis(self.medium.slow.get())).await;
         while self.medium.frozen.get() {
             compio::time::sleep(Duration::from_millis(1)).await;
         }
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -8,5 +8,6 @@
 mod group;
 mod history;
 mod losses;
+mod rules;
 mod schedules;
 mod whole;
