Metrics, the burn report, traces and the log

Ruled out: one histogram for each minute kept for 3 days (16 organisations always active would take some 55 MB, by reckoning), and merging old minutes at their holders (two holders that merge at different times count double). Change: single minutes are kept 6 hours and a running total for each hour 3 days; both are named by minute, span, organisation, objective, instance and incarnation, and of two copies the larger stays, so instances may hand them to each other as often as they like. Conclusion: ready for the daemon; handing over between instances waits for its call.

--- /dev/null
+++ b/crates/jaylock-observe/src/logging.rs
@@ -0,0 +1,52 @@
+use std::io;
+use std::time::SystemTime;
+
+use compact_str::CompactString;
+use log::{LevelFilter, SetLoggerError};
+
+/// Parts of the program that log under a prefix of their own.
+pub const LOG_PARTS: [&str; 7] = [
+    "control", "daemon", "observe", "operator", "router", "rpc", "share",
+];
+
+/// What is logged, for each part of the program.
+#[derive(Debug, Clone)]
+pub struct LogSettings {
+    /// Level of the parts that have none of their own.
+    pub level: LevelFilter,
+    /// Levels of single parts, by the name that stands in the log.
+    pub parts: Vec<(CompactString, LevelFilter)>,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: LevelFilter::Info,
+            parts: Vec::new(),
+        }
+    }
+}
+
+/// Sends the log to the standard error stream, one line an event: time, level, part, message.
+///
+/// Libraries log warnings and errors only.
+///
+/// # Errors
+/// The log was set up before.
+pub fn setup_log(settings: LogSettings) -> Result<(), SetLoggerError> {
+    let mut dispatch = fern::Dispatch::new().level(LevelFilter::Warn);
+    for part in LOG_PARTS {
+        dispatch = dispatch.level_for(part, settings.level);
+    }
+    for (part, level) in settings.parts {
+        dispatch = dispatch.level_for(part.into_string(), level);
+    }
+    dispatch
+        .format(|out, message, record| {
+            let time = humantime::format_rfc3339_millis(SystemTime::now());
+            let (level, part) = (record.level(), record.target());
+            out.finish(format_args!("{time} {level:5} [{part}] {message}"));
+        })
+        .chain(io::stderr())
+        .apply()
+}
--- /dev/null
+++ b/crates/jaylock-observe/src/metrics.rs
@@ -0,0 +1,190 @@
+use std::cell::RefCell;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::objective::Judgement;
+use crate::usage::{cpu_seconds, resident_bytes};
+use crate::{RequestKind, RequestRecord, Run};
+
+/// Upper bounds of the buckets of times, in seconds.
+const TIME_BOUNDS: [f64; 14] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 60.0, 600.0,
+];
+/// Label of the organisations beyond the bound.
+const OTHERS: &str = "other";
+
+/// Instruments of an instance and their text form.
+pub struct Metrics {
+    registry: Registry,
+    /// Held because the instruments end with it.
+    _provider: Option<SdkMeterProvider>,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    tokens: Counter<u64>,
+    objectives: Counter<u64>,
+    first_token: Histogram<f64>,
+    wait: Histogram<f64>,
+    duration: Histogram<f64>,
+    organisations: RefCell<Vec<CompactString>>,
+    most: usize,
+}
+
+impl Metrics {
+    /// Makes the instruments; at most this many organisations get series of their own.
+    pub fn new(organisations: usize) -> Self {
+        let registry = Registry::new();
+        let provider = provider(&registry);
+        let meter = match &provider {
+            Some(provider) => provider.meter("jaylock"),
+            None => opentelemetry::global::meter("jaylock"),
+        };
+        observe_process(&meter);
+        observe_traffic(&meter);
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let times = |name: &'static str, text: &'static str| {
+            let histogram = meter.f64_histogram(name).with_description(text);
+            histogram.with_boundaries(TIME_BOUNDS.to_vec()).build()
+        };
+        Self {
+            requests: counter("jaylock_requests", "Requests that ended."),
+            attempts: counter("jaylock_attempts", "Attempts at backend servers."),
+            tokens: counter("jaylock_tokens", "Tokens generated."),
+            objectives: counter("jaylock_objective_requests", "Requests by objective kept."),
+            first_token: times("jaylock_first_token_seconds", "Time to the first token."),
+            wait: times("jaylock_wait_seconds", "Time spent waiting for slots."),
+            duration: times(
+                "jaylock_request_duration_seconds",
+                "Time from arrival to end.",
+            ),
+            organisations: RefCell::default(),
+            most: organisations,
+            _provider: provider,
+            registry,
+        }
+    }
+
+    /// Counts a finished request.
+    pub fn finished(&self, record: &RequestRecord) {
+        let kind = KeyValue::new("kind", kind_label(record.kind));
+        let labels = [
+            kind.clone(),
+            KeyValue::new("run", run_label(record.run)),
+            KeyValue::new("status_class", status_class(record.status)),
+        ];
+        self.requests.add(1, &labels);
+        let kind = [kind];
+        self.attempts.add(record.attempts.into(), &kind);
+        self.wait.record(record.waited.as_secs_f64(), &kind);
+        self.duration.record(record.total.as_secs_f64(), &kind);
+        if let Some(first) = record.first_token.as_ref().map(Duration::as_secs_f64) {
+            self.first_token.record(first, &kind);
+        }
+        let organisation = self.organisation(record.organisation.as_str());
+        let label = KeyValue::new("organisation", organisation.into_string());
+        self.tokens.add(record.tokens.0, &[label]);
+    }
+
+    /// Counts what a request said about an objective.
+    pub fn judged(&self, judgement: &Judgement) {
+        let result = if judgement.is_good { "good" } else { "bad" };
+        let labels = [
+            KeyValue::new("objective", judgement.kind.name()),
+            KeyValue::new("result", result),
+        ];
+        self.objectives.add(1, &labels);
+    }
+
+    /// All series in the text form of Prometheus.
+    pub fn exposition(&self) -> String {
+        let text = TextEncoder::new().encode_to_string(&self.registry.gather());
+        text.unwrap_or_else(|error| {
+            log::warn!(target: "observe", "the metrics can't be written: {error}");
+            String::new()
+        })
+    }
+
+    /// The label of an organisation; those beyond the bound share one.
+    fn organisation(&self, name: &str) -> CompactString {
+        let mut known = self.organisations.borrow_mut();
+        match known.binary_search_by(|k| k.as_str().cmp(name)) {
+            Ok(place) => known[place].clone(),
+            Err(_) if known.len() >= self.most => OTHERS.into(),
+            Err(place) => {
+                known.insert(place, name.into());
+                name.into()
+            }
+        }
+    }
+}
+
+fn provider(registry: &Registry) -> Option<SdkMeterProvider> {
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .without_target_info()
+        .build();
+    match exporter {
+        Ok(exporter) => Some(SdkMeterProvider::builder().with_reader(exporter).build()),
+        Err(error) => {
+            log::warn!(target: "observe", "no metrics, the exporter did not start: {error}");
+            None
+        }
+    }
+}
+
+fn observe_process(meter: &Meter) {
+    meter
+        .f64_observable_counter("process_cpu_seconds")
+        .with_description("Processor time used.")
+        .with_callback(|observer| observer.observe(cpu_seconds(), &[]))
+        .build();
+    meter
+        .u64_observable_gauge("process_resident_memory_bytes")
+        .with_description("Memory occupied.")
+        .with_callback(|observer| observer.observe(resident_bytes(), &[]))
+        .build();
+}
+
+fn observe_traffic(meter: &Meter) {
+    meter
+        .u64_observable_counter("jaylock_control_sent_bytes")
+        .with_description("Bytes sent to other instances and operators.")
+        .with_callback(|observer| observer.observe(jaylock_rpc::traffic().sent, &[]))
+        .build();
+    meter
+        .u64_observable_counter("jaylock_control_received_bytes")
+        .with_description("Bytes received from other instances and operators.")
+        .with_callback(|observer| observer.observe(jaylock_rpc::traffic().received, &[]))
+        .build();
+}
+
+fn kind_label(kind: RequestKind) -> &'static str {
+    match kind {
+        RequestKind::Model => "model",
+        RequestKind::Service => "service",
+    }
+}
+
+fn run_label(run: Run) -> &'static str {
+    match run {
+        Run::NotRun => "not-run",
+        Run::Ran => "ran",
+        Run::Unknown => "unknown",
+    }
+}
+
+fn status_class(status: u16) -> &'static str {
+    match status {
+        100..200 => "1xx",
+        200..300 => "2xx",
+        300..400 => "3xx",
+        400..500 => "4xx",
+        _ => "5xx",
+    }
+}
--- /dev/null
+++ b/crates/jaylock-tests/tests/observe/main.rs
@@ -0,0 +1,9 @@
+//! Tests of metrics, the burn report, traces and the stand-ins.
+
+mod burn;
+mod metrics;
+mod minutes;
+mod report;
+mod sample;
+mod standin;
+mod trace;
--- /dev/null
+++ b/crates/jaylock-tests/tests/observe/metrics.rs
@@ -0,0 +1,49 @@
+use googletest::prelude::*;
+use jaylock_observe::Run;
+use jaylock_tests::cases;
+
+use crate::sample::{failed, observer, served};
+
+/// Lines of the text form, without comments.
+fn series(text: &str) -> usize {
+    text.lines().filter(|l| !l.starts_with('#')).count()
+}
+
+cases! {
+    the_text_form_counts_requests_by_kind_run_and_status => {
+        let observer = observer("a", 1);
+        observer.finished(&served("adala"));
+        observer.finished(&served("adala"));
+        let mut refused = failed("adala");
+        refused.run = Run::NotRun;
+        observer.finished(&refused);
+        let text = observer.exposition();
+        let line = |run: &str, class: &str, count: u32| {
+            let labels = format!("kind=\"model\",run=\"{run}\",status_class=\"{class}\"");
+            format!("{{{labels},otel_scope_name=\"jaylock\"}} {count}\n")
+        };
+        assert_that!(text, contains_substring(line("ran", "2xx", 2)));
+        assert_that!(text, contains_substring(line("not-run", "5xx", 1)));
+        assert_that!(text, contains_substring("# TYPE jaylock_requests_total counter"));
+        assert_that!(text, contains_substring("# TYPE jaylock_first_token_seconds histogram"));
+        assert_that!(text, contains_substring("jaylock_control_sent_bytes_total"));
+        assert_that!(text, contains_substring("process_resident_memory_bytes"));
+        assert_that!(text, contains_substring(
+            "{objective=\"availability\",result=\"bad\",otel_scope_name=\"jaylock\"} 1\n"
+        ));
+    };
+    a_flood_of_organisations_does_not_grow_the_series_without_bound => {
+        let observer = observer("a", 1);
+        for number in 0..64 {
+            observer.finished(&served(&format!("shop-{number}")));
+        }
+        let before = series(&observer.exposition());
+        for number in 64..500 {
+            observer.finished(&served(&format!("shop-{number}")));
+        }
+        let text = observer.exposition();
+        assert_that!(series(&text), eq(before + 1));
+        assert_that!(text, contains_substring("organisation=\"other\""));
+        assert_that!(text, not(contains_substring("shop-64\"")));
+    };
+}
--- /dev/null
+++ b/crates/jaylock-tests/tests/observe/standin.rs
@@ -0,0 +1,36 @@
+use googletest::prelude::*;
+use jaylock_standin::{Answer, ChatRequest, Fault, Message};
+use jaylock_tests::cases;
+use proptest::prelude::*;
+
+cases! {
+    an_answer_is_a_function_of_its_prompt => {
+        proptest!(ProptestConfig::with_cases(64), |(prompt in "[a-z ]{0,40}", most in 1..20_u32)| {
+            let prompt = format!("{prompt} len=12");
+            let answer = Answer::of(&prompt, Some(most));
+            prop_assert_eq!(&answer, &Answer::of(&prompt, Some(most)));
+            prop_assert_eq!(answer.length(), most.min(12));
+            let whole = Answer::of(&prompt, None).text();
+            prop_assert!(whole.starts_with(&answer.text()));
+            prop_assert_ne!(whole, Answer::of(&format!("{prompt} x"), None).text());
+        });
+    };
+    words_in_a_prompt_name_the_fault => {
+        assert_that!(Fault::of("please crash"), some(eq(Fault::Crash)));
+        assert_that!(Fault::of("len=9 break=3"), some(eq(Fault::Break(3))));
+        assert_that!(Fault::of("a crashing noise breaks=3"), none());
+    };
+    prompts_with_a_common_start_share_their_first_prefixes => {
+        let request = |end: &str| ChatRequest {
+            messages: vec![Message {
+                role: "user".into(),
+                content: "x".repeat(600) + end,
+            }],
+            ..ChatRequest::default()
+        };
+        let (one, other) = (request(&"a".repeat(300)), request(&"b".repeat(300)));
+        assert_that!(one.prefixes().len(), eq(3));
+        assert_that!(one.prefixes()[..2], eq(&other.prefixes()[..2]));
+        assert_that!(one.prefixes()[2], not(eq(other.prefixes()[2])));
+    };
+}
