--- a/crates/jaylock-standin/src/arguments.rs
+++ b/crates/jaylock-standin/src/arguments.rs
@@ -1,6 +1,7 @@
 //! Arguments that the programs of the stand-ins share.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use clap::builder::ValueParser;
@@ -13,6 +14,9 @@
 #[must_use]
 pub fn backend_command(name: &'static str, about: &'static str) -> Command {
     let instance = many("instance", "Instance to announce to, IP:PORT").value_parser(address());
+    let runs = Arg::new("runs")
+        .long("runs")
+        .value_parser(value_parser!(PathBuf));
     Command::new(name)
         .about(about)
         .arg(instance.required(true))
@@ -26,6 +30,7 @@
         .arg(option("domain", "local", "Failure domain"))
         .arg(option("token", "standin", "Proof of identity"))
         .arg(option("slots", "8", "Requests at once").value_parser(value_parser!(u32)))
+        .arg(runs.help("File to append each run to"))
         .arg(flag(
             "faults",
             "Let words in prompts and bodies bring about faults",
--- a/crates/jaylock-standin/src/bin/standin-engine.rs
+++ b/crates/jaylock-standin/src/bin/standin-engine.rs
@@ -16,7 +16,7 @@
     let settings = settings(&given, listener.local_addr()?)?;
     println!("listening {}", settings.announcement.address);
     let seeds = arguments::addresses_of(&given, "instance");
-    jaylock_standin::run(listener, Engine::new(settings), seeds).await?;
+    jaylock_standin::run(listener, Engine::open(settings)?, seeds).await?;
     Ok(())
 }
 
@@ -36,6 +36,7 @@
         cache_blocks: given.get_one("cache-blocks").copied().unwrap_or_default(),
         load_time: time_of(given, "load-ms"),
         store: given.get_one("store").copied(),
+        runs: given.get_one("runs").cloned(),
         faults: given.get_flag("faults"),
     })
 }
--- a/crates/jaylock-standin/src/bin/standin-service.rs
+++ b/crates/jaylock-standin/src/bin/standin-service.rs
@@ -1,9 +1,7 @@
 //! A stand-in plain service, for tests and the demonstration.
 
-use std::path::PathBuf;
-
 use anyhow::Result;
-use clap::{Arg, Command, value_parser};
+use clap::Command;
 use compio::net::TcpListener;
 use jaylock_standin::arguments::{self, text_of, time, time_of};
 use jaylock_standin::{PlainService, ServiceSettings};
@@ -27,10 +25,9 @@
 }
 
 fn command() -> Command {
-    let runs = Arg::new("runs")
-        .long("runs")
-        .value_parser(value_parser!(PathBuf));
-    arguments::backend_command("standin-service", "A stand-in plain service")
-        .arg(runs.help("File to append each run to"))
-        .arg(time("delay-ms", "5", "Time for each call, in ms"))
+    arguments::backend_command("standin-service", "A stand-in plain service").arg(time(
+        "delay-ms",
+        "5",
+        "Time for each call, in ms",
+    ))
 }
--- a/crates/jaylock-standin/src/engine.rs
+++ b/crates/jaylock-standin/src/engine.rs
@@ -1,6 +1,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 
 use crate::cache::PrefixCache;
 use crate::run::{Run, event};
+use crate::runs::{RunBook, RunNote, digest};
 use crate::{
     Announcement, Answer, Backend, Body, ChatRequest, Closed, Fault, Heartbeat, LoadedModel,
     Server, Slots, json, not_run, read,
@@ -41,6 +43,8 @@
     pub load_time: Duration,
     /// Weight store to fetch models from.
     pub store: Option<SocketAddr>,
+    /// File to which each run is appended, one line of JSON.
+    pub runs: Option<PathBuf>,
     /// Whether words in prompts bring about faults.
     pub faults: bool,
 }
@@ -52,6 +56,7 @@
     models: RefCell<Vec<LoadedModel>>,
     fence: Cell<u64>,
     cache: RefCell<PrefixCache>,
+    runs: RunBook,
     is_leaving: Cell<bool>,
 }
 
@@ -62,17 +67,20 @@
 }
 
 impl Engine {
-    /// Makes an engine that holds the models of its announcement.
-    #[must_use]
-    pub fn new(settings: EngineSettings) -> Self {
-        Self {
+    /// Makes an engine that holds the models of its announcement, and opens its file of runs.
+    ///
+    /// # Errors
+    /// The file can't be opened.
+    pub fn open(settings: EngineSettings) -> io::Result<Self> {
+        Ok(Self {
+            runs: RunBook::open(settings.runs.as_deref())?,
             slots: Slots::new(settings.announcement.slots),
             models: RefCell::new(settings.announcement.models.clone()),
             fence: Cell::new(settings.announcement.fence),
             cache: RefCell::new(PrefixCache::new(settings.cache_blocks)),
             is_leaving: Cell::new(false),
             settings,
-        }
+        })
     }
 
     async fn chat(self: Rc<Self>, headers: &HeaderMap, body: &Bytes) -> Response<Body> {
@@ -90,6 +98,9 @@
             return not_run("the engine is full");
         };
         let prompt = request.prompt();
+        if self.runs.push(&self.note(headers, &prompt)).is_err() {
+            return not_run("the file of runs can't be written");
+        }
         let run = Run {
             attempt: text(headers, "x-request-id").into(),
             start: text(headers, "last-event-id").parse().unwrap_or(0),
@@ -105,6 +116,18 @@
         }
     }
 
+    fn note(&self, headers: &HeaderMap, prompt: &str) -> RunNote {
+        RunNote {
+            service: self.settings.announcement.id.clone(),
+            method: Method::POST.to_string(),
+            path: "/v1/chat/completions".into(),
+            request: text(headers, "x-request-id").into(),
+            key: String::new(),
+            organisation: text(headers, "x-organisation").into(),
+            digest: digest(prompt.as_bytes()),
+        }
+    }
+
     fn holds(&self, headers: &HeaderMap, model: &str) -> bool {
         let version = text(headers, "x-model-version");
         let adapter = text(headers, "x-adapter");
--- /dev/null
+++ b/crates/jaylock-standin/src/runs.rs
@@ -0,0 +1,62 @@
+use std::fmt::Write as _;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write as _};
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// One run of a request, as a backend server writes it down.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunNote {
+    /// Name of the backend server.
+    pub service: String,
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Id of the attempt.
+    pub request: String,
+    /// The caller's key, if the request came with one.
+    pub key: String,
+    /// Organisation, if the request names it.
+    pub organisation: String,
+    /// SHA-256 of the body, or of the prompt at an engine, in hex.
+    pub digest: String,
+}
+
+/// The file to which a backend server appends its runs, one line of JSON each.
+pub(crate) struct RunBook {
+    file: Option<File>,
+}
+
+impl RunBook {
+    /// Opens the file; without a path nothing is written down.
+    pub fn open(path: Option<&Path>) -> io::Result<Self> {
+        let mut options = OpenOptions::new();
+        options.create(true).append(true);
+        let file = path.map(|path| options.open(path)).transpose()?;
+        Ok(Self { file })
+    }
+
+    /// Appends a run.
+    pub fn push(&self, note: &RunNote) -> io::Result<()> {
+        let Some(mut file) = self.file.as_ref() else {
+            return Ok(());
+        };
+        let mut line = serde_json::to_vec(note)?;
+        line.push(b'\n');
+        file.write_all(&line)
+    }
+}
+
+/// SHA-256 of a text, in hex.
+#[must_use]
+pub fn digest(body: &[u8]) -> String {
+    let mut text = String::new();
+    for byte in Sha256::digest(body) {
+        // Writing to a string never fails.
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
--- a/crates/jaylock-standin/src/service.rs
+++ b/crates/jaylock-standin/src/service.rs
@@ -1,7 +1,5 @@
 use std::cell::Cell;
-use std::fmt::Write as _;
-use std::fs::{File, OpenOptions};
-use std::io::{self, Write as _};
+use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,9 +8,8 @@
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
 
+use crate::runs::{RunBook, RunNote, digest};
 use crate::{Announcement, Backend, Body, Closed, Fault, Heartbeat, Server, json, not_run, read};
 
 /// Settings of a stand-in plain service.
@@ -28,29 +25,10 @@
     pub runs: Option<PathBuf>,
 }
 
-/// One run of a call, as the service writes it down.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunNote {
-    /// Name of the backend server.
-    pub service: String,
-    /// Method.
-    pub method: String,
-    /// Path and query.
-    pub path: String,
-    /// Id of the attempt.
-    pub request: String,
-    /// The caller's key, if the call came with one.
-    pub key: String,
-    /// Organisation, if the call names it.
-    pub organisation: String,
-    /// SHA-256 of the body, in hex.
-    pub digest: String,
-}
-
 /// A plain service that writes down each run and answers with what it was asked.
 pub struct PlainService {
     settings: ServiceSettings,
-    runs: Option<File>,
+    runs: RunBook,
     running: Cell<u32>,
     is_leaving: Cell<bool>,
 }
@@ -61,11 +39,8 @@
     /// # Errors
     /// The file can't be opened.
     pub fn open(settings: ServiceSettings) -> io::Result<Self> {
-        let mut options = OpenOptions::new();
-        options.create(true).append(true);
-        let runs = settings.runs.as_ref().map(|path| options.open(path));
         Ok(Self {
-            runs: runs.transpose()?,
+            runs: RunBook::open(settings.runs.as_deref())?,
             running: Cell::new(0),
             is_leaving: Cell::new(false),
             settings,
@@ -76,7 +51,7 @@
         let text = String::from_utf8_lossy(body);
         let fault = Fault::of(&text).filter(|_| self.settings.faults);
         let note = self.note(head, body);
-        if self.write_down(&note).is_err() {
+        if self.runs.push(&note).is_err() {
             return Ok(not_run("the file of runs can't be written"));
         }
         if fault == Some(Fault::Crash) {
@@ -108,15 +83,6 @@
             digest: digest(body),
         }
     }
-
-    fn write_down(&self, note: &RunNote) -> io::Result<()> {
-        let Some(mut file) = self.runs.as_ref() else {
-            return Ok(());
-        };
-        let mut line = serde_json::to_vec(note)?;
-        line.push(b'\n');
-        file.write_all(&line)
-    }
 }
 
 impl Server for PlainService {
@@ -155,14 +121,3 @@
         }
     }
 }
-
-/// SHA-256 of a body, in hex.
-#[must_use]
-pub fn digest(body: &[u8]) -> String {
-    let mut text = String::new();
-    for byte in Sha256::digest(body) {
-        // Writing to a string never fails.
-        let _ = write!(text, "{byte:02x}");
-    }
-    text
-}
--- a/crates/jaylock-standin/src/verdict.rs
+++ b/crates/jaylock-standin/src/verdict.rs
@@ -3,8 +3,7 @@
 use hyper::body::Incoming;
 
 use crate::events::{Event, Events};
-use crate::service::digest;
-use crate::{Answer, AttemptEnd, Chunk, Completion, RunNote};
+use crate::{Answer, AttemptEnd, Chunk, Completion, RunNote, digest};
 
 /// Reads a streamed answer to its end and compares it with the one that the prompt decides.
 pub(crate) async fn check_stream(prompt: &str, body: Incoming, silence: Duration) -> AttemptEnd {
