--- /dev/null
+++ b/crates/jaylock-measure/src/bin/measure-control.rs
@@ -0,0 +1,120 @@
+//! `measure-control`: what followers of the configuration cost the control replicas and themselves.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use hdrhistogram::Histogram;
+use jaylock_measure::{Followers, Usage};
+use jaylock_rpc::traffic;
+use jaylock_types::Secret;
+
+fn main() -> anyhow::Result<()> {
+    let matches = command().get_matches();
+    let runtime = compio::runtime::Runtime::new()?;
+    runtime.block_on(measure(&matches))
+}
+
+async fn measure(matches: &ArgMatches) -> anyhow::Result<()> {
+    let count: u16 = *matches.get_one("followers").unwrap_or(&50);
+    let seconds: u64 = *matches.get_one("seconds").unwrap_or(&10);
+    let changes: u32 = *matches.get_one("changes").unwrap_or(&20);
+    let secret: &String = matches
+        .get_one("secret")
+        .context("name the secret with --secret")?;
+    let seeds: Vec<SocketAddr> = matches
+        .get_many("replica")
+        .unwrap_or_default()
+        .copied()
+        .collect();
+    let pids: Vec<u32> = matches
+        .get_many("pid")
+        .unwrap_or_default()
+        .copied()
+        .collect();
+    let followers = Followers::start(count, seeds, Secret::new(secret)).await?;
+    followers.ready().await;
+    let idle = observe(&pids, Duration::from_secs(seconds)).await?;
+    let mut times = Histogram::<u64>::new(3)?;
+    for number in 0..changes {
+        let time = followers.change(number).await?;
+        times.record(u64::try_from(time.as_millis())?)?;
+    }
+    println!(
+        "followers {count}: replicas {} core, {} KiB; a follower {:.2} % core, {} KiB, {:.2} KB/s; \
+         change in force on all: p50 {} ms, p99 {} ms, most {} ms",
+        idle.replicas,
+        idle.resident,
+        idle.own_cpu * 100.0 / f64::from(count),
+        idle.own_resident / u64::from(count),
+        idle.kilobytes / f64::from(count),
+        times.value_at_quantile(0.5),
+        times.value_at_quantile(0.99),
+        times.max(),
+    );
+    Ok(())
+}
+
+/// What was used in a second, on average.
+struct Rates {
+    replicas: String,
+    resident: String,
+    own_cpu: f64,
+    own_resident: u64,
+    kilobytes: f64,
+}
+
+async fn observe(pids: &[u32], time: Duration) -> anyhow::Result<Rates> {
+    let own = std::process::id();
+    let usage = |pids: &[u32]| {
+        pids.iter()
+            .map(|p| Usage::of(*p))
+            .collect::<Result<Vec<_>, _>>()
+    };
+    let (first, first_own, first_bytes) = (usage(pids)?, Usage::of(own)?, traffic());
+    let start = Instant::now();
+    compio::time::sleep(time).await;
+    let elapsed = start.elapsed().as_secs_f64();
+    let (last, last_own, last_bytes) = (usage(pids)?, Usage::of(own)?, traffic());
+    let share = |a: &Usage, b: &Usage| (b.cpu.saturating_sub(a.cpu)).as_secs_f64() / elapsed;
+    let shares = first
+        .iter()
+        .zip(&last)
+        .map(|(a, b)| format!("{:.4}", share(a, b)));
+    let bytes = last_bytes.sent + last_bytes.received - first_bytes.sent - first_bytes.received;
+    Ok(Rates {
+        replicas: shares.collect::<Vec<_>>().join("/"),
+        resident: last
+            .iter()
+            .map(|u| u.resident_kib.to_string())
+            .collect::<Vec<_>>()
+            .join("/"),
+        own_cpu: share(&first_own, &last_own),
+        own_resident: last_own.resident_kib,
+        kilobytes: f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) / elapsed / 1000.0,
+    })
+}
+
+fn command() -> Command {
+    Command::new("measure-control")
+        .about("Follows the configuration as many instances would and prints what that costs")
+        .arg(
+            option("replica", "IP:PORT")
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(
+            option("pid", "PID")
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(u32)),
+        )
+        .arg(option("secret", "SECRET"))
+        .arg(option("followers", "COUNT").value_parser(value_parser!(u16)))
+        .arg(option("seconds", "COUNT").value_parser(value_parser!(u64)))
+        .arg(option("changes", "COUNT").value_parser(value_parser!(u32)))
+}
+
+fn option(name: &'static str, value: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value)
+}
--- a/crates/jaylock-measure/src/lib.rs
+++ b/crates/jaylock-measure/src/lib.rs
@@ -1,9 +1,13 @@
 //! Programs that measure a running fleet.
 
 mod connection;
+mod followers;
 mod load;
+mod process;
 mod table;
 
 pub use self::connection::{Connection, Timing};
-pub use self::load::{Load, Target};
+pub use self::followers::Followers;
+pub use self::load::{Load, Target, Times};
+pub use self::process::Usage;
 pub use self::table::Table;
