The tool jaylock, and settings for short look-ups

Cause: operators drive the fleet only through the Operator service of the schema and need a tool whose commands may be repeated without harm. Ruled out: sending a create as a plain put (a second operator's organisation would be overwritten), and checking only at the tool (two operators race). Every create and update is made on the revision that was read; a resend of a create that finds its own work done goes out under a revision that never comes, so that only the log's first answer can be other than a conflict. Change: program jaylock with a module for each noun, tables and JSON, exit codes 0 to 5. The schema gains unheard lists, BurnReport, TraceReport and Objective; ReportBurn and Explain answer with them (nobody else used their former replies). Settings gain short_tokens; times of control follow the replicas' own defaults. Conclusion: no answer, a conflict and a refusal are told apart, and each names what to do next.

--- /dev/null
+++ b/crates/jaylock-operator/src/bin/jaylock/config.rs
@@ -0,0 +1,153 @@
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use jaylock_rpc::v1;
+
+use crate::failure::{Failure, Result};
+use crate::output::{Cell, Listing, Output, Record};
+use crate::session::Session;
+use crate::{adapter, instance, model, organisation, service};
+
+/// Name of the commands on the configuration.
+pub const NOUN: &str = "config";
+
+/// The commands on the configuration.
+pub fn command() -> Command {
+    let revision = Arg::new("revision")
+        .help("Revision to wait for, the newest by default")
+        .value_parser(value_parser!(u64));
+    Command::new(NOUN)
+        .about("The configuration as a whole")
+        .subcommand_required(true)
+        .subcommand(Command::new("show").about("Shows the newest configuration"))
+        .subcommand(
+            Command::new("wait")
+                .about("Waits until a revision is in force on every live instance")
+                .arg(revision),
+        )
+}
+
+/// Runs one of the commands.
+pub async fn run(session: &Session, matches: &ArgMatches) -> Result<Output> {
+    match matches.subcommand() {
+        Some(("wait", chosen)) => wait(session, chosen.get_one("revision").copied()).await,
+        _ => session.configuration().await.map(|config| show(&config)),
+    }
+}
+
+async fn wait(session: &Session, revision: Option<u64>) -> Result<Output> {
+    let end = session.end();
+    let revision = match revision {
+        Some(revision) => revision,
+        None => session.configuration().await?.revision,
+    };
+    loop {
+        let left = end.saturating_duration_since(Instant::now()).min(ROUND);
+        let request = v1::WaitRequest {
+            revision,
+            timeout_ms: u32::try_from(left.as_millis()).unwrap_or_default(),
+        };
+        let call = session.call(async |mut client| client.wait_revision(request).await);
+        let reply = call.await?;
+        if reply.in_force {
+            return Ok(Output::Record(Record::new().with("revision", revision)));
+        }
+        if Instant::now() >= end {
+            let lagging = reply
+                .lagging
+                .iter()
+                .map(|lag| format!("{} (has {})", lag.instance, lag.revision));
+            let lagging = lagging.collect::<Vec<_>>().join(", ");
+            return Err(Failure::NotInForce { revision, lagging });
+        }
+    }
+}
+
+fn show(config: &v1::Configuration) -> Output {
+    let head = Record::new()
+        .with("revision", config.revision)
+        .with("index", config.index);
+    Output::Parts(vec![
+        ("configuration", Output::Record(head)),
+        (
+            "organisations",
+            Output::Listing(organisation::listing(config)),
+        ),
+        ("models", Output::Listing(model::listing(config))),
+        ("adapters", Output::Listing(adapter::listing(config))),
+        ("services", Output::Listing(service::listing(config))),
+        ("drains", Output::Listing(drains(config))),
+        ("instances", Output::Listing(instance::listing(config, &[]))),
+        ("pools", Output::Listing(pools(config))),
+        ("replicas", Output::Listing(replicas(config))),
+        ("orders", Output::Listing(orders(config))),
+        ("quarantines", Output::Listing(quarantines(config))),
+    ])
+}
+
+fn drains(config: &v1::Configuration) -> Listing {
+    let mut listing = Listing::new(&["backend"]);
+    for drain in &config.drains {
+        listing.push(vec![drain.backend.as_str().into()]);
+    }
+    listing
+}
+
+fn pools(config: &v1::Configuration) -> Listing {
+    let mut listing = Listing::new(&["pool", "scheduler", "incarnation", "epoch"]);
+    for lease in &config.pools {
+        listing.push(vec![
+            lease.pool.as_str().into(),
+            lease.instance.as_str().into(),
+            lease.incarnation.into(),
+            lease.epoch.into(),
+        ]);
+    }
+    listing
+}
+
+fn replicas(config: &v1::Configuration) -> Listing {
+    let mut listing = Listing::new(&["instance", "domain", "peers", "voter", "generation"]);
+    for member in &config.members {
+        listing.push(vec![
+            member.instance.as_str().into(),
+            member.domain.as_str().into(),
+            member.peer_address.as_str().into(),
+            member.voter.into(),
+            // As text, because programs lose digits of so large a number.
+            member.generation.to_string().into(),
+        ]);
+    }
+    listing
+}
+
+fn orders(config: &v1::Configuration) -> Listing {
+    let mut listing = Listing::new(&["backend", "fence", "models"]);
+    for order in &config.orders {
+        let models = order
+            .models
+            .iter()
+            .map(|m| format!("{}@{}", m.model, m.version));
+        listing.push(vec![
+            order.backend.as_str().into(),
+            order.fence.into(),
+            Cell::List(models.collect()),
+        ]);
+    }
+    listing
+}
+
+fn quarantines(config: &v1::Configuration) -> Listing {
+    let mut listing = Listing::new(&["organisation", "request", "until"]);
+    for quarantine in &config.quarantines {
+        listing.push(vec![
+            quarantine.organisation.as_str().into(),
+            quarantine.request.as_str().into(),
+            crate::report::time(quarantine.until_ms).into(),
+        ]);
+    }
+    listing
+}
+
+/// Longest wait at one instance before it is asked again.
+const ROUND: Duration = Duration::from_secs(2);
--- a/crates/jaylock-settings/src/control.rs
+++ b/crates/jaylock-settings/src/control.rs
@@ -29,11 +29,11 @@
     fn default() -> Self {
         Self {
             replicas: Vec::new(),
-            heartbeat: Duration::from_millis(150),
-            election: Duration::from_secs(1),
+            heartbeat: Duration::from_millis(100),
+            election: Duration::from_millis(500),
             lease: Duration::from_secs(3),
-            replace_after: Duration::from_secs(20),
-            snapshot_entries: 2000,
+            replace_after: Duration::from_secs(30),
+            snapshot_entries: 4096,
         }
     }
 }
--- a/crates/jaylock-settings/src/objectives.rs
+++ b/crates/jaylock-settings/src/objectives.rs
@@ -2,8 +2,10 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use jaylock_types::Tokens;
+
 use crate::key::{Key, Part};
-use crate::value::{DURATION, duration, parsed};
+use crate::value::{COUNT, DURATION, count, duration, parsed};
 
 /// Service levels that the burn report counts against.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,6 +24,8 @@
     pub completion: Duration,
     /// Share of long work that ends whole within that time.
     pub completion_target: Percentage,
+    /// Answers with at most this many tokens are short look-ups; the others are long work.
+    pub short_tokens: Tokens,
 }
 
 impl Default for ObjectiveSettings {
@@ -34,6 +38,7 @@
             short_wait_target: Percentage(99_000),
             completion: Duration::from_mins(10),
             completion_target: Percentage(99_000),
+            short_tokens: Tokens(64),
         }
     }
 }
@@ -62,6 +67,9 @@
         Key::optional("completion_target", TARGET, |s, v| {
             parsed(v).map(|p| s.completion_target = p)
         }),
+        Key::optional("short_tokens", COUNT, |s, v| {
+            count(v).map(|n| s.short_tokens = Tokens(n))
+        }),
     ];
 }
 
@@ -73,6 +81,12 @@
 const WHOLE: u32 = 100_000;
 
 impl Percentage {
+    /// The share in millionths.
+    #[must_use]
+    pub fn millionths(self) -> u32 {
+        self.0 * (1_000_000 / WHOLE)
+    }
+
     /// The share as a number between 0 and 1.
     #[must_use]
     pub fn ratio(self) -> f64 {
--- a/crates/jaylock-tests/src/lib.rs
+++ b/crates/jaylock-tests/src/lib.rs
@@ -1,5 +1,9 @@
 //! The tests of every part, and the macro that names their cases.
 
+mod program;
+
+pub use self::program::program;
+
 use proptest::test_runner::{Config, RngSeed};
 
 /// Seed of every property test, unless `JAYLOCK_SEED` names another.
--- a/crates/jaylock-tests/tests/product/main.rs
+++ b/crates/jaylock-tests/tests/product/main.rs
@@ -1,4 +1,6 @@
 //! Settings, the operators' side and the command-line tool.
 
 mod examples;
+mod fake;
 mod settings;
+mod tool;
