--- a/crates/jaylock-router/src/address.rs
+++ b/crates/jaylock-router/src/address.rs
@@ -23,7 +23,9 @@
 /// Answers which addresses callers may use, and for how long.
 pub fn list(shared: &Shared) -> Response<Body> {
     let current = shared.view.current();
-    let live = current.instances.iter().filter(|i| !i.leaving);
+    let own = shared.identity.instance.as_str();
+    let leaves = |i: &Instance| i.leaving || (shared.is_leaving() && i.id == own);
+    let live = current.instances.iter().filter(|i| !leaves(i));
     let body = AddressList {
         keep_ms: shared.settings.keep_ms,
         routers: live.map(address).collect(),
--- a/crates/jaylock-router/src/attempt.rs
+++ b/crates/jaylock-router/src/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use futures_util::FutureExt;
-use http::{Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use jaylock_types::RequestId;
@@ -50,6 +50,13 @@
     Final(StatusCode, Bytes),
 }
 
+impl Failure {
+    /// Whether the request surely did not run in this attempt.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Self::Unreachable(_) | Self::Declined)
+    }
+}
+
 /// Where a resumed answer goes on.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Position {
@@ -66,6 +73,7 @@
     body: Incoming,
     parser: EventParser,
     checker: PieceChecker,
+    started: bool,
 }
 
 impl Attempt {
@@ -89,6 +97,7 @@
             body: response.into_body(),
             parser: EventParser::default(),
             checker: PieceChecker::new(id.as_str(), position.last, position.finished),
+            started: false,
         })
     }
 
@@ -97,7 +106,10 @@
         loop {
             while let Some(event) = self.parser.next_event() {
                 match self.checker.check(&event) {
-                    Check::Pass(piece) => return Ok(Some(piece)),
+                    Check::Pass(piece) => {
+                        self.started = true;
+                        return Ok(Some(piece));
+                    }
                     Check::Drop => {}
                     Check::Whole => return Ok(None),
                     Check::Broken(reason) => return Err(Failure::Faulty(reason.into())),
@@ -131,7 +143,12 @@
         if self.parser.pending() > EVENT_LIMIT {
             return Err(Failure::Faulty("a piece is too long".into()));
         }
-        let limit = self.shared.settings.silence;
+        let settings = &self.shared.settings;
+        let limit = if self.started {
+            settings.silence
+        } else {
+            settings.first_byte
+        };
         match silence_limit(limit, self.body.frame()).await? {
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
@@ -184,13 +201,10 @@
     echoed.is_some_and(|e| e.as_bytes() != id.as_str().as_bytes())
 }
 
-/// Whether the backend server says that it did not run this very request.
+/// Whether the backend server says that it did not run this request.
 pub fn is_declined(response: &Response<Incoming>, id: &RequestId) -> bool {
-    let headers = response.headers();
-    let echoed = headers.get(REQUEST_ID).map(http::HeaderValue::as_bytes);
-    response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && headers.get(NOT_RUN).is_some_and(|v| v == "true")
-        && echoed == Some(id.as_str().as_bytes())
+    let says_so = response.headers().get(NOT_RUN).is_some_and(|v| v == "true");
+    response.status() == StatusCode::SERVICE_UNAVAILABLE && says_so && !is_crossed(response, id)
 }
 
 fn chat_request(
@@ -255,10 +269,3 @@
         Err(_) => Failure::Broken("the answer broke off".into()),
     }
 }
-
-/// The content type of an answer.
-pub fn content_type(response: &Response<Incoming>) -> CompactString {
-    let value = response.headers().get(header::CONTENT_TYPE);
-    let value = value.and_then(|v| v.to_str().ok());
-    value.unwrap_or("application/octet-stream").into()
-}
--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -11,7 +11,9 @@
 use crate::address;
 use crate::answer::Refusal;
 use crate::body::{self, ReadError};
+use crate::quarantine::{self, Fingerprint};
 use crate::router::Shared;
+use crate::service;
 
 /// Header with the time that is left for a request, in ms.
 pub const DEADLINE: &str = "x-deadline-ms";
@@ -30,6 +32,8 @@
     pub head: Parts,
     /// The whole body.
     pub body: Bytes,
+    /// By what it is known if it crashes backend servers.
+    pub fingerprint: Fingerprint,
 }
 
 impl Call {
@@ -45,6 +49,7 @@
         check_service(shared)?;
         let limit = time_left(&head.headers, shared.settings.deadline)?;
         let body = read(shared, incoming).await?;
+        let fingerprint = fingerprint(&organisation, &head, &body);
         let call = Self {
             request,
             organisation,
@@ -52,8 +57,9 @@
             deadline: arrived + limit,
             head,
             body,
+            fingerprint,
         };
-        call.check_quarantine(shared)?;
+        quarantine::check(shared, &call.fingerprint, &call.request)?;
         Ok(call)
     }
 
@@ -61,43 +67,6 @@
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
-
-    /// SHA-256 of organisation and body, by which a request that crashes backend servers is known.
-    pub fn fingerprint(&self) -> [u8; 32] {
-        let mut hash = Sha256::new();
-        hash.update(self.organisation.as_str());
-        hash.update([0]);
-        hash.update(&self.body);
-        hash.finalize().into()
-    }
-
-    fn check_quarantine(&self, shared: &Shared) -> Result<(), Refusal> {
-        let current = shared.view.current();
-        let wanted = self.fingerprint();
-        let found = current
-            .quarantines
-            .binary_search_by(|q| q.fingerprint.as_slice().cmp(&wanted));
-        let Ok(at) = found else {
-            return Ok(());
-        };
-        let now = jaylock_types::unix_ms();
-        let left = current.quarantines[at].until_ms.saturating_sub(now);
-        if left == 0 {
-            return Ok(());
-        }
-        Err(quarantined(Duration::from_millis(left)))
-    }
-}
-
-/// The refusal of a request that crashed backend servers.
-pub fn quarantined(left: Duration) -> Refusal {
-    Refusal::not_run(
-        StatusCode::UNPROCESSABLE_ENTITY,
-        "quarantined",
-        "a request with this body crashed two backend servers",
-        "change the request, or ask the operators to look at it",
-    )
-    .after(left)
 }
 
 /// The refusal of a request whose time is over.
@@ -112,6 +81,20 @@
     .after(Duration::from_secs(1))
 }
 
+/// SHA-256 of organisation and body, and of method and path for a plain service.
+fn fingerprint(organisation: &OrganisationId, head: &Parts, body: &[u8]) -> Fingerprint {
+    let mut hash = Sha256::new();
+    hash.update(organisation.as_str());
+    hash.update([0]);
+    if head.uri.path().starts_with(service::PREFIX) {
+        hash.update(head.method.as_str());
+        hash.update(head.uri.path());
+        hash.update([0]);
+    }
+    hash.update(body);
+    hash.finalize().into()
+}
+
 fn identify(shared: &Shared, headers: &HeaderMap) -> Result<OrganisationId, Refusal> {
     let found = shared.organisations.find(&shared.view, headers);
     found.ok_or_else(|| {
@@ -125,7 +108,7 @@
 }
 
 fn check_service(shared: &Shared) -> Result<(), Refusal> {
-    let (kind, message) = if shared.is_closed() {
+    let (kind, message) = if shared.closed.is_thrown() {
         ("leaving", "this instance is stopping")
     } else if !shared.view.is_connected() {
         ("disconnected", "this instance is cut off from the fleet")
--- a/crates/jaylock-router/src/claim.rs
+++ b/crates/jaylock-router/src/claim.rs
@@ -2,27 +2,25 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use compact_str::CompactString;
-use http::{Response, StatusCode, header};
+use http::{HeaderMap, Response, StatusCode, header};
 use jaylock_observe::Run;
 use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::claim_state::Kind;
 use jaylock_rpc::v1::command::Body as CommandBody;
-use jaylock_rpc::v1::{Applied, Claim, ClaimState, Command, ReleaseClaim, Settle};
+use jaylock_rpc::v1::{Applied, Claim, ClaimState, ReleaseClaim, Settle};
 use jaylock_types::{RequestId, unix_ms};
 use sha2::{Digest, Sha256};
 
 use crate::answer::{RECORDED, Refusal, mark, put};
 use crate::body::Body;
 use crate::call::Call;
+use crate::proposal;
 use crate::router::Shared;
 
 /// Header that names a request that may not be repeated.
 pub const KEY: &str = "idempotency-key";
 /// Longest key, in bytes.
 const KEY_LIMIT: usize = 255;
-/// Wait between two tries to record what became of a claim.
-const RECORD_STEP: Duration = Duration::from_millis(500);
 
 /// The right to run a request once; it must be settled or released.
 pub struct HeldClaim {
@@ -44,12 +42,20 @@
 pub struct Record {
     /// HTTP status.
     pub status: StatusCode,
-    /// Content type.
-    pub content_type: CompactString,
+    /// Header fields.
+    pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
 }
 
+impl Record {
+    fn content_type(&self) -> String {
+        let value = self.headers.get(header::CONTENT_TYPE);
+        let value = value.and_then(|v| v.to_str().ok());
+        value.unwrap_or("application/octet-stream").to_owned()
+    }
+}
+
 impl HeldClaim {
     /// Commits a claim before the first byte of a request leaves.
     pub async fn take(shared: &Rc<Shared>, call: &Call) -> Result<Claimed, Refusal> {
@@ -70,7 +76,7 @@
         };
         let outcome = shared
             .claims
-            .propose(command(CommandBody::Claim(claim)))
+            .propose(proposal::command(CommandBody::Claim(claim)))
             .await;
         let Ok(applied) = outcome else {
             // The claim may be committed later, and nobody else could give it back.
@@ -90,44 +96,25 @@
             incarnation: self.shared.identity.incarnation.0,
             known: record.is_some(),
             status: record.map_or(0, |r| r.status.as_u16().into()),
-            content_type: record.map_or_else(String::new, |r| r.content_type.to_string()),
+            content_type: record.map_or_else(String::new, Record::content_type),
             body: record
                 .filter(|r| r.body.len() <= bound)
                 .map_or_else(Vec::new, |r| r.body.to_vec()),
             body_dropped: record.is_some_and(|r| r.body.len() > bound),
         };
-        let recording = self.record(CommandBody::Settle(settle));
-        let wait = self.shared.settings.settle_wait;
-        let _ = compio::time::timeout(wait, recording).await;
+        proposal::commit_soon(&self.shared, CommandBody::Settle(settle)).await;
     }
 
     /// Gives the claim back; only while no byte has left.
     pub fn release(self) {
         let release = ReleaseClaim {
-            organisation: self.organisation.clone(),
-            key: self.key.clone(),
+            organisation: self.organisation,
+            key: self.key,
             router: self.shared.identity.instance.to_string(),
             incarnation: self.shared.identity.incarnation.0,
         };
-        drop(self.record(CommandBody::ReleaseClaim(release)));
-    }
-
-    /// Proposes until control confirms; the task goes on when the receiver is dropped.
-    fn record(&self, body: CommandBody) -> futures_channel::oneshot::Receiver<()> {
-        let (done, waiting) = futures_channel::oneshot::channel();
-        let shared = self.shared.clone();
-        let busy = shared.busy();
-        let command = command(body);
-        compio::runtime::spawn(async move {
-            while let Err(error) = shared.claims.propose(command.clone()).await {
-                log::warn!(target: "router", "a claim's outcome waits: {error}");
-                compio::time::sleep(RECORD_STEP).await;
-            }
-            let _ = done.send(());
-            drop(busy);
-        })
-        .detach();
-        waiting
+        let body = CommandBody::ReleaseClaim(release);
+        drop(proposal::commit(&self.shared, body));
     }
 
     fn judge(self, applied: Applied) -> Result<Claimed, Refusal> {
@@ -174,8 +161,8 @@
             StatusCode::CONFLICT,
             "key-expired",
             "this key is older than the claims that are remembered",
-            "find out from your records whether it ran, then use a new key",
-            Run::NotRun,
+            "find out from the service whether it ran, then use a new key",
+            Run::Unknown,
             None,
         ),
         Kind::Full => (
@@ -254,14 +241,6 @@
     hash.finalize().into()
 }
 
-fn command(body: CommandBody) -> Command {
-    Command {
-        id: RequestId::random().into(),
-        expected_revision: None,
-        body: Some(body),
-    }
-}
-
 fn no_control(shared: &Shared) -> Refusal {
     Refusal::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
@@ -269,6 +248,8 @@
         "the claim of this request was not confirmed",
         "send it again with the same key after the time in retry-after",
     )
+    // This sending did not run, but nobody could say whether an earlier one did.
+    .ran(Run::Unknown)
     .after(shared.settings.retry_after)
 }
 
--- a/crates/jaylock-router/src/completion.rs
+++ b/crates/jaylock-router/src/completion.rs
@@ -10,9 +10,9 @@
 use crate::account::Account;
 use crate::answer::{self, Refusal, mark, put};
 use crate::body::Body;
-use crate::call::Call;
+use crate::call::{self, Call};
 use crate::chat::Chat;
-use crate::generation::Generation;
+use crate::generation::{Attended, Generation};
 use crate::piece::Piece;
 use crate::router::Shared;
 
@@ -27,21 +27,24 @@
     );
     let streams = chat.stream;
     let generation = Generation::new(shared.clone(), call, chat, account);
+    let attended = Attended::new(generation);
     if streams {
-        streamed(generation).await
+        streamed(attended).await
     } else {
-        whole(generation).await
+        whole(attended).await
     }
 }
 
-async fn streamed(mut generation: Generation) -> Result<Response<Body>, Refusal> {
-    let request = generation.call().request.clone();
+async fn streamed(mut attended: Attended) -> Result<Response<Body>, Refusal> {
+    let Some(generation) = attended.get() else {
+        return Err(call::late(Run::NotRun));
+    };
     let first = generation.next().await?;
-    let run = generation.run();
+    let (request, run) = (generation.call().request.clone(), generation.run());
     let state = Passing {
         request: request.clone(),
         first,
-        generation: Some(generation),
+        generation: Some(attended),
     };
     let stream = stream::unfold(state, Passing::next).boxed_local();
     let mut response = Response::new(Body::Stream(stream));
@@ -52,7 +55,10 @@
     Ok(response)
 }
 
-async fn whole(mut generation: Generation) -> Result<Response<Body>, Refusal> {
+async fn whole(mut attended: Attended) -> Result<Response<Body>, Refusal> {
+    let Some(generation) = attended.get() else {
+        return Err(call::late(Run::NotRun));
+    };
     let mut assembly = Assembly::default();
     while let Some(piece) = generation.next().await? {
         assembly.add(&piece);
@@ -66,12 +72,12 @@
 struct Passing {
     request: RequestId,
     first: Option<Piece>,
-    generation: Option<Generation>,
+    generation: Option<Attended>,
 }
 
 impl Passing {
     async fn next(mut self) -> Option<(Bytes, Self)> {
-        let generation = self.generation.as_mut()?;
+        let generation = self.generation.as_mut()?.get()?;
         let step = match self.first.take() {
             Some(first) => Ok(Some(first)),
             None => generation.next().await,
--- a/crates/jaylock-router/src/link.rs
+++ b/crates/jaylock-router/src/link.rs
@@ -12,10 +12,21 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 
 /// Idle connections kept for each address.
 const IDLE_LIMIT: usize = 16;
+/// Silence after which the system probes a connection.
+const PROBE_TIME: Duration = Duration::from_secs(3);
+/// Time between two probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Unanswered probes that end a connection.
+const PROBE_COUNT: u32 = 3;
+/// Time for sent bytes to be acknowledged.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(6);
+/// Wait before it is tried whether a backend server is gone.
+const PROBE_DELAY: Duration = Duration::from_millis(20);
 
 /// A connection to a backend server; dropping it closes it at once.
 pub struct Link {
@@ -42,6 +53,7 @@
         let opening = compio::time::timeout(limit, TcpStream::connect(address)).await;
         let stream = opening.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
+        keep_alive(&stream)?;
         let stream = HyperStream::new_plain(stream);
         let (sender, connection) = http1::handshake(stream).await.map_err(io::Error::other)?;
         let (stop, stopped) = oneshot::channel::<()>();
@@ -78,6 +90,25 @@
     }
 }
 
+/// Lets the system find out that the other side of a connection is gone.
+pub fn keep_alive(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_TIME)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBE_COUNT);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
+}
+
+/// Whether anything accepts connections at an address.
+pub async fn is_reachable(address: SocketAddr, limit: Duration) -> bool {
+    // A process that is ending may still accept for a moment.
+    compio::time::sleep(PROBE_DELAY).await;
+    let opening = compio::time::timeout(limit, TcpStream::connect(address)).await;
+    matches!(opening, Ok(Ok(_)))
+}
+
 /// Idle connections to backend servers, sorted by address.
 #[derive(Default)]
 pub struct Links {
--- a/crates/jaylock-router/src/piece.rs
+++ b/crates/jaylock-router/src/piece.rs
@@ -16,6 +16,15 @@
     pub chunk: Map<String, Value>,
 }
 
+impl Piece {
+    /// Whether it gives the reason of the end.
+    #[must_use]
+    pub fn is_finish(&self) -> bool {
+        let mut choices = choices(&self.chunk).iter();
+        choices.any(|c| c["finish_reason"].is_string())
+    }
+}
+
 /// What became of an event of an engine's stream.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Check {
@@ -76,9 +85,10 @@
         if self.finished && has_text(&chunk) {
             return Check::Broken("a piece came after the end");
         }
+        let piece = Piece { number, chunk };
         self.last = number;
-        self.finished |= is_finish(&chunk);
-        Check::Pass(Piece { number, chunk })
+        self.finished |= piece.is_finish();
+        Check::Pass(piece)
     }
 
     /// Whether a piece with the reason of the end was passed.
@@ -111,12 +121,6 @@
     }
 }
 
-fn is_finish(chunk: &Map<String, Value>) -> bool {
-    choices(chunk)
-        .iter()
-        .any(|c| c["finish_reason"].is_string())
-}
-
 fn has_text(chunk: &Map<String, Value>) -> bool {
     let text = |c: &Value| {
         c["delta"]["content"]
--- /dev/null
+++ b/crates/jaylock-router/src/proposal.rs
@@ -0,0 +1,52 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_channel::oneshot;
+use jaylock_rpc::v1::command::Body;
+use jaylock_rpc::v1::{Applied, Command};
+use jaylock_types::RequestId;
+
+use crate::router::Shared;
+
+/// Wait between two tries to commit a command.
+const STEP: Duration = Duration::from_millis(500);
+
+/// A command under a new identifier, at any revision.
+pub fn command(body: Body) -> Command {
+    Command {
+        id: RequestId::random().into(),
+        expected_revision: None,
+        body: Some(body),
+    }
+}
+
+/// Commits a command in a task that tries until control confirms it.
+///
+/// The router isn't drained before. The task goes on when the receiver is dropped.
+pub fn commit(shared: &Rc<Shared>, body: Body) -> oneshot::Receiver<Applied> {
+    let (done, waiting) = oneshot::channel();
+    let shared = shared.clone();
+    let busy = shared.busy();
+    let command = command(body);
+    compio::runtime::spawn(async move {
+        let applied = loop {
+            match shared.claims.propose(command.clone()).await {
+                Ok(applied) => break applied,
+                Err(error) => log::warn!(target: "router", "command {} waits: {error}", command.id),
+            }
+            compio::time::sleep(STEP).await;
+        };
+        let _ = done.send(applied);
+        drop(busy);
+    })
+    .detach();
+    waiting
+}
+
+/// Commits a command and waits for it, at most for the router's settle time.
+pub async fn commit_soon(shared: &Rc<Shared>, body: Body) -> Option<Applied> {
+    let waiting = commit(shared, body);
+    let limit = shared.settings.settle_wait;
+    let outcome = compio::time::timeout(limit, waiting).await;
+    outcome.ok()?.ok()
+}
--- /dev/null
+++ b/crates/jaylock-router/src/retry.rs
@@ -0,0 +1,211 @@
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compact_str::format_compact;
+use http::StatusCode;
+use jaylock_observe::Run;
+use jaylock_rpc::v1::Ask;
+use jaylock_rpc::v1::end::Outcome;
+use jaylock_rpc::v1::refusal::Reason;
+use jaylock_types::PoolId;
+
+use crate::account::Account;
+use crate::answer::Refusal;
+use crate::attempt::Failure;
+use crate::call::Call;
+use crate::link;
+use crate::quarantine::{self, Suspect};
+use crate::router::Shared;
+use crate::slot::Slot;
+
+/// What the attempts of one request share: slots, run state, budget and suspicion.
+pub struct Retry {
+    shared: Rc<Shared>,
+    pool: PoolId,
+    arrived: Instant,
+    suspect: Suspect,
+    run: Run,
+    before: Run,
+    tries: u32,
+    avoid: Vec<String>,
+}
+
+impl Retry {
+    /// Prepares the first attempt.
+    pub fn new(shared: Rc<Shared>, call: &Call, pool: PoolId) -> Self {
+        shared.budget.earn(&call.organisation);
+        let suspect = Suspect {
+            fingerprint: call.fingerprint,
+            organisation: call.organisation.clone(),
+            request: call.request.clone(),
+            crashes: 0,
+        };
+        Self {
+            shared,
+            pool,
+            arrived: call.arrived,
+            suspect,
+            run: Run::NotRun,
+            before: Run::NotRun,
+            tries: 0,
+            avoid: Vec::new(),
+        }
+    }
+
+    /// Whether it ran, as far as is known.
+    pub fn run(&self) -> Run {
+        self.run
+    }
+
+    /// Notes that a part of the answer came.
+    pub fn ran(&mut self) {
+        self.run = Run::Ran;
+    }
+
+    /// Whether its run decides if it crashes backend servers.
+    pub fn is_on_trial(&self) -> bool {
+        self.suspect.is_on_trial()
+    }
+
+    /// Waits for a slot; from then on bytes may have left.
+    pub async fn slot(
+        &mut self,
+        ask: Ask,
+        account: &mut Account,
+    ) -> Result<(SocketAddr, Slot), Refusal> {
+        let asked = Instant::now();
+        let outcome = self.ask(ask).await;
+        account.record.waited += asked.elapsed();
+        let (address, slot) = outcome?;
+        self.tries += 1;
+        account.record.attempts = self.tries;
+        account.step(format_compact!(
+            "attempt {} at {}",
+            self.tries,
+            slot.backend()
+        ));
+        let suspect = &self.suspect;
+        let checked = quarantine::check(&self.shared, &suspect.fingerprint, &suspect.request);
+        if let Err(refusal) = checked {
+            slot.close(Outcome::NotRun);
+            return Err(refusal.ran(self.run));
+        }
+        self.before = self.run;
+        if self.run == Run::NotRun {
+            self.run = Run::Unknown;
+        }
+        Ok((address, slot))
+    }
+
+    /// Notes that the answer is whole.
+    pub fn succeeded(&mut self, slot: Slot) {
+        self.run = Run::Ran;
+        slot.close(Outcome::Complete);
+        self.suspect.clear(&self.shared);
+    }
+
+    /// Gives the slot of a failed attempt back and tells whether another may be made.
+    ///
+    /// # Errors
+    /// The final answer.
+    pub async fn failed(
+        &mut self,
+        failure: &Failure,
+        address: SocketAddr,
+        slot: Slot,
+        account: &Account,
+    ) -> Result<(), Refusal> {
+        account.step(format_compact!("attempt failed: {failure}"));
+        let backend = slot.backend().to_owned();
+        if is_crash(&self.shared, failure, address).await {
+            slot.close(Outcome::Crashed);
+            account.step(format_compact!("backend server {backend} crashed"));
+            self.avoid.push(backend);
+            return self.suspect.crashed(&self.shared, self.run).await;
+        }
+        slot.close(outcome(failure));
+        if failure.is_not_run() {
+            self.run = self.before;
+        }
+        if let Failure::Final(status, body) = failure {
+            self.run = Run::Ran;
+            return Err(final_word(*status, body));
+        }
+        if failure.is_not_run() || matches!(failure, Failure::Silent) {
+            self.avoid.push(backend);
+        }
+        self.allow(failure)
+    }
+
+    fn allow(&self, failure: &Failure) -> Result<(), Refusal> {
+        if self.tries >= self.shared.settings.attempts {
+            return Err(self.gave_up("no backend server completed the answer"));
+        }
+        let is_free = failure.is_not_run() || self.is_on_trial();
+        if is_free || self.shared.budget.spend(&self.suspect.organisation) {
+            return Ok(());
+        }
+        Err(self.gave_up("the answer broke off and the retry budget is spent"))
+    }
+
+    fn gave_up(&self, reason: &'static str) -> Refusal {
+        let remedy = "ask again after the time in retry-after";
+        Refusal::not_run(StatusCode::BAD_GATEWAY, "broken", reason, remedy)
+            .ran(self.run)
+            .after(self.shared.settings.retry_after)
+    }
+
+    async fn ask(&mut self, base: Ask) -> Result<(SocketAddr, Slot), Refusal> {
+        let waited = self.arrived.elapsed().as_millis();
+        let mut ask = Ask {
+            organisation: self.suspect.organisation.to_string(),
+            avoid: self.avoid.clone(),
+            alone: self.suspect.is_on_trial(),
+            waited_ms: u32::try_from(waited).unwrap_or(u32::MAX),
+            request: self.suspect.request.to_string(),
+            ..base
+        };
+        let mut outcome = self.shared.capacity.ask(&self.pool, ask.clone()).await;
+        let is_choosy = !self.avoid.is_empty();
+        if is_choosy
+            && outcome
+                .as_ref()
+                .is_err_and(|r| r.reason() == Reason::NoBackend)
+        {
+            // One that was avoided is better than none; it may have come back.
+            self.avoid.clear();
+            ask.avoid.clear();
+            outcome = self.shared.capacity.ask(&self.pool, ask).await;
+        }
+        let grant = outcome.map_err(|r| Refusal::of_capacity(&r).ran(self.run))?;
+        let address = grant.address.parse();
+        let slot = Slot::new(self.shared.capacity.clone(), self.pool.clone(), grant);
+        let Ok(address) = address else {
+            slot.close(Outcome::NotRun);
+            return Err(self.gave_up("the backend server's address is malformed"));
+        };
+        Ok((address, slot))
+    }
+}
+
+/// Whether a broken connection means that the backend server itself is gone.
+async fn is_crash(shared: &Shared, failure: &Failure, address: SocketAddr) -> bool {
+    let limit: Duration = shared.settings.connect_timeout;
+    matches!(failure, Failure::Broken(_)) && !link::is_reachable(address, limit).await
+}
+
+fn outcome(failure: &Failure) -> Outcome {
+    match failure {
+        Failure::Unreachable(_) | Failure::Declined => Outcome::NotRun,
+        Failure::Final(..) => Outcome::Complete,
+        Failure::Broken(_) | Failure::Silent | Failure::Faulty(_) => Outcome::Broken,
+    }
+}
+
+fn final_word(status: StatusCode, body: &[u8]) -> Refusal {
+    let text = String::from_utf8_lossy(body);
+    let message = format_compact!("the backend server refused the request: {text}");
+    let remedy = "change the request as the words of the backend server say";
+    Refusal::not_run(status, "backend", message, remedy).ran(Run::Ran)
+}
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -1,17 +1,19 @@
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use compio::net::TcpListener;
 use jaylock_control::ConfigView;
 use jaylock_observe::Observer;
 
 use crate::announce::Backends;
+use crate::budget::RetryBudget;
 use crate::link::Links;
 use crate::organisation::Organisations;
 use crate::port::{Capacity, Claims};
 use crate::server;
 use crate::settings::{RouterIdentity, RouterSettings};
+use crate::signal::Signal;
 
 /// Time between two looks whether the last request has ended.
 const DRAIN_STEP: Duration = Duration::from_millis(20);
@@ -42,7 +44,13 @@
     pub organisations: Organisations,
     /// Backend servers that announced themselves here.
     pub backends: Backends,
-    left: Cell<Option<Instant>>,
+    /// Retries that organisations may make.
+    pub budget: RetryBudget,
+    /// Thrown when new requests are refused because the instance stops.
+    pub closed: Signal,
+    /// Held by each connection that was accepted before.
+    pub open: Rc<()>,
+    leaving: Cell<bool>,
     busy: Rc<()>,
 }
 
@@ -57,6 +65,7 @@
         observer: Observer,
         settings: RouterSettings,
     ) -> Self {
+        let budget = RetryBudget::new(settings.retry_burst, settings.retry_permille);
         let shared = Shared {
             identity,
             view,
@@ -67,7 +76,10 @@
             links: Links::default(),
             organisations: Organisations::default(),
             backends: Backends::default(),
-            left: Cell::new(None),
+            budget,
+            closed: Signal::default(),
+            open: Rc::new(()),
+            leaving: Cell::new(false),
             busy: Rc::new(()),
         };
         Self {
@@ -84,29 +96,32 @@
     ///
     /// Requests are served on for as long as callers may keep the address list, then refused.
     pub fn leave(&self) {
-        if self.shared.left.get().is_none() {
-            self.shared.left.set(Some(Instant::now()));
+        if self.shared.leaving.replace(true) {
+            return;
         }
+        let shared = self.shared.clone();
+        compio::runtime::spawn(async move {
+            let keep = Duration::from_millis(shared.settings.keep_ms.into());
+            compio::time::sleep(keep).await;
+            shared.closed.throw();
+        })
+        .detach();
     }
 
-    /// Waits, after [`Router::leave`], until new requests are refused and none is in progress.
+    /// Waits, after [`Router::leave`], until new requests are refused and every answer was sent.
     pub async fn drained(&self) {
-        while !self.shared.is_closed() || Rc::strong_count(&self.shared.busy) > 1 {
+        let shared = &self.shared;
+        shared.closed.wait().await;
+        while Rc::strong_count(&shared.busy) > 1 || Rc::strong_count(&shared.open) > 1 {
             compio::time::sleep(DRAIN_STEP).await;
         }
     }
 }
 
 impl Shared {
-    /// Whether new requests are refused because the instance stops.
-    pub fn is_closed(&self) -> bool {
-        let keep = Duration::from_millis(self.settings.keep_ms.into());
-        self.left.get().is_some_and(|at| at.elapsed() >= keep)
-    }
-
     /// Whether a graceful shutdown has begun.
     pub fn is_leaving(&self) -> bool {
-        self.left.get().is_some()
+        self.leaving.get()
     }
 
     /// A token that keeps the router from being drained while it is held.
--- a/crates/jaylock-router/src/server.rs
+++ b/crates/jaylock-router/src/server.rs
@@ -1,10 +1,11 @@
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
+use futures_util::future::{Either, select};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -16,17 +17,19 @@
 use crate::body::Body;
 use crate::call::{self, Call};
 use crate::router::Shared;
-use crate::{address, announce, completion, service};
+use crate::stall::StallLimit;
+use crate::{address, announce, completion, link, service};
 
 /// Wait after an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Smallest buffer for the head of a request, in bytes.
+const SMALLEST_HEAD: usize = 8192;
 /// Time between two looks for idle connections to close.
 const PRUNE_STEP: Duration = Duration::from_secs(1);
 
 /// Accepts connections; each has a task of its own.
 pub async fn serve(shared: Rc<Shared>, listener: TcpListener) {
-    let pruner = compio::runtime::spawn(prune(shared.clone()));
-    let open = Rc::new(());
+    let _pruner = compio::runtime::spawn(prune(shared.clone()));
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -36,17 +39,17 @@
                 continue;
             }
         };
-        if Rc::strong_count(&open) > shared.settings.connections {
+        if Rc::strong_count(&shared.open) > shared.settings.connections {
             log::warn!(target: "router", "refused {peer}: the bound of connections is reached");
             continue;
         }
-        let (shared, held) = (shared.clone(), open.clone());
+        let shared = shared.clone();
         compio::runtime::spawn(async move {
-            serve_connection(shared, stream, peer).await;
-            drop(held);
+            if let Err(error) = serve_connection(shared, stream).await {
+                log::debug!(target: "router", "connection of {peer} ended: {error}");
+            }
         })
         .detach();
-        let _ = &pruner;
     }
 }
 
@@ -57,26 +60,40 @@
     }
 }
 
-async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, peer: SocketAddr) {
+async fn serve_connection(shared: Rc<Shared>, stream: TcpStream) -> Result<(), hyper::Error> {
     let _ = stream.set_nodelay(true);
+    let _ = link::keep_alive(&stream);
     let mut builder = http1::Builder::new();
     builder
         .timer(CompioTimer)
         .header_read_timeout(shared.settings.slow_sender)
         .max_headers(shared.settings.header_count)
-        .max_buf_size(shared.settings.header_bound.0.max(8192));
+        .max_buf_size(shared.settings.header_bound.0.max(SMALLEST_HEAD));
+    let serving = shared.clone();
     let service = service_fn(move |request| {
-        let shared = shared.clone();
+        let shared = serving.clone();
         async move { Ok::<_, Infallible>(answer(&shared, request).await) }
     });
-    let stream = HyperStream::new_plain(stream);
-    if let Err(error) = builder.serve_connection(stream, service).await {
-        log::debug!(target: "router", "connection of {peer} ended: {error}");
+    let stream = StallLimit::new(HyperStream::new_plain(stream), shared.settings.write_stall);
+    let mut connection = pin!(builder.serve_connection(stream, service));
+    if shared.closed.is_thrown() {
+        // Its one request is refused and the answer closes the connection.
+        return connection.await;
+    }
+    let _open = shared.open.clone();
+    let closed = pin!(shared.closed.wait());
+    match select(connection.as_mut(), closed).await {
+        Either::Left((outcome, _)) => outcome,
+        Either::Right(((), _)) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
     }
 }
 
 async fn answer(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let id = RequestId::random();
+    let _busy = shared.busy();
     let outcome = route(shared, &id, request).await;
     let mut response = outcome.unwrap_or_else(|refusal| refusal.response(&id));
     if shared.is_leaving() {
--- a/crates/jaylock-router/src/service.rs
+++ b/crates/jaylock-router/src/service.rs
@@ -1,80 +1,77 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use futures_channel::oneshot;
 use http::{HeaderName, Request, Response, StatusCode, Uri, header};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use jaylock_observe::{RequestKind, Run};
-use jaylock_rpc::v1::end::Outcome;
-use jaylock_rpc::v1::{Ask, Service};
+use jaylock_rpc::v1::{Ask, Service, Settle};
 use jaylock_types::{PoolId, RequestId};
 
 use crate::account::Account;
-use crate::answer::{REQUEST_ID, Refusal, mark, put};
+use crate::answer::{RECORDED, REQUEST_ID, RUN, Refusal, mark, put};
 use crate::attempt::{self, Failure, exchange, silence_limit};
-use crate::body::{self, Body};
+use crate::body::{self, Body, ReadError};
 use crate::call::{self, Call, DEADLINE};
 use crate::claim::{Claimed, HeldClaim, Record, recorded, unknown_outcome};
-use crate::generation::{gave_up, outcome};
+use crate::retry::Retry;
 use crate::router::Shared;
 use crate::slot::Slot;
 
 /// Path under which plain services are reached.
 pub const PREFIX: &str = "/services/";
 /// Header fields that belong to one connection or to this router, in lower case.
-const OWN_HEADERS: [&str; 9] = [
+const OWN_HEADERS: [&str; 12] = [
     "authorization",
     "connection",
     "content-length",
     "host",
     "keep-alive",
     "transfer-encoding",
+    "trailer",
     "upgrade",
+    RECORDED,
+    RUN,
     REQUEST_ID,
     DEADLINE,
 ];
 
 /// A call of a plain service.
 struct ServiceCall {
+    shared: Rc<Shared>,
     call: Call,
-    pool: PoolId,
     path: CompactString,
     account: Account,
-    tries: u32,
-    run: Run,
-    avoid: Vec<String>,
+    retry: Retry,
 }
 
 /// Answers a request for a plain service.
 pub async fn answer(shared: &Rc<Shared>, call: Call) -> Result<Response<Body>, Refusal> {
     let (pool, path, repeatable) = target(shared, &call)?;
-    let account = Account::new(shared, &call, pool.clone(), RequestKind::Service);
     let service_call = ServiceCall {
-        call,
-        pool,
+        shared: shared.clone(),
         path,
-        account,
-        tries: 0,
-        run: Run::NotRun,
-        avoid: Vec::new(),
+        account: Account::new(shared, &call, pool.clone(), RequestKind::Service),
+        retry: Retry::new(shared.clone(), &call, pool),
+        call,
     };
     if repeatable {
-        service_call.repeat(shared).await
+        service_call.repeat().await
     } else {
-        once(shared, service_call).await
+        once(service_call).await
     }
 }
 
 /// Runs a request at most once, in a task that outlives its caller.
-async fn once(shared: &Rc<Shared>, call: ServiceCall) -> Result<Response<Body>, Refusal> {
+async fn once(call: ServiceCall) -> Result<Response<Body>, Refusal> {
     let (sender, receiver) = oneshot::channel();
     let left = call.call.left();
-    let shared = shared.clone();
     compio::runtime::spawn(async move {
-        let _ = sender.send(call.run_once(&shared).await);
+        let _ = sender.send(call.run_once().await);
     })
     .detach();
     match compio::time::timeout(left, receiver).await {
@@ -85,145 +82,86 @@
 }
 
 impl ServiceCall {
-    async fn run_once(mut self, shared: &Rc<Shared>) -> Result<Response<Body>, Refusal> {
-        let claim = match HeldClaim::take(shared, &self.call).await {
+    async fn run_once(mut self) -> Result<Response<Body>, Refusal> {
+        let claim = match HeldClaim::take(&self.shared, &self.call).await {
             Ok(Claimed::Held(claim)) => claim,
-            Ok(Claimed::Recorded(settle)) => {
-                let response = recorded(&self.call.request, settle);
-                self.account.record.whole = true;
-                self.account.answered(response.status(), Run::Ran);
-                return Ok(response);
-            }
+            Ok(Claimed::Recorded(settle)) => return Ok(self.repeat_record(settle)),
             Err(refusal) => return Err(self.refuse(refusal)),
         };
-        let fresh = shared.settings.fresh;
+        let (fresh, limit) = (self.shared.settings.fresh, self.shared.settings.once_limit);
         loop {
-            match self
-                .attempt(shared, fresh, shared.settings.once_limit)
-                .await
-            {
-                Ok(record) => {
-                    claim.settle(Some(&record)).await;
-                    return Ok(self.respond(record));
-                }
-                Err(Ended::Refused(refusal)) => {
+            let (address, slot) = match self.slot().await {
+                Ok(slot) => slot,
+                Err(refusal) => {
                     claim.release();
                     return Err(self.refuse(refusal));
                 }
-                Err(Ended::Failed(failure)) if is_not_run(&failure) => {
-                    if self.tries >= shared.settings.attempts {
-                        claim.release();
-                        return Err(self.refuse(gave_up(Run::NotRun)));
-                    }
-                }
-                Err(Ended::Failed(_)) => {
-                    claim.settle(None).await;
-                    return Err(self.refuse(unknown_outcome()));
+            };
+            let failure = match self.send(address, fresh, limit).await {
+                Ok(record) => {
+                    self.retry.succeeded(slot);
+                    claim.settle(Some(&record)).await;
+                    return Ok(self.respond(record));
                 }
+                Err(failure) => failure,
+            };
+            let account = &self.account;
+            let again = self.retry.failed(&failure, address, slot, account).await;
+            if !failure.is_not_run() {
+                claim.settle(None).await;
+                return Err(self.refuse(unknown_outcome()));
+            }
+            if let Err(refusal) = again {
+                claim.release();
+                return Err(self.refuse(refusal));
             }
         }
     }
 
-    async fn repeat(mut self, shared: &Rc<Shared>) -> Result<Response<Body>, Refusal> {
+    async fn repeat(mut self) -> Result<Response<Body>, Refusal> {
         let left = self.call.left();
-        let outcome = compio::time::timeout(left, self.repeat_until_whole(shared)).await;
-        match outcome {
+        match compio::time::timeout(left, self.repeat_until_whole()).await {
             Ok(Ok(record)) => Ok(self.respond(record)),
             Ok(Err(refusal)) => Err(self.refuse(refusal)),
             Err(_) => {
-                let refusal = call::late(self.run);
+                let refusal = call::late(self.retry.run());
                 Err(self.refuse(refusal))
             }
         }
     }
 
-    async fn repeat_until_whole(&mut self, shared: &Rc<Shared>) -> Result<Record, Refusal> {
-        let settings = &shared.settings;
+    async fn repeat_until_whole(&mut self) -> Result<Record, Refusal> {
+        let (idle, limit) = (self.shared.settings.idle, self.shared.settings.first_byte);
         loop {
-            match self
-                .attempt(shared, settings.idle, settings.first_byte)
-                .await
-            {
-                Ok(record) => return Ok(record),
-                Err(Ended::Refused(refusal)) => return Err(refusal),
-                Err(Ended::Failed(_)) if self.tries >= settings.attempts => {
-                    return Err(gave_up(self.run));
+            let (address, slot) = self.slot().await?;
+            let failure = match self.send(address, idle, limit).await {
+                Ok(record) => {
+                    self.retry.succeeded(slot);
+                    return Ok(record);
                 }
-                Err(Ended::Failed(_)) => {}
-            }
+                Err(failure) => failure,
+            };
+            let account = &self.account;
+            self.retry.failed(&failure, address, slot, account).await?;
         }
     }
 
-    async fn attempt(
-        &mut self,
-        shared: &Rc<Shared>,
-        fresh: Duration,
-        limit: Duration,
-    ) -> Result<Record, Ended> {
-        let (address, slot) = self.slot(shared).await.map_err(Ended::Refused)?;
-        self.tries += 1;
-        self.account.record.attempts = self.tries;
-        self.account.step(format_compact!(
-            "attempt {} at {}",
-            self.tries,
-            slot.backend()
-        ));
-        let before = self.run;
-        self.run = Run::Unknown;
-        match self.send(shared, &address, fresh, limit).await {
-            Ok(record) => {
-                self.run = Run::Ran;
-                self.account.first();
-                slot.close(Outcome::Complete);
-                Ok(record)
-            }
-            Err(failure) => {
-                self.account
-                    .step(format_compact!("attempt failed: {failure}"));
-                if is_not_run(&failure) {
-                    self.run = before;
-                    self.avoid.push(slot.backend().to_owned());
-                }
-                slot.close(outcome(&failure));
-                Err(Ended::Failed(failure))
-            }
-        }
-    }
-
-    async fn slot(&mut self, shared: &Rc<Shared>) -> Result<(String, Slot), Refusal> {
-        let waited = self.call.arrived.elapsed().as_millis();
-        let ask = Ask {
-            organisation: self.call.organisation.to_string(),
-            avoid: self.avoid.clone(),
-            waited_ms: u32::try_from(waited).unwrap_or(u32::MAX),
-            request: self.call.request.to_string(),
-            ..Ask::default()
-        };
-        let asked = Instant::now();
-        let waiting = shared.capacity.ask(&self.pool, ask);
-        let outcome = compio::time::timeout(self.call.left(), waiting).await;
-        self.account.record.waited += asked.elapsed();
-        let outcome = outcome.map_err(|_| call::late(self.run))?;
-        let grant = outcome.map_err(|r| Refusal::of_capacity(&r).ran(self.run))?;
-        let address = grant.address.clone();
-        Ok((
-            address,
-            Slot::new(shared.capacity.clone(), self.pool.clone(), grant),
-        ))
+    async fn slot(&mut self) -> Result<(SocketAddr, Slot), Refusal> {
+        let left = self.call.left();
+        let waiting = self.retry.slot(Ask::default(), &mut self.account);
+        let outcome = compio::time::timeout(left, waiting).await;
+        outcome.unwrap_or_else(|_| Err(call::late(self.retry.run())))
     }
 
     async fn send(
         &self,
-        shared: &Rc<Shared>,
-        address: &str,
+        address: SocketAddr,
         fresh: Duration,
         limit: Duration,
     ) -> Result<Record, Failure> {
-        let malformed = |_| Failure::Unreachable("its address is malformed".into());
-        let address: SocketAddr = address.parse().map_err(malformed)?;
         let id = RequestId::random();
         let request = || self.request(&id, address);
-        let exchange = exchange(shared, address, fresh, request);
+        let exchange = exchange(&self.shared, address, fresh, request);
         let (link, response) = silence_limit(limit, exchange).await??;
         if attempt::is_declined(&response, &id) {
             return Err(Failure::Declined);
@@ -231,17 +169,22 @@
         if attempt::is_crossed(&response, &id) {
             return Err(Failure::Faulty("the answer is another request's".into()));
         }
+        if !has_end(&response) {
+            return Err(Failure::Faulty("the answer tells no length".into()));
+        }
         let status = response.status();
-        let content_type = attempt::content_type(&response);
-        let settings = &shared.settings;
-        let reading = body::read(response.into_body(), settings.answer_bound, limit);
-        let body = reading
-            .await
-            .map_err(|e| Failure::Broken(format_compact!("{e:?}")))?;
-        shared.links.put(link);
+        let headers = response.headers().clone();
+        let bound = self.shared.settings.answer_bound;
+        let body = body::read(response.into_body(), bound, limit).await;
+        let body = body.map_err(|error| match error {
+            ReadError::TooLong => Failure::Faulty("the answer is over the bound".into()),
+            ReadError::TooSlow => Failure::Silent,
+            ReadError::Broken => Failure::Broken("the answer ended early".into()),
+        })?;
+        self.shared.links.put(link);
         Ok(Record {
             status,
-            content_type,
+            headers,
             body,
         })
     }
@@ -267,27 +210,39 @@
         let mut response = Response::new(Body::whole(record.body));
         *response.status_mut() = record.status;
         let headers = response.headers_mut();
-        put(headers, header::CONTENT_TYPE.as_str(), &record.content_type);
+        for (name, value) in &record.headers {
+            if !is_own(name) {
+                headers.append(name.clone(), value.clone());
+            }
+        }
         mark(headers, &self.call.request, Run::Ran);
+        self.account.first();
         self.account.record.whole = true;
         self.account.answered(record.status, Run::Ran);
         response
     }
 
+    fn repeat_record(mut self, settle: Settle) -> Response<Body> {
+        let response = recorded(&self.call.request, settle);
+        self.account.record.whole = true;
+        self.account.answered(response.status(), Run::Ran);
+        response
+    }
+
     fn refuse(&mut self, refusal: Refusal) -> Refusal {
         self.account.answered(refusal.status, refusal.run);
         refusal
     }
 }
 
-/// How an attempt at a plain service ended without an answer.
-enum Ended {
-    Refused(Refusal),
-    Failed(Failure),
-}
-
-fn is_not_run(failure: &Failure) -> bool {
-    matches!(failure, Failure::Unreachable(_) | Failure::Declined)
+/// Whether an answer tells where it ends, so that a cut one is known.
+fn has_end(response: &Response<Incoming>) -> bool {
+    let headers = response.headers();
+    let status = response.status();
+    headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED
 }
 
 fn is_own(name: &HeaderName) -> bool {
@@ -303,8 +258,7 @@
     let found = current
         .services
         .binary_search_by(|s| s.id.as_str().cmp(name));
-    let pool = name.parse();
-    let (Ok(at), Ok(pool)) = (found, pool) else {
+    let (Ok(at), Ok(pool)) = (found, name.parse()) else {
         return Err(Refusal::not_run(
             StatusCode::NOT_FOUND,
             "unknown-service",
@@ -313,6 +267,14 @@
         ));
     };
     let path = format_compact!("/{path}");
+    if !is_plain(&path) {
+        return Err(Refusal::not_run(
+            StatusCode::BAD_REQUEST,
+            "malformed",
+            "the path holds dot segments or empty ones",
+            "send the path in its shortest form",
+        ));
+    }
     let repeatable = is_repeatable(&current.services[at], call.head.method.as_str(), &path);
     let full = match uri.query() {
         Some(query) => format_compact!("{path}?{query}"),
@@ -321,10 +283,26 @@
     Ok((pool, full, repeatable))
 }
 
+/// Whether a service can't read the path as another one, which might not be repeatable.
+fn is_plain(path: &str) -> bool {
+    let lower = path.to_ascii_lowercase().replace("%2e", ".");
+    let is_encoded = ["%2f", "%5c", "\\", ";", "//"]
+        .iter()
+        .any(|p| lower.contains(p));
+    let mut segments = lower.split('/');
+    !is_encoded && !segments.any(|s| s == "." || s == "..")
+}
+
 fn is_repeatable(service: &Service, method: &str, path: &str) -> bool {
     let mut routes = service.repeatable.iter();
     routes.any(|r| {
         let method_fits = r.method.is_empty() || r.method.eq_ignore_ascii_case(method);
-        method_fits && path.starts_with(&r.prefix)
+        method_fits && is_under(path, &r.prefix)
     })
 }
+
+/// Whether a path is the prefix or lies under it, by whole segments.
+fn is_under(path: &str, prefix: &str) -> bool {
+    let rest = path.strip_prefix(prefix.trim_end_matches('/'));
+    rest.is_some_and(|r| r.is_empty() || r.starts_with('/'))
+}
--- a/crates/jaylock-router/src/settings.rs
+++ b/crates/jaylock-router/src/settings.rs
@@ -61,6 +61,8 @@
     pub retry_after: Duration,
     /// Time an answer waits for its claim to be settled.
     pub settle_wait: Duration,
+    /// How long a request that crashed one backend server is refused elsewhere.
+    pub suspicion: Duration,
     /// How long a request that crashed two backend servers is refused.
     pub quarantine: Duration,
     /// Time between the heartbeats of a backend server, in ms.
@@ -77,7 +79,7 @@
             header_count: 64,
             connections: 4096,
             slow_sender: Duration::from_secs(10),
-            write_stall: Duration::from_secs(5),
+            write_stall: Duration::from_secs(10),
             keep_ms: 2000,
             connect_timeout: Duration::from_secs(1),
             first_byte: Duration::from_secs(10),
@@ -86,13 +88,14 @@
             fresh: Duration::from_secs(1),
             idle: Duration::from_secs(30),
             attempts: 5,
-            retry_burst: 32,
+            retry_burst: 128,
             retry_permille: 200,
             answer_bound: ByteSize(8 << 20),
             record_bound: ByteSize(16 << 10),
             deadline: Duration::from_mins(10),
             retry_after: Duration::from_secs(1),
             settle_wait: Duration::from_secs(2),
+            suspicion: Duration::from_mins(1),
             quarantine: Duration::from_mins(10),
             heartbeat_ms: 1000,
             lease_ms: 3000,
--- /dev/null
+++ b/crates/jaylock-tests/tests/router/crash.rs
@@ -0,0 +1,86 @@
+//! Requests that crash backend servers: at most two are lost to one of them.
+
+use googletest::prelude::*;
+use jaylock_router::RouterSettings;
+use jaylock_tests::cases;
+
+use crate::backend::{Act, Backend, Seen, piece, stream_head, whole_stream};
+use crate::fleet::{Fleet, ask};
+use crate::port::FakeClaims;
+
+/// An engine that crashes on a prompt with the word `poison`.
+fn fragile(seen: &Seen) -> Vec<Act> {
+    if seen.body.contains("poison") {
+        vec![stream_head(seen), piece(seen, seen.last() + 1), Act::Crash]
+    } else {
+        whole_stream(seen, 3)
+    }
+}
+
+fn poison() -> String {
+    ask(false).replace("hi", "poison")
+}
+
+cases! {
+    async second_crash_puts_the_request_in_quarantine_fleet_wide => {
+        let engines = [
+            Backend::start(fragile).await,
+            Backend::start(fragile).await,
+            Backend::start(fragile).await,
+        ];
+        let addresses = engines.each_ref().map(|e| e.address);
+        let claims = FakeClaims::default();
+        let one = Fleet::with_claims(&addresses, RouterSettings::default(), claims.clone()).await;
+        let two = Fleet::with_claims(&addresses, RouterSettings::default(), claims).await;
+        let first = one.chat(&poison()).await;
+        assert_that!((first.status, first.run.as_str()), eq((422, "ran")));
+        let asks: Vec<bool> = one.capacity.0.asks.borrow().iter().map(|a| a.alone).collect();
+        assert_that!(asks, elements_are![eq(&false), eq(&true)]);
+        let ends: Vec<i32> = one.capacity.0.ends.borrow().iter().map(|e| e.outcome).collect();
+        assert_that!(ends, elements_are![eq(&4), eq(&4)]);
+        for fleet in [&one, &two] {
+            let again = fleet.chat(&poison()).await;
+            assert_that!((again.status, again.run.as_str()), eq((422, "not-run")));
+        }
+        let lost: usize = engines.iter().map(Backend::count).sum();
+        assert_that!(lost, eq(2));
+        assert_that!(two.chat(&ask(false)).await.status, eq(200));
+    };
+    async innocent_beside_a_crash_is_served_and_cleared => {
+        let crashed = Backend::start(|_| vec![Act::Crash]).await;
+        let sound = Backend::start(|s| whole_stream(s, 3)).await;
+        let addresses = [crashed.address, sound.address];
+        let fleet = Fleet::start(&addresses, RouterSettings::default()).await;
+        let answer = fleet.chat(&ask(false)).await;
+        assert_that!(answer.status, eq(200));
+        assert_that!(fleet.chat(&ask(false)).await.status, eq(200));
+        let put = fleet.claims.0.quarantines.borrow();
+        assert_that!((put[0].suspect, put[0].until_ms > 0), eq((true, true)));
+        assert_that!(put[1].until_ms, eq(0));
+    };
+    async resend_of_a_suspect_waits_for_its_trial => {
+        let crashed = Backend::start(|_| vec![Act::Crash]).await;
+        let slow = Backend::start(|s| vec![stream_head(s), piece(s, 1), Act::Hang]).await;
+        let addresses = [crashed.address, slow.address];
+        let claims = FakeClaims::default();
+        let one = Fleet::with_claims(&addresses, RouterSettings::default(), claims.clone()).await;
+        let two = Fleet::with_claims(&addresses, RouterSettings::default(), claims).await;
+        let body = ask(true);
+        let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\n";
+        let caller = one.open(&format!("{head}content-length: {}\r\n\r\n{body}", body.len())).await;
+        one.until("the trial runs", || slow.count() == 1).await;
+        let answer = two.chat(&body).await;
+        assert_that!((answer.status, answer.run.as_str()), eq((503, "not-run")));
+        assert_that!(answer.body, contains_substring("\"kind\":\"suspected\""));
+        drop(caller);
+        compio::time::sleep(std::time::Duration::from_millis(100)).await;
+        assert_that!(*slow.hung_up.borrow(), eq(0));
+    };
+    async broken_connection_to_a_living_engine_is_no_crash => {
+        let engine = Backend::start(|s| vec![stream_head(s), piece(s, 1), Act::Close]).await;
+        let fleet = Fleet::start(&[engine.address], RouterSettings::default()).await;
+        let answer = fleet.chat(&ask(false)).await;
+        assert_that!((answer.status, answer.run.as_str()), eq((502, "ran")));
+        assert_that!(fleet.claims.0.quarantines.borrow().len(), eq(0));
+    };
+}
--- a/crates/jaylock-tests/tests/router/fleet.rs
+++ b/crates/jaylock-tests/tests/router/fleet.rs
@@ -1,8 +1,11 @@
 //! One router with its fakes, and a caller.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use compio::net::TcpListener;
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::{TcpListener, TcpStream};
 use jaylock_control::ConfigView;
 use jaylock_observe::Observer;
 use jaylock_router::{Router, RouterIdentity, RouterSettings};
@@ -51,6 +54,7 @@
         let view = ConfigView::default();
         assert!(view.offer(configuration(address)));
         view.set_connected(true);
+        claims.0.views.borrow_mut().push(view.clone());
         let capacity = FakeCapacity::default();
         *capacity.0.backends.borrow_mut() = backends.to_vec();
         let identity = RouterIdentity {
@@ -113,6 +117,40 @@
         }
     }
 
+    /// Sends bytes over a connection of their own, which stays open.
+    pub async fn open(&self, bytes: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(self.address)
+            .await
+            .expect("a connection");
+        let BufResult(sent, _) = stream.write_all(bytes.as_bytes().to_vec()).await;
+        sent.expect("bytes are taken");
+        stream
+    }
+
+    /// Waits until something holds.
+    pub async fn until(&self, what: &str, holds: impl Fn() -> bool) {
+        for _ in 0..1000 {
+            if holds() {
+                return;
+            }
+            compio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("it never came that {what}");
+    }
+
+    /// Sends bytes over a connection of their own and reads until its end.
+    pub async fn raw(&self, bytes: &str) -> String {
+        let mut stream = self.open(bytes).await;
+        let mut answer = Vec::new();
+        loop {
+            let BufResult(count, chunk) = stream.read(Vec::with_capacity(4096)).await;
+            if count.unwrap_or(0) == 0 {
+                return String::from_utf8_lossy(&answer).into_owned();
+            }
+            answer.extend_from_slice(&chunk);
+        }
+    }
+
     /// Asks for a model's answer.
     pub async fn chat(&self, body: &str) -> Answer {
         let key = ("authorization", "Bearer key-1");
--- /dev/null
+++ b/crates/jaylock-tests/tests/router/limits.rs
@@ -0,0 +1,105 @@
+//! Input that nobody should send, and silent callers: each costs nothing to others.
+
+use std::time::Duration;
+
+use compio::net::TcpStream;
+use googletest::prelude::*;
+use jaylock_router::RouterSettings;
+use jaylock_tests::cases;
+use jaylock_types::ByteSize;
+
+use crate::backend::{Act, Backend, piece, stream_head, whole_stream};
+use crate::fleet::{Fleet, ask};
+
+const HEAD: &str =
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\n";
+
+fn tight() -> RouterSettings {
+    RouterSettings {
+        body_bound: ByteSize(1024),
+        slow_sender: Duration::from_millis(200),
+        write_stall: Duration::from_millis(200),
+        ..RouterSettings::default()
+    }
+}
+
+async fn fleet() -> (Backend, Fleet) {
+    let engine = Backend::start(|seen| whole_stream(seen, 3)).await;
+    let fleet = Fleet::start(&[engine.address], tight()).await;
+    (engine, fleet)
+}
+
+cases! {
+    async long_body_is_refused => {
+        let (_engine, fleet) = fleet().await;
+        let answer = fleet.chat(&"x".repeat(2000)).await;
+        assert_that!((answer.status, answer.run.as_str()), eq((413, "not-run")));
+        assert_that!(fleet.chat(&ask(false)).await.status, eq(200));
+    };
+    async long_head_is_refused => {
+        let (_engine, fleet) = fleet().await;
+        let field = format!("x-long: {}\r\n\r\n", "x".repeat(100_000));
+        assert_that!(fleet.raw(&format!("{HEAD}{field}")).await, starts_with("HTTP/1.1 431"));
+        let fields = "x-many: 1\r\n".repeat(100);
+        assert_that!(fleet.raw(&format!("{HEAD}{fields}\r\n")).await, starts_with("HTTP/1.1 431"));
+        assert_that!(fleet.raw("no http at all\r\n\r\n").await, starts_with("HTTP/1.1 400"));
+        assert_that!(fleet.chat(&ask(false)).await.status, eq(200));
+    };
+    async slow_body_is_refused => {
+        let (_engine, fleet) = fleet().await;
+        let answer = fleet.raw(&format!("{HEAD}content-length: 100\r\n\r\n{{")).await;
+        assert_that!(answer, starts_with("HTTP/1.1 408"));
+        assert_that!(answer, contains_substring("x-run: not-run"));
+    };
+    async slow_head_is_closed => {
+        let (_engine, fleet) = fleet().await;
+        let silent = compio::time::timeout(Duration::from_secs(5), fleet.raw(HEAD)).await;
+        assert_that!(silent, ok(eq("")));
+    };
+    async connections_over_the_bound_are_closed => {
+        let settings = RouterSettings { connections: 1, ..tight() };
+        let fleet = Fleet::start(&[], settings).await;
+        let health = "GET /v1/health HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        let held = TcpStream::connect(fleet.address).await.expect("a connection");
+        compio::time::sleep(Duration::from_millis(50)).await;
+        assert_that!(fleet.raw(health).await, eq(""));
+        drop(held);
+        compio::time::sleep(Duration::from_millis(50)).await;
+        assert_that!(fleet.raw(health).await, starts_with("HTTP/1.1 200"));
+    };
+    async caller_that_takes_nothing_frees_its_slot => {
+        let engine = Backend::start(|s| {
+            let mut acts = vec![stream_head(s)];
+            for number in 1..=400 {
+                let Act::Send(small) = piece(s, number) else { unreachable!() };
+                let text = small.split_once("\r\n").map_or("", |p| p.1).trim_end_matches("\r\n");
+                let text = text.replace("\"t", &format!("\"{}", "x".repeat(100_000)));
+                acts.push(Act::Send(format!("{:x}\r\n{text}\r\n", text.len())));
+            }
+            acts.push(Act::Hang);
+            acts
+        })
+        .await;
+        let fleet = Fleet::start(&[engine.address], tight()).await;
+        let body = ask(true);
+        let request = format!("{HEAD}content-length: {}\r\n\r\n{body}", body.len());
+        let stream = fleet.open(&request).await;
+        fleet.until("the slot is given back", || !fleet.capacity.0.ends.borrow().is_empty()).await;
+        assert_that!(fleet.capacity.0.ends.borrow()[0].outcome, eq(1));
+        drop(stream);
+    };
+    async caller_who_hangs_up_has_its_work_cancelled => {
+        for streamed in [true, false] {
+            let engine = Backend::start(|s| vec![stream_head(s), piece(s, 1), Act::Hang]).await;
+            let fleet = Fleet::start(&[engine.address], RouterSettings::default()).await;
+            let body = ask(streamed);
+            let request = format!("{HEAD}content-length: {}\r\n\r\n{body}", body.len());
+            let stream = fleet.open(&request).await;
+            fleet.until("the engine works", || engine.count() == 1).await;
+            compio::time::sleep(Duration::from_millis(50)).await;
+            drop(stream);
+            fleet.until("the engine is let go", || *engine.hung_up.borrow() == 1).await;
+            assert_that!(fleet.capacity.0.ends.borrow()[0].outcome, eq(1));
+        }
+    };
+}
--- a/crates/jaylock-tests/tests/router/main.rs
+++ b/crates/jaylock-tests/tests/router/main.rs
@@ -1,6 +1,12 @@
 //! The HTTP side of an instance, against small fakes of its ports and of backend servers.
 
 mod backend;
+mod crash;
 mod fleet;
+mod leave;
+mod limits;
+mod once;
 mod paths;
+mod pieces;
 mod port;
+mod whole;
--- /dev/null
+++ b/crates/jaylock-tests/tests/router/pieces.rs
@@ -0,0 +1,137 @@
+//! Properties of the pieces: the event parser, the piece checker, the retry budget.
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use jaylock_router::{Check, Event, EventParser, PieceChecker, RetryBudget};
+use proptest::collection::vec;
+use proptest::prelude::{Just, Strategy, any, prop_assert, prop_assert_eq, prop_oneof, proptest};
+
+/// A piece as an engine or a faulty path to it might send it.
+#[derive(Debug, Clone)]
+struct Sent {
+    own: bool,
+    number: u64,
+    last: bool,
+}
+
+impl Sent {
+    fn event(&self) -> Event {
+        let id = if self.own { "a1" } else { "other" };
+        let reason = if self.last { "\"stop\"" } else { "null" };
+        let choice = format!("{{\"index\":0,\"delta\":{{}},\"finish_reason\":{reason}}}");
+        let data = format!("{{\"id\":\"{id}\",\"choices\":[{choice}]}}");
+        Event {
+            id: Some(self.number),
+            data: Bytes::from(data),
+            ..Event::default()
+        }
+    }
+}
+
+fn end() -> Event {
+    Event {
+        data: Bytes::from_static(b"[DONE]"),
+        ..Event::default()
+    }
+}
+
+fn sent() -> impl Strategy<Value = Sent> {
+    (any::<bool>(), 0..6_u64, any::<bool>()).prop_map(|(own, number, last)| Sent {
+        own,
+        number,
+        last,
+    })
+}
+
+fn event() -> impl Strategy<Value = (Option<u64>, String, Vec<String>)> {
+    let line = "[ -~]{0,12}";
+    (
+        proptest::option::of(any::<u64>()),
+        "[a-z]{0,5}",
+        vec(line, 1..3),
+    )
+}
+
+proptest! {
+    #[test]
+    fn parser_finds_the_same_events_wherever_the_bytes_are_cut(
+        events in vec(event(), 0..6),
+        cuts in vec(1..9_usize, 0..200),
+        ending in prop_oneof![Just("\n"), Just("\r\n")],
+    ) {
+        let mut text = String::new();
+        let mut expected = Vec::new();
+        for (id, kind, lines) in events {
+            let mut block = vec![": comment".to_owned(), format!("event: {kind}")];
+            block.extend(id.map(|id| format!("id: {id}")));
+            block.extend(lines.iter().map(|line| format!("data: {line}")));
+            text.push_str(&block.join(ending));
+            text.push_str(ending);
+            text.push_str(ending);
+            expected.push(Event { id, kind, data: lines.join("\n").into() });
+        }
+        let mut parser = EventParser::default();
+        let mut found = Vec::new();
+        let mut rest = text.as_bytes();
+        for cut in cuts.into_iter().chain([usize::MAX]) {
+            let (now, later) = rest.split_at(cut.min(rest.len()));
+            parser.feed(now);
+            found.extend(std::iter::from_fn(|| parser.next_event()));
+            rest = later;
+        }
+        prop_assert_eq!(found, expected);
+        prop_assert_eq!(parser.pending(), 0);
+    }
+
+    #[test]
+    fn only_own_pieces_pass_and_only_in_order(pieces in vec(sent(), 0..40), last in 0..3_u64) {
+        let mut checker = PieceChecker::new("a1", last, false);
+        let mut next = last + 1;
+        let mut finished = false;
+        for piece in pieces {
+            match checker.check(&piece.event()) {
+                Check::Pass(passed) => {
+                    prop_assert!(piece.own);
+                    prop_assert_eq!(passed.number, next);
+                    next += 1;
+                    finished |= piece.last;
+                }
+                Check::Drop => prop_assert!(!piece.own || piece.number < next),
+                Check::Broken(_) => break,
+                Check::Whole => prop_assert!(false, "no end was sent"),
+            }
+            let is_whole = checker.clone().check(&end()) == Check::Whole;
+            prop_assert_eq!(is_whole, finished);
+        }
+    }
+
+    #[test]
+    fn retries_stay_within_the_budget(
+        steps in vec(any::<bool>(), 0..300),
+        burst in 0..10_u32,
+        permille in 0..1000_u32,
+    ) {
+        let budget = RetryBudget::new(burst, permille);
+        let organisation = "shop".parse().expect("an organisation");
+        let (mut requests, mut retries) = (0_u64, 0_u64);
+        for is_request in steps {
+            if is_request {
+                requests += 1;
+                budget.earn(&organisation);
+            } else {
+                retries += u64::from(budget.spend(&organisation));
+            }
+        }
+        let earned = requests * u64::from(permille) / 1000;
+        prop_assert!(retries <= u64::from(burst) + earned);
+    }
+}
+
+#[test]
+fn one_organisation_does_not_spend_the_budget_of_another() {
+    let budget = RetryBudget::new(1, 0);
+    let [one, two] = ["one", "two"].map(|o| o.parse().expect("an organisation"));
+    assert_that!(budget.spend(&one), eq(true));
+    assert_that!(budget.spend(&one), eq(false));
+    assert_that!(budget.spend(&two), eq(true));
+}
