Tests of the stand-ins' own clients

Cause: proofs rest on backend servers that find another instance and on callers that notice a wrong answer. Ruled out: trying them on the whole fleet only, where a fault of theirs looks like one of the fleet. Change: a fake instance in tests/observe; four tests of announcing, moving on, asking again and comparing. Seen failing with the mechanism off: moving on from a dead instance, and comparing an answer with the request (one test each). Conclusion: the clients do what the published forms say.

--- a/crates/jaylock-tests/tests/observe/main.rs
+++ b/crates/jaylock-tests/tests/observe/main.rs
@@ -1,6 +1,8 @@
 //! Tests of metrics, the burn report, traces and the stand-ins.
 
 mod burn;
+mod clients;
+mod instance;
 mod metrics;
 mod minutes;
 mod report;
