Burn report: entries of many instances are sorted once

Cause: the report put each entry into a sorted list by itself; entries of a second instance fall between those of the first, so each moves half of the list. Ruled out: leaving it, because an instance may hold 60,000 entries and a fleet has many instances. Change: merged() sorts once and drops smaller copies. With dropping, or the order of sizes, switched off, the_sum_does_not_depend_on_who_holds_what fails. Conclusion: the cost of a report grows with n log n.

--- a/crates/jaylock-observe/src/burn.rs
+++ b/crates/jaylock-observe/src/burn.rs
@@ -4,7 +4,7 @@
 use jaylock_rpc::v1::{BurnMinute, Event};
 
 use crate::clock::Minute;
-use crate::minutes::{SINGLE, keep_larger};
+use crate::minutes::{SINGLE, merged};
 use crate::objective::Objective;
 use crate::tally::Tally;
 use crate::window::Window;
@@ -111,10 +111,7 @@
     /// Adds up what the instances of a fleet hold; the same entry may come from several of them.
     #[must_use]
     pub fn from(minutes: Vec<BurnMinute>, objectives: &[Objective], now_ms: u64) -> Self {
-        let mut entries = Vec::new();
-        for minute in minutes {
-            keep_larger(&mut entries, minute);
-        }
+        let entries = merged(minutes);
         let mut pairs: Vec<(&str, &str)> = entries.iter().map(pair).collect();
         pairs.sort_unstable();
         pairs.dedup();
--- a/crates/jaylock-observe/src/minutes.rs
+++ b/crates/jaylock-observe/src/minutes.rs
@@ -142,6 +142,17 @@
     }
 }
 
+/// Sorts entries of many instances; of several for the same the largest stays.
+pub fn merged(mut minutes: Vec<BurnMinute>) -> Vec<BurnMinute> {
+    let larger_first = |one: &BurnMinute, other: &BurnMinute| total(other).cmp(&total(one));
+    minutes.sort_unstable_by(|one, other| {
+        let by_key = key(one).cmp(&key(other));
+        by_key.then_with(|| larger_first(one, other))
+    });
+    minutes.dedup_by(|later, first| key(later) == key(first));
+    minutes
+}
+
 type Key<'a> = (u64, u32, &'a str, &'a str, &'a str, u64);
 
 fn key(minute: &BurnMinute) -> Key<'_> {
