A late release of a claim leaves the claim of a later request

Cause: a claim that control did not confirm in time is given back by a task that goes on until control hears it. When the claim never reached the log, a resend through the same router may take the key and run meanwhile; the late release then removed the claim of the run, and the next resend ran a second time. Found by reading. Ruled out: waiting for the release before a resend is let in; the caller would wait for control twice. Change: ReleaseClaim names its request, and the log releases only the claim of that request; the router sends it.

--- a/crates/jaylock-control/src/state/claims.rs
+++ b/crates/jaylock-control/src/state/claims.rs
@@ -150,6 +150,10 @@
         if record.router != release.router || record.incarnation != release.incarnation {
             return Err("another router holds the claim".into());
         }
+        // A release that was held up may come after a later request of its router took the key.
+        if record.request != release.request {
+            return Ok(Applied::Done(Done {}));
+        }
         if record.outcome.is_some() {
             return Err("the claim is settled".into());
         }
--- a/crates/jaylock-router/src/claim.rs
+++ b/crates/jaylock-router/src/claim.rs
@@ -27,6 +27,7 @@
     shared: Rc<Shared>,
     organisation: String,
     key: String,
+    request: RequestId,
 }
 
 /// What a claim led to.
@@ -64,6 +65,7 @@
             shared: shared.clone(),
             organisation: call.organisation.to_string(),
             key: key.clone(),
+            request: call.request.clone(),
         };
         let claim = Claim {
             organisation: held.organisation.clone(),
@@ -112,6 +114,7 @@
             key: self.key,
             router: self.shared.identity.instance.to_string(),
             incarnation: self.shared.identity.incarnation.0,
+            request: self.request.into(),
         };
         let body = CommandBody::ReleaseClaim(release);
         drop(proposal::commit(&self.shared, body));
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -6,4 +6,5 @@
 mod fleet;
 mod group;
 mod losses;
+mod releases;
 mod whole;
