--- a/crates/jaylock-operator/src/bin/jaylock/arguments.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/arguments.rs
@@ -58,35 +58,6 @@
     clap_complete::generate(shell, &mut command(), "jaylock", &mut io::stdout());
 }
 
-/// The commands create, update, remove and list of things that operators name.
-pub fn noun_command<T>(
-    noun: &'static str,
-    about: &'static str,
-    create: impl IntoIterator<Item = Arg>,
-    update: impl IntoIterator<Item = Arg>,
-) -> Command
-where
-    T: FromStr + Clone + Send + Sync + 'static,
-    T::Err: std::error::Error + Send + Sync + 'static,
-{
-    let named = |name: &'static str| Command::new(name).arg(name_argument::<T>());
-    Command::new(noun)
-        .about(about)
-        .subcommand_required(true)
-        .subcommand(
-            named("create")
-                .about("Adds one under a new name")
-                .args(create),
-        )
-        .subcommand(
-            named("update")
-                .about("Changes what is given and leaves the rest")
-                .args(update),
-        )
-        .subcommand(named("remove").about("Removes it"))
-        .subcommand(Command::new("list").about("Lists all"))
-}
-
 /// An obligatory name in the place of a positional argument.
 pub fn name_argument<T>() -> Arg
 where
--- a/crates/jaylock-operator/src/bin/jaylock/change.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/change.rs
@@ -14,24 +14,6 @@
     pub objection: Option<String>,
 }
 
-impl Edit {
-    /// Puts something new in place; objects when it is there already.
-    pub fn create(body: Body, kind: &str, id: &str, exists: bool) -> Self {
-        let objection = exists.then(|| {
-            format!("{kind} {id} exists already: choose another name, or change it with update")
-        });
-        Self { body, objection }
-    }
-
-    /// Changes something that is there.
-    pub fn update(body: Body) -> Self {
-        Self {
-            body,
-            objection: None,
-        }
-    }
-}
-
 /// The failure of an update of something that is not there.
 pub fn absent(kind: &str, id: &str) -> Failure {
     Failure::Refused(format!(
@@ -51,17 +33,10 @@
 /// Reads the configuration, works out a change, and makes it on just that configuration.
 ///
 /// When another change comes first, it is worked out again, unless the operator named a revision.
+/// `more` is printed on success.
 pub async fn edit(
     session: &Session,
     plan: impl Fn(&v1::Configuration) -> Result<Edit>,
-) -> Result<Output> {
-    edit_with(session, plan, &[]).await
-}
-
-/// Like [`edit`], with more to print on success.
-pub async fn edit_with(
-    session: &Session,
-    plan: impl Fn(&v1::Configuration) -> Result<Edit>,
     more: &[(&'static str, Cell)],
 ) -> Result<Output> {
     let base = base_id(session);
--- a/crates/jaylock-operator/src/bin/jaylock/config.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/config.rs
@@ -4,9 +4,10 @@
 use jaylock_rpc::v1;
 
 use crate::failure::{Failure, Result};
+use crate::instance;
 use crate::output::{Cell, Listing, Output, Record};
+use crate::resource::listing;
 use crate::session::Session;
-use crate::{adapter, instance, model, organisation, service};
 
 /// Name of the commands on the configuration.
 pub const NOUN: &str = "config";
@@ -71,11 +72,11 @@
         ("configuration", Output::Record(head)),
         (
             "organisations",
-            Output::Listing(organisation::listing(config)),
+            Output::Listing(listing::<v1::Organisation>(config)),
         ),
-        ("models", Output::Listing(model::listing(config))),
-        ("adapters", Output::Listing(adapter::listing(config))),
-        ("services", Output::Listing(service::listing(config))),
+        ("models", Output::Listing(listing::<v1::Model>(config))),
+        ("adapters", Output::Listing(listing::<v1::Adapter>(config))),
+        ("services", Output::Listing(listing::<v1::Service>(config))),
         ("drains", Output::Listing(drains(config))),
         ("instances", Output::Listing(instance::listing(config, &[]))),
         ("pools", Output::Listing(pools(config))),
--- a/crates/jaylock-operator/src/bin/jaylock/failure.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/failure.rs
@@ -25,7 +25,7 @@
     /// No instance could be asked.
     #[error("{reason}: check the addresses given with --instance, or ask again later")]
     NotReached {
-        /// Last thing that was tried.
+        /// Last failure that was seen.
         reason: String,
     },
     /// A change may have been made or not.
@@ -33,7 +33,7 @@
         "{reason}: the change may be in force or not; repeat the same command with {advice}, which never makes it twice"
     )]
     Unknown {
-        /// Last thing that was tried.
+        /// Last failure that was seen.
         reason: String,
         /// Options to repeat with.
         advice: String,
--- a/crates/jaylock-operator/src/bin/jaylock/main.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/main.rs
@@ -3,6 +3,7 @@
 mod adapter;
 mod arguments;
 mod backend;
+mod burn;
 mod change;
 mod config;
 mod explain;
@@ -14,6 +15,7 @@
 mod output;
 mod pool;
 mod report;
+mod resource;
 mod service;
 mod session;
 
@@ -21,9 +23,11 @@
 use std::process::ExitCode;
 
 use clap::ArgMatches;
+use jaylock_rpc::v1;
 
 use self::failure::{Failure, Result};
 use self::output::Output;
+use self::resource::Resource;
 use self::session::Session;
 
 fn main() -> ExitCode {
@@ -42,10 +46,10 @@
 async fn run(matches: &ArgMatches) -> Result<Output> {
     let session = Session::from_matches(matches)?;
     match matches.subcommand() {
-        Some((organisation::NOUN, chosen)) => organisation::run(&session, chosen).await,
-        Some((model::NOUN, chosen)) => model::run(&session, chosen).await,
-        Some((adapter::NOUN, chosen)) => adapter::run(&session, chosen).await,
-        Some((service::NOUN, chosen)) => service::run(&session, chosen).await,
+        Some((v1::Organisation::NOUN, chosen)) => organisation::run(&session, chosen).await,
+        Some((v1::Model::NOUN, chosen)) => resource::run::<v1::Model>(&session, chosen).await,
+        Some((v1::Adapter::NOUN, chosen)) => resource::run::<v1::Adapter>(&session, chosen).await,
+        Some((v1::Service::NOUN, chosen)) => resource::run::<v1::Service>(&session, chosen).await,
         Some((backend::NOUN, chosen)) => backend::run(&session, chosen).await,
         Some((instance::NOUN, _)) => instance::list(&session).await,
         Some((pool::NOUN, chosen)) => pool::run(&session, chosen).await,
--- a/crates/jaylock-operator/src/bin/jaylock/organisation.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/organisation.rs
@@ -1,104 +1,97 @@
 use clap::builder::ValueParser;
 use clap::{Arg, ArgAction, ArgMatches, Command};
-use jaylock_rpc::v1;
 use jaylock_rpc::v1::command::Body;
+use jaylock_rpc::v1::{Configuration, Organisation};
 use jaylock_types::OrganisationId;
 
-use crate::arguments::{name, noun_command, number, number_option};
-use crate::change::{Edit, absent, apply, edit_with};
+use crate::arguments::{number, number_option};
+use crate::change::edit;
 use crate::failure::Result;
-use crate::keys::{self, Keys};
-use crate::output::{Cell, Listing, Output};
+use crate::keys::{self, NEW_KEY};
+use crate::output::{Cell, Output};
+use crate::resource::{self, Resource, created, held, updated};
 use crate::session::Session;
 
-/// Name of the commands on organisations.
-pub const NOUN: &str = "organisation";
-
 /// The commands on organisations.
 pub fn command() -> Command {
-    let about = "Customers whose callers share the fleet";
     let ending = key_option("remove-key").help("Key of its callers that ends; repeatable");
     let update = options().into_iter().chain([ending]);
-    noun_command::<OrganisationId>(NOUN, about, options(), update)
+    resource::command::<Organisation>(options(), update)
 }
 
 /// Runs one of the commands.
 pub async fn run(session: &Session, matches: &ArgMatches) -> Result<Output> {
-    match matches.subcommand() {
-        Some(("create", chosen)) => {
-            put(session, chosen, |config, keys| {
-                Ok(create(config, chosen, keys))
-            })
-            .await
-        }
-        Some(("update", chosen)) => {
-            put(session, chosen, |config, keys| update(config, chosen, keys)).await
+    let Some((verb, chosen)) = matches.subcommand() else {
+        return resource::list::<Organisation>(session).await;
+    };
+    let is_asked = matches!(verb, "create" | "update") && chosen.get_flag(NEW_KEY);
+    if !is_asked {
+        return resource::run::<Organisation>(session, matches).await;
+    }
+    keys::check_resend(session.command_id.as_ref())?;
+    let key = keys::random();
+    let plan = |config: &Configuration| {
+        let mut edit = match verb {
+            "create" => created::<Organisation>(config, chosen),
+            _ => updated::<Organisation>(config, chosen)?,
+        };
+        if let Body::PutOrganisation(organisation) = &mut edit.body {
+            add(&mut organisation.key_hashes, keys::hash(&key));
         }
-        Some(("remove", chosen)) => {
-            let id = name::<OrganisationId>(chosen);
-            apply(session, Body::RemoveOrganisation(id)).await
+        Ok(edit)
+    };
+    let outcome = edit(session, plan, &[("key", key.as_str().into())]).await;
+    outcome.map_err(|failure| keys::explain(failure, &key))
+}
+
+impl Resource for Organisation {
+    type Id = OrganisationId;
+    const NOUN: &'static str = "organisation";
+    const ABOUT: &'static str = "Customers whose callers share the fleet";
+    const COLUMNS: &'static [&'static str] = &["id", "weight", "keys", "queue_limit"];
+
+    held!(organisations, PutOrganisation, RemoveOrganisation);
+
+    fn new(id: String) -> Self {
+        Self {
+            id,
+            weight: 1,
+            ..Self::default()
         }
-        _ => session
-            .configuration()
-            .await
-            .map(|config| Output::Listing(listing(&config))),
     }
-}
 
-/// The organisations of a configuration.
-pub fn listing(config: &v1::Configuration) -> Listing {
-    let mut listing = Listing::new(&["id", "weight", "keys", "queue_limit"]);
-    for organisation in &config.organisations {
-        listing.push(vec![
-            organisation.id.as_str().into(),
-            organisation.weight.into(),
-            Cell::Number(organisation.key_hashes.len() as u64),
-            organisation.queue_limit.into(),
-        ]);
+    fn changed(mut self, matches: &ArgMatches) -> Self {
+        self.weight = number(matches, "weight").unwrap_or(self.weight);
+        self.queue_limit = number(matches, "queue-limit").unwrap_or(self.queue_limit);
+        for hash in hashes(matches, "key") {
+            add(&mut self.key_hashes, hash);
+        }
+        let removed: Vec<_> = hashes(matches, "remove-key").collect();
+        self.key_hashes.retain(|hash| !removed.contains(hash));
+        self
     }
-    listing
-}
 
-async fn put(
-    session: &Session,
-    matches: &ArgMatches,
-    plan: impl Fn(&v1::Configuration, &Keys) -> Result<Edit>,
-) -> Result<Output> {
-    keys::check_resend(matches, session.command_id.as_ref())?;
-    let keys = Keys::from_matches(matches);
-    let made = keys.made.as_deref().map(|key| ("key", key.into()));
-    let more: Vec<_> = made.into_iter().collect();
-    let outcome = edit_with(session, |config| plan(config, &keys), &more).await;
-    outcome.map_err(|failure| keys.explain(failure))
+    fn row(&self) -> Vec<Cell> {
+        vec![
+            self.id.as_str().into(),
+            self.weight.into(),
+            Cell::Number(self.key_hashes.len() as u64),
+            self.queue_limit.into(),
+        ]
+    }
 }
 
-fn create(config: &v1::Configuration, matches: &ArgMatches, keys: &Keys) -> Edit {
-    let id = name::<OrganisationId>(matches);
-    let exists = config.organisations.iter().any(|o| o.id == id);
-    let organisation = v1::Organisation {
-        id: id.clone(),
-        weight: number(matches, "weight").unwrap_or(1),
-        key_hashes: keys.hashes.clone(),
-        queue_limit: number(matches, "queue-limit").unwrap_or_default(),
-    };
-    Edit::create(Body::PutOrganisation(organisation), NOUN, &id, exists)
+/// Hashes of the keys that an option gives; none when the command has no such option.
+fn hashes(matches: &ArgMatches, option: &str) -> impl Iterator<Item = Vec<u8>> {
+    let given = matches.try_get_many::<String>(option).ok().flatten();
+    given.unwrap_or_default().map(|key| keys::hash(key))
 }
 
-fn update(config: &v1::Configuration, matches: &ArgMatches, keys: &Keys) -> Result<Edit> {
-    let id = name::<OrganisationId>(matches);
-    let known = config.organisations.iter().find(|o| o.id == id);
-    let mut organisation = known.ok_or_else(|| absent(NOUN, &id))?.clone();
-    organisation.weight = number(matches, "weight").unwrap_or(organisation.weight);
-    let limit = number(matches, "queue-limit");
-    organisation.queue_limit = limit.unwrap_or(organisation.queue_limit);
-    let removed = matches.get_many::<String>("remove-key").unwrap_or_default();
-    let removed: Vec<_> = removed.map(|key| keys::hash(key)).collect();
-    let hashes = &mut organisation.key_hashes;
-    hashes.extend(keys.hashes.iter().cloned());
-    hashes.retain(|hash| !removed.contains(hash));
-    hashes.sort();
-    hashes.dedup();
-    Ok(Edit::update(Body::PutOrganisation(organisation)))
+/// Adds a hash to a sorted list, once.
+fn add(hashes: &mut Vec<Vec<u8>>, hash: Vec<u8>) {
+    if let Err(at) = hashes.binary_search(&hash) {
+        hashes.insert(at, hash);
+    }
 }
 
 fn options() -> [Arg; 4] {
@@ -112,8 +105,8 @@
             "Requests that may wait in a pool; 0 takes the default",
         ),
         key_option("key").help("Key of its callers; only its hash is sent; repeatable"),
-        Arg::new("new-key")
-            .long("new-key")
+        Arg::new(NEW_KEY)
+            .long(NEW_KEY)
             .action(ArgAction::SetTrue)
             .help("Makes a key and prints it this once"),
     ]
--- a/crates/jaylock-operator/src/bin/jaylock/output.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/output.rs
@@ -6,6 +6,13 @@
     Record(Record),
     /// Rows of the same shape.
     Listing(Listing),
+    /// Rows that people see in a form of their own.
+    Shown {
+        /// What people see.
+        text: String,
+        /// What programs see.
+        listing: Listing,
+    },
     /// Parts under headings.
     Parts(Vec<(&'static str, Output)>),
     /// The output and a warning about instances that did not answer.
@@ -26,6 +33,7 @@
         match self {
             Self::Record(record) => record.text(),
             Self::Listing(listing) => listing.text(),
+            Self::Shown { text, .. } => text.clone(),
             Self::Parts(parts) => {
                 let texts = parts
                     .iter()
@@ -46,7 +54,7 @@
     fn value(&self) -> Value {
         match self {
             Self::Record(record) => record.value(),
-            Self::Listing(listing) => listing.value(),
+            Self::Listing(listing) | Self::Shown { listing, .. } => listing.value(),
             Self::Parts(parts) => {
                 let members = parts
                     .iter()
--- a/crates/jaylock-operator/src/bin/jaylock/report.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/report.rs
@@ -1,9 +1,11 @@
+use std::path::PathBuf;
 use std::time::{Duration, UNIX_EPOCH};
 
-use clap::{ArgMatches, Command};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use jaylock_rpc::v1;
 
 use crate::arguments::{number, number_option};
+use crate::burn;
 use crate::failure::Result;
 use crate::output::{Listing, Output};
 use crate::session::Session;
@@ -14,9 +16,19 @@
 /// The commands that report on the fleet.
 pub fn command() -> Command {
     let most = number_option("most", "Newest entries to show, 50 by default");
+    let html = Arg::new("html")
+        .long("html")
+        .value_name("FILE")
+        .help("Writes the report as one page with plots, too")
+        .value_parser(value_parser!(PathBuf));
     Command::new(NOUN)
         .about("Reports on what the fleet did")
         .subcommand_required(true)
+        .subcommand(
+            Command::new("burn")
+                .about("Shows how service-level budgets burn, and what burnt them")
+                .arg(html),
+        )
         .subcommand(
             Command::new("events")
                 .about("Shows the record of repairs")
@@ -27,6 +39,7 @@
 /// Runs one of the commands.
 pub async fn run(session: &Session, matches: &ArgMatches) -> Result<Output> {
     match matches.subcommand() {
+        Some(("burn", chosen)) => burn::report(session, chosen.get_one("html")).await,
         Some((_, chosen)) => {
             let most = number(chosen, "most").unwrap_or(MOST_EVENTS);
             list_events(session, most).await
@@ -49,7 +62,7 @@
 }
 
 /// The newest entries of the record of repairs, oldest first.
-async fn events(session: &Session, most: u32) -> Result<Vec<v1::Event>> {
+pub async fn events(session: &Session, most: u32) -> Result<Vec<v1::Event>> {
     let request = v1::EventsRequest { most };
     let call = session.call(async |mut client| client.list_events(request).await);
     Ok(call.await?.events)
--- a/crates/jaylock-operator/src/bin/jaylock/service.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/service.rs
@@ -1,88 +1,50 @@
 use clap::builder::ValueParser;
 use clap::{Arg, ArgAction, ArgMatches, Command};
-use jaylock_rpc::v1;
-use jaylock_rpc::v1::command::Body;
+use jaylock_rpc::v1::{RepeatableRoute, Service};
 use jaylock_types::ServiceId;
 
-use crate::arguments::{name, noun_command};
-use crate::change::{Edit, absent, apply, edit};
-use crate::failure::Result;
-use crate::output::{Listing, Output};
-use crate::session::Session;
-
-/// Name of the commands on plain services.
-pub const NOUN: &str = "service";
+use crate::output::Cell;
+use crate::resource::{self, Resource, held};
 
 /// The commands on plain services.
 pub fn command() -> Command {
-    let about = "Plain services, reached under /services/ID/";
     let none = Arg::new("none-repeatable")
         .long("none-repeatable")
         .action(ArgAction::SetTrue)
         .help("Ends the list of calls that may be repeated");
-    let update = [repeatable(), none];
-    noun_command::<ServiceId>(NOUN, about, [repeatable()], update)
+    resource::command::<Service>([repeatable()], [repeatable(), none])
 }
 
-/// Runs one of the commands.
-pub async fn run(session: &Session, matches: &ArgMatches) -> Result<Output> {
-    match matches.subcommand() {
-        Some(("create", chosen)) => edit(session, |config| Ok(create(config, chosen))).await,
-        Some(("update", chosen)) => edit(session, |config| update(config, chosen)).await,
-        Some(("remove", chosen)) => {
-            apply(session, Body::RemoveService(name::<ServiceId>(chosen))).await
+impl Resource for Service {
+    type Id = ServiceId;
+    const NOUN: &'static str = "service";
+    const ABOUT: &'static str = "Plain services, reached under /services/ID/";
+    const COLUMNS: &'static [&'static str] = &["id", "repeatable"];
+
+    held!(services, PutService, RemoveService);
+
+    fn new(id: String) -> Self {
+        Self {
+            id,
+            ..Self::default()
         }
-        _ => session
-            .configuration()
-            .await
-            .map(|config| Output::Listing(listing(&config))),
     }
-}
 
-/// The plain services of a configuration.
-pub fn listing(config: &v1::Configuration) -> Listing {
-    let mut listing = Listing::new(&["id", "repeatable"]);
-    for service in &config.services {
-        let routes = service.repeatable.iter().map(|route| {
-            let method = if route.method.is_empty() {
-                ANY
-            } else {
-                &route.method
-            };
-            format!("{method}:{}", route.prefix)
-        });
-        listing.push(vec![
-            service.id.as_str().into(),
-            routes.collect::<Vec<_>>().into(),
-        ]);
+    fn changed(self, matches: &ArgMatches) -> Self {
+        let given = matches.get_many::<RepeatableRoute>("repeatable");
+        let ended = matches.try_get_one("none-repeatable").ok().flatten() == Some(&true);
+        let repeatable = match given {
+            Some(routes) => routes.cloned().collect(),
+            None if ended => Vec::new(),
+            None => self.repeatable,
+        };
+        Self { repeatable, ..self }
     }
-    listing
-}
 
-fn create(config: &v1::Configuration, matches: &ArgMatches) -> Edit {
-    let id = name::<ServiceId>(matches);
-    let exists = config.services.iter().any(|s| s.id == id);
-    let service = v1::Service {
-        id: id.clone(),
-        repeatable: routes(matches),
-    };
-    Edit::create(Body::PutService(service), NOUN, &id, exists)
-}
-
-fn update(config: &v1::Configuration, matches: &ArgMatches) -> Result<Edit> {
-    let id = name::<ServiceId>(matches);
-    let known = config.services.iter().find(|s| s.id == id);
-    let mut service = known.ok_or_else(|| absent(NOUN, &id))?.clone();
-    let given = routes(matches);
-    if matches.get_flag("none-repeatable") || !given.is_empty() {
-        service.repeatable = given;
+    fn row(&self) -> Vec<Cell> {
+        let routes = self.repeatable.iter().map(written);
+        vec![self.id.as_str().into(), Cell::List(routes.collect())]
     }
-    Ok(Edit::update(Body::PutService(service)))
-}
-
-fn routes(matches: &ArgMatches) -> Vec<v1::RepeatableRoute> {
-    let given = matches.get_many::<v1::RepeatableRoute>("repeatable");
-    given.unwrap_or_default().cloned().collect()
 }
 
 fn repeatable() -> Arg {
@@ -91,10 +53,10 @@
         .value_name("METHOD:PREFIX")
         .action(ArgAction::Append)
         .value_parser(ValueParser::new(route))
-        .help("Calls that may be repeated, such as GET:/cases/ or *:/search; all others run at most once")
+        .help("Calls that may be repeated, as GET:/cases/ or *:/search; others run at most once")
 }
 
-fn route(text: &str) -> Result<v1::RepeatableRoute, String> {
+fn route(text: &str) -> Result<RepeatableRoute, String> {
     let remedy = || String::from("write METHOD:PREFIX such as GET:/cases/, or * for each method");
     let (method, prefix) = text.split_once(':').ok_or_else(remedy)?;
     let known = method == ANY || METHODS.contains(&method);
@@ -102,12 +64,20 @@
         return Err(remedy());
     }
     let method = if method == ANY { "" } else { method };
-    Ok(v1::RepeatableRoute {
+    Ok(RepeatableRoute {
         method: method.into(),
         prefix: prefix.into(),
     })
 }
 
+fn written(route: &RepeatableRoute) -> String {
+    let method = match route.method.as_str() {
+        "" => ANY,
+        method => method,
+    };
+    format!("{method}:{}", route.prefix)
+}
+
 /// Stands for each method.
 const ANY: &str = "*";
 
--- a/crates/jaylock-settings/src/check.rs
+++ b/crates/jaylock-settings/src/check.rs
@@ -20,6 +20,11 @@
         let remedy = "another port than that of caller_address";
         return conflict::<InstanceSettings>(document, "peer_address", value, remedy);
     }
+    if own.caller_listen() == own.peer_listen() {
+        let value = own.peer_listen();
+        let remedy = "another port than that for callers";
+        return conflict::<InstanceSettings>(document, "peer_listen", value, remedy);
+    }
     Ok(())
 }
 
--- a/crates/jaylock-settings/src/instance.rs
+++ b/crates/jaylock-settings/src/instance.rs
@@ -17,12 +17,30 @@
     pub caller_address: SocketAddr,
     /// Where other instances and operators connect.
     pub peer_address: SocketAddr,
+    /// Where it listens for callers when they reach it through another address.
+    pub caller_listen: Option<SocketAddr>,
+    /// Where it listens for other instances when they reach it through another address.
+    pub peer_listen: Option<SocketAddr>,
     /// Folder for the system's own state; without one the instance holds no replica of the log.
     pub data: Option<PathBuf>,
     /// Where metrics are read; nowhere when unset.
     pub metrics_address: Option<SocketAddr>,
 }
 
+impl InstanceSettings {
+    /// Where the instance listens for callers and backend servers.
+    #[must_use]
+    pub fn caller_listen(&self) -> SocketAddr {
+        self.caller_listen.unwrap_or(self.caller_address)
+    }
+
+    /// Where the instance listens for other instances and operators.
+    #[must_use]
+    pub fn peer_listen(&self) -> SocketAddr {
+        self.peer_listen.unwrap_or(self.peer_address)
+    }
+}
+
 impl Default for InstanceSettings {
     fn default() -> Self {
         Self {
@@ -30,6 +48,8 @@
             domain: "local".parse().expect("a valid name"),
             caller_address: SocketAddr::from(([127, 0, 0, 1], 7080)),
             peer_address: SocketAddr::from(([127, 0, 0, 1], 7090)),
+            caller_listen: None,
+            peer_listen: None,
             data: None,
             metrics_address: None,
         }
@@ -47,6 +67,12 @@
         Key::obligatory("peer_address", ADDRESS, |s, v| {
             address(v).map(|a| s.peer_address = a)
         }),
+        Key::optional("caller_listen", LISTEN, |s, v| {
+            listen(v).map(|a| s.caller_listen = Some(a))
+        }),
+        Key::optional("peer_listen", LISTEN, |s, v| {
+            listen(v).map(|a| s.peer_listen = Some(a))
+        }),
         Key::optional("data", "the path of a folder", |s, v| {
             (!v.is_empty()).then(|| s.data = Some(v.into()))
         }),
@@ -62,5 +88,14 @@
     (!address.ip().is_unspecified() && address.port() != 0).then_some(address)
 }
 
+/// Reads an address to listen on, which may stand for every interface.
+fn listen(text: &str) -> Option<SocketAddr> {
+    let address: SocketAddr = text.parse().ok()?;
+    (address.port() != 0).then_some(address)
+}
+
+/// What an address to listen on looks like.
+const LISTEN: &str = "an IP address with a port, such as 0.0.0.0:7080";
+
 /// What a name looks like.
 const NAME: &str = "1 to 64 letters, digits, dots, dashes, underscores or colons";
--- /dev/null
+++ b/crates/jaylock-tests/src/fleet/http.rs
@@ -0,0 +1,74 @@
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// Time for a whole answer.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// An answer over HTTP/1.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Status code; 0 when the answer can't be read.
+    pub status: u16,
+    /// Status line and headers, in lower case.
+    pub head: String,
+    /// The body as it was sent.
+    pub body: String,
+}
+
+impl Answer {
+    /// The value of a header.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines().filter_map(|line| line.split_once(':'));
+        lines
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value.trim())
+    }
+}
+
+/// Sends bytes to an address and reads until the other side closes or a while has passed.
+///
+/// # Errors
+/// When no connection can be opened or nothing comes back.
+pub fn exchange(address: SocketAddr, bytes: &[u8]) -> io::Result<Answer> {
+    let mut stream = TcpStream::connect_timeout(&address, LIMIT)?;
+    stream.set_read_timeout(Some(LIMIT))?;
+    // The other side may refuse and close before it has read everything.
+    let _ = stream.write_all(bytes);
+    let mut read = Vec::new();
+    let outcome = stream.read_to_end(&mut read);
+    if read.is_empty() {
+        outcome?;
+    }
+    let text = String::from_utf8_lossy(&read);
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let status = head.split(' ').nth(1).and_then(|code| code.parse().ok());
+    Ok(Answer {
+        status: status.unwrap_or_default(),
+        head: head.to_ascii_lowercase(),
+        body: body.to_owned(),
+    })
+}
+
+/// Asks for a path.
+///
+/// # Errors
+/// When no connection can be opened or nothing comes back.
+pub fn get(address: SocketAddr, path: &str) -> io::Result<Answer> {
+    let text = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
+    exchange(address, text.as_bytes())
+}
+
+/// Sends a JSON body to a path, under an organisation's key.
+///
+/// # Errors
+/// When no connection can be opened or nothing comes back.
+pub fn post(address: SocketAddr, path: &str, key: &str, body: &str) -> io::Result<Answer> {
+    let length = body.len();
+    let text = format!(
+        "POST {path} HTTP/1.1\r\nhost: {address}\r\nauthorization: Bearer {key}\r\n\
+         content-type: application/json\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
+    );
+    exchange(address, text.as_bytes())
+}
--- /dev/null
+++ b/crates/jaylock-tests/src/fleet/mod.rs
@@ -0,0 +1,303 @@
+mod forward;
+mod http;
+mod ports;
+mod process;
+mod tool;
+
+pub use self::http::{Answer, exchange, get, post};
+pub use self::ports::free_address;
+pub use self::process::Process;
+pub use self::tool::{Outcome, run_tool};
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use tempfile::TempDir;
+
+use self::forward::{Network, forward};
+
+/// Secret of the operators of a test fleet.
+pub const OPERATOR_SECRET: &str = "operators-of-a-test";
+
+/// What a test fleet looks like.
+#[derive(Debug, Clone)]
+pub struct FleetSettings {
+    /// Instances, named `i0`, `i1` and so on.
+    pub instances: usize,
+    /// Failure domains, over which the instances go round.
+    pub domains: usize,
+    /// The first so many instances have a data folder.
+    pub disks: usize,
+    /// The first so many instances hold a replica at the first start.
+    pub replicas: usize,
+    /// Whether instances reach each other through forwarders that can cut.
+    pub is_forwarded: bool,
+    /// Lines added to the section `[control]`.
+    pub control: &'static str,
+    /// Further sections.
+    pub more: &'static str,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            instances: 4,
+            domains: 3,
+            disks: 3,
+            replicas: 3,
+            is_forwarded: false,
+            control: "",
+            more: "",
+        }
+    }
+}
+
+/// Instances of `jaylockd` as processes of their own; they end with the test.
+pub struct Fleet {
+    folder: TempDir,
+    addresses: Vec<Addresses>,
+    processes: Vec<Option<Process>>,
+    network: Arc<Mutex<Network>>,
+}
+
+#[derive(Clone, Copy)]
+struct Addresses {
+    caller: SocketAddr,
+    peer: SocketAddr,
+    listen: SocketAddr,
+}
+
+impl Fleet {
+    /// Writes the settings of all instances and starts them.
+    ///
+    /// # Panics
+    /// When one can't be started.
+    #[must_use]
+    pub fn start(settings: &FleetSettings) -> Self {
+        let mut fleet = Self::prepare(settings);
+        for place in 0..settings.instances {
+            fleet.run(place);
+        }
+        fleet
+    }
+
+    /// Writes the settings of all instances and starts none.
+    ///
+    /// # Panics
+    /// When they can't be written.
+    #[must_use]
+    pub fn prepare(settings: &FleetSettings) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let all = 0..settings.instances;
+        let addresses: Vec<Addresses> = all.clone().map(|_| Addresses::pick(settings)).collect();
+        for place in all.clone() {
+            let text = written(settings, &addresses, place);
+            let path = folder.path().join(format!("i{place}.ini"));
+            fs::write(path, text).expect("the settings are written");
+        }
+        let network = Network {
+            pids: vec![0; settings.instances],
+            cut: vec![false; settings.instances],
+        };
+        let network = Arc::new(Mutex::new(network));
+        for (place, own) in addresses.iter().enumerate() {
+            if settings.is_forwarded {
+                forward(&network, own.peer, own.listen, place);
+            }
+        }
+        Self {
+            folder,
+            addresses,
+            processes: all.map(|_| None).collect(),
+            network,
+        }
+    }
+
+    /// Starts an instance that is down.
+    pub fn run(&mut self, place: usize) {
+        let (file, log) = (format!("i{place}.ini"), format!("i{place}.log"));
+        let arguments = ["--settings", file.as_str()];
+        let process = Process::start("jaylockd", &arguments, self.folder.path(), &log);
+        self.note(place, process.pid());
+        self.processes[place] = Some(process);
+    }
+
+    /// Ends an instance without warning.
+    pub fn kill(&mut self, place: usize) {
+        self.note(place, 0);
+        if let Some(process) = self.processes[place].take() {
+            process.kill();
+        }
+    }
+
+    /// Stops an instance gracefully; tells whether it ended in time.
+    pub fn stop(&mut self, place: usize, limit: Duration) -> bool {
+        let Some(mut process) = self.processes[place].take() else {
+            return true;
+        };
+        process.signal("TERM");
+        let status = process.wait(limit);
+        self.note(place, 0);
+        status.is_some_and(|status| status.success())
+    }
+
+    fn note(&self, place: usize, pid: u32) {
+        let mut network = self.network.lock().unwrap_or_else(PoisonError::into_inner);
+        network.pids[place] = pid;
+    }
+
+    /// Freezes an instance.
+    pub fn freeze(&self, place: usize) {
+        self.process(place).signal("STOP");
+    }
+
+    /// Lets a frozen instance go on.
+    pub fn thaw(&self, place: usize) {
+        self.process(place).signal("CONT");
+    }
+
+    /// Cuts an instance off from all others in silence, or ends the cut.
+    ///
+    /// # Panics
+    /// When another thread failed.
+    pub fn set_cut(&self, place: usize, is_cut: bool) {
+        self.network.lock().expect("a lock").cut[place] = is_cut;
+    }
+
+    /// Deletes the data folder of an instance that is down.
+    ///
+    /// # Panics
+    /// When there is none.
+    pub fn lose_disk(&self, place: usize) {
+        assert!(self.processes[place].is_none(), "i{place} is down");
+        fs::remove_dir_all(self.data(place)).expect("a data folder");
+    }
+
+    /// The data folder of an instance.
+    #[must_use]
+    pub fn data(&self, place: usize) -> PathBuf {
+        self.folder.path().join(format!("data/i{place}"))
+    }
+
+    /// Where callers reach an instance.
+    #[must_use]
+    pub fn caller(&self, place: usize) -> SocketAddr {
+        self.addresses[place].caller
+    }
+
+    /// Where other instances reach an instance.
+    #[must_use]
+    pub fn peer(&self, place: usize) -> SocketAddr {
+        self.addresses[place].peer
+    }
+
+    /// What an instance has printed over all its starts.
+    #[must_use]
+    pub fn log(&self, place: usize) -> String {
+        let path = self.folder.path().join(format!("i{place}.log"));
+        fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// The process of an instance that runs.
+    ///
+    /// # Panics
+    /// When it is down.
+    #[must_use]
+    pub fn process(&self, place: usize) -> &Process {
+        self.processes[place].as_ref().expect("the instance runs")
+    }
+
+    /// Runs the tool against all instances.
+    #[must_use]
+    pub fn tool(&self, arguments: &[&str]) -> Outcome {
+        let all: Vec<usize> = (0..self.addresses.len()).collect();
+        self.tool_at(&all, arguments)
+    }
+
+    /// Runs the tool against some instances.
+    #[must_use]
+    pub fn tool_at(&self, places: &[usize], arguments: &[&str]) -> Outcome {
+        // Operators come from outside, so no cut between the instances holds them up.
+        let listens: Vec<SocketAddr> = places.iter().map(|p| self.addresses[*p].listen).collect();
+        run_tool(&listens, OPERATOR_SECRET, arguments)
+    }
+
+    /// Waits until every given instance is alive and has the newest revision in force.
+    pub fn wait_in_force(&self, places: &[usize]) {
+        wait_until("all instances have the newest revision", || {
+            let listed = self.tool_at(places, &["--json", "instance", "list"]).json();
+            let newest = self.tool_at(places, &["--json", "config", "show"]).json();
+            let newest = &newest["configuration"]["revision"];
+            let has_newest = |place: &usize| {
+                let id = format!("i{place}");
+                let rows = listed.as_array().map_or(&[][..], Vec::as_slice);
+                rows.iter()
+                    .any(|row| row["id"] == *id && row["revision"] == *newest)
+            };
+            newest.is_u64() && places.iter().all(has_newest)
+        });
+    }
+
+    /// Waits until every instance is alive and has the newest revision in force.
+    pub fn wait_ready(&self) {
+        let up = (0..self.processes.len()).filter(|place| self.processes[*place].is_some());
+        self.wait_in_force(&up.collect::<Vec<_>>());
+    }
+}
+
+impl Addresses {
+    fn pick(settings: &FleetSettings) -> Self {
+        let peer = free_address();
+        let listen = if settings.is_forwarded {
+            free_address()
+        } else {
+            peer
+        };
+        Self {
+            caller: free_address(),
+            peer,
+            listen,
+        }
+    }
+}
+
+/// Waits until something holds.
+///
+/// # Panics
+/// When it does not within a minute.
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_mins(1);
+    while !holds() {
+        assert!(Instant::now() < end, "in time: {what}");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// The settings file of one instance.
+fn written(settings: &FleetSettings, addresses: &[Addresses], place: usize) -> String {
+    let domain = |place: usize| format!("d{}", place % settings.domains);
+    let replicas = (0..settings.replicas)
+        .map(|place| format!("i{place}@{}@{}", addresses[place].peer, domain(place)));
+    let replicas = replicas.collect::<Vec<_>>().join(", ");
+    let own = addresses[place];
+    let data = if place < settings.disks {
+        format!("data = data/i{place}\n")
+    } else {
+        String::new()
+    };
+    format!(
+        "[instance]\nid = i{place}\ndomain = {}\ncaller_address = {}\npeer_address = {}\n\
+         peer_listen = {}\n{data}\n[control]\nreplicas = {replicas}\n{}\n\n[security]\n\
+         peer_secret = instances-of-a-test\noperator_secret = {OPERATOR_SECRET}\n\n{}\n",
+        domain(place),
+        own.caller,
+        own.peer,
+        own.listen,
+        settings.control,
+        settings.more,
+    )
+}
--- a/crates/jaylock-tests/src/lib.rs
+++ b/crates/jaylock-tests/src/lib.rs
@@ -1,5 +1,7 @@
 //! The tests of every part, and the macro that names their cases.
 
+/// Fleets of real processes, and what tests do to them.
+pub mod fleet;
 mod program;
 
 pub use self::program::program;
--- a/crates/jaylock-tests/tests/product/fake.rs
+++ b/crates/jaylock-tests/tests/product/fake.rs
@@ -1,5 +1,4 @@
 use std::net::SocketAddr;
-use std::process::{Command, Output};
 use std::sync::mpsc;
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -7,7 +6,7 @@
 use compio::net::TcpListener;
 use jaylock_rpc::v1::operator_server::{Operator, OperatorServer};
 use jaylock_rpc::{Access, Routes, ServerSettings, serve, v1};
-use jaylock_tests::program;
+use jaylock_tests::fleet::{Outcome, run_tool};
 use jaylock_types::Secret;
 use tonic::{Request, Response, Status};
 
@@ -76,37 +75,7 @@
 
 /// Runs the tool against some addresses.
 pub fn run(instances: &[SocketAddr], arguments: &[&str]) -> Outcome {
-    let mut command = Command::new(program("jaylock"));
-    command.env("JAYLOCK_SECRET", SECRET);
-    if !arguments.contains(&"--timeout") {
-        command.args(["--timeout", "5s"]);
-    }
-    for instance in instances {
-        command.arg("--instance").arg(instance.to_string());
-    }
-    command
-        .args(arguments)
-        .output()
-        .expect("the tool runs")
-        .into()
-}
-
-/// How the tool ended.
-#[derive(Debug)]
-pub struct Outcome {
-    pub code: i32,
-    pub out: String,
-    pub err: String,
-}
-
-impl From<Output> for Outcome {
-    fn from(output: Output) -> Self {
-        Self {
-            code: output.status.code().unwrap_or(-1),
-            out: String::from_utf8_lossy(&output.stdout).into_owned(),
-            err: String::from_utf8_lossy(&output.stderr).into_owned(),
-        }
-    }
+    run_tool(instances, SECRET, arguments)
 }
 
 #[tonic::async_trait]
--- a/crates/jaylock-tests/tests/product/main.rs
+++ b/crates/jaylock-tests/tests/product/main.rs
@@ -2,5 +2,6 @@
 
 mod examples;
 mod fake;
+mod service;
 mod settings;
 mod tool;
--- a/crates/jaylock-tests/tests/product/tool.rs
+++ b/crates/jaylock-tests/tests/product/tool.rs
@@ -5,9 +5,10 @@
 use jaylock_rpc::v1::applied::Result as Applied;
 use jaylock_rpc::v1::command::Body;
 use jaylock_tests::cases;
+use jaylock_tests::fleet::Outcome;
 use jaylock_types::KeyHash;
 
-use crate::fake::{Answer, Fake, Outcome, Script, run};
+use crate::fake::{Answer, Fake, Script, run};
 
 const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 9);
 
