--- /dev/null
+++ b/crates/jaylock-share/src/account.rs
@@ -0,0 +1,233 @@
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+
+use crate::cost::{CostModel, Mean};
+use crate::queue::Queue;
+
+/// Parts of a token in which weighted service is counted.
+const PARTS: u64 = 1000;
+/// Waits that are remembered for each organisation.
+const MOST_WAITS: usize = 128;
+/// Microseconds between two grants that are assumed while none was seen.
+const UNKNOWN_INTERVAL: u64 = 100_000;
+/// Longest time for which places in a queue are promised ahead.
+const LONGEST_PROMISE: Duration = Duration::from_secs(60);
+
+/// Position of an organisation in the accounts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AccountKey(u32);
+
+/// What the scheduler knows of one organisation.
+#[derive(Debug)]
+pub struct Account {
+    pub id: CompactString,
+    pub weight: u32,
+    pub queue_limit: u32,
+    /// Weighted service, in thousandths of a token for one unit of weight.
+    pub level: u64,
+    pub tokens: u64,
+    pub running: u32,
+    pub refused: u64,
+    pub cost: CostModel,
+    pub queue: Queue,
+    waits: VecDeque<u32>,
+    last_grant: Option<Instant>,
+    // Microseconds between grants while backlogged.
+    interval: Mean,
+    // Until when the places that become free are promised to callers who were refused.
+    promised: Option<Instant>,
+}
+
+impl Account {
+    /// Remembers how long a request waited.
+    pub fn waited(&mut self, wait: Duration) {
+        if self.waits.len() == MOST_WAITS {
+            self.waits.pop_front();
+        }
+        self.waits
+            .push_back(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
+    }
+
+    /// Time after which a refused caller finds a place in the queue.
+    ///
+    /// Each caller who is refused meanwhile is told a later time, as fast as places become free.
+    pub fn next_place(&mut self, now: Instant) -> Duration {
+        let interval = Duration::from_micros(self.interval.or(UNKNOWN_INTERVAL));
+        let start = self
+            .promised
+            .filter(|promised| *promised > now)
+            .unwrap_or(now);
+        let limit = now + LONGEST_PROMISE;
+        let promised = (start + interval).min(limit);
+        self.promised = Some(promised);
+        promised.saturating_duration_since(now)
+    }
+
+    fn note_grant(&mut self, now: Instant) {
+        if let Some(last) = self.last_grant {
+            let interval = now.saturating_duration_since(last).as_micros();
+            self.interval
+                .add(u64::try_from(interval).unwrap_or(u64::MAX));
+        }
+        self.last_grant = Some(now);
+    }
+
+    /// Wait in ms that `percent` in 100 of the last requests did not exceed.
+    pub fn wait_percentile(&self, percent: usize) -> u32 {
+        let mut waits: Vec<u32> = self.waits.iter().copied().collect();
+        waits.sort_unstable();
+        let last = waits.len().saturating_sub(1);
+        waits.get(last * percent / 100).copied().unwrap_or(0)
+    }
+}
+
+/// The organisations of a pool, and the backlogged ones by weighted service.
+#[derive(Debug, Default)]
+pub struct Accounts {
+    list: Vec<Account>,
+    // Sorted by name.
+    names: Vec<(CompactString, AccountKey)>,
+    // Sorted; the least served first.
+    backlogged: Vec<(u64, AccountKey)>,
+    // Weighted service of the last one that was granted a slot.
+    floor: u64,
+}
+
+impl Accounts {
+    /// The key of an organisation, which is added with weight 1 when it is new.
+    pub fn intern(&mut self, id: &str) -> AccountKey {
+        match self.search(id) {
+            Ok(at) => self.names[at].1,
+            Err(at) => {
+                let key = AccountKey(u32::try_from(self.list.len()).unwrap_or(u32::MAX));
+                self.list.push(Account {
+                    id: id.into(),
+                    weight: 1,
+                    queue_limit: 0,
+                    level: 0,
+                    tokens: 0,
+                    running: 0,
+                    refused: 0,
+                    cost: CostModel::default(),
+                    queue: Queue::default(),
+                    waits: VecDeque::new(),
+                    last_grant: None,
+                    interval: Mean::default(),
+                    promised: None,
+                });
+                self.names.insert(at, (id.into(), key));
+                key
+            }
+        }
+    }
+
+    pub fn get(&self, key: AccountKey) -> &Account {
+        &self.list[key.0 as usize]
+    }
+
+    pub fn get_mut(&mut self, key: AccountKey) -> &mut Account {
+        &mut self.list[key.0 as usize]
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Account> {
+        self.names.iter().map(|(_, key)| self.get(*key))
+    }
+
+    /// The backlogged organisation at this place, the least served one at 0.
+    pub fn backlogged(&self, place: usize) -> Option<AccountKey> {
+        self.backlogged.get(place).map(|(_, key)| *key)
+    }
+
+    /// Whether any organisation has work waiting.
+    pub fn has_backlog(&self) -> bool {
+        !self.backlogged.is_empty()
+    }
+
+    /// The backlogged organisations, the least served first.
+    pub fn backlogged_keys(&self) -> impl Iterator<Item = AccountKey> + '_ {
+        self.backlogged.iter().map(|(_, key)| *key)
+    }
+
+    /// How many organisations are backlogged.
+    pub fn backlog(&self) -> usize {
+        self.backlogged.len()
+    }
+
+    /// Weighted service of the organisation that was granted a slot most lately.
+    pub fn floor(&self) -> u64 {
+        self.floor
+    }
+
+    /// Counts an organisation among the backlogged, with no less service than `start`.
+    ///
+    /// Time without work earns no credit.
+    pub fn join_backlog(&mut self, key: AccountKey, start: u64) {
+        if self.place(key).is_ok() {
+            return;
+        }
+        let account = self.get_mut(key);
+        account.level = account.level.max(start);
+        account.last_grant = None;
+        let entry = (account.level, key);
+        let at = self.backlogged.partition_point(|other| *other < entry);
+        self.backlogged.insert(at, entry);
+    }
+
+    /// Takes an organisation from the backlogged when its queue is empty.
+    pub fn leave_backlog(&mut self, key: AccountKey) {
+        if !self.get(key).queue.is_empty() {
+            return;
+        }
+        if let Ok(at) = self.place(key) {
+            self.backlogged.remove(at);
+        }
+    }
+
+    /// Adds service in tokens.
+    pub fn charge(&mut self, key: AccountKey, tokens: u64) {
+        let weight = u64::from(self.get(key).weight.max(1));
+        let level = self.get(key).level;
+        self.set_level(
+            key,
+            level.saturating_add(tokens.saturating_mul(PARTS) / weight),
+        );
+    }
+
+    /// Takes back service in tokens that was expected and did not come.
+    pub fn refund(&mut self, key: AccountKey, tokens: u64) {
+        let weight = u64::from(self.get(key).weight.max(1));
+        let level = self.get(key).level;
+        self.set_level(
+            key,
+            level.saturating_sub(tokens.saturating_mul(PARTS) / weight),
+        );
+    }
+
+    /// Notes that an organisation is about to be granted a slot.
+    pub fn note_grant(&mut self, key: AccountKey, now: Instant) {
+        self.floor = self.floor.max(self.get(key).level);
+        self.get_mut(key).note_grant(now);
+    }
+
+    fn set_level(&mut self, key: AccountKey, level: u64) {
+        let place = self.place(key);
+        self.get_mut(key).level = level;
+        if let Ok(at) = place {
+            self.backlogged.remove(at);
+            let entry = (level, key);
+            let at = self.backlogged.partition_point(|other| *other < entry);
+            self.backlogged.insert(at, entry);
+        }
+    }
+
+    fn place(&self, key: AccountKey) -> Result<usize, usize> {
+        self.backlogged.binary_search(&(self.get(key).level, key))
+    }
+
+    fn search(&self, id: &str) -> Result<usize, usize> {
+        self.names
+            .binary_search_by(|(name, _)| name.as_str().cmp(id))
+    }
+}
--- /dev/null
+++ b/crates/jaylock-share/src/backend.rs
@@ -0,0 +1,298 @@
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use jaylock_rpc::v1::{BackendReport, LoadedModel};
+
+/// A set of backend servers, by their positions.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct BackendSet {
+    words: Vec<u64>,
+}
+
+impl BackendSet {
+    /// Puts a position into the set or takes it out.
+    pub fn set(&mut self, place: usize, member: bool) {
+        let word = place / 64;
+        if word >= self.words.len() {
+            self.words.resize(word + 1, 0);
+        }
+        let bit = 1 << (place % 64);
+        if member {
+            self.words[word] |= bit;
+        } else {
+            self.words[word] &= !bit;
+        }
+    }
+
+    /// Positions that both sets hold, in order.
+    pub fn common<'a>(&'a self, other: &'a Self) -> impl Iterator<Item = usize> + 'a {
+        let words = self.words.iter().zip(&other.words);
+        words
+            .enumerate()
+            .flat_map(|(at, (a, b))| bits(a & b).map(move |bit| at * 64 + bit))
+    }
+
+    /// Whether any position is in both sets.
+    pub fn overlaps(&self, other: &Self) -> bool {
+        let mut words = self.words.iter().zip(&other.words);
+        words.any(|(a, b)| a & b != 0)
+    }
+
+    /// Whether a position is in the set.
+    pub fn contains(&self, place: usize) -> bool {
+        let word = self.words.get(place / 64).copied().unwrap_or(0);
+        word & (1 << (place % 64)) != 0
+    }
+
+    /// Whether the set holds nothing.
+    pub fn is_empty(&self) -> bool {
+        self.words.iter().all(|word| *word == 0)
+    }
+}
+
+fn bits(mut word: u64) -> impl Iterator<Item = usize> {
+    std::iter::from_fn(move || {
+        if word == 0 {
+            return None;
+        }
+        let bit = word.trailing_zeros() as usize;
+        word &= word - 1;
+        Some(bit)
+    })
+}
+
+/// A backend server as the scheduler sees it.
+#[derive(Debug)]
+pub struct Backend {
+    pub report: BackendReport,
+    pub heard: Instant,
+    pub granted: u32,
+    pub drained: bool,
+    /// Whether a request runs there that must run alone, or waits for it to become empty.
+    pub reserved: bool,
+    // Work reported there that no grant of this scheduler explains.
+    foreign: u32,
+    // Most grants at once since the last report and between the two reports before it.
+    peaks: [u32; 2],
+    // Sorted.
+    prefixes: Vec<u64>,
+}
+
+impl Backend {
+    fn new(report: BackendReport, now: Instant) -> Self {
+        Self {
+            report,
+            heard: now,
+            granted: 0,
+            drained: false,
+            reserved: false,
+            foreign: 0,
+            peaks: [0; 2],
+            prefixes: Vec::new(),
+        }
+    }
+
+    /// Why the backend server gets nothing new, or an empty text.
+    pub fn state(&self, now: Instant, lease: Duration) -> &'static str {
+        if self.report.leaving {
+            "leaving"
+        } else if self.drained {
+            "drained"
+        } else if now.saturating_duration_since(self.heard) >= lease {
+            "lost"
+        } else {
+            ""
+        }
+    }
+
+    /// Requests that it would take now.
+    pub fn free(&self) -> u32 {
+        let used = self.granted.saturating_add(self.foreign);
+        self.report.slots.saturating_sub(used)
+    }
+
+    /// Whether nothing is known to run there.
+    pub fn is_idle(&self) -> bool {
+        self.granted == 0 && self.foreign == 0
+    }
+
+    /// Share of its slots that is taken, in 100.
+    pub fn load(&self) -> u32 {
+        let used = u64::from(self.granted) + u64::from(self.foreign);
+        let share = used * 100 / u64::from(self.report.slots.max(1));
+        u32::try_from(share).unwrap_or(u32::MAX)
+    }
+
+    /// Counts a grant.
+    pub fn add_grant(&mut self) {
+        self.granted += 1;
+        self.peaks[0] = self.peaks[0].max(self.granted);
+    }
+
+    /// Counts the end of a grant.
+    pub fn remove_grant(&mut self) {
+        self.granted = self.granted.saturating_sub(1);
+    }
+
+    /// How many of the prompt's prefixes, shortest first, it is believed to hold.
+    pub fn matched(&self, prefixes: &[u64]) -> usize {
+        let held = |hash: &&u64| self.prefixes.binary_search(hash).is_ok();
+        prefixes.iter().take_while(held).count()
+    }
+
+    fn renew(&mut self, report: BackendReport, now: Instant, most: usize) {
+        self.heard = now;
+        // Reports lag behind: only work above the most that was granted lately is someone else's.
+        let reported = report.running.saturating_add(report.waiting);
+        let known = self.peaks[0].max(self.peaks[1]).max(self.granted);
+        self.foreign = reported.saturating_sub(known);
+        self.peaks = [self.granted, self.peaks[0]];
+        self.learn_prefixes(&report, most);
+        self.report = report;
+    }
+
+    fn learn_prefixes(&mut self, report: &BackendReport, most: usize) {
+        for hash in &report.evicted {
+            if let Ok(at) = self.prefixes.binary_search(hash) {
+                self.prefixes.remove(at);
+            }
+        }
+        for hash in &report.cached {
+            if let Err(at) = self.prefixes.binary_search(hash) {
+                // Evictions get lost; beyond the bound the guesses start afresh.
+                if self.prefixes.len() >= most {
+                    self.prefixes.clear();
+                }
+                self.prefixes.insert(at.min(self.prefixes.len()), *hash);
+            }
+        }
+    }
+}
+
+/// The backend servers of a pool, each kept under a lease that its reports renew.
+#[derive(Debug, Default)]
+pub struct Backends {
+    list: Vec<Backend>,
+    // Sorted by name.
+    names: Vec<(CompactString, usize)>,
+    // Those that would take another request.
+    open: BackendSet,
+    // Those that may take requests, full or not.
+    usable: BackendSet,
+}
+
+impl Backends {
+    /// Takes a report; an error tells the backend server why it is refused.
+    pub fn report(
+        &mut self,
+        report: BackendReport,
+        now: Instant,
+        lease: Duration,
+        most_prefixes: usize,
+    ) -> Result<usize, &'static str> {
+        if report.slots == 0 {
+            return Err("a backend server takes at least one request at once: announce slots > 0");
+        }
+        let place = match self.find(&report.id) {
+            Some(place) => place,
+            None => self.add(report.clone(), now),
+        };
+        let backend = &mut self.list[place];
+        let is_live = now.saturating_duration_since(backend.heard) < lease;
+        let is_announced = backend.report.slots > 0;
+        if backend.report.token_hash != report.token_hash && is_live && is_announced {
+            return Err("this name belongs to another backend server: choose another name");
+        }
+        if report.incarnation < backend.report.incarnation {
+            return Err(
+                "a newer start of this backend server has announced itself: announce again",
+            );
+        }
+        if report.incarnation > backend.report.incarnation {
+            backend.prefixes.clear();
+        }
+        backend.renew(report, now, most_prefixes);
+        self.refresh(place, now, lease);
+        Ok(place)
+    }
+
+    pub fn find(&self, id: &str) -> Option<usize> {
+        let at = self
+            .names
+            .binary_search_by(|(name, _)| name.as_str().cmp(id));
+        at.ok().map(|at| self.names[at].1)
+    }
+
+    pub fn get(&self, place: usize) -> &Backend {
+        &self.list[place]
+    }
+
+    pub fn get_mut(&mut self, place: usize) -> &mut Backend {
+        &mut self.list[place]
+    }
+
+    pub fn len(&self) -> usize {
+        self.list.len()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Backend> {
+        self.names.iter().map(|(_, place)| &self.list[*place])
+    }
+
+    /// Backend servers that would take another request.
+    pub fn open(&self) -> &BackendSet {
+        &self.open
+    }
+
+    /// Computes anew whether a backend server would take another request.
+    pub fn refresh(&mut self, place: usize, now: Instant, lease: Duration) {
+        let backend = &self.list[place];
+        let is_usable = backend.state(now, lease).is_empty();
+        let is_open = is_usable && !backend.reserved && backend.free() > 0;
+        self.usable.set(place, is_usable);
+        self.open.set(place, is_open);
+    }
+
+    /// Backend servers that may take requests, full or not.
+    pub fn usable(&self) -> &BackendSet {
+        &self.usable
+    }
+
+    /// Slots that are taken and slots that there are, over the usable backend servers.
+    pub fn slots(&self) -> (u32, u32) {
+        let usable = self
+            .usable
+            .common(&self.usable)
+            .map(|place| &self.list[place]);
+        usable.fold((0, 0), |(used, slots), backend| {
+            let all = backend.report.slots;
+            (used + all - backend.free().min(all), slots + all)
+        })
+    }
+
+    /// What each backend server has loaded.
+    pub fn loaded(&self) -> impl Iterator<Item = (usize, &[LoadedModel])> {
+        let list = self.list.iter().enumerate();
+        list.map(|(place, backend)| (place, backend.report.models.as_slice()))
+    }
+
+    /// Position of a backend server, which is added as lost when it has not announced itself.
+    pub fn place(&mut self, id: &str, now: Instant) -> usize {
+        self.find(id).unwrap_or_else(|| {
+            let report = BackendReport {
+                id: id.into(),
+                ..BackendReport::default()
+            };
+            self.add(report, now)
+        })
+    }
+
+    fn add(&mut self, report: BackendReport, now: Instant) -> usize {
+        let place = self.list.len();
+        let name = CompactString::from(report.id.as_str());
+        let at = self.names.partition_point(|(other, _)| *other < name);
+        self.names.insert(at, (name, place));
+        self.list.push(Backend::new(report, now));
+        place
+    }
+}
--- /dev/null
+++ b/crates/jaylock-share/src/cost.rs
@@ -0,0 +1,127 @@
+use jaylock_rpc::v1::end::Outcome;
+use jaylock_rpc::v1::{Ask, End};
+
+/// Shapes of requests that are remembered for each organisation.
+const MOST_SHAPES: usize = 32;
+/// Ended requests after which a shape's own mean is trusted.
+const TRUSTED: u32 = 4;
+/// Weight of the newest request in a running mean is one of this many.
+const SPAN: u64 = 16;
+/// Factor between the dearest and the cheapest shape from which the lanes are split.
+const SPREAD: u64 = 4;
+/// Fixed-point fraction of a mean.
+const FRACTION: u64 = 256;
+
+/// What the requests of one organisation have cost, in tokens.
+#[derive(Debug, Default)]
+pub struct CostModel {
+    overall: Mean,
+    // Sorted by shape.
+    shapes: Vec<(Shape, Mean)>,
+}
+
+impl CostModel {
+    /// Expected cost of a request; `default` while the organisation has ended none.
+    pub fn expected(&self, shape: Shape, default: u64) -> u64 {
+        let known = self.find(shape).filter(|mean| mean.count >= TRUSTED);
+        let mean = known.unwrap_or(&self.overall);
+        if mean.count == 0 {
+            return default.max(1);
+        }
+        mean.tokens().max(1)
+    }
+
+    /// Whether a request of this expected cost belongs with the short ones.
+    pub fn is_short(&self, expected: u64) -> bool {
+        let trusted = self.shapes.iter().filter(|(_, mean)| mean.count >= TRUSTED);
+        let costs = trusted.map(|(_, mean)| mean.tokens().max(1));
+        let (least, most) = costs.fold((u64::MAX, 0), |(least, most), cost| {
+            (least.min(cost), most.max(cost))
+        });
+        // The geometric mean of the extremes does not depend on how frequent each of them is.
+        most >= least.saturating_mul(SPREAD) && expected.saturating_mul(expected) <= least * most
+    }
+
+    /// Learns from a request that ended.
+    pub fn learn(&mut self, shape: Shape, tokens: u64) {
+        self.overall.add(tokens);
+        match self
+            .shapes
+            .binary_search_by_key(&shape, |(known, _)| *known)
+        {
+            Ok(at) => self.shapes[at].1.add(tokens),
+            Err(at) if self.shapes.len() < MOST_SHAPES => {
+                let mut mean = Mean::default();
+                mean.add(tokens);
+                self.shapes.insert(at, (shape, mean));
+            }
+            Err(_) => {}
+        }
+    }
+
+    fn find(&self, shape: Shape) -> Option<&Mean> {
+        let at = self
+            .shapes
+            .binary_search_by_key(&shape, |(known, _)| *known);
+        at.ok().map(|at| &self.shapes[at].1)
+    }
+}
+
+/// What can be seen of a request at the door, coarsely: limit and prompt length by powers of two.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Shape {
+    limit: u8,
+    prompt: u8,
+}
+
+impl Shape {
+    /// The shape of a request.
+    pub fn of(ask: &Ask) -> Self {
+        Self {
+            limit: magnitude(ask.limit),
+            prompt: magnitude(ask.prompt_tokens),
+        }
+    }
+}
+
+/// Running mean with an exponential window.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Mean {
+    scaled: u64,
+    count: u32,
+}
+
+impl Mean {
+    /// Adds a value; the first values weigh as in a plain mean.
+    pub fn add(&mut self, value: u64) {
+        self.count = self.count.saturating_add(1);
+        let span = SPAN.min(u64::from(self.count));
+        let value = value.saturating_mul(FRACTION);
+        self.scaled = (self.scaled / span) * (span - 1) + value / span;
+    }
+
+    /// The mean, or `default` without values.
+    pub fn or(&self, default: u64) -> u64 {
+        if self.count == 0 {
+            default
+        } else {
+            self.tokens()
+        }
+    }
+
+    fn tokens(&self) -> u64 {
+        self.scaled / FRACTION
+    }
+}
+
+fn magnitude(number: u32) -> u8 {
+    u8::try_from(u32::BITS - number.leading_zeros()).unwrap_or(u8::MAX)
+}
+
+/// Service in tokens that an ended run counts for; a call of a plain service counts one.
+pub fn cost_of(end: &End) -> u64 {
+    match end.outcome() {
+        Outcome::NotRun => 0,
+        _ => end.tokens.max(1),
+    }
+}
--- /dev/null
+++ b/crates/jaylock-share/src/decide.rs
@@ -0,0 +1,171 @@
+use std::time::Instant;
+
+use jaylock_rpc::v1::{Decision, Grant};
+use jaylock_types::unix_ms;
+
+use crate::account::AccountKey;
+use crate::allocator::Allocator;
+use crate::placement;
+use crate::queue::Waiting;
+use crate::router::Run;
+
+impl Allocator {
+    /// Grants the slots that are free, each to the backlogged organisation with the least service.
+    ///
+    /// The cost of a grant grows with the backlogged organisations that have nothing to run on the
+    /// free backend servers, plus the free backend servers.
+    pub fn decide(&mut self, now: Instant) {
+        self.note_usage(now);
+        if now < self.ready {
+            return;
+        }
+        self.grant_alone(now);
+        let mut rank = 0;
+        while !self.backends.open().is_empty() {
+            let Some(account) = self.accounts.backlogged(rank) else {
+                break;
+            };
+            let is_granted = self.grant_next(account, now);
+            rank = if is_granted { 0 } else { rank + 1 };
+        }
+    }
+
+    /// Grants a slot to the next request of an organisation that any free backend server can run.
+    fn grant_next(&mut self, account: AccountKey, now: Instant) -> bool {
+        let demands: Vec<_> = self.accounts.get(account).queue.demands().collect();
+        for demand in demands {
+            let meeting = self.demands.backends(demand);
+            if !meeting.overlaps(self.backends.open()) {
+                continue;
+            }
+            let (backends, routers) = (&self.backends, &self.routers);
+            let choose = |waiting: &Waiting| {
+                let router = routers.get(waiting.router);
+                let domain = router.map_or("", |router| router.domain.as_str());
+                placement::choose(backends, meeting, &waiting.ask, domain)
+            };
+            let fits = |waiting: &Waiting| choose(waiting).is_some();
+            let longest = self.settings.longest_wait;
+            let queue = &mut self.accounts.get_mut(account).queue;
+            let Some(waiting) = queue.take(demand, now, longest, fits) else {
+                continue;
+            };
+            let Some(place) = choose(&waiting) else {
+                continue;
+            };
+            self.grant(account, &waiting, place, now, "least served");
+            self.accounts.leave_backlog(account);
+            return true;
+        }
+        false
+    }
+
+    /// Lets a backend server become empty for the first request that must run alone.
+    fn grant_alone(&mut self, now: Instant) {
+        while let Some(place) = self.reserve(now) {
+            if !self.backends.get(place).is_idle() {
+                return;
+            }
+            let Some((account, waiting)) = self.suspects.pop_front() else {
+                return;
+            };
+            self.reservation = None;
+            self.grant(account, &waiting, place, now, "alone");
+        }
+    }
+
+    /// The backend server that is kept free of new work for the first suspect.
+    fn reserve(&mut self, now: Instant) -> Option<usize> {
+        if let Some(place) = self.reservation.take() {
+            self.backends.get_mut(place).reserved = false;
+            self.refresh(place, now);
+            if self.can_reserve(place, now) {
+                self.reservation = Some(place);
+            }
+        }
+        let (_, waiting) = self.suspects.front()?;
+        let meeting = self.demands.backends(waiting.demand);
+        let lease = self.settings.backend_lease;
+        let choose = || placement::choose_alone(&self.backends, meeting, &waiting.ask, now, lease);
+        let place = self.reservation.or_else(choose)?;
+        self.reservation = Some(place);
+        self.backends.get_mut(place).reserved = true;
+        self.refresh(place, now);
+        Some(place)
+    }
+
+    fn can_reserve(&self, place: usize, now: Instant) -> bool {
+        let backend = self.backends.get(place);
+        let usable = backend.state(now, self.settings.backend_lease).is_empty();
+        let front = self.suspects.front();
+        usable
+            && front.is_some_and(|(_, waiting)| {
+                let meeting = self.demands.backends(waiting.demand);
+                meeting.contains(place) && !waiting.ask.avoid.contains(&backend.report.id)
+            })
+    }
+
+    fn grant(
+        &mut self,
+        account: AccountKey,
+        waiting: &Waiting,
+        place: usize,
+        now: Instant,
+        reason: &str,
+    ) {
+        let ask = &waiting.ask;
+        let charged = self.expected(account, waiting.shape, ask.served);
+        let wait = now.saturating_duration_since(waiting.arrived);
+        self.waiting -= 1;
+        self.accounts.note_grant(account, now);
+        self.accounts.charge(account, charged);
+        let owner = self.accounts.get_mut(account);
+        owner.running += 1;
+        owner.waited(wait);
+        let backend = self.backends.get_mut(place);
+        backend.add_grant();
+        let grant = Grant {
+            ticket: ask.ticket,
+            backend: backend.report.id.clone(),
+            address: backend.report.address.clone(),
+            epoch: self.epoch,
+        };
+        let decision = Decision {
+            request: ask.request.clone(),
+            organisation: ask.organisation.clone(),
+            backend: grant.backend.clone(),
+            waited_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            reason: reason.into(),
+            at_ms: unix_ms(),
+        };
+        let run = Run {
+            ticket: ask.ticket,
+            account,
+            place,
+            shape: waiting.shape,
+            charged,
+            tokens: 0,
+            alone: ask.alone,
+        };
+        if let Some(router) = self.routers.get_mut(waiting.router) {
+            router.remove_waiting(ask.ticket);
+            router.add_run(run);
+            router.frame.grants.push(grant);
+        }
+        self.refresh(place, now);
+        self.remember(decision);
+    }
+
+    fn remember(&mut self, decision: Decision) {
+        if self.decisions.len() >= self.settings.decisions {
+            self.decisions.pop_front();
+        }
+        self.decisions.push_back(decision);
+    }
+
+    fn note_usage(&mut self, now: Instant) {
+        let (used, slots) = self.backends.slots();
+        self.usage
+            .add(now, self.accounts.has_backlog(), used, slots);
+    }
+}
--- /dev/null
+++ b/crates/jaylock-share/src/describe.rs
@@ -0,0 +1,52 @@
+use std::time::Instant;
+
+use jaylock_rpc::v1::{BackendState, OrganisationShare, PoolReport};
+
+use crate::account::Account;
+use crate::allocator::Allocator;
+use crate::backend::Backend;
+
+/// Parts of a token in an account's level.
+const PARTS: u64 = 1000;
+
+impl Allocator {
+    /// What operators are told of the pool.
+    #[must_use]
+    pub fn describe(&self, instance: &str, now: Instant) -> PoolReport {
+        PoolReport {
+            pool: self.pool.as_str().into(),
+            epoch: self.epoch,
+            instance: instance.into(),
+            organisations: self.accounts.iter().map(share).collect(),
+            backends: self.backends.iter().map(|b| self.state(b, now)).collect(),
+            decisions: self.decisions.iter().cloned().collect(),
+            utilisation_ppm: self.usage.millionths(),
+        }
+    }
+
+    fn state(&self, backend: &Backend, now: Instant) -> BackendState {
+        let heard = now.saturating_duration_since(backend.heard).as_millis();
+        let state = backend.state(now, self.settings.backend_lease);
+        BackendState {
+            report: Some(backend.report.clone()),
+            granted: backend.granted,
+            heard_ms_ago: u32::try_from(heard).unwrap_or(u32::MAX),
+            state: if state.is_empty() { "ready" } else { state }.into(),
+        }
+    }
+}
+
+fn share(account: &Account) -> OrganisationShare {
+    let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+    OrganisationShare {
+        organisation: account.id.as_str().into(),
+        weight: account.weight,
+        backlog: count(account.queue.len()),
+        running: account.running,
+        weighted_service: account.level / PARTS,
+        tokens: account.tokens,
+        wait_p50_ms: account.wait_percentile(50),
+        wait_p99_ms: account.wait_percentile(99),
+        refused: account.refused,
+    }
+}
--- /dev/null
+++ b/crates/jaylock-share/src/host.rs
@@ -0,0 +1,241 @@
+use std::cell::{Cell, RefCell};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use futures_channel::{mpsc, oneshot};
+use futures_util::{SinkExt, Stream, StreamExt};
+use jaylock_control::ConfigView;
+use jaylock_rpc::v1::pool_server::{Pool, PoolServer};
+use jaylock_rpc::v1::{
+    Configuration, DescribeRequest, Hello, PoolReport, RouterFrame, SchedulerFrame,
+};
+use jaylock_rpc::{local, pinned, within};
+use jaylock_types::{Incarnation, Index, InstanceId};
+use send_wrapper::SendWrapper;
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::ShareSettings;
+use crate::scheduler::{Event, Scheduler};
+
+/// Events that wait for the task of a pool before routers are slowed down.
+const EVENT_QUEUE: usize = 1024;
+/// Messages that wait for one router before its stream is closed.
+const FRAME_QUEUE: usize = 64;
+/// Time for the first message of a stream.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Runs the schedulers of the pools whose leases name this instance.
+pub struct SchedulerHost {
+    shared: Rc<Shared>,
+}
+
+struct Shared {
+    instance: InstanceId,
+    incarnation: Incarnation,
+    view: ConfigView,
+    lease: Rc<dyn Fn() -> bool>,
+    settings: ShareSettings,
+    // Sorted by pool.
+    running: RefCell<Vec<Running>>,
+    sessions: Cell<u64>,
+}
+
+struct Running {
+    pool: CompactString,
+    epoch: u64,
+    events: mpsc::Sender<Event>,
+}
+
+impl SchedulerHost {
+    /// Prepares the host; `lease` tells whether the instance's lease is valid now.
+    pub fn new(
+        instance: InstanceId,
+        incarnation: Incarnation,
+        view: ConfigView,
+        lease: impl Fn() -> bool + 'static,
+        settings: ShareSettings,
+    ) -> Self {
+        let shared = Shared {
+            instance,
+            incarnation,
+            view,
+            lease: Rc::new(lease),
+            settings,
+            running: RefCell::default(),
+            sessions: Cell::new(0),
+        };
+        Self {
+            shared: Rc::new(shared),
+        }
+    }
+
+    /// The gRPC service through which routers and operators reach the schedulers.
+    #[must_use]
+    pub fn service(&self) -> PoolServer<PoolService> {
+        PoolServer::new(PoolService {
+            shared: pinned(self.shared.clone()),
+        })
+    }
+
+    /// Starts and stops schedulers as the configuration says, until the future is dropped.
+    pub async fn run(self) {
+        let mut index = Index(0);
+        loop {
+            let configuration = self.shared.view.newer_than(index).await;
+            index = Index(configuration.index);
+            self.shared.follow(&configuration);
+        }
+    }
+}
+
+impl Shared {
+    fn follow(&self, configuration: &Configuration) {
+        let mut running = self.running.borrow_mut();
+        running.retain_mut(|one| {
+            let keep = self.is_named(configuration, &one.pool, one.epoch);
+            if !keep {
+                log::info!(target: "pool", "stopped scheduler of {} epoch {}", one.pool, one.epoch);
+                one.events.close_channel();
+            }
+            keep
+        });
+        for lease in &configuration.pools {
+            if !self.is_named(configuration, &lease.pool, lease.epoch) {
+                continue;
+            }
+            let search = running.binary_search_by(|one| one.pool.as_str().cmp(&lease.pool));
+            if let Err(at) = search {
+                running.insert(at, self.start(&lease.pool, lease.epoch));
+            }
+        }
+    }
+
+    fn is_named(&self, configuration: &Configuration, pool: &str, epoch: u64) -> bool {
+        configuration.pools.iter().any(|lease| {
+            lease.pool == pool
+                && lease.epoch == epoch
+                && lease.instance == self.instance.as_str()
+                && lease.incarnation == self.incarnation.0
+        })
+    }
+
+    fn start(&self, pool: &str, epoch: u64) -> Running {
+        log::info!(target: "pool", "started scheduler of {pool} epoch {epoch}");
+        let (events, receiver) = mpsc::channel(EVENT_QUEUE);
+        let scheduler = Scheduler::new(
+            pool,
+            epoch,
+            self.instance.as_str(),
+            self.view.clone(),
+            self.lease.clone(),
+            self.settings.clone(),
+            receiver,
+        );
+        compio::runtime::spawn(scheduler.run()).detach();
+        Running {
+            pool: pool.into(),
+            epoch,
+            events,
+        }
+    }
+
+    fn find(&self, pool: &str) -> Result<(u64, mpsc::Sender<Event>), Status> {
+        let running = self.running.borrow();
+        let found = running.binary_search_by(|one| one.pool.as_str().cmp(pool));
+        let found = found.map(|at| (running[at].epoch, running[at].events.clone()));
+        found.map_err(|_| {
+            Status::unavailable(format!(
+                "instance {} does not run the scheduler of {pool}: ask the one in the configuration",
+                self.instance
+            ))
+        })
+    }
+
+    async fn attach(&self, mut inbound: Streaming<RouterFrame>) -> Result<Frames, Status> {
+        let first = within(HELLO_TIMEOUT, inbound.message()).await?;
+        let mut first = first.ok_or_else(no_hello)?;
+        let hello = first.hello.take().ok_or_else(no_hello)?;
+        let (epoch, mut events) = self.find(&hello.pool)?;
+        check_epoch(&hello, epoch)?;
+        let session = self.sessions.get();
+        self.sessions.set(session + 1);
+        let (frames, receiver) = mpsc::channel(FRAME_QUEUE);
+        let attach = Event::Attach {
+            session,
+            hello,
+            frames,
+        };
+        let stopped = |_| Status::unavailable("the scheduler stops: follow the configuration");
+        events.send(attach).await.map_err(stopped)?;
+        let frame = Event::Frame {
+            session,
+            frame: first,
+        };
+        events.send(frame).await.map_err(stopped)?;
+        compio::runtime::spawn(read(inbound, session, events)).detach();
+        Ok(Box::pin(receiver.map(Ok)))
+    }
+
+    async fn describe(&self, pool: &str) -> Result<PoolReport, Status> {
+        let (_, mut events) = self.find(pool)?;
+        let (reply, report) = oneshot::channel();
+        let stopped = || Status::unavailable("the scheduler stops: follow the configuration");
+        events
+            .send(Event::Describe(reply))
+            .await
+            .map_err(|_| stopped())?;
+        report.await.map_err(|_| stopped())
+    }
+}
+
+type Frames = Pin<Box<dyn Stream<Item = Result<SchedulerFrame, Status>> + Send>>;
+
+/// The `Pool` service of an instance.
+pub struct PoolService {
+    shared: SendWrapper<Rc<Shared>>,
+}
+
+#[tonic::async_trait]
+impl Pool for PoolService {
+    type AttachStream = Frames;
+
+    async fn attach(
+        &self,
+        request: Request<Streaming<RouterFrame>>,
+    ) -> Result<Response<Frames>, Status> {
+        let attach = self.shared.attach(request.into_inner());
+        local(attach).await.map(Response::new)
+    }
+
+    async fn describe(
+        &self,
+        request: Request<DescribeRequest>,
+    ) -> Result<Response<PoolReport>, Status> {
+        let pool = request.into_inner().pool;
+        local(self.shared.describe(&pool)).await.map(Response::new)
+    }
+}
+
+/// Passes a router's messages on to the task of the pool.
+async fn read(mut inbound: Streaming<RouterFrame>, session: u64, mut events: mpsc::Sender<Event>) {
+    while let Ok(Some(frame)) = inbound.message().await {
+        if events.send(Event::Frame { session, frame }).await.is_err() {
+            return;
+        }
+    }
+    let _ = events.send(Event::Detach { session }).await;
+}
+
+fn no_hello() -> Status {
+    Status::invalid_argument("the first message of a stream must hold a hello")
+}
+
+fn check_epoch(hello: &Hello, epoch: u64) -> Result<(), Status> {
+    if hello.epoch > epoch {
+        let text = "the router has seen a newer scheduler: follow the configuration";
+        return Err(Status::failed_precondition(text));
+    }
+    Ok(())
+}
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -1,1 +1,25 @@
 //! Sharing of model capacity: the scheduler of a pool and the routers' client of it.
+
+mod account;
+mod allocator;
+mod backend;
+mod batch;
+mod cost;
+mod decide;
+mod demand;
+mod describe;
+mod host;
+mod link;
+mod placement;
+mod pools;
+mod queue;
+mod router;
+mod scheduler;
+mod settings;
+mod waitlist;
+
+pub use self::allocator::Allocator;
+pub use self::host::{PoolService, SchedulerHost};
+pub use self::pools::Pools;
+pub use self::router::RouterKey;
+pub use self::settings::{PoolSettings, ShareSettings};
--- /dev/null
+++ b/crates/jaylock-share/src/link.rs
@@ -0,0 +1,228 @@
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use compact_str::CompactString;
+use futures_channel::{mpsc, oneshot};
+use futures_util::future::{Either, select};
+use futures_util::{SinkExt, StreamExt};
+use jaylock_rpc::v1::end::Outcome;
+use jaylock_rpc::v1::pool_client::PoolClient;
+use jaylock_rpc::v1::refusal::Reason;
+use jaylock_rpc::v1::{
+    Ask, BackendReport, BackendVerdict, End, Grant, Hello, PoolLease, Progress, Refusal,
+    RouterFrame, SchedulerFrame,
+};
+use jaylock_rpc::within;
+use jaylock_types::Index;
+use tonic::{Status, Streaming};
+
+use crate::pools::Identity;
+use crate::waitlist::{Answer, Waitlist};
+
+/// Frames that wait for the connection before writing pauses.
+const FRAME_QUEUE: usize = 8;
+/// Time in ms after which a caller may ask again while no scheduler answers.
+const NO_SCHEDULER_RETRY_MS: u32 = 1000;
+
+/// A router's stream to the scheduler of one pool, which it opens again whenever it is lost.
+pub struct Link {
+    pool: CompactString,
+    identity: Rc<Identity>,
+    state: RefCell<Waitlist>,
+    wake: RefCell<mpsc::Sender<()>>,
+}
+
+impl Link {
+    /// Starts the task that keeps the stream.
+    pub fn open(pool: &str, identity: Rc<Identity>) -> Rc<Self> {
+        let (wake, woken) = mpsc::channel(1);
+        let state = RefCell::new(Waitlist::new(identity.settings.clone()));
+        let link = Self {
+            pool: pool.into(),
+            identity,
+            state,
+            wake: RefCell::new(wake),
+        };
+        let link = Rc::new(link);
+        compio::runtime::spawn(link.clone().run(woken)).detach();
+        link
+    }
+
+    pub fn pool(&self) -> &str {
+        &self.pool
+    }
+
+    pub fn ask(&self, ask: Ask, answer: oneshot::Sender<Answer>) {
+        self.state.borrow_mut().ask(ask, answer, Instant::now());
+        self.notify();
+    }
+
+    pub fn cancel(&self, ticket: u64) {
+        self.state.borrow_mut().cancel(ticket);
+        self.notify();
+    }
+
+    pub fn progress(&self, progress: Progress) {
+        self.state.borrow_mut().progress(progress);
+        self.notify();
+    }
+
+    pub fn end(&self, end: End) {
+        self.state.borrow_mut().end(end, Instant::now());
+        self.notify();
+    }
+
+    pub fn report(&self, report: BackendReport) {
+        self.state.borrow_mut().report(report);
+        self.notify();
+    }
+
+    pub fn verdict(&self, backend: &str) -> Option<BackendVerdict> {
+        self.state.borrow().verdict(backend)
+    }
+
+    /// The lease of the pool's scheduler and its address, as far as the configuration names them.
+    pub fn scheduler(&self) -> Option<(PoolLease, SocketAddr)> {
+        let configuration = self.identity.view.current();
+        let lease = configuration
+            .pools
+            .iter()
+            .find(|lease| lease.pool == self.pool)?;
+        let is_host = |i: &&jaylock_rpc::v1::Instance| {
+            i.id == lease.instance && i.incarnation == lease.incarnation
+        };
+        let host = configuration.instances.iter().find(is_host)?;
+        Some((lease.clone(), host.peer_address.parse().ok()?))
+    }
+
+    async fn run(self: Rc<Self>, mut woken: mpsc::Receiver<()>) {
+        let settings = &self.identity.settings;
+        loop {
+            if let Some((lease, address)) = self.scheduler() {
+                let outcome = self.serve(&lease, address, &mut woken).await;
+                self.state.borrow_mut().detach(Instant::now());
+                if let Err(status) = outcome {
+                    let reason = status.message();
+                    log::info!(target: "pool", "no scheduler of {}: {reason}", self.pool);
+                }
+            }
+            self.refuse_stale();
+            let index = self.identity.view.index();
+            let changed = self.identity.view.newer_than(index);
+            let _ = compio::time::timeout(settings.retry, changed).await;
+        }
+    }
+
+    /// Keeps a stream to the scheduler until it breaks or another scheduler is named.
+    async fn serve(
+        &self,
+        lease: &PoolLease,
+        address: SocketAddr,
+        woken: &mut mpsc::Receiver<()>,
+    ) -> Result<(), Status> {
+        let mut client = PoolClient::new(self.identity.channel(address));
+        let (mut frames, body) = mpsc::channel(FRAME_QUEUE);
+        let first = self.first_frame();
+        frames
+            .try_send(first)
+            .map_err(|_| Status::internal("a new channel is full"))?;
+        let limit = self.identity.settings.attach_timeout;
+        let inbound = within(limit, client.attach(body)).await?.into_inner();
+        self.state.borrow_mut().attach();
+        let streams = select(
+            Box::pin(self.read(inbound)),
+            Box::pin(self.write(frames, woken)),
+        );
+        match select(streams, Box::pin(self.moved(lease))).await {
+            Either::Left((Either::Left((outcome, _)), _)) => outcome,
+            Either::Left((Either::Right(((), _)), _)) => Err(Status::unavailable("stream closed")),
+            Either::Right(_) => Ok(()),
+        }
+    }
+
+    fn first_frame(&self) -> RouterFrame {
+        let mut state = self.state.borrow_mut();
+        let hello = Hello {
+            pool: self.pool.as_str().into(),
+            router: self.identity.instance.as_str().into(),
+            incarnation: self.identity.incarnation.0,
+            domain: self.identity.domain.as_str().into(),
+            ..Hello::default()
+        };
+        state.first_frame(hello, Instant::now())
+    }
+
+    async fn read(&self, mut inbound: Streaming<SchedulerFrame>) -> Result<(), Status> {
+        while let Some(frame) = inbound.message().await? {
+            if !self.state.borrow_mut().take(frame, Instant::now()) {
+                return Err(Status::aborted("it is older than one seen before"));
+            }
+            self.notify();
+        }
+        Err(Status::unavailable("it closed the stream"))
+    }
+
+    async fn write(&self, mut frames: mpsc::Sender<RouterFrame>, woken: &mut mpsc::Receiver<()>) {
+        loop {
+            let now = Instant::now();
+            let due = self.state.borrow().due(now);
+            match due {
+                Some(due) if due <= now => {
+                    let frame = self.state.borrow_mut().next_frame(now);
+                    if frames.send(frame).await.is_err() {
+                        return;
+                    }
+                }
+                Some(due) => {
+                    let _ = compio::time::timeout_at(due, woken.next()).await;
+                }
+                None => {
+                    woken.next().await;
+                }
+            }
+        }
+    }
+
+    /// Waits until the configuration names another scheduler.
+    async fn moved(&self, lease: &PoolLease) {
+        loop {
+            let index: Index = self.identity.view.index();
+            if self
+                .scheduler()
+                .is_none_or(|(current, _)| current != *lease)
+            {
+                return;
+            }
+            self.identity.view.newer_than(index).await;
+        }
+    }
+
+    fn refuse_stale(&self) {
+        let limit = self.identity.settings.scheduler_wait;
+        let now = Instant::now();
+        let stale = self.state.borrow_mut().take_stale(now, limit);
+        for (ticket, answer) in stale {
+            let _ = answer.send(Err(Refusal {
+                ticket,
+                reason: Reason::NoBackend.into(),
+                retry_after_ms: NO_SCHEDULER_RETRY_MS,
+            }));
+        }
+    }
+
+    fn notify(&self) {
+        // A full channel means that the writer is already woken.
+        let _ = self.wake.borrow_mut().try_send(());
+    }
+}
+
+/// An end of a run that never began.
+pub fn not_run(grant: &Grant) -> End {
+    End {
+        ticket: grant.ticket,
+        outcome: Outcome::NotRun.into(),
+        ..End::default()
+    }
+}
--- /dev/null
+++ b/crates/jaylock-share/src/placement.rs
@@ -0,0 +1,56 @@
+use std::time::{Duration, Instant};
+
+use jaylock_rpc::v1::Ask;
+
+use crate::backend::{BackendSet, Backends};
+
+/// Worth of a prompt prefix that is held, in hundredths of a backend server's slots.
+const PREFIX_WORTH: i64 = 15;
+/// Prefixes beyond which a longer match is worth no more.
+const MOST_PREFIXES: usize = 4;
+/// Worth of standing in the router's failure domain, in hundredths of a backend server's slots.
+const DOMAIN_WORTH: i64 = 10;
+
+/// Chooses the backend server for a request among those that meet its demand and have room.
+///
+/// A held prefix and a near failure domain count against the load; a wrong guess costs time only.
+pub fn choose(backends: &Backends, meeting: &BackendSet, ask: &Ask, domain: &str) -> Option<usize> {
+    let allowed = |place: &usize| !is_avoided(ask, &backends.get(*place).report.id);
+    let worth = |place: &usize| {
+        let backend = backends.get(*place);
+        let matched = backend.matched(&ask.prefixes).min(MOST_PREFIXES);
+        let prefix = i64::try_from(matched).unwrap_or(0) * PREFIX_WORTH;
+        let near = if backend.report.domain == domain {
+            DOMAIN_WORTH
+        } else {
+            0
+        };
+        prefix + near - i64::from(backend.load())
+    };
+    meeting
+        .common(backends.open())
+        .filter(allowed)
+        .max_by_key(worth)
+}
+
+/// Chooses the backend server that a request which must run alone waits for: the least busy one.
+pub fn choose_alone(
+    backends: &Backends,
+    meeting: &BackendSet,
+    ask: &Ask,
+    now: Instant,
+    lease: Duration,
+) -> Option<usize> {
+    let usable = |place: &usize| {
+        let backend = backends.get(*place);
+        !backend.reserved
+            && backend.state(now, lease).is_empty()
+            && !is_avoided(ask, &backend.report.id)
+    };
+    let places = meeting.common(meeting).filter(usable);
+    places.min_by_key(|place| backends.get(*place).load())
+}
+
+fn is_avoided(ask: &Ask, backend: &str) -> bool {
+    ask.avoid.iter().any(|avoided| avoided == backend)
+}
--- /dev/null
+++ b/crates/jaylock-share/src/pools.rs
@@ -0,0 +1,165 @@
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use futures_channel::oneshot;
+use jaylock_control::ConfigView;
+use jaylock_rpc::v1::refusal::Reason;
+use jaylock_rpc::v1::{Ask, BackendReport, BackendVerdict, End, Grant, Progress, Refusal};
+use jaylock_rpc::{Channel, ChannelSettings};
+use jaylock_types::{DomainId, Incarnation, InstanceId, PoolId};
+
+use crate::PoolSettings;
+use crate::link::Link;
+
+/// Time in ms after which a caller may ask again when the router itself stops.
+const STOPPED_RETRY_MS: u32 = 1000;
+
+/// A router's client of all pools; clones share the streams.
+#[derive(Clone)]
+pub struct Pools {
+    shared: Rc<Shared>,
+}
+
+struct Shared {
+    identity: Rc<Identity>,
+    // Sorted by pool.
+    links: RefCell<Vec<Rc<Link>>>,
+    tickets: Cell<u64>,
+}
+
+/// Who the router is and how it reaches the schedulers.
+pub struct Identity {
+    pub instance: InstanceId,
+    pub incarnation: Incarnation,
+    pub domain: DomainId,
+    pub view: ConfigView,
+    pub settings: PoolSettings,
+    channel: ChannelSettings,
+    channels: RefCell<Vec<Channel>>,
+}
+
+impl Identity {
+    /// The connection to an instance, which the streams of several pools share.
+    pub fn channel(&self, address: SocketAddr) -> Channel {
+        let mut channels = self.channels.borrow_mut();
+        if let Some(known) = channels.iter().find(|c| c.address() == address) {
+            return known.clone();
+        }
+        let channel = Channel::new(address, self.channel.clone());
+        channels.push(channel.clone());
+        channel
+    }
+}
+
+impl Pools {
+    /// Prepares the client; a pool's stream opens when the pool is first used.
+    #[must_use]
+    pub fn new(
+        instance: InstanceId,
+        incarnation: Incarnation,
+        domain: DomainId,
+        view: ConfigView,
+        channel: ChannelSettings,
+        settings: PoolSettings,
+    ) -> Self {
+        let channels = RefCell::default();
+        let identity = Identity {
+            instance,
+            incarnation,
+            domain,
+            view,
+            settings,
+            channel,
+            channels,
+        };
+        let shared = Shared {
+            identity: Rc::new(identity),
+            links: RefCell::default(),
+            tickets: Cell::new(1),
+        };
+        Self {
+            shared: Rc::new(shared),
+        }
+    }
+
+    /// Waits for a slot; dropping the future cancels the ask.
+    ///
+    /// The ticket is set here; the grant's ticket names the run until [`Pools::end`].
+    ///
+    /// # Errors
+    /// A refusal, with the time in ms after which to ask again. Nothing has run then.
+    pub async fn ask(&self, pool: &PoolId, mut ask: Ask) -> Result<Grant, Refusal> {
+        let ticket = self.shared.tickets.get();
+        self.shared.tickets.set(ticket + 1);
+        ask.ticket = ticket;
+        let link = self.link(pool.as_str());
+        let (answer, receiver) = oneshot::channel();
+        link.ask(ask, answer);
+        let _cancel = Cancel { link, ticket };
+        let answer = receiver.await;
+        answer.unwrap_or_else(|_| {
+            Err(Refusal {
+                ticket,
+                reason: Reason::NoBackend.into(),
+                retry_after_ms: STOPPED_RETRY_MS,
+            })
+        })
+    }
+
+    /// Tells how many tokens a run has generated so far.
+    pub fn progress(&self, pool: &PoolId, progress: Progress) {
+        self.link(pool.as_str()).progress(progress);
+    }
+
+    /// Gives a slot back.
+    pub fn end(&self, pool: &PoolId, end: End) {
+        self.link(pool.as_str()).end(end);
+    }
+
+    /// Passes on what a backend server has announced or reported.
+    pub fn report(&self, report: BackendReport) {
+        self.link(&report.pool).report(report);
+    }
+
+    /// What a scheduler last said of a backend server that announced itself here.
+    #[must_use]
+    pub fn verdict(&self, backend: &str) -> Option<BackendVerdict> {
+        let links = self.shared.links.borrow();
+        links.iter().find_map(|link| link.verdict(backend))
+    }
+
+    /// Pools used here that have no scheduler in the configuration.
+    #[must_use]
+    pub fn unserved(&self) -> Vec<PoolId> {
+        let links = self.shared.links.borrow();
+        let unserved = links.iter().filter(|link| link.scheduler().is_none());
+        unserved
+            .filter_map(|link| link.pool().parse().ok())
+            .collect()
+    }
+
+    fn link(&self, pool: &str) -> Rc<Link> {
+        let mut links = self.shared.links.borrow_mut();
+        match links.binary_search_by(|link| link.pool().cmp(pool)) {
+            Ok(at) => links[at].clone(),
+            Err(at) => {
+                let link = Link::open(pool, self.shared.identity.clone());
+                links.insert(at, link.clone());
+                link
+            }
+        }
+    }
+}
+
+/// Cancels an ask whose caller has gone; does nothing after an answer.
+struct Cancel {
+    link: Rc<Link>,
+    ticket: u64,
+}
+
+impl Drop for Cancel {
+    fn drop(&mut self) {
+        self.link.cancel(self.ticket);
+    }
+}
--- /dev/null
+++ b/crates/jaylock-share/src/scheduler.rs
@@ -0,0 +1,182 @@
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use futures_channel::{mpsc, oneshot};
+use futures_util::StreamExt;
+use jaylock_control::ConfigView;
+use jaylock_rpc::v1::{Hello, PoolReport, RouterFrame, SchedulerFrame};
+use jaylock_types::Index;
+
+use crate::ShareSettings;
+use crate::allocator::Allocator;
+use crate::router::RouterKey;
+
+/// Time between checks of leases.
+const TICK: Duration = Duration::from_millis(100);
+/// Events that are taken before the next decision.
+const MOST_EVENTS: usize = 1024;
+
+/// What reaches the task of a pool.
+pub enum Event {
+    /// A router opened a stream.
+    Attach {
+        session: u64,
+        hello: Hello,
+        frames: mpsc::Sender<SchedulerFrame>,
+    },
+    /// A router sent a message.
+    Frame { session: u64, frame: RouterFrame },
+    /// A router's stream ended.
+    Detach { session: u64 },
+    /// An operator asks.
+    Describe(oneshot::Sender<PoolReport>),
+}
+
+/// The task of one pool.
+pub struct Scheduler {
+    instance: CompactString,
+    allocator: Allocator,
+    view: ConfigView,
+    lease: Rc<dyn Fn() -> bool>,
+    join: Duration,
+    events: mpsc::Receiver<Event>,
+    sessions: Vec<Session>,
+    configured: Index,
+}
+
+struct Session {
+    number: u64,
+    router: RouterKey,
+    frames: mpsc::Sender<SchedulerFrame>,
+}
+
+impl Scheduler {
+    pub fn new(
+        pool: &str,
+        epoch: u64,
+        instance: &str,
+        view: ConfigView,
+        lease: Rc<dyn Fn() -> bool>,
+        settings: ShareSettings,
+        events: mpsc::Receiver<Event>,
+    ) -> Self {
+        Self {
+            instance: instance.into(),
+            join: settings.join,
+            allocator: Allocator::new(pool, epoch, settings, Instant::now()),
+            view,
+            lease,
+            events,
+            sessions: Vec::new(),
+            configured: Index(0),
+        }
+    }
+
+    /// Serves the pool until the host closes the channel of events.
+    pub async fn run(mut self) {
+        let mut next_tick = Instant::now();
+        loop {
+            match compio::time::timeout_at(next_tick, self.events.next()).await {
+                Ok(Some(event)) => self.take_ready(event),
+                Ok(None) => return,
+                Err(_) => {}
+            }
+            let now = Instant::now();
+            if now >= next_tick {
+                self.tick(now);
+                next_tick = now + TICK;
+            }
+            self.decide(now);
+            // The first message is answered at once; those that follow closely are joined.
+            compio::time::sleep(self.join).await;
+        }
+    }
+
+    fn take_ready(&mut self, first: Event) {
+        self.take(first);
+        for _ in 0..MOST_EVENTS {
+            let Ok(event) = self.events.try_recv() else {
+                return;
+            };
+            self.take(event);
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = Instant::now();
+        match event {
+            Event::Attach {
+                session,
+                hello,
+                frames,
+            } => self.attach(session, &hello, frames, now),
+            Event::Frame { session, frame } => {
+                let known = self.sessions.iter().find(|s| s.number == session);
+                if let Some(router) = known.map(|s| s.router) {
+                    self.allocator.apply(router, frame, now);
+                }
+            }
+            Event::Detach { session } => self.close_session(session, now),
+            Event::Describe(reply) => {
+                let _ = reply.send(self.allocator.describe(&self.instance, now));
+            }
+        }
+    }
+
+    fn attach(
+        &mut self,
+        session: u64,
+        hello: &Hello,
+        frames: mpsc::Sender<SchedulerFrame>,
+        now: Instant,
+    ) {
+        let router = self.allocator.attach(hello, now);
+        // An older stream of the same router is closed by dropping its sender.
+        self.sessions.retain(|s| s.router != router);
+        self.sessions.push(Session {
+            number: session,
+            router,
+            frames,
+        });
+    }
+
+    fn close_session(&mut self, session: u64, now: Instant) {
+        let at = self.sessions.iter().position(|s| s.number == session);
+        if let Some(at) = at {
+            let session = self.sessions.swap_remove(at);
+            self.allocator.detach(session.router, now);
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        let index = self.view.index();
+        if index > self.configured {
+            self.allocator.configure(&self.view.current(), now);
+            self.configured = index;
+        }
+        self.allocator.tick(now);
+    }
+
+    fn decide(&mut self, now: Instant) {
+        if !(self.lease)() {
+            // Routers whose streams close look for the scheduler that replaces this one.
+            for session in std::mem::take(&mut self.sessions) {
+                self.allocator.detach(session.router, now);
+            }
+            return;
+        }
+        self.allocator.decide(now);
+        let mut slow = Vec::new();
+        for (router, frame) in self.allocator.frames() {
+            let session = self.sessions.iter_mut().find(|s| s.router == router);
+            let Some(session) = session else { continue };
+            if session.frames.try_send(frame).is_err() {
+                slow.push(session.number);
+            }
+        }
+        for session in slow {
+            self.close_session(session, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jaylock-share/src/settings.rs
@@ -0,0 +1,82 @@
+use std::time::Duration;
+
+/// Settings of the schedulers that an instance runs.
+#[derive(Debug, Clone)]
+pub struct ShareSettings {
+    /// Requests of one organisation that may wait in a pool, where its own configuration says 0.
+    pub queue_limit: u32,
+    /// Requests that may wait in a pool before organisations are held to equal parts of it.
+    pub pool_limit: usize,
+    /// Time after which a backend server that was not heard gets nothing new.
+    pub backend_lease: Duration,
+    /// Time for which the slots of a lost router are kept for its return.
+    pub router_lease: Duration,
+    /// Time in which a new scheduler hears what runs before it grants anything.
+    pub settling: Duration,
+    /// Time that a request waits for a backend server to appear before it is refused.
+    pub backend_wait: Duration,
+    /// Wait after which the long requests of an organisation take turns with its short ones.
+    pub longest_wait: Duration,
+    /// Cost in tokens that is expected of a pool's first request.
+    pub first_cost: u64,
+    /// Decisions that are remembered for explaining requests.
+    pub decisions: usize,
+    /// Prompt prefixes that are remembered for each backend server.
+    pub prefixes: usize,
+    /// Time over which answers to one router are joined.
+    pub join: Duration,
+}
+
+impl Default for ShareSettings {
+    fn default() -> Self {
+        Self {
+            queue_limit: 256,
+            pool_limit: 20_000,
+            backend_lease: Duration::from_secs(3),
+            router_lease: Duration::from_secs(3),
+            settling: Duration::from_millis(300),
+            backend_wait: Duration::from_millis(500),
+            longest_wait: Duration::from_secs(30),
+            first_cost: 128,
+            decisions: 512,
+            prefixes: 4096,
+            join: Duration::from_millis(2),
+        }
+    }
+}
+
+/// Settings of a router's client of the pools.
+#[derive(Debug, Clone)]
+pub struct PoolSettings {
+    /// Time over which messages are joined after the first one.
+    pub join: Duration,
+    /// Time over which ends are joined while the router has nothing waiting.
+    pub join_ends: Duration,
+    /// Shortest time between two reports of progress.
+    pub progress_interval: Duration,
+    /// Growth in tokens below which progress is not reported.
+    pub progress_tokens: u64,
+    /// Pause before a lost scheduler is called again.
+    pub retry: Duration,
+    /// Time that a request waits for a scheduler to answer before it is refused.
+    pub scheduler_wait: Duration,
+    /// Silence of the scheduler after which the router serves from its own slots.
+    pub fallback_after: Duration,
+    /// Time for opening a stream.
+    pub attach_timeout: Duration,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        Self {
+            join: Duration::from_millis(3),
+            join_ends: Duration::from_millis(50),
+            progress_interval: Duration::from_millis(250),
+            progress_tokens: 64,
+            retry: Duration::from_millis(200),
+            scheduler_wait: Duration::from_secs(5),
+            fallback_after: Duration::from_millis(500),
+            attach_timeout: Duration::from_secs(2),
+        }
+    }
+}
--- /dev/null
+++ b/crates/jaylock-share/src/waitlist.rs
@@ -0,0 +1,327 @@
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use futures_channel::oneshot;
+use jaylock_rpc::v1::{
+    Ask, BackendReport, BackendVerdict, End, FallbackSlots, Grant, Hello, Progress, Refusal,
+    RouterFrame, Running, SchedulerFrame, Total,
+};
+
+use crate::PoolSettings;
+use crate::batch::Batch;
+use crate::cost::cost_of;
+use crate::link::not_run;
+
+/// What an ask ends with.
+pub type Answer = Result<Grant, Refusal>;
+
+/// What a router knows of one pool: who waits, what runs, and what is yet to be told.
+#[derive(Debug)]
+pub struct Waitlist {
+    settings: PoolSettings,
+    epoch: u64,
+    is_attached: bool,
+    // Sorted by ticket, and so by age.
+    pending: Vec<Pending>,
+    // Sorted by ticket.
+    held: Vec<Held>,
+    batch: Batch,
+    // Newest report of each backend server that announced itself here, sorted by name.
+    reports: Vec<BackendReport>,
+    // Sorted by name of the backend server.
+    verdicts: Vec<BackendVerdict>,
+    // Sorted by organisation.
+    totals: Vec<Total>,
+    fallback: Vec<FallbackSlots>,
+    lost: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Pending {
+    ask: Ask,
+    answer: oneshot::Sender<Answer>,
+    since: Instant,
+}
+
+/// A slot that the router holds.
+#[derive(Debug)]
+struct Held {
+    ticket: u64,
+    organisation: CompactString,
+    backend: CompactString,
+    tokens: u64,
+    told: u64,
+}
+
+impl Waitlist {
+    pub fn new(settings: PoolSettings) -> Self {
+        Self {
+            settings,
+            epoch: 0,
+            is_attached: false,
+            pending: Vec::new(),
+            held: Vec::new(),
+            batch: Batch::default(),
+            reports: Vec::new(),
+            verdicts: Vec::new(),
+            totals: Vec::new(),
+            fallback: Vec::new(),
+            lost: None,
+        }
+    }
+
+    pub fn ask(&mut self, ask: Ask, answer: oneshot::Sender<Answer>, now: Instant) {
+        if self.is_attached {
+            self.batch.add_ask(ask.clone());
+        }
+        let at = self
+            .pending
+            .partition_point(|other| other.ask.ticket < ask.ticket);
+        self.pending.insert(
+            at,
+            Pending {
+                ask,
+                answer,
+                since: now,
+            },
+        );
+    }
+
+    pub fn cancel(&mut self, ticket: u64) {
+        if self.take_pending(ticket).is_some() && self.is_attached {
+            self.batch.cancel(ticket);
+        }
+    }
+
+    pub fn progress(&mut self, progress: Progress) {
+        let Ok(at) = self
+            .held
+            .binary_search_by_key(&progress.ticket, |held| held.ticket)
+        else {
+            return;
+        };
+        let held = &mut self.held[at];
+        held.tokens = held.tokens.max(progress.tokens);
+        if self.is_attached && held.tokens >= held.told + self.settings.progress_tokens {
+            held.told = held.tokens;
+            self.batch.add_progress(Progress {
+                ticket: held.ticket,
+                tokens: held.tokens,
+            });
+        }
+    }
+
+    pub fn end(&mut self, end: End, now: Instant) {
+        let Ok(at) = self
+            .held
+            .binary_search_by_key(&end.ticket, |held| held.ticket)
+        else {
+            return;
+        };
+        let held = self.held.remove(at);
+        self.add_total(&held.organisation, cost_of(&end), !self.is_attached);
+        if self.is_attached {
+            self.batch.add_end(held.organisation, end, now);
+        }
+    }
+
+    pub fn report(&mut self, report: BackendReport) {
+        if self.is_attached {
+            self.batch.add_report(report.clone());
+        }
+        // Cache events are told once; a resent report holds none.
+        let kept = BackendReport {
+            cached: Vec::new(),
+            evicted: Vec::new(),
+            ..report
+        };
+        match self
+            .reports
+            .binary_search_by(|known| known.id.cmp(&kept.id))
+        {
+            Ok(at) if kept.leaving => drop(self.reports.remove(at)),
+            Ok(at) => self.reports[at] = kept,
+            Err(at) => self.reports.insert(at, kept),
+        }
+    }
+
+    pub fn verdict(&self, backend: &str) -> Option<BackendVerdict> {
+        let at = self
+            .verdicts
+            .binary_search_by(|v| v.backend.as_str().cmp(backend));
+        at.ok().map(|at| self.verdicts[at].clone())
+    }
+
+    /// The first message of a new stream: all that the scheduler must know.
+    pub fn first_frame(&mut self, mut hello: Hello, now: Instant) -> RouterFrame {
+        hello.epoch = self.epoch;
+        hello.running = self.held.iter().map(Held::running).collect();
+        let asks = self.pending.iter().map(|pending| pending.ask_again(now));
+        RouterFrame {
+            hello: Some(hello),
+            asks: asks.collect(),
+            backends: self.reports.clone(),
+            totals: self
+                .totals
+                .iter()
+                .filter(|total| total.unheard > 0)
+                .cloned()
+                .collect(),
+            ..RouterFrame::default()
+        }
+    }
+
+    /// Notes that the scheduler has the first message.
+    pub fn attach(&mut self) {
+        self.is_attached = true;
+        self.lost = None;
+        for total in &mut self.totals {
+            total.unheard = 0;
+        }
+    }
+
+    /// Notes that the stream is lost.
+    pub fn detach(&mut self, now: Instant) {
+        self.is_attached = false;
+        self.lost.get_or_insert(now);
+        for (organisation, end) in self.batch.clear() {
+            let cost = cost_of(&end);
+            self.add_total(&organisation, 0, true);
+            if let Ok(at) = self.search_total(&organisation) {
+                self.totals[at].unheard += cost;
+            }
+        }
+    }
+
+    /// Takes a message of the scheduler; false when it is of an older epoch.
+    pub fn take(&mut self, frame: SchedulerFrame, now: Instant) -> bool {
+        if frame.epoch < self.epoch {
+            return false;
+        }
+        self.epoch = frame.epoch;
+        for verdict in frame.verdicts {
+            match self
+                .verdicts
+                .binary_search_by(|v| v.backend.cmp(&verdict.backend))
+            {
+                Ok(at) => self.verdicts[at] = verdict,
+                Err(at) => self.verdicts.insert(at, verdict),
+            }
+        }
+        if let Some(fallback) = frame.fallback {
+            self.fallback = fallback.backends;
+        }
+        for refusal in frame.refusals {
+            if let Some(pending) = self.take_pending(refusal.ticket) {
+                let _ = pending.answer.send(Err(refusal));
+            }
+        }
+        for grant in frame.grants {
+            self.grant(grant, now);
+        }
+        true
+    }
+
+    /// When the next message is to be sent.
+    pub fn due(&self, now: Instant) -> Option<Instant> {
+        self.batch
+            .due(&self.settings, !self.pending.is_empty(), now)
+    }
+
+    pub fn next_frame(&mut self, now: Instant) -> RouterFrame {
+        self.batch.take(now)
+    }
+
+    /// Takes out the asks that have waited longer than `limit` without a scheduler.
+    pub fn take_stale(
+        &mut self,
+        now: Instant,
+        limit: Duration,
+    ) -> Vec<(u64, oneshot::Sender<Answer>)> {
+        let is_stale = |pending: &Pending| now.saturating_duration_since(pending.since) >= limit;
+        let lost_long = self
+            .lost
+            .is_none_or(|lost| now.saturating_duration_since(lost) >= limit);
+        if !lost_long {
+            return Vec::new();
+        }
+        let stale = self.pending.extract_if(.., |pending| is_stale(pending));
+        stale
+            .map(|pending| (pending.ask.ticket, pending.answer))
+            .collect()
+    }
+
+    fn grant(&mut self, grant: Grant, now: Instant) {
+        let Some(pending) = self.take_pending(grant.ticket) else {
+            // Its caller gave up; the slot goes back at once.
+            self.batch
+                .add_end(CompactString::default(), not_run(&grant), now);
+            return;
+        };
+        let held = Held {
+            ticket: grant.ticket,
+            organisation: pending.ask.organisation.as_str().into(),
+            backend: grant.backend.as_str().into(),
+            tokens: 0,
+            told: 0,
+        };
+        let at = self
+            .held
+            .partition_point(|other| other.ticket < held.ticket);
+        self.held.insert(at, held);
+        if let Err(unheard) = pending.answer.send(Ok(grant)) {
+            let grant = unheard.expect("a grant was sent");
+            self.end(not_run(&grant), now);
+        }
+    }
+
+    fn take_pending(&mut self, ticket: u64) -> Option<Pending> {
+        let at = self
+            .pending
+            .binary_search_by_key(&ticket, |pending| pending.ask.ticket)
+            .ok()?;
+        Some(self.pending.remove(at))
+    }
+
+    fn add_total(&mut self, organisation: &str, tokens: u64, is_unheard: bool) {
+        let at = self.search_total(organisation).unwrap_or_else(|at| {
+            let total = Total {
+                organisation: organisation.into(),
+                ..Total::default()
+            };
+            self.totals.insert(at, total);
+            at
+        });
+        self.totals[at].tokens += tokens;
+        if is_unheard {
+            self.totals[at].unheard += tokens;
+        }
+    }
+
+    fn search_total(&self, organisation: &str) -> Result<usize, usize> {
+        self.totals
+            .binary_search_by(|total| total.organisation.as_str().cmp(organisation))
+    }
+}
+
+impl Pending {
+    fn ask_again(&self, now: Instant) -> Ask {
+        let waited = now.saturating_duration_since(self.since).as_millis();
+        let waited = u32::try_from(waited).unwrap_or(u32::MAX);
+        Ask {
+            waited_ms: self.ask.waited_ms.saturating_add(waited),
+            ..self.ask.clone()
+        }
+    }
+}
+
+impl Held {
+    fn running(&self) -> Running {
+        Running {
+            ticket: self.ticket,
+            backend: self.backend.as_str().into(),
+            organisation: self.organisation.as_str().into(),
+            tokens: self.tokens,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jaylock-tests/tests/share/fleet.rs
@@ -0,0 +1,128 @@
+//! Schedulers and routers in one process, over gRPC on loopback.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpListener;
+use compio::runtime::JoinHandle;
+use jaylock_control::ConfigView;
+use jaylock_rpc::v1::{Ask, BackendReport, Configuration, End, Instance, LoadedModel, PoolLease};
+use jaylock_rpc::{Access, ChannelSettings, Routes, ServerSettings, serve};
+use jaylock_share::{PoolSettings, Pools, SchedulerHost, ShareSettings};
+use jaylock_types::{Incarnation, InstanceId, PoolId};
+
+/// Time in which anything that is to happen has happened.
+pub const LIVENESS: Duration = Duration::from_secs(10);
+
+/// An instance that can run schedulers; dropping it closes its listener.
+pub struct Host {
+    pub id: InstanceId,
+    pub address: SocketAddr,
+    pub has_lease: Rc<Cell<bool>>,
+    _tasks: [JoinHandle<()>; 2],
+}
+
+impl Host {
+    pub async fn start(id: &str, view: &ConfigView, settings: ShareSettings) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let has_lease = Rc::new(Cell::new(true));
+        let lease = has_lease.clone();
+        let id: InstanceId = id.parse().expect("a name");
+        let host = SchedulerHost::new(
+            id.clone(),
+            Incarnation(1),
+            view.clone(),
+            move || lease.get(),
+            settings,
+        );
+        let routes = Routes::default().with(Access::Instances, host.service());
+        let server = serve(listener, routes, ServerSettings::default());
+        let tasks = [
+            compio::runtime::spawn(server),
+            compio::runtime::spawn(host.run()),
+        ];
+        Self {
+            id,
+            address,
+            has_lease,
+            _tasks: tasks,
+        }
+    }
+
+    pub fn instance(&self) -> Instance {
+        Instance {
+            id: self.id.as_str().into(),
+            incarnation: 1,
+            peer_address: self.address.to_string(),
+            ..Instance::default()
+        }
+    }
+}
+
+/// A configuration in which `host` runs the scheduler of the pool "chat".
+pub fn configuration(index: u64, epoch: u64, host: &Host) -> Configuration {
+    let lease = PoolLease {
+        pool: "chat".into(),
+        instance: host.id.as_str().into(),
+        incarnation: 1,
+        epoch,
+    };
+    Configuration {
+        index,
+        pools: vec![lease],
+        instances: vec![host.instance()],
+        ..Configuration::default()
+    }
+}
+
+pub fn router(id: &str, view: &ConfigView) -> Pools {
+    Pools::new(
+        id.parse().expect("a name"),
+        Incarnation(1),
+        "amman-a".parse().expect("a name"),
+        view.clone(),
+        ChannelSettings::default(),
+        PoolSettings::default(),
+    )
+}
+
+pub fn engine(id: &str, slots: u32) -> BackendReport {
+    let model = LoadedModel {
+        model: "dossier".into(),
+        version: "1".into(),
+        adapters: Vec::new(),
+    };
+    BackendReport {
+        id: id.into(),
+        incarnation: 1,
+        address: "127.0.0.1:1".into(),
+        domain: "amman-a".into(),
+        models: vec![model],
+        slots,
+        pool: "chat".into(),
+        ..BackendReport::default()
+    }
+}
+
+pub fn ask(organisation: &str) -> Ask {
+    Ask {
+        organisation: organisation.into(),
+        model: "dossier".into(),
+        ..Ask::default()
+    }
+}
+
+pub fn end(ticket: u64, tokens: u64) -> End {
+    End {
+        ticket,
+        tokens,
+        ..End::default()
+    }
+}
+
+pub fn pool() -> PoolId {
+    "chat".parse().expect("a name")
+}
--- /dev/null
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the sharing of capacity.
+
+mod fleet;
+mod stream;
--- /dev/null
+++ b/crates/jaylock-tests/tests/share/stream.rs
@@ -0,0 +1,31 @@
+use std::time::Duration;
+
+use compio::time::timeout;
+use googletest::prelude::*;
+use jaylock_control::ConfigView;
+use jaylock_share::ShareSettings;
+use jaylock_tests::cases;
+
+use crate::fleet::{Host, LIVENESS, ask, configuration, end, engine, pool, router};
+
+cases! {
+    async a_slot_is_asked_for_granted_and_given_back => {
+        let view = ConfigView::default();
+        let host = Host::start("i1", &view, ShareSettings::default()).await;
+        view.offer(configuration(1, 1, &host));
+        let chat = pool();
+        let pools = router("r1", &view);
+        pools.report(engine("e1", 1));
+        let first = timeout(LIVENESS, pools.ask(&chat, ask("bench"))).await;
+        let first = first.expect("an answer").expect("a grant");
+        assert_that!(first.backend, eq("e1"));
+        assert_that!(first.epoch, eq(1));
+        let mut second = Box::pin(pools.ask(&chat, ask("till")));
+        let early = timeout(Duration::from_millis(200), &mut second).await;
+        assert_that!(early.is_err(), eq(true));
+        pools.end(&chat, end(first.ticket, 20));
+        let second = timeout(LIVENESS, second).await.expect("an answer").expect("a grant");
+        assert_that!(second.backend, eq("e1"));
+        assert_that!(pools.verdict("e1").map(|v| v.refused), some(eq("")));
+    };
+}
