--- /dev/null
+++ b/crates/jaylock-router/src/generation.rs
@@ -0,0 +1,190 @@
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use jaylock_observe::Run;
+use jaylock_rpc::v1::Ask;
+use jaylock_types::Tokens;
+
+use crate::account::Account;
+use crate::answer::Refusal;
+use crate::attempt::{Attempt, Position};
+use crate::call::{self, Call};
+use crate::chat::Chat;
+use crate::piece::Piece;
+use crate::retry::Retry;
+use crate::router::Shared;
+use crate::slot::Slot;
+
+/// Longest run that finds out whether a request crashes backend servers.
+const TRIAL_LIMIT: Duration = Duration::from_mins(1);
+
+/// A model's answer in the making, across all attempts; dropping it cancels the work.
+pub struct Generation {
+    shared: Rc<Shared>,
+    call: Call,
+    chat: Chat,
+    account: Account,
+    retry: Retry,
+    live: Option<Live>,
+    position: Position,
+    tokens: u64,
+    whole: bool,
+}
+
+struct Live {
+    attempt: Attempt,
+    address: SocketAddr,
+    slot: Slot,
+    base: u64,
+}
+
+impl Generation {
+    /// Prepares the answer; nothing is asked yet.
+    pub fn new(shared: Rc<Shared>, call: Call, chat: Chat, account: Account) -> Self {
+        let retry = Retry::new(shared.clone(), &call, chat.pool.clone());
+        Self {
+            shared,
+            call,
+            chat,
+            account,
+            retry,
+            live: None,
+            position: Position::default(),
+            tokens: 0,
+            whole: false,
+        }
+    }
+
+    /// The next piece of the answer, or none when it is whole.
+    pub async fn next(&mut self) -> Result<Option<Piece>, Refusal> {
+        if self.whole {
+            return Ok(None);
+        }
+        let left = self.call.left();
+        let outcome = compio::time::timeout(left, self.advance()).await;
+        let outcome = outcome.unwrap_or_else(|_| Err(call::late(self.retry.run())));
+        if let Err(refusal) = &outcome {
+            self.live = None;
+            self.account.answered(refusal.status, refusal.run);
+        }
+        outcome
+    }
+
+    /// Whether it runs, as far as is known.
+    pub fn run(&self) -> Run {
+        self.retry.run()
+    }
+
+    /// The call it answers.
+    pub fn call(&self) -> &Call {
+        &self.call
+    }
+
+    /// The request as it was understood.
+    pub fn chat(&self) -> &Chat {
+        &self.chat
+    }
+
+    async fn advance(&mut self) -> Result<Option<Piece>, Refusal> {
+        loop {
+            let Some(live) = &mut self.live else {
+                self.start().await?;
+                continue;
+            };
+            match live.attempt.next().await {
+                Ok(Some(piece)) => {
+                    self.note(&piece);
+                    return Ok(Some(piece));
+                }
+                Ok(None) => {
+                    self.finish();
+                    return Ok(None);
+                }
+                Err(failure) => {
+                    if let Some(live) = self.live.take() {
+                        let (retry, account) = (&mut self.retry, &self.account);
+                        retry
+                            .failed(&failure, live.address, live.slot, account)
+                            .await?;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn start(&mut self) -> Result<(), Refusal> {
+        let ask = Ask {
+            served: self.tokens,
+            ..self.chat.ask.clone()
+        };
+        let (address, slot) = self.retry.slot(ask, &mut self.account).await?;
+        let left = self.call.left();
+        match Attempt::start(&self.shared, &self.chat, address, self.position, left).await {
+            Ok(attempt) => {
+                let base = self.tokens;
+                self.live = Some(Live {
+                    attempt,
+                    address,
+                    slot,
+                    base,
+                });
+                Ok(())
+            }
+            Err(failure) => {
+                let account = &self.account;
+                self.retry.failed(&failure, address, slot, account).await
+            }
+        }
+    }
+
+    fn note(&mut self, piece: &Piece) {
+        self.account.first();
+        self.retry.ran();
+        self.position.last = piece.number;
+        self.position.finished |= piece.is_finish();
+        self.tokens += 1;
+        if let Some(live) = &mut self.live {
+            live.slot.count(self.tokens - live.base);
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(live) = self.live.take() {
+            self.retry.succeeded(live.slot);
+            live.attempt.close();
+        }
+        self.whole = true;
+        let record = &mut self.account.record;
+        record.tokens = Tokens(self.tokens);
+        record.whole = true;
+        self.account.answered(StatusCode::OK, Run::Ran);
+    }
+}
+
+/// A generation whose caller listens; a suspect's trial goes on when the caller hangs up.
+pub struct Attended(Option<Generation>);
+
+impl Attended {
+    /// Attaches a caller.
+    pub fn new(generation: Generation) -> Self {
+        Self(Some(generation))
+    }
+
+    /// The generation, until it is dropped.
+    pub fn get(&mut self) -> Option<&mut Generation> {
+        self.0.as_mut()
+    }
+}
+
+impl Drop for Attended {
+    fn drop(&mut self) {
+        let Some(mut generation) = self.0.take().filter(|g| g.retry.is_on_trial()) else {
+            return;
+        };
+        generation.call.deadline = Instant::now() + TRIAL_LIMIT;
+        compio::runtime::spawn(async move { while let Ok(Some(_)) = generation.next().await {} })
+            .detach();
+    }
+}
--- /dev/null
+++ b/crates/jaylock-standin/src/engine.rs
@@ -0,0 +1,309 @@
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_channel::mpsc;
+use futures_util::SinkExt;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use serde::Deserialize;
+
+use crate::cache::PrefixCache;
+use crate::run::{Run, event};
+use crate::runs::{RunBook, RunNote, digest};
+use crate::{
+    Announcement, Answer, Backend, Body, ChatRequest, Closed, Fault, Heartbeat, LoadedModel,
+    Server, Slots, json, not_run, read,
+};
+
+/// Exit status of a process that a request crashed.
+const CRASHED: i32 = 101;
+/// Pause between two looks at whether a silent stream was closed by its reader.
+const CLOSE_CHECK: Duration = Duration::from_millis(20);
+
+type Sender = mpsc::Sender<io::Result<Frame<Bytes>>>;
+
+/// Settings of a stand-in engine.
+#[derive(Debug, Clone)]
+pub struct EngineSettings {
+    /// What it says of itself; models, slots and fencing number are its first ones.
+    pub announcement: Announcement,
+    /// Time for each token.
+    pub token_time: Duration,
+    /// Time before the first token, and for each prompt block that the cache does not hold.
+    pub prefill_time: Duration,
+    /// Prompt blocks that its cache holds.
+    pub cache_blocks: usize,
+    /// Time for loading a model, when no weight store is named.
+    pub load_time: Duration,
+    /// Weight store to fetch models from.
+    pub store: Option<SocketAddr>,
+    /// File to which each run is appended, one line of JSON.
+    pub runs: Option<PathBuf>,
+    /// Whether words in prompts bring about faults.
+    pub faults: bool,
+}
+
+/// A model engine whose answers are a function of the prompt.
+pub struct Engine {
+    settings: EngineSettings,
+    slots: Slots,
+    models: RefCell<Vec<LoadedModel>>,
+    fence: Cell<u64>,
+    cache: RefCell<PrefixCache>,
+    runs: RunBook,
+    is_leaving: Cell<bool>,
+}
+
+#[derive(Deserialize)]
+struct Order {
+    fence: u64,
+    models: Vec<LoadedModel>,
+}
+
+impl Engine {
+    /// Makes an engine that holds the models of its announcement, and opens its file of runs.
+    ///
+    /// # Errors
+    /// The file can't be opened.
+    pub fn open(settings: EngineSettings) -> io::Result<Self> {
+        Ok(Self {
+            runs: RunBook::open(settings.runs.as_deref())?,
+            slots: Slots::new(settings.announcement.slots),
+            models: RefCell::new(settings.announcement.models.clone()),
+            fence: Cell::new(settings.announcement.fence),
+            cache: RefCell::new(PrefixCache::new(settings.cache_blocks)),
+            is_leaving: Cell::new(false),
+            settings,
+        })
+    }
+
+    async fn chat(self: Rc<Self>, headers: &HeaderMap, body: &Bytes) -> Response<Body> {
+        let request: ChatRequest = match serde_json::from_slice(body) {
+            Ok(request) => request,
+            Err(reason) => return error(StatusCode::BAD_REQUEST, &reason.to_string()),
+        };
+        if self.is_leaving.get() {
+            return not_run("the engine leaves");
+        }
+        if !self.holds(headers, &request.model) {
+            return not_run("the engine does not hold this model, version or adapter");
+        }
+        let Some(slot) = self.slots.take().await else {
+            return not_run("the engine is full");
+        };
+        let prompt = request.prompt();
+        if self.runs.push(&self.note(headers, &prompt)).is_err() {
+            return not_run("the file of runs can't be written");
+        }
+        let run = Run {
+            attempt: text(headers, "x-request-id").into(),
+            start: text(headers, "last-event-id").parse().unwrap_or(0),
+            answer: Answer::of(&prompt, request.max_tokens),
+            fault: Fault::of(&prompt).filter(|_| self.settings.faults),
+            request,
+            _slot: slot,
+        };
+        if run.request.stream {
+            self.stream(run)
+        } else {
+            self.complete(run).await
+        }
+    }
+
+    fn note(&self, headers: &HeaderMap, prompt: &str) -> RunNote {
+        RunNote {
+            service: self.settings.announcement.id.clone(),
+            method: Method::POST.to_string(),
+            path: "/v1/chat/completions".into(),
+            request: text(headers, "x-request-id").into(),
+            key: String::new(),
+            organisation: text(headers, "x-organisation").into(),
+            digest: digest(prompt.as_bytes()),
+        }
+    }
+
+    fn holds(&self, headers: &HeaderMap, model: &str) -> bool {
+        let version = text(headers, "x-model-version");
+        let adapter = text(headers, "x-adapter");
+        let fits = |held: &LoadedModel| {
+            held.model == model
+                && (version.is_empty() || held.version == version)
+                && (adapter.is_empty() || held.adapters.iter().any(|a| a == adapter))
+        };
+        self.models.borrow().iter().any(fits)
+    }
+
+    async fn complete(&self, run: Run) -> Response<Body> {
+        self.prefill(&run).await;
+        compio::time::sleep(self.settings.token_time * run.answer.length()).await;
+        let mut response = json(StatusCode::OK, &run.whole());
+        echo(&mut response, &run.attempt);
+        response
+    }
+
+    /// Reads the prompt; what the cache holds of it costs no time.
+    async fn prefill(&self, run: &Run) {
+        let missing = self.cache.borrow_mut().admit(&run.request.prefixes());
+        compio::time::sleep(self.settings.prefill_time * (1 + missing)).await;
+        if run.fault == Some(Fault::Crash) {
+            log::error!(target: "standin", "a request crashes this engine");
+            std::process::exit(CRASHED);
+        }
+    }
+
+    fn stream(self: Rc<Self>, run: Run) -> Response<Body> {
+        let (sender, receiver) = mpsc::channel(0);
+        let mut response = Response::new(StreamBody::new(receiver).boxed_unsync());
+        let kind = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(header::CONTENT_TYPE, kind);
+        echo(&mut response, &run.attempt);
+        compio::runtime::spawn(async move {
+            // The reader has closed the stream, which cancels the run.
+            let _ = self.generate(run, sender).await;
+        })
+        .detach();
+        response
+    }
+
+    async fn generate(&self, run: Run, mut sender: Sender) -> Result<(), mpsc::SendError> {
+        self.prefill(&run).await;
+        for position in run.start + 1..=run.answer.length() {
+            compio::time::sleep(self.settings.token_time).await;
+            let event = event(position, &run.piece(position));
+            if run.fault == Some(Fault::Double(position)) {
+                sender.send(frame(event.clone())).await?;
+            }
+            sender.send(frame(event)).await?;
+            if run.fault == Some(Fault::Break(position)) {
+                let cut = io::Error::from(io::ErrorKind::ConnectionReset);
+                return sender.send(Err(cut)).await;
+            }
+            if run.fault == Some(Fault::Short(position)) {
+                return Ok(());
+            }
+            if run.fault == Some(Fault::Silent(position)) {
+                until_closed(&sender).await;
+                return Ok(());
+            }
+        }
+        if run.start <= run.answer.length() {
+            let last = run.answer.length() + 1;
+            sender.send(frame(event(last, &run.last()))).await?;
+        }
+        sender.send(frame("data: [DONE]\n\n".into())).await
+    }
+
+    async fn order(&self, body: &Bytes) -> Response<Body> {
+        let order: Order = match serde_json::from_slice(body) {
+            Ok(order) => order,
+            Err(reason) => return error(StatusCode::BAD_REQUEST, &reason.to_string()),
+        };
+        let checks = self.settings.announcement.checks_orders;
+        if checks && order.fence < self.fence.get() {
+            return error(StatusCode::CONFLICT, "the order is old");
+        }
+        if checks {
+            self.fence.set(order.fence);
+        }
+        for model in &order.models {
+            if !self.models.borrow().contains(model) {
+                self.load(model).await;
+            }
+        }
+        if checks && order.fence < self.fence.get() {
+            return error(StatusCode::CONFLICT, "a newer order came meanwhile");
+        }
+        log::info!(target: "standin", "order {} is in force", order.fence);
+        self.fence.set(order.fence);
+        *self.models.borrow_mut() = order.models;
+        json(StatusCode::OK, &serde_json::json!({"fence": order.fence}))
+    }
+
+    async fn load(&self, model: &LoadedModel) {
+        let Some(store) = self.settings.store else {
+            return compio::time::sleep(self.settings.load_time).await;
+        };
+        let path = format!("/v1/weights/{}/{}", model.model, model.version);
+        while let Err(reason) = crate::read_json::<serde_json::Value>(store, &path).await {
+            log::info!(target: "standin", "the weight store makes us wait: {reason}");
+            compio::time::sleep(Duration::from_millis(200)).await;
+        }
+    }
+}
+
+impl Server for Engine {
+    fn leave(&self) {
+        self.is_leaving.set(true);
+    }
+
+    fn is_busy(&self) -> bool {
+        self.slots.running() + self.slots.waiting() > 0
+    }
+
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Closed> {
+        let (head, body) = request.into_parts();
+        let body = read(body).await?;
+        match (head.method, head.uri.path()) {
+            (Method::POST, "/v1/chat/completions") => Ok(self.chat(&head.headers, &body).await),
+            (Method::POST, "/v1/orders") => Ok(self.order(&body).await),
+            _ => Ok(error(StatusCode::NOT_FOUND, "no such path")),
+        }
+    }
+}
+
+impl Backend for Engine {
+    fn announcement(&self) -> Announcement {
+        Announcement {
+            models: self.models.borrow().clone(),
+            fence: self.fence.get(),
+            ..self.settings.announcement.clone()
+        }
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        let (cached, evicted) = self.cache.borrow_mut().take_events();
+        Heartbeat {
+            cached,
+            evicted,
+            id: self.settings.announcement.id.clone(),
+            incarnation: self.settings.announcement.incarnation,
+            running: self.slots.running(),
+            waiting: self.slots.waiting(),
+            models: self.models.borrow().clone(),
+            fence: self.fence.get(),
+        }
+    }
+}
+
+#[allow(clippy::unnecessary_wraps)]
+fn frame(text: String) -> io::Result<Frame<Bytes>> {
+    Ok(Frame::data(text.into()))
+}
+
+async fn until_closed(sender: &Sender) {
+    while !sender.is_closed() {
+        compio::time::sleep(CLOSE_CHECK).await;
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name).and_then(|v| v.to_str().ok());
+    value.unwrap_or_default()
+}
+
+fn echo(response: &mut Response<Body>, attempt: &str) {
+    if let Ok(value) = HeaderValue::from_str(attempt) {
+        response.headers_mut().insert("x-request-id", value);
+    }
+}
+
+fn error(status: StatusCode, message: &str) -> Response<Body> {
+    let body = serde_json::json!({"error": {"kind": "refused", "message": message}});
+    json(status, &body)
+}
--- /dev/null
+++ b/crates/jaylock-standin/src/service.rs
@@ -0,0 +1,123 @@
+use std::cell::Cell;
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::runs::{RunBook, RunNote, digest};
+use crate::{Announcement, Backend, Body, Closed, Fault, Heartbeat, Server, json, not_run, read};
+
+/// Settings of a stand-in plain service.
+#[derive(Debug, Clone)]
+pub struct ServiceSettings {
+    /// What it says of itself.
+    pub announcement: Announcement,
+    /// Time for each call.
+    pub delay: Duration,
+    /// Whether words in the body bring about faults.
+    pub faults: bool,
+    /// File to which each run is appended, one line of JSON.
+    pub runs: Option<PathBuf>,
+}
+
+/// A plain service that writes down each run and answers with what it was asked.
+pub struct PlainService {
+    settings: ServiceSettings,
+    runs: RunBook,
+    running: Cell<u32>,
+    is_leaving: Cell<bool>,
+}
+
+impl PlainService {
+    /// Makes the service and opens its file of runs.
+    ///
+    /// # Errors
+    /// The file can't be opened.
+    pub fn open(settings: ServiceSettings) -> io::Result<Self> {
+        Ok(Self {
+            runs: RunBook::open(settings.runs.as_deref())?,
+            running: Cell::new(0),
+            is_leaving: Cell::new(false),
+            settings,
+        })
+    }
+
+    async fn run(&self, head: &Parts, body: &Bytes) -> Result<Response<Body>, Closed> {
+        let text = String::from_utf8_lossy(body);
+        let fault = Fault::of(&text).filter(|_| self.settings.faults);
+        let note = self.note(head, body);
+        if self.runs.push(&note).is_err() {
+            return Ok(not_run("the file of runs can't be written"));
+        }
+        if fault == Some(Fault::Crash) {
+            std::process::exit(101);
+        }
+        compio::time::sleep(self.settings.delay).await;
+        if fault == Some(Fault::Lose) {
+            return Err(Closed);
+        }
+        let mut response = json(StatusCode::OK, &note);
+        if let Some(id) = head.headers.get("x-request-id") {
+            response.headers_mut().insert("x-request-id", id.clone());
+        }
+        Ok(response)
+    }
+
+    fn note(&self, head: &Parts, body: &Bytes) -> RunNote {
+        let header = |name: &str| {
+            let value = head.headers.get(name).and_then(|v| v.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
+        RunNote {
+            service: self.settings.announcement.id.clone(),
+            method: head.method.to_string(),
+            path: head.uri.path_and_query().map_or("/", |p| p.as_str()).into(),
+            request: header("x-request-id"),
+            key: header("idempotency-key"),
+            organisation: header("x-organisation"),
+            digest: digest(body),
+        }
+    }
+}
+
+impl Server for PlainService {
+    fn leave(&self) {
+        self.is_leaving.set(true);
+    }
+
+    fn is_busy(&self) -> bool {
+        self.running.get() > 0
+    }
+
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Closed> {
+        let (head, body) = request.into_parts();
+        let body = read(body).await?;
+        if self.is_leaving.get() {
+            return Ok(not_run("the service leaves"));
+        }
+        self.running.set(self.running.get() + 1);
+        let outcome = self.run(&head, &body).await;
+        self.running.set(self.running.get() - 1);
+        outcome
+    }
+}
+
+impl Backend for PlainService {
+    fn announcement(&self) -> Announcement {
+        self.settings.announcement.clone()
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            id: self.settings.announcement.id.clone(),
+            incarnation: self.settings.announcement.incarnation,
+            running: self.running.get(),
+            ..Heartbeat::default()
+        }
+    }
+}
