The daemon: the whole path as separate processes

Cause: the parts stood side by side; no process served a request from start to finish. Ruled out: one binary for each role; every instance is a router, and roles follow settings and leases. Change: jaylockd assembles settings, log replica, follower, scheduler host, router, orders, operators' service, metrics and the handing over of minutes; a typestate for its life; both stop signals stay caught. Log targets are one for each part, each with a level of its own.

--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -111,7 +111,7 @@
                     let _ = self.view.offer(configuration);
                 }
                 Ok(_) => compio::time::sleep(self.settings.renew_every / 4).await,
-                Err(error) => log::warn!(target: "follower", "no configuration yet: {error}"),
+                Err(error) => log::warn!(target: "control", "no configuration yet: {error}"),
             }
         }
         let mut turn = rand::random_range(0..usize::MAX / 2);
@@ -127,14 +127,14 @@
         let mut stream = match self.client.watch(index, turn).await {
             Ok(stream) => stream,
             Err(status) => {
-                log::debug!(target: "follower", "no watch: {}", status.message());
+                log::debug!(target: "control", "no watch: {}", status.message());
                 return;
             }
         };
         while let Ok(Some(configuration)) = stream.message().await {
             self.client.learn(&configuration);
             if self.view.offer(configuration) {
-                log::debug!(target: "follower", "index {} is in force", self.view.index());
+                log::debug!(target: "control", "index {} is in force", self.view.index());
             }
         }
     }
@@ -160,7 +160,7 @@
                     self.shared.lease.end.set(Some(sent + lease));
                     self.view.set_connected(true);
                 }
-                Err(error) => log::warn!(target: "follower", "the lease is not renewed: {error}"),
+                Err(error) => log::warn!(target: "control", "the lease is not renewed: {error}"),
             }
             let pause = self.settings.renew_every.saturating_sub(started.elapsed());
             compio::time::sleep(pause).await;
--- /dev/null
+++ b/crates/jaylock-daemon/src/common.rs
@@ -0,0 +1,255 @@
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use jaylock_control::{
+    ClientSettings, ConfigView, ControlClient, FileDisk, Follower, FollowerSettings, InstanceLease,
+    PeerService, Replica, ReplicaSettings,
+};
+use jaylock_observe::Observer;
+use jaylock_operator::OperatorService;
+use jaylock_orders::{HttpEngines, KeeperSettings, OrderKeeper};
+use jaylock_router::{Router, RouterIdentity, RouterSettings};
+use jaylock_rpc::ChannelSettings;
+use jaylock_rpc::v1::{Instance, Member};
+use jaylock_settings::{ReplicaAddress, Settings};
+use jaylock_share::{PoolSettings, Pools, SchedulerHost, ShareSettings};
+use jaylock_types::{Incarnation, unix_ms};
+
+use crate::handover::Handover;
+use crate::observing::{objectives, observer};
+use crate::peer::PeerNotes;
+use crate::ports::{ControlLog, LocalPools, SharedCapacity};
+
+/// Time for an engine to answer an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Replicas of the log that a fleet of today's size keeps.
+const FEWEST_REPLICAS: usize = 3;
+
+/// What every part of an instance is made from.
+pub struct Common {
+    /// Settings of the instance.
+    pub settings: Settings,
+    /// Start of this process.
+    pub incarnation: Incarnation,
+    /// Client of the replicated log.
+    pub client: ControlClient,
+    /// Configuration in force here.
+    pub view: ConfigView,
+    /// Notes of what happens.
+    pub observer: Observer,
+    channel: ChannelSettings,
+}
+
+impl Common {
+    /// Prepares the shared parts; nothing is sent yet.
+    pub fn new(settings: Settings) -> Self {
+        let channel = ChannelSettings {
+            secret: settings.security.peer_secret.clone(),
+            ..ChannelSettings::default()
+        };
+        let seeds = settings
+            .control
+            .replicas
+            .iter()
+            .map(|r| r.peer_address)
+            .collect();
+        let incarnation = Incarnation(unix_ms());
+        Self {
+            incarnation,
+            client: ControlClient::new(seeds, channel.clone(), ClientSettings::default()),
+            view: ConfigView::default(),
+            observer: observer(&settings, incarnation),
+            channel,
+            settings,
+        }
+    }
+
+    /// Opens the replica of the log, where the instance has a data folder.
+    ///
+    /// # Errors
+    /// The folder can't be read.
+    pub async fn open_replica(&self) -> anyhow::Result<Option<Replica>> {
+        let Some(folder) = &self.settings.instance.data else {
+            return Ok(None);
+        };
+        let disk = FileDisk::open(Path::new(folder)).await?;
+        let own = &self.settings.instance;
+        let identity = Member {
+            instance: own.id.to_string(),
+            peer_address: own.peer_address.to_string(),
+            domain: own.domain.to_string(),
+            ..Member::default()
+        };
+        let bootstrap = self.settings.control.replicas.iter().map(member).collect();
+        let replica = Replica::open(identity, bootstrap, disk, self.replica_settings()).await?;
+        Ok(Some(replica))
+    }
+
+    /// The follower of the configuration and keeper of the instance's lease.
+    pub fn follower(&self) -> Follower {
+        let own = &self.settings.instance;
+        let instance = Instance {
+            id: own.id.to_string(),
+            incarnation: self.incarnation.0,
+            domain: own.domain.to_string(),
+            caller_address: own.caller_address.to_string(),
+            peer_address: own.peer_address.to_string(),
+            disk: own.data.is_some(),
+            leaving: false,
+        };
+        let settings = FollowerSettings::default();
+        Follower::new(self.client.clone(), self.view.clone(), instance, settings)
+    }
+
+    /// The client of the schedulers.
+    pub fn pools(&self) -> Pools {
+        Pools::new(
+            self.settings.instance.id.clone(),
+            self.incarnation,
+            self.settings.instance.domain.clone(),
+            self.view.clone(),
+            self.channel.clone(),
+            PoolSettings::default(),
+        )
+    }
+
+    /// The schedulers that may run here.
+    pub fn scheduler_host(&self, lease: InstanceLease) -> SchedulerHost {
+        let settings = ShareSettings {
+            queue_limit: self.settings.limits.queue,
+            ..ShareSettings::default()
+        };
+        SchedulerHost::new(
+            self.settings.instance.id.clone(),
+            self.incarnation,
+            self.view.clone(),
+            move || lease.is_valid(),
+            settings,
+        )
+    }
+
+    /// The callers' and backend servers' side.
+    pub fn router(&self, pools: &Pools) -> Rc<Router> {
+        let own = &self.settings.instance;
+        let identity = RouterIdentity {
+            instance: own.id.clone(),
+            incarnation: self.incarnation,
+            domain: own.domain.clone(),
+            address: own.caller_address,
+        };
+        Rc::new(Router::new(
+            identity,
+            self.view.clone(),
+            SharedCapacity(pools.clone()),
+            ControlLog(self.client.clone()),
+            self.observer.clone(),
+            self.router_settings(),
+        ))
+    }
+
+    /// The orders to the engines of the pools scheduled here.
+    ///
+    /// # Errors
+    /// The HTTP client can't be set up.
+    pub fn order_keeper(
+        &self,
+        lease: InstanceLease,
+    ) -> anyhow::Result<OrderKeeper<ControlLog, LocalPools, HttpEngines>> {
+        let local = LocalPools {
+            view: self.view.clone(),
+            lease,
+            instance: self.settings.instance.id.clone(),
+            incarnation: self.incarnation,
+            address: self.settings.instance.peer_address,
+            channel: self.channel.clone(),
+        };
+        let engines = HttpEngines::new(ORDER_TIMEOUT).context("no HTTP client for orders")?;
+        let ledger = ControlLog(self.client.clone());
+        let settings = KeeperSettings::default();
+        Ok(OrderKeeper::new(
+            self.view.clone(),
+            ledger,
+            local,
+            engines,
+            settings,
+        ))
+    }
+
+    /// The operators' side.
+    pub fn operator_service(&self) -> OperatorService {
+        OperatorService::with_objectives(
+            self.client.clone(),
+            self.view.clone(),
+            self.channel.clone(),
+            objectives(&self.observer),
+        )
+    }
+
+    /// What other instances ask of this one.
+    pub fn peer_notes(&self, lease: InstanceLease) -> PeerNotes {
+        PeerNotes::new(
+            PeerService::new(self.view.clone(), lease),
+            self.observer.clone(),
+        )
+    }
+
+    /// The handing over of finished minutes.
+    pub fn handover(&self) -> Handover {
+        Handover {
+            observer: self.observer.clone(),
+            view: self.view.clone(),
+            instance: self.settings.instance.id.clone(),
+            domain: self.settings.instance.domain.clone(),
+            channel: self.channel.clone(),
+        }
+    }
+
+    fn replica_settings(&self) -> ReplicaSettings {
+        let control = &self.settings.control;
+        ReplicaSettings {
+            channel: self.channel.clone(),
+            heartbeat: control.heartbeat,
+            election: control.election,
+            // A leader stops answering before another one may be elected.
+            lease: control.election * 4 / 5,
+            replicas: control.replicas.len().max(FEWEST_REPLICAS),
+            replace_after: control.replace_after,
+            instance_lease: control.lease,
+            snapshot_entries: control.snapshot_entries,
+            ..ReplicaSettings::default()
+        }
+    }
+
+    fn router_settings(&self) -> RouterSettings {
+        let Settings {
+            limits,
+            timeouts,
+            addresses,
+            ..
+        } = &self.settings;
+        RouterSettings {
+            body_bound: limits.body,
+            header_bound: limits.headers,
+            connections: limits.connections,
+            slow_sender: limits.sender_timeout,
+            record_bound: limits.answer_copy,
+            first_byte: timeouts.first_byte,
+            silence: timeouts.silence,
+            deadline: timeouts.deadline,
+            keep_ms: u32::try_from(addresses.keep.as_millis()).unwrap_or(u32::MAX),
+            ..RouterSettings::default()
+        }
+    }
+}
+
+fn member(replica: &ReplicaAddress) -> Member {
+    Member {
+        instance: replica.instance.to_string(),
+        peer_address: replica.peer_address.to_string(),
+        domain: replica.domain.to_string(),
+        generation: 1,
+        voter: true,
+    }
+}
--- /dev/null
+++ b/crates/jaylock-daemon/src/instance.rs
@@ -0,0 +1,166 @@
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+
+use anyhow::Context;
+use compio::net::TcpListener;
+use compio::runtime::JoinHandle;
+use futures_util::future::{Either, select};
+use jaylock_rpc::v1::{Command, InstanceGone, command};
+use jaylock_rpc::{Routes, ServerSettings};
+use jaylock_settings::Settings;
+use jaylock_types::RequestId;
+
+use crate::parts::{Parts, spawn};
+use crate::stop::stop_signal;
+
+/// Time between two looks at whether the fleet knows that this instance leaves.
+const LOOK: Duration = Duration::from_millis(50);
+/// Longest wait until the fleet knows that this instance leaves.
+const WITHDRAWAL: Duration = Duration::from_secs(5);
+/// Time in which the other instances follow a change, and with it the address lists they give out.
+const PROPAGATION: Duration = Duration::from_secs(1);
+
+/// One instance of the fleet, in a state of its life.
+pub struct Instance<S> {
+    parts: Parts,
+    state: S,
+}
+
+/// State of an instance whose addresses are bound and that serves nothing yet.
+pub struct Opened {
+    callers: TcpListener,
+    peers: TcpListener,
+    routes: Routes,
+    server: ServerSettings,
+}
+
+/// State of an instance that serves.
+pub struct Serving {
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Instance<Opened> {
+    /// Binds the addresses and reads what the disk holds.
+    ///
+    /// # Errors
+    /// An address is taken, or the data folder can't be read.
+    pub async fn open(settings: Settings) -> anyhow::Result<Self> {
+        let callers = bind(settings.instance.caller_address, "caller_address").await?;
+        let peers = bind(settings.instance.peer_address, "peer_address").await?;
+        let server = ServerSettings {
+            peer_secret: settings.security.peer_secret.clone(),
+            operator_secret: settings.security.operator_secret.clone(),
+            ..ServerSettings::default()
+        };
+        let (parts, routes) = Parts::assemble(settings).await?;
+        let state = Opened {
+            callers,
+            peers,
+            routes,
+            server,
+        };
+        Ok(Self { parts, state })
+    }
+
+    /// Starts every task of the instance.
+    ///
+    /// # Errors
+    /// The address of the metrics can't be bound.
+    pub async fn start(mut self) -> anyhow::Result<Instance<Serving>> {
+        let Opened {
+            callers,
+            peers,
+            routes,
+            server,
+        } = self.state;
+        let router = self.parts.router.clone();
+        let tasks = vec![
+            spawn(jaylock_rpc::serve(peers, routes, server)),
+            spawn(async move { router.serve(callers).await }),
+        ];
+        self.parts.start().await?;
+        log::info!(target: "daemon", "instance {} serves", self.parts.settings().instance.id);
+        Ok(Instance {
+            parts: self.parts,
+            state: Serving { tasks },
+        })
+    }
+}
+
+impl Instance<Serving> {
+    /// Serves until the process is asked to end, or the disk fails.
+    ///
+    /// # Errors
+    /// The disk failed; what it held stays as it is.
+    pub async fn run(self) -> anyhow::Result<()> {
+        let failure = {
+            let (stop, halted) = (pin!(stop_signal()), pin!(self.parts.halted()));
+            match select(stop, halted).await {
+                Either::Left(_) => None,
+                Either::Right((reason, _)) => Some(reason),
+            }
+        };
+        Box::pin(self.close()).await;
+        match failure {
+            None => Ok(()),
+            Some(reason) => Err(anyhow::anyhow!("the disk failed: {reason}")),
+        }
+    }
+
+    /// Stops without cutting a request: withdraws the address, hands over its roles, finishes what runs.
+    pub async fn close(self) {
+        log::info!(target: "daemon", "a graceful shutdown begins");
+        let limit = self.parts.settings().timeouts.stop;
+        let drained = compio::time::timeout(limit, self.leave()).await.is_ok();
+        if !drained {
+            log::warn!(target: "daemon", "requests still ran after {limit:?} and are cut");
+        }
+        self.sign_off().await;
+        drop(self.state.tasks);
+        log::info!(target: "daemon", "the instance ends");
+    }
+
+    async fn leave(&self) {
+        self.parts.follower.leave();
+        if let Some(replica) = &self.parts.replica {
+            replica.step_down().await;
+        }
+        let withdrawn = compio::time::timeout(WITHDRAWAL, self.withdrawn()).await;
+        if withdrawn.is_err() {
+            log::warn!(target: "daemon", "control did not confirm that this instance leaves");
+        }
+        compio::time::sleep(PROPAGATION).await;
+        self.parts.router.leave();
+        self.parts.router.drained().await;
+    }
+
+    async fn withdrawn(&self) {
+        while !self.parts.is_known_to_leave() {
+            compio::time::sleep(LOOK).await;
+        }
+    }
+
+    async fn sign_off(&self) {
+        let gone = InstanceGone {
+            id: self.parts.settings().instance.id.to_string(),
+            incarnation: self.parts.common.incarnation.0,
+            reason: "graceful shutdown".into(),
+        };
+        let command = Command {
+            id: RequestId::random().into(),
+            expected_revision: None,
+            body: Some(command::Body::RemoveInstance(gone)),
+        };
+        let proposed = self.parts.common.client.propose(command);
+        if compio::time::timeout(WITHDRAWAL, proposed).await.is_err() {
+            log::warn!(target: "daemon", "control did not confirm the end; the lease runs out instead");
+        }
+    }
+}
+
+async fn bind(address: SocketAddr, key: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("{key} {address} can't be bound: choose a free one"))
+}
--- a/crates/jaylock-daemon/src/lib.rs
+++ b/crates/jaylock-daemon/src/lib.rs
@@ -1,1 +1,15 @@
 //! The daemon: one instance of the fleet, assembled from its parts.
+
+mod common;
+mod exposition;
+mod handover;
+mod instance;
+mod observing;
+mod parts;
+mod peer;
+mod ports;
+mod stop;
+
+pub use self::instance::{Instance, Opened, Serving};
+pub use self::observing::log_settings;
+pub use self::peer::PeerNotes;
--- /dev/null
+++ b/crates/jaylock-daemon/src/ports.rs
@@ -0,0 +1,106 @@
+use std::net::SocketAddr;
+
+use compact_str::ToCompactString;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use jaylock_control::{ConfigView, ControlClient, InstanceLease};
+use jaylock_orders::{Ledger, OrderError, PoolBackends};
+use jaylock_router::{Capacity, Claims, NoControl};
+use jaylock_rpc::v1::pool_client::PoolClient;
+use jaylock_rpc::v1::{
+    Applied, Ask, BackendReport, BackendState, BackendVerdict, Command, DescribeRequest, End,
+    Grant, Progress, Refusal,
+};
+use jaylock_rpc::{Channel, ChannelSettings};
+use jaylock_share::Pools;
+use jaylock_types::{Incarnation, InstanceId, PoolId};
+
+/// The router's port to the schedulers of the pools.
+#[derive(Clone)]
+pub struct SharedCapacity(pub Pools);
+
+impl Capacity for SharedCapacity {
+    fn ask<'a>(&'a self, pool: &'a PoolId, ask: Ask) -> LocalBoxFuture<'a, Result<Grant, Refusal>> {
+        self.0.ask(pool, ask).boxed_local()
+    }
+
+    fn progress(&self, pool: &PoolId, progress: Progress) {
+        self.0.progress(pool, progress);
+    }
+
+    fn end(&self, pool: &PoolId, end: End) {
+        self.0.end(pool, end);
+    }
+
+    fn report(&self, report: BackendReport) {
+        self.0.report(report);
+    }
+
+    fn verdict(&self, backend: &str) -> Option<BackendVerdict> {
+        self.0.verdict(backend)
+    }
+}
+
+/// The router's and the order keeper's port to the replicated log.
+#[derive(Clone)]
+pub struct ControlLog(pub ControlClient);
+
+impl Claims for ControlLog {
+    fn propose(&self, command: Command) -> LocalBoxFuture<'_, Result<Applied, NoControl>> {
+        let proposed = self.0.propose(command);
+        proposed
+            .map(|r| r.map_err(|e| NoControl(e.to_compact_string())))
+            .boxed_local()
+    }
+}
+
+impl Ledger for ControlLog {
+    async fn propose(&self, command: Command) -> Result<Applied, OrderError> {
+        let proposed = self.0.propose(command).await;
+        proposed.map_err(|e| OrderError::Ledger(e.to_compact_string()))
+    }
+}
+
+/// The order keeper's port to the schedulers that run on this instance.
+pub struct LocalPools {
+    /// Configuration that names the schedulers.
+    pub view: ConfigView,
+    /// Lease without which this instance orders nothing.
+    pub lease: InstanceLease,
+    /// This instance.
+    pub instance: InstanceId,
+    /// Start of this process.
+    pub incarnation: Incarnation,
+    /// Where this instance serves its schedulers.
+    pub address: SocketAddr,
+    /// How to reach it.
+    pub channel: ChannelSettings,
+}
+
+impl PoolBackends for LocalPools {
+    fn pools(&self) -> Vec<PoolId> {
+        if !self.lease.is_valid() {
+            return Vec::new();
+        }
+        let configuration = self.view.current();
+        let leases = configuration.pools.iter();
+        leases
+            .filter(|l| l.instance == self.instance.as_str() && l.incarnation == self.incarnation.0)
+            .filter_map(|l| l.pool.parse().ok())
+            .collect()
+    }
+
+    async fn backends(&self, pool: &PoolId) -> Vec<BackendState> {
+        let channel = Channel::new(self.address, self.channel.clone());
+        let request = DescribeRequest {
+            pool: pool.to_string(),
+        };
+        match PoolClient::new(channel).describe(request).await {
+            Ok(report) => report.into_inner().backends,
+            Err(error) => {
+                log::debug!(target: "orders", "pool {pool} does not tell its backend servers: {error}");
+                Vec::new()
+            }
+        }
+    }
+}
--- a/crates/jaylock-measure/src/followers.rs
+++ b/crates/jaylock-measure/src/followers.rs
@@ -6,6 +6,8 @@
 use jaylock_control::{
     ClientSettings, ConfigView, ControlClient, Follower, FollowerSettings, PeerService,
 };
+use jaylock_daemon::PeerNotes;
+use jaylock_observe::Observer;
 use jaylock_rpc::v1::peer_server::PeerServer;
 use jaylock_rpc::v1::{Command, Instance, command};
 use jaylock_rpc::{Access, ChannelSettings, Routes, ServerSettings, serve};
@@ -40,7 +42,8 @@
             let own = ControlClient::new(seeds.clone(), channel.clone(), ClientSettings::default());
             let instance = instance(number, address);
             let follower = Follower::new(own, view.clone(), instance, FollowerSettings::default());
-            serve_peer(address, view.clone(), secret.clone()).await?;
+            let peer = PeerService::new(view.clone(), follower.lease());
+            serve_peer(address, peer, secret.clone()).await?;
             compio::runtime::spawn(follower.run()).detach();
             views.push(view);
         }
@@ -109,11 +112,12 @@
     }
 }
 
-async fn serve_peer(address: SocketAddr, view: ConfigView, secret: Secret) -> Result<()> {
+async fn serve_peer(address: SocketAddr, peer: PeerService, secret: Secret) -> Result<()> {
     let listener = TcpListener::bind(address)
         .await
         .with_context(|| format!("bind {address}"))?;
-    let routes = Routes::default().with(Access::Instances, PeerServer::new(PeerService::new(view)));
+    let notes = PeerNotes::new(peer, Observer::default());
+    let routes = Routes::default().with(Access::Instances, PeerServer::new(notes));
     let settings = ServerSettings {
         peer_secret: secret,
         ..Default::default()
--- a/crates/jaylock-observe/src/logging.rs
+++ b/crates/jaylock-observe/src/logging.rs
@@ -5,8 +5,8 @@
 use log::{LevelFilter, SetLoggerError};
 
 /// Parts of the program that log under a prefix of their own.
-pub const LOG_PARTS: [&str; 7] = [
-    "control", "daemon", "observe", "operator", "router", "rpc", "share",
+pub const LOG_PARTS: [&str; 8] = [
+    "control", "daemon", "observe", "operator", "orders", "router", "rpc", "share",
 ];
 
 /// What is logged, for each part of the program.
--- a/crates/jaylock-settings/src/log_levels.rs
+++ b/crates/jaylock-settings/src/log_levels.rs
@@ -16,6 +16,10 @@
     pub share: Option<LevelFilter>,
     /// Level of the callers' and backend servers' side.
     pub router: Option<LevelFilter>,
+    /// Level of the orders to engines.
+    pub orders: Option<LevelFilter>,
+    /// Level of logs, metrics and the burn report.
+    pub observe: Option<LevelFilter>,
     /// Level of the operators' side.
     pub operator: Option<LevelFilter>,
     /// Level of the program's start and stop.
@@ -31,6 +35,8 @@
             ("rpc", self.rpc),
             ("share", self.share),
             ("router", self.router),
+            ("orders", self.orders),
+            ("observe", self.observe),
             ("operator", self.operator),
             ("daemon", self.daemon),
         ];
@@ -47,6 +53,8 @@
             rpc: None,
             share: None,
             router: None,
+            orders: None,
+            observe: None,
             operator: None,
             daemon: None,
         }
@@ -61,6 +69,8 @@
         Key::optional("rpc", LEVEL, |s, v| own(&mut s.rpc, v)),
         Key::optional("share", LEVEL, |s, v| own(&mut s.share, v)),
         Key::optional("router", LEVEL, |s, v| own(&mut s.router, v)),
+        Key::optional("orders", LEVEL, |s, v| own(&mut s.orders, v)),
+        Key::optional("observe", LEVEL, |s, v| own(&mut s.observe, v)),
         Key::optional("operator", LEVEL, |s, v| own(&mut s.operator, v)),
         Key::optional("daemon", LEVEL, |s, v| own(&mut s.daemon, v)),
     ];
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -20,7 +20,7 @@
 /// Wait that is named to a caller when no backend server can take its request.
 const NO_BACKEND_RETRY: Duration = Duration::from_secs(1);
 /// Longest wait that is named to a refused caller.
-const LONGEST_RETRY: Duration = Duration::from_secs(60);
+const LONGEST_RETRY: Duration = Duration::from_mins(1);
 
 /// The state of one pool and its decisions; the scheduler's task is its only user.
 #[derive(Debug)]
--- a/crates/jaylock-share/src/host.rs
+++ b/crates/jaylock-share/src/host.rs
@@ -96,7 +96,7 @@
         running.retain_mut(|one| {
             let keep = self.is_named(configuration, &one.pool, one.epoch);
             if !keep {
-                log::info!(target: "pool", "stopped scheduler of {} epoch {}", one.pool, one.epoch);
+                log::info!(target: "share", "stopped scheduler of {} epoch {}", one.pool, one.epoch);
                 one.events.close_channel();
             }
             keep
@@ -122,7 +122,7 @@
     }
 
     fn start(&self, pool: &str, epoch: u64) -> Running {
-        log::info!(target: "pool", "started scheduler of {pool} epoch {epoch}");
+        log::info!(target: "share", "started scheduler of {pool} epoch {epoch}");
         let (events, receiver) = mpsc::channel(EVENT_QUEUE);
         let scheduler = Scheduler::new(
             pool,
--- a/crates/jaylock-share/src/link.rs
+++ b/crates/jaylock-share/src/link.rs
@@ -105,7 +105,7 @@
                 self.state.borrow_mut().detach(Instant::now());
                 if let Err(status) = outcome {
                     let reason = status.message();
-                    log::info!(target: "pool", "no scheduler of {}: {reason}", self.pool);
+                    log::info!(target: "share", "no scheduler of {}: {reason}", self.pool);
                 }
             }
             self.refuse_stale();
