--- a/crates/jaylock-tests/src/fleet.rs
+++ b/crates/jaylock-tests/src/deployment.rs
@@ -24,7 +24,7 @@
 
 /// Settings of a fleet of processes.
 #[derive(Debug, Clone)]
-pub struct FleetSettings {
+pub struct DeploymentSettings {
     /// Instances.
     pub instances: usize,
     /// Of these, how many hold a replica of the log.
@@ -35,7 +35,7 @@
     pub lines: String,
 }
 
-impl Default for FleetSettings {
+impl Default for DeploymentSettings {
     fn default() -> Self {
         Self {
             instances: 4,
@@ -47,7 +47,7 @@
 }
 
 /// A fleet of real processes on loopback; dropping it ends them all.
-pub struct Fleet {
+pub struct Deployment {
     folder: Option<TempDir>,
     members: Vec<Member>,
     backends: Vec<Process>,
@@ -60,13 +60,13 @@
     process: Option<Process>,
 }
 
-impl Fleet {
+impl Deployment {
     /// Starts the instances and configures organisations, model `dossier` and service `caseapp`.
     ///
     /// # Panics
     /// When a program does not start or the configuration is not accepted.
     #[must_use]
-    pub fn start(settings: &FleetSettings) -> Self {
+    pub fn start(settings: &DeploymentSettings) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let members = (0..settings.instances).map(|number| Member {
             id: format!("instance-{number}"),
@@ -189,7 +189,7 @@
         self.backends.push(process);
     }
 
-    fn write_settings(&self, number: usize, settings: &FleetSettings) {
+    fn write_settings(&self, number: usize, settings: &DeploymentSettings) {
         let member = &self.members[number];
         let replicas = self.members.iter().take(settings.replicas).enumerate();
         let replicas: Vec<String> = replicas
@@ -228,7 +228,7 @@
     }
 }
 
-impl Drop for Fleet {
+impl Drop for Deployment {
     fn drop(&mut self) {
         if std::thread::panicking()
             && let Some(folder) = self.folder.take()
--- a/crates/jaylock-tests/src/lib.rs
+++ b/crates/jaylock-tests/src/lib.rs
@@ -1,10 +1,12 @@
 //! The tests of every part, and the macro that names their cases.
 
-mod fleet;
+mod deployment;
+/// Fleets of real processes, and what tests do to them.
+pub mod fleet;
 mod process;
 mod program;
 
-pub use self::fleet::{Fleet, FleetSettings, ORGANISATIONS};
+pub use self::deployment::{Deployment, DeploymentSettings, ORGANISATIONS};
 pub use self::process::Process;
 pub use self::program::program;
 
