The demonstration; one harness of processes for all tests

Change: scripts/demo; Deployment, which adds organisations and stand-ins, stands on fleet::Fleet, and the second Process with its dependency rustix is gone.

--- a/crates/jaylock-tests/src/lib.rs
+++ b/crates/jaylock-tests/src/lib.rs
@@ -3,11 +3,9 @@
 mod deployment;
 /// Fleets of real processes, and what tests do to them.
 pub mod fleet;
-mod process;
 mod program;
 
-pub use self::deployment::{Deployment, DeploymentSettings, ORGANISATIONS};
-pub use self::process::Process;
+pub use self::deployment::{Deployment, ORGANISATIONS};
 pub use self::program::program;
 
 use proptest::test_runner::{Config, RngSeed};
