Watches carry changes instead of whole configurations

Ruled out: sending only the changed lists (the largest list is the one that changes most); compression. Conclusion: the cost of a change no longer grows with the configuration.

--- a/crates/jaylock-control/src/client.rs
+++ b/crates/jaylock-control/src/client.rs
@@ -6,7 +6,7 @@
 use jaylock_rpc::v1::control_client::ControlClient as Stub;
 use jaylock_rpc::v1::{
     Applied, Command, Configuration, EventsReply, EventsRequest, LagReply, LagRequest,
-    ProposeRequest, ReadRequest, RenewReply, RenewRequest, WatchRequest,
+    ProposeRequest, ReadRequest, RenewReply, RenewRequest, WatchReply, WatchRequest,
 };
 use jaylock_rpc::{Channel, ChannelSettings};
 use tonic::{Code, Status, Streaming};
@@ -152,15 +152,16 @@
     pub(crate) async fn watch(
         &self,
         index: u64,
+        whole: bool,
         turn: usize,
-    ) -> Result<Streaming<Configuration>, Status> {
+    ) -> Result<Streaming<WatchReply>, Status> {
         let replicas = self.shared.replicas.borrow().clone();
         if replicas.is_empty() {
             return Err(Status::unavailable("no control replica is known"));
         }
         let address = replicas[turn % replicas.len()];
         let mut stub = self.shared.stub(address);
-        let opening = stub.watch(WatchRequest { index });
+        let opening = stub.watch(WatchRequest { index, whole });
         let limit = self.shared.settings.answer_timeout;
         Ok(jaylock_rpc::within(limit, opening).await?.into_inner())
     }
--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -2,11 +2,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jaylock_rpc::v1::{Instance, RenewRequest};
+use jaylock_rpc::v1::{Change, Instance, RenewRequest, WatchReply};
 use jaylock_types::PoolId;
 
 use crate::gossip::Gossip;
-use crate::{ConfigView, ControlClient, FollowerSettings};
+use crate::{ConfigView, ControlClient, FollowerSettings, state};
 
 /// Keeps an instance's configuration up to date and its lease renewed.
 pub struct Follower {
@@ -115,28 +115,49 @@
             }
         }
         let mut turn = rand::random_range(0..usize::MAX / 2);
+        let mut whole = false;
         loop {
-            self.watch_one(turn).await;
+            whole = !self.watch_one(turn, whole).await;
             turn += 1;
             compio::time::sleep(Duration::from_millis(rand::random_range(20..100))).await;
         }
     }
 
-    async fn watch_one(&self, turn: usize) {
+    /// Follows one replica until it ends the watch; false when its changes did not fit.
+    async fn watch_one(&self, turn: usize, whole: bool) -> bool {
         let index = self.view.index().0;
-        let mut stream = match self.client.watch(index, turn).await {
+        let mut stream = match self.client.watch(index, whole, turn).await {
             Ok(stream) => stream,
             Err(status) => {
                 log::debug!(target: "control", "no watch: {}", status.message());
-                return;
+                return !whole;
             }
         };
-        while let Ok(Some(configuration)) = stream.message().await {
-            self.client.learn(&configuration);
-            if self.view.offer(configuration) {
-                log::debug!(target: "control", "index {} is in force", self.view.index());
+        while let Ok(Some(reply)) = stream.message().await {
+            if !self.take(reply) {
+                return false;
             }
+            self.client.learn(&self.view.current());
+            log::debug!(target: "control", "index {} is in force", self.view.index());
         }
+        true
+    }
+
+    /// Puts in force what a watch brought; false when it does not fit what is in force.
+    ///
+    /// Another instance may have brought a newer configuration meanwhile, and older changes are passed over.
+    fn take(&self, reply: WatchReply) -> bool {
+        if let Some(whole) = reply.whole {
+            let _ = self.view.offer(whole);
+        }
+        let newer = |c: &&Change| c.index > self.view.index().0;
+        for change in reply.changes.iter().filter(newer) {
+            let Some(next) = state::follow(&self.view.current(), change) else {
+                return false;
+            };
+            let _ = self.view.offer(next);
+        }
+        true
     }
 
     async fn renew(&self) {
--- a/crates/jaylock-control/src/service.rs
+++ b/crates/jaylock-control/src/service.rs
@@ -6,9 +6,9 @@
 use jaylock_rpc::v1::control_server::Control;
 use jaylock_rpc::v1::replica_server::Replica;
 use jaylock_rpc::v1::{
-    AppendReply, AppendRequest, Command, Configuration, EventsReply, EventsRequest, InstallReply,
-    InstallRequest, LagReply, LagRequest, ProposeReply, ProposeRequest, ReadReply, ReadRequest,
-    RenewReply, RenewRequest, VoteReply, VoteRequest, WatchRequest,
+    AppendReply, AppendRequest, Command, EventsReply, EventsRequest, InstallReply, InstallRequest,
+    LagReply, LagRequest, ProposeReply, ProposeRequest, ReadReply, ReadRequest, RenewReply,
+    RenewRequest, VoteReply, VoteRequest, WatchReply, WatchRequest,
 };
 use jaylock_rpc::{local, pinned};
 use send_wrapper::SendWrapper;
@@ -71,7 +71,7 @@
 
 #[tonic::async_trait]
 impl Control for ControlService {
-    type WatchStream = Pin<Box<dyn Stream<Item = Result<Configuration, Status>> + Send>>;
+    type WatchStream = Pin<Box<dyn Stream<Item = Result<WatchReply, Status>> + Send>>;
 
     async fn propose(&self, request: Request<ProposeRequest>) -> Answer<ProposeReply> {
         let command = request.into_inner().command.unwrap_or_default();
@@ -105,12 +105,15 @@
     }
 
     async fn watch(&self, request: Request<WatchRequest>) -> Answer<Self::WatchStream> {
-        let index = request.into_inner().index;
+        let WatchRequest { index, whole } = request.into_inner();
         let shared = (*self.shared).clone();
-        let stream = futures_util::stream::unfold(index, move |index| {
+        let first = whole.then(|| whole_of(&shared));
+        let index = first.as_ref().map_or(index, |f| f.1);
+        let later = futures_util::stream::unfold(index, move |index| {
             let shared = shared.clone();
             async move { next_after(&shared, index).await }
         });
+        let stream = futures_util::stream::iter(first.map(|f| f.0)).chain(later);
         let stream = SendWrapper::new(stream.map(Ok));
         Ok(Response::new(Box::pin(stream)))
     }
@@ -148,14 +151,13 @@
     }
 }
 
-/// The next configuration after an index; ends the watch when the replica is cut off.
-async fn next_after(shared: &Shared, index: u64) -> Option<(Configuration, u64)> {
+/// What a watcher at an index lacks; ends the watch when the replica is cut off.
+async fn next_after(shared: &Shared, index: u64) -> Option<(WatchReply, u64)> {
     loop {
         let seen = shared.changed.count();
         let current = shared.core.borrow().state.configuration().clone();
         if current.index > index {
-            let index = current.index;
-            return Some(((*current).clone(), index));
+            return Some((lacking(shared, index), current.index));
         }
         if shared.is_halted() {
             return None;
@@ -168,6 +170,27 @@
     }
 }
 
+fn lacking(shared: &Shared, index: u64) -> WatchReply {
+    let changes = shared.core.borrow().state.changes_after(index);
+    match changes {
+        Some(changes) => WatchReply {
+            whole: None,
+            changes,
+        },
+        None => whole_of(shared).0,
+    }
+}
+
+/// The whole configuration and its index.
+fn whole_of(shared: &Shared) -> (WatchReply, u64) {
+    let configuration = shared.core.borrow().state.configuration().clone();
+    let reply = WatchReply {
+        whole: Some((*configuration).clone()),
+        changes: Vec::new(),
+    };
+    (reply, configuration.index)
+}
+
 /// Election times without a leader after which a replica ends its watches.
 const SILENT_ELECTIONS: u32 = 4;
 
--- a/crates/jaylock-control/src/state/mod.rs
+++ b/crates/jaylock-control/src/state/mod.rs
@@ -6,16 +6,18 @@
 mod events;
 mod fleet;
 mod ordered;
+mod recent;
 
 use std::rc::Rc;
 
 use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::command::Body;
-use jaylock_rpc::v1::{Applied, Command, Configuration, Done, Entry, Event, Member};
+use jaylock_rpc::v1::{Applied, Change, Command, Configuration, Done, Entry, Event, Member};
 
 use self::answers::Answers;
 use self::claims::Claims;
 use self::events::Events;
+use self::recent::Recent;
 use crate::storage::Image;
 
 pub(crate) use self::fleet::{find_instance, put_member, remove_member};
@@ -30,6 +32,7 @@
     answers: Answers,
     claims: Claims,
     events: Events,
+    recent: Recent,
 }
 
 /// Whether a command is a decision of operators, the fleet's own, or leaves the configuration.
@@ -66,6 +69,7 @@
             answers: Answers::restore(image.answers, image.forgotten_ms),
             claims: Claims::restore(image.claims, image.swept_ms),
             events: Events::restore(image.events),
+            recent: Recent::default(),
         }
     }
 
@@ -103,6 +107,11 @@
         &self.configuration
     }
 
+    /// The changes since the configuration of an index, unless they are no longer at hand.
+    pub fn changes_after(&self, index: u64) -> Option<Vec<Change>> {
+        self.recent.after(index)
+    }
+
     /// The newest `most` events, oldest first.
     pub fn events(&self, most: u32) -> Vec<Event> {
         self.events.newest(most)
@@ -150,13 +159,13 @@
                 "the command is older than the answers that are remembered: read the configuration and send it under a new id",
             );
         }
-        match self.change(body) {
+        match self.change(command, body) {
             Ok(outcome) => outcome,
             Err(reason) => Outcome::Refused(reason),
         }
     }
 
-    fn change(&mut self, body: &Body) -> Result<Outcome, String> {
+    fn change(&mut self, command: &Command, body: &Body) -> Result<Outcome, String> {
         match body {
             Body::Claim(claim) => return self.claims.claim(claim, self.at_ms, &self.configuration),
             Body::Settle(settle) => return self.claims.settle(settle),
@@ -175,6 +184,13 @@
             next.revision += 1;
         }
         next.index = self.index;
+        self.recent.push(Change {
+            prior_index: self.configuration.index,
+            index: next.index,
+            revision: next.revision,
+            at_ms: self.at_ms,
+            command: Some(command.clone()),
+        });
         self.configuration = Rc::new(next);
         if let Body::RemoveInstance(gone) = body {
             self.claims.lose(&gone.id, gone.incarnation);
@@ -198,6 +214,21 @@
     }
 }
 
+/// Makes a committed change to the configuration that it was made to.
+///
+/// Returns nothing when it was made to another one, or is of a kind that is not known here.
+pub(crate) fn follow(current: &Configuration, change: &Change) -> Option<Configuration> {
+    if change.prior_index != current.index {
+        return None;
+    }
+    let body = change.command.as_ref()?.body.as_ref()?;
+    let mut next = current.clone();
+    changes::change(&mut next, body, change.index, change.at_ms).ok()?;
+    next.index = change.index;
+    next.revision = change.revision;
+    Some(next)
+}
+
 fn class(body: &Body) -> Class {
     match body {
         Body::PutOrganisation(_)
--- /dev/null
+++ b/crates/jaylock-tests/tests/following/main.rs
@@ -0,0 +1,185 @@
+//! Instances that follow the configuration change by change end with what control holds.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compio::net::TcpListener;
+use googletest::prelude::*;
+use jaylock_control::{
+    ClientSettings, ConfigView, ControlClient, FileDisk, Follower, FollowerSettings, Replica,
+    ReplicaSettings,
+};
+use jaylock_rpc::v1::command::Body;
+use jaylock_rpc::v1::{Adapter, Command, Instance, Member, Model, Order, Organisation, Service};
+use jaylock_rpc::{Access, ChannelSettings, Routes, ServerSettings, serve, traffic};
+use jaylock_tests::cases;
+use jaylock_types::{Index, KeyHash, Secret};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Seed of the commands.
+const SEED: u64 = 4;
+/// Names of each kind that the commands draw from.
+const NAMES: u32 = 12;
+/// Longest wait for a follower, far beyond what it needs.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+cases! {
+    async followers_end_with_what_control_holds => {
+        let group = Group::start().await;
+        let early = group.follow("early");
+        let mut random = SmallRng::seed_from_u64(SEED);
+        for number in 0..400 {
+            group.send(number, body(&mut random)).await;
+        }
+        let late = group.follow("late");
+        let newest = group.newest(&[&early, &late]).await;
+        expect_that!(*early.current(), eq(&newest));
+        expect_that!(*late.current(), eq(&newest));
+    };
+
+    async a_change_costs_the_same_in_a_large_configuration => {
+        let group = Group::start().await;
+        let view = group.follow("one");
+        for number in 0..200 {
+            group.send(number, organisation(number)).await;
+        }
+        group.newest(&[&view]).await;
+        let whole = prost::Message::encoded_len(&*view.current()) as u64;
+        let before = traffic().received;
+        for number in 200..210 {
+            group.send(number, organisation(0)).await;
+        }
+        group.newest(&[&view]).await;
+        // Ten whole configurations would be over five times this bound.
+        expect_that!(traffic().received - before, lt(whole * 2));
+    };
+}
+
+/// A group of one replica, reached over loopback.
+struct Group {
+    address: SocketAddr,
+    client: ControlClient,
+    _folder: tempfile::TempDir,
+}
+
+impl Group {
+    async fn start() -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let member = Member {
+            instance: "one".into(),
+            generation: 1,
+            peer_address: address.to_string(),
+            domain: "here".into(),
+            voter: true,
+        };
+        let disk = FileDisk::open(folder.path()).await.expect("a data folder");
+        let settings = ReplicaSettings::default();
+        let replica = Replica::open(member.clone(), vec![member], disk, settings).await;
+        let replica = replica.expect("a replica");
+        let (log, control) = replica.services();
+        let routes = Routes::default()
+            .with(Access::Instances, log)
+            .with(Access::Instances, control);
+        let settings = ServerSettings {
+            peer_secret: Secret::new(""),
+            ..Default::default()
+        };
+        compio::runtime::spawn(serve(listener, routes, settings)).detach();
+        compio::runtime::spawn(replica.run()).detach();
+        Self {
+            address,
+            client: client(address),
+            _folder: folder,
+        }
+    }
+
+    fn follow(&self, name: &str) -> ConfigView {
+        let view = ConfigView::default();
+        let instance = Instance {
+            id: name.into(),
+            incarnation: 1,
+            domain: "here".into(),
+            peer_address: self.address.to_string(),
+            caller_address: self.address.to_string(),
+            ..Default::default()
+        };
+        let settings = FollowerSettings::default();
+        let follower = Follower::new(client(self.address), view.clone(), instance, settings);
+        compio::runtime::spawn(follower.run()).detach();
+        view
+    }
+
+    async fn send(&self, number: u32, body: Body) {
+        let command = Command {
+            id: format!("command-{number}"),
+            expected_revision: None,
+            body: Some(body),
+        };
+        self.client.propose(command).await.expect("control answers");
+    }
+
+    /// Waits until the views have the newest configuration, and returns it.
+    async fn newest(&self, views: &[&ConfigView]) -> jaylock_rpc::v1::Configuration {
+        for _ in 0..PATIENCE.as_millis() / 20 {
+            let newest = self.client.read().await.expect("control answers");
+            if views.iter().all(|v| v.index() == Index(newest.index)) {
+                return newest;
+            }
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the followers stay behind");
+    }
+}
+
+fn client(address: SocketAddr) -> ControlClient {
+    let channel = ChannelSettings {
+        secret: Secret::new(""),
+        ..Default::default()
+    };
+    ControlClient::new(vec![address], channel, ClientSettings::default())
+}
+
+fn organisation(number: u32) -> Body {
+    Body::PutOrganisation(Organisation {
+        id: format!("organisation-{number}"),
+        weight: 1 + number % 3,
+        key_hashes: vec![KeyHash::of(&number.to_string()).0.to_vec()],
+        queue_limit: 0,
+    })
+}
+
+/// A command that may well be refused.
+fn body(random: &mut SmallRng) -> Body {
+    let number = random.random_range(0..NAMES);
+    let name = |kind: &str| format!("{kind}-{number}");
+    match random.random_range(0..10) {
+        0 | 1 => organisation(number),
+        2 => Body::RemoveOrganisation(name("organisation")),
+        3 => Body::PutModel(Model {
+            id: name("model"),
+            version: random.random_range(1..4).to_string(),
+            pool: name("pool"),
+            copies: number,
+        }),
+        4 => Body::RemoveModel(name("model")),
+        5 => Body::PutAdapter(Adapter {
+            id: name("adapter"),
+            model: name("model"),
+            version: "1".into(),
+            copies: 1,
+        }),
+        6 => Body::PutService(Service {
+            id: name("service"),
+            repeatable: Vec::new(),
+        }),
+        7 => Body::DrainBackend(name("backend")),
+        8 => Body::UndrainBackend(name("backend")),
+        _ => Body::IssueOrder(Order {
+            backend: name("backend"),
+            ..Default::default()
+        }),
+    }
+}
