Router: history check of once-only calls, bounded deadlines, back-off

Cause: no test held answers and runs against each other; a deadline of 2^64-1 ms would overflow the clock; a full engine was asked again without a pause; an earlier start of a backend server could take the place of a later one. Ruled out: checking runs by key alone, which calls a true not-run untrue when a later sending of the key ran; the sendings are numbered instead. Change: proptest history over two routers and a service that answers, declines, breaks, shortens, hangs or crosses, with callers who hang up; deadlines at most 24 h; jittered back-off from the third attempt on; tokens as the engine counts them; 408, 425, 429 of an engine are retried; the record of repairs tells suspicion, clearing and quarantine apart (smallest change in jaylock-control).

--- a/crates/jaylock-control/src/state/changes.rs
+++ b/crates/jaylock-control/src/state/changes.rs
@@ -3,7 +3,8 @@
 use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::{
-    Adapter, Configuration, Done, Drain, Member, Model, Organisation, PoolLease, Service,
+    Adapter, Configuration, Done, Drain, Member, Model, Organisation, PoolLease, Quarantine,
+    Service,
 };
 use jaylock_types::{AdapterId, BackendId, ModelId, OrganisationId, PoolId, ServiceId, VersionId};
 
@@ -110,8 +111,7 @@
         }
         Body::PutQuarantine(quarantine) => {
             fleet::put_quarantine(next, quarantine, at_ms);
-            let text = format!("request {} is in quarantine", quarantine.request);
-            Ok(Change::told(text))
+            Ok(Change::told(judgement(quarantine)))
         }
         Body::IssueOrder(order) => {
             fleet::issue_order(next, order, index);
@@ -132,6 +132,16 @@
     }
 }
 
+/// What a quarantine says of its request, for the record of repairs.
+fn judgement(quarantine: &Quarantine) -> String {
+    let request = &quarantine.request;
+    match (quarantine.suspect, quarantine.until_ms) {
+        (true, 0) => format!("request {request} ran through and is cleared"),
+        (true, _) => format!("request {request} is suspected of a crash and tried alone"),
+        (false, _) => format!("request {request} is in quarantine"),
+    }
+}
+
 fn assignment(lease: &PoolLease) -> String {
     let PoolLease {
         pool,
--- a/crates/jaylock-router/src/announce.rs
+++ b/crates/jaylock-router/src/announce.rs
@@ -133,7 +133,7 @@
             heard: Instant::now(),
         };
         match known.binary_search_by(|k| k.report.id.cmp(&report.id)) {
-            Ok(at) if known[at].report.token_hash != report.token_hash => Err(held(&report.id)),
+            Ok(at) if is_held(&known[at].report, report) => Err(held(&report.id)),
             Ok(at) => {
                 known[at] = fresh;
                 Ok(())
@@ -251,6 +251,11 @@
     json(&RequestId::random(), StatusCode::OK, Run::NotRun, body)
 }
 
+/// Whether an identifier belongs to another process, or to a later start of the same one.
+fn is_held(known: &BackendReport, report: &BackendReport) -> bool {
+    known.token_hash != report.token_hash || known.incarnation > report.incarnation
+}
+
 fn position(known: &[Known], id: &BackendId, incarnation: u64) -> Result<usize, Refusal> {
     let found = known.binary_search_by(|k| k.report.id.as_str().cmp(id.as_str()));
     let found = found
--- a/crates/jaylock-router/src/attempt.rs
+++ b/crates/jaylock-router/src/attempt.rs
@@ -22,6 +22,12 @@
 
 /// Header by which a backend server says that it didn't run a request.
 pub const NOT_RUN: &str = "x-not-run";
+/// Answers 4xx that say nothing against the request itself.
+const PASSING: [StatusCode; 3] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::TOO_EARLY,
+    StatusCode::TOO_MANY_REQUESTS,
+];
 /// Longest event of an engine's stream, in bytes.
 const EVENT_LIMIT: usize = 1 << 20;
 /// Time for the end of a stream to arrive after its last event.
@@ -245,7 +251,7 @@
         return Err(Failure::Faulty("the answer is another request's".into()));
     }
     let status = response.status();
-    if status.is_client_error() {
+    if status.is_client_error() && !PASSING.contains(&status) {
         return Err(final_word(response, shared).await);
     }
     if status != StatusCode::OK {
--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -18,6 +18,9 @@
 /// Header with the time that is left for a request, in ms.
 pub const DEADLINE: &str = "x-deadline-ms";
 
+/// Longest time limit that a caller may set.
+const LONGEST_DEADLINE: Duration = Duration::from_hours(24);
+
 /// An admitted request of a caller.
 pub struct Call {
     /// Identifier that the caller is told.
@@ -130,8 +133,8 @@
         return Ok(default);
     };
     let parsed = value.to_str().ok().and_then(|v| v.parse().ok());
-    let parsed = parsed.map(Duration::from_millis);
-    parsed.ok_or_else(|| {
+    let limit = parsed.map(|ms| Duration::from_millis(ms).min(LONGEST_DEADLINE));
+    limit.ok_or_else(|| {
         Refusal::not_run(
             StatusCode::BAD_REQUEST,
             "malformed",
--- a/crates/jaylock-router/src/generation.rs
+++ b/crates/jaylock-router/src/generation.rs
@@ -144,7 +144,8 @@
         self.retry.ran();
         self.position.last = piece.number;
         self.position.finished |= piece.is_finish();
-        self.tokens += 1;
+        let counted = self.tokens + piece.tokens();
+        self.tokens = piece.total().unwrap_or(counted).max(counted);
         if let Some(live) = &mut self.live {
             live.slot.count(self.tokens - live.base);
         }
--- a/crates/jaylock-router/src/piece.rs
+++ b/crates/jaylock-router/src/piece.rs
@@ -23,6 +23,18 @@
         let mut choices = choices(&self.chunk).iter();
         choices.any(|c| c["finish_reason"].is_string())
     }
+
+    /// Tokens it brings; engines send one a piece.
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        has_text(&self.chunk).into()
+    }
+
+    /// Tokens of the whole answer, as the engine counts them at its end.
+    #[must_use]
+    pub fn total(&self) -> Option<u64> {
+        self.chunk.get("usage")?.get("completion_tokens")?.as_u64()
+    }
 }
 
 /// What became of an event of an engine's stream.
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -19,6 +19,11 @@
 use crate::router::Shared;
 use crate::slot::Slot;
 
+/// Longest wait before the third attempt.
+const BACKOFF: Duration = Duration::from_millis(50);
+/// Times that the wait doubles at most.
+const BACKOFF_DOUBLINGS: u32 = 4;
+
 /// What the attempts of one request share: slots, run state, budget and suspicion.
 pub struct Retry {
     shared: Rc<Shared>,
@@ -135,7 +140,20 @@
         if failure.is_not_run() || matches!(failure, Failure::Silent) {
             self.avoid.push(backend);
         }
-        self.allow(failure)
+        self.allow(failure)?;
+        self.back_off().await;
+        Ok(())
+    }
+
+    /// Waits before every attempt but the second, ever longer.
+    async fn back_off(&self) {
+        let doublings = self.tries.saturating_sub(2).min(BACKOFF_DOUBLINGS);
+        if self.tries < 2 {
+            return;
+        }
+        let most = BACKOFF.saturating_mul(1 << doublings);
+        let wait = rand::random_range(most / 2..most);
+        compio::time::sleep(wait).await;
     }
 
     fn allow(&self, failure: &Failure) -> Result<(), Refusal> {
@@ -151,7 +169,11 @@
 
     fn gave_up(&self, reason: &'static str) -> Refusal {
         let remedy = "ask again after the time in retry-after";
-        Refusal::not_run(StatusCode::BAD_GATEWAY, "broken", reason, remedy)
+        let (status, kind) = match self.run {
+            Run::NotRun => (StatusCode::SERVICE_UNAVAILABLE, "declined"),
+            Run::Ran | Run::Unknown => (StatusCode::BAD_GATEWAY, "broken"),
+        };
+        Refusal::not_run(status, kind, reason, remedy)
             .ran(self.run)
             .after(self.shared.settings.retry_after)
     }
--- a/crates/jaylock-tests/tests/router/fleet.rs
+++ b/crates/jaylock-tests/tests/router/fleet.rs
@@ -16,6 +16,9 @@
 
 use crate::port::{FakeCapacity, FakeClaims};
 
+/// Longest wait for anything that must come.
+const PATIENCE: Duration = Duration::from_secs(15);
+
 /// A router under test.
 pub struct Fleet {
     pub router: Router,
@@ -86,6 +89,18 @@
         path: &str,
         fields: &[(&str, &str)],
         body: &str,
+    ) -> Answer {
+        let exchange = self.exchange(method, path, fields, body);
+        let outcome = compio::time::timeout(PATIENCE, exchange).await;
+        outcome.expect("an answer in time")
+    }
+
+    async fn exchange(
+        &self,
+        method: &str,
+        path: &str,
+        fields: &[(&str, &str)],
+        body: &str,
     ) -> Answer {
         let url = format!("http://{}{path}", self.address);
         let method = method.parse().expect("a method");
@@ -93,11 +108,8 @@
         for (name, value) in fields {
             request = request.header(*name, *value).expect("a header");
         }
-        let response = request
-            .body(body.to_owned())
-            .send()
-            .await
-            .expect("an answer");
+        let request = request.body(body.to_owned());
+        let response = request.send().await.expect("an answer");
         let headers = response.headers().clone();
         let field = |n: &str| {
             headers
@@ -173,6 +185,15 @@
     )
 }
 
+fn organisation(id: &str, key: &str) -> Organisation {
+    Organisation {
+        id: id.into(),
+        weight: 1,
+        key_hashes: vec![KeyHash::of(key).0.to_vec()],
+        queue_limit: 0,
+    }
+}
+
 fn configuration(address: SocketAddr) -> Configuration {
     let instance = |id: &str, caller: String, leaving| Instance {
         id: id.into(),
@@ -185,12 +206,10 @@
     Configuration {
         revision: 1,
         index: 1,
-        organisations: vec![Organisation {
-            id: "shop".into(),
-            weight: 1,
-            key_hashes: vec![KeyHash::of("key-1").0.to_vec()],
-            queue_limit: 0,
-        }],
+        organisations: vec![
+            organisation("shop", "key-1"),
+            organisation("stall", "key-2"),
+        ],
         models: vec![Model {
             id: model.clone(),
             version: version.clone(),
--- a/crates/jaylock-tests/tests/router/main.rs
+++ b/crates/jaylock-tests/tests/router/main.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod crash;
 mod fleet;
+mod history;
 mod leave;
 mod limits;
 mod once;
--- a/crates/jaylock-tests/tests/router/once.rs
+++ b/crates/jaylock-tests/tests/router/once.rs
@@ -150,6 +150,15 @@
         assert_that!(heard(Kind::Expired).await, eq(&(409, "unknown".to_owned())));
         assert_that!(heard(Kind::Full).await, eq(&(429, "not-run".to_owned())));
     };
+    async answer_under_a_key_stays_within_its_organisation => {
+        let service = Backend::start(|s| plain(s, 200, s.header("x-organisation"))).await;
+        let fleet = Fleet::start(&[service.address], quick()).await;
+        assert_that!(fleet.once("k", "x").await.body, eq("shop"));
+        let spoof = [("x-organisation", "shop"), ("idempotency-key", "k")];
+        let fields = [("authorization", "Bearer key-2"), spoof[0], spoof[1]];
+        let other = fleet.send("POST", "/services/caseapp/refund", &fields, "x").await;
+        assert_that!((other.body.as_str(), other.recorded), eq(("stall", false)));
+    };
     async router_that_is_cut_off_names_others => {
         let fleet = Fleet::start(&[], quick()).await;
         fleet.view.set_connected(false);
--- a/crates/jaylock-tests/tests/router/paths.rs
+++ b/crates/jaylock-tests/tests/router/paths.rs
@@ -95,6 +95,8 @@
         assert_that!(post("/v1/backends/announce", ANNOUNCEMENT).await, eq(200));
         let thief = ANNOUNCEMENT.replace("\"t\"", "\"other\"");
         assert_that!(post("/v1/backends/announce", &thief).await, eq(409));
+        let earlier = ANNOUNCEMENT.replace("\"incarnation\":1", "\"incarnation\":0");
+        assert_that!(post("/v1/backends/announce", &earlier).await, eq(409));
         assert_that!(post("/v1/backends/announce", "{}").await, eq(400));
         assert_that!(post("/v1/backends/heartbeat", heartbeat).await, eq(200));
         let leave = r#"{"id":"e1","incarnation":1}"#;
--- a/crates/jaylock-tests/tests/router/port.rs
+++ b/crates/jaylock-tests/tests/router/port.rs
@@ -106,14 +106,16 @@
             Body::Claim(claim) => Outcome::Claim(self.claim(claim)),
             Body::Settle(settle) => {
                 let mut claims = self.claims.borrow_mut();
-                let entry = claims.iter_mut().find(|(c, _)| c.key == settle.key);
+                let entry = claims.iter_mut().find(|(c, _)| {
+                    (&c.organisation, &c.key) == (&settle.organisation, &settle.key)
+                });
                 entry.expect("a claim to settle").1 = Some(settle);
                 Outcome::Done(Done {})
             }
             Body::ReleaseClaim(release) => {
-                self.claims
-                    .borrow_mut()
-                    .retain(|(c, _)| c.key != release.key);
+                self.claims.borrow_mut().retain(|(c, _)| {
+                    (&c.organisation, &c.key) != (&release.organisation, &release.key)
+                });
                 Outcome::Done(Done {})
             }
             Body::PutQuarantine(quarantine) => {
@@ -140,7 +142,9 @@
 
     fn claim(&self, claim: Claim) -> ClaimState {
         let mut claims = self.claims.borrow_mut();
-        let found = claims.iter().find(|(c, _)| c.key == claim.key);
+        let found = claims
+            .iter()
+            .find(|(c, _)| (&c.organisation, &c.key) == (&claim.organisation, &claim.key));
         let kind = match (self.answer.get(), found) {
             (Some(kind), _) => kind,
             (None, None) => Kind::Granted,
--- a/crates/jaylock-tests/tests/router/whole.rs
+++ b/crates/jaylock-tests/tests/router/whole.rs
@@ -97,6 +97,19 @@
         assert_that!(answer.body, contains_substring(WHOLE));
         assert_that!(engine.count(), eq(1));
     };
+    async refusal_of_another_request_is_not_passed_on => {
+        let first = |s: &Seen| {
+            let other = Seen { head: s.head.replace(s.id(), "other"), ..s.clone() };
+            plain(&other, 400, "wrong")
+        };
+        let (answer, _) = resumed(first).await;
+        assert_that!(answer.body, contains_substring(WHOLE));
+    };
+    async engines_own_refusal_is_passed_on => {
+        let (answer, _) = resumed(|s| plain(s, 400, "bad temperature")).await;
+        assert_that!((answer.status, answer.run.as_str()), eq((400, "ran")));
+        assert_that!(answer.body, contains_substring("bad temperature"));
+    };
     async services_answer_to_another_request_is_not_passed_on => {
         let first = Cell::new(true);
         let service = Backend::start(move |s| {
@@ -137,6 +150,15 @@
         let answer = fleet.send("POST", "/v1/chat/completions", &fields, &ask(false)).await;
         assert_that!((answer.status, answer.run.as_str()), eq((504, "not-run")));
     };
+    async deadline_without_measure_is_bounded => {
+        let engine = Backend::start(|s| whole_stream(s, 3)).await;
+        let fleet = Fleet::start(&[engine.address], quick()).await;
+        let endless = u64::MAX.to_string();
+        let fields = [("authorization", "Bearer key-1"), ("x-deadline-ms", endless.as_str())];
+        let answer = fleet.send("POST", "/v1/chat/completions", &fields, &ask(false)).await;
+        assert_that!(answer.status, eq(200));
+        assert_that!(fleet.capacity.0.ends.borrow()[0].tokens, eq(3));
+    };
     async spent_retry_budget_ends_the_retries => {
         let engine = Backend::start(|s| vec![stream_head(s), piece(s, s.last() + 1), Act::Close]).await;
         let settings = RouterSettings { retry_burst: 3, retry_permille: 0, ..quick() };
