Router: crash after a hang-up, failed backend servers taken again

Cause: work that was cancelled could crash its backend server unseen, so a caller with a short time limit could crash one after another; an ask that avoids the only backend server waits in the scheduler until its deadline. Ruled out: starting tasks in destructors: the runtime's own end drops requests, and its executor then panics (seen in resend_of_a_suspect_waits_for_its_trial); the work goes through a channel to a task instead. Change: a second after cancelled work the address is tried; trials and these go on in Background; avoid_limit.

--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -18,9 +18,6 @@
 /// Header with the time that is left for a request, in ms.
 pub const DEADLINE: &str = "x-deadline-ms";
 
-/// Longest time limit that a caller may set.
-const LONGEST_DEADLINE: Duration = Duration::from_hours(24);
-
 /// An admitted request of a caller.
 pub struct Call {
     /// Identifier that the caller is told.
@@ -133,7 +130,7 @@
         return Ok(default);
     };
     let parsed = value.to_str().ok().and_then(|v| v.parse().ok());
-    let limit = parsed.map(|ms| Duration::from_millis(ms).min(LONGEST_DEADLINE));
+    let limit = parsed.map(Duration::from_millis);
     limit.ok_or_else(|| {
         Refusal::not_run(
             StatusCode::BAD_REQUEST,
--- a/crates/jaylock-router/src/generation.rs
+++ b/crates/jaylock-router/src/generation.rs
@@ -185,7 +185,9 @@
             return;
         };
         generation.call.deadline = Instant::now() + TRIAL_LIMIT;
-        compio::runtime::spawn(async move { while let Ok(Some(_)) = generation.next().await {} })
-            .detach();
+        let shared = generation.shared.clone();
+        shared
+            .background
+            .leave(async move { while let Ok(Some(_)) = generation.next().await {} });
     }
 }
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -5,6 +5,7 @@
 mod announce;
 mod answer;
 mod attempt;
+mod background;
 mod body;
 mod budget;
 mod call;
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -5,9 +5,9 @@
 use compact_str::format_compact;
 use http::StatusCode;
 use jaylock_observe::Run;
-use jaylock_rpc::v1::Ask;
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::refusal::Reason;
+use jaylock_rpc::v1::{self, Ask};
 use jaylock_types::PoolId;
 
 use crate::account::Account;
@@ -19,6 +19,8 @@
 use crate::router::Shared;
 use crate::slot::Slot;
 
+/// Time in which a backend server may still crash under work that was cancelled.
+const AFTERMATH: Duration = Duration::from_secs(1);
 /// Longest wait before the third attempt.
 const BACKOFF: Duration = Duration::from_millis(50);
 /// Times that the wait doubles at most.
@@ -34,6 +36,8 @@
     before: Run,
     tries: u32,
     avoid: Vec<String>,
+    /// Where an attempt runs that was neither reported as failed nor as whole.
+    running: Option<SocketAddr>,
 }
 
 impl Retry {
@@ -55,6 +59,7 @@
             before: Run::NotRun,
             tries: 0,
             avoid: Vec::new(),
+            running: None,
         }
     }
 
@@ -96,6 +101,7 @@
             slot.close(Outcome::NotRun);
             return Err(refusal.ran(self.run));
         }
+        self.running = Some(address);
         self.before = self.run;
         if self.run == Run::NotRun {
             self.run = Run::Unknown;
@@ -106,6 +112,7 @@
     /// Notes that the answer is whole.
     pub fn succeeded(&mut self, slot: Slot) {
         self.run = Run::Ran;
+        self.running = None;
         slot.close(Outcome::Complete);
         self.suspect.clear(&self.shared);
     }
@@ -121,6 +128,7 @@
         slot: Slot,
         account: &Account,
     ) -> Result<(), Refusal> {
+        self.running = None;
         account.step(format_compact!("attempt failed: {failure}"));
         let backend = slot.backend().to_owned();
         if is_crash(&self.shared, failure, address).await {
@@ -188,18 +196,22 @@
             request: self.suspect.request.to_string(),
             ..base
         };
-        let mut outcome = self.shared.capacity.ask(&self.pool, ask.clone()).await;
-        let is_choosy = !self.avoid.is_empty();
-        if is_choosy
-            && outcome
-                .as_ref()
-                .is_err_and(|r| r.reason() == Reason::NoBackend)
-        {
-            // One that was avoided is better than none; it may have come back.
-            self.avoid.clear();
-            ask.avoid.clear();
-            outcome = self.shared.capacity.ask(&self.pool, ask).await;
+        let mut outcome = None;
+        if !self.avoid.is_empty() {
+            let asking = self.shared.capacity.ask(&self.pool, ask.clone());
+            let limit = self.shared.settings.avoid_limit;
+            outcome = compio::time::timeout(limit, asking).await.ok();
         }
+        let is_barred = |r: &v1::Refusal| r.reason() == Reason::NoBackend;
+        let outcome = match outcome {
+            Some(outcome) if !outcome.as_ref().is_err_and(is_barred) => outcome,
+            _ => {
+                // One that failed before is better than none; it may have come back.
+                self.avoid.clear();
+                ask.avoid.clear();
+                self.shared.capacity.ask(&self.pool, ask).await
+            }
+        };
         let grant = outcome.map_err(|r| Refusal::of_capacity(&r).ran(self.run))?;
         let address = grant.address.parse();
         let slot = Slot::new(self.shared.capacity.clone(), self.pool.clone(), grant);
@@ -211,6 +223,24 @@
     }
 }
 
+impl Drop for Retry {
+    /// Looks after a backend server whose work was cancelled: its crash may follow.
+    fn drop(&mut self) {
+        let Some(address) = self.running.take() else {
+            return;
+        };
+        let (shared, mut suspect, run) = (self.shared.clone(), self.suspect.clone(), self.run);
+        self.shared.background.leave(async move {
+            compio::time::sleep(AFTERMATH).await;
+            let limit = shared.settings.connect_timeout;
+            if !link::is_reachable(address, limit).await {
+                // Its caller has gone, so nobody is left to hear the answer.
+                let _ = suspect.crashed(&shared, run).await;
+            }
+        });
+    }
+}
+
 /// Whether a broken connection means that the backend server itself is gone.
 async fn is_crash(shared: &Shared, failure: &Failure, address: SocketAddr) -> bool {
     let limit: Duration = shared.settings.connect_timeout;
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -7,6 +7,7 @@
 use jaylock_observe::Observer;
 
 use crate::announce::Backends;
+use crate::background::Background;
 use crate::budget::RetryBudget;
 use crate::link::Links;
 use crate::organisation::Organisations;
@@ -50,6 +51,8 @@
     pub closed: Signal,
     /// Held by each connection that was accepted before.
     pub open: Rc<()>,
+    /// Work that goes on after its request was dropped.
+    pub background: Background,
     leaving: Cell<bool>,
     busy: Rc<()>,
 }
@@ -79,6 +82,7 @@
             budget,
             closed: Signal::default(),
             open: Rc::new(()),
+            background: Background::default(),
             leaving: Cell::new(false),
             busy: Rc::new(()),
         };
--- a/crates/jaylock-router/src/server.rs
+++ b/crates/jaylock-router/src/server.rs
@@ -30,6 +30,8 @@
 /// Accepts connections; each has a task of its own.
 pub async fn serve(shared: Rc<Shared>, listener: TcpListener) {
     let _pruner = compio::runtime::spawn(prune(shared.clone()));
+    let working = shared.clone();
+    let _worker = compio::runtime::spawn(async move { working.background.run().await });
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
--- a/crates/jaylock-router/src/settings.rs
+++ b/crates/jaylock-router/src/settings.rs
@@ -47,6 +47,8 @@
     pub idle: Duration,
     /// Attempts at backend servers for one request.
     pub attempts: u32,
+    /// Wait for a slot elsewhere, after which a backend server that failed is taken again.
+    pub avoid_limit: Duration,
     /// Retries that an organisation may make at once.
     pub retry_burst: u32,
     /// Retries earned by each request, in thousandths.
@@ -88,6 +90,7 @@
             fresh: Duration::from_secs(1),
             idle: Duration::from_secs(30),
             attempts: 5,
+            avoid_limit: Duration::from_secs(2),
             retry_burst: 128,
             retry_permille: 200,
             answer_bound: ByteSize(8 << 20),
--- a/crates/jaylock-tests/tests/router/crash.rs
+++ b/crates/jaylock-tests/tests/router/crash.rs
@@ -1,10 +1,12 @@
 //! Requests that crash backend servers: at most two are lost to one of them.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use jaylock_router::RouterSettings;
 use jaylock_tests::cases;
 
-use crate::backend::{Act, Backend, Seen, piece, stream_head, whole_stream};
+use crate::backend::{Act, Backend, Seen, piece, plain, stream_head, whole_stream};
 use crate::fleet::{Fleet, ask};
 use crate::port::FakeClaims;
 
@@ -73,9 +75,35 @@
         assert_that!((answer.status, answer.run.as_str()), eq((503, "not-run")));
         assert_that!(answer.body, contains_substring("\"kind\":\"suspected\""));
         drop(caller);
-        compio::time::sleep(std::time::Duration::from_millis(100)).await;
+        compio::time::sleep(Duration::from_millis(100)).await;
         assert_that!(*slow.hung_up.borrow(), eq(0));
     };
+    async crash_after_the_caller_hung_up_is_noticed => {
+        let engine = Backend::start(|s| {
+            vec![stream_head(s), piece(s, 1), Act::Wait(Duration::from_millis(200)), Act::Crash]
+        })
+        .await;
+        let fleet = Fleet::start(&[engine.address], RouterSettings::default()).await;
+        let limit = Duration::from_millis(100);
+        let hung_up = compio::time::timeout(limit, fleet.chat(&poison())).await;
+        assert_that!(hung_up.is_err(), eq(true));
+        let claims = &fleet.claims.0;
+        fleet.until("the crash is noted", || !claims.quarantines.borrow().is_empty()).await;
+        let again = fleet.chat(&poison()).await;
+        assert_that!((again.status, again.run.as_str()), eq((503, "not-run")));
+    };
+    async call_that_may_not_be_repeated_gets_no_trial => {
+        let crashed = Backend::start(|_| vec![Act::Crash]).await;
+        let sound = Backend::start(|s| plain(s, 200, "ok")).await;
+        let addresses = [crashed.address, sound.address];
+        let fleet = Fleet::start(&addresses, RouterSettings::default()).await;
+        let first = fleet.once("k1", "poison").await;
+        assert_that!((first.status, first.run.as_str()), eq((409, "unknown")));
+        let other_key = fleet.once("k2", "poison").await;
+        assert_that!((other_key.status, other_key.run.as_str()), eq((503, "not-run")));
+        assert_that!(fleet.once("k3", "innocent").await.status, eq(200));
+        assert_that!((crashed.count(), sound.count()), eq((1, 1)));
+    };
     async broken_connection_to_a_living_engine_is_no_crash => {
         let engine = Backend::start(|s| vec![stream_head(s), piece(s, 1), Act::Close]).await;
         let fleet = Fleet::start(&[engine.address], RouterSettings::default()).await;
--- a/crates/jaylock-tests/tests/router/port.rs
+++ b/crates/jaylock-tests/tests/router/port.rs
@@ -26,6 +26,8 @@
 pub struct CapacityState {
     pub backends: RefCell<Vec<SocketAddr>>,
     pub refusals: RefCell<VecDeque<Refusal>>,
+    /// Whether an ask waits while it avoids every backend server.
+    pub patient: Cell<bool>,
     pub never: Cell<bool>,
     pub asks: RefCell<Vec<Ask>>,
     pub ends: RefCell<Vec<End>>,
@@ -63,7 +65,8 @@
     fn ask<'a>(&'a self, _: &'a PoolId, ask: Ask) -> LocalBoxFuture<'a, Result<Grant, Refusal>> {
         async move {
             let granted = self.0.grant(ask);
-            if self.0.never.get() {
+            let is_barred = granted.as_ref().is_err_and(|r| r.reason == 2);
+            if self.0.never.get() || (self.0.patient.get() && is_barred) {
                 futures_util::future::pending::<()>().await;
             }
             granted
--- a/crates/jaylock-tests/tests/router/whole.rs
+++ b/crates/jaylock-tests/tests/router/whole.rs
@@ -110,6 +110,17 @@
         assert_that!((answer.status, answer.run.as_str()), eq((400, "ran")));
         assert_that!(answer.body, contains_substring("bad temperature"));
     };
+    async only_backend_server_is_taken_again_after_a_failure => {
+        let engine = Backend::start(once_broken(|_| vec![Act::Hang])).await;
+        let settings = RouterSettings { avoid_limit: Duration::from_millis(50), ..quick() };
+        let fleet = Fleet::start(&[engine.address], settings).await;
+        fleet.capacity.0.patient.set(true);
+        let answer = fleet.chat(&ask(false)).await;
+        assert_that!(answer.body, contains_substring(WHOLE));
+        let asks = fleet.capacity.0.asks.borrow();
+        let avoided: Vec<usize> = asks.iter().map(|a| a.avoid.len()).collect();
+        assert_that!(avoided, elements_are![eq(&0), eq(&1), eq(&0)]);
+    };
     async services_answer_to_another_request_is_not_passed_on => {
         let first = Cell::new(true);
         let service = Backend::start(move |s| {
