Claims: a late release gives no later claim back

Cause: ReleaseClaim named router and key only, and a resend of it isn't remembered. When its first answer was lost and the caller sent the key again through the same router, the second release took the running claim away, and a third sending was granted: a second run of a call that may not be repeated. Ruled out: a guard in the router alone (the control client itself resends); remembering releases like operators' commands (costs memory for each refusal).

--- a/crates/jaylock-control/src/state/claims.rs
+++ b/crates/jaylock-control/src/state/claims.rs
@@ -153,6 +153,9 @@
         if record.outcome.is_some() {
             return Err("the claim is settled".into());
         }
+        if record.request != release.request {
+            return Err("another request holds the claim".into());
+        }
         self.remove(&digest);
         Ok(Applied::Done(Done {}))
     }
--- a/crates/jaylock-router/src/claim.rs
+++ b/crates/jaylock-router/src/claim.rs
@@ -27,6 +27,7 @@
     shared: Rc<Shared>,
     organisation: String,
     key: String,
+    request: String,
 }
 
 /// What a claim led to.
@@ -64,6 +65,7 @@
             shared: shared.clone(),
             organisation: call.organisation.to_string(),
             key: key.clone(),
+            request: call.request.to_string(),
         };
         let claim = Claim {
             organisation: held.organisation.clone(),
@@ -71,7 +73,7 @@
             fingerprint: fingerprint(call).to_vec(),
             router: shared.identity.instance.to_string(),
             incarnation: shared.identity.incarnation.0,
-            request: call.request.to_string(),
+            request: held.request.clone(),
             at_ms: unix_ms(),
         };
         let outcome = shared
@@ -112,6 +114,7 @@
             key: self.key,
             router: self.shared.identity.instance.to_string(),
             incarnation: self.shared.identity.incarnation.0,
+            request: self.request,
         };
         let body = CommandBody::ReleaseClaim(release);
         drop(proposal::commit(&self.shared, body));
--- a/crates/jaylock-tests/tests/control/commands.rs
+++ b/crates/jaylock-tests/tests/control/commands.rs
@@ -4,7 +4,9 @@
 use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::claim_state::Kind;
 use jaylock_rpc::v1::command::Body;
-use jaylock_rpc::v1::{Applied, Claim, Command, Instance, InstanceGone, Organisation, Settle};
+use jaylock_rpc::v1::{
+    Applied, Claim, Command, Instance, InstanceGone, Organisation, ReleaseClaim, Settle,
+};
 
 use crate::group::Group;
 
@@ -141,6 +143,30 @@
         futures_util::future::select(std::pin::pin!(renewing), std::pin::pin!(trying)).await;
     };
 
+    async a_late_release_gives_no_later_claim_back => {
+        let group = Group::new(1, 1).await;
+        let instances = [instance("x", 1)];
+        let renewing = renew(&group, &instances);
+        let trying = async {
+            group.until("an instance", |c| c.instances.len() == 1).await;
+            let ask = async |request| kind(&group.propose(claim("x", 1, request, "k")).await);
+            let release = command(Body::ReleaseClaim(ReleaseClaim {
+                organisation: "shop".into(),
+                key: "k".into(),
+                router: "x".into(),
+                incarnation: 1,
+                request: "q1".into(),
+            }));
+            expect_that!(ask("q1").await, some(eq(Kind::Granted)));
+            group.propose(release.clone()).await;
+            expect_that!(ask("q2").await, some(eq(Kind::Granted)));
+            // The first answer was lost, so the router sends the release again.
+            group.propose(release).await;
+            expect_that!(ask("q3").await, some(eq(Kind::Pending)));
+        };
+        futures_util::future::select(std::pin::pin!(renewing), std::pin::pin!(trying)).await;
+    };
+
     async an_old_resend_is_not_applied_twice => {
         let group = Group::new(1, 1).await;
         let old = command(create("a", None).body.expect("a body"));
--- a/crates/jaylock-tests/tests/router/port.rs
+++ b/crates/jaylock-tests/tests/router/port.rs
@@ -116,9 +116,8 @@
                 Outcome::Done(Done {})
             }
             Body::ReleaseClaim(release) => {
-                self.claims.borrow_mut().retain(|(c, _)| {
-                    (&c.organisation, &c.key) != (&release.organisation, &release.key)
-                });
+                let is_its = |c: &Claim| c.request == release.request && c.key == release.key;
+                self.claims.borrow_mut().retain(|(c, _)| !is_its(c));
                 Outcome::Done(Done {})
             }
             Body::PutQuarantine(quarantine) => {
