--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -130,8 +130,8 @@
         return Ok(default);
     };
     let parsed = value.to_str().ok().and_then(|v| v.parse().ok());
-    let parsed = parsed.map(Duration::from_millis);
-    parsed.ok_or_else(|| {
+    let limit = parsed.map(Duration::from_millis);
+    limit.ok_or_else(|| {
         Refusal::not_run(
             StatusCode::BAD_REQUEST,
             "malformed",
