--- a/crates/jaylock-tests/src/fleet/mod.rs
+++ b/crates/jaylock-tests/src/fleet/mod.rs
@@ -1,8 +1,10 @@
+mod control;
 mod forward;
 mod http;
 mod ports;
 mod process;
 mod tool;
+mod turn;
 
 pub use self::http::{Answer, exchange, get, post};
 pub use self::ports::free_address;
@@ -11,7 +13,7 @@
 
 use std::fs;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -19,10 +21,14 @@
 use tempfile::TempDir;
 
 use self::forward::{Network, forward};
+use self::turn::Turn;
 
 /// Secret of the operators of a test fleet.
 pub const OPERATOR_SECRET: &str = "operators-of-a-test";
 
+/// Secret of the instances of a test fleet.
+pub const PEER_SECRET: &str = "instances-of-a-test";
+
 /// What a test fleet looks like.
 #[derive(Debug, Clone)]
 pub struct FleetSettings {
@@ -62,6 +68,8 @@
     addresses: Vec<Addresses>,
     processes: Vec<Option<Process>>,
     network: Arc<Mutex<Network>>,
+    // Dropped last, when the processes have ended.
+    _turn: Turn,
 }
 
 #[derive(Clone, Copy)]
@@ -91,6 +99,7 @@
     /// When they can't be written.
     #[must_use]
     pub fn prepare(settings: &FleetSettings) -> Self {
+        let turn = Turn::take();
         let folder = tempfile::tempdir().expect("a folder");
         let all = 0..settings.instances;
         let addresses: Vec<Addresses> = all.clone().map(|_| Addresses::pick(settings)).collect();
@@ -114,6 +123,7 @@
             addresses,
             processes: all.map(|_| None).collect(),
             network,
+            _turn: turn,
         }
     }
 
@@ -183,6 +193,13 @@
         self.folder.path().join(format!("data/i{place}"))
     }
 
+    /// Number of instances, up or down.
+    #[must_use]
+    #[allow(clippy::len_without_is_empty)]
+    pub fn len(&self) -> usize {
+        self.addresses.len()
+    }
+
     /// Where callers reach an instance.
     #[must_use]
     pub fn caller(&self, place: usize) -> SocketAddr {
@@ -195,6 +212,18 @@
         self.addresses[place].peer
     }
 
+    /// Where an instance really listens for other instances and operators.
+    #[must_use]
+    pub fn listen(&self, place: usize) -> SocketAddr {
+        self.addresses[place].listen
+    }
+
+    /// The folder of the fleet.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
     /// What an instance has printed over all its starts.
     #[must_use]
     pub fn log(&self, place: usize) -> String {
@@ -222,7 +251,7 @@
     #[must_use]
     pub fn tool_at(&self, places: &[usize], arguments: &[&str]) -> Outcome {
         // Operators come from outside, so no cut between the instances holds them up.
-        let listens: Vec<SocketAddr> = places.iter().map(|p| self.addresses[*p].listen).collect();
+        let listens: Vec<SocketAddr> = places.iter().map(|p| self.listen(*p)).collect();
         run_tool(&listens, OPERATOR_SECRET, arguments)
     }
 
@@ -292,7 +321,7 @@
     format!(
         "[instance]\nid = i{place}\ndomain = {}\ncaller_address = {}\npeer_address = {}\n\
          peer_listen = {}\n{data}\n[control]\nreplicas = {replicas}\n{}\n\n[security]\n\
-         peer_secret = instances-of-a-test\noperator_secret = {OPERATOR_SECRET}\n\n{}\n",
+         peer_secret = {PEER_SECRET}\noperator_secret = {OPERATOR_SECRET}\n\n{}\n",
         domain(place),
         own.caller,
         own.peer,
