--- a/crates/jaylock-tests/src/fleet/forward.rs
+++ b/crates/jaylock-tests/src/fleet/forward.rs
@@ -9,7 +9,6 @@
 const PAUSE: Duration = Duration::from_millis(10);
 
 /// Which instances run as which process, and which are cut off; shared by all forwarders.
-#[derive(Default)]
 pub struct Network {
     /// Process ids by instance; 0 while it is down.
     pub pids: Vec<u32>,
@@ -17,6 +16,16 @@
     pub cut: Vec<bool>,
 }
 
+impl Network {
+    /// A network of so many instances, of which none runs.
+    pub fn new(instances: usize) -> Self {
+        Self {
+            pids: vec![0; instances],
+            cut: vec![false; instances],
+        }
+    }
+}
+
 /// Passes connections on to an instance, and holds their bytes back while either end is cut off.
 ///
 /// Bytes that were held back arrive when the cut ends, as TCP would deliver them again.
