--- a/crates/jaylock-tests/src/fleet/mod.rs
+++ b/crates/jaylock-tests/src/fleet/mod.rs
@@ -1,17 +1,20 @@
+mod backends;
+mod control;
 mod forward;
 mod http;
 mod ports;
-mod process;
 mod tool;
+mod turn;
 
+pub use self::backends::ORGANISATIONS;
 pub use self::http::{Answer, exchange, get, post};
 pub use self::ports::free_address;
-pub use self::process::Process;
 pub use self::tool::{Outcome, run_tool};
 
 use std::fs;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::process::ExitStatus;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -19,16 +22,24 @@
 use tempfile::TempDir;
 
 use self::forward::{Network, forward};
+use self::turn::Turn;
+use crate::Process;
 
 /// Secret of the operators of a test fleet.
 pub const OPERATOR_SECRET: &str = "operators-of-a-test";
 
+/// Time for a process to end gracefully.
+const STOP_TIME: Duration = Duration::from_secs(30);
+
+/// Secret of the instances of a test fleet.
+pub const PEER_SECRET: &str = "instances-of-a-test";
+
 /// What a test fleet looks like.
 #[derive(Debug, Clone)]
 pub struct FleetSettings {
     /// Instances, named `i0`, `i1` and so on.
     pub instances: usize,
-    /// Failure domains, over which the instances go round.
+    /// Failure domains over which the instances are spread.
     pub domains: usize,
     /// The first so many instances have a data folder.
     pub disks: usize,
@@ -36,10 +47,10 @@
     pub replicas: usize,
     /// Whether instances reach each other through forwarders that can cut.
     pub is_forwarded: bool,
-    /// Lines added to the section `[control]`.
-    pub control: &'static str,
-    /// Further sections.
-    pub more: &'static str,
+    /// More lines for the section `[control]` of every instance.
+    pub control: String,
+    /// More lines for the settings file of every instance.
+    pub lines: String,
 }
 
 impl Default for FleetSettings {
@@ -50,18 +61,21 @@
             disks: 3,
             replicas: 3,
             is_forwarded: false,
-            control: "",
-            more: "",
+            control: String::new(),
+            lines: "[addresses]\nkeep = 1s\n".into(),
         }
     }
 }
 
-/// Instances of `jaylockd` as processes of their own; they end with the test.
+/// Instances of `jaylockd` as processes of their own; dropping the fleet ends them all.
 pub struct Fleet {
-    folder: TempDir,
+    folder: Option<TempDir>,
     addresses: Vec<Addresses>,
     processes: Vec<Option<Process>>,
+    backends: Vec<Process>,
     network: Arc<Mutex<Network>>,
+    // Dropped last, when the processes have ended.
+    _turn: Turn,
 }
 
 #[derive(Clone, Copy)]
@@ -72,25 +86,24 @@
 }
 
 impl Fleet {
-    /// Writes the settings of all instances and starts them.
+    /// Starts the instances and configures organisations, model `dossier` and service `caseapp`.
     ///
     /// # Panics
-    /// When one can't be started.
+    /// When a program does not start or the configuration is not accepted.
     #[must_use]
     pub fn start(settings: &FleetSettings) -> Self {
-        let mut fleet = Self::prepare(settings);
-        for place in 0..settings.instances {
-            fleet.run(place);
-        }
+        let fleet = Self::bare(settings);
+        fleet.configure();
         fleet
     }
 
-    /// Writes the settings of all instances and starts none.
+    /// Starts the instances with an empty configuration.
     ///
     /// # Panics
-    /// When they can't be written.
+    /// When a program does not start.
     #[must_use]
-    pub fn prepare(settings: &FleetSettings) -> Self {
+    pub fn bare(settings: &FleetSettings) -> Self {
+        let turn = Turn::take();
         let folder = tempfile::tempdir().expect("a folder");
         let all = 0..settings.instances;
         let addresses: Vec<Addresses> = all.clone().map(|_| Addresses::pick(settings)).collect();
@@ -99,34 +112,34 @@
             let path = folder.path().join(format!("i{place}.ini"));
             fs::write(path, text).expect("the settings are written");
         }
-        let network = Network {
-            pids: vec![0; settings.instances],
-            cut: vec![false; settings.instances],
-        };
-        let network = Arc::new(Mutex::new(network));
-        for (place, own) in addresses.iter().enumerate() {
-            if settings.is_forwarded {
+        let network = Arc::new(Mutex::new(Network::new(settings.instances)));
+        if settings.is_forwarded {
+            for (place, own) in addresses.iter().enumerate() {
                 forward(&network, own.peer, own.listen, place);
             }
         }
-        Self {
-            folder,
+        let mut fleet = Self {
+            folder: Some(folder),
             addresses,
-            processes: all.map(|_| None).collect(),
+            processes: all.clone().map(|_| None).collect(),
+            backends: Vec::new(),
             network,
-        }
+            _turn: turn,
+        };
+        all.for_each(|place| fleet.restart(place));
+        fleet
     }
 
-    /// Starts an instance that is down.
-    pub fn run(&mut self, place: usize) {
-        let (file, log) = (format!("i{place}.ini"), format!("i{place}.log"));
-        let arguments = ["--settings", file.as_str()];
-        let process = Process::start("jaylockd", &arguments, self.folder.path(), &log);
+    /// Starts an instance, after it has ended.
+    pub fn restart(&mut self, place: usize) {
+        let arguments = ["--settings".into(), format!("i{place}.ini")];
+        let log = format!("i{place}.log");
+        let process = Process::start("jaylockd", &arguments, self.folder(), &log);
         self.note(place, process.pid());
         self.processes[place] = Some(process);
     }
 
-    /// Ends an instance without warning.
+    /// Ends an instance at once.
     pub fn kill(&mut self, place: usize) {
         self.note(place, 0);
         if let Some(process) = self.processes[place].take() {
@@ -134,30 +147,34 @@
         }
     }
 
-    /// Stops an instance gracefully; tells whether it ended in time.
-    pub fn stop(&mut self, place: usize, limit: Duration) -> bool {
-        let Some(mut process) = self.processes[place].take() else {
-            return true;
-        };
-        process.signal("TERM");
-        let status = process.wait(limit);
+    /// Stops an instance gracefully.
+    pub async fn stop(&mut self, place: usize) -> Option<ExitStatus> {
+        let process = self.processes[place].take()?;
+        let status = process.terminate(STOP_TIME).await;
         self.note(place, 0);
-        status.is_some_and(|status| status.success())
+        Some(status)
     }
 
-    fn note(&self, place: usize, pid: u32) {
-        let mut network = self.network.lock().unwrap_or_else(PoisonError::into_inner);
-        network.pids[place] = pid;
+    /// The process of an instance, while it runs.
+    #[must_use]
+    pub fn instance(&self, place: usize) -> Option<&Process> {
+        self.processes[place].as_ref()
     }
 
     /// Freezes an instance.
+    ///
+    /// # Panics
+    /// When it is down.
     pub fn freeze(&self, place: usize) {
-        self.process(place).signal("STOP");
+        self.instance(place).expect("a running instance").freeze();
     }
 
     /// Lets a frozen instance go on.
+    ///
+    /// # Panics
+    /// When it is down.
     pub fn thaw(&self, place: usize) {
-        self.process(place).signal("CONT");
+        self.instance(place).expect("a running instance").thaw();
     }
 
     /// Cuts an instance off from all others in silence, or ends the cut.
@@ -180,7 +197,20 @@
     /// The data folder of an instance.
     #[must_use]
     pub fn data(&self, place: usize) -> PathBuf {
-        self.folder.path().join(format!("data/i{place}"))
+        self.folder().join(format!("data/i{place}"))
+    }
+
+    /// Number of instances, up or down.
+    #[must_use]
+    #[allow(clippy::len_without_is_empty)]
+    pub fn len(&self) -> usize {
+        self.addresses.len()
+    }
+
+    /// Where callers reach the instances.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.addresses.iter().map(|own| own.caller).collect()
     }
 
     /// Where callers reach an instance.
@@ -195,20 +225,23 @@
         self.addresses[place].peer
     }
 
-    /// What an instance has printed over all its starts.
+    /// Where an instance really listens for other instances and operators.
     #[must_use]
-    pub fn log(&self, place: usize) -> String {
-        let path = self.folder.path().join(format!("i{place}.log"));
-        fs::read_to_string(path).unwrap_or_default()
+    pub fn listen(&self, place: usize) -> SocketAddr {
+        self.addresses[place].listen
     }
 
-    /// The process of an instance that runs.
-    ///
-    /// # Panics
-    /// When it is down.
+    /// The folder of the fleet.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        self.folder.as_ref().map_or(Path::new("."), TempDir::path)
+    }
+
+    /// What an instance has printed over all its starts.
     #[must_use]
-    pub fn process(&self, place: usize) -> &Process {
-        self.processes[place].as_ref().expect("the instance runs")
+    pub fn log(&self, place: usize) -> String {
+        let path = self.folder().join(format!("i{place}.log"));
+        fs::read_to_string(path).unwrap_or_default()
     }
 
     /// Runs the tool against all instances.
@@ -222,7 +255,7 @@
     #[must_use]
     pub fn tool_at(&self, places: &[usize], arguments: &[&str]) -> Outcome {
         // Operators come from outside, so no cut between the instances holds them up.
-        let listens: Vec<SocketAddr> = places.iter().map(|p| self.addresses[*p].listen).collect();
+        let listens: Vec<SocketAddr> = places.iter().map(|p| self.listen(*p)).collect();
         run_tool(&listens, OPERATOR_SECRET, arguments)
     }
 
@@ -249,6 +282,23 @@
     }
 }
 
+impl Fleet {
+    fn note(&self, place: usize, pid: u32) {
+        let mut network = self.network.lock().unwrap_or_else(PoisonError::into_inner);
+        network.pids[place] = pid;
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if thread::panicking()
+            && let Some(folder) = self.folder.take()
+        {
+            eprintln!("logs are kept in {}", folder.keep().display());
+        }
+    }
+}
+
 impl Addresses {
     fn pick(settings: &FleetSettings) -> Self {
         let peer = free_address();
@@ -292,12 +342,12 @@
     format!(
         "[instance]\nid = i{place}\ndomain = {}\ncaller_address = {}\npeer_address = {}\n\
          peer_listen = {}\n{data}\n[control]\nreplicas = {replicas}\n{}\n\n[security]\n\
-         peer_secret = instances-of-a-test\noperator_secret = {OPERATOR_SECRET}\n\n{}\n",
+         peer_secret = {PEER_SECRET}\noperator_secret = {OPERATOR_SECRET}\n\n{}\n",
         domain(place),
         own.caller,
         own.peer,
         own.listen,
         settings.control,
-        settings.more,
+        settings.lines,
     )
 }
--- a/crates/jaylock-tests/src/process.rs
+++ b/crates/jaylock-tests/src/process.rs
@@ -40,6 +40,12 @@
         }
     }
 
+    /// Its process id.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Stops the process where it is, as a frozen machine would.
     pub fn freeze(&self) {
         self.send(Signal::STOP);
