--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -5,9 +5,9 @@
 use compact_str::format_compact;
 use http::StatusCode;
 use jaylock_observe::Run;
-use jaylock_rpc::v1::Ask;
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::refusal::Reason;
+use jaylock_rpc::v1::{self, Ask};
 use jaylock_types::PoolId;
 
 use crate::account::Account;
@@ -19,6 +19,13 @@
 use crate::router::Shared;
 use crate::slot::Slot;
 
+/// Time in which a backend server may still crash under work that was cancelled.
+const AFTERMATH: Duration = Duration::from_secs(1);
+/// Longest wait before the third attempt.
+const BACKOFF: Duration = Duration::from_millis(50);
+/// Times that the wait doubles at most.
+const BACKOFF_DOUBLINGS: u32 = 4;
+
 /// What the attempts of one request share: slots, run state, budget and suspicion.
 pub struct Retry {
     shared: Rc<Shared>,
@@ -29,6 +36,8 @@
     before: Run,
     tries: u32,
     avoid: Vec<String>,
+    /// Where an attempt runs that was neither reported as failed nor as whole.
+    running: Option<SocketAddr>,
 }
 
 impl Retry {
@@ -50,6 +59,7 @@
             before: Run::NotRun,
             tries: 0,
             avoid: Vec::new(),
+            running: None,
         }
     }
 
@@ -91,6 +101,7 @@
             slot.close(Outcome::NotRun);
             return Err(refusal.ran(self.run));
         }
+        self.running = Some(address);
         self.before = self.run;
         if self.run == Run::NotRun {
             self.run = Run::Unknown;
@@ -101,6 +112,7 @@
     /// Notes that the answer is whole.
     pub fn succeeded(&mut self, slot: Slot) {
         self.run = Run::Ran;
+        self.running = None;
         slot.close(Outcome::Complete);
         self.suspect.clear(&self.shared);
     }
@@ -116,6 +128,7 @@
         slot: Slot,
         account: &Account,
     ) -> Result<(), Refusal> {
+        self.running = None;
         account.step(format_compact!("attempt failed: {failure}"));
         let backend = slot.backend().to_owned();
         if is_crash(&self.shared, failure, address).await {
@@ -135,7 +148,20 @@
         if failure.is_not_run() || matches!(failure, Failure::Silent) {
             self.avoid.push(backend);
         }
-        self.allow(failure)
+        self.allow(failure)?;
+        self.back_off().await;
+        Ok(())
+    }
+
+    /// Waits before every attempt but the second, ever longer.
+    async fn back_off(&self) {
+        let doublings = self.tries.saturating_sub(2).min(BACKOFF_DOUBLINGS);
+        if self.tries < 2 {
+            return;
+        }
+        let most = BACKOFF.saturating_mul(1 << doublings);
+        let wait = rand::random_range(most / 2..most);
+        compio::time::sleep(wait).await;
     }
 
     fn allow(&self, failure: &Failure) -> Result<(), Refusal> {
@@ -151,7 +177,11 @@
 
     fn gave_up(&self, reason: &'static str) -> Refusal {
         let remedy = "ask again after the time in retry-after";
-        Refusal::not_run(StatusCode::BAD_GATEWAY, "broken", reason, remedy)
+        let (status, kind) = match self.run {
+            Run::NotRun => (StatusCode::SERVICE_UNAVAILABLE, "declined"),
+            Run::Ran | Run::Unknown => (StatusCode::BAD_GATEWAY, "broken"),
+        };
+        Refusal::not_run(status, kind, reason, remedy)
             .ran(self.run)
             .after(self.shared.settings.retry_after)
     }
@@ -166,18 +196,22 @@
             request: self.suspect.request.to_string(),
             ..base
         };
-        let mut outcome = self.shared.capacity.ask(&self.pool, ask.clone()).await;
-        let is_choosy = !self.avoid.is_empty();
-        if is_choosy
-            && outcome
-                .as_ref()
-                .is_err_and(|r| r.reason() == Reason::NoBackend)
-        {
-            // One that was avoided is better than none; it may have come back.
-            self.avoid.clear();
-            ask.avoid.clear();
-            outcome = self.shared.capacity.ask(&self.pool, ask).await;
+        let mut outcome = None;
+        if !self.avoid.is_empty() {
+            let asking = self.shared.capacity.ask(&self.pool, ask.clone());
+            let limit = self.shared.settings.avoid_limit;
+            outcome = compio::time::timeout(limit, asking).await.ok();
         }
+        let is_barred = |r: &v1::Refusal| r.reason() == Reason::NoBackend;
+        let outcome = match outcome {
+            Some(outcome) if !outcome.as_ref().is_err_and(is_barred) => outcome,
+            _ => {
+                // One that failed before is better than none; it may have come back.
+                self.avoid.clear();
+                ask.avoid.clear();
+                self.shared.capacity.ask(&self.pool, ask).await
+            }
+        };
         let grant = outcome.map_err(|r| Refusal::of_capacity(&r).ran(self.run))?;
         let address = grant.address.parse();
         let slot = Slot::new(self.shared.capacity.clone(), self.pool.clone(), grant);
@@ -189,6 +223,24 @@
     }
 }
 
+impl Drop for Retry {
+    /// Looks after a backend server whose work was cancelled: its crash may follow.
+    fn drop(&mut self) {
+        let Some(address) = self.running.take() else {
+            return;
+        };
+        let (shared, mut suspect, run) = (self.shared.clone(), self.suspect.clone(), self.run);
+        self.shared.background.leave(async move {
+            compio::time::sleep(AFTERMATH).await;
+            let limit = shared.settings.connect_timeout;
+            if !link::is_reachable(address, limit).await {
+                // Its caller has gone, so nobody is left to hear the answer.
+                let _ = suspect.crashed(&shared, run).await;
+            }
+        });
+    }
+}
+
 /// Whether a broken connection means that the backend server itself is gone.
 async fn is_crash(shared: &Shared, failure: &Failure, address: SocketAddr) -> bool {
     let limit: Duration = shared.settings.connect_timeout;
--- a/crates/jaylock-tests/tests/router/port.rs
+++ b/crates/jaylock-tests/tests/router/port.rs
@@ -26,6 +26,8 @@
 pub struct CapacityState {
     pub backends: RefCell<Vec<SocketAddr>>,
     pub refusals: RefCell<VecDeque<Refusal>>,
+    /// Whether an ask waits while it avoids every backend server.
+    pub patient: Cell<bool>,
     pub never: Cell<bool>,
     pub asks: RefCell<Vec<Ask>>,
     pub ends: RefCell<Vec<End>>,
@@ -63,7 +65,8 @@
     fn ask<'a>(&'a self, _: &'a PoolId, ask: Ask) -> LocalBoxFuture<'a, Result<Grant, Refusal>> {
         async move {
             let granted = self.0.grant(ask);
-            if self.0.never.get() {
+            let is_barred = granted.as_ref().is_err_and(|r| r.reason == 2);
+            if self.0.never.get() || (self.0.patient.get() && is_barred) {
                 futures_util::future::pending::<()>().await;
             }
             granted
@@ -106,14 +109,15 @@
             Body::Claim(claim) => Outcome::Claim(self.claim(claim)),
             Body::Settle(settle) => {
                 let mut claims = self.claims.borrow_mut();
-                let entry = claims.iter_mut().find(|(c, _)| c.key == settle.key);
+                let entry = claims.iter_mut().find(|(c, _)| {
+                    (&c.organisation, &c.key) == (&settle.organisation, &settle.key)
+                });
                 entry.expect("a claim to settle").1 = Some(settle);
                 Outcome::Done(Done {})
             }
             Body::ReleaseClaim(release) => {
-                self.claims
-                    .borrow_mut()
-                    .retain(|(c, _)| c.key != release.key);
+                let is_its = |c: &Claim| c.request == release.request && c.key == release.key;
+                self.claims.borrow_mut().retain(|(c, _)| !is_its(c));
                 Outcome::Done(Done {})
             }
             Body::PutQuarantine(quarantine) => {
@@ -140,7 +144,9 @@
 
     fn claim(&self, claim: Claim) -> ClaimState {
         let mut claims = self.claims.borrow_mut();
-        let found = claims.iter().find(|(c, _)| c.key == claim.key);
+        let found = claims
+            .iter()
+            .find(|(c, _)| (&c.organisation, &c.key) == (&claim.organisation, &claim.key));
         let kind = match (self.answer.get(), found) {
             (Some(kind), _) => kind,
             (None, None) => Kind::Granted,
--- a/crates/jaylock-tests/tests/router/whole.rs
+++ b/crates/jaylock-tests/tests/router/whole.rs
@@ -97,6 +97,30 @@
         assert_that!(answer.body, contains_substring(WHOLE));
         assert_that!(engine.count(), eq(1));
     };
+    async refusal_of_another_request_is_not_passed_on => {
+        let first = |s: &Seen| {
+            let other = Seen { head: s.head.replace(s.id(), "other"), ..s.clone() };
+            plain(&other, 400, "wrong")
+        };
+        let (answer, _) = resumed(first).await;
+        assert_that!(answer.body, contains_substring(WHOLE));
+    };
+    async engines_own_refusal_is_passed_on => {
+        let (answer, _) = resumed(|s| plain(s, 400, "bad temperature")).await;
+        assert_that!((answer.status, answer.run.as_str()), eq((400, "ran")));
+        assert_that!(answer.body, contains_substring("bad temperature"));
+    };
+    async only_backend_server_is_taken_again_after_a_failure => {
+        let engine = Backend::start(once_broken(|_| vec![Act::Hang])).await;
+        let settings = RouterSettings { avoid_limit: Duration::from_millis(50), ..quick() };
+        let fleet = Fleet::start(&[engine.address], settings).await;
+        fleet.capacity.0.patient.set(true);
+        let answer = fleet.chat(&ask(false)).await;
+        assert_that!(answer.body, contains_substring(WHOLE));
+        let asks = fleet.capacity.0.asks.borrow();
+        let avoided: Vec<usize> = asks.iter().map(|a| a.avoid.len()).collect();
+        assert_that!(avoided, elements_are![eq(&0), eq(&1), eq(&0)]);
+    };
     async services_answer_to_another_request_is_not_passed_on => {
         let first = Cell::new(true);
         let service = Backend::start(move |s| {
@@ -137,6 +161,15 @@
         let answer = fleet.send("POST", "/v1/chat/completions", &fields, &ask(false)).await;
         assert_that!((answer.status, answer.run.as_str()), eq((504, "not-run")));
     };
+    async deadline_without_measure_is_bounded => {
+        let engine = Backend::start(|s| whole_stream(s, 3)).await;
+        let fleet = Fleet::start(&[engine.address], quick()).await;
+        let endless = u64::MAX.to_string();
+        let fields = [("authorization", "Bearer key-1"), ("x-deadline-ms", endless.as_str())];
+        let answer = fleet.send("POST", "/v1/chat/completions", &fields, &ask(false)).await;
+        assert_that!(answer.status, eq(200));
+        assert_that!(fleet.capacity.0.ends.borrow()[0].tokens, eq(3));
+    };
     async spent_retry_budget_ends_the_retries => {
         let engine = Backend::start(|s| vec![stream_head(s), piece(s, s.last() + 1), Act::Close]).await;
         let settings = RouterSettings { retry_burst: 3, retry_permille: 0, ..quick() };
