Router: the system's own timeout for callers that take nothing

Cause: switches off on a scratch copy showed two mechanisms that no test needed: the write timer (the TCP user timeout of 6 s, meant for lost machines, ended the connection too) and the explicit stop of a connection (hyper closes it when sender and body are dropped, also while the head is awaited). Ruled out: keeping both for safety; code that no test can see failing. Change: TCP user timeout of callers' connections is write_stall, StallLimit and the stop channel are gone; a failed connection takes the idle ones to the same backend server with it; idle connections serve 3 s; a prefix that ends in a slash covers only what lies under it; raw reads in tests are bounded.

--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -27,7 +27,6 @@
 mod settings;
 mod signal;
 mod slot;
-mod stall;
 
 pub use self::budget::RetryBudget;
 pub use self::event::{Event, EventParser};
--- a/crates/jaylock-router/src/link.rs
+++ b/crates/jaylock-router/src/link.rs
@@ -6,8 +6,6 @@
 use bytes::Bytes;
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
-use futures_channel::oneshot;
-use futures_util::future::select;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -23,7 +21,7 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered probes that end a connection.
 const PROBE_COUNT: u32 = 3;
-/// Time for sent bytes to be acknowledged.
+/// Time for a backend server to acknowledge sent bytes.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(6);
 /// Wait before it is tried whether a backend server is gone.
 const PROBE_DELAY: Duration = Duration::from_millis(20);
@@ -33,7 +31,6 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     answered: Instant,
-    _stop: oneshot::Sender<()>,
 }
 
 /// How a request failed on a connection.
@@ -53,19 +50,19 @@
         let opening = compio::time::timeout(limit, TcpStream::connect(address)).await;
         let stream = opening.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
-        keep_alive(&stream)?;
+        keep_alive(&stream, UNACKNOWLEDGED_LIMIT)?;
         let stream = HyperStream::new_plain(stream);
         let (sender, connection) = http1::handshake(stream).await.map_err(io::Error::other)?;
-        let (stop, stopped) = oneshot::channel::<()>();
         compio::runtime::spawn(async move {
-            select(connection, stopped).await;
+            if let Err(error) = connection.await {
+                log::debug!(target: "router", "connection to {address} ended: {error}");
+            }
         })
         .detach();
         Ok(Self {
             address,
             sender,
             answered: Instant::now(),
-            _stop: stop,
         })
     }
 
@@ -90,15 +87,15 @@
     }
 }
 
-/// Lets the system find out that the other side of a connection is gone.
-pub fn keep_alive(stream: &TcpStream) -> io::Result<()> {
+/// Lets the system end a connection whose other side is gone, or takes nothing for `limit`.
+pub fn keep_alive(stream: &TcpStream, limit: Duration) -> io::Result<()> {
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
         .with_time(PROBE_TIME)
         .with_interval(PROBE_INTERVAL)
         .with_retries(PROBE_COUNT);
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
+    socket.set_tcp_user_timeout(Some(limit))
 }
 
 /// Whether anything accepts connections at an address.
@@ -142,6 +139,14 @@
         }
     }
 
+    /// Closes the idle connections to an address where one failed, as they are in doubt too.
+    pub fn forget(&self, address: SocketAddr) {
+        let mut idle = self.idle.borrow_mut();
+        if let Ok(at) = idle.binary_search_by_key(&address, |e| e.0) {
+            idle.remove(at);
+        }
+    }
+
     /// Closes the connections that have been idle for longer than `limit`.
     pub fn prune(&self, limit: Duration) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -138,6 +138,9 @@
             return self.suspect.crashed(&self.shared, self.run).await;
         }
         slot.close(outcome(failure));
+        if matches!(failure, Failure::Silent | Failure::Broken(_)) {
+            self.shared.links.forget(address);
+        }
         if failure.is_not_run() {
             self.run = self.before;
         }
--- a/crates/jaylock-router/src/server.rs
+++ b/crates/jaylock-router/src/server.rs
@@ -17,7 +17,6 @@
 use crate::body::Body;
 use crate::call::{self, Call};
 use crate::router::Shared;
-use crate::stall::StallLimit;
 use crate::{address, announce, completion, link, service};
 
 /// Wait after an accept that failed.
@@ -64,7 +63,7 @@
 
 async fn serve_connection(shared: Rc<Shared>, stream: TcpStream) -> Result<(), hyper::Error> {
     let _ = stream.set_nodelay(true);
-    let _ = link::keep_alive(&stream);
+    let _ = link::keep_alive(&stream, shared.settings.write_stall);
     let mut builder = http1::Builder::new();
     builder
         .timer(CompioTimer)
@@ -76,7 +75,7 @@
         let shared = serving.clone();
         async move { Ok::<_, Infallible>(answer(&shared, request).await) }
     });
-    let stream = StallLimit::new(HyperStream::new_plain(stream), shared.settings.write_stall);
+    let stream = HyperStream::new_plain(stream);
     let mut connection = pin!(builder.serve_connection(stream, service));
     if shared.closed.is_thrown() {
         // Its one request is refused and the answer closes the connection.
--- a/crates/jaylock-router/src/service.rs
+++ b/crates/jaylock-router/src/service.rs
@@ -303,6 +303,6 @@
 
 /// Whether a path is the prefix or lies under it, by whole segments.
 fn is_under(path: &str, prefix: &str) -> bool {
-    let rest = path.strip_prefix(prefix.trim_end_matches('/'));
-    rest.is_some_and(|r| r.is_empty() || r.starts_with('/'))
+    let rest = path.strip_prefix(prefix);
+    rest.is_some_and(|r| r.is_empty() || prefix.ends_with('/') || r.starts_with('/'))
 }
--- a/crates/jaylock-router/src/settings.rs
+++ b/crates/jaylock-router/src/settings.rs
@@ -88,7 +88,7 @@
             silence: Duration::from_secs(3),
             once_limit: Duration::from_mins(1),
             fresh: Duration::from_secs(1),
-            idle: Duration::from_secs(30),
+            idle: Duration::from_secs(3),
             attempts: 5,
             avoid_limit: Duration::from_secs(2),
             retry_burst: 128,
--- a/crates/jaylock-tests/tests/router/crash.rs
+++ b/crates/jaylock-tests/tests/router/crash.rs
@@ -67,11 +67,9 @@
         let claims = FakeClaims::default();
         let one = Fleet::with_claims(&addresses, RouterSettings::default(), claims.clone()).await;
         let two = Fleet::with_claims(&addresses, RouterSettings::default(), claims).await;
-        let body = ask(true);
-        let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\n";
-        let caller = one.open(&format!("{head}content-length: {}\r\n\r\n{body}", body.len())).await;
+        let caller = one.begin(&ask(true)).await;
         one.until("the trial runs", || slow.count() == 1).await;
-        let answer = two.chat(&body).await;
+        let answer = two.chat(&ask(true)).await;
         assert_that!((answer.status, answer.run.as_str()), eq((503, "not-run")));
         assert_that!(answer.body, contains_substring("\"kind\":\"suspected\""));
         drop(caller);
--- a/crates/jaylock-tests/tests/router/fleet.rs
+++ b/crates/jaylock-tests/tests/router/fleet.rs
@@ -19,6 +19,10 @@
 /// Longest wait for anything that must come.
 const PATIENCE: Duration = Duration::from_secs(15);
 
+/// First lines of a request for a model.
+pub const CHAT_HEAD: &str =
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\n";
+
 /// A router under test.
 pub struct Fleet {
     pub router: Router,
@@ -139,6 +143,13 @@
         stream
     }
 
+    /// Asks for a model's answer over a connection that stays open, and reads nothing.
+    pub async fn begin(&self, body: &str) -> TcpStream {
+        let length = body.len();
+        let head = format!("{CHAT_HEAD}content-length: {length}\r\n\r\n");
+        self.open(&format!("{head}{body}")).await
+    }
+
     /// Waits until something holds.
     pub async fn until(&self, what: &str, holds: impl Fn() -> bool) {
         for _ in 0..1000 {
@@ -153,14 +164,8 @@
     /// Sends bytes over a connection of their own and reads until its end.
     pub async fn raw(&self, bytes: &str) -> String {
         let mut stream = self.open(bytes).await;
-        let mut answer = Vec::new();
-        loop {
-            let BufResult(count, chunk) = stream.read(Vec::with_capacity(4096)).await;
-            if count.unwrap_or(0) == 0 {
-                return String::from_utf8_lossy(&answer).into_owned();
-            }
-            answer.extend_from_slice(&chunk);
-        }
+        let reading = compio::time::timeout(PATIENCE, read_all(&mut stream)).await;
+        reading.expect("the end of the connection in time")
     }
 
     /// Asks for a model's answer.
@@ -178,6 +183,17 @@
     }
 }
 
+async fn read_all(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    loop {
+        let BufResult(count, chunk) = stream.read(Vec::with_capacity(4096)).await;
+        if count.unwrap_or(0) == 0 {
+            return String::from_utf8_lossy(&answer).into_owned();
+        }
+        answer.extend_from_slice(&chunk);
+    }
+}
+
 /// The body of a request for a model.
 pub fn ask(stream: bool) -> String {
     format!(
--- a/crates/jaylock-tests/tests/router/leave.rs
+++ b/crates/jaylock-tests/tests/router/leave.rs
@@ -41,9 +41,7 @@
         let engine = Backend::start(|s| vec![stream_head(s), piece(s, 1), Act::Hang]).await;
         let settings = RouterSettings { keep_ms: 10, ..RouterSettings::default() };
         let fleet = Fleet::start(&[engine.address], settings).await;
-        let body = ask(true);
-        let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\n";
-        let caller = fleet.open(&format!("{head}content-length: {}\r\n\r\n{body}", body.len())).await;
+        let caller = fleet.begin(&ask(true)).await;
         fleet.until("the engine works", || engine.count() == 1).await;
         fleet.router.leave();
         let limit = Duration::from_millis(200);
--- a/crates/jaylock-tests/tests/router/limits.rs
+++ b/crates/jaylock-tests/tests/router/limits.rs
@@ -9,10 +9,7 @@
 use jaylock_types::ByteSize;
 
 use crate::backend::{Act, Backend, piece, stream_head, whole_stream};
-use crate::fleet::{Fleet, ask};
-
-const HEAD: &str =
-    "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\n";
+use crate::fleet::{CHAT_HEAD, Fleet, ask};
 
 fn tight() -> RouterSettings {
     RouterSettings {
@@ -39,21 +36,21 @@
     async long_head_is_refused => {
         let (_engine, fleet) = fleet().await;
         let field = format!("x-long: {}\r\n\r\n", "x".repeat(100_000));
-        assert_that!(fleet.raw(&format!("{HEAD}{field}")).await, starts_with("HTTP/1.1 431"));
+        assert_that!(fleet.raw(&format!("{CHAT_HEAD}{field}")).await, starts_with("HTTP/1.1 431"));
         let fields = "x-many: 1\r\n".repeat(100);
-        assert_that!(fleet.raw(&format!("{HEAD}{fields}\r\n")).await, starts_with("HTTP/1.1 431"));
+        assert_that!(fleet.raw(&format!("{CHAT_HEAD}{fields}\r\n")).await, starts_with("HTTP/1.1 431"));
         assert_that!(fleet.raw("no http at all\r\n\r\n").await, starts_with("HTTP/1.1 400"));
         assert_that!(fleet.chat(&ask(false)).await.status, eq(200));
     };
     async slow_body_is_refused => {
         let (_engine, fleet) = fleet().await;
-        let answer = fleet.raw(&format!("{HEAD}content-length: 100\r\n\r\n{{")).await;
+        let answer = fleet.raw(&format!("{CHAT_HEAD}content-length: 100\r\n\r\n{{")).await;
         assert_that!(answer, starts_with("HTTP/1.1 408"));
         assert_that!(answer, contains_substring("x-run: not-run"));
     };
     async slow_head_is_closed => {
         let (_engine, fleet) = fleet().await;
-        let silent = compio::time::timeout(Duration::from_secs(5), fleet.raw(HEAD)).await;
+        let silent = compio::time::timeout(Duration::from_secs(5), fleet.raw(CHAT_HEAD)).await;
         assert_that!(silent, ok(eq("")));
     };
     async connections_over_the_bound_are_closed => {
@@ -81,20 +78,20 @@
         })
         .await;
         let fleet = Fleet::start(&[engine.address], tight()).await;
-        let body = ask(true);
-        let request = format!("{HEAD}content-length: {}\r\n\r\n{body}", body.len());
-        let stream = fleet.open(&request).await;
+        let stream = fleet.begin(&ask(true)).await;
         fleet.until("the slot is given back", || !fleet.capacity.0.ends.borrow().is_empty()).await;
         assert_that!(fleet.capacity.0.ends.borrow()[0].outcome, eq(1));
         drop(stream);
     };
     async caller_who_hangs_up_has_its_work_cancelled => {
-        for streamed in [true, false] {
-            let engine = Backend::start(|s| vec![stream_head(s), piece(s, 1), Act::Hang]).await;
+        for (streamed, begun) in [(true, true), (false, true), (true, false)] {
+            let engine = Backend::start(move |s| {
+                let start = [stream_head(s), piece(s, 1)];
+                start.into_iter().filter(|_| begun).chain([Act::Hang]).collect()
+            })
+            .await;
             let fleet = Fleet::start(&[engine.address], RouterSettings::default()).await;
-            let body = ask(streamed);
-            let request = format!("{HEAD}content-length: {}\r\n\r\n{body}", body.len());
-            let stream = fleet.open(&request).await;
+            let stream = fleet.begin(&ask(streamed)).await;
             fleet.until("the engine works", || engine.count() == 1).await;
             compio::time::sleep(Duration::from_millis(50)).await;
             drop(stream);
--- a/crates/jaylock-tests/tests/router/whole.rs
+++ b/crates/jaylock-tests/tests/router/whole.rs
@@ -121,6 +121,23 @@
         let avoided: Vec<usize> = asks.iter().map(|a| a.avoid.len()).collect();
         assert_that!(avoided, elements_are![eq(&0), eq(&1), eq(&0)]);
     };
+    async idle_connections_beside_a_silent_one_are_closed => {
+        let service = Backend::start(|s| {
+            let silent = s.body == "third" && s.connection < 3;
+            let mut acts = if silent { vec![Act::Hang] } else { plain(s, 200, "ok") };
+            acts.insert(0, Act::Wait(Duration::from_millis(20)));
+            acts
+        })
+        .await;
+        let fleet = Fleet::start(&[service.address], quick()).await;
+        let fields = [("authorization", "Bearer key-1")];
+        let look = async |body: &str| fleet.send("GET", "/services/caseapp/look", &fields, body).await;
+        futures_util::future::join(look("first"), look("second")).await;
+        assert_that!(look("third").await.status, eq(200));
+        let used: Vec<usize> = service.seen.borrow().iter().map(|s| s.connection).collect();
+        assert_that!(used[2] < 3, eq(true));
+        assert_that!(used[3..], elements_are![eq(&3)]);
+    };
     async services_answer_to_another_request_is_not_passed_on => {
         let first = Cell::new(true);
         let service = Backend::start(move |s| {
