--- a/crates/jaylock-router/src/service.rs
+++ b/crates/jaylock-router/src/service.rs
@@ -77,10 +77,21 @@
     match compio::time::timeout(left, receiver).await {
         Ok(Ok(outcome)) => outcome,
         Ok(Err(_)) => Err(unknown_outcome()),
-        Err(_) => Err(call::late(Run::Unknown)),
+        Err(_) => Err(still_running()),
     }
 }
 
+fn still_running() -> Refusal {
+    Refusal::not_run(
+        StatusCode::GATEWAY_TIMEOUT,
+        "deadline",
+        "the time limit is over and the call goes on",
+        "ask for its outcome with the same key",
+    )
+    .ran(Run::Unknown)
+    .after(Duration::from_secs(1))
+}
+
 impl ServiceCall {
     async fn run_once(mut self) -> Result<Response<Body>, Refusal> {
         let claim = match HeldClaim::take(&self.shared, &self.call).await {
@@ -303,6 +314,6 @@
 
 /// Whether a path is the prefix or lies under it, by whole segments.
 fn is_under(path: &str, prefix: &str) -> bool {
-    let rest = path.strip_prefix(prefix.trim_end_matches('/'));
-    rest.is_some_and(|r| r.is_empty() || r.starts_with('/'))
+    let rest = path.strip_prefix(prefix);
+    rest.is_some_and(|r| r.is_empty() || prefix.ends_with('/') || r.starts_with('/'))
 }
