Followers of the first index get the whole configuration

Cause: the schedules of the history check, now following by changes, found 92 to 174 times 'index N has two contents': a watcher that held nothing got the changes since index 0 and lacked the group's first members. Ruled out: replicas that differ (each alone had one content for an index). Change: index 0 has no changes at hand; ConfigView.follow is what the follower and the check both use. Conclusion: the check stays as strict and now covers the changes as well.

--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -2,11 +2,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jaylock_rpc::v1::{Change, Instance, RenewReply, RenewRequest, WatchReply};
+use jaylock_rpc::v1::{Instance, RenewReply, RenewRequest};
 use jaylock_types::{Index, PoolId};
 
 use crate::gossip::Gossip;
-use crate::{ConfigView, ControlClient, FollowerSettings, state};
+use crate::{ConfigView, ControlClient, FollowerSettings};
 
 /// Keeps an instance's configuration up to date and its lease renewed.
 pub struct Follower {
@@ -138,7 +138,7 @@
             }
         };
         while let Ok(Some(reply)) = stream.message().await {
-            if !self.take(reply) {
+            if !self.view.follow(&reply) {
                 return false;
             }
             self.client.learn(&self.view.current());
@@ -147,23 +147,6 @@
         true
     }
 
-    /// Puts in force what a watch brought; false when it does not fit what is in force.
-    ///
-    /// Another instance may have brought a newer configuration meanwhile, and older changes are passed over.
-    fn take(&self, reply: WatchReply) -> bool {
-        if let Some(whole) = reply.whole {
-            let _ = self.view.offer(whole);
-        }
-        let newer = |c: &&Change| c.index > self.view.index().0;
-        for change in reply.changes.iter().filter(newer) {
-            let Some(next) = state::follow(&self.view.current(), change) else {
-                return false;
-            };
-            let _ = self.view.offer(next);
-        }
-        true
-    }
-
     /// Holds the lease from when the configuration that it was renewed under is in force.
     fn hold(&self, reply: &RenewReply, sent: Instant) {
         let end = sent + Duration::from_millis(reply.lease_ms.into());
--- a/crates/jaylock-control/src/state/recent.rs
+++ b/crates/jaylock-control/src/state/recent.rs
@@ -23,7 +23,12 @@
     }
 
     /// All changes to the configuration of an index, unless they are no longer at hand.
+    ///
+    /// Index 0 has none: a watcher that holds nothing does not know the first members either.
     pub fn after(&self, index: u64) -> Option<Vec<Change>> {
+        if index == 0 {
+            return None;
+        }
         let first = self
             .changes
             .binary_search_by_key(&index, |c| c.prior_index)
--- a/crates/jaylock-control/src/view.rs
+++ b/crates/jaylock-control/src/view.rs
@@ -2,9 +2,11 @@
 use std::rc::Rc;
 
 use futures_channel::oneshot;
-use jaylock_rpc::v1::Configuration;
+use jaylock_rpc::v1::{Change, Configuration, WatchReply};
 use jaylock_types::{Index, Revision};
 
+use crate::state;
+
 /// The configuration in force at this instance; clones share it.
 #[derive(Clone, Default)]
 pub struct ConfigView {
@@ -52,6 +54,24 @@
         true
     }
 
+    /// Puts in force what a watch brought; false when it does not fit what is in force.
+    ///
+    /// Older changes are passed over, for another instance may have brought a newer configuration meanwhile.
+    #[must_use = "changes that do not fit call for the whole configuration"]
+    pub fn follow(&self, reply: &WatchReply) -> bool {
+        if let Some(whole) = &reply.whole {
+            let _ = self.offer(whole.clone());
+        }
+        let newer = |c: &&Change| Index(c.index) > self.index();
+        for change in reply.changes.iter().filter(newer) {
+            let Some(next) = state::follow(&self.current(), change) else {
+                return false;
+            };
+            let _ = self.offer(next);
+        }
+        true
+    }
+
     /// Waits until a configuration newer than `index` is in force.
     pub async fn newer_than(&self, index: Index) -> Rc<Configuration> {
         while self.index() <= index {
--- a/crates/jaylock-tests/tests/control/schedules.rs
+++ b/crates/jaylock-tests/tests/control/schedules.rs
@@ -182,7 +182,10 @@
                 continue;
             };
             let index = own.view.index().0;
-            let request = tonic::Request::new(WatchRequest { index });
+            let request = tonic::Request::new(WatchRequest {
+                index,
+                whole: false,
+            });
             let mut stream = replica
                 .control_service()
                 .watch(request)
@@ -190,15 +193,17 @@
                 .expect("a stream")
                 .into_inner();
             let pause = Duration::from_millis(100);
-            while let Ok(Some(Ok(configuration))) =
-                compio::time::timeout(pause, stream.next()).await
-            {
-                self.history.note_content(&configuration);
+            while let Ok(Some(Ok(reply))) = compio::time::timeout(pause, stream.next()).await {
+                if own.frozen.get() {
+                    break;
+                }
                 let before = own.view.revision();
-                if !own.frozen.get()
-                    && own.view.offer(configuration)
-                    && own.view.revision() < before
-                {
+                if !own.view.follow(&reply) {
+                    self.history
+                        .fault(format!("changes do not fit index {index}"));
+                }
+                self.history.note_content(&own.view.current());
+                if own.view.revision() < before {
                     self.history.fault(format!("a revision fell from {before}"));
                 }
             }
