Crash suspects: equal requests beside one crash are both served

Cause: a second request with the same fingerprint on the backend server that crashed found the suspicion of the first and took it for a second crash: two equal price look-ups beside one crash were put in quarantine for ten minutes. Ruled out: counting crashes by time alone (two backend servers may crash within it); a list of trials in the router (other routers have equal requests too). Change: Quarantine.backend and at_ms tell whether two suspicions speak of one crash; the later one waits for the trial and runs after it. Fields that override the method aren't passed to services. Conclusion: innocents beside a crash are served, also when they are equal.

--- a/crates/jaylock-router/src/quarantine.rs
+++ b/crates/jaylock-router/src/quarantine.rs
@@ -14,6 +14,9 @@
 /// Crashes after which a request runs no more.
 const CRASH_LIMIT: u32 = 2;
 
+/// Time in which all requests that ran on a backend server notice its crash.
+const SAME_CRASH: Duration = Duration::from_secs(10);
+
 /// SHA-256 by which a request that crashes backend servers is known.
 pub type Fingerprint = [u8; 32];
 
@@ -39,7 +42,7 @@
     let Some(found) = find(shared, fingerprint) else {
         return Ok(());
     };
-    let left = Duration::from_millis(found.until_ms.saturating_sub(unix_ms()));
+    let left = time_left(&found);
     if left.is_zero() || (found.suspect && found.request == request.as_str()) {
         return Ok(());
     }
@@ -55,11 +58,21 @@
     ///
     /// # Errors
     /// The final answer, once the request has crashed two backend servers.
-    pub async fn crashed(&mut self, shared: &Rc<Shared>, run: Run) -> Result<(), Refusal> {
+    pub async fn crashed(
+        &mut self,
+        shared: &Rc<Shared>,
+        backend: &str,
+        run: Run,
+    ) -> Result<(), Refusal> {
+        let other = self.suspicion_of_another(shared);
+        if other.as_ref().is_some_and(|q| is_same_crash(q, backend)) {
+            // The trial of the other one decides for both.
+            return Ok(());
+        }
         self.crashes += 1;
-        if self.is_convicted(shared) {
+        if self.crashes >= CRASH_LIMIT || other.is_some() {
             let limit = shared.settings.quarantine;
-            self.put(shared, limit, false).await;
+            self.put(shared, backend, limit, false).await;
             log::error!(
                 target: "router",
                 "request {} of {} crashed two backend servers and is in quarantine",
@@ -68,7 +81,8 @@
             return Err(quarantined(limit).ran(run));
         }
         log::warn!(target: "router", "request {} is suspected of a crash", self.request);
-        self.put(shared, shared.settings.suspicion, true).await;
+        let limit = shared.settings.suspicion;
+        self.put(shared, backend, limit, true).await;
         Ok(())
     }
 
@@ -76,7 +90,7 @@
     pub fn clear(&mut self, shared: &Rc<Shared>) {
         if self.is_on_trial() {
             self.crashes = 0;
-            let body = self.command(Duration::ZERO, true);
+            let body = self.command("", Duration::ZERO, true);
             drop(proposal::commit(shared, body));
         }
     }
@@ -86,14 +100,29 @@
         self.crashes > 0 && self.crashes < CRASH_LIMIT
     }
 
-    /// Whether another request with this fingerprint crashed a backend server before.
-    fn is_convicted(&self, shared: &Shared) -> bool {
-        let other = |q: &Quarantine| q.request != self.request.as_str() && q.until_ms > 0;
-        self.crashes >= CRASH_LIMIT || find(shared, &self.fingerprint).is_some_and(|q| other(&q))
+    /// Waits while another request with this fingerprint is tried alone.
+    pub async fn await_trial(&self, shared: &Shared) {
+        loop {
+            let index = shared.view.index();
+            let Some(other) = self.suspicion_of_another(shared).filter(|q| q.suspect) else {
+                return;
+            };
+            let left = time_left(&other);
+            let change = shared.view.newer_than(index);
+            if left.is_zero() || compio::time::timeout(left, change).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// A crash of a backend server under another request with this fingerprint.
+    fn suspicion_of_another(&self, shared: &Shared) -> Option<Quarantine> {
+        let found = find(shared, &self.fingerprint)?;
+        (found.request != self.request.as_str() && found.until_ms > 0).then_some(found)
     }
 
-    async fn put(&self, shared: &Rc<Shared>, limit: Duration, suspect: bool) {
-        let body = self.command(limit, suspect);
+    async fn put(&self, shared: &Rc<Shared>, backend: &str, limit: Duration, suspect: bool) {
+        let body = self.command(backend, limit, suspect);
         let Some(applied) = proposal::commit_soon(shared, body).await else {
             return;
         };
@@ -103,15 +132,22 @@
         let _ = compio::time::timeout(shared.settings.settle_wait, following).await;
     }
 
-    fn command(&self, limit: Duration, suspect: bool) -> Body {
-        let limit = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
-        let until_ms = if limit == 0 { 0 } else { unix_ms() + limit };
+    fn command(&self, backend: &str, limit: Duration, suspect: bool) -> Body {
+        let (limit, at_ms) = (u64::try_from(limit.as_millis()), unix_ms());
+        let limit = limit.unwrap_or(u64::MAX);
+        let until_ms = if limit == 0 {
+            0
+        } else {
+            at_ms.saturating_add(limit)
+        };
         Body::PutQuarantine(Quarantine {
             fingerprint: self.fingerprint.to_vec(),
             organisation: self.organisation.to_string(),
             until_ms,
             request: self.request.to_string(),
             suspect,
+            backend: backend.into(),
+            at_ms,
         })
     }
 }
@@ -123,6 +159,16 @@
     found.ok().map(|at| listed[at].clone())
 }
 
+fn time_left(quarantine: &Quarantine) -> Duration {
+    Duration::from_millis(quarantine.until_ms.saturating_sub(unix_ms()))
+}
+
+/// Whether a crash that was noted is the one that was just seen.
+fn is_same_crash(noted: &Quarantine, backend: &str) -> bool {
+    let since = Duration::from_millis(unix_ms().saturating_sub(noted.at_ms));
+    noted.backend == backend && since < SAME_CRASH
+}
+
 fn quarantined(left: Duration) -> Refusal {
     Refusal::not_run(
         StatusCode::UNPROCESSABLE_ENTITY,
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -37,7 +37,13 @@
     tries: u32,
     avoid: Vec<String>,
     /// Where an attempt runs that was neither reported as failed nor as whole.
-    running: Option<SocketAddr>,
+    running: Option<Place>,
+}
+
+/// A backend server at which a request runs.
+struct Place {
+    address: SocketAddr,
+    backend: String,
 }
 
 impl Retry {
@@ -85,23 +91,23 @@
         account: &mut Account,
     ) -> Result<(SocketAddr, Slot), Refusal> {
         let asked = Instant::now();
+        if self.tries > 0 {
+            self.suspect.await_trial(&self.shared).await;
+        }
         let outcome = self.ask(ask).await;
         account.record.waited += asked.elapsed();
         let (address, slot) = outcome?;
         self.tries += 1;
-        account.record.attempts = self.tries;
-        account.step(format_compact!(
-            "attempt {} at {}",
-            self.tries,
-            slot.backend()
-        ));
+        let (tries, backend) = (self.tries, slot.backend().to_owned());
+        account.record.attempts = tries;
+        account.step(format_compact!("attempt {tries} at {backend}"));
         let suspect = &self.suspect;
         let checked = quarantine::check(&self.shared, &suspect.fingerprint, &suspect.request);
         if let Err(refusal) = checked {
             slot.close(Outcome::NotRun);
             return Err(refusal.ran(self.run));
         }
-        self.running = Some(address);
+        self.running = Some(Place { address, backend });
         self.before = self.run;
         if self.run == Run::NotRun {
             self.run = Run::Unknown;
@@ -134,8 +140,8 @@
         if is_crash(&self.shared, failure, address).await {
             slot.close(Outcome::Crashed);
             account.step(format_compact!("backend server {backend} crashed"));
-            self.avoid.push(backend);
-            return self.suspect.crashed(&self.shared, self.run).await;
+            self.avoid.push(backend.clone());
+            return self.suspect.crashed(&self.shared, &backend, self.run).await;
         }
         slot.close(outcome(failure));
         if matches!(failure, Failure::Silent | Failure::Broken(_)) {
@@ -229,7 +235,7 @@
 impl Drop for Retry {
     /// Looks after a backend server whose work was cancelled: its crash may follow.
     fn drop(&mut self) {
-        let Some(address) = self.running.take() else {
+        let Some(Place { address, backend }) = self.running.take() else {
             return;
         };
         let (shared, mut suspect, run) = (self.shared.clone(), self.suspect.clone(), self.run);
@@ -238,7 +244,7 @@
             let limit = shared.settings.connect_timeout;
             if !link::is_reachable(address, limit).await {
                 // Its caller has gone, so nobody is left to hear the answer.
-                let _ = suspect.crashed(&shared, run).await;
+                let _ = suspect.crashed(&shared, &backend, run).await;
             }
         });
     }
--- a/crates/jaylock-router/src/service.rs
+++ b/crates/jaylock-router/src/service.rs
@@ -25,7 +25,7 @@
 /// Path under which plain services are reached.
 pub const PREFIX: &str = "/services/";
 /// Header fields that belong to one connection or to this router, in lower case.
-const OWN_HEADERS: [&str; 12] = [
+const OWN_HEADERS: [&str; 15] = [
     "authorization",
     "connection",
     "content-length",
@@ -34,6 +34,9 @@
     "transfer-encoding",
     "trailer",
     "upgrade",
+    "x-http-method",
+    "x-http-method-override",
+    "x-method-override",
     RECORDED,
     RUN,
     REQUEST_ID,
--- a/crates/jaylock-tests/tests/router/crash.rs
+++ b/crates/jaylock-tests/tests/router/crash.rs
@@ -60,6 +60,21 @@
         assert_that!((put[0].suspect, put[0].until_ms > 0), eq((true, true)));
         assert_that!(put[1].until_ms, eq(0));
     };
+    async equal_requests_beside_one_crash_are_both_served => {
+        let late = |s: &Seen| vec![stream_head(s), Act::Wait(Duration::from_millis(100)), Act::Crash];
+        let crashed = Backend::start(late).await;
+        let sound = Backend::start(|s| whole_stream(s, 3)).await;
+        let addresses = [crashed.address, sound.address];
+        let claims = FakeClaims::default();
+        let one = Fleet::with_claims(&addresses, RouterSettings::default(), claims.clone()).await;
+        let two = Fleet::with_claims(&addresses, RouterSettings::default(), claims).await;
+        let body = ask(false);
+        let calls = vec![one.chat(&body), one.chat(&body), two.chat(&body)];
+        let answers = futures_util::future::join_all(calls).await;
+        assert_that!(crashed.count(), eq(3));
+        let statuses: Vec<u16> = answers.iter().map(|a| a.status).collect();
+        assert_that!(statuses, each(eq(&200)));
+    };
     async resend_of_a_suspect_waits_for_its_trial => {
         let crashed = Backend::start(|_| vec![Act::Crash]).await;
         let slow = Backend::start(|s| vec![stream_head(s), piece(s, 1), Act::Hang]).await;
