--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -5,6 +5,8 @@
 mod disk;
 mod fleet;
 mod group;
+mod history;
 mod losses;
 mod releases;
+mod schedules;
 mod whole;
