Service without a scheduler, heartbeats, and tests of lost and late schedulers

Cause: while no scheduler answered, engines would have idled, and a frozen scheduler was never given up. Ruled out: sending Hello with the call itself; a frozen scheduler then held the router's slots for the whole time-out. The scheduler now answers the call first and hears the Hello after. Change: a router without scheduler hands the slots it holds, and its part of the idle ones, to its own least served organisation; routers with work waiting get a heartbeat; Running.alone is a new field. Conclusion: routers keep engines busy without a scheduler and come back to a new one by themselves.

--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -14,6 +14,7 @@
 use crate::backend::Backends;
 use crate::cost::{Mean, Shape, cost_of};
 use crate::demand::Demands;
+use crate::division::Division;
 use crate::queue::Waiting;
 use crate::router::{RouterKey, Routers, Run};
 
@@ -38,6 +39,7 @@
     pub(crate) ready: Instant,
     pub(crate) usage: Usage,
     pub(crate) waiting: usize,
+    pub(crate) division: Division,
     mean: Mean,
 }
 
@@ -59,6 +61,7 @@
             decisions: VecDeque::new(),
             usage: Usage::new(now),
             waiting: 0,
+            division: Division::default(),
             mean: Mean::default(),
         }
     }
@@ -86,7 +89,7 @@
     pub fn attach(&mut self, hello: &Hello, now: Instant) -> RouterKey {
         let key = match self.routers.find(&hello.router) {
             Some(key) => key,
-            None => self.routers.add(hello),
+            None => self.routers.add(hello, now),
         };
         self.forget_waiting(key);
         if let Some(router) = self.routers.get_mut(key) {
@@ -94,6 +97,7 @@
             router.domain = hello.domain.as_str().into();
             router.lost = None;
             router.frame = SchedulerFrame::default();
+            router.fallback = Vec::new();
         }
         self.reconcile(key, &hello.running, now);
         key
@@ -148,22 +152,25 @@
             self.routers.remove(key);
         }
         self.refuse_unservable(now);
+        self.divide();
     }
 
     /// Takes out what is to be sent to the attached routers.
-    pub fn frames(&mut self) -> Vec<(RouterKey, SchedulerFrame)> {
-        let epoch = self.epoch;
+    ///
+    /// A router with work waiting gets an empty message after a silence, as a heartbeat.
+    pub fn frames(&mut self, now: Instant) -> Vec<(RouterKey, SchedulerFrame)> {
+        let (epoch, heartbeat) = (self.epoch, self.settings.heartbeat);
         let attached = self
             .routers
             .iter_mut()
             .filter(|(_, router)| router.lost.is_none());
-        let full = attached.filter(|(_, router)| router.frame != SchedulerFrame::default());
-        let take = |frame: &mut SchedulerFrame| SchedulerFrame {
-            epoch,
-            ..std::mem::take(frame)
-        };
-        full.map(|(key, router)| (key, take(&mut router.frame)))
-            .collect()
+        let due = attached.filter(|(_, router)| router.is_due(now, heartbeat));
+        let frames = due.map(|(key, router)| {
+            router.sent = now;
+            let frame = std::mem::take(&mut router.frame);
+            (key, SchedulerFrame { epoch, ..frame })
+        });
+        frames.collect()
     }
 
     /// Expected cost of a request, from the organisation's own history.
@@ -372,7 +379,9 @@
         );
         self.accounts.charge(account, charged);
         self.accounts.get_mut(account).running += 1;
-        self.backends.get_mut(place).add_grant();
+        let backend = self.backends.get_mut(place);
+        backend.add_grant();
+        backend.reserved |= running.alone;
         self.refresh(place, now);
         let run = Run {
             ticket: running.ticket,
@@ -382,7 +391,7 @@
             expected,
             charged,
             tokens: running.tokens,
-            alone: false,
+            alone: running.alone,
         };
         if let Some(router) = self.routers.get_mut(key) {
             router.add_run(run);
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -270,6 +270,14 @@
         })
     }
 
+    /// The usable backend servers with their slots.
+    pub fn usable_slots(&self) -> Vec<(usize, u32)> {
+        let usable = self.usable.common(&self.usable);
+        usable
+            .map(|place| (place, self.list[place].report.slots))
+            .collect()
+    }
+
     /// What each backend server has loaded.
     pub fn loaded(&self) -> impl Iterator<Item = (usize, &[LoadedModel])> {
         let list = self.list.iter().enumerate();
--- a/crates/jaylock-share/src/demand.rs
+++ b/crates/jaylock-share/src/demand.rs
@@ -9,15 +9,24 @@
 
 /// What a request needs of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct Need {
+pub struct Need {
     model: CompactString,
     version: CompactString,
     adapter: CompactString,
 }
 
 impl Need {
+    /// What a request needs.
+    pub fn of(ask: &Ask) -> Self {
+        Self {
+            model: ask.model.as_str().into(),
+            version: ask.version.as_str().into(),
+            adapter: ask.adapter.as_str().into(),
+        }
+    }
+
     /// An empty model, version or adapter means any.
-    fn is_met(&self, loaded: &[LoadedModel]) -> bool {
+    pub fn is_met(&self, loaded: &[LoadedModel]) -> bool {
         self.model.is_empty() || loaded.iter().any(|one| self.is_met_by(one))
     }
 
@@ -39,7 +48,7 @@
 impl Demands {
     /// Finds the key of what a request needs.
     pub fn find(&self, ask: &Ask) -> Option<DemandKey> {
-        self.search(&need(ask)).ok().map(|at| self.order[at])
+        self.search(&Need::of(ask)).ok().map(|at| self.order[at])
     }
 
     /// Adds what a request needs, with the backend servers that meet it.
@@ -48,7 +57,7 @@
         ask: &Ask,
         backends: impl Iterator<Item = (usize, &'a [LoadedModel])>,
     ) -> DemandKey {
-        let need = need(ask);
+        let need = Need::of(ask);
         let at = match self.search(&need) {
             Ok(at) => return self.order[at],
             Err(at) => at,
@@ -80,11 +89,3 @@
             .binary_search_by(|key| self.list[key.0 as usize].0.cmp(need))
     }
 }
-
-fn need(ask: &Ask) -> Need {
-    Need {
-        model: ask.model.as_str().into(),
-        version: ask.version.as_str().into(),
-        adapter: ask.adapter.as_str().into(),
-    }
-}
--- /dev/null
+++ b/crates/jaylock-share/src/division.rs
@@ -0,0 +1,85 @@
+use jaylock_rpc::v1::{BackendReport, Fallback, FallbackSlots};
+
+use crate::allocator::Allocator;
+use crate::router::RouterKey;
+
+/// Between whom the slots were last divided.
+#[derive(Debug, Default, PartialEq)]
+pub struct Division {
+    // Sorted.
+    routers: Vec<RouterKey>,
+    // Positions of the backend servers with their slots.
+    backends: Vec<(usize, u32)>,
+}
+
+impl Division {
+    /// Slots of the router at this rank: an equal part of a line on which all slots stand.
+    fn part(&self, rank: usize) -> Vec<(usize, u32)> {
+        let total: u64 = self
+            .backends
+            .iter()
+            .map(|(_, slots)| u64::from(*slots))
+            .sum();
+        let count = self.routers.len() as u64;
+        let (from, to) = (
+            rank as u64 * total / count,
+            (rank as u64 + 1) * total / count,
+        );
+        let mut start = 0;
+        let mut part = Vec::new();
+        for (place, slots) in &self.backends {
+            let end = start + u64::from(*slots);
+            let common = to.min(end).saturating_sub(from.max(start));
+            if common > 0 {
+                part.push((*place, u32::try_from(common).unwrap_or(u32::MAX)));
+            }
+            start = end;
+        }
+        part
+    }
+}
+
+impl Allocator {
+    /// Divides all slots over the attached routers, for use while no scheduler answers.
+    ///
+    /// Only routers whose part has changed are told.
+    pub(crate) fn divide(&mut self) {
+        let attached = self
+            .routers
+            .iter()
+            .filter(|(_, router)| router.lost.is_none());
+        let division = Division {
+            routers: attached.map(|(key, _)| key).collect(),
+            backends: self.backends.usable_slots(),
+        };
+        if division == self.division {
+            return;
+        }
+        for (rank, key) in division.routers.iter().enumerate() {
+            let part = division.part(rank);
+            let Some(router) = self.routers.get_mut(*key) else {
+                continue;
+            };
+            if router.fallback != part {
+                let slots = part.iter().map(|(place, slots)| FallbackSlots {
+                    backend: Some(without_events(&self.backends.get(*place).report)),
+                    slots: *slots,
+                });
+                router.frame.fallback = Some(Fallback {
+                    backends: slots.collect(),
+                });
+                router.fallback = part;
+            }
+        }
+        self.division = division;
+    }
+}
+
+/// A report without its cache events, which are told once.
+pub fn without_events(report: &BackendReport) -> BackendReport {
+    BackendReport {
+        cached: Vec::new(),
+        evicted: Vec::new(),
+        ..report.clone()
+    }
+}
--- /dev/null
+++ b/crates/jaylock-share/src/fallback.rs
@@ -0,0 +1,122 @@
+use std::time::Instant;
+
+use compact_str::CompactString;
+use jaylock_rpc::v1::{Configuration, Grant};
+
+use crate::demand::Need;
+use crate::waitlist::{Held, Pending, Waitlist};
+
+/// A slot that became free while no scheduler answered.
+#[derive(Debug)]
+pub struct Spare {
+    pub backend: CompactString,
+    pub address: CompactString,
+    pub need: Need,
+}
+
+impl Waitlist {
+    /// Hands the slots that the router has to its own organisations, the least served first.
+    ///
+    /// Does nothing while a scheduler answers or may yet answer.
+    pub fn serve_alone(&mut self, configuration: &Configuration, now: Instant) {
+        let lost = self.lost.filter(|_| !self.is_attached);
+        let wait = self.settings.fallback_after;
+        if lost.is_none_or(|lost| now.saturating_duration_since(lost) < wait) {
+            return;
+        }
+        while let Some((ticket, backend, address)) = self.next_alone(configuration) {
+            let grant = Grant {
+                ticket,
+                backend,
+                address,
+                epoch: self.epoch,
+            };
+            self.grant(grant, now);
+        }
+    }
+
+    /// The request that is served next, with its backend server and the address of that.
+    fn next_alone(&mut self, configuration: &Configuration) -> Option<(u64, String, String)> {
+        let mut order: Vec<(u64, u64)> = self
+            .pending
+            .iter()
+            .filter(|pending| !pending.ask.alone)
+            .map(|pending| {
+                let organisation = &pending.ask.organisation;
+                (
+                    self.service(organisation, configuration),
+                    pending.ask.ticket,
+                )
+            })
+            .collect();
+        order.sort_unstable();
+        order.into_iter().find_map(|(_, ticket)| {
+            let (backend, address) = self.place_alone(ticket)?;
+            Some((ticket, backend, address))
+        })
+    }
+
+    fn place_alone(&mut self, ticket: u64) -> Option<(String, String)> {
+        let pending = self
+            .pending
+            .iter()
+            .find(|pending| pending.ask.ticket == ticket)?;
+        let need = Need::of(&pending.ask);
+        let same = |spare: &Spare| spare.need == need && !pending.avoids(&spare.backend);
+        if let Some(at) = self.spare.iter().position(same) {
+            let spare = self.spare.swap_remove(at);
+            return Some((spare.backend.into(), spare.address.into()));
+        }
+        let total: u32 = self.fallback.iter().map(|part| part.slots).sum();
+        if self.held.len() + self.spare.len() >= total as usize {
+            return None;
+        }
+        self.fallback.iter().find_map(|part| {
+            let report = part.backend.as_ref()?;
+            let held = self
+                .held
+                .iter()
+                .filter(|held| held.backend == report.id)
+                .count();
+            let fits = need.is_met(&report.models)
+                && held < part.slots as usize
+                && !pending.avoids(&report.id);
+            fits.then(|| (report.id.clone(), report.address.clone()))
+        })
+    }
+
+    /// Weighted service of an organisation since the scheduler was lost, and what it holds.
+    fn service(&self, organisation: &str, configuration: &Configuration) -> u64 {
+        let unheard = self
+            .search_total(organisation)
+            .map_or(0, |at| self.totals[at].unheard);
+        let own = self
+            .held
+            .iter()
+            .filter(|held| held.organisation == organisation);
+        let running: u64 = own.map(|held| held.tokens + 1).sum();
+        let known = configuration
+            .organisations
+            .iter()
+            .find(|known| known.id == organisation);
+        let weight = known.map_or(1, |known| known.weight.max(1));
+        (unheard + running) * 1000 / u64::from(weight)
+    }
+}
+
+impl Pending {
+    fn avoids(&self, backend: &str) -> bool {
+        self.ask.avoid.iter().any(|avoided| avoided == backend)
+    }
+}
+
+impl Held {
+    /// The slot of a run that has ended.
+    pub fn into_spare(self) -> Spare {
+        Spare {
+            backend: self.backend,
+            address: self.address,
+            need: self.need,
+        }
+    }
+}
--- a/crates/jaylock-share/src/host.rs
+++ b/crates/jaylock-share/src/host.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 use futures_channel::{mpsc, oneshot};
-use futures_util::{SinkExt, Stream, StreamExt};
+use futures_util::{SinkExt, Stream};
 use jaylock_control::ConfigView;
 use jaylock_rpc::v1::pool_server::{Pool, PoolServer};
 use jaylock_rpc::v1::{
@@ -17,7 +17,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use crate::ShareSettings;
-use crate::scheduler::{Event, Scheduler};
+use crate::scheduler::{Event, FrameSender, Scheduler};
 
 /// Events that wait for the task of a pool before routers are slowed down.
 const EVENT_QUEUE: usize = 1024;
@@ -153,7 +153,24 @@
         })
     }
 
-    async fn attach(&self, mut inbound: Streaming<RouterFrame>) -> Result<Frames, Status> {
+    /// Answers at once, so that the router knows that it was heard, and then waits for its hello.
+    fn attach(self: &Rc<Self>, inbound: Streaming<RouterFrame>) -> Frames {
+        let (mut frames, receiver) = mpsc::channel(FRAME_QUEUE);
+        let shared = self.clone();
+        let stream = async move {
+            if let Err(status) = shared.serve(inbound, frames.clone()).await {
+                let _ = frames.send(Err(status)).await;
+            }
+        };
+        compio::runtime::spawn(stream).detach();
+        Box::pin(receiver)
+    }
+
+    async fn serve(
+        &self,
+        mut inbound: Streaming<RouterFrame>,
+        frames: FrameSender,
+    ) -> Result<(), Status> {
         let first = within(HELLO_TIMEOUT, inbound.message()).await?;
         let mut first = first.ok_or_else(no_hello)?;
         let hello = first.hello.take().ok_or_else(no_hello)?;
@@ -161,27 +178,24 @@
         check_epoch(&hello, epoch)?;
         let session = self.sessions.get();
         self.sessions.set(session + 1);
-        let (frames, receiver) = mpsc::channel(FRAME_QUEUE);
         let attach = Event::Attach {
             session,
             hello,
             frames,
         };
-        let stopped = |_| Status::unavailable("the scheduler stops: follow the configuration");
-        events.send(attach).await.map_err(stopped)?;
+        events.send(attach).await.map_err(|_| stopped())?;
         let frame = Event::Frame {
             session,
             frame: first,
         };
-        events.send(frame).await.map_err(stopped)?;
-        compio::runtime::spawn(read(inbound, session, events)).detach();
-        Ok(Box::pin(receiver.map(Ok)))
+        events.send(frame).await.map_err(|_| stopped())?;
+        read(inbound, session, events).await;
+        Ok(())
     }
 
     async fn describe(&self, pool: &str) -> Result<PoolReport, Status> {
         let (_, mut events) = self.find(pool)?;
         let (reply, report) = oneshot::channel();
-        let stopped = || Status::unavailable("the scheduler stops: follow the configuration");
         events
             .send(Event::Describe(reply))
             .await
@@ -205,8 +219,12 @@
         &self,
         request: Request<Streaming<RouterFrame>>,
     ) -> Result<Response<Frames>, Status> {
-        let attach = self.shared.attach(request.into_inner());
-        local(attach).await.map(Response::new)
+        if !(self.shared.lease)() {
+            return Err(Status::unavailable(
+                "this instance has lost its lease: ask again",
+            ));
+        }
+        Ok(Response::new(self.shared.attach(request.into_inner())))
     }
 
     async fn describe(
@@ -228,6 +246,10 @@
     let _ = events.send(Event::Detach { session }).await;
 }
 
+fn stopped() -> Status {
+    Status::unavailable("the scheduler stops: follow the configuration")
+}
+
 fn no_hello() -> Status {
     Status::invalid_argument("the first message of a stream must hold a hello")
 }
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -8,6 +8,8 @@
 mod decide;
 mod demand;
 mod describe;
+mod division;
+mod fallback;
 mod host;
 mod link;
 mod placement;
--- a/crates/jaylock-share/src/link.rs
+++ b/crates/jaylock-share/src/link.rs
@@ -56,6 +56,7 @@
 
     pub fn ask(&self, ask: Ask, answer: oneshot::Sender<Answer>) {
         self.state.borrow_mut().ask(ask, answer, Instant::now());
+        self.serve_alone();
         self.notify();
     }
 
@@ -71,6 +72,7 @@
 
     pub fn end(&self, end: End) {
         self.state.borrow_mut().end(end, Instant::now());
+        self.serve_alone();
         self.notify();
     }
 
@@ -98,7 +100,7 @@
     }
 
     async fn run(self: Rc<Self>, mut woken: mpsc::Receiver<()>) {
-        let settings = &self.identity.settings;
+        compio::runtime::spawn(self.clone().serve_alone_often()).detach();
         loop {
             if let Some((lease, address)) = self.scheduler() {
                 let outcome = self.serve(&lease, address, &mut woken).await;
@@ -108,10 +110,18 @@
                     log::info!(target: "pool", "no scheduler of {}: {reason}", self.pool);
                 }
             }
-            self.refuse_stale();
             let index = self.identity.view.index();
             let changed = self.identity.view.newer_than(index);
-            let _ = compio::time::timeout(settings.retry, changed).await;
+            let _ = compio::time::timeout(self.identity.settings.retry, changed).await;
+        }
+    }
+
+    /// Serves from the router's own slots whenever no scheduler answers, also while one is called.
+    async fn serve_alone_often(self: Rc<Self>) {
+        loop {
+            compio::time::sleep(self.identity.settings.retry).await;
+            self.serve_alone();
+            self.refuse_stale();
         }
     }
 
@@ -124,21 +134,20 @@
     ) -> Result<(), Status> {
         let mut client = PoolClient::new(self.identity.channel(address));
         let (mut frames, body) = mpsc::channel(FRAME_QUEUE);
-        let first = self.first_frame();
-        frames
-            .try_send(first)
-            .map_err(|_| Status::internal("a new channel is full"))?;
         let limit = self.identity.settings.attach_timeout;
         let inbound = within(limit, client.attach(body)).await?.into_inner();
-        self.state.borrow_mut().attach();
+        // From here on the scheduler decides; until now the router may have served alone.
+        frames
+            .try_send(self.first_frame())
+            .map_err(|_| Status::internal("a new channel is full"))?;
         let streams = select(
             Box::pin(self.read(inbound)),
             Box::pin(self.write(frames, woken)),
         );
-        match select(streams, Box::pin(self.moved(lease))).await {
+        match select(streams, Box::pin(self.unusable(lease))).await {
             Either::Left((Either::Left((outcome, _)), _)) => outcome,
             Either::Left((Either::Right(((), _)), _)) => Err(Status::unavailable("stream closed")),
-            Either::Right(_) => Ok(()),
+            Either::Right((reason, _)) => Err(Status::unavailable(reason)),
         }
     }
 
@@ -185,20 +194,30 @@
         }
     }
 
-    /// Waits until the configuration names another scheduler.
-    async fn moved(&self, lease: &PoolLease) {
+    /// Waits until another scheduler is named or this one is silent for too long.
+    async fn unusable(&self, lease: &PoolLease) -> &'static str {
         loop {
             let index: Index = self.identity.view.index();
             if self
                 .scheduler()
                 .is_none_or(|(current, _)| current != *lease)
             {
-                return;
+                return "another one is named";
             }
-            self.identity.view.newer_than(index).await;
+            if self.state.borrow().is_silent(Instant::now()) {
+                return "it is silent although work waits";
+            }
+            let changed = self.identity.view.newer_than(index);
+            let _ = compio::time::timeout(self.identity.settings.retry, changed).await;
         }
     }
 
+    fn serve_alone(&self) {
+        let configuration = self.identity.view.current();
+        let mut state = self.state.borrow_mut();
+        state.serve_alone(&configuration, Instant::now());
+    }
+
     fn refuse_stale(&self) {
         let limit = self.identity.settings.scheduler_wait;
         let now = Instant::now();
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -1,4 +1,4 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use jaylock_rpc::v1::{BackendVerdict, Hello, SchedulerFrame};
@@ -32,6 +32,10 @@
     pub domain: CompactString,
     /// When its stream was lost.
     pub lost: Option<Instant>,
+    /// When it was sent a message last.
+    pub sent: Instant,
+    /// Positions of the backend servers it may use without a scheduler, with slots.
+    pub fallback: Vec<(usize, u32)>,
     /// What is to be sent to it next.
     pub frame: SchedulerFrame,
     // Sorted by ticket.
@@ -41,6 +45,12 @@
 }
 
 impl Router {
+    /// Whether it is to be sent a message.
+    pub fn is_due(&self, now: Instant, heartbeat: Duration) -> bool {
+        let is_silent = now.saturating_duration_since(self.sent) >= heartbeat;
+        self.frame != SchedulerFrame::default() || (is_silent && !self.waiting.is_empty())
+    }
+
     /// Adds a granted slot.
     pub fn add_run(&mut self, run: Run) {
         let at = self.runs.partition_point(|other| other.ticket < run.ticket);
@@ -120,7 +130,7 @@
     }
 
     /// Adds a router that was not known.
-    pub fn add(&mut self, hello: &Hello) -> RouterKey {
+    pub fn add(&mut self, hello: &Hello, now: Instant) -> RouterKey {
         let key = RouterKey(self.next);
         self.next += 1;
         let router = Router {
@@ -128,6 +138,8 @@
             incarnation: hello.incarnation,
             domain: hello.domain.as_str().into(),
             lost: None,
+            sent: now,
+            fallback: Vec::new(),
             frame: SchedulerFrame::default(),
             runs: Vec::new(),
             waiting: Vec::new(),
--- a/crates/jaylock-share/src/scheduler.rs
+++ b/crates/jaylock-share/src/scheduler.rs
@@ -7,6 +7,7 @@
 use jaylock_control::ConfigView;
 use jaylock_rpc::v1::{Hello, PoolReport, RouterFrame, SchedulerFrame};
 use jaylock_types::Index;
+use tonic::Status;
 
 use crate::ShareSettings;
 use crate::allocator::Allocator;
@@ -17,13 +18,16 @@
 /// Events that are taken before the next decision.
 const MOST_EVENTS: usize = 1024;
 
+/// Where the messages for one router go.
+pub type FrameSender = mpsc::Sender<Result<SchedulerFrame, Status>>;
+
 /// What reaches the task of a pool.
 pub enum Event {
     /// A router opened a stream.
     Attach {
         session: u64,
         hello: Hello,
-        frames: mpsc::Sender<SchedulerFrame>,
+        frames: FrameSender,
     },
     /// A router sent a message.
     Frame { session: u64, frame: RouterFrame },
@@ -48,7 +52,7 @@
 struct Session {
     number: u64,
     router: RouterKey,
-    frames: mpsc::Sender<SchedulerFrame>,
+    frames: FrameSender,
 }
 
 impl Scheduler {
@@ -124,13 +128,7 @@
         }
     }
 
-    fn attach(
-        &mut self,
-        session: u64,
-        hello: &Hello,
-        frames: mpsc::Sender<SchedulerFrame>,
-        now: Instant,
-    ) {
+    fn attach(&mut self, session: u64, hello: &Hello, frames: FrameSender, now: Instant) {
         let router = self.allocator.attach(hello, now);
         // An older stream of the same router is closed by dropping its sender.
         self.sessions.retain(|s| s.router != router);
@@ -168,10 +166,10 @@
         }
         self.allocator.decide(now);
         let mut slow = Vec::new();
-        for (router, frame) in self.allocator.frames() {
+        for (router, frame) in self.allocator.frames(now) {
             let session = self.sessions.iter_mut().find(|s| s.router == router);
             let Some(session) = session else { continue };
-            if session.frames.try_send(frame).is_err() {
+            if session.frames.try_send(Ok(frame)).is_err() {
                 slow.push(session.number);
             }
         }
--- a/crates/jaylock-share/src/settings.rs
+++ b/crates/jaylock-share/src/settings.rs
@@ -25,6 +25,8 @@
     pub decisions: usize,
     /// Prompt prefixes that are remembered for each backend server.
     pub prefixes: usize,
+    /// Silence after which a router that has work waiting is told that the scheduler lives.
+    pub heartbeat: Duration,
     /// Time over which answers to one router are joined.
     pub join: Duration,
 }
@@ -43,6 +45,7 @@
             first_cost: 128,
             decisions: 512,
             prefixes: 4096,
+            heartbeat: Duration::from_millis(500),
             join: Duration::from_millis(2),
         }
     }
@@ -63,7 +66,9 @@
     pub retry: Duration,
     /// Time that a request waits for a scheduler to answer before it is refused.
     pub scheduler_wait: Duration,
-    /// Silence of the scheduler after which the router serves from its own slots.
+    /// Silence of the scheduler, while work waits, after which its stream is given up.
+    pub silence: Duration,
+    /// Time without a scheduler after which the router serves from its own slots.
     pub fallback_after: Duration,
     /// Time for opening a stream.
     pub attach_timeout: Duration,
@@ -78,6 +83,7 @@
             progress_tokens: 64,
             retry: Duration::from_millis(200),
             scheduler_wait: Duration::from_secs(5),
+            silence: Duration::from_millis(1500),
             fallback_after: Duration::from_millis(500),
             attach_timeout: Duration::from_secs(2),
         }
--- a/crates/jaylock-share/src/waitlist.rs
+++ b/crates/jaylock-share/src/waitlist.rs
@@ -10,6 +10,9 @@
 use crate::PoolSettings;
 use crate::batch::Batch;
 use crate::cost::cost_of;
+use crate::demand::Need;
+use crate::division::without_events;
+use crate::fallback::Spare;
 use crate::link::not_run;
 
 /// What an ask ends with.
@@ -18,38 +21,47 @@
 /// What a router knows of one pool: who waits, what runs, and what is yet to be told.
 #[derive(Debug)]
 pub struct Waitlist {
-    settings: PoolSettings,
-    epoch: u64,
-    is_attached: bool,
+    pub settings: PoolSettings,
+    pub epoch: u64,
+    pub is_attached: bool,
     // Sorted by ticket, and so by age.
-    pending: Vec<Pending>,
+    pub pending: Vec<Pending>,
     // Sorted by ticket.
-    held: Vec<Held>,
+    pub held: Vec<Held>,
     batch: Batch,
     // Newest report of each backend server that announced itself here, sorted by name.
     reports: Vec<BackendReport>,
     // Sorted by name of the backend server.
     verdicts: Vec<BackendVerdict>,
     // Sorted by organisation.
-    totals: Vec<Total>,
-    fallback: Vec<FallbackSlots>,
-    lost: Option<Instant>,
+    pub totals: Vec<Total>,
+    // Part of the totals that a stream's first message has told and nothing has confirmed.
+    offered: Vec<Total>,
+    pub fallback: Vec<FallbackSlots>,
+    // Slots that became free while no scheduler answered.
+    pub spare: Vec<Spare>,
+    pub lost: Option<Instant>,
+    heard: Option<Instant>,
 }
 
+/// A request that waits.
 #[derive(Debug)]
-struct Pending {
-    ask: Ask,
+pub struct Pending {
+    pub ask: Ask,
     answer: oneshot::Sender<Answer>,
     since: Instant,
 }
 
 /// A slot that the router holds.
 #[derive(Debug)]
-struct Held {
+pub struct Held {
     ticket: u64,
-    organisation: CompactString,
-    backend: CompactString,
-    tokens: u64,
+    pub organisation: CompactString,
+    pub backend: CompactString,
+    pub address: CompactString,
+    pub need: Need,
+    pub tokens: u64,
+    alone: bool,
     told: u64,
 }
 
@@ -65,8 +77,11 @@
             reports: Vec::new(),
             verdicts: Vec::new(),
             totals: Vec::new(),
+            offered: Vec::new(),
             fallback: Vec::new(),
+            spare: Vec::new(),
             lost: None,
+            heard: None,
         }
     }
 
@@ -119,22 +134,24 @@
             return;
         };
         let held = self.held.remove(at);
-        self.add_total(&held.organisation, cost_of(&end), !self.is_attached);
+        let cost = cost_of(&end);
+        self.add_unheard(&held.organisation, if self.is_attached { 0 } else { cost });
+        if let Ok(at) = self.search_total(&held.organisation) {
+            self.totals[at].tokens += cost;
+        }
         if self.is_attached {
             self.batch.add_end(held.organisation, end, now);
+        } else {
+            self.spare.push(held.into_spare());
         }
     }
 
     pub fn report(&mut self, report: BackendReport) {
+        // Cache events are told once; a resent report holds none.
+        let kept = without_events(&report);
         if self.is_attached {
-            self.batch.add_report(report.clone());
+            self.batch.add_report(report);
         }
-        // Cache events are told once; a resent report holds none.
-        let kept = BackendReport {
-            cached: Vec::new(),
-            evicted: Vec::new(),
-            ..report
-        };
         match self
             .reports
             .binary_search_by(|known| known.id.cmp(&kept.id))
@@ -154,51 +171,58 @@
 
     /// The first message of a new stream: all that the scheduler must know.
     pub fn first_frame(&mut self, mut hello: Hello, now: Instant) -> RouterFrame {
+        self.is_attached = true;
+        self.heard = Some(now);
         hello.epoch = self.epoch;
         hello.running = self.held.iter().map(Held::running).collect();
+        let unheard = self.totals.iter().filter(|total| total.unheard > 0);
+        self.offered = unheard.cloned().collect();
+        for total in &mut self.totals {
+            total.unheard = 0;
+        }
         let asks = self.pending.iter().map(|pending| pending.ask_again(now));
         RouterFrame {
             hello: Some(hello),
             asks: asks.collect(),
             backends: self.reports.clone(),
-            totals: self
-                .totals
-                .iter()
-                .filter(|total| total.unheard > 0)
-                .cloned()
-                .collect(),
+            totals: self.offered.clone(),
             ..RouterFrame::default()
         }
     }
 
-    /// Notes that the scheduler has the first message.
-    pub fn attach(&mut self) {
-        self.is_attached = true;
-        self.lost = None;
-        for total in &mut self.totals {
-            total.unheard = 0;
-        }
-    }
-
     /// Notes that the stream is lost.
     pub fn detach(&mut self, now: Instant) {
         self.is_attached = false;
         self.lost.get_or_insert(now);
+        for total in std::mem::take(&mut self.offered) {
+            self.add_unheard(&total.organisation, total.unheard);
+        }
         for (organisation, end) in self.batch.clear() {
-            let cost = cost_of(&end);
-            self.add_total(&organisation, 0, true);
-            if let Ok(at) = self.search_total(&organisation) {
-                self.totals[at].unheard += cost;
-            }
+            self.add_unheard(&organisation, cost_of(&end));
         }
     }
 
+    /// Whether the scheduler has been silent for too long although work waits.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let Some(first) = self.pending.first() else {
+            return false;
+        };
+        let since = self
+            .heard
+            .map_or(first.since, |heard| heard.max(first.since));
+        now.saturating_duration_since(since) >= self.settings.silence
+    }
+
     /// Takes a message of the scheduler; false when it is of an older epoch.
     pub fn take(&mut self, frame: SchedulerFrame, now: Instant) -> bool {
         if frame.epoch < self.epoch {
             return false;
         }
         self.epoch = frame.epoch;
+        self.heard = Some(now);
+        self.lost = None;
+        self.spare.clear();
+        self.offered.clear();
         for verdict in frame.verdicts {
             match self
                 .verdicts
@@ -242,7 +266,7 @@
         let lost_long = self
             .lost
             .is_none_or(|lost| now.saturating_duration_since(lost) >= limit);
-        if !lost_long {
+        if self.is_attached || !lost_long {
             return Vec::new();
         }
         let stale = self.pending.extract_if(.., |pending| is_stale(pending));
@@ -251,7 +275,8 @@
             .collect()
     }
 
-    fn grant(&mut self, grant: Grant, now: Instant) {
+    /// Hands a slot to the request that waits for it.
+    pub fn grant(&mut self, grant: Grant, now: Instant) {
         let Some(pending) = self.take_pending(grant.ticket) else {
             // Its caller gave up; the slot goes back at once.
             self.batch
@@ -262,7 +287,10 @@
             ticket: grant.ticket,
             organisation: pending.ask.organisation.as_str().into(),
             backend: grant.backend.as_str().into(),
+            address: grant.address.as_str().into(),
+            need: Need::of(&pending.ask),
             tokens: 0,
+            alone: pending.ask.alone,
             told: 0,
         };
         let at = self
@@ -283,7 +311,7 @@
         Some(self.pending.remove(at))
     }
 
-    fn add_total(&mut self, organisation: &str, tokens: u64, is_unheard: bool) {
+    fn add_unheard(&mut self, organisation: &str, tokens: u64) {
         let at = self.search_total(organisation).unwrap_or_else(|at| {
             let total = Total {
                 organisation: organisation.into(),
@@ -292,13 +320,11 @@
             self.totals.insert(at, total);
             at
         });
-        self.totals[at].tokens += tokens;
-        if is_unheard {
-            self.totals[at].unheard += tokens;
-        }
+        self.totals[at].unheard += tokens;
     }
 
-    fn search_total(&self, organisation: &str) -> Result<usize, usize> {
+    /// Position of an organisation among the totals.
+    pub fn search_total(&self, organisation: &str) -> Result<usize, usize> {
         self.totals
             .binary_search_by(|total| total.organisation.as_str().cmp(organisation))
     }
@@ -322,6 +348,7 @@
             backend: self.backend.as_str().into(),
             organisation: self.organisation.as_str().into(),
             tokens: self.tokens,
+            alone: self.alone,
         }
     }
 }
--- a/crates/jaylock-tests/tests/share/fleet.rs
+++ b/crates/jaylock-tests/tests/share/fleet.rs
@@ -8,8 +8,11 @@
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
 use jaylock_control::ConfigView;
-use jaylock_rpc::v1::{Ask, BackendReport, Configuration, End, Instance, LoadedModel, PoolLease};
-use jaylock_rpc::{Access, ChannelSettings, Routes, ServerSettings, serve};
+use jaylock_rpc::v1::pool_client::PoolClient;
+use jaylock_rpc::v1::{
+    Ask, BackendReport, Configuration, DescribeRequest, End, Instance, LoadedModel, PoolLease,
+};
+use jaylock_rpc::{Access, Channel, ChannelSettings, Routes, ServerSettings, serve};
 use jaylock_share::{PoolSettings, Pools, SchedulerHost, ShareSettings};
 use jaylock_types::{Incarnation, InstanceId, PoolId};
 
@@ -52,6 +55,19 @@
         }
     }
 
+    /// Grants that the scheduler of a pool has made.
+    pub async fn grants(&self, pool: &PoolId) -> usize {
+        let channel = Channel::new(self.address, ChannelSettings::default());
+        let request = DescribeRequest {
+            pool: pool.as_str().into(),
+        };
+        let report = PoolClient::new(channel)
+            .describe(request)
+            .await
+            .expect("a report");
+        report.into_inner().decisions.len()
+    }
+
     pub fn instance(&self) -> Instance {
         Instance {
             id: self.id.as_str().into(),
--- a/crates/jaylock-tests/tests/share/simulation.rs
+++ b/crates/jaylock-tests/tests/share/simulation.rs
@@ -4,6 +4,7 @@
 
 use jaylock_rpc::v1::{
     Ask, BackendReport, Configuration, End, Hello, Organisation, Progress, Refusal, RouterFrame,
+    Running,
 };
 use jaylock_share::{Allocator, RouterKey, ShareSettings};
 
@@ -118,7 +119,7 @@
 
     pub fn decide(&mut self) {
         self.allocator.decide(self.now);
-        for (_, frame) in self.allocator.frames() {
+        for (_, frame) in self.allocator.frames(self.now) {
             for grant in frame.grants {
                 let job = self
                     .jobs
@@ -170,6 +171,18 @@
         self.jobs.retain(|job| job.router != router);
     }
 
+    /// Cuts a router off and lets it attach again, with what it says is running.
+    pub fn rejoin(&mut self, router: usize, running: Vec<Running>) {
+        self.allocator.detach(self.routers[router], self.now);
+        self.now += STEP;
+        let hello = Hello {
+            router: format!("r{router}"),
+            running,
+            ..Hello::default()
+        };
+        self.routers[router] = self.allocator.attach(&hello, self.now);
+    }
+
     /// Requests of an organisation that wait.
     pub fn waiting(&self, organisation: usize) -> usize {
         let id = name(organisation);
@@ -198,6 +211,6 @@
             ..RouterFrame::default()
         };
         self.allocator.apply(self.routers[0], frame, self.now);
-        self.allocator.frames();
+        self.allocator.frames(self.now);
     }
 }
