Program that measures what an instance spends at a steady rate

Cause: the budget of control traffic is stated for 24 requests a second a node and had no measurement. Ruled out: a closed loop of callers; it joins messages that a steady arrival does not.

--- a/crates/jaylock-measure/src/connection.rs
+++ b/crates/jaylock-measure/src/connection.rs
@@ -10,6 +10,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 
 /// An HTTP/1.1 connection that times its requests.
+#[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
 }
@@ -64,3 +65,23 @@
         })
     }
 }
+
+/// Reads the text at a path.
+///
+/// # Errors
+/// Nobody listens there, or the status is not 200.
+pub async fn fetch(address: SocketAddr, path: &str) -> Result<String> {
+    let mut connection = Connection::open(address).await?;
+    let request = Request::get(path).header(http::header::HOST, "fleet");
+    let response = connection
+        .sender
+        .send_request(request.body(Full::default())?)
+        .await?;
+    ensure!(
+        response.status().is_success(),
+        "the answer has status {}",
+        response.status()
+    );
+    let body = response.into_body().collect().await?.to_bytes();
+    Ok(String::from_utf8_lossy(&body).into_owned())
+}
--- a/crates/jaylock-measure/src/lib.rs
+++ b/crates/jaylock-measure/src/lib.rs
@@ -4,10 +4,12 @@
 mod followers;
 mod load;
 mod process;
+mod steady;
 mod table;
 
-pub use self::connection::{Connection, Timing};
+pub use self::connection::{Connection, Timing, fetch};
 pub use self::followers::Followers;
 pub use self::load::{Load, Target, Times};
 pub use self::process::Usage;
+pub use self::steady::{Ended, Steady};
 pub use self::table::Table;
--- a/crates/jaylock-measure/src/load.rs
+++ b/crates/jaylock-measure/src/load.rs
@@ -94,7 +94,8 @@
         Ok(share)
     }
 
-    fn request(&self, number: u32) -> Request<Full<Bytes>> {
+    /// One request of the load.
+    pub(crate) fn request(&self, number: u32) -> Request<Full<Bytes>> {
         let body = json!({
             "model": self.model,
             "stream": true,
