Ways of sharing on the same work, in virtual time

Cause: the choice of design had no figures on the real code. Ruled out: nothing yet; this commit only measures. Allocator split in files by job.

--- /dev/null
+++ b/crates/jaylock-share/examples/sharing/design.rs
@@ -0,0 +1,318 @@
+//! What every design of sharing does, and the one that was chosen, driven by its real code.
+
+use std::time::{Duration, Instant};
+
+use futures_channel::oneshot;
+use jaylock_rpc::v1::{
+    Ask, BackendReport, Configuration, End, Hello, LoadedModel, Organisation, Progress,
+    RouterFrame, SchedulerFrame,
+};
+use jaylock_share::{Allocator, Answer, PoolSettings, RouterKey, ShareSettings, Waitlist};
+use prost::Message;
+
+use crate::work::{Deployment, Job};
+use crate::world::STEP;
+
+/// Bytes that a message costs beside itself: Ethernet, IP, TCP, HTTP/2 and gRPC headers.
+pub const HEADERS: u64 = 14 + 20 + 32 + 9 + 5;
+/// Time in ms between the reports of an engine.
+const REPORT: u64 = 1000;
+/// Time in ms between checks of leases.
+const TICK: u64 = 100;
+
+/// What befalls a part of the fleet.
+#[derive(Debug, Clone, Copy)]
+pub enum Fault {
+    SchedulerLost,
+    SchedulerStarted,
+    RouterLost(usize),
+    RouterStarted(usize),
+    RouterCut(usize),
+    RouterJoined(usize),
+}
+
+/// A way of sharing slots; times are in ms.
+pub trait Design {
+    fn arrive(&mut self, job: &Job, now: u64);
+    fn progress(&mut self, job: &Job, now: u64);
+    fn end(&mut self, job: &Job, now: u64);
+    fn befall(&mut self, fault: Fault, now: u64);
+    /// Requests that start now, with their engines.
+    fn step(&mut self, now: u64) -> Vec<(u64, usize)>;
+    /// Bytes that the design has sent between nodes.
+    fn bytes(&self) -> u64;
+}
+
+/// One scheduler: the allocator and the routers' waiting lists, with messages between them.
+pub struct Shared {
+    deployment: Deployment,
+    settings: ShareSettings,
+    base: Instant,
+    allocator: Option<Allocator>,
+    epoch: u64,
+    routers: Vec<Node>,
+    configuration: Configuration,
+    bytes: u64,
+}
+
+struct Node {
+    list: Waitlist,
+    key: Option<RouterKey>,
+    is_cut: bool,
+    is_lost: bool,
+    incarnation: u64,
+    answers: Vec<(u64, oneshot::Receiver<Answer>)>,
+    // In flight, until the next step.
+    to_router: Vec<SchedulerFrame>,
+    to_scheduler: Vec<RouterFrame>,
+}
+
+impl Node {
+    fn new(incarnation: u64) -> Self {
+        Self {
+            list: Waitlist::new(PoolSettings::default()),
+            key: None,
+            is_cut: false,
+            is_lost: false,
+            incarnation,
+            answers: Vec::new(),
+            to_router: Vec::new(),
+            to_scheduler: Vec::new(),
+        }
+    }
+}
+
+impl Shared {
+    pub fn new(deployment: Deployment, charged_ahead: u32) -> Self {
+        let organisation = |id| Organisation {
+            id: name(id),
+            weight: 1,
+            ..Default::default()
+        };
+        let organisations = (0..deployment.organisations).map(organisation).collect();
+        let mut new = Self {
+            deployment,
+            settings: ShareSettings {
+                charged_ahead,
+                ..ShareSettings::default()
+            },
+            base: Instant::now(),
+            allocator: None,
+            epoch: 0,
+            routers: (0..deployment.routers).map(|_| Node::new(1)).collect(),
+            configuration: Configuration {
+                organisations,
+                ..Configuration::default()
+            },
+            bytes: 0,
+        };
+        new.start_scheduler(0);
+        new
+    }
+
+    fn at(&self, now: u64) -> Instant {
+        self.base + Duration::from_millis(now)
+    }
+
+    fn start_scheduler(&mut self, now: u64) {
+        self.epoch += 1;
+        let at = self.at(now);
+        let mut allocator = Allocator::new("chat", self.epoch, self.settings.clone(), at);
+        allocator.configure(&self.configuration, at);
+        self.allocator = Some(allocator);
+    }
+
+    fn connect(&mut self, router: usize, now: u64) {
+        let at = self.at(now);
+        let node = &mut self.routers[router];
+        let Some(allocator) = &mut self.allocator else {
+            return;
+        };
+        if node.key.is_some() || node.is_cut || node.is_lost {
+            return;
+        }
+        let hello = Hello {
+            router: format!("r{router}"),
+            incarnation: node.incarnation,
+            domain: format!("d{}", router % self.deployment.domains),
+            ..Hello::default()
+        };
+        let mut first = node.list.first_frame(hello, at);
+        self.bytes += first.encoded_len() as u64 + HEADERS;
+        let hello = first.hello.take().expect("the first message holds it");
+        node.key = Some(allocator.attach(&hello, at));
+        node.to_scheduler.push(first);
+    }
+
+    fn disconnect(&mut self, router: usize, now: u64) {
+        let at = self.at(now);
+        let node = &mut self.routers[router];
+        if let (Some(key), Some(allocator)) = (node.key.take(), &mut self.allocator) {
+            allocator.detach(key, at);
+        }
+        node.list.detach(at);
+        node.to_router.clear();
+        node.to_scheduler.clear();
+    }
+
+    /// Engines announce themselves through the routers in turn.
+    fn report(&mut self, now: u64) {
+        if now % REPORT != 0 {
+            return;
+        }
+        for engine in 0..self.deployment.engines {
+            let alive = |router: &usize| !self.routers[*router].is_lost;
+            let routers = (0..self.routers.len()).cycle().skip(engine);
+            let Some(router) = routers.take(self.routers.len()).find(alive) else {
+                return;
+            };
+            let report = self.engine(engine);
+            self.routers[router].list.report(report);
+        }
+    }
+
+    fn engine(&self, engine: usize) -> BackendReport {
+        let model = LoadedModel {
+            model: "dossier".into(),
+            ..LoadedModel::default()
+        };
+        BackendReport {
+            id: format!("e{engine}"),
+            incarnation: 1,
+            address: format!("10.0.0.{engine}:8000"),
+            domain: format!("d{}", engine % self.deployment.domains),
+            models: vec![model],
+            slots: u32::try_from(self.deployment.slots).unwrap_or(u32::MAX),
+            pool: "chat".into(),
+            ..BackendReport::default()
+        }
+    }
+
+    fn exchange(&mut self, now: u64) {
+        let at = self.at(now);
+        let Some(allocator) = &mut self.allocator else {
+            return;
+        };
+        for node in &mut self.routers {
+            let Some(key) = node.key else { continue };
+            for frame in std::mem::take(&mut node.to_scheduler) {
+                allocator.apply(key, frame, at);
+            }
+        }
+        if now % TICK == 0 {
+            allocator.tick(at);
+        }
+        allocator.decide(at);
+        for (key, frame) in allocator.frames(at) {
+            let node = self.routers.iter_mut().find(|node| node.key == Some(key));
+            if let Some(node) = node {
+                self.bytes += frame.encoded_len() as u64 + HEADERS;
+                node.to_router.push(frame);
+            }
+        }
+    }
+}
+
+impl Design for Shared {
+    fn arrive(&mut self, job: &Job, now: u64) {
+        let at = self.at(now);
+        let ask = Ask {
+            ticket: job.id,
+            organisation: name(job.organisation),
+            model: "dossier".into(),
+            limit: job.limit,
+            request: format!("{:032x}", job.id),
+            ..Ask::default()
+        };
+        let (answer, receiver) = oneshot::channel();
+        let node = &mut self.routers[job.router];
+        node.list.ask(ask, answer, at);
+        node.answers.push((job.id, receiver));
+    }
+
+    fn progress(&mut self, job: &Job, _: u64) {
+        let progress = Progress {
+            ticket: job.id,
+            tokens: job.tokens,
+        };
+        self.routers[job.router].list.progress(progress);
+    }
+
+    fn end(&mut self, job: &Job, now: u64) {
+        let at = self.at(now);
+        let end = End {
+            ticket: job.id,
+            tokens: job.tokens,
+            ..End::default()
+        };
+        self.routers[job.router].list.end(end, at);
+    }
+
+    fn befall(&mut self, fault: Fault, now: u64) {
+        match fault {
+            Fault::SchedulerLost => {
+                self.allocator = None;
+                for router in 0..self.routers.len() {
+                    self.disconnect(router, now);
+                }
+            }
+            Fault::SchedulerStarted => self.start_scheduler(now),
+            Fault::RouterLost(router) => {
+                self.disconnect(router, now);
+                let incarnation = self.routers[router].incarnation + 1;
+                self.routers[router] = Node {
+                    is_lost: true,
+                    ..Node::new(incarnation)
+                };
+            }
+            Fault::RouterStarted(router) => self.routers[router].is_lost = false,
+            Fault::RouterCut(router) => {
+                self.disconnect(router, now);
+                self.routers[router].is_cut = true;
+            }
+            Fault::RouterJoined(router) => self.routers[router].is_cut = false,
+        }
+    }
+
+    fn step(&mut self, now: u64) -> Vec<(u64, usize)> {
+        let at = self.at(now);
+        let mut started = Vec::new();
+        self.report(now);
+        for router in 0..self.routers.len() {
+            self.connect(router, now);
+            let node = &mut self.routers[router];
+            for frame in std::mem::take(&mut node.to_router) {
+                node.list.take(frame, at);
+            }
+            node.list.serve_alone(&self.configuration, at);
+            node.answers
+                .retain_mut(|(id, answer)| match answer.try_recv() {
+                    Ok(Some(Ok(grant))) => {
+                        let engine = grant.backend[1..].parse().expect("a number");
+                        started.push((*id, engine));
+                        false
+                    }
+                    Ok(None) => true,
+                    _ => false,
+                });
+            let due = node.list.due(at).is_some_and(|due| due <= at);
+            if node.key.is_some() && due {
+                let frame = node.list.next_frame(at);
+                self.bytes += frame.encoded_len() as u64 + HEADERS;
+                node.to_scheduler.push(frame);
+            }
+        }
+        if now > 0 && now % STEP == 0 {
+            self.exchange(now);
+        }
+        started
+    }
+
+    fn bytes(&self) -> u64 {
+        self.bytes
+    }
+}
+
+pub fn name(organisation: usize) -> String {
+    format!("organisation-{organisation}")
+}
--- /dev/null
+++ b/crates/jaylock-share/examples/sharing/slopes.rs
@@ -0,0 +1,159 @@
+//! Cost of the allocator against organisations, routers, backend servers and requests.
+
+use std::time::{Duration, Instant};
+
+use jaylock_rpc::v1::{Ask, BackendReport, End, Hello, LoadedModel, RouterFrame};
+use jaylock_share::{Allocator, RouterKey, ShareSettings};
+
+/// Requests that are asked for, granted and ended in a measurement.
+const REQUESTS: u64 = 40_000;
+/// Slots of each backend server.
+const SLOTS: u32 = 8;
+
+#[derive(Debug, Clone, Copy)]
+struct Size {
+    organisations: u64,
+    routers: u64,
+    backends: u64,
+}
+
+pub fn print() {
+    let base = Size {
+        organisations: 82,
+        routers: 400,
+        backends: 76,
+    };
+    println!("one pool, {REQUESTS} requests, all organisations backlogged");
+    println!(
+        "{:>14} {:>8} {:>9} {:>12} {:>14}",
+        "organisations", "routers", "backends", "us/request", "tick us"
+    );
+    let mut sizes = vec![base];
+    sizes.extend([16, 164, 328, 820].map(|organisations| Size {
+        organisations,
+        ..base
+    }));
+    sizes.extend([9, 100, 200].map(|routers| Size { routers, ..base }));
+    sizes.extend([12, 38, 152].map(|backends| Size { backends, ..base }));
+    for size in sizes {
+        let (request, tick) = measure(size);
+        println!(
+            "{:>14} {:>8} {:>9} {:>12.2} {:>14.1}",
+            size.organisations,
+            size.routers,
+            size.backends,
+            request.as_secs_f64() * 1e6,
+            tick.as_secs_f64() * 1e6,
+        );
+    }
+}
+
+/// Time of one request's ask, grant and end, and of one tick.
+fn measure(size: Size) -> (Duration, Duration) {
+    let mut now = Instant::now();
+    let settings = ShareSettings::default();
+    let mut allocator = Allocator::new("chat", 1, settings.clone(), now);
+    let hello = |router| Hello {
+        router: format!("r{router}"),
+        ..Hello::default()
+    };
+    let routers: Vec<RouterKey> = (0..size.routers)
+        .map(|router| allocator.attach(&hello(router), now))
+        .collect();
+    now += settings.settling;
+    let reports = RouterFrame {
+        backends: (0..size.backends).map(engine).collect(),
+        ..Default::default()
+    };
+    allocator.apply(routers[0], reports, now);
+    let slots = size.backends * u64::from(SLOTS);
+    let waiting = slots + 8 * size.organisations;
+    for ticket in 0..waiting {
+        apply(&mut allocator, &routers, asking(ticket, size), now);
+    }
+    allocator.decide(now);
+    let mut running: Vec<u64> = granted(&mut allocator, now);
+    let start = Instant::now();
+    for ticket in waiting..waiting + REQUESTS {
+        // Any running request may end next.
+        let ended = running.swap_remove((ticket * 7919) as usize % running.len());
+        let end = End {
+            ticket: ended,
+            tokens: 20 + ended % 400,
+            ..End::default()
+        };
+        let router = ended % size.routers;
+        apply(
+            &mut allocator,
+            &routers,
+            (
+                router,
+                RouterFrame {
+                    ends: vec![end],
+                    ..Default::default()
+                },
+            ),
+            now,
+        );
+        apply(&mut allocator, &routers, asking(ticket, size), now);
+        allocator.decide(now);
+        running.extend(granted(&mut allocator, now));
+    }
+    let request = start.elapsed() / REQUESTS as u32;
+    let start = Instant::now();
+    for _ in 0..100 {
+        allocator.tick(now);
+    }
+    (request, start.elapsed() / 100)
+}
+
+fn apply(
+    allocator: &mut Allocator,
+    routers: &[RouterKey],
+    (router, frame): (u64, RouterFrame),
+    now: Instant,
+) {
+    allocator.apply(routers[router as usize], frame, now);
+}
+
+fn asking(ticket: u64, size: Size) -> (u64, RouterFrame) {
+    let ask = Ask {
+        ticket,
+        organisation: format!("organisation-{}", ticket % size.organisations),
+        model: "dossier".into(),
+        limit: 1 << (ticket % 12),
+        request: format!("{ticket:032x}"),
+        ..Ask::default()
+    };
+    (
+        ticket % size.routers,
+        RouterFrame {
+            asks: vec![ask],
+            ..RouterFrame::default()
+        },
+    )
+}
+
+fn granted(allocator: &mut Allocator, now: Instant) -> Vec<u64> {
+    let frames = allocator.frames(now);
+    frames
+        .into_iter()
+        .flat_map(|(_, frame)| frame.grants)
+        .map(|grant| grant.ticket)
+        .collect()
+}
+
+fn engine(backend: u64) -> BackendReport {
+    let model = LoadedModel {
+        model: "dossier".into(),
+        ..LoadedModel::default()
+    };
+    BackendReport {
+        id: format!("e{backend}"),
+        incarnation: 1,
+        address: "10.0.0.1:8000".into(),
+        models: vec![model],
+        slots: SLOTS,
+        ..BackendReport::default()
+    }
+}
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -3,23 +3,20 @@
 
 use compact_str::CompactString;
 use jaylock_rpc::v1::end::Outcome;
-use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{
-    Ask, BackendReport, BackendVerdict, Configuration, Decision, End, Hello, Progress, Refusal,
-    RouterFrame, Running, SchedulerFrame,
+    Ask, BackendReport, BackendVerdict, Configuration, Decision, End, Progress, RouterFrame,
+    SchedulerFrame,
 };
 
 use crate::ShareSettings;
 use crate::account::{AccountKey, Accounts};
 use crate::backend::Backends;
 use crate::cost::{Mean, Shape, cost_of};
-use crate::demand::Demands;
+use crate::demand::{DemandKey, Demands};
 use crate::division::Division;
 use crate::queue::Waiting;
 use crate::router::{RouterKey, Routers, Run};
-
-/// Wait that is named to a caller when no backend server can take its request.
-const NO_BACKEND_RETRY: Duration = Duration::from_secs(1);
+use crate::usage::Usage;
 
 /// The state of one pool and its decisions; the scheduler's task is its only user.
 #[derive(Debug)]
@@ -85,32 +82,6 @@
         }
     }
 
-    /// Takes in a router; what it says of its running requests replaces what was known.
-    pub fn attach(&mut self, hello: &Hello, now: Instant) -> RouterKey {
-        let key = match self.routers.find(&hello.router) {
-            Some(key) => key,
-            None => self.routers.add(hello, now),
-        };
-        self.forget_waiting(key);
-        if let Some(router) = self.routers.get_mut(key) {
-            router.incarnation = hello.incarnation;
-            router.domain = hello.domain.as_str().into();
-            router.lost = None;
-            router.frame = SchedulerFrame::default();
-            router.fallback = Vec::new();
-        }
-        self.reconcile(key, &hello.running, now);
-        key
-    }
-
-    /// Notes that a router's stream is lost; its queue is void, its slots are kept for a while.
-    pub fn detach(&mut self, key: RouterKey, now: Instant) {
-        self.forget_waiting(key);
-        if let Some(router) = self.routers.get_mut(key) {
-            router.lost = Some(now);
-        }
-    }
-
     /// Takes a router's message.
     pub fn apply(&mut self, key: RouterKey, frame: RouterFrame, now: Instant) {
         for total in &frame.totals {
@@ -227,26 +198,10 @@
         self.accounts.join_backlog(account, start);
     }
 
-    /// Why a further request of this organisation can't wait.
-    fn refusal(&self, account: AccountKey) -> Option<Reason> {
-        let owner = self.accounts.get(account);
-        let limit = match owner.queue_limit {
-            0 => self.settings.queue_limit,
-            limit => limit,
-        } as usize;
-        let own = owner.queue.len();
-        if own >= limit {
-            return Some(Reason::QueueFull);
-        }
-        // When the pool's bound is reached, an organisation below its equal part still gets in.
-        let part = self.settings.pool_limit / self.accounts.backlog().max(1);
-        (self.waiting >= self.settings.pool_limit && own >= part).then_some(Reason::Overloaded)
-    }
-
     /// Least service among the backlogged that compete for the same backend servers.
     ///
     /// Others may wait for a model that is short; their low service is no measure here.
-    fn start_level(&self, account: AccountKey, demand: crate::demand::DemandKey) -> u64 {
+    fn start_level(&self, account: AccountKey, demand: DemandKey) -> u64 {
         if !self.accounts.get(account).queue.is_empty() {
             return 0;
         }
@@ -293,7 +248,7 @@
     }
 
     /// Corrects the charge of a run to its cost and frees its slot.
-    fn settle(&mut self, run: &Run, cost: u64, now: Instant) {
+    pub(crate) fn settle(&mut self, run: &Run, cost: u64, now: Instant) {
         if cost >= run.charged {
             self.accounts.charge(run.account, cost - run.charged);
         } else {
@@ -320,84 +275,6 @@
         }
     }
 
-    fn drop_waiting(&mut self, router: RouterKey, ticket: u64, account: AccountKey) {
-        self.waiting -= 1;
-        if self
-            .accounts
-            .get_mut(account)
-            .queue
-            .remove(router, ticket)
-            .is_some()
-        {
-            self.accounts.leave_backlog(account);
-            return;
-        }
-        self.suspects
-            .retain(|(_, waiting)| !waiting.is(router, ticket));
-    }
-
-    fn forget_waiting(&mut self, key: RouterKey) {
-        let Some(router) = self.routers.get_mut(key) else {
-            return;
-        };
-        for (ticket, account) in router.take_waiting() {
-            self.drop_waiting(key, ticket, account);
-        }
-    }
-
-    /// Makes the known runs of a router those that it names.
-    fn reconcile(&mut self, key: RouterKey, running: &[Running], now: Instant) {
-        let Some(router) = self.routers.get_mut(key) else {
-            return;
-        };
-        let named = |ticket: &u64| running.iter().any(|run| run.ticket == *ticket);
-        let tickets = router.run_tickets();
-        let gone: Vec<Run> = tickets
-            .iter()
-            .filter(|ticket| !named(ticket))
-            .filter_map(|ticket| router.remove_run(*ticket))
-            .collect();
-        for run in gone {
-            // What it cost meanwhile comes with the router's totals.
-            self.settle(&run, run.tokens, now);
-        }
-        for run in running.iter().filter(|run| !tickets.contains(&run.ticket)) {
-            self.adopt(key, run, now);
-        }
-    }
-
-    /// Takes over a run that an earlier scheduler granted.
-    fn adopt(&mut self, key: RouterKey, running: &Running, now: Instant) {
-        let account = self.accounts.intern(&running.organisation);
-        let place = self.backends.place(&running.backend, now);
-        let shape = Shape::default();
-        let expected = self.expected(account, shape, 0);
-        let charged = charge(
-            expected,
-            running.tokens,
-            u64::from(self.settings.charged_ahead),
-        );
-        self.accounts.charge(account, charged);
-        self.accounts.get_mut(account).running += 1;
-        let backend = self.backends.get_mut(place);
-        backend.add_grant();
-        backend.reserved |= running.alone;
-        self.refresh(place, now);
-        let run = Run {
-            ticket: running.ticket,
-            account,
-            place,
-            shape,
-            expected,
-            charged,
-            tokens: running.tokens,
-            alone: running.alone,
-        };
-        if let Some(router) = self.routers.get_mut(key) {
-            router.add_run(run);
-        }
-    }
-
     fn report(&mut self, key: RouterKey, report: BackendReport, now: Instant) {
         let (id, incarnation) = (report.id.clone(), report.incarnation);
         let known = self
@@ -424,58 +301,6 @@
             router.add_verdict(verdict);
         }
     }
-
-    fn refuse_unservable(&mut self, now: Instant) {
-        let longest = self.settings.backend_wait;
-        for account in self.accounts.backlogged_keys().collect::<Vec<_>>() {
-            let (demands, usable) = (&self.demands, self.backends.usable());
-            let unservable = |waiting: &Waiting| {
-                let waited = now.saturating_duration_since(waiting.arrived) >= longest;
-                waited && !demands.backends(waiting.demand).overlaps(usable)
-            };
-            let drained = self.accounts.get_mut(account).queue.drain(unservable);
-            self.accounts.leave_backlog(account);
-            for waiting in drained {
-                self.refuse_waiting(&waiting);
-            }
-        }
-        let mut kept = VecDeque::new();
-        for (account, waiting) in std::mem::take(&mut self.suspects) {
-            let waited = now.saturating_duration_since(waiting.arrived) >= longest;
-            let meeting = self.demands.backends(waiting.demand);
-            if waited && !meeting.overlaps(self.backends.usable()) {
-                self.refuse_waiting(&waiting);
-            } else {
-                kept.push_back((account, waiting));
-            }
-        }
-        self.suspects = kept;
-    }
-
-    fn refuse_waiting(&mut self, waiting: &Waiting) {
-        self.waiting -= 1;
-        if let Some(router) = self.routers.get_mut(waiting.router) {
-            router.remove_waiting(waiting.ask.ticket);
-        }
-        self.refuse(
-            waiting.router,
-            waiting.ask.ticket,
-            Reason::NoBackend,
-            NO_BACKEND_RETRY,
-        );
-    }
-
-    fn refuse(&mut self, router: RouterKey, ticket: u64, reason: Reason, wait: Duration) {
-        let retry_after_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX).max(1);
-        if let Some(router) = self.routers.get_mut(router) {
-            let refusal = Refusal {
-                ticket,
-                reason: reason.into(),
-                retry_after_ms,
-            };
-            router.frame.refusals.push(refusal);
-        }
-    }
 }
 
 /// What a run is charged: its tokens so far and `ahead` in 100 of those that are still expected.
@@ -485,39 +310,3 @@
 pub(crate) fn charge(expected: u64, tokens: u64, ahead: u64) -> u64 {
     tokens + expected.saturating_sub(tokens) * ahead / 100
 }
-
-/// Slot time used and offered while work waited.
-#[derive(Debug)]
-pub(crate) struct Usage {
-    since: Instant,
-    used: u128,
-    offered: u128,
-}
-
-impl Usage {
-    fn new(now: Instant) -> Self {
-        Self {
-            since: now,
-            used: 0,
-            offered: 0,
-        }
-    }
-
-    /// Adds the time since the last call, in which `used` of `slots` were taken.
-    pub fn add(&mut self, now: Instant, work_waited: bool, used: u32, slots: u32) {
-        let span = now.saturating_duration_since(self.since).as_micros();
-        self.since = now;
-        if work_waited {
-            self.used += span * u128::from(used.min(slots));
-            self.offered += span * u128::from(slots);
-        }
-    }
-
-    /// Share used, in millionths; all of it while nothing has waited.
-    pub fn millionths(&self) -> u32 {
-        if self.offered == 0 {
-            return 1_000_000;
-        }
-        u32::try_from(self.used * 1_000_000 / self.offered).unwrap_or(u32::MAX)
-    }
-}
--- /dev/null
+++ b/crates/jaylock-share/src/attach.rs
@@ -0,0 +1,114 @@
+use std::time::Instant;
+
+use jaylock_rpc::v1::{Hello, Running, SchedulerFrame};
+
+use crate::account::AccountKey;
+use crate::allocator::{Allocator, charge};
+use crate::cost::Shape;
+use crate::router::{RouterKey, Run};
+
+impl Allocator {
+    /// Takes in a router; what it says of its running requests replaces what was known.
+    pub fn attach(&mut self, hello: &Hello, now: Instant) -> RouterKey {
+        let key = match self.routers.find(&hello.router) {
+            Some(key) => key,
+            None => self.routers.add(hello, now),
+        };
+        self.forget_waiting(key);
+        if let Some(router) = self.routers.get_mut(key) {
+            router.incarnation = hello.incarnation;
+            router.domain = hello.domain.as_str().into();
+            router.lost = None;
+            router.frame = SchedulerFrame::default();
+            router.fallback = Vec::new();
+        }
+        self.reconcile(key, &hello.running, now);
+        key
+    }
+
+    /// Notes that a router's stream is lost; its queue is void, its slots are kept for a while.
+    pub fn detach(&mut self, key: RouterKey, now: Instant) {
+        self.forget_waiting(key);
+        if let Some(router) = self.routers.get_mut(key) {
+            router.lost = Some(now);
+        }
+    }
+
+    /// Makes the known runs of a router those that it names.
+    pub(crate) fn reconcile(&mut self, key: RouterKey, running: &[Running], now: Instant) {
+        let Some(router) = self.routers.get_mut(key) else {
+            return;
+        };
+        let named = |ticket: &u64| running.iter().any(|run| run.ticket == *ticket);
+        let tickets = router.run_tickets();
+        let gone: Vec<Run> = tickets
+            .iter()
+            .filter(|ticket| !named(ticket))
+            .filter_map(|ticket| router.remove_run(*ticket))
+            .collect();
+        for run in gone {
+            // What it cost meanwhile comes with the router's totals.
+            self.settle(&run, run.tokens, now);
+        }
+        for run in running.iter().filter(|run| !tickets.contains(&run.ticket)) {
+            self.adopt(key, run, now);
+        }
+    }
+
+    /// Takes over a run that an earlier scheduler granted.
+    fn adopt(&mut self, key: RouterKey, running: &Running, now: Instant) {
+        let account = self.accounts.intern(&running.organisation);
+        let place = self.backends.place(&running.backend, now);
+        let shape = Shape::default();
+        let expected = self.expected(account, shape, 0);
+        let charged = charge(
+            expected,
+            running.tokens,
+            u64::from(self.settings.charged_ahead),
+        );
+        self.accounts.charge(account, charged);
+        self.accounts.get_mut(account).running += 1;
+        let backend = self.backends.get_mut(place);
+        backend.add_grant();
+        backend.reserved |= running.alone;
+        self.refresh(place, now);
+        let run = Run {
+            ticket: running.ticket,
+            account,
+            place,
+            shape,
+            expected,
+            charged,
+            tokens: running.tokens,
+            alone: running.alone,
+        };
+        if let Some(router) = self.routers.get_mut(key) {
+            router.add_run(run);
+        }
+    }
+
+    pub(crate) fn drop_waiting(&mut self, router: RouterKey, ticket: u64, account: AccountKey) {
+        self.waiting -= 1;
+        if self
+            .accounts
+            .get_mut(account)
+            .queue
+            .remove(router, ticket)
+            .is_some()
+        {
+            self.accounts.leave_backlog(account);
+            return;
+        }
+        self.suspects
+            .retain(|(_, waiting)| !waiting.is(router, ticket));
+    }
+
+    fn forget_waiting(&mut self, key: RouterKey) {
+        let Some(router) = self.routers.get_mut(key) else {
+            return;
+        };
+        for (ticket, account) in router.take_waiting() {
+            self.drop_waiting(key, ticket, account);
+        }
+    }
+}
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod allocator;
+mod attach;
 mod backend;
 mod batch;
 mod cost;
@@ -15,9 +16,11 @@
 mod placement;
 mod pools;
 mod queue;
+mod refuse;
 mod router;
 mod scheduler;
 mod settings;
+mod usage;
 mod waitlist;
 
 pub use self::allocator::Allocator;
@@ -25,3 +28,4 @@
 pub use self::pools::Pools;
 pub use self::router::RouterKey;
 pub use self::settings::{PoolSettings, ShareSettings};
+pub use self::waitlist::{Answer, Waitlist};
--- /dev/null
+++ b/crates/jaylock-share/src/usage.rs
@@ -0,0 +1,37 @@
+use std::time::Instant;
+
+/// Slot time used and offered while work waited.
+#[derive(Debug)]
+pub struct Usage {
+    since: Instant,
+    used: u128,
+    offered: u128,
+}
+
+impl Usage {
+    pub fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            used: 0,
+            offered: 0,
+        }
+    }
+
+    /// Adds the time since the last call, in which `used` of `slots` were taken.
+    pub fn add(&mut self, now: Instant, work_waited: bool, used: u32, slots: u32) {
+        let span = now.saturating_duration_since(self.since).as_micros();
+        self.since = now;
+        if work_waited {
+            self.used += span * u128::from(used.min(slots));
+            self.offered += span * u128::from(slots);
+        }
+    }
+
+    /// Share used, in millionths; all of it while nothing has waited.
+    pub fn millionths(&self) -> u32 {
+        if self.offered == 0 {
+            return 1_000_000;
+        }
+        u32::try_from(self.used * 1_000_000 / self.offered).unwrap_or(u32::MAX)
+    }
+}
--- a/crates/jaylock-share/src/waitlist.rs
+++ b/crates/jaylock-share/src/waitlist.rs
@@ -21,26 +21,26 @@
 /// What a router knows of one pool: who waits, what runs, and what is yet to be told.
 #[derive(Debug)]
 pub struct Waitlist {
-    pub settings: PoolSettings,
-    pub epoch: u64,
-    pub is_attached: bool,
+    pub(crate) settings: PoolSettings,
+    pub(crate) epoch: u64,
+    pub(crate) is_attached: bool,
     // Sorted by ticket, and so by age.
-    pub pending: Vec<Pending>,
+    pub(crate) pending: Vec<Pending>,
     // Sorted by ticket.
-    pub held: Vec<Held>,
+    pub(crate) held: Vec<Held>,
     batch: Batch,
     // Newest report of each backend server that announced itself here, sorted by name.
     reports: Vec<BackendReport>,
     // Sorted by name of the backend server.
     verdicts: Vec<BackendVerdict>,
     // Sorted by organisation.
-    pub totals: Vec<Total>,
+    pub(crate) totals: Vec<Total>,
     // Part of the totals that a stream's first message has told and nothing has confirmed.
     offered: Vec<Total>,
-    pub fallback: Vec<FallbackSlots>,
+    pub(crate) fallback: Vec<FallbackSlots>,
     // Slots that became free while no scheduler answered.
-    pub spare: Vec<Spare>,
-    pub lost: Option<Instant>,
+    pub(crate) spare: Vec<Spare>,
+    pub(crate) lost: Option<Instant>,
     heard: Option<Instant>,
 }
 
@@ -66,6 +66,8 @@
 }
 
 impl Waitlist {
+    /// A pool that was never attached.
+    #[must_use]
     pub fn new(settings: PoolSettings) -> Self {
         Self {
             settings,
@@ -85,6 +87,7 @@
         }
     }
 
+    /// Adds a request that waits; `answer` hears what becomes of it.
     pub fn ask(&mut self, ask: Ask, answer: oneshot::Sender<Answer>, now: Instant) {
         if self.is_attached {
             self.batch.add_ask(ask.clone());
@@ -102,12 +105,14 @@
         );
     }
 
+    /// Forgets a request whose caller gave up.
     pub fn cancel(&mut self, ticket: u64) {
         if self.take_pending(ticket).is_some() && self.is_attached {
             self.batch.cancel(ticket);
         }
     }
 
+    /// Notes how many tokens a run has generated so far.
     pub fn progress(&mut self, progress: Progress) {
         let Ok(at) = self
             .held
@@ -126,6 +131,7 @@
         }
     }
 
+    /// Notes the end of a run; its slot goes back, or to the next request without a scheduler.
     pub fn end(&mut self, end: End, now: Instant) {
         let Ok(at) = self
             .held
@@ -146,6 +152,7 @@
         }
     }
 
+    /// Notes what a backend server announced or reported here.
     pub fn report(&mut self, report: BackendReport) {
         // Cache events are told once; a resent report holds none.
         let kept = without_events(&report);
@@ -162,6 +169,8 @@
         }
     }
 
+    /// What the scheduler last said of a backend server.
+    #[must_use]
     pub fn verdict(&self, backend: &str) -> Option<BackendVerdict> {
         let at = self
             .verdicts
@@ -203,6 +212,7 @@
     }
 
     /// Whether the scheduler has been silent for too long although work waits.
+    #[must_use]
     pub fn is_silent(&self, now: Instant) -> bool {
         let Some(first) = self.pending.first() else {
             return false;
@@ -247,11 +257,13 @@
     }
 
     /// When the next message is to be sent.
+    #[must_use]
     pub fn due(&self, now: Instant) -> Option<Instant> {
         self.batch
             .due(&self.settings, !self.pending.is_empty(), now)
     }
 
+    /// Takes what is to be sent.
     pub fn next_frame(&mut self, now: Instant) -> RouterFrame {
         self.batch.take(now)
     }
@@ -276,7 +288,7 @@
     }
 
     /// Hands a slot to the request that waits for it.
-    pub fn grant(&mut self, grant: Grant, now: Instant) {
+    pub(crate) fn grant(&mut self, grant: Grant, now: Instant) {
         let Some(pending) = self.take_pending(grant.ticket) else {
             // Its caller gave up; the slot goes back at once.
             self.batch
@@ -324,7 +336,7 @@
     }
 
     /// Position of an organisation among the totals.
-    pub fn search_total(&self, organisation: &str) -> Result<usize, usize> {
+    pub(crate) fn search_total(&self, organisation: &str) -> Result<usize, usize> {
         self.totals
             .binary_search_by(|total| total.organisation.as_str().cmp(organisation))
     }
