Charge half of the mean residual of a run until it ends

Change: each run is charged, beside its tokens, a part of what a run that is met at any moment still generates (mean square over twice the mean of ended requests, of the pool), constant until its end.

--- a/crates/jaylock-share/examples/sharing/main.rs
+++ b/crates/jaylock-share/examples/sharing/main.rs
@@ -35,14 +35,15 @@
     Shared { ahead: u32 },
 }
 
-const WAYS: [(&str, Way); 7] = [
+const WAYS: [(&str, Way); 8] = [
     ("divided, first come", Way::Divided(Order::Arrival)),
     ("divided, least served", Way::Divided(Order::Local)),
     ("gossip and stealing", Way::Divided(Order::Gossip)),
     ("one queue, at the end", Way::Single),
     ("scheduler, as they come", Way::Shared { ahead: 0 }),
+    ("scheduler, 25 % ahead", Way::Shared { ahead: 25 }),
+    ("scheduler, 50 % ahead", Way::Shared { ahead: 50 }),
     ("scheduler, all ahead", Way::Shared { ahead: 100 }),
-    ("scheduler, 15 % ahead", Way::Shared { ahead: 15 }),
 ];
 
 impl Way {
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -11,7 +11,7 @@
 use crate::ShareSettings;
 use crate::account::{AccountKey, Accounts};
 use crate::backend::Backends;
-use crate::cost::{Mean, Shape, cost_of};
+use crate::cost::{Residual, Shape, cost_of};
 use crate::demand::{DemandKey, Demands};
 use crate::division::Division;
 use crate::queue::Waiting;
@@ -37,7 +37,7 @@
     pub(crate) usage: Usage,
     pub(crate) waiting: usize,
     pub(crate) division: Division,
-    mean: Mean,
+    residual: Residual,
 }
 
 impl Allocator {
@@ -59,7 +59,7 @@
             usage: Usage::new(now),
             waiting: 0,
             division: Division::default(),
-            mean: Mean::default(),
+            residual: Residual::default(),
         }
     }
 
@@ -146,11 +146,20 @@
 
     /// Expected cost of a request, from the organisation's own history.
     pub(crate) fn expected(&self, account: AccountKey, shape: Shape, served: u64) -> u64 {
-        let default = self.mean.or(self.settings.first_cost);
+        let default = self.residual.mean(self.settings.first_cost);
         let whole = self.accounts.get(account).cost.expected(shape, default);
         whole.saturating_sub(served).max(1)
     }
 
+    /// What a run is charged beside its tokens so far, until it ends.
+    ///
+    /// It stands for the tokens to come, the same for every run: what a run that is met at any
+    /// moment still generates. Expectations for single runs miss the long ones, which matter most.
+    pub(crate) fn ahead(&self) -> u64 {
+        let residual = self.residual.tokens(self.settings.first_cost);
+        residual * u64::from(self.settings.charged_ahead) / 100
+    }
+
     pub(crate) fn refresh(&mut self, place: usize, now: Instant) {
         self.backends
             .refresh(place, now, self.settings.backend_lease);
@@ -215,7 +224,6 @@
     }
 
     fn progress(&mut self, router: RouterKey, progress: Progress) {
-        let ahead = u64::from(self.settings.charged_ahead);
         let run = self
             .routers
             .get_mut(router)
@@ -223,10 +231,9 @@
         let Some(run) = run else { return };
         let grown = progress.tokens.saturating_sub(run.tokens);
         run.tokens += grown;
-        let more = charge(run.expected, run.tokens, ahead).saturating_sub(run.charged);
-        run.charged += more;
+        run.charged += grown;
         let account = run.account;
-        self.accounts.charge(account, more);
+        self.accounts.charge(account, grown);
         self.accounts.get_mut(account).tokens += grown;
     }
 
@@ -242,7 +249,7 @@
                 .get_mut(run.account)
                 .cost
                 .learn(run.shape, cost);
-            self.mean.add(cost);
+            self.residual.add(cost);
         }
         self.settle(&run, cost, now);
     }
@@ -302,11 +309,3 @@
         }
     }
 }
-
-/// What a run is charged: its tokens so far and `ahead` in 100 of those that are still expected.
-///
-/// The part ahead keeps the next slots from an organisation whose runs have only begun. A larger
-/// part would take expectations for service.
-pub(crate) fn charge(expected: u64, tokens: u64, ahead: u64) -> u64 {
-    tokens + expected.saturating_sub(tokens) * ahead / 100
-}
--- a/crates/jaylock-share/src/attach.rs
+++ b/crates/jaylock-share/src/attach.rs
@@ -3,7 +3,7 @@
 use jaylock_rpc::v1::{Hello, Running, SchedulerFrame};
 
 use crate::account::AccountKey;
-use crate::allocator::{Allocator, charge};
+use crate::allocator::Allocator;
 use crate::cost::Shape;
 use crate::router::{RouterKey, Run};
 
@@ -60,12 +60,7 @@
         let account = self.accounts.intern(&running.organisation);
         let place = self.backends.place(&running.backend, now);
         let shape = Shape::default();
-        let expected = self.expected(account, shape, 0);
-        let charged = charge(
-            expected,
-            running.tokens,
-            u64::from(self.settings.charged_ahead),
-        );
+        let charged = running.tokens + self.ahead();
         self.accounts.charge(account, charged);
         self.accounts.get_mut(account).running += 1;
         let backend = self.backends.get_mut(place);
@@ -77,7 +72,6 @@
             account,
             place,
             shape,
-            expected,
             charged,
             tokens: running.tokens,
             alone: running.alone,
--- a/crates/jaylock-share/src/cost.rs
+++ b/crates/jaylock-share/src/cost.rs
@@ -114,6 +114,31 @@
     }
 }
 
+/// What the runs of a pool still generate when they are met at any moment.
+#[derive(Debug, Default)]
+pub struct Residual {
+    costs: Mean,
+    squares: Mean,
+}
+
+impl Residual {
+    /// Learns from a request that ended.
+    pub fn add(&mut self, tokens: u64) {
+        self.costs.add(tokens);
+        self.squares.add(tokens.saturating_mul(tokens));
+    }
+
+    /// Mean cost of a request.
+    pub fn mean(&self, default: u64) -> u64 {
+        self.costs.or(default)
+    }
+
+    /// Mean of the tokens to come, by renewal theory: the mean square over twice the mean.
+    pub fn tokens(&self, default: u64) -> u64 {
+        self.squares.or(default * default) / (2 * self.costs.or(default).max(1))
+    }
+}
+
 fn magnitude(number: u32) -> u8 {
     u8::try_from(u32::BITS - number.leading_zeros()).unwrap_or(u8::MAX)
 }
--- a/crates/jaylock-share/src/decide.rs
+++ b/crates/jaylock-share/src/decide.rs
@@ -4,7 +4,7 @@
 use jaylock_types::unix_ms;
 
 use crate::account::AccountKey;
-use crate::allocator::{Allocator, charge};
+use crate::allocator::Allocator;
 use crate::placement;
 use crate::queue::Waiting;
 use crate::router::Run;
@@ -114,8 +114,7 @@
         reason: &str,
     ) {
         let ask = &waiting.ask;
-        let expected = self.expected(account, waiting.shape, ask.served);
-        let charged = charge(expected, 0, u64::from(self.settings.charged_ahead));
+        let charged = self.ahead();
         let wait = now.saturating_duration_since(waiting.arrived);
         self.waiting -= 1;
         self.accounts.note_grant(account, now);
@@ -144,7 +143,6 @@
             account,
             place,
             shape: waiting.shape,
-            expected,
             charged,
             tokens: 0,
             alone: ask.alone,
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -18,7 +18,6 @@
     /// Position of the backend server.
     pub place: usize,
     pub shape: Shape,
-    pub expected: u64,
     pub charged: u64,
     pub tokens: u64,
     pub alone: bool,
--- a/crates/jaylock-share/src/settings.rs
+++ b/crates/jaylock-share/src/settings.rs
@@ -17,7 +17,7 @@
     pub backend_wait: Duration,
     /// Wait after which the long requests of an organisation take turns with its short ones.
     pub longest_wait: Duration,
-    /// Part of a run's expected tokens that is charged before they come, in 100.
+    /// Part of the tokens still expected of a run that is charged before they come, in 100.
     pub charged_ahead: u32,
     /// Cost in tokens that is expected of a pool's first request.
     pub first_cost: u64,
@@ -41,7 +41,7 @@
             settling: Duration::from_millis(300),
             backend_wait: Duration::from_millis(500),
             longest_wait: Duration::from_secs(30),
-            charged_ahead: 15,
+            charged_ahead: 50,
             first_cost: 128,
             decisions: 512,
             prefixes: 4096,
