Crash suspects: the log joins suspicions; tests for seven switches

Cause: one request sent through three routers at once crashed three engines and a fourth in the trial (seen with processes), as each router saw only its own crash; clearing by one request lifted the suspicion of another. Ruled out: joining in the routers (their views race), a lock for each trial. Change: put_quarantine in jaylock-control joins, clears only by the same request and never shortens; trials begin 250 ms after the crash; tests for the seven. Conclusion: at most the engines that run it at one moment, else two.

--- a/crates/jaylock-control/src/state/fleet.rs
+++ b/crates/jaylock-control/src/state/fleet.rs
@@ -52,15 +52,36 @@
 }
 
 /// Enters a fingerprint that must not run, and drops those whose time is over.
+///
+/// Suspicions of two requests for crashes of two backend servers make a quarantine. Only the request that
+/// made a suspicion clears it, and nothing shortens a quarantine.
 pub fn put_quarantine(next: &mut Configuration, quarantine: &Quarantine, at_ms: u64) {
     let list = &mut next.quarantines;
     list.retain(|q| q.until_ms > at_ms);
-    match list.binary_search_by(|q| q.fingerprint.cmp(&quarantine.fingerprint)) {
-        Ok(at) => list[at] = quarantine.clone(),
+    let found = list.binary_search_by(|q| q.fingerprint.cmp(&quarantine.fingerprint));
+    let is_clearing = quarantine.until_ms <= at_ms;
+    match found {
+        Ok(at) if is_clearing => {
+            if list[at].suspect && list[at].request == quarantine.request {
+                list.remove(at);
+            }
+        }
+        Ok(at) => list[at] = joined(&list[at], quarantine),
+        Err(_) if is_clearing => {}
         Err(at) => list.insert(at, quarantine.clone()),
     }
 }
 
+/// What is known of a fingerprint after another crash.
+fn joined(known: &Quarantine, new: &Quarantine) -> Quarantine {
+    let is_second = known.request != new.request && known.backend != new.backend;
+    Quarantine {
+        suspect: known.suspect && new.suspect && !is_second,
+        until_ms: known.until_ms.max(new.until_ms),
+        ..new.clone()
+    }
+}
+
 /// Makes an order to a model engine the newest one.
 pub fn issue_order(next: &mut Configuration, order: &Order, index: u64) {
     let order = Order {
--- a/crates/jaylock-router/src/quarantine.rs
+++ b/crates/jaylock-router/src/quarantine.rs
@@ -14,6 +14,8 @@
 /// Crashes after which a request runs no more.
 const CRASH_LIMIT: u32 = 2;
 
+/// Time between a crash and the trial, in which crashes elsewhere are heard of.
+const TRIAL_DELAY: Duration = Duration::from_millis(250);
 /// Time in which all requests that ran on a backend server notice its crash.
 const SAME_CRASH: Duration = Duration::from_secs(10);
 
@@ -71,19 +73,34 @@
         }
         self.crashes += 1;
         if self.crashes >= CRASH_LIMIT || other.is_some() {
-            let limit = shared.settings.quarantine;
-            self.put(shared, backend, limit, false).await;
-            log::error!(
-                target: "router",
-                "request {} of {} crashed two backend servers and is in quarantine",
-                self.request, self.organisation
-            );
-            return Err(quarantined(limit).ran(run));
+            return self.convict(shared, backend, run).await;
         }
         log::warn!(target: "router", "request {} is suspected of a crash", self.request);
         let limit = shared.settings.suspicion;
         self.put(shared, backend, limit, true).await;
-        Ok(())
+        // The log makes a quarantine of suspicions for two crashes; another may be on its way.
+        compio::time::sleep(TRIAL_DELAY).await;
+        match find(shared, &self.fingerprint).filter(|q| !q.suspect) {
+            Some(_) => self.convict(shared, backend, run).await,
+            None => Ok(()),
+        }
+    }
+
+    async fn convict(
+        &mut self,
+        shared: &Rc<Shared>,
+        backend: &str,
+        run: Run,
+    ) -> Result<(), Refusal> {
+        self.crashes = CRASH_LIMIT;
+        let limit = shared.settings.quarantine;
+        self.put(shared, backend, limit, false).await;
+        log::error!(
+            target: "router",
+            "request {} of {} crashed two backend servers and is in quarantine",
+            self.request, self.organisation
+        );
+        Err(quarantined(limit).ran(run))
     }
 
     /// Notes that the request ran through and crashes nothing.
--- a/crates/jaylock-tests/tests/control/commands.rs
+++ b/crates/jaylock-tests/tests/control/commands.rs
@@ -5,7 +5,7 @@
 use jaylock_rpc::v1::claim_state::Kind;
 use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::{
-    Applied, Claim, Command, Instance, InstanceGone, Organisation, ReleaseClaim, Settle,
+    Applied, Claim, Command, Instance, InstanceGone, Organisation, Quarantine, ReleaseClaim, Settle,
 };
 
 use crate::group::Group;
@@ -167,6 +167,33 @@
         futures_util::future::select(std::pin::pin!(renewing), std::pin::pin!(trying)).await;
     };
 
+    async suspicions_of_two_crashes_make_a_quarantine => {
+        let group = Group::new(1, 1).await;
+        let put = async |request: &str, backend: &str, until_ms: u64, suspect: bool| {
+            let quarantine = Quarantine {
+                fingerprint: vec![1; 32],
+                request: request.into(),
+                backend: backend.into(),
+                until_ms,
+                suspect,
+                ..Quarantine::default()
+            };
+            group.propose(command(Body::PutQuarantine(quarantine))).await;
+            let listed = group.read().await.quarantines;
+            listed.first().map(|q| (q.suspect, q.until_ms))
+        };
+        let (soon, late) = (u64::MAX - 1, u64::MAX);
+        expect_that!(put("q1", "e1", soon, true).await, some(eq((true, soon))));
+        expect_that!(put("q2", "", 0, true).await, some(eq((true, soon))));
+        expect_that!(put("q1", "", 0, true).await, none());
+        expect_that!(put("q1", "e1", soon, true).await, some(eq((true, soon))));
+        expect_that!(put("q2", "e1", soon, true).await, some(eq((true, soon))));
+        expect_that!(put("q3", "e2", soon, true).await, some(eq((false, soon))));
+        expect_that!(put("q4", "e1", soon, true).await, some(eq((false, soon))));
+        expect_that!(put("q4", "", 0, true).await, some(eq((false, soon))));
+        expect_that!(put("q3", "e2", late, false).await, some(eq((false, late))));
+    };
+
     async an_old_resend_is_not_applied_twice => {
         let group = Group::new(1, 1).await;
         let old = command(create("a", None).body.expect("a body"));
--- a/crates/jaylock-tests/tests/router/crash.rs
+++ b/crates/jaylock-tests/tests/router/crash.rs
@@ -75,6 +75,16 @@
         let statuses: Vec<u16> = answers.iter().map(|a| a.status).collect();
         assert_that!(statuses, each(eq(&200)));
     };
+    async crash_elsewhere_at_the_same_moment_leaves_no_need_of_a_trial => {
+        let crashed = Backend::start(fragile).await;
+        let spare = Backend::start(fragile).await;
+        let addresses = [crashed.address, spare.address];
+        let fleet = Fleet::start(&addresses, RouterSettings::default()).await;
+        fleet.claims.0.rival.set(true);
+        let answer = fleet.chat(&poison()).await;
+        assert_that!((answer.status, answer.run.as_str()), eq((422, "ran")));
+        assert_that!((crashed.count(), spare.count()), eq((1, 0)));
+    };
     async resend_of_a_suspect_waits_for_its_trial => {
         let crashed = Backend::start(|_| vec![Act::Crash]).await;
         let slow = Backend::start(|s| vec![stream_head(s), piece(s, 1), Act::Hang]).await;
--- a/crates/jaylock-tests/tests/router/leave.rs
+++ b/crates/jaylock-tests/tests/router/leave.rs
@@ -7,7 +7,7 @@
 use jaylock_tests::cases;
 
 use crate::backend::{Act, Backend, done, last_piece, piece, stream_head};
-use crate::fleet::{Fleet, ask};
+use crate::fleet::{Fleet, ask, read_all};
 
 cases! {
     async requests_in_progress_are_finished_and_new_ones_sent_elsewhere => {
@@ -37,6 +37,17 @@
         assert_that!(answer.body, ends_with("data: [DONE]\n\n"));
         assert_that!(fleet.capacity.0.ends.borrow().len(), eq(1));
     };
+    async idle_connections_are_closed => {
+        let settings = RouterSettings { keep_ms: 10, ..RouterSettings::default() };
+        let fleet = Fleet::start(&[], settings).await;
+        let mut idle = fleet.open("GET /v1/health HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        compio::time::sleep(Duration::from_millis(50)).await;
+        fleet.router.leave();
+        let limit = Duration::from_secs(5);
+        let answer = compio::time::timeout(limit, read_all(&mut idle)).await;
+        assert_that!(answer, ok(starts_with("HTTP/1.1 200")));
+        assert_that!(compio::time::timeout(limit, fleet.router.drained()).await.is_ok(), eq(true));
+    };
     async drained_waits_for_the_last_request => {
         let engine = Backend::start(|s| vec![stream_head(s), piece(s, 1), Act::Hang]).await;
         let settings = RouterSettings { keep_ms: 10, ..RouterSettings::default() };
--- a/crates/jaylock-tests/tests/router/limits.rs
+++ b/crates/jaylock-tests/tests/router/limits.rs
@@ -9,7 +9,7 @@
 use jaylock_tests::cases;
 use jaylock_types::ByteSize;
 
-use crate::backend::{Act, Backend, piece, stream_head, whole_stream};
+use crate::backend::{Act, Backend, piece, plain, stream_head, whole_stream};
 use crate::fleet::{CHAT_HEAD, Fleet, ask, read_all};
 
 fn tight() -> RouterSettings {
@@ -43,6 +43,19 @@
         assert_that!(fleet.raw("no http at all\r\n\r\n").await, starts_with("HTTP/1.1 400"));
         assert_that!(fleet.chat(&ask(false)).await.status, eq(200));
     };
+    async long_answers_are_bounded => {
+        let service = Backend::start(|s| plain(s, 200, "refunded")).await;
+        let (few, many) = (ByteSize(4), ByteSize(100));
+        let settings = RouterSettings { answer_bound: many, record_bound: few, ..tight() };
+        let fleet = Fleet::start(&[service.address], settings).await;
+        assert_that!(fleet.once("k", "x").await.body, eq("refunded"));
+        let again = fleet.once("k", "x").await;
+        assert_that!((again.status, again.recorded, again.body.as_str()), eq((200, true, "")));
+        let settings = RouterSettings { answer_bound: few, ..tight() };
+        let fleet = Fleet::start(&[service.address], settings).await;
+        let answer = fleet.once("k", "x").await;
+        assert_that!((answer.status, answer.run.as_str()), eq((409, "unknown")));
+    };
     async slow_body_is_refused => {
         let (_engine, fleet) = fleet().await;
         let answer = fleet.raw(&format!("{CHAT_HEAD}content-length: 100\r\n\r\n{{")).await;
--- a/crates/jaylock-tests/tests/router/paths.rs
+++ b/crates/jaylock-tests/tests/router/paths.rs
@@ -2,6 +2,7 @@
 
 use googletest::prelude::*;
 use jaylock_router::RouterSettings;
+use jaylock_rpc::v1::BackendVerdict;
 use jaylock_tests::cases;
 
 use crate::backend::{Backend, plain, whole_stream};
@@ -54,6 +55,27 @@
         assert_that!(answer.body, ends_with("data: [DONE]\n\n"));
         assert_that!(answer.body, not(contains_substring(engine.seen.borrow()[0].id())));
     };
+    async scheduler_that_refuses_a_backend_server_is_heard => {
+        let fleet = fleet().await;
+        let refused = "held elsewhere".to_owned();
+        let verdict = BackendVerdict { backend: "e1".into(), incarnation: 1, refused };
+        fleet.capacity.0.verdicts.borrow_mut().push(verdict);
+        let answer = fleet.send("POST", "/v1/backends/announce", &[], ANNOUNCEMENT).await;
+        assert_that!(answer.status, eq(409));
+        assert_that!(answer.body, contains_substring("held elsewhere"));
+        let heartbeat = r#"{"id":"e1","incarnation":1}"#;
+        let answer = fleet.send("POST", "/v1/backends/heartbeat", &[], heartbeat).await;
+        assert_that!(answer.status, eq(409));
+    };
+    async keys_follow_the_configuration => {
+        let fleet = fleet().await;
+        assert_that!(fleet.chat("{}").await.status, eq(400));
+        let mut next = (*fleet.view.current()).clone();
+        next.index += 1;
+        next.organisations.retain(|o| o.id != "shop");
+        assert_that!(fleet.view.offer(next), eq(true));
+        assert_that!(fleet.chat("{}").await.status, eq(401));
+    };
     async model_and_adapter_must_be_configured => {
         let fleet = fleet().await;
         let unknown = fleet.chat(&ask(false).replace("\"m\"", "\"z\"")).await;
@@ -98,6 +120,8 @@
         let earlier = ANNOUNCEMENT.replace("\"incarnation\":1", "\"incarnation\":0");
         assert_that!(post("/v1/backends/announce", &earlier).await, eq(409));
         assert_that!(post("/v1/backends/announce", "{}").await, eq(400));
+        let many = ANNOUNCEMENT.replace("\"slots\":8", "\"slots\":5000");
+        assert_that!(post("/v1/backends/announce", &many).await, eq(400));
         assert_that!(post("/v1/backends/heartbeat", heartbeat).await, eq(200));
         let leave = r#"{"id":"e1","incarnation":1}"#;
         assert_that!(post("/v1/backends/leave", leave).await, eq(200));
--- a/crates/jaylock-tests/tests/router/port.rs
+++ b/crates/jaylock-tests/tests/router/port.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
@@ -101,6 +102,8 @@
     pub quarantines: RefCell<Vec<Quarantine>>,
     pub views: RefCell<Vec<ConfigView>>,
     pub answer: Cell<Option<Kind>>,
+    /// Whether another router notes a crash of the same request just after the first suspicion.
+    pub rival: Cell<bool>,
 }
 
 impl ClaimsState {
@@ -135,9 +138,15 @@
             let mut next = (*view.current()).clone();
             next.index += 1;
             let listed = &mut next.quarantines;
-            listed.retain(|q| q.fingerprint != quarantine.fingerprint);
-            let at = listed.partition_point(|q| q.fingerprint < quarantine.fingerprint);
-            listed.insert(at, quarantine.clone());
+            let mut new = quarantine.clone();
+            let same = listed.iter().find(|q| q.fingerprint == new.fingerprint);
+            if let Some(known) = same {
+                let is_second = known.request != new.request && known.backend != new.backend;
+                new.suspect &= known.suspect && !(is_second && new.until_ms > 0);
+            }
+            listed.retain(|q| q.fingerprint != new.fingerprint);
+            let at = listed.partition_point(|q| q.fingerprint < new.fingerprint);
+            listed.insert(at, new);
             assert!(view.offer(next));
         }
     }
@@ -166,6 +175,20 @@
     }
 }
 
+impl FakeClaims {
+    async fn rival(self) {
+        compio::time::sleep(Duration::from_millis(50)).await;
+        let first = self.0.quarantines.borrow()[0].clone();
+        let (request, backend) = ("rival".to_owned(), "elsewhere".to_owned());
+        let second = Quarantine {
+            request,
+            backend,
+            ..first
+        };
+        self.0.quarantine(&second);
+    }
+}
+
 impl Claims for FakeClaims {
     fn propose(&self, command: Command) -> LocalBoxFuture<'_, Result<Applied, NoControl>> {
         async move {
@@ -173,6 +196,9 @@
                 return Err(NoControl("cut off".into()));
             }
             let result = command.body.map(|body| self.0.apply(body));
+            if self.0.rival.take() {
+                compio::runtime::spawn(self.clone().rival()).detach();
+            }
             Ok(Applied {
                 index: 2,
                 revision: 1,
--- a/crates/jaylock-tests/tests/router/whole.rs
+++ b/crates/jaylock-tests/tests/router/whole.rs
@@ -105,6 +105,10 @@
         let (answer, _) = resumed(first).await;
         assert_that!(answer.body, contains_substring(WHOLE));
     };
+    async engine_that_is_asked_too_often_is_asked_again => {
+        let (answer, _) = resumed(|s| plain(s, 429, "later")).await;
+        assert_that!(answer.body, contains_substring(WHOLE));
+    };
     async engines_own_refusal_is_passed_on => {
         let (answer, _) = resumed(|s| plain(s, 400, "bad temperature")).await;
         assert_that!((answer.status, answer.run.as_str()), eq((400, "ran")));
