Whole answers keep every part of the message

Cause: a whole answer was put together from the text of its pieces alone, so calls of tools in a message were dropped without a word. Ruled out: asking engines for a whole answer when tools are named; a break would lose it all, and pieces could not be checked. Change: parts merge: texts grow, lists grow or merge by their index, the rest is replaced; a module of its own. Conclusion: the caller gets the message that the engine sent.

--- a/crates/jaylock-router/src/completion.rs
+++ b/crates/jaylock-router/src/completion.rs
@@ -5,10 +5,11 @@
 use http::{Response, StatusCode, header};
 use jaylock_observe::Run;
 use jaylock_types::RequestId;
-use serde_json::{Map, Value, json};
+use serde_json::Value;
 
 use crate::account::Account;
 use crate::answer::{self, Refusal, mark, put};
+use crate::assembly::Assembly;
 use crate::body::Body;
 use crate::call::{self, Call};
 use crate::chat::Chat;
@@ -105,72 +106,3 @@
         text
     }
 }
-
-/// Puts the pieces of an answer together.
-#[derive(Default)]
-struct Assembly {
-    choices: Vec<Choice>,
-    usage: Option<Value>,
-    created: Option<Value>,
-}
-
-struct Choice {
-    index: u64,
-    text: String,
-    reason: Value,
-}
-
-impl Assembly {
-    fn add(&mut self, piece: &Piece) {
-        let chunk: &Map<String, Value> = &piece.chunk;
-        if let Some(usage) = chunk.get("usage").filter(|u| !u.is_null()) {
-            self.usage = Some(usage.clone());
-        }
-        if self.created.is_none() {
-            self.created = chunk.get("created").cloned();
-        }
-        let choices = chunk.get("choices").and_then(Value::as_array);
-        for part in choices.into_iter().flatten() {
-            let choice = self.choice(part["index"].as_u64().unwrap_or(0));
-            choice
-                .text
-                .push_str(part["delta"]["content"].as_str().unwrap_or_default());
-            if part["finish_reason"].is_string() {
-                choice.reason = part["finish_reason"].clone();
-            }
-        }
-    }
-
-    fn choice(&mut self, index: u64) -> &mut Choice {
-        let found = self.choices.binary_search_by_key(&index, |c| c.index);
-        let at = found.unwrap_or_else(|at| {
-            let choice = Choice {
-                index,
-                text: String::new(),
-                reason: Value::Null,
-            };
-            self.choices.insert(at, choice);
-            at
-        });
-        &mut self.choices[at]
-    }
-
-    fn finish(self, request: &RequestId, model: &str) -> String {
-        let choices = self.choices.into_iter().map(|c| {
-            json!({
-                "index": c.index,
-                "message": {"role": "assistant", "content": c.text},
-                "finish_reason": c.reason,
-            })
-        });
-        let answer = json!({
-            "id": request.as_str(),
-            "object": "chat.completion",
-            "created": self.created.unwrap_or(Value::from(0)),
-            "model": model,
-            "choices": choices.collect::<Vec<Value>>(),
-            "usage": self.usage,
-        });
-        answer.to_string()
-    }
-}
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -4,6 +4,7 @@
 mod address;
 mod announce;
 mod answer;
+mod assembly;
 mod attempt;
 mod background;
 mod body;
--- a/crates/jaylock-tests/tests/router/backend.rs
+++ b/crates/jaylock-tests/tests/router/backend.rs
@@ -189,8 +189,17 @@
     Act::Send(text.replace("\"t", "\"x"))
 }
 
+/// A piece with any part of a message.
+pub fn delta(seen: &Seen, number: u64, part: &str) -> Act {
+    delta_of(seen.id(), number, part)
+}
+
 fn piece_of(id: &str, number: u64) -> Act {
-    let choice = format!("{{\"index\":0,\"delta\":{{\"content\":\"t{number} \"}}}}");
+    delta_of(id, number, &format!("{{\"content\":\"t{number} \"}}"))
+}
+
+fn delta_of(id: &str, number: u64, part: &str) -> Act {
+    let choice = format!("{{\"index\":0,\"delta\":{part}}}");
     chunk(&format!(
         "id: {number}\ndata: {{\"id\":\"{id}\",\"choices\":[{choice}]}}\n\n"
     ))
--- a/crates/jaylock-tests/tests/router/paths.rs
+++ b/crates/jaylock-tests/tests/router/paths.rs
@@ -5,7 +5,7 @@
 use jaylock_rpc::v1::BackendVerdict;
 use jaylock_tests::cases;
 
-use crate::backend::{Backend, plain, whole_stream};
+use crate::backend::{Backend, delta, done, last_piece, plain, stream_head, whole_stream};
 use crate::fleet::{Fleet, ask};
 
 const KEY: (&str, &str) = ("authorization", "Bearer key-1");
@@ -46,6 +46,27 @@
         assert_that!(ends.len(), eq(1));
         assert_that!(ends[0].outcome, eq(0));
     };
+    async whole_answer_keeps_every_part_of_the_message => {
+        let engine = Backend::start(|s| {
+            let call = |part: &str| format!("{{\"role\":\"assistant\",\"tool_calls\":[{part}]}}");
+            let head = r#"{"index":0,"id":"c1","type":"function","function":{"name":"f","arguments":"{\"a\""}}"#;
+            let tail = r#"{"index":0,"function":{"arguments":":1}"}}"#;
+            let other = r#"{"index":1,"id":"c2","type":"function","function":{"name":"g","arguments":"{}"}}"#;
+            let parts = [head, tail, other].map(call);
+            let pieces = (1..).zip(&parts).map(|(n, part)| delta(s, n, part));
+            [stream_head(s)].into_iter().chain(pieces).chain([last_piece(s, 4), done()]).collect()
+        })
+        .await;
+        let fleet = Fleet::start(&[engine.address], RouterSettings::default()).await;
+        let answer = fleet.chat(&ask(false)).await;
+        let answer: serde_json::Value = serde_json::from_str(&answer.body).expect("JSON");
+        let message = &answer["choices"][0]["message"];
+        assert_that!(message["role"].as_str(), some(eq("assistant")));
+        let calls = &message["tool_calls"];
+        assert_that!(calls.as_array().map(Vec::len), some(eq(2)));
+        assert_that!(calls[0]["function"]["arguments"].as_str(), some(eq(r#"{"a":1}"#)));
+        assert_that!(calls[1]["id"].as_str(), some(eq("c2")));
+    };
     async streamed_answer_has_an_explicit_end => {
         let engine = Backend::start(|seen| whole_stream(seen, 3)).await;
         let fleet = Fleet::start(&[engine.address], RouterSettings::default()).await;
