--- a/crates/jaylock-tests/tests/router/paths.rs
+++ b/crates/jaylock-tests/tests/router/paths.rs
@@ -2,9 +2,10 @@
 
 use googletest::prelude::*;
 use jaylock_router::RouterSettings;
+use jaylock_rpc::v1::BackendVerdict;
 use jaylock_tests::cases;
 
-use crate::backend::{Backend, plain, whole_stream};
+use crate::backend::{Backend, delta, done, last_piece, plain, stream_head, whole_stream};
 use crate::fleet::{Fleet, ask};
 
 const KEY: (&str, &str) = ("authorization", "Bearer key-1");
@@ -45,6 +46,27 @@
         assert_that!(ends.len(), eq(1));
         assert_that!(ends[0].outcome, eq(0));
     };
+    async whole_answer_keeps_every_part_of_the_message => {
+        let engine = Backend::start(|s| {
+            let call = |part: &str| format!("{{\"role\":\"assistant\",\"tool_calls\":[{part}]}}");
+            let head = r#"{"index":0,"id":"c1","type":"function","function":{"name":"f","arguments":"{\"a\""}}"#;
+            let tail = r#"{"index":0,"function":{"arguments":":1}"}}"#;
+            let other = r#"{"index":1,"id":"c2","type":"function","function":{"name":"g","arguments":"{}"}}"#;
+            let parts = [head, tail, other].map(call);
+            let pieces = (1..).zip(&parts).map(|(n, part)| delta(s, n, part));
+            [stream_head(s)].into_iter().chain(pieces).chain([last_piece(s, 4), done()]).collect()
+        })
+        .await;
+        let fleet = Fleet::start(&[engine.address], RouterSettings::default()).await;
+        let answer = fleet.chat(&ask(false)).await;
+        let answer: serde_json::Value = serde_json::from_str(&answer.body).expect("JSON");
+        let message = &answer["choices"][0]["message"];
+        assert_that!(message["role"].as_str(), some(eq("assistant")));
+        let calls = &message["tool_calls"];
+        assert_that!(calls.as_array().map(Vec::len), some(eq(2)));
+        assert_that!(calls[0]["function"]["arguments"].as_str(), some(eq(r#"{"a":1}"#)));
+        assert_that!(calls[1]["id"].as_str(), some(eq("c2")));
+    };
     async streamed_answer_has_an_explicit_end => {
         let engine = Backend::start(|seen| whole_stream(seen, 3)).await;
         let fleet = Fleet::start(&[engine.address], RouterSettings::default()).await;
@@ -54,6 +76,27 @@
         assert_that!(answer.body, ends_with("data: [DONE]\n\n"));
         assert_that!(answer.body, not(contains_substring(engine.seen.borrow()[0].id())));
     };
+    async scheduler_that_refuses_a_backend_server_is_heard => {
+        let fleet = fleet().await;
+        let refused = "held elsewhere".to_owned();
+        let verdict = BackendVerdict { backend: "e1".into(), incarnation: 1, refused };
+        fleet.capacity.0.verdicts.borrow_mut().push(verdict);
+        let answer = fleet.send("POST", "/v1/backends/announce", &[], ANNOUNCEMENT).await;
+        assert_that!(answer.status, eq(409));
+        assert_that!(answer.body, contains_substring("held elsewhere"));
+        let heartbeat = r#"{"id":"e1","incarnation":1}"#;
+        let answer = fleet.send("POST", "/v1/backends/heartbeat", &[], heartbeat).await;
+        assert_that!(answer.status, eq(409));
+    };
+    async keys_follow_the_configuration => {
+        let fleet = fleet().await;
+        assert_that!(fleet.chat("{}").await.status, eq(400));
+        let mut next = (*fleet.view.current()).clone();
+        next.index += 1;
+        next.organisations.retain(|o| o.id != "shop");
+        assert_that!(fleet.view.offer(next), eq(true));
+        assert_that!(fleet.chat("{}").await.status, eq(401));
+    };
     async model_and_adapter_must_be_configured => {
         let fleet = fleet().await;
         let unknown = fleet.chat(&ask(false).replace("\"m\"", "\"z\"")).await;
@@ -98,6 +141,8 @@
         let earlier = ANNOUNCEMENT.replace("\"incarnation\":1", "\"incarnation\":0");
         assert_that!(post("/v1/backends/announce", &earlier).await, eq(409));
         assert_that!(post("/v1/backends/announce", "{}").await, eq(400));
+        let many = ANNOUNCEMENT.replace("\"slots\":8", "\"slots\":5000");
+        assert_that!(post("/v1/backends/announce", &many).await, eq(400));
         assert_that!(post("/v1/backends/heartbeat", heartbeat).await, eq(200));
         let leave = r#"{"id":"e1","incarnation":1}"#;
         assert_that!(post("/v1/backends/leave", leave).await, eq(200));
