Fleets of real processes under races, kills, freezes, cuts and lost disks; a thawed instance is cut off at once

The test of a frozen leader found a fault: being connected was a flag that a round of gossip refreshed each second, so an instance that was frozen beyond its lease still admitted a request when it woke (504 after its deadline instead of 503 at once). Ruled out: the replicated log (the thawed leader answered no read and no change); a shorter round of gossip, which only shortens the fault. Change: being connected ends at a moment, that of the lease or that of a heard majority (FollowerSettings heard_for, which nothing used); a wide round is asked before the lease ends, so that a router does not refuse between its lease and the majority. The tool leaves time for the last answer of "config wait". Instances listen on caller_listen and peer_listen. Forwarders of tests find a connection's owner by both its ports.

--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -32,7 +32,19 @@
     /// Whether the lease of the last renewal, counted from when it was sent, still holds.
     #[must_use]
     pub fn is_valid(&self) -> bool {
-        self.end.get().is_some_and(|end| Instant::now() < end)
+        self.is_valid_at(Instant::now())
+    }
+
+    /// Whether the lease of the last renewal still holds at a moment.
+    #[must_use]
+    pub fn is_valid_at(&self, moment: Instant) -> bool {
+        self.end.get().is_some_and(|end| moment < end)
+    }
+
+    /// When the lease of the last renewal ends.
+    #[must_use]
+    pub fn end(&self) -> Option<Instant> {
+        self.end.get()
     }
 
     fn extend(&self, end: Instant) {
@@ -173,7 +185,7 @@
             let in_force = view.newer_than(before);
             if compio::time::timeout_at(end, in_force).await.is_ok() {
                 lease.extend(end);
-                view.set_connected(true);
+                view.set_connected_until(lease.end().unwrap_or(end));
             }
         };
         compio::runtime::spawn(waiting).detach();
--- a/crates/jaylock-control/src/gossip.rs
+++ b/crates/jaylock-control/src/gossip.rs
@@ -1,5 +1,5 @@
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
 use jaylock_rpc::ChannelSettings;
@@ -47,12 +47,15 @@
         let mut turn = 0;
         loop {
             let started = Instant::now();
-            if self.lease.is_valid() {
-                self.view.set_connected(true);
+            if let Some(end) = self.lease.end() {
+                self.view.set_connected_until(end);
+            }
+            if self.lease.is_valid_at(started + self.round()) {
                 self.ask_neighbour(turn).await;
-            } else {
-                let connected = self.ask_many().await;
-                self.view.set_connected(connected || self.lease.is_valid());
+            } else if self.ask_many().await {
+                let heard = started + self.settings.heard_for;
+                self.view
+                    .set_connected_until(self.lease.end().max(Some(heard)).unwrap_or(heard));
             }
             turn += 1;
             let pause = self.settings.gossip_every.saturating_sub(started.elapsed());
@@ -60,6 +63,11 @@
         }
     }
 
+    /// Longest time until the next round has ended.
+    fn round(&self) -> Duration {
+        self.settings.gossip_every + self.settings.answer_timeout
+    }
+
     async fn ask_neighbour(&self, turn: usize) {
         let near = self.neighbours();
         self.channels.keep(&near);
--- a/crates/jaylock-control/src/view.rs
+++ b/crates/jaylock-control/src/view.rs
@@ -1,5 +1,6 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use futures_channel::oneshot;
 use jaylock_rpc::v1::Configuration;
@@ -15,7 +16,8 @@
 struct Shared {
     current: RefCell<Rc<Configuration>>,
     waiting: RefCell<Vec<oneshot::Sender<()>>>,
-    connected: Cell<bool>,
+    /// When being connected ends; the instance is cut off without one.
+    connected: Cell<Option<Instant>>,
 }
 
 impl ConfigView {
@@ -67,11 +69,23 @@
     /// While it is false, the instance admits no request.
     #[must_use]
     pub fn is_connected(&self) -> bool {
-        self.shared.connected.get()
+        let end = self.shared.connected.get();
+        end.is_some_and(|end| Instant::now() < end)
     }
 
-    /// Notes whether control or a majority of the other instances was heard lately.
+    /// Notes that the instance is connected, or that it is cut off.
     pub fn set_connected(&self, connected: bool) {
-        self.shared.connected.set(connected);
+        let end = connected.then(|| Instant::now() + LONGEST);
+        self.shared.connected.set(end);
+    }
+
+    /// Notes until when the instance counts as connected by what it has heard.
+    ///
+    /// A process that was frozen past that moment is cut off from its first step on.
+    pub fn set_connected_until(&self, end: Instant) {
+        self.shared.connected.set(Some(end));
     }
 }
+
+/// Stands for a time without end.
+const LONGEST: Duration = Duration::from_hours(24);
--- a/crates/jaylock-daemon/src/instance.rs
+++ b/crates/jaylock-daemon/src/instance.rs
@@ -46,8 +46,8 @@
     /// # Errors
     /// An address is taken, or the data folder can't be read.
     pub async fn open(settings: Settings) -> anyhow::Result<Self> {
-        let callers = bind(settings.instance.caller_address, "caller_address").await?;
-        let peers = bind(settings.instance.peer_address, "peer_address").await?;
+        let callers = bind(settings.instance.caller_listen(), "caller_address").await?;
+        let peers = bind(settings.instance.peer_listen(), "peer_address").await?;
         let server = ServerSettings {
             peer_secret: settings.security.peer_secret.clone(),
             operator_secret: settings.security.operator_secret.clone(),
--- a/crates/jaylock-operator/src/bin/jaylock/config.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/config.rs
@@ -43,7 +43,8 @@
         None => session.configuration().await?.revision,
     };
     loop {
-        let left = end.saturating_duration_since(Instant::now()).min(ROUND);
+        let left = end.saturating_duration_since(Instant::now());
+        let left = left.saturating_sub(ANSWER_TIME).min(ROUND);
         let request = v1::WaitRequest {
             revision,
             timeout_ms: u32::try_from(left.as_millis()).unwrap_or_default(),
@@ -53,7 +54,7 @@
         if reply.in_force {
             return Ok(Output::Record(Record::new().with("revision", revision)));
         }
-        if Instant::now() >= end {
+        if Instant::now() + ANSWER_TIME >= end {
             let lagging = reply
                 .lagging
                 .iter()
@@ -150,5 +151,8 @@
     listing
 }
 
+/// Time that is left for the last answer to arrive.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// Longest wait at one instance before it is asked again.
 const ROUND: Duration = Duration::from_secs(2);
--- a/crates/jaylock-tests/src/fleet/forward.rs
+++ b/crates/jaylock-tests/src/fleet/forward.rs
@@ -8,6 +8,9 @@
 /// Time between two looks at whether a cut has ended.
 const PAUSE: Duration = Duration::from_millis(10);
 
+/// Looks for the process behind a connection.
+const LOOKS: usize = 50;
+
 /// Which instances run as which process, and which are cut off; shared by all forwarders.
 pub struct Network {
     /// Process ids by instance; 0 while it is down.
@@ -48,7 +51,7 @@
     to: SocketAddr,
     place: usize,
 ) -> io::Result<()> {
-    let source = source_of(network, caller.peer_addr()?.port());
+    let source = source_of(network, &caller)?;
     wait_uncut(network, source, place);
     let target = TcpStream::connect(to)?;
     caller.set_nodelay(true)?;
@@ -90,22 +93,33 @@
     }
 }
 
-/// The instance whose process opened a connection from a port; `None` for the test itself.
-fn source_of(network: &Arc<Mutex<Network>>, port: u16) -> Option<usize> {
-    let inode = inode_of(port)?;
-    let pids = network.lock().expect("a lock").pids.clone();
-    pids.iter().position(|pid| holds(*pid, &inode))
+/// The instance whose process opened a connection; `None` when it has gone.
+fn source_of(network: &Arc<Mutex<Network>>, caller: &TcpStream) -> io::Result<Option<usize>> {
+    let ends = (caller.peer_addr()?.port(), caller.local_addr()?.port());
+    for _ in 0..LOOKS {
+        let pids = network.lock().expect("a lock").pids.clone();
+        let inode = inode_of(ends);
+        let found = inode.and_then(|inode| pids.iter().position(|pid| holds(*pid, &inode)));
+        if found.is_some() {
+            return Ok(found);
+        }
+        // A process that has just begun is noted a moment later.
+        thread::sleep(PAUSE);
+    }
+    Ok(None)
 }
 
-/// The socket behind a local port, as the system lists it.
-fn inode_of(port: u16) -> Option<String> {
-    let suffix = format!(":{port:04X}");
+/// The socket between two local ports, as the system lists it.
+fn inode_of((from, to): (u16, u16)) -> Option<String> {
+    let (from, to) = (format!(":{from:04X}"), format!(":{to:04X}"));
     let table = fs::read_to_string("/proc/net/tcp").ok()?;
     let mut rows = table
         .lines()
         .map(|row| row.split_whitespace().collect::<Vec<_>>());
-    let found = rows.find(|row| row.get(1).is_some_and(|local| local.ends_with(&suffix)))?;
-    found.get(9).map(|inode| format!("socket:[{inode}]"))
+    // Two connections may share the port they come from, but not both ports.
+    let found =
+        rows.find(|row| row.len() > 9 && row[1].ends_with(&from) && row[2].ends_with(&to))?;
+    Some(format!("socket:[{}]", found[9]))
 }
 
 fn holds(pid: u32, socket: &str) -> bool {
--- a/crates/jaylock-tests/src/fleet/http.rs
+++ b/crates/jaylock-tests/src/fleet/http.rs
@@ -4,6 +4,8 @@
 
 /// Time for a whole answer.
 const LIMIT: Duration = Duration::from_secs(10);
+/// Time that a caller gives a request, in ms.
+const DEADLINE_MS: u32 = 3000;
 
 /// An answer over HTTP/1.
 #[derive(Debug, Clone)]
@@ -68,7 +70,7 @@
     let length = body.len();
     let text = format!(
         "POST {path} HTTP/1.1\r\nhost: {address}\r\nauthorization: Bearer {key}\r\n\
-         content-type: application/json\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
+         content-type: application/json\r\nx-deadline-ms: {DEADLINE_MS}\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
     );
     exchange(address, text.as_bytes())
 }
