--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -14,13 +14,12 @@
 use crate::backend::Backends;
 use crate::cost::{Mean, Shape, cost_of};
 use crate::demand::Demands;
+use crate::division::Division;
 use crate::queue::Waiting;
 use crate::router::{RouterKey, Routers, Run};
 
 /// Wait that is named to a caller when no backend server can take its request.
 const NO_BACKEND_RETRY: Duration = Duration::from_secs(1);
-/// Longest wait that is named to a refused caller.
-const LONGEST_RETRY: Duration = Duration::from_mins(1);
 
 /// The state of one pool and its decisions; the scheduler's task is its only user.
 #[derive(Debug)]
@@ -40,6 +39,7 @@
     pub(crate) ready: Instant,
     pub(crate) usage: Usage,
     pub(crate) waiting: usize,
+    pub(crate) division: Division,
     mean: Mean,
 }
 
@@ -61,6 +61,7 @@
             decisions: VecDeque::new(),
             usage: Usage::new(now),
             waiting: 0,
+            division: Division::default(),
             mean: Mean::default(),
         }
     }
@@ -88,7 +89,7 @@
     pub fn attach(&mut self, hello: &Hello, now: Instant) -> RouterKey {
         let key = match self.routers.find(&hello.router) {
             Some(key) => key,
-            None => self.routers.add(hello),
+            None => self.routers.add(hello, now),
         };
         self.forget_waiting(key);
         if let Some(router) = self.routers.get_mut(key) {
@@ -96,6 +97,7 @@
             router.domain = hello.domain.as_str().into();
             router.lost = None;
             router.frame = SchedulerFrame::default();
+            router.fallback = Vec::new();
         }
         self.reconcile(key, &hello.running, now);
         key
@@ -150,22 +152,25 @@
             self.routers.remove(key);
         }
         self.refuse_unservable(now);
+        self.divide();
     }
 
     /// Takes out what is to be sent to the attached routers.
-    pub fn frames(&mut self) -> Vec<(RouterKey, SchedulerFrame)> {
-        let epoch = self.epoch;
+    ///
+    /// A router with work waiting gets an empty message after a silence, as a heartbeat.
+    pub fn frames(&mut self, now: Instant) -> Vec<(RouterKey, SchedulerFrame)> {
+        let (epoch, heartbeat) = (self.epoch, self.settings.heartbeat);
         let attached = self
             .routers
             .iter_mut()
             .filter(|(_, router)| router.lost.is_none());
-        let full = attached.filter(|(_, router)| router.frame != SchedulerFrame::default());
-        let take = |frame: &mut SchedulerFrame| SchedulerFrame {
-            epoch,
-            ..std::mem::take(frame)
-        };
-        full.map(|(key, router)| (key, take(&mut router.frame)))
-            .collect()
+        let due = attached.filter(|(_, router)| router.is_due(now, heartbeat));
+        let frames = due.map(|(key, router)| {
+            router.sent = now;
+            let frame = std::mem::take(&mut router.frame);
+            (key, SchedulerFrame { epoch, ..frame })
+        });
+        frames.collect()
     }
 
     /// Expected cost of a request, from the organisation's own history.
@@ -184,7 +189,7 @@
         let account = self.accounts.intern(&ask.organisation);
         if let Some(reason) = self.refusal(account) {
             let wait = self.accounts.get_mut(account).next_place(now);
-            self.refuse(router, ask.ticket, reason, wait.min(LONGEST_RETRY));
+            self.refuse(router, ask.ticket, reason, wait);
             self.accounts.get_mut(account).refused += 1;
             return;
         }
@@ -255,17 +260,18 @@
     }
 
     fn progress(&mut self, router: RouterKey, progress: Progress) {
+        let ahead = u64::from(self.settings.charged_ahead);
         let run = self
             .routers
             .get_mut(router)
             .and_then(|r| r.run_mut(progress.ticket));
         let Some(run) = run else { return };
-        let account = run.account;
         let grown = progress.tokens.saturating_sub(run.tokens);
-        let beyond = progress.tokens.saturating_sub(run.charged);
         run.tokens += grown;
-        run.charged += beyond;
-        self.accounts.charge(account, beyond);
+        let more = charge(run.expected, run.tokens, ahead).saturating_sub(run.charged);
+        run.charged += more;
+        let account = run.account;
+        self.accounts.charge(account, more);
         self.accounts.get_mut(account).tokens += grown;
     }
 
@@ -365,19 +371,27 @@
         let account = self.accounts.intern(&running.organisation);
         let place = self.backends.place(&running.backend, now);
         let shape = Shape::default();
-        let charged = self.expected(account, shape, 0).max(running.tokens);
+        let expected = self.expected(account, shape, 0);
+        let charged = charge(
+            expected,
+            running.tokens,
+            u64::from(self.settings.charged_ahead),
+        );
         self.accounts.charge(account, charged);
         self.accounts.get_mut(account).running += 1;
-        self.backends.get_mut(place).add_grant();
+        let backend = self.backends.get_mut(place);
+        backend.add_grant();
+        backend.reserved |= running.alone;
         self.refresh(place, now);
         let run = Run {
             ticket: running.ticket,
             account,
             place,
             shape,
+            expected,
             charged,
             tokens: running.tokens,
-            alone: false,
+            alone: running.alone,
         };
         if let Some(router) = self.routers.get_mut(key) {
             router.add_run(run);
@@ -464,6 +478,14 @@
     }
 }
 
+/// What a run is charged: its tokens so far and `ahead` in 100 of those that are still expected.
+///
+/// The part ahead keeps the next slots from an organisation whose runs have only begun. A larger
+/// part would take expectations for service.
+pub(crate) fn charge(expected: u64, tokens: u64, ahead: u64) -> u64 {
+    tokens + expected.saturating_sub(tokens) * ahead / 100
+}
+
 /// Slot time used and offered while work waited.
 #[derive(Debug)]
 pub(crate) struct Usage {
