--- a/crates/jaylock-standin/src/run.rs
+++ b/crates/jaylock-standin/src/run.rs
@@ -1,5 +1,8 @@
 use crate::{Answer, ChatRequest, Choice, Chunk, Completion, Delta, Fault, Message, Slot, Usage};
 
+/// Prompt whose answer comes in place of the right one when answers are crossed.
+const ANOTHER_PROMPT: &str = "the prompt of another request";
+
 /// One request that runs at an engine.
 pub(crate) struct Run {
     /// What was asked.
@@ -19,8 +22,13 @@
 impl Run {
     /// The chunk at a position, counted from 1.
     pub fn piece(&self, position: u32) -> Chunk {
+        let content = if self.fault == Some(Fault::Crossed) {
+            Answer::of(ANOTHER_PROMPT, None).piece(position)
+        } else {
+            self.answer.piece(position)
+        };
         let delta = Delta {
-            content: Some(self.answer.piece(position)),
+            content: Some(content),
         };
         self.chunk(delta, None)
     }
