--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -2,11 +2,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jaylock_rpc::v1::{Change, Instance, RenewRequest, WatchReply};
-use jaylock_types::PoolId;
+use jaylock_rpc::v1::{Instance, RenewReply, RenewRequest};
+use jaylock_types::{Index, PoolId};
 
 use crate::gossip::Gossip;
-use crate::{ConfigView, ControlClient, FollowerSettings, state};
+use crate::{ConfigView, ControlClient, FollowerSettings};
 
 /// Keeps an instance's configuration up to date and its lease renewed.
 pub struct Follower {
@@ -34,6 +34,10 @@
     pub fn is_valid(&self) -> bool {
         self.end.get().is_some_and(|end| Instant::now() < end)
     }
+
+    fn extend(&self, end: Instant) {
+        self.end.set(self.end.get().max(Some(end)));
+    }
 }
 
 /// Changes what an instance tells control with its next renewal; clones share it.
@@ -134,7 +138,7 @@
             }
         };
         while let Ok(Some(reply)) = stream.message().await {
-            if !self.take(reply) {
+            if !self.view.follow(&reply) {
                 return false;
             }
             self.client.learn(&self.view.current());
@@ -143,21 +147,19 @@
         true
     }
 
-    /// Puts in force what a watch brought; false when it does not fit what is in force.
-    ///
-    /// Another instance may have brought a newer configuration meanwhile, and older changes are passed over.
-    fn take(&self, reply: WatchReply) -> bool {
-        if let Some(whole) = reply.whole {
-            let _ = self.view.offer(whole);
-        }
-        let newer = |c: &&Change| c.index > self.view.index().0;
-        for change in reply.changes.iter().filter(newer) {
-            let Some(next) = state::follow(&self.view.current(), change) else {
-                return false;
-            };
-            let _ = self.view.offer(next);
-        }
-        true
+    /// Holds the lease from when the configuration that it was renewed under is in force.
+    fn hold(&self, reply: &RenewReply, sent: Instant) {
+        let end = sent + Duration::from_millis(reply.lease_ms.into());
+        let before = Index(reply.index.saturating_sub(1));
+        let (lease, view) = (self.lease(), self.view.clone());
+        let waiting = async move {
+            let in_force = view.newer_than(before);
+            if compio::time::timeout_at(end, in_force).await.is_ok() {
+                lease.extend(end);
+                view.set_connected(true);
+            }
+        };
+        compio::runtime::spawn(waiting).detach();
     }
 
     async fn renew(&self) {
@@ -176,11 +178,7 @@
                     .collect(),
             };
             match self.client.renew_timed(request).await {
-                Ok((reply, sent)) => {
-                    let lease = Duration::from_millis(reply.lease_ms.into());
-                    self.shared.lease.end.set(Some(sent + lease));
-                    self.view.set_connected(true);
-                }
+                Ok((reply, sent)) => self.hold(&reply, sent),
                 Err(error) => log::warn!(target: "control", "the lease is not renewed: {error}"),
             }
             let pause = self.settings.renew_every.saturating_sub(started.elapsed());
--- a/crates/jaylock-share/src/account.rs
+++ b/crates/jaylock-share/src/account.rs
@@ -41,6 +41,11 @@
 }
 
 impl Account {
+    /// Weighted service in tokens.
+    pub fn weighted_service(&self) -> u64 {
+        self.level / PARTS
+    }
+
     /// Remembers how long a request waited.
     pub fn waited(&mut self, wait: Duration) {
         if self.waits.len() == MOST_WAITS {
