Fake peers of the control tests answer every call of the schema

Ruled out: a default in the generated trait; tonic makes none. Change: the fake refuses to keep minutes.

--- a/crates/jaylock-tests/tests/control/followers.rs
+++ b/crates/jaylock-tests/tests/control/followers.rs
@@ -10,7 +10,7 @@
 use jaylock_control::{ConfigView, Follower, FollowerSettings, InstanceLease, PeerService};
 use jaylock_rpc::v1::peer_server::{Peer, PeerServer};
 use jaylock_rpc::v1::{
-    BurnReply, BurnRequest, Instance, SyncReply, SyncRequest, TraceReply, TraceRequest,
+    BurnReply, BurnRequest, Instance, KeepReply, SyncReply, SyncRequest, TraceReply, TraceRequest,
 };
 use jaylock_rpc::{Access, Routes, ServerSettings, pinned, serve};
 use jaylock_types::Revision;
@@ -41,6 +41,10 @@
         Err(Status::unimplemented("not here"))
     }
 
+    async fn keep(&self, _: Request<BurnReply>) -> Result<Response<KeepReply>, Status> {
+        Err(Status::unimplemented("not here"))
+    }
+
     async fn trace(&self, _: Request<TraceRequest>) -> Result<Response<TraceReply>, Status> {
         Err(Status::unimplemented("not here"))
     }
