--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -32,7 +32,19 @@
     /// Whether the lease of the last renewal, counted from when it was sent, still holds.
     #[must_use]
     pub fn is_valid(&self) -> bool {
-        self.end.get().is_some_and(|end| Instant::now() < end)
+        self.is_valid_at(Instant::now())
+    }
+
+    /// Whether the lease of the last renewal still holds at a moment.
+    #[must_use]
+    pub fn is_valid_at(&self, moment: Instant) -> bool {
+        self.end.get().is_some_and(|end| moment < end)
+    }
+
+    /// When the lease of the last renewal ends.
+    #[must_use]
+    pub fn end(&self) -> Option<Instant> {
+        self.end.get()
     }
 
     fn extend(&self, end: Instant) {
@@ -115,32 +127,36 @@
                     let _ = self.view.offer(configuration);
                 }
                 Ok(_) => compio::time::sleep(self.settings.renew_every / 4).await,
-                Err(error) => log::warn!(target: "follower", "no configuration yet: {error}"),
+                Err(error) => log::warn!(target: "control", "no configuration yet: {error}"),
             }
         }
         let mut turn = rand::random_range(0..usize::MAX / 2);
+        let mut whole = false;
         loop {
-            self.watch_one(turn).await;
+            whole = !self.watch_one(turn, whole).await;
             turn += 1;
             compio::time::sleep(Duration::from_millis(rand::random_range(20..100))).await;
         }
     }
 
-    async fn watch_one(&self, turn: usize) {
+    /// Follows one replica until it ends the watch; false when its changes did not fit.
+    async fn watch_one(&self, turn: usize, whole: bool) -> bool {
         let index = self.view.index().0;
-        let mut stream = match self.client.watch(index, turn).await {
+        let mut stream = match self.client.watch(index, whole, turn).await {
             Ok(stream) => stream,
             Err(status) => {
-                log::debug!(target: "follower", "no watch: {}", status.message());
-                return;
+                log::debug!(target: "control", "no watch: {}", status.message());
+                return !whole;
             }
         };
-        while let Ok(Some(configuration)) = stream.message().await {
-            self.client.learn(&configuration);
-            if self.view.offer(configuration) {
-                log::debug!(target: "follower", "index {} is in force", self.view.index());
+        while let Ok(Some(reply)) = stream.message().await {
+            if !self.view.follow(&reply) {
+                return false;
             }
+            self.client.learn(&self.view.current());
+            log::debug!(target: "control", "index {} is in force", self.view.index());
         }
+        true
     }
 
     /// Holds the lease from when the configuration that it was renewed under is in force.
@@ -152,7 +168,7 @@
             let in_force = view.newer_than(before);
             if compio::time::timeout_at(end, in_force).await.is_ok() {
                 lease.extend(end);
-                view.set_connected(true);
+                view.set_connected_until(lease.end().unwrap_or(end));
             }
         };
         compio::runtime::spawn(waiting).detach();
@@ -175,7 +191,7 @@
             };
             match self.client.renew_timed(request).await {
                 Ok((reply, sent)) => self.hold(&reply, sent),
-                Err(error) => log::warn!(target: "follower", "the lease is not renewed: {error}"),
+                Err(error) => log::warn!(target: "control", "the lease is not renewed: {error}"),
             }
             let pause = self.settings.renew_every.saturating_sub(started.elapsed());
             compio::time::sleep(pause).await;
--- a/crates/jaylock-control/src/view.rs
+++ b/crates/jaylock-control/src/view.rs
@@ -1,10 +1,13 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use futures_channel::oneshot;
-use jaylock_rpc::v1::Configuration;
+use jaylock_rpc::v1::{Change, Configuration, WatchReply};
 use jaylock_types::{Index, Revision};
 
+use crate::state;
+
 /// The configuration in force at this instance; clones share it.
 #[derive(Clone, Default)]
 pub struct ConfigView {
@@ -15,7 +18,8 @@
 struct Shared {
     current: RefCell<Rc<Configuration>>,
     waiting: RefCell<Vec<oneshot::Sender<()>>>,
-    connected: Cell<bool>,
+    /// When being connected ends; the instance is cut off without one.
+    connected: Cell<Option<Instant>>,
 }
 
 impl ConfigView {
@@ -52,6 +56,24 @@
         true
     }
 
+    /// Puts in force what a watch brought; false when it does not fit what is in force.
+    ///
+    /// Older changes are passed over, for another instance may have brought a newer configuration meanwhile.
+    #[must_use = "changes that do not fit call for the whole configuration"]
+    pub fn follow(&self, reply: &WatchReply) -> bool {
+        if let Some(whole) = &reply.whole {
+            let _ = self.offer(whole.clone());
+        }
+        let newer = |c: &&Change| Index(c.index) > self.index();
+        for change in reply.changes.iter().filter(newer) {
+            let Some(next) = state::follow(&self.current(), change) else {
+                return false;
+            };
+            let _ = self.offer(next);
+        }
+        true
+    }
+
     /// Waits until a configuration newer than `index` is in force.
     pub async fn newer_than(&self, index: Index) -> Rc<Configuration> {
         while self.index() <= index {
@@ -67,11 +89,23 @@
     /// While it is false, the instance admits no request.
     #[must_use]
     pub fn is_connected(&self) -> bool {
-        self.shared.connected.get()
+        let end = self.shared.connected.get();
+        end.is_some_and(|end| Instant::now() < end)
     }
 
-    /// Notes whether control or a majority of the other instances was heard lately.
+    /// Notes that the instance is connected, or that it is cut off.
     pub fn set_connected(&self, connected: bool) {
-        self.shared.connected.set(connected);
+        let end = connected.then(|| Instant::now() + LONGEST);
+        self.shared.connected.set(end);
+    }
+
+    /// Notes until when the instance counts as connected by what it has heard.
+    ///
+    /// A process that was frozen past that moment is cut off from its first step on.
+    pub fn set_connected_until(&self, end: Instant) {
+        self.shared.connected.set(Some(end));
     }
 }
+
+/// Stands for a time without end.
+const LONGEST: Duration = Duration::from_hours(24);
--- a/crates/jaylock-measure/src/lib.rs
+++ b/crates/jaylock-measure/src/lib.rs
@@ -1,9 +1,15 @@
 //! Programs that measure a running fleet.
 
 mod connection;
+mod followers;
 mod load;
+mod process;
+mod steady;
 mod table;
 
-pub use self::connection::{Connection, Timing};
-pub use self::load::{Load, Target};
+pub use self::connection::{Connection, Timing, fetch};
+pub use self::followers::Followers;
+pub use self::load::{Load, Target, Times};
+pub use self::process::Usage;
+pub use self::steady::{Ended, Steady};
 pub use self::table::Table;
--- a/crates/jaylock-router/src/attempt.rs
+++ b/crates/jaylock-router/src/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use futures_util::FutureExt;
-use http::{Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use jaylock_types::RequestId;
@@ -22,6 +22,12 @@
 
 /// Header by which a backend server says that it didn't run a request.
 pub const NOT_RUN: &str = "x-not-run";
+/// Answers 4xx that say nothing against the request itself.
+const PASSING: [StatusCode; 3] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::TOO_EARLY,
+    StatusCode::TOO_MANY_REQUESTS,
+];
 /// Longest event of an engine's stream, in bytes.
 const EVENT_LIMIT: usize = 1 << 20;
 /// Time for the end of a stream to arrive after its last event.
@@ -50,6 +56,13 @@
     Final(StatusCode, Bytes),
 }
 
+impl Failure {
+    /// Whether the request surely did not run in this attempt.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Self::Unreachable(_) | Self::Declined)
+    }
+}
+
 /// Where a resumed answer goes on.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Position {
@@ -66,6 +79,7 @@
     body: Incoming,
     parser: EventParser,
     checker: PieceChecker,
+    started: bool,
 }
 
 impl Attempt {
@@ -89,6 +103,7 @@
             body: response.into_body(),
             parser: EventParser::default(),
             checker: PieceChecker::new(id.as_str(), position.last, position.finished),
+            started: false,
         })
     }
 
@@ -97,7 +112,10 @@
         loop {
             while let Some(event) = self.parser.next_event() {
                 match self.checker.check(&event) {
-                    Check::Pass(piece) => return Ok(Some(piece)),
+                    Check::Pass(piece) => {
+                        self.started = true;
+                        return Ok(Some(piece));
+                    }
                     Check::Drop => {}
                     Check::Whole => return Ok(None),
                     Check::Broken(reason) => return Err(Failure::Faulty(reason.into())),
@@ -131,7 +149,12 @@
         if self.parser.pending() > EVENT_LIMIT {
             return Err(Failure::Faulty("a piece is too long".into()));
         }
-        let limit = self.shared.settings.silence;
+        let settings = &self.shared.settings;
+        let limit = if self.started {
+            settings.silence
+        } else {
+            settings.first_byte
+        };
         match silence_limit(limit, self.body.frame()).await? {
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
@@ -184,13 +207,10 @@
     echoed.is_some_and(|e| e.as_bytes() != id.as_str().as_bytes())
 }
 
-/// Whether the backend server says that it did not run this very request.
+/// Whether the backend server says that it did not run this request.
 pub fn is_declined(response: &Response<Incoming>, id: &RequestId) -> bool {
-    let headers = response.headers();
-    let echoed = headers.get(REQUEST_ID).map(http::HeaderValue::as_bytes);
-    response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && headers.get(NOT_RUN).is_some_and(|v| v == "true")
-        && echoed == Some(id.as_str().as_bytes())
+    let says_so = response.headers().get(NOT_RUN).is_some_and(|v| v == "true");
+    response.status() == StatusCode::SERVICE_UNAVAILABLE && says_so && !is_crossed(response, id)
 }
 
 fn chat_request(
@@ -231,7 +251,7 @@
         return Err(Failure::Faulty("the answer is another request's".into()));
     }
     let status = response.status();
-    if status.is_client_error() {
+    if status.is_client_error() && !PASSING.contains(&status) {
         return Err(final_word(response, shared).await);
     }
     if status != StatusCode::OK {
@@ -255,10 +275,3 @@
         Err(_) => Failure::Broken("the answer broke off".into()),
     }
 }
-
-/// The content type of an answer.
-pub fn content_type(response: &Response<Incoming>) -> CompactString {
-    let value = response.headers().get(header::CONTENT_TYPE);
-    let value = value.and_then(|v| v.to_str().ok());
-    value.unwrap_or("application/octet-stream").into()
-}
--- a/crates/jaylock-router/src/link.rs
+++ b/crates/jaylock-router/src/link.rs
@@ -6,23 +6,31 @@
 use bytes::Bytes;
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
-use futures_channel::oneshot;
-use futures_util::future::select;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 
 /// Idle connections kept for each address.
 const IDLE_LIMIT: usize = 16;
+/// Silence after which the system probes a connection.
+const PROBE_TIME: Duration = Duration::from_secs(3);
+/// Time between two probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Unanswered probes that end a connection.
+const PROBE_COUNT: u32 = 3;
+/// Time for a backend server to acknowledge sent bytes.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(6);
+/// Wait before it is tried whether a backend server is gone.
+const PROBE_DELAY: Duration = Duration::from_millis(20);
 
 /// A connection to a backend server; dropping it closes it at once.
 pub struct Link {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     answered: Instant,
-    _stop: oneshot::Sender<()>,
 }
 
 /// How a request failed on a connection.
@@ -42,18 +50,19 @@
         let opening = compio::time::timeout(limit, TcpStream::connect(address)).await;
         let stream = opening.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
+        keep_alive(&stream, UNACKNOWLEDGED_LIMIT)?;
         let stream = HyperStream::new_plain(stream);
         let (sender, connection) = http1::handshake(stream).await.map_err(io::Error::other)?;
-        let (stop, stopped) = oneshot::channel::<()>();
         compio::runtime::spawn(async move {
-            select(connection, stopped).await;
+            if let Err(error) = connection.await {
+                log::debug!(target: "router", "connection to {address} ended: {error}");
+            }
         })
         .detach();
         Ok(Self {
             address,
             sender,
             answered: Instant::now(),
-            _stop: stop,
         })
     }
 
@@ -78,6 +87,25 @@
     }
 }
 
+/// Lets the system end a connection whose other side is gone, or takes nothing for `limit`.
+pub fn keep_alive(stream: &TcpStream, limit: Duration) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_TIME)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBE_COUNT);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(limit))
+}
+
+/// Whether anything accepts connections at an address.
+pub async fn is_reachable(address: SocketAddr, limit: Duration) -> bool {
+    // A process that is ending may still accept for a moment.
+    compio::time::sleep(PROBE_DELAY).await;
+    let opening = compio::time::timeout(limit, TcpStream::connect(address)).await;
+    matches!(opening, Ok(Ok(_)))
+}
+
 /// Idle connections to backend servers, sorted by address.
 #[derive(Default)]
 pub struct Links {
@@ -111,6 +139,14 @@
         }
     }
 
+    /// Closes the idle connections to an address where one failed, as they are in doubt too.
+    pub fn forget(&self, address: SocketAddr) {
+        let mut idle = self.idle.borrow_mut();
+        if let Ok(at) = idle.binary_search_by_key(&address, |e| e.0) {
+            idle.remove(at);
+        }
+    }
+
     /// Closes the connections that have been idle for longer than `limit`.
     pub fn prune(&self, limit: Duration) {
         let mut idle = self.idle.borrow_mut();
--- /dev/null
+++ b/crates/jaylock-router/src/quarantine.rs
@@ -0,0 +1,207 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::StatusCode;
+use jaylock_observe::Run;
+use jaylock_rpc::v1::Quarantine;
+use jaylock_rpc::v1::command::Body;
+use jaylock_types::{Index, OrganisationId, RequestId, unix_ms};
+
+use crate::answer::Refusal;
+use crate::proposal;
+use crate::router::Shared;
+
+/// Crashes after which a request runs no more.
+const CRASH_LIMIT: u32 = 2;
+
+/// Time between a crash and the trial, in which crashes elsewhere are heard of.
+const TRIAL_DELAY: Duration = Duration::from_millis(250);
+/// Time in which all requests that ran on a backend server notice its crash.
+const SAME_CRASH: Duration = Duration::from_secs(10);
+
+/// SHA-256 by which a request that crashes backend servers is known.
+pub type Fingerprint = [u8; 32];
+
+/// A request whose backend server crashed while it ran.
+#[derive(Debug, Clone)]
+pub struct Suspect {
+    /// What it is known by, whoever sends it.
+    pub fingerprint: Fingerprint,
+    /// Organisation that sent it.
+    pub organisation: OrganisationId,
+    /// The request itself.
+    pub request: RequestId,
+    /// Backend servers that crashed under it.
+    pub crashes: u32,
+}
+
+/// Refuses a request that is in quarantine, or under suspicion at another router.
+pub fn check(
+    shared: &Shared,
+    fingerprint: &Fingerprint,
+    request: &RequestId,
+) -> Result<(), Refusal> {
+    let Some(found) = find(shared, fingerprint) else {
+        return Ok(());
+    };
+    let left = time_left(&found);
+    if left.is_zero() || (found.suspect && found.request == request.as_str()) {
+        return Ok(());
+    }
+    Err(if found.suspect {
+        suspected(shared)
+    } else {
+        quarantined(left)
+    })
+}
+
+impl Suspect {
+    /// Notes a crash fleet-wide.
+    ///
+    /// # Errors
+    /// The final answer, once the request has crashed two backend servers.
+    pub async fn crashed(
+        &mut self,
+        shared: &Rc<Shared>,
+        backend: &str,
+        run: Run,
+    ) -> Result<(), Refusal> {
+        let other = self.suspicion_of_another(shared);
+        if other.as_ref().is_some_and(|q| is_same_crash(q, backend)) {
+            // The trial of the other one decides for both.
+            return Ok(());
+        }
+        self.crashes += 1;
+        if self.crashes >= CRASH_LIMIT || other.is_some() {
+            return self.convict(shared, backend, run).await;
+        }
+        log::warn!(target: "router", "request {} is suspected of a crash", self.request);
+        let limit = shared.settings.suspicion;
+        self.put(shared, backend, limit, true).await;
+        // The log makes a quarantine of suspicions for two crashes; another may be on its way.
+        compio::time::sleep(TRIAL_DELAY).await;
+        match find(shared, &self.fingerprint).filter(|q| !q.suspect) {
+            Some(_) => self.convict(shared, backend, run).await,
+            None => Ok(()),
+        }
+    }
+
+    async fn convict(
+        &mut self,
+        shared: &Rc<Shared>,
+        backend: &str,
+        run: Run,
+    ) -> Result<(), Refusal> {
+        self.crashes = CRASH_LIMIT;
+        let limit = shared.settings.quarantine;
+        self.put(shared, backend, limit, false).await;
+        log::error!(
+            target: "router",
+            "request {} of {} crashed two backend servers and is in quarantine",
+            self.request, self.organisation
+        );
+        Err(quarantined(limit).ran(run))
+    }
+
+    /// Notes that the request ran through and crashes nothing.
+    pub fn clear(&mut self, shared: &Rc<Shared>) {
+        if self.is_on_trial() {
+            self.crashes = 0;
+            let body = self.command("", Duration::ZERO, true);
+            drop(proposal::commit(shared, body));
+        }
+    }
+
+    /// Whether it is to be found out if it crashes backend servers.
+    pub fn is_on_trial(&self) -> bool {
+        self.crashes > 0 && self.crashes < CRASH_LIMIT
+    }
+
+    /// Waits while another request with this fingerprint is tried alone.
+    pub async fn await_trial(&self, shared: &Shared) {
+        loop {
+            let index = shared.view.index();
+            let Some(other) = self.suspicion_of_another(shared).filter(|q| q.suspect) else {
+                return;
+            };
+            let left = time_left(&other);
+            let change = shared.view.newer_than(index);
+            if left.is_zero() || compio::time::timeout(left, change).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// A crash of a backend server under another request with this fingerprint.
+    fn suspicion_of_another(&self, shared: &Shared) -> Option<Quarantine> {
+        let found = find(shared, &self.fingerprint)?;
+        (found.request != self.request.as_str() && found.until_ms > 0).then_some(found)
+    }
+
+    async fn put(&self, shared: &Rc<Shared>, backend: &str, limit: Duration, suspect: bool) {
+        let body = self.command(backend, limit, suspect);
+        let Some(applied) = proposal::commit_soon(shared, body).await else {
+            return;
+        };
+        // The caller may send the request again at once, so this router is to know first.
+        let before = Index(applied.index.saturating_sub(1));
+        let following = shared.view.newer_than(before);
+        let _ = compio::time::timeout(shared.settings.settle_wait, following).await;
+    }
+
+    fn command(&self, backend: &str, limit: Duration, suspect: bool) -> Body {
+        let (limit, at_ms) = (u64::try_from(limit.as_millis()), unix_ms());
+        let limit = limit.unwrap_or(u64::MAX);
+        let until_ms = if limit == 0 {
+            0
+        } else {
+            at_ms.saturating_add(limit)
+        };
+        Body::PutQuarantine(Quarantine {
+            fingerprint: self.fingerprint.to_vec(),
+            organisation: self.organisation.to_string(),
+            until_ms,
+            request: self.request.to_string(),
+            suspect,
+            backend: backend.into(),
+            at_ms,
+        })
+    }
+}
+
+fn find(shared: &Shared, fingerprint: &Fingerprint) -> Option<Quarantine> {
+    let current = shared.view.current();
+    let listed = &current.quarantines;
+    let found = listed.binary_search_by(|q| q.fingerprint.as_slice().cmp(fingerprint));
+    found.ok().map(|at| listed[at].clone())
+}
+
+fn time_left(quarantine: &Quarantine) -> Duration {
+    Duration::from_millis(quarantine.until_ms.saturating_sub(unix_ms()))
+}
+
+/// Whether a crash that was noted is the one that was just seen.
+fn is_same_crash(noted: &Quarantine, backend: &str) -> bool {
+    let since = Duration::from_millis(unix_ms().saturating_sub(noted.at_ms));
+    noted.backend == backend && since < SAME_CRASH
+}
+
+fn quarantined(left: Duration) -> Refusal {
+    Refusal::not_run(
+        StatusCode::UNPROCESSABLE_ENTITY,
+        "quarantined",
+        "this request crashed two backend servers",
+        "change the request, or ask the operators to look at it",
+    )
+    .after(left)
+}
+
+fn suspected(shared: &Shared) -> Refusal {
+    Refusal::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "suspected",
+        "a backend server crashed while this request ran; it is being tried alone",
+        "ask again after the time in retry-after",
+    )
+    .after(shared.settings.retry_after)
+}
--- /dev/null
+++ b/crates/jaylock-share/src/allocator.rs
@@ -0,0 +1,311 @@
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use jaylock_rpc::v1::end::Outcome;
+use jaylock_rpc::v1::{
+    Ask, BackendReport, BackendVerdict, Configuration, Decision, End, Progress, RouterFrame,
+    SchedulerFrame,
+};
+
+use crate::ShareSettings;
+use crate::account::{AccountKey, Accounts};
+use crate::backend::Backends;
+use crate::cost::{Residual, Shape, cost_of};
+use crate::demand::{DemandKey, Demands};
+use crate::division::Division;
+use crate::queue::Waiting;
+use crate::router::{RouterKey, Routers, Run};
+use crate::usage::Usage;
+
+/// The state of one pool and its decisions; the scheduler's task is its only user.
+#[derive(Debug)]
+pub struct Allocator {
+    pub(crate) pool: CompactString,
+    pub(crate) epoch: u64,
+    pub(crate) settings: ShareSettings,
+    pub(crate) accounts: Accounts,
+    pub(crate) demands: Demands,
+    pub(crate) backends: Backends,
+    pub(crate) routers: Routers,
+    // Requests that must run alone, in the order of their arrival.
+    pub(crate) suspects: VecDeque<(AccountKey, Waiting)>,
+    // The backend server that becomes empty for the first suspect.
+    pub(crate) reservation: Option<usize>,
+    pub(crate) decisions: VecDeque<Decision>,
+    pub(crate) ready: Instant,
+    pub(crate) usage: Usage,
+    pub(crate) waiting: usize,
+    pub(crate) division: Division,
+    residual: Residual,
+}
+
+impl Allocator {
+    /// A pool of which nothing is known yet; it grants nothing before its settling time is over.
+    #[must_use]
+    pub fn new(pool: &str, epoch: u64, settings: ShareSettings, now: Instant) -> Self {
+        Self {
+            pool: pool.into(),
+            epoch,
+            ready: now + settings.settling,
+            settings,
+            accounts: Accounts::default(),
+            demands: Demands::default(),
+            backends: Backends::default(),
+            routers: Routers::default(),
+            suspects: VecDeque::new(),
+            reservation: None,
+            decisions: VecDeque::new(),
+            usage: Usage::new(now),
+            waiting: 0,
+            division: Division::default(),
+            residual: Residual::default(),
+        }
+    }
+
+    /// Takes weights, queue limits and drains from the configuration.
+    pub fn configure(&mut self, configuration: &Configuration, now: Instant) {
+        for organisation in &configuration.organisations {
+            let key = self.accounts.intern(&organisation.id);
+            let account = self.accounts.get_mut(key);
+            account.weight = organisation.weight.max(1);
+            account.queue_limit = organisation.queue_limit;
+        }
+        for place in 0..self.backends.len() {
+            let backend = self.backends.get_mut(place);
+            let id = &backend.report.id;
+            backend.drained = configuration
+                .drains
+                .iter()
+                .any(|drain| drain.backend == *id);
+            self.refresh(place, now);
+        }
+    }
+
+    /// Takes a router's message.
+    pub fn apply(&mut self, key: RouterKey, frame: RouterFrame, now: Instant) {
+        for total in &frame.totals {
+            let account = self.accounts.intern(&total.organisation);
+            self.accounts.charge(account, total.unheard);
+            self.accounts.get_mut(account).tokens += total.unheard;
+        }
+        for report in frame.backends {
+            self.report(key, report, now);
+        }
+        for end in frame.ends {
+            self.end(key, &end, now);
+        }
+        for progress in frame.progress {
+            self.progress(key, progress);
+        }
+        for ticket in frame.cancels {
+            self.cancel(key, ticket);
+        }
+        for ask in frame.asks {
+            self.ask(key, ask, now);
+        }
+    }
+
+    /// Ends leases, gives up lost routers, and refuses what nothing can serve.
+    pub fn tick(&mut self, now: Instant) {
+        for place in 0..self.backends.len() {
+            self.refresh(place, now);
+        }
+        let lease = self.settings.router_lease;
+        let is_over = |lost: Instant| now.saturating_duration_since(lost) >= lease;
+        let gone = self
+            .routers
+            .iter()
+            .filter(|(_, router)| router.lost.is_some_and(is_over));
+        let gone: Vec<RouterKey> = gone.map(|(key, _)| key).collect();
+        for key in gone {
+            self.reconcile(key, &[], now);
+            self.routers.remove(key);
+        }
+        self.refuse_unservable(now);
+        self.divide();
+    }
+
+    /// Takes out what is to be sent to the attached routers.
+    ///
+    /// A router with work waiting gets an empty message after a silence, as a heartbeat.
+    pub fn frames(&mut self, now: Instant) -> Vec<(RouterKey, SchedulerFrame)> {
+        let (epoch, heartbeat) = (self.epoch, self.settings.heartbeat);
+        let attached = self
+            .routers
+            .iter_mut()
+            .filter(|(_, router)| router.lost.is_none());
+        let due = attached.filter(|(_, router)| router.is_due(now, heartbeat));
+        let frames = due.map(|(key, router)| {
+            router.sent = now;
+            let frame = std::mem::take(&mut router.frame);
+            (key, SchedulerFrame { epoch, ..frame })
+        });
+        frames.collect()
+    }
+
+    /// Expected cost of a request, from the organisation's own history.
+    pub(crate) fn expected(&self, account: AccountKey, shape: Shape, served: u64) -> u64 {
+        let default = self.residual.mean(self.settings.first_cost);
+        let whole = self.accounts.get(account).cost.expected(shape, default);
+        whole.saturating_sub(served).max(1)
+    }
+
+    /// What a run is charged beside its tokens so far, until it ends.
+    ///
+    /// It stands for the tokens to come, the same for every run: what a run that is met at any
+    /// moment still generates. Expectations for single runs miss the long ones, which matter most.
+    pub(crate) fn ahead(&self) -> u64 {
+        let residual = self.residual.tokens(self.settings.first_cost);
+        residual * u64::from(self.settings.charged_ahead) / 100
+    }
+
+    pub(crate) fn refresh(&mut self, place: usize, now: Instant) {
+        self.backends
+            .refresh(place, now, self.settings.backend_lease);
+    }
+
+    fn ask(&mut self, router: RouterKey, ask: Ask, now: Instant) {
+        let account = self.accounts.intern(&ask.organisation);
+        if let Some(reason) = self.refusal(account) {
+            let wait = self.accounts.get_mut(account).next_place(now);
+            self.refuse(router, ask.ticket, reason, wait);
+            self.accounts.get_mut(account).refused += 1;
+            return;
+        }
+        let known = self.routers.get_mut(router);
+        if !known.is_some_and(|r| r.add_waiting(ask.ticket, account)) {
+            return;
+        }
+        let demand = match self.demands.find(&ask) {
+            Some(demand) => demand,
+            None => self.demands.add(&ask, self.backends.loaded()),
+        };
+        let shape = Shape::of(&ask);
+        let expected = self.expected(account, shape, ask.served);
+        // A router that comes back tells how long its requests have waited already.
+        let waited = Duration::from_millis(u64::from(ask.waited_ms));
+        let arrived = now.checked_sub(waited).unwrap_or(now);
+        let alone = ask.alone;
+        let waiting = Waiting {
+            router,
+            ask,
+            demand,
+            shape,
+
+            arrived,
+        };
+        self.waiting += 1;
+        if alone {
+            self.suspects.push_back((account, waiting));
+            return;
+        }
+        let start = self.start_level(account, demand);
+        let owner = self.accounts.get_mut(account);
+        let is_short = owner.cost.is_short(expected);
+        owner.queue.push(waiting, is_short);
+        self.accounts.join_backlog(account, start);
+    }
+
+    /// Least service among the backlogged that compete for the same backend servers.
+    ///
+    /// Others may wait for a model that is short; their low service is no measure here.
+    fn start_level(&self, account: AccountKey, demand: DemandKey) -> u64 {
+        if !self.accounts.get(account).queue.is_empty() {
+            return 0;
+        }
+        let meeting = self.demands.backends(demand);
+        let competes = |key: &AccountKey| {
+            let mut demands = self.accounts.get(*key).queue.demands();
+            demands.any(|other| self.demands.backends(other).overlaps(meeting))
+        };
+        let rival = self.accounts.backlogged_keys().find(competes);
+        rival.map_or(self.accounts.floor(), |key| self.accounts.get(key).level)
+    }
+
+    fn progress(&mut self, router: RouterKey, progress: Progress) {
+        let run = self
+            .routers
+            .get_mut(router)
+            .and_then(|r| r.run_mut(progress.ticket));
+        let Some(run) = run else { return };
+        let grown = progress.tokens.saturating_sub(run.tokens);
+        run.tokens += grown;
+        run.charged += grown;
+        let account = run.account;
+        self.accounts.charge(account, grown);
+        self.accounts.get_mut(account).tokens += grown;
+    }
+
+    fn end(&mut self, router: RouterKey, end: &End, now: Instant) {
+        let run = self
+            .routers
+            .get_mut(router)
+            .and_then(|r| r.remove_run(end.ticket));
+        let Some(run) = run else { return };
+        let cost = cost_of(end);
+        if matches!(end.outcome(), Outcome::Complete | Outcome::Cancelled) {
+            self.accounts
+                .get_mut(run.account)
+                .cost
+                .learn(run.shape, cost);
+            self.residual.add(cost);
+        }
+        self.settle(&run, cost, now);
+    }
+
+    /// Corrects the charge of a run to its cost and frees its slot.
+    pub(crate) fn settle(&mut self, run: &Run, cost: u64, now: Instant) {
+        if cost >= run.charged {
+            self.accounts.charge(run.account, cost - run.charged);
+        } else {
+            self.accounts.refund(run.account, run.charged - cost);
+        }
+        let account = self.accounts.get_mut(run.account);
+        account.running = account.running.saturating_sub(1);
+        account.tokens += cost.saturating_sub(run.tokens);
+        let backend = self.backends.get_mut(run.place);
+        backend.remove_grant();
+        if run.alone {
+            backend.reserved = false;
+        }
+        self.refresh(run.place, now);
+    }
+
+    fn cancel(&mut self, router: RouterKey, ticket: u64) {
+        let account = self
+            .routers
+            .get_mut(router)
+            .and_then(|r| r.remove_waiting(ticket));
+        if let Some(account) = account {
+            self.drop_waiting(router, ticket, account);
+        }
+    }
+
+    fn report(&mut self, key: RouterKey, report: BackendReport, now: Instant) {
+        let (id, incarnation) = (report.id.clone(), report.incarnation);
+        let known = self
+            .backends
+            .find(&id)
+            .map(|place| self.backends.get(place).report.clone());
+        let lease = self.settings.backend_lease;
+        let outcome = self
+            .backends
+            .report(report, now, lease, self.settings.prefixes);
+        if let Ok(place) = outcome {
+            let report = &self.backends.get(place).report;
+            if known.is_none_or(|known| known.models != report.models) {
+                self.demands.update(place, &report.models);
+            }
+        }
+        let refused = outcome.err().unwrap_or_default().into();
+        if let Some(router) = self.routers.get_mut(key) {
+            let verdict = BackendVerdict {
+                backend: id,
+                incarnation,
+                refused,
+            };
+            router.add_verdict(verdict);
+        }
+    }
+}
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -1,1 +1,31 @@
 //! Sharing of model capacity: the scheduler of a pool and the routers' client of it.
+
+mod account;
+mod allocator;
+mod attach;
+mod backend;
+mod batch;
+mod cost;
+mod decide;
+mod demand;
+mod describe;
+mod division;
+mod fallback;
+mod host;
+mod link;
+mod placement;
+mod pools;
+mod queue;
+mod refuse;
+mod router;
+mod scheduler;
+mod settings;
+mod usage;
+mod waitlist;
+
+pub use self::allocator::Allocator;
+pub use self::host::{PoolService, SchedulerHost};
+pub use self::pools::Pools;
+pub use self::router::RouterKey;
+pub use self::settings::{PoolSettings, ShareSettings};
+pub use self::waitlist::{Answer, Waitlist};
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -8,6 +8,7 @@
 mod group;
 mod history;
 mod losses;
+mod releases;
 mod rules;
 mod schedules;
 mod whole;
--- /dev/null
+++ b/crates/jaylock-tests/tests/observe/main.rs
@@ -0,0 +1,11 @@
+//! Tests of metrics, the burn report, traces and the stand-ins.
+
+mod burn;
+mod clients;
+mod instance;
+mod metrics;
+mod minutes;
+mod report;
+mod sample;
+mod standin;
+mod trace;
