Router without a configuration refuses instead of not knowing keys

Cause: the key was looked up first, so a router after a cold start, with empty memory, told callers with valid keys 401, which they take for final. Ruled out: 503 for every unknown key; a wrong key is to be told so. Change: whether the router serves is checked first, and one that follows no configuration yet doesn't. Conclusion: a cold router sends its callers elsewhere.

--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, StatusCode};
 use hyper::body::Incoming;
 use jaylock_observe::Run;
-use jaylock_types::{OrganisationId, RequestId};
+use jaylock_types::{Index, OrganisationId, RequestId};
 use sha2::{Digest, Sha256};
 
 use crate::address;
@@ -45,8 +45,9 @@
         incoming: Incoming,
     ) -> Result<Self, Refusal> {
         let arrived = Instant::now();
-        let organisation = identify(shared, &head.headers)?;
+        // A router that knows no configuration yet can't say that a key is unknown.
         check_service(shared)?;
+        let organisation = identify(shared, &head.headers)?;
         let limit = time_left(&head.headers, shared.settings.deadline)?;
         let body = read(shared, incoming).await?;
         let fingerprint = fingerprint(&organisation, &head, &body);
@@ -110,7 +111,7 @@
 fn check_service(shared: &Shared) -> Result<(), Refusal> {
     let (kind, message) = if shared.closed.is_thrown() {
         ("leaving", "this instance is stopping")
-    } else if !shared.view.is_connected() {
+    } else if !shared.view.is_connected() || shared.view.index() == Index(0) {
         ("disconnected", "this instance is cut off from the fleet")
     } else {
         return Ok(());
--- a/crates/jaylock-tests/tests/router/once.rs
+++ b/crates/jaylock-tests/tests/router/once.rs
@@ -175,8 +175,11 @@
     async router_that_is_cut_off_names_others => {
         let fleet = Fleet::start(&[], quick()).await;
         fleet.view.set_connected(false);
-        let answer = fleet.chat(&ask(false)).await;
-        assert_that!((answer.status, answer.run.as_str()), eq((503, "not-run")));
-        assert_that!(answer.body, contains_substring("\"routers\":[\"127.0.0.1:1\"]"));
+        for key in ["Bearer key-1", "Bearer one that only others know"] {
+            let key = ("authorization", key);
+            let answer = fleet.send("POST", "/v1/chat/completions", &[key], &ask(false)).await;
+            assert_that!((answer.status, answer.run.as_str()), eq((503, "not-run")));
+            assert_that!(answer.body, contains_substring("\"routers\":[\"127.0.0.1:1\"]"));
+        }
     };
 }
