Router: a bound on the bodies held at once, a quarter for one organisation

Cause: connections times the largest body is gigabytes on a small instance, and a flood of one organisation could take them all. Ruled out: a smaller bound on one body (binders are long); a bound without parts for organisations (the flood then refuses the others). Change: BodyMemory; room is taken by content-length before a body is read, or after it when no length was announced; 503 bodies-full, not run. Conclusion: memory of waiting bodies is bounded at 64 MiB a router.

--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use jaylock_observe::Run;
 use jaylock_types::{Index, OrganisationId, RequestId};
@@ -11,6 +12,7 @@
 use crate::address;
 use crate::answer::Refusal;
 use crate::body::{self, ReadError};
+use crate::memory::Room;
 use crate::quarantine::{self, Fingerprint};
 use crate::router::Shared;
 use crate::service;
@@ -34,6 +36,7 @@
     pub body: Bytes,
     /// By what it is known if it crashes backend servers.
     pub fingerprint: Fingerprint,
+    _room: Room,
 }
 
 impl Call {
@@ -49,7 +52,14 @@
         check_service(shared)?;
         let organisation = identify(shared, &head.headers)?;
         let limit = time_left(&head.headers, shared.settings.deadline)?;
+        // A body of unknown length is counted once it was read.
+        let announced = incoming.size_hint().exact().unwrap_or(0);
+        let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+        let mut room = take_room(shared, &organisation, announced)?;
         let body = read(shared, incoming).await?;
+        if body.len() > announced {
+            room = take_room(shared, &organisation, body.len())?;
+        }
         let fingerprint = fingerprint(&organisation, &head, &body);
         let call = Self {
             request,
@@ -59,6 +69,7 @@
             head,
             body,
             fingerprint,
+            _room: room,
         };
         quarantine::check(shared, &call.fingerprint, &call.request)?;
         Ok(call)
@@ -126,6 +137,25 @@
     Err(refusal.after(wait).elsewhere(address::others(shared)))
 }
 
+/// Takes room for a body that is within the bound of one request.
+fn take_room(
+    shared: &Shared,
+    organisation: &OrganisationId,
+    bytes: usize,
+) -> Result<Room, Refusal> {
+    let bytes = bytes.min(shared.settings.body_bound.0);
+    shared.memory.take(organisation, bytes).ok_or_else(|| {
+        Refusal::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "bodies-full",
+            "the bodies of requests in progress are at their bound",
+            "ask again after the time in retry-after, or another address",
+        )
+        .after(shared.settings.retry_after)
+        .elsewhere(address::others(shared))
+    })
+}
+
 fn time_left(headers: &HeaderMap, default: Duration) -> Result<Duration, Refusal> {
     let Some(value) = headers.get(DEADLINE) else {
         return Ok(default);
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -16,6 +16,7 @@
 mod event;
 mod generation;
 mod link;
+mod memory;
 mod organisation;
 mod piece;
 mod port;
@@ -31,6 +32,7 @@
 
 pub use self::budget::RetryBudget;
 pub use self::event::{Event, EventParser};
+pub use self::memory::{BodyMemory, Room};
 pub use self::piece::{Check, Piece, PieceChecker};
 pub use self::port::{Capacity, Claims, NoControl};
 pub use self::router::Router;
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -10,6 +10,7 @@
 use crate::background::Background;
 use crate::budget::RetryBudget;
 use crate::link::Links;
+use crate::memory::BodyMemory;
 use crate::organisation::Organisations;
 use crate::port::{Capacity, Claims};
 use crate::server;
@@ -45,6 +46,8 @@
     pub organisations: Organisations,
     /// Backend servers that announced themselves here.
     pub backends: Backends,
+    /// Room for the bodies of requests.
+    pub memory: BodyMemory,
     /// Retries that organisations may make.
     pub budget: RetryBudget,
     /// Thrown when new requests are refused because the instance stops.
@@ -68,6 +71,7 @@
         observer: Observer,
         settings: RouterSettings,
     ) -> Self {
+        let memory = BodyMemory::new(settings.bodies_bound);
         let budget = RetryBudget::new(settings.retry_burst, settings.retry_permille);
         let shared = Shared {
             identity,
@@ -79,6 +83,7 @@
             links: Links::default(),
             organisations: Organisations::default(),
             backends: Backends::default(),
+            memory,
             budget,
             closed: Signal::default(),
             open: Rc::new(()),
--- a/crates/jaylock-router/src/settings.rs
+++ b/crates/jaylock-router/src/settings.rs
@@ -21,6 +21,8 @@
 pub struct RouterSettings {
     /// Largest body of a request.
     pub body_bound: ByteSize,
+    /// Bodies of requests held at once, together; one organisation gets a quarter at most.
+    pub bodies_bound: ByteSize,
     /// Largest head of a request.
     pub header_bound: ByteSize,
     /// Largest number of header fields.
@@ -77,6 +79,7 @@
     fn default() -> Self {
         Self {
             body_bound: ByteSize(4 << 20),
+            bodies_bound: ByteSize(64 << 20),
             header_bound: ByteSize(32 << 10),
             header_count: 64,
             connections: 4096,
--- a/crates/jaylock-tests/tests/router/limits.rs
+++ b/crates/jaylock-tests/tests/router/limits.rs
@@ -56,6 +56,25 @@
         let answer = fleet.once("k", "x").await;
         assert_that!((answer.status, answer.run.as_str()), eq((409, "unknown")));
     };
+    async flood_of_bodies_leaves_room_for_others => {
+        let engine = Backend::start(|seen| whole_stream(seen, 3)).await;
+        let settings = RouterSettings { bodies_bound: ByteSize(800), ..tight() };
+        let fleet = Fleet::start(&[engine.address], settings).await;
+        fleet.capacity.0.never.set(true);
+        let long = ask(false).replace("hi", &"x".repeat(80));
+        let waiting = fleet.begin(&long).await;
+        fleet.until("it waits", || !fleet.capacity.0.asks.borrow().is_empty()).await;
+        fleet.capacity.0.never.set(false);
+        let refused = fleet.chat(&long).await;
+        assert_that!((refused.status, refused.run.as_str()), eq((503, "not-run")));
+        let key = ("authorization", "Bearer key-2");
+        let other = fleet.send("POST", "/v1/chat/completions", &[key], &long).await;
+        assert_that!(other.status, eq(200));
+        drop(waiting);
+        fleet.until("its work ends", || engine.count() == 1).await;
+        compio::time::sleep(Duration::from_millis(50)).await;
+        assert_that!(fleet.chat(&long).await.status, eq(200));
+    };
     async slow_body_is_refused => {
         let (_engine, fleet) = fleet().await;
         let answer = fleet.raw(&format!("{CHAT_HEAD}content-length: 100\r\n\r\n{{")).await;
--- a/crates/jaylock-tests/tests/router/pieces.rs
+++ b/crates/jaylock-tests/tests/router/pieces.rs
@@ -2,7 +2,8 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use jaylock_router::{Check, Event, EventParser, PieceChecker, RetryBudget};
+use jaylock_router::{BodyMemory, Check, Event, EventParser, PieceChecker, RetryBudget, Room};
+use jaylock_types::ByteSize;
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_assert, prop_assert_eq, prop_oneof, proptest};
 
@@ -105,6 +106,23 @@
         }
     }
 
+    #[test]
+    fn bodies_stay_within_their_bound(steps in vec((0..3_usize, 0..400_usize, any::<bool>()), 0..80)) {
+        let memory = BodyMemory::new(ByteSize(1000));
+        let names = ["a", "b", "c"].map(|o| o.parse().expect("an organisation"));
+        let mut rooms: Vec<(usize, usize, Room)> = Vec::new();
+        for (owner, bytes, leaves) in steps {
+            if leaves && !rooms.is_empty() {
+                rooms.remove(0);
+            }
+            let total: usize = rooms.iter().map(|r| r.1).sum();
+            let own: usize = rooms.iter().filter(|r| r.0 == owner).map(|r| r.1).sum();
+            let room = memory.take(&names[owner], bytes);
+            prop_assert_eq!(room.is_some(), total + bytes <= 1000 && own + bytes <= 250);
+            rooms.extend(room.map(|room| (owner, bytes, room)));
+        }
+    }
+
     #[test]
     fn retries_stay_within_the_budget(
         steps in vec(any::<bool>(), 0..300),
