A model's answer that has begun isn't cut by the default time limit

Cause: the limit of the settings (2 min in the daemon) also ended answers of callers who named none; a binder of 4000 tokens at 42 ms takes 168 s. Ruled out: a longer default alone; any number cuts some binder, and silence is found by other limits. Change: without x-deadline-ms the limit holds until the first piece; resumed attempts then tell engines the full limit. Conclusion: binders finish; a caller's own deadline still cuts.

--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -30,6 +30,8 @@
     pub arrived: Instant,
     /// When its caller stops waiting.
     pub deadline: Instant,
+    /// Whether the caller named that time itself.
+    pub is_named: bool,
     /// Method, path and header fields.
     pub head: Parts,
     /// The whole body.
@@ -51,7 +53,8 @@
         // A router that knows no configuration yet can't say that a key is unknown.
         check_service(shared)?;
         let organisation = identify(shared, &head.headers)?;
-        let limit = time_left(&head.headers, shared.settings.deadline)?;
+        let named = named_limit(&head.headers)?;
+        let limit = named.unwrap_or(shared.settings.deadline);
         // A body of unknown length is counted once it was read.
         let announced = incoming.size_hint().exact().unwrap_or(0);
         let announced = usize::try_from(announced).unwrap_or(usize::MAX);
@@ -66,6 +69,7 @@
             organisation,
             arrived,
             deadline: arrived + limit,
+            is_named: named.is_some(),
             head,
             body,
             fingerprint,
@@ -156,13 +160,14 @@
     })
 }
 
-fn time_left(headers: &HeaderMap, default: Duration) -> Result<Duration, Refusal> {
+/// The time limit that a caller names.
+fn named_limit(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
     let Some(value) = headers.get(DEADLINE) else {
-        return Ok(default);
+        return Ok(None);
     };
     let parsed = value.to_str().ok().and_then(|v| v.parse().ok());
     let limit = parsed.map(Duration::from_millis);
-    limit.ok_or_else(|| {
+    limit.map(Some).ok_or_else(|| {
         Refusal::not_run(
             StatusCode::BAD_REQUEST,
             "malformed",
--- a/crates/jaylock-router/src/generation.rs
+++ b/crates/jaylock-router/src/generation.rs
@@ -62,9 +62,13 @@
         if self.whole {
             return Ok(None);
         }
-        let left = self.call.left();
-        let outcome = compio::time::timeout(left, self.advance()).await;
-        let outcome = outcome.unwrap_or_else(|_| Err(call::late(self.retry.run())));
+        let outcome = if self.is_bounded() {
+            let left = self.call.left();
+            let outcome = compio::time::timeout(left, self.advance()).await;
+            outcome.unwrap_or_else(|_| Err(call::late(self.retry.run())))
+        } else {
+            self.advance().await
+        };
         if let Err(refusal) = &outcome {
             self.live = None;
             self.account.answered(refusal.status, refusal.run);
@@ -87,6 +91,11 @@
         &self.chat
     }
 
+    /// Whether a deadline holds: without one of the caller's, only until the answer has begun.
+    fn is_bounded(&self) -> bool {
+        self.call.is_named || self.position.last == 0
+    }
+
     async fn advance(&mut self) -> Result<Option<Piece>, Refusal> {
         loop {
             let Some(live) = &mut self.live else {
@@ -120,7 +129,11 @@
             ..self.chat.ask.clone()
         };
         let (address, slot) = self.retry.slot(ask, &mut self.account).await?;
-        let left = self.call.left();
+        let left = if self.is_bounded() {
+            self.call.left()
+        } else {
+            self.shared.settings.deadline
+        };
         match Attempt::start(&self.shared, &self.chat, address, self.position, left).await {
             Ok(attempt) => {
                 let base = self.tokens;
@@ -185,6 +198,7 @@
             return;
         };
         generation.call.deadline = Instant::now() + TRIAL_LIMIT;
+        generation.call.is_named = true;
         let shared = generation.shared.clone();
         shared
             .background
