Histories: a request that crashes engines, and cuts, kills and faulty answers together

Ruled out: one caller for the crash; the fault needs two routers that hear of two crashes in the same moment. Change: two scenarios; flood and crash share one way of sending. Some calls end as refused after kills; what they are told is looked at next.

--- a/crates/jaylock-tests/tests/history/crowd.rs
+++ b/crates/jaylock-tests/tests/history/crowd.rs
@@ -28,6 +28,8 @@
     pub call_ms: u32,
     /// Pieces of the longest answers.
     pub longest: u32,
+    /// Whether instances reach each other through forwarders that can cut.
+    pub is_forwarded: bool,
 }
 
 impl Default for CrowdSettings {
@@ -39,6 +41,7 @@
             patience: Duration::from_secs(25),
             call_ms: 15,
             longest: 60,
+            is_forwarded: false,
         }
     }
 }
--- a/crates/jaylock-tests/tests/history/faults.rs
+++ b/crates/jaylock-tests/tests/history/faults.rs
@@ -1,3 +1,4 @@
+use std::fs;
 use std::net::SocketAddr;
 use std::process::ExitStatus;
 use std::thread;
@@ -30,16 +31,20 @@
 }
 
 /// Four instances, three engines and two plain services that bring about faults on demand.
-///
-/// Calls take `call_ms`.
-fn served_fleet(call_ms: &str) -> Fleet {
-    let mut fleet = Fleet::start(&FleetSettings::default());
+fn served_fleet(settings: &CrowdSettings) -> Fleet {
+    let mut fleet = Fleet::start(&FleetSettings {
+        is_forwarded: settings.is_forwarded,
+        ..FleetSettings::default()
+    });
     fleet.wait_ready();
     for name in ["engine-1", "engine-2", "engine-3"] {
         fleet.engine(name, &["--faults", "--token-ms", "4"]);
     }
     for name in ["caseapp-1", "caseapp-2"] {
-        fleet.service(name, &["--faults", "--delay-ms", call_ms]);
+        fleet.service(
+            name,
+            &["--faults", "--delay-ms", &settings.call_ms.to_string()],
+        );
     }
     // Once one errand of each kind is through, schedulers and backend servers know each other.
     let first = CrowdSettings {
@@ -56,7 +61,7 @@
 /// Runs a crowd while `disturb` brings about faults, and checks its history.
 fn under(settings: CrowdSettings, disturb: impl FnOnce(&mut Fleet, &mut SmallRng)) -> History {
     let mut rng = SmallRng::seed_from_u64(settings.seed);
-    let mut fleet = served_fleet(&settings.call_ms.to_string());
+    let mut fleet = served_fleet(&settings);
     let crowd = Crowd::start(&fleet, settings);
     pause(500);
     disturb(&mut fleet, &mut rng);
@@ -152,7 +157,8 @@
             let limit = ["organisation", "update", "flood", "--queue-limit", "4"];
             fleet.operate(&limit);
             fleet.wait_ready();
-            let flooded = flood(&fleet.addresses());
+            let prompts = (0..FLOOD).map(|number| format!("flood {number} len=200"));
+            let flooded = send(&fleet.addresses(), "flood", prompts, 6);
             let attempts = || flooded.iter().flat_map(|a| &a.attempts);
             let refused: Vec<_> = attempts().filter(|a| a.status == Some(429)).collect();
             println!("flood: {} attempts, {} refused", attempts().count(), refused.len());
@@ -164,6 +170,46 @@
         let Counts { errands, served, .. } = history.counts();
         expect_that!(served, eq(errands));
     };
+    a_request_that_crashes_engines_takes_at_most_two_and_no_innocent => {
+        let history = under(crowd(), |fleet, _| {
+            let prompt = "crash whatever runs this";
+            // Two callers send it again and again, through all routers.
+            let sent = send(&fleet.addresses(), "adala", [prompt, prompt], 8);
+            for account in &sent {
+                expect_that!(account.outcome, not(eq(Outcome::Served)));
+                expect_that!(account.attempts, each(field!(&Attempt.status, some(anything()))));
+            }
+            let crashed = ["engine-1", "engine-2", "engine-3"].iter().filter(|name| {
+                let log = fs::read_to_string(fleet.folder().join(format!("{name}.log")));
+                log.expect("a log").contains("crashes this engine")
+            });
+            let crashed = crashed.count();
+            println!("crash: {} attempts, {crashed} engines", sent.iter().flat_map(|a| &a.attempts).count());
+            expect_that!(crashed, le(2));
+        });
+        let Counts { errands, served, .. } = history.counts();
+        expect_that!(served, eq(errands));
+    };
+    cuts_kills_and_faulty_backend_servers_come_together => {
+        let settings = CrowdSettings {
+            faults: &["break=3", "short=2", "double=2", "lose=1"],
+            call_ms: 60,
+            is_forwarded: true,
+            ..crowd()
+        };
+        let _ = under(settings, |fleet, rng| {
+            for _ in 0..2 {
+                let (cut, killed) = (rng.random_range(0..2), rng.random_range(2..fleet.len()));
+                fleet.set_cut(cut, true);
+                pause(rng.random_range(500..2000));
+                fleet.kill(killed);
+                pause(rng.random_range(500..2000));
+                fleet.set_cut(cut, false);
+                fleet.restart(killed);
+                pause(1500);
+            }
+        });
+    };
 }
 
 /// Stops an instance gracefully.
@@ -172,19 +218,24 @@
     runtime.block_on(fleet.stop(place))
 }
 
-/// Sends long work of one organisation from many callers at once.
-fn flood(seeds: &[SocketAddr]) -> Vec<Account> {
-    let callers = (0..FLOOD).map(|first| {
+/// Sends prompts of an organisation from as many callers at once, who give up after a while.
+fn send<P: Into<String>>(
+    seeds: &[SocketAddr],
+    organisation: &str,
+    prompts: impl IntoIterator<Item = P>,
+    patience_s: u64,
+) -> Vec<Account> {
+    let callers = prompts.into_iter().enumerate().map(|(first, prompt)| {
         let caller = Caller::new(CallerSettings {
             seeds: seeds.to_vec(),
-            key: "flood-key".into(),
+            key: format!("{organisation}-key"),
             first,
-            patience: Duration::from_secs(6),
+            patience: Duration::from_secs(patience_s),
             ..CallerSettings::default()
         });
         let errand = Errand::Chat {
             model: "dossier".into(),
-            prompt: format!("flood {first} len=200"),
+            prompt: prompt.into(),
             stream: false,
         };
         async move { caller.run(errand).await }
