Smaller frames, and the traffic of real streams

Cause: 24 requests a second cost a router 7.1 to 12.8 KB/s of control traffic with packet headers. Change: names of requests travel as 16 bytes; a grant leaves out an address that the stream has told; grants made while slots are to spare say so, and the router then joins their ends and progress for longer.

--- a/crates/jaylock-rpc/src/traffic.rs
+++ b/crates/jaylock-rpc/src/traffic.rs
@@ -6,6 +6,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 
 static SENT: AtomicU64 = AtomicU64::new(0);
+static WRITES: AtomicU64 = AtomicU64::new(0);
 static RECEIVED: AtomicU64 = AtomicU64::new(0);
 
 /// Bytes that this process exchanged with other instances and operators since its start.
@@ -15,6 +16,8 @@
     pub sent: u64,
     /// Bytes read from sockets.
     pub received: u64,
+    /// Writes to sockets, each of which takes at least one packet.
+    pub writes: u64,
 }
 
 /// Reads the counters of control traffic.
@@ -23,6 +26,7 @@
     Traffic {
         sent: SENT.load(Ordering::Relaxed),
         received: RECEIVED.load(Ordering::Relaxed),
+        writes: WRITES.load(Ordering::Relaxed),
     }
 }
 
@@ -59,6 +63,7 @@
         let outcome = Pin::new(&mut self.0).poll_write(cx, buf);
         if let Poll::Ready(Ok(count)) = outcome {
             SENT.fetch_add(count as u64, Ordering::Relaxed);
+            WRITES.fetch_add(1, Ordering::Relaxed);
         }
         outcome
     }
--- a/crates/jaylock-share/examples/sharing/baseline.rs
+++ b/crates/jaylock-share/examples/sharing/baseline.rs
@@ -211,7 +211,7 @@
 
     fn step(&mut self, now: u64) -> Vec<(u64, usize)> {
         self.repair(now);
-        if self.order == Order::Gossip && now % GOSSIP == 0 {
+        if self.order == Order::Gossip && now.is_multiple_of(GOSSIP) {
             self.gossip();
         }
         let mut started = Vec::new();
--- a/crates/jaylock-share/examples/sharing/design.rs
+++ b/crates/jaylock-share/examples/sharing/design.rs
@@ -11,7 +11,6 @@
 use prost::Message;
 
 use crate::work::{Deployment, Job};
-use crate::world::STEP;
 
 /// Bytes that a message costs beside itself: Ethernet, IP, TCP, HTTP/2 and gRPC headers.
 pub const HEADERS: u64 = 14 + 20 + 32 + 9 + 5;
@@ -157,7 +156,7 @@
 
     /// Engines announce themselves through the routers in turn.
     fn report(&mut self, now: u64) {
-        if now % REPORT != 0 {
+        if !now.is_multiple_of(REPORT) {
             return;
         }
         for engine in 0..self.deployment.engines {
@@ -199,7 +198,7 @@
                 allocator.apply(key, frame, at);
             }
         }
-        if now % TICK == 0 {
+        if now.is_multiple_of(TICK) {
             allocator.tick(at);
         }
         allocator.decide(at);
@@ -230,12 +229,13 @@
         node.answers.push((job.id, receiver));
     }
 
-    fn progress(&mut self, job: &Job, _: u64) {
+    fn progress(&mut self, job: &Job, now: u64) {
+        let at = self.at(now);
         let progress = Progress {
             ticket: job.id,
             tokens: job.tokens,
         };
-        self.routers[job.router].list.progress(progress);
+        self.routers[job.router].list.progress(progress, at);
     }
 
     fn end(&mut self, job: &Job, now: u64) {
@@ -302,9 +302,7 @@
                 node.to_scheduler.push(frame);
             }
         }
-        if now > 0 && now % STEP == 0 {
-            self.exchange(now);
-        }
+        self.exchange(now);
         started
     }
 
--- a/crates/jaylock-share/examples/sharing/wire.rs
+++ b/crates/jaylock-share/examples/sharing/wire.rs
@@ -17,6 +17,8 @@
 const SPAN: Duration = Duration::from_secs(10);
 /// Bytes of the headers of a packet: Ethernet, IP and TCP with time stamps.
 const PACKET: f64 = 66.0;
+/// Engines of a pool, each of which reports once a second; a router carries two or three of them.
+const ENGINES: usize = 2;
 /// Clock ticks of processor time in a second.
 const TICKS: f64 = 100.0;
 
@@ -52,8 +54,8 @@
         || true,
         ShareSettings::default(),
     );
-    let routes = Routes::default().with(Access::Instances, host.service());
-    let server = compio::runtime::spawn(serve(listener, routes, ServerSettings::default()));
+    let services = Routes::default().with(Access::Instances, host.service());
+    let server = compio::runtime::spawn(serve(listener, services, ServerSettings::default()));
     let running = compio::runtime::spawn(host.run());
     let lease = |pool| PoolLease {
         pool: format!("p{pool}"),
@@ -94,12 +96,12 @@
         }
     }
     compio::time::sleep(LASTS + Duration::from_secs(1)).await;
-    let (bytes, spent, writes) = (traffic().sent, processor(), system_writes());
+    let (bytes, spent, writes) = (traffic().sent, processor(), traffic().writes);
     compio::time::sleep(SPAN).await;
     let seconds = SPAN.as_secs_f64() * routers as f64;
     // Each byte that a node receives from the scheduler counts for it like those that it sends.
     let payload = (traffic().sent - bytes) as f64 / seconds;
-    let writes = (system_writes() - writes) as f64 / seconds;
+    let writes = (traffic().writes - writes) as f64 / seconds;
     let cpu = (processor() - spent) * 100.0 / seconds;
     let whole = payload + writes * PACKET;
     println!("{routers:>7} {pools:>6} {payload:>14.0} {writes:>14.1} {whole:>13.0} {cpu:>10.2}");
@@ -156,7 +158,7 @@
 async fn report(client: Pools, pools: usize) {
     loop {
         for pool in 0..pools {
-            for engine in 0..12 {
+            for engine in 0..ENGINES {
                 let model = LoadedModel {
                     model: "dossier".into(),
                     version: "1".into(),
@@ -168,7 +170,7 @@
                     address: "10.0.0.1:8000".into(),
                     domain: "amman-a".into(),
                     models: vec![model],
-                    slots: 200,
+                    slots: 2000,
                     pool: format!("p{pool}"),
                     ..BackendReport::default()
                 });
@@ -190,11 +192,3 @@
         .collect();
     fields.iter().sum::<f64>() / TICKS
 }
-
-/// Write calls of this process, each of which is at least one packet here.
-fn system_writes() -> u64 {
-    let io = std::fs::read_to_string("/proc/self/io").unwrap_or_default();
-    let line = io.lines().find(|line| line.starts_with("syscw:"));
-    line.and_then(|line| line[6..].trim().parse().ok())
-        .unwrap_or(0)
-}
--- a/crates/jaylock-share/examples/sharing/world.rs
+++ b/crates/jaylock-share/examples/sharing/world.rs
@@ -117,7 +117,7 @@
             for job in &ended {
                 design.end(job, now);
             }
-            if now % PROGRESS == 0 {
+            if now.is_multiple_of(PROGRESS) {
                 for job in self.jobs.iter().filter(|job| job.started.is_some()) {
                     design.progress(job, now);
                 }
@@ -186,7 +186,7 @@
             // What an engine is given above its slots adds nothing.
             self.used += self.jobs.iter().filter(runs).count().min(slots) as u64;
         }
-        if now % SAMPLE == 0 {
+        if now.is_multiple_of(SAMPLE) {
             self.samples
                 .push(self.served[..self.deployment.backlogged].to_vec());
         }
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -36,6 +36,8 @@
     pub(crate) ready: Instant,
     pub(crate) usage: Usage,
     pub(crate) waiting: usize,
+    // Whether the pool had slots to spare when decisions last began.
+    pub(crate) has_spare: bool,
     pub(crate) division: Division,
     residual: Residual,
 }
@@ -58,6 +60,7 @@
             decisions: VecDeque::new(),
             usage: Usage::new(now),
             waiting: 0,
+            has_spare: false,
             division: Division::default(),
             residual: Residual::default(),
         }
--- a/crates/jaylock-share/src/attach.rs
+++ b/crates/jaylock-share/src/attach.rs
@@ -1,6 +1,6 @@
 use std::time::Instant;
 
-use jaylock_rpc::v1::{Hello, Running, SchedulerFrame};
+use jaylock_rpc::v1::{Hello, Running};
 
 use crate::account::AccountKey;
 use crate::allocator::Allocator;
@@ -19,8 +19,7 @@
             router.incarnation = hello.incarnation;
             router.domain = hello.domain.as_str().into();
             router.lost = None;
-            router.frame = SchedulerFrame::default();
-            router.fallback = Vec::new();
+            router.restart();
         }
         self.reconcile(key, &hello.running, now);
         key
--- a/crates/jaylock-share/src/batch.rs
+++ b/crates/jaylock-share/src/batch.rs
@@ -1,9 +1,10 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use jaylock_rpc::v1::{Ask, BackendReport, End, Progress, RouterFrame};
 
 use crate::PoolSettings;
+use crate::compact::shorten;
 
 /// Messages of a router that are joined into one frame.
 #[derive(Debug, Default)]
@@ -15,13 +16,16 @@
     ends: Vec<(CompactString, End)>,
     // Sorted by ticket.
     progress: Vec<Progress>,
-    first_end: Option<Instant>,
+    // Until when the ends may wait for other messages.
+    end_due: Option<Instant>,
     last_frame: Option<Instant>,
+    progress_due: Option<Instant>,
     last_progress: Option<Instant>,
 }
 
 impl Batch {
-    pub fn add_ask(&mut self, ask: Ask) {
+    pub fn add_ask(&mut self, mut ask: Ask) {
+        shorten(&mut ask);
         self.asks.push(ask);
     }
 
@@ -38,15 +42,18 @@
         self.backends.push(report);
     }
 
-    pub fn add_end(&mut self, organisation: CompactString, end: End, now: Instant) {
+    pub fn add_end(&mut self, organisation: CompactString, end: End, due: Instant) {
         if let Ok(at) = self.search_progress(end.ticket) {
             self.progress.remove(at);
         }
-        self.first_end.get_or_insert(now);
+        self.end_due = Some(self.end_due.map_or(due, |other| other.min(due)));
         self.ends.push((organisation, end));
     }
 
-    pub fn add_progress(&mut self, progress: Progress) {
+    /// Adds progress, which is sent within `interval` of the progress before.
+    pub fn add_progress(&mut self, progress: Progress, interval: Duration, now: Instant) {
+        let due = self.last_progress.map_or(now, |last| last + interval);
+        self.progress_due = Some(self.progress_due.map_or(due, |other| other.min(due)));
         match self.search_progress(progress.ticket) {
             Ok(at) => self.progress[at] = progress,
             Err(at) => self.progress.insert(at, progress),
@@ -63,18 +70,15 @@
             || (is_waiting && !self.ends.is_empty());
         let joined = self.last_frame.map(|last| last + settings.join);
         let urgent = is_urgent.then(|| joined.unwrap_or(now));
-        let ends = self.first_end.map(|first| first + settings.join_ends);
-        let last = self
-            .last_progress
-            .map(|last| last + settings.progress_interval);
-        let progress = (!self.progress.is_empty()).then(|| last.unwrap_or(now));
-        [urgent, ends, progress].into_iter().flatten().min()
+        let progress = self.progress_due.filter(|_| !self.progress.is_empty());
+        [urgent, self.end_due, progress].into_iter().flatten().min()
     }
 
     /// Takes all messages as one frame.
     pub fn take(&mut self, now: Instant) -> RouterFrame {
         self.last_frame = Some(now);
-        self.first_end = None;
+        self.end_due = None;
+        self.progress_due = None;
         if !self.progress.is_empty() {
             self.last_progress = Some(now);
         }
--- a/crates/jaylock-share/src/decide.rs
+++ b/crates/jaylock-share/src/decide.rs
@@ -5,6 +5,7 @@
 
 use crate::account::AccountKey;
 use crate::allocator::Allocator;
+use crate::compact::request_name;
 use crate::placement;
 use crate::queue::Waiting;
 use crate::router::Run;
@@ -129,9 +130,10 @@
             backend: backend.report.id.clone(),
             address: backend.report.address.clone(),
             epoch: self.epoch,
+            spare: self.has_spare,
         };
         let decision = Decision {
-            request: ask.request.clone(),
+            request: request_name(ask),
             organisation: ask.organisation.clone(),
             backend: grant.backend.clone(),
             waited_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
@@ -150,7 +152,7 @@
         if let Some(router) = self.routers.get_mut(waiting.router) {
             router.remove_waiting(ask.ticket);
             router.add_run(run);
-            router.frame.grants.push(grant);
+            router.add_grant(grant);
         }
         self.refresh(place, now);
         self.remember(decision);
@@ -165,6 +167,8 @@
 
     fn note_usage(&mut self, now: Instant) {
         let (used, slots) = self.backends.slots();
+        let free = u64::from(slots - used) * 100;
+        self.has_spare = free >= u64::from(slots) * u64::from(self.settings.spare_slots);
         self.usage
             .add(now, self.accounts.has_backlog(), used, slots);
     }
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -30,6 +30,7 @@
                 backend,
                 address,
                 epoch: self.epoch,
+                spare: false,
             };
             self.grant(grant, now);
         }
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -5,6 +5,7 @@
 mod attach;
 mod backend;
 mod batch;
+mod compact;
 mod cost;
 mod decide;
 mod demand;
--- a/crates/jaylock-share/src/link.rs
+++ b/crates/jaylock-share/src/link.rs
@@ -66,7 +66,7 @@
     }
 
     pub fn progress(&self, progress: Progress) {
-        self.state.borrow_mut().progress(progress);
+        self.state.borrow_mut().progress(progress, Instant::now());
         self.notify();
     }
 
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -1,9 +1,10 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use jaylock_rpc::v1::{BackendVerdict, Hello, SchedulerFrame};
+use jaylock_rpc::v1::{BackendVerdict, Grant, Hello, SchedulerFrame};
 
 use crate::account::AccountKey;
+use crate::compact::Addresses;
 use crate::cost::Shape;
 
 /// Names a router at a scheduler.
@@ -37,6 +38,7 @@
     pub fallback: Vec<(usize, u32)>,
     /// What is to be sent to it next.
     pub frame: SchedulerFrame,
+    addresses: Addresses,
     // Sorted by ticket.
     runs: Vec<Run>,
     // Sorted by ticket.
@@ -50,6 +52,19 @@
         self.frame != SchedulerFrame::default() || (is_silent && !self.waiting.is_empty())
     }
 
+    /// Forgets what an earlier stream has told.
+    pub fn restart(&mut self) {
+        self.frame = SchedulerFrame::default();
+        self.addresses = Addresses::default();
+        self.fallback = Vec::new();
+    }
+
+    /// Adds a grant that is to be sent.
+    pub fn add_grant(&mut self, mut grant: Grant) {
+        self.addresses.leave_out(&mut grant);
+        self.frame.grants.push(grant);
+    }
+
     /// Adds a granted slot.
     pub fn add_run(&mut self, run: Run) {
         let at = self.runs.partition_point(|other| other.ticket < run.ticket);
@@ -140,6 +155,7 @@
             sent: now,
             fallback: Vec::new(),
             frame: SchedulerFrame::default(),
+            addresses: Addresses::default(),
             runs: Vec::new(),
             waiting: Vec::new(),
         };
--- a/crates/jaylock-share/src/settings.rs
+++ b/crates/jaylock-share/src/settings.rs
@@ -5,6 +5,8 @@
 pub struct ShareSettings {
     /// Requests of one organisation that may wait in a pool, where its own configuration says 0.
     pub queue_limit: u32,
+    /// Free slots, in 100 of all, above which grants are marked as to spare.
+    pub spare_slots: u32,
     /// Requests that may wait in a pool before organisations are held to equal parts of it.
     pub pool_limit: usize,
     /// Time after which a backend server that was not heard gets nothing new.
@@ -35,6 +37,7 @@
     fn default() -> Self {
         Self {
             queue_limit: 256,
+            spare_slots: 10,
             pool_limit: 20_000,
             backend_lease: Duration::from_secs(3),
             router_lease: Duration::from_secs(3),
@@ -58,6 +61,8 @@
     pub join: Duration,
     /// Time over which ends are joined while the router has nothing waiting.
     pub join_ends: Duration,
+    /// Time over which ends and progress are joined of runs whose slots the pool could spare.
+    pub join_spare: Duration,
     /// Shortest time between two reports of progress.
     pub progress_interval: Duration,
     /// Growth in tokens below which progress is not reported.
@@ -79,8 +84,9 @@
         Self {
             join: Duration::from_millis(3),
             join_ends: Duration::from_millis(50),
+            join_spare: Duration::from_secs(1),
             progress_interval: Duration::from_millis(250),
-            progress_tokens: 64,
+            progress_tokens: 128,
             retry: Duration::from_millis(200),
             scheduler_wait: Duration::from_secs(5),
             silence: Duration::from_millis(1500),
--- a/crates/jaylock-share/src/waitlist.rs
+++ b/crates/jaylock-share/src/waitlist.rs
@@ -9,6 +9,7 @@
 
 use crate::PoolSettings;
 use crate::batch::Batch;
+use crate::compact::{Addresses, shorten};
 use crate::cost::cost_of;
 use crate::demand::Need;
 use crate::division::without_events;
@@ -42,6 +43,7 @@
     pub(crate) spare: Vec<Spare>,
     pub(crate) lost: Option<Instant>,
     heard: Option<Instant>,
+    addresses: Addresses,
 }
 
 /// A request that waits.
@@ -62,6 +64,7 @@
     pub need: Need,
     pub tokens: u64,
     alone: bool,
+    is_spare: bool,
     told: u64,
 }
 
@@ -84,6 +87,7 @@
             spare: Vec::new(),
             lost: None,
             heard: None,
+            addresses: Addresses::default(),
         }
     }
 
@@ -113,7 +117,7 @@
     }
 
     /// Notes how many tokens a run has generated so far.
-    pub fn progress(&mut self, progress: Progress) {
+    pub fn progress(&mut self, progress: Progress, now: Instant) {
         let Ok(at) = self
             .held
             .binary_search_by_key(&progress.ticket, |held| held.ticket)
@@ -124,10 +128,16 @@
         held.tokens = held.tokens.max(progress.tokens);
         if self.is_attached && held.tokens >= held.told + self.settings.progress_tokens {
             held.told = held.tokens;
-            self.batch.add_progress(Progress {
+            let progress = Progress {
                 ticket: held.ticket,
                 tokens: held.tokens,
-            });
+            };
+            let interval = if held.is_spare {
+                self.settings.join_spare
+            } else {
+                self.settings.progress_interval
+            };
+            self.batch.add_progress(progress, interval, now);
         }
     }
 
@@ -146,7 +156,12 @@
             self.totals[at].tokens += cost;
         }
         if self.is_attached {
-            self.batch.add_end(held.organisation, end, now);
+            let join = if held.is_spare {
+                self.settings.join_spare
+            } else {
+                self.settings.join_ends
+            };
+            self.batch.add_end(held.organisation, end, now + join);
         } else {
             self.spare.push(held.into_spare());
         }
@@ -182,6 +197,7 @@
     pub fn first_frame(&mut self, mut hello: Hello, now: Instant) -> RouterFrame {
         self.is_attached = true;
         self.heard = Some(now);
+        self.addresses = Addresses::default();
         hello.epoch = self.epoch;
         hello.running = self.held.iter().map(Held::running).collect();
         let unheard = self.totals.iter().filter(|total| total.unheard > 0);
@@ -250,7 +266,8 @@
                 let _ = pending.answer.send(Err(refusal));
             }
         }
-        for grant in frame.grants {
+        for mut grant in frame.grants {
+            self.addresses.complete(&mut grant);
             self.grant(grant, now);
         }
         true
@@ -303,6 +320,7 @@
             need: Need::of(&pending.ask),
             tokens: 0,
             alone: pending.ask.alone,
+            is_spare: grant.spare,
             told: 0,
         };
         let at = self
@@ -346,10 +364,10 @@
     fn ask_again(&self, now: Instant) -> Ask {
         let waited = now.saturating_duration_since(self.since).as_millis();
         let waited = u32::try_from(waited).unwrap_or(u32::MAX);
-        Ask {
-            waited_ms: self.ask.waited_ms.saturating_add(waited),
-            ..self.ask.clone()
-        }
+        let mut ask = self.ask.clone();
+        ask.waited_ms = ask.waited_ms.saturating_add(waited);
+        shorten(&mut ask);
+        ask
     }
 }
 
