--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -2,8 +2,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jaylock_rpc::v1::{Instance, RenewRequest};
-use jaylock_types::PoolId;
+use jaylock_rpc::v1::{Instance, RenewReply, RenewRequest};
+use jaylock_types::{Index, PoolId};
 
 use crate::gossip::Gossip;
 use crate::{ConfigView, ControlClient, FollowerSettings};
@@ -32,7 +32,23 @@
     /// Whether the lease of the last renewal, counted from when it was sent, still holds.
     #[must_use]
     pub fn is_valid(&self) -> bool {
-        self.end.get().is_some_and(|end| Instant::now() < end)
+        self.is_valid_at(Instant::now())
+    }
+
+    /// Whether the lease of the last renewal still holds at a moment.
+    #[must_use]
+    pub fn is_valid_at(&self, moment: Instant) -> bool {
+        self.end.get().is_some_and(|end| moment < end)
+    }
+
+    /// When the lease of the last renewal ends.
+    #[must_use]
+    pub fn end(&self) -> Option<Instant> {
+        self.end.get()
+    }
+
+    fn extend(&self, end: Instant) {
+        self.end.set(self.end.get().max(Some(end)));
     }
 }
 
@@ -111,32 +127,51 @@
                     let _ = self.view.offer(configuration);
                 }
                 Ok(_) => compio::time::sleep(self.settings.renew_every / 4).await,
-                Err(error) => log::warn!(target: "follower", "no configuration yet: {error}"),
+                Err(error) => log::warn!(target: "control", "no configuration yet: {error}"),
             }
         }
         let mut turn = rand::random_range(0..usize::MAX / 2);
+        let mut whole = false;
         loop {
-            self.watch_one(turn).await;
+            whole = !self.watch_one(turn, whole).await;
             turn += 1;
             compio::time::sleep(Duration::from_millis(rand::random_range(20..100))).await;
         }
     }
 
-    async fn watch_one(&self, turn: usize) {
+    /// Follows one replica until it ends the watch; false when its changes did not fit.
+    async fn watch_one(&self, turn: usize, whole: bool) -> bool {
         let index = self.view.index().0;
-        let mut stream = match self.client.watch(index, turn).await {
+        let mut stream = match self.client.watch(index, whole, turn).await {
             Ok(stream) => stream,
             Err(status) => {
-                log::debug!(target: "follower", "no watch: {}", status.message());
-                return;
+                log::debug!(target: "control", "no watch: {}", status.message());
+                return !whole;
             }
         };
-        while let Ok(Some(configuration)) = stream.message().await {
-            self.client.learn(&configuration);
-            if self.view.offer(configuration) {
-                log::debug!(target: "follower", "index {} is in force", self.view.index());
+        while let Ok(Some(reply)) = stream.message().await {
+            if !self.view.follow(&reply) {
+                return false;
             }
+            self.client.learn(&self.view.current());
+            log::debug!(target: "control", "index {} is in force", self.view.index());
         }
+        true
+    }
+
+    /// Holds the lease from when the configuration that it was renewed under is in force.
+    fn hold(&self, reply: &RenewReply, sent: Instant) {
+        let end = sent + Duration::from_millis(reply.lease_ms.into());
+        let before = Index(reply.index.saturating_sub(1));
+        let (lease, view) = (self.lease(), self.view.clone());
+        let waiting = async move {
+            let in_force = view.newer_than(before);
+            if compio::time::timeout_at(end, in_force).await.is_ok() {
+                lease.extend(end);
+                view.set_connected_until(lease.end().unwrap_or(end));
+            }
+        };
+        compio::runtime::spawn(waiting).detach();
     }
 
     async fn renew(&self) {
@@ -155,12 +190,8 @@
                     .collect(),
             };
             match self.client.renew_timed(request).await {
-                Ok((reply, sent)) => {
-                    let lease = Duration::from_millis(reply.lease_ms.into());
-                    self.shared.lease.end.set(Some(sent + lease));
-                    self.view.set_connected(true);
-                }
-                Err(error) => log::warn!(target: "follower", "the lease is not renewed: {error}"),
+                Ok((reply, sent)) => self.hold(&reply, sent),
+                Err(error) => log::warn!(target: "control", "the lease is not renewed: {error}"),
             }
             let pause = self.settings.renew_every.saturating_sub(started.elapsed());
             compio::time::sleep(pause).await;
--- a/crates/jaylock-observe/src/metrics.rs
+++ b/crates/jaylock-observe/src/metrics.rs
@@ -162,6 +162,14 @@
         .with_description("Bytes received from other instances and operators.")
         .with_callback(|observer| observer.observe(jaylock_rpc::traffic().received, &[]))
         .build();
+    meter
+        .u64_observable_counter("jaylock_control_packets")
+        .with_description("Writes to and reads from other instances and operators.")
+        .with_callback(|observer| {
+            let traffic = jaylock_rpc::traffic();
+            observer.observe(traffic.flushes + traffic.reads, &[]);
+        })
+        .build();
 }
 
 fn kind_label(kind: RequestKind) -> &'static str {
--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -3,14 +3,16 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use jaylock_observe::Run;
-use jaylock_types::{OrganisationId, RequestId};
+use jaylock_types::{Index, OrganisationId, RequestId};
 use sha2::{Digest, Sha256};
 
 use crate::address;
 use crate::answer::Refusal;
 use crate::body::{self, ReadError};
+use crate::memory::Room;
 use crate::quarantine::{self, Fingerprint};
 use crate::router::Shared;
 use crate::service;
@@ -28,12 +30,15 @@
     pub arrived: Instant,
     /// When its caller stops waiting.
     pub deadline: Instant,
+    /// Whether the caller named that time itself.
+    pub is_named: bool,
     /// Method, path and header fields.
     pub head: Parts,
     /// The whole body.
     pub body: Bytes,
     /// By what it is known if it crashes backend servers.
     pub fingerprint: Fingerprint,
+    _room: Room,
 }
 
 impl Call {
@@ -45,19 +50,30 @@
         incoming: Incoming,
     ) -> Result<Self, Refusal> {
         let arrived = Instant::now();
-        let organisation = identify(shared, &head.headers)?;
+        // A router that knows no configuration yet can't say that a key is unknown.
         check_service(shared)?;
-        let limit = time_left(&head.headers, shared.settings.deadline)?;
+        let organisation = identify(shared, &head.headers)?;
+        let named = named_limit(&head.headers)?;
+        let limit = named.unwrap_or(shared.settings.deadline);
+        // A body of unknown length is counted once it was read.
+        let announced = incoming.size_hint().exact().unwrap_or(0);
+        let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+        let mut room = take_room(shared, &organisation, announced)?;
         let body = read(shared, incoming).await?;
+        if body.len() > announced {
+            room = take_room(shared, &organisation, body.len())?;
+        }
         let fingerprint = fingerprint(&organisation, &head, &body);
         let call = Self {
             request,
             organisation,
             arrived,
             deadline: arrived + limit,
+            is_named: named.is_some(),
             head,
             body,
             fingerprint,
+            _room: room,
         };
         quarantine::check(shared, &call.fingerprint, &call.request)?;
         Ok(call)
@@ -110,7 +126,7 @@
 fn check_service(shared: &Shared) -> Result<(), Refusal> {
     let (kind, message) = if shared.closed.is_thrown() {
         ("leaving", "this instance is stopping")
-    } else if !shared.view.is_connected() {
+    } else if !shared.view.is_connected() || shared.view.index() == Index(0) {
         ("disconnected", "this instance is cut off from the fleet")
     } else {
         return Ok(());
@@ -125,13 +141,33 @@
     Err(refusal.after(wait).elsewhere(address::others(shared)))
 }
 
-fn time_left(headers: &HeaderMap, default: Duration) -> Result<Duration, Refusal> {
+/// Takes room for a body that is within the bound of one request.
+fn take_room(
+    shared: &Shared,
+    organisation: &OrganisationId,
+    bytes: usize,
+) -> Result<Room, Refusal> {
+    let bytes = bytes.min(shared.settings.body_bound.0);
+    shared.memory.take(organisation, bytes).ok_or_else(|| {
+        Refusal::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "bodies-full",
+            "the bodies of requests in progress are at their bound",
+            "ask again after the time in retry-after, or another address",
+        )
+        .after(shared.settings.retry_after)
+        .elsewhere(address::others(shared))
+    })
+}
+
+/// The time limit that a caller names.
+fn named_limit(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
     let Some(value) = headers.get(DEADLINE) else {
-        return Ok(default);
+        return Ok(None);
     };
     let parsed = value.to_str().ok().and_then(|v| v.parse().ok());
-    let parsed = parsed.map(Duration::from_millis);
-    parsed.ok_or_else(|| {
+    let limit = parsed.map(Duration::from_millis);
+    limit.map(Some).ok_or_else(|| {
         Refusal::not_run(
             StatusCode::BAD_REQUEST,
             "malformed",
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -5,9 +5,9 @@
 use compact_str::format_compact;
 use http::StatusCode;
 use jaylock_observe::Run;
-use jaylock_rpc::v1::Ask;
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::refusal::Reason;
+use jaylock_rpc::v1::{self, Ask};
 use jaylock_types::PoolId;
 
 use crate::account::Account;
@@ -19,6 +19,13 @@
 use crate::router::Shared;
 use crate::slot::Slot;
 
+/// Time in which a backend server may still crash under work that was cancelled.
+const AFTERMATH: Duration = Duration::from_secs(1);
+/// Longest wait before the third attempt.
+const BACKOFF: Duration = Duration::from_millis(50);
+/// Times that the wait doubles at most.
+const BACKOFF_DOUBLINGS: u32 = 4;
+
 /// What the attempts of one request share: slots, run state, budget and suspicion.
 pub struct Retry {
     shared: Rc<Shared>,
@@ -29,6 +36,14 @@
     before: Run,
     tries: u32,
     avoid: Vec<String>,
+    /// Where an attempt runs that was neither reported as failed nor as whole.
+    running: Option<Place>,
+}
+
+/// A backend server at which a request runs.
+struct Place {
+    address: SocketAddr,
+    backend: String,
 }
 
 impl Retry {
@@ -50,6 +65,7 @@
             before: Run::NotRun,
             tries: 0,
             avoid: Vec::new(),
+            running: None,
         }
     }
 
@@ -75,22 +91,23 @@
         account: &mut Account,
     ) -> Result<(SocketAddr, Slot), Refusal> {
         let asked = Instant::now();
+        if self.tries > 0 {
+            self.suspect.await_trial(&self.shared).await;
+        }
         let outcome = self.ask(ask).await;
         account.record.waited += asked.elapsed();
         let (address, slot) = outcome?;
         self.tries += 1;
-        account.record.attempts = self.tries;
-        account.step(format_compact!(
-            "attempt {} at {}",
-            self.tries,
-            slot.backend()
-        ));
+        let (tries, backend) = (self.tries, slot.backend().to_owned());
+        account.record.attempts = tries;
+        account.step(format_compact!("attempt {tries} at {backend}"));
         let suspect = &self.suspect;
         let checked = quarantine::check(&self.shared, &suspect.fingerprint, &suspect.request);
         if let Err(refusal) = checked {
             slot.close(Outcome::NotRun);
             return Err(refusal.ran(self.run));
         }
+        self.running = Some(Place { address, backend });
         self.before = self.run;
         if self.run == Run::NotRun {
             self.run = Run::Unknown;
@@ -101,6 +118,7 @@
     /// Notes that the answer is whole.
     pub fn succeeded(&mut self, slot: Slot) {
         self.run = Run::Ran;
+        self.running = None;
         slot.close(Outcome::Complete);
         self.suspect.clear(&self.shared);
     }
@@ -116,15 +134,19 @@
         slot: Slot,
         account: &Account,
     ) -> Result<(), Refusal> {
+        self.running = None;
         account.step(format_compact!("attempt failed: {failure}"));
         let backend = slot.backend().to_owned();
         if is_crash(&self.shared, failure, address).await {
             slot.close(Outcome::Crashed);
             account.step(format_compact!("backend server {backend} crashed"));
-            self.avoid.push(backend);
-            return self.suspect.crashed(&self.shared, self.run).await;
+            self.avoid.push(backend.clone());
+            return self.suspect.crashed(&self.shared, &backend, self.run).await;
         }
         slot.close(outcome(failure));
+        if matches!(failure, Failure::Silent | Failure::Broken(_)) {
+            self.shared.links.forget(address);
+        }
         if failure.is_not_run() {
             self.run = self.before;
         }
@@ -135,7 +157,20 @@
         if failure.is_not_run() || matches!(failure, Failure::Silent) {
             self.avoid.push(backend);
         }
-        self.allow(failure)
+        self.allow(failure)?;
+        self.back_off().await;
+        Ok(())
+    }
+
+    /// Waits before every attempt but the second, ever longer.
+    async fn back_off(&self) {
+        let doublings = self.tries.saturating_sub(2).min(BACKOFF_DOUBLINGS);
+        if self.tries < 2 {
+            return;
+        }
+        let most = BACKOFF.saturating_mul(1 << doublings);
+        let wait = rand::random_range(most / 2..most);
+        compio::time::sleep(wait).await;
     }
 
     fn allow(&self, failure: &Failure) -> Result<(), Refusal> {
@@ -151,7 +186,11 @@
 
     fn gave_up(&self, reason: &'static str) -> Refusal {
         let remedy = "ask again after the time in retry-after";
-        Refusal::not_run(StatusCode::BAD_GATEWAY, "broken", reason, remedy)
+        let (status, kind) = match self.run {
+            Run::NotRun => (StatusCode::SERVICE_UNAVAILABLE, "declined"),
+            Run::Ran | Run::Unknown => (StatusCode::BAD_GATEWAY, "broken"),
+        };
+        Refusal::not_run(status, kind, reason, remedy)
             .ran(self.run)
             .after(self.shared.settings.retry_after)
     }
@@ -166,18 +205,22 @@
             request: self.suspect.request.to_string(),
             ..base
         };
-        let mut outcome = self.shared.capacity.ask(&self.pool, ask.clone()).await;
-        let is_choosy = !self.avoid.is_empty();
-        if is_choosy
-            && outcome
-                .as_ref()
-                .is_err_and(|r| r.reason() == Reason::NoBackend)
-        {
-            // One that was avoided is better than none; it may have come back.
-            self.avoid.clear();
-            ask.avoid.clear();
-            outcome = self.shared.capacity.ask(&self.pool, ask).await;
+        let mut outcome = None;
+        if !self.avoid.is_empty() {
+            let asking = self.shared.capacity.ask(&self.pool, ask.clone());
+            let limit = self.shared.settings.avoid_limit;
+            outcome = compio::time::timeout(limit, asking).await.ok();
         }
+        let is_barred = |r: &v1::Refusal| r.reason() == Reason::NoBackend;
+        let outcome = match outcome {
+            Some(outcome) if !outcome.as_ref().is_err_and(is_barred) => outcome,
+            _ => {
+                // One that failed before is better than none; it may have come back.
+                self.avoid.clear();
+                ask.avoid.clear();
+                self.shared.capacity.ask(&self.pool, ask).await
+            }
+        };
         let grant = outcome.map_err(|r| Refusal::of_capacity(&r).ran(self.run))?;
         let address = grant.address.parse();
         let slot = Slot::new(self.shared.capacity.clone(), self.pool.clone(), grant);
@@ -189,6 +232,24 @@
     }
 }
 
+impl Drop for Retry {
+    /// Looks after a backend server whose work was cancelled: its crash may follow.
+    fn drop(&mut self) {
+        let Some(Place { address, backend }) = self.running.take() else {
+            return;
+        };
+        let (shared, mut suspect, run) = (self.shared.clone(), self.suspect.clone(), self.run);
+        self.shared.background.leave(async move {
+            compio::time::sleep(AFTERMATH).await;
+            let limit = shared.settings.connect_timeout;
+            if !link::is_reachable(address, limit).await {
+                // Its caller has gone, so nobody is left to hear the answer.
+                let _ = suspect.crashed(&shared, &backend, run).await;
+            }
+        });
+    }
+}
+
 /// Whether a broken connection means that the backend server itself is gone.
 async fn is_crash(shared: &Shared, failure: &Failure, address: SocketAddr) -> bool {
     let limit: Duration = shared.settings.connect_timeout;
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -7,8 +7,10 @@
 use jaylock_observe::Observer;
 
 use crate::announce::Backends;
+use crate::background::Background;
 use crate::budget::RetryBudget;
 use crate::link::Links;
+use crate::memory::BodyMemory;
 use crate::organisation::Organisations;
 use crate::port::{Capacity, Claims};
 use crate::server;
@@ -44,12 +46,16 @@
     pub organisations: Organisations,
     /// Backend servers that announced themselves here.
     pub backends: Backends,
+    /// Room for the bodies of requests.
+    pub memory: BodyMemory,
     /// Retries that organisations may make.
     pub budget: RetryBudget,
     /// Thrown when new requests are refused because the instance stops.
     pub closed: Signal,
     /// Held by each connection that was accepted before.
     pub open: Rc<()>,
+    /// Work that goes on after its request was dropped.
+    pub background: Background,
     leaving: Cell<bool>,
     busy: Rc<()>,
 }
@@ -65,6 +71,7 @@
         observer: Observer,
         settings: RouterSettings,
     ) -> Self {
+        let memory = BodyMemory::new(settings.bodies_bound);
         let budget = RetryBudget::new(settings.retry_burst, settings.retry_permille);
         let shared = Shared {
             identity,
@@ -76,9 +83,11 @@
             links: Links::default(),
             organisations: Organisations::default(),
             backends: Backends::default(),
+            memory,
             budget,
             closed: Signal::default(),
             open: Rc::new(()),
+            background: Background::default(),
             leaving: Cell::new(false),
             busy: Rc::new(()),
         };
--- a/crates/jaylock-router/src/settings.rs
+++ b/crates/jaylock-router/src/settings.rs
@@ -21,6 +21,8 @@
 pub struct RouterSettings {
     /// Largest body of a request.
     pub body_bound: ByteSize,
+    /// Bodies of requests held at once, together; one organisation gets a quarter at most.
+    pub bodies_bound: ByteSize,
     /// Largest head of a request.
     pub header_bound: ByteSize,
     /// Largest number of header fields.
@@ -47,6 +49,8 @@
     pub idle: Duration,
     /// Attempts at backend servers for one request.
     pub attempts: u32,
+    /// Wait for a slot elsewhere, after which a backend server that failed is taken again.
+    pub avoid_limit: Duration,
     /// Retries that an organisation may make at once.
     pub retry_burst: u32,
     /// Retries earned by each request, in thousandths.
@@ -75,6 +79,7 @@
     fn default() -> Self {
         Self {
             body_bound: ByteSize(4 << 20),
+            bodies_bound: ByteSize(64 << 20),
             header_bound: ByteSize(32 << 10),
             header_count: 64,
             connections: 4096,
@@ -86,8 +91,9 @@
             silence: Duration::from_secs(3),
             once_limit: Duration::from_mins(1),
             fresh: Duration::from_secs(1),
-            idle: Duration::from_secs(30),
+            idle: Duration::from_secs(3),
             attempts: 5,
+            avoid_limit: Duration::from_secs(2),
             retry_burst: 128,
             retry_permille: 200,
             answer_bound: ByteSize(8 << 20),
--- a/crates/jaylock-share/examples/sharing/wire.rs
+++ b/crates/jaylock-share/examples/sharing/wire.rs
@@ -96,12 +96,12 @@
         }
     }
     compio::time::sleep(LASTS + Duration::from_secs(1)).await;
-    let (bytes, spent, writes) = (traffic().sent, processor(), traffic().writes);
+    let (bytes, spent, writes) = (traffic().sent, processor(), traffic().flushes);
     compio::time::sleep(SPAN).await;
     let seconds = SPAN.as_secs_f64() * routers as f64;
     // Each byte that a node receives from the scheduler counts for it like those that it sends.
     let payload = (traffic().sent - bytes) as f64 / seconds;
-    let writes = (traffic().writes - writes) as f64 / seconds;
+    let writes = (traffic().flushes - writes) as f64 / seconds;
     let cpu = (processor() - spent) * 100.0 / seconds;
     let whole = payload + writes * PACKET;
     println!("{routers:>7} {pools:>6} {payload:>14.0} {writes:>14.1} {whole:>13.0} {cpu:>10.2}");
--- a/crates/jaylock-tests/src/lib.rs
+++ b/crates/jaylock-tests/src/lib.rs
@@ -2,8 +2,13 @@
 
 /// Fleets of real processes, and what tests do to them.
 pub mod fleet;
+mod process;
 mod program;
 
+pub use self::fleet::{
+    Fleet, Fleet as Deployment, FleetSettings, FleetSettings as DeploymentSettings, ORGANISATIONS,
+};
+pub use self::process::Process;
 pub use self::program::program;
 
 use proptest::test_runner::{Config, RngSeed};
