--- a/crates/jaylock-share/examples/sharing/main.rs
+++ b/crates/jaylock-share/examples/sharing/main.rs
@@ -110,7 +110,7 @@
             figures.utilisation,
             figures.largest_gap,
             figures.median_gap,
-            format!("{} ms", figures.lookup_p99),
+            wait(figures.lookup_p99),
             figures.bytes,
             figures.processor,
         );
@@ -151,3 +151,11 @@
     }
     sum
 }
+
+/// A wait in ms; none where no look-up was served at all.
+fn wait(p99: u64) -> String {
+    if p99 == u64::MAX {
+        return "never".into();
+    }
+    format!("{p99} ms")
+}
