Router tests run the same cases every time

Ruled out: fewer cases; the shared configuration keeps them and fixes the seed. Conclusion: the same verdict on every run.

--- a/crates/jaylock-tests/tests/router/pieces.rs
+++ b/crates/jaylock-tests/tests/router/pieces.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use googletest::prelude::*;
 use jaylock_router::{BodyMemory, Check, Event, EventParser, PieceChecker, RetryBudget, Room};
+use jaylock_tests::seeded;
 use jaylock_types::ByteSize;
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_assert, prop_assert_eq, prop_oneof, proptest};
@@ -54,6 +55,8 @@
 }
 
 proptest! {
+    #![proptest_config(seeded(256))]
+
     #[test]
     fn parser_finds_the_same_events_wherever_the_bytes_are_cut(
         events in vec(event(), 0..6),
