Routers go on without control; a cut instance gives its backend servers up

An instance that is cut off kept its engine: it went on taking heartbeats, so the others had no engine for as long as the cut lasted (seen: 60 s of 503). The end of being connected was set back to that of a lease that was over before each wide round of gossip, so a router refused for a moment (503 disconnected) while control was down. Ruled out: the stand-in's choice of addresses (it announces elsewhere as soon as an instance refuses it); the forwarders (the second fault came without them). Change: announcements and heartbeats are refused by an instance that is cut off; ConfigView::stay_connected only ever moves the end forward. Two tests: control wholly down, with and without the scheduler's instance. What remains: after control has returned, a scheduler that takes up its work again refuses (503 no-backend, truly not run) until it has heard of the backend servers anew, seen for about 2 s; the test waits for that.

--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -41,12 +41,6 @@
         self.end.get().is_some_and(|end| moment < end)
     }
 
-    /// When the lease of the last renewal ends.
-    #[must_use]
-    pub fn end(&self) -> Option<Instant> {
-        self.end.get()
-    }
-
     fn extend(&self, end: Instant) {
         self.end.set(self.end.get().max(Some(end)));
     }
@@ -168,7 +162,7 @@
             let in_force = view.newer_than(before);
             if compio::time::timeout_at(end, in_force).await.is_ok() {
                 lease.extend(end);
-                view.set_connected_until(lease.end().unwrap_or(end));
+                view.stay_connected(end);
             }
         };
         compio::runtime::spawn(waiting).detach();
--- a/crates/jaylock-control/src/gossip.rs
+++ b/crates/jaylock-control/src/gossip.rs
@@ -47,15 +47,10 @@
         let mut turn = 0;
         loop {
             let started = Instant::now();
-            if let Some(end) = self.lease.end() {
-                self.view.set_connected_until(end);
-            }
             if self.lease.is_valid_at(started + self.round()) {
                 self.ask_neighbour(turn).await;
             } else if self.ask_many().await {
-                let heard = started + self.settings.heard_for;
-                self.view
-                    .set_connected_until(self.lease.end().max(Some(heard)).unwrap_or(heard));
+                self.view.stay_connected(started + self.settings.heard_for);
             }
             turn += 1;
             let pause = self.settings.gossip_every.saturating_sub(started.elapsed());
--- a/crates/jaylock-control/src/view.rs
+++ b/crates/jaylock-control/src/view.rs
@@ -99,11 +99,13 @@
         self.shared.connected.set(end);
     }
 
-    /// Notes until when the instance counts as connected by what it has heard.
+    /// Notes until when the instance counts as connected by what it has heard; an earlier moment
+    /// than the one that is known changes nothing.
     ///
     /// A process that was frozen past that moment is cut off from its first step on.
-    pub fn set_connected_until(&self, end: Instant) {
-        self.shared.connected.set(Some(end));
+    pub fn stay_connected(&self, end: Instant) {
+        let known = self.shared.connected.get();
+        self.shared.connected.set(known.max(Some(end)));
     }
 }
 
--- a/crates/jaylock-router/src/announce.rs
+++ b/crates/jaylock-router/src/announce.rs
@@ -15,6 +15,7 @@
 
 use crate::answer::{Refusal, json};
 use crate::body::Body;
+use crate::call;
 use crate::router::Shared;
 
 /// Most requests at once that a backend server may announce.
@@ -93,6 +94,7 @@
 
 /// Takes the announcement of a backend server.
 pub async fn announce(shared: &Shared, body: &Bytes) -> Result<Response<Body>, Refusal> {
+    call::check_connected(shared)?;
     let announcement: Announcement = parse(body)?;
     if announcement.slots > SLOT_LIMIT {
         return Err(malformed("slots is over 4096"));
@@ -108,6 +110,8 @@
 
 /// Takes the load of a backend server that announced itself here.
 pub fn heartbeat(shared: &Shared, body: &Bytes) -> Result<Response<Body>, Refusal> {
+    // A backend server that stays with an instance that is cut off is lost to the others.
+    call::check_connected(shared)?;
     let heartbeat: Heartbeat = parse(body)?;
     let report = shared.backends.update(heartbeat)?;
     let refused = refused(shared, &report);
--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -108,13 +108,22 @@
 }
 
 fn check_service(shared: &Shared) -> Result<(), Refusal> {
-    let (kind, message) = if shared.closed.is_thrown() {
-        ("leaving", "this instance is stopping")
-    } else if !shared.view.is_connected() {
-        ("disconnected", "this instance is cut off from the fleet")
-    } else {
+    if shared.closed.is_thrown() {
+        return Err(elsewhere(shared, "leaving", "this instance is stopping"));
+    }
+    check_connected(shared)
+}
+
+/// Checks that this instance hears the fleet; one that is cut off takes nothing new.
+pub fn check_connected(shared: &Shared) -> Result<(), Refusal> {
+    if shared.view.is_connected() {
         return Ok(());
-    };
+    }
+    let message = "this instance is cut off from the fleet";
+    Err(elsewhere(shared, "disconnected", message))
+}
+
+fn elsewhere(shared: &Shared, kind: &'static str, message: &'static str) -> Refusal {
     let refusal = Refusal::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         kind,
@@ -122,7 +131,7 @@
         "ask one of the other addresses",
     );
     let wait = shared.settings.retry_after;
-    Err(refusal.after(wait).elsewhere(address::others(shared)))
+    refusal.after(wait).elsewhere(address::others(shared))
 }
 
 fn time_left(headers: &HeaderMap, default: Duration) -> Result<Duration, Refusal> {
--- a/crates/jaylock-tests/tests/fleet/cuts.rs
+++ b/crates/jaylock-tests/tests/fleet/cuts.rs
@@ -1,3 +1,5 @@
+use std::time::{Duration, Instant};
+
 use googletest::prelude::*;
 use jaylock_tests::cases;
 use jaylock_tests::fleet::{Answer, Fleet, FleetSettings, post, wait_until};
@@ -5,6 +7,9 @@
 
 use crate::{BODY, create, revision};
 
+/// A time in which every lease that control gave has run out.
+const BEYOND_LEASE: Duration = Duration::from_secs(6);
+
 /// Asks an instance for a model's answer.
 fn ask(fleet: &Fleet, place: usize) -> Answer {
     let answer = post(
@@ -29,6 +34,32 @@
     fleet
 }
 
+/// The instance that runs the scheduler of the model's pool.
+fn scheduler(fleet: &Fleet) -> usize {
+    let listed = fleet.tool(&["--json", "pool", "list"]).json();
+    let id = listed["pools"][0]["scheduler"]
+        .as_str()
+        .expect("a scheduler");
+    id[1..].parse().expect("a number")
+}
+
+/// Whether every instance serves; those that don't must say truly that nothing ran.
+fn is_served(fleet: &Fleet) -> bool {
+    let answers = (0..fleet.len()).map(|place| ask(fleet, place));
+    let refused: Vec<Answer> = answers.filter(|answer| answer.status != 200).collect();
+    for answer in &refused {
+        assert_that!(answer.header("x-run"), some(eq("not-run")), "{answer:?}");
+    }
+    refused.is_empty()
+}
+
+fn check_served(fleet: &Fleet, down: &[usize]) {
+    for place in (0..fleet.len()).filter(|place| !down.contains(place)) {
+        let answer = ask(fleet, place);
+        assert_that!(answer.status, eq(200), "i{place}: {answer:?}");
+    }
+}
+
 cases! {
     a_cut_instance_stops_admitting_and_names_others => {
         let fleet = serving(&FleetSettings { is_forwarded: true, ..Default::default() }, 3);
@@ -62,4 +93,48 @@
         fleet.wait_ready();
         assert_that!(revision(&fleet), eq(1));
     };
+    routers_go_on_while_control_is_wholly_down => {
+        let mut fleet = serving(&FleetSettings { instances: 7, ..Default::default() }, 6);
+        let scheduler = scheduler(&fleet);
+        // Two of three replicas are a majority; the scheduler's instance stays.
+        let down: Vec<usize> = (0..3).filter(|place| *place != scheduler).take(2).collect();
+        for place in &down {
+            fleet.kill(*place);
+        }
+        let end = Instant::now() + BEYOND_LEASE;
+        while Instant::now() < end {
+            check_served(&fleet, &down);
+        }
+        assert_that!(fleet.tool(&["--timeout", "1s", "config", "show"]).code, eq(4));
+        for place in &down {
+            fleet.restart(*place);
+        }
+        fleet.wait_ready();
+        // The scheduler takes up its work again and hears of the backend servers anew.
+        wait_until("all serve again", || is_served(&fleet));
+    };
+    routers_go_on_while_control_and_the_scheduler_are_down => {
+        let mut fleet = serving(&FleetSettings { instances: 7, ..Default::default() }, 6);
+        check_served(&fleet, &[]);
+        let scheduler = scheduler(&fleet);
+        let mut down: Vec<usize> = (0..3).filter(|place| *place != scheduler).take(2).collect();
+        down.push(scheduler);
+        for place in &down {
+            fleet.kill(*place);
+        }
+        let up: Vec<usize> = (0..7).filter(|place| !down.contains(place)).collect();
+        wait_until("one router serves with the slots it holds", || {
+            let answers: Vec<_> = up.iter().map(|place| ask(&fleet, *place)).collect();
+            let refused = answers.iter().filter(|a| a.status != 200);
+            for answer in refused {
+                assert_that!(answer.header("x-run"), some(eq("not-run")), "{answer:?}");
+            }
+            answers.iter().any(|a| a.status == 200)
+        });
+        for place in &down {
+            fleet.restart(*place);
+        }
+        fleet.wait_ready();
+        wait_until("all serve again", || is_served(&fleet));
+    };
 }
