--- a/crates/jaylock-measure/src/bin/measure-node.rs
+++ b/crates/jaylock-measure/src/bin/measure-node.rs
@@ -9,11 +9,15 @@
 
 /// Seed of the arrivals.
 const SEED: u64 = 24;
-/// Start of the names of the counters of control traffic.
-const COUNTERS: [&str; 2] = [
+/// Counters of the bytes of control traffic.
+const BYTES: [&str; 2] = [
     "jaylock_control_received_bytes_total",
     "jaylock_control_sent_bytes_total",
 ];
+/// Counter of writes and reads, each at least one packet.
+const PACKETS: [&str; 1] = ["jaylock_control_packets_total"];
+/// Bytes of Ethernet, IP and TCP headers with time stamps in each packet.
+const HEADERS: f64 = 66.0;
 
 fn main() -> anyhow::Result<()> {
     let matches = command().get_matches();
@@ -38,8 +42,9 @@
         rate,
         seed: SEED,
     };
-    let (bytes, usage, start) = (
-        control_bytes(metrics).await?,
+    let (bytes, packets, usage, start) = (
+        counted(metrics, &BYTES).await?,
+        counted(metrics, &PACKETS).await?,
         Usage::of(pid)?,
         Instant::now(),
     );
@@ -50,29 +55,31 @@
         compio::time::sleep(time).await;
         (0, 0)
     };
-    let (later, used, seconds) = (
-        control_bytes(metrics).await?,
+    let (bytes, packets, used, seconds) = (
+        counted(metrics, &BYTES).await? - bytes,
+        counted(metrics, &PACKETS).await? - packets,
         Usage::of(pid)?,
         start.elapsed().as_secs_f64(),
     );
     println!(
-        "{rate} requests/s: {whole} whole, {failed} failed; control traffic {:.2} KB/s, all work {:.2} % core, {} KiB resident",
-        (later - bytes) / seconds / 1000.0,
+        "{rate} requests/s: {whole} whole, {failed} failed; control traffic {:.2} KB/s in {:.0} packets/s, with headers {:.2} KB/s; all work {:.2} % core, {} KiB resident",
+        bytes / seconds / 1000.0,
+        packets / seconds,
+        (bytes + packets * HEADERS) / seconds / 1000.0,
         used.cpu.saturating_sub(usage.cpu).as_secs_f64() * 100.0 / seconds,
         used.resident_kib,
     );
     Ok(())
 }
 
-/// Bytes of control traffic in both directions, from the instance's metrics.
-async fn control_bytes(metrics: SocketAddr) -> anyhow::Result<f64> {
+/// Sum of counters in the instance's metrics.
+async fn counted(metrics: SocketAddr, names: &[&str]) -> anyhow::Result<f64> {
     let text = jaylock_measure::fetch(metrics, "/metrics").await?;
     let counters = text
         .lines()
-        .filter(|l| COUNTERS.iter().any(|c| l.starts_with(c)));
-    Ok(counters
-        .filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok())
-        .sum())
+        .filter(|l| names.iter().any(|n| l.starts_with(n)));
+    let values = counters.filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok());
+    Ok(values.sum())
 }
 
 fn required<T: Clone + Send + Sync + 'static>(
