--- a/crates/jaylock-tests/tests/history/faults.rs
+++ b/crates/jaylock-tests/tests/history/faults.rs
@@ -106,11 +106,17 @@
         });
     };
     instances_freeze_and_wake => {
-        let _ = under(crowd(), |fleet, rng| {
+        let settings = CrowdSettings {
+            lanes: 32,
+            call_ms: 200,
+            ..crowd()
+        };
+        let _ = under(settings, |fleet, rng| {
             for _ in 0..2 {
                 let victim = rng.random_range(0..fleet.len());
                 fleet.freeze(victim);
-                pause(rng.random_range(1000..5000));
+                // Longer than the lease of an instance.
+                pause(rng.random_range(3500..5000));
                 fleet.thaw(victim);
                 pause(rng.random_range(500..1500));
             }
