Equal requests run on two backend servers at most at once

Cause: a request that crashes its engine, sent through several routers at the same moment, was granted slots on all of them before any router had seen a crash. Ruled out: a count in the routers (each sees its own); refusing an equal request while one runs (a rush of look-ups for one card is equal requests too). Change: an ask carries the start of the request's fingerprint; the scheduler keeps equal requests on at most two places (twins.rs). The history now sends the request by six callers at once instead of two. Conclusion: at most two backend servers are lost to one request, also when it comes from all sides at once.

--- a/crates/jaylock-router/src/quarantine.rs
+++ b/crates/jaylock-router/src/quarantine.rs
@@ -56,6 +56,12 @@
 }
 
 impl Suspect {
+    /// The start of the fingerprint, by which a scheduler knows equal requests.
+    pub fn short_fingerprint(&self) -> u64 {
+        let start = self.fingerprint.first_chunk().copied().unwrap_or_default();
+        u64::from_be_bytes(start)
+    }
+
     /// Notes a crash fleet-wide.
     ///
     /// # Errors
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -203,6 +203,7 @@
             alone: self.suspect.is_on_trial(),
             waited_ms: u32::try_from(waited).unwrap_or(u32::MAX),
             request: self.suspect.request.to_string(),
+            fingerprint: self.suspect.short_fingerprint(),
             ..base
         };
         let mut outcome = None;
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -16,6 +16,7 @@
 use crate::division::Division;
 use crate::queue::Waiting;
 use crate::router::{RouterKey, Routers, Run};
+use crate::twins::Twins;
 use crate::usage::Usage;
 
 /// The state of one pool and its decisions; the scheduler's task is its only user.
@@ -39,6 +40,8 @@
     // Whether the pool had slots to spare when decisions last began.
     pub(crate) has_spare: bool,
     pub(crate) division: Division,
+    // Where equal requests run.
+    pub(crate) twins: Twins,
     residual: Residual,
 }
 
@@ -61,6 +64,7 @@
             usage: Usage::new(now),
             waiting: 0,
             has_spare: false,
+            twins: Twins::default(),
             division: Division::default(),
             residual: Residual::default(),
         }
@@ -267,6 +271,7 @@
         let account = self.accounts.get_mut(run.account);
         account.running = account.running.saturating_sub(1);
         account.tokens += cost.saturating_sub(run.tokens);
+        self.twins.remove(run.fingerprint, run.place);
         let backend = self.backends.get_mut(run.place);
         backend.remove_grant();
         if run.alone {
--- a/crates/jaylock-share/src/attach.rs
+++ b/crates/jaylock-share/src/attach.rs
@@ -74,6 +74,7 @@
             charged,
             tokens: running.tokens,
             alone: running.alone,
+            fingerprint: 0,
         };
         if let Some(router) = self.routers.get_mut(key) {
             router.add_run(run);
--- a/crates/jaylock-share/src/decide.rs
+++ b/crates/jaylock-share/src/decide.rs
@@ -39,11 +39,11 @@
             if !meeting.overlaps(self.backends.open()) {
                 continue;
             }
-            let (backends, routers) = (&self.backends, &self.routers);
+            let (backends, twins, routers) = (&self.backends, &self.twins, &self.routers);
             let choose = |waiting: &Waiting| {
                 let router = routers.get(waiting.router);
                 let domain = router.map_or("", |router| router.domain.as_str());
-                placement::choose(backends, meeting, &waiting.ask, domain)
+                placement::choose(backends, twins, meeting, &waiting.ask, domain)
             };
             let fits = |waiting: &Waiting| choose(waiting).is_some();
             let longest = self.settings.longest_wait;
@@ -123,6 +123,7 @@
         let owner = self.accounts.get_mut(account);
         owner.running += 1;
         owner.waited(wait);
+        self.twins.add(ask.fingerprint, place);
         let backend = self.backends.get_mut(place);
         backend.add_grant();
         let grant = Grant {
@@ -148,6 +149,7 @@
             charged,
             tokens: 0,
             alone: ask.alone,
+            fingerprint: ask.fingerprint,
         };
         if let Some(router) = self.routers.get_mut(waiting.router) {
             router.remove_waiting(ask.ticket);
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -21,6 +21,7 @@
 mod router;
 mod scheduler;
 mod settings;
+mod twins;
 mod usage;
 mod waitlist;
 
--- a/crates/jaylock-share/src/placement.rs
+++ b/crates/jaylock-share/src/placement.rs
@@ -3,6 +3,7 @@
 use jaylock_rpc::v1::Ask;
 
 use crate::backend::{BackendSet, Backends};
+use crate::twins::Twins;
 
 /// Worth of a prompt prefix that is held, in hundredths of a backend server's slots.
 const PREFIX_WORTH: i64 = 15;
@@ -14,8 +15,17 @@
 /// Chooses the backend server for a request among those that meet its demand and have room.
 ///
 /// A held prefix and a near failure domain count against the load; a wrong guess costs time only.
-pub fn choose(backends: &Backends, meeting: &BackendSet, ask: &Ask, domain: &str) -> Option<usize> {
-    let allowed = |place: &usize| !is_avoided(ask, &backends.get(*place).report.id);
+pub fn choose(
+    backends: &Backends,
+    twins: &Twins,
+    meeting: &BackendSet,
+    ask: &Ask,
+    domain: &str,
+) -> Option<usize> {
+    let allowed = |place: &usize| {
+        let is_avoided = is_avoided(ask, &backends.get(*place).report.id);
+        !is_avoided && twins.admits(ask.fingerprint, *place)
+    };
     let worth = |place: &usize| {
         let backend = backends.get(*place);
         let matched = backend.matched(&ask.prefixes).min(MOST_PREFIXES);
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -22,6 +22,8 @@
     pub charged: u64,
     pub tokens: u64,
     pub alone: bool,
+    /// As in the ask; 0 for runs that an earlier scheduler granted.
+    pub fingerprint: u64,
 }
 
 /// A router as the scheduler sees it.
--- a/crates/jaylock-tests/tests/history/faults.rs
+++ b/crates/jaylock-tests/tests/history/faults.rs
@@ -181,8 +181,8 @@
     a_request_that_crashes_engines_takes_at_most_two_and_no_innocent => {
         let history = under(crowd(), |fleet, _| {
             let prompt = "crash whatever runs this";
-            // Two callers send it again and again, through all routers.
-            let sent = send(&fleet.addresses(), "adala", [prompt, prompt], 8);
+            // Six callers send it at once, and again and again, through all routers.
+            let sent = send(&fleet.addresses(), "adala", [prompt; 6], 8);
             for account in &sent {
                 expect_that!(account.outcome, not(eq(Outcome::Served)));
                 expect_that!(account.attempts, each(field!(&Attempt.status, some(anything()))));
--- a/crates/jaylock-tests/tests/share/decision.rs
+++ b/crates/jaylock-tests/tests/share/decision.rs
@@ -180,6 +180,27 @@
         });
     };
 
+    equal_requests_run_on_two_backend_servers_at_most => {
+        check(24, (2_usize..7, 1_u32..4, costs()), |(engines, slots, costs)| {
+            let names = Simulation::engines(engines, slots);
+            let mut simulation = Simulation::new(&[1, 1], names, 2);
+            let mut next = 0;
+            let equal = || Ask { fingerprint: 7, ..Ask::default() };
+            let tickets: Vec<u64> = (0..12).map(|n| simulation.ask(0, n % 2, 100, equal())).collect();
+            for _ in 0..300 {
+                fill(&mut simulation, &[1], &costs, &mut next);
+                simulation.step();
+                let jobs = tickets.iter().filter_map(|t| simulation.job(*t));
+                let mut places: Vec<_> = jobs.filter_map(|j| j.engine.clone()).collect();
+                places.sort_unstable();
+                places.dedup();
+                assert_that!(places.len(), le(2));
+            }
+            let left = tickets.iter().filter(|t| simulation.job(**t).is_some()).count();
+            assert_that!(left, eq(0), "equal requests are all served in the end");
+        });
+    };
+
     short_requests_overtake_long_ones_and_long_ones_finish => {
         let binder = || Ask { limit: 4000, ..Ask::default() };
         let mut simulation = Simulation::new(&[1], Simulation::engines(1, 1), 1);
