--- a/crates/jaylock-rpc/src/server.rs
+++ b/crates/jaylock-rpc/src/server.rs
@@ -154,7 +154,7 @@
         let (routes, settings) = (routes.clone(), settings.clone());
         local(async move { Ok::<_, Infallible>(routes.answer(request, &settings).await) })
     });
-    let stream = Counted(HyperStream::new_plain(stream));
+    let stream = Counted::new(HyperStream::new_plain(stream));
     builder.serve_connection(stream, service).await
 }
 
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -9,5 +9,6 @@
 mod history;
 mod losses;
 mod releases;
+mod rules;
 mod schedules;
 mod whole;
