Names of a stream's asks are told once

Ruled out: leaving out only what equals the ask before; organisations alternate. Change: new names are told by the frame that first uses them, and asks give their numbers. Seen failing: request numbers not restored, addresses not restored, name numbers off by one. With the names kept back the test still passes, after 3.8 s: the silent stream is given up and the next one spells names out.

--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -11,6 +11,7 @@
 use crate::ShareSettings;
 use crate::account::{AccountKey, Accounts};
 use crate::backend::Backends;
+use crate::compact::spell_out;
 use crate::cost::{Residual, Shape, cost_of};
 use crate::demand::{DemandKey, Demands};
 use crate::division::Division;
@@ -104,7 +105,13 @@
         for ticket in frame.cancels {
             self.cancel(key, ticket);
         }
-        for ask in frame.asks {
+        let Some(router) = self.routers.get_mut(key) else {
+            return;
+        };
+        router.names.extend(frame.names);
+        let mut asks = frame.asks;
+        asks.retain_mut(|ask| spell_out(ask, &router.names));
+        for ask in asks {
             self.ask(key, ask, now);
         }
     }
--- a/crates/jaylock-share/src/batch.rs
+++ b/crates/jaylock-share/src/batch.rs
@@ -4,11 +4,12 @@
 use jaylock_rpc::v1::{Ask, BackendReport, End, Progress, RouterFrame};
 
 use crate::PoolSettings;
-use crate::compact::shorten;
+use crate::compact::{Names, shorten};
 
 /// Messages of a router that are joined into one frame.
 #[derive(Debug, Default)]
 pub struct Batch {
+    names: Names,
     asks: Vec<Ask>,
     cancels: Vec<u64>,
     backends: Vec<BackendReport>,
@@ -26,6 +27,7 @@
 impl Batch {
     pub fn add_ask(&mut self, mut ask: Ask) {
         shorten(&mut ask);
+        self.names.shorten(&mut ask);
         self.asks.push(ask);
     }
 
@@ -84,6 +86,7 @@
         }
         let ends = std::mem::take(&mut self.ends);
         RouterFrame {
+            names: self.names.take_fresh(),
             asks: std::mem::take(&mut self.asks),
             cancels: std::mem::take(&mut self.cancels),
             backends: std::mem::take(&mut self.backends),
--- a/crates/jaylock-share/src/compact.rs
+++ b/crates/jaylock-share/src/compact.rs
@@ -1,7 +1,10 @@
+use compact_str::CompactString;
 use jaylock_rpc::v1::{Ask, Grant};
 
 /// Hexadecimal digits of a request's name that is a number of 16 bytes.
 const DIGITS: usize = 32;
+/// Names that a stream gives numbers to.
+const MOST_NAMES: u32 = 4096;
 
 /// Shortens the name of a request for sending, where it is a number.
 pub fn shorten(ask: &mut Ask) {
@@ -57,3 +60,62 @@
         }
     }
 }
+
+/// Names that a stream's asks give by number, as the sender keeps them.
+#[derive(Debug, Default)]
+pub struct Names {
+    // Sorted by name.
+    list: Vec<(CompactString, u32)>,
+    // Names that the next frame tells.
+    fresh: Vec<String>,
+}
+
+impl Names {
+    /// Puts numbers in place of an ask's names.
+    pub fn shorten(&mut self, ask: &mut Ask) {
+        ask.organisation_number = self.number(&mut ask.organisation);
+        ask.model_number = self.number(&mut ask.model);
+    }
+
+    /// Takes the names that the other side does not know yet.
+    pub fn take_fresh(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.fresh)
+    }
+
+    /// The number of a name, which is emptied then; 0 and the name as it is when there are too many.
+    fn number(&mut self, name: &mut String) -> u32 {
+        let search = self
+            .list
+            .binary_search_by(|(known, _)| known.as_str().cmp(name));
+        let number = match search {
+            Ok(at) => self.list[at].1,
+            Err(at) => {
+                let count = u32::try_from(self.list.len()).unwrap_or(u32::MAX);
+                if count >= MOST_NAMES || name.is_empty() {
+                    return 0;
+                }
+                self.list.insert(at, (name.as_str().into(), count + 1));
+                self.fresh.push(name.clone());
+                count + 1
+            }
+        };
+        name.clear();
+        number
+    }
+}
+
+/// Puts an ask's names back in place of their numbers; false when a number was never told.
+pub fn spell_out(ask: &mut Ask, names: &[String]) -> bool {
+    let numbers = [ask.organisation_number, ask.model_number];
+    let texts = [&mut ask.organisation, &mut ask.model];
+    for (number, text) in numbers.into_iter().zip(texts) {
+        let Some(place) = (number as usize).checked_sub(1) else {
+            continue;
+        };
+        let Some(name) = names.get(place) else {
+            return false;
+        };
+        text.clone_from(name);
+    }
+    true
+}
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -39,6 +39,8 @@
     /// What is to be sent to it next.
     pub frame: SchedulerFrame,
     addresses: Addresses,
+    /// Names that its stream has told, by their numbers.
+    pub names: Vec<String>,
     // Sorted by ticket.
     runs: Vec<Run>,
     // Sorted by ticket.
@@ -56,6 +58,7 @@
     pub fn restart(&mut self) {
         self.frame = SchedulerFrame::default();
         self.addresses = Addresses::default();
+        self.names = Vec::new();
         self.fallback = Vec::new();
     }
 
@@ -156,6 +159,7 @@
             fallback: Vec::new(),
             frame: SchedulerFrame::default(),
             addresses: Addresses::default(),
+            names: Vec::new(),
             runs: Vec::new(),
             waiting: Vec::new(),
         };
--- a/crates/jaylock-tests/tests/share/fleet.rs
+++ b/crates/jaylock-tests/tests/share/fleet.rs
@@ -10,7 +10,8 @@
 use jaylock_control::ConfigView;
 use jaylock_rpc::v1::pool_client::PoolClient;
 use jaylock_rpc::v1::{
-    Ask, BackendReport, Configuration, DescribeRequest, End, Instance, LoadedModel, PoolLease,
+    Ask, BackendReport, Configuration, Decision, DescribeRequest, End, Instance, LoadedModel,
+    PoolLease,
 };
 use jaylock_rpc::{Access, Channel, ChannelSettings, Routes, ServerSettings, serve};
 use jaylock_share::{PoolSettings, Pools, SchedulerHost, ShareSettings};
@@ -57,6 +58,11 @@
 
     /// Grants that the scheduler of a pool has made.
     pub async fn grants(&self, pool: &PoolId) -> usize {
+        self.decisions(pool).await.len()
+    }
+
+    /// Newest decisions of the scheduler of a pool.
+    pub async fn decisions(&self, pool: &PoolId) -> Vec<Decision> {
         let channel = Channel::new(self.address, ChannelSettings::default());
         let request = DescribeRequest {
             pool: pool.as_str().into(),
@@ -65,7 +71,7 @@
             .describe(request)
             .await
             .expect("a report");
-        report.into_inner().decisions.len()
+        report.into_inner().decisions
     }
 
     pub fn instance(&self) -> Instance {
--- a/crates/jaylock-tests/tests/share/stream.rs
+++ b/crates/jaylock-tests/tests/share/stream.rs
@@ -3,6 +3,7 @@
 use compio::time::timeout;
 use googletest::prelude::*;
 use jaylock_control::ConfigView;
+use jaylock_rpc::v1::Ask;
 use jaylock_share::ShareSettings;
 use jaylock_tests::cases;
 
@@ -28,4 +29,24 @@
         assert_that!(second.backend, eq("e1"));
         assert_that!(pools.verdict("e1").map(|v| v.refused), some(eq("")));
     };
+
+    async names_and_addresses_come_back_whole => {
+        let view = ConfigView::default();
+        let host = Host::start("i1", &view, ShareSettings::default()).await;
+        assert_that!(view.offer(configuration(1, 1, &host)), eq(true));
+        let chat = pool();
+        let pools = router("r1", &view);
+        pools.report(engine("e1", 8));
+        let long = "00000000000000000000000000abcdef";
+        let asked = [("bench", long), ("till", "short-name"), ("bench", "ABCDEF")];
+        for (organisation, request) in asked {
+            let ask = Ask { request: request.into(), ..ask(organisation) };
+            let grant = timeout(LIVENESS, pools.ask(&chat, ask)).await;
+            let grant = grant.expect("an answer").expect("a grant");
+            assert_that!(grant.address, eq("127.0.0.1:1"));
+        }
+        let decisions = host.decisions(&chat).await;
+        let told = decisions.iter().map(|d| (d.organisation.as_str(), d.request.as_str()));
+        assert_that!(told.collect::<Vec<_>>(), container_eq(asked));
+    };
 }
