Drains hold for backend servers that announce themselves later

Cause: a drain was noted at servers that were known when the configuration came; one that announced itself after, or to a new scheduler, got work in spite of it. A new test showed it. Ruled out: a look at the configuration for each report; the sorted names are kept instead. Change: the registry keeps the drained names. Tests of leaving, lease, drain, identity, incarnation, model, version, adapter, prefixes and lagging load. Seen failing with the mechanism off: leaving, lease, drain, identity, incarnation, version and adapter, prefixes, foreign load, lag. The prefix test first passed without its mechanism, by the order of equal servers; it was turned round. Conclusion: mended.

--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -75,13 +75,10 @@
             account.weight = organisation.weight.max(1);
             account.queue_limit = organisation.queue_limit;
         }
+        let drains = configuration.drains.iter();
+        let drains = drains.map(|drain| drain.backend.as_str().into()).collect();
+        self.backends.set_drains(drains);
         for place in 0..self.backends.len() {
-            let backend = self.backends.get_mut(place);
-            let id = &backend.report.id;
-            backend.drained = configuration
-                .drains
-                .iter()
-                .any(|drain| drain.backend == *id);
             self.refresh(place, now);
         }
     }
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -175,6 +175,8 @@
     list: Vec<Backend>,
     // Sorted by name.
     names: Vec<(CompactString, usize)>,
+    // Names of drained backend servers, announced or not, sorted.
+    drains: Vec<CompactString>,
     // Those that would take another request.
     open: BackendSet,
     // Those that may take requests, full or not.
@@ -295,12 +297,24 @@
         })
     }
 
+    /// Takes the names of the backend servers that get nothing new by an operator's decision.
+    pub fn set_drains(&mut self, mut drains: Vec<CompactString>) {
+        drains.sort_unstable();
+        for backend in &mut self.list {
+            let id = CompactString::from(backend.report.id.as_str());
+            backend.drained = drains.binary_search(&id).is_ok();
+        }
+        self.drains = drains;
+    }
+
     fn add(&mut self, report: BackendReport, now: Instant) -> usize {
         let place = self.list.len();
         let name = CompactString::from(report.id.as_str());
         let at = self.names.partition_point(|(other, _)| *other < name);
+        let mut backend = Backend::new(report, now);
+        backend.drained = self.drains.binary_search(&name).is_ok();
         self.names.insert(at, (name, place));
-        self.list.push(Backend::new(report, now));
+        self.list.push(backend);
         place
     }
 }
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the sharing of capacity.
 
+mod backend;
 mod decision;
 mod failure;
 mod fleet;
