Memory of a full scheduler

Ruled out: counting by the size of types; texts and queues are on the heap. Change: sharing slopes also prints the resident memory that 820 organisations, 400 routers, 76 backend servers and queues at the pool's bound take.

--- a/crates/jaylock-share/examples/sharing/slopes.rs
+++ b/crates/jaylock-share/examples/sharing/slopes.rs
@@ -9,6 +9,10 @@
 const REQUESTS: u64 = 40_000;
 /// Slots of each backend server.
 const SLOTS: u32 = 8;
+/// Requests that are asked for when memory is measured, at the bound of a pool.
+const WAITING: u64 = 20_000;
+/// Bytes of a page of memory.
+const PAGE: u64 = 4096;
 
 #[derive(Debug, Clone, Copy)]
 struct Size {
@@ -23,6 +27,7 @@
         routers: 400,
         backends: 76,
     };
+    print_memory();
     println!("one pool, {REQUESTS} requests, all organisations backlogged");
     println!(
         "{:>14} {:>8} {:>9} {:>12} {:>14}",
@@ -48,11 +53,45 @@
     }
 }
 
-/// Time of one request's ask, grant and end, and of one tick.
-fn measure(size: Size) -> (Duration, Duration) {
-    let mut now = Instant::now();
+/// Memory of a full scheduler: every organisation known, every slot taken, the queues at the bound.
+fn print_memory() {
+    let size = Size {
+        organisations: 820,
+        routers: 400,
+        backends: 76,
+    };
+    let before = resident();
+    let now = Instant::now();
+    let (mut allocator, routers) = pool(size, now);
+    let now = now + ShareSettings::default().settling;
+    for ticket in 0..WAITING {
+        apply(&mut allocator, &routers, asking(ticket, size), now);
+    }
+    allocator.decide(now);
+    let waiting: u32 = allocator
+        .describe("i1", now)
+        .organisations
+        .iter()
+        .map(|o| o.backlog)
+        .sum();
+    let grown = (resident() - before) / 1024;
+    println!("820 organisations, 400 routers, 76 backend servers, {waiting} waiting: {grown} KiB");
+}
+
+/// Resident memory of this process in bytes.
+fn resident() -> u64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm
+        .split_whitespace()
+        .nth(1)
+        .and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE
+}
+
+/// An allocator to which everything is attached.
+fn pool(size: Size, now: Instant) -> (Allocator, Vec<RouterKey>) {
     let settings = ShareSettings::default();
-    let mut allocator = Allocator::new("chat", 1, settings.clone(), now);
+    let mut allocator = Allocator::new("chat", 1, settings, now);
     let hello = |router| Hello {
         router: format!("r{router}"),
         ..Hello::default()
@@ -60,12 +99,19 @@
     let routers: Vec<RouterKey> = (0..size.routers)
         .map(|router| allocator.attach(&hello(router), now))
         .collect();
-    now += settings.settling;
     let reports = RouterFrame {
         backends: (0..size.backends).map(engine).collect(),
         ..Default::default()
     };
     allocator.apply(routers[0], reports, now);
+    (allocator, routers)
+}
+
+/// Time of one request's ask, grant and end, and of one tick.
+fn measure(size: Size) -> (Duration, Duration) {
+    let start = Instant::now();
+    let (mut allocator, routers) = pool(size, start);
+    let now = start + ShareSettings::default().settling;
     let slots = size.backends * u64::from(SLOTS);
     let waiting = slots + 8 * size.organisations;
     for ticket in 0..waiting {
