--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -11,6 +11,7 @@
 use crate::ShareSettings;
 use crate::account::{AccountKey, Accounts};
 use crate::backend::Backends;
+use crate::compact::spell_out;
 use crate::cost::{Residual, Shape, cost_of};
 use crate::demand::{DemandKey, Demands};
 use crate::division::Division;
@@ -78,13 +79,10 @@
             account.weight = organisation.weight.max(1);
             account.queue_limit = organisation.queue_limit;
         }
+        let drains = configuration.drains.iter();
+        let drains = drains.map(|drain| drain.backend.as_str().into()).collect();
+        self.backends.set_drains(drains);
         for place in 0..self.backends.len() {
-            let backend = self.backends.get_mut(place);
-            let id = &backend.report.id;
-            backend.drained = configuration
-                .drains
-                .iter()
-                .any(|drain| drain.backend == *id);
             self.refresh(place, now);
         }
     }
@@ -108,7 +106,13 @@
         for ticket in frame.cancels {
             self.cancel(key, ticket);
         }
-        for ask in frame.asks {
+        let Some(router) = self.routers.get_mut(key) else {
+            return;
+        };
+        router.names.extend(frame.names);
+        let mut asks = frame.asks;
+        asks.retain_mut(|ask| spell_out(ask, &router.names));
+        for ask in asks {
             self.ask(key, ask, now);
         }
     }
