Reports, explanations and drains on a real fleet

Cause: what the tool shows of shares, burn and single requests passes through four parts and was tested only against fakes. Ruled out: a test of the figures themselves, which tests/observe and tests/share hold. Change: three tests with one instance and an engine: explain, report burn with its page, pool list, drain and undrain.

--- a/crates/jaylock-tests/tests/fleet/main.rs
+++ b/crates/jaylock-tests/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod freezes;
 mod malformed;
 mod operators;
+mod reports;
 mod survival;
 
 use jaylock_tests::fleet::Fleet;
