--- a/crates/jaylock-tests/tests/router/port.rs
+++ b/crates/jaylock-tests/tests/router/port.rs
@@ -53,6 +53,7 @@
                 backend: address.clone(),
                 address,
                 epoch: 1,
+                ..Grant::default()
             })
             .ok_or(Refusal {
                 ticket,
