One name for the test fleet; clearer names in the operators' side

Cause: Deployment stood beside Fleet until its tests had moved, and two tests wrote the same settings. Ruled out: keeping the alias, which nothing uses any more. Change: the alias is gone; FleetSettings::single; sorted_out is split_outcomes, told is accepted. Conclusion: no behaviour changed.

--- a/crates/jaylock-operator/src/bin/jaylock/change.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/change.rs
@@ -25,7 +25,7 @@
 pub async fn apply(session: &Session, body: Body) -> Result<Output> {
     let id = base_id(session);
     match propose(session, &id, session.expect, body).await? {
-        Verdict::Done(applied) => Ok(told(&applied, &[])),
+        Verdict::Done(applied) => Ok(accepted(&applied, &[])),
         Verdict::Conflict(revision) => Err(Failure::Conflict { revision }),
     }
 }
@@ -54,7 +54,7 @@
         };
         let id = attempt_id(&base, attempt);
         match propose(session, &id, Some(expected), body).await? {
-            Verdict::Done(applied) => return Ok(told(&applied, more)),
+            Verdict::Done(applied) => return Ok(accepted(&applied, more)),
             Verdict::Conflict(revision) if session.expect.is_some() => {
                 return Err(Failure::Conflict { revision });
             }
@@ -111,7 +111,7 @@
     }
 }
 
-fn told(applied: &v1::Applied, more: &[(&'static str, Cell)]) -> Output {
+fn accepted(applied: &v1::Applied, more: &[(&'static str, Cell)]) -> Output {
     let mut record = Record::new().with("revision", applied.revision);
     for (name, cell) in more {
         record = record.with(name, cell.clone());
--- a/crates/jaylock-operator/src/gather.rs
+++ b/crates/jaylock-operator/src/gather.rs
@@ -53,7 +53,7 @@
                 Ok(reply.into_inner())
             })
         });
-        sorted_out(join_all(calls).await)
+        split_outcomes(join_all(calls).await)
     }
 
     /// Service-level figures of every instance.
@@ -83,7 +83,7 @@
             let address = instance.peer_address.clone();
             self.ask(instance.id.clone(), address, async move |c| call(c).await)
         });
-        sorted_out(join_all(calls).await)
+        split_outcomes(join_all(calls).await)
     }
 
     async fn ask<T>(
@@ -115,7 +115,7 @@
     }
 }
 
-fn sorted_out<T>(outcomes: Vec<(String, Result<T, Status>)>) -> Gathered<T> {
+fn split_outcomes<T>(outcomes: Vec<(String, Result<T, Status>)>) -> Gathered<T> {
     let mut gathered = Gathered {
         answers: Vec::new(),
         unheard: Vec::new(),
--- a/crates/jaylock-tests/src/fleet/mod.rs
+++ b/crates/jaylock-tests/src/fleet/mod.rs
@@ -53,6 +53,20 @@
     pub lines: String,
 }
 
+impl FleetSettings {
+    /// One instance that does everything.
+    #[must_use]
+    pub fn single() -> Self {
+        Self {
+            instances: 1,
+            domains: 1,
+            disks: 1,
+            replicas: 1,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for FleetSettings {
     fn default() -> Self {
         Self {
--- a/crates/jaylock-tests/src/lib.rs
+++ b/crates/jaylock-tests/src/lib.rs
@@ -5,9 +5,7 @@
 mod process;
 mod program;
 
-pub use self::fleet::{
-    Fleet, Fleet as Deployment, FleetSettings, FleetSettings as DeploymentSettings, ORGANISATIONS,
-};
+pub use self::fleet::{Fleet, FleetSettings, ORGANISATIONS};
 pub use self::process::Process;
 pub use self::program::program;
 
--- a/crates/jaylock-tests/tests/fleet/malformed.rs
+++ b/crates/jaylock-tests/tests/fleet/malformed.rs
@@ -15,12 +15,8 @@
 /// One instance that does everything, with an organisation.
 fn single() -> Fleet {
     let settings = FleetSettings {
-        instances: 1,
-        domains: 1,
-        disks: 1,
-        replicas: 1,
         lines: BOUNDS.into(),
-        ..Default::default()
+        ..FleetSettings::single()
     };
     let fleet = Fleet::bare(&settings);
     fleet.wait_ready();
--- a/crates/jaylock-tests/tests/fleet/reports.rs
+++ b/crates/jaylock-tests/tests/fleet/reports.rs
@@ -14,14 +14,7 @@
 
 /// One instance that does everything, with an engine, once it serves.
 fn served() -> Fleet {
-    let settings = FleetSettings {
-        instances: 1,
-        domains: 1,
-        disks: 1,
-        replicas: 1,
-        ..Default::default()
-    };
-    let mut fleet = Fleet::start(&settings);
+    let mut fleet = Fleet::start(&FleetSettings::single());
     fleet.engine("engine-1", &[]);
     wait_until("the model is served", || ask(&fleet).status == 200);
     fleet
