--- a/crates/jaylock-rpc/src/channel.rs
+++ b/crates/jaylock-rpc/src/channel.rs
@@ -128,7 +128,7 @@
             .keep_alive_while_idle(true)
             .keep_alive_interval(self.settings.ping_interval)
             .keep_alive_timeout(self.settings.ping_timeout);
-        let stream = Counted(HyperStream::new_plain(stream));
+        let stream = Counted::new(HyperStream::new_plain(stream));
         let (sender, connection) = builder
             .handshake(stream)
             .await
