--- a/crates/jaylock-control/src/error.rs
+++ b/crates/jaylock-control/src/error.rs
@@ -26,6 +26,12 @@
         /// Where the first damaged record begins.
         offset: usize,
     },
+    /// There is no replica on the disk.
+    #[error("{file} holds no replica: name the data folder of an instance that took part")]
+    Empty {
+        /// File that is missing or empty.
+        file: String,
+    },
     /// Another process uses the data folder.
     #[error("{file} is locked: stop the other process that uses this data folder")]
     Locked {
--- a/crates/jaylock-control/src/replica/mod.rs
+++ b/crates/jaylock-control/src/replica/mod.rs
@@ -25,6 +25,7 @@
 use crate::{ReplicaSettings, Result};
 
 pub(crate) use self::core::Core;
+pub(crate) use self::log::Log;
 pub(crate) use self::progress::Progress;
 pub(crate) use self::shared::{Refusal, Shared};
 
--- a/crates/jaylock-control/src/storage/store.rs
+++ b/crates/jaylock-control/src/storage/store.rs
@@ -60,6 +60,11 @@
         self.write_one(FileName::Log, &Batch { entries }).await
     }
 
+    /// Names a file for messages.
+    pub fn describe(&self, file: FileName) -> String {
+        self.disk.describe(file)
+    }
+
     /// The error of a log that lacks entries between the snapshot and its end.
     pub fn incomplete(&self) -> Error {
         self.corrupt(FileName::Log, 0)
--- a/crates/jaylock-daemon/src/common.rs
+++ b/crates/jaylock-daemon/src/common.rs
@@ -75,13 +75,7 @@
             return Ok(None);
         };
         let disk = FileDisk::open(Path::new(folder)).await?;
-        let own = &self.settings.instance;
-        let identity = Member {
-            instance: own.id.to_string(),
-            peer_address: own.peer_address.to_string(),
-            domain: own.domain.to_string(),
-            ..Member::default()
-        };
+        let identity = identity(&self.settings);
         let bootstrap = self.settings.control.replicas.iter().map(member).collect();
         let replica = Replica::open(identity, bootstrap, disk, self.replica_settings()).await?;
         Ok(Some(replica))
@@ -244,6 +238,17 @@
     }
 }
 
+/// The replica that an instance may hold.
+pub fn identity(settings: &Settings) -> Member {
+    let own = &settings.instance;
+    Member {
+        instance: own.id.to_string(),
+        peer_address: own.peer_address.to_string(),
+        domain: own.domain.to_string(),
+        ..Member::default()
+    }
+}
+
 fn member(replica: &ReplicaAddress) -> Member {
     Member {
         instance: replica.instance.to_string(),
--- a/crates/jaylock-daemon/src/lib.rs
+++ b/crates/jaylock-daemon/src/lib.rs
@@ -8,8 +8,10 @@
 mod parts;
 mod peer;
 mod ports;
+mod rescue;
 mod stop;
 
 pub use self::instance::{Instance, Opened, Serving};
 pub use self::observing::log_settings;
 pub use self::peer::PeerNotes;
+pub use self::rescue::rescue;
--- a/crates/jaylock-daemon/src/main.rs
+++ b/crates/jaylock-daemon/src/main.rs
@@ -16,6 +16,11 @@
     }
     jaylock_observe::setup_log(jaylock_daemon::log_settings(&settings))?;
     let runtime = compio::runtime::Runtime::new().context("the runtime can't start")?;
+    if matches.get_flag("rescue") {
+        let index = runtime.block_on(jaylock_daemon::rescue(&settings))?;
+        println!("this instance leads a group of one from index {index}: start it");
+        return Ok(());
+    }
     runtime.block_on(async {
         let instance = Instance::open(settings).await?.start().await?;
         instance.run().await
@@ -40,6 +45,12 @@
                 .help("Checks the settings and ends")
                 .action(ArgAction::SetTrue),
         )
+        .arg(
+            Arg::new("rescue")
+                .long("rescue")
+                .help("Makes the data folder a group of one, when a majority is lost, and ends")
+                .action(ArgAction::SetTrue),
+        )
 }
 
 fn read_settings(matches: &ArgMatches) -> anyhow::Result<Settings> {
--- a/crates/jaylock-tests/tests/control/losses.rs
+++ b/crates/jaylock-tests/tests/control/losses.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use jaylock_control::{Error, rescue};
 use jaylock_rpc::v1::replica_server::Replica;
 use jaylock_rpc::v1::{Configuration, Instance, VoteRequest};
 
@@ -140,6 +141,36 @@
         }
     };
 
+    async the_last_disk_of_three_is_rescued => {
+        let group = Group::new(3, 3).await;
+        for at in 0..50 {
+            group.propose(create(&format!("a{at}"), Some(at))).await;
+        }
+        let left = group.leader().await;
+        for machine in group.machines() {
+            machine.kill();
+        }
+        for at in (0..3).filter(|at| *at != left) {
+            group.machine(at).medium.wipe();
+        }
+        let before = group.machine(left).medium.open();
+        let index = rescue(&group.machine(left).member, before).await.expect("an index");
+        for at in 0..3 {
+            group.start(at).await.expect("a replica");
+        }
+        alongside(&group, async {
+            let whole = group.until("three voters", |c| voters(c) == 3).await;
+            expect_that!(whole.revision, eq(50));
+            expect_that!(whole.index, gt(index.0));
+            group.machine(left).kill();
+            group.propose(create("b", Some(50))).await;
+        }).await;
+        group.machine(left).kill();
+        group.machine(left).medium.wipe();
+        let error = rescue(&group.machine(left).member, group.machine(left).medium.open()).await;
+        expect_that!(error, err(matches_pattern!(Error::Empty { .. })));
+    };
+
     async a_spare_takes_the_place_of_a_lost_replica => {
         let group = Group::new(6, 3).await;
         alongside(&group, async {
