--- a/crates/jaylock-control/src/client.rs
+++ b/crates/jaylock-control/src/client.rs
@@ -175,7 +175,7 @@
         let started = Instant::now();
         let mut reason = String::from("nobody leads");
         let mut turn = rand::random_range(0..usize::MAX / 2);
-        let mut failures = 0;
+        let mut chases = 0;
         while started.elapsed() < shared.settings.deadline {
             let Some(address) = shared.candidate(turn) else {
                 break;
@@ -188,10 +188,10 @@
                     return Ok(given);
                 }
                 Ok(Reply::Elsewhere(Some(leader)))
-                    if leader != address && failures < LONGEST_CHASE =>
+                    if leader != address && chases < LONGEST_CHASE =>
                 {
                     *shared.leader.borrow_mut() = Some(leader);
-                    failures += 1;
+                    chases += 1;
                     continue;
                 }
                 Ok(Reply::Elsewhere(_)) => {}
@@ -202,7 +202,7 @@
             }
             *shared.leader.borrow_mut() = None;
             turn += 1;
-            failures = 0;
+            chases = 0;
             if turn.is_multiple_of(shared.replicas.borrow().len().max(1)) {
                 compio::time::sleep(shared.settings.pause).await;
             }
