A new scheduler waits to hear the backend servers before it refuses

Cause: a request that had waited for the scheduler before was refused by the next one at once ('no backend server'), since its whole wait counted and the heartbeats that name the servers come once a second. Ruled out: counting the wait from the scheduler's settling alone; 500 ms is less than a heartbeat. Change: nothing is refused as unservable before the scheduler has lived for a backend server's lease (3 s). Conclusion: after control returns, requests wait for the servers instead of being turned away.

--- a/crates/jaylock-share/src/refuse.rs
+++ b/crates/jaylock-share/src/refuse.rs
@@ -29,7 +29,11 @@
         (self.waiting >= self.settings.pool_limit && own >= part).then_some(Reason::Overloaded)
     }
 
+    /// Refuses what no backend server can run, once each had the time to be heard by this scheduler.
     pub(crate) fn refuse_unservable(&mut self, now: Instant) {
+        if now < self.ready + self.settings.backend_lease {
+            return;
+        }
         let longest = self.settings.backend_wait;
         for account in self.accounts.backlogged_keys().collect::<Vec<_>>() {
             let (demands, usable) = (&self.demands, self.backends.usable());
--- a/crates/jaylock-tests/tests/share/failure.rs
+++ b/crates/jaylock-tests/tests/share/failure.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use compio::net::TcpListener;
-use compio::time::timeout;
+use compio::time::{sleep, timeout};
 use googletest::prelude::*;
 use jaylock_control::ConfigView;
 use jaylock_rpc::v1::{Ask, Grant, Instance, Running};
@@ -139,6 +139,23 @@
         assert_that!(refusal.retry_after_ms, gt(0));
     };
 
+    async a_new_scheduler_waits_for_backend_servers_to_be_heard => {
+        let view = ConfigView::default();
+        let host = Host::start("i1", &view, ShareSettings::default()).await;
+        assert_that!(view.offer(configuration(1, 1, &host)), eq(true));
+        let pools = router("r1", &view);
+        // A request that waited for the scheduler before it.
+        let chat = pool();
+        let waited = Ask { waited_ms: 5000, ..ask("till") };
+        let asked = pools.ask(&chat, waited);
+        let reported = async {
+            sleep(Duration::from_millis(1200)).await;
+            pools.report(engine("e1", 1));
+        };
+        let (answer, ()) = futures_util::join!(timeout(LIVENESS, asked), reported);
+        expect_that!(answer.expect("an answer"), ok(anything()));
+    };
+
     async a_cancelled_ask_gives_its_place_back => {
         let (_view, _host, pools, chat, run) = busy(1).await;
         let gone = timeout(QUIET, pools.ask(&chat, ask("till"))).await;
