A scheduler can close a router's stream; an older start of a router is refused

Cause: the task that reads a stream kept a second sender, so dropping the scheduler's own closed nothing: lost leases and displaced streams showed only by silence, after 1.5 s. Found by the new test, which passed with its mechanism off because the displaced router never came back. Ruled out: an explicit close message; one sender is simpler. Change: only the scheduler holds the sender. A router whose newer start has attached is refused. Seen failing with the refusal off: five grants for the older start. Conclusion: mended; streams end as soon as a scheduler loses its lease.

--- a/crates/jaylock-share/src/attach.rs
+++ b/crates/jaylock-share/src/attach.rs
@@ -8,6 +8,13 @@
 use crate::router::{RouterKey, Run};
 
 impl Allocator {
+    /// Whether a newer start of the same router has attached before.
+    pub(crate) fn is_outdated(&self, hello: &Hello) -> bool {
+        let known = self.routers.find(&hello.router);
+        let known = known.and_then(|key| self.routers.get(key));
+        known.is_some_and(|router| router.incarnation > hello.incarnation)
+    }
+
     /// Takes in a router; what it says of its running requests replaces what was known.
     pub fn attach(&mut self, hello: &Hello, now: Instant) -> RouterKey {
         let key = match self.routers.find(&hello.router) {
--- a/crates/jaylock-share/src/host.rs
+++ b/crates/jaylock-share/src/host.rs
@@ -155,27 +155,21 @@
 
     /// Answers at once, so that the router knows that it was heard, and then waits for its hello.
     fn attach(self: &Rc<Self>, inbound: Streaming<RouterFrame>) -> Frames {
-        let (mut frames, receiver) = mpsc::channel(FRAME_QUEUE);
+        let (frames, receiver) = mpsc::channel(FRAME_QUEUE);
         let shared = self.clone();
-        let stream = async move {
-            if let Err(status) = shared.serve(inbound, frames.clone()).await {
-                let _ = frames.send(Err(status)).await;
-            }
-        };
-        compio::runtime::spawn(stream).detach();
+        compio::runtime::spawn(async move { shared.serve(inbound, frames).await }).detach();
         Box::pin(receiver)
     }
 
-    async fn serve(
-        &self,
-        mut inbound: Streaming<RouterFrame>,
-        frames: FrameSender,
-    ) -> Result<(), Status> {
-        let first = within(HELLO_TIMEOUT, inbound.message()).await?;
-        let mut first = first.ok_or_else(no_hello)?;
-        let hello = first.hello.take().ok_or_else(no_hello)?;
-        let (epoch, mut events) = self.find(&hello.pool)?;
-        check_epoch(&hello, epoch)?;
+    /// Passes a router's messages on; only the scheduler holds `frames`, so that it can close them.
+    async fn serve(&self, mut inbound: Streaming<RouterFrame>, mut frames: FrameSender) {
+        let (hello, first, mut events) = match self.greet(&mut inbound).await {
+            Ok(greeting) => greeting,
+            Err(status) => {
+                let _ = frames.send(Err(status)).await;
+                return;
+            }
+        };
         let session = self.sessions.get();
         self.sessions.set(session + 1);
         let attach = Event::Attach {
@@ -183,14 +177,26 @@
             hello,
             frames,
         };
-        events.send(attach).await.map_err(|_| stopped())?;
         let frame = Event::Frame {
             session,
             frame: first,
         };
-        events.send(frame).await.map_err(|_| stopped())?;
-        read(inbound, session, events).await;
-        Ok(())
+        if events.send(attach).await.is_ok() && events.send(frame).await.is_ok() {
+            read(inbound, session, events).await;
+        }
+    }
+
+    /// Hears a router's hello, with the rest of its first message, and finds the scheduler.
+    async fn greet(
+        &self,
+        inbound: &mut Streaming<RouterFrame>,
+    ) -> Result<(Hello, RouterFrame, mpsc::Sender<Event>), Status> {
+        let first = within(HELLO_TIMEOUT, inbound.message()).await?;
+        let mut first = first.ok_or_else(no_hello)?;
+        let hello = first.hello.take().ok_or_else(no_hello)?;
+        let (epoch, events) = self.find(&hello.pool)?;
+        check_epoch(&hello, epoch)?;
+        Ok((hello, first, events))
     }
 
     async fn describe(&self, pool: &str) -> Result<PoolReport, Status> {
--- a/crates/jaylock-share/src/scheduler.rs
+++ b/crates/jaylock-share/src/scheduler.rs
@@ -128,7 +128,12 @@
         }
     }
 
-    fn attach(&mut self, session: u64, hello: &Hello, frames: FrameSender, now: Instant) {
+    fn attach(&mut self, session: u64, hello: &Hello, mut frames: FrameSender, now: Instant) {
+        if self.allocator.is_outdated(hello) {
+            let text = "a newer start of this router has attached: end this process";
+            let _ = frames.try_send(Err(Status::failed_precondition(text)));
+            return;
+        }
         let router = self.allocator.attach(hello, now);
         // An older stream of the same router is closed by dropping its sender.
         self.sessions.retain(|s| s.router != router);
--- a/crates/jaylock-tests/tests/share/failure.rs
+++ b/crates/jaylock-tests/tests/share/failure.rs
@@ -11,7 +11,7 @@
 use jaylock_tests::cases;
 use jaylock_types::PoolId;
 
-use crate::fleet::{Host, LIVENESS, ask, configuration, end, engine, pool, router};
+use crate::fleet::{Host, LIVENESS, ask, configuration, end, engine, pool, router, started_router};
 use crate::simulation::Simulation;
 
 /// Time in which nothing is to happen.
@@ -148,6 +148,18 @@
         assert_that!(grant.backend, eq("e1"));
     };
 
+    async an_older_start_of_a_router_does_not_displace_the_newer => {
+        let (view, host, first, chat, _run) = busy(8).await;
+        let newer = started_router("r1", 2, &view);
+        granted(&newer, "bench").await;
+        for _ in 0..5 {
+            let _ = timeout(QUIET, first.ask(&chat, ask("till"))).await;
+        }
+        let decisions = host.decisions(&chat).await;
+        let organisations: Vec<_> = decisions.iter().map(|d| d.organisation.as_str()).collect();
+        assert_that!(organisations, not(contains(eq(&"till"))));
+    };
+
     a_router_that_comes_back_keeps_its_runs => {
         let mut simulation = Simulation::new(&[1, 1], Simulation::engines(1, 1), 2);
         let kept = simulation.ask(0, 1, 100_000, Ask::default());
--- a/crates/jaylock-tests/tests/share/fleet.rs
+++ b/crates/jaylock-tests/tests/share/fleet.rs
@@ -101,9 +101,14 @@
 }
 
 pub fn router(id: &str, view: &ConfigView) -> Pools {
+    started_router(id, 1, view)
+}
+
+/// A router in this of its starts.
+pub fn started_router(id: &str, incarnation: u64, view: &ConfigView) -> Pools {
     Pools::new(
         id.parse().expect("a name"),
-        Incarnation(1),
+        Incarnation(incarnation),
         "amman-a".parse().expect("a name"),
         view.clone(),
         ChannelSettings::default(),
