One list of operators' changes

Cause: the list stood in the state machine and again in the operators' service; a new change would be added to one. Ruled out: a list in the schema crate; the state machine decides what raises the revision. Change: jaylock-control tells whether a change is operators', the service asks it. Conclusion: one list serves both.

--- a/crates/jaylock-control/src/lib.rs
+++ b/crates/jaylock-control/src/lib.rs
@@ -24,6 +24,7 @@
 pub use self::rescue::rescue;
 pub use self::service::{ControlService, ReplicaService};
 pub use self::settings::{ClientSettings, FollowerSettings, ReplicaSettings};
+pub use self::state::is_operators;
 pub use self::storage::{Disk, FileDisk, FileName};
 pub use self::transport::{Answer, RpcTransport, Transport};
 pub use self::view::ConfigView;
--- a/crates/jaylock-control/src/state/mod.rs
+++ b/crates/jaylock-control/src/state/mod.rs
@@ -180,7 +180,7 @@
         // The change is tried on a copy that is shared with nobody, so that a refusal leaves no trace.
         let mut next = (*self.configuration).clone();
         let change = changes::change(&mut next, body, self.index, self.at_ms)?;
-        if class(body) == Class::Operator {
+        if is_operators(body) {
             next.revision += 1;
         }
         next.index = self.index;
@@ -229,6 +229,12 @@
     Some(next)
 }
 
+/// Whether a change is a decision of operators; the others are the fleet's own.
+#[must_use]
+pub fn is_operators(body: &Body) -> bool {
+    class(body) == Class::Operator
+}
+
 fn class(body: &Body) -> Class {
     match body {
         Body::PutOrganisation(_)
@@ -263,7 +269,7 @@
     let Some(body) = &command.body else {
         return false;
     };
-    class(body) == Class::Operator
+    is_operators(body)
         || matches!(
             body,
             Body::PutQuarantine(_) | Body::IssueOrder(_) | Body::RecordEvent(_)
--- a/crates/jaylock-operator/src/permitted.rs
+++ b/crates/jaylock-operator/src/permitted.rs
@@ -1,5 +1,5 @@
+use jaylock_control::is_operators;
 use jaylock_rpc::v1;
-use jaylock_rpc::v1::command::Body;
 use thiserror::Error;
 
 /// What checking a command gives.
@@ -39,21 +39,5 @@
     }
 }
 
-fn is_operators(body: &Body) -> bool {
-    matches!(
-        body,
-        Body::PutOrganisation(_)
-            | Body::RemoveOrganisation(_)
-            | Body::PutModel(_)
-            | Body::RemoveModel(_)
-            | Body::PutAdapter(_)
-            | Body::RemoveAdapter(_)
-            | Body::PutService(_)
-            | Body::RemoveService(_)
-            | Body::DrainBackend(_)
-            | Body::UndrainBackend(_)
-    )
-}
-
 /// Longest id of a command, in bytes.
 const LONGEST_ID: usize = 64;
