--- a/crates/jaylock-tests/src/lib.rs
+++ b/crates/jaylock-tests/src/lib.rs
@@ -2,10 +2,12 @@
 
 /// Fleets of real processes, and what tests do to them.
 pub mod fleet;
+mod peer;
 mod process;
 mod program;
 
 pub use self::fleet::{Fleet, FleetSettings, ORGANISATIONS};
+pub use self::peer::SyncOnly;
 pub use self::process::Process;
 pub use self::program::program;
 
--- /dev/null
+++ b/crates/jaylock-tests/src/peer.rs
@@ -0,0 +1,32 @@
+use jaylock_rpc::v1::peer_server::Peer;
+use jaylock_rpc::v1::{
+    BurnReply, BurnRequest, KeepReply, SyncReply, SyncRequest, TraceReply, TraceRequest,
+};
+use tonic::{Request, Response, Status};
+
+/// An instance of which other instances can only ask what it has in force.
+///
+/// The function answers each exchange.
+pub struct SyncOnly<F>(pub F);
+
+#[tonic::async_trait]
+impl<F> Peer for SyncOnly<F>
+where
+    F: Fn(&SyncRequest) -> Result<SyncReply, Status> + Send + Sync + 'static,
+{
+    async fn sync(&self, request: Request<SyncRequest>) -> Result<Response<SyncReply>, Status> {
+        self.0(request.get_ref()).map(Response::new)
+    }
+
+    async fn burn(&self, _: Request<BurnRequest>) -> Result<Response<BurnReply>, Status> {
+        Err(Status::unimplemented("not here"))
+    }
+
+    async fn keep(&self, _: Request<BurnReply>) -> Result<Response<KeepReply>, Status> {
+        Err(Status::unimplemented("not here"))
+    }
+
+    async fn trace(&self, _: Request<TraceRequest>) -> Result<Response<TraceReply>, Status> {
+        Err(Status::unimplemented("not here"))
+    }
+}
--- a/crates/jaylock-tests/tests/control/followers.rs
+++ b/crates/jaylock-tests/tests/control/followers.rs
@@ -8,48 +8,18 @@
 use compio::runtime::JoinHandle;
 use googletest::prelude::*;
 use jaylock_control::{ConfigView, Follower, FollowerSettings, InstanceLease, PeerService};
-use jaylock_rpc::v1::peer_server::{Peer, PeerServer};
-use jaylock_rpc::v1::{
-    BurnReply, BurnRequest, Instance, KeepReply, SyncReply, SyncRequest, TraceReply, TraceRequest,
-};
+use jaylock_rpc::v1::peer_server::PeerServer;
+use jaylock_rpc::v1::{Instance, SyncRequest};
 use jaylock_rpc::{Access, Routes, ServerSettings, pinned, serve};
+use jaylock_tests::SyncOnly;
 use jaylock_types::Revision;
-use send_wrapper::SendWrapper;
 use tempfile::TempDir;
-use tonic::{Request, Response, Status};
+use tonic::Status;
 
 use crate::commands::create;
 use crate::fleet::{Node, client, listeners, members, start};
 use crate::group::PATIENCE;
 
-/// The half of the service between instances that these tests need.
-struct Gossip {
-    service: SendWrapper<PeerService>,
-    cut: SendWrapper<Rc<Cell<bool>>>,
-}
-
-#[tonic::async_trait]
-impl Peer for Gossip {
-    async fn sync(&self, request: Request<SyncRequest>) -> Result<Response<SyncReply>, Status> {
-        if self.cut.get() {
-            return Err(Status::unavailable("cut"));
-        }
-        Ok(Response::new(self.service.sync(request.get_ref())))
-    }
-
-    async fn burn(&self, _: Request<BurnRequest>) -> Result<Response<BurnReply>, Status> {
-        Err(Status::unimplemented("not here"))
-    }
-
-    async fn keep(&self, _: Request<BurnReply>) -> Result<Response<KeepReply>, Status> {
-        Err(Status::unimplemented("not here"))
-    }
-
-    async fn trace(&self, _: Request<TraceRequest>) -> Result<Response<TraceReply>, Status> {
-        Err(Status::unimplemented("not here"))
-    }
-}
-
 /// An instance that follows, without a replica.
 struct Router {
     view: ConfigView,
@@ -81,11 +51,17 @@
     let client = client(std::slice::from_ref(&control.member));
     let follower = Follower::new(client, view.clone(), instance, settings());
     let (lease, cut) = (follower.lease(), Rc::new(Cell::new(false)));
-    let gossip = Gossip {
-        service: pinned(PeerService::new(view.clone(), lease.clone())),
-        cut: pinned(cut.clone()),
+    let (service, is_cut) = (
+        pinned(PeerService::new(view.clone(), lease.clone())),
+        pinned(cut.clone()),
+    );
+    let sync = move |request: &SyncRequest| {
+        if is_cut.get() {
+            return Err(Status::unavailable("cut"));
+        }
+        Ok(service.sync(request))
     };
-    let routes = Routes::default().with(Access::Instances, PeerServer::new(gossip));
+    let routes = Routes::default().with(Access::Instances, PeerServer::new(SyncOnly(sync)));
     let serving = serve(listener, routes, ServerSettings::default());
     Router {
         view,
--- a/crates/jaylock-tests/tests/following/main.rs
+++ b/crates/jaylock-tests/tests/following/main.rs
@@ -12,17 +12,15 @@
     ReplicaSettings,
 };
 use jaylock_rpc::v1::command::Body;
-use jaylock_rpc::v1::peer_server::{Peer, PeerServer};
+use jaylock_rpc::v1::peer_server::PeerServer;
 use jaylock_rpc::v1::{
-    Adapter, BurnReply, BurnRequest, Command, Instance, KeepReply, Member, Model, Order,
-    Organisation, Service, SyncReply, SyncRequest, TraceReply, TraceRequest,
+    Adapter, Command, Instance, Member, Model, Order, Organisation, Service, SyncReply, SyncRequest,
 };
 use jaylock_rpc::{Access, ChannelSettings, Routes, ServerSettings, serve, traffic};
-use jaylock_tests::cases;
+use jaylock_tests::{SyncOnly, cases};
 use jaylock_types::{Index, KeyHash, Secret};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tonic::{Request, Response, Status};
 
 /// Instances whose exchanges are counted.
 const FOLLOWERS: u32 = 12;
@@ -71,46 +69,17 @@
         let views: Vec<_> = (0..FOLLOWERS).map(|n| group.follow(&format!("follower-{n}"))).collect();
         group.newest(&views.iter().collect::<Vec<_>>()).await;
         compio::time::sleep(Duration::from_secs(2)).await;
-        let before = group.peer.exchanges.load(Ordering::Relaxed);
+        let before = group.exchanges.load(Ordering::Relaxed);
         compio::time::sleep(Duration::from_secs(u64::from(WATCHED_S))).await;
-        let exchanges = group.peer.exchanges.load(Ordering::Relaxed) - before;
+        let exchanges = group.exchanges.load(Ordering::Relaxed) - before;
         expect_that!(exchanges, le(FOLLOWERS * WATCHED_S));
     };
 }
 
-/// Counts the exchanges between instances; every follower of a group names its address.
-#[derive(Clone, Default)]
-struct CountingPeer {
-    exchanges: Arc<AtomicU32>,
-}
-
-#[tonic::async_trait]
-impl Peer for CountingPeer {
-    async fn sync(&self, request: Request<SyncRequest>) -> Result<Response<SyncReply>, Status> {
-        self.exchanges.fetch_add(1, Ordering::Relaxed);
-        let index = request.get_ref().index;
-        Ok(Response::new(SyncReply {
-            index,
-            ..Default::default()
-        }))
-    }
-
-    async fn burn(&self, _: Request<BurnRequest>) -> Result<Response<BurnReply>, Status> {
-        Err(Status::unimplemented("not here"))
-    }
-
-    async fn keep(&self, _: Request<BurnReply>) -> Result<Response<KeepReply>, Status> {
-        Err(Status::unimplemented("not here"))
-    }
-
-    async fn trace(&self, _: Request<TraceRequest>) -> Result<Response<TraceReply>, Status> {
-        Err(Status::unimplemented("not here"))
-    }
-}
-
 /// A group of one replica, reached over loopback.
 struct Group {
-    peer: CountingPeer,
+    /// Exchanges between instances; every follower names this group's address.
+    exchanges: Arc<AtomicU32>,
     address: SocketAddr,
     client: ControlClient,
     _folder: tempfile::TempDir,
@@ -133,11 +102,20 @@
         let replica = Replica::open(member.clone(), vec![member], disk, settings).await;
         let replica = replica.expect("a replica");
         let (log, control) = replica.services();
-        let peer = CountingPeer::default();
+        let exchanges = Arc::<AtomicU32>::default();
+        let counter = exchanges.clone();
+        let count = move |request: &SyncRequest| {
+            counter.fetch_add(1, Ordering::Relaxed);
+            let index = request.index;
+            Ok(SyncReply {
+                index,
+                ..Default::default()
+            })
+        };
         let routes = Routes::default()
             .with(Access::Instances, log)
             .with(Access::Instances, control)
-            .with(Access::Instances, PeerServer::new(peer.clone()));
+            .with(Access::Instances, PeerServer::new(SyncOnly(count)));
         let settings = ServerSettings {
             peer_secret: Secret::new(""),
             ..Default::default()
@@ -145,7 +123,7 @@
         compio::runtime::spawn(serve(listener, routes, settings)).detach();
         compio::runtime::spawn(replica.run()).detach();
         Self {
-            peer,
+            exchanges,
             address,
             client: client(address),
             _folder: folder,
--- a/crates/jaylock-tests/tests/share/decision.rs
+++ b/crates/jaylock-tests/tests/share/decision.rs
@@ -2,9 +2,9 @@
 
 use googletest::prelude::*;
 use jaylock_rpc::v1::Ask;
-use jaylock_tests::cases;
+use jaylock_tests::{cases, seeded};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestRunner};
+use proptest::test_runner::TestRunner;
 
 use crate::simulation::{STEP, Simulation};
 
@@ -15,14 +15,7 @@
 where
     S::Value: std::fmt::Debug,
 {
-    let seed = RngSeed::Fixed(5);
-    let config = Config {
-        cases,
-        rng_seed: seed,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let outcome = TestRunner::new(config).run(&inputs, |input| {
+    let outcome = TestRunner::new(seeded(cases)).run(&inputs, |input| {
         property(input);
         Ok(())
     });
