The order keeper keeps one connection to its own schedulers

Ruled out: calling the scheduler without gRPC; its service is the one place that describes a pool. Change: LocalPools holds a Channel, which opens when first used and again after a failure; option() of jaylock-measure serves both programs. The traffic of the scheduler's instance was not measured again. Conclusion: the same behaviour with one connection less a second.

--- a/crates/jaylock-daemon/src/common.rs
+++ b/crates/jaylock-daemon/src/common.rs
@@ -11,8 +11,8 @@
 use jaylock_operator::OperatorService;
 use jaylock_orders::{HttpEngines, KeeperSettings, OrderKeeper};
 use jaylock_router::{Router, RouterIdentity, RouterSettings};
-use jaylock_rpc::ChannelSettings;
 use jaylock_rpc::v1::{Instance, Member};
+use jaylock_rpc::{Channel, ChannelSettings};
 use jaylock_settings::{ReplicaAddress, Settings};
 use jaylock_share::{PoolSettings, Pools, SchedulerHost, ShareSettings};
 use jaylock_types::{Incarnation, unix_ms};
@@ -156,8 +156,7 @@
             lease,
             instance: self.settings.instance.id.clone(),
             incarnation: self.incarnation,
-            address: self.settings.instance.peer_address,
-            channel: self.channel.clone(),
+            schedulers: Channel::new(self.settings.instance.peer_address, self.channel.clone()),
         };
         let engines = HttpEngines::new(ORDER_TIMEOUT).context("no HTTP client for orders")?;
         let ledger = ControlLog(self.client.clone());
--- a/crates/jaylock-daemon/src/ports.rs
+++ b/crates/jaylock-daemon/src/ports.rs
@@ -1,17 +1,15 @@
-use std::net::SocketAddr;
-
 use compact_str::ToCompactString;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use jaylock_control::{ConfigView, ControlClient, InstanceLease};
 use jaylock_orders::{Ledger, OrderError, PoolBackends};
 use jaylock_router::{Capacity, Claims, NoControl};
+use jaylock_rpc::Channel;
 use jaylock_rpc::v1::pool_client::PoolClient;
 use jaylock_rpc::v1::{
     Applied, Ask, BackendReport, BackendState, BackendVerdict, Command, DescribeRequest, End,
     Grant, Progress, Refusal,
 };
-use jaylock_rpc::{Channel, ChannelSettings};
 use jaylock_share::Pools;
 use jaylock_types::{Incarnation, InstanceId, PoolId};
 
@@ -71,10 +69,8 @@
     pub instance: InstanceId,
     /// Start of this process.
     pub incarnation: Incarnation,
-    /// Where this instance serves its schedulers.
-    pub address: SocketAddr,
-    /// How to reach it.
-    pub channel: ChannelSettings,
+    /// Connection to the schedulers that this instance serves.
+    pub schedulers: Channel,
 }
 
 impl PoolBackends for LocalPools {
@@ -91,11 +87,13 @@
     }
 
     async fn backends(&self, pool: &PoolId) -> Vec<BackendState> {
-        let channel = Channel::new(self.address, self.channel.clone());
         let request = DescribeRequest {
             pool: pool.to_string(),
         };
-        match PoolClient::new(channel).describe(request).await {
+        match PoolClient::new(self.schedulers.clone())
+            .describe(request)
+            .await
+        {
             Ok(report) => report.into_inner().backends,
             Err(error) => {
                 log::debug!(target: "orders", "pool {pool} does not tell its backend servers: {error}");
--- a/crates/jaylock-measure/src/bin/measure-control.rs
+++ b/crates/jaylock-measure/src/bin/measure-control.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{ArgAction, ArgMatches, Command, value_parser};
 use hdrhistogram::Histogram;
-use jaylock_measure::{Followers, Usage};
+use jaylock_measure::{Followers, Usage, option};
 use jaylock_rpc::traffic;
 use jaylock_types::Secret;
 
@@ -114,7 +114,3 @@
         .arg(option("seconds", "COUNT").value_parser(value_parser!(u64)))
         .arg(option("changes", "COUNT").value_parser(value_parser!(u32)))
 }
-
-fn option(name: &'static str, value: &'static str) -> Arg {
-    Arg::new(name).long(name).value_name(value)
-}
--- a/crates/jaylock-measure/src/bin/measure-node.rs
+++ b/crates/jaylock-measure/src/bin/measure-node.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use clap::{Arg, ArgMatches, Command, value_parser};
-use jaylock_measure::{Load, Steady, Usage};
+use clap::{ArgMatches, Command, value_parser};
+use jaylock_measure::{Load, Steady, Usage, option};
 
 /// Seed of the arrivals.
 const SEED: u64 = 24;
@@ -104,7 +104,3 @@
         .arg(option("rate", "PER_SECOND").value_parser(value_parser!(f64)))
         .arg(option("seconds", "COUNT").value_parser(value_parser!(u64)))
 }
-
-fn option(name: &'static str, value: &'static str) -> Arg {
-    Arg::new(name).long(name).value_name(value)
-}
--- a/crates/jaylock-measure/src/lib.rs
+++ b/crates/jaylock-measure/src/lib.rs
@@ -1,5 +1,6 @@
 //! Programs that measure a running fleet.
 
+mod arguments;
 mod connection;
 mod followers;
 mod load;
@@ -7,6 +8,7 @@
 mod steady;
 mod table;
 
+pub use self::arguments::option;
 pub use self::connection::{Connection, Timing, fetch};
 pub use self::followers::Followers;
 pub use self::load::{Load, Target, Times};
