Routes, whole configurations and a start from a few addresses

Cause: the platform names three addresses and nothing else, sends its configuration as one document under a version, and suspends machines, during which Instant stands still. Ruled out: the list of replicas on every instance (the platform tells nobody how many there are); a document as many single changes (it must be acknowledged and read back whole); leases on Instant::now (valid after a suspension). Change: Document, Route, Engine and CallerLimits in the schema and the state machine; the highest version wins, an overtaken one is acknowledged and changes nothing; ReadDocument through the leader's lease; Origin::Seeds, where the seeds greet each other and form a group only at the very first start; leases and being connected by the boot clock; settings seeds, seed_port, first_start, voters and timeouts.backend, caller_address = none.

--- a/crates/jaylock-control/src/client.rs
+++ b/crates/jaylock-control/src/client.rs
@@ -5,10 +5,11 @@
 
 use jaylock_rpc::v1::control_client::ControlClient as Stub;
 use jaylock_rpc::v1::{
-    Applied, Command, Configuration, EventsReply, EventsRequest, LagReply, LagRequest,
-    ProposeRequest, ReadRequest, RenewReply, RenewRequest, WatchReply, WatchRequest,
+    Applied, Command, Configuration, DocumentReply, EventsReply, EventsRequest, LagReply,
+    LagRequest, ProposeRequest, ReadRequest, RenewReply, RenewRequest, WatchReply, WatchRequest,
 };
 use jaylock_rpc::{Channel, ChannelSettings};
+use jaylock_types::boot_now;
 use tonic::{Code, Status, Streaming};
 
 use crate::transport::{Channels, LARGEST_MESSAGE};
@@ -23,7 +24,7 @@
 struct Shared {
     channels: Channels,
     settings: ClientSettings,
-    seeds: Vec<SocketAddr>,
+    seeds: RefCell<Vec<SocketAddr>>,
     /// Replicas that are known, the seeds among them.
     replicas: RefCell<Vec<SocketAddr>>,
     /// Where the last answer came from.
@@ -46,7 +47,7 @@
                 channels: Channels::new(channel),
                 settings,
                 replicas: RefCell::new(seeds.clone()),
-                seeds,
+                seeds: seeds.into(),
                 leader: RefCell::default(),
             }),
         }
@@ -82,6 +83,20 @@
         Ok(configuration)
     }
 
+    /// The newest document, as its author wrote it.
+    ///
+    /// # Errors
+    /// [`Error::NoLeader`] after the deadline.
+    pub async fn read_document(&self) -> Result<DocumentReply> {
+        let ask = async |mut stub: Stub<Channel>| {
+            let mut reply = stub.read_document(ReadRequest {}).await?.into_inner();
+            let elsewhere = reply.leader_address.take();
+            let given = elsewhere.is_none().then_some(reply);
+            Ok(answer(given, elsewhere))
+        };
+        self.seek(ask).await
+    }
+
     /// Renews the lease of an instance.
     ///
     /// # Errors
@@ -94,7 +109,7 @@
     /// Renews the lease of an instance and says when the renewal that was granted was sent.
     pub(crate) async fn renew_timed(&self, request: RenewRequest) -> Result<(RenewReply, Instant)> {
         let ask = async |mut stub: Stub<Channel>| {
-            let sent = Instant::now();
+            let sent = boot_now();
             let reply = stub.renew(request.clone()).await?.into_inner();
             let elsewhere = reply.leader_address.clone();
             let granted = (reply.lease_ms > 0).then_some((reply, sent));
@@ -134,15 +149,23 @@
         let members = configuration.members.iter();
         let named = members.filter_map(|m| m.peer_address.parse().ok());
         let mut replicas: Vec<SocketAddr> = named.collect();
-        for seed in &self.shared.seeds {
-            if !replicas.contains(seed) {
-                replicas.push(*seed);
-            }
+        // Members that are known make up for seeds, which may be long gone.
+        if replicas.is_empty() {
+            replicas.clone_from(&self.shared.seeds.borrow());
         }
         self.shared.channels.keep(&replicas);
         *self.shared.replicas.borrow_mut() = replicas;
     }
 
+    /// Takes other addresses to begin with, where no configuration names the replicas yet.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        if seeds.is_empty() {
+            return;
+        }
+        self.shared.replicas.borrow_mut().extend(&seeds);
+        *self.shared.seeds.borrow_mut() = seeds;
+    }
+
     /// Settings of its connections.
     pub(crate) fn channel_settings(&self) -> ChannelSettings {
         self.shared.channels.settings().clone()
--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use jaylock_rpc::v1::{Instance, RenewReply, RenewRequest};
-use jaylock_types::{Index, PoolId};
+use jaylock_types::{Index, PoolId, boot_now};
 
 use crate::gossip::Gossip;
 use crate::{ConfigView, ControlClient, FollowerSettings};
@@ -29,10 +29,18 @@
 }
 
 impl InstanceLease {
+    /// A lease that holds until a moment.
+    #[must_use]
+    pub fn until(end: Instant) -> Self {
+        let lease = Self::default();
+        lease.extend(end);
+        lease
+    }
+
     /// Whether the lease of the last renewal, counted from when it was sent, still holds.
     #[must_use]
     pub fn is_valid(&self) -> bool {
-        self.is_valid_at(Instant::now())
+        self.is_valid_at(boot_now())
     }
 
     /// Whether the lease of the last renewal still holds at a moment.
--- a/crates/jaylock-control/src/gossip.rs
+++ b/crates/jaylock-control/src/gossip.rs
@@ -1,10 +1,11 @@
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use jaylock_rpc::ChannelSettings;
 use jaylock_rpc::v1::peer_client::PeerClient;
 use jaylock_rpc::v1::{SyncReply, SyncRequest};
+use jaylock_types::boot_now;
 use rand::seq::IndexedRandom;
 use tonic::Status;
 
@@ -52,7 +53,7 @@
     pub async fn run(&self) {
         let mut turn = 0_usize;
         loop {
-            let started = Instant::now();
+            let started = boot_now();
             if self.lease.is_valid_at(started + self.round()) {
                 if turn.is_multiple_of(QUIET_ROUNDS) {
                     self.ask_neighbour(turn / NEIGHBOUR_ROUNDS).await;
@@ -61,7 +62,10 @@
                 self.view.stay_connected(started + self.settings.heard_for);
             }
             turn += 1;
-            let pause = self.settings.gossip_every.saturating_sub(started.elapsed());
+            let pause = self
+                .settings
+                .gossip_every
+                .saturating_sub(boot_now() - started);
             compio::time::sleep(pause).await;
         }
     }
--- a/crates/jaylock-control/src/replica/join.rs
+++ b/crates/jaylock-control/src/replica/join.rs
@@ -1,14 +1,16 @@
+use std::net::SocketAddr;
 use std::rc::Rc;
 
-use jaylock_rpc::v1::{Member, VoteReply, VoteRequest};
+use futures_util::future::join_all;
+use jaylock_rpc::v1::{GreetReply, Member, VoteReply, VoteRequest};
 use jaylock_types::unix_ms;
 
-use super::Shared;
+use super::{Origin, Shared};
 use crate::state::State;
 use crate::storage::Ballot;
 
 /// Generation of the first members of a group.
-const FIRST_GENERATION: u64 = 1;
+pub const FIRST_GENERATION: u64 = 1;
 
 /// What the others say about a group.
 enum Group {
@@ -16,17 +18,24 @@
     Exists,
     /// Too few have answered.
     Unknown,
-    /// So many have no entries that nothing was ever committed; the newest term they know.
-    New(u64),
+    /// Nothing was ever committed: it begins with these members, after the newest term they know.
+    New(Vec<Member>, u64),
 }
 
 /// Decides what a replica with an empty disk is: a first member of a new group, or a new
 /// generation that learns from the leader of an existing one.
 pub async fn join(shared: &Rc<Shared>) {
     while shared.core.borrow().ballot.generation == 0 && !shared.is_halted() {
-        let outcome = match ask(shared).await {
+        let group = match &shared.origin {
+            Origin::Members(members) => ask_members(shared, members).await,
+            Origin::Seeds {
+                addresses,
+                is_first,
+            } => ask_seeds(shared, addresses, *is_first).await,
+        };
+        let outcome = match group {
             Group::Exists => return_new(shared).await,
-            Group::New(term) => found(shared, term).await,
+            Group::New(members, term) => found(shared, members, term).await,
             Group::Unknown => {
                 compio::time::sleep(shared.settings.heartbeat).await;
                 continue;
@@ -49,15 +58,16 @@
     shared.set_ballot(ballot).await
 }
 
-async fn found(shared: &Shared, term: u64) -> Result<(), tonic::Status> {
+async fn found(shared: &Shared, members: Vec<Member>, term: u64) -> Result<(), tonic::Status> {
     let _writing = shared.writing.lock().await;
-    let voter = |member: &Member| Member {
+    let voter = |member: Member| Member {
         generation: FIRST_GENERATION,
         voter: true,
-        ..member.clone()
+        ..member
     };
-    let mut members: Vec<Member> = shared.bootstrap.iter().map(voter).collect();
+    let mut members: Vec<Member> = members.into_iter().map(voter).collect();
     members.sort_by(|a, b| a.instance.cmp(&b.instance));
+    log::info!(target: "control", "forms a group of {} replicas", members.len());
     let state = State::initial(members);
     if let Err(error) = shared.store.write_image(&state.image()).await {
         shared.halt(&error);
@@ -79,13 +89,13 @@
     shared.set_ballot(ballot).await
 }
 
-async fn ask(shared: &Shared) -> Group {
+async fn ask_members(shared: &Shared, members: &[Member]) -> Group {
     let own = |m: &&Member| m.instance == shared.identity.instance;
-    if !shared.bootstrap.iter().any(|m| own(&m)) {
+    if !members.iter().any(|m| own(&m)) {
         return Group::Exists;
     }
-    let others = shared.bootstrap.iter().filter(|m| !own(m));
-    let replies = futures_util::future::join_all(others.map(|m| probe(shared, m))).await;
+    let others = members.iter().filter(|m| !own(m));
+    let replies = join_all(others.map(|m| probe(shared, m))).await;
     let replies: Vec<VoteReply> = replies.into_iter().flatten().collect();
     if replies
         .iter()
@@ -95,13 +105,44 @@
     }
     // An entry that was committed is on a majority of the disks, one of which may have been this
     // one: so many empty answers leave no room for it.
-    let members = shared.bootstrap.len();
-    let quorum = members / 2 + 1;
-    let needed = members - quorum + 1;
-    if members > 1 && replies.len() < needed {
+    let quorum = members.len() / 2 + 1;
+    let needed = members.len() - quorum + 1;
+    if members.len() > 1 && replies.len() < needed {
         return Group::Unknown;
     }
-    Group::New(replies.iter().map(|r| r.term).max().unwrap_or(0))
+    let term = replies.iter().map(|r| r.term).max().unwrap_or(0);
+    Group::New(members.to_vec(), term)
+}
+
+/// Asks the seeds who they are; all of them must say that the fleet starts for the first time.
+///
+/// Without that word an empty disk joins what exists, so that a lost disk never forms a second group.
+async fn ask_seeds(shared: &Shared, seeds: &[SocketAddr], is_first: bool) -> Group {
+    let own: Option<SocketAddr> = shared.identity.peer_address.parse().ok();
+    let is_seed = seeds.iter().any(|seed| Some(*seed) == own);
+    if !is_first || !is_seed {
+        return Group::Exists;
+    }
+    let others = seeds.iter().filter(|seed| Some(**seed) != own);
+    let replies = join_all(others.map(|seed| greet(shared, *seed))).await;
+    if replies.iter().flatten().any(|r| r.joined || !r.first_start) {
+        return Group::Exists;
+    }
+    let members: Option<Vec<Member>> = replies.into_iter().map(|r| r?.member).collect();
+    match members {
+        Some(mut members) => {
+            members.push(shared.identity.clone());
+            Group::New(members, 0)
+        }
+        None => Group::Unknown,
+    }
+}
+
+async fn greet(shared: &Shared, seed: SocketAddr) -> Option<GreetReply> {
+    let call = shared.transport.greet(seed);
+    jaylock_rpc::within(shared.settings.answer_timeout, call)
+        .await
+        .ok()
 }
 
 async fn probe(shared: &Shared, member: &Member) -> Option<VoteReply> {
--- a/crates/jaylock-control/src/replica/mod.rs
+++ b/crates/jaylock-control/src/replica/mod.rs
@@ -6,6 +6,7 @@
 mod join;
 mod lead;
 mod log;
+mod origin;
 mod peer;
 mod progress;
 pub(crate) mod receive;
@@ -26,6 +27,7 @@
 
 pub(crate) use self::core::Core;
 pub(crate) use self::log::Log;
+pub use self::origin::Origin;
 pub(crate) use self::progress::Progress;
 pub(crate) use self::shared::{Refusal, Shared};
 
@@ -47,13 +49,13 @@
     /// Reads what the disk holds and reaches the other replicas by gRPC.
     ///
     /// `identity` names the instance, its address and failure domain; the disk tells its
-    /// generation. `bootstrap` lists the members of a new group.
+    /// generation. `origin` tells how a new group begins.
     ///
     /// # Errors
     /// [`Error::Disk`](crate::Error::Disk) and [`Error::Corrupt`](crate::Error::Corrupt).
     pub async fn open(
         identity: Member,
-        bootstrap: Vec<Member>,
+        origin: Origin,
         disk: impl Disk,
         settings: ReplicaSettings,
     ) -> Result<Self> {
@@ -61,7 +63,7 @@
             transport: Rc::new(RpcTransport::new(settings.channel.clone())),
             clock: Rc::new(SystemClock),
         };
-        Self::open_with(identity, bootstrap, disk, ports, settings).await
+        Self::open_with(identity, origin, disk, ports, settings).await
     }
 
     /// The same through other ports.
@@ -70,13 +72,13 @@
     /// As [`Replica::open`].
     pub async fn open_with(
         identity: Member,
-        bootstrap: Vec<Member>,
+        origin: Origin,
         disk: impl Disk,
         ports: Ports,
         settings: ReplicaSettings,
     ) -> Result<Self> {
         let store = Store::new(Rc::new(disk));
-        let shared = Shared::load(identity, bootstrap, store, ports, settings).await?;
+        let shared = Shared::load(identity, origin, store, ports, settings).await?;
         Ok(Self {
             shared: Rc::new(shared),
         })
--- a/crates/jaylock-control/src/replica/receive.rs
+++ b/crates/jaylock-control/src/replica/receive.rs
@@ -4,12 +4,14 @@
 
 use futures_channel::oneshot;
 use jaylock_rpc::v1::{
-    AppendReply, AppendRequest, Entry, InstallReply, InstallRequest, VoteReply, VoteRequest,
+    AppendReply, AppendRequest, Entry, GreetReply, InstallReply, InstallRequest, Member, VoteReply,
+    VoteRequest,
 };
 use prost::Message;
 use tonic::Status;
 
 use super::Shared;
+use super::join::FIRST_GENERATION;
 use super::log::Log;
 use crate::state::State;
 use crate::storage::{Ballot, Image};
@@ -27,6 +29,20 @@
     receiver.await.map_err(ended)?
 }
 
+/// Tells who this instance is and whether it has joined a group.
+pub fn greet(shared: &Shared) -> GreetReply {
+    let core = shared.core.borrow();
+    let generation = core.ballot.generation;
+    GreetReply {
+        member: Some(Member {
+            generation,
+            ..shared.identity.clone()
+        }),
+        first_start: shared.origin.is_first(),
+        joined: core.log.last_index() > 0 || generation > FIRST_GENERATION,
+    }
+}
+
 /// Answers a candidate.
 pub async fn vote(shared: Rc<Shared>, request: VoteRequest) -> Result<VoteReply, Status> {
     shared.check()?;
--- a/crates/jaylock-control/src/replica/shared.rs
+++ b/crates/jaylock-control/src/replica/shared.rs
@@ -9,6 +9,7 @@
 use jaylock_types::Clock;
 use tonic::Status;
 
+use super::Origin;
 use super::Ports;
 use super::core::{Core, Pending, Role};
 use super::log::Log;
@@ -22,7 +23,7 @@
 /// What the tasks of a replica share.
 pub struct Shared {
     pub identity: Member,
-    pub bootstrap: Vec<Member>,
+    pub origin: Origin,
     pub settings: ReplicaSettings,
     pub store: Store,
     pub transport: Rc<dyn Transport>,
@@ -50,7 +51,7 @@
     /// Reads the disk.
     pub async fn load(
         identity: Member,
-        bootstrap: Vec<Member>,
+        origin: Origin,
         store: Store,
         ports: Ports,
         settings: ReplicaSettings,
@@ -65,7 +66,7 @@
         Ok(Self {
             core: RefCell::new(Core::new(&identity.instance, ballot, state, log, now)),
             identity,
-            bootstrap,
+            origin,
             settings,
             store,
             transport: ports.transport,
--- a/crates/jaylock-control/src/service.rs
+++ b/crates/jaylock-control/src/service.rs
@@ -6,9 +6,10 @@
 use jaylock_rpc::v1::control_server::Control;
 use jaylock_rpc::v1::replica_server::Replica;
 use jaylock_rpc::v1::{
-    AppendReply, AppendRequest, Command, EventsReply, EventsRequest, InstallReply, InstallRequest,
-    LagReply, LagRequest, ProposeReply, ProposeRequest, ReadReply, ReadRequest, RenewReply,
-    RenewRequest, VoteReply, VoteRequest, WatchReply, WatchRequest,
+    AppendReply, AppendRequest, Command, DocumentReply, EventsReply, EventsRequest, GreetReply,
+    GreetRequest, InstallReply, InstallRequest, LagReply, LagRequest, ProposeReply, ProposeRequest,
+    ReadReply, ReadRequest, RenewReply, RenewRequest, VoteReply, VoteRequest, WatchReply,
+    WatchRequest,
 };
 use jaylock_rpc::{local, pinned};
 use send_wrapper::SendWrapper;
@@ -53,6 +54,10 @@
         let handler = receive::install((*self.shared).clone(), request.into_inner());
         local(receive::whole(handler)).await.map(Response::new)
     }
+
+    async fn greet(&self, _: Request<GreetRequest>) -> Answer<GreetReply> {
+        Ok(Response::new(receive::greet(&self.shared)))
+    }
 }
 
 /// What a replica answers to instances and operators.
@@ -104,6 +109,21 @@
         Ok(Response::new(reply))
     }
 
+    async fn read_document(&self, _: Request<ReadRequest>) -> Answer<DocumentReply> {
+        let reply = match self.shared.newest() {
+            Ok(configuration) => DocumentReply {
+                version: configuration.document_version,
+                source: self.shared.core.borrow().state.source().to_vec(),
+                leader_address: None,
+            },
+            Err(refusal) => DocumentReply {
+                leader_address: Some(elsewhere(refusal)?),
+                ..DocumentReply::default()
+            },
+        };
+        Ok(Response::new(reply))
+    }
+
     async fn watch(&self, request: Request<WatchRequest>) -> Answer<Self::WatchStream> {
         let WatchRequest { index, whole } = request.into_inner();
         let shared = (*self.shared).clone();
--- a/crates/jaylock-control/src/state/changes.rs
+++ b/crates/jaylock-control/src/state/changes.rs
@@ -8,7 +8,7 @@
 };
 use jaylock_types::{AdapterId, BackendId, ModelId, OrganisationId, PoolId, ServiceId, VersionId};
 
-use super::{fleet, ordered};
+use super::{document, fleet, ordered};
 
 /// Bytes of the hash of a caller's key.
 const HASH_BYTES: usize = 32;
@@ -78,6 +78,9 @@
             let found = ordered::remove(&mut next.drains, id, |d| &d.backend);
             known(found, "drain of backend server", id)?;
         }
+        Body::PutRoute(route) => document::put_route(next, route)?,
+        Body::RemoveRoute(id) => document::remove_route(next, id)?,
+        Body::PutDocument(document) => document::put(next, document)?,
         _ => return fleet_change(next, body, index, at_ms),
     }
     Ok(Change::quiet())
@@ -162,31 +165,25 @@
     if organisation.weight == 0 {
         return Err("the weight of an organisation is at least 1".into());
     }
-    if organisation
-        .key_hashes
-        .iter()
-        .any(|h| h.len() != HASH_BYTES)
-    {
+    check_keys(organisation, &next.organisations)?;
+    ordered::put(&mut next.organisations, organisation.clone(), |o| &o.id);
+    Ok(())
+}
+
+/// Checks that the keys of an organisation are hashes, and nobody else's.
+pub fn check_keys(organisation: &Organisation, all: &[Organisation]) -> Result<(), String> {
+    let hashes = &organisation.key_hashes;
+    if hashes.iter().any(|h| h.len() != HASH_BYTES) {
         return Err("a key hash has 32 bytes: send the SHA-256 of the key".into());
     }
-    let others = next
-        .organisations
-        .iter()
-        .filter(|o| o.id != organisation.id);
-    for other in others {
-        if other
-            .key_hashes
-            .iter()
-            .any(|h| organisation.key_hashes.contains(h))
-        {
-            return Err(format!(
-                "organisation {} has this key: choose another",
-                other.id
-            ));
-        }
+    let mut others = all.iter().filter(|o| o.id != organisation.id);
+    match others.find(|o| o.key_hashes.iter().any(|h| hashes.contains(h))) {
+        Some(other) => Err(format!(
+            "organisation {} has this key: choose another",
+            other.id
+        )),
+        None => Ok(()),
     }
-    ordered::put(&mut next.organisations, organisation.clone(), |o| &o.id);
-    Ok(())
 }
 
 fn put_model(next: &mut Configuration, model: &Model) -> Result<(), String> {
@@ -224,11 +221,15 @@
     Ok(())
 }
 
-fn check<T: std::str::FromStr<Err = jaylock_types::InvalidId>>(text: &str) -> Result<(), String> {
+/// Checks that a text can serve as an identifier.
+pub fn check<T: std::str::FromStr<Err = jaylock_types::InvalidId>>(
+    text: &str,
+) -> Result<(), String> {
     text.parse::<T>().map(|_| ()).map_err(|e| e.to_string())
 }
 
-fn known(found: bool, kind: &str, id: &str) -> Result<(), String> {
+/// Checks that what a change names was found.
+pub fn known(found: bool, kind: &str, id: &str) -> Result<(), String> {
     if found {
         return Ok(());
     }
--- /dev/null
+++ b/crates/jaylock-control/src/state/document.rs
@@ -0,0 +1,117 @@
+//! Routes, and whole configurations under a version of their own.
+
+use jaylock_rpc::v1::{Command, Configuration, Document, Route, Service, command};
+use jaylock_types::{OrganisationId, ServiceId};
+
+use super::changes::{check, check_keys, known};
+
+/// Whether a document of this version or a higher one is in force already.
+pub fn is_overtaken(current: &Configuration, document: &Document) -> bool {
+    document.version <= current.document_version
+}
+
+/// Says why a document can't be put in force, if so.
+pub fn validate(document: &Document) -> Result<(), String> {
+    if document.version == 0 {
+        return Err("the version of a document is at least 1".into());
+    }
+    for service in &document.services {
+        check::<ServiceId>(&service.id)?;
+    }
+    for organisation in &document.organisations {
+        check::<OrganisationId>(&organisation.id)?;
+        check_keys(organisation, &document.organisations)?;
+    }
+    for route in &document.routes {
+        check_route(route, &document.services)?;
+    }
+    let mut places: Vec<(&str, &str)> = document.routes.iter().map(place).collect();
+    places.sort_unstable();
+    match places.windows(2).find(|pair| pair[0] == pair[1]) {
+        Some(pair) => Err(format!(
+            "two routes have host {} and prefix {}: keep one",
+            pair[0].0, pair[0].1
+        )),
+        None => Ok(()),
+    }
+}
+
+/// Replaces every organisation, service and route by those of a valid document.
+pub fn put(next: &mut Configuration, document: &Document) -> Result<(), String> {
+    validate(document)?;
+    if is_overtaken(next, document) {
+        return Err(format!("version {} is in force", next.document_version));
+    }
+    next.organisations.clone_from(&document.organisations);
+    next.organisations.sort_by(|a, b| a.id.cmp(&b.id));
+    next.services.clone_from(&document.services);
+    next.services.sort_by(|a, b| a.id.cmp(&b.id));
+    next.routes.clone_from(&document.routes);
+    next.routes.sort_by(|a, b| place(a).cmp(&place(b)));
+    next.limits = document.limits;
+    next.document_version = document.version;
+    Ok(())
+}
+
+/// Enters a route, in place of one with the same name.
+pub fn put_route(next: &mut Configuration, route: &Route) -> Result<(), String> {
+    check_route(route, &next.services)?;
+    let mut others = next.routes.iter().filter(|r| r.id != route.id);
+    if let Some(other) = others.find(|r| place(r) == place(route)) {
+        return Err(format!(
+            "route {} has host {} and prefix {}: choose another prefix",
+            other.id, other.host, other.prefix
+        ));
+    }
+    next.routes.retain(|r| r.id != route.id);
+    let at = next.routes.partition_point(|r| place(r) < place(route));
+    next.routes.insert(at, route.clone());
+    Ok(())
+}
+
+/// Takes a route away.
+pub fn remove_route(next: &mut Configuration, id: &str) -> Result<(), String> {
+    let before = next.routes.len();
+    next.routes.retain(|r| r.id != id);
+    known(next.routes.len() < before, "route", id)
+}
+
+/// The command as followers get it: without the text that its author wrote.
+pub fn without_source(command: &Command) -> Command {
+    let mut command = command.clone();
+    if let Some(command::Body::PutDocument(document)) = &mut command.body {
+        document.source = Vec::new();
+    }
+    command
+}
+
+fn check_route(route: &Route, services: &[Service]) -> Result<(), String> {
+    let id = &route.id;
+    if route.host.is_empty() {
+        return Err(format!("route {id} has no host: name one"));
+    }
+    if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+        return Err(format!(
+            "prefix {} of route {id} does not begin and end with a slash",
+            route.prefix
+        ));
+    }
+    if route.timeout_ms == 0 {
+        return Err(format!("route {id} allows no time: set a timeout"));
+    }
+    let weights = route.targets.iter().map(|t| u64::from(t.weight));
+    if weights.sum::<u64>() == 0 {
+        return Err(format!(
+            "the weights of route {id} add up to 0: give one service a weight"
+        ));
+    }
+    for target in &route.targets {
+        let found = services.iter().any(|s| s.id == target.service);
+        known(found, "service", &target.service)?;
+    }
+    Ok(())
+}
+
+fn place(route: &Route) -> (&str, &str) {
+    (&route.host, &route.prefix)
+}
--- a/crates/jaylock-control/src/state/mod.rs
+++ b/crates/jaylock-control/src/state/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod changes;
 mod claims;
+mod document;
 mod events;
 mod fleet;
 mod ordered;
@@ -33,6 +34,8 @@
     claims: Claims,
     events: Events,
     recent: Recent,
+    /// The document in force as its author wrote it.
+    source: Vec<u8>,
 }
 
 /// Whether a command is a decision of operators, the fleet's own, or leaves the configuration.
@@ -70,6 +73,7 @@
             claims: Claims::restore(image.claims, image.swept_ms),
             events: Events::restore(image.events),
             recent: Recent::default(),
+            source: image.source,
         }
     }
 
@@ -85,6 +89,7 @@
             claims: self.claims.records(),
             swept_ms: self.claims.swept_ms(),
             events: self.events.newest(u32::MAX),
+            source: self.source.clone(),
         }
     }
 
@@ -107,6 +112,11 @@
         &self.configuration
     }
 
+    /// The document in force as its author wrote it; empty before the first one.
+    pub fn source(&self) -> &[u8] {
+        &self.source
+    }
+
     /// The changes since the configuration of an index, unless they are no longer at hand.
     pub fn changes_after(&self, index: u64) -> Option<Vec<Change>> {
         self.recent.after(index)
@@ -175,6 +185,12 @@
                 return Ok(Outcome::Done(Done {}));
             }
             Body::Noop(_) => return Ok(Outcome::Done(Done {})),
+            Body::PutDocument(document) => {
+                document::validate(document)?;
+                if document::is_overtaken(&self.configuration, document) {
+                    return Ok(Outcome::Done(Done {}));
+                }
+            }
             _ => {}
         }
         // The change is tried on a copy that is shared with nobody, so that a refusal leaves no trace.
@@ -189,9 +205,12 @@
             index: next.index,
             revision: next.revision,
             at_ms: self.at_ms,
-            command: Some(command.clone()),
+            command: Some(document::without_source(command)),
         });
         self.configuration = Rc::new(next);
+        if let Body::PutDocument(document) = body {
+            self.source.clone_from(&document.source);
+        }
         if let Body::RemoveInstance(gone) = body {
             self.claims.lose(&gone.id, gone.incarnation);
         }
@@ -246,7 +265,10 @@
         | Body::PutService(_)
         | Body::RemoveService(_)
         | Body::DrainBackend(_)
-        | Body::UndrainBackend(_) => Class::Operator,
+        | Body::UndrainBackend(_)
+        | Body::PutRoute(_)
+        | Body::RemoveRoute(_)
+        | Body::PutDocument(_) => Class::Operator,
         Body::PutInstance(_)
         | Body::RemoveInstance(_)
         | Body::AssignPool(_)
--- a/crates/jaylock-control/src/storage/records.rs
+++ b/crates/jaylock-control/src/storage/records.rs
@@ -45,6 +45,9 @@
     /// When claims were last searched for expired ones.
     #[prost(uint64, tag = "9")]
     pub swept_ms: u64,
+    /// The document in force as its author wrote it.
+    #[prost(bytes = "vec", tag = "10")]
+    pub source: Vec<u8>,
 }
 
 /// What became of a command.
--- a/crates/jaylock-control/src/transport.rs
+++ b/crates/jaylock-control/src/transport.rs
@@ -5,7 +5,8 @@
 use futures_util::future::LocalBoxFuture;
 use jaylock_rpc::v1::replica_client::ReplicaClient;
 use jaylock_rpc::v1::{
-    AppendReply, AppendRequest, InstallReply, InstallRequest, Member, VoteReply, VoteRequest,
+    AppendReply, AppendRequest, GreetReply, GreetRequest, InstallReply, InstallRequest, Member,
+    VoteReply, VoteRequest,
 };
 use jaylock_rpc::{Channel, ChannelSettings};
 use tonic::Status;
@@ -23,6 +24,12 @@
 
     /// Sends a piece of a snapshot.
     fn install(&self, to: &Member, request: InstallRequest) -> Answer<InstallReply>;
+
+    /// Asks who an instance is.
+    fn greet(&self, to: SocketAddr) -> Answer<GreetReply> {
+        let unknown = Status::unimplemented(format!("nothing is known of the instance at {to}"));
+        async move { Err(unknown) }.boxed_local()
+    }
 }
 
 /// Reaches the other replicas by gRPC.
@@ -75,6 +82,11 @@
     fn install(&self, to: &Member, request: InstallRequest) -> Answer<InstallReply> {
         call!(self.client(to), install, request)
     }
+
+    fn greet(&self, to: SocketAddr) -> Answer<GreetReply> {
+        let mut client = ReplicaClient::new(self.channels.to(to));
+        async move { Ok(client.greet(GreetRequest {}).await?.into_inner()) }.boxed_local()
+    }
 }
 
 /// One channel for each address.
--- a/crates/jaylock-settings/src/check.rs
+++ b/crates/jaylock-settings/src/check.rs
@@ -2,6 +2,7 @@
 
 use compact_str::format_compact;
 
+use crate::control::REPLICAS;
 use crate::document::Document;
 use crate::key::Part;
 use crate::{ControlSettings, InstanceSettings, Problem, Result, Settings};
@@ -15,12 +16,12 @@
 
 fn check_addresses(settings: &Settings, document: &Document) -> Result<()> {
     let own = &settings.instance;
-    if own.caller_address == own.peer_address {
+    if own.caller_address == Some(own.peer_address) {
         let value = own.peer_address;
         let remedy = "another port than that of caller_address";
         return conflict::<InstanceSettings>(document, "peer_address", value, remedy);
     }
-    if own.caller_listen() == own.peer_listen() {
+    if own.caller_listen() == Some(own.peer_listen()) {
         let value = own.peer_listen();
         let remedy = "another port than that for callers";
         return conflict::<InstanceSettings>(document, "peer_listen", value, remedy);
@@ -45,6 +46,7 @@
 /// Compares the list of replicas with what the instance says of itself.
 fn check_replicas(settings: &Settings, document: &Document) -> Result<()> {
     let own = &settings.instance;
+    check_origin(&settings.control, document)?;
     let mut replicas = settings.control.replicas.iter();
     let Some(listed) = replicas.find(|r| r.instance == own.id) else {
         return Ok(());
@@ -62,6 +64,26 @@
     Ok(())
 }
 
+/// Checks that either replicas or seeds are named.
+fn check_origin(control: &ControlSettings, document: &Document) -> Result<()> {
+    match (control.replicas.is_empty(), control.seeds.is_empty()) {
+        (true, true) => {
+            let section = document.section(ControlSettings::SECTION);
+            let problem = Problem::Missing {
+                section: ControlSettings::SECTION.into(),
+                key: "replicas".into(),
+                remedy: REPLICAS.into(),
+            };
+            Err(document.error(section.map_or(document.lines, |s| s.line), problem))
+        }
+        (false, false) => {
+            let remedy = "left out where replicas are listed";
+            conflict::<ControlSettings>(document, "seeds", control.seeds[0], remedy)
+        }
+        _ => Ok(()),
+    }
+}
+
 /// An error at a key, or at its section when the key is left out.
 fn conflict<T: Part>(
     document: &Document,
--- a/crates/jaylock-settings/src/control.rs
+++ b/crates/jaylock-settings/src/control.rs
@@ -6,13 +6,21 @@
 use jaylock_types::{DomainId, InstanceId};
 
 use crate::key::{Key, Part};
-use crate::value::{COUNT, DURATION, count, duration};
+use crate::value::{COUNT, DURATION, count, duration, parsed};
 
 /// The replicated log and the leases that it hands out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ControlSettings {
     /// Replicas of the log at the first start of the fleet; sorted by instance.
     pub replicas: Vec<ReplicaAddress>,
+    /// In place of the replicas: addresses of some instances, as they were when the settings were written.
+    pub seeds: Vec<SocketAddr>,
+    /// Port at which every instance is reached by the others, in place of that of the seeds.
+    pub seed_port: Option<u16>,
+    /// Whether the whole fleet starts for the first time, so that the seeds form a group.
+    pub first_start: bool,
+    /// Replicas that the log has once so many instances have a disk, or more where more are listed.
+    pub voters: usize,
     /// Time between two messages of the leader to each replica.
     pub heartbeat: Duration,
     /// Silence of the leader after which a replica stands for election.
@@ -29,6 +37,10 @@
     fn default() -> Self {
         Self {
             replicas: Vec::new(),
+            seeds: Vec::new(),
+            seed_port: None,
+            first_start: false,
+            voters: 3,
             heartbeat: Duration::from_millis(100),
             election: Duration::from_millis(500),
             lease: Duration::from_secs(3),
@@ -38,12 +50,32 @@
     }
 }
 
+impl ControlSettings {
+    /// Where other instances reach the seeds.
+    #[must_use]
+    pub fn seed_peers(&self) -> Vec<SocketAddr> {
+        let mut peers = self.seeds.clone();
+        for peer in &mut peers {
+            peer.set_port(self.seed_port.unwrap_or(peer.port()));
+        }
+        peers
+    }
+}
+
 impl Part for ControlSettings {
     const SECTION: &'static str = "control";
     const KEYS: &'static [Key<Self>] = &[
-        Key::obligatory("replicas", REPLICAS, |s, v| {
+        Key::optional("replicas", REPLICAS, |s, v| {
             replicas(v).map(|list| s.replicas = list)
         }),
+        Key::optional("seeds", SEEDS, |s, v| seeds(v).map(|list| s.seeds = list)),
+        Key::optional("seed_port", PORT, |s, v| {
+            count(v).map(|port| s.seed_port = Some(port))
+        }),
+        Key::optional("first_start", FLAG, |s, v| {
+            parsed(v).map(|flag| s.first_start = flag)
+        }),
+        Key::optional("voters", COUNT, |s, v| count(v).map(|n| s.voters = n)),
         Key::optional("heartbeat", DURATION, |s, v| {
             duration(v).map(|d| s.heartbeat = d)
         }),
@@ -104,6 +136,22 @@
     (!list.is_empty() && !doubled).then_some(list)
 }
 
+/// Reads a list of addresses.
+fn seeds(text: &str) -> Option<Vec<SocketAddr>> {
+    let words = text.split([',', ' ']).filter(|w| !w.is_empty());
+    let list: Vec<SocketAddr> = words.map(|w| w.parse().ok()).collect::<Option<_>>()?;
+    (!list.is_empty()).then_some(list)
+}
+
+/// What the list of seeds looks like.
+const SEEDS: &str = "addresses separated by commas, such as 10.1.0.35:7090, 10.2.0.20:7090";
+
+/// What a port looks like.
+const PORT: &str = "a port from 1 to 65535";
+
+/// What a flag looks like.
+const FLAG: &str = "true or false";
+
 /// What the list of replicas looks like.
-const REPLICAS: &str = "different replicas as id@ip:port@domain, separated by commas, such as \
+pub(crate) const REPLICAS: &str = "different replicas as id@ip:port@domain, separated by commas, such as \
      a1@127.0.0.1:7090@amman-a";
--- a/crates/jaylock-settings/src/instance.rs
+++ b/crates/jaylock-settings/src/instance.rs
@@ -13,8 +13,8 @@
     pub id: InstanceId,
     /// Failure domain it stands in.
     pub domain: DomainId,
-    /// Where callers and backend servers connect.
-    pub caller_address: SocketAddr,
+    /// Where callers and backend servers connect; an instance without one serves none.
+    pub caller_address: Option<SocketAddr>,
     /// Where other instances and operators connect.
     pub peer_address: SocketAddr,
     /// Where it listens for callers when they reach it through another address.
@@ -30,8 +30,8 @@
 impl InstanceSettings {
     /// Where the instance listens for callers and backend servers.
     #[must_use]
-    pub fn caller_listen(&self) -> SocketAddr {
-        self.caller_listen.unwrap_or(self.caller_address)
+    pub fn caller_listen(&self) -> Option<SocketAddr> {
+        self.caller_listen.or(self.caller_address)
     }
 
     /// Where the instance listens for other instances and operators.
@@ -46,7 +46,7 @@
         Self {
             id: "local".parse().expect("a valid name"),
             domain: "local".parse().expect("a valid name"),
-            caller_address: SocketAddr::from(([127, 0, 0, 1], 7080)),
+            caller_address: Some(SocketAddr::from(([127, 0, 0, 1], 7080))),
             peer_address: SocketAddr::from(([127, 0, 0, 1], 7090)),
             caller_listen: None,
             peer_listen: None,
@@ -61,8 +61,9 @@
     const KEYS: &'static [Key<Self>] = &[
         Key::obligatory("id", NAME, |s, v| parsed(v).map(|id| s.id = id)),
         Key::obligatory("domain", NAME, |s, v| parsed(v).map(|id| s.domain = id)),
-        Key::obligatory("caller_address", ADDRESS, |s, v| {
-            address(v).map(|a| s.caller_address = a)
+        Key::obligatory("caller_address", ADDRESS, |s, v| match v {
+            NO_ADDRESS => Some(s.caller_address = None),
+            _ => address(v).map(|a| s.caller_address = Some(a)),
         }),
         Key::obligatory("peer_address", ADDRESS, |s, v| {
             address(v).map(|a| s.peer_address = a)
@@ -97,5 +98,8 @@
 /// What an address to listen on looks like.
 const LISTEN: &str = "an IP address with a port, such as 0.0.0.0:7080";
 
+/// Stands for the address of an instance that serves no callers.
+const NO_ADDRESS: &str = "none";
+
 /// What a name looks like.
 const NAME: &str = "1 to 64 letters, digits, dots, dashes, underscores or colons";
--- a/crates/jaylock-settings/src/settings.rs
+++ b/crates/jaylock-settings/src/settings.rs
@@ -37,6 +37,14 @@
     /// # Errors
     /// The first fault, with file, line, key and what would be right.
     pub fn read(path: impl AsRef<Path>) -> Result<Self> {
+        Self::read_beside(path, &[])
+    }
+
+    /// The same where the file holds further sections that belong to another part of the program.
+    ///
+    /// # Errors
+    /// As [`Settings::read`].
+    pub fn read_beside(path: impl AsRef<Path>, others: &[&str]) -> Result<Self> {
         let path = path.as_ref();
         let file = path.display().to_string();
         let text = fs::read_to_string(path).map_err(|error| Error {
@@ -44,7 +52,7 @@
             line: 1,
             problem: Box::new(Problem::Unreadable(format_compact!("{error}"))),
         })?;
-        Self::parse(&text, &file)
+        Self::parse_beside(&text, &file, others)
     }
 
     /// Checks settings that stand in a text; errors give its place as `file`.
@@ -52,11 +60,15 @@
     /// # Errors
     /// The first fault, with file, line, key and what would be right.
     pub fn parse(text: &str, file: &str) -> Result<Self> {
+        Self::parse_beside(text, file, &[])
+    }
+
+    fn parse_beside(text: &str, file: &str, others: &[&str]) -> Result<Self> {
         let document = Document::parse(text, file)?;
         let unknown = document
             .sections
             .iter()
-            .filter(|s| !SECTIONS.contains(&s.name.as_str()))
+            .filter(|s| !SECTIONS.contains(&s.name.as_str()) && !others.contains(&s.name.as_str()))
             .min_by_key(|s| s.line);
         if let Some(section) = unknown {
             let problem = Problem::UnknownSection {
--- a/crates/jaylock-settings/src/timeouts.rs
+++ b/crates/jaylock-settings/src/timeouts.rs
@@ -14,6 +14,8 @@
     pub deadline: Duration,
     /// Longest time of a graceful shutdown.
     pub stop: Duration,
+    /// How long a backend server counts as alive after it was last heard.
+    pub backend: Duration,
 }
 
 impl Default for TimeoutSettings {
@@ -23,6 +25,7 @@
             silence: Duration::from_secs(5),
             deadline: Duration::from_mins(2),
             stop: Duration::from_mins(5),
+            backend: Duration::from_secs(3),
         }
     }
 }
@@ -40,6 +43,9 @@
             duration(v).map(|d| s.deadline = d)
         }),
         Key::optional("stop", DURATION, |s, v| duration(v).map(|d| s.stop = d)),
+        Key::optional("backend", DURATION, |s, v| {
+            duration(v).map(|d| s.backend = d)
+        }),
     ];
 }
 
