A front room for routes in the router

Cause: the platform's requests go by host and path, are passed through unchanged and have kinds of their own. Ruled out: routes over the Shared of chat and plain services, which would have made the circle of 14 files wider. Change: route/ with a context of its own (view, lease, capacity, links, budget, observer); Lifecycle, ServerLimits and Handler take the connections' side out of Shared; exchange() belongs to Links, Failure and Fnv to files of their own; an answer that breaks off cuts its connection (Body::Passed). Names of header fields are data (RouteNames).

--- a/crates/jaylock-router/src/account.rs
+++ b/crates/jaylock-router/src/account.rs
@@ -4,10 +4,7 @@
 use compact_str::CompactString;
 use http::StatusCode;
 use jaylock_observe::{Observer, RequestKind, RequestRecord, Run};
-use jaylock_types::{PoolId, Tokens};
-
-use crate::call::Call;
-use crate::router::Shared;
+use jaylock_types::{OrganisationId, PoolId, RequestId, Tokens};
 
 /// Status in the record of a request whose caller hung up.
 const HUNG_UP: u16 = 499;
@@ -23,10 +20,17 @@
 
 impl Account {
     /// Opens the account of a request.
-    pub fn new(shared: &Shared, call: &Call, pool: PoolId, kind: RequestKind) -> Self {
+    pub fn new(
+        observer: Observer,
+        busy: Rc<()>,
+        request: &RequestId,
+        organisation: &OrganisationId,
+        arrived: Instant,
+        (pool, kind): (PoolId, RequestKind),
+    ) -> Self {
         let record = RequestRecord {
-            request: call.request.clone(),
-            organisation: call.organisation.clone(),
+            request: request.clone(),
+            organisation: organisation.clone(),
             pool,
             kind,
             status: HUNG_UP,
@@ -40,9 +44,9 @@
         };
         Self {
             record,
-            observer: shared.observer.clone(),
-            arrived: call.arrived,
-            _busy: shared.busy(),
+            observer,
+            arrived,
+            _busy: busy,
         }
     }
 
--- a/crates/jaylock-router/src/address.rs
+++ b/crates/jaylock-router/src/address.rs
@@ -24,7 +24,7 @@
 pub fn list(shared: &Shared) -> Response<Body> {
     let current = shared.view.current();
     let own = shared.identity.instance.as_str();
-    let leaves = |i: &Instance| i.leaving || (shared.is_leaving() && i.id == own);
+    let leaves = |i: &Instance| i.leaving || (shared.lifecycle.is_leaving() && i.id == own);
     let live = current.instances.iter().filter(|i| !leaves(i));
     let body = AddressList {
         keep_ms: shared.settings.keep_ms,
--- a/crates/jaylock-router/src/attempt.rs
+++ b/crates/jaylock-router/src/attempt.rs
@@ -3,20 +3,20 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use compact_str::{CompactString, format_compact};
+use compact_str::format_compact;
 use futures_util::FutureExt;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use jaylock_types::RequestId;
-use thiserror::Error;
 
 use crate::answer::{REQUEST_ID, put};
 use crate::body;
 use crate::call::DEADLINE;
 use crate::chat::Chat;
 use crate::event::EventParser;
-use crate::link::{Link, LinkError};
+use crate::failure::{Failure, silence_limit};
+use crate::link::Link;
 use crate::piece::{Check, Piece, PieceChecker};
 use crate::router::Shared;
 
@@ -33,36 +33,6 @@
 /// Time for the end of a stream to arrive after its last event.
 const TAIL_WAIT: Duration = Duration::from_millis(200);
 
-/// Why an attempt failed.
-#[derive(Debug, Clone, Error)]
-pub enum Failure {
-    /// No connection could be opened; no byte left.
-    #[error("no connection: {0}")]
-    Unreachable(CompactString),
-    /// The backend server said that it did not run the request.
-    #[error("the backend server declined the request")]
-    Declined,
-    /// The connection ended before the answer was whole.
-    #[error("the connection broke: {0}")]
-    Broken(CompactString),
-    /// No byte came for too long.
-    #[error("the backend server is silent")]
-    Silent,
-    /// The answer can't be trusted.
-    #[error("{0}")]
-    Faulty(CompactString),
-    /// The backend server's final word, to be passed on.
-    #[error("the backend server answered {0}")]
-    Final(StatusCode, Bytes),
-}
-
-impl Failure {
-    /// Whether the request surely did not run in this attempt.
-    pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::Unreachable(_) | Self::Declined)
-    }
-}
-
 /// Where a resumed answer goes on.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Position {
@@ -94,7 +64,11 @@
         let id = RequestId::random();
         let request = || chat_request(chat, &id, address, position, left);
         let limit = shared.settings.first_byte;
-        let exchange = exchange(shared, address, shared.settings.idle, request);
+        let settings = &shared.settings;
+        let opening = settings.connect_timeout;
+        let exchange = shared
+            .links
+            .exchange(address, settings.idle, opening, request);
         let (link, response) = silence_limit(limit, exchange).await??;
         let response = check_head(response, &id, shared).await?;
         Ok(Self {
@@ -168,39 +142,6 @@
     }
 }
 
-/// Sends a request over an idle or a new connection; nothing is sent twice.
-pub async fn exchange(
-    shared: &Shared,
-    address: SocketAddr,
-    fresh: Duration,
-    request: impl Fn() -> Request<Full<Bytes>>,
-) -> Result<(Link, Response<Incoming>), Failure> {
-    if let Some(mut link) = shared.links.take(address, fresh) {
-        match link.send(request()).await {
-            Ok(response) => return Ok((link, response)),
-            Err(LinkError::Unsent) => {}
-            Err(error) => return Err(Failure::Broken(format_compact!("{error}"))),
-        }
-    }
-    let opened = Link::open(address, shared.settings.connect_timeout).await;
-    let mut link = opened.map_err(|e| Failure::Unreachable(format_compact!("{e}")))?;
-    match link.send(request()).await {
-        Ok(response) => Ok((link, response)),
-        Err(LinkError::Unsent) => Err(Failure::Unreachable("the connection closed".into())),
-        Err(error) => Err(Failure::Broken(format_compact!("{error}"))),
-    }
-}
-
-/// Gives up on a backend server that stays silent.
-pub async fn silence_limit<T>(
-    limit: Duration,
-    wait: impl Future<Output = T>,
-) -> Result<T, Failure> {
-    compio::time::timeout(limit, wait)
-        .await
-        .map_err(|_| Failure::Silent)
-}
-
 /// Whether the answer carries another request's identifier.
 pub fn is_crossed(response: &Response<Incoming>, id: &RequestId) -> bool {
     let echoed = response.headers().get(REQUEST_ID);
--- a/crates/jaylock-router/src/body.rs
+++ b/crates/jaylock-router/src/body.rs
@@ -1,4 +1,3 @@
-use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -10,6 +9,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use jaylock_types::ByteSize;
+use thiserror::Error;
 
 /// The body of an answer.
 pub enum Body {
@@ -17,6 +17,8 @@
     Whole(Option<Bytes>),
     /// It is made while it is sent; dropping it ends the work behind it.
     Stream(LocalBoxStream<'static, Bytes>),
+    /// The same, but it may break off; the connection is cut then, so that nobody takes it for whole.
+    Passed(LocalBoxStream<'static, Result<Bytes, Cut>>),
 }
 
 impl Body {
@@ -28,15 +30,19 @@
 
 impl http_body::Body for Body {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = Cut;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         let next = match &mut *self {
             Self::Whole(bytes) => bytes.take(),
             Self::Stream(stream) => ready!(Pin::new(stream).poll_next(cx)),
+            Self::Passed(stream) => {
+                let next = ready!(Pin::new(stream).poll_next(cx));
+                return Poll::Ready(next.map(|part| part.map(Frame::data)));
+            }
         };
         Poll::Ready(next.map(|bytes| Ok(Frame::data(bytes))))
     }
@@ -44,7 +50,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
-            Self::Stream(_) => false,
+            Self::Stream(_) | Self::Passed(_) => false,
         }
     }
 
@@ -54,11 +60,16 @@
                 let length = bytes.as_ref().map_or(0, Bytes::len);
                 http_body::SizeHint::with_exact(length as u64)
             }
-            Self::Stream(_) => http_body::SizeHint::default(),
+            Self::Stream(_) | Self::Passed(_) => http_body::SizeHint::default(),
         }
     }
 }
 
+/// An answer that can't be finished.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the answer broke off and can't go on")]
+pub struct Cut;
+
 /// Why a body was not read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadError {
--- a/crates/jaylock-router/src/budget.rs
+++ b/crates/jaylock-router/src/budget.rs
@@ -1,11 +1,11 @@
 use std::cell::RefCell;
 
-use jaylock_types::OrganisationId;
+use compact_str::CompactString;
 
 /// Parts of one retry that a balance counts in.
 const RETRY: u64 = 1000;
 
-/// Limits the retries of each organisation to a share of its requests.
+/// Limits the retries of each organisation or service to a share of its requests.
 ///
 /// A balance starts full, every request adds to it and every retry takes one from it, so that a
 /// failure of many backend servers is not met with a multiple of the work.
@@ -13,7 +13,7 @@
 pub struct RetryBudget {
     burst: u64,
     earning: u64,
-    balances: RefCell<Vec<(OrganisationId, u64)>>,
+    balances: RefCell<Vec<(CompactString, u64)>>,
 }
 
 impl RetryBudget {
@@ -28,27 +28,27 @@
     }
 
     /// Counts a request.
-    pub fn earn(&self, organisation: &OrganisationId) {
+    pub fn earn(&self, name: &str) {
         let burst = self.burst;
-        self.change(organisation, |balance| (balance + self.earning).min(burst));
+        self.change(name, |balance| (balance + self.earning).min(burst));
     }
 
     /// Takes one retry; false when the budget is spent.
     #[must_use]
-    pub fn spend(&self, organisation: &OrganisationId) -> bool {
+    pub fn spend(&self, name: &str) -> bool {
         let mut allowed = false;
-        self.change(organisation, |balance| {
+        self.change(name, |balance| {
             allowed = balance >= RETRY;
             if allowed { balance - RETRY } else { balance }
         });
         allowed
     }
 
-    fn change(&self, organisation: &OrganisationId, change: impl FnOnce(u64) -> u64) {
+    fn change(&self, name: &str, change: impl FnOnce(u64) -> u64) {
         let mut balances = self.balances.borrow_mut();
-        let found = balances.binary_search_by(|e| e.0.cmp(organisation));
+        let found = balances.binary_search_by(|e| e.0.as_str().cmp(name));
         let at = found.unwrap_or_else(|at| {
-            balances.insert(at, (organisation.clone(), self.burst));
+            balances.insert(at, (name.into(), self.burst));
             at
         });
         balances[at].1 = change(balances[at].1);
--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -5,10 +5,11 @@
 use http::{HeaderMap, StatusCode};
 use http_body::Body as _;
 use hyper::body::Incoming;
-use jaylock_observe::Run;
-use jaylock_types::{Index, OrganisationId, RequestId};
+use jaylock_observe::{RequestKind, Run};
+use jaylock_types::{Index, OrganisationId, PoolId, RequestId};
 use sha2::{Digest, Sha256};
 
+use crate::account::Account;
 use crate::address;
 use crate::answer::Refusal;
 use crate::body::{self, ReadError};
@@ -79,6 +80,18 @@
         Ok(call)
     }
 
+    /// Opens the account of the request.
+    pub fn account(&self, shared: &Shared, pool: PoolId, kind: RequestKind) -> Account {
+        Account::new(
+            shared.observer.clone(),
+            shared.lifecycle.busy(),
+            &self.request,
+            &self.organisation,
+            self.arrived,
+            (pool, kind),
+        )
+    }
+
     /// What is left until the deadline.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -124,7 +137,7 @@
 }
 
 fn check_service(shared: &Shared) -> Result<(), Refusal> {
-    if shared.closed.is_thrown() {
+    if shared.lifecycle.closed.is_thrown() {
         return Err(elsewhere(shared, "leaving", "this instance is stopping"));
     }
     check_connected(shared)
--- a/crates/jaylock-router/src/chat.rs
+++ b/crates/jaylock-router/src/chat.rs
@@ -8,6 +8,7 @@
 use serde_json::{Map, Value};
 
 use crate::answer::Refusal;
+use crate::hash::Fnv;
 
 /// Bytes of prompt text in one prefix block.
 const BLOCK: usize = 256;
@@ -81,27 +82,6 @@
     chain.collect()
 }
 
-/// The 64-bit FNV-1a hash, the same in every process.
-struct Fnv(u64);
-
-impl Default for Fnv {
-    fn default() -> Self {
-        Self(0xcbf2_9ce4_8422_2325)
-    }
-}
-
-impl Hasher for Fnv {
-    fn finish(&self) -> u64 {
-        self.0
-    }
-
-    fn write(&mut self, bytes: &[u8]) {
-        for byte in bytes {
-            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
-        }
-    }
-}
-
 fn target<'a>(
     fields: &Map<String, Value>,
     configuration: &'a Configuration,
--- a/crates/jaylock-router/src/completion.rs
+++ b/crates/jaylock-router/src/completion.rs
@@ -3,11 +3,10 @@
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use http::{Response, StatusCode, header};
-use jaylock_observe::Run;
+use jaylock_observe::{RequestKind, Run};
 use jaylock_types::RequestId;
 use serde_json::Value;
 
-use crate::account::Account;
 use crate::answer::{self, Refusal, mark, put};
 use crate::assembly::Assembly;
 use crate::body::Body;
@@ -20,12 +19,7 @@
 /// Answers a request for a model.
 pub async fn answer(shared: &Rc<Shared>, call: Call) -> Result<Response<Body>, Refusal> {
     let chat = Chat::parse(&call.body, &shared.view.current())?;
-    let account = Account::new(
-        shared,
-        &call,
-        chat.pool.clone(),
-        jaylock_observe::RequestKind::Model,
-    );
+    let account = call.account(shared, chat.pool.clone(), RequestKind::Model);
     let streams = chat.stream;
     let generation = Generation::new(shared.clone(), call, chat, account);
     let attended = Attended::new(generation);
--- a/crates/jaylock-router/src/event.rs
+++ b/crates/jaylock-router/src/event.rs
@@ -34,6 +34,16 @@
         }
     }
 
+    /// The next whole event as it was sent, with its number where it has one.
+    pub fn next_raw(&mut self) -> Option<(Option<u64>, Bytes)> {
+        let (at, length) = self.find_block()?;
+        let block = self.buffer.split_to(at + length).freeze();
+        let mut lines = block.split(|b| *b == b'\n');
+        let id = lines.find_map(|line| line.strip_prefix(b"id:"));
+        let id = id.and_then(|text| std::str::from_utf8(text).ok()?.trim().parse().ok());
+        Some((id, block))
+    }
+
     /// Bytes that belong to no whole event yet.
     #[must_use]
     pub fn pending(&self) -> usize {
@@ -41,16 +51,22 @@
     }
 
     fn next_block(&mut self) -> Option<Bytes> {
-        let start = self.scanned.saturating_sub(3);
-        let Some((at, length)) = find_end(&self.buffer, start) else {
-            self.scanned = self.buffer.len();
-            return None;
-        };
+        let (at, length) = self.find_block()?;
         let block = self.buffer.split_to(at).freeze();
         self.buffer.advance(length);
-        self.scanned = 0;
         Some(block)
     }
+
+    /// Length of the first event and of the blank line after it.
+    fn find_block(&mut self) -> Option<(usize, usize)> {
+        let start = self.scanned.saturating_sub(3);
+        let found = find_end(&self.buffer, start);
+        self.scanned = match found {
+            Some(_) => 0,
+            None => self.buffer.len(),
+        };
+        found
+    }
 }
 
 fn find_end(buffer: &[u8], start: usize) -> Option<(usize, usize)> {
--- a/crates/jaylock-router/src/link.rs
+++ b/crates/jaylock-router/src/link.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use compact_str::format_compact;
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use http::{Request, Response};
@@ -13,6 +14,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 
+use crate::failure::Failure;
+
 /// Idle connections kept for each address.
 const IDLE_LIMIT: usize = 16;
 /// Silence after which the system probes a connection.
@@ -125,6 +128,33 @@
         None
     }
 
+    /// Sends a request over an idle connection that answered within `fresh`, or over a new one.
+    ///
+    /// Nothing is sent twice: an idle connection that fails is passed over only while no byte of the
+    /// request has left.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        fresh: Duration,
+        opening: Duration,
+        request: impl Fn() -> Request<Full<Bytes>>,
+    ) -> Result<(Link, Response<Incoming>), Failure> {
+        if let Some(mut link) = self.take(address, fresh) {
+            match link.send(request()).await {
+                Ok(response) => return Ok((link, response)),
+                Err(LinkError::Unsent) => {}
+                Err(error) => return Err(Failure::Broken(format_compact!("{error}"))),
+            }
+        }
+        let opened = Link::open(address, opening).await;
+        let mut link = opened.map_err(|e| Failure::Unreachable(format_compact!("{e}")))?;
+        match link.send(request()).await {
+            Ok(response) => Ok((link, response)),
+            Err(LinkError::Unsent) => Err(Failure::Unreachable("the connection closed".into())),
+            Err(error) => Err(Failure::Broken(format_compact!("{error}"))),
+        }
+    }
+
     /// Keeps a connection whose last answer was read to its end.
     pub fn put(&self, mut link: Link) {
         if link.sender.is_closed() {
--- a/crates/jaylock-router/src/proposal.rs
+++ b/crates/jaylock-router/src/proposal.rs
@@ -26,7 +26,7 @@
 pub fn commit(shared: &Rc<Shared>, body: Body) -> oneshot::Receiver<Applied> {
     let (done, waiting) = oneshot::channel();
     let shared = shared.clone();
-    let busy = shared.busy();
+    let busy = shared.lifecycle.busy();
     let command = command(body);
     compio::runtime::spawn(async move {
         let applied = loop {
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -12,8 +12,8 @@
 
 use crate::account::Account;
 use crate::answer::Refusal;
-use crate::attempt::Failure;
 use crate::call::Call;
+use crate::failure::Failure;
 use crate::link;
 use crate::quarantine::{self, Suspect};
 use crate::router::Shared;
@@ -49,7 +49,7 @@
 impl Retry {
     /// Prepares the first attempt.
     pub fn new(shared: Rc<Shared>, call: &Call, pool: PoolId) -> Self {
-        shared.budget.earn(&call.organisation);
+        shared.budget.earn(call.organisation.as_str());
         let suspect = Suspect {
             fingerprint: call.fingerprint,
             organisation: call.organisation.clone(),
@@ -178,7 +178,7 @@
             return Err(self.gave_up("no backend server completed the answer"));
         }
         let is_free = failure.is_not_run() || self.is_on_trial();
-        if is_free || self.shared.budget.spend(&self.suspect.organisation) {
+        if is_free || self.shared.budget.spend(self.suspect.organisation.as_str()) {
             return Ok(());
         }
         Err(self.gave_up("the answer broke off and the retry budget is spent"))
--- /dev/null
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -0,0 +1,183 @@
+use std::time::{Duration, Instant};
+
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
+use hyper::body::Incoming;
+use jaylock_rpc::v1::{Configuration, Route};
+use jaylock_types::{ByteSize, KeyHash, OrganisationId, RequestId};
+
+use super::context::RouteContext;
+use super::names::RouteNames;
+use super::prompt::Prompt;
+use super::request::RouteRequest;
+use super::table;
+use crate::answer::Refusal;
+use crate::body::{self, ReadError};
+
+/// Organisation that requests without a key count for.
+const NOBODY: &str = "public";
+
+/// Admits a request: finds its route and organisation, and reads its body.
+pub async fn admit(
+    context: &RouteContext,
+    request: Request<Incoming>,
+) -> Result<RouteRequest, Refusal> {
+    let arrived = Instant::now();
+    if context.lifecycle.closed.is_thrown() {
+        return Err(not_now(context, "leaving", "this instance is stopping"));
+    }
+    let Some(configuration) = context.configuration() else {
+        let message = "this instance does not know the newest configuration";
+        return Err(not_now(context, "disconnected", message));
+    };
+    let (head, incoming) = request.into_parts();
+    let names = &context.names;
+    let route = find_route(&configuration, &head)?;
+    let key = find_key(&configuration, route, &head.headers, names)?;
+    let attempt = single(&head.headers, names.request)?.ok_or_else(no_identifier)?;
+    let limit = named_limit(&head.headers, names)?;
+    let timeout = Duration::from_millis(route.timeout_ms.into());
+    let service = table::choose(&route.targets, rand::random()).unwrap_or_default();
+    let engine = configuration.services.iter().find(|s| s.id == service);
+    let event_tokens = engine.and_then(|s| s.engine).map_or(1, |e| e.event_tokens);
+    let pool = service.parse().map_err(|_| no_route())?;
+    let after = single(&head.headers, "last-event-id")?;
+    let after = after.and_then(|v| v.to_str().ok()?.parse().ok());
+    let body = read(context, &configuration, incoming).await?;
+    let id = attempt.to_str().ok().and_then(|text| text.parse().ok());
+    Ok(RouteRequest {
+        id: id.unwrap_or_else(RequestId::random),
+        attempt: attempt.clone(),
+        route: route.clone(),
+        pool,
+        is_keyed: key.is_some(),
+        organisation: key.unwrap_or_else(nobody),
+        arrived,
+        deadline: arrived + limit.unwrap_or(timeout).min(timeout),
+        body,
+        prompt: Prompt::parse(&head.headers, names),
+        event_tokens,
+        after: after.unwrap_or(0),
+        head,
+    })
+}
+
+fn find_route<'a>(configuration: &'a Configuration, head: &Parts) -> Result<&'a Route, Refusal> {
+    let host = single(&head.headers, header::HOST.as_str())?;
+    let host = host.and_then(|h| h.to_str().ok()).ok_or_else(no_route)?;
+    let name = host.split(':').next().unwrap_or_default();
+    let name = name.to_ascii_lowercase();
+    table::find(configuration, &name, head.uri.path()).ok_or_else(no_route)
+}
+
+/// The organisation of the key; none where the route or the configuration asks for no key.
+fn find_key(
+    configuration: &Configuration,
+    route: &Route,
+    headers: &HeaderMap,
+    names: &RouteNames,
+) -> Result<Option<OrganisationId>, Refusal> {
+    if route.public || configuration.organisations.is_empty() {
+        return Ok(None);
+    }
+    let value = single(headers, names.key)?.and_then(|v| v.to_str().ok());
+    let key = value.and_then(|v| v.strip_prefix(names.key_scheme));
+    let hash = KeyHash::of(key.unwrap_or_default().trim()).0;
+    let holds = |hashes: &[Vec<u8>]| hashes.iter().any(|h| *h == hash);
+    let mut organisations = configuration.organisations.iter();
+    let found = organisations.find(|o| key.is_some() && holds(&o.key_hashes));
+    let id = found.and_then(|o| o.id.parse().ok());
+    id.map(Some).ok_or_else(|| {
+        Refusal::not_run(
+            StatusCode::UNAUTHORIZED,
+            "unknown-key",
+            "no organisation has this key",
+            "send a key that the operators gave you",
+        )
+    })
+}
+
+fn nobody() -> OrganisationId {
+    NOBODY.parse().expect("a valid name")
+}
+
+/// The value of a field that may stand once.
+fn single<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a HeaderValue>, Refusal> {
+    let mut values = headers.get_all(name).iter();
+    match (values.next(), values.next()) {
+        (value, None) => Ok(value),
+        _ => Err(malformed("a header field stands twice that may stand once")),
+    }
+}
+
+fn named_limit(headers: &HeaderMap, names: &RouteNames) -> Result<Option<Duration>, Refusal> {
+    let Some(value) = single(headers, names.limit)? else {
+        return Ok(None);
+    };
+    let parsed = value.to_str().ok().and_then(|v| v.trim().parse().ok());
+    let limit = parsed.map(Duration::from_millis);
+    let refused = || malformed("the time limit is no whole number of milliseconds");
+    limit.map(Some).ok_or_else(refused)
+}
+
+async fn read(
+    context: &RouteContext,
+    configuration: &Configuration,
+    incoming: Incoming,
+) -> Result<bytes::Bytes, Refusal> {
+    let limits = &context.limits;
+    let named = configuration.limits.map_or(0, |l| l.body_bytes as usize);
+    let bound = if named > 0 {
+        ByteSize(named)
+    } else {
+        limits.body_bound
+    };
+    let outcome = body::read(incoming, bound, limits.slow_sender).await;
+    outcome.map_err(|error| match error {
+        ReadError::TooLong => Refusal::not_run(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "too-long",
+            "the body is over the bound of this fleet",
+            "send a shorter body",
+        ),
+        ReadError::TooSlow => Refusal::not_run(
+            StatusCode::REQUEST_TIMEOUT,
+            "too-slow",
+            "the body did not arrive in time",
+            "send it again, faster",
+        ),
+        ReadError::Broken => malformed("the body ended early or was malformed"),
+    })
+}
+
+fn not_now(context: &RouteContext, kind: &'static str, message: &'static str) -> Refusal {
+    Refusal::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        kind,
+        message,
+        "ask again after the time in retry-after, or another instance",
+    )
+    .after(context.limits.retry_after)
+}
+
+fn no_route() -> Refusal {
+    Refusal::not_run(
+        StatusCode::NOT_FOUND,
+        "no-route",
+        "no route has this host and path",
+        "ask the operators which routes are configured",
+    )
+}
+
+fn no_identifier() -> Refusal {
+    malformed("the request has no identifier")
+}
+
+fn malformed(reason: &'static str) -> Refusal {
+    Refusal::not_run(
+        StatusCode::BAD_REQUEST,
+        "malformed",
+        reason,
+        "send the form that docs/operators/routes.md shows",
+    )
+}
--- /dev/null
+++ b/crates/jaylock-router/src/route/answer.rs
@@ -0,0 +1,51 @@
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode, header};
+
+use super::names::is_hop;
+use crate::answer::{Refusal, put};
+use crate::body::Body;
+
+/// The answer of a backend server, read to its end.
+#[derive(Debug, Clone)]
+pub struct Record {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl Record {
+    /// The answer as it is passed on.
+    pub fn response(self) -> Response<Body> {
+        let body = Body::whole(self.body);
+        passed(self.status, &self.headers, body)
+    }
+}
+
+/// An answer with the status and the fields of a backend server's.
+pub fn passed(status: StatusCode, fields: &HeaderMap, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    for (name, value) in fields {
+        if !is_hop(name.as_str()) {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    response
+}
+
+/// A refusal as an answer; the time to return is given in parts of a second.
+pub fn refusal(refusal: &Refusal) -> Response<Body> {
+    let mut response = Response::new(Body::whole(refusal.json()));
+    *response.status_mut() = refusal.status;
+    let headers = response.headers_mut();
+    put(headers, header::CONTENT_TYPE.as_str(), "application/json");
+    if let Some(wait) = refusal.retry_after {
+        let seconds = format!("{:.3}", wait.as_secs_f64());
+        put(headers, header::RETRY_AFTER.as_str(), &seconds);
+    }
+    response
+}
--- /dev/null
+++ b/crates/jaylock-router/src/route/context.rs
@@ -0,0 +1,68 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use jaylock_control::{ConfigView, InstanceLease};
+use jaylock_observe::Observer;
+use jaylock_rpc::v1::Configuration;
+use jaylock_types::ByteSize;
+
+use super::names::RouteNames;
+use crate::budget::RetryBudget;
+use crate::lifecycle::Lifecycle;
+use crate::link::Links;
+use crate::port::Capacity;
+
+/// What the requests for routes share.
+pub struct RouteContext {
+    /// The configuration in force.
+    pub view: ConfigView,
+    /// The right of this instance to act on that configuration.
+    pub lease: InstanceLease,
+    /// The schedulers.
+    pub capacity: Rc<dyn Capacity>,
+    /// How far a graceful shutdown is.
+    pub lifecycle: Rc<Lifecycle>,
+    /// Idle connections to backend servers.
+    pub links: Rc<Links>,
+    /// Attempts beyond the first that services may get.
+    pub budget: Rc<RetryBudget>,
+    /// Notes of what happens.
+    pub observer: Observer,
+    /// Names of the header fields.
+    pub names: RouteNames,
+    /// Bounds and time limits.
+    pub limits: RouteLimits,
+}
+
+/// Bounds and time limits of requests for routes.
+#[derive(Debug, Clone)]
+pub struct RouteLimits {
+    /// Largest body of a request, unless the configuration names one.
+    pub body_bound: ByteSize,
+    /// Time for a caller to send a body.
+    pub slow_sender: Duration,
+    /// Time for opening a connection to a backend server.
+    pub connect_timeout: Duration,
+    /// Idle time up to which a connection carries a request that may not be repeated.
+    pub fresh: Duration,
+    /// Idle time up to which a connection carries any other request.
+    pub idle: Duration,
+    /// Largest answer that is not a stream.
+    pub answer_bound: ByteSize,
+    /// Time that a caller should wait where nothing better is known.
+    pub retry_after: Duration,
+}
+
+impl RouteContext {
+    /// The configuration, while this instance may act on it.
+    ///
+    /// An instance that hears nothing of control can't say that a route or key does not exist.
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        if !self.lease.is_valid() {
+            return None;
+        }
+        let current = self.view.current();
+        let is_known = current.document_version > 0 || !current.routes.is_empty();
+        is_known.then_some(current)
+    }
+}
--- /dev/null
+++ b/crates/jaylock-router/src/route/mod.rs
@@ -0,0 +1,56 @@
+//! The front room for routes: requests that are passed through unchanged, by host and path.
+
+mod admission;
+mod answer;
+mod attempts;
+mod context;
+mod names;
+mod prompt;
+mod request;
+mod send;
+mod stream;
+mod table;
+mod whole;
+
+use std::rc::Rc;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use jaylock_rpc::v1::route::Kind;
+
+use crate::answer::Refusal;
+use crate::body::Body;
+use crate::server::Handler;
+
+pub use self::context::{RouteContext, RouteLimits};
+pub use self::names::RouteNames;
+
+/// Answers requests for routes.
+pub struct RouteRoom {
+    context: Rc<RouteContext>,
+}
+
+impl RouteRoom {
+    /// Prepares the room.
+    pub fn new(context: RouteContext) -> Self {
+        Self {
+            context: Rc::new(context),
+        }
+    }
+
+    async fn pass(&self, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
+        let request = admission::admit(&self.context, request).await?;
+        let context = self.context.clone();
+        match request.route.kind() {
+            Kind::Stream => Box::pin(stream::answer(context, request)).await,
+            Kind::Once | Kind::Repeatable => Box::pin(whole::answer(context, request)).await,
+        }
+    }
+}
+
+impl Handler for RouteRoom {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let outcome = self.pass(request).await;
+        outcome.unwrap_or_else(|refusal| answer::refusal(&refusal))
+    }
+}
--- /dev/null
+++ b/crates/jaylock-router/src/route/prompt.rs
@@ -0,0 +1,54 @@
+use std::hash::Hasher;
+
+use compact_str::CompactString;
+use http::HeaderMap;
+use jaylock_rpc::v1::PromptPart;
+
+use super::names::RouteNames;
+use crate::hash::Fnv;
+
+/// Parts that are told to the scheduler at most.
+const PART_LIMIT: usize = 32;
+
+/// What a request tells of its prompt.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Prompt {
+    /// Model that it is for.
+    pub model: CompactString,
+    /// Tokens to be read.
+    pub read: u32,
+    /// Most tokens to be generated.
+    pub written: u32,
+    /// Parts in order.
+    pub parts: Vec<PromptPart>,
+}
+
+impl Prompt {
+    /// Reads the fields; none when they are missing or say nothing that can be used.
+    pub fn parse(headers: &HeaderMap, names: &RouteNames) -> Option<Self> {
+        let text = |name: &str| headers.get(name)?.to_str().ok();
+        let (read, written) = text(names.tokens)?.split_once(',')?;
+        Some(Self {
+            model: text(names.model).unwrap_or_default().into(),
+            read: read.trim().parse().ok()?,
+            written: written.trim().parse().ok()?,
+            parts: text(names.parts).map(parts).unwrap_or_default(),
+        })
+    }
+}
+
+/// The parts, each hashed with all before it; ends at the first that can't be read.
+fn parts(text: &str) -> Vec<PromptPart> {
+    let mut hasher = Fnv::default();
+    let entries = text.split(',').take(PART_LIMIT).map_while(|entry| {
+        let (id, tokens) = entry.trim().split_once(':')?;
+        hasher.write(id.as_bytes());
+        hasher.write(b":");
+        let tokens = tokens.parse().ok()?;
+        Some(PromptPart {
+            hash: hasher.finish(),
+            tokens,
+        })
+    });
+    entries.collect()
+}
--- /dev/null
+++ b/crates/jaylock-router/src/route/send.rs
@@ -0,0 +1,121 @@
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use jaylock_rpc::v1::route::Kind;
+
+use super::context::RouteContext;
+use super::names::RouteNames;
+use super::request::RouteRequest;
+use crate::answer::put;
+use crate::failure::{Failure, silence_limit};
+use crate::link::Link;
+
+/// Where one attempt goes.
+pub struct Destination<'a> {
+    /// Address of the backend server.
+    pub address: SocketAddr,
+    /// Its identifier, so that no other one at this address runs the request.
+    pub backend: &'a str,
+    /// Number of the last event that was passed on, for a stream that goes on.
+    pub after: u64,
+}
+
+/// Sends a request and waits for the head of an answer that belongs to it.
+///
+/// # Errors
+/// [`Failure::Declined`] and [`Failure::Unreachable`] say that it did not run.
+pub async fn send(
+    context: &RouteContext,
+    request: &RouteRequest,
+    to: &Destination<'_>,
+) -> Result<(Link, Response<Incoming>), Failure> {
+    let limits = &context.limits;
+    let may_repeat = request.route.kind() == Kind::Repeatable;
+    let fresh = if may_repeat {
+        limits.idle
+    } else {
+        limits.fresh
+    };
+    let message = || message(context, request, to);
+    let exchange = context
+        .links
+        .exchange(to.address, fresh, limits.connect_timeout, message);
+    let (link, response) = silence_limit(request.left(), exchange).await??;
+    check_head(&response, request, &context.names)?;
+    Ok((link, response))
+}
+
+fn message(
+    context: &RouteContext,
+    request: &RouteRequest,
+    to: &Destination<'_>,
+) -> Request<Full<Bytes>> {
+    let names = &context.names;
+    let mut message = Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.head.method.clone();
+    *message.uri_mut() = request.head.uri.clone();
+    let headers = message.headers_mut();
+    let named = named_by_connection(request);
+    for (name, value) in &request.head.headers {
+        let is_named = named.iter().any(|n| n.eq_ignore_ascii_case(name.as_str()));
+        if !is_named && !names.is_kept_back(name.as_str()) {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    put(headers, names.expected, to.backend);
+    put(
+        headers,
+        names.limit,
+        &request.left().as_millis().max(1).to_string(),
+    );
+    if request.is_keyed {
+        put(headers, names.organisation, request.organisation.as_str());
+    }
+    if to.after > 0 {
+        put(headers, "last-event-id", &to.after.to_string());
+    }
+    if !request.body.is_empty() {
+        headers.insert(
+            header::CONTENT_LENGTH,
+            HeaderValue::from(request.body.len()),
+        );
+    }
+    message
+}
+
+/// Fields that the caller's `connection` field names as its own.
+fn named_by_connection(request: &RouteRequest) -> Vec<&str> {
+    let values = request.head.headers.get_all(header::CONNECTION);
+    let texts = values.into_iter().filter_map(|v| v.to_str().ok());
+    texts.flat_map(|t| t.split(',').map(str::trim)).collect()
+}
+
+/// Checks that an answer is this request's, and whether it says that the request did not run.
+fn check_head(
+    response: &Response<Incoming>,
+    request: &RouteRequest,
+    names: &RouteNames,
+) -> Result<(), Failure> {
+    let (status, headers) = (response.status(), response.headers());
+    let echoed = headers.get(names.request);
+    if echoed.is_some_and(|e| *e != request.attempt) {
+        return Err(Failure::Faulty("the answer is another request's".into()));
+    }
+    let is_declined = headers.contains_key(names.not_run) && !status.is_success();
+    if is_declined || status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(Failure::Declined);
+    }
+    if !headers.contains_key(names.seal) {
+        return Err(Failure::Faulty("the answer has no seal".into()));
+    }
+    if headers.contains_key(header::CONTENT_ENCODING) {
+        return Err(Failure::Faulty("the answer is encoded".into()));
+    }
+    if echoed.is_none() && status.is_success() {
+        return Err(Failure::Faulty("the answer names no request".into()));
+    }
+    Ok(())
+}
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -1,24 +1,22 @@
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use compio::net::TcpListener;
-use jaylock_control::ConfigView;
+use jaylock_control::{ConfigView, InstanceLease};
 use jaylock_observe::Observer;
 
 use crate::announce::Backends;
 use crate::background::Background;
 use crate::budget::RetryBudget;
+use crate::lifecycle::Lifecycle;
 use crate::link::Links;
 use crate::memory::BodyMemory;
 use crate::organisation::Organisations;
+use crate::own::{self, OwnRoom};
 use crate::port::{Capacity, Claims};
-use crate::server;
+use crate::route::{RouteContext, RouteNames, RouteRoom};
+use crate::server::{self, ServerLimits};
 use crate::settings::{RouterIdentity, RouterSettings};
-use crate::signal::Signal;
-
-/// Time between two looks whether the last request has ended.
-const DRAIN_STEP: Duration = Duration::from_millis(20);
 
 /// The HTTP side of an instance, for callers and backend servers; clones share it.
 #[derive(Clone)]
@@ -32,6 +30,8 @@
     pub identity: RouterIdentity,
     /// The configuration in force.
     pub view: ConfigView,
+    /// The right of this instance to act on it.
+    pub lease: InstanceLease,
     /// The schedulers.
     pub capacity: Rc<dyn Capacity>,
     /// The replicated log.
@@ -41,7 +41,7 @@
     /// Bounds and time limits.
     pub settings: RouterSettings,
     /// Idle connections to backend servers.
-    pub links: Links,
+    pub links: Rc<Links>,
     /// Organisations by key.
     pub organisations: Organisations,
     /// Backend servers that announced themselves here.
@@ -50,14 +50,10 @@
     pub memory: BodyMemory,
     /// Retries that organisations may make.
     pub budget: RetryBudget,
-    /// Thrown when new requests are refused because the instance stops.
-    pub closed: Signal,
-    /// Held by each connection that was accepted before.
-    pub open: Rc<()>,
+    /// How far a graceful shutdown is.
+    pub lifecycle: Rc<Lifecycle>,
     /// Work that goes on after its request was dropped.
     pub background: Background,
-    leaving: Cell<bool>,
-    busy: Rc<()>,
 }
 
 impl Router {
@@ -66,6 +62,7 @@
     pub fn new(
         identity: RouterIdentity,
         view: ConfigView,
+        lease: InstanceLease,
         capacity: impl Capacity + 'static,
         claims: impl Claims + 'static,
         observer: Observer,
@@ -76,20 +73,18 @@
         let shared = Shared {
             identity,
             view,
+            lease,
             capacity: Rc::new(capacity),
             claims: Rc::new(claims),
             observer,
             settings,
-            links: Links::default(),
+            links: Rc::default(),
             organisations: Organisations::default(),
             backends: Backends::default(),
             memory,
             budget,
-            closed: Signal::default(),
-            open: Rc::new(()),
+            lifecycle: Rc::default(),
             background: Background::default(),
-            leaving: Cell::new(false),
-            busy: Rc::new(()),
         };
         Self {
             shared: Rc::new(shared),
@@ -98,43 +93,78 @@
 
     /// Serves callers and backend servers until the returned future is dropped.
     pub async fn serve(&self, listener: TcpListener) {
-        server::serve(self.shared.clone(), listener).await;
+        let room = OwnRoom {
+            shared: self.shared.clone(),
+            routes: Rc::new(self.route_room(RouteNames::default())),
+        };
+        let _tending = compio::runtime::spawn(own::tend(self.shared.clone()));
+        let limits = self.server_limits(self.shared.settings.slow_sender);
+        let lifecycle = self.shared.lifecycle.clone();
+        server::serve(listener, limits, lifecycle, Rc::new(room)).await;
+    }
+
+    /// Serves nothing but routes, under other names of header fields, until the future is dropped.
+    pub async fn serve_routes(&self, listener: TcpListener, names: RouteNames) {
+        let room = self.route_room(names);
+        let _tending = compio::runtime::spawn(own::tend(self.shared.clone()));
+        let limits = self.server_limits(self.shared.settings.caller_idle);
+        let lifecycle = self.shared.lifecycle.clone();
+        server::serve(listener, limits, lifecycle, Rc::new(room)).await;
+    }
+
+    /// Says that a graceful shutdown will begin; requests are served on.
+    pub fn announce_leave(&self) {
+        self.shared.lifecycle.leave();
     }
 
     /// Begins a graceful shutdown.
     ///
     /// Requests are served on for as long as callers may keep the address list, then refused.
     pub fn leave(&self) {
-        if self.shared.leaving.replace(true) {
-            return;
-        }
+        self.shared.lifecycle.leave();
         let shared = self.shared.clone();
         compio::runtime::spawn(async move {
             let keep = Duration::from_millis(shared.settings.keep_ms.into());
             compio::time::sleep(keep).await;
-            shared.closed.throw();
+            shared.lifecycle.close();
         })
         .detach();
     }
 
+    /// Whether a graceful shutdown has begun.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.shared.lifecycle.is_leaving()
+    }
+
     /// Waits, after [`Router::leave`], until new requests are refused and every answer was sent.
     pub async fn drained(&self) {
-        let shared = &self.shared;
-        shared.closed.wait().await;
-        while Rc::strong_count(&shared.busy) > 1 || Rc::strong_count(&shared.open) > 1 {
-            compio::time::sleep(DRAIN_STEP).await;
-        }
+        self.shared.lifecycle.drained().await;
     }
-}
 
-impl Shared {
-    /// Whether a graceful shutdown has begun.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving.get()
+    fn route_room(&self, names: RouteNames) -> RouteRoom {
+        let shared = &self.shared;
+        RouteRoom::new(RouteContext {
+            view: shared.view.clone(),
+            lease: shared.lease.clone(),
+            capacity: shared.capacity.clone(),
+            lifecycle: shared.lifecycle.clone(),
+            links: shared.links.clone(),
+            budget: Rc::new(shared.settings.route_budget()),
+            observer: shared.observer.clone(),
+            names,
+            limits: shared.settings.route_limits(),
+        })
     }
 
-    /// A token that keeps the router from being drained while it is held.
-    pub fn busy(&self) -> Rc<()> {
-        self.busy.clone()
+    fn server_limits(&self, head_timeout: Duration) -> ServerLimits {
+        let settings = &self.shared.settings;
+        ServerLimits {
+            connections: settings.connections,
+            header_bound: settings.header_bound,
+            header_count: settings.header_count,
+            head_timeout,
+            write_stall: settings.write_stall,
+        }
     }
 }
--- a/crates/jaylock-router/src/service.rs
+++ b/crates/jaylock-router/src/service.rs
@@ -14,10 +14,11 @@
 
 use crate::account::Account;
 use crate::answer::{RECORDED, REQUEST_ID, RUN, Refusal, mark, put};
-use crate::attempt::{self, Failure, exchange, silence_limit};
+use crate::attempt;
 use crate::body::{self, Body, ReadError};
 use crate::call::{self, Call, DEADLINE};
 use crate::claim::{Claimed, HeldClaim, Record, recorded, unknown_outcome};
+use crate::failure::{Failure, silence_limit};
 use crate::retry::Retry;
 use crate::router::Shared;
 use crate::slot::Slot;
@@ -58,7 +59,7 @@
     let service_call = ServiceCall {
         shared: shared.clone(),
         path,
-        account: Account::new(shared, &call, pool.clone(), RequestKind::Service),
+        account: call.account(shared, pool.clone(), RequestKind::Service),
         retry: Retry::new(shared.clone(), &call, pool),
         call,
     };
@@ -175,7 +176,8 @@
     ) -> Result<Record, Failure> {
         let id = RequestId::random();
         let request = || self.request(&id, address);
-        let exchange = exchange(&self.shared, address, fresh, request);
+        let opening = self.shared.settings.connect_timeout;
+        let exchange = self.shared.links.exchange(address, fresh, opening, request);
         let (link, response) = silence_limit(limit, exchange).await??;
         if attempt::is_declined(&response, &id) {
             return Err(Failure::Declined);
--- a/crates/jaylock-router/src/settings.rs
+++ b/crates/jaylock-router/src/settings.rs
@@ -1,8 +1,10 @@
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use jaylock_types::{ByteSize, DomainId, Incarnation, InstanceId};
 
+use crate::budget::RetryBudget;
+use crate::route::RouteLimits;
+
 /// Who this router is.
 #[derive(Debug, Clone)]
 pub struct RouterIdentity {
@@ -12,8 +14,6 @@
     pub incarnation: Incarnation,
     /// Machines it fails together with.
     pub domain: DomainId,
-    /// Where callers and backend servers connect.
-    pub address: SocketAddr,
 }
 
 /// Bounds and time limits of a router.
@@ -73,6 +73,32 @@
     pub heartbeat_ms: u32,
     /// How long a backend server's announcement holds without a heartbeat, in ms.
     pub lease_ms: u32,
+    /// Time for which a caller of routes may leave a connection idle.
+    pub caller_idle: Duration,
+    /// Attempts beyond the first that a service may get from this router at once, over all routes.
+    pub route_burst: u32,
+    /// Attempts beyond the first that each request for a service earns, in thousandths.
+    pub route_permille: u32,
+}
+
+impl RouterSettings {
+    /// Bounds and time limits of requests for routes.
+    pub(crate) fn route_limits(&self) -> RouteLimits {
+        RouteLimits {
+            body_bound: self.body_bound,
+            slow_sender: self.slow_sender,
+            connect_timeout: self.connect_timeout,
+            fresh: self.fresh,
+            idle: self.idle,
+            answer_bound: self.answer_bound,
+            retry_after: self.retry_after,
+        }
+    }
+
+    /// The budget of attempts beyond the first that services get from this router.
+    pub(crate) fn route_budget(&self) -> RetryBudget {
+        RetryBudget::new(self.route_burst, self.route_permille)
+    }
 }
 
 impl Default for RouterSettings {
@@ -105,6 +131,9 @@
             quarantine: Duration::from_mins(10),
             heartbeat_ms: 1000,
             lease_ms: 3000,
+            caller_idle: Duration::from_secs(30),
+            route_burst: 3,
+            route_permille: 100,
         }
     }
 }
