Engines are chosen by what they have to read and keep

Cause: reading prompts is what engines are short of, and most of a prompt is shared; slots say nothing of either. Ruled out: placing by reports (some hundred ms old, read by all); by slots alone. Change: EngineState counts granted prompts that are unread and the parts an engine keeps (least recently used go); ReadingPace learns from times to first tokens; a prompt goes where it would be read first, and waits at the scheduler while that engine has 150 ms to read; requests whose objective can't be met are refused with the time of the next place; reports are ordered by start and count, kept with their age, and one that ended stays ended. Conclusion: placing and refusing are in the scheduler's code, testable without a network.

--- a/crates/jaylock-share/src/account.rs
+++ b/crates/jaylock-share/src/account.rs
@@ -59,7 +59,7 @@
     ///
     /// Each caller who is refused meanwhile is told a later time, as fast as places become free.
     pub fn next_place(&mut self, now: Instant) -> Duration {
-        let interval = Duration::from_micros(self.interval.or(UNKNOWN_INTERVAL));
+        let interval = self.grant_interval();
         let start = self
             .promised
             .filter(|promised| *promised > now)
@@ -70,6 +70,11 @@
         promised.saturating_duration_since(now)
     }
 
+    /// Mean time between two grants while work waits.
+    pub fn grant_interval(&self) -> Duration {
+        Duration::from_micros(self.interval.or(UNKNOWN_INTERVAL))
+    }
+
     fn note_grant(&mut self, now: Instant) {
         if let Some(last) = self.last_grant {
             let interval = now.saturating_duration_since(last).as_micros();
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -3,6 +3,7 @@
 
 use compact_str::CompactString;
 use jaylock_rpc::v1::end::Outcome;
+use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{
     Ask, BackendReport, BackendVerdict, Configuration, Decision, End, Progress, RouterFrame,
     SchedulerFrame,
@@ -15,6 +16,7 @@
 use crate::cost::{Residual, Shape, cost_of};
 use crate::demand::{DemandKey, Demands};
 use crate::division::Division;
+use crate::engine::ReadingPace;
 use crate::queue::Waiting;
 use crate::router::{RouterKey, Routers, Run};
 use crate::twins::Twins;
@@ -44,6 +46,9 @@
     // Where equal requests run.
     pub(crate) twins: Twins,
     residual: Residual,
+    pub(crate) pace: ReadingPace,
+    // Memory of each engine of the pool in tokens; 0 when not known.
+    memory: u64,
 }
 
 impl Allocator {
@@ -54,6 +59,8 @@
             pool: pool.into(),
             epoch,
             ready: now + settings.settling,
+            pace: ReadingPace::new(settings.reading_pace),
+            memory: 0,
             settings,
             accounts: Accounts::default(),
             demands: Demands::default(),
@@ -79,6 +86,8 @@
             account.weight = organisation.weight.max(1);
             account.queue_limit = organisation.queue_limit;
         }
+        let own = configuration.services.iter().find(|s| self.pool == s.id);
+        self.memory = own.and_then(|s| s.engine).map_or(0, |e| e.memory_tokens);
         let drains = configuration.drains.iter();
         let drains = drains.map(|drain| drain.backend.as_str().into()).collect();
         self.backends.set_drains(drains);
@@ -101,7 +110,7 @@
             self.end(key, &end, now);
         }
         for progress in frame.progress {
-            self.progress(key, progress);
+            self.progress(key, progress, now);
         }
         for ticket in frame.cancels {
             self.cancel(key, ticket);
@@ -134,6 +143,7 @@
             self.routers.remove(key);
         }
         self.refuse_unservable(now);
+        self.refuse_overdue(now);
         self.divide();
     }
 
@@ -184,6 +194,11 @@
             self.accounts.get_mut(account).refused += 1;
             return;
         }
+        if let Some(wait) = self.hopeless(account, &ask, now) {
+            self.refuse(router, ask.ticket, Reason::Overloaded, wait);
+            self.accounts.get_mut(account).refused += 1;
+            return;
+        }
         let known = self.routers.get_mut(router);
         if !known.is_some_and(|r| r.add_waiting(ask.ticket, account)) {
             return;
@@ -203,7 +218,6 @@
             ask,
             demand,
             shape,
-
             arrived,
         };
         self.waiting += 1;
@@ -234,7 +248,7 @@
         rival.map_or(self.accounts.floor(), |key| self.accounts.get(key).level)
     }
 
-    fn progress(&mut self, router: RouterKey, progress: Progress) {
+    fn progress(&mut self, router: RouterKey, progress: Progress, now: Instant) {
         let run = self
             .routers
             .get_mut(router)
@@ -244,6 +258,11 @@
         run.tokens += grown;
         run.charged += grown;
         let account = run.account;
+        if let Some(load) = run.load.as_mut().filter(|_| run.tokens == grown) {
+            self.backends.get_mut(run.place).engine.read(load);
+            let time = now.saturating_duration_since(run.granted);
+            self.pace.learn(run.ahead, time);
+        }
         self.accounts.charge(account, grown);
         self.accounts.get_mut(account).tokens += grown;
     }
@@ -253,7 +272,7 @@
             .routers
             .get_mut(router)
             .and_then(|r| r.remove_run(end.ticket));
-        let Some(run) = run else { return };
+        let Some(mut run) = run else { return };
         let cost = cost_of(end);
         if matches!(end.outcome(), Outcome::Complete | Outcome::Cancelled) {
             self.accounts
@@ -262,11 +281,11 @@
                 .learn(run.shape, cost);
             self.residual.add(cost);
         }
-        self.settle(&run, cost, now);
+        self.settle(&mut run, cost, now);
     }
 
     /// Corrects the charge of a run to its cost and frees its slot.
-    pub(crate) fn settle(&mut self, run: &Run, cost: u64, now: Instant) {
+    pub(crate) fn settle(&mut self, run: &mut Run, cost: u64, now: Instant) {
         if cost >= run.charged {
             self.accounts.charge(run.account, cost - run.charged);
         } else {
@@ -278,6 +297,9 @@
         self.twins.remove(run.fingerprint, run.place);
         let backend = self.backends.get_mut(run.place);
         backend.remove_grant();
+        if let Some(load) = run.load.take() {
+            backend.engine.end(load);
+        }
         if run.alone {
             backend.reserved = false;
         }
@@ -296,6 +318,20 @@
 
     fn report(&mut self, key: RouterKey, report: BackendReport, now: Instant) {
         let (id, incarnation) = (report.id.clone(), report.incarnation);
+        let sequence = report.sequence;
+        if report.gone {
+            self.backends.end(&id, now, self.settings.backend_lease);
+            let verdict = BackendVerdict {
+                backend: id,
+                incarnation,
+                sequence,
+                ..BackendVerdict::default()
+            };
+            if let Some(router) = self.routers.get_mut(key) {
+                router.add_verdict(verdict);
+            }
+            return;
+        }
         let known = self
             .backends
             .find(&id)
@@ -309,6 +345,8 @@
             if known.is_none_or(|known| known.models != report.models) {
                 self.demands.update(place, &report.models);
             }
+            let memory = self.memory;
+            self.backends.get_mut(place).engine.set_capacity(memory);
         }
         let refused = outcome.err().unwrap_or_default().into();
         if let Some(router) = self.routers.get_mut(key) {
@@ -316,6 +354,7 @@
                 backend: id,
                 incarnation,
                 refused,
+                sequence,
             };
             router.add_verdict(verdict);
         }
--- a/crates/jaylock-share/src/attach.rs
+++ b/crates/jaylock-share/src/attach.rs
@@ -52,9 +52,10 @@
             .filter(|ticket| !named(ticket))
             .filter_map(|ticket| router.remove_run(*ticket))
             .collect();
-        for run in gone {
+        for mut run in gone {
             // What it cost meanwhile comes with the router's totals.
-            self.settle(&run, run.tokens, now);
+            let tokens = run.tokens;
+            self.settle(&mut run, tokens, now);
         }
         for run in running.iter().filter(|run| !tickets.contains(&run.ticket)) {
             self.adopt(key, run, now);
@@ -82,6 +83,9 @@
             tokens: running.tokens,
             alone: running.alone,
             fingerprint: 0,
+            load: None,
+            granted: now,
+            ahead: 0,
         };
         if let Some(router) = self.routers.get_mut(key) {
             router.add_run(run);
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -3,6 +3,8 @@
 use compact_str::CompactString;
 use jaylock_rpc::v1::{BackendReport, LoadedModel};
 
+use crate::engine::EngineState;
+
 /// A set of backend servers, by their positions.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct BackendSet {
@@ -68,12 +70,16 @@
     pub heard: Instant,
     pub granted: u32,
     pub drained: bool,
+    /// What it has to read and keeps, where requests tell their prompts.
+    pub engine: EngineState,
     /// Whether a request runs there that must run alone, or waits for it to become empty.
     pub reserved: bool,
     // Work reported there that no grant of this scheduler explains.
     foreign: u32,
     // Most grants at once since the last report and between the two reports before it.
     peaks: [u32; 2],
+    // When it said that it ends; reports that were heard before count no more.
+    ended: Option<Instant>,
     // Sorted.
     prefixes: Vec<u64>,
 }
@@ -85,16 +91,20 @@
             heard: now,
             granted: 0,
             drained: false,
+            engine: EngineState::default(),
             reserved: false,
             foreign: 0,
             peaks: [0; 2],
+            ended: None,
             prefixes: Vec::new(),
         }
     }
 
     /// Why the backend server gets nothing new, or an empty text.
     pub fn state(&self, now: Instant, lease: Duration) -> &'static str {
-        if self.report.leaving {
+        if self.report.gone {
+            "gone"
+        } else if self.report.leaving {
             "leaving"
         } else if self.drained {
             "drained"
@@ -140,8 +150,21 @@
         prefixes.iter().take_while(held).count()
     }
 
+    /// Whether a report of the same start is older than what is known, or comes after its end.
+    fn is_newer_than(&self, report: &BackendReport) -> bool {
+        self.report.gone || report.sequence < self.report.sequence
+    }
+
+    /// Forgets what an earlier start kept, and when it was heard.
+    fn restart(&mut self, now: Instant, lease: Duration) {
+        self.prefixes.clear();
+        self.engine.restart();
+        self.heard = now.checked_sub(lease).unwrap_or(now);
+    }
+
     fn renew(&mut self, report: BackendReport, now: Instant, most: usize) {
-        self.heard = now;
+        let age = Duration::from_millis(report.age_ms.into());
+        self.heard = self.heard.max(now.checked_sub(age).unwrap_or(now));
         // Reports lag behind: only work above the most that was granted lately is someone else's.
         let reported = report.running.saturating_add(report.waiting);
         let known = self.peaks[0].max(self.peaks[1]).max(self.granted);
@@ -210,14 +233,30 @@
                 "a newer start of this backend server has announced itself: announce again",
             );
         }
+        let age = Duration::from_millis(report.age_ms.into());
+        let said = now.checked_sub(age).unwrap_or(now);
+        if backend.ended.is_some_and(|ended| said <= ended) {
+            return Ok(place);
+        }
         if report.incarnation > backend.report.incarnation {
-            backend.prefixes.clear();
+            backend.restart(now, lease);
+        } else if backend.is_newer_than(&report) {
+            return Ok(place);
         }
         backend.renew(report, now, most_prefixes);
         self.refresh(place, now, lease);
         Ok(place)
     }
 
+    /// Notes that a backend server has ended, known or not.
+    pub fn end(&mut self, id: &str, now: Instant, lease: Duration) {
+        let place = self.place(id, now);
+        let backend = &mut self.list[place];
+        backend.report.gone = true;
+        backend.ended = Some(now);
+        self.refresh(place, now, lease);
+    }
+
     pub fn find(&self, id: &str) -> Option<usize> {
         let at = self
             .names
--- a/crates/jaylock-share/src/decide.rs
+++ b/crates/jaylock-share/src/decide.rs
@@ -6,7 +6,7 @@
 use crate::account::AccountKey;
 use crate::allocator::Allocator;
 use crate::compact::request_name;
-use crate::placement;
+use crate::placement::{self, Engines};
 use crate::queue::Waiting;
 use crate::router::Run;
 
@@ -40,9 +40,19 @@
                 continue;
             }
             let (backends, twins, routers) = (&self.backends, &self.twins, &self.routers);
+            let (pace, ahead) = (&self.pace, self.settings.read_ahead);
             let choose = |waiting: &Waiting| {
                 let router = routers.get(waiting.router);
                 let domain = router.map_or("", |router| router.domain.as_str());
+                if waiting.ask.prompt_tokens > 0 && !waiting.ask.parts.is_empty() {
+                    let engines = Engines {
+                        backends,
+                        twins,
+                        pace,
+                        ahead,
+                    };
+                    return engines.choose(meeting, &waiting.ask, domain);
+                }
                 placement::choose(backends, twins, meeting, &waiting.ask, domain)
             };
             let fits = |waiting: &Waiting| choose(waiting).is_some();
@@ -126,6 +136,8 @@
         self.twins.add(ask.fingerprint, place);
         let backend = self.backends.get_mut(place);
         backend.add_grant();
+        let load = (!ask.parts.is_empty()).then(|| backend.engine.begin(ask));
+        let ahead = backend.engine.unread();
         let grant = Grant {
             ticket: ask.ticket,
             backend: backend.report.id.clone(),
@@ -150,6 +162,9 @@
             tokens: 0,
             alone: ask.alone,
             fingerprint: ask.fingerprint,
+            load,
+            granted: now,
+            ahead,
         };
         if let Some(router) = self.routers.get_mut(waiting.router) {
             router.remove_waiting(ask.ticket);
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -11,6 +11,7 @@
 mod demand;
 mod describe;
 mod division;
+mod engine;
 mod fallback;
 mod host;
 mod link;
--- a/crates/jaylock-share/src/link.rs
+++ b/crates/jaylock-share/src/link.rs
@@ -77,7 +77,7 @@
     }
 
     pub fn report(&self, report: BackendReport) {
-        self.state.borrow_mut().report(report);
+        self.state.borrow_mut().report(report, Instant::now());
         self.notify();
     }
 
--- a/crates/jaylock-share/src/placement.rs
+++ b/crates/jaylock-share/src/placement.rs
@@ -3,6 +3,7 @@
 use jaylock_rpc::v1::Ask;
 
 use crate::backend::{BackendSet, Backends};
+use crate::engine::ReadingPace;
 use crate::twins::Twins;
 
 /// Worth of a prompt prefix that is held, in hundredths of a backend server's slots.
@@ -12,6 +13,46 @@
 /// Worth of standing in the router's failure domain, in hundredths of a backend server's slots.
 const DOMAIN_WORTH: i64 = 10;
 
+/// Time by which an engine in another failure domain counts as slower.
+const FAR_DELAY: Duration = Duration::from_millis(10);
+
+/// What a choice among model engines goes by.
+pub struct Engines<'a> {
+    pub backends: &'a Backends,
+    pub twins: &'a Twins,
+    pub pace: &'a ReadingPace,
+    /// Reading that an engine may have before it.
+    pub ahead: Duration,
+}
+
+impl Engines<'_> {
+    /// Chooses the engine that would have read the prompt first: what it has to read already, and
+    /// the parts that it does not keep.
+    ///
+    /// None while the best engine has enough to read; the request is better off waiting for it. For
+    /// loads in which most of a prompt is shared with others and reading is what engines are short of.
+    pub fn choose(&self, meeting: &BackendSet, ask: &Ask, domain: &str) -> Option<usize> {
+        let backends = self.backends;
+        let allowed = |place: &usize| {
+            let backend = backends.get(*place);
+            !is_avoided(ask, &backend.report.id)
+                && self.twins.admits(ask.fingerprint, *place)
+                && backend.engine.has_room(ask)
+        };
+        let open = meeting.common(backends.open()).filter(allowed);
+        let best = open.min_by_key(|place| self.time(*place, ask, domain))?;
+        let waiting = self.pace.time(backends.get(best).engine.unread());
+        (waiting <= self.ahead).then_some(best)
+    }
+
+    fn time(&self, place: usize, ask: &Ask, domain: &str) -> Duration {
+        let backend = self.backends.get(place);
+        let tokens = backend.engine.unread() + backend.engine.missing(ask);
+        let near = backend.report.domain == domain;
+        self.pace.time(tokens) + if near { Duration::ZERO } else { FAR_DELAY }
+    }
+}
+
 /// Chooses the backend server for a request among those that meet its demand and have room.
 ///
 /// A held prefix and a near failure domain count against the load; a wrong guess costs time only.
--- a/crates/jaylock-share/src/pools.rs
+++ b/crates/jaylock-share/src/pools.rs
@@ -129,6 +129,12 @@
         links.iter().find_map(|link| link.verdict(backend))
     }
 
+    /// What the scheduler of a pool last said of a backend server.
+    #[must_use]
+    pub fn verdict_in(&self, pool: &PoolId, backend: &str) -> Option<BackendVerdict> {
+        self.link(pool.as_str()).verdict(backend)
+    }
+
     /// Pools used here that have no scheduler in the configuration.
     #[must_use]
     pub fn unserved(&self) -> Vec<PoolId> {
--- a/crates/jaylock-share/src/refuse.rs
+++ b/crates/jaylock-share/src/refuse.rs
@@ -1,8 +1,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use jaylock_rpc::v1::Refusal;
 use jaylock_rpc::v1::refusal::Reason;
+use jaylock_rpc::v1::{Ask, Refusal};
 
 use crate::account::AccountKey;
 use crate::allocator::Allocator;
@@ -29,6 +29,39 @@
         (self.waiting >= self.settings.pool_limit && own >= part).then_some(Reason::Overloaded)
     }
 
+    /// The time to return for a request that would not get a slot in time for its objective.
+    ///
+    /// The wait is judged by how fast its organisation gets slots while it has work waiting.
+    pub(crate) fn hopeless(
+        &mut self,
+        account: AccountKey,
+        ask: &Ask,
+        now: Instant,
+    ) -> Option<Duration> {
+        let longest = objective_wait(ask, self.settings.objective_wait)?;
+        let owner = self.accounts.get_mut(account);
+        let before = u32::try_from(owner.queue.len()).unwrap_or(u32::MAX);
+        let expected = owner.grant_interval() * before;
+        (expected > longest).then(|| owner.next_place(now).max(expected - longest))
+    }
+
+    /// Refuses what has waited too long for its objective.
+    pub(crate) fn refuse_overdue(&mut self, now: Instant) {
+        for account in self.accounts.backlogged_keys().collect::<Vec<_>>() {
+            let part = self.settings.objective_wait;
+            let overdue = |waiting: &Waiting| {
+                let waited = now.saturating_duration_since(waiting.arrived);
+                objective_wait(&waiting.ask, part).is_some_and(|longest| waited > longest)
+            };
+            let drained = self.accounts.get_mut(account).queue.drain(overdue);
+            self.accounts.leave_backlog(account);
+            for waiting in drained {
+                let wait = self.accounts.get_mut(account).next_place(now);
+                self.refuse_waiting(&waiting, Reason::Overloaded, wait);
+            }
+        }
+    }
+
     /// Refuses what no backend server can run, once each had the time to be heard by this scheduler.
     pub(crate) fn refuse_unservable(&mut self, now: Instant) {
         if now < self.ready + self.settings.backend_lease {
@@ -44,7 +77,7 @@
             let drained = self.accounts.get_mut(account).queue.drain(unservable);
             self.accounts.leave_backlog(account);
             for waiting in drained {
-                self.refuse_waiting(&waiting);
+                self.refuse_waiting(&waiting, Reason::NoBackend, NO_BACKEND_RETRY);
             }
         }
         let mut kept = VecDeque::new();
@@ -52,7 +85,7 @@
             let waited = now.saturating_duration_since(waiting.arrived) >= longest;
             let meeting = self.demands.backends(waiting.demand);
             if waited && !meeting.overlaps(self.backends.usable()) {
-                self.refuse_waiting(&waiting);
+                self.refuse_waiting(&waiting, Reason::NoBackend, NO_BACKEND_RETRY);
             } else {
                 kept.push_back((account, waiting));
             }
@@ -60,17 +93,12 @@
         self.suspects = kept;
     }
 
-    pub(crate) fn refuse_waiting(&mut self, waiting: &Waiting) {
+    pub(crate) fn refuse_waiting(&mut self, waiting: &Waiting, reason: Reason, wait: Duration) {
         self.waiting -= 1;
         if let Some(router) = self.routers.get_mut(waiting.router) {
             router.remove_waiting(waiting.ask.ticket);
         }
-        self.refuse(
-            waiting.router,
-            waiting.ask.ticket,
-            Reason::NoBackend,
-            NO_BACKEND_RETRY,
-        );
+        self.refuse(waiting.router, waiting.ask.ticket, reason, wait);
     }
 
     pub(crate) fn refuse(
@@ -91,3 +119,9 @@
         }
     }
 }
+
+/// How long a request may wait for a slot, where its objective is known.
+fn objective_wait(ask: &Ask, part: u32) -> Option<Duration> {
+    let wait = u64::from(ask.objective_ms) * u64::from(part) / 100;
+    (wait > 0).then(|| Duration::from_millis(wait))
+}
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -6,6 +6,7 @@
 use crate::account::AccountKey;
 use crate::compact::Addresses;
 use crate::cost::Shape;
+use crate::engine::Load;
 
 /// Names a router at a scheduler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -24,6 +25,11 @@
     pub alone: bool,
     /// As in the ask; 0 for runs that an earlier scheduler granted.
     pub fingerprint: u64,
+    /// What it takes of a model engine, where its prompt is told.
+    pub load: Option<Load>,
+    /// When it was granted, and the tokens that the engine had to read until its prompt was read.
+    pub granted: Instant,
+    pub ahead: u64,
 }
 
 /// A router as the scheduler sees it.
--- a/crates/jaylock-share/src/settings.rs
+++ b/crates/jaylock-share/src/settings.rs
@@ -31,6 +31,12 @@
     pub heartbeat: Duration,
     /// Time over which answers to one router are joined.
     pub join: Duration,
+    /// Tokens of a prompt that an engine is taken to read in a ms before it has shown its pace.
+    pub reading_pace: u32,
+    /// Reading that an engine may have before it; what is beyond waits at the scheduler, in fair order.
+    pub read_ahead: Duration,
+    /// Part of a request's objective that it may wait for a slot, in 100.
+    pub objective_wait: u32,
 }
 
 impl Default for ShareSettings {
@@ -50,6 +56,9 @@
             prefixes: 4096,
             heartbeat: Duration::from_millis(500),
             join: Duration::from_millis(2),
+            reading_pace: 50,
+            read_ahead: Duration::from_millis(150),
+            objective_wait: 50,
         }
     }
 }
@@ -77,6 +86,8 @@
     pub fallback_after: Duration,
     /// Time for opening a stream.
     pub attach_timeout: Duration,
+    /// Time for which reports of backend servers are told again to a new scheduler.
+    pub report_keep: Duration,
 }
 
 impl Default for PoolSettings {
@@ -92,6 +103,7 @@
             silence: Duration::from_millis(1500),
             fallback_after: Duration::from_millis(500),
             attach_timeout: Duration::from_secs(2),
+            report_keep: Duration::from_secs(10),
         }
     }
 }
--- a/crates/jaylock-share/src/waitlist.rs
+++ b/crates/jaylock-share/src/waitlist.rs
@@ -31,7 +31,7 @@
     pub(crate) held: Vec<Held>,
     batch: Batch,
     // Newest report of each backend server that announced itself here, sorted by name.
-    reports: Vec<BackendReport>,
+    reports: Vec<HeardReport>,
     // Sorted by name of the backend server.
     verdicts: Vec<BackendVerdict>,
     // Sorted by organisation.
@@ -46,6 +46,13 @@
     addresses: Addresses,
 }
 
+/// A report and when it was heard.
+#[derive(Debug)]
+struct HeardReport {
+    report: BackendReport,
+    heard: Instant,
+}
+
 /// A request that waits.
 #[derive(Debug)]
 pub struct Pending {
@@ -65,6 +72,8 @@
     pub tokens: u64,
     alone: bool,
     is_spare: bool,
+    // Whether its prompt is told, so that the scheduler waits to hear that it was read.
+    is_prompted: bool,
     told: u64,
 }
 
@@ -126,13 +135,17 @@
         };
         let held = &mut self.held[at];
         held.tokens = held.tokens.max(progress.tokens);
-        if self.is_attached && held.tokens >= held.told + self.settings.progress_tokens {
+        let is_first = held.told == 0 && held.is_prompted;
+        let grown = held.tokens >= held.told + self.settings.progress_tokens;
+        if self.is_attached && (is_first || grown) {
             held.told = held.tokens;
             let progress = Progress {
                 ticket: held.ticket,
                 tokens: held.tokens,
             };
-            let interval = if held.is_spare {
+            let interval = if is_first {
+                Duration::ZERO
+            } else if held.is_spare {
                 self.settings.join_spare
             } else {
                 self.settings.progress_interval
@@ -168,19 +181,26 @@
     }
 
     /// Notes what a backend server announced or reported here.
-    pub fn report(&mut self, report: BackendReport) {
+    pub fn report(&mut self, report: BackendReport, now: Instant) {
         // Cache events are told once; a resent report holds none.
         let kept = without_events(&report);
         if self.is_attached {
             self.batch.add_report(report);
         }
+        let keep = self.settings.report_keep;
+        self.reports
+            .retain(|known| now.saturating_duration_since(known.heard) < keep);
+        let heard = HeardReport {
+            report: kept,
+            heard: now,
+        };
+        let id = &heard.report.id;
         match self
             .reports
-            .binary_search_by(|known| known.id.cmp(&kept.id))
+            .binary_search_by(|known| known.report.id.cmp(id))
         {
-            Ok(at) if kept.leaving => drop(self.reports.remove(at)),
-            Ok(at) => self.reports[at] = kept,
-            Err(at) => self.reports.insert(at, kept),
+            Ok(at) => self.reports[at] = heard,
+            Err(at) => self.reports.insert(at, heard),
         }
     }
 
@@ -209,7 +229,7 @@
         RouterFrame {
             hello: Some(hello),
             asks: asks.collect(),
-            backends: self.reports.clone(),
+            backends: self.reports.iter().map(|r| r.aged(now)).collect(),
             totals: self.offered.clone(),
             ..RouterFrame::default()
         }
@@ -321,6 +341,7 @@
             tokens: 0,
             alone: pending.ask.alone,
             is_spare: grant.spare,
+            is_prompted: !pending.ask.parts.is_empty(),
             told: 0,
         };
         let at = self
@@ -360,6 +381,16 @@
     }
 }
 
+impl HeardReport {
+    fn aged(&self, now: Instant) -> BackendReport {
+        let age = now.saturating_duration_since(self.heard).as_millis();
+        BackendReport {
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            ..self.report.clone()
+        }
+    }
+}
+
 impl Pending {
     fn ask_again(&self, now: Instant) -> Ask {
         let waited = now.saturating_duration_since(self.since).as_millis();
