jaylock-node: the product on the users' platform

Cause: nobody answered the platform's calls. Ruled out: translating in the product's own crates; a second daemon.

--- a/crates/jaylock-daemon/src/common.rs
+++ b/crates/jaylock-daemon/src/common.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use jaylock_control::{
     ClientSettings, ConfigView, ControlClient, FileDisk, Follower, FollowerSettings, InstanceLease,
-    PeerService, Replica, ReplicaSettings,
+    Origin, PeerService, Replica, ReplicaSettings,
 };
 use jaylock_observe::Observer;
 use jaylock_operator::OperatorService;
@@ -24,8 +24,6 @@
 
 /// Time for an engine to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Replicas of the log that a fleet of today's size keeps.
-const FEWEST_REPLICAS: usize = 3;
 
 /// What every part of an instance is made from.
 pub struct Common {
@@ -49,12 +47,9 @@
             secret: settings.security.peer_secret.clone(),
             ..ChannelSettings::default()
         };
-        let seeds = settings
-            .control
-            .replicas
-            .iter()
-            .map(|r| r.peer_address)
-            .collect();
+        let control = &settings.control;
+        let mut seeds = control.seed_peers();
+        seeds.extend(control.replicas.iter().map(|r| r.peer_address));
         let incarnation = Incarnation(unix_ms());
         Self {
             incarnation,
@@ -76,11 +71,23 @@
         };
         let disk = FileDisk::open(Path::new(folder)).await?;
         let identity = identity(&self.settings);
-        let bootstrap = self.settings.control.replicas.iter().map(member).collect();
-        let replica = Replica::open(identity, bootstrap, disk, self.replica_settings()).await?;
+        let origin = self.origin();
+        let replica = Replica::open(identity, origin, disk, self.replica_settings()).await?;
         Ok(Some(replica))
     }
 
+    /// How the group of replicas begins.
+    fn origin(&self) -> Origin {
+        let control = &self.settings.control;
+        if control.replicas.is_empty() {
+            return Origin::Seeds {
+                addresses: control.seed_peers(),
+                is_first: control.first_start,
+            };
+        }
+        Origin::Members(control.replicas.iter().map(member).collect())
+    }
+
     /// The follower of the configuration and keeper of the instance's lease.
     pub fn follower(&self) -> Follower {
         let own = &self.settings.instance;
@@ -88,7 +95,9 @@
             id: own.id.to_string(),
             incarnation: self.incarnation.0,
             domain: own.domain.to_string(),
-            caller_address: own.caller_address.to_string(),
+            caller_address: own
+                .caller_address
+                .map_or_else(String::new, |a| a.to_string()),
             peer_address: own.peer_address.to_string(),
             disk: own.data.is_some(),
             leaving: false,
@@ -113,6 +122,7 @@
     pub fn scheduler_host(&self, lease: InstanceLease) -> SchedulerHost {
         let settings = ShareSettings {
             queue_limit: self.settings.limits.queue,
+            backend_lease: self.settings.timeouts.backend,
             ..ShareSettings::default()
         };
         SchedulerHost::new(
@@ -125,17 +135,17 @@
     }
 
     /// The callers' and backend servers' side.
-    pub fn router(&self, pools: &Pools) -> Rc<Router> {
+    pub fn router(&self, pools: &Pools, lease: InstanceLease) -> Rc<Router> {
         let own = &self.settings.instance;
         let identity = RouterIdentity {
             instance: own.id.clone(),
             incarnation: self.incarnation,
             domain: own.domain.clone(),
-            address: own.caller_address,
         };
         Rc::new(Router::new(
             identity,
             self.view.clone(),
+            lease,
             SharedCapacity(pools.clone()),
             ControlLog(self.client.clone()),
             self.observer.clone(),
@@ -207,7 +217,7 @@
             election: control.election,
             // A leader stops answering before another one may be elected.
             lease: control.election * 4 / 5,
-            replicas: control.replicas.len().max(FEWEST_REPLICAS),
+            replicas: control.replicas.len().max(control.voters),
             replace_after: control.replace_after,
             instance_lease: control.lease,
             snapshot_entries: control.snapshot_entries,
@@ -231,12 +241,17 @@
             first_byte: timeouts.first_byte,
             silence: timeouts.silence,
             deadline: timeouts.deadline,
-            keep_ms: u32::try_from(addresses.keep.as_millis()).unwrap_or(u32::MAX),
+            keep_ms: millis(addresses.keep),
+            lease_ms: millis(timeouts.backend),
             ..RouterSettings::default()
         }
     }
 }
 
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// The replica that an instance may hold.
 pub fn identity(settings: &Settings) -> Member {
     let own = &settings.instance;
--- a/crates/jaylock-daemon/src/instance.rs
+++ b/crates/jaylock-daemon/src/instance.rs
@@ -6,18 +6,24 @@
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
 use futures_util::future::{Either, select};
+use jaylock_router::RouteNames;
 use jaylock_rpc::v1::{Command, InstanceGone, command};
 use jaylock_rpc::{Routes, ServerSettings};
 use jaylock_settings::Settings;
 use jaylock_types::RequestId;
 
+use crate::api::ControlApi;
 use crate::parts::{Parts, spawn};
-use crate::stop::stop_signal;
+use crate::stop::{on_hangup, stop_signal};
 
 /// Time between two looks at whether the fleet knows that this instance leaves.
 const LOOK: Duration = Duration::from_millis(50);
 /// Longest wait until the fleet knows that this instance leaves.
 const WITHDRAWAL: Duration = Duration::from_secs(5);
+/// Part of the time for stopping that this wait takes at most, as a divisor.
+const WITHDRAWAL_PART: u32 = 8;
+/// Part of the time for stopping that the next wait takes at most, as a divisor.
+const PROPAGATION_PART: u32 = 16;
 /// Time in which the other instances follow a change, and with it the address lists they give out.
 const PROPAGATION: Duration = Duration::from_secs(1);
 
@@ -29,7 +35,8 @@
 
 /// State of an instance whose addresses are bound and that serves nothing yet.
 pub struct Opened {
-    callers: TcpListener,
+    callers: Option<TcpListener>,
+    names: Option<RouteNames>,
     peers: TcpListener,
     routes: Routes,
     server: ServerSettings,
@@ -46,7 +53,22 @@
     /// # Errors
     /// An address is taken, or the data folder can't be read.
     pub async fn open(settings: Settings) -> anyhow::Result<Self> {
-        let callers = bind(settings.instance.caller_listen(), "caller_address").await?;
+        Self::open_with(settings, None).await
+    }
+
+    /// The same with nothing but routes at the callers' address, under other names of header fields.
+    ///
+    /// # Errors
+    /// As [`Instance::open`].
+    pub async fn open_routes(settings: Settings, names: RouteNames) -> anyhow::Result<Self> {
+        Self::open_with(settings, Some(names)).await
+    }
+
+    async fn open_with(settings: Settings, names: Option<RouteNames>) -> anyhow::Result<Self> {
+        let callers = match settings.instance.caller_listen() {
+            Some(address) => Some(bind(address, "caller_address").await?),
+            None => None,
+        };
         let peers = bind(settings.instance.peer_listen(), "peer_address").await?;
         let server = ServerSettings {
             peer_secret: settings.security.peer_secret.clone(),
@@ -56,6 +78,7 @@
         let (parts, routes) = Parts::assemble(settings).await?;
         let state = Opened {
             callers,
+            names,
             peers,
             routes,
             server,
@@ -63,6 +86,12 @@
         Ok(Self { parts, state })
     }
 
+    /// What the instance does for operators, backend servers and callers who look for addresses.
+    #[must_use]
+    pub fn api(&self) -> ControlApi {
+        self.parts.api()
+    }
+
     /// Starts every task of the instance.
     ///
     /// # Errors
@@ -70,15 +99,21 @@
     pub async fn start(mut self) -> anyhow::Result<Instance<Serving>> {
         let Opened {
             callers,
+            names,
             peers,
             routes,
             server,
         } = self.state;
+        let mut tasks = vec![spawn(jaylock_rpc::serve(peers, routes, server))];
         let router = self.parts.router.clone();
-        let tasks = vec![
-            spawn(jaylock_rpc::serve(peers, routes, server)),
-            spawn(async move { router.serve(callers).await }),
-        ];
+        if let Some(callers) = callers {
+            tasks.push(spawn(async move {
+                match names {
+                    Some(names) => router.serve_routes(callers, names).await,
+                    None => router.serve(callers).await,
+                }
+            }));
+        }
         self.parts.start().await?;
         log::info!(target: "daemon", "instance {} serves", self.parts.settings().instance.id);
         Ok(Instance {
@@ -91,9 +126,22 @@
 impl Instance<Serving> {
     /// Serves until the process is asked to end, or the disk fails.
     ///
+    /// `reread` reads the settings anew when the process is told that they have changed.
+    ///
     /// # Errors
     /// The disk failed; what it held stays as it is.
-    pub async fn run(self) -> anyhow::Result<()> {
+    pub async fn run(
+        self,
+        reread: impl Fn() -> anyhow::Result<Settings> + 'static,
+    ) -> anyhow::Result<()> {
+        let client = self.parts.common.client.clone();
+        let _reloading = spawn(on_hangup(move || match reread() {
+            Ok(settings) => {
+                client.set_seeds(settings.control.seed_peers());
+                log::info!(target: "daemon", "the settings were read again");
+            }
+            Err(error) => log::error!(target: "daemon", "the new settings are not used: {error}"),
+        }));
         let failure = {
             let (stop, halted) = (pin!(stop_signal()), pin!(self.parts.halted()));
             match select(stop, halted).await {
@@ -111,7 +159,7 @@
     /// Stops without cutting a request: withdraws the address, hands over its roles, finishes what runs.
     pub async fn close(self) {
         log::info!(target: "daemon", "a graceful shutdown begins");
-        let limit = self.parts.settings().timeouts.stop;
+        let limit = self.parts.settings().timeouts.stop * 15 / 16;
         let drained = compio::time::timeout(limit, self.leave()).await.is_ok();
         if !drained {
             log::warn!(target: "daemon", "requests still ran after {limit:?} and are cut");
@@ -122,15 +170,18 @@
     }
 
     async fn leave(&self) {
+        let stop = self.parts.settings().timeouts.stop;
+        self.parts.router.announce_leave();
         self.parts.follower.leave();
         if let Some(replica) = &self.parts.replica {
             replica.step_down().await;
         }
-        let withdrawn = compio::time::timeout(WITHDRAWAL, self.withdrawn()).await;
+        let longest = WITHDRAWAL.min(stop / WITHDRAWAL_PART);
+        let withdrawn = compio::time::timeout(longest, self.withdrawn()).await;
         if withdrawn.is_err() {
             log::warn!(target: "daemon", "control did not confirm that this instance leaves");
         }
-        compio::time::sleep(PROPAGATION).await;
+        compio::time::sleep(PROPAGATION.min(stop / PROPAGATION_PART)).await;
         self.parts.router.leave();
         self.parts.router.drained().await;
     }
--- a/crates/jaylock-daemon/src/lib.rs
+++ b/crates/jaylock-daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon: one instance of the fleet, assembled from its parts.
 
+mod api;
 mod common;
 mod exposition;
 mod handover;
@@ -11,6 +12,7 @@
 mod rescue;
 mod stop;
 
+pub use self::api::{AddressList, ApiError, ControlApi};
 pub use self::instance::{Instance, Opened, Serving};
 pub use self::observing::log_settings;
 pub use self::peer::PeerNotes;
--- a/crates/jaylock-daemon/src/main.rs
+++ b/crates/jaylock-daemon/src/main.rs
@@ -23,7 +23,7 @@
     }
     runtime.block_on(async {
         let instance = Instance::open(settings).await?.start().await?;
-        instance.run().await
+        instance.run(move || read_settings(&matches)).await
     })
 }
 
--- a/crates/jaylock-daemon/src/parts.rs
+++ b/crates/jaylock-daemon/src/parts.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use compio::runtime::JoinHandle;
-use jaylock_control::{FollowerHandle, Replica};
+use jaylock_control::{FollowerHandle, InstanceLease, Replica};
 use jaylock_router::Router;
 use jaylock_rpc::v1::operator_server::OperatorServer;
 use jaylock_rpc::v1::peer_server::PeerServer;
@@ -10,6 +10,7 @@
 use jaylock_settings::Settings;
 use jaylock_share::Pools;
 
+use crate::api::ControlApi;
 use crate::common::Common;
 use crate::exposition::serve_metrics;
 
@@ -27,6 +28,7 @@
     /// The callers' and backend servers' side.
     pub router: Rc<Router>,
     pools: Pools,
+    lease: InstanceLease,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -41,6 +43,7 @@
         let follower = common.follower();
         let (lease, handle) = (follower.lease(), follower.handle());
         let pools = common.pools();
+        let own_lease = lease.clone();
         let host = common.scheduler_host(lease.clone());
         let keeper = common.order_keeper(lease.clone())?;
         let mut services = Routes::default()
@@ -62,13 +65,14 @@
             spawn(keeper.run()),
             spawn(common.handover().run()),
         ];
-        let router = common.router(&pools);
+        let router = common.router(&pools, own_lease.clone());
         let parts = Self {
             common,
             follower: handle,
             replica,
             router,
             pools,
+            lease: own_lease,
             tasks,
         };
         Ok((parts, services))
@@ -90,6 +94,18 @@
         Ok(())
     }
 
+    /// What the instance does for operators, backend servers and callers who look for addresses.
+    pub fn api(&self) -> ControlApi {
+        ControlApi {
+            client: self.common.client.clone(),
+            view: self.common.view.clone(),
+            lease: self.lease.clone(),
+            pools: self.pools.clone(),
+            router: self.router.clone(),
+            keep: self.settings().addresses.keep,
+        }
+    }
+
     /// Settings of the instance.
     pub fn settings(&self) -> &Settings {
         &self.common.settings
--- a/crates/jaylock-daemon/src/stop.rs
+++ b/crates/jaylock-daemon/src/stop.rs
@@ -7,6 +7,8 @@
 
 /// Signal that asks for a graceful shutdown, as service managers send it.
 const SIGTERM: i32 = 15;
+/// Signal that says that the settings file has changed.
+const SIGHUP: i32 = 1;
 /// Signal that a terminal sends for Ctrl-C.
 const SIGINT: i32 = 2;
 
@@ -27,6 +29,15 @@
     }
 }
 
+/// Calls `reload` each time the process is told that its settings have changed.
+pub async fn on_hangup(reload: impl Fn()) {
+    let (sender, mut told) = unbounded();
+    compio::runtime::spawn(catch(SIGHUP, sender)).detach();
+    while told.next().await.is_some() {
+        reload();
+    }
+}
+
 /// Reports each arrival of a signal; the next listener registers before the last one goes.
 async fn catch(number: i32, sender: UnboundedSender<()>) {
     let mut current = listener(number);
