Routes are unknown only once operators have decided something

Cause: fleet test malformed_http... red: GET /no/such/path got 503, as a fleet without routes counted as not configured. Ruled out: 404 from the start (an instance that knows no configuration can't say that a route does not exist). Conclusion: 503 before the first change, 404 after it.

--- a/crates/jaylock-daemon/src/api.rs
+++ b/crates/jaylock-daemon/src/api.rs
@@ -121,8 +121,7 @@
     /// Whether this instance takes callers: it knows the newest configuration and stays.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let current = self.view.current();
-        let is_configured = current.document_version > 0 || !current.routes.is_empty();
+        let is_configured = self.view.revision().0 > 0;
         is_configured && self.lease.is_valid() && !self.router.is_leaving()
     }
 
--- a/crates/jaylock-router/src/route/context.rs
+++ b/crates/jaylock-router/src/route/context.rs
@@ -62,7 +62,7 @@
             return None;
         }
         let current = self.view.current();
-        let is_known = current.document_version > 0 || !current.routes.is_empty();
-        is_known.then_some(current)
+        // Before the first change of operators, nobody can say what there will be.
+        (current.revision > 0).then_some(current)
     }
 }
