--- a/crates/jaylock-control/src/members.rs
+++ b/crates/jaylock-control/src/members.rs
@@ -31,8 +31,14 @@
         if !is_settled(&shared.core.borrow()) {
             continue;
         }
-        if let Err(refusal) = shared.submit_body(body).await {
-            log::debug!(target: "control", "members were not changed: {refusal:?}");
+        match shared.submit_body(body).await {
+            Ok(_) => {
+                let voters = shared.core.borrow().voters().count();
+                log::info!(target: "control", "replicas vote: {voters}");
+            }
+            Err(refusal) => {
+                log::debug!(target: "control", "members were not changed: {refusal:?}");
+            }
         }
     }
 }
--- a/crates/jaylock-tests/src/process.rs
+++ b/crates/jaylock-tests/src/process.rs
@@ -56,6 +56,11 @@
         self.send(Signal::CONT);
     }
 
+    /// Tells the process that its settings have changed.
+    pub fn hang_up(&self) {
+        self.send(Signal::HUP);
+    }
+
     /// Ends the process at once.
     pub fn kill(mut self) {
         let _ = self.child.kill();
