The router's files form no circle; routes in the tool; connections are given back in time

Cause: 14 files of the router and 15 of the tool imported each other in a circle; adapter.rs and model.rs were alike. Ruled out: a higher bound (memory); closing after each refusal (callers without a flood would pay a connection each). Change: Context knows none of its users, Backends is a store of its own; command_line.rs holds the command line and loaded.rs models and adapters; jaylock route and jaylock document, GetDocument for operators; above half of the bound of connections an answer ends its connection.

--- a/crates/jaylock-operator/src/bin/jaylock/arguments.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/arguments.rs
@@ -1,15 +1,9 @@
-use std::io;
 use std::net::SocketAddr;
 use std::str::FromStr;
 use std::time::Duration;
 
 use clap::builder::ValueParser;
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use clap_complete::Shell;
-
-use crate::{
-    adapter, backend, config, explain, instance, model, organisation, pool, report, service,
-};
+use clap::{Arg, ArgAction, ArgMatches, value_parser};
 
 /// Name of the option that names instances.
 pub const INSTANCE: &str = "instance";
@@ -23,41 +17,10 @@
 pub const COMMAND_ID: &str = "command-id";
 /// Name of the option with the revision that the operator has read.
 pub const EXPECT: &str = "expect";
-/// Name of the command that prints completions.
-pub const COMPLETIONS: &str = "completions";
 
 /// Time for a command when none is given.
 pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// The whole command line.
-pub fn command() -> Command {
-    Command::new("jaylock")
-        .about("Operates a fleet of jaylock instances")
-        .version(env!("CARGO_PKG_VERSION"))
-        .subcommand_required(true)
-        .arg_required_else_help(true)
-        .after_help(EXIT_CODES)
-        .args(global_options())
-        .subcommand(organisation::command())
-        .subcommand(model::command())
-        .subcommand(adapter::command())
-        .subcommand(service::command())
-        .subcommand(backend::command())
-        .subcommand(instance::command())
-        .subcommand(pool::command())
-        .subcommand(config::command())
-        .subcommand(report::command())
-        .subcommand(explain::command())
-        .subcommand(completions())
-}
-
-/// Writes the completions of a shell to standard output.
-pub fn print_completions(matches: &ArgMatches) {
-    let shell = matches.get_one::<Shell>("shell").copied();
-    let shell = shell.unwrap_or(Shell::Bash);
-    clap_complete::generate(shell, &mut command(), "jaylock", &mut io::stdout());
-}
-
 /// An obligatory name in the place of a positional argument.
 pub fn name_argument<T>() -> Arg
 where
@@ -120,7 +83,8 @@
         .value_parser(value_parser!(u32))
 }
 
-fn global_options() -> [Arg; 6] {
+/// The options of every command.
+pub fn global_options() -> [Arg; 6] {
     [
         Arg::new(INSTANCE)
             .long(INSTANCE)
@@ -165,16 +129,6 @@
     ]
 }
 
-fn completions() -> Command {
-    Command::new(COMPLETIONS)
-        .about("Prints the completions of a shell")
-        .arg(
-            Arg::new("shell")
-                .required(true)
-                .value_parser(value_parser!(Shell)),
-        )
-}
-
 fn command_id(text: &str) -> Result<String, String> {
     let allowed = |b: u8| b.is_ascii_alphanumeric() || b".-_:".contains(&b);
     let fits = (1..=LONGEST_COMMAND_ID).contains(&text.len()) && text.bytes().all(allowed);
@@ -188,12 +142,3 @@
 
 /// Longest id that an operator may choose, in bytes; the tool adds the number of its attempt.
 const LONGEST_COMMAND_ID: usize = 56;
-
-const EXIT_CODES: &str = "\
-Exit codes:
-  0  done
-  1  refused by the system, nothing was changed
-  2  the command line is wrong
-  3  another change came first, nothing was changed
-  4  no answer; a change may have been made, repeat it with the --command-id that is told
-  5  the revision is not in force everywhere in time";
--- a/crates/jaylock-operator/src/bin/jaylock/burn.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/burn.rs
@@ -6,9 +6,9 @@
 use jaylock_rpc::v1;
 use jaylock_types::unix_ms;
 
+use crate::events::events;
 use crate::failure::{Failure, Result};
 use crate::output::{Cell, Listing, Output};
-use crate::report::events;
 use crate::session::Session;
 
 /// Shows how service-level budgets burn, and writes the same as a page when asked to.
--- /dev/null
+++ b/crates/jaylock-operator/src/bin/jaylock/command_line.rs
@@ -0,0 +1,64 @@
+use std::io;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use clap_complete::Shell;
+use jaylock_rpc::v1::{Adapter, Model};
+
+use crate::arguments::global_options;
+use crate::{
+    backend, config, document, explain, instance, loaded, organisation, pool, report, route,
+    service,
+};
+
+/// Name of the command that prints completions.
+pub const COMPLETIONS: &str = "completions";
+
+/// The whole command line.
+pub fn command() -> Command {
+    Command::new("jaylock")
+        .about("Operates a fleet of jaylock instances")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .after_help(EXIT_CODES)
+        .args(global_options())
+        .subcommand(organisation::command())
+        .subcommand(loaded::command::<Model>())
+        .subcommand(loaded::command::<Adapter>())
+        .subcommand(service::command())
+        .subcommand(route::command())
+        .subcommand(document::command())
+        .subcommand(backend::command())
+        .subcommand(instance::command())
+        .subcommand(pool::command())
+        .subcommand(config::command())
+        .subcommand(report::command())
+        .subcommand(explain::command())
+        .subcommand(completions())
+}
+
+/// Writes the completions of a shell to standard output.
+pub fn print_completions(matches: &ArgMatches) {
+    let shell = matches.get_one::<Shell>("shell").copied();
+    let shell = shell.unwrap_or(Shell::Bash);
+    clap_complete::generate(shell, &mut command(), "jaylock", &mut io::stdout());
+}
+
+fn completions() -> Command {
+    Command::new(COMPLETIONS)
+        .about("Prints the completions of a shell")
+        .arg(
+            Arg::new("shell")
+                .required(true)
+                .value_parser(value_parser!(Shell)),
+        )
+}
+
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  refused by the system, nothing was changed
+  2  the command line is wrong
+  3  another change came first, nothing was changed
+  4  no answer; a change may have been made, repeat it with the --command-id that is told
+  5  the revision is not in force everywhere in time";
--- a/crates/jaylock-operator/src/bin/jaylock/main.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/main.rs
@@ -1,21 +1,24 @@
 //! The command-line tool of jaylock's operators.
 
-mod adapter;
 mod arguments;
 mod backend;
 mod burn;
 mod change;
+mod command_line;
 mod config;
+mod document;
+mod events;
 mod explain;
 mod failure;
 mod instance;
 mod keys;
-mod model;
+mod loaded;
 mod organisation;
 mod output;
 mod pool;
 mod report;
 mod resource;
+mod route;
 mod service;
 mod session;
 
@@ -31,9 +34,9 @@
 use self::session::Session;
 
 fn main() -> ExitCode {
-    let matches = arguments::command().get_matches();
-    if let Some((arguments::COMPLETIONS, chosen)) = matches.subcommand() {
-        arguments::print_completions(chosen);
+    let matches = command_line::command().get_matches();
+    if let Some((command_line::COMPLETIONS, chosen)) = matches.subcommand() {
+        command_line::print_completions(chosen);
         return ExitCode::SUCCESS;
     }
     let json = matches.get_flag(arguments::JSON);
@@ -50,6 +53,8 @@
         Some((v1::Model::NOUN, chosen)) => resource::run::<v1::Model>(&session, chosen).await,
         Some((v1::Adapter::NOUN, chosen)) => resource::run::<v1::Adapter>(&session, chosen).await,
         Some((v1::Service::NOUN, chosen)) => resource::run::<v1::Service>(&session, chosen).await,
+        Some((v1::Route::NOUN, chosen)) => resource::run::<v1::Route>(&session, chosen).await,
+        Some((document::NOUN, _)) => document::show(&session).await,
         Some((backend::NOUN, chosen)) => backend::run(&session, chosen).await,
         Some((instance::NOUN, _)) => instance::list(&session).await,
         Some((pool::NOUN, chosen)) => pool::run(&session, chosen).await,
--- a/crates/jaylock-operator/src/bin/jaylock/report.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/report.rs
@@ -2,10 +2,10 @@
 use std::time::{Duration, UNIX_EPOCH};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use jaylock_rpc::v1;
 
 use crate::arguments::{number, number_option};
 use crate::burn;
+use crate::events::events;
 use crate::failure::Result;
 use crate::output::{Listing, Output};
 use crate::session::Session;
@@ -61,13 +61,6 @@
     Ok(Output::Listing(listing))
 }
 
-/// The newest entries of the record of repairs, oldest first.
-pub async fn events(session: &Session, most: u32) -> Result<Vec<v1::Event>> {
-    let request = v1::EventsRequest { most };
-    let call = session.call(async |mut client| client.list_events(request).await);
-    Ok(call.await?.events)
-}
-
 /// A moment as it stands in reports.
 pub fn time(unix_ms: u64) -> String {
     let moment = UNIX_EPOCH.checked_add(Duration::from_millis(unix_ms));
--- a/crates/jaylock-operator/src/permitted.rs
+++ b/crates/jaylock-operator/src/permitted.rs
@@ -12,7 +12,7 @@
     #[error("the request holds no command: set the field command")]
     NoCommand,
     /// The command has no body.
-    #[error("the command has no body: set one of put_organisation to undrain_backend")]
+    #[error("the command has no body: set one of put_organisation to put_document")]
     NoBody,
     /// The command's id has a wrong length.
     #[error(
@@ -21,7 +21,7 @@
     BadId,
     /// The command belongs to the fleet itself.
     #[error(
-        "only the fleet itself may send this command: use one that changes organisations, models, adapters, services or drains"
+        "only the fleet itself may send this command: use one that changes organisations, models, adapters, services, routes, documents or drains"
     )]
     NotForOperators,
 }
--- a/crates/jaylock-operator/src/service.rs
+++ b/crates/jaylock-operator/src/service.rs
@@ -67,6 +67,14 @@
         reading.await.map(Response::new).map_err(unavailable)
     }
 
+    async fn get_document(
+        &self,
+        _: Request<v1::ReadRequest>,
+    ) -> Result<Response<v1::DocumentReply>, Status> {
+        let reading = local(self.parts.client.read_document());
+        reading.await.map(Response::new).map_err(unavailable)
+    }
+
     async fn wait_revision(
         &self,
         request: Request<v1::WaitRequest>,
--- a/crates/jaylock-router/src/address.rs
+++ b/crates/jaylock-router/src/address.rs
@@ -6,7 +6,7 @@
 
 use crate::answer::json;
 use crate::body::Body;
-use crate::router::Shared;
+use crate::context::Context;
 
 #[derive(Serialize)]
 struct AddressList {
@@ -21,7 +21,7 @@
 }
 
 /// Answers which addresses callers may use, and for how long.
-pub fn list(shared: &Shared) -> Response<Body> {
+pub fn list(shared: &Context) -> Response<Body> {
     let current = shared.view.current();
     let own = shared.identity.instance.as_str();
     let leaves = |i: &Instance| i.leaving || (shared.lifecycle.is_leaving() && i.id == own);
@@ -35,7 +35,7 @@
 }
 
 /// The addresses of the other live instances.
-pub fn others(shared: &Shared) -> Vec<String> {
+pub fn others(shared: &Context) -> Vec<String> {
     let own = shared.identity.instance.as_str();
     let current = shared.view.current();
     let live = current.instances.iter();
--- a/crates/jaylock-router/src/announce.rs
+++ b/crates/jaylock-router/src/announce.rs
@@ -1,4 +1,3 @@
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -16,7 +15,7 @@
 use crate::answer::{Refusal, json};
 use crate::body::Body;
 use crate::call;
-use crate::router::Shared;
+use crate::context::Context;
 
 /// Most requests at once that a backend server may announce.
 const SLOT_LIMIT: u32 = 4096;
@@ -25,17 +24,6 @@
 /// Time between two looks for that word.
 const VERDICT_STEP: Duration = Duration::from_millis(5);
 
-/// The backend servers that announced themselves here, sorted by identifier.
-#[derive(Default)]
-pub struct Backends {
-    known: RefCell<Vec<Known>>,
-}
-
-struct Known {
-    report: BackendReport,
-    heard: Instant,
-}
-
 #[derive(Deserialize)]
 struct Announcement {
     id: BackendId,
@@ -93,7 +81,7 @@
 }
 
 /// Takes the announcement of a backend server.
-pub async fn announce(shared: &Shared, body: &Bytes) -> Result<Response<Body>, Refusal> {
+pub async fn announce(shared: &Context, body: &Bytes) -> Result<Response<Body>, Refusal> {
     call::check_connected(shared)?;
     let announcement: Announcement = parse(body)?;
     if announcement.slots > SLOT_LIMIT {
@@ -101,7 +89,9 @@
     }
     let report = announcement.into_report();
     let lease = Duration::from_millis(shared.settings.lease_ms.into());
-    shared.backends.accept(&report, lease)?;
+    if !shared.backends.accept(&report, lease) {
+        return Err(held(&report.id));
+    }
     shared.capacity.report(report.clone());
     verdict(shared, &report).await?;
     log::info!(target: "router", "backend server {} announced itself for pool {}", report.id, report.pool);
@@ -109,73 +99,47 @@
 }
 
 /// Takes the load of a backend server that announced itself here.
-pub fn heartbeat(shared: &Shared, body: &Bytes) -> Result<Response<Body>, Refusal> {
+pub fn heartbeat(shared: &Context, body: &Bytes) -> Result<Response<Body>, Refusal> {
     // A backend server that stays with an instance that is cut off is lost to the others.
     call::check_connected(shared)?;
     let heartbeat: Heartbeat = parse(body)?;
-    let report = shared.backends.update(heartbeat)?;
+    let (cached, evicted) = (prefixes(&heartbeat.cached)?, prefixes(&heartbeat.evicted)?);
+    let (id, incarnation) = (heartbeat.id.clone(), heartbeat.incarnation);
+    let updated = shared
+        .backends
+        .update(id.as_str(), incarnation, |report| heartbeat.apply(report));
+    let report = BackendReport {
+        cached,
+        evicted,
+        ..updated.ok_or_else(|| unknown(&id))?
+    };
     let refused = refused(shared, &report);
     shared.capacity.report(report);
     refused.map_or_else(|| Ok(welcome(shared)), Err)
 }
 
 /// Takes a backend server's word that it leaves.
-pub fn leave(shared: &Shared, body: &Bytes) -> Result<Response<Body>, Refusal> {
+pub fn leave(shared: &Context, body: &Bytes) -> Result<Response<Body>, Refusal> {
     let leave: Leave = parse(body)?;
-    let report = shared.backends.remove(&leave)?;
+    let removed = shared.backends.remove(leave.id.as_str(), leave.incarnation);
+    let report = removed.ok_or_else(|| unknown(&leave.id))?;
     log::info!(target: "router", "backend server {} leaves", report.id);
     shared.capacity.report(report);
     Ok(welcome(shared))
 }
 
-impl Backends {
-    fn accept(&self, report: &BackendReport, lease: Duration) -> Result<(), Refusal> {
-        let mut known = self.known.borrow_mut();
-        known.retain(|k| k.heard.elapsed() <= lease);
-        let fresh = Known {
-            report: report.clone(),
-            heard: Instant::now(),
-        };
-        match known.binary_search_by(|k| k.report.id.cmp(&report.id)) {
-            Ok(at) if is_held(&known[at].report, report) => Err(held(&report.id)),
-            Ok(at) => {
-                known[at] = fresh;
-                Ok(())
-            }
-            Err(at) => {
-                known.insert(at, fresh);
-                Ok(())
-            }
-        }
-    }
-
-    fn update(&self, heartbeat: Heartbeat) -> Result<BackendReport, Refusal> {
-        let mut known = self.known.borrow_mut();
-        let at = position(&known, &heartbeat.id, heartbeat.incarnation)?;
-        let entry = &mut known[at];
-        entry.heard = Instant::now();
-        let report = &mut entry.report;
-        report.running = heartbeat.running;
-        report.waiting = heartbeat.waiting;
-        if let Some(models) = heartbeat.models {
+impl Heartbeat {
+    /// Puts what is told in the place of what was known.
+    fn apply(self, report: &mut BackendReport) {
+        report.running = self.running;
+        report.waiting = self.waiting;
+        if let Some(models) = self.models {
             report.models = models
                 .into_iter()
                 .map(AnnouncedModel::into_loaded)
                 .collect();
         }
-        report.fence = heartbeat.fence.unwrap_or(report.fence);
-        let mut full = report.clone();
-        full.cached = prefixes(&heartbeat.cached)?;
-        full.evicted = prefixes(&heartbeat.evicted)?;
-        Ok(full)
-    }
-
-    fn remove(&self, leave: &Leave) -> Result<BackendReport, Refusal> {
-        let mut known = self.known.borrow_mut();
-        let at = position(&known, &leave.id, leave.incarnation)?;
-        let mut report = known.remove(at).report;
-        report.leaving = true;
-        Ok(report)
+        report.fence = self.fence.unwrap_or(report.fence);
     }
 }
 
@@ -217,7 +181,7 @@
 }
 
 /// Waits for the scheduler's word; without one the heartbeats bring it.
-async fn verdict(shared: &Shared, report: &BackendReport) -> Result<(), Refusal> {
+async fn verdict(shared: &Context, report: &BackendReport) -> Result<(), Refusal> {
     let asked = Instant::now();
     while asked.elapsed() < VERDICT_WAIT {
         if let Some(refusal) = refused(shared, report) {
@@ -231,12 +195,12 @@
     Ok(())
 }
 
-fn is_judged(shared: &Shared, report: &BackendReport) -> bool {
+fn is_judged(shared: &Context, report: &BackendReport) -> bool {
     let verdict = shared.capacity.verdict(&report.id);
     verdict.is_some_and(|v| v.incarnation == report.incarnation)
 }
 
-fn refused(shared: &Shared, report: &BackendReport) -> Option<Refusal> {
+fn refused(shared: &Context, report: &BackendReport) -> Option<Refusal> {
     let verdict = shared.capacity.verdict(&report.id)?;
     let is_about = verdict.incarnation == report.incarnation;
     (is_about && !verdict.refused.is_empty()).then(|| {
@@ -249,30 +213,19 @@
     })
 }
 
-fn welcome(shared: &Shared) -> Response<Body> {
+fn welcome(shared: &Context) -> Response<Body> {
     let (heartbeat, lease) = (shared.settings.heartbeat_ms, shared.settings.lease_ms);
     let body = format!("{{\"heartbeat_ms\":{heartbeat},\"lease_ms\":{lease}}}");
     json(&RequestId::random(), StatusCode::OK, Run::NotRun, body)
 }
 
-/// Whether an identifier belongs to another process, or to a later start of the same one.
-fn is_held(known: &BackendReport, report: &BackendReport) -> bool {
-    known.token_hash != report.token_hash || known.incarnation > report.incarnation
-}
-
-fn position(known: &[Known], id: &BackendId, incarnation: u64) -> Result<usize, Refusal> {
-    let found = known.binary_search_by(|k| k.report.id.as_str().cmp(id.as_str()));
-    let found = found
-        .ok()
-        .filter(|at| known[*at].report.incarnation == incarnation);
-    found.ok_or_else(|| {
-        Refusal::not_run(
-            StatusCode::NOT_FOUND,
-            "unknown-backend",
-            format_compact!("{id} has not announced this incarnation here"),
-            "announce again",
-        )
-    })
+fn unknown(id: &BackendId) -> Refusal {
+    Refusal::not_run(
+        StatusCode::NOT_FOUND,
+        "unknown-backend",
+        format_compact!("{id} has not announced this incarnation here"),
+        "announce again",
+    )
 }
 
 fn prefixes(texts: &[CompactString]) -> Result<Vec<u64>, Refusal> {
--- a/crates/jaylock-router/src/attempt.rs
+++ b/crates/jaylock-router/src/attempt.rs
@@ -14,11 +14,11 @@
 use crate::body;
 use crate::call::DEADLINE;
 use crate::chat::Chat;
+use crate::context::Context;
 use crate::event::EventParser;
 use crate::failure::{Failure, silence_limit};
 use crate::link::Link;
 use crate::piece::{Check, Piece, PieceChecker};
-use crate::router::Shared;
 
 /// Header by which a backend server says that it didn't run a request.
 pub const NOT_RUN: &str = "x-not-run";
@@ -44,7 +44,7 @@
 
 /// One run of a request on a model engine, read as a stream.
 pub struct Attempt {
-    shared: Rc<Shared>,
+    shared: Rc<Context>,
     link: Link,
     body: Incoming,
     parser: EventParser,
@@ -55,7 +55,7 @@
 impl Attempt {
     /// Sends a request to an engine and waits for the head of its answer.
     pub async fn start(
-        shared: &Rc<Shared>,
+        shared: &Rc<Context>,
         chat: &Chat,
         address: SocketAddr,
         position: Position,
@@ -183,7 +183,7 @@
 async fn check_head(
     response: Response<Incoming>,
     id: &RequestId,
-    shared: &Shared,
+    shared: &Context,
 ) -> Result<Response<Incoming>, Failure> {
     if is_declined(&response, id) {
         return Err(Failure::Declined);
@@ -202,7 +202,7 @@
     Ok(response)
 }
 
-async fn final_word(response: Response<Incoming>, shared: &Shared) -> Failure {
+async fn final_word(response: Response<Incoming>, shared: &Context) -> Failure {
     let status = response.status();
     let settings = &shared.settings;
     match body::read(
--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -13,14 +13,16 @@
 use crate::address;
 use crate::answer::Refusal;
 use crate::body::{self, ReadError};
+use crate::context::Context;
 use crate::memory::Room;
 use crate::quarantine::{self, Fingerprint};
-use crate::router::Shared;
-use crate::service;
 
 /// Header with the time that is left for a request, in ms.
 pub const DEADLINE: &str = "x-deadline-ms";
 
+/// Path under which plain services are reached.
+pub const SERVICES: &str = "/services/";
+
 /// An admitted request of a caller.
 pub struct Call {
     /// Identifier that the caller is told.
@@ -45,7 +47,7 @@
 impl Call {
     /// Admits a request: checks who sends it and whether this router serves, and reads its body.
     pub async fn admit(
-        shared: &Shared,
+        shared: &Context,
         request: RequestId,
         head: Parts,
         incoming: Incoming,
@@ -81,7 +83,7 @@
     }
 
     /// Opens the account of the request.
-    pub fn account(&self, shared: &Shared, pool: PoolId, kind: RequestKind) -> Account {
+    pub fn account(&self, shared: &Context, pool: PoolId, kind: RequestKind) -> Account {
         Account::new(
             shared.observer.clone(),
             shared.lifecycle.busy(),
@@ -115,7 +117,7 @@
     let mut hash = Sha256::new();
     hash.update(organisation.as_str());
     hash.update([0]);
-    if head.uri.path().starts_with(service::PREFIX) {
+    if head.uri.path().starts_with(SERVICES) {
         hash.update(head.method.as_str());
         hash.update(head.uri.path());
         hash.update([0]);
@@ -124,7 +126,7 @@
     hash.finalize().into()
 }
 
-fn identify(shared: &Shared, headers: &HeaderMap) -> Result<OrganisationId, Refusal> {
+fn identify(shared: &Context, headers: &HeaderMap) -> Result<OrganisationId, Refusal> {
     let found = shared.organisations.find(&shared.view, headers);
     found.ok_or_else(|| {
         Refusal::not_run(
@@ -136,7 +138,7 @@
     })
 }
 
-fn check_service(shared: &Shared) -> Result<(), Refusal> {
+fn check_service(shared: &Context) -> Result<(), Refusal> {
     if shared.lifecycle.closed.is_thrown() {
         return Err(elsewhere(shared, "leaving", "this instance is stopping"));
     }
@@ -144,7 +146,7 @@
 }
 
 /// Checks that this instance hears the fleet; one that is cut off takes nothing new.
-pub fn check_connected(shared: &Shared) -> Result<(), Refusal> {
+pub fn check_connected(shared: &Context) -> Result<(), Refusal> {
     if shared.view.is_connected() && shared.view.index() != Index(0) {
         return Ok(());
     }
@@ -152,7 +154,7 @@
     Err(elsewhere(shared, "disconnected", message))
 }
 
-fn elsewhere(shared: &Shared, kind: &'static str, message: &'static str) -> Refusal {
+fn elsewhere(shared: &Context, kind: &'static str, message: &'static str) -> Refusal {
     let refusal = Refusal::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         kind,
@@ -165,7 +167,7 @@
 
 /// Takes room for a body that is within the bound of one request.
 fn take_room(
-    shared: &Shared,
+    shared: &Context,
     organisation: &OrganisationId,
     bytes: usize,
 ) -> Result<Room, Refusal> {
@@ -200,7 +202,7 @@
 }
 
 /// Reads the body of a request within the router's bounds.
-pub async fn read(shared: &Shared, incoming: Incoming) -> Result<Bytes, Refusal> {
+pub async fn read(shared: &Context, incoming: Incoming) -> Result<Bytes, Refusal> {
     let settings = &shared.settings;
     let outcome = body::read(incoming, settings.body_bound, settings.slow_sender).await;
     outcome.map_err(|error| match error {
--- a/crates/jaylock-router/src/claim.rs
+++ b/crates/jaylock-router/src/claim.rs
@@ -14,8 +14,8 @@
 use crate::answer::{RECORDED, Refusal, mark, put};
 use crate::body::Body;
 use crate::call::Call;
+use crate::context::Context;
 use crate::proposal;
-use crate::router::Shared;
 
 /// Header that names a request that may not be repeated.
 pub const KEY: &str = "idempotency-key";
@@ -24,7 +24,7 @@
 
 /// The right to run a request once; it must be settled or released.
 pub struct HeldClaim {
-    shared: Rc<Shared>,
+    shared: Rc<Context>,
     organisation: String,
     key: String,
     request: String,
@@ -59,7 +59,7 @@
 
 impl HeldClaim {
     /// Commits a claim before the first byte of a request leaves.
-    pub async fn take(shared: &Rc<Shared>, call: &Call) -> Result<Claimed, Refusal> {
+    pub async fn take(shared: &Rc<Context>, call: &Call) -> Result<Claimed, Refusal> {
         let key = key(call)?;
         let held = Self {
             shared: shared.clone(),
@@ -244,7 +244,7 @@
     hash.finalize().into()
 }
 
-fn no_control(shared: &Shared) -> Refusal {
+fn no_control(shared: &Context) -> Refusal {
     Refusal::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         "no-control",
--- a/crates/jaylock-router/src/completion.rs
+++ b/crates/jaylock-router/src/completion.rs
@@ -12,12 +12,12 @@
 use crate::body::Body;
 use crate::call::{self, Call};
 use crate::chat::Chat;
+use crate::context::Context;
 use crate::generation::{Attended, Generation};
 use crate::piece::Piece;
-use crate::router::Shared;
 
 /// Answers a request for a model.
-pub async fn answer(shared: &Rc<Shared>, call: Call) -> Result<Response<Body>, Refusal> {
+pub async fn answer(shared: &Rc<Context>, call: Call) -> Result<Response<Body>, Refusal> {
     let chat = Chat::parse(&call.body, &shared.view.current())?;
     let account = call.account(shared, chat.pool.clone(), RequestKind::Model);
     let streams = chat.stream;
--- a/crates/jaylock-router/src/generation.rs
+++ b/crates/jaylock-router/src/generation.rs
@@ -12,9 +12,9 @@
 use crate::attempt::{Attempt, Position};
 use crate::call::{self, Call};
 use crate::chat::Chat;
+use crate::context::Context;
 use crate::piece::Piece;
 use crate::retry::Retry;
-use crate::router::Shared;
 use crate::slot::Slot;
 
 /// Longest run that finds out whether a request crashes backend servers.
@@ -22,7 +22,7 @@
 
 /// A model's answer in the making, across all attempts; dropping it cancels the work.
 pub struct Generation {
-    shared: Rc<Shared>,
+    shared: Rc<Context>,
     call: Call,
     chat: Chat,
     account: Account,
@@ -42,7 +42,7 @@
 
 impl Generation {
     /// Prepares the answer; nothing is asked yet.
-    pub fn new(shared: Rc<Shared>, call: Call, chat: Chat, account: Account) -> Self {
+    pub fn new(shared: Rc<Context>, call: Call, chat: Chat, account: Account) -> Self {
         let retry = Retry::new(shared.clone(), &call, chat.pool.clone());
         Self {
             shared,
--- a/crates/jaylock-router/src/own.rs
+++ b/crates/jaylock-router/src/own.rs
@@ -8,9 +8,9 @@
 
 use crate::answer::{Refusal, json};
 use crate::body::Body;
-use crate::call::{self, Call};
+use crate::call::{self, Call, SERVICES};
+use crate::context::Context;
 use crate::route::RouteRoom;
-use crate::router::Shared;
 use crate::server::Handler;
 use crate::{address, announce, completion, service};
 
@@ -20,7 +20,7 @@
 /// The router's own interface: chat, plain services, backend servers, and routes for every other path.
 pub struct OwnRoom {
     /// What its requests share.
-    pub shared: Rc<Shared>,
+    pub shared: Rc<Context>,
     /// Answers what no path of the interface names.
     pub routes: Rc<RouteRoom>,
 }
@@ -52,7 +52,7 @@
                 let call = Call::admit(shared, id.clone(), head, incoming).await?;
                 Box::pin(completion::answer(shared, call)).await
             }
-            (_, path) if path.starts_with(service::PREFIX) => {
+            (_, path) if path.starts_with(SERVICES) => {
                 let call = Call::admit(shared, id.clone(), head, incoming).await?;
                 Box::pin(service::answer(shared, call)).await
             }
@@ -71,7 +71,7 @@
 }
 
 /// Closes idle connections to backend servers and does what requests left behind.
-pub async fn tend(shared: Rc<Shared>) {
+pub async fn tend(shared: Rc<Context>) {
     let working = shared.clone();
     let _worker = compio::runtime::spawn(async move { working.background.run().await });
     loop {
@@ -82,10 +82,10 @@
 
 /// Whether a path belongs to the interface itself, so that no route can take it.
 fn is_own(path: &str) -> bool {
-    path.starts_with("/v1/") || path.starts_with(service::PREFIX)
+    path.starts_with("/v1/") || path.starts_with(SERVICES)
 }
 
-fn health(shared: &Shared, id: &RequestId) -> Response<Body> {
+fn health(shared: &Context, id: &RequestId) -> Response<Body> {
     let state = if shared.lifecycle.is_leaving() {
         "leaving"
     } else if shared.view.is_connected() {
--- a/crates/jaylock-router/src/proposal.rs
+++ b/crates/jaylock-router/src/proposal.rs
@@ -6,7 +6,7 @@
 use jaylock_rpc::v1::{Applied, Command};
 use jaylock_types::RequestId;
 
-use crate::router::Shared;
+use crate::context::Context;
 
 /// Wait between two tries to commit a command.
 const STEP: Duration = Duration::from_millis(500);
@@ -23,7 +23,7 @@
 /// Commits a command in a task that tries until control confirms it.
 ///
 /// The router isn't drained before. The task goes on when the receiver is dropped.
-pub fn commit(shared: &Rc<Shared>, body: Body) -> oneshot::Receiver<Applied> {
+pub fn commit(shared: &Rc<Context>, body: Body) -> oneshot::Receiver<Applied> {
     let (done, waiting) = oneshot::channel();
     let shared = shared.clone();
     let busy = shared.lifecycle.busy();
@@ -44,7 +44,7 @@
 }
 
 /// Commits a command and waits for it, at most for the router's settle time.
-pub async fn commit_soon(shared: &Rc<Shared>, body: Body) -> Option<Applied> {
+pub async fn commit_soon(shared: &Rc<Context>, body: Body) -> Option<Applied> {
     let waiting = commit(shared, body);
     let limit = shared.settings.settle_wait;
     let outcome = compio::time::timeout(limit, waiting).await;
--- a/crates/jaylock-router/src/quarantine.rs
+++ b/crates/jaylock-router/src/quarantine.rs
@@ -8,8 +8,8 @@
 use jaylock_types::{Index, OrganisationId, RequestId, unix_ms};
 
 use crate::answer::Refusal;
+use crate::context::Context;
 use crate::proposal;
-use crate::router::Shared;
 
 /// Crashes after which a request runs no more.
 const CRASH_LIMIT: u32 = 2;
@@ -37,7 +37,7 @@
 
 /// Refuses a request that is in quarantine, or under suspicion at another router.
 pub fn check(
-    shared: &Shared,
+    shared: &Context,
     fingerprint: &Fingerprint,
     request: &RequestId,
 ) -> Result<(), Refusal> {
@@ -68,7 +68,7 @@
     /// The final answer, once the request has crashed two backend servers.
     pub async fn crashed(
         &mut self,
-        shared: &Rc<Shared>,
+        shared: &Rc<Context>,
         backend: &str,
         run: Run,
     ) -> Result<(), Refusal> {
@@ -94,7 +94,7 @@
 
     async fn convict(
         &mut self,
-        shared: &Rc<Shared>,
+        shared: &Rc<Context>,
         backend: &str,
         run: Run,
     ) -> Result<(), Refusal> {
@@ -110,7 +110,7 @@
     }
 
     /// Notes that the request ran through and crashes nothing.
-    pub fn clear(&mut self, shared: &Rc<Shared>) {
+    pub fn clear(&mut self, shared: &Rc<Context>) {
         if self.is_on_trial() {
             self.crashes = 0;
             let body = self.command("", Duration::ZERO, true);
@@ -124,7 +124,7 @@
     }
 
     /// Waits while another request with this fingerprint is tried alone.
-    pub async fn await_trial(&self, shared: &Shared) {
+    pub async fn await_trial(&self, shared: &Context) {
         loop {
             let index = shared.view.index();
             let Some(other) = self.suspicion_of_another(shared).filter(|q| q.suspect) else {
@@ -139,12 +139,12 @@
     }
 
     /// A crash of a backend server under another request with this fingerprint.
-    fn suspicion_of_another(&self, shared: &Shared) -> Option<Quarantine> {
+    fn suspicion_of_another(&self, shared: &Context) -> Option<Quarantine> {
         let found = find(shared, &self.fingerprint)?;
         (found.request != self.request.as_str() && found.until_ms > 0).then_some(found)
     }
 
-    async fn put(&self, shared: &Rc<Shared>, backend: &str, limit: Duration, suspect: bool) {
+    async fn put(&self, shared: &Rc<Context>, backend: &str, limit: Duration, suspect: bool) {
         let body = self.command(backend, limit, suspect);
         let Some(applied) = proposal::commit_soon(shared, body).await else {
             return;
@@ -175,7 +175,7 @@
     }
 }
 
-fn find(shared: &Shared, fingerprint: &Fingerprint) -> Option<Quarantine> {
+fn find(shared: &Context, fingerprint: &Fingerprint) -> Option<Quarantine> {
     let current = shared.view.current();
     let listed = &current.quarantines;
     let found = listed.binary_search_by(|q| q.fingerprint.as_slice().cmp(fingerprint));
@@ -202,7 +202,7 @@
     .after(left)
 }
 
-fn suspected(shared: &Shared) -> Refusal {
+fn suspected(shared: &Context) -> Refusal {
     Refusal::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         "suspected",
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -13,10 +13,10 @@
 use crate::account::Account;
 use crate::answer::Refusal;
 use crate::call::Call;
+use crate::context::Context;
 use crate::failure::Failure;
 use crate::link;
 use crate::quarantine::{self, Suspect};
-use crate::router::Shared;
 use crate::slot::Slot;
 
 /// Time in which a backend server may still crash under work that was cancelled.
@@ -28,7 +28,7 @@
 
 /// What the attempts of one request share: slots, run state, budget and suspicion.
 pub struct Retry {
-    shared: Rc<Shared>,
+    shared: Rc<Context>,
     pool: PoolId,
     arrived: Instant,
     suspect: Suspect,
@@ -48,7 +48,7 @@
 
 impl Retry {
     /// Prepares the first attempt.
-    pub fn new(shared: Rc<Shared>, call: &Call, pool: PoolId) -> Self {
+    pub fn new(shared: Rc<Context>, call: &Call, pool: PoolId) -> Self {
         shared.budget.earn(call.organisation.as_str());
         let suspect = Suspect {
             fingerprint: call.fingerprint,
@@ -252,7 +252,7 @@
 }
 
 /// Whether a broken connection means that the backend server itself is gone.
-async fn is_crash(shared: &Shared, failure: &Failure, address: SocketAddr) -> bool {
+async fn is_crash(shared: &Context, failure: &Failure, address: SocketAddr) -> bool {
     let limit: Duration = shared.settings.connect_timeout;
     matches!(failure, Failure::Broken(_)) && !link::is_reachable(address, limit).await
 }
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -5,11 +5,10 @@
 use jaylock_control::{ConfigView, InstanceLease};
 use jaylock_observe::Observer;
 
-use crate::announce::Backends;
+use crate::backends::Backends;
 use crate::background::Background;
 use crate::budget::RetryBudget;
-use crate::lifecycle::Lifecycle;
-use crate::link::Links;
+use crate::context::Context;
 use crate::memory::BodyMemory;
 use crate::organisation::Organisations;
 use crate::own::{self, OwnRoom};
@@ -21,39 +20,7 @@
 /// The HTTP side of an instance, for callers and backend servers; clones share it.
 #[derive(Clone)]
 pub struct Router {
-    shared: Rc<Shared>,
-}
-
-/// What the requests of a router share.
-pub struct Shared {
-    /// Who this router is.
-    pub identity: RouterIdentity,
-    /// The configuration in force.
-    pub view: ConfigView,
-    /// The right of this instance to act on it.
-    pub lease: InstanceLease,
-    /// The schedulers.
-    pub capacity: Rc<dyn Capacity>,
-    /// The replicated log.
-    pub claims: Rc<dyn Claims>,
-    /// Notes of what happens.
-    pub observer: Observer,
-    /// Bounds and time limits.
-    pub settings: RouterSettings,
-    /// Idle connections to backend servers.
-    pub links: Rc<Links>,
-    /// Organisations by key.
-    pub organisations: Organisations,
-    /// Backend servers that announced themselves here.
-    pub backends: Backends,
-    /// Room for the bodies of requests.
-    pub memory: BodyMemory,
-    /// Retries that organisations may make.
-    pub budget: RetryBudget,
-    /// How far a graceful shutdown is.
-    pub lifecycle: Rc<Lifecycle>,
-    /// Work that goes on after its request was dropped.
-    pub background: Background,
+    shared: Rc<Context>,
 }
 
 impl Router {
@@ -70,7 +37,7 @@
     ) -> Self {
         let memory = BodyMemory::new(settings.bodies_bound);
         let budget = RetryBudget::new(settings.retry_burst, settings.retry_permille);
-        let shared = Shared {
+        let shared = Context {
             identity,
             view,
             lease,
--- a/crates/jaylock-router/src/server.rs
+++ b/crates/jaylock-router/src/server.rs
@@ -22,6 +22,11 @@
 /// Smallest buffer for the head of a request, in bytes.
 const SMALLEST_HEAD: usize = 8192;
 
+/// Part of the bound of connections above which answers end theirs, as a divisor.
+///
+/// Callers that try again on a new connection would else leave idle ones until the bound is reached.
+const CROWDED_PART: usize = 2;
+
 /// Bounds on the connections of callers.
 #[derive(Debug, Clone)]
 pub struct ServerLimits {
@@ -90,9 +95,10 @@
         .max_headers(limits.header_count)
         .max_buf_size(limits.header_bound.0.max(SMALLEST_HEAD));
     let serving = lifecycle.clone();
+    let crowded = limits.connections / CROWDED_PART;
     let service = service_fn(move |request| {
         let (handler, lifecycle) = (handler.clone(), serving.clone());
-        async move { Ok::<_, Infallible>(answer(&*handler, &lifecycle, request).await) }
+        async move { Ok::<_, Infallible>(answer(&*handler, &lifecycle, crowded, request).await) }
     });
     let stream = HyperStream::new_plain(stream);
     let mut connection = pin!(builder.serve_connection(stream, service));
@@ -114,11 +120,12 @@
 async fn answer<H: Handler>(
     handler: &H,
     lifecycle: &Lifecycle,
+    crowded: usize,
     request: Request<Incoming>,
 ) -> Response<Body> {
     let _busy = lifecycle.busy();
     let mut response = handler.answer(request).await;
-    if lifecycle.is_leaving() {
+    if lifecycle.is_leaving() || lifecycle.connections() > crowded {
         put(response.headers_mut(), "connection", "close");
     }
     response
--- a/crates/jaylock-router/src/service.rs
+++ b/crates/jaylock-router/src/service.rs
@@ -16,15 +16,13 @@
 use crate::answer::{RECORDED, REQUEST_ID, RUN, Refusal, mark, put};
 use crate::attempt;
 use crate::body::{self, Body, ReadError};
-use crate::call::{self, Call, DEADLINE};
+use crate::call::{self, Call, DEADLINE, SERVICES};
 use crate::claim::{Claimed, HeldClaim, Record, recorded, unknown_outcome};
+use crate::context::Context;
 use crate::failure::{Failure, silence_limit};
 use crate::retry::Retry;
-use crate::router::Shared;
 use crate::slot::Slot;
 
-/// Path under which plain services are reached.
-pub const PREFIX: &str = "/services/";
 /// Header fields that belong to one connection or to this router, in lower case.
 const OWN_HEADERS: [&str; 15] = [
     "authorization",
@@ -46,7 +44,7 @@
 
 /// A call of a plain service.
 struct ServiceCall {
-    shared: Rc<Shared>,
+    shared: Rc<Context>,
     call: Call,
     path: CompactString,
     account: Account,
@@ -54,7 +52,7 @@
 }
 
 /// Answers a request for a plain service.
-pub async fn answer(shared: &Rc<Shared>, call: Call) -> Result<Response<Body>, Refusal> {
+pub async fn answer(shared: &Rc<Context>, call: Call) -> Result<Response<Body>, Refusal> {
     let (pool, path, repeatable) = target(shared, &call)?;
     let service_call = ServiceCall {
         shared: shared.clone(),
@@ -266,9 +264,9 @@
 }
 
 /// The pool, the service's own path, and whether the call may be repeated.
-fn target(shared: &Shared, call: &Call) -> Result<(PoolId, CompactString, bool), Refusal> {
+fn target(shared: &Context, call: &Call) -> Result<(PoolId, CompactString, bool), Refusal> {
     let uri = &call.head.uri;
-    let rest = uri.path().strip_prefix(PREFIX).unwrap_or_default();
+    let rest = uri.path().strip_prefix(SERVICES).unwrap_or_default();
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
     let current = shared.view.current();
     let found = current
--- a/crates/jaylock-tests/tests/product/fake.rs
+++ b/crates/jaylock-tests/tests/product/fake.rs
@@ -112,6 +112,17 @@
         ))
     }
 
+    async fn get_document(
+        &self,
+        _: Request<v1::ReadRequest>,
+    ) -> Result<Response<v1::DocumentReply>, Status> {
+        Ok(Response::new(v1::DocumentReply {
+            version: 7,
+            source: b"{}".to_vec(),
+            ..v1::DocumentReply::default()
+        }))
+    }
+
     async fn wait_revision(
         &self,
         request: Request<v1::WaitRequest>,
--- a/crates/jaylock-tests/tests/product/tool.rs
+++ b/crates/jaylock-tests/tests/product/tool.rs
@@ -4,6 +4,7 @@
 use jaylock_rpc::v1;
 use jaylock_rpc::v1::applied::Result as Applied;
 use jaylock_rpc::v1::command::Body;
+use jaylock_rpc::v1::route::Kind;
 use jaylock_tests::cases;
 use jaylock_tests::fleet::Outcome;
 use jaylock_types::KeyHash;
@@ -84,6 +85,36 @@
         let sent = last_organisation(&fake);
         assert_that!((sent.weight, sent.queue_limit, sent.key_hashes.len()), eq((2, 5, 2)));
     };
+    a_route_is_put_together_from_options => {
+        let fake = Fake::start(script());
+        let outcome = fake.run(&[
+            "route", "create", "claims", "--host", "app.example", "--prefix", "/claims/", "--kind",
+            "stream", "--timeout-ms", "4000", "--resumable", "true", "--target", "caseapp=90",
+            "--target", "next=10",
+        ]);
+        assert_that!(outcome.code, eq(0), "{}", outcome.err);
+        let script = fake.script.lock().expect("a lock");
+        let Some(Body::PutRoute(route)) = script.commands[0].body.clone() else {
+            panic!("no route was sent");
+        };
+        let targets: Vec<_> = route.targets.iter().map(|t| (t.service.as_str(), t.weight)).collect();
+        assert_that!(targets, elements_are![eq(&("caseapp", 90)), eq(&("next", 10))]);
+        assert_that!((route.kind(), route.timeout_ms, route.resumable), eq((Kind::Stream, 4000, true)));
+        assert_that!((route.attempts, route.public), eq((1, false)));
+    };
+    a_wrong_route_is_a_usage_error => {
+        let fake = Fake::start(script());
+        for wrong in [["--kind", "sometimes"], ["--target", "=1"], ["--target", "caseapp=many"]] {
+            let arguments = ["route", "update", "claims", wrong[0], wrong[1]];
+            assert_that!(fake.run(&arguments).code, eq(2), "{wrong:?}");
+        }
+    };
+    the_document_in_force_is_shown => {
+        let fake = Fake::start(script());
+        let outcome = fake.run(&["--json", "document"]);
+        let shown: serde_json::Value = serde_json::from_str(&outcome.out).expect("JSON");
+        assert_that!((shown["version"].as_u64(), shown["source"].as_str()), eq((Some(7), Some("{}"))));
+    };
     create_refuses_what_exists => {
         let fake = Fake::start(script());
         let outcome = fake.run(&["organisation", "create", "zarqa"]);
--- a/crates/jaylock-tests/tests/router/limits.rs
+++ b/crates/jaylock-tests/tests/router/limits.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use compio::io::AsyncWrite;
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncWrite};
 use compio::net::TcpStream;
 use googletest::prelude::*;
 use jaylock_router::RouterSettings;
@@ -21,6 +22,15 @@
     }
 }
 
+/// Reads the first bytes of an answer.
+async fn read_head(stream: &mut TcpStream) -> String {
+    let BufResult(read, bytes) = stream.read(Vec::with_capacity(4096)).await;
+    read.expect("an answer");
+    String::from_utf8_lossy(&bytes)
+        .to_ascii_lowercase()
+        .replace("http/1.1", "HTTP/1.1")
+}
+
 async fn fleet() -> (Backend, Fleet) {
     let engine = Backend::start(|seen| whole_stream(seen, 3)).await;
     let fleet = Fleet::start(&[engine.address], tight()).await;
@@ -75,6 +85,24 @@
         compio::time::sleep(Duration::from_millis(50)).await;
         assert_that!(fleet.chat(&long).await.status, eq(200));
     };
+    async connections_are_given_back_before_the_bound_is_reached => {
+        // Callers of a flood open a connection for each try and leave the one before idle.
+        let engine = Backend::start(|seen| whole_stream(seen, 3)).await;
+        let settings = RouterSettings { connections: 8, ..RouterSettings::default() };
+        let fleet = Fleet::start(&[engine.address], settings).await;
+        let request = "GET /v1/health HTTP/1.1\r\nhost: x\r\n\r\n";
+        let mut kept = Vec::new();
+        for _ in 0..20 {
+            let mut stream = fleet.open(request).await;
+            let answer = read_head(&mut stream).await;
+            assert_that!(answer, starts_with("HTTP/1.1 200"));
+            // A caller gives a connection up when it is told to.
+            if !answer.contains("connection: close") {
+                kept.push(stream);
+            }
+        }
+        assert_that!(kept.len(), all!(ge(1), lt(8)));
+    };
     async slow_body_is_refused => {
         let (_engine, fleet) = fleet().await;
         let answer = fleet.raw(&format!("{CHAT_HEAD}content-length: 100\r\n\r\n{{")).await;
--- a/crates/jaylock-types/src/identifier.rs
+++ b/crates/jaylock-types/src/identifier.rs
@@ -91,6 +91,8 @@
     AdapterId: "adapter";
     /// Names a plain service.
     ServiceId: "service";
+    /// Names a route.
+    RouteId: "route";
     /// Names one request of a caller, across all its attempts.
     RequestId: "request";
 }
--- a/crates/jaylock-types/src/lib.rs
+++ b/crates/jaylock-types/src/lib.rs
@@ -8,7 +8,7 @@
 pub use self::clock::{Clock, SystemClock, boot_now, unix_ms};
 pub use self::identifier::{
     AdapterId, BackendId, DomainId, InstanceId, InvalidId, ModelId, OrganisationId, PoolId,
-    RequestId, ServiceId, VersionId,
+    RequestId, RouteId, ServiceId, VersionId,
 };
 pub use self::number::{
     ByteSize, Epoch, Fence, Incarnation, Index, InvalidNumber, Revision, Term, Tokens, Weight,
