Key-values in the log, on standard output; where each request was placed

Cause: to see why prompts are read again, each placement has to say what it went by. Ruled out: a format of our own beside the log library's key-values. Change: fern prints key-values after the message, to standard output; the scheduler logs each placement at debug with the request, organisation, backend server, wait, tokens, tokens that had to be read, what was unread before it, and epoch.

--- a/crates/jaylock-observe/src/logging.rs
+++ b/crates/jaylock-observe/src/logging.rs
@@ -1,7 +1,9 @@
+use std::fmt::{self, Display, Formatter};
 use std::io;
 use std::time::SystemTime;
 
 use compact_str::CompactString;
+use log::kv::{self, Key, Source, Value, VisitSource};
 use log::{LevelFilter, SetLoggerError};
 
 /// Parts of the program that log under a prefix of their own.
@@ -27,7 +29,8 @@
     }
 }
 
-/// Sends the log to the standard error stream, one line an event: time, level, part, message.
+/// Sends the log to standard output, one line an event: time, level, part, message, and the
+/// inputs and outcomes as `key=value`.
 ///
 /// Libraries log warnings and errors only.
 ///
@@ -45,8 +48,26 @@
         .format(|out, message, record| {
             let time = humantime::format_rfc3339_millis(SystemTime::now());
             let (level, part) = (record.level(), record.target());
-            out.finish(format_args!("{time} {level:5} [{part}] {message}"));
+            let pairs = Pairs(record.key_values());
+            out.finish(format_args!("{time} {level:5} [{part}] {message}{pairs}"));
         })
-        .chain(io::stderr())
+        .chain(io::stdout())
         .apply()
 }
+
+/// The key-values of an event, each after a space.
+struct Pairs<'a>(&'a dyn Source);
+
+impl Display for Pairs<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        self.0.visit(&mut Writing(f)).map_err(|_| fmt::Error)
+    }
+}
+
+struct Writing<'a, 'b>(&'a mut Formatter<'b>);
+
+impl<'kvs> VisitSource<'kvs> for Writing<'_, '_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        write!(self.0, " {key}={value}").map_err(kv::Error::from)
+    }
+}
--- a/crates/jaylock-share/src/decide.rs
+++ b/crates/jaylock-share/src/decide.rs
@@ -136,6 +136,7 @@
         self.twins.add(ask.fingerprint, place);
         let backend = self.backends.get_mut(place);
         backend.add_grant();
+        let missing = backend.engine.missing(ask);
         let load = (!ask.parts.is_empty()).then(|| backend.engine.begin(ask));
         let ahead = backend.engine.unread();
         let grant = Grant {
@@ -171,6 +172,14 @@
             router.add_run(run);
             router.add_grant(grant);
         }
+        log::debug!(
+            target: "share",
+            request = decision.request.as_str(), pool = self.pool.as_str(),
+            organisation = ask.organisation.as_str(), backend = decision.backend.as_str(),
+            waited_ms = decision.waited_ms, tokens = ask.prompt_tokens, missing, unread = ahead,
+            epoch = self.epoch;
+            "request is placed: {reason}"
+        );
         self.refresh(place, now);
         self.remember(decision);
     }
