A report that sticks, or is told again, no longer decides over a backend server

The stand-in counted a run down only at its end, which a caller's death skips; the scheduler believed the report for ever. Found beside it by a new test: a report told again to a new scheduler counted as heard when it came. Ruled out: leaving reports of others' work out of account (they are the only sign of work that no scheduler granted). Change: a server that reports itself full of others' work for 2 s while nothing is granted there is tried with one request, and declines if it is really full; a first report is as old as it says; the stand-in counts down when a call is dropped. Conclusion: granted work is known, reported work is believed for 2 s, and what a server answers wins. The stand-in's own part has no test of its own.

--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -63,6 +63,9 @@
     })
 }
 
+/// Time after which a backend server that reports itself full of others' work is tried all the same.
+const STUCK_AFTER: Duration = Duration::from_secs(2);
+
 /// A backend server as the scheduler sees it.
 #[derive(Debug)]
 pub struct Backend {
@@ -76,6 +79,8 @@
     pub reserved: bool,
     // Work reported there that no grant of this scheduler explains.
     foreign: u32,
+    // Since when that work alone fills it.
+    full_since: Option<Instant>,
     // Most grants at once since the last report and between the two reports before it.
     peaks: [u32; 2],
     // When it said that it ends; reports that were heard before count no more.
@@ -87,13 +92,14 @@
 impl Backend {
     fn new(report: BackendReport, now: Instant) -> Self {
         Self {
+            heard: said(&report, now),
             report,
-            heard: now,
             granted: 0,
             drained: false,
             engine: EngineState::default(),
             reserved: false,
             foreign: 0,
+            full_since: None,
             peaks: [0; 2],
             ended: None,
             prefixes: Vec::new(),
@@ -121,6 +127,19 @@
         self.report.slots.saturating_sub(used)
     }
 
+    /// Whether a request may be tried there although its reports leave no room.
+    ///
+    /// A report that sticks would else keep it out for ever; one that is really full declines.
+    fn is_worth_a_try(&self, now: Instant) -> bool {
+        let is_overdue = |since| now.saturating_duration_since(since) >= STUCK_AFTER;
+        self.granted == 0 && self.full_since.is_some_and(is_overdue)
+    }
+
+    /// Whether reports name so much work of others that nothing of ours has room.
+    fn is_full_of_others(&self) -> bool {
+        self.foreign >= self.report.slots
+    }
+
     /// Whether nothing is known to run there.
     pub fn is_idle(&self) -> bool {
         self.granted == 0 && self.foreign == 0
@@ -163,15 +182,17 @@
     }
 
     fn renew(&mut self, report: BackendReport, now: Instant, most: usize) {
-        let age = Duration::from_millis(report.age_ms.into());
-        self.heard = self.heard.max(now.checked_sub(age).unwrap_or(now));
+        self.heard = self.heard.max(said(&report, now));
         // Reports lag behind: only work above the most that was granted lately is someone else's.
         let reported = report.running.saturating_add(report.waiting);
         let known = self.peaks[0].max(self.peaks[1]).max(self.granted);
         self.foreign = reported.saturating_sub(known);
         self.peaks = [self.granted, self.peaks[0]];
+        let since = self.full_since.unwrap_or(now);
+        self.full_since = None;
         self.learn_prefixes(&report, most);
         self.report = report;
+        self.full_since = self.is_full_of_others().then_some(since);
     }
 
     fn learn_prefixes(&mut self, report: &BackendReport, most: usize) {
@@ -233,8 +254,7 @@
                 "a newer start of this backend server has announced itself: announce again",
             );
         }
-        let age = Duration::from_millis(report.age_ms.into());
-        let said = now.checked_sub(age).unwrap_or(now);
+        let said = said(&report, now);
         if backend.ended.is_some_and(|ended| said <= ended) {
             return Ok(place);
         }
@@ -289,7 +309,8 @@
     pub fn refresh(&mut self, place: usize, now: Instant, lease: Duration) {
         let backend = &self.list[place];
         let is_usable = backend.state(now, lease).is_empty();
-        let is_open = is_usable && !backend.reserved && backend.free() > 0;
+        let has_room = backend.free() > 0 || backend.is_worth_a_try(now);
+        let is_open = is_usable && !backend.reserved && has_room;
         self.usable.set(place, is_usable);
         self.open.set(place, is_open);
     }
@@ -357,3 +378,9 @@
         place
     }
 }
+
+/// When a backend server said what a report holds.
+fn said(report: &BackendReport, now: Instant) -> Instant {
+    let age = Duration::from_millis(report.age_ms.into());
+    now.checked_sub(age).unwrap_or(now)
+}
--- a/crates/jaylock-standin/src/service.rs
+++ b/crates/jaylock-standin/src/service.rs
@@ -85,6 +85,22 @@
     }
 }
 
+/// Counts a call while it is in progress.
+struct Running<'a>(&'a Cell<u32>);
+
+impl<'a> Running<'a> {
+    fn count(running: &'a Cell<u32>) -> Self {
+        running.set(running.get() + 1);
+        Self(running)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl Server for PlainService {
     fn leave(&self) {
         self.is_leaving.set(true);
@@ -100,10 +116,9 @@
         if self.is_leaving.get() {
             return Ok(not_run("the service leaves"));
         }
-        self.running.set(self.running.get() + 1);
-        let outcome = self.run(&head, &body).await;
-        self.running.set(self.running.get() - 1);
-        outcome
+        // Counted down also when the caller goes and this future is dropped.
+        let _running = Running::count(&self.running);
+        self.run(&head, &body).await
     }
 }
 
--- a/crates/jaylock-tests/tests/share/backend.rs
+++ b/crates/jaylock-tests/tests/share/backend.rs
@@ -1,85 +1,13 @@
 //! What a scheduler makes of backend servers' announcements.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use googletest::prelude::*;
-use jaylock_rpc::v1::{Ask, BackendReport, Configuration, Drain, Hello, RouterFrame};
-use jaylock_share::{Allocator, RouterKey, ShareSettings};
+use jaylock_rpc::v1::{Ask, BackendReport, Configuration, Drain};
 use jaylock_tests::cases;
 
-use crate::fleet::{ask, end, engine};
-
-struct Fixture {
-    allocator: Allocator,
-    router: RouterKey,
-    now: Instant,
-    tickets: u64,
-}
-
-impl Fixture {
-    fn new() -> Self {
-        let now = Instant::now();
-        let settings = ShareSettings::default();
-        let mut allocator = Allocator::new("chat", 1, settings.clone(), now);
-        let router = allocator.attach(
-            &Hello {
-                router: "r1".into(),
-                ..Hello::default()
-            },
-            now,
-        );
-        Self {
-            allocator,
-            router,
-            now: now + settings.settling,
-            tickets: 0,
-        }
-    }
-
-    /// Takes a report and returns what the backend server is told.
-    fn report(&mut self, report: BackendReport) -> String {
-        let frame = RouterFrame {
-            backends: vec![report],
-            ..RouterFrame::default()
-        };
-        self.allocator.apply(self.router, frame, self.now);
-        let mut frames = self.allocator.frames(self.now);
-        let frame = frames.pop().expect("a frame").1;
-        frame
-            .verdicts
-            .into_iter()
-            .next()
-            .expect("a verdict")
-            .refused
-    }
-
-    fn end(&mut self, ticket: u64) {
-        let frame = RouterFrame {
-            ends: vec![end(ticket, 20)],
-            ..RouterFrame::default()
-        };
-        self.allocator.apply(self.router, frame, self.now);
-    }
-
-    /// Asks for a slot; the name of the backend server, when one is granted at once.
-    fn grant(&mut self, ask: Ask) -> Option<String> {
-        self.tickets += 1;
-        let ask = Ask {
-            ticket: self.tickets,
-            ..ask
-        };
-        let frame = RouterFrame {
-            asks: vec![ask],
-            ..RouterFrame::default()
-        };
-        self.allocator.apply(self.router, frame, self.now);
-        self.allocator.tick(self.now);
-        self.allocator.decide(self.now);
-        let frames = self.allocator.frames(self.now);
-        let grants = frames.into_iter().flat_map(|(_, frame)| frame.grants);
-        grants.map(|grant| grant.backend).next()
-    }
-}
+use crate::fixture::Fixture;
+use crate::fleet::{ask, engine};
 
 cases! {
     a_leaving_backend_server_gets_nothing_new => {
@@ -170,4 +98,60 @@
         fixture.report(BackendReport { running: 1, ..engine("e1", 1) });
         assert_that!(fixture.grant(ask("till")), some(eq("e1")));
     };
+
+    a_report_that_sticks_does_not_keep_a_server_out_for_ever => {
+        // It says that it is full, nothing was granted there, and it says so again and again.
+        let mut fixture = Fixture::new();
+        let stuck = || BackendReport { running: 4, ..engine("e1", 4) };
+        fixture.report(stuck());
+        assert_that!(fixture.grant(ask("bench")), none());
+        let mut granted = None;
+        for _ in 0..40 {
+            fixture.now += Duration::from_millis(100);
+            fixture.report(stuck());
+            granted = granted.or(fixture.decide());
+        }
+        assert_that!(granted, some(eq("e1")));
+        // One at a time, for it may really be full.
+        assert_that!(fixture.grant(ask("bench")), none());
+    };
+
+    a_report_that_comes_late_changes_nothing => {
+        let mut fixture = Fixture::new();
+        fixture.report(BackendReport { sequence: 5, leaving: true, ..engine("e1", 4) });
+        fixture.report(BackendReport { sequence: 4, ..engine("e1", 4) });
+        assert_that!(fixture.grant(ask("bench")), none());
+        fixture.report(BackendReport { incarnation: 2, sequence: 1, ..engine("e1", 4) });
+        assert_that!(fixture.grant(ask("bench")), some(eq("e1")));
+    };
+
+    a_report_that_is_told_again_does_not_renew_the_lease => {
+        let mut fixture = Fixture::new();
+        fixture.report(BackendReport { age_ms: 2900, ..engine("e1", 4) });
+        assert_that!(fixture.grant(ask("bench")), some(eq("e1")));
+        fixture.now += Duration::from_millis(100);
+        assert_that!(fixture.grant(ask("bench")), none());
+    };
+
+    a_server_that_has_ended_comes_back_with_a_new_start_only => {
+        let mut fixture = Fixture::new();
+        fixture.report(BackendReport { sequence: 5, ..engine("e1", 4) });
+        fixture.report(BackendReport { gone: true, incarnation: 0, sequence: 99, ..engine("e1", 4) });
+        assert_that!(fixture.grant(ask("bench")), none());
+        fixture.now += Duration::from_millis(500);
+        fixture.report(BackendReport { sequence: 6, ..engine("e1", 4) });
+        fixture.report(BackendReport { incarnation: 2, age_ms: 800, ..engine("e1", 4) });
+        assert_that!(fixture.grant(ask("bench")), none());
+        fixture.report(BackendReport { incarnation: 2, ..engine("e1", 4) });
+        assert_that!(fixture.grant(ask("bench")), some(eq("e1")));
+    };
+
+    an_end_is_remembered_of_a_server_that_was_never_heard => {
+        // A new scheduler hears of the end first, and then an older report from another instance.
+        let mut fixture = Fixture::new();
+        fixture.report(BackendReport { gone: true, incarnation: 0, ..engine("e1", 4) });
+        fixture.now += Duration::from_millis(200);
+        fixture.report(BackendReport { age_ms: 700, ..engine("e1", 4) });
+        assert_that!(fixture.grant(ask("bench")), none());
+    };
 }
--- /dev/null
+++ b/crates/jaylock-tests/tests/share/fixture.rs
@@ -0,0 +1,129 @@
+//! One scheduler's state, a router of it, and a clock.
+
+use std::time::Instant;
+
+use jaylock_rpc::v1::{Ask, BackendReport, Grant, Hello, Progress, Refusal, RouterFrame};
+use jaylock_share::{Allocator, RouterKey, ShareSettings};
+
+use crate::fleet::end;
+
+/// A scheduler's state with one router attached.
+pub struct Fixture {
+    pub allocator: Allocator,
+    pub router: RouterKey,
+    pub now: Instant,
+    tickets: u64,
+}
+
+impl Fixture {
+    /// A pool that grants from now on.
+    pub fn new() -> Self {
+        let now = Instant::now();
+        let settings = ShareSettings::default();
+        let mut allocator = Allocator::new("chat", 1, settings.clone(), now);
+        let router = allocator.attach(
+            &Hello {
+                router: "r1".into(),
+                ..Hello::default()
+            },
+            now,
+        );
+        Self {
+            allocator,
+            router,
+            now: now + settings.settling,
+            tickets: 0,
+        }
+    }
+
+    /// Takes a report and returns what the backend server is told.
+    pub fn report(&mut self, report: BackendReport) -> String {
+        let frame = RouterFrame {
+            backends: vec![report],
+            ..RouterFrame::default()
+        };
+        self.allocator.apply(self.router, frame, self.now);
+        let mut frames = self.allocator.frames(self.now);
+        let frame = frames.pop().expect("a frame").1;
+        frame
+            .verdicts
+            .into_iter()
+            .next()
+            .expect("a verdict")
+            .refused
+    }
+
+    /// Ends a run.
+    pub fn end(&mut self, ticket: u64) {
+        let frame = RouterFrame {
+            ends: vec![end(ticket, 20)],
+            ..RouterFrame::default()
+        };
+        self.allocator.apply(self.router, frame, self.now);
+    }
+
+    /// Asks for a slot; the name of the backend server, when one is granted at once.
+    pub fn grant(&mut self, ask: Ask) -> Option<String> {
+        self.tickets += 1;
+        let ask = Ask {
+            ticket: self.tickets,
+            ..ask
+        };
+        let frame = RouterFrame {
+            asks: vec![ask],
+            ..RouterFrame::default()
+        };
+        self.allocator.apply(self.router, frame, self.now);
+        self.decide()
+    }
+
+    /// Decides; the name of the backend server of the first grant, if there is one.
+    pub fn decide(&mut self) -> Option<String> {
+        self.answers()
+            .0
+            .into_iter()
+            .map(|grant| grant.backend)
+            .next()
+    }
+
+    /// Decides; what is granted and refused.
+    pub fn answers(&mut self) -> (Vec<Grant>, Vec<Refusal>) {
+        self.allocator.tick(self.now);
+        self.allocator.decide(self.now);
+        let frames = self.allocator.frames(self.now);
+        let (mut grants, mut refusals) = (Vec::new(), Vec::new());
+        for (_, frame) in frames {
+            grants.extend(frame.grants);
+            refusals.extend(frame.refusals);
+        }
+        (grants, refusals)
+    }
+
+    /// Adds requests that wait, without a decision; their tickets.
+    pub fn ask(&mut self, asks: impl IntoIterator<Item = Ask>) -> Vec<u64> {
+        let mut tickets = Vec::new();
+        let asks = asks.into_iter().map(|ask| {
+            self.tickets += 1;
+            tickets.push(self.tickets);
+            Ask {
+                ticket: self.tickets,
+                ..ask
+            }
+        });
+        let frame = RouterFrame {
+            asks: asks.collect(),
+            ..RouterFrame::default()
+        };
+        self.allocator.apply(self.router, frame, self.now);
+        tickets
+    }
+
+    /// Notes that a run has brought its first tokens.
+    pub fn begin(&mut self, ticket: u64, tokens: u64) {
+        let frame = RouterFrame {
+            progress: vec![Progress { ticket, tokens }],
+            ..RouterFrame::default()
+        };
+        self.allocator.apply(self.router, frame, self.now);
+    }
+}
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod decision;
 mod failure;
+mod fixture;
 mod fleet;
 mod simulation;
 mod stream;
