Where a request's time goes, in its last log line and in histograms

Ruled out: a line for each phase (four times the volume). Change: RequestRecord has the time to admission and to the head of the answer; the line at a request's end carries all phases as key-values, whole answers at debug; two histograms more. Conclusion: one line tells the phase that cost most.

--- a/crates/jaylock-observe/src/metrics.rs
+++ b/crates/jaylock-observe/src/metrics.rs
@@ -28,7 +28,9 @@
     tokens: Counter<u64>,
     objectives: Counter<u64>,
     first_token: Histogram<f64>,
+    admission: Histogram<f64>,
     wait: Histogram<f64>,
+    head: Histogram<f64>,
     duration: Histogram<f64>,
     organisations: RefCell<Vec<CompactString>>,
     most: usize,
@@ -58,7 +60,15 @@
             tokens: counter("jaylock_tokens", "Tokens generated."),
             objectives: counter("jaylock_objective_requests", "Requests by objective kept."),
             first_token: times("jaylock_first_token_seconds", "Time to the first token."),
+            admission: times(
+                "jaylock_admission_seconds",
+                "Time from arrival until a slot was asked for.",
+            ),
             wait: times("jaylock_wait_seconds", "Time spent waiting for slots."),
+            head: times(
+                "jaylock_head_seconds",
+                "Time from a sending to the head of the answer.",
+            ),
             duration: times(
                 "jaylock_request_duration_seconds",
                 "Time from arrival to end.",
@@ -81,6 +91,10 @@
         self.requests.add(1, &labels);
         let kind = [kind];
         self.attempts.add(record.attempts.into(), &kind);
+        self.admission.record(record.admitted.as_secs_f64(), &kind);
+        if let Some(head) = record.head {
+            self.head.record(head.as_secs_f64(), &kind);
+        }
         self.wait.record(record.waited.as_secs_f64(), &kind);
         self.duration.record(record.total.as_secs_f64(), &kind);
         if let Some(first) = record.first_token.as_ref().map(Duration::as_secs_f64) {
--- a/crates/jaylock-observe/src/observer.rs
+++ b/crates/jaylock-observe/src/observer.rs
@@ -1,9 +1,11 @@
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use compact_str::CompactString;
 use jaylock_rpc::v1::{BurnMinute, TraceStep};
 use jaylock_types::{Incarnation, InstanceId, RequestId, unix_ms};
+use log::Level;
 
 use crate::clock::{Minute, WallClock};
 use crate::metrics::Metrics;
@@ -142,23 +144,29 @@
     }
 }
 
+/// Ordinary successes are told at debug only; counters hold them.
 fn log_end(record: &RequestRecord) {
-    let RequestRecord {
-        request,
-        organisation,
-        pool,
-        status,
-        run,
-        ..
-    } = record;
-    let (waited, total) = (record.waited.as_millis(), record.total.as_millis());
+    let level = if record.whole && record.status < 400 {
+        Level::Debug
+    } else {
+        Level::Info
+    };
     let kind = match record.kind {
         RequestKind::Model => "model",
         RequestKind::Service => "service",
     };
-    log::info!(
-        target: "router",
-        "request {request} of {organisation} ended: {kind} {pool}, status {status}, {run:?}, \
-         waited {waited} ms, took {total} ms",
+    log::log!(
+        target: "router", level,
+        request = record.request.as_str(), organisation = record.organisation.as_str(),
+        pool = record.pool.as_str(), kind, status = record.status, run:? = record.run,
+        attempts = record.attempts, admitted_ms = millis(record.admitted),
+        waited_ms = millis(record.waited), head_ms:? = record.head.map(millis),
+        first_ms:? = record.first_token.map(millis), total_ms = millis(record.total);
+        "request has ended"
     );
 }
+
+/// Milliseconds with three decimals, so that short phases can be told apart.
+fn millis(time: Duration) -> f64 {
+    (time.as_secs_f64() * 1e6).round() / 1e3
+}
--- a/crates/jaylock-observe/src/record.rs
+++ b/crates/jaylock-observe/src/record.rs
@@ -41,8 +41,12 @@
     pub whole: bool,
     /// Tokens generated.
     pub tokens: Tokens,
+    /// Time from arrival until a slot was first asked for.
+    pub admitted: Duration,
     /// Time spent waiting for slots.
     pub waited: Duration,
+    /// Time from the last sending to the head of a backend server's answer.
+    pub head: Option<Duration>,
     /// Time from arrival to the first token or byte of the answer.
     pub first_token: Option<Duration>,
     /// Time from arrival to the end.
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -73,6 +73,9 @@
         let left = self.request.left();
         let asked = Instant::now();
         let waited = asked.saturating_duration_since(self.request.arrived);
+        if self.tries == 0 {
+            self.account.record.admitted = waited;
+        }
         let ask = Ask {
             served,
             avoid: self.avoid.clone(),
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -1,4 +1,5 @@
 use std::rc::Rc;
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use compact_str::format_compact;
@@ -169,8 +170,12 @@
                 after: self.last,
             };
             let (context, request) = (&self.attempts.context, &self.attempts.request);
+            let sent = Instant::now();
             match send(context, request, &to).await {
-                Ok((link, response)) => return Ok((link, slot, response)),
+                Ok((link, response)) => {
+                    self.attempts.account.record.head = Some(sent.elapsed());
+                    return Ok((link, slot, response));
+                }
                 Err(failure) => self.attempts.failed(&failure, slot)?,
             }
         }
--- a/crates/jaylock-router/src/route/whole.rs
+++ b/crates/jaylock-router/src/route/whole.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
 use http::Response;
 use jaylock_observe::Run;
@@ -61,7 +62,7 @@
 }
 
 async fn exchange(
-    attempts: &Attempts,
+    attempts: &mut Attempts,
     address: SocketAddr,
     backend: &str,
 ) -> Result<Record, Failure> {
@@ -71,7 +72,10 @@
         backend,
         after: 0,
     };
+    let sent = Instant::now();
     let (link, response) = send(context, request, &to).await?;
+    attempts.account.record.head = Some(sent.elapsed());
+    let (context, request) = (&attempts.context, &attempts.request);
     let (status, headers) = (response.status(), response.headers().clone());
     let bound = context.limits.answer_bound;
     let body = body::read(response.into_body(), bound, request.left()).await;
