A new scheduler is told what engines keep

Change: the instance that hears an engine's heartbeat asks it once for each scheduler what it keeps (port Inventory, the platform's list of kept parts) and passes that on; parts are known by the hash of their name. Conclusion: what engines keep outlives the scheduler that sent it.

--- a/crates/jaylock-daemon/src/api.rs
+++ b/crates/jaylock-daemon/src/api.rs
@@ -1,12 +1,16 @@
+use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compact_str::{CompactString, ToCompactString, format_compact};
+use futures_util::future::LocalBoxFuture;
 use jaylock_control::{ConfigView, ControlClient, Error, InstanceLease};
 use jaylock_router::Router;
 use jaylock_rpc::v1::applied::Result as Outcome;
+use jaylock_rpc::v1::backend_report::Kind;
 use jaylock_rpc::v1::{
-    BackendReport, BackendVerdict, Command, Document, DocumentReply, Instance, command,
+    BackendReport, BackendVerdict, Command, Document, DocumentReply, Instance, PromptPart, command,
 };
 use jaylock_share::Pools;
 use jaylock_types::{BackendId, InvalidId, PoolId, RequestId, boot_now, unix_ms};
@@ -33,6 +37,16 @@
     pub(crate) router: Rc<Router>,
     /// How long callers may keep a list of addresses.
     pub(crate) keep: Duration,
+    /// How engines tell what they keep; nobody asks them without one.
+    pub(crate) inventory: Option<Rc<dyn Inventory>>,
+    /// Engines that were asked, each with the pool's epoch for which it was.
+    pub(crate) asked: Rc<RefCell<Vec<(CompactString, u64)>>>,
+}
+
+/// Port to the lists that engines give of the parts of prompts that they keep.
+pub trait Inventory {
+    /// What the engine at an address keeps; none when it does not say.
+    fn kept(&self, address: SocketAddr) -> LocalBoxFuture<'_, Option<Vec<PromptPart>>>;
 }
 
 /// Why something was not done.
@@ -59,6 +73,15 @@
 }
 
 impl ControlApi {
+    /// Lets engines be asked what they keep.
+    #[must_use]
+    pub fn with_inventory(self, inventory: Rc<dyn Inventory>) -> Self {
+        Self {
+            inventory: Some(inventory),
+            ..self
+        }
+    }
+
     /// Puts a whole configuration in force, unless one of its version or a higher one is.
     ///
     /// # Errors
@@ -132,6 +155,7 @@
     /// answer in time.
     pub async fn report(&self, report: BackendReport) -> Result<()> {
         let pool = report.pool.parse().map_err(|e| invalid(&e))?;
+        self.tell_kept(&report);
         let (id, incarnation, sequence) = (report.id.clone(), report.incarnation, report.sequence);
         self.pools.report(report);
         self.judged(
@@ -145,6 +169,45 @@
         .await
     }
 
+    /// Asks an engine what it keeps, once for each scheduler, and passes that on.
+    ///
+    /// A new scheduler would else take every engine for empty and have shared parts read again.
+    fn tell_kept(&self, report: &BackendReport) {
+        let configuration = self.view.current();
+        let lease = configuration.pools.iter().find(|l| l.pool == report.pool);
+        let (Some(inventory), Some(lease)) = (self.inventory.clone(), lease) else {
+            return;
+        };
+        let Ok(address) = report.address.parse() else {
+            return;
+        };
+        if report.kind() != Kind::Engine || !self.is_first_ask(&report.id, lease.epoch) {
+            return;
+        }
+        let (pools, report) = (self.pools.clone(), report.clone());
+        compio::runtime::spawn(async move {
+            let Some(kept) = inventory.kept(address).await else {
+                log::info!(target: "share", backend = report.id.as_str(); "engine does not say what it keeps");
+                return;
+            };
+            log::info!(target: "share", backend = report.id.as_str(), parts = kept.len(); "engine says what it keeps");
+            pools.report(BackendReport { kept, ..report });
+        })
+        .detach();
+    }
+
+    /// Notes that an engine is asked for the scheduler of an epoch; false when it was before.
+    fn is_first_ask(&self, id: &str, epoch: u64) -> bool {
+        let mut asked = self.asked.borrow_mut();
+        let at = asked.binary_search_by(|(known, _)| known.as_str().cmp(id));
+        match at {
+            Ok(at) if asked[at].1 == epoch => return false,
+            Ok(at) => asked[at].1 = epoch,
+            Err(at) => asked.insert(at, (id.into(), epoch)),
+        }
+        true
+    }
+
     /// Passes on that a backend server ends, to every pool, for it does not say its own.
     ///
     /// # Errors
--- a/crates/jaylock-daemon/src/lib.rs
+++ b/crates/jaylock-daemon/src/lib.rs
@@ -12,7 +12,7 @@
 mod rescue;
 mod stop;
 
-pub use self::api::{AddressList, ApiError, ControlApi};
+pub use self::api::{AddressList, ApiError, ControlApi, Inventory};
 pub use self::instance::{Instance, Opened, Serving};
 pub use self::observing::log_settings;
 pub use self::peer::PeerNotes;
--- a/crates/jaylock-daemon/src/parts.rs
+++ b/crates/jaylock-daemon/src/parts.rs
@@ -103,6 +103,8 @@
             pools: self.pools.clone(),
             router: self.router.clone(),
             keep: self.settings().addresses.keep,
+            inventory: None,
+            asked: Rc::default(),
         }
     }
 
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -44,7 +44,7 @@
 pub use self::memory::{BodyMemory, Room};
 pub use self::piece::{Check, Piece, PieceChecker};
 pub use self::port::{Capacity, Claims, NoControl};
-pub use self::route::RouteNames;
+pub use self::route::{RouteNames, prompt_part};
 pub use self::router::Router;
 pub use self::server::{Handler, ServerLimits, serve};
 pub use self::settings::{RouterIdentity, RouterSettings};
--- a/crates/jaylock-router/src/route/mod.rs
+++ b/crates/jaylock-router/src/route/mod.rs
@@ -24,6 +24,7 @@
 
 pub use self::context::{RouteContext, RouteLimits};
 pub use self::names::RouteNames;
+pub use self::prompt::prompt_part;
 
 /// Answers requests for routes.
 pub struct RouteRoom {
--- a/crates/jaylock-router/src/route/prompt.rs
+++ b/crates/jaylock-router/src/route/prompt.rs
@@ -37,18 +37,23 @@
     }
 }
 
-/// The parts, each hashed with all before it; ends at the first that can't be read.
+/// The parts; ends at the first that can't be read.
 fn parts(text: &str) -> Vec<PromptPart> {
-    let mut hasher = Fnv::default();
     let entries = text.split(',').take(PART_LIMIT).map_while(|entry| {
         let (id, tokens) = entry.trim().split_once(':')?;
-        hasher.write(id.as_bytes());
-        hasher.write(b":");
         let tokens = tokens.parse().ok()?;
-        Some(PromptPart {
-            hash: hasher.finish(),
-            tokens,
-        })
+        Some(prompt_part(id, tokens))
     });
     entries.collect()
 }
+
+/// A part of a prompt, known by the hash of its name.
+#[must_use]
+pub fn prompt_part(id: &str, tokens: u32) -> PromptPart {
+    let mut hasher = Fnv::default();
+    hasher.write(id.as_bytes());
+    PromptPart {
+        hash: hasher.finish(),
+        tokens,
+    }
+}
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -258,6 +258,9 @@
         if backend.ended.is_some_and(|ended| said <= ended) {
             return Ok(place);
         }
+        if report.incarnation == backend.report.incarnation {
+            backend.engine.learn(&report.kept);
+        }
         if report.incarnation > backend.report.incarnation {
             backend.restart(now, lease);
         } else if backend.is_newer_than(&report) {
--- a/crates/jaylock-share/src/division.rs
+++ b/crates/jaylock-share/src/division.rs
@@ -80,6 +80,7 @@
     BackendReport {
         cached: Vec::new(),
         evicted: Vec::new(),
+        kept: Vec::new(),
         ..report.clone()
     }
 }
--- a/crates/jaylock-share/src/engine.rs
+++ b/crates/jaylock-share/src/engine.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use jaylock_rpc::v1::Ask;
+use jaylock_rpc::v1::{Ask, PromptPart};
 
 /// Part of an engine's memory that running requests may take, in 100.
 const MEMORY_SHARE: u64 = 90;
@@ -105,6 +105,23 @@
         }
     }
 
+    /// Takes over what the engine says that it keeps, in place of nothing known.
+    pub fn learn(&mut self, kept: &[PromptPart]) {
+        for part in kept {
+            if let Err(at) = self.find(part.hash) {
+                let part = Part {
+                    hash: part.hash,
+                    tokens: part.tokens,
+                    users: 0,
+                    turn: 0,
+                };
+                self.kept += u64::from(part.tokens);
+                self.parts.insert(at, part);
+            }
+        }
+        self.evict();
+    }
+
     /// Notes that the prompt of a request was read.
     pub fn read(&mut self, load: &mut Load) {
         self.unread = self.unread.saturating_sub(std::mem::take(&mut load.unread));
--- a/crates/jaylock-tests/tests/share/prompts.rs
+++ b/crates/jaylock-tests/tests/share/prompts.rs
@@ -207,6 +207,19 @@
         assert_that!(play.engines[home].kept.len(), eq(1));
         assert_that!(play.outcome.read_again, eq(0));
     };
+    a_new_scheduler_learns_what_engines_keep => {
+        // Engines outlive the scheduler: what they keep is told once, also with a report that came before.
+        for keeper in 0..3 {
+            let mut fixture = Fixture::new();
+            for at in 0..3 {
+                fixture.report(BackendReport { sequence: 2, ..engine(&name(at), 128) });
+            }
+            let prompt = dossier("zarqa", 1, 1);
+            let kept = vec![prompt.parts[0]];
+            fixture.report(BackendReport { sequence: 1, kept, ..engine(&name(keeper), 128) });
+            assert_that!(fixture.grant(prompt), some(eq(&name(keeper))));
+        }
+    };
     reading_ahead_of_an_engine_is_bounded => {
         // What an engine can't begin soon waits at the scheduler, where the order is fair.
         let mut fixture = Fixture::new();
