--- a/crates/jaylock-observe/src/observer.rs
+++ b/crates/jaylock-observe/src/observer.rs
@@ -158,7 +158,7 @@
     log::log!(
         target: "router", level,
         request = record.request.as_str(), organisation = record.organisation.as_str(),
-        pool = record.pool.as_str(), kind, status = record.status, run:? = record.run,
+        pool = record.pool.as_str(), kind, status = record.status, run:? = record.run, reason = record.reason,
         attempts = record.attempts, admitted_ms = millis(record.admitted),
         waited_ms = millis(record.waited), head_ms:? = record.head.map(millis),
         first_ms:? = record.first_token.map(millis), total_ms = millis(record.total);
--- a/crates/jaylock-observe/src/record.rs
+++ b/crates/jaylock-observe/src/record.rs
@@ -37,6 +37,8 @@
     pub status: u16,
     /// Whether it ran.
     pub run: Run,
+    /// Short word for why it was refused or given up; empty when it was answered.
+    pub reason: &'static str,
     /// Whether the caller got the whole answer.
     pub whole: bool,
     /// Tokens generated.
--- a/crates/jaylock-router/src/account.rs
+++ b/crates/jaylock-router/src/account.rs
@@ -6,6 +6,8 @@
 use jaylock_observe::{Observer, RequestKind, RequestRecord, Run};
 use jaylock_types::{OrganisationId, PoolId, RequestId, Tokens};
 
+use crate::answer::Refusal;
+
 /// Status in the record of a request whose caller hung up.
 const HUNG_UP: u16 = 499;
 
@@ -35,6 +37,7 @@
             kind,
             status: HUNG_UP,
             run: Run::NotRun,
+            reason: "hung-up",
             whole: false,
             tokens: Tokens(0),
             admitted: Duration::ZERO,
@@ -67,6 +70,13 @@
     pub fn answered(&mut self, status: StatusCode, run: Run) {
         self.record.status = status.as_u16();
         self.record.run = run;
+        self.record.reason = "";
+    }
+
+    /// Notes that the request was refused or given up.
+    pub fn refused(&mut self, refusal: &Refusal) {
+        self.answered(refusal.status, refusal.run);
+        self.record.reason = refusal.kind;
     }
 }
 
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -43,7 +43,7 @@
         }
         Err(refusal) => {
             let account = &mut events.attempts.account;
-            account.answered(refusal.status, refusal.run);
+            account.refused(&refusal);
             Err(refusal)
         }
     }
@@ -135,7 +135,7 @@
             if let Err(refusal) = self.resume(&failure).await {
                 let account = &mut self.attempts.account;
                 account.step(format_compact!("the stream is cut: {}", refusal.message));
-                account.answered(refusal.status, refusal.run);
+                account.refused(&refusal);
                 return Some(Err(Cut));
             }
         }
--- a/crates/jaylock-router/src/route/whole.rs
+++ b/crates/jaylock-router/src/route/whole.rs
@@ -29,7 +29,7 @@
             Ok(record.response())
         }
         Err(refusal) => {
-            attempts.account.answered(refusal.status, refusal.run);
+            attempts.account.refused(&refusal);
             Err(refusal)
         }
     }
--- a/crates/jaylock-router/src/service.rs
+++ b/crates/jaylock-router/src/service.rs
@@ -244,7 +244,7 @@
     }
 
     fn refuse(&mut self, refusal: Refusal) -> Refusal {
-        self.account.answered(refusal.status, refusal.run);
+        self.account.refused(&refusal);
         refusal
     }
 }
--- a/crates/jaylock-tests/tests/observe/sample.rs
+++ b/crates/jaylock-tests/tests/observe/sample.rs
@@ -44,6 +44,7 @@
         run: Run::Ran,
         whole: true,
         tokens: Tokens(8),
+        reason: "",
         admitted: Duration::from_millis(1),
         waited: Duration::from_millis(3),
         head: Some(Duration::from_millis(2)),
