--- a/crates/jaylock-router/src/generation.rs
+++ b/crates/jaylock-router/src/generation.rs
@@ -71,7 +71,7 @@
         };
         if let Err(refusal) = &outcome {
             self.live = None;
-            self.account.refused(&refusal);
+            self.account.refused(refusal);
         }
         outcome
     }
