--- a/crates/jaylock-daemon/src/main.rs
+++ b/crates/jaylock-daemon/src/main.rs
@@ -1,16 +1,14 @@
 //! `jaylockd`, the daemon that every instance of the fleet runs.
 
-use std::path::PathBuf;
-
 use anyhow::Context;
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use jaylock_daemon::Instance;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use jaylock_daemon::{Instance, arguments, settings_path};
 use jaylock_settings::Settings;
 
 fn main() -> anyhow::Result<()> {
     let matches = command().get_matches();
     let settings = read_settings(&matches)?;
-    if matches.get_flag("check") {
+    if matches.get_flag(arguments::CHECK) {
         println!("the settings of {} are complete", settings.instance.id);
         return Ok(());
     }
@@ -28,34 +26,13 @@
 }
 
 fn command() -> Command {
-    Command::new("jaylockd")
-        .about("Runs one instance of a jaylock fleet")
-        .version(env!("CARGO_PKG_VERSION"))
-        .arg(
-            Arg::new("settings")
-                .long("settings")
-                .value_name("FILE")
-                .help("INI file with the settings of this instance")
-                .required(true)
-                .value_parser(value_parser!(PathBuf)),
-        )
-        .arg(
-            Arg::new("check")
-                .long("check")
-                .help("Checks the settings and ends")
-                .action(ArgAction::SetTrue),
-        )
-        .arg(
-            Arg::new("rescue")
-                .long("rescue")
-                .help("Makes the data folder a group of one, when a majority is lost, and ends")
-                .action(ArgAction::SetTrue),
-        )
+    let rescue = Arg::new("rescue")
+        .long("rescue")
+        .help("Makes the data folder a group of one, when a majority is lost, and ends")
+        .action(ArgAction::SetTrue);
+    arguments::command("jaylockd", "Runs one instance of a jaylock fleet").arg(rescue)
 }
 
 fn read_settings(matches: &ArgMatches) -> anyhow::Result<Settings> {
-    let path: &PathBuf = matches
-        .get_one("settings")
-        .context("name a file with --settings")?;
-    Ok(Settings::read(path)?)
+    Ok(Settings::read(settings_path(matches)?)?)
 }
--- a/crates/jaylock-router/src/answer.rs
+++ b/crates/jaylock-router/src/answer.rs
@@ -8,7 +8,7 @@
 use jaylock_types::RequestId;
 use serde::Serialize;
 
-use crate::body::Body;
+use crate::body::{Body, ReadError};
 
 /// Header with the identifier of a request.
 pub const REQUEST_ID: &str = "x-request-id";
@@ -143,6 +143,31 @@
     }
 }
 
+impl From<ReadError> for Refusal {
+    fn from(error: ReadError) -> Self {
+        match error {
+            ReadError::TooLong => Self::not_run(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "too-long",
+                "the body is over the bound of this fleet",
+                "send a shorter body",
+            ),
+            ReadError::TooSlow => Self::not_run(
+                StatusCode::REQUEST_TIMEOUT,
+                "too-slow",
+                "the body did not arrive in time",
+                "send it again, faster",
+            ),
+            ReadError::Broken => Self::not_run(
+                StatusCode::BAD_REQUEST,
+                "truncated",
+                "the body ended early or was malformed",
+                "send it again with the right length",
+            ),
+        }
+    }
+}
+
 /// A JSON answer.
 pub fn json(
     request: &RequestId,
--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -12,7 +12,7 @@
 use crate::account::Account;
 use crate::address;
 use crate::answer::Refusal;
-use crate::body::{self, ReadError};
+use crate::body;
 use crate::context::Context;
 use crate::memory::Room;
 use crate::quarantine::{self, Fingerprint};
@@ -205,24 +205,5 @@
 pub async fn read(shared: &Context, incoming: Incoming) -> Result<Bytes, Refusal> {
     let settings = &shared.settings;
     let outcome = body::read(incoming, settings.body_bound, settings.slow_sender).await;
-    outcome.map_err(|error| match error {
-        ReadError::TooLong => Refusal::not_run(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "too-long",
-            "the body is over the bound of this fleet",
-            "send a shorter body",
-        ),
-        ReadError::TooSlow => Refusal::not_run(
-            StatusCode::REQUEST_TIMEOUT,
-            "too-slow",
-            "the body did not arrive in time",
-            "send it again, faster",
-        ),
-        ReadError::Broken => Refusal::not_run(
-            StatusCode::BAD_REQUEST,
-            "truncated",
-            "the body ended early or was malformed",
-            "send it again with the right length",
-        ),
-    })
+    outcome.map_err(Refusal::from)
 }
--- a/crates/jaylock-router/src/claim.rs
+++ b/crates/jaylock-router/src/claim.rs
@@ -1,8 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{HeaderMap, Response, StatusCode, header};
+use http::{Response, StatusCode, header};
 use jaylock_observe::Run;
 use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::claim_state::Kind;
@@ -16,6 +15,7 @@
 use crate::call::Call;
 use crate::context::Context;
 use crate::proposal;
+use crate::record::Record;
 
 /// Header that names a request that may not be repeated.
 pub const KEY: &str = "idempotency-key";
@@ -38,25 +38,6 @@
     Recorded(Settle),
 }
 
-/// The answer of a backend server, as far as it is recorded.
-#[derive(Debug, Clone)]
-pub struct Record {
-    /// HTTP status.
-    pub status: StatusCode,
-    /// Header fields.
-    pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Bytes,
-}
-
-impl Record {
-    fn content_type(&self) -> String {
-        let value = self.headers.get(header::CONTENT_TYPE);
-        let value = value.and_then(|v| v.to_str().ok());
-        value.unwrap_or("application/octet-stream").to_owned()
-    }
-}
-
 impl HeldClaim {
     /// Commits a claim before the first byte of a request leaves.
     pub async fn take(shared: &Rc<Context>, call: &Call) -> Result<Claimed, Refusal> {
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -28,6 +28,7 @@
 mod port;
 mod proposal;
 mod quarantine;
+mod record;
 mod retry;
 mod route;
 mod router;
--- a/crates/jaylock-router/src/route/admission.rs
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -12,7 +12,7 @@
 use super::request::RouteRequest;
 use super::table;
 use crate::answer::Refusal;
-use crate::body::{self, ReadError};
+use crate::body;
 
 /// Organisation that requests without a key count for.
 const NOBODY: &str = "public";
@@ -133,21 +133,7 @@
         limits.body_bound
     };
     let outcome = body::read(incoming, bound, limits.slow_sender).await;
-    outcome.map_err(|error| match error {
-        ReadError::TooLong => Refusal::not_run(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "too-long",
-            "the body is over the bound of this fleet",
-            "send a shorter body",
-        ),
-        ReadError::TooSlow => Refusal::not_run(
-            StatusCode::REQUEST_TIMEOUT,
-            "too-slow",
-            "the body did not arrive in time",
-            "send it again, faster",
-        ),
-        ReadError::Broken => malformed("the body ended early or was malformed"),
-    })
+    outcome.map_err(Refusal::from)
 }
 
 fn not_now(context: &RouteContext, kind: &'static str, message: &'static str) -> Refusal {
--- a/crates/jaylock-router/src/route/answer.rs
+++ b/crates/jaylock-router/src/route/answer.rs
@@ -1,27 +1,14 @@
-use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode, header};
 
 use super::names::is_hop;
 use crate::answer::{Refusal, put};
 use crate::body::Body;
+use crate::record::Record;
 
-/// The answer of a backend server, read to its end.
-#[derive(Debug, Clone)]
-pub struct Record {
-    /// HTTP status.
-    pub status: StatusCode,
-    /// Header fields.
-    pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Bytes,
-}
-
-impl Record {
-    /// The answer as it is passed on.
-    pub fn response(self) -> Response<Body> {
-        let body = Body::whole(self.body);
-        passed(self.status, &self.headers, body)
-    }
+/// A whole answer as it is passed on.
+pub fn whole(record: Record) -> Response<Body> {
+    let body = Body::whole(record.body);
+    passed(record.status, &record.headers, body)
 }
 
 /// An answer with the status and the fields of a backend server's.
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -11,7 +11,7 @@
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_types::Tokens;
 
-use super::answer::{Record, passed};
+use super::answer::{passed, whole};
 use super::attempts::Attempts;
 use super::context::RouteContext;
 use super::request::RouteRequest;
@@ -21,6 +21,7 @@
 use crate::event::EventParser;
 use crate::failure::{Failure, silence_limit};
 use crate::link::Link;
+use crate::record::Record;
 use crate::slot::Slot;
 
 /// Longest event, in bytes.
@@ -39,7 +40,7 @@
         }
         Ok(Opening::Whole(record)) => {
             events.attempts.account.answered(record.status, Run::Ran);
-            Ok(record.response())
+            Ok(whole(record))
         }
         Err(refusal) => {
             let account = &mut events.attempts.account;
--- a/crates/jaylock-router/src/route/whole.rs
+++ b/crates/jaylock-router/src/route/whole.rs
@@ -6,7 +6,7 @@
 use jaylock_observe::Run;
 use jaylock_rpc::v1::end::Outcome;
 
-use super::answer::Record;
+use super::answer;
 use super::attempts::Attempts;
 use super::context::RouteContext;
 use super::request::RouteRequest;
@@ -14,6 +14,7 @@
 use crate::answer::Refusal;
 use crate::body::{self, Body, ReadError};
 use crate::failure::Failure;
+use crate::record::Record;
 
 /// Answers a request whose answer is passed on as a whole.
 pub async fn answer(
@@ -26,7 +27,7 @@
             attempts.account.first();
             attempts.account.record.whole = true;
             attempts.account.answered(record.status, Run::Ran);
-            Ok(record.response())
+            Ok(answer::whole(record))
         }
         Err(refusal) => {
             attempts.account.refused(&refusal);
--- a/crates/jaylock-router/src/service.rs
+++ b/crates/jaylock-router/src/service.rs
@@ -17,9 +17,10 @@
 use crate::attempt;
 use crate::body::{self, Body, ReadError};
 use crate::call::{self, Call, DEADLINE, SERVICES};
-use crate::claim::{Claimed, HeldClaim, Record, recorded, unknown_outcome};
+use crate::claim::{Claimed, HeldClaim, recorded, unknown_outcome};
 use crate::context::Context;
 use crate::failure::{Failure, silence_limit};
+use crate::record::Record;
 use crate::retry::Retry;
 use crate::slot::Slot;
 
