The product's own interface has readiness, near addresses and counted heartbeats

Ruled out: a second list of addresses; ControlApi and GET /v1/routers share routers_for. Conclusion: what the platform uses is the product's.

--- a/crates/jaylock-daemon/src/api.rs
+++ b/crates/jaylock-daemon/src/api.rs
@@ -6,11 +6,11 @@
 use compact_str::{CompactString, ToCompactString, format_compact};
 use futures_util::future::LocalBoxFuture;
 use jaylock_control::{ConfigView, ControlClient, Error, InstanceLease};
-use jaylock_router::Router;
+use jaylock_router::{Router, routers_for};
 use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::backend_report::Kind;
 use jaylock_rpc::v1::{
-    BackendReport, BackendVerdict, Command, Document, DocumentReply, Instance, PromptPart, command,
+    BackendReport, BackendVerdict, Command, Document, DocumentReply, PromptPart, command,
 };
 use jaylock_share::Pools;
 use jaylock_types::{BackendId, InvalidId, PoolId, RequestId, boot_now, unix_ms};
@@ -22,8 +22,6 @@
 const VERDICT_WAIT: Duration = Duration::from_millis(800);
 /// Time between two looks for that word.
 const VERDICT_STEP: Duration = Duration::from_millis(5);
-/// Routers of a caller's own failure domain below which it is told of the others too.
-const FEWEST_NEAR: usize = 2;
 
 /// What an instance does for operators, backend servers and callers who look for addresses.
 ///
@@ -125,12 +123,7 @@
     /// [`ApiError::NotNow`] while no router is known.
     pub fn routers(&self, domain: &str, most: usize) -> Result<AddressList> {
         let current = self.view.current();
-        let serves = |i: &&Instance| !i.leaving && !i.caller_address.is_empty();
-        let mut routers: Vec<&Instance> = current.instances.iter().filter(serves).collect();
-        let near = routers.iter().filter(|i| i.domain == domain).count();
-        if near >= FEWEST_NEAR {
-            routers.retain(|i| i.domain == domain);
-        }
+        let routers = routers_for(&current, domain);
         if routers.is_empty() {
             return Err(ApiError::NotNow("no router is known yet".into()));
         }
--- a/crates/jaylock-router/src/address.rs
+++ b/crates/jaylock-router/src/address.rs
@@ -1,6 +1,6 @@
 use http::{Response, StatusCode};
 use jaylock_observe::Run;
-use jaylock_rpc::v1::Instance;
+use jaylock_rpc::v1::{Configuration, Instance};
 use jaylock_types::RequestId;
 use serde::Serialize;
 
@@ -20,12 +20,30 @@
     domain: String,
 }
 
-/// Answers which addresses callers may use, and for how long.
-pub fn list(shared: &Context) -> Response<Body> {
+/// Routers of a caller's own failure domain below which it is told of the others too.
+const FEWEST_NEAR: usize = 2;
+
+/// The routers for a caller in a failure domain: those of that domain alone, where they are enough.
+#[must_use]
+pub fn routers_for<'a>(configuration: &'a Configuration, domain: &str) -> Vec<&'a Instance> {
+    let serves = |i: &&Instance| !i.leaving && !i.caller_address.is_empty();
+    let mut routers: Vec<&Instance> = configuration.instances.iter().filter(serves).collect();
+    let near = routers.iter().filter(|i| i.domain == domain).count();
+    if near >= FEWEST_NEAR {
+        routers.retain(|i| i.domain == domain);
+    }
+    routers
+}
+
+/// Answers which addresses callers may use, and for how long; `query` may name their failure domain.
+pub fn list(shared: &Context, query: &str) -> Response<Body> {
     let current = shared.view.current();
     let own = shared.identity.instance.as_str();
-    let leaves = |i: &Instance| i.leaving || (shared.lifecycle.is_leaving() && i.id == own);
-    let live = current.instances.iter().filter(|i| !leaves(i));
+    let leaves = |i: &Instance| shared.lifecycle.is_leaving() && i.id == own;
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let domain = pairs.find(|(key, _)| *key == "domain");
+    let routers = routers_for(&current, domain.map_or("", |(_, value)| value));
+    let live = routers.into_iter().filter(|i| !leaves(i));
     let body = AddressList {
         keep_ms: shared.settings.keep_ms,
         routers: live.map(address).collect(),
--- a/crates/jaylock-router/src/announce.rs
+++ b/crates/jaylock-router/src/announce.rs
@@ -62,6 +62,9 @@
 struct Heartbeat {
     id: BackendId,
     incarnation: u64,
+    /// Grows with each heartbeat of a start, so that a late one is known.
+    #[serde(default)]
+    count: u64,
     #[serde(default)]
     running: u32,
     #[serde(default)]
@@ -129,8 +132,12 @@
 }
 
 impl Heartbeat {
-    /// Puts what is told in the place of what was known.
+    /// Puts what is told in the place of what was known, unless it is late.
     fn apply(self, report: &mut BackendReport) {
+        if self.count < report.sequence {
+            return;
+        }
+        report.sequence = self.count;
         report.running = self.running;
         report.waiting = self.waiting;
         if let Some(models) = self.models {
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -38,6 +38,7 @@
 mod signal;
 mod slot;
 
+pub use self::address::routers_for;
 pub use self::body::{Body, Cut};
 pub use self::budget::RetryBudget;
 pub use self::event::{Event, EventParser};
--- a/crates/jaylock-router/src/own.rs
+++ b/crates/jaylock-router/src/own.rs
@@ -46,7 +46,10 @@
         let (head, incoming) = request.into_parts();
         let path = head.uri.path();
         match (&head.method, path) {
-            (&Method::GET, "/v1/routers") => Ok(address::list(shared)),
+            (&Method::GET, "/v1/routers") => {
+                Ok(address::list(shared, head.uri.query().unwrap_or_default()))
+            }
+            (&Method::GET, "/v1/ready") => readiness(shared, id),
             (&Method::GET, "/v1/health") => Ok(health(shared, id)),
             (&Method::POST, "/v1/chat/completions") => {
                 let call = Call::admit(shared, id.clone(), head, incoming).await?;
@@ -85,6 +88,21 @@
     path.starts_with("/v1/") || path.starts_with(SERVICES)
 }
 
+/// Says whether callers are taken: the newest configuration is known and the instance stays.
+fn readiness(shared: &Context, id: &RequestId) -> Result<Response<Body>, Refusal> {
+    let is_configured = shared.view.revision().0 > 0;
+    if is_configured && shared.lease.is_valid() && !shared.lifecycle.is_leaving() {
+        return Ok(json(id, StatusCode::OK, Run::NotRun, "{}"));
+    }
+    Err(Refusal::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "not-ready",
+        "this instance takes no callers",
+        "ask another instance",
+    )
+    .after(shared.settings.retry_after))
+}
+
 fn health(shared: &Context, id: &RequestId) -> Response<Body> {
     let state = if shared.lifecycle.is_leaving() {
         "leaving"
--- a/crates/jaylock-tests/tests/router/paths.rs
+++ b/crates/jaylock-tests/tests/router/paths.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use jaylock_router::RouterSettings;
-use jaylock_rpc::v1::BackendVerdict;
+use jaylock_rpc::v1::{BackendVerdict, Instance};
 use jaylock_tests::cases;
 
 use crate::backend::{Backend, delta, done, last_piece, plain, stream_head, whole_stream};
@@ -26,6 +26,44 @@
         assert_that!(answer.body, contains_substring("127.0.0.1:1\""));
         assert_that!(answer.body, not(contains_substring("127.0.0.1:2\"")));
     };
+    async address_list_names_near_instances_alone_where_they_are_enough => {
+        let fleet = fleet().await;
+        let mut configuration = (*fleet.view.current()).clone();
+        configuration.index += 1;
+        configuration.instances.push(Instance {
+            id: "d".into(),
+            domain: "amman-b".into(),
+            caller_address: "127.0.0.1:3".into(),
+            ..Instance::default()
+        });
+        assert!(fleet.view.offer(configuration));
+        for (path, is_told) in [
+            ("/v1/routers", true),
+            ("/v1/routers?domain=amman-a", false),
+            ("/v1/routers?domain=amman-b", true),
+        ] {
+            let answer = fleet.send("GET", path, &[], "").await;
+            assert_that!(answer.body.contains("127.0.0.1:3\""), eq(is_told), "{path}");
+        }
+    };
+    async readiness_ends_with_a_graceful_shutdown => {
+        let fleet = fleet().await;
+        assert_that!(fleet.send("GET", "/v1/ready", &[], "").await.status, eq(200));
+        fleet.router.announce_leave();
+        let answer = fleet.send("GET", "/v1/ready", &[], "").await;
+        assert_that!((answer.status, answer.run.as_str()), eq((503, "not-run")));
+    };
+    async late_heartbeat_changes_nothing => {
+        let fleet = fleet().await;
+        fleet.send("POST", "/v1/backends/announce", &[], ANNOUNCEMENT).await;
+        for (count, running) in [(2, 5), (1, 7)] {
+            let body = format!(r#"{{"id":"e1","incarnation":1,"count":{count},"running":{running}}}"#);
+            assert_that!(fleet.send("POST", "/v1/backends/heartbeat", &[], &body).await.status, eq(200));
+        }
+        let reports = fleet.capacity.0.reports.borrow();
+        let told: Vec<(u64, u32)> = reports.iter().map(|r| (r.sequence, r.running)).collect();
+        assert_that!(told[1..], elements_are![eq(&(2, 5)), eq(&(2, 5))]);
+    };
     async unknown_key_is_refused_not_run => {
         let fleet = fleet().await;
         let wrong = ("authorization", "Bearer other");
