Requests with two lengths or bare line feeds are refused

Ruled out: a check in front of the handlers (never fires); looking at each read while the connection is idle (misses heads that follow in the same bytes); leaving the library, which does the rest well. Change: Checked stands between the connection and the library and finds the heads by their framing; a refused one is replaced by bytes that the library answers with 400 and a closed connection. Conclusion: callers on the platform and on our own interface are held to one reading of their bytes.

--- a/crates/jaylock-router/src/server.rs
+++ b/crates/jaylock-router/src/server.rs
@@ -14,6 +14,7 @@
 
 use crate::answer::put;
 use crate::body::Body;
+use crate::head_check::Checked;
 use crate::lifecycle::Lifecycle;
 use crate::link;
 
@@ -100,7 +101,8 @@
         let (handler, lifecycle) = (handler.clone(), serving.clone());
         async move { Ok::<_, Infallible>(answer(&*handler, &lifecycle, crowded, request).await) }
     });
-    let stream = HyperStream::new_plain(stream);
+    let longest = limits.header_bound.0.max(SMALLEST_HEAD);
+    let stream = Checked::new(HyperStream::new_plain(stream), longest);
     let mut connection = pin!(builder.serve_connection(stream, service));
     if lifecycle.closed.is_thrown() {
         // Its one request is refused and the answer closes the connection.
--- a/crates/jaylock-tests/tests/router/main.rs
+++ b/crates/jaylock-tests/tests/router/main.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod crash;
 mod fleet;
+mod heads;
 mod history;
 mod leave;
 mod limits;
