What a decision may still grant is not refused; a time of need is soon forgotten

The expected wait counted requests of the same message, which the next decision would have granted, with an interval learnt while the scheduler had just moved; without a backlog nothing corrected that interval. Change: a request is refused on arrival only for what the last decision left waiting; the time between two grants counts only where work waited all the while. Conclusion: nothing is refused while places are free.

--- a/crates/jaylock-share/src/account.rs
+++ b/crates/jaylock-share/src/account.rs
@@ -34,6 +34,8 @@
     pub refused: u64,
     pub cost: CostModel,
     pub queue: Queue,
+    /// Requests that still waited after the last decision.
+    pub left: usize,
     waits: VecDeque<u32>,
     // Until when the places that become free are promised to callers who were refused.
     promised: Option<Instant>,
@@ -109,6 +111,7 @@
                     refused: 0,
                     cost: CostModel::default(),
                     queue: Queue::default(),
+                    left: 0,
                     waits: VecDeque::new(),
                     promised: None,
                 });
@@ -150,6 +153,18 @@
         self.backlogged.len()
     }
 
+    /// Notes how many requests of each organisation a decision left waiting.
+    ///
+    /// The time between two grants counts only where work waited all the while.
+    pub fn note_left(&mut self) {
+        for account in &mut self.list {
+            account.left = account.queue.len();
+        }
+        if self.backlogged.is_empty() {
+            self.last_grant = None;
+        }
+    }
+
     /// Weighted service, in tokens, by which a backlogged organisation is behind the most served one.
     pub fn gap(&self, key: AccountKey) -> u64 {
         let most = self.backlogged.last().map_or(0, |(level, _)| *level);
@@ -214,8 +229,7 @@
     /// Notes that an organisation is about to be granted a slot.
     pub fn note_grant(&mut self, key: AccountKey, now: Instant) {
         self.floor = self.floor.max(self.get(key).level);
-        let before = self.last_grant.replace(now);
-        let Some(before) = before.filter(|_| self.backlogged.len() > 1) else {
+        let Some(before) = self.last_grant.replace(now) else {
             return;
         };
         let interval = now.saturating_duration_since(before).min(LONGEST_INTERVAL);
--- a/crates/jaylock-share/src/decide.rs
+++ b/crates/jaylock-share/src/decide.rs
@@ -29,6 +29,7 @@
             let is_granted = self.grant_next(account, now);
             rank = if is_granted { 0 } else { rank + 1 };
         }
+        self.accounts.note_left();
     }
 
     /// Grants a slot to the next request of an organisation that any free backend server can run.
--- a/crates/jaylock-share/src/refuse.rs
+++ b/crates/jaylock-share/src/refuse.rs
@@ -31,6 +31,7 @@
 
     /// The time to return for a request that would not get a slot in time for its objective.
     ///
+    /// Only what the last decision left waiting counts: what came since may find room at once.
     /// The wait is judged by how fast slots are granted, as if all that wait took turns; how fast this
     /// organisation got some would keep one down that was served badly once.
     pub(crate) fn hopeless(
@@ -42,7 +43,7 @@
         let longest = objective_wait(ask, self.settings.objective_wait)?;
         let interval = self.accounts.turn_interval();
         let owner = self.accounts.get_mut(account);
-        let before = u32::try_from(owner.queue.len()).unwrap_or(u32::MAX);
+        let before = u32::try_from(owner.left).unwrap_or(u32::MAX);
         let expected = interval.saturating_mul(before);
         let too_long = expected.saturating_sub(longest);
         (!too_long.is_zero()).then(|| owner.next_place(now, interval).max(too_long))
--- a/crates/jaylock-tests/tests/share/backend.rs
+++ b/crates/jaylock-tests/tests/share/backend.rs
@@ -116,6 +116,24 @@
         assert_that!(fixture.grant(ask("bench")), none());
     };
 
+    a_pool_with_room_refuses_nothing_after_a_time_of_need => {
+        // One slot for two organisations, granted every 500 ms, teaches a long interval. Then there is room for all.
+        let mut fixture = Fixture::new();
+        fixture.report(engine("e1", 1));
+        fixture.ask((0..24).map(|n| ask(["bench", "till"][n % 2])));
+        for _ in 0..20 {
+            let ticket = fixture.answers().0.first().expect("a grant").ticket;
+            fixture.now += Duration::from_millis(500);
+            fixture.report(engine("e1", 1));
+            fixture.end(ticket);
+        }
+        fixture.report(engine("e2", 64));
+        fixture.answers();
+        fixture.ask((0..4).map(|_| Ask { objective_ms: 300, ..ask("bench") }));
+        let (grants, refusals) = fixture.answers();
+        assert_that!((grants.len(), refusals.len()), eq((4, 0)));
+    };
+
     a_report_that_comes_late_changes_nothing => {
         let mut fixture = Fixture::new();
         fixture.report(BackendReport { sequence: 5, leaving: true, ..engine("e1", 4) });
