One place says whether callers are taken

Cause: the question whether an instance takes callers (a configuration known, its lease valid, no shutdown begun) was answered twice, in the router's readiness call and in ControlApi, over the same lease and view.

Ruled out: serving RouteContext::configuration as well. It refuses with a reason for each case and goes on with requests while the instance leaves, so it is another question.

Change: Context::is_ready answers both; ControlApi and Parts need no lease of their own, and Router::is_leaving, which had no other user, is gone. On the way, an assignment without effect in Backend::renew and a roundabout one in Attempts::failed are written plainly. Behaviour stays.

--- a/crates/jaylock-daemon/src/api.rs
+++ b/crates/jaylock-daemon/src/api.rs
@@ -5,7 +5,7 @@
 
 use compact_str::{CompactString, ToCompactString, format_compact};
 use futures_util::future::LocalBoxFuture;
-use jaylock_control::{ConfigView, ControlClient, Error, InstanceLease};
+use jaylock_control::{ConfigView, ControlClient, Error};
 use jaylock_router::{Router, routers_for};
 use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::backend_report::Kind;
@@ -30,7 +30,6 @@
 pub struct ControlApi {
     pub(crate) client: ControlClient,
     pub(crate) view: ConfigView,
-    pub(crate) lease: InstanceLease,
     pub(crate) pools: Pools,
     pub(crate) router: Rc<Router>,
     /// How long callers may keep a list of addresses.
@@ -137,8 +136,7 @@
     /// Whether this instance takes callers: it knows the newest configuration and stays.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let is_configured = self.view.revision().0 > 0;
-        is_configured && self.lease.is_valid() && !self.router.is_leaving()
+        self.router.is_ready()
     }
 
     /// Passes on what a backend server says of itself, and waits until the scheduler knows it.
--- a/crates/jaylock-daemon/src/parts.rs
+++ b/crates/jaylock-daemon/src/parts.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use compio::runtime::JoinHandle;
-use jaylock_control::{FollowerHandle, InstanceLease, Replica};
+use jaylock_control::{FollowerHandle, Replica};
 use jaylock_router::Router;
 use jaylock_rpc::v1::operator_server::OperatorServer;
 use jaylock_rpc::v1::peer_server::PeerServer;
@@ -28,7 +28,6 @@
     /// The callers' and backend servers' side.
     pub router: Rc<Router>,
     pools: Pools,
-    lease: InstanceLease,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -43,12 +42,14 @@
         let follower = common.follower();
         let (lease, handle) = (follower.lease(), follower.handle());
         let pools = common.pools();
-        let own_lease = lease.clone();
         let host = common.scheduler_host(lease.clone());
         let keeper = common.order_keeper(lease.clone())?;
         let mut services = Routes::default()
             .with(Access::Instances, host.service())
-            .with(Access::Instances, PeerServer::new(common.peer_notes(lease)))
+            .with(
+                Access::Instances,
+                PeerServer::new(common.peer_notes(lease.clone())),
+            )
             .with(
                 Access::Operators,
                 OperatorServer::new(common.operator_service()),
@@ -65,14 +66,13 @@
             spawn(keeper.run()),
             spawn(common.handover().run()),
         ];
-        let router = common.router(&pools, own_lease.clone());
+        let router = common.router(&pools, lease);
         let parts = Self {
             common,
             follower: handle,
             replica,
             router,
             pools,
-            lease: own_lease,
             tasks,
         };
         Ok((parts, services))
@@ -99,7 +99,6 @@
         ControlApi {
             client: self.common.client.clone(),
             view: self.common.view.clone(),
-            lease: self.lease.clone(),
             pools: self.pools.clone(),
             router: self.router.clone(),
             keep: self.settings().addresses.keep,
--- a/crates/jaylock-router/src/context.rs
+++ b/crates/jaylock-router/src/context.rs
@@ -46,3 +46,11 @@
     /// Work that goes on after its request was dropped.
     pub background: Background,
 }
+
+impl Context {
+    /// Whether callers are taken: the newest configuration is known and the instance stays.
+    pub fn is_ready(&self) -> bool {
+        let is_configured = self.view.revision().0 > 0;
+        is_configured && self.lease.is_valid() && !self.lifecycle.is_leaving()
+    }
+}
--- a/crates/jaylock-router/src/own.rs
+++ b/crates/jaylock-router/src/own.rs
@@ -90,8 +90,7 @@
 
 /// Says whether callers are taken: the newest configuration is known and the instance stays.
 fn readiness(shared: &Context, id: &RequestId) -> Result<Response<Body>, Refusal> {
-    let is_configured = shared.view.revision().0 > 0;
-    if is_configured && shared.lease.is_valid() && !shared.lifecycle.is_leaving() {
+    if shared.is_ready() {
         return Ok(json(id, StatusCode::OK, Run::NotRun, "{}"));
     }
     Err(Refusal::not_run(
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -120,11 +120,9 @@
             slot.close(Outcome::NotRun);
         } else {
             slot.close(Outcome::Broken);
-            self.run = if self.run == Run::NotRun {
-                Run::Unknown
-            } else {
-                self.run
-            };
+            if self.run == Run::NotRun {
+                self.run = Run::Unknown;
+            }
         }
         if !failure.is_not_run() && !self.may_repeat() {
             return Err(self.gave_up("the attempt broke off and may not be repeated"));
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -98,10 +98,10 @@
         .detach();
     }
 
-    /// Whether a graceful shutdown has begun.
+    /// Whether callers are taken: the newest configuration is known and the instance stays.
     #[must_use]
-    pub fn is_leaving(&self) -> bool {
-        self.shared.lifecycle.is_leaving()
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
     }
 
     /// Waits, after [`Router::leave`], until new requests are refused and every answer was sent.
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -189,7 +189,6 @@
         self.foreign = reported.saturating_sub(known);
         self.peaks = [self.granted, self.peaks[0]];
         let since = self.full_since.unwrap_or(now);
-        self.full_since = None;
         self.learn_prefixes(&report, most);
         self.report = report;
         self.full_since = self.is_full_of_others().then_some(since);
