A replica whose disk has failed takes part again once it can be written

Cause: a write that failed halted the replica for good, and the daemon ended itself so that a restart would read the disk again. Ruled out: going on from memory after the failure, for what a failed sync has left in the file is not known. Change: a halted replica tries its disk twice a second: it reads all again as a start does, writes the log and the vote anew, and takes part. Until then it neither leads, votes nor takes entries. The end of the log is looked up again after a failed write. Before: both new tests (damage::a_replica_takes_part_again..., damage::two_disks_of_three...) failed with the trial switched off, after 20 s each. After: all 7 of damage pass. Conclusion: a full disk costs its replica, not its process.

--- a/crates/jaylock-control/src/replica/core.rs
+++ b/crates/jaylock-control/src/replica/core.rs
@@ -6,6 +6,7 @@
 use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::{Applied, Command, Entry, Member};
 use jaylock_types::unix_ms;
+use thiserror::Error;
 
 use super::log::Log;
 use super::progress::Progress;
@@ -34,14 +35,25 @@
     pub members: Vec<Member>,
     /// Index of the newest entry that changed the members.
     pub members_index: u64,
-    /// Why the replica takes part no more.
-    pub halted: Option<CompactString>,
+    /// Why the replica takes no part.
+    pub halted: Option<Halt>,
     /// Commands that wait for their commit, by index.
     pub pending: VecDeque<Pending>,
     /// Pieces of a snapshot that is under way.
     pub incoming: Vec<u8>,
 }
 
+/// Why a replica takes no part.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Halt {
+    /// Its disk has failed, and is tried again.
+    #[error("{0}")]
+    Disk(CompactString),
+    /// It was closed for good.
+    #[error("this replica is closed: ask another")]
+    Closed,
+}
+
 /// What a replica does.
 pub enum Role {
     /// Takes entries from a leader.
@@ -91,6 +103,11 @@
         self.ballot.term
     }
 
+    /// Whether it was closed for good.
+    pub fn is_closed(&self) -> bool {
+        self.halted == Some(Halt::Closed)
+    }
+
     /// Whether it has the state that the entries build on; a new generation gets it as a snapshot.
     pub fn has_base(&self) -> bool {
         !self.state.configuration().members.is_empty()
--- a/crates/jaylock-control/src/replica/mod.rs
+++ b/crates/jaylock-control/src/replica/mod.rs
@@ -10,6 +10,7 @@
 mod peer;
 mod progress;
 pub(crate) mod receive;
+mod recovery;
 mod shared;
 mod writer;
 
@@ -107,13 +108,22 @@
         ControlService::new(self.shared.clone())
     }
 
-    /// Takes part in the group until the future is dropped or the disk fails.
+    /// Takes part in the group until it is closed or the future is dropped.
+    ///
+    /// While its disk fails it neither leads, votes nor takes entries, and tries the disk again.
     pub async fn run(self) {
-        join::join(&self.shared).await;
-        let _writer = compio::runtime::spawn(writer::write(self.shared.clone()));
-        while !self.shared.is_halted() {
-            election::follow(&self.shared).await;
-            lead::lead(&self.shared).await;
+        loop {
+            join::join(&self.shared).await;
+            let writer = compio::runtime::spawn(writer::write(self.shared.clone()));
+            while !self.shared.is_halted() {
+                election::follow(&self.shared).await;
+                lead::lead(&self.shared).await;
+            }
+            // A write that has begun ends before the disk is read.
+            let _ = writer.await;
+            if !recovery::recover(&self.shared).await {
+                return;
+            }
         }
     }
 
@@ -123,7 +133,7 @@
         self.shared.holds_lease()
     }
 
-    /// Why it takes part no more, if its disk has failed.
+    /// Why it takes no part, if it is closed or its disk has failed.
     #[must_use]
     pub fn halted(&self) -> Option<String> {
         let core = self.shared.core.borrow();
@@ -139,6 +149,6 @@
     pub async fn close(self) {
         handover::hand_over(&self.shared).await;
         let _writing = self.shared.writing.lock().await;
-        self.shared.stop("this replica is closed: ask another");
+        self.shared.close();
     }
 }
--- a/crates/jaylock-control/src/replica/shared.rs
+++ b/crates/jaylock-control/src/replica/shared.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use compact_str::format_compact;
 use futures_channel::oneshot;
 use futures_util::lock::Mutex;
 use jaylock_rpc::v1::command::Body;
@@ -11,12 +12,12 @@
 
 use super::Origin;
 use super::Ports;
-use super::core::{Core, Pending, Role};
+use super::core::{Core, Halt, Pending, Role};
 use super::log::Log;
 use crate::leases::Leases;
 use crate::signal::Signal;
 use crate::state::State;
-use crate::storage::{Ballot, Store};
+use crate::storage::{Ballot, Contents, Store};
 use crate::transport::Transport;
 use crate::{Error, ReplicaSettings, Result};
 
@@ -57,14 +58,9 @@
         settings: ReplicaSettings,
     ) -> Result<Self> {
         let contents = store.load().await?;
-        let image = contents.image.unwrap_or_default();
-        let state = State::restore(image);
-        let log = Log::restore(state.index(), state.term(), contents.entries)
-            .ok_or_else(|| store.incomplete())?;
-        let ballot = contents.ballot.unwrap_or_default();
         let now = ports.clock.now();
         Ok(Self {
-            core: RefCell::new(Core::new(&identity.instance, ballot, state, log, now)),
+            core: RefCell::new(restore(&identity, &store, contents, now)?),
             identity,
             origin,
             settings,
@@ -177,17 +173,49 @@
         }
     }
 
-    /// Takes part no more after its disk has failed.
+    /// Takes no part until its disk, which has failed, can be written again.
     pub fn halt(&self, error: &Error) {
-        log::error!(target: "control", "replica stops: {error}");
-        self.stop(&error.to_string());
+        log::error!(target: "control", "replica stops until its disk can be written: {error}");
+        self.stop(Halt::Disk(format_compact!("{error}")));
     }
 
-    /// Takes part no more, for a reason that callers are told.
-    pub fn stop(&self, reason: &str) {
+    /// Takes part no more.
+    pub fn close(&self) {
+        self.stop(Halt::Closed);
+    }
+
+    /// Reads the disk again after it has failed, and takes part again once it can be written.
+    ///
+    /// What a failed sync has left in the files may be gone with the next loss of power, so all of it is
+    /// written anew.
+    pub async fn recover(&self) -> Result<()> {
+        let _writing = self.writing.lock().await;
+        let contents = self.store.load().await?;
+        self.store.rewrite(contents.entries.clone()).await?;
+        if let Some(ballot) = &contents.ballot {
+            self.store.write_ballot(ballot).await?;
+        }
+        let mut core = restore(&self.identity, &self.store, contents, self.now())?;
+        {
+            let before = self.core.borrow();
+            core.seen_term = core.seen_term.max(before.seen_term);
+            core.commit = core.commit.max(before.commit.min(core.log.last_index()));
+        }
+        core.apply();
+        let mut current = self.core.borrow_mut();
+        if !current.is_closed() {
+            *current = core;
+        }
+        drop(current);
+        self.work.raise();
+        self.changed.raise();
+        Ok(())
+    }
+
+    fn stop(&self, halt: Halt) {
         let mut core = self.core.borrow_mut();
         core.follow("");
-        core.halted = Some(reason.into());
+        core.halted = Some(halt);
         drop(core);
         self.work.raise();
         self.changed.raise();
@@ -244,3 +272,12 @@
         core.role = Role::Leader(leading);
     }
 }
+
+/// What a replica holds in memory after it has read its disk.
+fn restore(identity: &Member, store: &Store, contents: Contents, now: Instant) -> Result<Core> {
+    let state = State::restore(contents.image.unwrap_or_default());
+    let log = Log::restore(state.index(), state.term(), contents.entries);
+    let log = log.ok_or_else(|| store.incomplete())?;
+    let ballot = contents.ballot.unwrap_or_default();
+    Ok(Core::new(&identity.instance, ballot, state, log, now))
+}
--- a/crates/jaylock-control/src/storage/files.rs
+++ b/crates/jaylock-control/src/storage/files.rs
@@ -79,6 +79,8 @@
 
     async fn append_bytes(&self, file: FileName, bytes: Vec<u8>) -> io::Result<()> {
         let mut tail = self.tail(file).await?;
+        // After a failure the end is looked up anew, as part of the bytes may stand there.
+        self.log.take();
         let length = bytes.len() as u64;
         tail.file.write_all_at(bytes, tail.length).await.0?;
         tail.file.sync_data().await?;
--- a/crates/jaylock-control/src/storage/mod.rs
+++ b/crates/jaylock-control/src/storage/mod.rs
@@ -9,4 +9,4 @@
 pub use self::disk::{Disk, FileName};
 pub use self::files::FileDisk;
 pub(crate) use self::records::{Answer, Ballot, Batch, ClaimRecord, Image, Outcome};
-pub(crate) use self::store::Store;
+pub(crate) use self::store::{Contents, Store};
--- a/crates/jaylock-daemon/src/parts.rs
+++ b/crates/jaylock-daemon/src/parts.rs
@@ -14,7 +14,7 @@
 use crate::common::Common;
 use crate::exposition::serve_metrics;
 
-/// Time between two looks at the pools without a scheduler and at the disk.
+/// Time between two looks at the pools without a scheduler.
 const LOOK: Duration = Duration::from_millis(100);
 
 /// The parts of an instance, joined through their ports.
@@ -121,16 +121,6 @@
             .binary_search_by(|i| i.id.as_str().cmp(id));
         found.is_ok_and(|at| configuration.instances[at].leaving)
     }
-
-    /// Waits until the disk has failed and returns why.
-    pub async fn halted(&self) -> String {
-        loop {
-            if let Some(reason) = self.replica.as_ref().and_then(Replica::halted) {
-                return reason;
-            }
-            compio::time::sleep(LOOK).await;
-        }
-    }
 }
 
 /// Spawns a task that ends when its handle is dropped.
--- a/crates/jaylock-tests/tests/control/damage.rs
+++ b/crates/jaylock-tests/tests/control/damage.rs
@@ -65,6 +65,43 @@
         expect_that!(group.read().await.revision, eq(1));
     };
 
+    async a_replica_takes_part_again_once_its_disk_has_room => {
+        let group = Group::new(1, 1).await;
+        group.propose(create("before", Some(0))).await;
+        let machine = group.machine(0);
+        machine.medium.full.set(true);
+        expect_that!(group.propose_to(0, create("lost", Some(1))).await, none());
+        machine.medium.full.set(false);
+        group.propose(create("after", Some(1))).await;
+        expect_that!(group.read().await.revision, eq(2));
+        machine.kill();
+        group.start(0).await.expect("a replica");
+        expect_that!(group.read().await.revision, eq(2));
+    };
+
+    async two_disks_of_three_fill_up_and_no_change_is_lost => {
+        let group = Group::new(3, 3).await;
+        group.propose(create("before", Some(0))).await;
+        for at in [0, 1] {
+            group.machine(at).medium.full.set(true);
+        }
+        for at in 0..3 {
+            expect_that!(group.propose_to(at, create("lost", Some(1))).await, none());
+        }
+        for at in [0, 1] {
+            group.machine(at).medium.full.set(false);
+        }
+        group.propose(create("after", None)).await;
+        // The two whose disks were full are the majority now.
+        group.machine(2).kill();
+        group.propose(create("last", None)).await;
+        let organisations = group.read().await.organisations;
+        let names: Vec<&str> = organisations.iter().map(|o| o.id.as_str()).collect();
+        expect_that!(names, contains(eq(&"before")));
+        expect_that!(names, contains(eq(&"after")));
+        expect_that!(names, contains(eq(&"last")));
+    };
+
     async a_full_disk_of_the_leader_moves_the_lead => {
         let group = Group::new(3, 3).await;
         let leader = group.leader().await;
