Settings that change without a signal are taken up

Cause: the settings file was read again only at a hangup; the file may change without one. Change: the daemon compares the file with what it knows every 2 s, beside the signal; a fault in it is told once. It also waits for the stop signal alone now, as a failed disk no longer ends it. Before: life::settings_that_change_without_a_signal_are_taken_up failed with the look put off (20 s without a word). Conclusion: addresses to start from are used within 2 s; all else from the next start, as before.

--- a/crates/jaylock-daemon/src/instance.rs
+++ b/crates/jaylock-daemon/src/instance.rs
@@ -1,11 +1,9 @@
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::time::Duration;
 
 use anyhow::Context;
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
-use futures_util::future::{Either, select};
 use jaylock_router::RouteNames;
 use jaylock_rpc::v1::{Command, InstanceGone, command};
 use jaylock_rpc::{Routes, ServerSettings};
@@ -14,7 +12,8 @@
 
 use crate::api::ControlApi;
 use crate::parts::{Parts, spawn};
-use crate::stop::{on_hangup, stop_signal};
+use crate::reload::follow_settings;
+use crate::stop::stop_signal;
 
 /// Time between two looks at whether the fleet knows that this instance leaves.
 const LOOK: Duration = Duration::from_millis(50);
@@ -124,36 +123,15 @@
 }
 
 impl Instance<Serving> {
-    /// Serves until the process is asked to end, or the disk fails.
+    /// Serves until the process is asked to end.
     ///
-    /// `reread` reads the settings anew when the process is told that they have changed.
-    ///
-    /// # Errors
-    /// The disk failed; what it held stays as it is.
-    pub async fn run(
-        self,
-        reread: impl Fn() -> anyhow::Result<Settings> + 'static,
-    ) -> anyhow::Result<()> {
-        let client = self.parts.common.client.clone();
-        let _reloading = spawn(on_hangup(move || match reread() {
-            Ok(settings) => {
-                client.set_seeds(settings.control.seed_peers());
-                log::info!(target: "daemon", "the settings were read again");
-            }
-            Err(error) => log::error!(target: "daemon", "the new settings are not used: {error}"),
-        }));
-        let failure = {
-            let (stop, halted) = (pin!(stop_signal()), pin!(self.parts.halted()));
-            match select(stop, halted).await {
-                Either::Left(_) => None,
-                Either::Right((reason, _)) => Some(reason),
-            }
-        };
+    /// `reread` reads the settings anew. A disk that fails ends nothing: its replica takes no part until it can
+    /// be written again.
+    pub async fn run(self, reread: impl Fn() -> anyhow::Result<Settings> + 'static) {
+        let (settings, client) = (self.parts.settings().clone(), &self.parts.common.client);
+        let _reloading = spawn(follow_settings(settings, client.clone(), reread));
+        stop_signal().await;
         Box::pin(self.close()).await;
-        match failure {
-            None => Ok(()),
-            Some(reason) => Err(anyhow::anyhow!("the disk failed: {reason}")),
-        }
     }
 
     /// Stops without cutting a request: withdraws the address, hands over its roles, finishes what runs.
--- a/crates/jaylock-daemon/src/lib.rs
+++ b/crates/jaylock-daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod parts;
 mod peer;
 mod ports;
+mod reload;
 mod rescue;
 mod stop;
 
--- a/crates/jaylock-daemon/src/main.rs
+++ b/crates/jaylock-daemon/src/main.rs
@@ -21,7 +21,8 @@
     }
     runtime.block_on(async {
         let instance = Instance::open(settings).await?.start().await?;
-        instance.run(move || read_settings(&matches)).await
+        instance.run(move || read_settings(&matches)).await;
+        Ok(())
     })
 }
 
--- a/crates/jaylock-daemon/src/stop.rs
+++ b/crates/jaylock-daemon/src/stop.rs
@@ -2,7 +2,7 @@
 use std::pin::Pin;
 
 use compio::signal::unix::signal;
-use futures_channel::mpsc::{UnboundedSender, unbounded};
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use futures_util::{FutureExt, StreamExt};
 
 /// Signal that asks for a graceful shutdown, as service managers send it.
@@ -29,13 +29,11 @@
     }
 }
 
-/// Calls `reload` each time the process is told that its settings have changed.
-pub async fn on_hangup(reload: impl Fn()) {
-    let (sender, mut told) = unbounded();
+/// One item each time the process is told that its settings have changed.
+pub fn hangups() -> UnboundedReceiver<()> {
+    let (sender, told) = unbounded();
     compio::runtime::spawn(catch(SIGHUP, sender)).detach();
-    while told.next().await.is_some() {
-        reload();
-    }
+    told
 }
 
 /// Reports each arrival of a signal; the next listener registers before the last one goes.
--- a/crates/jaylock-tests/tests/platform/bed/mod.rs
+++ b/crates/jaylock-tests/tests/platform/bed/mod.rs
@@ -96,6 +96,16 @@
         self.nodes[at].process = Some(process);
     }
 
+    /// Changes the settings file of an instance that may be running.
+    pub fn edit_settings(&self, at: usize, change: impl FnOnce(String) -> String) {
+        let path = self
+            .folder
+            .path()
+            .join(format!("{}.ini", self.nodes[at].name));
+        let text = fs::read_to_string(&path).expect("a settings file");
+        fs::write(path, change(text)).expect("the settings are written");
+    }
+
     /// Ends an instance at once.
     pub fn kill(&mut self, at: usize) {
         if let Some(process) = self.nodes[at].process.take() {
--- a/crates/jaylock-tests/tests/platform/life.rs
+++ b/crates/jaylock-tests/tests/platform/life.rs
@@ -120,6 +120,16 @@
         }
         assert_that!(bed.caller().send().status(), eq(200));
     };
+    settings_that_change_without_a_signal_are_taken_up => {
+        let mut bed = Bed::small();
+        let _backend = Backend::start(&bed, "b1", |r| r.answer("200 OK", "done"));
+        bed.edit_settings(1, |text| text.replace("seeds = ", "seeds = 127.0.0.1:9,"));
+        wait_until("the settings are read again", || bed.log(1).contains("settings were read again"));
+        bed.edit_settings(1, |_| "not a setting".into());
+        wait_until("the fault is told", || bed.log(1).contains("new settings are not used"));
+        assert_that!(bed.process(1).has_ended(), eq(false));
+        assert_that!(bed.caller().send().status(), eq(200));
+    };
     a_leaving_backend_server_gets_nothing_new => {
         let bed = Bed::small();
         let one = Backend::start(&bed, "b1", |r| r.answer("200 OK", "done"));
