Retries of all routers together stay within one budget a service

Cause: each router had a burst of 3 retries a service of its own. What the fleet may make at once grew with its routers: 24 on 8, 228 on 76, where the grown deployment's settings name 192 (and 198 against 172 on the other). Ruled out: leases of retries from a scheduler, a call more on the path of a failed attempt; an even part of a known sum needs none. Change: FleetBudget divides what the fleet may make at once among the routers that the configuration lists, and keeps half back for routers that start anew. The sum is a setting (limits.retries), on the platform its own figure. Before: pieces::retries_of_all_routers_stay_within_the_fleet_s_budget failed with 3 a router. After: it passes. Conclusion: the bound holds for any size while a part is a retry or more; below that (over 96 routers under 192) a router still earns one by ten requests.

--- a/crates/jaylock-daemon/src/common.rs
+++ b/crates/jaylock-daemon/src/common.rs
@@ -238,6 +238,7 @@
             connections: limits.connections,
             slow_sender: limits.sender_timeout,
             record_bound: limits.answer_copy,
+            route_burst: limits.retries,
             first_byte: timeouts.first_byte,
             silence: timeouts.silence,
             deadline: timeouts.deadline,
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -41,7 +41,7 @@
 
 pub use self::address::routers_for;
 pub use self::body::{Body, Cut};
-pub use self::budget::RetryBudget;
+pub use self::budget::{FleetBudget, RetryBudget};
 pub use self::event::{Event, EventParser};
 pub use self::head_check::HeadCheck;
 pub use self::lifecycle::Lifecycle;
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -35,6 +35,7 @@
 impl Attempts {
     /// Prepares the first attempt.
     pub fn new(context: Rc<RouteContext>, request: RouteRequest) -> Self {
+        context.budget.divide(&context.view.current());
         context.budget.earn(request.pool.as_str());
         let kind = match request.prompt {
             Some(_) => RequestKind::Model,
--- a/crates/jaylock-router/src/route/context.rs
+++ b/crates/jaylock-router/src/route/context.rs
@@ -7,7 +7,7 @@
 use jaylock_types::ByteSize;
 
 use super::names::RouteNames;
-use crate::budget::RetryBudget;
+use crate::budget::FleetBudget;
 use crate::lifecycle::Lifecycle;
 use crate::link::Links;
 use crate::port::Capacity;
@@ -25,7 +25,7 @@
     /// Idle connections to backend servers.
     pub links: Rc<Links>,
     /// Attempts beyond the first that services may get.
-    pub budget: Rc<RetryBudget>,
+    pub budget: FleetBudget,
     /// Notes of what happens.
     pub observer: Observer,
     /// Names of the header fields.
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -117,7 +117,7 @@
             capacity: shared.capacity.clone(),
             lifecycle: shared.lifecycle.clone(),
             links: shared.links.clone(),
-            budget: Rc::new(shared.settings.route_budget()),
+            budget: shared.settings.route_budget(),
             observer: shared.observer.clone(),
             names,
             limits: shared.settings.route_limits(),
--- a/crates/jaylock-router/src/settings.rs
+++ b/crates/jaylock-router/src/settings.rs
@@ -2,7 +2,7 @@
 
 use jaylock_types::{ByteSize, DomainId, Incarnation, InstanceId};
 
-use crate::budget::RetryBudget;
+use crate::budget::FleetBudget;
 use crate::route::RouteLimits;
 
 /// Who this router is.
@@ -75,7 +75,7 @@
     pub lease_ms: u32,
     /// Time for which a caller of routes may leave a connection idle.
     pub caller_idle: Duration,
-    /// Attempts beyond the first that a service may get from this router at once, over all routes.
+    /// Attempts beyond the first that a service may get at once from all routers, over all routes.
     pub route_burst: u32,
     /// Attempts beyond the first that each request for a service earns, in thousandths.
     pub route_permille: u32,
@@ -96,8 +96,8 @@
     }
 
     /// The budget of attempts beyond the first that services get from this router.
-    pub(crate) fn route_budget(&self) -> RetryBudget {
-        RetryBudget::new(self.route_burst, self.route_permille)
+    pub(crate) fn route_budget(&self) -> FleetBudget {
+        FleetBudget::new(self.route_burst, self.route_permille)
     }
 }
 
@@ -132,7 +132,7 @@
             heartbeat_ms: 1000,
             lease_ms: 3000,
             caller_idle: Duration::from_secs(30),
-            route_burst: 3,
+            route_burst: 48,
             route_permille: 100,
         }
     }
--- a/crates/jaylock-settings/src/limits.rs
+++ b/crates/jaylock-settings/src/limits.rs
@@ -18,6 +18,8 @@
     pub sender_timeout: Duration,
     /// Requests of one organisation that may wait in one pool.
     pub queue: u32,
+    /// Attempts beyond the first that a backend service may get at once from all routers.
+    pub retries: u32,
     /// Largest copy of an answer that is kept for a request that may not be repeated.
     pub answer_copy: ByteSize,
 }
@@ -30,6 +32,7 @@
             connections: 1024,
             sender_timeout: Duration::from_secs(10),
             queue: 64,
+            retries: 48,
             answer_copy: ByteSize(16 << 10),
         }
     }
@@ -50,6 +53,7 @@
             duration(v).map(|d| s.sender_timeout = d)
         }),
         Key::optional("queue", COUNT, |s, v| count(v).map(|n| s.queue = n)),
+        Key::optional("retries", COUNT, |s, v| count(v).map(|n| s.retries = n)),
         Key::optional("answer_copy", SIZE, |s, v| {
             parsed(v).map(|size| s.answer_copy = size)
         }),
--- a/crates/jaylock-tests/tests/control/rules.rs
+++ b/crates/jaylock-tests/tests/control/rules.rs
@@ -103,6 +103,22 @@
         expect_that!(sent.elapsed(), ge(lease));
     };
 
+    async an_instance_whose_time_of_day_went_back_is_taken_after_one_lease => {
+        let group = Group::new(1, 1).await;
+        group.leader().await;
+        let ahead = Instance { incarnation: 600_000, ..instance("x", false) };
+        group.renew_at(0, &ahead, &[]).await.expect("a lease");
+        let behind = Instance { incarnation: 7, ..ahead };
+        expect_that!(group.renew_at(0, &behind, &[]).await, none());
+        let started = Instant::now();
+        while group.renew_at(0, &behind, &[]).await.is_none() {
+            assert!(started.elapsed() < PATIENCE, "it is refused for good");
+            compio::time::sleep(group.settings.instance_lease / 10).await;
+        }
+        let known = group.read().await.instances;
+        expect_that!(known[0].incarnation, eq(7));
+    };
+
     a_view_never_goes_back => {
         let view = ConfigView::default();
         let at = |revision, index| Configuration {
--- a/crates/jaylock-tests/tests/router/pieces.rs
+++ b/crates/jaylock-tests/tests/router/pieces.rs
@@ -2,7 +2,10 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use jaylock_router::{BodyMemory, Check, Event, EventParser, PieceChecker, RetryBudget, Room};
+use jaylock_router::{
+    BodyMemory, Check, Event, EventParser, FleetBudget, PieceChecker, RetryBudget, Room,
+};
+use jaylock_rpc::v1::{Configuration, Instance};
 use jaylock_tests::seeded;
 use jaylock_types::ByteSize;
 use proptest::collection::vec;
@@ -146,6 +149,62 @@
         let earned = requests * u64::from(permille) / 1000;
         prop_assert!(retries <= u64::from(burst) + earned);
     }
+
+    // Each router may start anew once; the routers of a fleet of any size keep within what all may spend.
+    #[test]
+    fn retries_of_all_routers_stay_within_the_fleet_s_budget(
+        steps in vec((0..100_usize, 0..10_u8), 0..2000),
+        routers in 1..100_usize,
+        restarted in 0..100_usize,
+    ) {
+        let configuration = fleet_of(routers);
+        let started = || {
+            let budget = FleetBudget::new(FLEET_BURST, 100);
+            budget.divide(&configuration);
+            budget
+        };
+        let mut budgets: Vec<FleetBudget> = (0..routers).map(|_| started()).collect();
+        let (mut requests, mut retries) = (0_u64, 0_u64);
+        for (at, (router, kind)) in steps.iter().enumerate() {
+            let router = router % routers;
+            if at == 1000 {
+                for budget in budgets.iter_mut().take(restarted) {
+                    *budget = started();
+                }
+            }
+            if *kind < 5 {
+                requests += 1;
+                budgets[router].earn("claims");
+            } else {
+                retries += u64::from(budgets[router].spend("claims"));
+            }
+        }
+        prop_assert!(retries <= u64::from(FLEET_BURST) + requests / 5);
+    }
+}
+
+/// Retries that all routers of a fleet may make at once.
+const FLEET_BURST: u32 = 192;
+
+fn fleet_of(routers: usize) -> Configuration {
+    let instance = |at: usize| Instance {
+        id: format!("r{at}"),
+        caller_address: format!("10.0.0.{at}:80"),
+        ..Instance::default()
+    };
+    Configuration {
+        index: 1,
+        instances: (0..routers).map(instance).collect(),
+        ..Configuration::default()
+    }
+}
+
+#[test]
+fn a_router_that_knows_no_fleet_makes_no_retry_at_once() {
+    let budget = FleetBudget::new(FLEET_BURST, 100);
+    assert_that!(budget.spend("claims"), eq(false));
+    budget.divide(&fleet_of(8));
+    assert_that!(budget.spend("records"), eq(true));
 }
 
 #[test]
