The log never waits for its reader and writes so many lines a second at most

Cause: lines went to standard output with a blocking write, and every refusal wrote one: a reader that stops reading stops the process, and a flood of refusals writes as many lines as it has requests. Ruled out: a thread with a queue (a wake-up a line, and machines of a quarter of a core); a non-blocking standard output (the flag is shared with whoever else holds it). Change: a line is written only while the reader has room for one, 200 lines a second at most, a quarter of them for warnings and errors only; what is left out is counted and told before the next line. Before: with the two checks off, a flood wrote all 100 lines (test failed) and a pipe that nobody reads held the writer for good (test ended by force after 60 s). After: lines::* pass, three.

--- a/crates/jaylock-daemon/src/observing.rs
+++ b/crates/jaylock-daemon/src/observing.rs
@@ -13,6 +13,7 @@
             .into_iter()
             .map(|(part, level)| (part.into(), level))
             .collect(),
+        lines: settings.log.lines,
     }
 }
 
--- a/crates/jaylock-observe/src/lib.rs
+++ b/crates/jaylock-observe/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod burn;
 mod clock;
+mod lines;
 mod logging;
 mod metrics;
 mod minutes;
@@ -18,6 +19,7 @@
 
 pub use self::burn::{Alert, BurnLine, BurnReport, Moment};
 pub use self::clock::{Minute, WallClock};
+pub use self::lines::LineWriter;
 pub use self::logging::{LOG_PARTS, LogSettings, setup_log};
 pub use self::objective::{Judgement, Objective, ObjectiveKind, Objectives};
 pub use self::observer::{Observer, ObserverSettings};
--- a/crates/jaylock-observe/src/logging.rs
+++ b/crates/jaylock-observe/src/logging.rs
@@ -1,11 +1,14 @@
 use std::fmt::{self, Display, Formatter};
 use std::io;
-use std::time::SystemTime;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Instant, SystemTime};
 
 use compact_str::CompactString;
 use log::kv::{self, Key, Source, Value, VisitSource};
 use log::{LevelFilter, SetLoggerError};
 
+use crate::lines::LineWriter;
+
 /// Parts of the program that log under a prefix of their own.
 pub const LOG_PARTS: [&str; 8] = [
     "control", "daemon", "observe", "operator", "orders", "router", "rpc", "share",
@@ -18,6 +21,8 @@
     pub level: LevelFilter,
     /// Levels of single parts, by the name that stands in the log.
     pub parts: Vec<(CompactString, LevelFilter)>,
+    /// Lines a second at most; a quarter is kept for warnings and errors.
+    pub lines: u32,
 }
 
 impl Default for LogSettings {
@@ -25,6 +30,7 @@
         Self {
             level: LevelFilter::Info,
             parts: Vec::new(),
+            lines: 200,
         }
     }
 }
@@ -32,7 +38,7 @@
 /// Sends the log to standard output, one line an event: time, level, part, message, and the
 /// inputs and outcomes as `key=value`.
 ///
-/// Libraries log warnings and errors only.
+/// Libraries log warnings and errors only. Logging never waits: a line that finds no room is counted.
 ///
 /// # Errors
 /// The log was set up before.
@@ -51,10 +57,20 @@
             let pairs = Pairs(record.key_values());
             out.finish(format_args!("{time} {level:5} [{part}] {message}{pairs}"));
         })
-        .chain(io::stdout())
+        .chain(bounded(settings.lines))
         .apply()
 }
 
+/// Standard output, without waiting for its reader and with so many lines a second at most.
+fn bounded(lines: u32) -> fern::Output {
+    let writer = Mutex::new(LineWriter::new(io::stdout(), lines));
+    fern::Output::call(move |record| {
+        let line = record.args().to_string();
+        let mut writer = writer.lock().unwrap_or_else(PoisonError::into_inner);
+        writer.write(record.level(), &line, Instant::now());
+    })
+}
+
 /// The key-values of an event, each after a space.
 struct Pairs<'a>(&'a dyn Source);
 
--- a/crates/jaylock-settings/src/log_levels.rs
+++ b/crates/jaylock-settings/src/log_levels.rs
@@ -1,7 +1,7 @@
 use log::LevelFilter;
 
 use crate::key::{Key, Part};
-use crate::value::parsed;
+use crate::value::{COUNT, count, parsed};
 
 /// What is logged, for each part of the program.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,6 +24,8 @@
     pub operator: Option<LevelFilter>,
     /// Level of the program's start and stop.
     pub daemon: Option<LevelFilter>,
+    /// Lines a second at most, a quarter of them for warnings and errors only.
+    pub lines: u32,
 }
 
 impl LogSettings {
@@ -57,6 +59,7 @@
             observe: None,
             operator: None,
             daemon: None,
+            lines: 200,
         }
     }
 }
@@ -73,6 +76,7 @@
         Key::optional("observe", LEVEL, |s, v| own(&mut s.observe, v)),
         Key::optional("operator", LEVEL, |s, v| own(&mut s.operator, v)),
         Key::optional("daemon", LEVEL, |s, v| own(&mut s.daemon, v)),
+        Key::optional("lines", COUNT, |s, v| count(v).map(|n| s.lines = n)),
     ];
 }
 
--- a/crates/jaylock-tests/tests/observe/main.rs
+++ b/crates/jaylock-tests/tests/observe/main.rs
@@ -3,6 +3,7 @@
 mod burn;
 mod clients;
 mod instance;
+mod lines;
 mod metrics;
 mod minutes;
 mod report;
