A follower leaves a replica that is cut off from the leader

Cause: a router's watch hung on a replica in the smaller half of the core. That replica ended the watch after 2 s without a leader, but took a new one from anybody and held that for 2 s more, so that a router which came from one cut replica to another stood still for over 4 s, while its lease was renewed with the leader. Ruled out: slots used without a scheduler (right while none is named); the scheduler's own lease (ended in time). Change: a replica that is cut off ends a watch at once and looks every election time; a follower that has not seen what the leader's renewal names within 400 ms reads it from the leader and watches another replica. Conclusion: a standstill is noticed with the next renewal, 1.4 s at most, against bounds of 2 s.

--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -1,11 +1,14 @@
 use std::cell::{Cell, RefCell};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::{Either, select};
 use jaylock_rpc::v1::{Instance, RenewReply, RenewRequest};
 use jaylock_types::{Index, PoolId, boot_now};
 
 use crate::gossip::Gossip;
+use crate::signal::Signal;
 use crate::{ConfigView, ControlClient, FollowerSettings};
 
 /// Keeps an instance's configuration up to date and its lease renewed.
@@ -20,6 +23,8 @@
     instance: RefCell<Instance>,
     lease: InstanceLease,
     pools: RefCell<Vec<PoolId>>,
+    /// Raised when the leader knew a change that the watch did not bring.
+    behind: Signal,
 }
 
 /// The right of an instance to act; clones share it.
@@ -85,6 +90,7 @@
             instance: instance.into(),
             lease: InstanceLease::default(),
             pools: Vec::new().into(),
+            behind: Signal::default(),
         };
         Self {
             client,
@@ -151,25 +157,42 @@
                 return !whole;
             }
         };
-        while let Ok(Some(reply)) = stream.message().await {
+        let seen = self.shared.behind.count();
+        loop {
+            let behind = pin!(self.shared.behind.past(seen));
+            let reply = match select(pin!(stream.message()), behind).await {
+                Either::Left((Ok(Some(reply)), _)) => reply,
+                Either::Left(_) | Either::Right(_) => return true,
+            };
             if !self.view.follow(&reply) {
                 return false;
             }
             self.client.learn(&self.view.current());
             log::debug!(target: "control", "index {} is in force", self.view.index());
         }
-        true
     }
 
     /// Holds the lease from when the configuration that it was renewed under is in force.
+    ///
+    /// A watch that does not bring it soon may hang on a replica that is cut off from the leader: the
+    /// configuration is read from the leader then, and another replica watched.
     fn hold(&self, reply: &RenewReply, sent: Instant) {
         let end = sent + Duration::from_millis(reply.lease_ms.into());
         let before = Index(reply.index.saturating_sub(1));
-        let (lease, view) = (self.lease(), self.view.clone());
+        let (shared, view, client) = (self.shared.clone(), self.view.clone(), self.client.clone());
+        let patience = self.settings.watch_delay;
         let waiting = async move {
+            let soon = compio::time::timeout(patience, view.newer_than(before));
+            if soon.await.is_err() {
+                shared.behind.raise();
+                match client.read().await {
+                    Ok(newest) => drop(view.offer(newest)),
+                    Err(error) => log::warn!(target: "control", "the watch is behind: {error}"),
+                }
+            }
             let in_force = view.newer_than(before);
             if compio::time::timeout_at(end, in_force).await.is_ok() {
-                lease.extend(end);
+                shared.lease.extend(end);
                 view.stay_connected(end);
             }
         };
--- a/crates/jaylock-control/src/service.rs
+++ b/crates/jaylock-control/src/service.rs
@@ -179,14 +179,11 @@
         if current.index > index {
             return Some((lacking(shared, index), current.index));
         }
-        if shared.is_halted() {
-            return None;
-        }
-        let silence = shared.settings.election * SILENT_ELECTIONS;
-        let waited = compio::time::timeout(silence, shared.changed.past(seen)).await;
-        if waited.is_err() && is_cut_off(shared) {
+        if shared.is_halted() || is_cut_off(shared) {
             return None;
         }
+        let look = shared.settings.election;
+        let _ = compio::time::timeout(look, shared.changed.past(seen)).await;
     }
 }
 
--- a/crates/jaylock-control/src/settings.rs
+++ b/crates/jaylock-control/src/settings.rs
@@ -80,8 +80,8 @@
     pub answer_timeout: Duration,
     /// How long a heard answer counts as being connected.
     pub heard_for: Duration,
-    /// Silence of a watch after which another replica is asked.
-    pub watch_silence: Duration,
+    /// Time for a watch to bring a change that the leader knows, before it is read from the leader.
+    pub watch_delay: Duration,
 }
 
 impl Default for FollowerSettings {
@@ -91,7 +91,7 @@
             gossip_every: Duration::from_secs(1),
             answer_timeout: Duration::from_secs(1),
             heard_for: Duration::from_secs(3),
-            watch_silence: Duration::from_secs(5),
+            watch_delay: Duration::from_millis(400),
         }
     }
 }
--- a/crates/jaylock-tests/tests/control/losses.rs
+++ b/crates/jaylock-tests/tests/control/losses.rs
@@ -3,10 +3,12 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use futures_util::{FutureExt, StreamExt};
 use googletest::prelude::*;
 use jaylock_control::{Error, rescue};
+use jaylock_rpc::v1::control_server::Control;
 use jaylock_rpc::v1::replica_server::Replica;
-use jaylock_rpc::v1::{Configuration, Instance, VoteRequest};
+use jaylock_rpc::v1::{Configuration, Instance, VoteRequest, WatchRequest};
 
 use crate::commands::create;
 use crate::group::Group;
@@ -100,6 +102,27 @@
         expect_that!(group.read().await.revision, eq(2));
     };
 
+    async a_replica_that_is_cut_off_takes_no_watch => {
+        let group = Group::new(5, 5).await;
+        group.propose(create("a", Some(0))).await;
+        let index = group.read().await.index;
+        let leader = group.leader().await;
+        let cut: Vec<usize> = (0..5).filter(|at| *at != leader).take(2).collect();
+        for at in &cut {
+            group.machine(*at).cut.set(true);
+        }
+        compio::time::sleep(group.settings.election * 6).await;
+        for at in cut {
+            let service = group.machine(at).replica().expect("a replica").control_service();
+            let request = WatchRequest { index, whole: false };
+            let reply = service.watch(tonic::Request::new(request)).await;
+            let mut stream = reply.expect("a stream").into_inner();
+            // It ends at once, so that the follower goes elsewhere.
+            let first = stream.next().now_or_never();
+            expect_that!(first.map(|reply| reply.is_none()), some(eq(true)));
+        }
+    };
+
     async a_lost_disk_counts_only_after_it_caught_up => {
         let group = Group::new(3, 3).await;
         for at in 0..60 {
--- a/crates/jaylock-tests/tests/following/main.rs
+++ b/crates/jaylock-tests/tests/following/main.rs
@@ -1,5 +1,7 @@
 //! Instances that follow the configuration change by change end with what control holds.
 
+mod stuck;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
--- /dev/null
+++ b/crates/jaylock-tests/tests/following/stuck.rs
@@ -0,0 +1,107 @@
+//! A replica whose watches bring nothing, while the leader confirms changes.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use compio::net::TcpListener;
+use futures_util::{Stream, stream};
+use googletest::prelude::*;
+use jaylock_control::{ConfigView, Follower, FollowerSettings};
+use jaylock_rpc::v1::control_server::{Control, ControlServer};
+use jaylock_rpc::v1::{
+    Configuration, DocumentReply, EventsReply, EventsRequest, Instance, LagReply, LagRequest,
+    ProposeReply, ProposeRequest, ReadReply, ReadRequest, RenewReply, RenewRequest, WatchReply,
+    WatchRequest,
+};
+use jaylock_rpc::{Access, Routes, ServerSettings, serve};
+use jaylock_types::{Index, Secret};
+use tonic::{Request, Response, Status};
+
+use crate::{PATIENCE, client};
+
+type Answer<T> = std::result::Result<Response<T>, Status>;
+
+/// Control whose newest configuration has this index.
+#[derive(Clone)]
+struct Stuck(Arc<AtomicU64>);
+
+impl Stuck {
+    fn newest(&self) -> Configuration {
+        Configuration {
+            index: self.0.load(Ordering::Relaxed),
+            ..Configuration::default()
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Control for Stuck {
+    type WatchStream = Pin<Box<dyn Stream<Item = std::result::Result<WatchReply, Status>> + Send>>;
+
+    async fn propose(&self, _: Request<ProposeRequest>) -> Answer<ProposeReply> {
+        Err(Status::unimplemented("not asked here"))
+    }
+
+    async fn read(&self, _: Request<ReadRequest>) -> Answer<ReadReply> {
+        Ok(Response::new(ReadReply {
+            configuration: Some(self.newest()),
+            leader_address: None,
+        }))
+    }
+
+    async fn read_document(&self, _: Request<ReadRequest>) -> Answer<DocumentReply> {
+        Err(Status::unimplemented("not asked here"))
+    }
+
+    async fn watch(&self, _: Request<WatchRequest>) -> Answer<Self::WatchStream> {
+        Ok(Response::new(Box::pin(stream::pending())))
+    }
+
+    async fn renew(&self, _: Request<RenewRequest>) -> Answer<RenewReply> {
+        Ok(Response::new(RenewReply {
+            lease_ms: 3000,
+            leader_address: None,
+            index: self.newest().index,
+        }))
+    }
+
+    async fn lag(&self, _: Request<LagRequest>) -> Answer<LagReply> {
+        Err(Status::unimplemented("not asked here"))
+    }
+
+    async fn events(&self, _: Request<EventsRequest>) -> Answer<EventsReply> {
+        Err(Status::unimplemented("not asked here"))
+    }
+}
+
+jaylock_tests::cases! {
+    async a_follower_whose_watch_brings_nothing_reads_from_the_leader => {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let newest = Arc::new(AtomicU64::new(1));
+        let routes = Routes::default()
+            .with(Access::Instances, ControlServer::new(Stuck(newest.clone())));
+        let settings = ServerSettings {
+            peer_secret: Secret::new(""),
+            ..ServerSettings::default()
+        };
+        compio::runtime::spawn(serve(listener, routes, settings)).detach();
+        let view = ConfigView::default();
+        let instance = Instance {
+            id: "one".into(),
+            incarnation: 1,
+            peer_address: address.to_string(),
+            ..Instance::default()
+        };
+        let settings = FollowerSettings::default();
+        let follower = Follower::new(client(address), view.clone(), instance, settings);
+        compio::runtime::spawn(follower.run()).detach();
+        for index in [1, 2, 3] {
+            newest.store(index, Ordering::Relaxed);
+            let in_force = view.newer_than(Index(index - 1));
+            let heard = compio::time::timeout(PATIENCE, in_force).await;
+            expect_that!(heard.is_ok(), eq(true), "index {index}");
+        }
+    };
+}
