A decision looks at the engines that keep a prompt's parts, not at all of them

Cause: each waiting request was weighed against every engine at each decision (500 a second): 140 engines, some hundreds waiting, each weighing a search for each part. On the grown deployment the scheduler's machine has 0.15 of a core and was busy all the time from the 8th second on; slots were granted late and half of the requests refused. Change: an index tells which engines keep the parts that prompts share; a decision takes the least busy engine of all and of those that keep the first part, the first two, and so on. One survey of the engines serves a whole decision.

--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -208,6 +208,7 @@
             Some(demand) => demand,
             None => self.demands.add(&ask, self.backends.loaded()),
         };
+        self.backends.look_up(&ask);
         let shape = Shape::of(&ask);
         let expected = self.expected(account, shape, ask.served);
         // A router that comes back tells how long its requests have waited already.
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -1,9 +1,10 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use jaylock_rpc::v1::{BackendReport, LoadedModel};
+use jaylock_rpc::v1::{Ask, BackendReport, LoadedModel};
 
-use crate::engine::EngineState;
+use crate::engine::{EngineState, Load};
+use crate::holders::Holders;
 
 /// A set of backend servers, by their positions.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -40,6 +41,14 @@
         words.any(|(a, b)| a & b != 0)
     }
 
+    /// Positions that both sets hold, as a set.
+    pub fn intersection(&self, other: &Self) -> Self {
+        let words = self.words.iter().zip(&other.words);
+        Self {
+            words: words.map(|(a, b)| a & b).collect(),
+        }
+    }
+
     /// Whether a position is in the set.
     pub fn contains(&self, place: usize) -> bool {
         let word = self.words.get(place / 64).copied().unwrap_or(0);
@@ -224,6 +233,7 @@
     open: BackendSet,
     // Those that may take requests, full or not.
     usable: BackendSet,
+    holders: Holders,
 }
 
 impl Backends {
@@ -234,6 +244,40 @@
         now: Instant,
         lease: Duration,
         most_prefixes: usize,
+    ) -> Result<usize, &'static str> {
+        let place = self.take_report(report, now, lease, most_prefixes)?;
+        self.note_parts(place);
+        Ok(place)
+    }
+
+    /// Counts a request that is sent to an engine.
+    pub fn begin(&mut self, place: usize, ask: &Ask) -> Load {
+        let load = self.list[place].engine.begin(ask);
+        self.note_parts(place);
+        load
+    }
+
+    /// Looks up who keeps the parts of a prompt, so that it is known from now on.
+    pub fn look_up(&mut self, ask: &Ask) {
+        self.holders.look_up(ask, &self.list);
+    }
+
+    /// Which engines keep which parts.
+    pub fn holders(&self) -> &Holders {
+        &self.holders
+    }
+
+    fn note_parts(&mut self, place: usize) {
+        let changes = self.list[place].engine.take_changes();
+        self.holders.note(place, changes);
+    }
+
+    fn take_report(
+        &mut self,
+        report: BackendReport,
+        now: Instant,
+        lease: Duration,
+        most_prefixes: usize,
     ) -> Result<usize, &'static str> {
         if report.slots == 0 {
             return Err("a backend server takes at least one request at once: announce slots > 0");
--- a/crates/jaylock-share/src/decide.rs
+++ b/crates/jaylock-share/src/decide.rs
@@ -9,6 +9,7 @@
 use crate::placement::{self, Engines};
 use crate::queue::Waiting;
 use crate::router::Run;
+use crate::survey::Survey;
 
 impl Allocator {
     /// Grants the slots that are free, each to the backlogged organisation with the least service.
@@ -22,18 +23,24 @@
         }
         self.grant_alone(now);
         let mut rank = 0;
+        let mut survey = Survey::new(&self.backends);
         while !self.backends.open().is_empty() {
             let Some(account) = self.accounts.backlogged(rank) else {
                 break;
             };
-            let is_granted = self.grant_next(account, now);
-            rank = if is_granted { 0 } else { rank + 1 };
+            match self.grant_next(account, &survey, now) {
+                Some(place) => {
+                    survey.note(&self.backends, place);
+                    rank = 0;
+                }
+                None => rank += 1,
+            }
         }
         self.accounts.note_left();
     }
 
-    /// Grants a slot to the next request of an organisation that any free backend server can run.
-    fn grant_next(&mut self, account: AccountKey, now: Instant) -> bool {
+    /// Grants a slot to the next request of an organisation that any free backend server can run, and says where.
+    fn grant_next(&mut self, account: AccountKey, survey: &Survey, now: Instant) -> Option<usize> {
         let demands: Vec<_> = self.accounts.get(account).queue.demands().collect();
         for demand in demands {
             let meeting = self.demands.backends(demand);
@@ -50,6 +57,7 @@
                     let engines = Engines {
                         backends,
                         twins,
+                        survey,
                         pace,
                         ahead,
                         is_behind,
@@ -69,9 +77,9 @@
             };
             self.grant(account, &waiting, chosen, now, "least served");
             self.accounts.leave_backlog(account);
-            return true;
+            return Some(chosen);
         }
-        false
+        None
     }
 
     /// Lets a backend server become empty for the first request that must run alone.
@@ -147,7 +155,8 @@
         let backend = self.backends.get_mut(place);
         backend.add_grant();
         let missing = backend.engine.missing(ask);
-        let load = (!ask.parts.is_empty()).then(|| backend.engine.begin(ask));
+        let load = (!ask.parts.is_empty()).then(|| self.backends.begin(place, ask));
+        let backend = self.backends.get(place);
         let ahead = backend.engine.unread();
         let grant = Grant {
             ticket: ask.ticket,
--- a/crates/jaylock-share/src/engine.rs
+++ b/crates/jaylock-share/src/engine.rs
@@ -29,6 +29,15 @@
     // Sorted by hash.
     parts: Vec<Part>,
     turn: u64,
+    /// What it has begun or ceased to keep since that was last asked.
+    changes: Vec<Change>,
+}
+
+/// A part that an engine has begun or ceased to keep.
+#[derive(Debug, Clone, Copy)]
+pub struct Change {
+    pub hash: u64,
+    pub is_kept: bool,
 }
 
 /// A part of prompts that an engine keeps.
@@ -68,6 +77,16 @@
         self.unread
     }
 
+    /// Whether it keeps a part.
+    pub fn keeps(&self, hash: u64) -> bool {
+        self.find(hash).is_ok()
+    }
+
+    /// What it has begun or ceased to keep since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
     /// Tokens of a prompt that would have to be read.
     pub fn missing(&self, ask: &Ask) -> u64 {
         let parts = ask.parts.iter();
@@ -123,6 +142,7 @@
                     turn: 0,
                 };
                 self.kept += u64::from(part.tokens);
+                self.note(part.hash, true);
                 self.parts.insert(at, part);
             }
         }
@@ -150,12 +170,23 @@
 
     /// Forgets what a restarted engine no longer keeps.
     pub fn restart(&mut self) {
+        let mut changes = std::mem::take(&mut self.changes);
+        let forgotten = self.parts.iter().map(|part| Change {
+            hash: part.hash,
+            is_kept: false,
+        });
+        changes.extend(forgotten);
         *self = Self {
             capacity: self.capacity,
+            changes,
             ..Self::default()
         };
     }
 
+    fn note(&mut self, hash: u64, is_kept: bool) {
+        self.changes.push(Change { hash, is_kept });
+    }
+
     fn use_part(&mut self, hash: u64, tokens: u32) {
         let turn = self.turn;
         let at = self.find(hash).unwrap_or_else(|at| {
@@ -167,6 +198,7 @@
             };
             self.parts.insert(at, part);
             self.kept += u64::from(tokens);
+            self.note(hash, true);
             at
         });
         let part = &mut self.parts[at];
@@ -190,6 +222,7 @@
             };
             let part = self.parts.remove(at);
             self.kept = self.kept.saturating_sub(part.tokens.into());
+            self.note(part.hash, false);
         }
     }
 
@@ -223,6 +256,14 @@
         self.tokens_per_ms += (seen - self.tokens_per_ms) / PACE_SPAN;
     }
 
+    /// Tokens that are read in a time.
+    pub fn tokens(&self, time: Duration) -> u64 {
+        let tokens = self.tokens_per_ms * time.as_secs_f64() * 1e3;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let tokens = tokens as u64;
+        tokens
+    }
+
     /// Time for reading so many tokens.
     pub fn time(&self, tokens: u64) -> Duration {
         #[allow(clippy::cast_precision_loss)]
--- a/crates/jaylock-share/src/placement.rs
+++ b/crates/jaylock-share/src/placement.rs
@@ -4,6 +4,8 @@
 
 use crate::backend::{BackendSet, Backends};
 use crate::engine::ReadingPace;
+use crate::holders::shared_parts;
+use crate::survey::Survey;
 use crate::twins::Twins;
 
 /// Worth of a prompt prefix that is held, in hundredths of a backend server's slots.
@@ -24,6 +26,7 @@
 pub struct Engines<'a> {
     pub backends: &'a Backends,
     pub twins: &'a Twins,
+    pub survey: &'a Survey,
     pub pace: &'a ReadingPace,
     /// Reading that an engine may have before it.
     pub ahead: Duration,
@@ -40,29 +43,81 @@
     /// while the best engine has enough to read. While engines are idle, or its organisation is far
     /// behind, it goes to another at once, so that what many ask about is soon kept by several.
     pub fn choose(&self, meeting: &BackendSet, ask: &Ask, domain: &str) -> Option<usize> {
-        let backends = self.backends;
-        let allowed = |place: &usize| {
-            let backend = backends.get(*place);
-            !is_avoided(ask, &backend.report.id)
-                && self.twins.admits(ask.fingerprint, *place)
-                && backend.engine.has_room(ask)
-        };
-        let open = || meeting.common(backends.open()).filter(allowed);
-        if self.is_behind || self.has_spare(meeting) {
-            let fitting = open().filter(|place| self.fits(*place));
-            return fitting.min_by_key(|place| self.time(*place, ask, domain, 1));
+        let (_, first) = self.survey.order().next()?;
+        if !self.fits(first) {
+            return None;
         }
-        let best = open().min_by_key(|place| self.time(*place, ask, domain, MISSING_WEIGHT))?;
+        let is_eager = self.is_behind || self.has_spare(meeting);
+        let weight = if is_eager { 1 } else { MISSING_WEIGHT };
+        let candidates = self.candidates(meeting, ask, domain, is_eager);
+        let best = candidates.min_by_key(|place| self.time(*place, ask, domain, weight))?;
         self.fits(best).then_some(best)
     }
 
+    /// The soonest engine among all that are open, among those that keep the first part, the first two, and so on.
+    ///
+    /// Of engines that keep as much of the prompt, the one with the least to read is the best, so these are enough.
+    fn candidates<'s>(
+        &'s self,
+        meeting: &BackendSet,
+        ask: &'s Ask,
+        domain: &'s str,
+        is_eager: bool,
+    ) -> impl Iterator<Item = usize> + 's {
+        let mut levels = vec![meeting.intersection(self.backends.open())];
+        for part in shared_parts(ask) {
+            let Some(holders) = self.backends.holders().of(part) else {
+                break;
+            };
+            let level = levels[levels.len() - 1].intersection(holders);
+            if level.is_empty() {
+                break;
+            }
+            levels.push(level);
+        }
+        let soonest = move |level: BackendSet| self.soonest(&level, ask, domain, is_eager);
+        levels.into_iter().flat_map(soonest)
+    }
+
+    /// The first of some engines that would take the request, and the first one in the router's failure domain if it
+    /// is no later than the way to another failure domain takes.
+    fn soonest(
+        &self,
+        some: &BackendSet,
+        ask: &Ask,
+        domain: &str,
+        is_eager: bool,
+    ) -> impl Iterator<Item = usize> + use<> {
+        let far = self.pace.tokens(FAR_DELAY);
+        let mut found: [Option<usize>; 2] = [None; 2];
+        let mut longest = u64::MAX;
+        for (unread, place) in self.survey.order() {
+            if unread > longest || (is_eager && !self.fits(place)) {
+                break;
+            }
+            if !some.contains(place) || !self.admits(place, ask) {
+                continue;
+            }
+            longest = longest.min(unread + far);
+            found[0] = found[0].or(Some(place));
+            if self.backends.get(place).report.domain == domain {
+                found[1] = Some(place);
+                break;
+            }
+        }
+        found.into_iter().flatten()
+    }
+
+    fn admits(&self, place: usize, ask: &Ask) -> bool {
+        let backend = self.backends.get(place);
+        !is_avoided(ask, &backend.report.id)
+            && self.twins.admits(ask.fingerprint, place)
+            && backend.engine.has_room(ask)
+    }
+
     /// Whether so many engines have nothing to read that reading a part once more costs nobody anything.
     fn has_spare(&self, meeting: &BackendSet) -> bool {
-        let (mut all, mut idle) = (0, 0);
-        for place in meeting.common(self.backends.usable()) {
-            all += 1;
-            idle += usize::from(self.backends.get(place).engine.unread() == 0);
-        }
+        let (all, idle) = self.survey.count(self.backends, meeting);
         idle * SPARE_PART >= all
     }
 
