A backend server that was named before it was heard is used once it is

Cause: a scheduler keeps a place for a backend server that a router names among its running requests, or whose end is told, before it has announced itself. Which kinds of request it can take was worked out anew only where its models differ from those known; a plain service has none, and neither has such a place, so it was never counted among those that can take a request. Ruled out: heartbeats (acknowledged by the new scheduler), leases, the rate of grants (nothing was granted at all). Change: the first announcement of a place counts as news. Before: the two new tests of backend:: failed (nothing granted).

--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -344,7 +344,9 @@
             .report(report, now, lease, self.settings.prefixes);
         if let Ok(place) = outcome {
             let report = &self.backends.get(place).report;
-            if known.is_none_or(|known| known.models != report.models) {
+            // A place may stand for a backend server that others have named and that was not heard yet.
+            let is_news = |known: BackendReport| known.slots == 0 || known.models != report.models;
+            if known.is_none_or(is_news) {
                 self.demands.update(place, &report.models);
             }
             let memory = self.memory;
--- a/crates/jaylock-tests/tests/share/backend.rs
+++ b/crates/jaylock-tests/tests/share/backend.rs
@@ -3,12 +3,20 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use jaylock_rpc::v1::{Ask, BackendReport, Configuration, Drain};
+use jaylock_rpc::v1::{Ask, BackendReport, Configuration, Drain, Hello, Running};
 use jaylock_tests::cases;
 
 use crate::fixture::Fixture;
 use crate::fleet::{ask, engine};
 
+/// A request for a service without models.
+fn plain_ask() -> Ask {
+    Ask {
+        model: String::new(),
+        ..ask("bench")
+    }
+}
+
 cases! {
     a_leaving_backend_server_gets_nothing_new => {
         let mut fixture = Fixture::new();
@@ -27,6 +35,31 @@
         assert_that!(fixture.grant(ask("bench")), none());
     };
 
+    a_server_that_a_router_names_before_it_is_heard_is_used_once_it_is => {
+        let mut fixture = Fixture::new();
+        // A new scheduler: requests wait already, and a second router tells what runs.
+        fixture.ask([plain_ask()]);
+        let hello = Hello {
+            router: "r2".into(),
+            running: vec![Running { ticket: 1, organisation: "bench".into(), backend: "s1".into(), ..Running::default() }],
+            ..Hello::default()
+        };
+        fixture.allocator.attach(&hello, fixture.now);
+        let server = BackendReport { models: Vec::new(), ..engine("s1", 4) };
+        assert_that!(fixture.report(server), eq(""));
+        assert_that!(fixture.decide(), some(eq("s1")));
+    };
+
+    a_server_that_ended_before_it_was_heard_is_used_when_it_comes_back => {
+        let mut fixture = Fixture::new();
+        fixture.ask([plain_ask()]);
+        let server = BackendReport { models: Vec::new(), ..engine("s1", 4) };
+        fixture.report(BackendReport { gone: true, ..server.clone() });
+        fixture.now += Duration::from_millis(10);
+        assert_that!(fixture.report(server), eq(""));
+        assert_that!(fixture.decide(), some(eq("s1")));
+    };
+
     a_drained_backend_server_gets_nothing_new => {
         let mut fixture = Fixture::new();
         fixture.report(engine("e1", 4));
