How far an organisation may be behind goes by the size of the pool

Cause: an organisation that was 250,000 tokens behind the most served one went to any engine with room. Twelve engines serve so much in a third of a second each organisation, 140 engines in a thirtieth: there nearly every request counted as far behind, went to whatever engine was free, and had its beginning read again. Change: the gap is 20,000 tokens for each engine of the pool, 240,000 for twelve. Test: prompts::an_organisation_waits_for_the_engine_that_keeps_its_prompts_by_the_size_of_the_pool, which fails with the fixed gap.

--- a/crates/jaylock-share/src/decide.rs
+++ b/crates/jaylock-share/src/decide.rs
@@ -49,7 +49,7 @@
             }
             let (backends, twins, routers) = (&self.backends, &self.twins, &self.routers);
             let (pace, ahead) = (&self.pace, self.settings.read_ahead);
-            let is_behind = self.accounts.gap(account) >= self.settings.longest_gap;
+            let is_behind = self.accounts.gap(account) >= self.longest_gap();
             let choose = |waiting: &Waiting| {
                 let router = routers.get(waiting.router);
                 let domain = router.map_or("", |router| router.domain.as_str());
@@ -82,6 +82,15 @@
         None
     }
 
+    /// Weighted service in tokens from which an organisation is far behind another one.
+    ///
+    /// A pool of more engines serves more in the same time, so that as many requests are behind it.
+    fn longest_gap(&self) -> u64 {
+        let usable = self.backends.usable();
+        let engines = u64::try_from(usable.common(usable).count()).unwrap_or(u64::MAX);
+        self.settings.longest_gap.saturating_mul(engines.max(1))
+    }
+
     /// Lets a backend server become empty for the first request that must run alone.
     fn grant_alone(&mut self, now: Instant) {
         while let Some(place) = self.reserve(now) {
--- a/crates/jaylock-share/src/settings.rs
+++ b/crates/jaylock-share/src/settings.rs
@@ -37,8 +37,8 @@
     pub read_ahead: Duration,
     /// Part of a request's objective that it may wait for a slot, in 100.
     pub objective_wait: u32,
-    /// Weighted service in tokens by which an organisation may be behind while its requests wait for the engines that
-    /// keep their prompts.
+    /// Weighted service, in tokens for each backend server of the pool, by which an organisation may be behind while its
+    /// requests wait for the engines that keep their prompts.
     pub longest_gap: u64,
 }
 
@@ -62,7 +62,7 @@
             reading_pace: 50,
             read_ahead: Duration::from_millis(150),
             objective_wait: 50,
-            longest_gap: 250_000,
+            longest_gap: 20_000,
         }
     }
 }
--- a/crates/jaylock-tests/tests/share/prompts.rs
+++ b/crates/jaylock-tests/tests/share/prompts.rs
@@ -170,6 +170,41 @@
     format!("e{at}")
 }
 
+/// Whether an organisation that falls 370,000 tokens behind a flood still waits for the engine that keeps its prompts.
+fn waits_for_its_engine(engines: usize) -> bool {
+    let mut fixture = Fixture::new();
+    let patient = |ask: Ask| Ask {
+        objective_ms: 0,
+        ..ask
+    };
+    fixture.report(engine(&name(0), 128));
+    fixture.grant(patient(dossier("small", 1, 1)));
+    for at in 1..engines {
+        fixture.report(engine(&name(at), 128));
+    }
+    // Short prompts of a flood, of which every other engine has one to read.
+    let mut unread = VecDeque::new();
+    let mut waiting = Vec::new();
+    for n in 0..130 {
+        let mut short = patient(dossier("flood", 100 + n, 500 + n));
+        short.prompt_tokens = 3000;
+        short.parts[0].tokens = 1500;
+        short.parts[1].tokens = 1500;
+        if unread.len() + 1 == engines {
+            fixture.begin(unread.pop_front().expect("a run"), 3000);
+            if waiting.is_empty() {
+                waiting = fixture.ask([patient(dossier("small", 1, 900))]);
+            }
+        }
+        unread.extend(fixture.ask([short]));
+        let granted = fixture.answers().0;
+        if granted.iter().any(|grant| waiting.contains(&grant.ticket)) {
+            return false;
+        }
+    }
+    true
+}
+
 /// Plays dossiers about `subjects` things at so many a second over eight organisations.
 ///
 /// Counts what comes after `warm` seconds, in which engines read the shared parts for the first time.
@@ -301,6 +336,11 @@
         // Each beginning once more at most, on average.
         assert_that!(outcome.read_again, le(104 * 13_300), "{outcome:?}");
     };
+    an_organisation_waits_for_the_engine_that_keeps_its_prompts_by_the_size_of_the_pool => {
+        // What eight engines serve in over a second, thirty serve in a third of one.
+        assert_that!(waits_for_its_engine(8), eq(false));
+        assert_that!(waits_for_its_engine(30), eq(true));
+    };
     a_hot_subject_gets_more_homes_than_one => {
         // One engine reads 13 own parts a second; 40 a second about one thing need at least three.
         let outcome = play_dossiers(1, 40, 3, 10);
