Try: a prompt may wait for a full engine that keeps it

Cause supposed: engines of the grown deployment take 16 requests at once; one that is full was no candidate, so that its prompts were read again elsewhere.

--- a/crates/jaylock-share/src/decide.rs
+++ b/crates/jaylock-share/src/decide.rs
@@ -62,7 +62,8 @@
                         ahead,
                         is_behind,
                     };
-                    return engines.choose(meeting, &waiting.ask, domain);
+                    let waited = now.saturating_duration_since(waiting.arrived);
+                    return engines.choose(meeting, &waiting.ask, domain, waited);
                 }
                 placement::choose(backends, twins, meeting, &waiting.ask, domain)
             };
