--- a/crates/jaylock-share/src/decide.rs
+++ b/crates/jaylock-share/src/decide.rs
@@ -62,8 +62,7 @@
                         ahead,
                         is_behind,
                     };
-                    let waited = now.saturating_duration_since(waiting.arrived);
-                    return engines.choose(meeting, &waiting.ask, domain, waited);
+                    return engines.choose(meeting, &waiting.ask, domain);
                 }
                 placement::choose(backends, twins, meeting, &waiting.ask, domain)
             };
--- a/crates/jaylock-share/src/placement.rs
+++ b/crates/jaylock-share/src/placement.rs
@@ -22,12 +22,6 @@
 /// Time by which an engine in another failure domain counts as slower.
 const FAR_DELAY: Duration = Duration::from_millis(10);
 
-/// Time in which an engine whose slots are all taken is expected to have one free.
-const FULL_DELAY: Duration = Duration::from_millis(150);
-
-/// Wait after which a request goes to an engine with a free slot, while engines are idle.
-const FULL_PATIENCE: Duration = Duration::from_millis(200);
-
 /// What a choice among model engines goes by.
 pub struct Engines<'a> {
     pub backends: &'a Backends,
@@ -48,30 +42,19 @@
     /// of: there, parts that are read once more keep others waiting and count more, and a request waits
     /// while the best engine has enough to read. While engines are idle, or its organisation is far
     /// behind, it goes to another at once, so that what many ask about is soon kept by several.
-    pub fn choose(
-        &self,
-        meeting: &BackendSet,
-        ask: &Ask,
-        domain: &str,
-        waited: Duration,
-    ) -> Option<usize> {
-        let (least, _) = self.survey.order().next()?;
-        if self.pace.time(least) > self.ahead {
+    pub fn choose(&self, meeting: &BackendSet, ask: &Ask, domain: &str) -> Option<usize> {
+        let (_, first) = self.survey.order().next()?;
+        if !self.fits(first) {
             return None;
         }
-        let has_spare = self.has_spare(meeting);
-        let weight = if self.is_behind || has_spare {
-            1
-        } else {
-            MISSING_WEIGHT
-        };
-        let must_fit = self.is_behind || (has_spare && waited >= FULL_PATIENCE);
-        let candidates = self.candidates(meeting, ask, domain, must_fit);
+        let is_eager = self.is_behind || self.has_spare(meeting);
+        let weight = if is_eager { 1 } else { MISSING_WEIGHT };
+        let candidates = self.candidates(meeting, ask, domain, is_eager);
         let best = candidates.min_by_key(|place| self.time(*place, ask, domain, weight))?;
         self.fits(best).then_some(best)
     }
 
-    /// The soonest engine among all, among those that keep the first part, the first two, and so on.
+    /// The soonest engine among all that are open, among those that keep the first part, the first two, and so on.
     ///
     /// Of engines that keep as much of the prompt, the one with the least to read is the best, so these are enough.
     fn candidates<'s>(
@@ -79,9 +62,9 @@
         meeting: &BackendSet,
         ask: &'s Ask,
         domain: &'s str,
-        must_fit: bool,
+        is_eager: bool,
     ) -> impl Iterator<Item = usize> + 's {
-        let mut levels = vec![meeting.intersection(self.backends.usable())];
+        let mut levels = vec![meeting.intersection(self.backends.open())];
         for part in shared_parts(ask) {
             let Some(holders) = self.backends.holders().of(part) else {
                 break;
@@ -92,28 +75,37 @@
             }
             levels.push(level);
         }
-        let soonest = move |level: BackendSet| self.soonest(&level, ask, domain, must_fit);
-        levels.into_iter().filter_map(soonest)
+        let soonest = move |level: BackendSet| self.soonest(&level, ask, domain, is_eager);
+        levels.into_iter().flat_map(soonest)
     }
 
-    /// Of some engines, the one that would begin to read the request first.
-    fn soonest(&self, some: &BackendSet, ask: &Ask, domain: &str, must_fit: bool) -> Option<usize> {
-        let mut best: Option<(Duration, usize)> = None;
+    /// The first of some engines that would take the request, and the first one in the router's failure domain if it
+    /// is no later than the way to another failure domain takes.
+    fn soonest(
+        &self,
+        some: &BackendSet,
+        ask: &Ask,
+        domain: &str,
+        is_eager: bool,
+    ) -> impl Iterator<Item = usize> + use<> {
+        let far = self.pace.tokens(FAR_DELAY);
+        let mut found: [Option<usize>; 2] = [None; 2];
+        let mut longest = u64::MAX;
         for (unread, place) in self.survey.order() {
-            let least = self.pace.time(unread);
-            if best.is_some_and(|(start, _)| least >= start) {
+            if unread > longest || (is_eager && !self.fits(place)) {
                 break;
             }
-            let is_ruled_out = must_fit && !self.fits(place);
-            if is_ruled_out || !some.contains(place) || !self.admits(place, ask) {
+            if !some.contains(place) || !self.admits(place, ask) {
                 continue;
             }
-            let start = least + self.delay(place, domain);
-            if best.is_none_or(|(other, _)| start < other) {
-                best = Some((start, place));
+            longest = longest.min(unread + far);
+            found[0] = found[0].or(Some(place));
+            if self.backends.get(place).report.domain == domain {
+                found[1] = Some(place);
+                break;
             }
         }
-        best.map(|(_, place)| place)
+        found.into_iter().flatten()
     }
 
     fn admits(&self, place: usize, ask: &Ask) -> bool {
@@ -131,22 +123,14 @@
 
     /// Whether an engine may be given more to read.
     fn fits(&self, place: usize) -> bool {
-        let unread = self.backends.get(place).engine.unread();
-        self.backends.open().contains(place) && self.pace.time(unread) <= self.ahead
+        self.pace.time(self.backends.get(place).engine.unread()) <= self.ahead
     }
 
     fn time(&self, place: usize, ask: &Ask, domain: &str, weight: u64) -> Duration {
-        let engine = &self.backends.get(place).engine;
-        let tokens = engine.unread() + engine.missing(ask) * weight;
-        self.pace.time(tokens) + self.delay(place, domain)
-    }
-
-    /// Time by which an engine begins later than what it has to read takes.
-    fn delay(&self, place: usize, domain: &str) -> Duration {
-        let is_near = self.backends.get(place).report.domain == domain;
-        let way = if is_near { Duration::ZERO } else { FAR_DELAY };
-        let is_open = self.backends.open().contains(place);
-        way + if is_open { Duration::ZERO } else { FULL_DELAY }
+        let backend = self.backends.get(place);
+        let tokens = backend.engine.unread() + backend.engine.missing(ask) * weight;
+        let near = backend.report.domain == domain;
+        self.pace.time(tokens) + if near { Duration::ZERO } else { FAR_DELAY }
     }
 }
 
