Bodies of requests for routes take a bounded part of the memory

Change: routes take room for a body before it is read, from the same bound: 64 MiB in all, a quarter for one organisation; a body whose length is not told takes its room once it is read. Without room the answer is 503, not run, with a time to return. Before: refusals::bodies_of_one_organisation_take_a_bounded_part_of_the_memory failed without the bound (none of eight was refused in 20 s). After: it passes.

--- a/crates/jaylock-router/src/route/admission.rs
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -1,8 +1,9 @@
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use jaylock_rpc::v1::{Configuration, Route};
 use jaylock_types::{ByteSize, KeyHash, OrganisationId, RequestId};
 
@@ -13,6 +14,7 @@
 use super::table;
 use crate::answer::Refusal;
 use crate::body;
+use crate::memory::Room;
 
 /// Organisation that requests without a key count for.
 const NOBODY: &str = "public";
@@ -43,7 +45,8 @@
     let pool = service.parse().map_err(|_| no_route())?;
     let after = single(&head.headers, "last-event-id")?;
     let after = after.and_then(|v| v.to_str().ok()?.parse().ok());
-    let body = read(context, &configuration, incoming).await?;
+    let organisation = key.clone().unwrap_or_else(nobody);
+    let (body, room) = read(context, &configuration, &organisation, incoming).await?;
     let id = attempt.to_str().ok().and_then(|text| text.parse().ok());
     Ok(RouteRequest {
         id: id.unwrap_or_else(RequestId::random),
@@ -51,10 +54,11 @@
         route: route.clone(),
         pool,
         is_keyed: key.is_some(),
-        organisation: key.unwrap_or_else(nobody),
+        organisation,
         arrived,
         deadline: arrived + limit.unwrap_or(timeout).min(timeout),
         body,
+        _room: room,
         prompt: Prompt::parse(&head.headers, names),
         event_tokens,
         after: after.unwrap_or(0),
@@ -120,11 +124,13 @@
     limit.map(Some).ok_or_else(refused)
 }
 
+/// Reads a body once there is room for it; one whose length is not told takes its room afterwards.
 async fn read(
     context: &RouteContext,
     configuration: &Configuration,
+    organisation: &OrganisationId,
     incoming: Incoming,
-) -> Result<bytes::Bytes, Refusal> {
+) -> Result<(Bytes, Room), Refusal> {
     let limits = &context.limits;
     let named = configuration.limits.map_or(0, |l| l.body_bytes as usize);
     let bound = if named > 0 {
@@ -132,8 +138,23 @@
     } else {
         limits.body_bound
     };
-    let outcome = body::read(incoming, bound, limits.slow_sender).await;
-    outcome.map_err(Refusal::from)
+    let take = |bytes| {
+        let room = context.memory.take(organisation, bytes);
+        let message = "the bodies of requests in progress are at their bound";
+        room.ok_or_else(|| not_now(context, "bodies-full", message))
+    };
+    let told = incoming.size_hint().exact();
+    let told = told.and_then(|bytes| usize::try_from(bytes).ok());
+    let room = match told.filter(|bytes| *bytes <= bound.0) {
+        Some(bytes) => Some(take(bytes)?),
+        None => None,
+    };
+    let body = body::read(incoming, bound, limits.slow_sender).await?;
+    let room = match room {
+        Some(room) => room,
+        None => take(body.len())?,
+    };
+    Ok((body, room))
 }
 
 fn not_now(context: &RouteContext, kind: &'static str, message: &'static str) -> Refusal {
--- a/crates/jaylock-router/src/route/context.rs
+++ b/crates/jaylock-router/src/route/context.rs
@@ -10,6 +10,7 @@
 use crate::budget::FleetBudget;
 use crate::lifecycle::Lifecycle;
 use crate::link::Links;
+use crate::memory::BodyMemory;
 use crate::port::Capacity;
 
 /// What the requests for routes share.
@@ -26,6 +27,8 @@
     pub links: Rc<Links>,
     /// Attempts beyond the first that services may get.
     pub budget: FleetBudget,
+    /// Room for the bodies of requests in progress.
+    pub memory: BodyMemory,
     /// Notes of what happens.
     pub observer: Observer,
     /// Names of the header fields.
--- a/crates/jaylock-router/src/route/request.rs
+++ b/crates/jaylock-router/src/route/request.rs
@@ -7,6 +7,7 @@
 use jaylock_types::{OrganisationId, PoolId, RequestId};
 
 use super::prompt::Prompt;
+use crate::memory::Room;
 
 /// An admitted request for a route.
 pub struct RouteRequest {
@@ -30,6 +31,8 @@
     pub head: Parts,
     /// The whole body.
     pub body: Bytes,
+    /// The room that it takes, until the request has ended.
+    pub _room: Room,
     /// What it tells of its prompt.
     pub prompt: Option<Prompt>,
     /// Tokens in one event of its stream.
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -118,6 +118,7 @@
             lifecycle: shared.lifecycle.clone(),
             links: shared.links.clone(),
             budget: shared.settings.route_budget(),
+            memory: shared.memory.clone(),
             observer: shared.observer.clone(),
             names,
             limits: shared.settings.route_limits(),
--- a/crates/jaylock-tests/tests/platform/refusals.rs
+++ b/crates/jaylock-tests/tests/platform/refusals.rs
@@ -1,10 +1,14 @@
 //! What is refused, with which status, and that nothing of it reaches a backend server.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+
 use googletest::prelude::*;
 use jaylock_tests::cases;
 use jaylock_tests::fleet::exchange;
 
-use crate::bed::{Backend, Bed, document};
+use crate::bed::{Backend, Bed, document, wait_until};
 
 cases! {
     nothing_is_said_of_routes_before_the_first_document => {
@@ -36,6 +40,38 @@
         }
         assert_that!(backend.received(), is_empty());
     };
+    bodies_of_one_organisation_take_a_bounded_part_of_the_memory => {
+        let bed = Bed::small();
+        let mut larger = document(2);
+        larger["limits"]["max_body_bytes"] = (4 << 20).into();
+        assert_that!(bed.put(0, &larger), eq(200));
+        let released = Arc::new(AtomicBool::new(false));
+        let gate = released.clone();
+        let _backend = Backend::start(&bed, "b1", move |r| {
+            wait_until("the answers are released", || gate.load(Ordering::Relaxed));
+            r.answer("200 OK", "done")
+        });
+        // The larger bound is in force once such a body is no longer too long.
+        let large = "x".repeat(4 << 20);
+        let caller = || bed.caller().at("POST", "/once/1").with("Time-Budget", "15000").body(&large);
+        let callers: Vec<_> = (0..8).map(|n| caller().with("Attempt-Id", &format!("9c41d07be2a35f{n:02}"))).collect();
+        let sending = callers.into_iter().map(|caller| thread::spawn(move || {
+            let mut heard = caller.send();
+            while heard.status() == 413 {
+                heard = caller.send();
+            }
+            heard
+        }));
+        let sending: Vec<_> = sending.collect();
+        wait_until("some are refused", || sending.iter().filter(|s| s.is_finished()).count() >= 4);
+        released.store(true, Ordering::Relaxed);
+        let heard: Vec<_> = sending.into_iter().map(|s| s.join().expect("a caller")).collect();
+        let refused = heard.iter().filter(|h| h.status() == 503);
+        let refused: Vec<_> = refused.map(|h| h.answer.header("retry-after").is_some()).collect();
+        // A quarter of 64 MiB holds four of these.
+        assert_that!(refused, elements_are![eq(&true), eq(&true), eq(&true), eq(&true)]);
+        assert_that!(bed.caller().at("POST", "/once/1").send().status(), eq(200));
+    };
     a_request_hidden_in_another_does_not_run => {
         let bed = Bed::small();
         let backend = Backend::start(&bed, "b1", |r| r.answer("200 OK", "done"));
