Connections and bodies are bounded by the memory that the process may take

Cause: a router took 2,000 connections of callers whatever its memory; one with its connection to a backend server takes some 150 KiB, so that 160 MB end at 1,080. A hot organisation whose callers keep to one router brought it there: the process was killed, and before that it was the slowest of all. Test: settings::connections_and_bodies_are_bounded_by_the_memory. What a connection takes is still to be lowered; prices of memory follow it.

--- a/crates/jaylock-daemon/src/common.rs
+++ b/crates/jaylock-daemon/src/common.rs
@@ -235,7 +235,8 @@
         RouterSettings {
             body_bound: limits.body,
             header_bound: limits.headers,
-            connections: limits.connections,
+            connections: limits.bounded_connections(),
+            bodies_bound: limits.bounded_bodies(),
             slow_sender: limits.sender_timeout,
             record_bound: limits.answer_copy,
             route_burst: limits.retries,
--- a/crates/jaylock-settings/src/limits.rs
+++ b/crates/jaylock-settings/src/limits.rs
@@ -20,6 +20,8 @@
     pub queue: u32,
     /// Attempts beyond the first that a backend service may get at once from all routers.
     pub retries: u32,
+    /// Memory that the process may take, by which connections and bodies are bounded too; none where it is not told.
+    pub memory: Option<ByteSize>,
     /// Largest copy of an answer that is kept for a request that may not be repeated.
     pub answer_copy: ByteSize,
 }
@@ -33,11 +35,40 @@
             sender_timeout: Duration::from_secs(10),
             queue: 64,
             retries: 48,
+            memory: None,
             answer_copy: ByteSize(16 << 10),
         }
     }
 }
 
+/// Memory of a caller's connection with the connection to the backend server behind it.
+const CONNECTION_MEMORY: ByteSize = ByteSize(150 << 10);
+/// Part of the memory that bodies may take, as a divisor.
+const BODIES_PART: usize = 4;
+/// Part of the memory that connections may take, in 100.
+const CONNECTIONS_PART: usize = 75;
+/// Bodies of requests in progress, where the memory allows more.
+const MOST_BODIES: ByteSize = ByteSize(64 << 20);
+
+impl LimitSettings {
+    /// Open connections of callers that the memory allows, up to the bound in the settings.
+    #[must_use]
+    pub fn bounded_connections(&self) -> usize {
+        let Some(memory) = self.memory else {
+            return self.connections;
+        };
+        let allowed = memory.0 / 100 * CONNECTIONS_PART / CONNECTION_MEMORY.0;
+        self.connections.min(allowed.max(1))
+    }
+
+    /// Bodies of requests in progress that the memory allows.
+    #[must_use]
+    pub fn bounded_bodies(&self) -> ByteSize {
+        let allowed = self.memory.map(|memory| ByteSize(memory.0 / BODIES_PART));
+        allowed.map_or(MOST_BODIES, |allowed| allowed.min(MOST_BODIES))
+    }
+}
+
 impl Part for LimitSettings {
     const SECTION: &'static str = "limits";
     const KEYS: &'static [Key<Self>] = &[
@@ -54,6 +85,9 @@
         }),
         Key::optional("queue", COUNT, |s, v| count(v).map(|n| s.queue = n)),
         Key::optional("retries", COUNT, |s, v| count(v).map(|n| s.retries = n)),
+        Key::optional("memory", SIZE, |s, v| {
+            parsed(v).map(|size| s.memory = Some(size))
+        }),
         Key::optional("answer_copy", SIZE, |s, v| {
             parsed(v).map(|size| s.answer_copy = size)
         }),
--- a/crates/jaylock-tests/tests/product/settings.rs
+++ b/crates/jaylock-tests/tests/product/settings.rs
@@ -51,6 +51,19 @@
         assert_that!(settings.log.parts(), elements_are![(eq(&"share"), eq(&log::LevelFilter::Debug))]);
         assert_that!(settings.objectives.availability.ratio(), near(0.9995, 1e-9));
     };
+    connections_and_bodies_are_bounded_by_the_memory => {
+        let limits = |memory: &str| {
+            let text = format!("{LEAST}[limits]\nconnections = 2000\n{memory}");
+            Settings::parse(&text, "own.ini").expect("right settings").limits
+        };
+        // 160 MiB hold 819 connections at 150 KiB in three quarters of them.
+        let small = limits("memory = 160MiB\n");
+        assert_that!((small.bounded_connections(), small.bounded_bodies()), eq((819, ByteSize(40 << 20))));
+        let large = limits("memory = 4096MiB\n");
+        assert_that!((large.bounded_connections(), large.bounded_bodies()), eq((2000, ByteSize(64 << 20))));
+        let untold = limits("");
+        assert_that!((untold.bounded_connections(), untold.bounded_bodies()), eq((2000, ByteSize(64 << 20))));
+    };
     names_file_line_key_and_remedy => {
         let text = fault("caller_address = 127.0.0.1:7080", "caller_address = somewhere");
         assert_that!(text, eq(
