The bound on memory has a default that stands on the settings page

Change: 1 GiB by default, which bounds nothing below 5,000 connections. Conclusion: behaviour on the platform is as before, where the memory is always named.

--- a/crates/jaylock-settings/src/limits.rs
+++ b/crates/jaylock-settings/src/limits.rs
@@ -20,8 +20,8 @@
     pub queue: u32,
     /// Attempts beyond the first that a backend service may get at once from all routers.
     pub retries: u32,
-    /// Memory that the process may take, by which connections and bodies are bounded too; none where it is not told.
-    pub memory: Option<ByteSize>,
+    /// Memory that the process may take, by which connections and bodies are bounded too.
+    pub memory: ByteSize,
     /// Largest copy of an answer that is kept for a request that may not be repeated.
     pub answer_copy: ByteSize,
 }
@@ -35,7 +35,7 @@
             sender_timeout: Duration::from_secs(10),
             queue: 64,
             retries: 48,
-            memory: None,
+            memory: ByteSize(1 << 30),
             answer_copy: ByteSize(16 << 10),
         }
     }
@@ -54,18 +54,14 @@
     /// Open connections of callers that the memory allows, up to the bound in the settings.
     #[must_use]
     pub fn bounded_connections(&self) -> usize {
-        let Some(memory) = self.memory else {
-            return self.connections;
-        };
-        let allowed = memory.0 / 100 * CONNECTIONS_PART / CONNECTION_MEMORY.0;
+        let allowed = self.memory.0 / 100 * CONNECTIONS_PART / CONNECTION_MEMORY.0;
         self.connections.min(allowed.max(1))
     }
 
     /// Bodies of requests in progress that the memory allows.
     #[must_use]
     pub fn bounded_bodies(&self) -> ByteSize {
-        let allowed = self.memory.map(|memory| ByteSize(memory.0 / BODIES_PART));
-        allowed.map_or(MOST_BODIES, |allowed| allowed.min(MOST_BODIES))
+        ByteSize(self.memory.0 / BODIES_PART).min(MOST_BODIES)
     }
 }
 
@@ -85,9 +81,7 @@
         }),
         Key::optional("queue", COUNT, |s, v| count(v).map(|n| s.queue = n)),
         Key::optional("retries", COUNT, |s, v| count(v).map(|n| s.retries = n)),
-        Key::optional("memory", SIZE, |s, v| {
-            parsed(v).map(|size| s.memory = Some(size))
-        }),
+        Key::optional("memory", SIZE, |s, v| parsed(v).map(|size| s.memory = size)),
         Key::optional("answer_copy", SIZE, |s, v| {
             parsed(v).map(|size| s.answer_copy = size)
         }),
