--- a/crates/jaylock-share/src/decide.rs
+++ b/crates/jaylock-share/src/decide.rs
@@ -9,6 +9,7 @@
 use crate::placement::{self, Engines};
 use crate::queue::Waiting;
 use crate::router::Run;
+use crate::survey::Survey;
 
 impl Allocator {
     /// Grants the slots that are free, each to the backlogged organisation with the least service.
@@ -22,18 +23,24 @@
         }
         self.grant_alone(now);
         let mut rank = 0;
+        let mut survey = Survey::new(&self.backends);
         while !self.backends.open().is_empty() {
             let Some(account) = self.accounts.backlogged(rank) else {
                 break;
             };
-            let is_granted = self.grant_next(account, now);
-            rank = if is_granted { 0 } else { rank + 1 };
+            match self.grant_next(account, &survey, now) {
+                Some(place) => {
+                    survey.note(&self.backends, place);
+                    rank = 0;
+                }
+                None => rank += 1,
+            }
         }
         self.accounts.note_left();
     }
 
-    /// Grants a slot to the next request of an organisation that any free backend server can run.
-    fn grant_next(&mut self, account: AccountKey, now: Instant) -> bool {
+    /// Grants a slot to the next request of an organisation that any free backend server can run, and says where.
+    fn grant_next(&mut self, account: AccountKey, survey: &Survey, now: Instant) -> Option<usize> {
         let demands: Vec<_> = self.accounts.get(account).queue.demands().collect();
         for demand in demands {
             let meeting = self.demands.backends(demand);
@@ -42,7 +49,7 @@
             }
             let (backends, twins, routers) = (&self.backends, &self.twins, &self.routers);
             let (pace, ahead) = (&self.pace, self.settings.read_ahead);
-            let is_behind = self.accounts.gap(account) >= self.settings.longest_gap;
+            let is_behind = self.accounts.gap(account) >= self.longest_gap();
             let choose = |waiting: &Waiting| {
                 let router = routers.get(waiting.router);
                 let domain = router.map_or("", |router| router.domain.as_str());
@@ -50,6 +57,7 @@
                     let engines = Engines {
                         backends,
                         twins,
+                        survey,
                         pace,
                         ahead,
                         is_behind,
@@ -69,9 +77,18 @@
             };
             self.grant(account, &waiting, chosen, now, "least served");
             self.accounts.leave_backlog(account);
-            return true;
+            return Some(chosen);
         }
-        false
+        None
+    }
+
+    /// Weighted service in tokens from which an organisation is far behind another one.
+    ///
+    /// A pool of more engines serves more in the same time, so that as many requests are behind it.
+    fn longest_gap(&self) -> u64 {
+        let usable = self.backends.usable();
+        let engines = u64::try_from(usable.common(usable).count()).unwrap_or(u64::MAX);
+        self.settings.longest_gap.saturating_mul(engines.max(1))
     }
 
     /// Lets a backend server become empty for the first request that must run alone.
@@ -147,7 +164,8 @@
         let backend = self.backends.get_mut(place);
         backend.add_grant();
         let missing = backend.engine.missing(ask);
-        let load = (!ask.parts.is_empty()).then(|| backend.engine.begin(ask));
+        let load = (!ask.parts.is_empty()).then(|| self.backends.begin(place, ask));
+        let backend = self.backends.get(place);
         let ahead = backend.engine.unread();
         let grant = Grant {
             ticket: ask.ticket,
