--- a/crates/jaylock-router/src/route/request.rs
+++ b/crates/jaylock-router/src/route/request.rs
@@ -10,7 +10,7 @@
 use crate::memory::Room;
 
 /// Least silence after which a prompt is sent to another engine.
-const PROMPT_SILENCE: Duration = Duration::from_millis(2000);
+const PROMPT_SILENCE: Duration = Duration::from_secs(2);
 /// Least silence after which another request is sent to another backend server.
 const SERVICE_SILENCE: Duration = Duration::from_millis(500);
 /// Objectives that an answer may be late before its attempt is given up for another one.
