A late heartbeat brings back no server that ended before it was heard

Cause: an end names no start of the server. Ruled out: routers' own slots (all were attached to the new scheduler by then). Change: for 10 s after such an end no heartbeat brings the server back; a report heard before the end, told again by another instance, names the start that has ended, and newer starts are taken at once.

--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -75,6 +75,9 @@
 /// Time after which a backend server that reports itself full of others' work is tried all the same.
 const STUCK_AFTER: Duration = Duration::from_secs(2);
 
+/// Time for which a heartbeat may be under way.
+const LATE_HEARTBEAT: Duration = Duration::from_secs(10);
+
 /// A backend server as the scheduler sees it.
 #[derive(Debug)]
 pub struct Backend {
@@ -144,6 +147,13 @@
         self.granted == 0 && self.full_since.is_some_and(is_overdue)
     }
 
+    /// Whether it said that it ends before anything else was heard of it here, so lately that a heartbeat from before may
+    /// still be under way.
+    fn may_have_ended(&self, now: Instant) -> bool {
+        let is_late = |ended| now.saturating_duration_since(ended) < LATE_HEARTBEAT;
+        self.report.gone && self.report.incarnation == 0 && self.ended.is_some_and(is_late)
+    }
+
     /// Whether reports name so much work of others that nothing of ours has room.
     fn is_full_of_others(&self) -> bool {
         self.foreign >= self.report.slots
@@ -299,6 +309,13 @@
         }
         let said = said(&report, now);
         if backend.ended.is_some_and(|ended| said <= ended) {
+            if backend.report.incarnation == 0 {
+                // It tells which start has ended.
+                backend.report.incarnation = report.incarnation;
+            }
+            return Ok(place);
+        }
+        if backend.may_have_ended(now) {
             return Ok(place);
         }
         if report.incarnation == backend.report.incarnation {
--- a/crates/jaylock-tests/tests/share/backend.rs
+++ b/crates/jaylock-tests/tests/share/backend.rs
@@ -50,14 +50,37 @@
         assert_that!(fixture.decide(), some(eq("s1")));
     };
 
-    a_server_that_ended_before_it_was_heard_is_used_when_it_comes_back => {
+    a_late_heartbeat_of_a_server_that_ended_before_it_was_heard_brings_it_not_back => {
         let mut fixture = Fixture::new();
-        fixture.ask([plain_ask()]);
-        let server = BackendReport { models: Vec::new(), ..engine("s1", 4) };
-        fixture.report(BackendReport { gone: true, ..server.clone() });
-        fixture.now += Duration::from_millis(10);
-        assert_that!(fixture.report(server), eq(""));
-        assert_that!(fixture.decide(), some(eq("s1")));
+        fixture.report(BackendReport { gone: true, incarnation: 0, ..engine("e1", 4) });
+        fixture.now += Duration::from_secs(2);
+        fixture.report(engine("e1", 4));
+        assert_that!(fixture.grant(ask("bench")), none());
+        // Another instance had heard it before its end, which tells the start that has ended.
+        fixture.report(BackendReport { age_ms: 3000, ..engine("e1", 4) });
+        fixture.now += Duration::from_secs(20);
+        fixture.report(engine("e1", 4));
+        assert_that!(fixture.grant(ask("bench")), none());
+    };
+
+    a_server_that_ended_before_it_was_heard_is_used_when_it_starts_again => {
+        let plain = BackendReport { models: Vec::new(), ..engine("s1", 4) };
+        let ended = || {
+            let mut fixture = Fixture::new();
+            fixture.ask([plain_ask()]);
+            fixture.report(BackendReport { gone: true, incarnation: 0, ..plain.clone() });
+            fixture.now += Duration::from_millis(10);
+            fixture
+        };
+        let mut known = ended();
+        known.report(BackendReport { age_ms: 3000, ..plain.clone() });
+        known.report(BackendReport { incarnation: 2, ..plain.clone() });
+        assert_that!(known.decide(), some(eq("s1")));
+        let mut unknown = ended();
+        unknown.now += Duration::from_secs(10);
+        unknown.report(plain.clone());
+        unknown.ask([plain_ask()]);
+        assert_that!(unknown.decide(), some(eq("s1")));
     };
 
     a_drained_backend_server_gets_nothing_new => {
