The phases of a graceful shutdown are logged, and whether a cut stream ran

Change: one line a phase with the time since the signal and the open connections; the record of a request says that it ran from its first event on. No decision is changed.

--- a/crates/jaylock-daemon/src/instance.rs
+++ b/crates/jaylock-daemon/src/instance.rs
@@ -1,10 +1,10 @@
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
-use jaylock_router::RouteHeaders;
+use jaylock_router::{RouteHeaders, Router};
 use jaylock_rpc::v1::{Command, InstanceGone, command};
 use jaylock_rpc::{Routes, ServerSettings};
 use jaylock_settings::Settings;
@@ -145,7 +145,8 @@
             .await
             .is_ok();
         if !is_drained {
-            log::warn!(target: "daemon", "requests still running after {drain_timeout:?} are cancelled");
+            let connections = self.components.router.connections();
+            log::warn!(target: "daemon", connections; "requests still running after {drain_timeout:?} are cancelled");
         }
         self.deregister().await;
         drop(self.state.tasks);
@@ -154,6 +155,7 @@
 
     async fn leave(&self) {
         let stop = self.components.settings().timeouts.stop;
+        let started = Instant::now();
         self.components.router.announce_shutdown();
         self.components.follower.set_leaving();
         if let Some(replica) = &self.components.replica {
@@ -164,9 +166,14 @@
         if confirmed.is_err() {
             log::warn!(target: "daemon", "control did not confirm that this instance is leaving");
         }
+        log_phase("left the address lists", started, &self.components.router);
         compio::time::sleep(PROPAGATION_TIME.min(stop / PROPAGATION_DIVISOR)).await;
-        self.components.router.shut_down();
-        self.components.router.drained().await;
+        let router = &self.components.router;
+        router.shut_down();
+        router.refuses_requests().await;
+        log_phase("new requests are refused", started, router);
+        router.drained().await;
+        log_phase("no request is left", started, router);
     }
 
     async fn wait_until_leaving(&self) {
@@ -196,6 +203,13 @@
     }
 }
 
+/// Logs a phase of a graceful shutdown with the time since the signal and the open connections of callers.
+fn log_phase(phase: &str, started: Instant, router: &Router) {
+    let after_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let connections = router.connections();
+    log::info!(target: "daemon", after_ms, connections; "{phase}");
+}
+
 async fn bind(address: SocketAddr, key: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -63,6 +63,7 @@
     /// Records that a part of the response arrived, so the request ran.
     pub fn mark_ran(&mut self) {
         self.run_status = RunStatus::Ran;
+        self.tracker.record.run = RunStatus::Ran;
     }
 
     /// Waits for a slot until the deadline.
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -104,6 +104,17 @@
         self.context.is_ready()
     }
 
+    /// Number of open connections of callers.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.context.lifecycle.connections()
+    }
+
+    /// Waits, after [`Router::shut_down`], until new requests are refused.
+    pub async fn refuses_requests(&self) {
+        self.context.lifecycle.closed.wait().await;
+    }
+
     /// Waits, after [`Router::shut_down`], until new requests are refused and every response was sent.
     pub async fn drained(&self) {
         self.context.lifecycle.drained().await;
