A test of the incident: a leaving router cuts streams that it admitted late

What callers saw: a router got SIGTERM, still admitted a streamed request 3.1 s later, and cut that stream in the middle when its shutdown time was over. How the test brings it about: three control instances, of which the two without the scheduler are suspended, so that none confirms that the router is leaving; leases outlast the test. The router (stop = 8s, keep = 2s) gets SIGTERM. A caller asks every 100 ms, over new connections, for a stream of 19 events in 4.5 s, until the first 503. Control is resumed then, so that the deregistration does not keep the process alive. Each request that was not refused must be complete. The process is killed at 8 s, as the platform does. The harness of the platform tests gets FleetSettings, replies in several parts and Caller::try_send; Process::terminate now ends the process through terminate_or_kill before it fails, with the same bound. Not run: the other tests of the workspace.

--- a/crates/jaylock-tests/src/process.rs
+++ b/crates/jaylock-tests/src/process.rs
@@ -71,19 +71,24 @@
     ///
     /// # Panics
     /// When the process has not ended after `timeout`.
-    pub async fn terminate(mut self, timeout: Duration) -> ExitStatus {
+    pub async fn terminate(self, timeout: Duration) -> ExitStatus {
+        let status = self.terminate_or_kill(timeout).await;
+        status.unwrap_or_else(|| panic!("the process did not end within {timeout:?}"))
+    }
+
+    /// Asks the process to end with SIGTERM and kills it, as the platform does, if it has not ended
+    /// after `timeout`; returns `None` for a killed one.
+    pub async fn terminate_or_kill(mut self, timeout: Duration) -> Option<ExitStatus> {
         self.send(Signal::TERM);
         let deadline = Instant::now() + timeout;
-        loop {
+        while Instant::now() < deadline {
             if let Ok(Some(status)) = self.child.try_wait() {
-                return status;
+                return Some(status);
             }
-            assert!(
-                Instant::now() < deadline,
-                "the process did not end within {timeout:?}"
-            );
             compio::time::sleep(POLL_INTERVAL).await;
         }
+        self.kill();
+        None
     }
 
     /// Whether the process has ended.
--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -44,6 +44,8 @@
 pub struct Reply {
     /// Bytes of the reply.
     pub bytes: Vec<u8>,
+    /// Further bytes, each after a pause.
+    pub later: Vec<(Duration, Vec<u8>)>,
     /// Whether the connection is closed after the reply.
     pub closes_connection: bool,
 }
@@ -149,7 +151,12 @@
         while let Some(received) = read_request(&mut reader) {
             let reply = reply(&received);
             self.lock_received().push(received);
-            if stream.write_all(&reply.bytes).is_err() || reply.closes_connection {
+            let mut is_sent = stream.write_all(&reply.bytes).is_ok();
+            for (pause, bytes) in &reply.later {
+                thread::sleep(*pause);
+                is_sent = is_sent && stream.write_all(bytes).is_ok();
+            }
+            if !is_sent || reply.closes_connection {
                 let _ = stream.shutdown(Shutdown::Both);
                 return;
             }
@@ -176,11 +183,7 @@
 
     /// A stream of the events with these identifiers, followed by `tail`.
     pub fn events(&self, ids: std::ops::RangeInclusive<u64>, tail: &str) -> Reply {
-        let events = ids.map(|n| {
-            let event = format!("id: {n}\ndata: piece {n}\n\n");
-            format!("{:x}\r\n{event}\r\n", event.len())
-        });
-        let events: String = events.collect();
+        let events: String = ids.map(event_chunk).collect();
         let head = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
         Reply {
             closes_connection: tail != Reply::LAST_CHUNK,
@@ -188,6 +191,17 @@
         }
     }
 
+    /// A complete stream of `count` events with a pause before each but the first.
+    pub fn paced_events(&self, count: u64, pause: Duration) -> Reply {
+        let later = (2..=count).map(|n| (pause, event_chunk(n).into_bytes()));
+        let last_chunk = (Duration::ZERO, Reply::LAST_CHUNK.into());
+        Reply {
+            closes_connection: false,
+            later: later.chain([last_chunk]).collect(),
+            ..self.events(1..=1, "")
+        }
+    }
+
     /// A response that declares the request as not run.
     pub fn not_run(&self) -> Reply {
         let id = self.header("attempt-id");
@@ -214,6 +228,7 @@
     pub fn from_text(text: &str) -> Self {
         Self {
             bytes: text.as_bytes().to_vec(),
+            later: Vec::new(),
             closes_connection: false,
         }
     }
@@ -222,11 +237,18 @@
     pub fn empty() -> Self {
         Self {
             bytes: Vec::new(),
+            later: Vec::new(),
             closes_connection: true,
         }
     }
 }
 
+/// An event of a stream as a chunk of a body.
+fn event_chunk(id: u64) -> String {
+    let event = format!("id: {id}\ndata: piece {id}\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
 fn read_request(reader: &mut BufReader<TcpStream>) -> Option<ReceivedRequest> {
     let mut line = String::new();
     reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
--- a/crates/jaylock-tests/tests/platform/harness/caller.rs
+++ b/crates/jaylock-tests/tests/platform/harness/caller.rs
@@ -1,3 +1,4 @@
+use std::io;
 use std::net::SocketAddr;
 
 use jaylock_tests::fleet::{HttpResponse, send_raw};
@@ -5,6 +6,7 @@
 use super::KEY;
 
 /// A caller that writes raw requests in the platform's format.
+#[derive(Clone)]
 pub struct Caller {
     address: SocketAddr,
     method: &'static str,
@@ -75,7 +77,15 @@
 
     /// Sends the request on a new connection and reads the response until the connection ends.
     pub fn send(&self) -> CallerResponse {
-        let answer = send_raw(self.address, self.text().as_bytes()).expect("an answer");
+        self.try_send().expect("an answer")
+    }
+
+    /// Sends the request like [`Caller::send`].
+    ///
+    /// # Errors
+    /// When the connection fails before a byte of a response.
+    pub fn try_send(&self) -> io::Result<CallerResponse> {
+        let answer = send_raw(self.address, self.text().as_bytes())?;
         let is_chunked = answer.header("transfer-encoding") == Some("chunked");
         let (body, is_complete) = if is_chunked {
             decode_chunks(&answer.body)
@@ -83,11 +93,11 @@
             let length = answer.header("content-length").and_then(|l| l.parse().ok());
             (answer.body.clone(), length == Some(answer.body.len()))
         };
-        CallerResponse {
+        Ok(CallerResponse {
             answer,
             body,
             is_complete,
-        }
+        })
     }
 
     /// Returns the bytes of the request as text.
--- a/crates/jaylock-tests/tests/platform/harness/mod.rs
+++ b/crates/jaylock-tests/tests/platform/harness/mod.rs
@@ -5,7 +5,7 @@
 mod document;
 
 pub use self::backend::{FakeBackend, ReceivedRequest, Reply};
-pub use self::caller::Caller;
+pub use self::caller::{Caller, CallerResponse};
 pub use self::document::{KEY, OTHER_KEY, document};
 
 use std::fs;
@@ -22,14 +22,42 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Setting `stop` of the instances.
-const STOP_TIMEOUT: &str = "8s";
+
+/// Size of a fleet and those settings of its instances that tests vary.
+#[derive(Debug, Clone)]
+pub struct FleetSettings {
+    /// Number of instances that serve control.
+    pub control_count: usize,
+    /// Number of instances that serve callers.
+    pub router_count: usize,
+    /// Time in which an instance must end after SIGTERM.
+    pub stop: Duration,
+    /// How long callers may keep a list of addresses.
+    pub keep: Duration,
+    /// Duration of the lease of an instance.
+    pub lease: Duration,
+    /// How long a heartbeat of a backend server is valid.
+    pub backend_lease: Duration,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            control_count: 1,
+            router_count: 1,
+            stop: Duration::from_secs(8),
+            keep: Duration::from_secs(1),
+            lease: Duration::from_secs(3),
+            backend_lease: Duration::from_secs(4),
+        }
+    }
+}
 
 /// Fleet of instances: first those that serve control, then those that serve callers.
 pub struct TestFleet {
     folder: TempDir,
     instances: Vec<Instance>,
-    control_count: usize,
+    settings: FleetSettings,
 }
 
 struct Instance {
@@ -51,7 +79,17 @@
 impl TestFleet {
     /// Starts a new fleet.
     pub fn start(control_count: usize, router_count: usize) -> Self {
-        let instances = (0..control_count + router_count).map(|at| Instance {
+        Self::start_with(FleetSettings {
+            control_count,
+            router_count,
+            ..FleetSettings::default()
+        })
+    }
+
+    /// Starts a new fleet with other settings.
+    pub fn start_with(settings: FleetSettings) -> Self {
+        let count = settings.control_count + settings.router_count;
+        let instances = (0..count).map(|at| Instance {
             name: format!("n{at}"),
             process: None,
             addresses: Addresses::allocate(),
@@ -59,7 +97,7 @@
         let mut fleet = Self {
             folder: tempfile::tempdir().expect("a folder"),
             instances: instances.collect(),
-            control_count,
+            settings,
         };
         for at in 0..fleet.instances.len() {
             fleet.start_instance(at, true);
@@ -79,14 +117,14 @@
         wait_until("a document is acknowledged", || {
             self.put_document(0, document) == 200
         });
-        for at in self.control_count..self.instances.len() {
+        for at in self.settings.control_count..self.instances.len() {
             wait_until("a router is ready", || self.is_ready(at));
         }
     }
 
     /// Starts an instance; `is_first` marks the first start of the whole fleet.
     pub fn start_instance(&mut self, at: usize, is_first: bool) {
-        let text = self.settings(at, is_first);
+        let text = self.settings_text(at, is_first);
         let name = self.instances[at].name.clone();
         let path = self.folder.path().join(format!("{name}.ini"));
         fs::write(path, text).expect("the settings are written");
@@ -178,7 +216,7 @@
 
     /// Creates a caller of the first router.
     pub fn caller(&self) -> Caller {
-        Caller::new(self.caller_address(self.control_count))
+        Caller::new(self.caller_address(self.settings.control_count))
     }
 
     /// Address of an instance for callers.
@@ -196,7 +234,7 @@
         self.instances[at].addresses.metrics
     }
 
-    fn settings(&self, at: usize, is_first: bool) -> String {
+    fn settings_text(&self, at: usize, is_first: bool) -> String {
         let Instance {
             name, addresses, ..
         } = &self.instances[at];
@@ -208,10 +246,19 @@
             directory,
             metrics,
         } = addresses;
-        let seeds = self.instances[..self.control_count].iter().take(3);
+        let FleetSettings {
+            stop,
+            keep,
+            lease,
+            backend_lease,
+            ..
+        } = &self.settings;
+        let [stop, keep, lease, backend_lease] =
+            [stop, keep, lease, backend_lease].map(|time| format!("{}ms", time.as_millis()));
+        let seeds = self.instances[..self.settings.control_count].iter().take(3);
         let seeds: Vec<String> = seeds.map(|n| n.addresses.peer.to_string()).collect();
         let seeds = seeds.join(",");
-        let (own, calls) = if at < self.control_count {
+        let (own, calls) = if at < self.settings.control_count {
             let own = format!("caller_address = none\ndata = data/{name}");
             (own, format!("control = {control}\ndirectory = {directory}"))
         } else {
@@ -221,10 +268,10 @@
         format!(
             "[instance]\nid = {name}\ndomain = d{at}\npeer_address = {peer}\n\
              metrics_address = {metrics}\n{own}\n\
-             [control]\nseeds = {seeds}\nfirst_start = {is_first}\nvoters = 9\n\
+             [control]\nseeds = {seeds}\nfirst_start = {is_first}\nvoters = 9\nlease = {lease}\n\
              [security]\npeer_secret = instances-of-a-test\noperator_secret = operators-of-a-test\n\
-             [limits]\nbody = 4MiB\nheaders = 32KiB\n[timeouts]\nbackend = 4s\nstop = {STOP_TIMEOUT}\n\
-             [addresses]\nkeep = 1s\n[log]\nlevel = debug\n[platform]\n{calls}\n"
+             [limits]\nbody = 4MiB\nheaders = 32KiB\n[timeouts]\nbackend = {backend_lease}\nstop = {stop}\n\
+             [addresses]\nkeep = {keep}\n[log]\nlevel = debug\n[platform]\n{calls}\n"
         )
     }
 }
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -6,4 +6,5 @@
 mod lifecycle;
 mod refusals;
 mod requests;
+mod shutdown;
 mod streams;
--- /dev/null
+++ b/crates/jaylock-tests/tests/platform/shutdown.rs
@@ -0,0 +1,124 @@
+//! A router that gets SIGTERM ends in time and lets no caller down that it has admitted.
+
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jaylock_tests::{Process, cases};
+use serde_json::{Value, json};
+
+use crate::harness::{
+    Caller, CallerResponse, FakeBackend, FleetSettings, ReceivedRequest, TestFleet, document,
+    wait_until,
+};
+
+/// Time between two requests of a caller.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two events of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of events in a stream, which takes 4.5 s.
+const EVENT_COUNT: u64 = 19;
+/// Backend servers of 8 slots each, enough for all streams that run at once.
+const BACKENDS: [&str; 8] = ["b1", "b2", "b3", "b4", "b5", "b6", "b7", "b8"];
+/// Lease that outlasts a test.
+const LONG_LEASE: Duration = Duration::from_mins(2);
+
+/// Returns a document whose routes set no bound that a test reaches.
+fn patient_document() -> Value {
+    let mut document = document(1);
+    for route in document["routes"].as_array_mut().expect("routes") {
+        route["timeout_ms"] = json!(20_000);
+    }
+    document
+}
+
+/// Starts backend servers whose streams take 4.5 s, and waits until they serve.
+fn start_streaming_backends(fleet: &TestFleet) -> Vec<FakeBackend> {
+    let reply = |r: &ReceivedRequest| {
+        if r.request_line.starts_with("POST /stream/") {
+            r.paced_events(EVENT_COUNT, EVENT_INTERVAL)
+        } else {
+            r.respond("200 OK", "done")
+        }
+    };
+    let start = |id| FakeBackend::start(fleet, id, reply);
+    let backends = BACKENDS.into_iter().map(start).collect();
+    wait_until("the backend servers serve", || {
+        fleet.caller().send().status() == 200
+    });
+    backends
+}
+
+/// Sends SIGTERM, and SIGKILL after `stop`; the receiver learns whether the process has ended by itself.
+fn shut_down(process: Process, stop: Duration) -> Receiver<bool> {
+    let (sender, has_ended) = channel();
+    thread::spawn(move || {
+        let runtime = compio::runtime::Runtime::new().expect("a runtime");
+        let status = runtime.block_on(process.terminate_or_kill(stop));
+        let _ = sender.send(status.is_some());
+    });
+    has_ended
+}
+
+/// Requests a stream at each interval, on a new connection, until the first 503 or until the process ends.
+///
+/// Calls `on_refusal` after the first 503 and returns all other responses, after their ends.
+fn stream_until_refusal(
+    caller: &Caller,
+    has_ended: &Receiver<bool>,
+    on_refusal: impl FnOnce(),
+) -> Vec<CallerResponse> {
+    let (sender, responses) = channel();
+    let mut received = Vec::new();
+    let mut is_refused = false;
+    while !is_refused && has_ended.try_recv().is_err() {
+        let (caller, sender) = (caller.clone(), sender.clone());
+        thread::spawn(move || {
+            let _ = sender.send(caller.try_send());
+        });
+        thread::sleep(REQUEST_INTERVAL);
+        received.extend(responses.try_iter().flatten());
+        is_refused = received.iter().any(|r: &CallerResponse| r.status() == 503);
+    }
+    assert_that!(is_refused, eq(true));
+    on_refusal();
+    drop(sender);
+    received.extend(responses.iter().flatten());
+    received.retain(|response| response.status() != 503);
+    received
+}
+
+/// Events that the callers of incomplete responses received, by the order of their ends.
+fn incomplete(responses: &[CallerResponse]) -> Vec<usize> {
+    let incomplete = responses.iter().filter(|r| !r.is_complete);
+    incomplete.map(|r| r.body.matches("id: ").count()).collect()
+}
+
+cases! {
+    cuts_no_admitted_stream_when_control_does_not_confirm_the_shutdown => {
+        let settings = FleetSettings {
+            control_count: 3,
+            keep: Duration::from_secs(2),
+            lease: LONG_LEASE,
+            backend_lease: LONG_LEASE,
+            ..FleetSettings::default()
+        };
+        let stop = settings.stop;
+        let mut fleet = TestFleet::start_with(settings);
+        fleet.configure(&patient_document());
+        let _backends = start_streaming_backends(&fleet);
+        let caller = fleet.caller().request("POST", "/stream/1").with("Time-Budget", "15000");
+        // Without a majority, control confirms nothing; the scheduler goes on.
+        let has_scheduler = |at: &usize| fleet.log(*at).contains("started the scheduler of pool app");
+        let suspended: Vec<usize> = (0..3).filter(|at| !has_scheduler(at)).take(2).collect();
+        for at in &suspended {
+            fleet.process(*at).suspend();
+        }
+        let has_ended = shut_down(fleet.take_process(3), stop);
+        let resume = || suspended.iter().for_each(|at| fleet.process(*at).resume());
+        let responses = stream_until_refusal(&caller, &has_ended, resume);
+        assert_that!(responses, not(is_empty()));
+        assert_that!(incomplete(&responses), is_empty());
+    };
+}
