The phases of a graceful shutdown share one schedule, so that what is admitted last has time to end

Cause: leave() added up phases that were each bounded alone: the wait for control (at most stop/8), the propagation (stop/16) and the whole [addresses] keep, so new requests were refused 2.5 to 3.5 s after SIGTERM of 8 s, or never with a longer keep. The class: a wait on the way to the end of the process that takes no account of the time that is left. Ruled out: a late signal (handled after 0.2 ms in all 64 shutdowns), starved routers (at most 6 % of a core of their 12 %), a body read late (admitted after 0.11 ms), slow control. Change: one schedule, counted from the signal: new requests are refused after 5/16 of stop at the latest, whatever phase the shutdown is in; the running ones are cancelled after 15/16, as before. Why it works: the last admitted request has 10/16 of stop in every case, where it had what the other phases left. What remains: a request admitted before that may need more than 10/16 of stop, and is cut as before.

--- a/crates/jaylock-daemon/src/instance.rs
+++ b/crates/jaylock-daemon/src/instance.rs
@@ -4,7 +4,8 @@
 use anyhow::Context;
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
-use jaylock_router::{RouteHeaders, Router};
+use compio::time::timeout_at;
+use jaylock_router::RouteHeaders;
 use jaylock_rpc::v1::{Command, InstanceGone, command};
 use jaylock_rpc::{Routes, ServerSettings};
 use jaylock_settings::Settings;
@@ -13,18 +14,11 @@
 use crate::api::ControlApi;
 use crate::components::{Components, spawn};
 use crate::reload::follow_settings;
+use crate::shutdown::{CONFIRMATION_TIMEOUT, PROPAGATION_TIME, ShutdownSchedule};
 use crate::signals::shutdown_signal;
 
 /// Time between two checks whether the configuration shows that this instance is leaving.
 const CONFIRMATION_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Longest wait for control to confirm that this instance is leaving or gone.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(5);
-/// Divisor of the shutdown time; the wait for the confirmation takes at most this share.
-const CONFIRMATION_DIVISOR: u32 = 8;
-/// Divisor of the shutdown time; the wait for the propagation takes at most this share.
-const PROPAGATION_DIVISOR: u32 = 16;
-/// Time in which other instances apply a change and drop this one from the address lists they return.
-const PROPAGATION_TIME: Duration = Duration::from_secs(1);
 
 /// One instance of the fleet; `S` is its lifecycle state.
 pub struct Instance<S> {
@@ -140,40 +134,41 @@
     /// Shuts down gracefully: leaves the address lists, transfers its roles and finishes running requests.
     pub async fn shut_down(self) {
         log::info!(target: "daemon", "graceful shutdown started");
-        let drain_timeout = self.components.settings().timeouts.stop * 15 / 16;
-        let is_drained = compio::time::timeout(drain_timeout, self.leave())
+        let settings = self.components.settings();
+        let (stop, keep) = (settings.timeouts.stop, settings.addresses.keep);
+        let schedule = ShutdownSchedule::new(Instant::now(), stop, keep);
+        let router = &self.components.router;
+        router.announce_shutdown();
+        let withdrawal = timeout_at(schedule.refuse_at, self.withdraw(&schedule)).await;
+        if withdrawal.is_err() && !self.components.is_leaving() {
+            log::warn!(target: "daemon", "control did not confirm that this instance is leaving");
+        }
+        router.shut_down(schedule.refuse_at);
+        router.refuses_requests().await;
+        schedule.log_phase("new requests are refused", router);
+        if timeout_at(schedule.drain_until, router.drained())
             .await
-            .is_ok();
-        if !is_drained {
-            let connections = self.components.router.connections();
-            log::warn!(target: "daemon", connections; "requests still running after {drain_timeout:?} are cancelled");
+            .is_err()
+        {
+            let connections = router.connections();
+            log::warn!(target: "daemon", connections; "requests still running are cancelled");
+        } else {
+            schedule.log_phase("no request is left", router);
         }
         self.deregister().await;
         drop(self.state.tasks);
         log::info!(target: "daemon", "instance stopped");
     }
 
-    async fn leave(&self) {
-        let stop = self.components.settings().timeouts.stop;
-        let started = Instant::now();
-        self.components.router.announce_shutdown();
+    /// Transfers the roles and leaves the address lists that other instances return.
+    async fn withdraw(&self, schedule: &ShutdownSchedule) {
         self.components.follower.set_leaving();
         if let Some(replica) = &self.components.replica {
             replica.step_down().await;
         }
-        let timeout = CONFIRMATION_TIMEOUT.min(stop / CONFIRMATION_DIVISOR);
-        let confirmed = compio::time::timeout(timeout, self.wait_until_leaving()).await;
-        if confirmed.is_err() {
-            log::warn!(target: "daemon", "control did not confirm that this instance is leaving");
-        }
-        log_phase("left the address lists", started, &self.components.router);
-        compio::time::sleep(PROPAGATION_TIME.min(stop / PROPAGATION_DIVISOR)).await;
-        let router = &self.components.router;
-        router.shut_down();
-        router.refuses_requests().await;
-        log_phase("new requests are refused", started, router);
-        router.drained().await;
-        log_phase("no request is left", started, router);
+        self.wait_until_leaving().await;
+        schedule.log_phase("left the address lists", &self.components.router);
+        compio::time::sleep(PROPAGATION_TIME).await;
     }
 
     async fn wait_until_leaving(&self) {
@@ -203,13 +198,6 @@
     }
 }
 
-/// Logs a phase of a graceful shutdown with the time since the signal and the open connections of callers.
-fn log_phase(phase: &str, started: Instant, router: &Router) {
-    let after_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
-    let connections = router.connections();
-    log::info!(target: "daemon", after_ms, connections; "{phase}");
-}
-
 async fn bind(address: SocketAddr, key: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/crates/jaylock-daemon/src/lib.rs
+++ b/crates/jaylock-daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod ports;
 mod reload;
 mod rescue;
+mod shutdown;
 mod signals;
 
 pub use self::api::{AddressList, ApiError, ControlApi, Inventory};
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -1,5 +1,5 @@
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::net::TcpListener;
 use jaylock_control::{ConfigView, InstanceLease};
@@ -86,13 +86,14 @@
 
     /// Starts a graceful shutdown.
     ///
-    /// Requests are still served for as long as callers may cache the address list, then refused.
-    pub fn shut_down(&self) {
+    /// Requests are still served for as long as callers may cache the address list, but at most until
+    /// `refuse_at`, then refused.
+    pub fn shut_down(&self, refuse_at: Instant) {
         self.context.lifecycle.begin_shutdown();
         let context = self.context.clone();
         compio::runtime::spawn(async move {
             let ttl = Duration::from_millis(context.settings.address_ttl_ms.into());
-            compio::time::sleep(ttl).await;
+            compio::time::sleep_until(refuse_at.min(Instant::now() + ttl)).await;
             context.lifecycle.refuse_requests();
         })
         .detach();
--- a/crates/jaylock-tests/tests/router/shutdown.rs
+++ b/crates/jaylock-tests/tests/router/shutdown.rs
@@ -1,6 +1,6 @@
 //! Graceful shutdown: the router leaves the address list first, and no request is interrupted.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use jaylock_router::RouterSettings;
@@ -9,6 +9,11 @@
 use crate::backend::{Backend, Step, chunk, end_marker, final_chunk, stream_head};
 use crate::harness::{TestRouter, chat_body, read_all};
 
+/// A time that no test reaches.
+fn far_future() -> Instant {
+    Instant::now() + Duration::from_secs(60)
+}
+
 cases! {
     async completes_running_requests_and_refuses_new_ones => {
         let engine = Backend::start(|r| {
@@ -20,7 +25,7 @@
         let router = TestRouter::start(&[engine.address], settings).await;
         let shutdown = async {
             compio::time::sleep(Duration::from_millis(50)).await;
-            router.inner.shut_down();
+            router.inner.shut_down(far_future());
             let list = router.send("GET", "/v1/routers", &[], "").await;
             assert_that!(list.body, not(contains_substring(router.address.to_string())));
             let during = router.chat("{}").await;
@@ -42,7 +47,7 @@
         let router = TestRouter::start(&[], settings).await;
         let mut idle = router.open("GET /v1/health HTTP/1.1\r\nhost: x\r\n\r\n").await;
         compio::time::sleep(Duration::from_millis(50)).await;
-        router.inner.shut_down();
+        router.inner.shut_down(far_future());
         let timeout = Duration::from_secs(5);
         let response = compio::time::timeout(timeout, read_all(&mut idle)).await;
         assert_that!(response, ok(starts_with("HTTP/1.1 200")));
@@ -54,7 +59,7 @@
         let router = TestRouter::start(&[engine.address], settings).await;
         let caller = router.start_chat(&chat_body(true)).await;
         router.wait_until("the engine receives the request", || engine.request_count() == 1).await;
-        router.inner.shut_down();
+        router.inner.shut_down(far_future());
         let timeout = Duration::from_millis(200);
         let early = compio::time::timeout(timeout, router.inner.drained()).await;
         assert_that!(early.is_err(), eq(true));
