Tests: a body that arrives late is admitted by a router that refuses requests

What callers see: a router that has stopped admitting runs a request whose head came before and whose body came after that, and its end may cut the response. How the tests bring it about: a caller sends a request without its last bytes; the router is asked to stop (SIGTERM for the route in a real process, Router::shut_down for the chat); when another request with an unknown key, or a malformed one, gets 503 in place of 401 or 400, the rest is sent. The response must be 503, and no backend server may have the request. The harness gets Caller::try_send_in_parts over send_in_parts, Process::request_shutdown, and a struct in place of the receiver of a shutdown, which ends the process also when a test fails.

--- a/crates/jaylock-tests/src/fleet/http.rs
+++ b/crates/jaylock-tests/src/fleet/http.rs
@@ -34,10 +34,25 @@
 /// # Errors
 /// When the connection fails or no byte is received.
 pub fn send_raw(address: SocketAddr, bytes: &[u8]) -> io::Result<HttpResponse> {
+    send_in_parts(address, bytes, || (), &[])
+}
+
+/// Sends bytes like [`send_raw`], in two parts between which it calls a function.
+///
+/// # Errors
+/// When the connection fails or no byte is received.
+pub fn send_in_parts(
+    address: SocketAddr,
+    first: &[u8],
+    between: impl FnOnce(),
+    second: &[u8],
+) -> io::Result<HttpResponse> {
     let mut stream = TcpStream::connect_timeout(&address, TIMEOUT)?;
     stream.set_read_timeout(Some(TIMEOUT))?;
     // The server may refuse the request and close before reading everything.
-    let _ = stream.write_all(bytes);
+    let _ = stream.write_all(first);
+    between();
+    let _ = stream.write_all(second);
     let mut read = Vec::new();
     let outcome = stream.read_to_end(&mut read);
     if read.is_empty() {
--- a/crates/jaylock-tests/src/process.rs
+++ b/crates/jaylock-tests/src/process.rs
@@ -61,6 +61,11 @@
         self.send(Signal::HUP);
     }
 
+    /// Asks the process to end with SIGTERM, without waiting for it.
+    pub fn request_shutdown(&self) {
+        self.send(Signal::TERM);
+    }
+
     /// Kills the process.
     pub fn kill(mut self) {
         let _ = self.child.kill();
@@ -79,7 +84,7 @@
     /// Asks the process to end with SIGTERM and kills it, as the platform does, if it has not ended
     /// after `timeout`; returns `None` for a killed one.
     pub async fn terminate_or_kill(mut self, timeout: Duration) -> Option<ExitStatus> {
-        self.send(Signal::TERM);
+        self.request_shutdown();
         let deadline = Instant::now() + timeout;
         while Instant::now() < deadline {
             if let Ok(Some(status)) = self.child.try_wait() {
--- a/crates/jaylock-tests/tests/platform/harness/caller.rs
+++ b/crates/jaylock-tests/tests/platform/harness/caller.rs
@@ -1,7 +1,7 @@
 use std::io;
 use std::net::SocketAddr;
 
-use jaylock_tests::fleet::{HttpResponse, send_raw};
+use jaylock_tests::fleet::{HttpResponse, send_in_parts, send_raw};
 
 use super::KEY;
 
@@ -85,19 +85,17 @@
     /// # Errors
     /// When the connection fails before a byte of a response.
     pub fn try_send(&self) -> io::Result<CallerResponse> {
-        let answer = send_raw(self.address, self.text().as_bytes())?;
-        let is_chunked = answer.header("transfer-encoding") == Some("chunked");
-        let (body, is_complete) = if is_chunked {
-            decode_chunks(&answer.body)
-        } else {
-            let length = answer.header("content-length").and_then(|l| l.parse().ok());
-            (answer.body.clone(), length == Some(answer.body.len()))
-        };
-        Ok(CallerResponse {
-            answer,
-            body,
-            is_complete,
-        })
+        send_raw(self.address, self.text().as_bytes()).map(CallerResponse::from)
+    }
+
+    /// Sends the request like [`Caller::send`], and calls a function before the last byte.
+    ///
+    /// # Errors
+    /// When the connection fails before a byte of a response.
+    pub fn try_send_in_parts(&self, before_last: impl FnOnce()) -> io::Result<CallerResponse> {
+        let text = self.text();
+        let (first, last) = text.as_bytes().split_at(text.len() - 1);
+        send_in_parts(self.address, first, before_last, last).map(CallerResponse::from)
     }
 
     /// Returns the bytes of the request as text.
@@ -115,6 +113,23 @@
     }
 }
 
+impl From<HttpResponse> for CallerResponse {
+    fn from(answer: HttpResponse) -> Self {
+        let is_chunked = answer.header("transfer-encoding") == Some("chunked");
+        let (body, is_complete) = if is_chunked {
+            decode_chunks(&answer.body)
+        } else {
+            let length = answer.header("content-length").and_then(|l| l.parse().ok());
+            (answer.body.clone(), length == Some(answer.body.len()))
+        };
+        Self {
+            answer,
+            body,
+            is_complete,
+        }
+    }
+}
+
 impl CallerResponse {
     /// HTTP status.
     pub fn status(&self) -> u16 {
--- a/crates/jaylock-tests/tests/platform/shutdown.rs
+++ b/crates/jaylock-tests/tests/platform/shutdown.rs
@@ -1,8 +1,8 @@
 //! A router that gets SIGTERM ends in time and lets no caller down that it has admitted.
 
 use std::io;
-use std::sync::mpsc::{Receiver, channel};
-use std::thread;
+use std::sync::mpsc::channel;
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use googletest::prelude::*;
@@ -20,7 +20,7 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of events in a stream, which takes 4.5 s.
 const EVENT_COUNT: u64 = 19;
-/// Backend servers of 8 slots each, enough for all streams that run at once.
+/// Backend servers, enough for all streams that run at once.
 const BACKENDS: [&str; 8] = ["b1", "b2", "b3", "b4", "b5", "b6", "b7", "b8"];
 /// Lease that outlasts a test.
 const LONG_LEASE: Duration = Duration::from_mins(2);
@@ -51,15 +51,36 @@
     backends
 }
 
-/// Sends SIGTERM, and SIGKILL after `stop`; the receiver learns whether the process has ended by itself.
-fn shut_down(process: Process, stop: Duration) -> Receiver<bool> {
-    let (sender, has_ended) = channel();
-    thread::spawn(move || {
-        let runtime = compio::runtime::Runtime::new().expect("a runtime");
-        let status = runtime.block_on(process.terminate_or_kill(stop));
-        let _ = sender.send(status.is_some());
-    });
-    has_ended
+/// A process that got SIGTERM and gets SIGKILL when its time is over, as on the platform.
+struct Shutdown {
+    waiting: Option<JoinHandle<bool>>,
+}
+
+impl Shutdown {
+    /// Sends SIGTERM to a process that must have ended after `stop`.
+    fn start(process: Process, stop: Duration) -> Self {
+        let waiting = thread::spawn(move || {
+            let runtime = compio::runtime::Runtime::new().expect("a runtime");
+            let status = runtime.block_on(process.terminate_or_kill(stop));
+            status.is_some()
+        });
+        Self {
+            waiting: Some(waiting),
+        }
+    }
+
+    /// Whether the process has ended or was killed.
+    fn is_over(&self) -> bool {
+        self.waiting.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+}
+
+impl Drop for Shutdown {
+    fn drop(&mut self) {
+        if let Some(waiting) = self.waiting.take() {
+            let _ = waiting.join();
+        }
+    }
 }
 
 /// Requests a stream at each interval, on a new connection, until the first 503 or until the process ends.
@@ -67,12 +88,12 @@
 /// Calls `on_refusal` after the first 503 and returns all responses, after their ends.
 fn stream_until_refusal(
     caller: &Caller,
-    has_ended: &Receiver<bool>,
+    shutdown: &Shutdown,
     on_refusal: impl FnOnce(),
 ) -> Vec<io::Result<CallerResponse>> {
     let (sender, responses) = channel();
     let mut received = Vec::new();
-    while !is_refused(&received) && has_ended.try_recv().is_err() {
+    while !is_refused(&received) && !shutdown.is_over() {
         let (caller, sender) = (caller.clone(), sender.clone());
         thread::spawn(move || {
             let _ = sender.send(caller.try_send());
@@ -104,6 +125,16 @@
     incomplete.collect()
 }
 
+/// Waits until a router refuses new requests or has ended.
+///
+/// A request with an unknown key is refused with 401 before, then with 503.
+fn wait_until_refusing(fleet: &TestFleet) {
+    let caller = fleet.caller().with("Key", "unknown");
+    wait_until("requests are refused", || {
+        caller.try_send().map_or(true, |r| r.status() == 503)
+    });
+}
+
 cases! {
     cuts_no_admitted_stream_when_control_does_not_confirm_the_shutdown => {
         let settings = FleetSettings {
@@ -124,9 +155,9 @@
         for at in &suspended {
             fleet.process(*at).suspend();
         }
-        let has_ended = shut_down(fleet.take_process(3), stop);
+        let shutdown = Shutdown::start(fleet.take_process(3), stop);
         let resume = || suspended.iter().for_each(|at| fleet.process(*at).resume());
-        let responses = stream_until_refusal(&caller, &has_ended, resume);
+        let responses = stream_until_refusal(&caller, &shutdown, resume);
         assert_that!(incomplete(&responses), is_empty());
         assert_that!(is_refused(&responses), eq(true));
     };
@@ -138,9 +169,21 @@
         fleet.configure(&patient_document());
         let _backends = start_streaming_backends(&fleet);
         let caller = fleet.caller().request("POST", "/stream/1").with("Time-Budget", "15000");
-        let has_ended = shut_down(fleet.take_process(1), stop);
-        let responses = stream_until_refusal(&caller, &has_ended, || ());
+        let shutdown = Shutdown::start(fleet.take_process(1), stop);
+        let responses = stream_until_refusal(&caller, &shutdown, || ());
         assert_that!(incomplete(&responses), is_empty());
         assert_that!(is_refused(&responses), eq(true));
     };
+    refuses_a_request_whose_body_arrives_when_requests_are_already_refused => {
+        let mut fleet = TestFleet::start(1, 1);
+        fleet.configure(&patient_document());
+        let backend = FakeBackend::start(&fleet, "b1", |r| r.respond("200 OK", "done"));
+        let caller = fleet.caller().request("POST", "/once/1").with("Time-Budget", "15000").body("content");
+        let response = caller.try_send_in_parts(|| {
+            fleet.process(1).request_shutdown();
+            wait_until_refusing(&fleet);
+        });
+        assert_that!(response.map(|r| r.status()).ok(), some(eq(503)));
+        assert_that!(backend.received(), is_empty());
+    };
 }
--- a/crates/jaylock-tests/tests/router/shutdown.rs
+++ b/crates/jaylock-tests/tests/router/shutdown.rs
@@ -2,12 +2,34 @@
 
 use std::time::{Duration, Instant};
 
+use compio::io::AsyncWriteExt;
 use googletest::prelude::*;
 use jaylock_router::RouterSettings;
 use jaylock_tests::cases;
 
-use crate::backend::{Backend, Step, chunk, end_marker, final_chunk, stream_head};
-use crate::harness::{TestRouter, chat_body, read_all};
+use crate::backend::{Backend, Step, chunk, complete_stream, end_marker, final_chunk, stream_head};
+use crate::harness::{CHAT_HEAD, TestRouter, chat_body, read_all};
+
+/// Time limit of each expected event, shorter than the time in which a caller must send a head.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Starts a router that refuses requests soon after a shutdown has begun.
+async fn leaving_soon() -> (Backend, TestRouter) {
+    let engine = Backend::start(|r| complete_stream(r, 3)).await;
+    let settings = RouterSettings {
+        address_ttl_ms: 100,
+        ..RouterSettings::default()
+    };
+    let router = TestRouter::start(&[engine.address], settings).await;
+    (engine, router)
+}
+
+/// Waits until a router refuses requests: a malformed one is refused with 400 before, then with 503.
+async fn wait_until_refusing(router: &TestRouter) {
+    while router.chat("{}").await.status != 503 {
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
 
 /// A time that no test reaches.
 fn far_future() -> Instant {
@@ -67,4 +89,17 @@
         let late = compio::time::timeout(Duration::from_secs(5), router.inner.drained()).await;
         assert_that!(late.is_ok(), eq(true));
     };
+    async refuses_a_chat_whose_body_arrives_when_requests_are_already_refused => {
+        let (engine, router) = leaving_soon().await;
+        let body = chat_body(false);
+        let (first, rest) = body.split_at(1);
+        let length = body.len();
+        let mut caller = router.open(&format!("{CHAT_HEAD}content-length: {length}\r\n\r\n{first}")).await;
+        router.inner.shut_down();
+        wait_until_refusing(&router).await;
+        let _ = caller.write_all(rest.as_bytes().to_vec()).await;
+        let response = compio::time::timeout(TIMEOUT, read_all(&mut caller)).await;
+        assert_that!(response, ok(starts_with("HTTP/1.1 503")));
+        assert_that!(engine.request_count(), eq(0));
+    };
 }
