Tests: a request that waits for a slot is started by a router that refuses requests

What callers see: a request that waits in the scheduler's queue when the router stops admitting is sent to a backend server as soon as a slot is free, however little time the router has left, and may be cut. How the tests bring it about: for a route, eight requests hold all slots of the only backend server in a real fleet and a ninth waits; the router gets SIGTERM; when a request with an unknown key gets 503 in place of 401, the eight are answered. The ninth must get 503, the backend server must have received eight, and the eight must get 200. For a chat, the fake of the schedulers delays its grant until the router refuses requests; the response must be 503 and the engine must have received nothing. Both ask for a refusal of all that waits at that moment; a fix that still starts requests for which there is time would need another test. The fake backend server records a request before it replies now, not after it, so that a test can see a request that is held. The objective of the routes of these tests is 20 s, as with 1 s the ninth request was refused as overloaded after 0.55 s.

--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -149,8 +149,8 @@
         let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
         let mut stream = stream;
         while let Some(received) = read_request(&mut reader) {
+            self.lock_received().push(received.clone());
             let reply = reply(&received);
-            self.lock_received().push(received);
             let mut is_sent = stream.write_all(&reply.bytes).is_ok();
             for (pause, bytes) in &reply.later {
                 thread::sleep(*pause);
--- a/crates/jaylock-tests/tests/platform/shutdown.rs
+++ b/crates/jaylock-tests/tests/platform/shutdown.rs
@@ -1,6 +1,8 @@
 //! A router that gets SIGTERM ends in time and lets no caller down that it has admitted.
 
 use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -20,6 +22,8 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of events in a stream, which takes 4.5 s.
 const EVENT_COUNT: u64 = 19;
+/// Slots of a backend server.
+const SLOTS: usize = 8;
 /// Backend servers, enough for all streams that run at once.
 const BACKENDS: [&str; 8] = ["b1", "b2", "b3", "b4", "b5", "b6", "b7", "b8"];
 /// Lease that outlasts a test.
@@ -30,6 +34,7 @@
     let mut document = document(1);
     for route in document["routes"].as_array_mut().expect("routes") {
         route["timeout_ms"] = json!(20_000);
+        route["slo_ms"] = json!(20_000);
     }
     document
 }
@@ -186,4 +191,31 @@
         assert_that!(response.map(|r| r.status()).ok(), some(eq(503)));
         assert_that!(backend.received(), is_empty());
     };
+    refuses_a_request_that_waits_for_a_slot_when_requests_are_refused => {
+        let mut fleet = TestFleet::start(1, 1);
+        fleet.configure(&patient_document());
+        let release = Arc::new(AtomicBool::new(false));
+        let is_released = release.clone();
+        let backend = FakeBackend::start(&fleet, "b1", move |r| {
+            while !is_released.load(Ordering::Relaxed) {
+                thread::sleep(REQUEST_INTERVAL);
+            }
+            r.respond("200 OK", "done")
+        });
+        let caller = fleet.caller().with("Time-Budget", "15000");
+        let send = |path: &str| {
+            let caller = caller.clone().request("POST", path);
+            thread::spawn(move || caller.try_send())
+        };
+        let running: Vec<_> = (0..SLOTS).map(|_| send("/once/running")).collect();
+        wait_until("all slots are taken", || backend.received().len() == SLOTS);
+        let waiting = send("/once/waiting");
+        fleet.process(1).request_shutdown();
+        wait_until_refusing(&fleet);
+        release.store(true, Ordering::Relaxed);
+        let status = |sent: JoinHandle<io::Result<CallerResponse>>| sent.join().expect("a caller").map_or(0, |r| r.status());
+        assert_that!(status(waiting), eq(503));
+        assert_that!(backend.received(), len(eq(SLOTS)));
+        assert_that!(running.into_iter().map(status).collect::<Vec<_>>(), each(eq(&200)));
+    };
 }
--- a/crates/jaylock-tests/tests/router/fakes.rs
+++ b/crates/jaylock-tests/tests/router/fakes.rs
@@ -19,6 +19,9 @@
 };
 use jaylock_types::PoolId;
 
+/// Time between two checks whether grants are still delayed.
+const DELAY_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Grants each slot request at once, at the first backend server that is not avoided.
 #[derive(Clone, Default)]
 pub struct FakeSchedulers(pub Rc<SchedulersState>);
@@ -30,6 +33,8 @@
     /// Whether a slot request waits while it avoids every backend server.
     pub waits_for_others: Cell<bool>,
     pub never_grants: Cell<bool>,
+    /// Whether each slot request waits, until this is unset.
+    pub delays_grants: Cell<bool>,
     pub slot_requests: RefCell<Vec<Ask>>,
     pub released: RefCell<Vec<End>>,
     pub reports: RefCell<Vec<BackendReport>>,
@@ -75,6 +80,9 @@
             if self.0.never_grants.get() || (self.0.waits_for_others.get() && has_no_backend) {
                 futures_util::future::pending::<()>().await;
             }
+            while self.0.delays_grants.get() {
+                compio::time::sleep(DELAY_POLL_INTERVAL).await;
+            }
             outcome
         }
         .boxed_local()
--- a/crates/jaylock-tests/tests/router/shutdown.rs
+++ b/crates/jaylock-tests/tests/router/shutdown.rs
@@ -102,4 +102,16 @@
         assert_that!(response, ok(starts_with("HTTP/1.1 503")));
         assert_that!(engine.request_count(), eq(0));
     };
+    async refuses_a_chat_that_waits_for_a_slot_when_requests_are_refused => {
+        let (engine, router) = leaving_soon().await;
+        router.schedulers.0.delays_grants.set(true);
+        let mut caller = router.start_chat(&chat_body(false)).await;
+        router.wait_until("the request waits", || !router.schedulers.0.slot_requests.borrow().is_empty()).await;
+        router.inner.shut_down();
+        wait_until_refusing(&router).await;
+        router.schedulers.0.delays_grants.set(false);
+        let response = compio::time::timeout(TIMEOUT, read_all(&mut caller)).await;
+        assert_that!(response, ok(starts_with("HTTP/1.1 503")));
+        assert_that!(engine.request_count(), eq(0));
+    };
 }
