A test: callers whose requests still wait when a router ends get no answer

What callers see: when the time for draining is over, the connection of a request that still waits for its response closes without a byte, though README promises the whole answer or an explicit error. How the test brings it about: a backend server never responds to a POST on a non_idempotent route with a Time-Budget of 15 s; when it has the request, the router (stop = 4s, to keep the test short) gets SIGTERM. The caller must get a complete 502 or 504; 503 is not allowed, as the request has run.

--- a/crates/jaylock-tests/tests/platform/shutdown.rs
+++ b/crates/jaylock-tests/tests/platform/shutdown.rs
@@ -218,4 +218,16 @@
         assert_that!(backend.received(), len(eq(SLOTS)));
         assert_that!(running.into_iter().map(status).collect::<Vec<_>>(), each(eq(&200)));
     };
+    answers_a_request_explicitly_whose_backend_server_is_silent_when_it_ends => {
+        let stop = Duration::from_secs(4);
+        let mut fleet = TestFleet::start_with(FleetSettings { stop, ..FleetSettings::default() });
+        fleet.configure(&patient_document());
+        let backend = FakeBackend::start(&fleet, "b1", |_| loop { thread::park() });
+        let caller = fleet.caller().request("POST", "/once/1").with("Time-Budget", "15000");
+        let waiting = thread::spawn(move || caller.try_send());
+        wait_until("the backend server has the request", || backend.received().len() == 1);
+        fleet.process(1).request_shutdown();
+        let response = waiting.join().expect("a caller").map(|r| (r.status(), r.is_complete));
+        assert_that!(response.ok(), some((any!(eq(502), eq(504)), eq(true))));
+    };
 }
