A test: a router that control does not answer has not ended when it is killed

What operators see: a router that control does not answer has not ended when its time is over, and the platform kills it. How the test brings it about: a stream of 4.5 s runs; the only control instance is suspended and the router (stop = 8s, keep = 1s) gets SIGTERM; it must have ended by itself within 8 s, and the stream must be complete.

--- a/crates/jaylock-tests/tests/platform/shutdown.rs
+++ b/crates/jaylock-tests/tests/platform/shutdown.rs
@@ -78,6 +78,12 @@
     fn is_over(&self) -> bool {
         self.waiting.as_ref().is_none_or(JoinHandle::is_finished)
     }
+
+    /// Waits for the end; returns false if the process was killed.
+    fn wait(&mut self) -> bool {
+        let waiting = self.waiting.take().expect("a shutdown");
+        waiting.join().expect("an end")
+    }
 }
 
 impl Drop for Shutdown {
@@ -230,4 +236,19 @@
         let response = waiting.join().expect("a caller").map(|r| (r.status(), r.is_complete));
         assert_that!(response.ok(), some((any!(eq(502), eq(504)), eq(true))));
     };
+    ends_in_time_when_control_does_not_confirm_the_deregistration => {
+        let mut fleet = TestFleet::start(1, 1);
+        fleet.configure(&patient_document());
+        let backends = start_streaming_backends(&fleet);
+        let caller = fleet.caller().request("POST", "/stream/1").with("Time-Budget", "15000");
+        let running = thread::spawn(move || caller.try_send());
+        let is_stream = |r: &ReceivedRequest| r.request_line.starts_with("POST /stream/");
+        wait_until("a backend server has the request", || {
+            backends.iter().any(|backend| backend.received().iter().any(is_stream))
+        });
+        fleet.process(0).suspend();
+        let mut shutdown = Shutdown::start(fleet.take_process(1), FleetSettings::default().stop);
+        assert_that!(shutdown.wait(), eq(true));
+        assert_that!(incomplete(&[running.join().expect("a caller")]), is_empty());
+    };
 }
