A request that has not started when a leaving router ends its admission is refused

Callers saw requests that a router had taken before it refused new ones sent to a backend server after that, and cut at its end. Cause: admission looked at the shutdown only when the head of a request arrived. A body that took seconds to arrive, and a wait in the scheduler's queue, went on past it. Change: both waits run under Lifecycle::wait_to_start, which gives up when admission ends, unless the request's deadline passes before the drain time does; such a request still has its whole time here. Routes, chat and plain services use it; a request that may have run already is not refused (its retries go on). Ruled out: refusing all that waits; a request with a short deadline is served sooner here than after a retry elsewhere. In the router tests, shutdowns now have a drain time of a minute, shorter than the default deadline of a chat; the checks are as they were.

--- a/crates/jaylock-daemon/src/instance.rs
+++ b/crates/jaylock-daemon/src/instance.rs
@@ -138,15 +138,15 @@
         let (stop, keep) = (settings.timeouts.stop, settings.addresses.keep);
         let schedule = ShutdownSchedule::new(Instant::now(), stop, keep);
         let router = &self.components.router;
-        router.announce_shutdown();
+        router.announce_shutdown(schedule.drain_end);
         let withdrawal = timeout_at(schedule.refuse_at, self.withdraw(&schedule)).await;
         if withdrawal.is_err() && !self.components.is_leaving() {
             log::warn!(target: "daemon", "control did not confirm that this instance is leaving");
         }
-        router.shut_down(schedule.refuse_at);
+        router.end_admission(schedule.refuse_at);
         router.refuses_requests().await;
         schedule.log_phase("new requests are refused", router);
-        if timeout_at(schedule.drain_until, router.drained())
+        if timeout_at(schedule.drain_end, router.drained())
             .await
             .is_err()
         {
--- a/crates/jaylock-daemon/src/shutdown.rs
+++ b/crates/jaylock-daemon/src/shutdown.rs
@@ -22,7 +22,7 @@
     /// When new requests are refused at the latest.
     pub refuse_at: Instant,
     /// When requests that are still running are cancelled.
-    pub drain_until: Instant,
+    pub drain_end: Instant,
 }
 
 impl ShutdownSchedule {
@@ -34,7 +34,7 @@
         Self {
             started,
             refuse_at: started + withdrawal.min(admission),
-            drain_until: started + stop * DRAIN_SIXTEENTHS / 16,
+            drain_end: started + stop * DRAIN_SIXTEENTHS / 16,
         }
     }
 
--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -62,7 +62,10 @@
         let announced = incoming.size_hint().exact().unwrap_or(0);
         let announced = usize::try_from(announced).unwrap_or(usize::MAX);
         let mut reservation = reserve_body(context, &organisation, announced)?;
-        let body = read(context, incoming).await?;
+        let deadline = arrived_at + timeout;
+        let reading = read(context, incoming);
+        let body = context.lifecycle.wait_to_start(deadline, reading).await;
+        let body = body.ok_or_else(|| leaving(context))??;
         if body.len() > announced {
             reservation = reserve_body(context, &organisation, body.len())?;
         }
@@ -71,7 +74,7 @@
             request,
             organisation,
             arrived_at,
-            deadline: arrived_at + timeout,
+            deadline,
             has_deadline: requested.is_some(),
             head,
             body,
@@ -140,11 +143,16 @@
 
 fn check_serving(context: &Context) -> Result<(), ErrorResponse> {
     if context.lifecycle.closed.is_set() {
-        return Err(unavailable(context, "leaving", "this instance is stopping"));
+        return Err(leaving(context));
     }
     check_connected(context)
 }
 
+/// Error for a request that did not run because this instance stops.
+pub fn leaving(context: &Context) -> ErrorResponse {
+    unavailable(context, "leaving", "this instance is stopping")
+}
+
 /// Checks that this instance is connected to control, as a disconnected one accepts no requests.
 pub fn check_connected(context: &Context) -> Result<(), ErrorResponse> {
     if context.view.is_connected() && context.view.index() != Index(0) {
--- a/crates/jaylock-router/src/lifecycle.rs
+++ b/crates/jaylock-router/src/lifecycle.rs
@@ -1,6 +1,9 @@
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use futures_util::future::{Either, select};
 
 use crate::latch::Latch;
 
@@ -12,28 +15,55 @@
 pub struct Lifecycle {
     /// Set when new requests are refused because the instance stops.
     pub closed: Latch,
+    /// When requests in progress will be cancelled; unset before a shutdown.
+    drain_end: Cell<Option<Instant>>,
     /// Held by each open connection.
     connection_token: Rc<()>,
     /// Held by each request in progress.
     request_token: Rc<()>,
-    is_shutting_down: Cell<bool>,
 }
 
 impl Lifecycle {
-    /// Marks the start of a graceful shutdown, while requests are still served.
-    pub fn begin_shutdown(&self) {
-        self.is_shutting_down.set(true);
+    /// Marks the start of a graceful shutdown, in which requests are still served but cancelled at
+    /// `drain_end`.
+    pub fn begin_shutdown(&self, drain_end: Instant) {
+        self.drain_end.set(Some(drain_end));
     }
 
     /// Starts to refuse new requests.
     pub fn refuse_requests(&self) {
-        self.begin_shutdown();
         self.closed.set();
     }
 
     /// Whether a graceful shutdown has begun.
     pub fn is_shutting_down(&self) -> bool {
-        self.is_shutting_down.get()
+        self.drain_end.get().is_some()
+    }
+
+    /// Runs a wait of a request that has not been sent to a backend server yet.
+    ///
+    /// Once new requests are refused, returns `None` unless the request's deadline passes before the
+    /// requests in progress are cancelled.
+    pub async fn wait_to_start<T>(
+        &self,
+        deadline: Instant,
+        waiting: impl Future<Output = T>,
+    ) -> Option<T> {
+        let refused = async {
+            self.closed.wait().await;
+            if !self.ends_too_late(deadline) {
+                std::future::pending::<()>().await;
+            }
+        };
+        match select(pin!(refused), pin!(waiting)).await {
+            Either::Left(_) => None,
+            Either::Right((outcome, _)) => Some(outcome),
+        }
+    }
+
+    /// Whether a request with this deadline may still run when the requests in progress are cancelled.
+    fn ends_too_late(&self, deadline: Instant) -> bool {
+        self.drain_end.get().is_some_and(|end| deadline > end)
     }
 
     /// Returns a token that delays [`Lifecycle::drained`] while a request holds it.
@@ -54,9 +84,7 @@
     /// Waits until new requests are refused and every response was sent.
     pub async fn drained(&self) {
         self.closed.wait().await;
-        while Rc::strong_count(&self.request_token) > 1
-            || Rc::strong_count(&self.connection_token) > 1
-        {
+        while Rc::strong_count(&self.request_token) > 1 || self.connections() > 0 {
             compio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
     }
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -10,7 +10,7 @@
 use jaylock_rpc::v1::{self, Ask};
 use jaylock_types::PoolId;
 
-use crate::call::Call;
+use crate::call::{self, Call};
 use crate::connection;
 use crate::context::Context;
 use crate::error::AttemptError;
@@ -31,6 +31,7 @@
     context: Rc<Context>,
     pool: PoolId,
     arrived_at: Instant,
+    deadline: Instant,
     crash_tracker: CrashTracker,
     run_status: RunStatus,
     /// Run status before the current attempt, restored when that attempt did not run.
@@ -61,6 +62,7 @@
             context,
             pool,
             arrived_at: call.arrived_at,
+            deadline: call.deadline,
             crash_tracker,
             run_status: RunStatus::NotRun,
             previous_status: RunStatus::NotRun,
@@ -99,7 +101,7 @@
                 .wait_for_isolated_run(&self.context)
                 .await;
         }
-        let outcome = self.request_slot(ask).await;
+        let outcome = self.request_slot_unless_stopping(ask).await;
         tracker.record.wait_time += started.elapsed();
         let (address, slot) = outcome?;
         self.attempts += 1;
@@ -215,6 +217,20 @@
             .with_retry_after(self.context.settings.retry_after)
     }
 
+    /// Requests a slot; a request that has not run is refused when the instance stops too soon for it.
+    async fn request_slot_unless_stopping(
+        &mut self,
+        ask: Ask,
+    ) -> Result<(SocketAddr, Slot), ErrorResponse> {
+        if self.run_status != RunStatus::NotRun {
+            return self.request_slot(ask).await;
+        }
+        let (context, deadline) = (self.context.clone(), self.deadline);
+        let waiting = self.request_slot(ask);
+        let outcome = context.lifecycle.wait_to_start(deadline, waiting).await;
+        outcome.unwrap_or_else(|| Err(call::leaving(&context)))
+    }
+
     /// Requests a slot; backend servers that failed are avoided for at most `avoid_timeout`.
     async fn request_slot(&mut self, base: Ask) -> Result<(SocketAddr, Slot), ErrorResponse> {
         let waited = self.arrived_at.elapsed().as_millis();
--- a/crates/jaylock-router/src/route/admission.rs
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -26,11 +26,11 @@
 ) -> Result<RouteRequest, ErrorResponse> {
     let arrived_at = Instant::now();
     if context.lifecycle.closed.is_set() {
-        return Err(unavailable(context, "leaving", "this instance is stopping"));
+        return Err(context.leaving());
     }
     let Some(configuration) = context.configuration() else {
         let message = "this instance does not know the newest configuration";
-        return Err(unavailable(context, "disconnected", message));
+        return Err(context.unavailable("disconnected", message));
     };
     let (head, incoming) = request.into_parts();
     let names = &context.names;
@@ -46,7 +46,10 @@
     let last_event = single_value(&head.headers, "last-event-id")?;
     let last_event = last_event.and_then(|v| v.to_str().ok()?.parse().ok());
     let organisation = authenticated.clone().unwrap_or_else(public_organisation);
-    let (body, reservation) = read_body(context, &configuration, &organisation, incoming).await?;
+    let deadline = arrived_at + requested.unwrap_or(timeout).min(timeout);
+    let reading = read_body(context, &configuration, &organisation, incoming);
+    let body = context.lifecycle.wait_to_start(deadline, reading).await;
+    let (body, reservation) = body.ok_or_else(|| context.leaving())??;
     let id = caller_id.to_str().ok().and_then(|text| text.parse().ok());
     Ok(RouteRequest {
         id: id.unwrap_or_else(RequestId::random),
@@ -56,7 +59,7 @@
         is_authenticated: authenticated.is_some(),
         organisation,
         arrived_at,
-        deadline: arrived_at + requested.unwrap_or(timeout).min(timeout),
+        deadline,
         body,
         _reservation: reservation,
         prompt: Prompt::parse(&head.headers, names),
@@ -150,7 +153,7 @@
     let reserve = |bytes| {
         let reservation = context.memory.reserve(organisation, bytes);
         let message = "the bodies of requests in progress are at their bound";
-        reservation.ok_or_else(|| unavailable(context, "bodies-full", message))
+        reservation.ok_or_else(|| context.unavailable("bodies-full", message))
     };
     let length = incoming.size_hint().exact();
     let length = length.and_then(|bytes| usize::try_from(bytes).ok());
@@ -166,16 +169,6 @@
     Ok((body, reservation))
 }
 
-fn unavailable(context: &RouteContext, kind: &'static str, message: &'static str) -> ErrorResponse {
-    ErrorResponse::new(
-        StatusCode::SERVICE_UNAVAILABLE,
-        kind,
-        message,
-        "ask again after the time in retry-after, or another instance",
-    )
-    .with_retry_after(context.limits.retry_after)
-}
-
 fn no_route() -> ErrorResponse {
     ErrorResponse::new(
         StatusCode::NOT_FOUND,
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -88,8 +88,19 @@
         };
         let pool = &self.request.pool;
         let waiting = self.context.schedulers.request_slot(pool, ask);
-        let outcome = compio::time::timeout(remaining, waiting).await;
+        let waiting = compio::time::timeout(remaining, waiting);
+        let outcome = if self.run_status == RunStatus::NotRun {
+            let lifecycle = &self.context.lifecycle;
+            lifecycle
+                .wait_to_start(self.request.deadline, waiting)
+                .await
+        } else {
+            Some(waiting.await)
+        };
         self.tracker.record.wait_time += started.elapsed();
+        let Some(outcome) = outcome else {
+            return Err(self.context.leaving());
+        };
         let Ok(outcome) = outcome else {
             return Err(self.deadline_exceeded());
         };
--- a/crates/jaylock-router/src/route/context.rs
+++ b/crates/jaylock-router/src/route/context.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::StatusCode;
 use jaylock_control::{ConfigView, InstanceLease};
 use jaylock_observe::Observer;
 use jaylock_rpc::v1::Configuration;
@@ -12,6 +13,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::memory::BodyMemory;
 use crate::port::Schedulers;
+use crate::response::ErrorResponse;
 
 /// State shared by the requests for routes.
 pub struct RouteContext {
@@ -68,4 +70,20 @@
         // Before the operators' first change, it is unknown which routes and keys will exist.
         (current.revision > 0).then_some(current)
     }
+
+    /// Error for a request that did not run because this instance stops.
+    pub fn leaving(&self) -> ErrorResponse {
+        self.unavailable("leaving", "this instance is stopping")
+    }
+
+    /// Error for a request that did not run because this instance can't serve it now.
+    pub fn unavailable(&self, kind: &'static str, message: &'static str) -> ErrorResponse {
+        ErrorResponse::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            kind,
+            message,
+            "ask again after the time in retry-after, or another instance",
+        )
+        .with_retry_after(self.limits.retry_after)
+    }
 }
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -80,16 +80,14 @@
     }
 
     /// Reports this router as shutting down, so that callers choose others; requests are still served.
-    pub fn announce_shutdown(&self) {
-        self.context.lifecycle.begin_shutdown();
+    ///
+    /// What runs at `drain_end` will be cancelled.
+    pub fn announce_shutdown(&self, drain_end: Instant) {
+        self.context.lifecycle.begin_shutdown(drain_end);
     }
 
-    /// Starts a graceful shutdown.
-    ///
-    /// Requests are still served for as long as callers may cache the address list, but at most until
-    /// `refuse_at`, then refused.
-    pub fn shut_down(&self, refuse_at: Instant) {
-        self.context.lifecycle.begin_shutdown();
+    /// Refuses new requests once callers no longer cache the address list, and at `refuse_at` at the latest.
+    pub fn end_admission(&self, refuse_at: Instant) {
         let context = self.context.clone();
         compio::runtime::spawn(async move {
             let ttl = Duration::from_millis(context.settings.address_ttl_ms.into());
@@ -111,12 +109,12 @@
         self.context.lifecycle.connections()
     }
 
-    /// Waits, after [`Router::shut_down`], until new requests are refused.
+    /// Waits, after [`Router::end_admission`], until new requests are refused.
     pub async fn refuses_requests(&self) {
         self.context.lifecycle.closed.wait().await;
     }
 
-    /// Waits, after [`Router::shut_down`], until new requests are refused and every response was sent.
+    /// Waits, after [`Router::end_admission`], until new requests are refused and every response was sent.
     pub async fn drained(&self) {
         self.context.lifecycle.drained().await;
     }
--- a/crates/jaylock-tests/tests/router/api.rs
+++ b/crates/jaylock-tests/tests/router/api.rs
@@ -1,5 +1,7 @@
 //! The router's API: address list, announcements, models, services, claims and keys.
 
+use std::time::Instant;
+
 use googletest::prelude::*;
 use jaylock_router::RouterSettings;
 use jaylock_rpc::v1::{BackendVerdict, Instance};
@@ -51,7 +53,7 @@
     async is_not_ready_during_a_graceful_shutdown => {
         let router = router().await;
         assert_that!(router.send("GET", "/v1/ready", &[], "").await.status, eq(200));
-        router.inner.announce_shutdown();
+        router.inner.announce_shutdown(Instant::now());
         let response = router.send("GET", "/v1/ready", &[], "").await;
         assert_that!((response.status, response.run.as_str()), eq((503, "not-run")));
     };
--- a/crates/jaylock-tests/tests/router/harness.rs
+++ b/crates/jaylock-tests/tests/router/harness.rs
@@ -22,6 +22,9 @@
 /// Duration of the router's lease, longer than any test.
 const LEASE: Duration = Duration::from_hours(1);
 
+/// Time for requests in progress in a shutdown, longer than any test and shorter than the default deadline.
+const DRAIN_TIME: Duration = Duration::from_mins(1);
+
 /// First lines of a chat completion request.
 pub const CHAT_HEAD: &str =
     "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\n";
@@ -100,6 +103,13 @@
         }
     }
 
+    /// Starts a graceful shutdown that cancels requests after [`DRAIN_TIME`].
+    pub fn shut_down(&self) {
+        let drain_end = Instant::now() + DRAIN_TIME;
+        self.inner.announce_shutdown(drain_end);
+        self.inner.end_admission(drain_end);
+    }
+
     /// Sends a request with the given headers.
     pub async fn send(
         &self,
--- a/crates/jaylock-tests/tests/router/shutdown.rs
+++ b/crates/jaylock-tests/tests/router/shutdown.rs
@@ -1,6 +1,6 @@
 //! Graceful shutdown: the router leaves the address list first, and no request is interrupted.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use compio::io::AsyncWriteExt;
 use googletest::prelude::*;
@@ -31,11 +31,6 @@
     }
 }
 
-/// A time that no test reaches.
-fn far_future() -> Instant {
-    Instant::now() + Duration::from_secs(60)
-}
-
 cases! {
     async completes_running_requests_and_refuses_new_ones => {
         let engine = Backend::start(|r| {
@@ -47,7 +42,7 @@
         let router = TestRouter::start(&[engine.address], settings).await;
         let shutdown = async {
             compio::time::sleep(Duration::from_millis(50)).await;
-            router.inner.shut_down(far_future());
+            router.shut_down();
             let list = router.send("GET", "/v1/routers", &[], "").await;
             assert_that!(list.body, not(contains_substring(router.address.to_string())));
             let during = router.chat("{}").await;
@@ -69,7 +64,7 @@
         let router = TestRouter::start(&[], settings).await;
         let mut idle = router.open("GET /v1/health HTTP/1.1\r\nhost: x\r\n\r\n").await;
         compio::time::sleep(Duration::from_millis(50)).await;
-        router.inner.shut_down(far_future());
+        router.shut_down();
         let timeout = Duration::from_secs(5);
         let response = compio::time::timeout(timeout, read_all(&mut idle)).await;
         assert_that!(response, ok(starts_with("HTTP/1.1 200")));
@@ -81,7 +76,7 @@
         let router = TestRouter::start(&[engine.address], settings).await;
         let caller = router.start_chat(&chat_body(true)).await;
         router.wait_until("the engine receives the request", || engine.request_count() == 1).await;
-        router.inner.shut_down(far_future());
+        router.shut_down();
         let timeout = Duration::from_millis(200);
         let early = compio::time::timeout(timeout, router.inner.drained()).await;
         assert_that!(early.is_err(), eq(true));
@@ -95,19 +90,34 @@
         let (first, rest) = body.split_at(1);
         let length = body.len();
         let mut caller = router.open(&format!("{CHAT_HEAD}content-length: {length}\r\n\r\n{first}")).await;
-        router.inner.shut_down();
+        router.shut_down();
         wait_until_refusing(&router).await;
         let _ = caller.write_all(rest.as_bytes().to_vec()).await;
         let response = compio::time::timeout(TIMEOUT, read_all(&mut caller)).await;
         assert_that!(response, ok(starts_with("HTTP/1.1 503")));
         assert_that!(engine.request_count(), eq(0));
     };
+    async serves_a_waiting_request_whose_deadline_passes_before_running_ones_are_cancelled => {
+        let (_engine, router) = leaving_soon().await;
+        router.schedulers.0.delays_grants.set(true);
+        let headers = [("authorization", "Bearer key-1"), ("x-deadline-ms", "20000")];
+        let body = chat_body(false);
+        let caller = router.send("POST", "/v1/chat/completions", &headers, &body);
+        let shutdown = async {
+            router.wait_until("the request waits", || !router.schedulers.0.slot_requests.borrow().is_empty()).await;
+            router.shut_down();
+            wait_until_refusing(&router).await;
+            router.schedulers.0.delays_grants.set(false);
+        };
+        let (response, ()) = futures_util::future::join(caller, shutdown).await;
+        assert_that!(response.status, eq(200));
+    };
     async refuses_a_chat_that_waits_for_a_slot_when_requests_are_refused => {
         let (engine, router) = leaving_soon().await;
         router.schedulers.0.delays_grants.set(true);
         let mut caller = router.start_chat(&chat_body(false)).await;
         router.wait_until("the request waits", || !router.schedulers.0.slot_requests.borrow().is_empty()).await;
-        router.inner.shut_down();
+        router.shut_down();
         wait_until_refusing(&router).await;
         router.schedulers.0.delays_grants.set(false);
         let response = compio::time::timeout(TIMEOUT, read_all(&mut caller)).await;
