Requests that a leaving router cancels get an explicit error

Callers saw their connections close without a byte when the time for a shutdown was over, and on the last connections refusals could be lost with the process. Cause: the end of the process dropped everything that was still running. Nothing waited for the responses of connections that were opened after admission had ended, and the last line of a cut request said 499, not run, hung up. Change: at the end of the drain time a second latch cancels the requests in progress: a request without a response gets 502, which promises nothing, and a response that has begun ends as incomplete. A connection counts as in use from its first request until it ends, whenever it was opened, so that the last response is sent; the limit on connections is counted by listener. The record of such a request says 502, stopped, and whether it may have run; one whose caller left says Unknown once it was sent. Why it works: the handler's future and the body are raced against the latch in the one place that all listeners share.

--- a/crates/jaylock-daemon/src/instance.rs
+++ b/crates/jaylock-daemon/src/instance.rs
@@ -5,7 +5,7 @@
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
 use compio::time::timeout_at;
-use jaylock_router::RouteHeaders;
+use jaylock_router::{RouteHeaders, Router};
 use jaylock_rpc::v1::{Command, InstanceGone, command};
 use jaylock_rpc::{Routes, ServerSettings};
 use jaylock_settings::Settings;
@@ -146,15 +146,7 @@
         router.end_admission(schedule.refuse_at);
         router.refuses_requests().await;
         schedule.log_phase("new requests are refused", router);
-        if timeout_at(schedule.drain_end, router.drained())
-            .await
-            .is_err()
-        {
-            let connections = router.connections();
-            log::warn!(target: "daemon", connections; "requests still running are cancelled");
-        } else {
-            schedule.log_phase("no request is left", router);
-        }
+        drain(router, &schedule).await;
         self.deregister().await;
         drop(self.state.tasks);
         log::info!(target: "daemon", "instance stopped");
@@ -198,6 +190,27 @@
     }
 }
 
+/// Waits for the running requests, and cancels those that are left at the end of the drain time.
+async fn drain(router: &Router, schedule: &ShutdownSchedule) {
+    if timeout_at(schedule.drain_end, router.drained())
+        .await
+        .is_ok()
+    {
+        schedule.log_phase("no request is left", router);
+        return;
+    }
+    let connections = router.used_connections();
+    log::warn!(target: "daemon", connections; "requests still running are cancelled");
+    router.cancel_requests();
+    if timeout_at(schedule.cancel_end, router.drained())
+        .await
+        .is_err()
+    {
+        let connections = router.used_connections();
+        log::warn!(target: "daemon", connections; "cancelled requests did not end in time");
+    }
+}
+
 async fn bind(address: SocketAddr, key: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/crates/jaylock-daemon/src/shutdown.rs
+++ b/crates/jaylock-daemon/src/shutdown.rs
@@ -2,17 +2,21 @@
 
 use jaylock_router::Router;
 
-/// Longest wait for control to confirm that this instance is leaving or gone.
+/// Longest time planned for control's confirmation that this instance is leaving, or gone.
 pub const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time in which other instances apply a change and drop this one from the address lists they return.
 pub const PROPAGATION_TIME: Duration = Duration::from_secs(1);
 
-/// Sixteenths of the shutdown time after which new requests are refused at the latest.
+/// Parts into which the shutdown time is divided; of 8 s, admission gets 2.5 s and draining ends after 7.5 s.
+const PARTS: u32 = 64;
+/// Parts after which new requests are refused at the latest.
 ///
 /// Most of the time must remain for the requests that were admitted last.
-const ADMISSION_SIXTEENTHS: u32 = 5;
-/// Sixteenths of the shutdown time after which running requests are cancelled.
-const DRAIN_SIXTEENTHS: u32 = 15;
+const ADMISSION_PARTS: u32 = 20;
+/// Parts after which running requests are cancelled.
+const DRAIN_PARTS: u32 = 60;
+/// Parts after which the callers of cancelled requests have had time to read their errors.
+const CANCEL_PARTS: u32 = 61;
 
 /// Points in time of a graceful shutdown, all counted from its start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,6 +27,8 @@
     pub refuse_at: Instant,
     /// When requests that are still running are cancelled.
     pub drain_end: Instant,
+    /// When the callers of cancelled requests have had time to read their errors.
+    pub cancel_end: Instant,
 }
 
 impl ShutdownSchedule {
@@ -30,18 +36,19 @@
     #[must_use]
     pub fn new(started: Instant, stop: Duration, keep: Duration) -> Self {
         let withdrawal = CONFIRMATION_TIMEOUT + PROPAGATION_TIME + keep;
-        let admission = stop * ADMISSION_SIXTEENTHS / 16;
+        let after = |parts| started + stop * parts / PARTS;
         Self {
             started,
-            refuse_at: started + withdrawal.min(admission),
-            drain_end: started + stop * DRAIN_SIXTEENTHS / 16,
+            refuse_at: after(ADMISSION_PARTS).min(started + withdrawal),
+            drain_end: after(DRAIN_PARTS),
+            cancel_end: after(CANCEL_PARTS),
         }
     }
 
-    /// Logs a phase with the time since the start and the callers' connections in use.
+    /// Logs a phase with the time since the start and the connections in use.
     pub fn log_phase(&self, phase: &str, router: &Router) {
         let after_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
-        let connections = router.connections();
+        let connections = router.used_connections();
         log::info!(target: "daemon", after_ms, connections; "{phase}");
     }
 }
--- a/crates/jaylock-router/src/api.rs
+++ b/crates/jaylock-router/src/api.rs
@@ -31,6 +31,10 @@
         let outcome = self.dispatch(&id, request).await;
         outcome.unwrap_or_else(|error| error.to_response(&id))
     }
+
+    fn cancelled_response(&self) -> Response<Body> {
+        ErrorResponse::cancelled().to_response(&RequestId::random())
+    }
 }
 
 impl ApiHandler {
--- a/crates/jaylock-router/src/body.rs
+++ b/crates/jaylock-router/src/body.rs
@@ -1,8 +1,10 @@
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_channel::oneshot;
 use futures_util::Stream;
 use futures_util::stream::LocalBoxStream;
 use http_body::Frame;
@@ -67,23 +69,81 @@
     }
 }
 
+/// Body of a response in progress; it fails when its request is cancelled.
+pub struct ResponseBody {
+    body: Body,
+    /// Notified when the request is cancelled; unset for the response to a cancelled one.
+    cancelled: Option<oneshot::Receiver<()>>,
+    _request_token: Rc<()>,
+}
+
+impl ResponseBody {
+    /// Wraps the body of a response; `request_token` is released with it.
+    pub fn new(
+        body: Body,
+        cancelled: Option<oneshot::Receiver<()>>,
+        request_token: Rc<()>,
+    ) -> Self {
+        Self {
+            body,
+            cancelled,
+            _request_token: request_token,
+        }
+    }
+}
+
+impl http_body::Body for ResponseBody {
+    type Data = Bytes;
+    type Error = Interrupted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
+        if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) {
+            return Poll::Ready(frame);
+        }
+        let Some(cancelled) = &mut self.cancelled else {
+            return Poll::Pending;
+        };
+        match Pin::new(cancelled).poll(cx) {
+            Poll::Ready(Ok(())) => Poll::Ready(Some(Err(Interrupted))),
+            Poll::Ready(Err(_)) | Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A response that can't be completed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("the response was interrupted and can't be resumed")]
 pub struct Interrupted;
 
 /// Why a body was not read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum ReadError {
     /// The body exceeds the maximum size.
+    #[error("it is over the bound")]
     TooLong,
     /// The body did not arrive in time.
+    #[error("it did not arrive in time")]
     TooSlow,
     /// The body ended before its announced length, or was malformed.
+    #[error("it ended early or was malformed")]
     Broken,
 }
 
 /// Reads a body of limited size in limited time.
+///
+/// # Errors
+/// Why the body was not read.
 pub async fn read(
     body: Incoming,
     max_size: ByteSize,
--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -89,7 +89,7 @@
     pub fn tracker(&self, context: &Context, pool: PoolId, kind: RequestKind) -> RequestTracker {
         RequestTracker::new(
             context.observer.clone(),
-            context.lifecycle.request_token(),
+            context.lifecycle.clone(),
             &self.request,
             &self.organisation,
             self.arrived_at,
--- a/crates/jaylock-router/src/lifecycle.rs
+++ b/crates/jaylock-router/src/lifecycle.rs
@@ -15,9 +15,11 @@
 pub struct Lifecycle {
     /// Set when new requests are refused because the instance stops.
     pub closed: Latch,
+    /// Set when the requests still in progress are cancelled because the instance stops.
+    pub cancelled: Latch,
     /// When requests in progress will be cancelled; unset before a shutdown.
     drain_end: Cell<Option<Instant>>,
-    /// Held by each open connection.
+    /// Held by each connection from its first request until it ends.
     connection_token: Rc<()>,
     /// Held by each request in progress.
     request_token: Rc<()>,
@@ -35,6 +37,11 @@
         self.closed.set();
     }
 
+    /// Cancels the requests in progress; their callers get an error.
+    pub fn cancel_requests(&self) {
+        self.cancelled.set();
+    }
+
     /// Whether a graceful shutdown has begun.
     pub fn is_shutting_down(&self) -> bool {
         self.drain_end.get().is_some()
@@ -76,15 +83,15 @@
         self.connection_token.clone()
     }
 
-    /// Number of open connections.
-    pub fn connections(&self) -> usize {
+    /// Number of connections on which a request has arrived.
+    pub fn used_connections(&self) -> usize {
         Rc::strong_count(&self.connection_token) - 1
     }
 
     /// Waits until new requests are refused and every response was sent.
     pub async fn drained(&self) {
         self.closed.wait().await;
-        while Rc::strong_count(&self.request_token) > 1 || self.connections() > 0 {
+        while Rc::strong_count(&self.request_token) > 1 || self.used_connections() > 0 {
             compio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
     }
--- a/crates/jaylock-router/src/response.rs
+++ b/crates/jaylock-router/src/response.rs
@@ -70,6 +70,17 @@
         }
     }
 
+    /// Creates the error for a request whose work was cancelled because the instance stops.
+    pub fn cancelled() -> Self {
+        Self::new(
+            StatusCode::BAD_GATEWAY,
+            "stopped",
+            "this instance stopped before the answer was complete",
+            "ask another instance, if the request may be repeated",
+        )
+        .with_run_status(RunStatus::Unknown)
+    }
+
     /// Converts a scheduler's refusal.
     pub fn from_scheduler(refusal: &jaylock_rpc::v1::Refusal) -> Self {
         let (status, kind, message) = match refusal.reason() {
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -44,7 +44,7 @@
         };
         let tracker = RequestTracker::new(
             context.observer.clone(),
-            context.lifecycle.request_token(),
+            context.lifecycle.clone(),
             &request.id,
             &request.organisation,
             request.arrived_at,
--- a/crates/jaylock-router/src/route/mod.rs
+++ b/crates/jaylock-router/src/route/mod.rs
@@ -54,4 +54,8 @@
         let outcome = self.forward(request).await;
         outcome.unwrap_or_else(|error| response::error_response(&error))
     }
+
+    fn cancelled_response(&self) -> Response<Body> {
+        response::error_response(&ErrorResponse::cancelled())
+    }
 }
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -103,10 +103,15 @@
         self.context.is_ready()
     }
 
-    /// Number of open connections of callers.
+    /// Cancels the requests in progress; their callers get an error.
+    pub fn cancel_requests(&self) {
+        self.context.lifecycle.cancel_requests();
+    }
+
+    /// Number of connections on which a request has arrived.
     #[must_use]
-    pub fn connections(&self) -> usize {
-        self.context.lifecycle.connections()
+    pub fn used_connections(&self) -> usize {
+        self.context.lifecycle.used_connections()
     }
 
     /// Waits, after [`Router::end_admission`], until new requests are refused.
--- a/crates/jaylock-router/src/server.rs
+++ b/crates/jaylock-router/src/server.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -12,7 +13,7 @@
 use hyper::service::service_fn;
 use jaylock_types::ByteSize;
 
-use crate::body::Body;
+use crate::body::{Body, ResponseBody};
 use crate::connection;
 use crate::head_validator::ValidatedStream;
 use crate::lifecycle::Lifecycle;
@@ -48,6 +49,9 @@
 pub trait Handler {
     /// Responds to a request; dropping the future cancels the work.
     fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Response<Body>>;
+
+    /// Responds to a request whose work was cancelled because the instance stops.
+    fn cancelled_response(&self) -> Response<Body>;
 }
 
 /// Accepts connections and serves each in its own task.
@@ -57,7 +61,12 @@
     lifecycle: Rc<Lifecycle>,
     handler: Rc<H>,
 ) {
-    let limits = Rc::new(limits);
+    let server = Rc::new(Server {
+        limits,
+        lifecycle,
+        handler,
+        open: Rc::default(),
+    });
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -67,69 +76,86 @@
                 continue;
             }
         };
-        if lifecycle.connections() >= limits.max_connections {
+        if server.connections() >= server.limits.max_connections {
             log::warn!(target: "router", "refused connection from {peer}: the maximum number of connections is reached");
             continue;
         }
-        let connection =
-            serve_connection(stream, limits.clone(), lifecycle.clone(), handler.clone());
+        let (server, open) = (server.clone(), server.open.clone());
         compio::runtime::spawn(async move {
-            if let Err(error) = connection.await {
+            if let Err(error) = server.serve_connection(stream).await {
                 log::debug!(target: "router", "connection from {peer} ended: {error}");
             }
+            drop(open);
         })
         .detach();
     }
 }
 
-async fn serve_connection<H: Handler + 'static>(
-    stream: TcpStream,
-    limits: Rc<ServerLimits>,
+/// State shared by the connections of one listener.
+struct Server<H> {
+    limits: ServerLimits,
     lifecycle: Rc<Lifecycle>,
     handler: Rc<H>,
-) -> Result<(), hyper::Error> {
-    let _ = stream.set_nodelay(true);
-    let _ = connection::enable_keepalive(&stream, limits.write_timeout);
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(CompioTimer)
-        .header_read_timeout(limits.head_timeout)
-        .max_headers(limits.max_headers)
-        .max_buf_size(limits.max_head.0.max(MIN_HEAD_BYTES));
-    let service_lifecycle = lifecycle.clone();
-    let close_above = limits.max_connections / CLOSE_DIVISOR;
-    let service = service_fn(move |request| {
-        let (handler, lifecycle) = (handler.clone(), service_lifecycle.clone());
-        async move { Ok::<_, Infallible>(respond(&*handler, &lifecycle, close_above, request).await) }
-    });
-    let max_head_bytes = limits.max_head.0.max(MIN_HEAD_BYTES);
-    let stream = ValidatedStream::new(HyperStream::new_plain(stream), max_head_bytes);
-    let mut connection = pin!(builder.serve_connection(stream, service));
-    if lifecycle.closed.is_set() {
-        // One request is refused, and the response closes the connection.
-        return connection.await;
+    /// Held by each open connection.
+    open: Rc<()>,
+}
+
+impl<H: Handler + 'static> Server<H> {
+    async fn serve_connection(self: Rc<Self>, stream: TcpStream) -> Result<(), hyper::Error> {
+        let _ = stream.set_nodelay(true);
+        let _ = connection::enable_keepalive(&stream, self.limits.write_timeout);
+        let max_head_bytes = self.limits.max_head.0.max(MIN_HEAD_BYTES);
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(CompioTimer)
+            .header_read_timeout(self.limits.head_timeout)
+            .max_headers(self.limits.max_headers)
+            .max_buf_size(max_head_bytes);
+        // Set by the first request, so that the last response is sent before the instance stops.
+        let connection_token = Rc::new(Cell::new(None));
+        let (server, token) = (self.clone(), connection_token.clone());
+        let service = service_fn(move |request| {
+            token.set(Some(server.lifecycle.connection_token()));
+            let server = server.clone();
+            async move { Ok::<_, Infallible>(server.respond(request).await) }
+        });
+        let stream = ValidatedStream::new(HyperStream::new_plain(stream), max_head_bytes);
+        let mut connection = pin!(builder.serve_connection(stream, service));
+        if self.lifecycle.closed.is_set() {
+            // One request is refused, and the response closes the connection.
+            return connection.await;
+        }
+        let closed = pin!(self.lifecycle.closed.wait());
+        match select(connection.as_mut(), closed).await {
+            Either::Left((outcome, _)) => outcome,
+            Either::Right(((), _)) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        }
     }
-    let _connection_token = lifecycle.connection_token();
-    let closed = pin!(lifecycle.closed.wait());
-    match select(connection.as_mut(), closed).await {
-        Either::Left((outcome, _)) => outcome,
-        Either::Right(((), _)) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+
+    async fn respond(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let request_token = self.lifecycle.request_token();
+        let cancelled = self.lifecycle.cancelled.waiter();
+        let handling = pin!(self.handler.handle(request));
+        let (mut response, cancelled) = match select(handling, cancelled).await {
+            Either::Left((response, cancelled)) => (response, Some(cancelled)),
+            Either::Right(_) => (self.handler.cancelled_response(), None),
+        };
+        if self.lifecycle.is_shutting_down() || self.is_crowded() {
+            set_header(response.headers_mut(), "connection", "close");
         }
+        response.map(|body| ResponseBody::new(body, cancelled, request_token))
+    }
+
+    /// Whether so many connections are open that each closes after its response.
+    fn is_crowded(&self) -> bool {
+        self.connections() > self.limits.max_connections / CLOSE_DIVISOR
     }
-}
 
-async fn respond<H: Handler>(
-    handler: &H,
-    lifecycle: &Lifecycle,
-    close_above: usize,
-    request: Request<Incoming>,
-) -> Response<Body> {
-    let _request_token = lifecycle.request_token();
-    let mut response = handler.handle(request).await;
-    if lifecycle.is_shutting_down() || lifecycle.connections() > close_above {
-        set_header(response.headers_mut(), "connection", "close");
+    /// Number of open connections of this listener.
+    fn connections(&self) -> usize {
+        Rc::strong_count(&self.open) - 1
     }
-    response
 }
--- a/crates/jaylock-router/src/tracker.rs
+++ b/crates/jaylock-router/src/tracker.rs
@@ -6,10 +6,15 @@
 use jaylock_observe::{Observer, RequestKind, RequestRecord, RunStatus};
 use jaylock_types::{OrganisationId, PoolId, RequestId, Tokens};
 
+use crate::lifecycle::Lifecycle;
 use crate::response::ErrorResponse;
 
 /// Status recorded for a request whose caller disconnected.
 const CALLER_DISCONNECTED_STATUS: u16 = 499;
+/// Reason recorded for a request whose caller disconnected.
+const CALLER_DISCONNECTED: &str = "hung-up";
+/// Reason recorded for a request that was cancelled because the instance stops.
+const STOPPED: &str = "stopped";
 
 /// Tracks a request in progress and reports it to the observer on drop.
 pub struct RequestTracker {
@@ -17,6 +22,7 @@
     pub record: RequestRecord,
     observer: Observer,
     arrived_at: Instant,
+    lifecycle: Rc<Lifecycle>,
     _request_token: Rc<()>,
 }
 
@@ -24,7 +30,7 @@
     /// Starts tracking a request.
     pub fn new(
         observer: Observer,
-        request_token: Rc<()>,
+        lifecycle: Rc<Lifecycle>,
         request: &RequestId,
         organisation: &OrganisationId,
         arrived_at: Instant,
@@ -37,7 +43,7 @@
             kind,
             status: CALLER_DISCONNECTED_STATUS,
             run: RunStatus::NotRun,
-            reason: "hung-up",
+            reason: CALLER_DISCONNECTED,
             is_complete: false,
             tokens: Tokens(0),
             admission_time: Duration::ZERO,
@@ -51,7 +57,8 @@
             record,
             observer,
             arrived_at,
-            _request_token: request_token,
+            _request_token: lifecycle.request_token(),
+            lifecycle,
         }
     }
 
@@ -78,10 +85,24 @@
         self.record_response(error.status, error.run_status);
         self.record.reason = error.kind;
     }
+
+    /// Records why a request ended without a response of its own, and whether it may have run.
+    fn record_cancellation(&mut self) {
+        if self.lifecycle.cancelled.is_set() {
+            self.record.status = StatusCode::BAD_GATEWAY.as_u16();
+            self.record.reason = STOPPED;
+        }
+        if self.record.attempts > 0 && self.record.run == RunStatus::NotRun {
+            self.record.run = RunStatus::Unknown;
+        }
+    }
 }
 
 impl Drop for RequestTracker {
     fn drop(&mut self) {
+        if self.record.reason == CALLER_DISCONNECTED {
+            self.record_cancellation();
+        }
         self.record.total_time = self.arrived_at.elapsed();
         self.observer.record_request(&self.record);
     }
