The deregistration of a leaving instance fits into the shutdown time

Callers and operators saw routers killed, because they had not ended after stop (8 s): with control silent, the deregistration took up to 5 s on top of the drain time. Change: the deregistration gets half of the time that is left, at most 5 s as before; what arrives meanwhile is refused before the process ends. The instance stops renewing its lease first, as a renewal after the deregistration would register it again, and steps down once more, as a replica that got no confirmation, or was elected meanwhile, may lead the log. Stepping down comes after the confirmation now, so that the leader's own report doesn't meet the election that it causes. That a renewal can no longer follow the deregistration, and the second step-down, have no test of their own.

--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -25,6 +25,8 @@
     unserved_pools: RefCell<Vec<PoolId>>,
     /// Notified when the leader has a change that the watch did not deliver in time.
     watch_lagging: Signal,
+    /// Whether the lease is not renewed any more.
+    is_stopped: Cell<bool>,
     /// Notified when control must know at once what this instance reports.
     renewal_due: Signal,
 }
@@ -74,6 +76,11 @@
         self.shared.renewal_due.notify();
     }
 
+    /// Ends the renewals, as one after the deregistration would register the instance again.
+    pub fn stop_renewing(&self) {
+        self.shared.is_stopped.set(true);
+    }
+
     /// Sets the pools announced at this instance that no scheduler serves.
     pub fn set_unserved_pools(&self, pools: Vec<PoolId>) {
         *self.shared.unserved_pools.borrow_mut() = pools;
@@ -94,6 +101,7 @@
             lease: InstanceLease::default(),
             unserved_pools: Vec::new().into(),
             watch_lagging: Signal::default(),
+            is_stopped: Cell::new(false),
             renewal_due: Signal::default(),
         };
         Self {
@@ -209,7 +217,7 @@
     }
 
     async fn renew(&self) {
-        loop {
+        while !self.shared.is_stopped.get() {
             let started = Instant::now();
             let seen = self.shared.renewal_due.count();
             let request = RenewRequest {
--- a/crates/jaylock-daemon/src/instance.rs
+++ b/crates/jaylock-daemon/src/instance.rs
@@ -14,7 +14,7 @@
 use crate::api::ControlApi;
 use crate::components::{Components, spawn};
 use crate::reload::follow_settings;
-use crate::shutdown::{CONFIRMATION_TIMEOUT, PROPAGATION_TIME, ShutdownSchedule};
+use crate::shutdown::{PROPAGATION_TIME, ShutdownSchedule};
 use crate::signals::shutdown_signal;
 
 /// Time between two checks whether the configuration shows that this instance is leaving.
@@ -137,39 +137,56 @@
         let settings = self.components.settings();
         let (stop, keep) = (settings.timeouts.stop, settings.addresses.keep);
         let schedule = ShutdownSchedule::new(Instant::now(), stop, keep);
+        self.end_admission(&schedule).await;
+        drain(&self.components.router, &schedule).await;
+        self.deregister(schedule.deregistration_timeout()).await;
+        drop(self.state.tasks);
+        // Requests that arrived meanwhile are still being refused.
+        let refused = timeout_at(schedule.end, self.components.router.drained()).await;
+        if refused.is_err() {
+            let connections = self.components.router.used_connections();
+            log::warn!(target: "daemon", connections; "connections are closed without a response");
+        }
+        log::info!(target: "daemon", "instance stopped");
+    }
+
+    /// Leaves the address lists while requests are still served, then refuses new ones.
+    async fn end_admission(&self, schedule: &ShutdownSchedule) {
         let router = &self.components.router;
         router.announce_shutdown(schedule.drain_end);
-        let withdrawal = timeout_at(schedule.refuse_at, self.withdraw(&schedule)).await;
+        let withdrawal = timeout_at(schedule.refuse_at, self.withdraw(schedule)).await;
         if withdrawal.is_err() && !self.components.is_leaving() {
             log::warn!(target: "daemon", "control did not confirm that this instance is leaving");
         }
         router.end_admission(schedule.refuse_at);
         router.refuses_requests().await;
         schedule.log_phase("new requests are refused", router);
-        drain(router, &schedule).await;
-        self.deregister().await;
-        drop(self.state.tasks);
-        log::info!(target: "daemon", "instance stopped");
     }
 
-    /// Transfers the roles and leaves the address lists that other instances return.
+    /// Leaves the address lists that other instances return, and transfers the leadership of the log.
     async fn withdraw(&self, schedule: &ShutdownSchedule) {
         self.components.follower.set_leaving();
-        if let Some(replica) = &self.components.replica {
-            replica.step_down().await;
-        }
         self.wait_until_leaving().await;
         schedule.log_phase("left the address lists", &self.components.router);
+        self.step_down().await;
         compio::time::sleep(PROPAGATION_TIME).await;
     }
 
+    async fn step_down(&self) {
+        if let Some(replica) = &self.components.replica {
+            replica.step_down().await;
+        }
+    }
+
     async fn wait_until_leaving(&self) {
         while !self.components.is_leaving() {
             compio::time::sleep(CONFIRMATION_POLL_INTERVAL).await;
         }
     }
 
-    async fn deregister(&self) {
+    /// Ends the lease, under which nothing runs any more.
+    async fn deregister(&self, timeout: Duration) {
+        self.components.follower.stop_renewing();
         let gone = InstanceGone {
             id: self.components.settings().instance.id.to_string(),
             incarnation: self.components.context.incarnation.0,
@@ -180,11 +197,12 @@
             expected_revision: None,
             body: Some(command::Body::RemoveInstance(gone)),
         };
-        let proposal = self.components.context.client.propose(command);
-        if compio::time::timeout(CONFIRMATION_TIMEOUT, proposal)
-            .await
-            .is_err()
-        {
+        let proposal = Box::pin(async {
+            // Without a confirmation, or after another election, this instance may lead the log.
+            self.step_down().await;
+            self.components.context.client.propose(command).await
+        });
+        if compio::time::timeout(timeout, proposal).await.is_err() {
             log::warn!(target: "daemon", "control did not confirm the deregistration; the instance's lease will expire instead");
         }
     }
--- a/crates/jaylock-daemon/src/shutdown.rs
+++ b/crates/jaylock-daemon/src/shutdown.rs
@@ -3,7 +3,7 @@
 use jaylock_router::Router;
 
 /// Longest time planned for control's confirmation that this instance is leaving, or gone.
-pub const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(5);
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time in which other instances apply a change and drop this one from the address lists they return.
 pub const PROPAGATION_TIME: Duration = Duration::from_secs(1);
 
@@ -17,6 +17,10 @@
 const DRAIN_PARTS: u32 = 60;
 /// Parts after which the callers of cancelled requests have had time to read their errors.
 const CANCEL_PARTS: u32 = 61;
+/// Parts after which the process ends.
+const END_PARTS: u32 = 63;
+/// Divisor of the time left that the deregistration may take.
+const DEREGISTRATION_DIVISOR: u32 = 2;
 
 /// Points in time of a graceful shutdown, all counted from its start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,6 +33,8 @@
     pub drain_end: Instant,
     /// When the callers of cancelled requests have had time to read their errors.
     pub cancel_end: Instant,
+    /// When the process ends at the latest.
+    pub end: Instant,
 }
 
 impl ShutdownSchedule {
@@ -42,9 +48,17 @@
             refuse_at: after(ADMISSION_PARTS).min(started + withdrawal),
             drain_end: after(DRAIN_PARTS),
             cancel_end: after(CANCEL_PARTS),
+            end: after(END_PARTS),
         }
     }
 
+    /// Longest wait for control to confirm the deregistration.
+    #[must_use]
+    pub fn deregistration_timeout(&self) -> Duration {
+        let remaining = self.end.saturating_duration_since(Instant::now());
+        CONFIRMATION_TIMEOUT.min(remaining / DEREGISTRATION_DIVISOR)
+    }
+
     /// Logs a phase with the time since the start and the connections in use.
     pub fn log_phase(&self, phase: &str, router: &Router) {
         let after_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
