Calls of operators and backend servers are answered before a leaving instance ends

Operators and backend servers saw calls that were in progress end without a response at the end of an instance, and learnt it only from the closed connection. Change: they share the life cycle of the instance. Operations that need control are refused once admission has ended, as another instance can carry them out (ControlApi, so that no decision stands in platform/); look-ups and readiness checks are answered to the end.

--- a/crates/jaylock-daemon/src/api.rs
+++ b/crates/jaylock-daemon/src/api.rs
@@ -6,7 +6,7 @@
 use compact_str::{CompactString, ToCompactString, format_compact};
 use futures_util::future::LocalBoxFuture;
 use jaylock_control::{ConfigView, ControlClient, Error};
-use jaylock_router::{Router, routers_for};
+use jaylock_router::{Lifecycle, Router, routers_for};
 use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::backend_report::Kind;
 use jaylock_rpc::v1::{
@@ -85,6 +85,7 @@
     /// [`ApiError::Invalid`] when the document is invalid; [`ApiError::Unavailable`] when the change
     /// was not confirmed, in which case it may have been committed or not.
     pub async fn put_document(&self, document: Document) -> Result<()> {
+        self.check_running()?;
         let version = document.version;
         let command = Command {
             id: RequestId::random().into(),
@@ -112,6 +113,7 @@
     /// # Errors
     /// [`ApiError::Unavailable`] when control can't confirm which document is the newest.
     pub async fn read_document(&self) -> Result<Option<DocumentReply>> {
+        self.check_running()?;
         let reply = with_control_timeout(self.client.read_document()).await?;
         Ok((reply.version > 0).then_some(reply))
     }
@@ -142,12 +144,19 @@
         self.router.is_ready()
     }
 
+    /// Progress of the instance's graceful shutdown, which waits for the calls in progress.
+    #[must_use]
+    pub fn lifecycle(&self) -> Rc<Lifecycle> {
+        self.router.lifecycle()
+    }
+
     /// Forwards a backend server's report to the scheduler and waits for the verdict.
     ///
     /// # Errors
     /// [`ApiError::Invalid`] when the scheduler refuses the report; [`ApiError::Unavailable`] when the
     /// scheduler did not respond in time.
     pub async fn report_backend(&self, report: BackendReport) -> Result<()> {
+        self.check_running()?;
         let pool = report.pool.parse().map_err(|e| invalid(&e))?;
         self.query_cached_parts(&report);
         let (id, incarnation, sequence) = (report.id.clone(), report.incarnation, report.sequence);
@@ -163,6 +172,14 @@
         .await
     }
 
+    /// Refuses an operation that may not end before this instance does, as another instance can carry it out.
+    fn check_running(&self) -> Result<()> {
+        if self.lifecycle().closed.is_set() {
+            return Err(ApiError::Unavailable("this instance is stopping".into()));
+        }
+        Ok(())
+    }
+
     /// Queries the cached prompt parts of an engine once per scheduler and reports them.
     ///
     /// Otherwise a new scheduler would assume empty caches, and shared parts would be processed again.
@@ -207,6 +224,7 @@
     /// # Errors
     /// [`ApiError::Unavailable`] when a scheduler did not respond in time.
     pub async fn deregister_backend(&self, id: &BackendId) -> Result<()> {
+        self.check_running()?;
         let sequence = unix_ms();
         let configuration = self.view.current();
         let pools = configuration.services.iter().map(|s| s.id.parse());
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -40,7 +40,7 @@
 mod tracker;
 
 pub use self::address::routers_for;
-pub use self::body::{Body, Interrupted};
+pub use self::body::{Body, Interrupted, ReadError, read as read_body};
 pub use self::budget::{FleetBudget, RetryBudget};
 pub use self::chunk::{Chunk, ChunkCheck, ChunkValidator};
 pub use self::event::{Event, EventParser};
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -10,6 +10,7 @@
 use crate::background::Background;
 use crate::budget::RetryBudget;
 use crate::context::Context;
+use crate::lifecycle::Lifecycle;
 use crate::memory::BodyMemory;
 use crate::organisation::Organisations;
 use crate::port::{CommandLog, Schedulers};
@@ -103,6 +104,12 @@
         self.context.is_ready()
     }
 
+    /// Progress of the graceful shutdown, for other listeners of the instance.
+    #[must_use]
+    pub fn lifecycle(&self) -> Rc<Lifecycle> {
+        self.context.lifecycle.clone()
+    }
+
     /// Cancels the requests in progress; their callers get an error.
     pub fn cancel_requests(&self) {
         self.context.lifecycle.cancel_requests();
--- a/crates/jaylock-tests/tests/platform/shutdown.rs
+++ b/crates/jaylock-tests/tests/platform/shutdown.rs
@@ -1,4 +1,4 @@
-//! A router that gets SIGTERM ends in time and lets no caller down that it has admitted.
+//! An instance that gets SIGTERM refuses what it has no time for, answers what it has taken, and ends in time.
 
 use std::io;
 use std::sync::Arc;
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use jaylock_tests::fleet::send_in_parts;
 use jaylock_tests::{Process, cases};
 use serde_json::{Value, json};
 
@@ -21,7 +22,7 @@
 /// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of events in a stream, which takes 4.5 s.
-const EVENT_COUNT: u64 = 19;
+const EVENT_COUNT: usize = 19;
 /// Slots of a backend server.
 const SLOTS: usize = 8;
 /// Backend servers, enough for all streams that run at once.
@@ -43,7 +44,7 @@
 fn start_streaming_backends(fleet: &TestFleet) -> Vec<FakeBackend> {
     let reply = |r: &ReceivedRequest| {
         if r.request_line.starts_with("POST /stream/") {
-            r.paced_events(EVENT_COUNT, EVENT_INTERVAL)
+            r.paced_events(EVENT_COUNT as u64, EVENT_INTERVAL)
         } else {
             r.respond("200 OK", "done")
         }
@@ -126,16 +127,24 @@
     responses.any(|response| response.status() == 503)
 }
 
-/// Numbers of events that the callers of incomplete responses received.
+/// Numbers of events that the callers of admitted streams received, where these were not complete.
 fn incomplete(responses: &[io::Result<CallerResponse>]) -> Vec<usize> {
+    let events = |response: &CallerResponse| response.body.matches("id: ").count();
+    let is_whole = |r: &CallerResponse| r.is_complete && events(r) == EVENT_COUNT;
     let incomplete = responses.iter().filter_map(|response| match response {
-        Ok(response) if response.is_complete => None,
-        Ok(response) => Some(response.body.matches("id: ").count()),
+        Ok(response) if response.status() == 503 && response.is_complete => None,
+        Ok(response) if response.status() == 200 && is_whole(response) => None,
+        Ok(response) => Some(events(response)),
         Err(_) => Some(0),
     });
     incomplete.collect()
 }
 
+/// Whether a stream was admitted.
+fn is_admitted(responses: &[io::Result<CallerResponse>]) -> bool {
+    responses.iter().flatten().any(|r| r.status() == 200)
+}
+
 /// Waits until a router refuses new requests or has ended.
 ///
 /// A request with an unknown key is refused with 401 before, then with 503.
@@ -166,11 +175,12 @@
         for at in &suspended {
             fleet.process(*at).suspend();
         }
-        let shutdown = Shutdown::start(fleet.take_process(3), stop);
+        let mut shutdown = Shutdown::start(fleet.take_process(3), stop);
         let resume = || suspended.iter().for_each(|at| fleet.process(*at).resume());
         let responses = stream_until_refusal(&caller, &shutdown, resume);
         assert_that!(incomplete(&responses), is_empty());
-        assert_that!(is_refused(&responses), eq(true));
+        assert_that!((is_admitted(&responses), is_refused(&responses)), eq((true, true)));
+        assert_that!(shutdown.wait(), eq(true));
     };
     refuses_requests_before_it_ends_when_callers_keep_addresses_for_longer => {
         let keep = Duration::from_secs(30);
@@ -180,10 +190,11 @@
         fleet.configure(&patient_document());
         let _backends = start_streaming_backends(&fleet);
         let caller = fleet.caller().request("POST", "/stream/1").with("Time-Budget", "15000");
-        let shutdown = Shutdown::start(fleet.take_process(1), stop);
+        let mut shutdown = Shutdown::start(fleet.take_process(1), stop);
         let responses = stream_until_refusal(&caller, &shutdown, || ());
         assert_that!(incomplete(&responses), is_empty());
-        assert_that!(is_refused(&responses), eq(true));
+        assert_that!((is_admitted(&responses), is_refused(&responses)), eq((true, true)));
+        assert_that!(shutdown.wait(), eq(true));
     };
     refuses_a_request_whose_body_arrives_when_requests_are_already_refused => {
         let mut fleet = TestFleet::start(1, 1);
@@ -251,4 +262,12 @@
         assert_that!(shutdown.wait(), eq(true));
         assert_that!(incomplete(&[running.join().expect("a caller")]), is_empty());
     };
+    answers_a_call_explicitly_whose_body_has_not_arrived_when_the_instance_ends => {
+        let stop = Duration::from_secs(4);
+        let mut fleet = TestFleet::start_with(FleetSettings { stop, ..FleetSettings::default() });
+        fleet.configure(&document(1));
+        let head = b"PUT /-/config HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{";
+        let response = send_in_parts(fleet.control_address(0), head, || fleet.process(0).request_shutdown(), b"");
+        assert_that!(response.map(|r| r.status).ok(), some(eq(503)));
+    };
 }
