Signals are handled from the start of the process

Cause: the handlers were registered after the addresses were bound, the disk was read and the tasks were started. Until then SIGTERM and SIGHUP ended the process at once, with whatever it had begun to serve. Change: they are registered first. A shutdown signal while the instance opens ends the process at once, as nothing has been accepted; one that comes later leads to the graceful shutdown. A reload signal waits until the settings are followed. The short window has no test of its own.

--- a/crates/jaylock-daemon/src/instance.rs
+++ b/crates/jaylock-daemon/src/instance.rs
@@ -15,7 +15,7 @@
 use crate::components::{Components, spawn};
 use crate::reload::follow_settings;
 use crate::shutdown::{PROPAGATION_TIME, ShutdownSchedule};
-use crate::signals::shutdown_signal;
+use crate::signals::Signals;
 
 /// Time between two checks whether the configuration shows that this instance is leaving.
 const CONFIRMATION_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -121,13 +121,16 @@
     ///
     /// `reread` reads the settings file again. A failing disk does not stop the instance: the replica
     /// takes no part until the disk can be written again.
-    pub async fn run(self, reread: impl Fn() -> anyhow::Result<Settings> + 'static) {
-        let (settings, client) = (
-            self.components.settings().clone(),
-            &self.components.context.client,
-        );
-        let _reload_task = spawn(follow_settings(settings, client.clone(), reread));
-        shutdown_signal().await;
+    pub async fn run(
+        self,
+        signals: Signals,
+        reread: impl Fn() -> anyhow::Result<Settings> + 'static,
+    ) {
+        let (shutdown, reload) = signals.split();
+        let settings = self.components.settings().clone();
+        let client = self.components.context.client.clone();
+        let _reload_task = spawn(follow_settings(settings, client, reload, reread));
+        shutdown.await;
         Box::pin(self.shut_down()).await;
     }
 
--- a/crates/jaylock-daemon/src/main.rs
+++ b/crates/jaylock-daemon/src/main.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Context;
 use clap::{Arg, ArgAction, ArgMatches, Command};
-use jaylock_daemon::{Instance, arguments, settings_path};
+use jaylock_daemon::{Instance, Signals, arguments, settings_path};
 use jaylock_settings::Settings;
 
 fn main() -> anyhow::Result<()> {
@@ -20,8 +20,12 @@
         return Ok(());
     }
     runtime.block_on(async {
-        let instance = Instance::open(settings).await?.start().await?;
-        instance.run(move || read_settings(&matches)).await;
+        let mut signals = Signals::register();
+        let Some(instance) = signals.interrupt(Instance::open(settings)).await else {
+            return Ok(());
+        };
+        let instance = instance?.start().await?;
+        instance.run(signals, move || read_settings(&matches)).await;
         Ok(())
     })
 }
--- a/crates/jaylock-daemon/src/reload.rs
+++ b/crates/jaylock-daemon/src/reload.rs
@@ -6,8 +6,6 @@
 use jaylock_control::ControlClient;
 use jaylock_settings::Settings;
 
-use crate::signals::reload_signals;
-
 /// Time between two checks for settings that changed without a signal.
 const POLL_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -17,9 +15,9 @@
 pub async fn follow_settings(
     mut current: Settings,
     client: ControlClient,
+    mut signals: UnboundedReceiver<()>,
     reread: impl Fn() -> anyhow::Result<Settings>,
 ) {
-    let mut signals = reload_signals();
     let mut last_error = CompactString::default();
     loop {
         let is_signalled = wait_for_check(&mut signals).await;
