A grant whose caller no longer waits is returned

Callers saw nothing at once: a slot stayed taken for the rest of the router's life, because its grant had arrived but was not yet read when the caller disconnected, its deadline passed or the instance stopped. Found by a review of the shutdown. Cause: the reply is sent through a oneshot channel; with the send, the ticket moves from pending to held. Dropping the waiting future then cancelled the pending ticket, which no longer existed, and the grant was dropped with the channel. Change: the guard owns the receiver; on drop it returns a grant that was not read as not run, and else cancels as before.

--- a/crates/jaylock-share/src/client.rs
+++ b/crates/jaylock-share/src/client.rs
@@ -10,7 +10,7 @@
 use jaylock_types::{DomainId, Incarnation, InstanceId, PoolId};
 
 use crate::SchedulerClientSettings;
-use crate::connection::SchedulerConnection;
+use crate::connection::{SchedulerConnection, not_run};
 
 /// Retry delay, in ms, for a request that is refused because the router itself stops.
 const STOPPED_RETRY_MS: u32 = 1000;
@@ -96,8 +96,12 @@
         let connection = self.connection(pool.as_str());
         let (reply, receiver) = oneshot::channel();
         connection.request_slot(ask, reply);
-        let _cancel = CancelGuard { connection, ticket };
-        let reply = receiver.await;
+        let mut waiting = WaitingRequest {
+            connection,
+            ticket,
+            receiver,
+        };
+        let reply = (&mut waiting.receiver).await;
         reply.unwrap_or_else(|_| {
             Err(Refusal {
                 ticket,
@@ -162,14 +166,19 @@
     }
 }
 
-/// Cancels a request whose caller has gone; has no effect after the reply.
-struct CancelGuard {
+/// A request that waits for its reply; dropping it cancels the request and returns an unread grant.
+struct WaitingRequest {
     connection: Rc<SchedulerConnection>,
     ticket: u64,
+    receiver: oneshot::Receiver<Result<Grant, Refusal>>,
 }
 
-impl Drop for CancelGuard {
+impl Drop for WaitingRequest {
     fn drop(&mut self) {
-        self.connection.cancel(self.ticket);
+        match self.receiver.try_recv() {
+            Ok(Some(Ok(grant))) => self.connection.release_slot(not_run(&grant)),
+            // After a reply was read, there is nothing to cancel.
+            _ => self.connection.cancel(self.ticket),
+        }
     }
 }
--- a/crates/jaylock-tests/tests/share/failure.rs
+++ b/crates/jaylock-tests/tests/share/failure.rs
@@ -1,9 +1,11 @@
 //! Tests of lost, replaced, unresponsive or outdated schedulers and routers.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use compio::net::TcpListener;
 use compio::time::{sleep, timeout};
+use futures_util::future::select;
 use googletest::prelude::*;
 use jaylock_control::ConfigView;
 use jaylock_rpc::v1::{Ask, Grant, Instance, Running};
@@ -20,6 +22,9 @@
 /// Time in which nothing must happen.
 const QUIET_PERIOD: Duration = Duration::from_millis(700);
 
+/// Time between two checks of a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 async fn expect_grant(client: &SchedulerClient, organisation: &str) -> Grant {
     let reply = timeout(
         LIVENESS_TIMEOUT,
@@ -77,6 +82,28 @@
         }
     };
 
+    async grant_that_its_caller_does_not_take_is_returned => {
+        let (_view, host, client, chat, run) = start_busy_fleet(1).await;
+        let mut waiting = Box::pin(client.request_slot(&chat, ask("till")));
+        assert_that!(timeout(QUIET_PERIOD, &mut waiting).await.is_err(), eq(true));
+        client.release_slot(&chat, end(run.ticket, 20));
+        while host.grants(&chat).await < 2 {
+            sleep(POLL_INTERVAL).await;
+        }
+        // The grant reaches the router, but its caller is not polled any more.
+        sleep(QUIET_PERIOD).await;
+        drop(waiting);
+        let reports = async {
+            // Reports keep the engine alive while the request waits.
+            loop {
+                client.report_backend(engine_report("e1", 1));
+                sleep(QUIET_PERIOD).await;
+            }
+        };
+        let granted = pin!(expect_grant(&client, "bench"));
+        select(granted, pin!(reports)).await;
+    };
+
     async scheduler_without_a_lease_grants_nothing => {
         let (_view, host, client, chat, _run) = start_busy_fleet(4).await;
         host.has_lease.set(false);
