Revert "A leaving instance refuses without a delay before the retry"

Cause: during a rolling stop several routers leave at once, and a caller that comes back at once chooses among the same cached addresses and meets another leaving one, which uses up its retry; after a second its list has changed. Conclusion: the delay of a second serves callers better and stays.

--- a/crates/jaylock-router/src/route/context.rs
+++ b/crates/jaylock-router/src/route/context.rs
@@ -71,10 +71,9 @@
         (current.revision > 0).then_some(current)
     }
 
-    /// Error for a request that did not run because this instance stops; another one can serve it at once.
+    /// Error for a request that did not run because this instance stops.
     pub fn leaving(&self) -> ErrorResponse {
         self.unavailable("leaving", "this instance is stopping")
-            .with_retry_after(Duration::ZERO)
     }
 
     /// Error for a request that did not run because this instance can't serve it now.
