Lost connections, recorded crashes and grants are logged with the fingerprint

Each of them now has a line with request, backend server, attempt, whether the run was isolated, and the fingerprint; a record that isn't confirmed in time was passed over silently and is a warning now.

--- a/crates/jaylock-router/src/quarantine.rs
+++ b/crates/jaylock-router/src/quarantine.rs
@@ -1,5 +1,5 @@
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 use jaylock_observe::RunStatus;
@@ -158,13 +158,21 @@
         is_suspect: bool,
     ) {
         let body = self.command(backend, duration, is_suspect);
+        let started = Instant::now();
         let Some(applied) = proposal::commit_with_timeout(context, body).await else {
+            log::warn!(target: "router", "the crash of {backend} under request {} is not committed yet", self.request);
             return;
         };
         // The caller may retry at once, so this router must apply the entry before it responds.
         let previous = Index(applied.index.saturating_sub(1));
         let applying = context.view.wait_newer_than(previous);
-        let _ = compio::time::timeout(context.settings.commit_timeout, applying).await;
+        let outcome = compio::time::timeout(context.settings.commit_timeout, applying).await;
+        log::info!(
+            target: "router",
+            request = self.request.as_str(), backend = backend, suspect = is_suspect,
+            index = applied.index, applied = outcome.is_ok(), took_ms = started.elapsed().as_millis();
+            "a crash is recorded"
+        );
     }
 
     fn command(&self, backend: &str, duration: Duration, is_suspect: bool) -> Body {
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -146,7 +146,11 @@
         self.running = None;
         tracker.record_step(format_compact!("attempt failed: {error}"));
         let backend = slot.backend().to_owned();
-        if is_crash(&self.context, error, address).await {
+        let has_crashed = is_crash(&self.context, error, address).await;
+        if matches!(error, AttemptError::Lost(_)) {
+            self.log_lost(&backend, has_crashed);
+        }
+        if has_crashed {
             slot.release(Outcome::Crashed);
             tracker.record_step(format_compact!("backend server {backend} crashed"));
             self.avoid.push(backend.clone());
@@ -174,6 +178,17 @@
         Ok(())
     }
 
+    /// Logs a connection that a backend server lost, so that crashes of equal requests can be put in order.
+    fn log_lost(&self, backend: &str, has_crashed: bool) {
+        log::info!(
+            target: "router",
+            request = self.crash_tracker.request.as_str(), backend = backend,
+            fingerprint = self.crash_tracker.short_fingerprint(), attempt = self.attempts,
+            alone = self.is_suspect(), crashed = has_crashed;
+            "a backend server lost the connection of a request"
+        );
+    }
+
     /// Waits with exponential backoff and jitter; the second attempt starts at once.
     async fn back_off(&self) {
         let doublings = self.attempts.saturating_sub(2).min(MAX_BACKOFF_DOUBLINGS);
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -216,7 +216,7 @@
             request = decision.request.as_str(), pool = self.pool.as_str(),
             organisation = ask.organisation.as_str(), backend = decision.backend.as_str(),
             waited_ms = decision.waited_ms, tokens = ask.prompt_tokens, missing = uncached_tokens,
-            unread = prefill_ahead, epoch = self.epoch;
+            unread = prefill_ahead, epoch = self.epoch, fingerprint = ask.fingerprint;
             "granted a slot: {reason}"
         );
         self.refresh(backend_index, now);
