Tests of a third grant under a request that crashes engines, which fail

They play the time between two crashes and their record in the log without real time: the scheduler has the ends of both runs, the log has nothing yet.

--- a/crates/jaylock-tests/tests/router/quarantine.rs
+++ b/crates/jaylock-tests/tests/router/quarantine.rs
@@ -129,6 +129,22 @@
         assert_that!(router.call_once("k3", "other").await.status, eq(200));
         assert_that!((crashed.request_count(), stable.request_count()), eq((1, 1)));
     };
+    async refuses_a_waiting_request_once_an_equal_one_is_in_quarantine => {
+        let engines = [Backend::start(crash_on_poison).await, Backend::start(crash_on_poison).await];
+        let addresses = engines.each_ref().map(|e| e.address);
+        let command_log = FakeCommandLog::default();
+        let one = TestRouter::with_command_log(&addresses, RouterSettings::default(), command_log.clone()).await;
+        let two = TestRouter::with_command_log(&addresses, RouterSettings::default(), command_log).await;
+        one.schedulers.0.never_grants.set(true);
+        let body = poison_body();
+        let crash_elsewhere = async {
+            one.wait_until("the request waits", || !one.schedulers.0.slot_requests.borrow().is_empty()).await;
+            two.chat(&body).await
+        };
+        let (waiting, crashed) = futures_util::join!(one.chat(&body), crash_elsewhere);
+        assert_that!((crashed.status, crashed.run.as_str()), eq((422, "ran")));
+        assert_that!((waiting.status, waiting.run.as_str()), eq((422, "not-run")));
+    };
     async lost_connection_to_a_running_engine_is_not_a_crash => {
         let engine = Backend::start(|r| vec![stream_head(r), chunk(r, 1), Step::Close]).await;
         let router = TestRouter::start(&[engine.address], RouterSettings::default()).await;
--- a/crates/jaylock-tests/tests/share/fixture.rs
+++ b/crates/jaylock-tests/tests/share/fixture.rs
@@ -2,7 +2,8 @@
 
 use std::time::Instant;
 
-use jaylock_rpc::v1::{Ask, BackendReport, Grant, Hello, Progress, Refusal, RouterFrame};
+use jaylock_rpc::v1::end::Outcome;
+use jaylock_rpc::v1::{Ask, BackendReport, End, Grant, Hello, Progress, Refusal, RouterFrame};
 use jaylock_share::{Allocator, RouterKey, SchedulerSettings};
 
 use crate::fleet::end;
@@ -55,8 +56,17 @@
 
     /// Ends a run.
     pub fn end(&mut self, ticket: u64) {
+        self.end_with(ticket, end(ticket, 20).outcome());
+    }
+
+    /// Ends a run with an outcome.
+    pub fn end_with(&mut self, ticket: u64, outcome: Outcome) {
+        let end = End {
+            outcome: outcome.into(),
+            ..end(ticket, 20)
+        };
         let frame = RouterFrame {
-            ends: vec![end(ticket, 20)],
+            ends: vec![end],
             ..RouterFrame::default()
         };
         self.allocator.apply(self.router, frame, self.now);
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the sharing of model capacity.
 
 mod backend;
+mod crashes;
 mod decision;
 mod failure;
 mod fixture;
