A scheduler counts crashes under equal requests, so that a third engine isn't granted

Cause: the bound of two engines for equal requests held in the scheduler only for runs in progress, and in the log only once a crash was recorded and applied at the other routers. A router releases the slot as soon as it notices the crash; the scheduler then forgot the run, while the record was still on its way. A first attempt or a first retry of an equal request was granted a third engine in between. An isolated run wasn't held to the bound at all.

Ruled out: a crash taken for a mere loss of the connection (no line with crashed=false in the logs of the runs that were kept); the isolated run as cause of the two failures that were read (alone=false in all runs on the third engine). That path exists all the same, and is closed too.

Fix: the scheduler counts the backend servers that crashed under a fingerprint together with those that run it, at most two, isolated runs included; for a minute, or until an isolated run completes. An isolated request that can't be placed lets those behind it pass. A waiting request is refused as soon as it is in quarantine, as it could otherwise wait for that minute; for this the view drops cancelled waiters, which nothing did before its next update.

--- a/crates/jaylock-control/src/view.rs
+++ b/crates/jaylock-control/src/view.rs
@@ -77,13 +77,25 @@
     /// Waits until a configuration newer than `index` is active.
     pub async fn wait_newer_than(&self, index: Index) -> Rc<Configuration> {
         while self.index() <= index {
-            let (sender, receiver) = oneshot::channel();
-            self.shared.waiters.borrow_mut().push(sender);
-            let _ = receiver.await;
+            let _ = self.add_waiter().await;
         }
         self.current()
     }
 
+    /// Adds a waiter for the next update; drops those that were cancelled whenever the list is full.
+    fn add_waiter(&self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        let mut waiters = self.shared.waiters.borrow_mut();
+        if waiters.len() == waiters.capacity() {
+            waiters.retain(|waiter| !waiter.is_canceled());
+            // Room for as many again, so that the cost of a waiter stays constant on average.
+            let live = waiters.len();
+            waiters.reserve(live.max(MIN_WAITERS));
+        }
+        waiters.push(sender);
+        receiver
+    }
+
     /// Whether the instance recently had contact with control or a majority of a sample of instances.
     ///
     /// A disconnected instance admits no requests.
@@ -108,5 +120,7 @@
     }
 }
 
+/// Least number of waiters for which the list gets room.
+const MIN_WAITERS: usize = 16;
 /// Duration that stands for an unlimited time.
 const FAR_FUTURE: Duration = Duration::from_hours(24);
--- a/crates/jaylock-router/src/quarantine.rs
+++ b/crates/jaylock-router/src/quarantine.rs
@@ -57,6 +57,19 @@
     })
 }
 
+/// Waits until requests with a fingerprint are in quarantine, and returns the response to one.
+pub async fn wait_until_quarantined(context: &Context, fingerprint: &Fingerprint) -> ErrorResponse {
+    loop {
+        let index = context.view.index();
+        let found = find(context, fingerprint).filter(|q| !q.suspect);
+        let remaining = found.as_ref().map_or(Duration::ZERO, remaining_time);
+        if !remaining.is_zero() {
+            return quarantined(remaining);
+        }
+        context.view.wait_newer_than(index).await;
+    }
+}
+
 impl CrashTracker {
     /// First 8 bytes of the fingerprint, by which schedulers recognise equal requests.
     pub fn short_fingerprint(&self) -> u64 {
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -1,8 +1,10 @@
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compact_str::format_compact;
+use futures_util::future::{self, Either};
 use http::StatusCode;
 use jaylock_observe::RunStatus;
 use jaylock_rpc::v1::end::Outcome;
@@ -99,7 +101,7 @@
                 .wait_for_isolated_run(&self.context)
                 .await;
         }
-        let outcome = self.request_slot(ask).await;
+        let outcome = self.request_slot_unless_quarantined(ask).await;
         tracker.record.wait_time += started.elapsed();
         let (address, slot) = outcome?;
         self.attempts += 1;
@@ -230,6 +232,21 @@
             .with_retry_after(self.context.settings.retry_after)
     }
 
+    /// Requests a slot, and gives up when the request gets into quarantine while it waits.
+    async fn request_slot_unless_quarantined(
+        &mut self,
+        ask: Ask,
+    ) -> Result<(SocketAddr, Slot), ErrorResponse> {
+        let (context, run_status) = (self.context.clone(), self.run_status);
+        let fingerprint = self.crash_tracker.fingerprint;
+        let quarantined = pin!(quarantine::wait_until_quarantined(&context, &fingerprint));
+        let granted = pin!(self.request_slot(ask));
+        match future::select(granted, quarantined).await {
+            Either::Left((outcome, _)) => outcome,
+            Either::Right((error, _)) => Err(error.with_run_status(run_status)),
+        }
+    }
+
     /// Requests a slot; backend servers that failed are avoided for at most `avoid_timeout`.
     async fn request_slot(&mut self, base: Ask) -> Result<(SocketAddr, Slot), ErrorResponse> {
         let waited = self.arrived_at.elapsed().as_millis();
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -43,7 +43,7 @@
     // Whether the pool had spare slots when the last decision began.
     pub(crate) has_spare_slots: bool,
     pub(crate) division: Division,
-    // Backend servers on which equal requests run.
+    // Backend servers that equal requests run on or have crashed.
     pub(crate) duplicates: Duplicates,
     residual: Residual,
     pub(crate) prefill_rate: PrefillRate,
@@ -130,6 +130,7 @@
 
     /// Expires leases of backend servers and routers, and refuses requests that can't be served in time.
     pub fn tick(&mut self, now: Instant) {
+        self.duplicates.expire(now);
         for index in 0..self.backends.len() {
             self.refresh(index, now);
         }
@@ -297,6 +298,7 @@
             .get_mut(router)
             .and_then(|r| r.remove_run(end.ticket));
         let Some(mut run) = run else { return };
+        self.record_crash(&run, end.outcome(), now);
         let cost = cost_of(end);
         if matches!(end.outcome(), Outcome::Complete | Outcome::Cancelled) {
             self.accounts
@@ -308,6 +310,24 @@
         self.close_run(&mut run, cost, now);
     }
 
+    /// Counts a crash against equal requests; a complete isolated run clears those that were counted.
+    fn record_crash(&mut self, run: &Run, outcome: Outcome, now: Instant) {
+        let Run {
+            fingerprint,
+            backend_index,
+            era,
+            ..
+        } = *run;
+        match outcome {
+            Outcome::Crashed => {
+                self.duplicates
+                    .record_crash(fingerprint, backend_index, era, now);
+            }
+            Outcome::Complete if run.is_isolated => self.duplicates.clear(fingerprint),
+            _ => {}
+        }
+    }
+
     /// Corrects the charge of an ended run to its actual cost and frees its slot.
     pub(crate) fn close_run(&mut self, run: &mut Run, cost: u64, now: Instant) {
         if cost >= run.charged_tokens {
@@ -318,7 +338,8 @@
         let account = self.accounts.get_mut(run.account);
         account.running = account.running.saturating_sub(1);
         account.tokens += cost.saturating_sub(run.tokens);
-        self.duplicates.remove(run.fingerprint, run.backend_index);
+        self.duplicates
+            .remove(run.fingerprint, run.backend_index, run.era);
         let backend = self.backends.get_mut(run.backend_index);
         backend.remove_grant();
         if let Some(load) = run.load.take() {
--- a/crates/jaylock-share/src/attachment.rs
+++ b/crates/jaylock-share/src/attachment.rs
@@ -83,6 +83,7 @@
             tokens: running.tokens,
             is_isolated: running.alone,
             fingerprint: 0,
+            era: 0,
             load: None,
             granted_at: now,
             prefill_ahead: 0,
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -113,7 +113,7 @@
         }
     }
 
-    /// Reserves a backend server, which then gets no new work, for the first isolated request.
+    /// Reserves a backend server, which then gets no new work, for the first isolated request that has one.
     fn reserve(&mut self, now: Instant) -> Option<usize> {
         if let Some(index) = self.reservation.take() {
             self.backends.get_mut(index).is_reserved = false;
@@ -122,18 +122,32 @@
                 self.reservation = Some(index);
             }
         }
-        let (_, waiting) = self.isolated.front()?;
-        let eligible = self.requirements.backends(waiting.requirement);
-        let lease = self.settings.backend_lease;
-        let choose =
-            || placement::choose_isolated(&self.backends, eligible, &waiting.ask, now, lease);
-        let index = self.reservation.or_else(choose)?;
+        let index = match self.reservation {
+            Some(index) => index,
+            None => self.choose_isolated(now)?,
+        };
         self.reservation = Some(index);
         self.backends.get_mut(index).is_reserved = true;
         self.refresh(index, now);
         Some(index)
     }
 
+    /// Chooses a backend server for the first isolated request that has one, and moves the request to the front.
+    fn choose_isolated(&mut self, now: Instant) -> Option<usize> {
+        let lease = self.settings.backend_lease;
+        let (backends, duplicates) = (&self.backends, &self.duplicates);
+        let choose = |waiting: &WaitingRequest| {
+            let eligible = self.requirements.backends(waiting.requirement);
+            placement::choose_isolated(backends, duplicates, eligible, &waiting.ask, now, lease)
+        };
+        let mut waiting = self.isolated.iter().enumerate();
+        let (position, index) =
+            waiting.find_map(|(position, (_, waiting))| Some((position, choose(waiting)?)))?;
+        let chosen = self.isolated.remove(position)?;
+        self.isolated.push_front(chosen);
+        Some(index)
+    }
+
     fn can_reserve(&self, index: usize, now: Instant) -> bool {
         let backend = self.backends.get(index);
         let usable = backend
@@ -143,7 +157,9 @@
         usable
             && front.is_some_and(|(_, waiting)| {
                 let eligible = self.requirements.backends(waiting.requirement);
-                eligible.contains(index) && !waiting.ask.avoid.contains(&backend.report.id)
+                eligible.contains(index)
+                    && !waiting.ask.avoid.contains(&backend.report.id)
+                    && self.duplicates.admits(waiting.ask.fingerprint, index)
             })
     }
 
@@ -171,7 +187,7 @@
         owner.running += 1;
         owner.tokens += prompt_tokens;
         owner.record_wait(wait);
-        self.duplicates.add(ask.fingerprint, backend_index);
+        let era = self.duplicates.add(ask.fingerprint, backend_index);
         let backend = self.backends.get_mut(backend_index);
         backend.add_grant();
         let uncached_tokens = backend.engine.uncached_tokens(ask);
@@ -202,6 +218,7 @@
             tokens: prompt_tokens,
             is_isolated: ask.alone,
             fingerprint: ask.fingerprint,
+            era,
             load,
             granted_at: now,
             prefill_ahead,
--- a/crates/jaylock-share/src/placement.rs
+++ b/crates/jaylock-share/src/placement.rs
@@ -182,6 +182,7 @@
 /// Chooses the least loaded usable backend server, which an isolated request waits for.
 pub fn choose_isolated(
     backends: &Backends,
+    duplicates: &Duplicates,
     eligible: &BackendSet,
     ask: &Ask,
     now: Instant,
@@ -192,6 +193,7 @@
         !backend.is_reserved
             && backend.unusable_reason(now, lease).is_empty()
             && !is_avoided(ask, &backend.report.id)
+            && duplicates.admits(ask.fingerprint, *index)
     };
     let indices = eligible.common(eligible).filter(is_usable);
     indices.min_by_key(|index| backends.get(*index).load_percent())
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -27,6 +27,8 @@
     pub is_isolated: bool,
     /// Fingerprint of the request; 0 for runs that an earlier scheduler granted.
     pub fingerprint: u64,
+    /// Era of equal runs at the backend server, which a crash there ends.
+    pub era: u64,
     /// Load on a model engine, for requests that list the parts of their prompts.
     pub load: Option<RequestLoad>,
     /// When the slot was granted.
