A failed test of the platform keeps its instances' logs

Two entries of KNOWN-RED.txt can't be traced because the folder with the logs was deleted with the failed fleet. The folder is kept when a test panics, as the other fleets of processes do.

--- a/crates/jaylock-tests/tests/platform/harness/mod.rs
+++ b/crates/jaylock-tests/tests/platform/harness/mod.rs
@@ -229,6 +229,15 @@
     }
 }
 
+impl Drop for TestFleet {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            self.folder.disable_cleanup(true);
+            eprintln!("the logs are in {}", self.folder.path().display());
+        }
+    }
+}
+
 impl Addresses {
     fn allocate() -> Self {
         Self {
