--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -1,8 +1,10 @@
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compact_str::format_compact;
+use futures_util::future::{self, Either};
 use http::StatusCode;
 use jaylock_observe::RunStatus;
 use jaylock_rpc::v1::end::Outcome;
@@ -148,7 +150,11 @@
         self.running = None;
         tracker.record_step(format_compact!("attempt failed: {error}"));
         let backend = slot.backend().to_owned();
-        if is_crash(&self.context, error, address).await {
+        let has_crashed = is_crash(&self.context, error, address).await;
+        if matches!(error, AttemptError::Lost(_)) {
+            self.log_lost(&backend, has_crashed);
+        }
+        if has_crashed {
             slot.release(Outcome::Crashed);
             tracker.record_step(format_compact!("backend server {backend} crashed"));
             self.avoid.push(backend.clone());
@@ -176,6 +182,17 @@
         Ok(())
     }
 
+    /// Logs a connection that a backend server lost, so that crashes of equal requests can be put in order.
+    fn log_lost(&self, backend: &str, has_crashed: bool) {
+        log::info!(
+            target: "router",
+            request = self.crash_tracker.request.as_str(), backend = backend,
+            fingerprint = self.crash_tracker.short_fingerprint(), attempt = self.attempts,
+            alone = self.is_suspect(), crashed = has_crashed;
+            "a backend server lost the connection of a request"
+        );
+    }
+
     /// Waits with exponential backoff and jitter; the second attempt starts at once.
     async fn back_off(&self) {
         let doublings = self.attempts.saturating_sub(2).min(MAX_BACKOFF_DOUBLINGS);
@@ -223,14 +240,29 @@
         ask: Ask,
     ) -> Result<(SocketAddr, Slot), ErrorResponse> {
         if self.run_status != RunStatus::NotRun {
-            return self.request_slot(ask).await;
+            return self.request_slot_unless_quarantined(ask).await;
         }
         let (context, deadline) = (self.context.clone(), self.deadline);
-        let waiting = self.request_slot(ask);
+        let waiting = self.request_slot_unless_quarantined(ask);
         let outcome = context.lifecycle.wait_to_start(deadline, waiting).await;
         outcome.unwrap_or_else(|| Err(call::leaving(&context)))
     }
 
+    /// Requests a slot, and gives up when the request gets into quarantine while it waits.
+    async fn request_slot_unless_quarantined(
+        &mut self,
+        ask: Ask,
+    ) -> Result<(SocketAddr, Slot), ErrorResponse> {
+        let (context, run_status) = (self.context.clone(), self.run_status);
+        let fingerprint = self.crash_tracker.fingerprint;
+        let quarantined = pin!(quarantine::wait_until_quarantined(&context, &fingerprint));
+        let granted = Box::pin(self.request_slot(ask));
+        match future::select(granted, quarantined).await {
+            Either::Left((outcome, _)) => outcome,
+            Either::Right((error, _)) => Err(error.with_run_status(run_status)),
+        }
+    }
+
     /// Requests a slot; backend servers that failed are avoided for at most `avoid_timeout`.
     async fn request_slot(&mut self, base: Ask) -> Result<(SocketAddr, Slot), ErrorResponse> {
         let waited = self.arrived_at.elapsed().as_millis();
