Schedulers log what refused requests waited for and how far behind organisations are

Cause: the lines of a scheduler at debug name grants only; why an organisation is refused, or granted later than others, can't be read. Change: a grant shows by how many tokens its organisation is behind; a refusal is a line with its reason, the length of the queue and the same gap.

--- a/crates/jaylock-share/src/admission.rs
+++ b/crates/jaylock-share/src/admission.rs
@@ -6,7 +6,10 @@
 
 use crate::account::AccountKey;
 use crate::allocator::Allocator;
+use crate::encoding::request_id;
+use crate::placement::EngineSelector;
 use crate::queue::WaitingRequest;
+use crate::ranking::EngineRanking;
 use crate::router::RouterKey;
 
 /// Retry delay for a request that no backend server can run.
@@ -62,6 +65,9 @@
             self.accounts.leave_backlog_if_empty(account);
             let interval = self.accounts.expected_grant_interval();
             for waiting in removed {
+                if log::log_enabled!(target: "share", log::Level::Debug) {
+                    self.log_refusal(account, &waiting.ask, self.wait_reason(account, &waiting));
+                }
                 let retry_delay = self
                     .accounts
                     .get_mut(account)
@@ -115,6 +121,40 @@
         self.refuse(waiting.router, waiting.ask.ticket, reason, retry_delay);
     }
 
+    /// Why a waiting request can't be granted a slot now.
+    fn wait_reason(&self, account: AccountKey, waiting: &WaitingRequest) -> &'static str {
+        let eligible = self.requirements.backends(waiting.requirement);
+        if waiting.ask.parts.is_empty() {
+            return "waited too long for its turn";
+        }
+        let router = self.routers.get(waiting.router);
+        let selector = EngineSelector {
+            backends: &self.backends,
+            duplicates: &self.duplicates,
+            ranking: &EngineRanking::new(&self.backends),
+            prefill_rate: &self.prefill_rate,
+            max_pending_prefill: self.settings.max_pending_prefill,
+            is_far_behind: self.is_far_behind(account),
+        };
+        let domain = router.map_or("", |router| router.domain.as_str());
+        match selector.select(eligible, &waiting.ask, domain) {
+            Ok(_) => "waited too long for its turn",
+            Err(reason) => reason,
+        }
+    }
+
+    /// Logs a refusal with the state of the organisation's queue.
+    pub(crate) fn log_refusal(&self, account: AccountKey, ask: &Ask, reason: &str) {
+        let owner = self.accounts.get(account);
+        log::debug!(
+            target: "share",
+            request = request_id(ask).as_str(), pool = self.pool.as_str(), organisation = owner.id.as_str(),
+            tokens = ask.prompt_tokens, objective_ms = ask.objective_ms, queued = owner.queue.len(),
+            running = owner.running, behind = self.accounts.service_gap(account), epoch = self.epoch;
+            "refused a request: {reason}"
+        );
+    }
+
     pub(crate) fn refuse(
         &mut self,
         router: RouterKey,
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -202,6 +202,7 @@
     fn add_ask(&mut self, router: RouterKey, ask: Ask, now: Instant) {
         let account = self.accounts.intern(&ask.organisation);
         if let Some(reason) = self.queue_refusal(account) {
+            self.log_refusal(account, &ask, "its queue or the pool's is full");
             let interval = self.accounts.expected_grant_interval();
             let retry_delay = self
                 .accounts
@@ -212,6 +213,7 @@
             return;
         }
         if let Some(retry_delay) = self.objective_retry_delay(account, &ask, now) {
+            self.log_refusal(account, &ask, "its turn would come too late");
             self.refuse(router, ask.ticket, Reason::Overloaded, retry_delay);
             self.accounts.get_mut(account).refused += 1;
             return;
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -57,7 +57,7 @@
             let (backends, duplicates, routers) = (&self.backends, &self.duplicates, &self.routers);
             let (prefill_rate, max_pending_prefill) =
                 (&self.prefill_rate, self.settings.max_pending_prefill);
-            let is_far_behind = self.accounts.service_gap(account) >= self.max_service_gap();
+            let is_far_behind = self.is_far_behind(account);
             let choose = |waiting: &WaitingRequest| {
                 let router = routers.get(waiting.router);
                 let domain = router.map_or("", |router| router.domain.as_str());
@@ -90,6 +90,11 @@
         None
     }
 
+    /// Whether the requests of an organisation no longer wait for the engines that cache their prompts.
+    pub(crate) fn is_far_behind(&self, account: AccountKey) -> bool {
+        self.accounts.service_gap(account) >= self.max_service_gap()
+    }
+
     /// Service gap, in weighted tokens, from which an organisation counts as far behind.
     ///
     /// The gap is in proportion to the usable engines: a larger pool serves more tokens in the same time.
@@ -164,6 +169,7 @@
         };
         let charged_tokens = prompt_tokens + self.precharge();
         let wait = now.saturating_duration_since(waiting.arrived_at);
+        let service_gap = self.accounts.service_gap(account);
         self.waiting_count -= 1;
         self.accounts.record_grant(account, now);
         self.accounts.charge(account, charged_tokens);
@@ -216,7 +222,7 @@
             request = decision.request.as_str(), pool = self.pool.as_str(),
             organisation = ask.organisation.as_str(), backend = decision.backend.as_str(),
             waited_ms = decision.waited_ms, tokens = ask.prompt_tokens, missing = uncached_tokens,
-            unread = prefill_ahead, epoch = self.epoch;
+            unread = prefill_ahead, behind = service_gap, epoch = self.epoch;
             "granted a slot: {reason}"
         );
         self.refresh(backend_index, now);
--- a/crates/jaylock-share/src/placement.rs
+++ b/crates/jaylock-share/src/placement.rs
@@ -45,15 +45,30 @@
     /// organisation is far behind, a request goes to another engine at once, so that popular parts are
     /// soon cached by several engines.
     pub fn choose(&self, eligible: &BackendSet, ask: &Ask, domain: &str) -> Option<usize> {
-        let (_, first) = self.ranking.order().next()?;
-        if !self.accepts_prefill(first) {
-            return None;
+        self.select(eligible, ask, domain).ok()
+    }
+
+    /// Like `choose`, or returns what the request waits for.
+    pub fn select(
+        &self,
+        eligible: &BackendSet,
+        ask: &Ask,
+        domain: &str,
+    ) -> Result<usize, &'static str> {
+        let first = self.ranking.order().next();
+        if first.is_none_or(|(_, index)| !self.accepts_prefill(index)) {
+            return Err("waited for any engine: all have enough pending prefill");
         }
         let is_eager = self.is_far_behind || self.has_idle_engines(eligible);
         let weight = if is_eager { 1 } else { UNCACHED_WEIGHT };
         let candidates = self.candidates(eligible, ask, domain, is_eager);
-        let best = candidates.min_by_key(|index| self.prefill_time(*index, ask, domain, weight))?;
-        self.accepts_prefill(best).then_some(best)
+        let best = candidates.min_by_key(|index| self.prefill_time(*index, ask, domain, weight));
+        let best = best.ok_or("waited for a free slot or memory")?;
+        if self.accepts_prefill(best) {
+            Ok(best)
+        } else {
+            Err("waited for the best engine: it has enough pending prefill")
+        }
     }
 
     /// Engines with the least pending prefill among all available ones, those that cache the first part,
