Routers report that no connection to a backend server could be opened

Cause: a scheduler can't tell a run that the backend server declined from one that never reached it: both end as NOT_RUN. Change: a field of End; nothing reads it yet. Older schedulers ignore it.

--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -155,7 +155,11 @@
                 .record_crash(&self.context, &backend, self.run_status)
                 .await;
         }
-        slot.release(outcome(error));
+        if matches!(error, AttemptError::Unreachable(_)) {
+            slot.release_unreached();
+        } else {
+            slot.release(outcome(error));
+        }
         if matches!(error, AttemptError::TimedOut | AttemptError::Lost(_)) {
             self.context.connections.close_idle(address);
         }
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -126,7 +126,9 @@
         self.tracker
             .record_step(format_compact!("attempt at {backend} failed: {error}"));
         self.avoid.push(backend);
-        if error.is_not_run() {
+        if matches!(error, AttemptError::Unreachable(_)) {
+            slot.release_unreached();
+        } else if error.is_not_run() {
             slot.release(Outcome::NotRun);
         } else {
             slot.release(Outcome::Broken);
--- a/crates/jaylock-router/src/slot.rs
+++ b/crates/jaylock-router/src/slot.rs
@@ -20,6 +20,7 @@
     tokens: u64,
     reported_tokens: u64,
     outcome: Outcome,
+    is_unreached: bool,
 }
 
 impl Slot {
@@ -34,6 +35,7 @@
             tokens: 0,
             reported_tokens: 0,
             outcome: Outcome::Cancelled,
+            is_unreached: false,
         }
     }
 
@@ -60,6 +62,12 @@
     pub fn release(mut self, outcome: Outcome) {
         self.outcome = outcome;
     }
+
+    /// Releases the slot because no connection to the backend server could be opened.
+    pub fn release_unreached(mut self) {
+        self.outcome = Outcome::NotRun;
+        self.is_unreached = true;
+    }
 }
 
 impl Drop for Slot {
@@ -69,6 +77,7 @@
             ticket: self.grant.ticket,
             tokens: self.tokens,
             first_token_ms: u32::try_from(first_token).unwrap_or(u32::MAX),
+            unreached: self.is_unreached,
             ..End::default()
         };
         end.set_outcome(self.outcome);
