Tests that fail: crashed engines take the requests of all organisations

Until their leases end, to 17.5 s, they get three of four grants: 14 s to 15 s they got 53 to 130 grants each, the others 2 to 14. A connection is refused at once, the slot is free again, and with no pending prefill they rank first. Tests: two loads with crashes and one of a single backend server fail; one that a router's own failure excludes no backend server passes.

--- a/crates/jaylock-tests/tests/share/backend.rs
+++ b/crates/jaylock-tests/tests/share/backend.rs
@@ -35,6 +35,34 @@
         assert_that!(fixture.ask_and_decide(ask("bench")), none());
     };
 
+    unreachable_backend_server_gets_no_requests_until_its_next_report => {
+        let mut fixture = Fixture::new();
+        fixture.report(engine_report("e1", 4));
+        let ticket = fixture.ask([ask("bench")])[0];
+        assert_that!(fixture.decide(), some(eq("e1")));
+        fixture.end_unreached(ticket);
+        fixture.now += Duration::from_millis(400);
+        // A report that was sent before the failure doesn't count.
+        fixture.report(BackendReport { age_ms: 500, ..engine_report("e1", 4) });
+        assert_that!(fixture.ask_and_decide(ask("bench")), none());
+        fixture.report(engine_report("e1", 4));
+        assert_that!(fixture.decide(), some(eq("e1")));
+    };
+
+    backend_server_that_one_of_several_routers_reaches_gets_requests => {
+        let mut fixture = Fixture::new();
+        for router in ["r2", "r3", "r4"] {
+            let hello = Hello { router: router.into(), ..Hello::default() };
+            fixture.allocator.attach(&hello, fixture.now);
+        }
+        fixture.report(engine_report("e1", 4));
+        for _ in 0..10 {
+            let ticket = fixture.ask([ask("bench")])[0];
+            assert_that!(fixture.decide(), some(eq("e1")));
+            fixture.end_unreached(ticket);
+        }
+    };
+
     backend_server_named_by_a_router_is_used_after_its_first_report => {
         let mut fixture = Fixture::new();
         // A new scheduler with a waiting request; a second router reports a run.
--- a/crates/jaylock-tests/tests/share/fixture.rs
+++ b/crates/jaylock-tests/tests/share/fixture.rs
@@ -2,7 +2,8 @@
 
 use std::time::Instant;
 
-use jaylock_rpc::v1::{Ask, BackendReport, Grant, Hello, Progress, Refusal, RouterFrame};
+use jaylock_rpc::v1::end::Outcome;
+use jaylock_rpc::v1::{Ask, BackendReport, End, Grant, Hello, Progress, Refusal, RouterFrame};
 use jaylock_share::{Allocator, RouterKey, SchedulerSettings};
 
 use crate::fleet::end;
@@ -55,8 +56,22 @@
 
     /// Ends a run.
     pub fn end(&mut self, ticket: u64) {
+        self.end_with(end(ticket, 20));
+    }
+
+    /// Ends a run because no connection to its backend server could be opened.
+    pub fn end_unreached(&mut self, ticket: u64) {
+        self.end_with(End {
+            outcome: Outcome::NotRun.into(),
+            unreached: true,
+            ..end(ticket, 0)
+        });
+    }
+
+    /// Applies the end of a run.
+    pub fn end_with(&mut self, end: End) {
         let frame = RouterFrame {
-            ends: vec![end(ticket, 20)],
+            ends: vec![end],
             ..RouterFrame::default()
         };
         self.allocator.apply(self.router, frame, self.now);
--- a/crates/jaylock-tests/tests/share/prefill.rs
+++ b/crates/jaylock-tests/tests/share/prefill.rs
@@ -1,10 +1,10 @@
 //! Tests of placement for prompts that share their first parts, in virtual time.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use jaylock_rpc::v1::{Ask, BackendReport, PromptPart};
+use jaylock_rpc::v1::{Ask, BackendReport, End, PromptPart, end};
 use jaylock_tests::cases;
 
 use crate::fixture::Fixture;
@@ -43,12 +43,16 @@
 /// A simulated engine that prefills prompts one after the other and caches every part.
 #[derive(Default)]
 struct Engine {
+    /// A crashed engine sends no reports and accepts no connections.
+    is_crashed: bool,
     cached_parts: Vec<u64>,
     idle_at: Option<Instant>,
     /// Times of the first token, with tickets.
     prefilling: Vec<(Instant, u64)>,
     /// Times of the end, with tickets.
     generating: Vec<(Instant, u64)>,
+    /// Tickets of grants for a crashed engine.
+    unreached: Vec<u64>,
 }
 
 /// Measured results of a simulation.
@@ -60,6 +64,8 @@
     refused: usize,
     /// Tokens of shared parts that were prefilled although some engine had cached them.
     recomputed_tokens: u64,
+    /// Tokens of the prompts that engines began to run, by organisation.
+    started_tokens: BTreeMap<String, u64>,
 }
 
 /// A simulated pool of engines under load.
@@ -111,6 +117,9 @@
     fn report(&mut self) {
         self.last_report = Some(self.fixture.now);
         for at in 0..self.engines.len() {
+            if self.engines[at].is_crashed {
+                continue;
+            }
             let report = BackendReport {
                 pool: "chat".into(),
                 ..engine_report(&engine_id(at), 128)
@@ -126,6 +135,12 @@
         let is_cached = |engine: &Engine| engine.cached_parts.contains(&shared.hash);
         let is_cached_anywhere = self.engines.iter().any(is_cached);
         let engine = &mut self.engines[at];
+        if engine.is_crashed {
+            engine.unreached.push(ticket);
+            return;
+        }
+        let started = &mut self.outcome.started_tokens;
+        *started.entry(ask.organisation.clone()).or_default() += u64::from(ask.prompt_tokens);
         let mut tokens = u64::from(ask.parts[1].tokens);
         if !engine.cached_parts.contains(&shared.hash) {
             engine.cached_parts.push(shared.hash);
@@ -140,8 +155,25 @@
         engine.prefilling.push((first, ticket));
     }
 
+    /// Crashes an engine, which breaks off its runs.
+    fn crash(&mut self, at: usize) {
+        let engine = std::mem::take(&mut self.engines[at]);
+        self.engines[at].is_crashed = true;
+        for (_, ticket) in engine.prefilling.into_iter().chain(engine.generating) {
+            self.fixture.end_with(End {
+                outcome: end::Outcome::Broken.into(),
+                ..crate::fleet::end(ticket, 0)
+            });
+            self.active.retain(|(other, ..)| *other != ticket);
+        }
+    }
+
     fn finish(&mut self, now: Instant) {
         for at in 0..self.engines.len() {
+            for ticket in std::mem::take(&mut self.engines[at].unreached) {
+                self.fixture.end_unreached(ticket);
+                self.active.retain(|(other, ..)| *other != ticket);
+            }
             let due = |entry: &mut (Instant, u64)| entry.0 <= now;
             let started: Vec<_> = self.engines[at].prefilling.extract_if(.., due).collect();
             for (first, ticket) in started {
@@ -235,6 +267,29 @@
     simulation.outcome
 }
 
+/// Simulates a flood and an organisation that sends a third as much, both more than their shares of eight engines.
+///
+/// Measures for two seconds after `crashes` of the engines have crashed.
+fn run_flood_beside_crashes(crashes: usize) -> Outcome {
+    let mut simulation = PoolSimulation::new(8);
+    let (steps_per_second, warm_up, seconds) = (1000 / 5, 4, 2);
+    for step in 0..(warm_up + seconds) * steps_per_second {
+        if step == warm_up * steps_per_second {
+            (0..crashes).for_each(|at| simulation.crash(at));
+            simulation.outcome = Outcome::default();
+        }
+        let organisations = ["flood", "flood", "flood", "small"];
+        let organisation = organisations[usize::try_from(step % 4).expect("a small number")];
+        // Two requests a step are 400 a second; the private parts alone allow 107.
+        let asks = (0..2).map(|n| {
+            let own = 2 * step + n;
+            shared_prompt(organisation, own / 8 * 7919 % 16, own)
+        });
+        simulation.step(asks.collect());
+    }
+    simulation.outcome
+}
+
 cases! {
     prompt_runs_on_the_engine_that_caches_its_prefix => {
         let mut simulation = PoolSimulation::new(4);
@@ -349,6 +404,19 @@
         assert_that!(waits_for_caching_engine(8), eq(false));
         assert_that!(waits_for_caching_engine(30), eq(true));
     };
+    small_organisation_gets_its_share_after_engines_crash => {
+        for crashes in [0, 2] {
+            let outcome = run_flood_beside_crashes(crashes);
+            let [flood, small] = ["flood", "small"].map(|id| outcome.started_tokens[id]);
+            assert_that!(small * 2, ge(flood), "{crashes} crashes: {outcome:?}");
+        }
+    };
+    engines_that_crash_cost_few_requests => {
+        let outcome = run_flood_beside_crashes(2);
+        let started: u64 = outcome.started_tokens.values().sum();
+        // Six engines prefill 300 tokens per ms, of which a prompt whose shared part is cached takes 3720.
+        assert_that!(started, ge(2 * 300_000 / 3720 * 17_020 * 3 / 4), "{outcome:?}");
+    };
     popular_shared_part_is_cached_by_several_engines => {
         // One engine prefills 13 private parts per second, so 40 prompts per second need at least three engines.
         let outcome = run_shared_prompts(1, 40, 3, 10);
