A backend server that routers can't reach gets no grants until its next report

After three routers, or all if fewer are attached, with no response to any router in between, a backend server gets no grants until a report that was made later. A single router's own failure excludes none.

--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -280,7 +280,7 @@
         let new_tokens = progress.tokens.saturating_sub(run.tokens);
         run.tokens += new_tokens;
         run.charged_tokens += new_tokens;
-        let account = run.account;
+        let (account, backend_index) = (run.account, run.backend_index);
         if let Some(load) = run.load.as_mut().filter(|load| load.is_prefill_pending()) {
             self.backends
                 .get_mut(run.backend_index)
@@ -291,6 +291,7 @@
         }
         self.accounts.charge(account, new_tokens);
         self.accounts.get_mut(account).tokens += new_tokens;
+        self.backends.get_mut(backend_index).record_response();
     }
 
     fn end_run(&mut self, router: RouterKey, end: &End, now: Instant) {
@@ -300,6 +301,13 @@
             .and_then(|r| r.remove_run(end.ticket));
         let Some(mut run) = run else { return };
         let cost = cost_of(end);
+        if end.unreached {
+            let router_count = self.routers.attached_count();
+            let backend = self.backends.get_mut(run.backend_index);
+            backend.record_failed_connection(router, router_count, now);
+        } else if end.outcome() == Outcome::Complete {
+            self.backends.get_mut(run.backend_index).record_response();
+        }
         if matches!(end.outcome(), Outcome::Complete | Outcome::Cancelled) {
             self.accounts
                 .get_mut(run.account)
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -194,6 +194,12 @@
         self.list.iter().map(|(key, router)| (*key, router))
     }
 
+    /// Number of attached routers.
+    pub fn attached_count(&self) -> usize {
+        let attached = self.iter().filter(|(_, r)| r.detached_at.is_none());
+        attached.count()
+    }
+
     pub fn iter_mut(&mut self) -> impl Iterator<Item = (RouterKey, &mut Router)> {
         self.list.iter_mut().map(|(key, router)| (*key, router))
     }
