Test that fails: a dropped connection to a backend server waits for other tasks before it closes

Router edge-perth-a-13 is at its maximum number of connections; between 6.39 s and 6.75 s it ends 150 requests whose callers have disconnected, about 2.4 ms each. Dropping a run's connection only wakes the connection's own task, which stands behind all tasks that are ready, among them the rest of the 150; so a run is cancelled at the backend server up to one such round, some 350 ms, after its caller's end was read. Hypotheses: (1) that round; (2) the router reads the callers' ends late, as its processor share is used up (to be told apart by the change).

--- a/crates/jaylock-router/src/connection.rs
+++ b/crates/jaylock-router/src/connection.rs
@@ -49,6 +49,9 @@
 
 impl Connection {
     /// Opens a connection.
+    ///
+    /// # Errors
+    /// No connection could be opened within `timeout`.
     pub async fn open(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let connected = compio::time::timeout(timeout, TcpStream::connect(address)).await;
         let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
@@ -70,6 +73,9 @@
     }
 
     /// Sends a request and waits for the head of the response.
+    ///
+    /// # Errors
+    /// The connection closed before the request was sent or before the response began.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -43,6 +43,7 @@
 pub use self::body::{Body, Interrupted};
 pub use self::budget::{FleetBudget, RetryBudget};
 pub use self::chunk::{Chunk, ChunkCheck, ChunkValidator};
+pub use self::connection::Connection;
 pub use self::event::{Event, EventParser};
 pub use self::head_validator::HeadValidator;
 pub use self::lifecycle::Lifecycle;
--- a/crates/jaylock-tests/tests/router/main.rs
+++ b/crates/jaylock-tests/tests/router/main.rs
@@ -3,6 +3,7 @@
 mod api;
 mod backend;
 mod claims;
+mod connection;
 mod fakes;
 mod harness;
 mod heads;
