A dropped connection to a backend server closes at once

Change: dropping a connection shuts its socket down; a stream drops its connection before it records the request.

--- a/crates/jaylock-router/src/connection.rs
+++ b/crates/jaylock-router/src/connection.rs
@@ -1,6 +1,6 @@
 use std::cell::RefCell;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -32,6 +32,7 @@
 /// A connection to a backend server, closed on drop.
 pub struct Connection {
     address: SocketAddr,
+    stream: TcpStream,
     sender: SendRequest<Full<Bytes>>,
     last_used: Instant,
 }
@@ -57,8 +58,8 @@
         let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         enable_keepalive(&stream, ACKNOWLEDGE_TIMEOUT)?;
-        let stream = HyperStream::new_plain(stream);
-        let (sender, connection) = http1::handshake(stream).await.map_err(io::Error::other)?;
+        let io = HyperStream::new_plain(stream.clone());
+        let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
         compio::runtime::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(target: "router", "connection to {address} ended: {error}");
@@ -67,6 +68,7 @@
         .detach();
         Ok(Self {
             address,
+            stream,
             sender,
             last_used: Instant::now(),
         })
@@ -96,6 +98,16 @@
     }
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        // The connection's own task would close it only after all tasks that are ready now, which may be
+        // hundreds when many callers disconnect at once; until then the backend server works in vain.
+        if let Err(error) = SockRef::from(&self.stream).shutdown(Shutdown::Both) {
+            log::debug!(target: "router", "connection to {} was closed already: {error}", self.address);
+        }
+    }
+}
+
 /// Lets the operating system close a connection whose peer is gone or acknowledges nothing for `timeout`.
 pub fn enable_keepalive(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
     let socket = SockRef::from(stream);
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -74,8 +74,9 @@
 
 /// A stream of events across all attempts; dropping it cancels the work.
 struct EventStream {
-    attempts: Attempts,
+    /// Dropped first, so that the backend server is told before the request is recorded.
     active: Option<ActiveAttempt>,
+    attempts: Attempts,
     /// Number of the last forwarded event.
     last_event: u64,
     /// Count of forwarded events.
@@ -94,8 +95,8 @@
     fn new(attempts: Attempts) -> Self {
         let last_event = attempts.request.last_event;
         Self {
-            attempts,
             active: None,
+            attempts,
             last_event,
             count: 0,
         }
