--- a/crates/jaylock-router/src/completion.rs
+++ b/crates/jaylock-router/src/completion.rs
@@ -26,7 +26,7 @@
     if is_streaming {
         respond_streaming(guard).await
     } else {
-        respond_complete(guard).await
+        Box::pin(respond_complete(guard)).await
     }
 }
 
--- a/crates/jaylock-router/src/connection.rs
+++ b/crates/jaylock-router/src/connection.rs
@@ -1,6 +1,6 @@
 use std::cell::RefCell;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -32,6 +32,7 @@
 /// A connection to a backend server, closed on drop.
 pub struct Connection {
     address: SocketAddr,
+    stream: TcpStream,
     sender: SendRequest<Full<Bytes>>,
     last_used: Instant,
 }
@@ -49,13 +50,16 @@
 
 impl Connection {
     /// Opens a connection.
+    ///
+    /// # Errors
+    /// No connection could be opened within `timeout`.
     pub async fn open(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let connected = compio::time::timeout(timeout, TcpStream::connect(address)).await;
         let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         enable_keepalive(&stream, ACKNOWLEDGE_TIMEOUT)?;
-        let stream = HyperStream::new_plain(stream);
-        let (sender, connection) = http1::handshake(stream).await.map_err(io::Error::other)?;
+        let io = HyperStream::new_plain(stream.clone());
+        let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
         compio::runtime::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(target: "router", "connection to {address} ended: {error}");
@@ -64,12 +68,16 @@
         .detach();
         Ok(Self {
             address,
+            stream,
             sender,
             last_used: Instant::now(),
         })
     }
 
     /// Sends a request and waits for the head of the response.
+    ///
+    /// # Errors
+    /// The connection closed before the request was sent or before the response began.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -90,6 +98,16 @@
     }
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        // The connection's own task would close it only after all tasks that are ready now, which may be
+        // hundreds when many callers disconnect at once; until then the backend server works in vain.
+        if let Err(error) = SockRef::from(&self.stream).shutdown(Shutdown::Both) {
+            log::debug!(target: "router", "connection to {} was closed already: {error}", self.address);
+        }
+    }
+}
+
 /// Lets the operating system close a connection whose peer is gone or acknowledges nothing for `timeout`.
 pub fn enable_keepalive(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
     let socket = SockRef::from(stream);
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -203,6 +203,7 @@
     fn add_ask(&mut self, router: RouterKey, ask: Ask, now: Instant) {
         let account = self.accounts.intern(&ask.organisation);
         if let Some(reason) = self.queue_refusal(account) {
+            self.log_refusal(account, &ask, "its queue or the pool's is full");
             let interval = self.accounts.expected_grant_interval();
             let retry_delay = self
                 .accounts
@@ -213,6 +214,7 @@
             return;
         }
         if let Some(retry_delay) = self.objective_retry_delay(account, &ask, now) {
+            self.log_refusal(account, &ask, "its turn would come too late");
             self.refuse(router, ask.ticket, Reason::Overloaded, retry_delay);
             self.accounts.get_mut(account).refused += 1;
             return;
@@ -279,7 +281,7 @@
         let new_tokens = progress.tokens.saturating_sub(run.tokens);
         run.tokens += new_tokens;
         run.charged_tokens += new_tokens;
-        let account = run.account;
+        let (account, backend_index) = (run.account, run.backend_index);
         if let Some(load) = run.load.as_mut().filter(|load| load.is_prefill_pending()) {
             self.backends
                 .get_mut(run.backend_index)
@@ -290,6 +292,7 @@
         }
         self.accounts.charge(account, new_tokens);
         self.accounts.get_mut(account).tokens += new_tokens;
+        self.backends.get_mut(backend_index).record_response();
     }
 
     fn end_run(&mut self, router: RouterKey, end: &End, now: Instant) {
@@ -300,6 +303,13 @@
         let Some(mut run) = run else { return };
         self.record_crash(&run, end.outcome(), now);
         let cost = cost_of(end);
+        if end.unreached {
+            let router_count = self.routers.attached_count();
+            let backend = self.backends.get_mut(run.backend_index);
+            backend.record_failed_connection(router, router_count, now);
+        } else if end.outcome() == Outcome::Complete {
+            self.backends.get_mut(run.backend_index).record_response();
+        }
         if matches!(end.outcome(), Outcome::Complete | Outcome::Cancelled) {
             self.accounts
                 .get_mut(run.account)
--- a/crates/jaylock-tests/tests/share/crashes.rs
+++ b/crates/jaylock-tests/tests/share/crashes.rs
@@ -48,28 +48,28 @@
 cases! {
     request_that_waits_while_two_equal_ones_crash_is_not_granted => {
         let mut fixture = start_equal_runs();
-        fixture.end_with(1, Outcome::Crashed);
-        fixture.end_with(2, Outcome::Crashed);
+        fixture.end_as(1, Outcome::Crashed);
+        fixture.end_as(2, Outcome::Crashed);
         assert_that!(fixture.ask_and_decide(equal_ask()), none());
         assert_that!(fixture.ask_and_decide(ask("bench")), some(anything()));
     };
     isolated_request_is_not_granted_after_two_crashes => {
         let mut fixture = start_equal_runs();
-        fixture.end_with(1, Outcome::Crashed);
-        fixture.end_with(2, Outcome::Crashed);
+        fixture.end_as(1, Outcome::Crashed);
+        fixture.end_as(2, Outcome::Crashed);
         assert_that!(fixture.ask_and_decide(isolated_ask()), none());
     };
     isolated_request_is_not_granted_beside_an_equal_run => {
         let mut fixture = start_equal_runs();
-        fixture.end_with(1, Outcome::Crashed);
+        fixture.end_as(1, Outcome::Crashed);
         assert_that!(fixture.ask_and_decide(isolated_ask()), none());
-        fixture.end_with(2, Outcome::Complete);
+        fixture.end_as(2, Outcome::Complete);
         assert_that!(fixture.decide(), some(anything()));
     };
     blocked_isolated_request_lets_others_pass => {
         let mut fixture = start_equal_runs();
-        fixture.end_with(1, Outcome::Crashed);
-        fixture.end_with(2, Outcome::Crashed);
+        fixture.end_as(1, Outcome::Crashed);
+        fixture.end_as(2, Outcome::Crashed);
         assert_that!(fixture.ask_and_decide(isolated_ask()), none());
         let other = Ask { fingerprint: 8, ..isolated_ask() };
         assert_that!(fixture.ask_and_decide(other), some(anything()));
@@ -81,28 +81,28 @@
             assert_that!(fixture.ask_and_decide(equal_ask()), some(eq("e1")));
         }
         for ticket in 1..=3 {
-            fixture.end_with(ticket, Outcome::Crashed);
+            fixture.end_as(ticket, Outcome::Crashed);
         }
         // The backend server has started again, and a second crash there counts too.
         assert_that!(fixture.ask_and_decide(equal_ask()), some(eq("e1")));
-        fixture.end_with(4, Outcome::Crashed);
+        fixture.end_as(4, Outcome::Crashed);
         report_engines(&mut fixture);
         assert_that!(fixture.ask_and_decide(equal_ask()), none());
     };
     completed_isolated_run_clears_the_crash => {
         let mut fixture = start_equal_runs();
-        fixture.end_with(1, Outcome::Crashed);
-        fixture.end_with(2, Outcome::Complete);
+        fixture.end_as(1, Outcome::Crashed);
+        fixture.end_as(2, Outcome::Complete);
         assert_that!(fixture.ask_and_decide(isolated_ask()), some(anything()));
-        fixture.end_with(3, Outcome::Complete);
+        fixture.end_as(3, Outcome::Complete);
         let backends = [fixture.ask_and_decide(equal_ask()), fixture.ask_and_decide(equal_ask())];
         assert_that!(backends, each(some(anything())));
         assert_that!(backends[0], not(eq(&backends[1])));
     };
     crash_is_forgotten_after_a_time => {
         let mut fixture = start_equal_runs();
-        fixture.end_with(1, Outcome::Crashed);
-        fixture.end_with(2, Outcome::Crashed);
+        fixture.end_as(1, Outcome::Crashed);
+        fixture.end_as(2, Outcome::Crashed);
         fixture.now += CRASH_MEMORY.saturating_sub(Duration::from_millis(1));
         report_engines(&mut fixture);
         assert_that!(fixture.ask_and_decide(equal_ask()), none());
--- a/crates/jaylock-tests/tests/share/fixture.rs
+++ b/crates/jaylock-tests/tests/share/fixture.rs
@@ -56,15 +56,28 @@
 
     /// Ends a run.
     pub fn end(&mut self, ticket: u64) {
-        self.end_with(ticket, end(ticket, 20).outcome());
+        self.end_with(end(ticket, 20));
     }
 
     /// Ends a run with an outcome.
-    pub fn end_with(&mut self, ticket: u64, outcome: Outcome) {
-        let end = End {
+    pub fn end_as(&mut self, ticket: u64, outcome: Outcome) {
+        self.end_with(End {
             outcome: outcome.into(),
             ..end(ticket, 20)
-        };
+        });
+    }
+
+    /// Ends a run because no connection to its backend server could be opened.
+    pub fn end_unreached(&mut self, ticket: u64) {
+        self.end_with(End {
+            outcome: Outcome::NotRun.into(),
+            unreached: true,
+            ..end(ticket, 0)
+        });
+    }
+
+    /// Applies the end of a run.
+    pub fn end_with(&mut self, end: End) {
         let frame = RouterFrame {
             ends: vec![end],
             ..RouterFrame::default()
