An error of the deregistration is logged like a timeout

Cause: only the timeout was looked at; an error that control returned was passed over. Change: both are logged. No decision is changed.

--- a/crates/jaylock-daemon/src/instance.rs
+++ b/crates/jaylock-daemon/src/instance.rs
@@ -205,7 +205,8 @@
             self.step_down().await;
             self.components.context.client.propose(command).await
         });
-        if compio::time::timeout(timeout, proposal).await.is_err() {
+        let confirmed = compio::time::timeout(timeout, proposal).await;
+        if !matches!(confirmed, Ok(Ok(_))) {
             log::warn!(target: "daemon", "control did not confirm the deregistration; the instance's lease will expire instead");
         }
     }
@@ -213,20 +214,16 @@
 
 /// Waits for the running requests, and cancels those that are left at the end of the drain time.
 async fn drain(router: &Router, schedule: &ShutdownSchedule) {
-    if timeout_at(schedule.drain_end, router.drained())
-        .await
-        .is_ok()
-    {
+    let drained = timeout_at(schedule.drain_end, router.drained()).await;
+    if drained.is_ok() {
         schedule.log_phase("no request is left", router);
         return;
     }
     let connections = router.used_connections();
     log::warn!(target: "daemon", connections; "requests still running are cancelled");
     router.cancel_requests();
-    if timeout_at(schedule.cancel_end, router.drained())
-        .await
-        .is_err()
-    {
+    let ended = timeout_at(schedule.cancel_end, router.drained()).await;
+    if ended.is_err() {
         let connections = router.used_connections();
         log::warn!(target: "daemon", connections; "cancelled requests did not end in time");
     }
