--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -292,7 +292,8 @@
         }
         self.accounts.charge(account, new_tokens);
         self.accounts.get_mut(account).tokens += new_tokens;
-        self.backends.get_mut(backend_index).record_response();
+        let backend = self.backends.get_mut(backend_index);
+        backend.reachability.record_response();
     }
 
     fn end_run(&mut self, router: RouterKey, end: &End, now: Instant) {
@@ -306,9 +307,12 @@
         if end.unreached {
             let router_count = self.routers.attached_count();
             let backend = self.backends.get_mut(run.backend_index);
-            backend.record_failed_connection(router, router_count, now);
+            backend
+                .reachability
+                .record_failure(router, router_count, now);
         } else if end.outcome() == Outcome::Complete {
-            self.backends.get_mut(run.backend_index).record_response();
+            let backend = self.backends.get_mut(run.backend_index);
+            backend.reachability.record_response();
         }
         if matches!(end.outcome(), Outcome::Complete | Outcome::Cancelled) {
             self.accounts
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -5,7 +5,7 @@
 
 use crate::cache_index::CacheIndex;
 use crate::engine::{EngineEstimate, RequestLoad};
-use crate::router::RouterKey;
+use crate::reachability::Reachability;
 
 /// A set of backend servers, as a bit set of their indices.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -79,11 +79,6 @@
 /// Longest time that a heartbeat may take to arrive.
 const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(10);
 
-/// Routers that must fail to reach a backend server, with no response to any router in between.
-///
-/// A few failures may be due to the routers' own networks.
-const MAX_FAILED_ROUTERS: usize = 3;
-
 /// What the scheduler knows of one backend server.
 #[derive(Debug)]
 pub struct Backend {
@@ -103,10 +98,8 @@
     peak_grants: [u32; 2],
     // When the backend server announced its end; older reports are ignored.
     ended_at: Option<Instant>,
-    // Routers that could not open a connection since its last response; sorted.
-    failed_routers: Vec<RouterKey>,
-    // When enough routers had failed to reach it.
-    unreachable_since: Option<Instant>,
+    /// Whether routers can open connections to it.
+    pub reachability: Reachability,
     // Sorted.
     cached_prefixes: Vec<u64>,
 }
@@ -124,8 +117,7 @@
             externally_full_since: None,
             peak_grants: [0; 2],
             ended_at: None,
-            failed_routers: Vec::new(),
-            unreachable_since: None,
+            reachability: Reachability::default(),
             cached_prefixes: Vec::new(),
         }
     }
@@ -140,7 +132,7 @@
             "drained"
         } else if now.saturating_duration_since(self.last_report) >= lease {
             "lost"
-        } else if self.unreachable_since.is_some() {
+        } else if self.reachability.is_lost() {
             "unreachable"
         } else {
             ""
@@ -196,29 +188,6 @@
         self.granted = self.granted.saturating_sub(1);
     }
 
-    /// Records that a router could not open a connection.
-    ///
-    /// A crashed backend server refuses connections at once and so looks idle until its lease ends.
-    pub fn record_failed_connection(
-        &mut self,
-        router: RouterKey,
-        router_count: usize,
-        now: Instant,
-    ) {
-        if let Err(position) = self.failed_routers.binary_search(&router) {
-            self.failed_routers.insert(position, router);
-        }
-        if self.failed_routers.len() >= MAX_FAILED_ROUTERS.min(router_count) {
-            self.unreachable_since.get_or_insert(now);
-        }
-    }
-
-    /// Records that the backend server has responded to a router or sent a report.
-    pub fn record_response(&mut self) {
-        self.failed_routers.clear();
-        self.unreachable_since = None;
-    }
-
     /// How many of the prompt's prefixes, shortest first, are believed to be cached there.
     pub fn matching_prefixes(&self, prefixes: &[u64]) -> usize {
         let is_cached = |hash: &&u64| self.cached_prefixes.binary_search(hash).is_ok();
@@ -234,18 +203,13 @@
     fn restart(&mut self, now: Instant, lease: Duration) {
         self.cached_prefixes.clear();
         self.engine.restart();
-        self.record_response();
+        self.reachability.record_response();
         self.last_report = now.checked_sub(lease).unwrap_or(now);
     }
 
     fn renew(&mut self, report: BackendReport, now: Instant, max_prefixes: usize) {
         let report_time = report_time(&report, now);
-        if self
-            .unreachable_since
-            .is_some_and(|since| report_time > since)
-        {
-            self.record_response();
-        }
+        self.reachability.record_report(report_time);
         self.last_report = self.last_report.max(report_time);
         // Reports lag behind grants: only load above the recent peak of grants is external.
         let reported = report.running.saturating_add(report.waiting);
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -22,6 +22,7 @@
 mod placement;
 mod queue;
 mod ranking;
+mod reachability;
 mod requirement;
 mod router;
 mod scheduler;
