--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -10,6 +10,7 @@
 use jaylock_rpc::v1::route::Kind;
 
 use super::context::RouteContext;
+use super::prompt::Prompt;
 use super::request::RouteRequest;
 use crate::error::AttemptError;
 use crate::response::ErrorResponse;
@@ -143,6 +144,7 @@
         } else if error.is_not_run() {
             slot.release(Outcome::NotRun);
         } else {
+            self.log_broken(error, slot.backend());
             slot.release(Outcome::Broken);
             if self.run_status == RunStatus::NotRun {
                 self.run_status = RunStatus::Unknown;
@@ -163,6 +165,18 @@
         Ok(())
     }
 
+    /// Logs what a broken attempt has in common with others that ended at the same backend server.
+    fn log_broken(&self, error: &AttemptError, backend: &str) {
+        let parts = self.request.prompt.as_ref().map(Prompt::part_list);
+        log::info!(
+            target: "router",
+            request = self.request.id.as_str(), organisation = self.request.organisation.as_str(),
+            backend = backend, attempt = self.count, ran = self.run_status == RunStatus::Ran,
+            parts = parts.unwrap_or_default().as_str();
+            "an attempt broke off: {error}"
+        );
+    }
+
     /// Timeout for the head of this attempt's response.
     ///
     /// While another attempt is possible, a backend server that does not respond is given up for another
--- a/crates/jaylock-router/src/route/prompt.rs
+++ b/crates/jaylock-router/src/route/prompt.rs
@@ -35,6 +35,12 @@
             parts: text(names.prompt_parts).map(parts).unwrap_or_default(),
         })
     }
+
+    /// Hashes of the parts in hexadecimal, for logs.
+    pub fn part_list(&self) -> String {
+        let hashes = self.parts.iter().map(|part| format!("{:x}", part.hash));
+        hashes.collect::<Vec<_>>().join(",")
+    }
 }
 
 /// Parses the parts up to the first malformed one.
