--- /dev/null
+++ b/crates/jaylock-tests/tests/platform/crashes.rs
@@ -0,0 +1,81 @@
+//! Requests that crash the backend servers which run them.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jaylock_tests::cases;
+
+use crate::harness::{
+    Caller, FakeBackend, FleetSettings, ReceivedRequest, Reply, TestFleet, document, wait_until,
+};
+
+/// Backend servers of a pool, more than requests with one cause may crash.
+const BACKEND_COUNT: usize = 12;
+/// Requests with one cause that are sent, one after the other.
+const REQUEST_COUNT: usize = 16;
+/// Backend servers that may crash from one cause.
+const MAX_CRASHES: usize = 5;
+/// Time without a heartbeat after which a backend server counts as lost.
+const BACKEND_LEASE: Duration = Duration::from_millis(1500);
+
+fn start_backends(fleet: &TestFleet, is_fatal: fn(&ReceivedRequest) -> bool) -> Vec<FakeBackend> {
+    let reply = move |request: &ReceivedRequest| {
+        if is_fatal(request) {
+            request.crash()
+        } else if request.request_line.starts_with("POST /draft/") {
+            request.events(1..=3, Reply::LAST_CHUNK)
+        } else {
+            request.respond("200 OK", "found")
+        }
+    };
+    let ids = (0..BACKEND_COUNT).map(|n| format!("b{n}"));
+    ids.map(|id| FakeBackend::start(fleet, &id, reply))
+        .collect()
+}
+
+fn crash_count(backends: &[FakeBackend]) -> usize {
+    backends.iter().filter(|b| b.has_crashed()).count()
+}
+
+/// A caller of a prompt with these parts and one of its own.
+fn prompt(fleet: &TestFleet, parts: &str, own: usize) -> Caller {
+    let parts = format!("{parts},{own:x}:20");
+    let caller = fleet.caller().request("POST", &format!("/draft/{own}"));
+    caller
+        .with("Token-Count", "200,10")
+        .with("Prompt-Prefix", &parts)
+}
+
+/// Sends a request until it isn't declined because its backend servers were crashed already.
+fn send(caller: &Caller) -> u16 {
+    let mut status = 0;
+    wait_until("a request meets a backend server that runs", || {
+        let response = caller.send();
+        status = response.status();
+        !response.body.contains("declined")
+    });
+    status
+}
+
+/// Starts a fleet in which crashed backend servers are soon taken for lost.
+fn start_fleet() -> TestFleet {
+    let fleet = TestFleet::start_with(FleetSettings {
+        backend_lease: BACKEND_LEASE,
+        ..FleetSettings::default()
+    });
+    fleet.configure(&document(1));
+    fleet
+}
+
+cases! {
+    prompts_with_a_part_that_crashes_backend_servers_are_sent_to_one_after_the_other => {
+        let fleet = start_fleet();
+        let is_fatal = |r: &ReceivedRequest| r.header("prompt-prefix").contains("bad:");
+        let backends = start_backends(&fleet, is_fatal);
+        for own in 1..=REQUEST_COUNT {
+            send(&prompt(&fleet, "5c1e:100,bad:50", own));
+            assert_that!(crash_count(&backends), le(MAX_CRASHES));
+            assert_that!(send(&prompt(&fleet, "5c1e:100", 1000 + own)), eq(200));
+        }
+    };
+}
--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -25,7 +25,10 @@
     incarnation: u64,
     sequence: AtomicU64,
     sends_heartbeats: AtomicBool,
+    is_crashed: AtomicBool,
     received: Mutex<Vec<ReceivedRequest>>,
+    /// Handles of all connections, so that a crash closes them.
+    connections: Mutex<Vec<TcpStream>>,
 }
 
 /// A request as the backend server received it.
@@ -48,6 +51,8 @@
     pub later: Vec<(Duration, Vec<u8>)>,
     /// Whether the connection is closed after the reply.
     pub closes_connection: bool,
+    /// Whether the backend server crashes after the reply.
+    pub crashes: bool,
 }
 
 impl FakeBackend {
@@ -64,11 +69,16 @@
             incarnation: 1,
             sequence: AtomicU64::new(0),
             sends_heartbeats: AtomicBool::new(true),
+            is_crashed: AtomicBool::new(false),
             received: Mutex::default(),
+            connections: Mutex::default(),
         });
         let (serving, reply) = (shared.clone(), Arc::new(reply));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if serving.is_crashed.load(Ordering::Relaxed) {
+                    return;
+                }
                 let (shared, reply) = (serving.clone(), reply.clone());
                 thread::spawn(move || shared.serve(stream, &*reply));
             }
@@ -117,6 +127,11 @@
             .send_heartbeat(fleet.control_address(0), "ready");
     }
 
+    /// Whether the backend server has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.shared.is_crashed.load(Ordering::Relaxed)
+    }
+
     /// Returns the requests that the backend server received.
     pub fn received(&self) -> Vec<ReceivedRequest> {
         self.shared.lock_received().clone()
@@ -148,6 +163,8 @@
     fn serve(&self, stream: TcpStream, reply: &dyn Fn(&ReceivedRequest) -> Reply) {
         let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
         let mut stream = stream;
+        let handle = stream.try_clone().expect("a handle for a crash");
+        self.lock_connections().push(handle);
         while let Some(received) = read_request(&mut reader) {
             self.lock_received().push(received.clone());
             let reply = reply(&received);
@@ -156,6 +173,10 @@
                 thread::sleep(*pause);
                 is_sent = is_sent && stream.write_all(bytes).is_ok();
             }
+            if reply.crashes {
+                self.crash();
+                return;
+            }
             if !is_sent || reply.closes_connection {
                 let _ = stream.shutdown(Shutdown::Both);
                 return;
@@ -163,6 +184,25 @@
         }
     }
 
+    /// Closes the listener and then all connections, as when the process ends.
+    fn crash(&self) {
+        self.sends_heartbeats.store(false, Ordering::Relaxed);
+        self.is_crashed.store(true, Ordering::Relaxed);
+        // The listener's thread returns and closes the listener when it accepts this connection.
+        let _ = TcpStream::connect(self.address);
+        wait_until("the listener is closed", || {
+            TcpStream::connect(self.address).is_err()
+        });
+        for connection in self.lock_connections().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn lock_connections(&self) -> std::sync::MutexGuard<'_, Vec<TcpStream>> {
+        let lock = self.connections.lock();
+        lock.unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_received(&self) -> std::sync::MutexGuard<'_, Vec<ReceivedRequest>> {
         self.received.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -202,6 +242,14 @@
         }
     }
 
+    /// The head of a stream, after which the backend server crashes.
+    pub fn crash(&self) -> Reply {
+        Reply {
+            crashes: true,
+            ..self.sealed("200 OK", "Transfer-Encoding: chunked\r\n\r\n")
+        }
+    }
+
     /// A response that declares the request as not run.
     pub fn not_run(&self) -> Reply {
         let id = self.header("attempt-id");
@@ -230,15 +278,15 @@
             bytes: text.as_bytes().to_vec(),
             later: Vec::new(),
             closes_connection: false,
+            crashes: false,
         }
     }
 
     /// A reply without a byte that closes the connection.
     pub fn empty() -> Self {
         Self {
-            bytes: Vec::new(),
-            later: Vec::new(),
             closes_connection: true,
+            ..Self::from_text("")
         }
     }
 }
--- a/crates/jaylock-tests/tests/share/fixture.rs
+++ b/crates/jaylock-tests/tests/share/fixture.rs
@@ -14,6 +14,8 @@
     pub router: RouterKey,
     pub now: Instant,
     tickets: u64,
+    /// Identifiers of the requests sent by `ask`, by their tickets from 1.
+    requests: Vec<String>,
 }
 
 impl Fixture {
@@ -34,9 +36,15 @@
             router,
             now: now + settings.startup_delay,
             tickets: 0,
+            requests: Vec::new(),
         }
     }
 
+    /// Identifiers of the requests sent by `ask`, by their tickets from 1.
+    pub fn sent_requests(&self) -> Vec<String> {
+        self.requests.clone()
+    }
+
     /// Applies a report and returns why the backend server is refused; empty if it is accepted.
     pub fn report(&mut self, report: BackendReport) -> String {
         let frame = RouterFrame {
@@ -128,6 +136,7 @@
         let asks = asks.into_iter().map(|ask| {
             self.tickets += 1;
             tickets.push(self.tickets);
+            self.requests.push(ask.request.clone());
             Ask {
                 ticket: self.tickets,
                 ..ask
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -7,5 +7,6 @@
 mod fixture;
 mod fleet;
 mod prefill;
+mod prompt_parts;
 mod simulation;
 mod stream;
