--- a/crates/jaylock-control/src/state/changes.rs
+++ b/crates/jaylock-control/src/state/changes.rs
@@ -3,8 +3,8 @@
 use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::{
-    Adapter, Configuration, Done, Drain, Member, Model, Organisation, PoolLease, Quarantine,
-    Service,
+    Adapter, Configuration, CrashCause, Done, Drain, Member, Model, Organisation, PoolLease,
+    Quarantine, Service,
 };
 use jaylock_types::{AdapterId, BackendId, ModelId, OrganisationId, PoolId, ServiceId, VersionId};
 
@@ -116,6 +116,10 @@
             fleet::put_quarantine(next, quarantine, at_ms);
             Ok(Change::with_event(quarantine_event(quarantine)))
         }
+        Body::PutCrashCause(cause) => {
+            fleet::put_crash_cause(next, cause, at_ms);
+            Ok(Change::with_event(crash_cause_event(cause)))
+        }
         Body::IssueOrder(order) => {
             fleet::issue_order(next, order, index);
             Ok(Change {
@@ -147,6 +151,16 @@
     }
 }
 
+fn crash_cause_event(cause: &CrashCause) -> String {
+    let CrashCause { pool, hash, .. } = cause;
+    match cause.until_ms {
+        0 => format!("requests with {hash:016x} crash no backend servers of pool {pool}"),
+        _ => format!(
+            "requests with {hash:016x} crash backend servers of pool {pool} and are in quarantine"
+        ),
+    }
+}
+
 fn assignment_event(lease: &PoolLease) -> String {
     let PoolLease {
         pool,
--- a/crates/jaylock-control/src/state/fleet.rs
+++ b/crates/jaylock-control/src/state/fleet.rs
@@ -1,11 +1,16 @@
 //! Configuration changes that the fleet makes itself.
 
 use jaylock_rpc::v1::{
-    Configuration, Instance, InstanceGone, Member, Order, PoolLease, Quarantine,
+    Configuration, CrashCause, Instance, InstanceGone, Member, Order, PoolLease, Quarantine,
 };
 
 use super::sorted;
 
+/// Time for which the end of a quarantine is remembered, so that another crash brings a longer one.
+const CRASH_CAUSE_RETENTION_MS: u64 = 24 * 60 * 60 * 1000;
+/// Causes of crashes that are kept; the one whose quarantine ends first gives way.
+const MAX_CRASH_CAUSES: usize = 1024;
+
 /// Finds an instance by its id.
 pub fn find_instance<'a>(configuration: &'a Configuration, id: &str) -> Option<&'a Instance> {
     sorted::find(&configuration.instances, id, |i| &i.id)
@@ -83,6 +88,29 @@
     }
 }
 
+/// Adds or removes what crashed backend servers of a pool; an earlier quarantine is never shortened.
+pub fn put_crash_cause(next: &mut Configuration, cause: &CrashCause, at_ms: u64) {
+    let list = &mut next.crash_causes;
+    list.retain(|c| c.until_ms.saturating_add(CRASH_CAUSE_RETENTION_MS) > at_ms);
+    let found = list
+        .binary_search_by(|c| (c.pool.as_str(), c.hash).cmp(&(cause.pool.as_str(), cause.hash)));
+    match found {
+        Ok(position) if cause.until_ms == 0 => {
+            list.remove(position);
+        }
+        Ok(position) if list[position].strikes < cause.strikes => list[position] = cause.clone(),
+        Ok(_) => {}
+        Err(_) if cause.until_ms == 0 => {}
+        Err(position) => list.insert(position, cause.clone()),
+    }
+    if list.len() > MAX_CRASH_CAUSES {
+        let ends = list.iter().enumerate();
+        let first = ends.min_by_key(|(_, c)| c.until_ms);
+        let position = first.map_or(0, |(position, _)| position);
+        list.remove(position);
+    }
+}
+
 /// Replaces the order to a model engine.
 pub fn issue_order(next: &mut Configuration, order: &Order, index: u64) {
     let order = Order {
--- a/crates/jaylock-control/src/state/mod.rs
+++ b/crates/jaylock-control/src/state/mod.rs
@@ -273,6 +273,7 @@
         | Body::RemoveInstance(_)
         | Body::AssignPool(_)
         | Body::PutQuarantine(_)
+        | Body::PutCrashCause(_)
         | Body::IssueOrder(_)
         | Body::PutMember(_)
         | Body::RemoveMember(_) => ChangeKind::Fleet,
@@ -294,7 +295,10 @@
     is_operator_change(body)
         || matches!(
             body,
-            Body::PutQuarantine(_) | Body::IssueOrder(_) | Body::RecordEvent(_)
+            Body::PutQuarantine(_)
+                | Body::PutCrashCause(_)
+                | Body::IssueOrder(_)
+                | Body::RecordEvent(_)
         )
 }
 
--- a/crates/jaylock-daemon/src/context.rs
+++ b/crates/jaylock-daemon/src/context.rs
@@ -132,6 +132,7 @@
             move || lease.is_valid(),
             settings,
         )
+        .with_cause_log(ControlLog(self.client.clone()))
     }
 
     /// Creates the router, which serves callers and backend servers.
--- a/crates/jaylock-daemon/src/ports.rs
+++ b/crates/jaylock-daemon/src/ports.rs
@@ -5,13 +5,14 @@
 use jaylock_orders::{OrderError, OrderLog, PoolBackends};
 use jaylock_router::{CommandLog, ProposeError, Schedulers};
 use jaylock_rpc::Channel;
+use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::pool_client::PoolClient;
 use jaylock_rpc::v1::{
-    Applied, Ask, BackendReport, BackendState, BackendVerdict, Command, DescribeRequest, End,
-    Grant, Progress, Refusal,
+    Applied, Ask, BackendReport, BackendState, BackendVerdict, Command, CrashCause,
+    DescribeRequest, End, Grant, Progress, Refusal,
 };
-use jaylock_share::SchedulerClient;
-use jaylock_types::{Incarnation, InstanceId, PoolId};
+use jaylock_share::{CauseLog, SchedulerClient};
+use jaylock_types::{Incarnation, InstanceId, PoolId, RequestId};
 
 /// The router's port to the schedulers, through their client.
 #[derive(Clone)]
@@ -63,6 +64,23 @@
     }
 }
 
+impl CauseLog for ControlLog {
+    fn put(&self, cause: CrashCause) -> LocalBoxFuture<'static, ()> {
+        let client = self.0.clone();
+        let command = Command {
+            id: RequestId::random().into(),
+            expected_revision: None,
+            body: Some(Body::PutCrashCause(cause)),
+        };
+        let recording = async move {
+            if let Err(error) = client.propose(command).await {
+                log::warn!(target: "share", "a cause of crashes is not recorded yet: {error}");
+            }
+        };
+        recording.boxed_local()
+    }
+}
+
 /// Schedulers that run in this instance, as the order reconciler uses them.
 pub struct LocalPools {
     /// Configuration that assigns the schedulers to instances.
--- a/crates/jaylock-operator/src/bin/jaylock/config.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/config.rs
@@ -99,6 +99,7 @@
         ("replicas", Output::Listing(replicas(configuration))),
         ("orders", Output::Listing(orders(configuration))),
         ("quarantines", Output::Listing(quarantines(configuration))),
+        ("crash-causes", Output::Listing(crash_causes(configuration))),
     ])
 }
 
@@ -166,6 +167,20 @@
     listing
 }
 
+fn crash_causes(configuration: &v1::Configuration) -> Listing {
+    let mut listing = Listing::new(&["pool", "cause", "backend", "strikes", "until"]);
+    for cause in &configuration.crash_causes {
+        listing.push(vec![
+            cause.pool.as_str().into(),
+            format!("{:016x}", cause.hash).into(),
+            cause.backend.as_str().into(),
+            cause.strikes.into(),
+            crate::report::time(cause.until_ms).into(),
+        ]);
+    }
+    listing
+}
+
 /// Time before the deadline that is reserved for the last reply.
 const REPLY_MARGIN: Duration = Duration::from_millis(200);
 
--- a/crates/jaylock-router/src/connection.rs
+++ b/crates/jaylock-router/src/connection.rs
@@ -27,7 +27,7 @@
 /// Time for a backend server to acknowledge sent bytes.
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_secs(6);
 /// Delay before checking whether a backend server has crashed.
-const REACHABILITY_DELAY: Duration = Duration::from_millis(20);
+const PROBE_DELAY: Duration = Duration::from_millis(20);
 
 /// A connection to a backend server, closed on drop.
 pub struct Connection {
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Address of the backend server.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Records that a complete response arrived, which starts the idle time.
     pub fn mark_used(&mut self) {
         self.last_used = Instant::now();
@@ -119,12 +124,25 @@
     socket.set_tcp_user_timeout(Some(timeout))
 }
 
-/// Whether anything accepts connections at an address.
-pub async fn is_reachable(address: SocketAddr, timeout: Duration) -> bool {
-    // A crashing process may still accept connections for a moment.
-    compio::time::sleep(REACHABILITY_DELAY).await;
-    let connected = compio::time::timeout(timeout, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Ok(_)))
+/// What a new connection to an address meets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// A process that accepts connections.
+    Accepted,
+    /// A machine on which no process listens at the address.
+    Refused,
+    /// Neither, within the timeout.
+    Silent,
+}
+
+/// Opens a connection to an address after a moment, in which a crashing process may still accept connections.
+pub async fn probe(address: SocketAddr, timeout: Duration) -> Probe {
+    compio::time::sleep(PROBE_DELAY).await;
+    match compio::time::timeout(timeout, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Probe::Accepted,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Probe::Refused,
+        Ok(Err(_)) | Err(_) => Probe::Silent,
+    }
 }
 
 /// Pool of idle connections to backend servers, sorted by address.
--- a/crates/jaylock-router/src/response.rs
+++ b/crates/jaylock-router/src/response.rs
@@ -17,6 +17,9 @@
 /// Header that marks a response recorded by an earlier run.
 pub const RECORDED_HEADER: &str = "x-recorded";
 
+/// Error code of requests that are refused because others like them crashed backend servers.
+pub const QUARANTINED: &str = "quarantined";
+
 /// A response without a result, with a reason and a remedy.
 #[derive(Debug, Clone)]
 pub struct ErrorResponse {
@@ -83,7 +86,9 @@
 
     /// Converts a scheduler's refusal.
     pub fn from_scheduler(refusal: &jaylock_rpc::v1::Refusal) -> Self {
+        let delay = Duration::from_millis(refusal.retry_after_ms.into());
         let (status, kind, message) = match refusal.reason() {
+            Reason::Quarantined => return Self::quarantined(delay),
             Reason::QueueFull => (
                 StatusCode::TOO_MANY_REQUESTS,
                 "queue-full",
@@ -100,7 +105,6 @@
                 "the fleet has more work than it can queue",
             ),
         };
-        let delay = Duration::from_millis(refusal.retry_after_ms.into());
         Self::new(
             status,
             kind,
@@ -110,6 +114,17 @@
         .with_retry_after(delay)
     }
 
+    /// Creates the error for a request that is like others which crashed backend servers.
+    pub fn quarantined(remaining: Duration) -> Self {
+        Self::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            QUARANTINED,
+            "a part of this prompt, or this request itself, crashed several backend servers",
+            "leave that part out, or ask again after the time in retry-after",
+        )
+        .with_retry_after(remaining)
+    }
+
     /// Sets the delay before the caller should retry.
     pub fn with_retry_after(mut self, delay: Duration) -> Self {
         self.retry_after = Some(delay);
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -13,7 +13,7 @@
 use jaylock_types::PoolId;
 
 use crate::call::{self, Call};
-use crate::connection;
+use crate::connection::{self, Probe};
 use crate::context::Context;
 use crate::error::AttemptError;
 use crate::quarantine::{self, CrashTracker};
@@ -324,7 +324,7 @@
         self.context.background.spawn(async move {
             compio::time::sleep(CRASH_CHECK_DELAY).await;
             let timeout = context.settings.connect_timeout;
-            if !connection::is_reachable(address, timeout).await {
+            if connection::probe(address, timeout).await != Probe::Accepted {
                 // The caller has disconnected, so the final response has no receiver.
                 let _ = crash_tracker
                     .record_crash(&context, &backend, run_status)
@@ -337,7 +337,8 @@
 /// Whether the connection was lost because the backend server itself crashed.
 async fn is_crash(context: &Context, error: &AttemptError, address: SocketAddr) -> bool {
     let timeout: Duration = context.settings.connect_timeout;
-    matches!(error, AttemptError::Lost(_)) && !connection::is_reachable(address, timeout).await
+    matches!(error, AttemptError::Lost(_))
+        && connection::probe(address, timeout).await != Probe::Accepted
 }
 
 fn outcome(error: &AttemptError) -> Outcome {
--- a/crates/jaylock-router/src/route/admission.rs
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -51,6 +51,7 @@
     let body = context.lifecycle.wait_to_start(deadline, reading).await;
     let (body, reservation) = body.ok_or_else(|| context.leaving())??;
     let id = caller_id.to_str().ok().and_then(|text| text.parse().ok());
+    let digest = RouteRequest::hash(&organisation, &head, &body);
     Ok(RouteRequest {
         id: id.unwrap_or_else(RequestId::random),
         caller_id: caller_id.clone(),
@@ -61,6 +62,7 @@
         arrived_at,
         deadline,
         body,
+        digest,
         _reservation: reservation,
         prompt: Prompt::parse(&head.headers, names),
         event_tokens,
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -11,15 +11,20 @@
 
 use super::context::RouteContext;
 use super::prompt::Prompt;
+use super::quarantine::quarantine_time;
 use super::request::RouteRequest;
+use crate::connection::{self, Probe};
 use crate::error::AttemptError;
-use crate::response::ErrorResponse;
+use crate::response::{ErrorResponse, QUARANTINED};
 use crate::slot::Slot;
 use crate::tracker::RequestTracker;
 
 /// Divisor of the remaining time that caps the delay in `retry-after`.
 const MAX_DELAY_DIVISOR: u32 = 3;
 
+/// Time for which a connection is tried, after one was lost, to see whether the backend server crashed.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// State shared by the attempts of one request for a route, which decides about retries.
 pub struct Attempts {
     /// State shared by all requests.
@@ -74,6 +79,7 @@
     /// # Errors
     /// The scheduler's refusal, or that the deadline has passed.
     pub async fn acquire_slot(&mut self, served: u64) -> Result<(SocketAddr, Slot), ErrorResponse> {
+        self.check_quarantine()?;
         let remaining = self.request.remaining();
         let started = Instant::now();
         let waited = started.saturating_duration_since(self.request.arrived_at);
@@ -105,9 +111,9 @@
         let Ok(outcome) = outcome else {
             return Err(self.deadline_exceeded());
         };
-        let grant = outcome.map_err(|r| {
+        let grant = outcome.map_err(|refusal| {
             self.with_capped_delay(
-                ErrorResponse::from_scheduler(&r).with_run_status(self.run_status),
+                ErrorResponse::from_scheduler(&refusal).with_run_status(self.run_status),
             )
         })?;
         let address = grant.address.parse();
@@ -126,13 +132,24 @@
         Ok((address, slot))
     }
 
+    /// Refuses a request that is like others which crashed backend servers.
+    fn check_quarantine(&self) -> Result<(), ErrorResponse> {
+        let configuration = self.context.view.current();
+        let Some(remaining) = quarantine_time(&configuration, &self.request) else {
+            return Ok(());
+        };
+        let error = ErrorResponse::quarantined(remaining).with_run_status(self.run_status);
+        Err(self.with_capped_delay(error))
+    }
+
     /// Records a failed attempt and checks that another one may be made.
     ///
     /// # Errors
     /// The final response when no other attempt may be made.
-    pub fn record_failure(
+    pub async fn record_failure(
         &mut self,
         error: &AttemptError,
+        address: SocketAddr,
         slot: Slot,
     ) -> Result<(), ErrorResponse> {
         let backend = slot.backend().to_owned();
@@ -144,8 +161,13 @@
         } else if error.is_not_run() {
             slot.release(Outcome::NotRun);
         } else {
-            self.log_broken(error, slot.backend());
-            slot.release(Outcome::Broken);
+            let has_crashed = has_crashed(error, address).await;
+            self.log_broken(error, slot.backend(), has_crashed);
+            slot.release(if has_crashed {
+                Outcome::Crashed
+            } else {
+                Outcome::Broken
+            });
             if self.run_status == RunStatus::NotRun {
                 self.run_status = RunStatus::Unknown;
             }
@@ -166,13 +188,13 @@
     }
 
     /// Logs what a broken attempt has in common with others that ended at the same backend server.
-    fn log_broken(&self, error: &AttemptError, backend: &str) {
+    fn log_broken(&self, error: &AttemptError, backend: &str, has_crashed: bool) {
         let parts = self.request.prompt.as_ref().map(Prompt::part_list);
         log::info!(
             target: "router",
             request = self.request.id.as_str(), organisation = self.request.organisation.as_str(),
             backend = backend, attempt = self.count, ran = self.run_status == RunStatus::Ran,
-            parts = parts.unwrap_or_default().as_str();
+            crashed = has_crashed, parts = parts.unwrap_or_default().as_str();
             "an attempt broke off: {error}"
         );
     }
@@ -235,13 +257,22 @@
 
     /// Caps `retry-after` at a third of the remaining time, after which the caller stops waiting.
     ///
+    /// The end of a quarantine is told as it is, so that the caller doesn't return in vain.
     /// The status is 502 when the request may have run, as 429 and 503 would mean that it did not.
     fn with_capped_delay(&self, mut error: ErrorResponse) -> ErrorResponse {
         let max_delay: Duration = self.request.remaining() / MAX_DELAY_DIVISOR;
-        error.retry_after = error.retry_after.map(|delay| delay.min(max_delay));
+        if error.kind != QUARANTINED {
+            error.retry_after = error.retry_after.map(|delay| delay.min(max_delay));
+        }
         if self.run_status != RunStatus::NotRun {
             error.status = StatusCode::BAD_GATEWAY;
         }
         error
     }
 }
+
+/// Whether the backend server of an attempt crashed: the connection is lost, and none can be opened.
+async fn has_crashed(error: &AttemptError, address: SocketAddr) -> bool {
+    matches!(error, AttemptError::Lost(_))
+        && connection::probe(address, PROBE_TIMEOUT).await == Probe::Refused
+}
--- a/crates/jaylock-router/src/route/buffered.rs
+++ b/crates/jaylock-router/src/route/buffered.rs
@@ -58,7 +58,7 @@
             }
             Err(error) => error,
         };
-        if let Err(error) = attempts.record_failure(&error, slot) {
+        if let Err(error) = attempts.record_failure(&error, address, slot).await {
             return server_error.ok_or(error);
         }
     }
--- a/crates/jaylock-router/src/route/mod.rs
+++ b/crates/jaylock-router/src/route/mod.rs
@@ -6,6 +6,7 @@
 mod context;
 mod headers;
 mod prompt;
+mod quarantine;
 mod request;
 mod response;
 mod send;
--- a/crates/jaylock-router/src/route/request.rs
+++ b/crates/jaylock-router/src/route/request.rs
@@ -1,3 +1,4 @@
+use std::hash::Hasher;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -7,6 +8,7 @@
 use jaylock_types::{OrganisationId, PoolId, RequestId};
 
 use super::prompt::Prompt;
+use crate::hash::Fnv;
 use crate::memory::BodyReservation;
 
 /// Shortest time without a response head after which a prompt is sent to another engine.
@@ -38,6 +40,8 @@
     pub head: Parts,
     /// Complete body.
     pub body: Bytes,
+    /// Hash of the organisation, the method, the path and the body.
+    pub digest: u64,
     /// Memory reserved for the body until the request has ended.
     pub _reservation: BodyReservation,
     /// Description of the prompt, if the caller sent one.
@@ -77,10 +81,26 @@
             parts: prompt.map_or_else(Vec::new, |p| p.parts.clone()),
             request: self.id.to_string(),
             objective_ms: self.route.objective_ms,
+            digest: self.digest,
             ..Ask::default()
         }
     }
 
+    /// Hash by which a request is recognised if it is sent again.
+    pub fn hash(organisation: &OrganisationId, head: &Parts, body: &[u8]) -> u64 {
+        let mut hasher = Fnv::default();
+        let target = head
+            .uri
+            .path_and_query()
+            .map_or("", |target| target.as_str());
+        for text in [organisation.as_str(), head.method.as_str(), target] {
+            hasher.write(text.as_bytes());
+            hasher.write_u8(0);
+        }
+        hasher.write(body);
+        hasher.finish()
+    }
+
     /// Service in tokens after `events`: prompt tokens count once, generated tokens twice.
     pub fn service_tokens(&self, events: u64) -> u64 {
         let input_tokens = self.prompt.as_ref().map_or(0, |p| p.input_tokens);
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -115,7 +115,7 @@
                         let first = first.unwrap_or_default();
                         return Ok(Opening::Stream(status, headers, first));
                     }
-                    Err(error) => self.end_attempt(&error)?,
+                    Err(error) => self.end_attempt(&error).await?,
                 }
                 continue;
             }
@@ -125,7 +125,10 @@
                     self.attempts.context.connections.put_back(connection);
                     return Ok(Opening::Buffered(buffered));
                 }
-                Err(error) => self.attempts.record_failure(&error, slot)?,
+                Err(error) => {
+                    let address = connection.address();
+                    self.attempts.record_failure(&error, address, slot).await?;
+                }
             }
         }
     }
@@ -148,7 +151,7 @@
 
     /// Resumes the stream at another backend server after a failure.
     async fn resume(&mut self, error: &AttemptError) -> Result<(), ErrorResponse> {
-        self.end_attempt(error)?;
+        self.end_attempt(error).await?;
         loop {
             let (connection, slot, response) = self.start().await?;
             let status = response.status();
@@ -157,8 +160,9 @@
                 return Ok(());
             }
             let reason = format_compact!("the backend server answered {status}");
-            self.attempts
-                .record_failure(&AttemptError::Invalid(reason), slot)?;
+            let error = AttemptError::Invalid(reason);
+            let address = connection.address();
+            self.attempts.record_failure(&error, address, slot).await?;
         }
     }
 
@@ -182,7 +186,7 @@
                     self.attempts.tracker.record.head_time = Some(sent.elapsed());
                     return Ok((connection, slot, response));
                 }
-                Err(error) => self.attempts.record_failure(&error, slot)?,
+                Err(error) => self.attempts.record_failure(&error, address, slot).await?,
             }
         }
     }
@@ -197,9 +201,14 @@
     }
 
     /// Ends the active attempt after a failure and checks that another one may be made.
-    fn end_attempt(&mut self, error: &AttemptError) -> Result<(), ErrorResponse> {
+    async fn end_attempt(&mut self, error: &AttemptError) -> Result<(), ErrorResponse> {
         match self.active.take() {
-            Some(active) => self.attempts.record_failure(error, active.slot),
+            Some(active) => {
+                let address = active.connection.address();
+                self.attempts
+                    .record_failure(error, address, active.slot)
+                    .await
+            }
             None => Err(self.attempts.deadline_exceeded()),
         }
     }
--- a/crates/jaylock-share/src/admission.rs
+++ b/crates/jaylock-share/src/admission.rs
@@ -77,6 +77,29 @@
         }
     }
 
+    /// Refuses the waiting requests that are in quarantine.
+    pub(crate) fn refuse_quarantined(&mut self, now: Instant) {
+        if !self.crash_history.causes.has_quarantine() {
+            return;
+        }
+        for account in self.accounts.backlogged_keys().collect::<Vec<_>>() {
+            let causes = &self.crash_history.causes;
+            let is_refused = |w: &WaitingRequest| causes.quarantine_time(&w.ask, now).is_some();
+            let removed = self.accounts.get_mut(account).queue.drain(is_refused);
+            self.accounts.leave_backlog_if_empty(account);
+            for waiting in removed {
+                let time = self.crash_history.causes.quarantine_time(&waiting.ask, now);
+                self.refuse_waiting(&waiting, Reason::Quarantined, time.unwrap_or_default());
+            }
+        }
+        for (account, waiting) in std::mem::take(&mut self.isolated) {
+            match self.crash_history.causes.quarantine_time(&waiting.ask, now) {
+                Some(time) => self.refuse_waiting(&waiting, Reason::Quarantined, time),
+                None => self.isolated.push_back((account, waiting)),
+            }
+        }
+    }
+
     /// Refuses requests that no backend server can run, after all had time to report to this scheduler.
     pub(crate) fn refuse_unservable(&mut self, now: Instant) {
         if now < self.ready_at + self.settings.backend_lease {
@@ -130,7 +153,7 @@
         let router = self.routers.get(waiting.router);
         let selector = EngineSelector {
             backends: &self.backends,
-            duplicates: &self.duplicates,
+            crash_history: &self.crash_history,
             ranking: &EngineRanking::new(&self.backends),
             prefill_rate: &self.prefill_rate,
             max_pending_prefill: self.settings.max_pending_prefill,
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -5,16 +5,16 @@
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{
-    Ask, BackendReport, BackendVerdict, Configuration, Decision, End, Progress, RouterFrame,
-    SchedulerFrame,
+    Ask, BackendReport, BackendVerdict, Configuration, CrashCause, Decision, End, Progress,
+    RouterFrame, SchedulerFrame,
 };
 
 use crate::SchedulerSettings;
 use crate::account::{AccountKey, Accounts};
 use crate::backend::Backends;
 use crate::cost::{Residual, SizeClass, cost_of};
+use crate::crash_history::CrashHistory;
 use crate::division::Division;
-use crate::duplicates::Duplicates;
 use crate::encoding::decode_names;
 use crate::engine::PrefillRate;
 use crate::queue::WaitingRequest;
@@ -43,8 +43,7 @@
     // Whether the pool had spare slots when the last decision began.
     pub(crate) has_spare_slots: bool,
     pub(crate) division: Division,
-    // Backend servers that equal requests run on or have crashed.
-    pub(crate) duplicates: Duplicates,
+    pub(crate) crash_history: CrashHistory,
     residual: Residual,
     pub(crate) prefill_rate: PrefillRate,
     // Memory of each engine of the pool in tokens; 0 if unknown.
@@ -72,7 +71,7 @@
             usage: Usage::new(now),
             waiting_count: 0,
             has_spare_slots: false,
-            duplicates: Duplicates::default(),
+            crash_history: CrashHistory::default(),
             division: Division::default(),
             residual: Residual::default(),
         }
@@ -90,6 +89,8 @@
         self.memory_tokens = service
             .and_then(|s| s.engine)
             .map_or(0, |e| e.memory_tokens);
+        let causes = &mut self.crash_history.causes;
+        causes.configure(configuration, &self.pool, now);
         let drains = configuration.drains.iter();
         let drains = drains.map(|drain| drain.backend.as_str().into()).collect();
         self.backends.set_drains(drains);
@@ -130,7 +131,7 @@
 
     /// Expires leases of backend servers and routers, and refuses requests that can't be served in time.
     pub fn tick(&mut self, now: Instant) {
-        self.duplicates.expire(now);
+        self.crash_history.expire(now);
         for index in 0..self.backends.len() {
             self.refresh(index, now);
         }
@@ -146,6 +147,7 @@
             self.routers.remove(key);
         }
         self.refuse_unservable(now);
+        self.refuse_quarantined(now);
         self.refuse_overdue(now);
         self.divide();
     }
@@ -168,6 +170,11 @@
         frames.collect()
     }
 
+    /// Takes the causes of crashes that the replicated log should record.
+    pub fn unrecorded_causes(&mut self, now: Instant) -> Vec<CrashCause> {
+        self.crash_history.causes.unrecorded(&self.pool, now)
+    }
+
     /// Expected remaining cost of a request in tokens, from the organisation's own history.
     pub(crate) fn expected_cost(
         &self,
@@ -202,6 +209,11 @@
 
     fn add_ask(&mut self, router: RouterKey, ask: Ask, now: Instant) {
         let account = self.accounts.intern(&ask.organisation);
+        if let Some(time) = self.crash_history.causes.quarantine_time(&ask, now) {
+            self.log_refusal(account, &ask, "it is in quarantine");
+            self.refuse(router, ask.ticket, Reason::Quarantined, time);
+            return;
+        }
         if let Some(reason) = self.queue_refusal(account) {
             self.log_refusal(account, &ask, "its queue or the pool's is full");
             let interval = self.accounts.expected_grant_interval();
@@ -282,6 +294,8 @@
         run.tokens += new_tokens;
         run.charged_tokens += new_tokens;
         let (account, backend_index) = (run.account, run.backend_index);
+        run.began_at.get_or_insert(now);
+        let proven = run.prove(now).then(|| run.causes.clone());
         if let Some(load) = run.load.as_mut().filter(|load| load.is_prefill_pending()) {
             self.backends
                 .get_mut(run.backend_index)
@@ -294,6 +308,9 @@
         self.accounts.get_mut(account).tokens += new_tokens;
         let backend = self.backends.get_mut(backend_index);
         backend.reachability.record_response();
+        if let Some(causes) = proven {
+            self.crash_history.causes.record_success(&causes, now);
+        }
     }
 
     fn end_run(&mut self, router: RouterKey, end: &End, now: Instant) {
@@ -302,7 +319,7 @@
             .get_mut(router)
             .and_then(|r| r.remove_run(end.ticket));
         let Some(mut run) = run else { return };
-        self.record_crash(&run, end.outcome(), now);
+        self.record_outcome(&run, end, now);
         let cost = cost_of(end);
         if end.unreached {
             let router_count = self.routers.attached_count();
@@ -324,24 +341,6 @@
         self.close_run(&mut run, cost, now);
     }
 
-    /// Counts a crash against equal requests; a complete isolated run clears those that were counted.
-    fn record_crash(&mut self, run: &Run, outcome: Outcome, now: Instant) {
-        let Run {
-            fingerprint,
-            backend_index,
-            era,
-            ..
-        } = *run;
-        match outcome {
-            Outcome::Crashed => {
-                self.duplicates
-                    .record_crash(fingerprint, backend_index, era, now);
-            }
-            Outcome::Complete if run.is_isolated => self.duplicates.clear(fingerprint),
-            _ => {}
-        }
-    }
-
     /// Corrects the charge of an ended run to its actual cost and frees its slot.
     pub(crate) fn close_run(&mut self, run: &mut Run, cost: u64, now: Instant) {
         if cost >= run.charged_tokens {
@@ -352,8 +351,11 @@
         let account = self.accounts.get_mut(run.account);
         account.running = account.running.saturating_sub(1);
         account.tokens += cost.saturating_sub(run.tokens);
-        self.duplicates
-            .remove(run.fingerprint, run.backend_index, run.era);
+        let duplicates = &mut self.crash_history.duplicates;
+        duplicates.remove(run.fingerprint, run.backend_index, run.era);
+        if run.is_trial {
+            self.crash_history.causes.end_trial(run.backend_index);
+        }
         let backend = self.backends.get_mut(run.backend_index);
         backend.remove_grant();
         if let Some(load) = run.load.take() {
--- a/crates/jaylock-share/src/attachment.rs
+++ b/crates/jaylock-share/src/attachment.rs
@@ -1,10 +1,11 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use jaylock_rpc::v1::{Hello, Running};
 
 use crate::account::AccountKey;
 use crate::allocator::Allocator;
 use crate::cost::SizeClass;
+use crate::crash_causes::Causes;
 use crate::router::{RouterKey, Run};
 
 impl Allocator {
@@ -29,6 +30,12 @@
             router.reset_stream();
         }
         self.reconcile(key, &hello.running, now);
+        for crash in &hello.crashes {
+            let age = Duration::from_millis(crash.age_ms.into());
+            let at = now.checked_sub(age).unwrap_or(now);
+            let causes = &mut self.crash_history.causes;
+            causes.restore_crash(&crash.causes, &crash.backend, at);
+        }
         key
     }
 
@@ -84,6 +91,13 @@
             is_isolated: running.alone,
             fingerprint: 0,
             era: 0,
+            causes: Causes {
+                shared: running.causes.clone(),
+                digest: 0,
+            },
+            is_trial: false,
+            began_at: (running.tokens > 0).then_some(now),
+            is_proven: false,
             load: None,
             granted_at: now,
             prefill_ahead: 0,
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -98,6 +98,8 @@
     peak_grants: [u32; 2],
     // When the backend server announced its end; older reports are ignored.
     ended_at: Option<Instant>,
+    /// When its last crash became known.
+    pub last_crash: Option<Instant>,
     /// Whether routers can open connections to it.
     pub reachability: Reachability,
     // Sorted.
@@ -117,6 +119,7 @@
             externally_full_since: None,
             peak_grants: [0; 2],
             ended_at: None,
+            last_crash: None,
             reachability: Reachability::default(),
             cached_prefixes: Vec::new(),
         }
--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 use futures_channel::oneshot;
+use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{
     Ask, BackendReport, BackendVerdict, End, FallbackSlots, Grant, Hello, Progress, Refusal,
     RouterFrame, Running, SchedulerFrame, Total,
@@ -11,9 +12,11 @@
 use crate::batch::Batch;
 use crate::connection::not_run;
 use crate::cost::cost_of;
+use crate::crash_causes::Causes;
 use crate::division::without_events;
 use crate::encoding::{AddressTable, encode_request_id};
 use crate::fallback::SpareSlot;
+use crate::recent_crashes::RecentCrashes;
 use crate::requirement::Requirement;
 
 /// Result of a request for a slot.
@@ -39,6 +42,8 @@
     // Part of the totals that the stream's first message reported and the scheduler has not confirmed.
     unconfirmed: Vec<Total>,
     pub(crate) fallback: Vec<FallbackSlots>,
+    // Crashes under own runs, for a new scheduler.
+    pub(crate) crashes: RecentCrashes,
     // Slots that became free while no scheduler responded.
     pub(crate) spare: Vec<SpareSlot>,
     pub(crate) detached_at: Option<Instant>,
@@ -75,6 +80,7 @@
     // Whether the request lists the parts of its prompt, so that the scheduler expects a first progress report.
     has_prompt_parts: bool,
     reported_tokens: u64,
+    causes: Causes,
 }
 
 impl ClientState {
@@ -93,6 +99,7 @@
             totals: Vec::new(),
             unconfirmed: Vec::new(),
             fallback: Vec::new(),
+            crashes: RecentCrashes::default(),
             spare: Vec::new(),
             detached_at: None,
             last_frame: None,
@@ -168,8 +175,11 @@
         if let Ok(index) = self.search_total(&held.organisation) {
             self.totals[index].tokens += cost;
         }
+        self.crashes.record(&held, &end, now);
         if self.is_attached {
-            let batch_window = if held.is_spare {
+            let batch_window = if end.outcome() == Outcome::Crashed {
+                Duration::ZERO
+            } else if held.is_spare {
                 self.settings.spare_batch_window
             } else {
                 self.settings.end_batch_window
@@ -221,6 +231,7 @@
         self.addresses = AddressTable::default();
         hello.epoch = self.epoch;
         hello.running = self.held.iter().map(HeldSlot::running).collect();
+        hello.crashes = self.crashes.list(now);
         let unreported = self.totals.iter().filter(|total| total.unheard > 0);
         self.unconfirmed = unreported.cloned().collect();
         for total in &mut self.totals {
@@ -345,6 +356,7 @@
             is_spare: grant.spare,
             has_prompt_parts: !pending.ask.parts.is_empty(),
             reported_tokens: 0,
+            causes: Causes::from_ask(&pending.ask),
         };
         let index = self
             .held
@@ -412,6 +424,12 @@
             organisation: self.organisation.as_str().into(),
             tokens: self.tokens,
             alone: self.is_isolated,
+            causes: self.causes.iter().collect(),
         }
     }
+
+    /// What the request shares with others and may crash backend servers.
+    pub fn causes(&self) -> &Causes {
+        &self.causes
+    }
 }
--- /dev/null
+++ b/crates/jaylock-share/src/crash_causes.rs
@@ -0,0 +1,427 @@
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use jaylock_rpc::v1::{Ask, Configuration, CrashCause};
+use jaylock_types::unix_ms;
+
+use crate::cache_index::shared_parts;
+use crate::proven_causes::ProvenCauses;
+
+/// Crashes from which only one request with a cause runs at a time, as a trial.
+pub const SUSPECT_CRASHES: u32 = 2;
+/// Crashes that lead to a quarantine although other causes may explain them.
+const MAX_CRASHES: u32 = 4;
+/// Time for which a crash counts.
+const CRASH_MEMORY: Duration = Duration::from_hours(1);
+/// Causes that are kept; beyond this number the least suspect ones are dropped.
+const MAX_ENTRIES: usize = 2048;
+/// Duration of a cause's first quarantine.
+const FIRST_QUARANTINE: Duration = Duration::from_mins(1);
+/// Ratio between a quarantine and the one before.
+const QUARANTINE_FACTOR: u32 = 8;
+/// Longest quarantine.
+const MAX_QUARANTINE: Duration = Duration::from_hours(24);
+/// Time after which a quarantine that the configuration does not show is recorded again.
+const RECORD_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What a request shares with others and may crash backend servers.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Causes {
+    /// Hashes of parts or prefixes of the prompt.
+    pub shared: Vec<u64>,
+    /// Hash of the whole request, which may be sent again; 0 if unset.
+    pub digest: u64,
+}
+
+impl Causes {
+    /// Returns what a slot request lists.
+    pub fn from_ask(ask: &Ask) -> Self {
+        Self {
+            shared: shared_causes(ask).collect(),
+            digest: ask.digest,
+        }
+    }
+
+    /// All hashes.
+    pub fn iter(&self) -> impl Iterator<Item = u64> + '_ {
+        let digest = (self.digest != 0).then_some(self.digest);
+        self.shared.iter().copied().chain(digest)
+    }
+}
+
+fn shared_causes(ask: &Ask) -> impl Iterator<Item = u64> + '_ {
+    shared_parts(ask).chain(ask.prefixes.iter().copied())
+}
+
+/// What requests of a pool share that crashed backend servers, and is not known to be harmless.
+///
+/// After two crashes, requests with a cause run one at a time; a complete one clears the cause, and a
+/// crash leads to a quarantine. A crash counts if its request was granted after the crash before was
+/// known, so that backend servers that end together count once.
+#[derive(Debug, Default)]
+pub struct CrashCauses {
+    // Sorted by hash.
+    entries: Vec<Entry>,
+    // Hashes of the suspected entries, sorted.
+    suspected: Vec<u64>,
+    proven: ProvenCauses,
+    // Backend servers on which trials run.
+    trials: Vec<usize>,
+    // Causes that turned out to be harmless while the configuration shows a quarantine.
+    cleared: Vec<Cleared>,
+}
+
+#[derive(Debug)]
+struct Cleared {
+    hash: u64,
+    last_recording: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    hash: u64,
+    crashes: u32,
+    last_crash: Instant,
+    // Backend servers that crashed, at most one for each counted crash.
+    backends: Vec<CompactString>,
+    // Backend server of the only run, while one runs.
+    trial: Option<usize>,
+    // Number of quarantines so far.
+    strikes: u32,
+    // End of the current quarantine.
+    quarantined_until: Option<Instant>,
+    // Whether the configuration shows the newest quarantine.
+    is_recorded: bool,
+    last_recording: Option<Instant>,
+}
+
+/// A run that had not begun to answer when its backend server crashed.
+#[derive(Debug)]
+pub struct Suspect<'a> {
+    pub causes: &'a Causes,
+    /// Whether it ran as a trial.
+    pub is_trial: bool,
+    pub granted_at: Instant,
+}
+
+impl CrashCauses {
+    /// Whether a request may run on a backend server now.
+    pub fn admits(&self, ask: &Ask, backend: usize) -> bool {
+        if self.suspected.is_empty() {
+            return true;
+        }
+        let hashes = shared_causes(ask).chain([ask.digest]);
+        let mut suspects = self.suspects(hashes).peekable();
+        suspects.peek().is_none()
+            || (!self.trials.contains(&backend) && suspects.all(Entry::may_be_tried))
+    }
+
+    /// Time until the quarantine of a request ends; `None` if it is in none.
+    pub fn quarantine_time(&self, ask: &Ask, now: Instant) -> Option<Duration> {
+        let hashes = shared_causes(ask).chain([ask.digest]);
+        let ends = self.suspects(hashes).filter_map(|e| e.quarantined_until);
+        ends.max().map(|end| end.saturating_duration_since(now))
+    }
+
+    /// Whether any request is in quarantine.
+    pub fn has_quarantine(&self) -> bool {
+        self.entries.iter().any(|e| e.quarantined_until.is_some())
+    }
+
+    /// Records a granted run; returns whether it is a trial.
+    pub fn begin_run(&mut self, causes: &Causes, backend: usize) -> bool {
+        let suspects = self.suspects(causes.iter());
+        let hashes: Vec<u64> = suspects.map(|entry| entry.hash).collect();
+        for hash in &hashes {
+            if let Ok(position) = self.search(*hash) {
+                self.entries[position].trial = Some(backend);
+            }
+        }
+        if !hashes.is_empty() {
+            self.trials.push(backend);
+        }
+        !hashes.is_empty()
+    }
+
+    /// Records that the trial on a backend server has ended, whatever its outcome.
+    pub fn end_trial(&mut self, backend: usize) {
+        for entry in &mut self.entries {
+            entry.trial = entry.trial.filter(|index| *index != backend);
+        }
+        self.trials.retain(|index| *index != backend);
+    }
+
+    /// Records that a request was answered, which shows that all its causes are harmless.
+    pub fn record_success(&mut self, causes: &Causes, now: Instant) {
+        self.proven.add(&causes.shared, now);
+        if self.entries.is_empty() {
+            return;
+        }
+        for hash in causes.iter() {
+            let Ok(position) = self.search(hash) else {
+                continue;
+            };
+            let entry = self.entries.remove(position);
+            if entry.strikes > 0 {
+                self.cleared.push(Cleared {
+                    hash,
+                    last_recording: None,
+                });
+            }
+            if entry.is_suspect() {
+                log::info!(
+                    target: "share",
+                    cause = format!("{hash:016x}").as_str(), crashes = entry.crashes;
+                    "a suspected cause of crashes is harmless"
+                );
+                self.update_suspected();
+            }
+        }
+    }
+
+    /// Records the crash of a backend server under runs of which one may have caused it.
+    pub fn record_crash(&mut self, suspects: &[Suspect], backend: &str, now: Instant) {
+        for (hash, granted_at) in self.blamed(suspects, now) {
+            let position = self.find_or_add(hash, now);
+            let entry = &mut self.entries[position];
+            if entry.crashes > 0 && granted_at <= entry.last_crash {
+                continue;
+            }
+            entry.add_crash(backend, now);
+            log::info!(
+                target: "share",
+                cause = format!("{hash:016x}").as_str(), backend = backend, crashes = entry.crashes;
+                "a backend server crashed under requests with this cause"
+            );
+        }
+        let tried = self.suspected_in_trials(suspects);
+        for entry in &mut self.entries {
+            let is_convicted = tried == [entry.hash];
+            let is_due = is_convicted || entry.crashes >= MAX_CRASHES;
+            if is_due && entry.quarantined_until.is_none() && entry.last_crash == now {
+                entry.quarantine(now);
+            }
+        }
+        self.drop_excess();
+        self.update_suspected();
+    }
+
+    /// Adds a crash that a router noticed under an earlier scheduler; it leads to a trial at most.
+    pub fn restore_crash(&mut self, hashes: &[u64], backend: &str, at: Instant) {
+        for hash in hashes {
+            let position = self.find_or_add(*hash, at);
+            let entry = &mut self.entries[position];
+            let is_known = entry.backends.iter().any(|known| known == backend);
+            if !is_known && entry.crashes < SUSPECT_CRASHES {
+                entry.add_crash(backend, entry.last_crash.max(at));
+            }
+        }
+        self.drop_excess();
+        self.update_suspected();
+    }
+
+    /// Applies the quarantines in a configuration.
+    pub fn configure(&mut self, configuration: &Configuration, pool: &str, now: Instant) {
+        let recorded = configuration.crash_causes.iter();
+        let recorded: Vec<&CrashCause> = recorded.filter(|c| c.pool == pool).collect();
+        let is_shown = |hash: u64| recorded.iter().any(|c| c.hash == hash);
+        self.cleared.retain(|cleared| is_shown(cleared.hash));
+        self.entries.retain(|e| !e.is_recorded || is_shown(e.hash));
+        for cause in recorded {
+            if self.cleared.iter().any(|c| c.hash == cause.hash) {
+                continue;
+            }
+            let position = self.find_or_add(cause.hash, now);
+            let entry = &mut self.entries[position];
+            if cause.strikes < entry.strikes {
+                continue;
+            }
+            entry.strikes = cause.strikes;
+            entry.is_recorded = true;
+            let remaining = Duration::from_millis(cause.until_ms.saturating_sub(unix_ms()));
+            entry.quarantined_until = (!remaining.is_zero()).then(|| now + remaining);
+        }
+        self.update_suspected();
+    }
+
+    /// Takes the changes that the configuration does not show yet and that were not taken lately.
+    pub fn unrecorded(&mut self, pool: &str, now: Instant) -> Vec<CrashCause> {
+        let is_due = |last: Option<Instant>| {
+            last.is_none_or(|last| now.saturating_duration_since(last) >= RECORD_INTERVAL)
+        };
+        let mut changes = Vec::new();
+        for entry in &mut self.entries {
+            let end = entry.quarantined_until.filter(|_| !entry.is_recorded);
+            let Some(end) = end.filter(|_| is_due(entry.last_recording)) else {
+                continue;
+            };
+            entry.last_recording = Some(now);
+            let remaining = end.saturating_duration_since(now).as_millis();
+            changes.push(CrashCause {
+                pool: pool.into(),
+                hash: entry.hash,
+                until_ms: unix_ms().saturating_add(u64::try_from(remaining).unwrap_or(u64::MAX)),
+                strikes: entry.strikes,
+                backend: entry
+                    .backends
+                    .last()
+                    .map(ToString::to_string)
+                    .unwrap_or_default(),
+            });
+        }
+        for cleared in &mut self.cleared {
+            if is_due(cleared.last_recording) {
+                cleared.last_recording = Some(now);
+                changes.push(CrashCause {
+                    pool: pool.into(),
+                    hash: cleared.hash,
+                    ..CrashCause::default()
+                });
+            }
+        }
+        changes
+    }
+
+    /// Ends quarantines whose time is over, and forgets old crashes.
+    pub fn expire(&mut self, now: Instant) {
+        for entry in &mut self.entries {
+            entry.quarantined_until = entry.quarantined_until.filter(|end| *end > now);
+        }
+        let is_kept = |e: &Entry| {
+            let age = now.saturating_duration_since(e.last_crash);
+            e.strikes > 0 || e.trial.is_some() || age < CRASH_MEMORY
+        };
+        let old_len = self.entries.len();
+        self.entries.retain(is_kept);
+        if self.entries.len() < old_len {
+            self.update_suspected();
+        }
+    }
+
+    /// The causes to which a crash is attributed, each with the newest grant of a run with it.
+    ///
+    /// A trial explains a crash, then a cause in quarantine, then the causes that no complete answer has shown to be
+    /// harmless. If all of a run's were, any of them may have changed.
+    fn blamed(&self, suspects: &[Suspect], now: Instant) -> Vec<(u64, Instant)> {
+        let tried = self.suspected_in_trials(suspects);
+        let mut hashes = suspects.iter().flat_map(|suspect| suspect.causes.iter());
+        let is_explained = hashes.any(|hash| self.is_quarantined(hash));
+        let mut blamed: Vec<(u64, Instant)> = Vec::new();
+        for suspect in suspects {
+            let shared = &suspect.causes.shared;
+            let is_proven = |hash: u64| self.proven.contains(hash, now);
+            let has_unproven = shared.iter().any(|hash| !is_proven(*hash));
+            let is_blamed = |hash: &u64| {
+                if !tried.is_empty() {
+                    tried.contains(hash)
+                } else if is_explained {
+                    self.is_quarantined(*hash)
+                } else {
+                    !has_unproven || !is_proven(*hash)
+                }
+            };
+            for hash in suspect.causes.iter().filter(is_blamed) {
+                match blamed.iter_mut().find(|(known, _)| *known == hash) {
+                    Some((_, granted_at)) => *granted_at = suspect.granted_at.max(*granted_at),
+                    None => blamed.push((hash, suspect.granted_at)),
+                }
+            }
+        }
+        blamed
+    }
+
+    /// The suspected causes in the trials among some runs.
+    fn suspected_in_trials(&self, suspects: &[Suspect]) -> Vec<u64> {
+        let trials = suspects.iter().filter(|suspect| suspect.is_trial);
+        let entries = trials.flat_map(|trial| self.suspects(trial.causes.iter()));
+        entries.map(|entry| entry.hash).collect()
+    }
+
+    /// The suspected entries among some causes.
+    fn suspects(&self, hashes: impl Iterator<Item = u64>) -> impl Iterator<Item = &Entry> {
+        let suspected = hashes.filter(|hash| self.suspected.binary_search(hash).is_ok());
+        let positions = suspected.filter_map(|hash| self.search(hash).ok());
+        positions.map(|position| &self.entries[position])
+    }
+
+    fn update_suspected(&mut self) {
+        let suspects = self.entries.iter().filter(|entry| entry.is_suspect());
+        self.suspected = suspects.map(|entry| entry.hash).collect();
+    }
+
+    fn is_quarantined(&self, hash: u64) -> bool {
+        let position = self.search(hash);
+        position.is_ok_and(|position| self.entries[position].quarantined_until.is_some())
+    }
+
+    /// Drops the entries with the fewest and oldest crashes beyond the limit.
+    fn drop_excess(&mut self) {
+        while self.entries.len() > MAX_ENTRIES {
+            let order = |(_, e): &(usize, &Entry)| (e.strikes, e.crashes, e.last_crash);
+            let least = self.entries.iter().enumerate().min_by_key(order);
+            let position = least.map_or(0, |(position, _)| position);
+            self.entries.remove(position);
+        }
+    }
+
+    fn find_or_add(&mut self, hash: u64, now: Instant) -> usize {
+        self.search(hash).unwrap_or_else(|position| {
+            self.entries.insert(position, Entry::new(hash, now));
+            position
+        })
+    }
+
+    fn search(&self, hash: u64) -> Result<usize, usize> {
+        self.entries.binary_search_by_key(&hash, |entry| entry.hash)
+    }
+}
+
+impl Entry {
+    fn new(hash: u64, now: Instant) -> Self {
+        Self {
+            hash,
+            crashes: 0,
+            last_crash: now,
+            backends: Vec::new(),
+            trial: None,
+            strikes: 0,
+            quarantined_until: None,
+            is_recorded: false,
+            last_recording: None,
+        }
+    }
+
+    fn is_suspect(&self) -> bool {
+        self.strikes > 0 || self.crashes >= SUSPECT_CRASHES
+    }
+
+    /// Whether one request may run now to show whether the cause is harmless.
+    fn may_be_tried(&self) -> bool {
+        self.quarantined_until.is_none() && self.trial.is_none()
+    }
+
+    fn add_crash(&mut self, backend: &str, at: Instant) {
+        self.crashes = self.crashes.saturating_add(1);
+        self.last_crash = at;
+        if self.backends.len() >= MAX_CRASHES as usize {
+            self.backends.remove(0);
+        }
+        self.backends.push(backend.into());
+    }
+
+    fn quarantine(&mut self, now: Instant) {
+        let factor = QUARANTINE_FACTOR.saturating_pow(self.strikes);
+        let duration = FIRST_QUARANTINE.saturating_mul(factor).min(MAX_QUARANTINE);
+        self.strikes = self.strikes.saturating_add(1);
+        self.quarantined_until = Some(now + duration);
+        self.is_recorded = false;
+        self.last_recording = None;
+        log::warn!(
+            target: "share",
+            cause = format!("{:016x}", self.hash).as_str(), crashes = self.crashes,
+            backends = self.backends.join(",").as_str(), strikes = self.strikes,
+            quarantine_s = duration.as_secs();
+            "requests with this cause crash backend servers and are refused"
+        );
+    }
+}
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -5,6 +5,8 @@
 
 use crate::account::AccountKey;
 use crate::allocator::Allocator;
+use crate::crash_causes::Causes;
+use crate::crash_history::CrashHistory;
 use crate::encoding::request_id;
 use crate::placement::{self, EngineSelector};
 use crate::queue::WaitingRequest;
@@ -54,7 +56,8 @@
             if !eligible.overlaps(self.backends.available()) {
                 continue;
             }
-            let (backends, duplicates, routers) = (&self.backends, &self.duplicates, &self.routers);
+            let (backends, crash_history, routers) =
+                (&self.backends, &self.crash_history, &self.routers);
             let (prefill_rate, max_pending_prefill) =
                 (&self.prefill_rate, self.settings.max_pending_prefill);
             let is_far_behind = self.is_far_behind(account);
@@ -64,7 +67,7 @@
                 if waiting.ask.prompt_tokens > 0 && !waiting.ask.parts.is_empty() {
                     let selector = EngineSelector {
                         backends,
-                        duplicates,
+                        crash_history,
                         ranking,
                         prefill_rate,
                         max_pending_prefill,
@@ -72,7 +75,7 @@
                     };
                     return selector.choose(eligible, &waiting.ask, domain);
                 }
-                placement::choose(backends, duplicates, eligible, &waiting.ask, domain)
+                placement::choose(backends, crash_history, eligible, &waiting.ask, domain)
             };
             let fits = |waiting: &WaitingRequest| choose(waiting).is_some();
             let max_wait = self.settings.starvation_wait;
@@ -140,10 +143,10 @@
     /// Chooses a backend server for the first isolated request that has one, and moves the request to the front.
     fn choose_isolated(&mut self, now: Instant) -> Option<usize> {
         let lease = self.settings.backend_lease;
-        let (backends, duplicates) = (&self.backends, &self.duplicates);
+        let (backends, crash_history) = (&self.backends, &self.crash_history);
         let choose = |waiting: &WaitingRequest| {
             let eligible = self.requirements.backends(waiting.requirement);
-            placement::choose_isolated(backends, duplicates, eligible, &waiting.ask, now, lease)
+            placement::choose_isolated(backends, crash_history, eligible, &waiting.ask, now, lease)
         };
         let mut waiting = self.isolated.iter().enumerate();
         let (position, index) =
@@ -164,7 +167,7 @@
                 let eligible = self.requirements.backends(waiting.requirement);
                 eligible.contains(index)
                     && !waiting.ask.avoid.contains(&backend.report.id)
-                    && self.duplicates.admits(waiting.ask.fingerprint, index)
+                    && self.crash_history.admits(&waiting.ask, index)
             })
     }
 
@@ -193,7 +196,10 @@
         owner.running += 1;
         owner.tokens += prompt_tokens;
         owner.record_wait(wait);
-        let era = self.duplicates.add(ask.fingerprint, backend_index);
+        let CrashHistory { duplicates, causes } = &mut self.crash_history;
+        let era = duplicates.add(ask.fingerprint, backend_index);
+        let run_causes = Causes::from_ask(ask);
+        let is_trial = causes.begin_run(&run_causes, backend_index);
         let backend = self.backends.get_mut(backend_index);
         backend.add_grant();
         let uncached_tokens = backend.engine.uncached_tokens(ask);
@@ -225,6 +231,10 @@
             is_isolated: ask.alone,
             fingerprint: ask.fingerprint,
             era,
+            causes: run_causes,
+            is_trial,
+            began_at: None,
+            is_proven: false,
             load,
             granted_at: now,
             prefill_ahead,
@@ -240,7 +250,7 @@
             organisation = ask.organisation.as_str(), backend = decision.backend.as_str(),
             waited_ms = decision.waited_ms, tokens = ask.prompt_tokens, missing = uncached_tokens,
             unread = prefill_ahead, behind = service_gap, epoch = self.epoch,
-            fingerprint = ask.fingerprint;
+            fingerprint = ask.fingerprint, trial = is_trial;
             "granted a slot: {reason}"
         );
         self.refresh(backend_index, now);
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -41,7 +41,7 @@
         let mut order: Vec<(u64, u64)> = self
             .pending
             .iter()
-            .filter(|pending| !pending.ask.alone)
+            .filter(|pending| !pending.ask.alone && !self.crashes.is_suspect(&pending.ask))
             .map(|pending| {
                 let organisation = &pending.ask.organisation;
                 (
--- a/crates/jaylock-share/src/host.rs
+++ b/crates/jaylock-share/src/host.rs
@@ -17,7 +17,8 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use crate::SchedulerSettings;
-use crate::scheduler::{Event, FrameSender, Scheduler};
+use crate::cause_log::CauseLog;
+use crate::scheduler::{Event, FrameSender, Scheduler, SchedulerContext};
 
 /// Capacity of a scheduler's event channel; a full one slows the routers down.
 const EVENT_QUEUE_CAPACITY: usize = 1024;
@@ -32,11 +33,8 @@
 }
 
 struct Shared {
-    instance: InstanceId,
     incarnation: Incarnation,
-    view: ConfigView,
-    has_lease: Rc<dyn Fn() -> bool>,
-    settings: SchedulerSettings,
+    context: SchedulerContext,
     // Sorted by pool.
     running: RefCell<Vec<RunningScheduler>>,
     next_session: Cell<u64>,
@@ -57,12 +55,16 @@
         has_lease: impl Fn() -> bool + 'static,
         settings: SchedulerSettings,
     ) -> Self {
-        let shared = Shared {
+        let context = SchedulerContext {
             instance,
-            incarnation,
             view,
             has_lease: Rc::new(has_lease),
+            cause_log: None,
             settings,
+        };
+        let shared = Shared {
+            incarnation,
+            context,
             running: RefCell::default(),
             next_session: Cell::new(0),
         };
@@ -71,6 +73,15 @@
         }
     }
 
+    /// Sets the log in which the schedulers record causes of crashes.
+    #[must_use]
+    pub fn with_cause_log(mut self, log: impl CauseLog + 'static) -> Self {
+        if let Some(shared) = Rc::get_mut(&mut self.shared) {
+            shared.context.cause_log = Some(Rc::new(log));
+        }
+        self
+    }
+
     /// The gRPC service through which routers and operators reach the schedulers.
     #[must_use]
     pub fn service(&self) -> PoolServer<PoolService> {
@@ -83,7 +94,7 @@
     pub async fn run(self) {
         let mut index = Index(0);
         loop {
-            let configuration = self.shared.view.wait_newer_than(index).await;
+            let configuration = self.shared.context.view.wait_newer_than(index).await;
             index = Index(configuration.index);
             self.shared.apply_configuration(&configuration);
         }
@@ -121,7 +132,7 @@
         configuration.pools.iter().any(|lease| {
             lease.pool == pool
                 && lease.epoch == epoch
-                && lease.instance == self.instance.as_str()
+                && lease.instance == self.context.instance.as_str()
                 && lease.incarnation == self.incarnation.0
         })
     }
@@ -129,15 +140,7 @@
     fn start(&self, pool: &str, epoch: u64) -> RunningScheduler {
         log::info!(target: "share", "started the scheduler of pool {pool} at epoch {epoch}");
         let (events, receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
-        let scheduler = Scheduler::new(
-            pool,
-            epoch,
-            self.instance.as_str(),
-            self.view.clone(),
-            self.has_lease.clone(),
-            self.settings.clone(),
-            receiver,
-        );
+        let scheduler = Scheduler::new(pool, epoch, self.context.clone(), receiver);
         compio::runtime::spawn(scheduler.run()).detach();
         RunningScheduler {
             pool: pool.into(),
@@ -153,7 +156,7 @@
         search.map_err(|_| {
             Status::unavailable(format!(
                 "instance {} does not run the scheduler of {pool}: ask the one in the configuration",
-                self.instance
+                self.context.instance
             ))
         })
     }
@@ -230,7 +233,7 @@
         &self,
         request: Request<Streaming<RouterFrame>>,
     ) -> Result<Response<Frames>, Status> {
-        if !(self.shared.has_lease)() {
+        if !(self.shared.context.has_lease)() {
             return Err(Status::unavailable(
                 "this instance has lost its lease: ask again",
             ));
--- a/crates/jaylock-share/src/placement.rs
+++ b/crates/jaylock-share/src/placement.rs
@@ -4,7 +4,7 @@
 
 use crate::backend::{BackendSet, Backends};
 use crate::cache_index::shared_parts;
-use crate::duplicates::Duplicates;
+use crate::crash_history::CrashHistory;
 use crate::engine::PrefillRate;
 use crate::ranking::EngineRanking;
 
@@ -25,7 +25,7 @@
 /// Selects a model engine for requests that list the parts of their prompts.
 pub struct EngineSelector<'a> {
     pub backends: &'a Backends,
-    pub duplicates: &'a Duplicates,
+    pub crash_history: &'a CrashHistory,
     pub ranking: &'a EngineRanking,
     pub prefill_rate: &'a PrefillRate,
     /// Pending prefill, as a time, up to which an engine gets another request.
@@ -130,7 +130,7 @@
     fn admits(&self, index: usize, ask: &Ask) -> bool {
         let backend = self.backends.get(index);
         !is_avoided(ask, &backend.report.id)
-            && self.duplicates.admits(ask.fingerprint, index)
+            && self.crash_history.admits(ask, index)
             && backend.engine.has_room(ask)
     }
 
@@ -166,14 +166,14 @@
 /// Cached prefixes and the router's failure domain offset the load; a wrong guess costs time only.
 pub fn choose(
     backends: &Backends,
-    duplicates: &Duplicates,
+    crash_history: &CrashHistory,
     eligible: &BackendSet,
     ask: &Ask,
     domain: &str,
 ) -> Option<usize> {
     let is_allowed = |index: &usize| {
         let is_avoided = is_avoided(ask, &backends.get(*index).report.id);
-        !is_avoided && duplicates.admits(ask.fingerprint, *index)
+        !is_avoided && crash_history.admits(ask, *index)
     };
     let score = |index: &usize| {
         let backend = backends.get(*index);
@@ -197,7 +197,7 @@
 /// Chooses the least loaded usable backend server, which an isolated request waits for.
 pub fn choose_isolated(
     backends: &Backends,
-    duplicates: &Duplicates,
+    crash_history: &CrashHistory,
     eligible: &BackendSet,
     ask: &Ask,
     now: Instant,
@@ -208,7 +208,7 @@
         !backend.is_reserved
             && backend.unusable_reason(now, lease).is_empty()
             && !is_avoided(ask, &backend.report.id)
-            && duplicates.admits(ask.fingerprint, *index)
+            && crash_history.admits(ask, *index)
     };
     let indices = eligible.common(eligible).filter(is_usable);
     indices.min_by_key(|index| backends.get(*index).load_percent())
--- /dev/null
+++ b/crates/jaylock-share/src/recent_crashes.rs
@@ -0,0 +1,81 @@
+use std::time::{Duration, Instant};
+
+use jaylock_rpc::v1::end::Outcome;
+use jaylock_rpc::v1::{Ask, Crash, End};
+
+use crate::client_state::HeldSlot;
+use crate::crash_causes::{Causes, SUSPECT_CRASHES};
+
+/// Time for which a router remembers a crash.
+const CRASH_MEMORY: Duration = Duration::from_mins(10);
+/// Crashes that a router remembers; beyond this number the oldest is dropped.
+const MAX_CRASHES: usize = 64;
+
+/// Crashes of backend servers under a router's own runs.
+///
+/// A new scheduler learns of them, and while there is none the router itself regards them.
+#[derive(Debug, Default)]
+pub struct RecentCrashes {
+    // Oldest first.
+    list: Vec<RecentCrash>,
+}
+
+#[derive(Debug)]
+struct RecentCrash {
+    crash: Crash,
+    at: Instant,
+}
+
+impl RecentCrashes {
+    /// Records what the end of a run shows.
+    pub fn record(&mut self, held: &HeldSlot, end: &End, now: Instant) {
+        let has_answered = end.tokens > 0;
+        match end.outcome() {
+            Outcome::Crashed if !has_answered => self.add(held, now),
+            Outcome::Complete if has_answered => self.clear(held.causes()),
+            _ => {}
+        }
+    }
+
+    /// The crashes that still count, with their ages.
+    pub fn list(&mut self, now: Instant) -> Vec<Crash> {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        self.list.retain(|recent| age(recent.at) < CRASH_MEMORY);
+        let crashes = self.list.iter().map(|recent| Crash {
+            age_ms: u32::try_from(age(recent.at).as_millis()).unwrap_or(u32::MAX),
+            ..recent.crash.clone()
+        });
+        crashes.collect()
+    }
+
+    /// Whether enough backend servers crashed under requests like this one that only a scheduler may grant it.
+    pub fn is_suspect(&self, ask: &Ask) -> bool {
+        let is_frequent = |hash: u64| {
+            let crashes = self.list.iter().map(|recent| &recent.crash);
+            let with_cause = crashes.filter(|crash| crash.causes.contains(&hash));
+            with_cause.count() >= SUSPECT_CRASHES as usize
+        };
+        !self.list.is_empty() && Causes::from_ask(ask).iter().any(is_frequent)
+    }
+
+    fn add(&mut self, held: &HeldSlot, now: Instant) {
+        if self.list.len() >= MAX_CRASHES {
+            self.list.remove(0);
+        }
+        let crash = Crash {
+            backend: held.backend.as_str().into(),
+            causes: held.causes().iter().collect(),
+            age_ms: 0,
+        };
+        self.list.push(RecentCrash { crash, at: now });
+    }
+
+    /// Removes causes that a complete answer shows to be harmless.
+    fn clear(&mut self, causes: &Causes) {
+        for recent in &mut self.list {
+            let is_harmless = |hash: &u64| causes.iter().any(|other| other == *hash);
+            recent.crash.causes.retain(|hash| !is_harmless(hash));
+        }
+        self.list.retain(|recent| !recent.crash.causes.is_empty());
+    }
+}
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -5,6 +5,7 @@
 
 use crate::account::AccountKey;
 use crate::cost::SizeClass;
+use crate::crash_causes::Causes;
 use crate::encoding::AddressTable;
 use crate::engine::RequestLoad;
 
@@ -29,6 +30,14 @@
     pub fingerprint: u64,
     /// Era of equal runs at the backend server, which a crash there ends.
     pub era: u64,
+    /// What the request shares with others and may crash backend servers.
+    pub causes: Causes,
+    /// Whether it is the only run with a suspected cause, which shows whether the cause is harmless.
+    pub is_trial: bool,
+    /// When the first progress was reported.
+    pub began_at: Option<Instant>,
+    /// Whether the run has shown that it crashes nothing.
+    pub is_proven: bool,
     /// Load on a model engine, for requests that list the parts of their prompts.
     pub load: Option<RequestLoad>,
     /// When the slot was granted.
@@ -103,6 +112,11 @@
         Some(self.runs.remove(index))
     }
 
+    /// The router's granted slots.
+    pub fn runs(&self) -> impl Iterator<Item = &Run> {
+        self.runs.iter()
+    }
+
     /// Tickets of the router's granted slots.
     pub fn run_tickets(&self) -> Vec<u64> {
         self.runs.iter().map(|run| run.ticket).collect()
--- a/crates/jaylock-share/src/scheduler.rs
+++ b/crates/jaylock-share/src/scheduler.rs
@@ -1,16 +1,16 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use compact_str::CompactString;
 use futures_channel::{mpsc, oneshot};
 use futures_util::StreamExt;
 use jaylock_control::ConfigView;
 use jaylock_rpc::v1::{Hello, PoolReport, RouterFrame, SchedulerFrame};
-use jaylock_types::Index;
+use jaylock_types::{Index, InstanceId};
 use tonic::Status;
 
 use crate::SchedulerSettings;
 use crate::allocator::Allocator;
+use crate::cause_log::CauseLog;
 use crate::router::RouterKey;
 
 /// Time between checks of leases and of the configuration.
@@ -37,13 +37,22 @@
     Describe(oneshot::Sender<PoolReport>),
 }
 
+/// What the schedulers of an instance share.
+#[derive(Clone)]
+pub struct SchedulerContext {
+    pub instance: InstanceId,
+    pub view: ConfigView,
+    /// Whether the instance's lease is valid now.
+    pub has_lease: Rc<dyn Fn() -> bool>,
+    /// Records causes of crashes for all instances; unset if only the scheduler itself regards them.
+    pub cause_log: Option<Rc<dyn CauseLog>>,
+    pub settings: SchedulerSettings,
+}
+
 /// The scheduler of one pool, which runs as a task of its own.
 pub struct Scheduler {
-    instance: CompactString,
+    context: SchedulerContext,
     allocator: Allocator,
-    view: ConfigView,
-    has_lease: Rc<dyn Fn() -> bool>,
-    batch_window: Duration,
     events: mpsc::Receiver<Event>,
     sessions: Vec<Session>,
     configuration_index: Index,
@@ -59,18 +68,13 @@
     pub fn new(
         pool: &str,
         epoch: u64,
-        instance: &str,
-        view: ConfigView,
-        has_lease: Rc<dyn Fn() -> bool>,
-        settings: SchedulerSettings,
+        context: SchedulerContext,
         events: mpsc::Receiver<Event>,
     ) -> Self {
+        let settings = context.settings.clone();
         Self {
-            instance: instance.into(),
-            batch_window: settings.batch_window,
             allocator: Allocator::new(pool, epoch, settings, Instant::now()),
-            view,
-            has_lease,
+            context,
             events,
             sessions: Vec::new(),
             configuration_index: Index(0),
@@ -93,7 +97,7 @@
             }
             self.decide(now);
             // A decision follows the first event at once; events that arrive during this pause share the next one.
-            compio::time::sleep(self.batch_window).await;
+            compio::time::sleep(self.context.settings.batch_window).await;
         }
     }
 
@@ -123,7 +127,7 @@
             }
             Event::Detach { session } => self.close_session(session, now),
             Event::Describe(reply) => {
-                let _ = reply.send(self.allocator.describe(&self.instance, now));
+                let _ = reply.send(self.allocator.describe(self.context.instance.as_str(), now));
             }
         }
     }
@@ -153,16 +157,27 @@
     }
 
     fn tick(&mut self, now: Instant) {
-        let index = self.view.index();
+        let index = self.context.view.index();
         if index > self.configuration_index {
-            self.allocator.configure(&self.view.current(), now);
+            self.allocator.configure(&self.context.view.current(), now);
             self.configuration_index = index;
         }
         self.allocator.tick(now);
+        self.record_causes(now);
+    }
+
+    /// Records causes of crashes in the replicated log, so that all instances and later schedulers know them.
+    fn record_causes(&mut self, now: Instant) {
+        let Some(log) = &self.context.cause_log else {
+            return;
+        };
+        for cause in self.allocator.unrecorded_causes(now) {
+            compio::runtime::spawn(log.put(cause)).detach();
+        }
     }
 
     fn decide(&mut self, now: Instant) {
-        if !(self.has_lease)() {
+        if !(self.context.has_lease)() {
             // Closing their streams makes the routers connect to the scheduler that replaces this one.
             for session in std::mem::take(&mut self.sessions) {
                 self.allocator.detach(session.router, now);
--- a/crates/jaylock-tests/tests/control/commands.rs
+++ b/crates/jaylock-tests/tests/control/commands.rs
@@ -5,7 +5,8 @@
 use jaylock_rpc::v1::claim_state::Kind;
 use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::{
-    Applied, Claim, Command, Instance, InstanceGone, Organisation, Quarantine, ReleaseClaim, Settle,
+    Applied, Claim, Command, CrashCause, Instance, InstanceGone, Organisation, Quarantine,
+    ReleaseClaim, Settle,
 };
 
 use crate::group::Group;
@@ -194,6 +195,42 @@
         expect_that!(put("q3", "e2", late, false).await, some(eq((false, late))));
     };
 
+    async late_or_older_cause_of_crashes_shortens_a_quarantine => {
+        let group = Group::new(1, 1).await;
+        let put = async |hash: u64, strikes: u32, until_ms: u64| {
+            let cause = CrashCause { pool: "chat".into(), hash, strikes, until_ms, ..CrashCause::default() };
+            group.propose(command(Body::PutCrashCause(cause))).await;
+            let causes = group.read().await.crash_causes;
+            causes.iter().map(|c| (c.hash, c.strikes, c.until_ms)).collect::<Vec<_>>()
+        };
+        let (soon, late) = (u64::MAX - 1, u64::MAX);
+        expect_that!(put(7, 1, soon).await, elements_are![eq(&(7, 1, soon))]);
+        expect_that!(put(7, 1, 1000).await, elements_are![eq(&(7, 1, soon))]);
+        expect_that!(put(7, 2, late).await, elements_are![eq(&(7, 2, late))]);
+        expect_that!(put(7, 1, soon).await, elements_are![eq(&(7, 2, late))]);
+        expect_that!(put(3, 1, soon).await, elements_are![eq(&(3, 1, soon)), eq(&(7, 2, late))]);
+        expect_that!(put(7, 0, 0).await, elements_are![eq(&(3, 1, soon))]);
+        expect_that!(put(7, 0, 0).await, elements_are![eq(&(3, 1, soon))]);
+    };
+
+    async causes_of_crashes_grow_without_bound => {
+        let group = Group::new(1, 1).await;
+        for first in (0..1100).step_by(100) {
+            let causes = (first..first + 100).map(|hash| CrashCause {
+                pool: "chat".into(),
+                hash,
+                strikes: 1,
+                until_ms: u64::MAX / 2 + hash,
+                ..CrashCause::default()
+            });
+            let puts = causes.map(|cause| group.propose(command(Body::PutCrashCause(cause))));
+            futures_util::future::join_all(puts).await;
+        }
+        let causes = group.read().await.crash_causes;
+        expect_that!(causes.len(), eq(1024));
+        expect_that!(causes.first().map(|c| c.hash), some(eq(76)));
+    };
+
     async refuses_a_retry_whose_result_was_evicted => {
         let group = Group::new(1, 1).await;
         let old = command(create_organisation("a", None).body.expect("a body"));
--- a/crates/jaylock-tests/tests/platform/crashes.rs
+++ b/crates/jaylock-tests/tests/platform/crashes.rs
@@ -17,6 +17,8 @@
 const MAX_CRASHES: usize = 5;
 /// Time without a heartbeat after which a backend server counts as lost.
 const BACKEND_LEASE: Duration = Duration::from_millis(1500);
+/// Time in which a quarantine is surely recorded in the log.
+const RECORDING_TIME: Duration = Duration::from_secs(2);
 
 fn start_backends(fleet: &TestFleet, is_fatal: fn(&ReceivedRequest) -> bool) -> Vec<FakeBackend> {
     let reply = move |request: &ReceivedRequest| {
@@ -78,4 +80,41 @@
             assert_that!(send(&prompt(&fleet, "5c1e:100", 1000 + own)), eq(200));
         }
     };
+    request_that_crashes_backend_servers_is_sent_to_one_after_the_other_when_it_comes_again => {
+        let fleet = start_fleet();
+        let is_fatal = |r: &ReceivedRequest| r.request_line.contains("/look/fatal");
+        let backends = start_backends(&fleet, is_fatal);
+        for sound in 1..=REQUEST_COUNT {
+            send(&fleet.caller().request("GET", "/look/fatal"));
+            assert_that!(crash_count(&backends), le(MAX_CRASHES));
+            assert_that!(send(&fleet.caller().request("GET", &format!("/look/{sound}"))), eq(200));
+        }
+        let response = fleet.caller().request("GET", "/look/fatal").send();
+        assert_that!((response.status(), response.body.contains("quarantined")), eq((503, true)));
+    };
+    quarantine_of_a_part_of_prompts_is_lost_when_all_instances_start_again => {
+        let mut fleet = start_fleet();
+        let is_fatal = |r: &ReceivedRequest| r.header("prompt-prefix").contains("bad:");
+        let backends = start_backends(&fleet, is_fatal);
+        let fatal = |fleet: &TestFleet, own| prompt(fleet, "5c1e:100,bad:50", own).send();
+        send(&prompt(&fleet, "5c1e:100", 1000));
+        let mut own = 0;
+        wait_until("requests with the part are refused", || {
+            own += 1;
+            fatal(&fleet, own).body.contains("quarantined")
+        });
+        let crashes = crash_count(&backends);
+        std::thread::sleep(RECORDING_TIME);
+        for at in 0..2 {
+            fleet.kill(at);
+            fleet.start_instance(at, false);
+        }
+        wait_until("a sound request is served", || {
+            prompt(&fleet, "5c1e:100", 1001).try_send().is_ok_and(|r| r.status() == 200)
+        });
+        for own in 2000..2005 {
+            assert_that!(fatal(&fleet, own).status(), eq(503));
+        }
+        assert_that!(crash_count(&backends), eq(crashes));
+    };
 }
--- a/crates/jaylock-tests/tests/product/service.rs
+++ b/crates/jaylock-tests/tests/product/service.rs
@@ -143,6 +143,7 @@
             Body::RemoveInstance(v1::InstanceGone::default()),
             Body::AssignPool(v1::PoolLease::default()),
             Body::PutQuarantine(v1::Quarantine::default()),
+            Body::PutCrashCause(v1::CrashCause::default()),
             Body::IssueOrder(v1::Order::default()),
             Body::Claim(v1::Claim::default()),
             Body::Settle(v1::Settle::default()),
--- a/crates/jaylock-tests/tests/share/fixture.rs
+++ b/crates/jaylock-tests/tests/share/fixture.rs
@@ -45,6 +45,15 @@
         self.requests.clone()
     }
 
+    /// Replaces the scheduler by one that knows only what its router's first message says.
+    pub fn replace_scheduler(&mut self, hello: &Hello) {
+        let settings = SchedulerSettings::default();
+        let started = self.now.checked_sub(settings.startup_delay);
+        let started = started.unwrap_or(self.now);
+        self.allocator = Allocator::new("chat", 2, settings, started);
+        self.router = self.allocator.attach(hello, self.now);
+    }
+
     /// Applies a report and returns why the backend server is refused; empty if it is accepted.
     pub fn report(&mut self, report: BackendReport) -> String {
         let frame = RouterFrame {
