A trial blames a sound part no longer for an earlier request on the same engine

What callers would see: prompts with a sound part are refused for a minute, although only another part crashes engines.

Cause: a trial with the sound part ran beside a request with the fatal one that had been granted before the suspicion, and the crash was held to be the trial's; and a request that has both parts was tried before one that has only the sound part.

Change: suspected causes of runs that are no trials explain a crash before those of a trial do, and requests with several suspected causes are tried only 2 s after the last crash.

--- a/crates/jaylock-share/src/crash_causes.rs
+++ b/crates/jaylock-share/src/crash_causes.rs
@@ -10,7 +10,10 @@
 /// Crashes from which only one request with a cause runs at a time, as a trial.
 pub const SUSPECT_CRASHES: u32 = 2;
 /// Crashes that lead to a quarantine although other causes may explain them.
-const MAX_CRASHES: u32 = 4;
+const MAX_CRASHES: u32 = 5;
+/// Time after a crash in which requests with several suspected causes are not tried, as one that has only one of them
+/// shows more.
+const JOINT_TRIAL_DELAY: Duration = Duration::from_secs(2);
 /// Time for which a crash counts.
 const CRASH_MEMORY: Duration = Duration::from_hours(1);
 /// Causes that are kept; beyond this number the least suspect ones are dropped.
@@ -82,6 +85,8 @@
     hash: u64,
     crashes: u32,
     last_crash: Instant,
+    // Whether the last crash is longer ago than the delay of joint trials.
+    is_old: bool,
     // Backend servers that crashed, at most one for each counted crash.
     backends: Vec<CompactString>,
     // Backend server of the only run, while one runs.
@@ -112,8 +117,15 @@
         }
         let hashes = shared_causes(ask).chain([ask.digest]);
         let mut suspects = self.suspects(hashes).peekable();
-        suspects.peek().is_none()
-            || (!self.trials.contains(&backend) && suspects.all(Entry::may_be_tried))
+        let Some(first) = suspects.next() else {
+            return true;
+        };
+        let may_be_tried = if suspects.peek().is_none() {
+            first.may_be_tried()
+        } else {
+            first.may_be_tried_jointly() && suspects.all(Entry::may_be_tried_jointly)
+        };
+        may_be_tried && !self.trials.contains(&backend)
     }
 
     /// Time until the quarantine of a request ends; `None` if it is in none.
@@ -181,7 +193,8 @@
 
     /// Records the crash of a backend server under runs of which one may have caused it.
     pub fn record_crash(&mut self, suspects: &[Suspect], backend: &str, now: Instant) {
-        for (hash, granted_at) in self.blamed(suspects, now) {
+        let (blamed, convicted) = self.blamed(suspects, now);
+        for (hash, granted_at) in blamed {
             let position = self.find_or_add(hash, now);
             let entry = &mut self.entries[position];
             if entry.crashes > 0 && granted_at <= entry.last_crash {
@@ -194,10 +207,8 @@
                 "a backend server crashed under requests with this cause"
             );
         }
-        let tried = self.suspected_in_trials(suspects);
         for entry in &mut self.entries {
-            let is_convicted = tried == [entry.hash];
-            let is_due = is_convicted || entry.crashes >= MAX_CRASHES;
+            let is_due = convicted == Some(entry.hash) || entry.crashes >= MAX_CRASHES;
             if is_due && entry.quarantined_until.is_none() && entry.last_crash == now {
                 entry.quarantine(now);
             }
@@ -286,6 +297,8 @@
     pub fn expire(&mut self, now: Instant) {
         for entry in &mut self.entries {
             entry.quarantined_until = entry.quarantined_until.filter(|end| *end > now);
+            let age = now.saturating_duration_since(entry.last_crash);
+            entry.is_old = age >= JOINT_TRIAL_DELAY;
         }
         let is_kept = |e: &Entry| {
             let age = now.saturating_duration_since(e.last_crash);
@@ -298,26 +311,31 @@
         }
     }
 
-    /// The causes to which a crash is attributed, each with the newest grant of a run with it.
+    /// The causes to which a crash is attributed, each with the newest grant of a run with it, and the one that
+    /// a trial has shown to be the cause.
     ///
-    /// A trial explains a crash, then a cause in quarantine, then the causes that no complete answer has shown to be
-    /// harmless. If all of a run's were, any of them may have changed.
-    fn blamed(&self, suspects: &[Suspect], now: Instant) -> Vec<(u64, Instant)> {
-        let tried = self.suspected_in_trials(suspects);
-        let mut hashes = suspects.iter().flat_map(|suspect| suspect.causes.iter());
-        let is_explained = hashes.any(|hash| self.is_quarantined(hash));
+    /// Suspected causes in runs that are no trials explain a crash, then those in a trial, then the causes that no
+    /// complete answer has shown to be harmless. If all of a run's were, any of them may have changed.
+    fn blamed(&self, suspects: &[Suspect], now: Instant) -> (Vec<(u64, Instant)>, Option<u64>) {
+        let (trials, others): (Vec<_>, Vec<_>) = suspects.iter().partition(|s| s.is_trial);
+        let tried = self.suspected_in(&trials);
+        let mut suspected = self.suspected_in(&others);
+        suspected.retain(|hash| !tried.contains(hash));
+        let mut convicted = None;
+        if suspected.is_empty() {
+            convicted = tried.first().copied().filter(|_| tried.len() == 1);
+            suspected = tried;
+        }
         let mut blamed: Vec<(u64, Instant)> = Vec::new();
         for suspect in suspects {
             let shared = &suspect.causes.shared;
             let is_proven = |hash: u64| self.proven.contains(hash, now);
             let has_unproven = shared.iter().any(|hash| !is_proven(*hash));
             let is_blamed = |hash: &u64| {
-                if !tried.is_empty() {
-                    tried.contains(hash)
-                } else if is_explained {
-                    self.is_quarantined(*hash)
-                } else {
+                if suspected.is_empty() {
                     !has_unproven || !is_proven(*hash)
+                } else {
+                    suspected.contains(hash)
                 }
             };
             for hash in suspect.causes.iter().filter(is_blamed) {
@@ -327,14 +345,16 @@
                 }
             }
         }
-        blamed
+        (blamed, convicted)
     }
 
-    /// The suspected causes in the trials among some runs.
-    fn suspected_in_trials(&self, suspects: &[Suspect]) -> Vec<u64> {
-        let trials = suspects.iter().filter(|suspect| suspect.is_trial);
-        let entries = trials.flat_map(|trial| self.suspects(trial.causes.iter()));
-        entries.map(|entry| entry.hash).collect()
+    /// The suspected causes in some runs, each once.
+    fn suspected_in(&self, runs: &[&Suspect]) -> Vec<u64> {
+        let entries = runs.iter().flat_map(|run| self.suspects(run.causes.iter()));
+        let mut hashes: Vec<u64> = entries.map(|entry| entry.hash).collect();
+        hashes.sort_unstable();
+        hashes.dedup();
+        hashes
     }
 
     /// The suspected entries among some causes.
@@ -349,11 +369,6 @@
         self.suspected = suspects.map(|entry| entry.hash).collect();
     }
 
-    fn is_quarantined(&self, hash: u64) -> bool {
-        let position = self.search(hash);
-        position.is_ok_and(|position| self.entries[position].quarantined_until.is_some())
-    }
-
     /// Drops the entries with the fewest and oldest crashes beyond the limit.
     fn drop_excess(&mut self) {
         while self.entries.len() > MAX_ENTRIES {
@@ -382,6 +397,7 @@
             hash,
             crashes: 0,
             last_crash: now,
+            is_old: false,
             backends: Vec::new(),
             trial: None,
             strikes: 0,
@@ -400,9 +416,14 @@
         self.quarantined_until.is_none() && self.trial.is_none()
     }
 
+    fn may_be_tried_jointly(&self) -> bool {
+        self.may_be_tried() && self.is_old
+    }
+
     fn add_crash(&mut self, backend: &str, at: Instant) {
         self.crashes = self.crashes.saturating_add(1);
         self.last_crash = at;
+        self.is_old = false;
         if self.backends.len() >= MAX_CRASHES as usize {
             self.backends.remove(0);
         }
--- a/crates/jaylock-tests/tests/share/prompt_parts.rs
+++ b/crates/jaylock-tests/tests/share/prompt_parts.rs
@@ -5,7 +5,8 @@
 use googletest::prelude::*;
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{Ask, Configuration, Crash, Hello, PromptPart, Running};
-use jaylock_tests::cases;
+use jaylock_tests::{cases, seeded_config};
+use proptest::{prop_assert, proptest};
 
 use crate::fixture::Fixture;
 use crate::fleet::{ask, engine_report};
@@ -346,4 +347,21 @@
         pool.run(Duration::from_secs(30), |_| true);
         assert_that!(pool.crashes.len(), eq(crashes));
     };
+    engines_crash_on_or_sound_prompts_are_refused_in_any_pool => {
+        proptest!(seeded_config(24), |(
+            engines in 1_usize..16,
+            fatal_parts in 1_u64..4,
+            interval_ms in 20_u64..2000,
+            first_s in 0_u64..10,
+        )| {
+            let parts: Vec<u64> = (FATAL_PART..FATAL_PART + fatal_parts).collect();
+            let mut pool = Pool::new(engines, &parts);
+            pool.interval = Duration::from_millis(interval_ms);
+            pool.run(Duration::from_secs(40), |time| time >= Duration::from_secs(first_s));
+            for part in parts {
+                prop_assert!(pool.late_grants(part) <= MAX_LATER_RUNS);
+            }
+            prop_assert!(pool.sound_granted * 2 >= pool.sound_sent, "{} of {}", pool.sound_granted, pool.sound_sent);
+        });
+    };
 }
