A crashed backend server gets no requests until its next report

What callers saw: refusals ("declined") and used-up attempts while backend servers ran.

Cause: a crashed backend server refuses connections at once and so looks idle, and only the third router that failed took it for lost. A router that lost a connection and found the address closed knows it already.

Change: the end of a run that says "crashed" makes the backend server unreachable until its next report; progress of runs granted before the crash, reported late, doesn't undo it.

The test crashed_backend_server_attracts_requests_while_it_starts_again failed before: e1 was granted again. One older test let a crashed engine run on without a report; it reports now.

--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -293,7 +293,7 @@
         let new_tokens = progress.tokens.saturating_sub(run.tokens);
         run.tokens += new_tokens;
         run.charged_tokens += new_tokens;
-        let (account, backend_index) = (run.account, run.backend_index);
+        let (account, backend_index, granted_at) = (run.account, run.backend_index, run.granted_at);
         run.began_at.get_or_insert(now);
         let proven = run.prove(now).then(|| run.causes.clone());
         if let Some(load) = run.load.as_mut().filter(|load| load.is_prefill_pending()) {
@@ -307,7 +307,7 @@
         self.accounts.charge(account, new_tokens);
         self.accounts.get_mut(account).tokens += new_tokens;
         let backend = self.backends.get_mut(backend_index);
-        backend.reachability.record_response();
+        backend.record_response(granted_at);
         if let Some(causes) = proven {
             self.crash_history.causes.record_success(&causes, now);
         }
@@ -329,7 +329,7 @@
                 .record_failure(router, router_count, now);
         } else if end.outcome() == Outcome::Complete {
             let backend = self.backends.get_mut(run.backend_index);
-            backend.reachability.record_response();
+            backend.record_response(run.granted_at);
         }
         if matches!(end.outcome(), Outcome::Complete | Outcome::Cancelled) {
             self.accounts
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -98,8 +98,8 @@
     peak_grants: [u32; 2],
     // When the backend server announced its end; older reports are ignored.
     ended_at: Option<Instant>,
-    /// When its last crash became known.
-    pub last_crash: Option<Instant>,
+    // When its last crash became known.
+    last_crash: Option<Instant>,
     /// Whether routers can open connections to it.
     pub reachability: Reachability,
     // Sorted.
@@ -186,6 +186,29 @@
         self.peak_grants[0] = self.peak_grants[0].max(self.granted);
     }
 
+    /// Records a crash under a run, unless it was known when the run was granted.
+    ///
+    /// Returns whether the crash is a new one.
+    pub fn record_crash(&mut self, granted_at: Instant, now: Instant) -> bool {
+        let is_new = self.is_after_crash(granted_at);
+        if is_new {
+            self.last_crash = Some(now);
+            self.reachability.record_crash(now);
+        }
+        is_new
+    }
+
+    /// Records a response to a run; one that precedes a crash may be reported later.
+    pub fn record_response(&mut self, granted_at: Instant) {
+        if self.is_after_crash(granted_at) {
+            self.reachability.record_response();
+        }
+    }
+
+    fn is_after_crash(&self, granted_at: Instant) -> bool {
+        self.last_crash.is_none_or(|crash| granted_at > crash)
+    }
+
     /// Counts the end of a grant.
     pub fn remove_grant(&mut self) {
         self.granted = self.granted.saturating_sub(1);
--- a/crates/jaylock-share/src/reachability.rs
+++ b/crates/jaylock-share/src/reachability.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Records that a router lost a connection and could open no other one, as the process has ended.
+    pub fn record_crash(&mut self, now: Instant) {
+        self.lost_since = Some(now);
+    }
+
     /// Records that the backend server has responded to a router.
     pub fn record_response(&mut self) {
         self.failed_routers.clear();
--- a/crates/jaylock-tests/tests/share/backend.rs
+++ b/crates/jaylock-tests/tests/share/backend.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{Ask, BackendReport, Configuration, Drain, Hello, Running};
 use jaylock_tests::cases;
 
@@ -63,6 +64,24 @@
         }
     };
 
+    crashed_backend_server_attracts_requests_while_it_starts_again => {
+        let mut fixture = Fixture::new();
+        for router in ["r2", "r3", "r4"] {
+            let hello = Hello { router: router.into(), ..Hello::default() };
+            fixture.allocator.attach(&hello, fixture.now);
+        }
+        fixture.report(engine_report("e1", 4));
+        let tickets = fixture.ask([ask("bench"), ask("bench")]);
+        assert_that!(fixture.decide(), some(eq("e1")));
+        fixture.end_as(tickets[0], Outcome::Crashed);
+        // Progress that another router reports late was made before the crash.
+        fixture.report_progress(tickets[1], 20);
+        assert_that!(fixture.ask_and_decide(ask("bench")), none());
+        fixture.now += Duration::from_millis(400);
+        fixture.report(engine_report("e1", 4));
+        assert_that!(fixture.decide(), some(eq("e1")));
+    };
+
     backend_server_named_by_a_router_is_used_after_its_first_report => {
         let mut fixture = Fixture::new();
         // A new scheduler with a waiting request; a second router reports a run.
--- a/crates/jaylock-tests/tests/share/crashes.rs
+++ b/crates/jaylock-tests/tests/share/crashes.rs
@@ -83,7 +83,9 @@
         for ticket in 1..=3 {
             fixture.end_as(ticket, Outcome::Crashed);
         }
-        // The backend server has started again, and a second crash there counts too.
+        // The backend server has started again and reports, and a second crash there counts too.
+        fixture.now += Duration::from_millis(1);
+        fixture.report(engine_report("e1", 4));
         assert_that!(fixture.ask_and_decide(equal_ask()), some(eq("e1")));
         fixture.end_as(4, Outcome::Crashed);
         report_engines(&mut fixture);
