A test that fails: a backend server gets more requests than the limit that it names

Seen before any change: 3248 requests in 4 s at a backend server that names 4 a second, from two routers with four callers each (bound: one and a half times the limit, and 5, so 29). The header is not read.

--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jaylock_tests::fleet::HttpResponse;
 
@@ -40,6 +40,8 @@
     pub headers: Vec<(String, String)>,
     /// Body.
     pub body: String,
+    /// When the head had arrived.
+    pub arrived_at: Instant,
 }
 
 /// The bytes that a backend server replies.
@@ -313,6 +315,7 @@
         request_line: line.trim_end().to_owned(),
         headers,
         body: String::new(),
+        arrived_at: Instant::now(),
     };
     let length = received.header("content-length").parse().unwrap_or(0);
     let mut body = vec![0; length];
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod documents;
 mod harness;
 mod lifecycle;
+mod rate_limits;
 mod refusals;
 mod requests;
 mod shutdown;
