The limit that a backend server names is kept over all instances

Cause: the header was not read. The class: what a backend server says of itself to one instance binds all of them, and had no way from the one to the others.

Ruled out: a limit that each router keeps for itself; there was none.

Change: a router reports what a response names to the scheduler of the pool, which grants all slots and keeps the limit with a token bucket. A new scheduler hears of it from the routers; a router without one keeps its part.

--- a/crates/jaylock-router/src/route/buffered.rs
+++ b/crates/jaylock-router/src/route/buffered.rs
@@ -15,6 +15,7 @@
 use crate::buffered_response::BufferedResponse;
 use crate::error::AttemptError;
 use crate::response::ErrorResponse;
+use crate::slot::Slot;
 
 /// Responds to a request whose response is forwarded only after it is complete.
 pub async fn respond(
@@ -46,7 +47,7 @@
             // The backend server's own error is more helpful than the router's.
             Err(error) => return server_error.ok_or(error),
         };
-        let error = match exchange(attempts, address, slot.backend()).await {
+        let error = match exchange(attempts, address, &slot).await {
             Ok(response) if response.status.is_server_error() && attempts.may_retry() => {
                 let error = AttemptError::ErrorStatus(response.status, response.body.clone());
                 server_error = Some(response);
@@ -67,12 +68,12 @@
 async fn exchange(
     attempts: &mut Attempts,
     address: SocketAddr,
-    backend: &str,
+    slot: &Slot,
 ) -> Result<BufferedResponse, AttemptError> {
     let (context, request) = (&attempts.context, &attempts.request);
     let to = Destination {
         address,
-        backend,
+        slot,
         last_event: 0,
     };
     let sent = Instant::now();
--- a/crates/jaylock-router/src/route/headers.rs
+++ b/crates/jaylock-router/src/route/headers.rs
@@ -17,6 +17,8 @@
     pub not_run: &'static str,
     /// Proves that a response comes from a backend server.
     pub seal: &'static str,
+    /// Requests a second that a backend server takes from all routers together, in its responses.
+    pub limit: &'static str,
     /// Model of a prompt.
     pub model: &'static str,
     /// Number of prompt tokens and largest number of generated tokens, separated by a comma.
@@ -38,6 +40,7 @@
             expected_backend: "x-expected-backend",
             not_run: "x-not-run",
             seal: "x-seal",
+            limit: "x-rate-limit",
             model: "x-model",
             tokens: "x-tokens",
             prompt_parts: "x-prompt-parts",
--- a/crates/jaylock-router/src/route/send.rs
+++ b/crates/jaylock-router/src/route/send.rs
@@ -6,6 +6,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use jaylock_rpc::v1::route::Kind;
+use jaylock_types::RequestRate;
 
 use super::context::RouteContext;
 use super::headers::RouteHeaders;
@@ -13,13 +14,14 @@
 use crate::connection::Connection;
 use crate::error::{AttemptError, with_timeout};
 use crate::response::set_header;
+use crate::slot::Slot;
 
 /// Destination of one attempt.
 pub struct Destination<'a> {
     /// Address of the backend server.
     pub address: SocketAddr,
-    /// Identifier of the backend server, so that no other one at this address runs the request.
-    pub backend: &'a str,
+    /// Slot at the backend server; no other one at this address may run the request.
+    pub slot: &'a Slot,
     /// Number of the last event that was forwarded, for a resumed stream.
     pub last_event: u64,
 }
@@ -46,7 +48,11 @@
         .connections
         .send(to.address, max_idle, limits.connect_timeout, outgoing);
     let (connection, response) = with_timeout(timeout, sending).await??;
-    validate_head(&response, request, &context.names)?;
+    let validated = validate_head(&response, request, &context.names);
+    if matches!(validated, Ok(()) | Err(AttemptError::Declined)) {
+        to.slot.record_limit(named_limit(&response, &context.names));
+    }
+    validated?;
     Ok((connection, response))
 }
 
@@ -67,7 +73,7 @@
             headers.append(name.clone(), value.clone());
         }
     }
-    set_header(headers, names.expected_backend, to.backend);
+    set_header(headers, names.expected_backend, to.slot.backend());
     set_header(
         headers,
         names.timeout,
@@ -95,6 +101,16 @@
     texts.flat_map(|t| t.split(',').map(str::trim)).collect()
 }
 
+/// The limit that a response names; one that is no number names none.
+fn named_limit(response: &Response<Incoming>, names: &RouteHeaders) -> Option<RequestRate> {
+    let value = response.headers().get(names.limit)?.to_str().ok()?;
+    let rate = value.parse();
+    if let Err(error) = &rate {
+        log::warn!(target: "router", "a backend server names no valid limit: {error}");
+    }
+    rate.ok()
+}
+
 /// Checks that a response belongs to this request and whether it reports that the request did not run.
 fn validate_head(
     response: &Response<Incoming>,
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -176,7 +176,7 @@
             let (address, slot) = self.attempts.acquire_slot(served).await?;
             let to = Destination {
                 address,
-                backend: slot.backend(),
+                slot: &slot,
                 last_event: self.last_event,
             };
             let (context, request) = (&self.attempts.context, &self.attempts.request);
--- a/crates/jaylock-router/src/slot.rs
+++ b/crates/jaylock-router/src/slot.rs
@@ -3,7 +3,7 @@
 
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{End, Grant, Progress};
-use jaylock_types::PoolId;
+use jaylock_types::{PoolId, RequestRate};
 
 use crate::port::Schedulers;
 
@@ -44,6 +44,12 @@
         &self.grant.backend
     }
 
+    /// Reports the limit that the response names; `None` if it names none.
+    pub fn record_limit(&self, rate: Option<RequestRate>) {
+        self.schedulers
+            .report_limit(&self.pool, self.backend(), rate);
+    }
+
     /// Sets the service of this attempt so far, in tokens, and reports progress.
     pub fn record_tokens(&mut self, tokens: u64) {
         self.first_token.get_or_insert(self.started.elapsed());
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -6,8 +6,9 @@
 use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{
     Ask, BackendReport, BackendVerdict, Configuration, CrashCause, Decision, End, Progress,
-    RouterFrame, SchedulerFrame,
+    RateLimit, RouterFrame, SchedulerFrame,
 };
+use jaylock_types::RequestRate;
 
 use crate::SchedulerSettings;
 use crate::account::{AccountKey, Accounts};
@@ -109,6 +110,9 @@
         for report in frame.backends {
             self.apply_report(key, report, now);
         }
+        for limit in frame.limits {
+            self.apply_limit(&limit, now);
+        }
         for end in frame.ends {
             self.end_run(key, &end, now);
         }
@@ -377,6 +381,13 @@
         }
     }
 
+    fn apply_limit(&mut self, limit: &RateLimit, now: Instant) {
+        let index = self.backends.find_or_add(&limit.backend, now);
+        let rate = limit.rate_milli.map(|milli| RequestRate { milli });
+        self.backends.get_mut(index).set_limit(rate, now);
+        self.refresh(index, now);
+    }
+
     fn apply_report(&mut self, key: RouterKey, report: BackendReport, now: Instant) {
         let (id, incarnation) = (report.id.clone(), report.incarnation);
         let sequence = report.sequence;
--- a/crates/jaylock-share/src/attachment.rs
+++ b/crates/jaylock-share/src/attachment.rs
@@ -78,7 +78,7 @@
         self.accounts.charge(account, charged_tokens);
         self.accounts.get_mut(account).running += 1;
         let backend = self.backends.get_mut(backend_index);
-        backend.add_grant();
+        backend.add_grant(now);
         backend.is_reserved |= running.alone;
         self.refresh(backend_index, now);
         let run = Run {
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -2,9 +2,11 @@
 
 use compact_str::CompactString;
 use jaylock_rpc::v1::{Ask, BackendReport, LoadedModel};
+use jaylock_types::RequestRate;
 
 use crate::cache_index::CacheIndex;
 use crate::engine::{EngineEstimate, RequestLoad};
+use crate::rate_limit::RateLimiter;
 use crate::reachability::Reachability;
 
 /// A set of backend servers, as a bit set of their indices.
@@ -79,6 +81,9 @@
 /// Longest time that a heartbeat may take to arrive.
 const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(10);
 
+/// Time without any response that names a limit, after one without it, until the limit is lifted.
+const LIFT_DELAY: Duration = Duration::from_secs(1);
+
 /// What the scheduler knows of one backend server.
 #[derive(Debug)]
 pub struct Backend {
@@ -98,6 +103,9 @@
     peak_grants: [u32; 2],
     // When the backend server announced its end; older reports are ignored.
     ended_at: Option<Instant>,
+    limit: Option<Limit>,
+    /// Whether its limit admits no request now.
+    pub is_limited: bool,
     // When its last crash became known.
     last_crash: Option<Instant>,
     /// Whether routers can open connections to it.
@@ -106,6 +114,14 @@
     cached_prefixes: Vec<u64>,
 }
 
+/// The rate of requests that a backend server takes from all routers together.
+#[derive(Debug)]
+struct Limit {
+    limiter: RateLimiter,
+    // Since when no router has read it, while one read a response without it.
+    lifted_at: Option<Instant>,
+}
+
 impl Backend {
     fn new(report: BackendReport, now: Instant) -> Self {
         Self {
@@ -119,6 +135,8 @@
             externally_full_since: None,
             peak_grants: [0; 2],
             ended_at: None,
+            limit: None,
+            is_limited: false,
             last_crash: None,
             reachability: Reachability::default(),
             cached_prefixes: Vec::new(),
@@ -180,8 +198,50 @@
         u32::try_from(share).unwrap_or(u32::MAX)
     }
 
+    /// Applies a limit that the backend server named to a router, or no longer names.
+    ///
+    /// A limit is lifted only some time later, as a response from before it may arrive after it.
+    pub fn set_limit(&mut self, rate: Option<RequestRate>, now: Instant) {
+        let id = self.report.id.as_str();
+        match (rate, &mut self.limit) {
+            (Some(rate), Some(limit)) => {
+                limit.limiter.set_rate(rate, now);
+                limit.lifted_at = None;
+            }
+            (Some(rate), None) => {
+                log::info!(target: "share", backend = id, rate = rate.per_second(); "a backend server names a limit");
+                self.limit = Some(Limit {
+                    limiter: RateLimiter::new(rate, now),
+                    lifted_at: None,
+                });
+            }
+            (None, Some(limit)) => {
+                limit.lifted_at.get_or_insert(now);
+            }
+            (None, None) => {}
+        }
+    }
+
+    /// Updates whether the limit admits a request now.
+    fn update_limit(&mut self, now: Instant) {
+        let is_over = |at: Instant| now.saturating_duration_since(at) >= LIFT_DELAY;
+        if self
+            .limit
+            .as_ref()
+            .is_some_and(|l| l.lifted_at.is_some_and(is_over))
+        {
+            log::info!(target: "share", backend = self.report.id.as_str(); "the limit of a backend server is lifted");
+            self.limit = None;
+        }
+        let limit = self.limit.as_mut();
+        self.is_limited = limit.is_some_and(|limit| !limit.limiter.admits(now));
+    }
+
     /// Counts a grant.
-    pub fn add_grant(&mut self) {
+    pub fn add_grant(&mut self, now: Instant) {
+        if let Some(limit) = &mut self.limit {
+            limit.limiter.record(now);
+        }
         self.granted += 1;
         self.peak_grants[0] = self.peak_grants[0].max(self.granted);
     }
@@ -229,6 +289,10 @@
     fn restart(&mut self, now: Instant, lease: Duration) {
         self.cached_prefixes.clear();
         self.engine.restart();
+        // A router may name the limit of a backend server before the first report arrives.
+        if self.report.incarnation > 0 {
+            self.limit = None;
+        }
         self.reachability.record_response();
         self.last_report = now.checked_sub(lease).unwrap_or(now);
     }
@@ -413,10 +477,12 @@
 
     /// Recomputes whether a backend server may take requests and would take another one.
     pub fn refresh(&mut self, index: usize, now: Instant, lease: Duration) {
-        let backend = &self.list[index];
+        let backend = &mut self.list[index];
+        backend.update_limit(now);
         let is_usable = backend.unusable_reason(now, lease).is_empty();
         let has_free_slot = backend.free_slots() > 0 || backend.may_probe(now);
-        let is_available = is_usable && !backend.is_reserved && has_free_slot;
+        let takes_requests = has_free_slot && !backend.is_limited;
+        let is_available = is_usable && !backend.is_reserved && takes_requests;
         self.usable.set(index, is_usable);
         self.available.set(index, is_available);
     }
--- a/crates/jaylock-share/src/batch.rs
+++ b/crates/jaylock-share/src/batch.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use jaylock_rpc::v1::{Ask, BackendReport, End, Progress, RouterFrame};
+use jaylock_rpc::v1::{Ask, BackendReport, End, Progress, RateLimit, RouterFrame};
 
 use crate::SchedulerClientSettings;
 use crate::encoding::{NameTable, encode_request_id};
@@ -13,6 +13,7 @@
     asks: Vec<Ask>,
     cancels: Vec<u64>,
     backends: Vec<BackendReport>,
+    limits: Vec<RateLimit>,
     // Ends with their organisations.
     ends: Vec<(CompactString, End)>,
     // Sorted by ticket.
@@ -44,6 +45,12 @@
         self.backends.push(report);
     }
 
+    /// Adds a limit, in place of an older one of the same backend server.
+    pub fn add_limit(&mut self, limit: RateLimit) {
+        self.limits.retain(|other| other.backend != limit.backend);
+        self.limits.push(limit);
+    }
+
     pub fn add_end(&mut self, organisation: CompactString, end: End, due: Instant) {
         if let Ok(index) = self.search_progress(end.ticket) {
             self.progress.remove(index);
@@ -74,6 +81,7 @@
         let is_urgent = !self.asks.is_empty()
             || !self.cancels.is_empty()
             || !self.backends.is_empty()
+            || !self.limits.is_empty()
             || (has_waiting_requests && !self.ends.is_empty());
         let batched = self.last_frame.map(|last| last + settings.batch_window);
         let urgent = is_urgent.then(|| batched.unwrap_or(now));
@@ -95,6 +103,7 @@
             asks: std::mem::take(&mut self.asks),
             cancels: std::mem::take(&mut self.cancels),
             backends: std::mem::take(&mut self.backends),
+            limits: std::mem::take(&mut self.limits),
             ends: ends.into_iter().map(|(_, end)| end).collect(),
             progress: std::mem::take(&mut self.progress),
             ..RouterFrame::default()
--- a/crates/jaylock-share/src/client.rs
+++ b/crates/jaylock-share/src/client.rs
@@ -7,7 +7,7 @@
 use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{Ask, BackendReport, BackendVerdict, End, Grant, Progress, Refusal};
 use jaylock_rpc::{Channel, ChannelSettings};
-use jaylock_types::{DomainId, Incarnation, InstanceId, PoolId};
+use jaylock_types::{DomainId, Incarnation, InstanceId, PoolId, RequestRate};
 
 use crate::SchedulerClientSettings;
 use crate::connection::{SchedulerConnection, not_run};
@@ -121,6 +121,11 @@
         self.connection(pool.as_str()).release_slot(end);
     }
 
+    /// Reports the limit that a response of a backend server names; `None` if it names none.
+    pub fn report_limit(&self, pool: &PoolId, backend: &str, rate: Option<RequestRate>) {
+        self.connection(pool.as_str()).report_limit(backend, rate);
+    }
+
     /// Forwards an announcement or report of a backend server.
     pub fn report_backend(&self, report: BackendReport) {
         self.connection(&report.pool).report_backend(report);
--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -7,6 +7,7 @@
     Ask, BackendReport, BackendVerdict, End, FallbackSlots, Grant, Hello, Progress, Refusal,
     RouterFrame, Running, SchedulerFrame, Total,
 };
+use jaylock_types::RequestRate;
 
 use crate::SchedulerClientSettings;
 use crate::batch::Batch;
@@ -16,6 +17,7 @@
 use crate::division::without_events;
 use crate::encoding::{AddressTable, encode_request_id};
 use crate::fallback::SpareSlot;
+use crate::named_limits::NamedLimits;
 use crate::recent_crashes::RecentCrashes;
 use crate::requirement::Requirement;
 
@@ -42,6 +44,8 @@
     // Part of the totals that the stream's first message reported and the scheduler has not confirmed.
     unconfirmed: Vec<Total>,
     pub(crate) fallback: Vec<FallbackSlots>,
+    // Limits that backend servers named to this router.
+    pub(crate) limits: NamedLimits,
     // Crashes under own runs, for a new scheduler.
     pub(crate) crashes: RecentCrashes,
     // Slots that became free while no scheduler responded.
@@ -99,6 +103,7 @@
             totals: Vec::new(),
             unconfirmed: Vec::new(),
             fallback: Vec::new(),
+            limits: NamedLimits::default(),
             crashes: RecentCrashes::default(),
             spare: Vec::new(),
             detached_at: None,
@@ -191,6 +196,22 @@
         }
     }
 
+    /// Records the limit that a response of a backend server names, if any.
+    ///
+    /// `share` is the part of it that this router may use while no scheduler responds.
+    pub fn report_limit(
+        &mut self,
+        backend: &str,
+        rate: Option<RequestRate>,
+        share: f64,
+        now: Instant,
+    ) {
+        let report = self.limits.record(backend, rate, share, now);
+        if let Some(limit) = report.filter(|_| self.is_attached) {
+            self.batch.add_limit(limit);
+        }
+    }
+
     /// Records what a backend server announced or reported to this router.
     pub fn report_backend(&mut self, report: BackendReport, now: Instant) {
         // Cache events are sent once; a resent report contains none.
@@ -243,6 +264,7 @@
             asks: asks.collect(),
             backends: self.reports.iter().map(|r| r.with_age(now)).collect(),
             totals: self.unconfirmed.clone(),
+            limits: self.limits.reports(now),
             ..RouterFrame::default()
         }
     }
--- a/crates/jaylock-share/src/connection.rs
+++ b/crates/jaylock-share/src/connection.rs
@@ -15,7 +15,7 @@
     RouterFrame, SchedulerFrame,
 };
 use jaylock_rpc::with_timeout;
-use jaylock_types::Index;
+use jaylock_types::{Index, RequestRate};
 use tonic::{Status, Streaming};
 
 use crate::client::RouterContext;
@@ -80,6 +80,21 @@
         self.notify();
     }
 
+    pub fn report_limit(&self, backend: &str, rate: Option<RequestRate>) {
+        if rate.is_none() && self.state.borrow().limits.is_empty() {
+            return;
+        }
+        let configuration = self.context.view.current();
+        let instances = configuration.instances.iter();
+        let routers = instances.filter(|i| !i.caller_address.is_empty() && !i.leaving);
+        #[allow(clippy::cast_precision_loss)]
+        let share = 1.0 / routers.count().max(1) as f64;
+        self.state
+            .borrow_mut()
+            .report_limit(backend, rate, share, Instant::now());
+        self.notify();
+    }
+
     pub fn report_backend(&self, report: BackendReport) {
         self.state
             .borrow_mut()
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -110,7 +110,8 @@
     /// Grants isolated requests, each once a backend server has become idle for it.
     fn grant_isolated(&mut self, now: Instant) {
         while let Some(index) = self.reserve(now) {
-            if !self.backends.get(index).is_idle() {
+            let backend = self.backends.get(index);
+            if !backend.is_idle() || backend.is_limited {
                 return;
             }
             let Some((account, waiting)) = self.isolated.pop_front() else {
@@ -201,7 +202,7 @@
         let run_causes = Causes::from_ask(ask);
         let is_trial = causes.begin_run(&run_causes, backend_index);
         let backend = self.backends.get_mut(backend_index);
-        backend.add_grant();
+        backend.add_grant(now);
         let uncached_tokens = backend.engine.uncached_tokens(ask);
         let load = (!ask.parts.is_empty()).then(|| self.backends.add_request(backend_index, ask));
         let backend = self.backends.get(backend_index);
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -24,7 +24,8 @@
         if detached_at.is_none_or(|detached_at| now.saturating_duration_since(detached_at) < wait) {
             return;
         }
-        while let Some((ticket, backend, address)) = self.next_local_grant(configuration) {
+        while let Some((ticket, backend, address)) = self.next_local_grant(configuration, now) {
+            self.limits.record_grant(&backend, now);
             let grant = Grant {
                 ticket,
                 backend,
@@ -37,7 +38,11 @@
     }
 
     /// The next request to grant locally, with the name and the address of its backend server.
-    fn next_local_grant(&mut self, configuration: &Configuration) -> Option<(u64, String, String)> {
+    fn next_local_grant(
+        &mut self,
+        configuration: &Configuration,
+        now: Instant,
+    ) -> Option<(u64, String, String)> {
         let mut order: Vec<(u64, u64)> = self
             .pending
             .iter()
@@ -52,20 +57,23 @@
             .collect();
         order.sort_unstable();
         order.into_iter().find_map(|(_, ticket)| {
-            let (backend, address) = self.find_local_slot(ticket)?;
+            let (backend, address) = self.find_local_slot(ticket, now)?;
             Some((ticket, backend, address))
         })
     }
 
-    fn find_local_slot(&mut self, ticket: u64) -> Option<(String, String)> {
+    fn find_local_slot(&mut self, ticket: u64, now: Instant) -> Option<(String, String)> {
         let pending = self
             .pending
             .iter()
             .find(|pending| pending.ask.ticket == ticket)?;
         let requirement = Requirement::from_ask(&pending.ask);
-        let is_usable =
-            |spare: &SpareSlot| spare.requirement == requirement && !pending.avoids(&spare.backend);
-        if let Some(index) = self.spare.iter().position(is_usable) {
+        let limits = &mut self.limits;
+        let mut is_usable = |spare: &SpareSlot| {
+            let fits = spare.requirement == requirement && !pending.avoids(&spare.backend);
+            fits && limits.admits(&spare.backend, now)
+        };
+        if let Some(index) = self.spare.iter().position(&mut is_usable) {
             let spare = self.spare.swap_remove(index);
             return Some((spare.backend.into(), spare.address.into()));
         }
@@ -82,7 +90,8 @@
                 .count();
             let fits = requirement.is_met(&report.models)
                 && held < share.slots as usize
-                && !pending.avoids(&report.id);
+                && !pending.avoids(&report.id)
+                && self.limits.admits(&report.id, now);
             fits.then(|| (report.id.clone(), report.address.clone()))
         })
     }
--- a/crates/jaylock-share/src/ranking.rs
+++ b/crates/jaylock-share/src/ranking.rs
@@ -10,10 +10,11 @@
 }
 
 impl EngineRanking {
-    /// Ranks all usable engines.
+    /// Ranks all usable engines whose limits admit a request.
     pub fn new(backends: &Backends) -> Self {
         let usable = backends.usable();
         let indices = usable.common(usable);
+        let indices = indices.filter(|index| !backends.get(*index).is_limited);
         let mut order: Vec<_> = indices
             .map(|index| (pending_prefill(backends, index), index))
             .collect();
--- a/crates/jaylock-tests/tests/router/fakes.rs
+++ b/crates/jaylock-tests/tests/router/fakes.rs
@@ -17,7 +17,7 @@
     Applied, Ask, BackendReport, BackendVerdict, Claim, ClaimState, Command, Done, End, Grant,
     Progress, Quarantine, Refusal, Settle,
 };
-use jaylock_types::PoolId;
+use jaylock_types::{PoolId, RequestRate};
 
 /// Time between two checks whether grants are still delayed.
 const DELAY_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -90,6 +90,8 @@
 
     fn report_progress(&self, _: &PoolId, _: Progress) {}
 
+    fn report_limit(&self, _: &PoolId, _: &str, _: Option<RequestRate>) {}
+
     fn release_slot(&self, _: &PoolId, end: End) {
         self.0.released.borrow_mut().push(end);
     }
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -8,5 +8,6 @@
 mod fleet;
 mod prefill;
 mod prompt_parts;
+mod rate_limits;
 mod simulation;
 mod stream;
--- a/crates/jaylock-types/src/lib.rs
+++ b/crates/jaylock-types/src/lib.rs
@@ -11,6 +11,7 @@
     RequestId, RouteId, ServiceId, VersionId,
 };
 pub use self::number::{
-    ByteSize, Epoch, Fence, Incarnation, Index, InvalidNumber, Revision, Term, Tokens, Weight,
+    ByteSize, Epoch, Fence, Incarnation, Index, InvalidNumber, RequestRate, Revision, Term, Tokens,
+    Weight,
 };
 pub use self::secret::{KeyHash, Secret};
--- a/crates/jaylock-types/src/number.rs
+++ b/crates/jaylock-types/src/number.rs
@@ -120,3 +120,56 @@
         count.checked_mul(unit.1).map(Self).ok_or_else(invalid)
     }
 }
+
+/// A rate of requests with a resolution of a thousandth of a request a second, written as a decimal number.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestRate {
+    /// Requests in 1000 s.
+    pub milli: u64,
+}
+
+impl RequestRate {
+    /// Requests a second.
+    #[must_use]
+    pub fn per_second(self) -> f64 {
+        #[allow(clippy::cast_precision_loss)]
+        let milli = self.milli as f64;
+        milli / 1e3
+    }
+
+    /// This rate times a factor of at least 0.
+    #[must_use]
+    pub fn scaled(self, factor: f64) -> Self {
+        Self::from_per_second(self.per_second() * factor)
+    }
+
+    /// A rate beyond the range, which is no limit in practice, becomes the largest one.
+    fn from_per_second(per_second: f64) -> Self {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let milli = (per_second * 1e3) as u64;
+        Self { milli }
+    }
+}
+
+impl Display for RequestRate {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        Display::fmt(&self.per_second(), f)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = InvalidNumber;
+
+    fn from_str(text: &str) -> Result<Self, InvalidNumber> {
+        let invalid = || InvalidNumber {
+            kind: "rate of requests",
+            text: text.into(),
+            expected: "a decimal number of requests a second",
+        };
+        let per_second: f64 = text.trim().parse().map_err(|_| invalid())?;
+        if !per_second.is_finite() || per_second < 0.0 {
+            return Err(invalid());
+        }
+        Ok(Self::from_per_second(per_second))
+    }
+}
