Informational responses without end no longer stop a router

What callers saw in a test: a backend server sent "103 Early Hints" again and again, and no caller of the router got any answer, 40 of 40, those of other requests included.

Cause: the HTTP library limits a single head, but skips informational responses in a loop that neither counts them nor pauses while bytes are there, so the router's only thread did nothing else. The class: a bound on one unit, but none on how many come.

Change: the stream of a connection fails after 256 KiB while the head of a response is awaited; the request ends as an attempt that broke off.

informational_responses_without_end_are_read_for_ever failed before and passes. Heads, lines and events without end were ended before already; their tests pass on both codes.

--- a/crates/jaylock-router/src/connection.rs
+++ b/crates/jaylock-router/src/connection.rs
@@ -14,6 +14,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 
+use crate::bounded_head::{BoundedHead, HeadBudget};
 use crate::error::AttemptError;
 
 /// Maximum number of idle connections per address.
@@ -34,6 +35,7 @@
     address: SocketAddr,
     stream: TcpStream,
     sender: SendRequest<Full<Bytes>>,
+    head_budget: HeadBudget,
     last_used: Instant,
 }
 
@@ -58,7 +60,8 @@
         let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         enable_keepalive(&stream, ACKNOWLEDGE_TIMEOUT)?;
-        let io = HyperStream::new_plain(stream.clone());
+        let head_budget = HeadBudget::default();
+        let io = BoundedHead::new(HyperStream::new_plain(stream.clone()), head_budget.clone());
         let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
         compio::runtime::spawn(async move {
             if let Err(error) = connection.await {
@@ -70,6 +73,7 @@
             address,
             stream,
             sender,
+            head_budget,
             last_used: Instant::now(),
         })
     }
@@ -83,7 +87,10 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         self.sender.ready().await.map_err(|_| SendError::NotSent)?;
-        match self.sender.try_send_request(request).await {
+        self.head_budget.start();
+        let outcome = self.sender.try_send_request(request).await;
+        self.head_budget.finish();
+        match outcome {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendError::NotSent),
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -8,6 +8,7 @@
 mod backends;
 mod background;
 mod body;
+mod bounded_head;
 mod budget;
 mod buffered_response;
 mod call;
--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -1,6 +1,6 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -12,6 +12,9 @@
 /// Time between two heartbeats of a backend server.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Size of a block of a reply without end.
+const ENDLESS_BLOCK: usize = 16 << 10;
+
 /// A fake backend server of the service `app` whose replies a test defines.
 pub struct FakeBackend {
     /// Identifier of the backend server.
@@ -26,6 +29,7 @@
     sequence: AtomicU64,
     sends_heartbeats: AtomicBool,
     is_crashed: AtomicBool,
+    active_count: AtomicUsize,
     received: Mutex<Vec<ReceivedRequest>>,
     /// Handles of all connections, so that a crash closes them.
     connections: Mutex<Vec<TcpStream>>,
@@ -51,6 +55,8 @@
     pub bytes: Vec<u8>,
     /// Further bytes, each after a pause.
     pub later: Vec<(Duration, Vec<u8>)>,
+    /// Bytes that are sent again and again after the others, until the connection is closed.
+    pub endless: Vec<u8>,
     /// Whether the connection is closed after the reply.
     pub closes_connection: bool,
     /// Whether the backend server crashes after the reply.
@@ -72,6 +78,7 @@
             sequence: AtomicU64::new(0),
             sends_heartbeats: AtomicBool::new(true),
             is_crashed: AtomicBool::new(false),
+            active_count: AtomicUsize::new(0),
             received: Mutex::default(),
             connections: Mutex::default(),
         });
@@ -129,6 +136,11 @@
             .send_heartbeat(fleet.control_address(0), "ready");
     }
 
+    /// Number of requests whose replies are being sent.
+    pub fn active_count(&self) -> usize {
+        self.shared.active_count.load(Ordering::Relaxed)
+    }
+
     /// Whether the backend server has crashed.
     pub fn has_crashed(&self) -> bool {
         self.shared.is_crashed.load(Ordering::Relaxed)
@@ -169,12 +181,17 @@
         self.lock_connections().push(handle);
         while let Some(received) = read_request(&mut reader) {
             self.lock_received().push(received.clone());
+            self.active_count.fetch_add(1, Ordering::Relaxed);
             let reply = reply(&received);
             let mut is_sent = stream.write_all(&reply.bytes).is_ok();
             for (pause, bytes) in &reply.later {
                 thread::sleep(*pause);
                 is_sent = is_sent && stream.write_all(bytes).is_ok();
             }
+            while is_sent && !reply.endless.is_empty() {
+                is_sent = stream.write_all(&reply.endless).is_ok();
+            }
+            self.active_count.fetch_sub(1, Ordering::Relaxed);
             if reply.crashes {
                 self.crash();
                 return;
@@ -279,11 +296,20 @@
         Self {
             bytes: text.as_bytes().to_vec(),
             later: Vec::new(),
+            endless: Vec::new(),
             closes_connection: false,
             crashes: false,
         }
     }
 
+    /// A reply that begins with `text` and goes on with `endless` until the connection is closed.
+    pub fn endless(text: &str, endless: &str) -> Self {
+        Self {
+            endless: endless.repeat(ENDLESS_BLOCK / endless.len().max(1)).into(),
+            ..Self::from_text(text)
+        }
+    }
+
     /// A reply without a byte that closes the connection.
     pub fn empty() -> Self {
         Self {
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod decoding;
 mod documents;
+mod endless;
 mod harness;
 mod lifecycle;
 mod rate_limits;
--- a/crates/jaylock-tests/tests/share/fixture.rs
+++ b/crates/jaylock-tests/tests/share/fixture.rs
@@ -40,9 +40,10 @@
         }
     }
 
-    /// Identifiers of the requests sent by `ask`, by their tickets from 1.
-    pub fn sent_requests(&self) -> Vec<String> {
-        self.requests.clone()
+    /// Identifier of a request sent by `ask`.
+    pub fn request_id(&self, ticket: u64) -> &str {
+        let position = usize::try_from(ticket).expect("a ticket") - 1;
+        &self.requests[position]
     }
 
     /// Replaces the scheduler by one that knows only what its router's first message says.
--- a/crates/jaylock-tests/tests/share/prompt_parts.rs
+++ b/crates/jaylock-tests/tests/share/prompt_parts.rs
@@ -150,11 +150,9 @@
 
     fn decide(&mut self) {
         let now = self.fixture.now;
-        let names = self.fixture.sent_requests();
         let (grants, _) = self.fixture.decide_all();
         for grant in grants {
-            let name = &names[usize::try_from(grant.ticket).expect("a ticket") - 1];
-            let fatal_part = name.parse().ok();
+            let fatal_part = self.fixture.request_id(grant.ticket).parse().ok();
             match fatal_part {
                 Some(part) => self.fatal_grants.push((now, part)),
                 None => self.sound_granted += 1,
