A dropped connection in the middle of a response is reset

What a backend server saw in a test: after the router had given up an event without end, its sends waited for over 20 s, with 4 MB queued, on each of eight connections.

Cause: the connection was shut down in both directions and closed. The peer then waits for a window that the closed side no longer opens, until the system forgets the connection, a minute later. A close with unread bytes would reset it, but the HTTP library had read them.

Change: a connection whose response was not read to its end is closed with a linger time of zero, so the peer is told at once.

event_without_end_is_read_for_ever and stream_of_comments_without_end_is_read_for_ever failed before ("timed out after 20s: the connections to the backend server are closed").

--- a/crates/jaylock-router/src/connection.rs
+++ b/crates/jaylock-router/src/connection.rs
@@ -37,6 +37,8 @@
     sender: SendRequest<Full<Bytes>>,
     head_budget: HeadBudget,
     last_used: Instant,
+    /// Whether a request was sent whose response has not been read completely.
+    is_busy: bool,
 }
 
 /// Error of sending a request over a connection.
@@ -75,6 +77,7 @@
             sender,
             head_budget,
             last_used: Instant::now(),
+            is_busy: false,
         })
     }
 
@@ -88,6 +91,7 @@
     ) -> Result<Response<Incoming>, SendError> {
         self.sender.ready().await.map_err(|_| SendError::NotSent)?;
         self.head_budget.start();
+        self.is_busy = true;
         let outcome = self.sender.try_send_request(request).await;
         self.head_budget.finish();
         match outcome {
@@ -107,6 +111,7 @@
     /// Records that a complete response arrived, which starts the idle time.
     pub fn mark_used(&mut self) {
         self.last_used = Instant::now();
+        self.is_busy = false;
     }
 }
 
@@ -114,7 +119,14 @@
     fn drop(&mut self) {
         // The connection's own task would close it only after all tasks that are ready now, which may be
         // hundreds when many callers disconnect at once; until then the backend server works in vain.
-        if let Err(error) = SockRef::from(&self.stream).shutdown(Shutdown::Both) {
+        let socket = SockRef::from(&self.stream);
+        // A backend server that goes on to send would otherwise wait for a window that never opens.
+        if self.is_busy
+            && let Err(error) = socket.set_linger(Some(Duration::ZERO))
+        {
+            log::debug!(target: "router", "connection to {} can't be aborted: {error}", self.address);
+        }
+        if let Err(error) = socket.shutdown(Shutdown::Both) {
             log::debug!(target: "router", "connection to {} was closed already: {error}", self.address);
         }
     }
@@ -203,10 +215,10 @@
 
     /// Returns a connection to the pool after its last response was read completely.
     pub fn put_back(&self, mut connection: Connection) {
+        connection.mark_used();
         if connection.sender.is_closed() {
             return;
         }
-        connection.mark_used();
         let mut idle = self.idle.borrow_mut();
         match idle.binary_search_by_key(&connection.address, |e| e.0) {
             Ok(at) if idle[at].1.len() < MAX_IDLE_CONNECTIONS => idle[at].1.push(connection),
