Responses share the memory of bodies, so that endless ones can't take it all

What callers saw in a test: eight requests at a time to a backend server whose bodies do not end took 161 MB of a router (a small machine has 160 MB, and kills the process).

Cause: each response was read up to 8 MiB into memory that nothing counted, and copied once more at its end. Bodies of requests had a budget; those of responses had none.

Change: what a response takes beyond 64 KiB is reserved in the same budget, for its organisation, until it is written to the caller; a request whose response finds none ends with an error. An event of a route's stream has at most 256 KiB (was 1 MiB). The two copies of the mapping from a body's error to an attempt's became one.

body_without_end_is_read_for_ever (160704 KiB) and error_body_without_end_is_read_for_ever (160964 KiB; bound 160000) failed before and pass.

--- a/crates/jaylock-router/src/body.rs
+++ b/crates/jaylock-router/src/body.rs
@@ -3,16 +3,24 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_channel::oneshot;
 use futures_util::Stream;
 use futures_util::stream::LocalBoxStream;
 use http_body::Frame;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use jaylock_types::ByteSize;
+use jaylock_types::{ByteSize, OrganisationId};
+use send_wrapper::SendWrapper;
 use thiserror::Error;
 
+use crate::memory::{BodyMemory, BodyReservation};
+
+/// Size up to which a response needs no reservation, so that small ones never fail for lack of it.
+const FREE_RESPONSE_BYTES: usize = 64 << 10;
+/// Least memory that is reserved at once.
+const RESERVED_STEP: usize = 256 << 10;
+
 /// Body of a response.
 pub enum Body {
     /// A complete body; `None` once it was sent.
@@ -138,6 +146,9 @@
     /// The body ended before its announced length, or was malformed.
     #[error("it ended early or was malformed")]
     Broken,
+    /// The bodies of requests and responses in progress have taken all their memory.
+    #[error("the bodies in progress are at their bound")]
+    NoMemory,
 }
 
 /// Reads a body of limited size in limited time.
@@ -158,3 +169,67 @@
         Err(_) => Err(ReadError::Broken),
     }
 }
+
+/// Reads the body of a response like [`read`]; what exceeds a small size is reserved until the body is dropped.
+///
+/// # Errors
+/// Why the body was not read.
+pub async fn read_response(
+    body: Incoming,
+    max_size: ByteSize,
+    timeout: Duration,
+    memory: &BodyMemory,
+    organisation: &OrganisationId,
+) -> Result<Bytes, ReadError> {
+    let reading = read_reserved(body, max_size, memory, organisation);
+    let outcome = compio::time::timeout(timeout, reading).await;
+    outcome.map_err(|_| ReadError::TooSlow)?
+}
+
+async fn read_reserved(
+    mut body: Incoming,
+    max_size: ByteSize,
+    memory: &BodyMemory,
+    organisation: &OrganisationId,
+) -> Result<Bytes, ReadError> {
+    let mut bytes = BytesMut::new();
+    let mut reservation = memory.reserve(organisation, 0).ok_or(ReadError::NoMemory)?;
+    let mut allowed = FREE_RESPONSE_BYTES;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| ReadError::Broken)?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        let length = bytes.len() + data.len();
+        if length > max_size.0 {
+            return Err(ReadError::TooLong);
+        }
+        if length > allowed {
+            let missing = (length - allowed).max(RESERVED_STEP);
+            if !reservation.grow(missing) {
+                return Err(ReadError::NoMemory);
+            }
+            allowed += missing;
+        }
+        bytes.extend_from_slice(data);
+    }
+    if bytes.len() <= FREE_RESPONSE_BYTES {
+        return Ok(bytes.freeze());
+    }
+    Ok(Bytes::from_owner(ReservedBytes {
+        bytes,
+        _reservation: SendWrapper::new(reservation),
+    }))
+}
+
+/// Bytes whose memory is reserved until they are dropped.
+struct ReservedBytes {
+    bytes: BytesMut,
+    _reservation: SendWrapper<BodyReservation>,
+}
+
+impl AsRef<[u8]> for ReservedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/jaylock-router/src/error.rs
+++ b/crates/jaylock-router/src/error.rs
@@ -1,10 +1,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use http::StatusCode;
 use thiserror::Error;
 
+use crate::body::ReadError;
+
 /// Why an attempt failed.
 #[derive(Debug, Clone, Error)]
 pub enum AttemptError {
@@ -35,6 +37,17 @@
     }
 }
 
+impl From<ReadError> for AttemptError {
+    fn from(error: ReadError) -> Self {
+        match error {
+            ReadError::TooLong => Self::Invalid("the answer is over the bound".into()),
+            ReadError::NoMemory => Self::Invalid(format_compact!("{error}")),
+            ReadError::TooSlow => Self::TimedOut,
+            ReadError::Broken => Self::Lost("the answer ended early".into()),
+        }
+    }
+}
+
 /// Waits for a backend server, with [`AttemptError::TimedOut`] after `timeout`.
 pub async fn with_timeout<T>(
     timeout: Duration,
--- a/crates/jaylock-router/src/memory.rs
+++ b/crates/jaylock-router/src/memory.rs
@@ -57,6 +57,18 @@
     }
 }
 
+impl BodyReservation {
+    /// Reserves further bytes; returns false when the organisation or the router is at the limit.
+    #[must_use]
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let Some(mut added) = self.memory.reserve(&self.organisation, bytes) else {
+            return false;
+        };
+        self.bytes += std::mem::take(&mut added.bytes);
+        true
+    }
+}
+
 impl Drop for BodyReservation {
     fn drop(&mut self) {
         let mut reserved = self.memory.reserved.borrow_mut();
--- a/crates/jaylock-router/src/response.rs
+++ b/crates/jaylock-router/src/response.rs
@@ -184,6 +184,12 @@
                 "the body did not arrive in time",
                 "send it again, faster",
             ),
+            ReadError::NoMemory => Self::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "bodies-full",
+                "the bodies of requests in progress are at their bound",
+                "ask again after a moment, or another instance",
+            ),
             ReadError::Broken => Self::new(
                 StatusCode::BAD_REQUEST,
                 "truncated",
--- a/crates/jaylock-router/src/route/buffered.rs
+++ b/crates/jaylock-router/src/route/buffered.rs
@@ -2,7 +2,9 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use bytes::Bytes;
 use http::Response;
+use hyper::body::Incoming;
 use jaylock_observe::RunStatus;
 use jaylock_rpc::v1::end::Outcome;
 
@@ -11,7 +13,7 @@
 use super::request::RouteRequest;
 use super::response;
 use super::send::{Destination, send};
-use crate::body::{self, Body, ReadError};
+use crate::body::{self, Body};
 use crate::buffered_response::BufferedResponse;
 use crate::error::AttemptError;
 use crate::response::ErrorResponse;
@@ -81,13 +83,7 @@
     attempts.tracker.record.head_time = Some(sent.elapsed());
     let (context, request) = (&attempts.context, &attempts.request);
     let (status, headers) = (response.status(), response.headers().clone());
-    let max_response = context.limits.max_response;
-    let body = body::read(response.into_body(), max_response, request.remaining()).await;
-    let body = body.map_err(|error| match error {
-        ReadError::TooLong => AttemptError::Invalid("the answer is over the bound".into()),
-        ReadError::TooSlow => AttemptError::TimedOut,
-        ReadError::Broken => AttemptError::Lost("the answer ended early".into()),
-    })?;
+    let body = read_body(context, request, response.into_body()).await?;
     context.connections.put_back(connection);
     Ok(BufferedResponse {
         status,
@@ -95,3 +91,16 @@
         body,
     })
 }
+
+/// Reads the body of a response for a request.
+pub async fn read_body(
+    context: &RouteContext,
+    request: &RouteRequest,
+    body: Incoming,
+) -> Result<Bytes, AttemptError> {
+    let max_size = context.limits.max_response;
+    let (memory, organisation) = (&context.memory, &request.organisation);
+    let reading =
+        body::read_response(body, max_size, request.remaining(), memory, organisation).await;
+    Ok(reading?)
+}
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -12,11 +12,12 @@
 use jaylock_types::Tokens;
 
 use super::attempts::Attempts;
+use super::buffered::read_body;
 use super::context::RouteContext;
 use super::request::RouteRequest;
 use super::response::{buffered, forwarded};
 use super::send::{Destination, send};
-use crate::body::{self, Body, Interrupted};
+use crate::body::{Body, Interrupted};
 use crate::buffered_response::BufferedResponse;
 use crate::connection::Connection;
 use crate::error::{AttemptError, with_timeout};
@@ -25,7 +26,7 @@
 use crate::slot::Slot;
 
 /// Largest event.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Responds with a stream of events, each forwarded as soon as it is complete.
 pub async fn respond(
@@ -272,10 +273,10 @@
         response: Response<Incoming>,
     ) -> Result<BufferedResponse, AttemptError> {
         let (status, headers) = (response.status(), response.headers().clone());
-        let max_response = self.attempts.context.limits.max_response;
-        let remaining = self.attempts.request.remaining();
-        let body = body::read(response.into_body(), max_response, remaining).await;
-        let body = body.map_err(|_| AttemptError::Lost("the answer broke off".into()))?;
+        let Attempts {
+            context, request, ..
+        } = &self.attempts;
+        let body = read_body(context, request, response.into_body()).await?;
         Ok(BufferedResponse {
             status,
             headers,
--- a/crates/jaylock-router/src/service.rs
+++ b/crates/jaylock-router/src/service.rs
@@ -13,7 +13,7 @@
 use jaylock_types::{PoolId, RequestId};
 
 use crate::attempt;
-use crate::body::{self, Body, ReadError};
+use crate::body::{self, Body};
 use crate::buffered_response::BufferedResponse;
 use crate::call::{self, Call, DEADLINE_HEADER, SERVICES_PATH};
 use crate::claim::{ClaimOutcome, HeldClaim, recorded_response, unknown_outcome};
@@ -210,12 +210,9 @@
         let status = response.status();
         let headers = response.headers().clone();
         let max_response = self.context.settings.max_response;
-        let body = body::read(response.into_body(), max_response, timeout).await;
-        let body = body.map_err(|error| match error {
-            ReadError::TooLong => AttemptError::Invalid("the answer is over the bound".into()),
-            ReadError::TooSlow => AttemptError::TimedOut,
-            ReadError::Broken => AttemptError::Lost("the answer ended early".into()),
-        })?;
+        let (memory, organisation) = (&self.context.memory, &self.call.organisation);
+        let body = response.into_body();
+        let body = body::read_response(body, max_response, timeout, memory, organisation).await?;
         self.context.connections.put_back(connection);
         Ok(BufferedResponse {
             status,
--- a/crates/jaylock-tests/tests/platform/endless.rs
+++ b/crates/jaylock-tests/tests/platform/endless.rs
@@ -65,6 +65,18 @@
     bytes_without_a_line_end_are_read_for_ever => {
         check_endless("/look/1", |_| Reply::endless("", "filler"));
     };
+    body_without_end_is_read_for_ever => {
+        check_endless("/look/1", |r| {
+            let head = r.sealed("200 OK", "\r\n");
+            Reply { endless: Reply::endless("", "filler").endless, ..head }
+        });
+    };
+    error_body_without_end_is_read_for_ever => {
+        check_endless("/stream/1", |r| {
+            let head = r.sealed("500 Internal Server Error", "\r\n");
+            Reply { endless: Reply::endless("", "filler").endless, ..head }
+        });
+    };
     event_without_end_is_read_for_ever => {
         check_endless("/stream/1", |r| {
             let head = r.sealed("200 OK", "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ");
