--- a/crates/jaylock-router/src/completion.rs
+++ b/crates/jaylock-router/src/completion.rs
@@ -24,7 +24,7 @@
     let generation = Generation::new(context.clone(), call, chat, tracker);
     let guard = GenerationGuard::new(generation);
     if is_streaming {
-        respond_streaming(guard).await
+        Box::pin(respond_streaming(guard)).await
     } else {
         Box::pin(respond_complete(guard)).await
     }
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod documents;
 mod endless;
 mod harness;
+mod inventory;
 mod lifecycle;
 mod rate_limits;
 mod refusals;
