A complete answer that is no stream clears a suspected part of prompts

What callers would see: on a route whose answers are no streams, prompts with a sound part are refused, first for a minute and then for longer, after another part crashed engines.

Cause: a complete run cleared its parts only if it had reported tokens, which only streams do.

Change: the end of a run says whether the backend server answered with success.

prompts_with_a_sound_part_are_refused_when_their_responses_are_no_streams failed before (503 where 200 was expected) and passes.

--- a/crates/jaylock-router/src/route/buffered.rs
+++ b/crates/jaylock-router/src/route/buffered.rs
@@ -44,7 +44,7 @@
 async fn run(attempts: &mut Attempts) -> Result<BufferedResponse, ErrorResponse> {
     let mut server_error = None;
     loop {
-        let (address, slot) = match attempts.acquire_slot(0).await {
+        let (address, mut slot) = match attempts.acquire_slot(0).await {
             Ok(granted) => granted,
             // The backend server's own error is more helpful than the router's.
             Err(error) => return server_error.ok_or(error),
@@ -56,6 +56,9 @@
                 error
             }
             Ok(response) => {
+                if response.status.is_success() {
+                    slot.mark_answered();
+                }
                 slot.release(Outcome::Complete);
                 return Ok(response);
             }
--- a/crates/jaylock-router/src/slot.rs
+++ b/crates/jaylock-router/src/slot.rs
@@ -21,6 +21,7 @@
     reported_tokens: u64,
     outcome: Outcome,
     is_unreached: bool,
+    is_answered: bool,
 }
 
 impl Slot {
@@ -36,6 +37,7 @@
             reported_tokens: 0,
             outcome: Outcome::Cancelled,
             is_unreached: false,
+            is_answered: false,
         }
     }
 
@@ -52,6 +54,7 @@
 
     /// Sets the service of this attempt so far, in tokens, and reports progress.
     pub fn record_tokens(&mut self, tokens: u64) {
+        self.is_answered = true;
         self.first_token.get_or_insert(self.started.elapsed());
         self.tokens = tokens.max(self.tokens);
         if self.tokens >= self.reported_tokens + PROGRESS_TOKENS {
@@ -64,6 +67,11 @@
         }
     }
 
+    /// Records that the backend server answered with success.
+    pub fn mark_answered(&mut self) {
+        self.is_answered = true;
+    }
+
     /// Releases the slot with the attempt's outcome.
     pub fn release(mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -84,6 +92,7 @@
             tokens: self.tokens,
             first_token_ms: u32::try_from(first_token).unwrap_or(u32::MAX),
             unreached: self.is_unreached,
+            answered: self.is_answered,
             ..End::default()
         };
         end.set_outcome(self.outcome);
--- a/crates/jaylock-share/src/crash_history.rs
+++ b/crates/jaylock-share/src/crash_history.rs
@@ -46,8 +46,7 @@
                 if run.is_isolated {
                     duplicates.clear(run.fingerprint);
                 }
-                // A backend server may refuse a prompt with an error before it begins to answer.
-                if end.tokens > 0 || run.causes.shared.is_empty() {
+                if end.answered {
                     self.crash_history.causes.record_success(&run.causes, now);
                 }
             }
--- a/crates/jaylock-share/src/recent_crashes.rs
+++ b/crates/jaylock-share/src/recent_crashes.rs
@@ -29,10 +29,9 @@
 impl RecentCrashes {
     /// Records what the end of a run shows.
     pub fn record(&mut self, held: &HeldSlot, end: &End, now: Instant) {
-        let has_answered = end.tokens > 0;
         match end.outcome() {
-            Outcome::Crashed if !has_answered => self.add(held, now),
-            Outcome::Complete if has_answered => self.clear(held.causes()),
+            Outcome::Crashed if !end.answered => self.add(held, now),
+            Outcome::Complete if end.answered => self.clear(held.causes()),
             _ => {}
         }
     }
--- a/crates/jaylock-tests/tests/platform/crashes.rs
+++ b/crates/jaylock-tests/tests/platform/crashes.rs
@@ -39,10 +39,15 @@
     backends.iter().filter(|b| b.has_crashed()).count()
 }
 
-/// A caller of a prompt with these parts and one of its own.
+/// A caller of a prompt with these parts and one of its own, for a route with a stream.
 fn prompt(fleet: &TestFleet, parts: &str, own: usize) -> Caller {
+    prompt_to(fleet, "/draft/", parts, own)
+}
+
+/// A caller of a prompt for the route of this prefix.
+fn prompt_to(fleet: &TestFleet, prefix: &str, parts: &str, own: usize) -> Caller {
     let parts = format!("{parts},{own:x}:20");
-    let caller = fleet.caller().request("POST", &format!("/draft/{own}"));
+    let caller = fleet.caller().request("POST", &format!("{prefix}{own}"));
     caller
         .with("Token-Count", "200,10")
         .with("Prompt-Prefix", &parts)
@@ -80,6 +85,16 @@
             assert_that!(send(&prompt(&fleet, "5c1e:100", 1000 + own)), eq(200));
         }
     };
+    prompts_with_a_sound_part_are_refused_when_their_responses_are_no_streams => {
+        let fleet = start_fleet();
+        let is_fatal = |r: &ReceivedRequest| r.header("prompt-prefix").contains("bad:");
+        let backends = start_backends(&fleet, is_fatal);
+        for own in 1..=REQUEST_COUNT {
+            send(&prompt_to(&fleet, "/look/", "5c1e:100,bad:50", own));
+            assert_that!(crash_count(&backends), le(MAX_CRASHES));
+            assert_that!(send(&prompt_to(&fleet, "/look/", "5c1e:100", 1000 + own)), eq(200));
+        }
+    };
     request_that_crashes_backend_servers_is_sent_to_one_after_the_other_when_it_comes_again => {
         let fleet = start_fleet();
         let is_fatal = |r: &ReceivedRequest| r.request_line.contains("/look/fatal");
