One crash under several prompts counts once for a router without a scheduler

What callers would see: while no scheduler responds, a router refuses a part that two of its prompts had on one engine when that crashed.

Cause: the router counted its cut requests, not the backend servers that crashed.

Change: it counts backend servers.

one_crash_under_two_prompts_blocks_their_part_without_a_scheduler failed before and passes.

--- a/crates/jaylock-share/src/recent_crashes.rs
+++ b/crates/jaylock-share/src/recent_crashes.rs
@@ -52,7 +52,10 @@
         let is_frequent = |hash: u64| {
             let crashes = self.list.iter().map(|recent| &recent.crash);
             let with_cause = crashes.filter(|crash| crash.causes.contains(&hash));
-            with_cause.count() >= SUSPECT_CRASHES as usize
+            let mut backends: Vec<&str> = with_cause.map(|c| c.backend.as_str()).collect();
+            backends.sort_unstable();
+            backends.dedup();
+            backends.len() >= SUSPECT_CRASHES as usize
         };
         !self.list.is_empty() && Causes::from_ask(ask).iter().any(is_frequent)
     }
--- a/crates/jaylock-tests/tests/share/fleet.rs
+++ b/crates/jaylock-tests/tests/share/fleet.rs
@@ -3,18 +3,20 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
 use jaylock_control::ConfigView;
 use jaylock_rpc::v1::pool_client::PoolClient;
 use jaylock_rpc::v1::{
-    Ask, BackendReport, Configuration, Decision, DescribeRequest, End, Instance, LoadedModel,
-    PoolLease,
+    Ask, BackendReport, Configuration, Decision, DescribeRequest, End, Fallback, FallbackSlots,
+    Hello, Instance, LoadedModel, PoolLease, SchedulerFrame,
 };
 use jaylock_rpc::{Access, Channel, ChannelSettings, Routes, ServerSettings, serve};
-use jaylock_share::{SchedulerClient, SchedulerClientSettings, SchedulerHost, SchedulerSettings};
+use jaylock_share::{
+    ClientState, SchedulerClient, SchedulerClientSettings, SchedulerHost, SchedulerSettings,
+};
 use jaylock_types::{Incarnation, InstanceId, PoolId};
 
 /// Timeout for events that must happen.
@@ -134,6 +136,27 @@
     }
 }
 
+/// A router that has lost its scheduler and may use the slots of these backend servers.
+pub fn detached_router(backends: &[&str], now: Instant) -> ClientState {
+    let mut router = ClientState::new(SchedulerClientSettings::default());
+    router.first_frame(Hello::default(), now);
+    let slots = backends.iter().map(|id| FallbackSlots {
+        backend: Some(engine_report(id, 64)),
+        slots: 64,
+    });
+    let fallback = Fallback {
+        backends: slots.collect(),
+    };
+    let frame = SchedulerFrame {
+        epoch: 1,
+        fallback: Some(fallback),
+        ..SchedulerFrame::default()
+    };
+    router.apply_frame(frame, now);
+    router.detach(now);
+    router
+}
+
 pub fn ask(organisation: &str) -> Ask {
     Ask {
         organisation: organisation.into(),
@@ -146,6 +169,7 @@
     End {
         ticket,
         tokens,
+        answered: tokens > 0,
         ..End::default()
     }
 }
--- a/crates/jaylock-tests/tests/share/prompt_parts.rs
+++ b/crates/jaylock-tests/tests/share/prompt_parts.rs
@@ -2,14 +2,16 @@
 
 use std::time::{Duration, Instant};
 
+use futures_channel::oneshot;
 use googletest::prelude::*;
 use jaylock_rpc::v1::end::Outcome;
-use jaylock_rpc::v1::{Ask, Configuration, Crash, Hello, PromptPart, Running};
+use jaylock_rpc::v1::{Ask, Configuration, Crash, End, Hello, PromptPart, Running};
+use jaylock_share::ClientState;
 use jaylock_tests::{cases, seeded_config};
 use proptest::{prop_assert, proptest};
 
 use crate::fixture::Fixture;
-use crate::fleet::{ask, engine_report};
+use crate::fleet::{ask, detached_router, end, engine_report};
 
 /// Part of all prompts of the route.
 const SHARED_PART: u64 = 1;
@@ -269,6 +271,16 @@
     }
 }
 
+/// Asks for a slot and returns whether the router, which has no scheduler, grants it.
+fn grant_locally(router: &mut ClientState, request: Ask, now: Instant) -> bool {
+    let (sender, mut receiver) = oneshot::channel();
+    router.request_slot(request, sender, now);
+    router.grant_locally(&Configuration::default(), now);
+    receiver
+        .try_recv()
+        .is_ok_and(|reply| reply.is_some_and(|r| r.is_ok()))
+}
+
 cases! {
     part_of_prompts_that_crashes_engines_is_sent_to_one_engine_after_the_other => {
         let mut pool = Pool::new(12, &[FATAL_PART]);
@@ -362,4 +374,18 @@
             prop_assert!(pool.sound_granted * 2 >= pool.sound_sent, "{} of {}", pool.sound_granted, pool.sound_sent);
         });
     };
+    one_crash_under_two_prompts_blocks_their_part_without_a_scheduler => {
+        let now = Instant::now();
+        let mut router = detached_router(&["e1", "e2"], now);
+        let now = now + Duration::from_secs(1);
+        let shared = PromptPart { hash: SHARED_PART, tokens: 100 };
+        let request = |ticket| Ask { ticket, parts: vec![shared, shared], ..ask("bench") };
+        for ticket in 1..=2 {
+            assert_that!(grant_locally(&mut router, request(ticket), now), eq(true));
+        }
+        for ticket in 1..=2 {
+            router.release_slot(End { outcome: Outcome::Crashed.into(), ..end(ticket, 0) }, now);
+        }
+        assert_that!(grant_locally(&mut router, request(3), now), eq(true));
+    };
 }
--- a/crates/jaylock-tests/tests/share/rate_limits.rs
+++ b/crates/jaylock-tests/tests/share/rate_limits.rs
@@ -4,15 +4,13 @@
 
 use futures_channel::oneshot;
 use googletest::prelude::*;
-use jaylock_rpc::v1::{
-    Configuration, Fallback, FallbackSlots, Hello, RateLimit, RouterFrame, SchedulerFrame,
-};
+use jaylock_rpc::v1::{Configuration, Hello, RateLimit, RouterFrame};
 use jaylock_share::{ClientState, SchedulerClientSettings};
 use jaylock_tests::cases;
 use jaylock_types::RequestRate;
 
 use crate::fixture::Fixture;
-use crate::fleet::{ask, engine_report};
+use crate::fleet::{ask, detached_router, engine_report};
 
 /// Step of the virtual clock.
 const STEP: Duration = Duration::from_millis(10);
@@ -91,26 +89,6 @@
     }
 }
 
-/// A router that has lost its scheduler and may use the slots of one backend server.
-fn detached_router(now: Instant) -> ClientState {
-    let mut state = ClientState::new(SchedulerClientSettings::default());
-    state.first_frame(Hello::default(), now);
-    let slots = FallbackSlots {
-        backend: Some(engine_report("e1", 64)),
-        slots: 64,
-    };
-    let frame = SchedulerFrame {
-        epoch: 1,
-        fallback: Some(Fallback {
-            backends: vec![slots],
-        }),
-        ..SchedulerFrame::default()
-    };
-    state.apply_frame(frame, now);
-    state.detach(now);
-    state
-}
-
 cases! {
     limited_backend_server_gets_too_many_requests_or_too_few => {
         let mut server = Server::new();
@@ -170,7 +148,7 @@
     };
     router_without_a_scheduler_exceeds_its_share_of_a_limit => {
         let mut now = Instant::now();
-        let mut state = detached_router(now);
+        let mut state = detached_router(&["e1"], now);
         state.report_limit("e1", Some(LIMIT), 0.5, now);
         let mut granted = 0;
         let mut receivers = Vec::new();
