--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -5,14 +5,12 @@
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{
-    Ask, BackendReport, BackendVerdict, Configuration, CrashCause, Decision, End, Progress,
-    RateLimit, RouterFrame, SchedulerFrame,
+    Ask, Configuration, CrashCause, Decision, End, Progress, RouterFrame, SchedulerFrame,
 };
-use jaylock_types::RequestRate;
 
 use crate::SchedulerSettings;
 use crate::account::{AccountKey, Accounts};
-use crate::backend::Backends;
+use crate::backends::Backends;
 use crate::cost::{Residual, SizeClass, cost_of};
 use crate::crash_history::CrashHistory;
 use crate::division::Division;
@@ -48,7 +46,7 @@
     residual: Residual,
     pub(crate) prefill_rate: PrefillRate,
     // Memory of each engine of the pool in tokens; 0 if unknown.
-    memory_tokens: u64,
+    pub(crate) memory_tokens: u64,
 }
 
 impl Allocator {
@@ -380,62 +378,4 @@
             self.drop_waiting(router, ticket, account);
         }
     }
-
-    fn apply_limit(&mut self, limit: &RateLimit, now: Instant) {
-        let index = self.backends.find_or_add(&limit.backend, now);
-        let rate = limit.rate_milli.map(|milli| RequestRate { milli });
-        self.backends.get_mut(index).set_limit(rate, now);
-        self.refresh(index, now);
-    }
-
-    fn apply_report(&mut self, key: RouterKey, report: BackendReport, now: Instant) {
-        let (id, incarnation) = (report.id.clone(), report.incarnation);
-        let sequence = report.sequence;
-        if report.gone {
-            self.backends
-                .mark_ended(&id, now, self.settings.backend_lease);
-            let verdict = BackendVerdict {
-                backend: id,
-                incarnation,
-                sequence,
-                ..BackendVerdict::default()
-            };
-            if let Some(router) = self.routers.get_mut(key) {
-                router.add_verdict(verdict);
-            }
-            return;
-        }
-        let previous_report = self
-            .backends
-            .find(&id)
-            .map(|index| self.backends.get(index).report.clone());
-        let lease = self.settings.backend_lease;
-        let outcome = self
-            .backends
-            .apply_report(report, now, lease, self.settings.max_prefixes);
-        if let Ok(index) = outcome {
-            let report = &self.backends.get(index).report;
-            // An entry without slots is a backend server that a router named before its first report arrived.
-            let has_changed =
-                |previous: BackendReport| previous.slots == 0 || previous.models != report.models;
-            if previous_report.is_none_or(has_changed) {
-                self.requirements.update(index, &report.models);
-            }
-            let memory_tokens = self.memory_tokens;
-            self.backends
-                .get_mut(index)
-                .engine
-                .set_memory(memory_tokens);
-        }
-        let refused = outcome.err().unwrap_or_default().into();
-        if let Some(router) = self.routers.get_mut(key) {
-            let verdict = BackendVerdict {
-                backend: id,
-                incarnation,
-                refused,
-                sequence,
-            };
-            router.add_verdict(verdict);
-        }
-    }
 }
--- a/crates/jaylock-share/src/attachment.rs
+++ b/crates/jaylock-share/src/attachment.rs
@@ -4,8 +4,8 @@
 
 use crate::account::AccountKey;
 use crate::allocator::Allocator;
+use crate::causes::Causes;
 use crate::cost::SizeClass;
-use crate::crash_causes::Causes;
 use crate::router::{RouterKey, Run};
 
 impl Allocator {
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -1,80 +1,12 @@
 use std::time::{Duration, Instant};
 
-use compact_str::CompactString;
-use jaylock_rpc::v1::{Ask, BackendReport, LoadedModel};
+use jaylock_rpc::v1::BackendReport;
 use jaylock_types::RequestRate;
 
-use crate::cache_index::CacheIndex;
-use crate::engine::{EngineEstimate, RequestLoad};
+use crate::engine::EngineEstimate;
 use crate::rate_limit::RateLimiter;
 use crate::reachability::Reachability;
 
-/// A set of backend servers, as a bit set of their indices.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct BackendSet {
-    words: Vec<u64>,
-}
-
-impl BackendSet {
-    /// Adds an index to the set or removes it.
-    pub fn set(&mut self, index: usize, is_member: bool) {
-        let word = index / 64;
-        if word >= self.words.len() {
-            self.words.resize(word + 1, 0);
-        }
-        let bit = 1 << (index % 64);
-        if is_member {
-            self.words[word] |= bit;
-        } else {
-            self.words[word] &= !bit;
-        }
-    }
-
-    /// Indices that are in both sets, in order.
-    pub fn common<'a>(&'a self, other: &'a Self) -> impl Iterator<Item = usize> + 'a {
-        let words = self.words.iter().zip(&other.words);
-        words
-            .enumerate()
-            .flat_map(|(position, (a, b))| set_bits(a & b).map(move |bit| position * 64 + bit))
-    }
-
-    /// Whether any index is in both sets.
-    pub fn overlaps(&self, other: &Self) -> bool {
-        let mut words = self.words.iter().zip(&other.words);
-        words.any(|(a, b)| a & b != 0)
-    }
-
-    /// Indices that are in both sets, as a set.
-    pub fn intersection(&self, other: &Self) -> Self {
-        let words = self.words.iter().zip(&other.words);
-        Self {
-            words: words.map(|(a, b)| a & b).collect(),
-        }
-    }
-
-    /// Whether an index is in the set.
-    pub fn contains(&self, index: usize) -> bool {
-        let word = self.words.get(index / 64).copied().unwrap_or(0);
-        word & (1 << (index % 64)) != 0
-    }
-
-    /// Whether the set is empty.
-    pub fn is_empty(&self) -> bool {
-        self.words.iter().all(|word| *word == 0)
-    }
-}
-
-fn set_bits(mut word: u64) -> impl Iterator<Item = usize> {
-    std::iter::from_fn(move || {
-        if word == 0 {
-            return None;
-        }
-        let bit = word.trailing_zeros() as usize;
-        word &= word - 1;
-        Some(bit)
-    })
-}
-
 /// Time for which reports of external load may fill a backend server before a request probes it.
 const STUCK_LOAD_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -101,8 +33,8 @@
     externally_full_since: Option<Instant>,
     // Most concurrent grants since the last report, and between the two reports before that.
     peak_grants: [u32; 2],
-    // When the backend server announced its end; older reports are ignored.
-    ended_at: Option<Instant>,
+    /// When the backend server announced its end; older reports are ignored.
+    pub ended_at: Option<Instant>,
     limit: Option<Limit>,
     /// Whether its limit admits no request now.
     pub is_limited: bool,
@@ -123,7 +55,8 @@
 }
 
 impl Backend {
-    fn new(report: BackendReport, now: Instant) -> Self {
+    /// Creates the state of a backend server that was named for the first time.
+    pub fn new(report: BackendReport, now: Instant) -> Self {
         Self {
             last_report: report_time(&report, now),
             report,
@@ -170,13 +103,13 @@
     ///
     /// A stale report would otherwise exclude the backend server for ever; one that is really full
     /// declines the request.
-    fn may_probe(&self, now: Instant) -> bool {
+    pub fn may_probe(&self, now: Instant) -> bool {
         let is_overdue = |since| now.saturating_duration_since(since) >= STUCK_LOAD_TIMEOUT;
         self.granted == 0 && self.externally_full_since.is_some_and(is_overdue)
     }
 
     /// Whether an end was announced before any report arrived, so recently that an older heartbeat may still arrive.
-    fn may_have_ended(&self, now: Instant) -> bool {
+    pub fn may_have_ended(&self, now: Instant) -> bool {
         let is_recent = |ended_at| now.saturating_duration_since(ended_at) < MAX_HEARTBEAT_DELAY;
         self.report.gone && self.report.incarnation == 0 && self.ended_at.is_some_and(is_recent)
     }
@@ -223,7 +156,7 @@
     }
 
     /// Updates whether the limit admits a request now.
-    fn update_limit(&mut self, now: Instant) {
+    pub fn update_limit(&mut self, now: Instant) {
         let is_over = |at: Instant| now.saturating_duration_since(at) >= LIFT_DELAY;
         if self
             .limit
@@ -281,12 +214,12 @@
     }
 
     /// Whether a report of the same incarnation is outdated or comes after its end.
-    fn supersedes(&self, report: &BackendReport) -> bool {
+    pub fn supersedes(&self, report: &BackendReport) -> bool {
         self.report.gone || report.sequence < self.report.sequence
     }
 
     /// Discards the cache estimates and the lease of an earlier incarnation.
-    fn restart(&mut self, now: Instant, lease: Duration) {
+    pub fn restart(&mut self, now: Instant, lease: Duration) {
         self.cached_prefixes.clear();
         self.engine.restart();
         // A router may name the limit of a backend server before the first report arrives.
@@ -297,7 +230,8 @@
         self.last_report = now.checked_sub(lease).unwrap_or(now);
     }
 
-    fn renew(&mut self, report: BackendReport, now: Instant, max_prefixes: usize) {
+    /// Applies a newer report of the same incarnation or the first one of the next.
+    pub fn renew(&mut self, report: BackendReport, now: Instant, max_prefixes: usize) {
         let report_time = report_time(&report, now);
         self.reachability.record_report(report_time);
         self.last_report = self.last_report.max(report_time);
@@ -333,228 +267,8 @@
     }
 }
 
-/// The backend servers of a pool, each under a lease that its reports renew.
-#[derive(Debug, Default)]
-pub struct Backends {
-    list: Vec<Backend>,
-    // Sorted by id.
-    indices_by_id: Vec<(CompactString, usize)>,
-    // Names of drained backend servers, announced or not; sorted.
-    drains: Vec<CompactString>,
-    // Backend servers that would take another request.
-    available: BackendSet,
-    // Backend servers that may take requests, full or not.
-    usable: BackendSet,
-    cache_index: CacheIndex,
-}
-
-impl Backends {
-    /// Applies a report; an error says why the backend server is refused.
-    pub fn apply_report(
-        &mut self,
-        report: BackendReport,
-        now: Instant,
-        lease: Duration,
-        max_prefixes: usize,
-    ) -> Result<usize, &'static str> {
-        let index = self.update_report(report, now, lease, max_prefixes)?;
-        self.update_cache_index(index);
-        Ok(index)
-    }
-
-    /// Records a request that is sent to an engine.
-    pub fn add_request(&mut self, index: usize, ask: &Ask) -> RequestLoad {
-        let load = self.list[index].engine.add_request(ask);
-        self.update_cache_index(index);
-        load
-    }
-
-    /// Adds the shared parts of a prompt to the cache index.
-    pub fn index_parts(&mut self, ask: &Ask) {
-        self.cache_index.index_parts(ask, &self.list);
-    }
-
-    /// Index of the engines that cache each part.
-    pub fn cache_index(&self) -> &CacheIndex {
-        &self.cache_index
-    }
-
-    fn update_cache_index(&mut self, index: usize) {
-        let changes = self.list[index].engine.take_changes();
-        self.cache_index.apply_changes(index, changes);
-    }
-
-    fn update_report(
-        &mut self,
-        report: BackendReport,
-        now: Instant,
-        lease: Duration,
-        max_prefixes: usize,
-    ) -> Result<usize, &'static str> {
-        if report.slots == 0 {
-            return Err("a backend server takes at least one request at once: announce slots > 0");
-        }
-        let index = match self.find(&report.id) {
-            Some(index) => index,
-            None => self.add(report.clone(), now),
-        };
-        let backend = &mut self.list[index];
-        let is_live = now.saturating_duration_since(backend.last_report) < lease;
-        let is_announced = backend.report.slots > 0;
-        if backend.report.token_hash != report.token_hash && is_live && is_announced {
-            return Err("this name belongs to another backend server: choose another name");
-        }
-        if report.incarnation < backend.report.incarnation {
-            return Err(
-                "a newer start of this backend server has announced itself: announce again",
-            );
-        }
-        let report_time = report_time(&report, now);
-        if backend
-            .ended_at
-            .is_some_and(|ended_at| report_time <= ended_at)
-        {
-            if backend.report.incarnation == 0 {
-                // This report shows which incarnation has ended.
-                backend.report.incarnation = report.incarnation;
-            }
-            return Ok(index);
-        }
-        if backend.may_have_ended(now) {
-            return Ok(index);
-        }
-        if report.incarnation == backend.report.incarnation {
-            backend.engine.add_cached_parts(&report.kept);
-        }
-        if report.incarnation > backend.report.incarnation {
-            backend.restart(now, lease);
-        } else if backend.supersedes(&report) {
-            return Ok(index);
-        }
-        backend.renew(report, now, max_prefixes);
-        self.refresh(index, now, lease);
-        Ok(index)
-    }
-
-    /// Records that a backend server has ended, known or not.
-    pub fn mark_ended(&mut self, id: &str, now: Instant, lease: Duration) {
-        let index = self.find_or_add(id, now);
-        let backend = &mut self.list[index];
-        backend.report.gone = true;
-        backend.ended_at = Some(now);
-        self.refresh(index, now, lease);
-    }
-
-    pub fn find(&self, id: &str) -> Option<usize> {
-        let position = self
-            .indices_by_id
-            .binary_search_by(|(name, _)| name.as_str().cmp(id));
-        position.ok().map(|position| self.indices_by_id[position].1)
-    }
-
-    pub fn get(&self, index: usize) -> &Backend {
-        &self.list[index]
-    }
-
-    pub fn get_mut(&mut self, index: usize) -> &mut Backend {
-        &mut self.list[index]
-    }
-
-    pub fn len(&self) -> usize {
-        self.list.len()
-    }
-
-    pub fn iter(&self) -> impl Iterator<Item = &Backend> {
-        self.indices_by_id
-            .iter()
-            .map(|(_, index)| &self.list[*index])
-    }
-
-    /// Backend servers that would take another request.
-    pub fn available(&self) -> &BackendSet {
-        &self.available
-    }
-
-    /// Recomputes whether a backend server may take requests and would take another one.
-    pub fn refresh(&mut self, index: usize, now: Instant, lease: Duration) {
-        let backend = &mut self.list[index];
-        backend.update_limit(now);
-        let is_usable = backend.unusable_reason(now, lease).is_empty();
-        let has_free_slot = backend.free_slots() > 0 || backend.may_probe(now);
-        let takes_requests = has_free_slot && !backend.is_limited;
-        let is_available = is_usable && !backend.is_reserved && takes_requests;
-        self.usable.set(index, is_usable);
-        self.available.set(index, is_available);
-    }
-
-    /// Backend servers that may take requests, full or not.
-    pub fn usable(&self) -> &BackendSet {
-        &self.usable
-    }
-
-    /// Taken and total slots of the usable backend servers.
-    pub fn slots(&self) -> (u32, u32) {
-        let usable = self
-            .usable
-            .common(&self.usable)
-            .map(|index| &self.list[index]);
-        usable.fold((0, 0), |(used, slots), backend| {
-            let all = backend.report.slots;
-            (used + all - backend.free_slots().min(all), slots + all)
-        })
-    }
-
-    /// The usable backend servers with their slots.
-    pub fn usable_slots(&self) -> Vec<(usize, u32)> {
-        let usable = self.usable.common(&self.usable);
-        usable
-            .map(|index| (index, self.list[index].report.slots))
-            .collect()
-    }
-
-    /// The models that each backend server has loaded.
-    pub fn loaded_models(&self) -> impl Iterator<Item = (usize, &[LoadedModel])> {
-        let list = self.list.iter().enumerate();
-        list.map(|(index, backend)| (index, backend.report.models.as_slice()))
-    }
-
-    /// Index of a backend server, which is added without slots if it has not announced itself.
-    pub fn find_or_add(&mut self, id: &str, now: Instant) -> usize {
-        self.find(id).unwrap_or_else(|| {
-            let report = BackendReport {
-                id: id.into(),
-                ..BackendReport::default()
-            };
-            self.add(report, now)
-        })
-    }
-
-    /// Replaces the names of the backend servers that an operator has drained.
-    pub fn set_drains(&mut self, mut drains: Vec<CompactString>) {
-        drains.sort_unstable();
-        for backend in &mut self.list {
-            let id = CompactString::from(backend.report.id.as_str());
-            backend.is_drained = drains.binary_search(&id).is_ok();
-        }
-        self.drains = drains;
-    }
-
-    fn add(&mut self, report: BackendReport, now: Instant) -> usize {
-        let index = self.list.len();
-        let name = CompactString::from(report.id.as_str());
-        let position = self
-            .indices_by_id
-            .partition_point(|(other, _)| *other < name);
-        let mut backend = Backend::new(report, now);
-        backend.is_drained = self.drains.binary_search(&name).is_ok();
-        self.indices_by_id.insert(position, (name, index));
-        self.list.push(backend);
-        index
-    }
-}
-
 /// When the backend server sent a report.
-fn report_time(report: &BackendReport, now: Instant) -> Instant {
+pub fn report_time(report: &BackendReport, now: Instant) -> Instant {
     let age = Duration::from_millis(report.age_ms.into());
     now.checked_sub(age).unwrap_or(now)
 }
--- /dev/null
+++ b/crates/jaylock-share/src/backends.rs
@@ -0,0 +1,229 @@
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use jaylock_rpc::v1::{Ask, BackendReport, LoadedModel};
+
+use crate::backend::{Backend, report_time};
+use crate::backend_set::BackendSet;
+use crate::cache_index::CacheIndex;
+use crate::engine::RequestLoad;
+
+/// The backend servers of a pool, each under a lease that its reports renew.
+#[derive(Debug, Default)]
+pub struct Backends {
+    list: Vec<Backend>,
+    // Sorted by id.
+    indices_by_id: Vec<(CompactString, usize)>,
+    // Names of drained backend servers, announced or not; sorted.
+    drains: Vec<CompactString>,
+    // Backend servers that would take another request.
+    available: BackendSet,
+    // Backend servers that may take requests, full or not.
+    usable: BackendSet,
+    cache_index: CacheIndex,
+}
+
+impl Backends {
+    /// Applies a report; an error says why the backend server is refused.
+    pub fn apply_report(
+        &mut self,
+        report: BackendReport,
+        now: Instant,
+        lease: Duration,
+        max_prefixes: usize,
+    ) -> Result<usize, &'static str> {
+        let index = self.update_report(report, now, lease, max_prefixes)?;
+        self.update_cache_index(index);
+        Ok(index)
+    }
+
+    /// Records a request that is sent to an engine.
+    pub fn add_request(&mut self, index: usize, ask: &Ask) -> RequestLoad {
+        let load = self.list[index].engine.add_request(ask);
+        self.update_cache_index(index);
+        load
+    }
+
+    /// Adds the shared parts of a prompt to the cache index.
+    pub fn index_parts(&mut self, ask: &Ask) {
+        self.cache_index.index_parts(ask, &self.list);
+    }
+
+    /// Index of the engines that cache each part.
+    pub fn cache_index(&self) -> &CacheIndex {
+        &self.cache_index
+    }
+
+    fn update_cache_index(&mut self, index: usize) {
+        let changes = self.list[index].engine.take_changes();
+        self.cache_index.apply_changes(index, changes);
+    }
+
+    fn update_report(
+        &mut self,
+        report: BackendReport,
+        now: Instant,
+        lease: Duration,
+        max_prefixes: usize,
+    ) -> Result<usize, &'static str> {
+        if report.slots == 0 {
+            return Err("a backend server takes at least one request at once: announce slots > 0");
+        }
+        let index = match self.find(&report.id) {
+            Some(index) => index,
+            None => self.add(report.clone(), now),
+        };
+        let backend = &mut self.list[index];
+        let is_live = now.saturating_duration_since(backend.last_report) < lease;
+        let is_announced = backend.report.slots > 0;
+        if backend.report.token_hash != report.token_hash && is_live && is_announced {
+            return Err("this name belongs to another backend server: choose another name");
+        }
+        if report.incarnation < backend.report.incarnation {
+            return Err(
+                "a newer start of this backend server has announced itself: announce again",
+            );
+        }
+        let report_time = report_time(&report, now);
+        if backend
+            .ended_at
+            .is_some_and(|ended_at| report_time <= ended_at)
+        {
+            if backend.report.incarnation == 0 {
+                // This report shows which incarnation has ended.
+                backend.report.incarnation = report.incarnation;
+            }
+            return Ok(index);
+        }
+        if backend.may_have_ended(now) {
+            return Ok(index);
+        }
+        if report.incarnation == backend.report.incarnation {
+            backend.engine.add_cached_parts(&report.kept);
+        }
+        if report.incarnation > backend.report.incarnation {
+            backend.restart(now, lease);
+        } else if backend.supersedes(&report) {
+            return Ok(index);
+        }
+        backend.renew(report, now, max_prefixes);
+        self.refresh(index, now, lease);
+        Ok(index)
+    }
+
+    /// Records that a backend server has ended, known or not.
+    pub fn mark_ended(&mut self, id: &str, now: Instant, lease: Duration) {
+        let index = self.find_or_add(id, now);
+        let backend = &mut self.list[index];
+        backend.report.gone = true;
+        backend.ended_at = Some(now);
+        self.refresh(index, now, lease);
+    }
+
+    pub fn find(&self, id: &str) -> Option<usize> {
+        let position = self
+            .indices_by_id
+            .binary_search_by(|(name, _)| name.as_str().cmp(id));
+        position.ok().map(|position| self.indices_by_id[position].1)
+    }
+
+    pub fn get(&self, index: usize) -> &Backend {
+        &self.list[index]
+    }
+
+    pub fn get_mut(&mut self, index: usize) -> &mut Backend {
+        &mut self.list[index]
+    }
+
+    pub fn len(&self) -> usize {
+        self.list.len()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Backend> {
+        self.indices_by_id
+            .iter()
+            .map(|(_, index)| &self.list[*index])
+    }
+
+    /// Backend servers that would take another request.
+    pub fn available(&self) -> &BackendSet {
+        &self.available
+    }
+
+    /// Recomputes whether a backend server may take requests and would take another one.
+    pub fn refresh(&mut self, index: usize, now: Instant, lease: Duration) {
+        let backend = &mut self.list[index];
+        backend.update_limit(now);
+        let is_usable = backend.unusable_reason(now, lease).is_empty();
+        let has_free_slot = backend.free_slots() > 0 || backend.may_probe(now);
+        let takes_requests = has_free_slot && !backend.is_limited;
+        let is_available = is_usable && !backend.is_reserved && takes_requests;
+        self.usable.set(index, is_usable);
+        self.available.set(index, is_available);
+    }
+
+    /// Backend servers that may take requests, full or not.
+    pub fn usable(&self) -> &BackendSet {
+        &self.usable
+    }
+
+    /// Taken and total slots of the usable backend servers.
+    pub fn slots(&self) -> (u32, u32) {
+        let usable = self
+            .usable
+            .common(&self.usable)
+            .map(|index| &self.list[index]);
+        usable.fold((0, 0), |(used, slots), backend| {
+            let all = backend.report.slots;
+            (used + all - backend.free_slots().min(all), slots + all)
+        })
+    }
+
+    /// The usable backend servers with their slots.
+    pub fn usable_slots(&self) -> Vec<(usize, u32)> {
+        let usable = self.usable.common(&self.usable);
+        usable
+            .map(|index| (index, self.list[index].report.slots))
+            .collect()
+    }
+
+    /// The models that each backend server has loaded.
+    pub fn loaded_models(&self) -> impl Iterator<Item = (usize, &[LoadedModel])> {
+        let list = self.list.iter().enumerate();
+        list.map(|(index, backend)| (index, backend.report.models.as_slice()))
+    }
+
+    /// Index of a backend server, which is added without slots if it has not announced itself.
+    pub fn find_or_add(&mut self, id: &str, now: Instant) -> usize {
+        self.find(id).unwrap_or_else(|| {
+            let report = BackendReport {
+                id: id.into(),
+                ..BackendReport::default()
+            };
+            self.add(report, now)
+        })
+    }
+
+    /// Replaces the names of the backend servers that an operator has drained.
+    pub fn set_drains(&mut self, mut drains: Vec<CompactString>) {
+        drains.sort_unstable();
+        for backend in &mut self.list {
+            let id = CompactString::from(backend.report.id.as_str());
+            backend.is_drained = drains.binary_search(&id).is_ok();
+        }
+        self.drains = drains;
+    }
+
+    fn add(&mut self, report: BackendReport, now: Instant) -> usize {
+        let index = self.list.len();
+        let name = CompactString::from(report.id.as_str());
+        let position = self
+            .indices_by_id
+            .partition_point(|(other, _)| *other < name);
+        let mut backend = Backend::new(report, now);
+        backend.is_drained = self.drains.binary_search(&name).is_ok();
+        self.indices_by_id.insert(position, (name, index));
+        self.list.push(backend);
+        index
+    }
+}
--- a/crates/jaylock-share/src/cache_index.rs
+++ b/crates/jaylock-share/src/cache_index.rs
@@ -1,6 +1,7 @@
 use jaylock_rpc::v1::Ask;
 
-use crate::backend::{Backend, BackendSet};
+use crate::backend::Backend;
+use crate::backend_set::BackendSet;
 use crate::engine::CacheChange;
 
 /// Parts that are indexed; beyond this number those that no engine caches are dropped, and then all.
--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -11,9 +11,9 @@
 
 use crate::SchedulerClientSettings;
 use crate::batch::Batch;
+use crate::causes::Causes;
 use crate::connection::not_run;
 use crate::cost::cost_of;
-use crate::crash_causes::Causes;
 use crate::division::without_events;
 use crate::encoding::{AddressTable, encode_request_id};
 use crate::fallback::SpareSlot;
--- a/crates/jaylock-share/src/crash_causes.rs
+++ b/crates/jaylock-share/src/crash_causes.rs
@@ -4,7 +4,7 @@
 use jaylock_rpc::v1::{Ask, Configuration, CrashCause};
 use jaylock_types::unix_ms;
 
-use crate::cache_index::shared_parts;
+use crate::causes::{Causes, shared_causes};
 use crate::proven_causes::ProvenCauses;
 
 /// Crashes from which only one request with a cause runs at a time, as a trial.
@@ -27,35 +27,6 @@
 /// Time after which a quarantine that the configuration does not show is recorded again.
 const RECORD_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What a request shares with others and may crash backend servers.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Causes {
-    /// Hashes of parts or prefixes of the prompt.
-    pub shared: Vec<u64>,
-    /// Hash of the whole request, which may be sent again; 0 if unset.
-    pub digest: u64,
-}
-
-impl Causes {
-    /// Returns what a slot request lists.
-    pub fn from_ask(ask: &Ask) -> Self {
-        Self {
-            shared: shared_causes(ask).collect(),
-            digest: ask.digest,
-        }
-    }
-
-    /// All hashes.
-    pub fn iter(&self) -> impl Iterator<Item = u64> + '_ {
-        let digest = (self.digest != 0).then_some(self.digest);
-        self.shared.iter().copied().chain(digest)
-    }
-}
-
-fn shared_causes(ask: &Ask) -> impl Iterator<Item = u64> + '_ {
-    shared_parts(ask).chain(ask.prefixes.iter().copied())
-}
-
 /// What requests of a pool share that crashed backend servers, and is not known to be harmless.
 ///
 /// After two crashes, requests with a cause run one at a time; a complete one clears the cause, and a
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -5,7 +5,7 @@
 
 use crate::account::AccountKey;
 use crate::allocator::Allocator;
-use crate::crash_causes::Causes;
+use crate::causes::Causes;
 use crate::crash_history::CrashHistory;
 use crate::encoding::request_id;
 use crate::placement::{self, EngineSelector};
--- a/crates/jaylock-share/src/placement.rs
+++ b/crates/jaylock-share/src/placement.rs
@@ -2,7 +2,8 @@
 
 use jaylock_rpc::v1::Ask;
 
-use crate::backend::{BackendSet, Backends};
+use crate::backend_set::BackendSet;
+use crate::backends::Backends;
 use crate::cache_index::shared_parts;
 use crate::crash_history::CrashHistory;
 use crate::engine::PrefillRate;
--- a/crates/jaylock-share/src/ranking.rs
+++ b/crates/jaylock-share/src/ranking.rs
@@ -1,4 +1,5 @@
-use crate::backend::{BackendSet, Backends};
+use crate::backend_set::BackendSet;
+use crate::backends::Backends;
 
 /// The usable engines of a pool ranked by pending prefill, for one decision.
 #[derive(Debug)]
--- a/crates/jaylock-share/src/recent_crashes.rs
+++ b/crates/jaylock-share/src/recent_crashes.rs
@@ -3,8 +3,9 @@
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{Ask, Crash, End};
 
+use crate::causes::Causes;
 use crate::client_state::HeldSlot;
-use crate::crash_causes::{Causes, SUSPECT_CRASHES};
+use crate::crash_causes::SUSPECT_CRASHES;
 
 /// Time for which a router remembers a crash.
 const CRASH_MEMORY: Duration = Duration::from_mins(10);
--- /dev/null
+++ b/crates/jaylock-share/src/reports.rs
@@ -0,0 +1,69 @@
+use std::time::Instant;
+
+use jaylock_rpc::v1::{BackendReport, BackendVerdict, RateLimit};
+use jaylock_types::RequestRate;
+
+use crate::allocator::Allocator;
+use crate::router::RouterKey;
+
+impl Allocator {
+    /// Applies the limit that a router read in a response.
+    pub(crate) fn apply_limit(&mut self, limit: &RateLimit, now: Instant) {
+        let index = self.backends.find_or_add(&limit.backend, now);
+        let rate = limit.rate_milli.map(|milli| RequestRate { milli });
+        self.backends.get_mut(index).set_limit(rate, now);
+        self.refresh(index, now);
+    }
+
+    /// Applies what a backend server announced to a router, and tells the router the verdict.
+    pub(crate) fn apply_report(&mut self, key: RouterKey, report: BackendReport, now: Instant) {
+        let (id, incarnation) = (report.id.clone(), report.incarnation);
+        let sequence = report.sequence;
+        if report.gone {
+            self.backends
+                .mark_ended(&id, now, self.settings.backend_lease);
+            let verdict = BackendVerdict {
+                backend: id,
+                incarnation,
+                sequence,
+                ..BackendVerdict::default()
+            };
+            if let Some(router) = self.routers.get_mut(key) {
+                router.add_verdict(verdict);
+            }
+            return;
+        }
+        let previous_report = self
+            .backends
+            .find(&id)
+            .map(|index| self.backends.get(index).report.clone());
+        let lease = self.settings.backend_lease;
+        let outcome = self
+            .backends
+            .apply_report(report, now, lease, self.settings.max_prefixes);
+        if let Ok(index) = outcome {
+            let report = &self.backends.get(index).report;
+            // An entry without slots is a backend server that a router named before its first report arrived.
+            let has_changed =
+                |previous: BackendReport| previous.slots == 0 || previous.models != report.models;
+            if previous_report.is_none_or(has_changed) {
+                self.requirements.update(index, &report.models);
+            }
+            let memory_tokens = self.memory_tokens;
+            self.backends
+                .get_mut(index)
+                .engine
+                .set_memory(memory_tokens);
+        }
+        let refused = outcome.err().unwrap_or_default().into();
+        if let Some(router) = self.routers.get_mut(key) {
+            let verdict = BackendVerdict {
+                backend: id,
+                incarnation,
+                refused,
+                sequence,
+            };
+            router.add_verdict(verdict);
+        }
+    }
+}
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -4,8 +4,8 @@
 use jaylock_rpc::v1::{BackendVerdict, Grant, Hello, SchedulerFrame};
 
 use crate::account::AccountKey;
+use crate::causes::Causes;
 use crate::cost::SizeClass;
-use crate::crash_causes::Causes;
 use crate::encoding::AddressTable;
 use crate::engine::RequestLoad;
 
