A backend server that leaves or asks for a pause in a response gets no further requests

What backend servers saw in tests with one router: one that said in each response that it leaves got 20 of 20 requests, as its heartbeats went on to say "ready"; one that refused each with a pause of a minute got 20 of 20 too.

Cause: neither header was read. The same class as with named limits: what a backend server says of itself in a response had no way into the decision where requests go.

Change: routers keep both from the head of a response on and report them; the scheduler takes a leaving start out for all, and a paused one out for the router that was told. A grant that arrives later is given back.

--- a/crates/jaylock-daemon/src/ports.rs
+++ b/crates/jaylock-daemon/src/ports.rs
@@ -12,7 +12,7 @@
     DescribeRequest, End, Grant, Progress, Refusal,
 };
 use jaylock_share::{CauseLog, SchedulerClient};
-use jaylock_types::{Incarnation, InstanceId, PoolId, RequestId, RequestRate};
+use jaylock_types::{Incarnation, InstanceId, Notice, PoolId, RequestId};
 
 /// The router's port to the schedulers, through their client.
 #[derive(Clone)]
@@ -35,8 +35,8 @@
         self.0.release_slot(pool, end);
     }
 
-    fn report_limit(&self, pool: &PoolId, backend: &str, rate: Option<RequestRate>) {
-        self.0.report_limit(pool, backend, rate);
+    fn report_notice(&self, pool: &PoolId, backend: &str, incarnation: u64, notice: &Notice) {
+        self.0.report_notice(pool, backend, incarnation, notice);
     }
 
     fn report_backend(&self, report: BackendReport) {
--- a/crates/jaylock-router/src/port.rs
+++ b/crates/jaylock-router/src/port.rs
@@ -3,7 +3,7 @@
 use jaylock_rpc::v1::{
     Applied, Ask, BackendReport, BackendVerdict, Command, End, Grant, Progress, Refusal,
 };
-use jaylock_types::{PoolId, RequestRate};
+use jaylock_types::{Notice, PoolId};
 use thiserror::Error;
 
 /// Port to the schedulers of the pools.
@@ -26,8 +26,8 @@
     /// Releases a slot.
     fn release_slot(&self, pool: &PoolId, end: End);
 
-    /// Reports the limit that a response of a backend server names; `None` if it names none.
-    fn report_limit(&self, pool: &PoolId, backend: &str, rate: Option<RequestRate>);
+    /// Reports what a start of a backend server tells in a response.
+    fn report_notice(&self, pool: &PoolId, backend: &str, incarnation: u64, notice: &Notice);
 
     /// Forwards a backend server's report to the schedulers.
     fn report_backend(&self, report: BackendReport);
--- a/crates/jaylock-router/src/route/headers.rs
+++ b/crates/jaylock-router/src/route/headers.rs
@@ -19,6 +19,8 @@
     pub seal: &'static str,
     /// Requests a second that a backend server takes from all routers together, in its responses.
     pub limit: &'static str,
+    /// Tells with the value 1 that a backend server leaves, in its responses.
+    pub leaving: &'static str,
     /// Model of a prompt.
     pub model: &'static str,
     /// Number of prompt tokens and largest number of generated tokens, separated by a comma.
@@ -41,6 +43,7 @@
             not_run: "x-not-run",
             seal: "x-seal",
             limit: "x-rate-limit",
+            leaving: "x-leaving",
             model: "x-model",
             tokens: "x-tokens",
             prompt_parts: "x-prompt-parts",
--- a/crates/jaylock-router/src/route/mod.rs
+++ b/crates/jaylock-router/src/route/mod.rs
@@ -5,6 +5,7 @@
 mod buffered;
 mod context;
 mod headers;
+mod notice;
 mod prompt;
 mod quarantine;
 mod request;
--- a/crates/jaylock-router/src/route/send.rs
+++ b/crates/jaylock-router/src/route/send.rs
@@ -6,10 +6,10 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use jaylock_rpc::v1::route::Kind;
-use jaylock_types::RequestRate;
 
 use super::context::RouteContext;
 use super::headers::RouteHeaders;
+use super::notice;
 use super::request::RouteRequest;
 use crate::connection::Connection;
 use crate::error::{AttemptError, with_timeout};
@@ -50,7 +50,8 @@
     let (connection, response) = with_timeout(timeout, sending).await??;
     let validated = validate_head(&response, request, &context.names);
     if matches!(validated, Ok(()) | Err(AttemptError::Declined)) {
-        to.slot.record_limit(named_limit(&response, &context.names));
+        to.slot
+            .record_notice(&notice::parse(&response, &context.names));
     }
     validated?;
     Ok((connection, response))
@@ -101,16 +102,6 @@
     texts.flat_map(|t| t.split(',').map(str::trim)).collect()
 }
 
-/// The limit that a response names; one that is no number names none.
-fn named_limit(response: &Response<Incoming>, names: &RouteHeaders) -> Option<RequestRate> {
-    let value = response.headers().get(names.limit)?.to_str().ok()?;
-    let rate = value.parse();
-    if let Err(error) = &rate {
-        log::warn!(target: "router", "a backend server names no valid limit: {error}");
-    }
-    rate.ok()
-}
-
 /// Checks that a response belongs to this request and whether it reports that the request did not run.
 fn validate_head(
     response: &Response<Incoming>,
--- a/crates/jaylock-router/src/slot.rs
+++ b/crates/jaylock-router/src/slot.rs
@@ -3,7 +3,7 @@
 
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{End, Grant, Progress};
-use jaylock_types::{PoolId, RequestRate};
+use jaylock_types::{Notice, PoolId};
 
 use crate::port::Schedulers;
 
@@ -46,10 +46,11 @@
         &self.grant.backend
     }
 
-    /// Reports the limit that the response names; `None` if it names none.
-    pub fn record_limit(&self, rate: Option<RequestRate>) {
+    /// Reports what the backend server tells in a response.
+    pub fn record_notice(&self, notice: &Notice) {
+        let incarnation = self.grant.incarnation;
         self.schedulers
-            .report_limit(&self.pool, self.backend(), rate);
+            .report_notice(&self.pool, self.backend(), incarnation, notice);
     }
 
     /// Sets the service of this attempt so far, in tokens, and reports progress.
--- a/crates/jaylock-share/src/admission.rs
+++ b/crates/jaylock-share/src/admission.rs
@@ -10,7 +10,7 @@
 use crate::placement::EngineSelector;
 use crate::queue::WaitingRequest;
 use crate::ranking::EngineRanking;
-use crate::router::RouterKey;
+use crate::router::{Router, RouterKey};
 
 /// Retry delay for a request that no backend server can run.
 const NO_BACKEND_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -77,6 +77,49 @@
         }
     }
 
+    /// Refuses the waiting requests whose backend servers all want nothing from their router now.
+    pub(crate) fn refuse_paused(&mut self, now: Instant) {
+        let has_pauses = |(_, router): (_, &Router)| !router.pauses.is_empty();
+        if !self.routers.iter().any(has_pauses) {
+            return;
+        }
+        let interval = self.accounts.expected_grant_interval();
+        for account in self.accounts.backlogged_keys().collect::<Vec<_>>() {
+            let pause_end = |waiting: &WaitingRequest| self.pause_end(waiting);
+            let queue = &self.accounts.get(account).queue;
+            let paused = queue.iter().filter_map(|waiting| {
+                let end = pause_end(waiting)?;
+                Some((waiting.router, waiting.ask.ticket, end))
+            });
+            for (router, ticket, end) in paused.collect::<Vec<_>>() {
+                let queue = &mut self.accounts.get_mut(account).queue;
+                let Some(waiting) = queue.remove(router, ticket) else {
+                    continue;
+                };
+                let pause = end.saturating_duration_since(now);
+                let owner = self.accounts.get_mut(account);
+                let delay = pause + owner.next_retry_delay(now, interval);
+                self.refuse_waiting(&waiting, Reason::Overloaded, delay);
+            }
+            self.accounts.leave_backlog_if_empty(account);
+        }
+    }
+
+    /// The earliest end of the pauses, if all usable backend servers for a request want nothing from its router.
+    fn pause_end(&self, waiting: &WaitingRequest) -> Option<Instant> {
+        let router = self.routers.get(waiting.router)?;
+        let eligible = self.requirements.backends(waiting.requirement);
+        let usable = eligible.intersection(self.backends.usable());
+        if usable.is_empty() || !usable.difference(&router.paused).is_empty() {
+            return None;
+        }
+        let pauses = router
+            .pauses
+            .iter()
+            .filter(|(index, _)| usable.contains(*index));
+        pauses.map(|(_, until)| *until).min()
+    }
+
     /// Refuses the waiting requests that are in quarantine.
     pub(crate) fn refuse_quarantined(&mut self, now: Instant) {
         if !self.crash_history.causes.has_quarantine() {
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -111,6 +111,9 @@
         for limit in frame.limits {
             self.apply_limit(&limit, now);
         }
+        for exclusion in frame.exclusions {
+            self.apply_exclusion(key, &exclusion, now);
+        }
         for end in frame.ends {
             self.end_run(key, &end, now);
         }
@@ -148,7 +151,11 @@
             self.reconcile(key, &[], now);
             self.routers.remove(key);
         }
+        for (_, router) in self.routers.iter_mut() {
+            router.end_pauses(now);
+        }
         self.refuse_unservable(now);
+        self.refuse_paused(now);
         self.refuse_quarantined(now);
         self.refuse_overdue(now);
         self.divide();
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -35,6 +35,8 @@
     peak_grants: [u32; 2],
     /// When the backend server announced its end; older reports are ignored.
     pub ended_at: Option<Instant>,
+    /// Latest start that told a router in a response that it leaves; 0 if none did.
+    pub left_incarnation: u64,
     limit: Option<Limit>,
     /// Whether its limit admits no request now.
     pub is_limited: bool,
@@ -68,6 +70,7 @@
             externally_full_since: None,
             peak_grants: [0; 2],
             ended_at: None,
+            left_incarnation: 0,
             limit: None,
             is_limited: false,
             last_crash: None,
@@ -80,7 +83,7 @@
     pub fn unusable_reason(&self, now: Instant, lease: Duration) -> &'static str {
         if self.report.gone {
             "gone"
-        } else if self.report.leaving {
+        } else if self.report.leaving || self.has_said_to_leave() {
             "leaving"
         } else if self.is_drained {
             "drained"
@@ -93,6 +96,11 @@
         }
     }
 
+    /// Whether this start has told a router that it leaves, whatever its reports say.
+    fn has_said_to_leave(&self) -> bool {
+        self.left_incarnation > 0 && self.report.incarnation <= self.left_incarnation
+    }
+
     /// Slots that are free now.
     pub fn free_slots(&self) -> u32 {
         let used = self.granted.saturating_add(self.external_load);
--- a/crates/jaylock-share/src/backend_set.rs
+++ b/crates/jaylock-share/src/backend_set.rs
@@ -41,6 +41,15 @@
         }
     }
 
+    /// Indices that are in this set and not in another one, as a set.
+    pub fn difference(&self, other: &Self) -> Self {
+        let others = other.words.iter().copied().chain(std::iter::repeat(0));
+        let words = self.words.iter().zip(others);
+        Self {
+            words: words.map(|(a, b)| a & !b).collect(),
+        }
+    }
+
     /// Whether an index is in the set.
     pub fn contains(&self, index: usize) -> bool {
         let word = self.words.get(index / 64).copied().unwrap_or(0);
--- a/crates/jaylock-share/src/batch.rs
+++ b/crates/jaylock-share/src/batch.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use jaylock_rpc::v1::{Ask, BackendReport, End, Progress, RateLimit, RouterFrame};
+use jaylock_rpc::v1::{Ask, BackendReport, End, Exclusion, Progress, RateLimit, RouterFrame};
 
 use crate::SchedulerClientSettings;
 use crate::encoding::{NameTable, encode_request_id};
@@ -14,6 +14,7 @@
     cancels: Vec<u64>,
     backends: Vec<BackendReport>,
     limits: Vec<RateLimit>,
+    exclusions: Vec<Exclusion>,
     // Ends with their organisations.
     ends: Vec<(CompactString, End)>,
     // Sorted by ticket.
@@ -51,6 +52,13 @@
         self.limits.push(limit);
     }
 
+    /// Adds an exclusion, in place of an older one of the same backend server.
+    pub fn add_exclusion(&mut self, exclusion: Exclusion) {
+        self.exclusions
+            .retain(|other| other.backend != exclusion.backend);
+        self.exclusions.push(exclusion);
+    }
+
     pub fn add_end(&mut self, organisation: CompactString, end: End, due: Instant) {
         if let Ok(index) = self.search_progress(end.ticket) {
             self.progress.remove(index);
@@ -82,6 +90,7 @@
             || !self.cancels.is_empty()
             || !self.backends.is_empty()
             || !self.limits.is_empty()
+            || !self.exclusions.is_empty()
             || (has_waiting_requests && !self.ends.is_empty());
         let batched = self.last_frame.map(|last| last + settings.batch_window);
         let urgent = is_urgent.then(|| batched.unwrap_or(now));
@@ -104,6 +113,7 @@
             cancels: std::mem::take(&mut self.cancels),
             backends: std::mem::take(&mut self.backends),
             limits: std::mem::take(&mut self.limits),
+            exclusions: std::mem::take(&mut self.exclusions),
             ends: ends.into_iter().map(|(_, end)| end).collect(),
             progress: std::mem::take(&mut self.progress),
             ..RouterFrame::default()
--- a/crates/jaylock-share/src/client.rs
+++ b/crates/jaylock-share/src/client.rs
@@ -7,7 +7,7 @@
 use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{Ask, BackendReport, BackendVerdict, End, Grant, Progress, Refusal};
 use jaylock_rpc::{Channel, ChannelSettings};
-use jaylock_types::{DomainId, Incarnation, InstanceId, PoolId, RequestRate};
+use jaylock_types::{DomainId, Incarnation, InstanceId, Notice, PoolId};
 
 use crate::SchedulerClientSettings;
 use crate::connection::{SchedulerConnection, not_run};
@@ -121,9 +121,10 @@
         self.connection(pool.as_str()).release_slot(end);
     }
 
-    /// Reports the limit that a response of a backend server names; `None` if it names none.
-    pub fn report_limit(&self, pool: &PoolId, backend: &str, rate: Option<RequestRate>) {
-        self.connection(pool.as_str()).report_limit(backend, rate);
+    /// Reports what a start of a backend server tells in a response.
+    pub fn report_notice(&self, pool: &PoolId, backend: &str, incarnation: u64, notice: &Notice) {
+        let connection = self.connection(pool.as_str());
+        connection.report_notice(backend, incarnation, notice);
     }
 
     /// Forwards an announcement or report of a backend server.
--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -7,7 +7,7 @@
     Ask, BackendReport, BackendVerdict, End, FallbackSlots, Grant, Hello, Progress, Refusal,
     RouterFrame, Running, SchedulerFrame, Total,
 };
-use jaylock_types::RequestRate;
+use jaylock_types::Notice;
 
 use crate::SchedulerClientSettings;
 use crate::batch::Batch;
@@ -16,6 +16,7 @@
 use crate::cost::cost_of;
 use crate::division::without_events;
 use crate::encoding::{AddressTable, encode_request_id};
+use crate::exclusions::Exclusions;
 use crate::fallback::SpareSlot;
 use crate::named_limits::NamedLimits;
 use crate::recent_crashes::RecentCrashes;
@@ -44,6 +45,8 @@
     // Part of the totals that the stream's first message reported and the scheduler has not confirmed.
     unconfirmed: Vec<Total>,
     pub(crate) fallback: Vec<FallbackSlots>,
+    // Backend servers that told this router to send them nothing.
+    pub(crate) exclusions: Exclusions,
     // Limits that backend servers named to this router.
     pub(crate) limits: NamedLimits,
     // Crashes under own runs, for a new scheduler.
@@ -77,6 +80,7 @@
     pub organisation: CompactString,
     pub backend: CompactString,
     pub address: CompactString,
+    pub incarnation: u64,
     pub requirement: Requirement,
     pub tokens: u64,
     is_isolated: bool,
@@ -103,6 +107,7 @@
             totals: Vec::new(),
             unconfirmed: Vec::new(),
             fallback: Vec::new(),
+            exclusions: Exclusions::default(),
             limits: NamedLimits::default(),
             crashes: RecentCrashes::default(),
             spare: Vec::new(),
@@ -196,20 +201,25 @@
         }
     }
 
-    /// Records the limit that a response of a backend server names, if any.
+    /// Records what a start of a backend server tells in a response.
     ///
-    /// `share` is the part of it that this router may use while no scheduler responds.
-    pub fn report_limit(
+    /// `share` is the part of a limit that this router may use while no scheduler responds.
+    pub fn report_notice(
         &mut self,
         backend: &str,
-        rate: Option<RequestRate>,
+        incarnation: u64,
+        notice: &Notice,
         share: f64,
         now: Instant,
     ) {
-        let report = self.limits.record(backend, rate, share, now);
-        if let Some(limit) = report.filter(|_| self.is_attached) {
+        let limit = self.limits.record(backend, notice.limit, share, now);
+        if let Some(limit) = limit.filter(|_| self.is_attached) {
             self.batch.add_limit(limit);
         }
+        let exclusion = self.exclusions.record(backend, incarnation, notice, now);
+        if let Some(exclusion) = exclusion.filter(|_| self.is_attached) {
+            self.batch.add_exclusion(exclusion);
+        }
     }
 
     /// Records what a backend server announced or reported to this router.
@@ -265,6 +275,7 @@
             backends: self.reports.iter().map(|r| r.with_age(now)).collect(),
             totals: self.unconfirmed.clone(),
             limits: self.limits.reports(now),
+            exclusions: self.exclusions.reports(now),
             ..RouterFrame::default()
         }
     }
@@ -361,6 +372,13 @@
 
     /// Passes a granted slot to the waiting request.
     pub(crate) fn grant(&mut self, grant: Grant, now: Instant) {
+        if self
+            .exclusions
+            .contains(&grant.backend, grant.incarnation, now)
+        {
+            self.return_grant(&grant, now);
+            return;
+        }
         let Some(pending) = self.take_pending(grant.ticket) else {
             // The caller gave up, so the slot is returned at once.
             self.batch
@@ -372,6 +390,7 @@
             organisation: pending.ask.organisation.as_str().into(),
             backend: grant.backend.as_str().into(),
             address: grant.address.as_str().into(),
+            incarnation: grant.incarnation,
             requirement: Requirement::from_ask(&pending.ask),
             tokens: 0,
             is_isolated: pending.ask.alone,
@@ -390,6 +409,16 @@
         }
     }
 
+    /// Gives back a slot at a backend server that wants nothing from this router, and asks for another one.
+    fn return_grant(&mut self, grant: &Grant, now: Instant) {
+        self.batch
+            .add_end(CompactString::default(), not_run(grant), now);
+        let pending = self.pending.iter().find(|p| p.ask.ticket == grant.ticket);
+        if let Some(pending) = pending.filter(|_| self.is_attached) {
+            self.batch.add_ask(pending.updated_ask(now));
+        }
+    }
+
     fn take_pending(&mut self, ticket: u64) -> Option<PendingRequest> {
         let index = self
             .pending
--- a/crates/jaylock-share/src/connection.rs
+++ b/crates/jaylock-share/src/connection.rs
@@ -15,7 +15,7 @@
     RouterFrame, SchedulerFrame,
 };
 use jaylock_rpc::with_timeout;
-use jaylock_types::{Index, RequestRate};
+use jaylock_types::{Index, Notice};
 use tonic::{Status, Streaming};
 
 use crate::client::RouterContext;
@@ -80,8 +80,8 @@
         self.notify();
     }
 
-    pub fn report_limit(&self, backend: &str, rate: Option<RequestRate>) {
-        if rate.is_none() && self.state.borrow().limits.is_empty() {
+    pub fn report_notice(&self, backend: &str, incarnation: u64, notice: &Notice) {
+        if *notice == Notice::default() && self.state.borrow().limits.is_empty() {
             return;
         }
         let configuration = self.context.view.current();
@@ -91,7 +91,7 @@
         let share = 1.0 / routers.count().max(1) as f64;
         self.state
             .borrow_mut()
-            .report_limit(backend, rate, share, Instant::now());
+            .report_notice(backend, incarnation, notice, share, Instant::now());
         self.notify();
     }
 
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -1,3 +1,4 @@
+use std::borrow::Cow;
 use std::time::Instant;
 
 use jaylock_rpc::v1::{Decision, Grant};
@@ -5,13 +6,14 @@
 
 use crate::account::AccountKey;
 use crate::allocator::Allocator;
+use crate::backend_set::BackendSet;
 use crate::causes::Causes;
 use crate::crash_history::CrashHistory;
 use crate::encoding::request_id;
 use crate::placement::{self, EngineSelector};
 use crate::queue::WaitingRequest;
 use crate::ranking::EngineRanking;
-use crate::router::Run;
+use crate::router::{Router, Run};
 
 impl Allocator {
     /// Grants the free slots, each to the backlogged organisation with the least weighted service.
@@ -63,6 +65,8 @@
             let is_far_behind = self.is_far_behind(account);
             let choose = |waiting: &WaitingRequest| {
                 let router = routers.get(waiting.router);
+                let eligible = allowed_backends(router, eligible);
+                let eligible = &*eligible;
                 let domain = router.map_or("", |router| router.domain.as_str());
                 if waiting.ask.prompt_tokens > 0 && !waiting.ask.parts.is_empty() {
                     let selector = EngineSelector {
@@ -147,7 +151,9 @@
         let (backends, crash_history) = (&self.backends, &self.crash_history);
         let choose = |waiting: &WaitingRequest| {
             let eligible = self.requirements.backends(waiting.requirement);
-            placement::choose_isolated(backends, crash_history, eligible, &waiting.ask, now, lease)
+            let eligible = allowed_backends(self.routers.get(waiting.router), eligible);
+            let ask = &waiting.ask;
+            placement::choose_isolated(backends, crash_history, &eligible, ask, now, lease)
         };
         let mut waiting = self.isolated.iter().enumerate();
         let (position, index) =
@@ -166,7 +172,7 @@
         usable
             && front.is_some_and(|(_, waiting)| {
                 let eligible = self.requirements.backends(waiting.requirement);
-                eligible.contains(index)
+                allowed_backends(self.routers.get(waiting.router), eligible).contains(index)
                     && !waiting.ask.avoid.contains(&backend.report.id)
                     && self.crash_history.admits(&waiting.ask, index)
             })
@@ -213,6 +219,7 @@
             address: backend.report.address.clone(),
             epoch: self.epoch,
             spare: self.has_spare_slots,
+            incarnation: backend.report.incarnation,
         };
         let decision = Decision {
             request: request_id(ask),
@@ -274,3 +281,11 @@
             .add(now, self.accounts.has_backlog(), used, slots);
     }
 }
+
+/// The backend servers of a set that take requests from a router.
+fn allowed_backends<'a>(router: Option<&Router>, eligible: &'a BackendSet) -> Cow<'a, BackendSet> {
+    match router.filter(|router| !router.pauses.is_empty()) {
+        Some(router) => Cow::Owned(eligible.difference(&router.paused)),
+        None => Cow::Borrowed(eligible),
+    }
+}
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -11,6 +11,7 @@
 pub struct SpareSlot {
     pub backend: CompactString,
     pub address: CompactString,
+    pub incarnation: u64,
     pub requirement: Requirement,
 }
 
@@ -24,25 +25,14 @@
         if detached_at.is_none_or(|detached_at| now.saturating_duration_since(detached_at) < wait) {
             return;
         }
-        while let Some((ticket, backend, address)) = self.next_local_grant(configuration, now) {
-            self.limits.record_grant(&backend, now);
-            let grant = Grant {
-                ticket,
-                backend,
-                address,
-                epoch: self.epoch,
-                spare: false,
-            };
+        while let Some(grant) = self.next_local_grant(configuration, now) {
+            self.limits.record_grant(&grant.backend, now);
             self.grant(grant, now);
         }
     }
 
-    /// The next request to grant locally, with the name and the address of its backend server.
-    fn next_local_grant(
-        &mut self,
-        configuration: &Configuration,
-        now: Instant,
-    ) -> Option<(u64, String, String)> {
+    /// The next local grant.
+    fn next_local_grant(&mut self, configuration: &Configuration, now: Instant) -> Option<Grant> {
         let mut order: Vec<(u64, u64)> = self
             .pending
             .iter()
@@ -56,43 +46,56 @@
             })
             .collect();
         order.sort_unstable();
-        order.into_iter().find_map(|(_, ticket)| {
-            let (backend, address) = self.find_local_slot(ticket, now)?;
-            Some((ticket, backend, address))
-        })
+        let mut tickets = order.into_iter().map(|(_, ticket)| ticket);
+        tickets.find_map(|ticket| self.find_local_slot(ticket, now))
     }
 
-    fn find_local_slot(&mut self, ticket: u64, now: Instant) -> Option<(String, String)> {
+    fn find_local_slot(&mut self, ticket: u64, now: Instant) -> Option<Grant> {
         let pending = self
             .pending
             .iter()
             .find(|pending| pending.ask.ticket == ticket)?;
         let requirement = Requirement::from_ask(&pending.ask);
-        let limits = &mut self.limits;
-        let mut is_usable = |spare: &SpareSlot| {
-            let fits = spare.requirement == requirement && !pending.avoids(&spare.backend);
-            fits && limits.admits(&spare.backend, now)
+        let (limits, exclusions) = (&mut self.limits, &self.exclusions);
+        let mut admits = |backend: &str, incarnation: u64| {
+            !pending.avoids(backend)
+                && !exclusions.contains(backend, incarnation, now)
+                && limits.admits(backend, now)
+        };
+        let grant = Grant {
+            ticket,
+            epoch: self.epoch,
+            ..Grant::default()
         };
-        if let Some(index) = self.spare.iter().position(&mut is_usable) {
+        let spare = self.spare.iter().position(|spare| {
+            spare.requirement == requirement && admits(&spare.backend, spare.incarnation)
+        });
+        if let Some(index) = spare {
             let spare = self.spare.swap_remove(index);
-            return Some((spare.backend.into(), spare.address.into()));
+            return Some(Grant {
+                backend: spare.backend.into(),
+                address: spare.address.into(),
+                incarnation: spare.incarnation,
+                ..grant
+            });
         }
         let total: u32 = self.fallback.iter().map(|share| share.slots).sum();
         if self.held.len() + self.spare.len() >= total as usize {
             return None;
         }
-        self.fallback.iter().find_map(|share| {
+        let report = self.fallback.iter().find_map(|share| {
             let report = share.backend.as_ref()?;
-            let held = self
-                .held
-                .iter()
-                .filter(|held| held.backend == report.id)
-                .count();
+            let held = self.held.iter().filter(|held| held.backend == report.id);
             let fits = requirement.is_met(&report.models)
-                && held < share.slots as usize
-                && !pending.avoids(&report.id)
-                && self.limits.admits(&report.id, now);
-            fits.then(|| (report.id.clone(), report.address.clone()))
+                && held.count() < share.slots as usize
+                && admits(&report.id, report.incarnation);
+            fits.then_some(report)
+        })?;
+        Some(Grant {
+            backend: report.id.clone(),
+            address: report.address.clone(),
+            incarnation: report.incarnation,
+            ..grant
         })
     }
 
@@ -128,6 +131,7 @@
         SpareSlot {
             backend: self.backend,
             address: self.address,
+            incarnation: self.incarnation,
             requirement: self.requirement,
         }
     }
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -23,6 +23,7 @@
 mod duplicates;
 mod encoding;
 mod engine;
+mod exclusions;
 mod fallback;
 mod host;
 mod named_limits;
--- a/crates/jaylock-share/src/queue.rs
+++ b/crates/jaylock-share/src/queue.rs
@@ -85,6 +85,12 @@
         Some(taken)
     }
 
+    /// The waiting requests, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = &WaitingRequest> {
+        let queues = self.queues.iter();
+        queues.flat_map(|queue| queue.resumed.iter().chain(&queue.short).chain(&queue.long))
+    }
+
     /// Removes the request that a router identifies by this ticket.
     pub fn remove(&mut self, router: RouterKey, ticket: u64) -> Option<WaitingRequest> {
         for index in 0..self.queues.len() {
--- a/crates/jaylock-share/src/reports.rs
+++ b/crates/jaylock-share/src/reports.rs
@@ -1,6 +1,6 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use jaylock_rpc::v1::{BackendReport, BackendVerdict, RateLimit};
+use jaylock_rpc::v1::{BackendReport, BackendVerdict, Exclusion, RateLimit};
 use jaylock_types::RequestRate;
 
 use crate::allocator::Allocator;
@@ -15,6 +15,29 @@
         self.refresh(index, now);
     }
 
+    /// Applies what a backend server told a router in a response: to send nothing, for a time or for good.
+    pub(crate) fn apply_exclusion(&mut self, key: RouterKey, exclusion: &Exclusion, now: Instant) {
+        let index = self.backends.find_or_add(&exclusion.backend, now);
+        let backend = self.backends.get_mut(index);
+        if exclusion.incarnation < backend.report.incarnation {
+            return;
+        }
+        log::info!(
+            target: "share",
+            backend = exclusion.backend.as_str(), incarnation = exclusion.incarnation, pause_ms:? = exclusion.pause_ms;
+            "a backend server wants no requests"
+        );
+        match exclusion.pause_ms {
+            None => backend.left_incarnation = exclusion.incarnation,
+            Some(ms) => {
+                if let Some(router) = self.routers.get_mut(key) {
+                    router.pause(index, now + Duration::from_millis(ms.into()));
+                }
+            }
+        }
+        self.refresh(index, now);
+    }
+
     /// Applies what a backend server announced to a router, and tells the router the verdict.
     pub(crate) fn apply_report(&mut self, key: RouterKey, report: BackendReport, now: Instant) {
         let (id, incarnation) = (report.id.clone(), report.incarnation);
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -4,6 +4,7 @@
 use jaylock_rpc::v1::{BackendVerdict, Grant, Hello, SchedulerFrame};
 
 use crate::account::AccountKey;
+use crate::backend_set::BackendSet;
 use crate::causes::Causes;
 use crate::cost::SizeClass;
 use crate::encoding::AddressTable;
@@ -58,6 +59,10 @@
     pub last_sent: Instant,
     /// Indices of the backend servers that the router may use without a scheduler, with slots.
     pub fallback: Vec<(usize, u32)>,
+    /// Backend servers that want nothing from this router, with the end of the pause.
+    pub pauses: Vec<(usize, Instant)>,
+    /// Indices of those backend servers.
+    pub paused: BackendSet,
     /// The next message to the router.
     pub frame: SchedulerFrame,
     addresses: AddressTable,
@@ -84,6 +89,20 @@
         self.fallback = Vec::new();
     }
 
+    /// Sets the end of a backend server's pause, in place of an earlier one.
+    pub fn pause(&mut self, index: usize, until: Instant) {
+        self.pauses.retain(|(other, _)| *other != index);
+        self.pauses.push((index, until));
+        self.paused.set(index, true);
+    }
+
+    /// Removes the pauses that are over.
+    pub fn end_pauses(&mut self, now: Instant) {
+        for (index, _) in self.pauses.extract_if(.., |(_, until)| *until <= now) {
+            self.paused.set(index, false);
+        }
+    }
+
     /// Adds a grant to the next message.
     pub fn add_grant(&mut self, mut grant: Grant) {
         self.addresses.omit_known(&mut grant);
@@ -184,6 +203,8 @@
             detached_at: None,
             last_sent: now,
             fallback: Vec::new(),
+            pauses: Vec::new(),
+            paused: BackendSet::default(),
             frame: SchedulerFrame::default(),
             addresses: AddressTable::default(),
             names: Vec::new(),
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod decoding;
 mod documents;
 mod endless;
+mod exclusions;
 mod harness;
 mod inventory;
 mod lifecycle;
--- a/crates/jaylock-tests/tests/router/fakes.rs
+++ b/crates/jaylock-tests/tests/router/fakes.rs
@@ -17,7 +17,7 @@
     Applied, Ask, BackendReport, BackendVerdict, Claim, ClaimState, Command, Done, End, Grant,
     Progress, Quarantine, Refusal, Settle,
 };
-use jaylock_types::{PoolId, RequestRate};
+use jaylock_types::{Notice, PoolId};
 
 /// Time between two checks whether grants are still delayed.
 const DELAY_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -90,7 +90,7 @@
 
     fn report_progress(&self, _: &PoolId, _: Progress) {}
 
-    fn report_limit(&self, _: &PoolId, _: &str, _: Option<RequestRate>) {}
+    fn report_notice(&self, _: &PoolId, _: &str, _: u64, _: &Notice) {}
 
     fn release_slot(&self, _: &PoolId, end: End) {
         self.0.released.borrow_mut().push(end);
--- /dev/null
+++ b/crates/jaylock-tests/tests/share/exclusions.rs
@@ -0,0 +1,188 @@
+//! Tests of backend servers that tell a router in a response to send them nothing.
+
+use std::time::{Duration, Instant};
+
+use futures_channel::oneshot;
+use googletest::prelude::*;
+use jaylock_rpc::v1::refusal::Reason;
+use jaylock_rpc::v1::{
+    Ask, BackendReport, Configuration, Exclusion, Grant, Hello, RouterFrame, SchedulerFrame,
+};
+use jaylock_share::{ClientState, RouterKey, SchedulerClientSettings};
+use jaylock_tests::cases;
+use jaylock_types::Notice;
+
+use crate::fixture::Fixture;
+use crate::fleet::{ask, detached_router, engine_report};
+
+/// Pause that a backend server asks for.
+const PAUSE: Duration = Duration::from_secs(2);
+
+const LEAVING: Notice = Notice {
+    limit: None,
+    is_leaving: true,
+    pause: None,
+};
+
+const PAUSED: Notice = Notice {
+    limit: None,
+    is_leaving: false,
+    pause: Some(PAUSE),
+};
+
+/// Applies what a backend server told a router.
+fn exclude(fixture: &mut Fixture, router: RouterKey, backend: &str, pause: Option<Duration>) {
+    let pause_ms = pause.map(|pause| u32::try_from(pause.as_millis()).expect("a short pause"));
+    let exclusion = Exclusion {
+        backend: backend.into(),
+        incarnation: 1,
+        pause_ms,
+    };
+    let frame = RouterFrame {
+        exclusions: vec![exclusion],
+        ..RouterFrame::default()
+    };
+    fixture.allocator.apply(router, frame, fixture.now);
+}
+
+/// A router that waits for a grant under its scheduler, with the receiver of the grant.
+fn waiting_router(now: Instant) -> (ClientState, oneshot::Receiver<jaylock_share::AskResult>) {
+    let mut router = ClientState::new(SchedulerClientSettings::default());
+    router.first_frame(Hello::default(), now);
+    let (sender, receiver) = oneshot::channel();
+    router.request_slot(
+        Ask {
+            ticket: 1,
+            ..ask("bench")
+        },
+        sender,
+        now,
+    );
+    router.next_frame(now);
+    (router, receiver)
+}
+
+fn frame_with_grant(incarnation: u64) -> SchedulerFrame {
+    let grant = Grant {
+        ticket: 1,
+        backend: "e1".into(),
+        address: "127.0.0.1:1".into(),
+        incarnation,
+        ..Grant::default()
+    };
+    SchedulerFrame {
+        epoch: 1,
+        grants: vec![grant],
+        ..SchedulerFrame::default()
+    }
+}
+
+/// Whether a router without a scheduler grants itself a slot.
+fn grant_locally(router: &mut ClientState, ticket: u64, now: Instant) -> bool {
+    let (sender, mut receiver) = oneshot::channel();
+    router.request_slot(
+        Ask {
+            ticket,
+            ..ask("bench")
+        },
+        sender,
+        now,
+    );
+    router.grant_locally(&Configuration::default(), now);
+    receiver
+        .try_recv()
+        .is_ok_and(|reply| reply.is_some_and(|r| r.is_ok()))
+}
+
+cases! {
+    leaving_backend_server_is_used_as_its_heartbeat_says_ready => {
+        let mut fixture = Fixture::new();
+        fixture.report(engine_report("e1", 4));
+        let router = fixture.router;
+        exclude(&mut fixture, router, "e1", None);
+        assert_that!(fixture.ask_and_decide(ask("bench")), none());
+        fixture.now += Duration::from_millis(500);
+        fixture.report(engine_report("e1", 4));
+        assert_that!(fixture.decide(), none());
+        // The next start under the same name is another one.
+        fixture.report(BackendReport { incarnation: 2, ..engine_report("e1", 4) });
+        assert_that!(fixture.decide(), some(eq("e1")));
+    };
+    router_gets_slots_at_a_backend_server_that_asked_it_for_a_pause => {
+        let mut fixture = Fixture::new();
+        fixture.report(engine_report("e1", 4));
+        fixture.report(engine_report("e2", 4));
+        let router = fixture.router;
+        exclude(&mut fixture, router, "e1", Some(PAUSE));
+        for _ in 0..4 {
+            assert_that!(fixture.ask_and_decide(ask("bench")), some(eq("e2")));
+        }
+        fixture.now += PAUSE;
+        fixture.report(engine_report("e1", 4));
+        fixture.report(engine_report("e2", 4));
+        assert_that!(fixture.ask_and_decide(ask("bench")), some(eq("e1")));
+    };
+    pause_for_one_router_excludes_the_others => {
+        let mut fixture = Fixture::new();
+        fixture.report(engine_report("e1", 4));
+        let other = fixture.allocator.attach(&Hello { router: "r2".into(), ..Hello::default() }, fixture.now);
+        exclude(&mut fixture, other, "e1", Some(PAUSE));
+        assert_that!(fixture.ask_and_decide(ask("bench")), some(eq("e1")));
+    };
+    requests_wait_for_backend_servers_that_are_all_paused => {
+        let mut fixture = Fixture::new();
+        fixture.report(engine_report("e1", 4));
+        let router = fixture.router;
+        exclude(&mut fixture, router, "e1", Some(PAUSE));
+        fixture.ask([ask("bench")]);
+        let (grants, refusals) = fixture.decide_all();
+        assert_that!(grants.len(), eq(0));
+        let refusal = refusals.first().expect("a refusal");
+        assert_that!(refusal.reason(), eq(Reason::Overloaded));
+        assert_that!(refusal.retry_after_ms, ge(2000));
+    };
+    grant_in_flight_is_used_at_an_excluded_backend_server => {
+        for notice in [LEAVING, PAUSED] {
+            let now = Instant::now();
+            let (mut router, mut receiver) = waiting_router(now);
+            router.report_notice("e1", 1, &notice, 1.0, now);
+            router.apply_frame(frame_with_grant(1), now);
+            assert_that!(receiver.try_recv().expect("a waiting request").is_none(), eq(true));
+            let frame = router.next_frame(now);
+            assert_that!((frame.ends.len(), frame.asks.len(), frame.exclusions.len()), eq((1, 1, 1)));
+        }
+    };
+    new_start_of_a_leaving_backend_server_is_excluded => {
+        let now = Instant::now();
+        let (mut router, mut receiver) = waiting_router(now);
+        router.report_notice("e1", 1, &LEAVING, 1.0, now);
+        router.apply_frame(frame_with_grant(2), now);
+        assert_that!(receiver.try_recv().expect("a reply").is_some(), eq(true));
+    };
+    router_without_a_scheduler_uses_an_excluded_backend_server => {
+        let now = Instant::now();
+        let mut router = detached_router(&["e1", "e2"], now);
+        let now = now + Duration::from_secs(1);
+        router.report_notice("e1", 1, &LEAVING, 1.0, now);
+        router.report_notice("e2", 1, &PAUSED, 1.0, now);
+        assert_that!(grant_locally(&mut router, 1, now), eq(false));
+        assert_that!(grant_locally(&mut router, 2, now + PAUSE), eq(true));
+    };
+    new_scheduler_is_not_told_of_excluded_backend_servers => {
+        let now = Instant::now();
+        let mut router = ClientState::new(SchedulerClientSettings::default());
+        router.report_notice("e1", 1, &LEAVING, 1.0, now);
+        router.report_notice("e2", 1, &PAUSED, 1.0, now);
+        let later = now + Duration::from_millis(500);
+        let excluded = router.first_frame(Hello::default(), later).exclusions;
+        let pauses: Vec<_> = excluded.iter().map(|e| e.pause_ms).collect();
+        assert_that!(pauses, elements_are![none(), some(eq(&1500))]);
+    };
+    pause_ends_the_exclusion_of_a_leaving_backend_server => {
+        let now = Instant::now();
+        let mut router = detached_router(&["e1"], now);
+        router.report_notice("e1", 1, &LEAVING, 1.0, now);
+        router.report_notice("e1", 1, &PAUSED, 1.0, now);
+        assert_that!(grant_locally(&mut router, 1, now + PAUSE * 2), eq(false));
+    };
+}
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod crashes;
 mod decision;
+mod exclusions;
 mod failure;
 mod fixture;
 mod fleet;
--- a/crates/jaylock-tests/tests/share/rate_limits.rs
+++ b/crates/jaylock-tests/tests/share/rate_limits.rs
@@ -7,7 +7,7 @@
 use jaylock_rpc::v1::{Configuration, Hello, RateLimit, RouterFrame};
 use jaylock_share::{ClientState, SchedulerClientSettings};
 use jaylock_tests::cases;
-use jaylock_types::RequestRate;
+use jaylock_types::{Notice, RequestRate};
 
 use crate::fixture::Fixture;
 use crate::fleet::{ask, detached_router, engine_report};
@@ -89,6 +89,13 @@
     }
 }
 
+fn named(rate: RequestRate) -> Notice {
+    Notice {
+        limit: Some(rate),
+        ..Notice::default()
+    }
+}
+
 cases! {
     limited_backend_server_gets_too_many_requests_or_too_few => {
         let mut server = Server::new();
@@ -108,7 +115,7 @@
     router_does_not_tell_a_new_scheduler_of_a_limit => {
         let now = Instant::now();
         let mut state = ClientState::new(SchedulerClientSettings::default());
-        state.report_limit("e1", Some(LIMIT), 1.0, now);
+        state.report_notice("e1", 1, &named(LIMIT), 1.0, now);
         let frame = state.first_frame(Hello::default(), now);
         assert_that!(frame.limits, elements_are![eq(&limit(Some(LIMIT)))]);
     };
@@ -149,7 +156,7 @@
     router_without_a_scheduler_exceeds_its_share_of_a_limit => {
         let mut now = Instant::now();
         let mut state = detached_router(&["e1"], now);
-        state.report_limit("e1", Some(LIMIT), 0.5, now);
+        state.report_notice("e1", 1, &named(LIMIT), 0.5, now);
         let mut granted = 0;
         let mut receivers = Vec::new();
         for ticket in 1..=2000 {
--- a/crates/jaylock-types/src/lib.rs
+++ b/crates/jaylock-types/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 mod identifier;
+mod notice;
 mod number;
 mod secret;
 
@@ -10,6 +11,7 @@
     AdapterId, BackendId, DomainId, InstanceId, InvalidId, ModelId, OrganisationId, PoolId,
     RequestId, RouteId, ServiceId, VersionId,
 };
+pub use self::notice::Notice;
 pub use self::number::{
     ByteSize, Epoch, Fence, Incarnation, Index, InvalidNumber, RequestRate, Revision, Term, Tokens,
     Weight,
