--- a/crates/jaylock-control/src/state/fleet.rs
+++ b/crates/jaylock-control/src/state/fleet.rs
@@ -98,7 +98,9 @@
         Ok(position) if cause.until_ms == 0 => {
             list.remove(position);
         }
-        Ok(position) if list[position].strikes < cause.strikes => list[position] = cause.clone(),
+        Ok(position) if list[position].quarantines < cause.quarantines => {
+            list[position] = cause.clone();
+        }
         Ok(_) => {}
         Err(_) if cause.until_ms == 0 => {}
         Err(position) => list.insert(position, cause.clone()),
--- a/crates/jaylock-operator/src/bin/jaylock/config.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/config.rs
@@ -168,13 +168,13 @@
 }
 
 fn crash_causes(configuration: &v1::Configuration) -> Listing {
-    let mut listing = Listing::new(&["pool", "cause", "backend", "strikes", "until"]);
+    let mut listing = Listing::new(&["pool", "cause", "backend", "quarantines", "until"]);
     for cause in &configuration.crash_causes {
         listing.push(vec![
             cause.pool.as_str().into(),
             format!("{:016x}", cause.hash).into(),
             cause.backend.as_str().into(),
-            cause.strikes.into(),
+            cause.quarantines.into(),
             crate::report::time(cause.until_ms).into(),
         ]);
     }
--- a/crates/jaylock-router/src/route/prompt.rs
+++ b/crates/jaylock-router/src/route/prompt.rs
@@ -38,7 +38,7 @@
 
     /// Hashes of the parts in hexadecimal, for logs.
     pub fn part_list(&self) -> String {
-        let hashes = self.parts.iter().map(|part| format!("{:x}", part.hash));
+        let hashes = self.parts.iter().map(|part| format!("{:016x}", part.hash));
         hashes.collect::<Vec<_>>().join(",")
     }
 }
--- a/crates/jaylock-share/src/crash_causes.rs
+++ b/crates/jaylock-share/src/crash_causes.rs
@@ -63,7 +63,7 @@
     // Backend server of the only run, while one runs.
     trial: Option<usize>,
     // Number of quarantines so far.
-    strikes: u32,
+    quarantines: u32,
     // End of the current quarantine.
     quarantined_until: Option<Instant>,
     // Whether the configuration shows the newest quarantine.
@@ -145,7 +145,7 @@
                 continue;
             };
             let entry = self.entries.remove(position);
-            if entry.strikes > 0 {
+            if entry.quarantines > 0 {
                 self.cleared.push(Cleared {
                     hash,
                     last_recording: None,
@@ -164,8 +164,8 @@
 
     /// Records the crash of a backend server under runs of which one may have caused it.
     pub fn record_crash(&mut self, suspects: &[Suspect], backend: &str, now: Instant) {
-        let (blamed, convicted) = self.blamed(suspects, now);
-        for (hash, granted_at) in blamed {
+        let (attributed, confirmed) = self.attribute(suspects, now);
+        for (hash, granted_at) in attributed {
             let position = self.find_or_add(hash, now);
             let entry = &mut self.entries[position];
             if entry.crashes > 0 && granted_at <= entry.last_crash {
@@ -179,7 +179,7 @@
             );
         }
         for entry in &mut self.entries {
-            let is_due = convicted == Some(entry.hash) || entry.crashes >= MAX_CRASHES;
+            let is_due = confirmed == Some(entry.hash) || entry.crashes >= MAX_CRASHES;
             if is_due && entry.quarantined_until.is_none() && entry.last_crash == now {
                 entry.quarantine(now);
             }
@@ -215,10 +215,10 @@
             }
             let position = self.find_or_add(cause.hash, now);
             let entry = &mut self.entries[position];
-            if cause.strikes < entry.strikes {
+            if cause.quarantines < entry.quarantines {
                 continue;
             }
-            entry.strikes = cause.strikes;
+            entry.quarantines = cause.quarantines;
             entry.is_recorded = true;
             let remaining = Duration::from_millis(cause.until_ms.saturating_sub(unix_ms()));
             entry.quarantined_until = (!remaining.is_zero()).then(|| now + remaining);
@@ -243,7 +243,7 @@
                 pool: pool.into(),
                 hash: entry.hash,
                 until_ms: unix_ms().saturating_add(u64::try_from(remaining).unwrap_or(u64::MAX)),
-                strikes: entry.strikes,
+                quarantines: entry.quarantines,
                 backend: entry
                     .backends
                     .last()
@@ -273,7 +273,7 @@
         }
         let is_kept = |e: &Entry| {
             let age = now.saturating_duration_since(e.last_crash);
-            e.strikes > 0 || e.trial.is_some() || age < CRASH_MEMORY
+            e.quarantines > 0 || e.trial.is_some() || age < CRASH_MEMORY
         };
         let old_len = self.entries.len();
         self.entries.retain(is_kept);
@@ -287,36 +287,36 @@
     ///
     /// Suspected causes in runs that are no trials explain a crash, then those in a trial, then the causes that no
     /// complete answer has shown to be harmless. If all of a run's were, any of them may have changed.
-    fn blamed(&self, suspects: &[Suspect], now: Instant) -> (Vec<(u64, Instant)>, Option<u64>) {
+    fn attribute(&self, suspects: &[Suspect], now: Instant) -> (Vec<(u64, Instant)>, Option<u64>) {
         let (trials, others): (Vec<_>, Vec<_>) = suspects.iter().partition(|s| s.is_trial);
         let tried = self.suspected_in(&trials);
         let mut suspected = self.suspected_in(&others);
         suspected.retain(|hash| !tried.contains(hash));
-        let mut convicted = None;
+        let mut confirmed = None;
         if suspected.is_empty() {
-            convicted = tried.first().copied().filter(|_| tried.len() == 1);
+            confirmed = tried.first().copied().filter(|_| tried.len() == 1);
             suspected = tried;
         }
-        let mut blamed: Vec<(u64, Instant)> = Vec::new();
+        let mut attributed: Vec<(u64, Instant)> = Vec::new();
         for suspect in suspects {
             let shared = &suspect.causes.shared;
             let is_proven = |hash: u64| self.proven.contains(hash, now);
             let has_unproven = shared.iter().any(|hash| !is_proven(*hash));
-            let is_blamed = |hash: &u64| {
+            let is_attributed = |hash: &u64| {
                 if suspected.is_empty() {
                     !has_unproven || !is_proven(*hash)
                 } else {
                     suspected.contains(hash)
                 }
             };
-            for hash in suspect.causes.iter().filter(is_blamed) {
-                match blamed.iter_mut().find(|(known, _)| *known == hash) {
+            for hash in suspect.causes.iter().filter(is_attributed) {
+                match attributed.iter_mut().find(|(known, _)| *known == hash) {
                     Some((_, granted_at)) => *granted_at = suspect.granted_at.max(*granted_at),
-                    None => blamed.push((hash, suspect.granted_at)),
+                    None => attributed.push((hash, suspect.granted_at)),
                 }
             }
         }
-        (blamed, convicted)
+        (attributed, confirmed)
     }
 
     /// The suspected causes in some runs, each once.
@@ -343,7 +343,7 @@
     /// Drops the entries with the fewest and oldest crashes beyond the limit.
     fn drop_excess(&mut self) {
         while self.entries.len() > MAX_ENTRIES {
-            let order = |(_, e): &(usize, &Entry)| (e.strikes, e.crashes, e.last_crash);
+            let order = |(_, e): &(usize, &Entry)| (e.quarantines, e.crashes, e.last_crash);
             let least = self.entries.iter().enumerate().min_by_key(order);
             let position = least.map_or(0, |(position, _)| position);
             self.entries.remove(position);
@@ -371,7 +371,7 @@
             is_old: false,
             backends: Vec::new(),
             trial: None,
-            strikes: 0,
+            quarantines: 0,
             quarantined_until: None,
             is_recorded: false,
             last_recording: None,
@@ -379,7 +379,7 @@
     }
 
     fn is_suspect(&self) -> bool {
-        self.strikes > 0 || self.crashes >= SUSPECT_CRASHES
+        self.quarantines > 0 || self.crashes >= SUSPECT_CRASHES
     }
 
     /// Whether one request may run now to show whether the cause is harmless.
@@ -402,16 +402,16 @@
     }
 
     fn quarantine(&mut self, now: Instant) {
-        let factor = QUARANTINE_FACTOR.saturating_pow(self.strikes);
+        let factor = QUARANTINE_FACTOR.saturating_pow(self.quarantines);
         let duration = FIRST_QUARANTINE.saturating_mul(factor).min(MAX_QUARANTINE);
-        self.strikes = self.strikes.saturating_add(1);
+        self.quarantines = self.quarantines.saturating_add(1);
         self.quarantined_until = Some(now + duration);
         self.is_recorded = false;
         self.last_recording = None;
         log::warn!(
             target: "share",
             cause = format!("{:016x}", self.hash).as_str(), crashes = self.crashes,
-            backends = self.backends.join(",").as_str(), strikes = self.strikes,
+            backends = self.backends.join(",").as_str(), quarantines = self.quarantines,
             quarantine_s = duration.as_secs();
             "requests with this cause crash backend servers and are refused"
         );
--- a/crates/jaylock-share/src/host.rs
+++ b/crates/jaylock-share/src/host.rs
@@ -73,7 +73,7 @@
         }
     }
 
-    /// Sets the log in which the schedulers record causes of crashes.
+    /// Sets the log in which the schedulers record causes of crashes, before the service is created.
     #[must_use]
     pub fn with_cause_log(mut self, log: impl CauseLog + 'static) -> Self {
         if let Some(shared) = Rc::get_mut(&mut self.shared) {
--- a/crates/jaylock-tests/tests/control/commands.rs
+++ b/crates/jaylock-tests/tests/control/commands.rs
@@ -197,11 +197,11 @@
 
     async late_or_older_cause_of_crashes_shortens_a_quarantine => {
         let group = Group::new(1, 1).await;
-        let put = async |hash: u64, strikes: u32, until_ms: u64| {
-            let cause = CrashCause { pool: "chat".into(), hash, strikes, until_ms, ..CrashCause::default() };
+        let put = async |hash: u64, quarantines: u32, until_ms: u64| {
+            let cause = CrashCause { pool: "chat".into(), hash, quarantines, until_ms, ..CrashCause::default() };
             group.propose(command(Body::PutCrashCause(cause))).await;
             let causes = group.read().await.crash_causes;
-            causes.iter().map(|c| (c.hash, c.strikes, c.until_ms)).collect::<Vec<_>>()
+            causes.iter().map(|c| (c.hash, c.quarantines, c.until_ms)).collect::<Vec<_>>()
         };
         let (soon, late) = (u64::MAX - 1, u64::MAX);
         expect_that!(put(7, 1, soon).await, elements_are![eq(&(7, 1, soon))]);
@@ -219,7 +219,7 @@
             let causes = (first..first + 100).map(|hash| CrashCause {
                 pool: "chat".into(),
                 hash,
-                strikes: 1,
+                quarantines: 1,
                 until_ms: u64::MAX / 2 + hash,
                 ..CrashCause::default()
             });
