One copy for commands, local grants in tests and endless replies; pauses are kept once

Ruled out: one type for named limits and exclusions, which have the same shape but end, rank and report differently; one reading of bodies with and without a reservation, as requests reserve before they read.

Change: each has one copy; the set is made from the list where a router has pauses. No behaviour, bound or assertion is changed.

--- a/crates/jaylock-daemon/src/api.rs
+++ b/crates/jaylock-daemon/src/api.rs
@@ -6,14 +6,13 @@
 use compact_str::{CompactString, ToCompactString, format_compact};
 use futures_util::future::LocalBoxFuture;
 use jaylock_control::{ConfigView, ControlClient, Error};
-use jaylock_router::{Lifecycle, Router, routers_for};
+use jaylock_router::{Lifecycle, Router, new_command, routers_for};
 use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::backend_report::Kind;
-use jaylock_rpc::v1::{
-    BackendReport, BackendVerdict, Command, Document, DocumentReply, PromptPart, command,
-};
+use jaylock_rpc::v1::command::Body;
+use jaylock_rpc::v1::{BackendReport, BackendVerdict, Document, DocumentReply, PromptPart};
 use jaylock_share::SchedulerClient;
-use jaylock_types::{BackendId, InvalidId, PoolId, RequestId, boottime_now, unix_ms};
+use jaylock_types::{BackendId, InvalidId, PoolId, boottime_now, unix_ms};
 use thiserror::Error as ThisError;
 
 /// Longest wait for control to commit or confirm an operation.
@@ -87,11 +86,7 @@
     pub async fn put_document(&self, document: Document) -> Result<()> {
         self.check_running()?;
         let version = document.version;
-        let command = Command {
-            id: RequestId::random().into(),
-            expected_revision: None,
-            body: Some(command::Body::PutDocument(document)),
-        };
+        let command = new_command(Body::PutDocument(document));
         let applied = with_control_timeout(Box::pin(self.client.propose(command))).await?;
         match applied.result {
             Some(Outcome::Refused(reason)) => {
--- a/crates/jaylock-daemon/src/instance.rs
+++ b/crates/jaylock-daemon/src/instance.rs
@@ -5,11 +5,11 @@
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
 use compio::time::timeout_at;
-use jaylock_router::{RouteHeaders, Router};
-use jaylock_rpc::v1::{Command, InstanceGone, command};
+use jaylock_router::{RouteHeaders, Router, new_command};
+use jaylock_rpc::v1::InstanceGone;
+use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::{Routes, ServerSettings};
 use jaylock_settings::Settings;
-use jaylock_types::RequestId;
 
 use crate::api::ControlApi;
 use crate::components::{Components, spawn};
@@ -195,11 +195,7 @@
             incarnation: self.components.context.incarnation.0,
             reason: "graceful shutdown".into(),
         };
-        let command = Command {
-            id: RequestId::random().into(),
-            expected_revision: None,
-            body: Some(command::Body::RemoveInstance(gone)),
-        };
+        let command = new_command(Body::RemoveInstance(gone));
         let proposal = Box::pin(async {
             // Without a confirmation, or after another election, this instance may lead the log.
             self.step_down().await;
--- a/crates/jaylock-daemon/src/ports.rs
+++ b/crates/jaylock-daemon/src/ports.rs
@@ -3,7 +3,7 @@
 use futures_util::future::LocalBoxFuture;
 use jaylock_control::{ConfigView, ControlClient, InstanceLease};
 use jaylock_orders::{OrderError, OrderLog, PoolBackends};
-use jaylock_router::{CommandLog, ProposeError, Schedulers};
+use jaylock_router::{CommandLog, ProposeError, Schedulers, new_command};
 use jaylock_rpc::Channel;
 use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::pool_client::PoolClient;
@@ -12,7 +12,7 @@
     DescribeRequest, End, Grant, Progress, Refusal,
 };
 use jaylock_share::{CauseLog, SchedulerClient};
-use jaylock_types::{Incarnation, InstanceId, Notice, PoolId, RequestId};
+use jaylock_types::{Incarnation, InstanceId, Notice, PoolId};
 
 /// The router's port to the schedulers, through their client.
 #[derive(Clone)]
@@ -71,11 +71,7 @@
 impl CauseLog for ControlLog {
     fn put(&self, cause: CrashCause) -> LocalBoxFuture<'static, ()> {
         let client = self.0.clone();
-        let command = Command {
-            id: RequestId::random().into(),
-            expected_revision: None,
-            body: Some(Body::PutCrashCause(cause)),
-        };
+        let command = new_command(Body::PutCrashCause(cause));
         let recording = async move {
             if let Err(error) = client.propose(command).await {
                 log::warn!(target: "share", "a cause of crashes is not recorded yet: {error}");
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -52,6 +52,7 @@
 pub use self::lifecycle::Lifecycle;
 pub use self::memory::{BodyMemory, BodyReservation};
 pub use self::port::{CommandLog, ProposeError, Schedulers};
+pub use self::proposal::new_command;
 pub use self::route::{RouteHeaders, prompt_part};
 pub use self::router::Router;
 pub use self::server::{Handler, ServerLimits, serve};
--- a/crates/jaylock-router/src/proposal.rs
+++ b/crates/jaylock-router/src/proposal.rs
@@ -12,6 +12,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Creates a command with a new identifier, which is valid at any revision of the configuration.
+#[must_use]
 pub fn new_command(body: Body) -> Command {
     Command {
         id: RequestId::random().into(),
--- a/crates/jaylock-share/src/admission.rs
+++ b/crates/jaylock-share/src/admission.rs
@@ -110,7 +110,7 @@
         let router = self.routers.get(waiting.router)?;
         let eligible = self.requirements.backends(waiting.requirement);
         let usable = eligible.intersection(self.backends.usable());
-        if usable.is_empty() || !usable.difference(&router.paused).is_empty() {
+        if usable.is_empty() || !usable.difference(&router.paused()).is_empty() {
             return None;
         }
         let pauses = router
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -285,7 +285,7 @@
 /// The backend servers of a set that take requests from a router.
 fn allowed_backends<'a>(router: Option<&Router>, eligible: &'a BackendSet) -> Cow<'a, BackendSet> {
     match router.filter(|router| !router.pauses.is_empty()) {
-        Some(router) => Cow::Owned(eligible.difference(&router.paused)),
+        Some(router) => Cow::Owned(eligible.difference(&router.paused())),
         None => Cow::Borrowed(eligible),
     }
 }
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -61,8 +61,6 @@
     pub fallback: Vec<(usize, u32)>,
     /// Backend servers that want nothing from this router, with the end of the pause.
     pub pauses: Vec<(usize, Instant)>,
-    /// Indices of those backend servers.
-    pub paused: BackendSet,
     /// The next message to the router.
     pub frame: SchedulerFrame,
     addresses: AddressTable,
@@ -93,14 +91,20 @@
     pub fn pause(&mut self, index: usize, until: Instant) {
         self.pauses.retain(|(other, _)| *other != index);
         self.pauses.push((index, until));
-        self.paused.set(index, true);
+    }
+
+    /// Indices of the backend servers that want nothing from this router.
+    pub fn paused(&self) -> BackendSet {
+        let mut paused = BackendSet::default();
+        for (index, _) in &self.pauses {
+            paused.set(*index, true);
+        }
+        paused
     }
 
     /// Removes the pauses that are over.
     pub fn end_pauses(&mut self, now: Instant) {
-        for (index, _) in self.pauses.extract_if(.., |(_, until)| *until <= now) {
-            self.paused.set(index, false);
-        }
+        self.pauses.retain(|(_, until)| *until > now);
     }
 
     /// Adds a grant to the next message.
@@ -204,7 +208,6 @@
             last_sent: now,
             fallback: Vec::new(),
             pauses: Vec::new(),
-            paused: BackendSet::default(),
             frame: SchedulerFrame::default(),
             addresses: AddressTable::default(),
             names: Vec::new(),
--- a/crates/jaylock-tests/tests/platform/endless.rs
+++ b/crates/jaylock-tests/tests/platform/endless.rs
@@ -57,42 +57,37 @@
 
 cases! {
     head_without_end_is_read_for_ever => {
-        check_endless("/look/1", |_| Reply::endless("HTTP/1.1 200 OK\r\n", "X-Filler: filler\r\n"));
+        check_endless("/look/1", |_| Reply::from_text("HTTP/1.1 200 OK\r\n").with_endless("X-Filler: filler\r\n"));
     };
     informational_responses_without_end_are_read_for_ever => {
-        check_endless("/look/1", |_| Reply::endless("", "HTTP/1.1 103 Early Hints\r\n\r\n"));
+        check_endless("/look/1", |_| Reply::from_text("").with_endless("HTTP/1.1 103 Early Hints\r\n\r\n"));
     };
     bytes_without_a_line_end_are_read_for_ever => {
-        check_endless("/look/1", |_| Reply::endless("", "filler"));
+        check_endless("/look/1", |_| Reply::from_text("").with_endless("filler"));
     };
     body_without_end_is_read_for_ever => {
         check_endless("/look/1", |r| {
-            let head = r.sealed("200 OK", "\r\n");
-            Reply { endless: Reply::endless("", "filler").endless, ..head }
+            r.sealed("200 OK", "\r\n").with_endless("filler")
         });
     };
     error_body_without_end_is_read_for_ever => {
         check_endless("/stream/1", |r| {
-            let head = r.sealed("500 Internal Server Error", "\r\n");
-            Reply { endless: Reply::endless("", "filler").endless, ..head }
+            r.sealed("500 Internal Server Error", "\r\n").with_endless("filler")
         });
     };
     event_without_end_is_read_for_ever => {
         check_endless("/stream/1", |r| {
-            let head = r.sealed("200 OK", "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ");
-            Reply { endless: Reply::endless("", "filler").endless, ..head }
+            r.sealed("200 OK", "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ").with_endless("filler")
         });
     };
     stream_of_comments_without_end_is_read_for_ever => {
         check_endless("/stream/1", |r| {
-            let head = r.sealed("200 OK", "Content-Type: text/event-stream\r\n\r\n");
-            Reply { endless: Reply::endless("", ": filler\n").endless, ..head }
+            r.sealed("200 OK", "Content-Type: text/event-stream\r\n\r\n").with_endless(": filler\n")
         });
     };
     events_without_end_outlast_the_deadline => {
         check_endless("/stream/1", |r| {
-            let head = r.sealed("200 OK", "Content-Type: text/event-stream\r\n\r\n");
-            Reply { endless: Reply::endless("", "data: filler\n\n").endless, ..head }
+            r.sealed("200 OK", "Content-Type: text/event-stream\r\n\r\n").with_endless("data: filler\n\n")
         });
     };
 }
--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -302,12 +302,10 @@
         }
     }
 
-    /// A reply that begins with `text` and goes on with `endless` until the connection is closed.
-    pub fn endless(text: &str, endless: &str) -> Self {
-        Self {
-            endless: endless.repeat(ENDLESS_BLOCK / endless.len().max(1)).into(),
-            ..Self::from_text(text)
-        }
+    /// Goes on with `filler` after this reply, until the connection is closed.
+    pub fn with_endless(mut self, filler: &str) -> Self {
+        self.endless = filler.repeat(ENDLESS_BLOCK / filler.len()).into();
+        self
     }
 
     /// A reply without a byte that closes the connection.
--- a/crates/jaylock-tests/tests/share/exclusions.rs
+++ b/crates/jaylock-tests/tests/share/exclusions.rs
@@ -5,15 +5,13 @@
 use futures_channel::oneshot;
 use googletest::prelude::*;
 use jaylock_rpc::v1::refusal::Reason;
-use jaylock_rpc::v1::{
-    Ask, BackendReport, Configuration, Exclusion, Grant, Hello, RouterFrame, SchedulerFrame,
-};
+use jaylock_rpc::v1::{Ask, BackendReport, Exclusion, Grant, Hello, RouterFrame, SchedulerFrame};
 use jaylock_share::{ClientState, RouterKey, SchedulerClientSettings};
 use jaylock_tests::cases;
 use jaylock_types::Notice;
 
 use crate::fixture::Fixture;
-use crate::fleet::{ask, detached_router, engine_report};
+use crate::fleet::{ask, detached_router, engine_report, grant_locally};
 
 /// Pause that a backend server asks for.
 const PAUSE: Duration = Duration::from_secs(2);
@@ -77,21 +75,11 @@
     }
 }
 
-/// Whether a router without a scheduler grants itself a slot.
-fn grant_locally(router: &mut ClientState, ticket: u64, now: Instant) -> bool {
-    let (sender, mut receiver) = oneshot::channel();
-    router.request_slot(
-        Ask {
-            ticket,
-            ..ask("bench")
-        },
-        sender,
-        now,
-    );
-    router.grant_locally(&Configuration::default(), now);
-    receiver
-        .try_recv()
-        .is_ok_and(|reply| reply.is_some_and(|r| r.is_ok()))
+fn numbered_ask(ticket: u64) -> Ask {
+    Ask {
+        ticket,
+        ..ask("bench")
+    }
 }
 
 cases! {
@@ -165,8 +153,8 @@
         let now = now + Duration::from_secs(1);
         router.report_notice("e1", 1, &LEAVING, 1.0, now);
         router.report_notice("e2", 1, &PAUSED, 1.0, now);
-        assert_that!(grant_locally(&mut router, 1, now), eq(false));
-        assert_that!(grant_locally(&mut router, 2, now + PAUSE), eq(true));
+        assert_that!(grant_locally(&mut router, numbered_ask(1), now), eq(false));
+        assert_that!(grant_locally(&mut router, numbered_ask(2), now + PAUSE), eq(true));
     };
     new_scheduler_is_not_told_of_excluded_backend_servers => {
         let now = Instant::now();
@@ -183,6 +171,6 @@
         let mut router = detached_router(&["e1"], now);
         router.report_notice("e1", 1, &LEAVING, 1.0, now);
         router.report_notice("e1", 1, &PAUSED, 1.0, now);
-        assert_that!(grant_locally(&mut router, 1, now + PAUSE * 2), eq(false));
+        assert_that!(grant_locally(&mut router, numbered_ask(1), now + PAUSE * 2), eq(false));
     };
 }
--- a/crates/jaylock-tests/tests/share/fleet.rs
+++ b/crates/jaylock-tests/tests/share/fleet.rs
@@ -7,6 +7,7 @@
 
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
+use futures_channel::oneshot;
 use jaylock_control::ConfigView;
 use jaylock_rpc::v1::pool_client::PoolClient;
 use jaylock_rpc::v1::{
@@ -157,6 +158,16 @@
     router
 }
 
+/// Asks for a slot and returns whether the router, which has no scheduler, grants it.
+pub fn grant_locally(router: &mut ClientState, request: Ask, now: Instant) -> bool {
+    let (sender, mut receiver) = oneshot::channel();
+    router.request_slot(request, sender, now);
+    router.grant_locally(&Configuration::default(), now);
+    receiver
+        .try_recv()
+        .is_ok_and(|reply| reply.is_some_and(|r| r.is_ok()))
+}
+
 pub fn ask(organisation: &str) -> Ask {
     Ask {
         organisation: organisation.into(),
--- a/crates/jaylock-tests/tests/share/prompt_parts.rs
+++ b/crates/jaylock-tests/tests/share/prompt_parts.rs
@@ -2,16 +2,14 @@
 
 use std::time::{Duration, Instant};
 
-use futures_channel::oneshot;
 use googletest::prelude::*;
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{Ask, Configuration, Crash, End, Hello, PromptPart, Running};
-use jaylock_share::ClientState;
 use jaylock_tests::{cases, seeded_config};
 use proptest::{prop_assert, proptest};
 
 use crate::fixture::Fixture;
-use crate::fleet::{ask, detached_router, end, engine_report};
+use crate::fleet::{ask, detached_router, end, engine_report, grant_locally};
 
 /// Part of all prompts of the route.
 const SHARED_PART: u64 = 1;
@@ -271,16 +269,6 @@
     }
 }
 
-/// Asks for a slot and returns whether the router, which has no scheduler, grants it.
-fn grant_locally(router: &mut ClientState, request: Ask, now: Instant) -> bool {
-    let (sender, mut receiver) = oneshot::channel();
-    router.request_slot(request, sender, now);
-    router.grant_locally(&Configuration::default(), now);
-    receiver
-        .try_recv()
-        .is_ok_and(|reply| reply.is_some_and(|r| r.is_ok()))
-}
-
 cases! {
     part_of_prompts_that_crashes_engines_is_sent_to_one_engine_after_the_other => {
         let mut pool = Pool::new(12, &[FATAL_PART]);
