Calls that crash plain services again and again keep the bound of whole requests in tests

They pass on the code as it was; no logic is changed. The pool that prompt_parts used stands in a module of its own for this.

--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -2,11 +2,13 @@
 
 mod backend;
 mod crashes;
+mod crashing_requests;
 mod decision;
 mod exclusions;
 mod failure;
 mod fixture;
 mod fleet;
+mod pool;
 mod prefill;
 mod prompt_parts;
 mod rate_limits;
