Software versions of backend servers are read, and lines tell where streams go on

Each stream that goes on is logged with the request that began it, the event, the backend server and its version. No decision uses it yet.

--- a/crates/jaylock-operator/src/bin/jaylock/backend.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/backend.rs
@@ -74,6 +74,7 @@
         "granted",
         "slots",
         "models",
+        "software",
         "heard_ms_ago",
     ]);
     for state in reply.backends {
@@ -100,6 +101,7 @@
         state.granted.into(),
         report.slots.into(),
         models.collect::<Vec<_>>().into(),
+        report.software.as_str().into(),
         state.heard_ms_ago.into(),
     ]
 }
--- a/crates/jaylock-router/src/announce.rs
+++ b/crates/jaylock-router/src/announce.rs
@@ -36,6 +36,8 @@
     token: CompactString,
     slots: u32,
     #[serde(default)]
+    software: CompactString,
+    #[serde(default)]
     checks_orders: bool,
     #[serde(default)]
     models: Vec<AnnouncedModel>,
@@ -169,6 +171,7 @@
             token_hash: KeyHash::from_key(&self.token).0.to_vec(),
             fence: self.fence,
             pool: self.pool.into(),
+            software: self.software.into(),
             ..BackendReport::default()
         };
         report.set_kind(match self.kind {
--- a/crates/jaylock-router/src/route/admission.rs
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -45,6 +45,8 @@
     let pool = service.parse().map_err(|_| no_route())?;
     let last_event = single_value(&head.headers, "last-event-id")?;
     let last_event = last_event.and_then(|v| v.to_str().ok()?.parse().ok());
+    let resumed = single_value(&head.headers, names.resumed_request)?;
+    let resumed = resumed.and_then(|v| v.to_str().ok()?.parse().ok());
     let organisation = authenticated.clone().unwrap_or_else(public_organisation);
     let deadline = arrived_at + requested.unwrap_or(timeout).min(timeout);
     let reading = read_body(context, &configuration, &organisation, incoming);
@@ -67,6 +69,7 @@
         prompt: Prompt::parse(&head.headers, names),
         event_tokens,
         last_event: last_event.unwrap_or(0),
+        resumed,
         head,
     })
 }
--- a/crates/jaylock-router/src/route/headers.rs
+++ b/crates/jaylock-router/src/route/headers.rs
@@ -21,6 +21,8 @@
     pub limit: &'static str,
     /// Tells with the value 1 that a backend server leaves, in its responses.
     pub leaving: &'static str,
+    /// Identifier of the request that brought the first event of the stream that this one resumes.
+    pub resumed_request: &'static str,
     /// Model of a prompt.
     pub model: &'static str,
     /// Number of prompt tokens and largest number of generated tokens, separated by a comma.
@@ -44,6 +46,7 @@
             seal: "x-seal",
             limit: "x-rate-limit",
             leaving: "x-leaving",
+            resumed_request: "x-resumes",
             model: "x-model",
             tokens: "x-tokens",
             prompt_parts: "x-prompt-parts",
--- a/crates/jaylock-router/src/route/request.rs
+++ b/crates/jaylock-router/src/route/request.rs
@@ -50,6 +50,8 @@
     pub event_tokens: u32,
     /// Number of the last event that the caller received before.
     pub last_event: u64,
+    /// Identifier of the request that brought the first event of a stream that this request resumes.
+    pub resumed: Option<RequestId>,
 }
 
 impl RouteRequest {
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -185,6 +185,9 @@
             match send(context, request, &to, self.attempts.head_timeout()).await {
                 Ok((connection, response)) => {
                     self.attempts.tracker.record.head_time = Some(sent.elapsed());
+                    if self.last_event > 0 {
+                        self.log_resumption(&slot);
+                    }
                     return Ok((connection, slot, response));
                 }
                 Err(error) => self.attempts.record_failure(&error, address, slot).await?,
@@ -192,6 +195,18 @@
         }
     }
 
+    /// Logs where a stream goes on, so that its software versions can be compared.
+    fn log_resumption(&self, slot: &Slot) {
+        let request = &self.attempts.request;
+        let begun_by = request.resumed.as_ref().unwrap_or(&request.id);
+        log::info!(
+            target: "router",
+            request = request.id.as_str(), begun_by = begun_by.as_str(), event = self.last_event,
+            backend = slot.backend(), software = slot.software();
+            "a stream goes on"
+        );
+    }
+
     fn attach(&mut self, connection: Connection, slot: Slot, response: Response<Incoming>) {
         self.active = Some(ActiveAttempt {
             connection,
--- a/crates/jaylock-router/src/slot.rs
+++ b/crates/jaylock-router/src/slot.rs
@@ -46,6 +46,11 @@
         &self.grant.backend
     }
 
+    /// Version of the backend server's software.
+    pub fn software(&self) -> &str {
+        &self.grant.software
+    }
+
     /// Reports what the backend server tells in a response.
     pub fn record_notice(&self, notice: &Notice) {
         let incarnation = self.grant.incarnation;
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -220,6 +220,7 @@
             epoch: self.epoch,
             spare: self.has_spare_slots,
             incarnation: backend.report.incarnation,
+            software: backend.report.software.clone(),
         };
         let decision = Decision {
             request: request_id(ask),
--- a/crates/jaylock-share/src/encoding.rs
+++ b/crates/jaylock-share/src/encoding.rs
@@ -24,41 +24,64 @@
     }
 }
 
-/// Addresses of backend servers that earlier grants of the stream contained.
+/// Addresses and software versions of backend servers that earlier grants of the stream contained.
 #[derive(Debug, Default)]
 pub struct AddressTable {
     // Sorted by name.
-    list: Vec<(String, String)>,
+    list: Vec<KnownBackend>,
+}
+
+#[derive(Debug)]
+struct KnownBackend {
+    name: String,
+    address: String,
+    software: String,
 }
 
 impl AddressTable {
-    /// Fills in an address that the grant omits, or records a new one.
+    /// Fills in what the grant omits, or records what is new.
     pub fn restore(&mut self, grant: &mut Grant) {
-        let search = self
-            .list
-            .binary_search_by(|(name, _)| name.cmp(&grant.backend));
-        match search {
-            Ok(index) if grant.address.is_empty() => grant.address.clone_from(&self.list[index].1),
-            Ok(index) => self.list[index].1.clone_from(&grant.address),
-            Err(index) => self
-                .list
-                .insert(index, (grant.backend.clone(), grant.address.clone())),
+        match self.search(&grant.backend) {
+            Ok(index) if grant.address.is_empty() => {
+                let known = &self.list[index];
+                grant.address.clone_from(&known.address);
+                grant.software.clone_from(&known.software);
+            }
+            Ok(index) => self.list[index] = KnownBackend::from_grant(grant),
+            Err(index) => self.list.insert(index, KnownBackend::from_grant(grant)),
         }
     }
 
-    /// Omits an address that the receiver knows already.
+    /// Omits what the receiver knows already.
     pub fn omit_known(&mut self, grant: &mut Grant) {
-        let search = self
-            .list
-            .binary_search_by(|(name, _)| name.cmp(&grant.backend));
-        match search {
-            Ok(index) if self.list[index].1 == grant.address => grant.address.clear(),
-            Ok(index) => self.list[index].1.clone_from(&grant.address),
-            Err(index) => self
-                .list
-                .insert(index, (grant.backend.clone(), grant.address.clone())),
+        match self.search(&grant.backend) {
+            Ok(index) if self.list[index].matches(grant) => {
+                grant.address.clear();
+                grant.software.clear();
+            }
+            Ok(index) => self.list[index] = KnownBackend::from_grant(grant),
+            Err(index) => self.list.insert(index, KnownBackend::from_grant(grant)),
         }
     }
+
+    fn search(&self, name: &str) -> Result<usize, usize> {
+        self.list
+            .binary_search_by(|known| known.name.as_str().cmp(name))
+    }
+}
+
+impl KnownBackend {
+    fn from_grant(grant: &Grant) -> Self {
+        Self {
+            name: grant.backend.clone(),
+            address: grant.address.clone(),
+            software: grant.software.clone(),
+        }
+    }
+
+    fn matches(&self, grant: &Grant) -> bool {
+        self.address == grant.address && self.software == grant.software
+    }
 }
 
 /// Numbers that replace names in a stream's requests, on the sender's side.
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -12,6 +12,7 @@
     pub backend: CompactString,
     pub address: CompactString,
     pub incarnation: u64,
+    pub software: CompactString,
     pub requirement: Requirement,
 }
 
@@ -76,6 +77,7 @@
                 backend: spare.backend.into(),
                 address: spare.address.into(),
                 incarnation: spare.incarnation,
+                software: spare.software.into(),
                 ..grant
             });
         }
@@ -95,6 +97,7 @@
             backend: report.id.clone(),
             address: report.address.clone(),
             incarnation: report.incarnation,
+            software: report.software.clone(),
             ..grant
         })
     }
@@ -132,6 +135,7 @@
             backend: self.backend,
             address: self.address,
             incarnation: self.incarnation,
+            software: self.software,
             requirement: self.requirement,
         }
     }
