Tests that fail: streams go on at another software version than the one that began them

Seen before any change of logic: with four backend servers of three versions, 8 of 8 streams that break off once go on at another version within one response; with two versions of equal size, 4 of 8 streams whose router is killed go on at the other version when their callers take them up elsewhere.

--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -24,6 +24,7 @@
 
 struct Shared {
     id: String,
+    software: String,
     address: SocketAddr,
     incarnation: u64,
     sequence: AtomicU64,
@@ -69,10 +70,21 @@
         fleet: &TestFleet,
         id: &str,
         reply: impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_version(fleet, id, "v1", reply)
+    }
+
+    /// Starts a backend server that runs this version of its software.
+    pub fn start_version(
+        fleet: &TestFleet,
+        id: &str,
+        software: &str,
+        reply: impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
         let shared = Arc::new(Shared {
             id: id.into(),
+            software: software.into(),
             address: listener.local_addr().expect("an address"),
             incarnation: 1,
             sequence: AtomicU64::new(0),
@@ -136,6 +148,11 @@
             .send_heartbeat(fleet.control_address(0), "ready");
     }
 
+    /// Version of its software.
+    pub fn software(&self) -> &str {
+        &self.shared.software
+    }
+
     /// Number of requests whose replies are being sent.
     pub fn active_count(&self) -> usize {
         self.shared.active_count.load(Ordering::Relaxed)
@@ -162,13 +179,14 @@
     fn send_heartbeat(&self, control: SocketAddr, state: &str) -> Option<HttpResponse> {
         let Self {
             id,
+            software,
             address,
             incarnation,
             ..
         } = self;
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let body = format!(
-            r#"{{"service":"app","address":"{address}","zone":"d0","version":"v1","slots":8,
+            r#"{{"service":"app","address":"{address}","zone":"d0","version":"{software}","slots":8,
             "state":"{state}","cold_left_ms":0,"seq":{sequence},"born":{incarnation},"unknown":[]}}"#
         );
         send_call(control, "PUT", &format!("/-/replicas/{id}"), &body)
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -12,4 +12,5 @@
 mod refusals;
 mod requests;
 mod shutdown;
+mod software_versions;
 mod streams;
--- /dev/null
+++ b/crates/jaylock-tests/tests/platform/software_versions.rs
@@ -0,0 +1,131 @@
+//! Streams of a service whose backend servers run several versions of their software.
+
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jaylock_tests::cases;
+
+use crate::harness::{
+    Caller, CallerResponse, FakeBackend, ReceivedRequest, Reply, TestFleet, document, wait_until,
+};
+
+/// Streams that a test begins.
+const STREAM_COUNT: u64 = 8;
+/// Events of a complete stream.
+const EVENT_COUNT: u64 = 30;
+/// Time between two events.
+const EVENT_INTERVAL: Duration = Duration::from_millis(50);
+/// Part of an event, after which the connection ends.
+const BROKEN_EVENT: &str = "20\r\nid: 4\ndata: pie";
+
+/// Starts a backend server for each of these versions.
+fn start_backends(
+    fleet: &TestFleet,
+    versions: &[&str],
+    reply: fn(&ReceivedRequest) -> Reply,
+) -> Vec<FakeBackend> {
+    let numbered = versions.iter().enumerate();
+    numbered
+        .map(|(n, version)| FakeBackend::start_version(fleet, &format!("b{n}"), version, reply))
+        .collect()
+}
+
+/// Breaks off in the fourth event, unless the stream is resumed.
+fn broken_once(request: &ReceivedRequest) -> Reply {
+    match request.header("last-event-id") {
+        "" => request.events(1..=3, BROKEN_EVENT),
+        _ => request.events(4..=6, Reply::LAST_CHUNK),
+    }
+}
+
+/// Takes over a second, unless the stream is resumed.
+fn slow(request: &ReceivedRequest) -> Reply {
+    match request.header("last-event-id").parse::<u64>() {
+        Ok(last) => request.events(last + 1..=EVENT_COUNT, Reply::LAST_CHUNK),
+        Err(_) => request.paced_events(EVENT_COUNT, EVENT_INTERVAL),
+    }
+}
+
+/// Streams that reached backend servers of more than one version.
+fn mixed_streams(backends: &[FakeBackend]) -> Vec<String> {
+    let mut runs: Vec<(String, &str)> = Vec::new();
+    for backend in backends {
+        let received = backend.received().into_iter();
+        runs.extend(received.map(|request| (stream_id(&request), backend.software())));
+    }
+    runs.sort();
+    runs.dedup();
+    let pairs = runs.windows(2).filter(|pair| pair[0].0 == pair[1].0);
+    pairs.map(|pair| pair[0].0.clone()).collect()
+}
+
+/// Identifier of the request that began the stream.
+fn stream_id(request: &ReceivedRequest) -> String {
+    let resumed = request.header("resumes");
+    let own = request.header("attempt-id");
+    if resumed.is_empty() { own } else { resumed }.to_owned()
+}
+
+/// A caller of a stream at an instance.
+fn caller(fleet: &TestFleet, at: usize, id: &str) -> Caller {
+    Caller::new(fleet.caller_address(at))
+        .request("POST", "/draft/1")
+        .with("Attempt-Id", id)
+}
+
+fn id_of(stream: u64) -> String {
+    format!("9c41d07be2a3{stream:04x}")
+}
+
+/// Begins streams at an instance, and returns once all have begun.
+fn begin_streams(
+    fleet: &TestFleet,
+    at: usize,
+    backends: &[FakeBackend],
+) -> Vec<JoinHandle<CallerResponse>> {
+    let begin = |stream| {
+        let caller = caller(fleet, at, &id_of(stream));
+        thread::spawn(move || caller.send())
+    };
+    let streams: Vec<_> = (0..STREAM_COUNT).map(begin).collect();
+    wait_until("all streams have begun", || {
+        let active = backends.iter().map(FakeBackend::active_count);
+        active.sum::<usize>() == streams.len()
+    });
+    thread::sleep(EVENT_INTERVAL * 4);
+    streams
+}
+
+/// Takes a stream up after its last event, at another instance.
+fn take_up(fleet: &TestFleet, at: usize, stream: u64, begun: &CallerResponse) -> CallerResponse {
+    let events = begun.body.matches("\n\n").count();
+    caller(fleet, at, &format!("aaaa{stream:012x}"))
+        .with("Last-Event-Id", &events.to_string())
+        .with("Resumes", &id_of(stream))
+        .send()
+}
+
+cases! {
+    stream_goes_on_at_another_software_version_within_one_response => {
+        let fleet = TestFleet::minimal();
+        let backends = start_backends(&fleet, &["v1", "v2", "v2", "v3"], broken_once);
+        for stream in 0..STREAM_COUNT {
+            caller(&fleet, 1, &id_of(stream)).send();
+        }
+        assert_that!(mixed_streams(&backends), is_empty());
+    };
+    stream_goes_on_at_another_software_version_when_its_caller_takes_it_up => {
+        let mut fleet = TestFleet::start(1, 2);
+        fleet.configure(&document(1));
+        let backends = start_backends(&fleet, &["v1", "v2", "v1", "v2"], slow);
+        let streams = begin_streams(&fleet, 1, &backends);
+        fleet.kill(1);
+        for (stream, begun) in (0..).zip(streams) {
+            let begun = begun.join().expect("a caller");
+            let resumed = take_up(&fleet, 2, stream, &begun);
+            assert_that!((resumed.status(), resumed.is_complete), eq((200, true)));
+        }
+        assert_that!(mixed_streams(&backends), is_empty());
+    };
+}
