A stream goes on only at the software version that began it

Cause: nothing read the version of a backend server or the request that a caller names when it takes a stream up, so a stream went on wherever there was room, within one response as well as over a caller's requests. The class: what a response has begun with binds all that continue it, and that bond was kept nowhere. Chat has the same cause within one response and is mended too.

Change: the scheduler of the pool, which grants all slots, keeps for each stream the version of its newest attempt, for a minute, at no cost on the wire; a router keeps the same for its own streams and lists them to a new scheduler. A request that takes a stream up, and each further attempt of a response that has begun, needs that version like it needs a model. Not known: it waits until routers had time to attach to a new scheduler, then it is refused at once, not run; so is one whose version no backend server has any more. A router without a scheduler continues its own streams only. Callers that name no request are served while one version is there.

--- a/crates/jaylock-router/src/chat.rs
+++ b/crates/jaylock-router/src/chat.rs
@@ -4,10 +4,9 @@
 use compact_str::{CompactString, format_compact};
 use http::StatusCode;
 use jaylock_rpc::v1::{Ask, Configuration, Model};
-use jaylock_types::PoolId;
+use jaylock_types::{Fnv, PoolId};
 use serde_json::{Map, Value};
 
-use crate::hash::Fnv;
 use crate::response::ErrorResponse;
 
 /// Difference in length between two successive prefixes of a prompt.
--- a/crates/jaylock-router/src/generation.rs
+++ b/crates/jaylock-router/src/generation.rs
@@ -163,6 +163,7 @@
         let counted = self.tokens + chunk.tokens();
         self.tokens = chunk.total_tokens().unwrap_or(counted).max(counted);
         if let Some(active) = &mut self.active {
+            self.retry.pin_software(active.slot.software());
             active
                 .slot
                 .record_tokens(self.tokens - active.previous_tokens);
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -22,7 +22,6 @@
 mod event;
 mod fetch;
 mod generation;
-mod hash;
 mod head_validator;
 mod latch;
 mod lifecycle;
--- a/crates/jaylock-router/src/response.rs
+++ b/crates/jaylock-router/src/response.rs
@@ -99,6 +99,11 @@
                 "no-backend",
                 "no backend server serves this now",
             ),
+            Reason::UnknownStream => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "unknown-stream",
+                "it is not known which version of the backend servers began this stream",
+            ),
             Reason::Overloaded | Reason::Unspecified => (
                 StatusCode::SERVICE_UNAVAILABLE,
                 "overloaded",
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use compact_str::format_compact;
+use compact_str::{CompactString, format_compact};
 use futures_util::future::{self, Either};
 use http::StatusCode;
 use jaylock_observe::RunStatus;
@@ -40,6 +40,8 @@
     previous_status: RunStatus,
     attempts: u32,
     avoid: Vec<String>,
+    /// Version of the backend servers' software that began the response, at which alone it may go on.
+    software: Option<CompactString>,
     /// Backend server of the current attempt, until the attempt succeeds or fails.
     running: Option<RunningAttempt>,
 }
@@ -70,6 +72,7 @@
             previous_status: RunStatus::NotRun,
             attempts: 0,
             avoid: Vec::new(),
+            software: None,
             running: None,
         }
     }
@@ -84,6 +87,13 @@
         self.run_status = RunStatus::Ran;
     }
 
+    /// Lets the response go on only at this version of the backend servers' software.
+    pub fn pin_software(&mut self, software: &str) {
+        if self.software.is_none() {
+            self.software = Some(software.into());
+        }
+    }
+
     /// Whether the request is suspected of crashing backend servers.
     pub fn is_suspect(&self) -> bool {
         self.crash_tracker.is_suspect()
@@ -273,6 +283,7 @@
         let mut ask = Ask {
             organisation: self.crash_tracker.organisation.to_string(),
             avoid: self.avoid.clone(),
+            software: self.software.as_deref().map(Into::into),
             alone: self.crash_tracker.is_suspect(),
             waited_ms: u32::try_from(waited).unwrap_or(u32::MAX),
             request: self.crash_tracker.request.to_string(),
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use compact_str::format_compact;
+use compact_str::{CompactString, format_compact};
 use http::StatusCode;
 use jaylock_observe::{RequestKind, RunStatus};
 use jaylock_rpc::v1::Ask;
@@ -37,6 +37,8 @@
     /// Number of attempts made.
     count: u32,
     avoid: Vec<String>,
+    /// Version of the backend servers' software that began the response, at which alone it may go on.
+    software: Option<CompactString>,
 }
 
 impl Attempts {
@@ -63,6 +65,7 @@
             run_status: RunStatus::NotRun,
             count: 0,
             avoid: Vec::new(),
+            software: None,
         }
     }
 
@@ -72,6 +75,13 @@
         self.tracker.record.run = RunStatus::Ran;
     }
 
+    /// Lets the response go on only at this version of the backend servers' software.
+    pub fn pin_software(&mut self, software: &str) {
+        if self.software.is_none() {
+            self.software = Some(software.into());
+        }
+    }
+
     /// Waits for a slot until the deadline.
     ///
     /// `served` is the service in tokens that earlier attempts provided.
@@ -90,6 +100,7 @@
             served,
             avoid: self.avoid.clone(),
             waited_ms: u32::try_from(waited.as_millis()).unwrap_or(u32::MAX),
+            software: self.software.as_deref().map(Into::into),
             patience_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
             ..self.request.slot_request()
         };
--- a/crates/jaylock-router/src/route/prompt.rs
+++ b/crates/jaylock-router/src/route/prompt.rs
@@ -3,9 +3,9 @@
 use compact_str::CompactString;
 use http::HeaderMap;
 use jaylock_rpc::v1::PromptPart;
+use jaylock_types::Fnv;
 
 use super::headers::RouteHeaders;
-use crate::hash::Fnv;
 
 /// Maximum number of prompt parts that are sent to the scheduler.
 const MAX_PARTS: usize = 32;
--- a/crates/jaylock-router/src/route/request.rs
+++ b/crates/jaylock-router/src/route/request.rs
@@ -4,11 +4,11 @@
 use bytes::Bytes;
 use http::HeaderValue;
 use http::request::Parts;
+use jaylock_rpc::v1::route::Kind;
 use jaylock_rpc::v1::{Ask, Route};
-use jaylock_types::{OrganisationId, PoolId, RequestId};
+use jaylock_types::{Fnv, OrganisationId, PoolId, RequestId, StreamId};
 
 use super::prompt::Prompt;
-use crate::hash::Fnv;
 use crate::memory::BodyReservation;
 
 /// Shortest time without a response head after which a prompt is sent to another engine.
@@ -84,10 +84,22 @@
             request: self.id.to_string(),
             objective_ms: self.route.objective_ms,
             digest: self.digest,
+            begun_stream: self.begun_stream().map(|stream| stream.0),
             ..Ask::default()
         }
     }
 
+    /// The stream that this request takes up, if its caller received a part of it before.
+    fn begun_stream(&self) -> Option<StreamId> {
+        let is_resumed = self.last_event > 0 || self.resumed.is_some();
+        if self.route.kind() != Kind::Stream || !is_resumed {
+            return None;
+        }
+        let begun_by = self.resumed.as_ref();
+        let stream = |id: &RequestId| StreamId::new(self.organisation.as_str(), id.as_str());
+        Some(begun_by.map_or(StreamId::UNNAMED, stream))
+    }
+
     /// Hash by which a request is recognised if it is sent again.
     pub fn hash(organisation: &OrganisationId, head: &Parts, body: &[u8]) -> u64 {
         let mut hasher = Fnv::default();
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -239,6 +239,7 @@
             if count > 0 {
                 self.count += count;
                 self.attempts.mark_ran();
+                self.attempts.pin_software(active.slot.software());
                 active
                     .slot
                     .record_tokens(self.attempts.request.service_tokens(self.count));
--- a/crates/jaylock-share/src/admission.rs
+++ b/crates/jaylock-share/src/admission.rs
@@ -7,13 +7,14 @@
 use crate::account::AccountKey;
 use crate::allocator::Allocator;
 use crate::encoding::request_id;
-use crate::placement::EngineSelector;
+use crate::placement::{self, EngineSelector};
 use crate::queue::WaitingRequest;
 use crate::ranking::EngineRanking;
+use crate::requirement::RequirementKey;
 use crate::router::{Router, RouterKey};
 
 /// Retry delay for a request that no backend server can run.
-const NO_BACKEND_RETRY_DELAY: Duration = Duration::from_secs(1);
+pub const NO_BACKEND_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 impl Allocator {
     /// Reason to refuse a further request of this organisation; `None` if its queue takes one.
@@ -145,14 +146,16 @@
 
     /// Refuses requests that no backend server can run, after all had time to report to this scheduler.
     pub(crate) fn refuse_unservable(&mut self, now: Instant) {
-        if now < self.ready_at + self.settings.backend_lease {
+        if !self.has_all_reports(now) {
             return;
         }
         let max_wait = self.settings.max_backend_wait;
         for account in self.accounts.backlogged_keys().collect::<Vec<_>>() {
             let (requirements, usable) = (&self.requirements, self.backends.usable());
             let is_unservable = |waiting: &WaitingRequest| {
-                let has_waited = now.saturating_duration_since(waiting.arrived_at) >= max_wait;
+                let waited = now.saturating_duration_since(waiting.arrived_at);
+                // A version that is gone doesn't return for a stream that it began.
+                let has_waited = waited >= max_wait || waiting.ask.software.is_some();
                 has_waited && !requirements.backends(waiting.requirement).overlaps(usable)
             };
             let removed = self.accounts.get_mut(account).queue.drain(is_unservable);
@@ -174,6 +177,24 @@
         self.isolated = remaining;
     }
 
+    /// Whether no backend server can run a request, except those that it avoids.
+    pub(crate) fn is_unservable(
+        &self,
+        ask: &Ask,
+        requirement: RequirementKey,
+        now: Instant,
+    ) -> bool {
+        let eligible = self.requirements.backends(requirement);
+        let mut able = eligible.common(self.backends.usable());
+        let is_avoided = |index| placement::is_avoided(ask, &self.backends.get(index).report.id);
+        self.has_all_reports(now) && able.all(is_avoided)
+    }
+
+    /// Whether all backend servers had time to report to this scheduler.
+    fn has_all_reports(&self, now: Instant) -> bool {
+        now >= self.ready_at + self.settings.backend_lease
+    }
+
     pub(crate) fn refuse_waiting(
         &mut self,
         waiting: &WaitingRequest,
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -10,6 +10,7 @@
 
 use crate::SchedulerSettings;
 use crate::account::{AccountKey, Accounts};
+use crate::admission::NO_BACKEND_RETRY_DELAY;
 use crate::backends::Backends;
 use crate::cost::{Residual, SizeClass, cost_of};
 use crate::crash_history::CrashHistory;
@@ -18,7 +19,9 @@
 use crate::engine::PrefillRate;
 use crate::queue::WaitingRequest;
 use crate::requirement::{RequirementKey, Requirements};
+use crate::resumption::Origin;
 use crate::router::{RouterKey, Routers, Run};
+use crate::stream_origins::StreamOrigins;
 use crate::usage::Usage;
 
 /// State of one pool, from which the scheduler decides which request gets which slot.
@@ -43,6 +46,10 @@
     pub(crate) has_spare_slots: bool,
     pub(crate) division: Division,
     pub(crate) crash_history: CrashHistory,
+    // Versions at which the streams of all routers began.
+    pub(crate) origins: StreamOrigins,
+    // Requests that take up streams of which no attached router has told the origin yet.
+    pub(crate) unresolved: Vec<(RouterKey, Ask)>,
     residual: Residual,
     pub(crate) prefill_rate: PrefillRate,
     // Memory of each engine of the pool in tokens; 0 if unknown.
@@ -71,6 +78,8 @@
             waiting_count: 0,
             has_spare_slots: false,
             crash_history: CrashHistory::default(),
+            origins: StreamOrigins::default(),
+            unresolved: Vec::new(),
             division: Division::default(),
             residual: Residual::default(),
         }
@@ -158,6 +167,7 @@
         self.refuse_paused(now);
         self.refuse_quarantined(now);
         self.refuse_overdue(now);
+        self.resolve_waiting(now);
         self.divide();
     }
 
@@ -216,7 +226,18 @@
             .refresh(index, now, self.settings.backend_lease);
     }
 
-    fn add_ask(&mut self, router: RouterKey, ask: Ask, now: Instant) {
+    pub(crate) fn add_ask(&mut self, router: RouterKey, mut ask: Ask, now: Instant) {
+        match self.resolve_origin(&mut ask, now) {
+            Origin::Resolved => {}
+            Origin::Awaited => {
+                self.unresolved.push((router, ask));
+                return;
+            }
+            Origin::Unknown => {
+                self.refuse_unknown(router, &ask);
+                return;
+            }
+        }
         let account = self.accounts.intern(&ask.organisation);
         if let Some(time) = self.crash_history.causes.quarantine_time(&ask, now) {
             self.log_refusal(account, &ask, "it is in quarantine");
@@ -240,14 +261,23 @@
             self.accounts.get_mut(account).refused += 1;
             return;
         }
+        let requirement = match self.requirements.find(&ask) {
+            Some(requirement) => requirement,
+            None => self.requirements.add(&ask, self.backends.reports()),
+        };
+        if ask.software.is_some() && self.is_unservable(&ask, requirement, now) {
+            self.refuse(
+                router,
+                ask.ticket,
+                Reason::NoBackend,
+                NO_BACKEND_RETRY_DELAY,
+            );
+            return;
+        }
         let router_state = self.routers.get_mut(router);
         if !router_state.is_some_and(|r| r.add_waiting(ask.ticket, account)) {
             return;
         }
-        let requirement = match self.requirements.find(&ask) {
-            Some(requirement) => requirement,
-            None => self.requirements.add(&ask, self.backends.loaded_models()),
-        };
         self.backends.index_parts(&ask);
         let size_class = SizeClass::from_ask(&ask);
         let expected = self.expected_cost(account, size_class, ask.served);
@@ -329,6 +359,7 @@
             .and_then(|r| r.remove_run(end.ticket));
         let Some(mut run) = run else { return };
         self.record_outcome(&run, end, now);
+        self.record_origin(&run, now);
         let cost = cost_of(end);
         if end.unreached {
             let router_count = self.routers.attached_count();
@@ -377,6 +408,8 @@
     }
 
     fn cancel(&mut self, router: RouterKey, ticket: u64) {
+        self.unresolved
+            .retain(|(key, ask)| *key != router || ask.ticket != ticket);
         let account = self
             .routers
             .get_mut(router)
--- a/crates/jaylock-share/src/attachment.rs
+++ b/crates/jaylock-share/src/attachment.rs
@@ -1,6 +1,7 @@
 use std::time::{Duration, Instant};
 
 use jaylock_rpc::v1::{Hello, Running};
+use jaylock_types::StreamId;
 
 use crate::account::AccountKey;
 use crate::allocator::Allocator;
@@ -29,6 +30,7 @@
             router.detached_at = None;
             router.reset_stream();
         }
+        self.origins.restore(&hello.streams, now);
         self.reconcile(key, &hello.running, now);
         for crash in &hello.crashes {
             let age = Duration::from_millis(crash.age_ms.into());
@@ -101,7 +103,10 @@
             load: None,
             granted_at: now,
             prefill_ahead: 0,
+            stream: (running.stream != 0).then_some(StreamId(running.stream)),
+            software: running.software.as_str().into(),
         };
+        self.record_origin(&run, now);
         if let Some(router) = self.routers.get_mut(key) {
             router.add_run(run);
         }
@@ -130,5 +135,6 @@
         for (ticket, account) in router.take_waiting() {
             self.drop_waiting(key, ticket, account);
         }
+        self.unresolved.retain(|(router, _)| *router != key);
     }
 }
--- a/crates/jaylock-share/src/backends.rs
+++ b/crates/jaylock-share/src/backends.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use jaylock_rpc::v1::{Ask, BackendReport, LoadedModel};
+use jaylock_rpc::v1::{Ask, BackendReport};
 
 use crate::backend::{Backend, report_time};
 use crate::backend_set::BackendSet;
@@ -187,10 +187,10 @@
             .collect()
     }
 
-    /// The models that each backend server has loaded.
-    pub fn loaded_models(&self) -> impl Iterator<Item = (usize, &[LoadedModel])> {
+    /// The newest report of each backend server.
+    pub fn reports(&self) -> impl Iterator<Item = (usize, &BackendReport)> {
         let list = self.list.iter().enumerate();
-        list.map(|(index, backend)| (index, backend.report.models.as_slice()))
+        list.map(|(index, backend)| (index, &backend.report))
     }
 
     /// Index of a backend server, which is added without slots if it has not announced itself.
--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -7,7 +7,7 @@
     Ask, BackendReport, BackendVerdict, End, FallbackSlots, Grant, Hello, Progress, Refusal,
     RouterFrame, Running, SchedulerFrame, Total,
 };
-use jaylock_types::Notice;
+use jaylock_types::{Notice, StreamId};
 
 use crate::SchedulerClientSettings;
 use crate::batch::Batch;
@@ -21,6 +21,7 @@
 use crate::named_limits::NamedLimits;
 use crate::recent_crashes::RecentCrashes;
 use crate::requirement::Requirement;
+use crate::stream_origins::{StreamOrigins, stream_of};
 
 /// Result of a request for a slot.
 pub type AskResult = Result<Grant, Refusal>;
@@ -51,6 +52,8 @@
     pub(crate) limits: NamedLimits,
     // Crashes under own runs, for a new scheduler.
     pub(crate) crashes: RecentCrashes,
+    // Versions at which own streams began, for a new scheduler.
+    pub(crate) origins: StreamOrigins,
     // Slots that became free while no scheduler responded.
     pub(crate) spare: Vec<SpareSlot>,
     pub(crate) detached_at: Option<Instant>,
@@ -90,6 +93,7 @@
     has_prompt_parts: bool,
     reported_tokens: u64,
     causes: Causes,
+    stream: Option<StreamId>,
 }
 
 impl ClientState {
@@ -111,6 +115,7 @@
             exclusions: Exclusions::default(),
             limits: NamedLimits::default(),
             crashes: RecentCrashes::default(),
+            origins: StreamOrigins::default(),
             spare: Vec::new(),
             detached_at: None,
             last_frame: None,
@@ -119,7 +124,8 @@
     }
 
     /// Adds a request that waits; the result is sent to `reply`.
-    pub fn request_slot(&mut self, ask: Ask, reply: oneshot::Sender<AskResult>, now: Instant) {
+    pub fn request_slot(&mut self, mut ask: Ask, reply: oneshot::Sender<AskResult>, now: Instant) {
+        self.resolve_origin(&mut ask);
         if self.is_attached {
             self.batch.add_ask(ask.clone());
         }
@@ -181,6 +187,7 @@
             return;
         };
         let held = self.held.remove(index);
+        self.record_origin(&held, now);
         let cost = cost_of(&end);
         self.add_unreported(&held.organisation, if self.is_attached { 0 } else { cost });
         if let Ok(index) = self.search_total(&held.organisation) {
@@ -264,6 +271,7 @@
         hello.epoch = self.epoch;
         hello.running = self.held.iter().map(HeldSlot::running).collect();
         hello.crashes = self.crashes.list(now);
+        hello.streams = self.origins.list(now);
         let unreported = self.totals.iter().filter(|total| total.unheard > 0);
         self.unconfirmed = unreported.cloned().collect();
         for total in &mut self.totals {
@@ -366,9 +374,7 @@
             return Vec::new();
         }
         let expired = self.pending.extract_if(.., |pending| is_expired(pending));
-        expired
-            .map(|pending| (pending.ask.ticket, pending.reply))
-            .collect()
+        expired.map(PendingRequest::into_reply).collect()
     }
 
     /// Passes a granted slot to the waiting request.
@@ -400,7 +406,9 @@
             has_prompt_parts: !pending.ask.parts.is_empty(),
             reported_tokens: 0,
             causes: Causes::from_ask(&pending.ask),
+            stream: stream_of(&pending.ask),
         };
+        self.record_origin(&held, now);
         let index = self
             .held
             .partition_point(|other| other.ticket < held.ticket);
@@ -421,6 +429,22 @@
         }
     }
 
+    /// Sets the version at which the stream that a request takes up must go on, if this router began it.
+    fn resolve_origin(&self, ask: &mut Ask) {
+        if ask.software.is_some() {
+            return;
+        }
+        let stream = ask.begun_stream.map(StreamId);
+        let software = stream.and_then(|stream| self.origins.find(stream));
+        ask.software = software.map(|software| software.as_str().into());
+    }
+
+    fn record_origin(&mut self, held: &HeldSlot, now: Instant) {
+        if let Some(stream) = held.stream {
+            self.origins.record(stream, &held.software, now);
+        }
+    }
+
     fn take_pending(&mut self, ticket: u64) -> Option<PendingRequest> {
         let index = self
             .pending
@@ -459,6 +483,11 @@
 }
 
 impl PendingRequest {
+    /// The ticket and where the result is sent.
+    pub fn into_reply(self) -> (u64, oneshot::Sender<AskResult>) {
+        (self.ask.ticket, self.reply)
+    }
+
     fn updated_ask(&self, now: Instant) -> Ask {
         let waited = now.saturating_duration_since(self.queued_at).as_millis();
         let waited = u32::try_from(waited).unwrap_or(u32::MAX);
@@ -478,6 +507,8 @@
             tokens: self.tokens,
             alone: self.is_isolated,
             causes: self.causes.iter().collect(),
+            stream: self.stream.unwrap_or(StreamId::UNNAMED).0,
+            software: self.software.as_str().into(),
         }
     }
 
--- a/crates/jaylock-share/src/connection.rs
+++ b/crates/jaylock-share/src/connection.rs
@@ -247,23 +247,23 @@
         }
     }
 
+    /// Grants the router's own slots, and refuses what needs a scheduler, while there is none.
     fn grant_locally(&self) {
         let configuration = self.context.view.current();
-        let mut state = self.state.borrow_mut();
-        state.grant_locally(&configuration, Instant::now());
+        let now = Instant::now();
+        let unknown = {
+            let mut state = self.state.borrow_mut();
+            state.grant_locally(&configuration, now);
+            state.take_unknown_streams(now)
+        };
+        refuse(unknown, Reason::UnknownStream);
     }
 
     fn refuse_expired(&self) {
         let max_wait = self.context.settings.max_scheduler_wait;
         let now = Instant::now();
         let expired = self.state.borrow_mut().take_expired(now, max_wait);
-        for (ticket, reply) in expired {
-            let _ = reply.send(Err(Refusal {
-                ticket,
-                reason: Reason::NoBackend.into(),
-                retry_after_ms: NO_SCHEDULER_RETRY_MS,
-            }));
-        }
+        refuse(expired, Reason::NoBackend);
     }
 
     fn notify(&self) {
@@ -272,6 +272,18 @@
     }
 }
 
+/// Refuses requests for lack of a scheduler.
+fn refuse(requests: Vec<(u64, oneshot::Sender<AskResult>)>, reason: Reason) {
+    for (ticket, reply) in requests {
+        let refusal = Refusal {
+            ticket,
+            reason: reason.into(),
+            retry_after_ms: NO_SCHEDULER_RETRY_MS,
+        };
+        let _ = reply.send(Err(refusal));
+    }
+}
+
 /// Returns the end of a run that never began.
 pub fn not_run(grant: &Grant) -> End {
     End {
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -14,6 +14,7 @@
 use crate::queue::WaitingRequest;
 use crate::ranking::EngineRanking;
 use crate::router::{Router, Run};
+use crate::stream_origins::stream_of;
 
 impl Allocator {
     /// Grants the free slots, each to the backlogged organisation with the least weighted service.
@@ -247,7 +248,10 @@
             load,
             granted_at: now,
             prefill_ahead,
+            stream: stream_of(ask),
+            software: grant.software.as_str().into(),
         };
+        self.record_origin(&run, now);
         if let Some(router) = self.routers.get_mut(waiting.router) {
             router.remove_waiting(ask.ticket);
             router.add_run(run);
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -1,9 +1,10 @@
 use std::time::Instant;
 
 use compact_str::CompactString;
+use futures_channel::oneshot;
 use jaylock_rpc::v1::{Configuration, Grant};
 
-use crate::client_state::{ClientState, HeldSlot, PendingRequest};
+use crate::client_state::{AskResult, ClientState, HeldSlot, PendingRequest};
 use crate::requirement::Requirement;
 
 /// A slot that became free while no scheduler responded.
@@ -21,9 +22,7 @@
     ///
     /// Does nothing while a scheduler is attached or was lost less than the fallback delay ago.
     pub fn grant_locally(&mut self, configuration: &Configuration, now: Instant) {
-        let detached_at = self.detached_at.filter(|_| !self.is_attached);
-        let wait = self.settings.fallback_delay;
-        if detached_at.is_none_or(|detached_at| now.saturating_duration_since(detached_at) < wait) {
+        if !self.decides_alone(now) {
             return;
         }
         while let Some(grant) = self.next_local_grant(configuration, now) {
@@ -32,12 +31,41 @@
         }
     }
 
+    /// Takes the requests that take up streams which this router, without a scheduler, has not begun.
+    pub fn take_unknown_streams(&mut self, now: Instant) -> Vec<(u64, oneshot::Sender<AskResult>)> {
+        if !self.decides_alone(now) || !self.has_versions() {
+            return Vec::new();
+        }
+        let unknown = self.pending.extract_if(.., |p| p.has_unknown_origin());
+        unknown.map(PendingRequest::into_reply).collect()
+    }
+
+    /// Whether no scheduler has been attached for so long that the router grants its own slots.
+    fn decides_alone(&self, now: Instant) -> bool {
+        let wait = self.settings.fallback_delay;
+        let is_over = |at: Instant| now.saturating_duration_since(at) >= wait;
+        !self.is_attached && self.detached_at.is_some_and(is_over)
+    }
+
+    /// Whether the pool's backend servers name versions of their software.
+    fn has_versions(&self) -> bool {
+        let reports = self.fallback.iter().filter_map(|f| f.backend.as_ref());
+        let reported = reports.map(|report| report.software.as_str());
+        let begun = self.origins.versions().map(CompactString::as_str);
+        reported.chain(begun).any(|software| !software.is_empty())
+    }
+
     /// The next local grant.
     fn next_local_grant(&mut self, configuration: &Configuration, now: Instant) -> Option<Grant> {
+        let has_versions = self.has_versions();
+        let is_allowed = |pending: &&PendingRequest| {
+            let is_unknown = has_versions && pending.has_unknown_origin();
+            !is_unknown && !pending.ask.alone && !self.crashes.is_suspect(&pending.ask)
+        };
         let mut order: Vec<(u64, u64)> = self
             .pending
             .iter()
-            .filter(|pending| !pending.ask.alone && !self.crashes.is_suspect(&pending.ask))
+            .filter(is_allowed)
             .map(|pending| {
                 let organisation = &pending.ask.organisation;
                 (
@@ -69,7 +97,8 @@
             ..Grant::default()
         };
         let spare = self.spare.iter().position(|spare| {
-            spare.requirement == requirement && admits(&spare.backend, spare.incarnation)
+            requirement.is_met_by_slot(&spare.requirement, &spare.software)
+                && admits(&spare.backend, spare.incarnation)
         });
         if let Some(index) = spare {
             let spare = self.spare.swap_remove(index);
@@ -88,7 +117,7 @@
         let report = self.fallback.iter().find_map(|share| {
             let report = share.backend.as_ref()?;
             let held = self.held.iter().filter(|held| held.backend == report.id);
-            let fits = requirement.is_met(&report.models)
+            let fits = requirement.is_met(report)
                 && held.count() < share.slots as usize
                 && admits(&report.id, report.incarnation);
             fits.then_some(report)
@@ -123,6 +152,11 @@
 }
 
 impl PendingRequest {
+    /// Whether it takes up a stream of which this router doesn't know the version.
+    fn has_unknown_origin(&self) -> bool {
+        self.ask.begun_stream.is_some() && self.ask.software.is_none()
+    }
+
     fn avoids(&self, backend: &str) -> bool {
         self.ask.avoid.iter().any(|avoided| avoided == backend)
     }
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -36,9 +36,11 @@
 mod recent_crashes;
 mod reports;
 mod requirement;
+mod resumption;
 mod router;
 mod scheduler;
 mod settings;
+mod stream_origins;
 mod usage;
 
 pub use self::allocator::Allocator;
--- a/crates/jaylock-share/src/placement.rs
+++ b/crates/jaylock-share/src/placement.rs
@@ -215,6 +215,6 @@
     indices.min_by_key(|index| backends.get(*index).load_percent())
 }
 
-fn is_avoided(ask: &Ask, backend: &str) -> bool {
+pub fn is_avoided(ask: &Ask, backend: &str) -> bool {
     ask.avoid.iter().any(|avoided| avoided == backend)
 }
--- a/crates/jaylock-share/src/queue.rs
+++ b/crates/jaylock-share/src/queue.rs
@@ -45,7 +45,7 @@
         self.queues.iter().map(|queue| queue.requirement)
     }
 
-    /// Adds a request; one that was served in part or must avoid a backend server precedes the others.
+    /// Adds a request; one that continues a stream or must avoid a backend server precedes the others.
     pub fn push(&mut self, waiting: WaitingRequest, is_short: bool) {
         self.len += 1;
         let index = self
@@ -57,7 +57,9 @@
             index
         });
         let queue = &mut self.queues[index];
-        if waiting.ask.served > 0 || !waiting.ask.avoid.is_empty() {
+        let ask = &waiting.ask;
+        let is_resumed = ask.served > 0 || ask.begun_stream.is_some();
+        if is_resumed || !ask.avoid.is_empty() {
             queue.resumed.push_back(waiting);
         } else if is_short {
             queue.short.push_back(waiting);
--- a/crates/jaylock-share/src/reports.rs
+++ b/crates/jaylock-share/src/reports.rs
@@ -67,10 +67,13 @@
         if let Ok(index) = outcome {
             let report = &self.backends.get(index).report;
             // An entry without slots is a backend server that a router named before its first report arrived.
-            let has_changed =
-                |previous: BackendReport| previous.slots == 0 || previous.models != report.models;
+            let has_changed = |previous: BackendReport| {
+                previous.slots == 0
+                    || previous.models != report.models
+                    || previous.software != report.software
+            };
             if previous_report.is_none_or(has_changed) {
-                self.requirements.update(index, &report.models);
+                self.requirements.update(index, report);
             }
             let memory_tokens = self.memory_tokens;
             self.backends
--- a/crates/jaylock-share/src/requirement.rs
+++ b/crates/jaylock-share/src/requirement.rs
@@ -1,5 +1,5 @@
 use compact_str::CompactString;
-use jaylock_rpc::v1::{Ask, LoadedModel};
+use jaylock_rpc::v1::{Ask, BackendReport, LoadedModel};
 
 use crate::backend_set::BackendSet;
 
@@ -7,9 +7,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequirementKey(pub u32);
 
-/// Model, version and adapter that a request needs at a backend server.
+/// What a request needs at a backend server: a model, and the software that began its stream.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Requirement {
+    model: ModelRequirement,
+    software: Option<CompactString>,
+}
+
+/// Model, version and adapter that a request needs; an empty one means any.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct ModelRequirement {
     model: CompactString,
     version: CompactString,
     adapter: CompactString,
@@ -19,14 +26,32 @@
     /// Returns the requirement of a request.
     pub fn from_ask(ask: &Ask) -> Self {
         Self {
-            model: ask.model.as_str().into(),
-            version: ask.version.as_str().into(),
-            adapter: ask.adapter.as_str().into(),
+            model: ModelRequirement {
+                model: ask.model.as_str().into(),
+                version: ask.version.as_str().into(),
+                adapter: ask.adapter.as_str().into(),
+            },
+            software: ask.software.as_deref().map(Into::into),
         }
     }
 
-    /// Whether the loaded models meet the requirement; an empty model, version or adapter means any.
-    pub fn is_met(&self, loaded_models: &[LoadedModel]) -> bool {
+    /// Whether a backend server meets the requirement.
+    pub fn is_met(&self, report: &BackendReport) -> bool {
+        self.allows_software(&report.software) && self.model.is_met(&report.models)
+    }
+
+    /// Whether a slot that met another requirement, at a backend server with this software, meets this one.
+    pub fn is_met_by_slot(&self, other: &Self, software: &str) -> bool {
+        self.allows_software(software) && self.model == other.model
+    }
+
+    fn allows_software(&self, software: &str) -> bool {
+        self.software.as_ref().is_none_or(|s| s == software)
+    }
+}
+
+impl ModelRequirement {
+    fn is_met(&self, loaded_models: &[LoadedModel]) -> bool {
         self.model.is_empty() || loaded_models.iter().any(|model| self.is_met_by(model))
     }
 
@@ -64,7 +89,7 @@
     pub fn add<'a>(
         &mut self,
         ask: &Ask,
-        backends: impl Iterator<Item = (usize, &'a [LoadedModel])>,
+        backends: impl Iterator<Item = (usize, &'a BackendReport)>,
     ) -> RequirementKey {
         let requirement = Requirement::from_ask(ask);
         let position = match self.search(&requirement) {
@@ -72,8 +97,8 @@
             Err(position) => position,
         };
         let mut set = BackendSet::default();
-        for (index, loaded_models) in backends {
-            set.set(index, requirement.is_met(loaded_models));
+        for (index, report) in backends {
+            set.set(index, requirement.is_met(report));
         }
         let key = RequirementKey(u32::try_from(self.list.len()).unwrap_or(u32::MAX));
         self.list.push((requirement, set));
@@ -87,9 +112,9 @@
     }
 
     /// Updates whether a backend server meets each requirement.
-    pub fn update(&mut self, index: usize, loaded_models: &[LoadedModel]) {
+    pub fn update(&mut self, index: usize, report: &BackendReport) {
         for (requirement, set) in &mut self.list {
-            set.set(index, requirement.is_met(loaded_models));
+            set.set(index, requirement.is_met(report));
         }
     }
 
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 use jaylock_rpc::v1::{BackendVerdict, Grant, Hello, SchedulerFrame};
+use jaylock_types::StreamId;
 
 use crate::account::AccountKey;
 use crate::backend_set::BackendSet;
@@ -45,6 +46,10 @@
     pub granted_at: Instant,
     /// Pending prefill of the engine at the grant, including this request's prompt, in tokens.
     pub prefill_ahead: u64,
+    /// Stream that the request begins or continues, if it has an identifier.
+    pub stream: Option<StreamId>,
+    /// Version of the software that runs it.
+    pub software: CompactString,
 }
 
 /// The scheduler's state of one router.
--- a/crates/jaylock-tests/tests/router/fakes.rs
+++ b/crates/jaylock-tests/tests/router/fakes.rs
@@ -22,6 +22,9 @@
 /// Time between two checks whether grants are still delayed.
 const DELAY_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Version of the software of all backend servers.
+pub const SOFTWARE: &str = "build-7";
+
 /// Grants each slot request at once, at the first backend server that is not avoided.
 #[derive(Clone, Default)]
 pub struct FakeSchedulers(pub Rc<SchedulersState>);
@@ -58,6 +61,7 @@
                 backend: address.clone(),
                 address,
                 epoch: 1,
+                software: SOFTWARE.into(),
                 ..Grant::default()
             })
             .ok_or(Refusal {
--- a/crates/jaylock-tests/tests/router/streams.rs
+++ b/crates/jaylock-tests/tests/router/streams.rs
@@ -11,6 +11,7 @@
     Backend, Received, Step, chunk, complete_stream, end_marker, final_chunk, foreign_chunk,
     plain_response, stream_head,
 };
+use crate::fakes::SOFTWARE;
 use crate::harness::{CallerResponse, TestRouter, chat_body};
 
 const COMPLETE: &str = "\"content\":\"t1 t2 t3 \"";
@@ -51,6 +52,15 @@
         assert_that!(response.body, contains_substring(COMPLETE));
         assert_that!(resumed_after, eq(2));
     };
+    async interrupted_chat_stream_goes_on_at_another_software_version => {
+        let first = |r: &Received| vec![stream_head(r), chunk(r, 1), Step::Close];
+        let engine = Backend::start(fail_first(first)).await;
+        let router = TestRouter::start(&[engine.address], short_timeouts()).await;
+        router.chat(&chat_body(false)).await;
+        let slot_requests = router.schedulers.0.slot_requests.borrow();
+        let versions: Vec<Option<&str>> = slot_requests.iter().map(|a| a.software.as_deref()).collect();
+        assert_that!(versions, eq(&vec![None, Some(SOFTWARE)]));
+    };
     async resumes_a_stream_with_a_missing_chunk => {
         let first = |r: &Received| {
             vec![stream_head(r), chunk(r, 1), chunk(r, 3), final_chunk(r, 4), end_marker()]
--- a/crates/jaylock-tests/tests/share/fixture.rs
+++ b/crates/jaylock-tests/tests/share/fixture.rs
@@ -160,6 +160,15 @@
         tickets
     }
 
+    /// Gives up a waiting request.
+    pub fn cancel(&mut self, ticket: u64) {
+        let frame = RouterFrame {
+            cancels: vec![ticket],
+            ..RouterFrame::default()
+        };
+        self.allocator.apply(self.router, frame, self.now);
+    }
+
     /// Reports a run's service so far, in tokens.
     pub fn report_progress(&mut self, ticket: u64, tokens: u64) {
         let frame = RouterFrame {
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -14,3 +14,4 @@
 mod rate_limits;
 mod simulation;
 mod stream;
+mod stream_origins;
--- a/crates/jaylock-types/src/lib.rs
+++ b/crates/jaylock-types/src/lib.rs
@@ -1,12 +1,15 @@
 //! Identifiers, numbers, clocks and secrets that all jaylock crates share.
 
 mod clock;
+mod hash;
 mod identifier;
 mod notice;
 mod number;
 mod secret;
+mod stream;
 
 pub use self::clock::{Clock, SystemClock, boottime_now, unix_ms};
+pub use self::hash::Fnv;
 pub use self::identifier::{
     AdapterId, BackendId, DomainId, InstanceId, InvalidId, ModelId, OrganisationId, PoolId,
     RequestId, RouteId, ServiceId, VersionId,
@@ -17,3 +20,4 @@
     Weight,
 };
 pub use self::secret::{KeyHash, Secret};
+pub use self::stream::StreamId;
