--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -15,3 +15,4 @@
 mod simulation;
 mod stream;
 mod stream_origins;
+mod version_faults;
