A stream that breaks off late may wait for a slot again

Cause: a further attempt told the scheduler the time since the caller's request arrived, and the scheduler refuses what has waited longer than half of the objective. The objective is the time to the first event, which these streams had brought long before.

Change: once events were forwarded, an attempt's wait counts from the break; and requests that continue a stream, which precede the others, are not refused for the length of the queue.

The new test (both backend servers full when the stream breaks off) failed before: 3 of 6 events.

--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -92,10 +92,14 @@
         self.check_quarantine()?;
         let remaining = self.request.remaining();
         let started = Instant::now();
-        let waited = started.saturating_duration_since(self.request.arrived_at);
+        let mut waited = started.saturating_duration_since(self.request.arrived_at);
         if self.count == 0 {
             self.tracker.record.admission_time = waited;
         }
+        if served > 0 {
+            // The objective is the time to the first event, which has been forwarded.
+            waited = Duration::ZERO;
+        }
         let ask = Ask {
             served,
             avoid: self.avoid.clone(),
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -17,7 +17,7 @@
 use crate::division::Division;
 use crate::encoding::decode_names;
 use crate::engine::PrefillRate;
-use crate::queue::WaitingRequest;
+use crate::queue::{WaitingRequest, continues_stream};
 use crate::requirement::{RequirementKey, Requirements};
 use crate::resumption::Origin;
 use crate::router::{RouterKey, Routers, Run};
@@ -255,7 +255,10 @@
             self.accounts.get_mut(account).refused += 1;
             return;
         }
-        if let Some(retry_delay) = self.objective_retry_delay(account, &ask, now) {
+        // A request that continues a stream precedes the others, so that their number doesn't delay it.
+        let late =
+            (!continues_stream(&ask)).then(|| self.objective_retry_delay(account, &ask, now));
+        if let Some(retry_delay) = late.flatten() {
             self.log_refusal(account, &ask, "its turn would come too late");
             self.refuse(router, ask.ticket, Reason::Overloaded, retry_delay);
             self.accounts.get_mut(account).refused += 1;
--- a/crates/jaylock-share/src/queue.rs
+++ b/crates/jaylock-share/src/queue.rs
@@ -57,9 +57,7 @@
             index
         });
         let queue = &mut self.queues[index];
-        let ask = &waiting.ask;
-        let is_resumed = ask.served > 0 || ask.begun_stream.is_some();
-        if is_resumed || !ask.avoid.is_empty() {
+        if continues_stream(&waiting.ask) || !waiting.ask.avoid.is_empty() {
             queue.resumed.push_back(waiting);
         } else if is_short {
             queue.short.push_back(waiting);
@@ -125,6 +123,11 @@
     }
 }
 
+/// Whether a part of the response was forwarded before, by this router or another one.
+pub fn continues_stream(ask: &Ask) -> bool {
+    ask.served > 0 || ask.begun_stream.is_some()
+}
+
 #[derive(Debug)]
 struct RequirementQueue {
     requirement: RequirementKey,
--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -65,6 +65,9 @@
 }
 
 impl FakeBackend {
+    /// Requests that a backend server takes at once.
+    pub const SLOTS: usize = 8;
+
     /// Starts a backend server and registers it at the first instance.
     pub fn start(
         fleet: &TestFleet,
@@ -184,9 +187,10 @@
             incarnation,
             ..
         } = self;
+        let slots = FakeBackend::SLOTS;
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let body = format!(
-            r#"{{"service":"app","address":"{address}","zone":"d0","version":"{software}","slots":8,
+            r#"{{"service":"app","address":"{address}","zone":"d0","version":"{software}","slots":{slots},
             "state":"{state}","cold_left_ms":0,"seq":{sequence},"born":{incarnation},"unknown":[]}}"#
         );
         send_call(control, "PUT", &format!("/-/replicas/{id}"), &body)
--- a/crates/jaylock-tests/tests/platform/streams.rs
+++ b/crates/jaylock-tests/tests/platform/streams.rs
@@ -1,9 +1,20 @@
 //! Streams of events: forwarded completely, resumed, or truncated so that callers detect it.
 
+use std::thread;
+use std::time::Duration;
+
 use googletest::prelude::*;
 use jaylock_tests::cases;
 
-use crate::harness::{FakeBackend, Reply, TestFleet};
+use crate::harness::{FakeBackend, ReceivedRequest, Reply, TestFleet, wait_until};
+
+/// Time to the first event that the route promises.
+const OBJECTIVE: Duration = Duration::from_secs(1);
+/// Events of a stream that keeps a slot longer than the objective, and the time between two.
+const BUSY_EVENTS: u64 = 16;
+const EVENT_INTERVAL: Duration = Duration::from_millis(100);
+/// Part of an event, after which the connection ends.
+const BROKEN_EVENT: &str = "20\r\nid: 4\ndata: pie";
 
 /// Returns the events with these identifiers as a caller reads them.
 fn events(ids: std::ops::RangeInclusive<u64>) -> String {
@@ -22,7 +33,7 @@
     };
     resumes_a_broken_stream_at_another_backend_server => {
         let fleet = TestFleet::minimal();
-        let reply = |r: &crate::harness::ReceivedRequest| match r.header("last-event-id") {
+        let reply = |r: &ReceivedRequest| match r.header("last-event-id") {
             "" => r.events(1..=3, "20\r\nid: 4\ndata: pie"),
             _ => r.events(4..=6, Reply::LAST_CHUNK),
         };
@@ -39,9 +50,30 @@
         ids.sort();
         assert_that!(ids, elements_are![eq(""), eq("3")]);
     };
+    stream_that_breaks_off_after_its_objective_is_refused_while_it_waits_for_a_slot => {
+        let fleet = TestFleet::minimal();
+        let reply = |r: &ReceivedRequest| match (r.request_line.contains("/draft/"), r.header("last-event-id")) {
+            (false, _) => r.paced_events(BUSY_EVENTS, EVENT_INTERVAL),
+            (true, "") => Reply { later: vec![(OBJECTIVE, BROKEN_EVENT.into())], ..r.events(1..=3, "") },
+            (true, _) => r.events(4..=6, Reply::LAST_CHUNK),
+        };
+        let backends = ["b1", "b2"].map(|id| FakeBackend::start(&fleet, id, reply));
+        let active = || backends.iter().map(FakeBackend::active_count).sum::<usize>();
+        let begin = |path| {
+            let caller = fleet.caller().request("POST", path);
+            thread::spawn(move || caller.send())
+        };
+        let draft = begin("/draft/1");
+        wait_until("the stream has begun", || active() == 1);
+        let busy: Vec<_> = (1..2 * FakeBackend::SLOTS).map(|_| begin("/stream/1")).collect();
+        wait_until("no slot is free", || active() == 2 * FakeBackend::SLOTS);
+        let response = draft.join().expect("a response");
+        assert_that!((response.is_complete, response.body.as_str()), eq((true, events(1..=6).as_str())));
+        drop(busy);
+    };
     drops_repeated_events => {
         let fleet = TestFleet::minimal();
-        let reply = |r: &crate::harness::ReceivedRequest| match r.header("last-event-id") {
+        let reply = |r: &ReceivedRequest| match r.header("last-event-id") {
             "" => r.events(1..=3, "0"),
             _ => r.events(2..=5, Reply::LAST_CHUNK),
         };
