Arrivals, waiting requests, held slots and kept reports stand in modules of their own

Allocator::add_ask had grown to decide on refusals, requirements and queues in one function, and the client's state held four types.

--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -1,25 +1,22 @@
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use compact_str::CompactString;
 use jaylock_rpc::v1::end::Outcome;
-use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{
     Ask, Configuration, CrashCause, Decision, End, Progress, RouterFrame, SchedulerFrame,
 };
 
 use crate::SchedulerSettings;
 use crate::account::{AccountKey, Accounts};
-use crate::admission::NO_BACKEND_RETRY_DELAY;
 use crate::backends::Backends;
 use crate::cost::{Residual, SizeClass, cost_of};
 use crate::crash_history::CrashHistory;
 use crate::division::Division;
 use crate::encoding::decode_names;
 use crate::engine::PrefillRate;
-use crate::queue::{WaitingRequest, continues_stream};
-use crate::requirement::{RequirementKey, Requirements};
-use crate::resumption::Origin;
+use crate::queue::WaitingRequest;
+use crate::requirement::Requirements;
 use crate::router::{RouterKey, Routers, Run};
 use crate::stream_origins::StreamOrigins;
 use crate::usage::Usage;
@@ -226,106 +223,6 @@
             .refresh(index, now, self.settings.backend_lease);
     }
 
-    pub(crate) fn add_ask(&mut self, router: RouterKey, mut ask: Ask, now: Instant) {
-        match self.resolve_origin(&mut ask, now) {
-            Origin::Resolved => {}
-            Origin::Awaited => {
-                self.unresolved.push((router, ask));
-                return;
-            }
-            Origin::Unknown => {
-                self.refuse_unknown(router, &ask);
-                return;
-            }
-        }
-        let account = self.accounts.intern(&ask.organisation);
-        if let Some(time) = self.crash_history.causes.quarantine_time(&ask, now) {
-            self.log_refusal(account, &ask, "it is in quarantine");
-            self.refuse(router, ask.ticket, Reason::Quarantined, time);
-            return;
-        }
-        if let Some(reason) = self.queue_refusal(account) {
-            self.log_refusal(account, &ask, "its queue or the pool's is full");
-            let interval = self.accounts.expected_grant_interval();
-            let retry_delay = self
-                .accounts
-                .get_mut(account)
-                .next_retry_delay(now, interval);
-            self.refuse(router, ask.ticket, reason, retry_delay);
-            self.accounts.get_mut(account).refused += 1;
-            return;
-        }
-        // A request that continues a stream precedes the others, so that their number doesn't delay it.
-        let late =
-            (!continues_stream(&ask)).then(|| self.objective_retry_delay(account, &ask, now));
-        if let Some(retry_delay) = late.flatten() {
-            self.log_refusal(account, &ask, "its turn would come too late");
-            self.refuse(router, ask.ticket, Reason::Overloaded, retry_delay);
-            self.accounts.get_mut(account).refused += 1;
-            return;
-        }
-        let requirement = match self.requirements.find(&ask) {
-            Some(requirement) => requirement,
-            None => self.requirements.add(&ask, self.backends.reports()),
-        };
-        if ask.software.is_some() && self.is_unservable(&ask, requirement, now) {
-            self.refuse(
-                router,
-                ask.ticket,
-                Reason::NoBackend,
-                NO_BACKEND_RETRY_DELAY,
-            );
-            return;
-        }
-        let router_state = self.routers.get_mut(router);
-        if !router_state.is_some_and(|r| r.add_waiting(ask.ticket, account)) {
-            return;
-        }
-        self.backends.index_parts(&ask);
-        let size_class = SizeClass::from_ask(&ask);
-        let expected = self.expected_cost(account, size_class, ask.served);
-        // A router that attaches again reports how long its requests have waited already.
-        let waited = Duration::from_millis(u64::from(ask.waited_ms));
-        let arrived_at = now.checked_sub(waited).unwrap_or(now);
-        let is_isolated = ask.alone;
-        let waiting = WaitingRequest {
-            router,
-            ask,
-            requirement,
-            size_class,
-            arrived_at,
-        };
-        self.waiting_count += 1;
-        if is_isolated {
-            self.isolated.push_back((account, waiting));
-            return;
-        }
-        let start = self.initial_service(account, requirement);
-        let owner = self.accounts.get_mut(account);
-        let is_short = owner.cost.is_short(expected);
-        owner.queue.push(waiting, is_short);
-        self.accounts.enter_backlog(account, start);
-    }
-
-    /// Weighted service from which an organisation enters the backlog; 0 if it already has waiting requests.
-    ///
-    /// The value is the least of the backlogged organisations that compete for the same backend servers.
-    /// Organisations that wait for other, scarce models have low service and would distort it.
-    fn initial_service(&self, account: AccountKey, requirement: RequirementKey) -> u64 {
-        if !self.accounts.get(account).queue.is_empty() {
-            return 0;
-        }
-        let eligible = self.requirements.backends(requirement);
-        let competes = |key: &AccountKey| {
-            let mut requirements = self.accounts.get(*key).queue.requirements();
-            requirements.any(|other| self.requirements.backends(other).overlaps(eligible))
-        };
-        let rival = self.accounts.backlogged_keys().find(competes);
-        rival.map_or(self.accounts.service_floor(), |key| {
-            self.accounts.get(key).weighted_millitokens
-        })
-    }
-
     fn record_progress(&mut self, router: RouterKey, progress: Progress, now: Instant) {
         let run = self
             .routers
@@ -409,16 +306,4 @@
         }
         self.refresh(run.backend_index, now);
     }
-
-    fn cancel(&mut self, router: RouterKey, ticket: u64) {
-        self.unresolved
-            .retain(|(key, ask)| *key != router || ask.ticket != ticket);
-        let account = self
-            .routers
-            .get_mut(router)
-            .and_then(|r| r.remove_waiting(ticket));
-        if let Some(account) = account {
-            self.drop_waiting(router, ticket, account);
-        }
-    }
 }
--- /dev/null
+++ b/crates/jaylock-share/src/arrival.rs
@@ -0,0 +1,175 @@
+use std::time::{Duration, Instant};
+
+use jaylock_rpc::v1::Ask;
+use jaylock_rpc::v1::refusal::Reason;
+
+use crate::account::AccountKey;
+use crate::admission::NO_BACKEND_RETRY_DELAY;
+use crate::allocator::Allocator;
+use crate::cost::SizeClass;
+use crate::queue::{WaitingRequest, continues_stream};
+use crate::requirement::RequirementKey;
+use crate::resumption::Origin;
+use crate::router::RouterKey;
+
+/// Why a request is refused on its arrival, and when its caller may return.
+struct ArrivalRefusal {
+    reason: Reason,
+    retry_delay: Duration,
+    cause: &'static str,
+}
+
+impl Allocator {
+    /// Adds a router's request to a queue, or refuses it at once.
+    pub(crate) fn add_ask(&mut self, router: RouterKey, mut ask: Ask, now: Instant) {
+        match self.resolve_origin(&mut ask, now) {
+            Origin::Resolved => {}
+            Origin::Awaited => {
+                self.unresolved.push((router, ask));
+                return;
+            }
+            Origin::Unknown => {
+                self.refuse_unknown(router, &ask);
+                return;
+            }
+        }
+        let account = self.accounts.intern(&ask.organisation);
+        let requirement = self.requirement(&ask);
+        if let Some(refusal) = self.arrival_refusal(account, requirement, &ask, now) {
+            self.log_refusal(account, &ask, refusal.cause);
+            self.refuse(router, ask.ticket, refusal.reason, refusal.retry_delay);
+            return;
+        }
+        let router_state = self.routers.get_mut(router);
+        if router_state.is_some_and(|r| r.add_waiting(ask.ticket, account)) {
+            self.enqueue(router, account, requirement, ask, now);
+        }
+    }
+
+    /// Gives up a request whose caller waits no longer.
+    pub(crate) fn cancel(&mut self, router: RouterKey, ticket: u64) {
+        self.unresolved
+            .retain(|(key, ask)| *key != router || ask.ticket != ticket);
+        let account = self
+            .routers
+            .get_mut(router)
+            .and_then(|r| r.remove_waiting(ticket));
+        if let Some(account) = account {
+            self.drop_waiting(router, ticket, account);
+        }
+    }
+
+    fn requirement(&mut self, ask: &Ask) -> RequirementKey {
+        match self.requirements.find(ask) {
+            Some(requirement) => requirement,
+            None => self.requirements.add(ask, self.backends.reports()),
+        }
+    }
+
+    /// Reason to refuse a request at once; `None` if it may wait.
+    fn arrival_refusal(
+        &mut self,
+        account: AccountKey,
+        requirement: RequirementKey,
+        ask: &Ask,
+        now: Instant,
+    ) -> Option<ArrivalRefusal> {
+        if let Some(time) = self.crash_history.causes.quarantine_time(ask, now) {
+            return Some(ArrivalRefusal {
+                reason: Reason::Quarantined,
+                retry_delay: time,
+                cause: "it is in quarantine",
+            });
+        }
+        if ask.software.is_some() && self.is_unservable(ask, requirement, now) {
+            return Some(ArrivalRefusal {
+                reason: Reason::NoBackend,
+                retry_delay: NO_BACKEND_RETRY_DELAY,
+                cause: "no backend server has the version that began its stream",
+            });
+        }
+        let refusal = self.load_refusal(account, ask, now)?;
+        self.accounts.get_mut(account).refused += 1;
+        Some(refusal)
+    }
+
+    /// Reason to refuse a request for the length of the queues.
+    fn load_refusal(
+        &mut self,
+        account: AccountKey,
+        ask: &Ask,
+        now: Instant,
+    ) -> Option<ArrivalRefusal> {
+        if let Some(reason) = self.queue_refusal(account) {
+            let interval = self.accounts.expected_grant_interval();
+            let owner = self.accounts.get_mut(account);
+            return Some(ArrivalRefusal {
+                reason,
+                retry_delay: owner.next_retry_delay(now, interval),
+                cause: "its queue or the pool's is full",
+            });
+        }
+        // A request that continues a stream precedes the others, so that their number doesn't delay it.
+        if continues_stream(ask) {
+            return None;
+        }
+        Some(ArrivalRefusal {
+            reason: Reason::Overloaded,
+            retry_delay: self.objective_retry_delay(account, ask, now)?,
+            cause: "its turn would come too late",
+        })
+    }
+
+    fn enqueue(
+        &mut self,
+        router: RouterKey,
+        account: AccountKey,
+        requirement: RequirementKey,
+        ask: Ask,
+        now: Instant,
+    ) {
+        self.backends.index_parts(&ask);
+        let size_class = SizeClass::from_ask(&ask);
+        let expected = self.expected_cost(account, size_class, ask.served);
+        // A router that attaches again reports how long its requests have waited already.
+        let waited = Duration::from_millis(u64::from(ask.waited_ms));
+        let arrived_at = now.checked_sub(waited).unwrap_or(now);
+        let is_isolated = ask.alone;
+        let waiting = WaitingRequest {
+            router,
+            ask,
+            requirement,
+            size_class,
+            arrived_at,
+        };
+        self.waiting_count += 1;
+        if is_isolated {
+            self.isolated.push_back((account, waiting));
+            return;
+        }
+        let start = self.initial_service(account, requirement);
+        let owner = self.accounts.get_mut(account);
+        let is_short = owner.cost.is_short(expected);
+        owner.queue.push(waiting, is_short);
+        self.accounts.enter_backlog(account, start);
+    }
+
+    /// Weighted service from which an organisation enters the backlog; 0 if it already has waiting requests.
+    ///
+    /// The value is the least of the backlogged organisations that compete for the same backend servers.
+    /// Organisations that wait for other, scarce models have low service and would distort it.
+    fn initial_service(&self, account: AccountKey, requirement: RequirementKey) -> u64 {
+        if !self.accounts.get(account).queue.is_empty() {
+            return 0;
+        }
+        let eligible = self.requirements.backends(requirement);
+        let competes = |key: &AccountKey| {
+            let mut requirements = self.accounts.get(*key).queue.requirements();
+            requirements.any(|other| self.requirements.backends(other).overlaps(eligible))
+        };
+        let rival = self.accounts.backlogged_keys().find(competes);
+        rival.map_or(self.accounts.service_floor(), |key| {
+            self.accounts.get(key).weighted_millitokens
+        })
+    }
+}
--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -4,27 +4,24 @@
 use futures_channel::oneshot;
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{
-    Ask, BackendReport, BackendVerdict, End, FallbackSlots, Grant, Hello, Progress, Refusal,
-    RouterFrame, Running, SchedulerFrame, Total,
+    Ask, BackendReport, BackendVerdict, End, FallbackSlots, Grant, Hello, Progress, RouterFrame,
+    SchedulerFrame, Total,
 };
 use jaylock_types::{Notice, StreamId};
 
 use crate::SchedulerClientSettings;
 use crate::batch::Batch;
-use crate::causes::Causes;
 use crate::connection::not_run;
 use crate::cost::cost_of;
-use crate::division::without_events;
-use crate::encoding::{AddressTable, encode_request_id};
+use crate::encoding::AddressTable;
 use crate::exclusions::Exclusions;
 use crate::fallback::SpareSlot;
+use crate::held_slot::HeldSlot;
 use crate::named_limits::NamedLimits;
+use crate::pending_request::{AskResult, PendingRequest};
 use crate::recent_crashes::RecentCrashes;
-use crate::requirement::Requirement;
-use crate::stream_origins::{StreamOrigins, stream_of};
-
-/// Result of a request for a slot.
-pub type AskResult = Result<Grant, Refusal>;
+use crate::recent_reports::RecentReports;
+use crate::stream_origins::StreamOrigins;
 
 /// A router's state for one pool: waiting requests, held slots and unsent messages.
 #[derive(Debug)]
@@ -37,8 +34,7 @@
     // Sorted by ticket.
     pub(crate) held: Vec<HeldSlot>,
     batch: Batch,
-    // Newest report of each backend server that announced itself to this router, sorted by name.
-    reports: Vec<TimedReport>,
+    reports: RecentReports,
     // Sorted by name of the backend server.
     verdicts: Vec<BackendVerdict>,
     // Sorted by organisation.
@@ -61,41 +57,6 @@
     addresses: AddressTable,
 }
 
-/// A report and when it was received.
-#[derive(Debug)]
-struct TimedReport {
-    report: BackendReport,
-    received_at: Instant,
-}
-
-/// A request that waits for a slot.
-#[derive(Debug)]
-pub struct PendingRequest {
-    pub ask: Ask,
-    reply: oneshot::Sender<AskResult>,
-    queued_at: Instant,
-}
-
-/// A slot that the router holds.
-#[derive(Debug)]
-pub struct HeldSlot {
-    ticket: u64,
-    pub organisation: CompactString,
-    pub backend: CompactString,
-    pub address: CompactString,
-    pub incarnation: u64,
-    pub software: CompactString,
-    pub requirement: Requirement,
-    pub tokens: u64,
-    is_isolated: bool,
-    is_spare: bool,
-    // Whether the request lists the parts of its prompt, so that the scheduler expects a first progress report.
-    has_prompt_parts: bool,
-    reported_tokens: u64,
-    causes: Causes,
-    stream: Option<StreamId>,
-}
-
 impl ClientState {
     /// Creates the state of a pool that was never attached.
     #[must_use]
@@ -107,7 +68,7 @@
             pending: Vec::new(),
             held: Vec::new(),
             batch: Batch::default(),
-            reports: Vec::new(),
+            reports: RecentReports::default(),
             verdicts: Vec::new(),
             totals: Vec::new(),
             unconfirmed: Vec::new(),
@@ -232,26 +193,11 @@
 
     /// Records what a backend server announced or reported to this router.
     pub fn report_backend(&mut self, report: BackendReport, now: Instant) {
-        // Cache events are sent once; a resent report contains none.
-        let stored = without_events(&report);
+        self.reports
+            .record(&report, self.settings.report_retention, now);
         if self.is_attached {
             self.batch.add_report(report);
         }
-        let retention = self.settings.report_retention;
-        self.reports
-            .retain(|known| now.saturating_duration_since(known.received_at) < retention);
-        let timed = TimedReport {
-            report: stored,
-            received_at: now,
-        };
-        let id = &timed.report.id;
-        match self
-            .reports
-            .binary_search_by(|known| known.report.id.cmp(id))
-        {
-            Ok(index) => self.reports[index] = timed,
-            Err(index) => self.reports.insert(index, timed),
-        }
     }
 
     /// The scheduler's latest verdict on a backend server.
@@ -281,7 +227,7 @@
         RouterFrame {
             hello: Some(hello),
             asks: asks.collect(),
-            backends: self.reports.iter().map(|r| r.with_age(now)).collect(),
+            backends: self.reports.list(now),
             totals: self.unconfirmed.clone(),
             limits: self.limits.reports(now),
             exclusions: self.exclusions.reports(now),
@@ -392,22 +338,7 @@
                 .add_end(CompactString::default(), not_run(&grant), now);
             return;
         };
-        let held = HeldSlot {
-            ticket: grant.ticket,
-            organisation: pending.ask.organisation.as_str().into(),
-            backend: grant.backend.as_str().into(),
-            address: grant.address.as_str().into(),
-            incarnation: grant.incarnation,
-            software: grant.software.as_str().into(),
-            requirement: Requirement::from_ask(&pending.ask),
-            tokens: 0,
-            is_isolated: pending.ask.alone,
-            is_spare: grant.spare,
-            has_prompt_parts: !pending.ask.parts.is_empty(),
-            reported_tokens: 0,
-            causes: Causes::from_ask(&pending.ask),
-            stream: stream_of(&pending.ask),
-        };
+        let held = HeldSlot::new(&pending.ask, &grant);
         self.record_origin(&held, now);
         let index = self
             .held
@@ -471,49 +402,3 @@
             .binary_search_by(|total| total.organisation.as_str().cmp(organisation))
     }
 }
-
-impl TimedReport {
-    fn with_age(&self, now: Instant) -> BackendReport {
-        let age = now.saturating_duration_since(self.received_at).as_millis();
-        BackendReport {
-            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
-            ..self.report.clone()
-        }
-    }
-}
-
-impl PendingRequest {
-    /// The ticket and where the result is sent.
-    pub fn into_reply(self) -> (u64, oneshot::Sender<AskResult>) {
-        (self.ask.ticket, self.reply)
-    }
-
-    fn updated_ask(&self, now: Instant) -> Ask {
-        let waited = now.saturating_duration_since(self.queued_at).as_millis();
-        let waited = u32::try_from(waited).unwrap_or(u32::MAX);
-        let mut ask = self.ask.clone();
-        ask.waited_ms = ask.waited_ms.saturating_add(waited);
-        encode_request_id(&mut ask);
-        ask
-    }
-}
-
-impl HeldSlot {
-    fn running(&self) -> Running {
-        Running {
-            ticket: self.ticket,
-            backend: self.backend.as_str().into(),
-            organisation: self.organisation.as_str().into(),
-            tokens: self.tokens,
-            alone: self.is_isolated,
-            causes: self.causes.iter().collect(),
-            stream: self.stream.unwrap_or(StreamId::UNNAMED).0,
-            software: self.software.as_str().into(),
-        }
-    }
-
-    /// What the request shares with others and may crash backend servers.
-    pub fn causes(&self) -> &Causes {
-        &self.causes
-    }
-}
--- a/crates/jaylock-share/src/connection.rs
+++ b/crates/jaylock-share/src/connection.rs
@@ -19,7 +19,8 @@
 use tonic::{Status, Streaming};
 
 use crate::client::RouterContext;
-use crate::client_state::{AskResult, ClientState};
+use crate::client_state::ClientState;
+use crate::pending_request::AskResult;
 
 /// Capacity of the channel to the stream; a full one pauses the writer.
 const FRAME_QUEUE_CAPACITY: usize = 8;
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -4,7 +4,8 @@
 use futures_channel::oneshot;
 use jaylock_rpc::v1::{Configuration, Grant};
 
-use crate::client_state::{AskResult, ClientState, HeldSlot, PendingRequest};
+use crate::client_state::ClientState;
+use crate::pending_request::{AskResult, PendingRequest};
 use crate::requirement::Requirement;
 
 /// A slot that became free while no scheduler responded.
@@ -150,27 +151,3 @@
         (unreported + running) * 1000 / u64::from(weight)
     }
 }
-
-impl PendingRequest {
-    /// Whether it takes up a stream of which this router doesn't know the version.
-    fn has_unknown_origin(&self) -> bool {
-        self.ask.begun_stream.is_some() && self.ask.software.is_none()
-    }
-
-    fn avoids(&self, backend: &str) -> bool {
-        self.ask.avoid.iter().any(|avoided| avoided == backend)
-    }
-}
-
-impl HeldSlot {
-    /// Returns the slot of an ended run.
-    pub fn into_spare_slot(self) -> SpareSlot {
-        SpareSlot {
-            backend: self.backend,
-            address: self.address,
-            incarnation: self.incarnation,
-            software: self.software,
-            requirement: self.requirement,
-        }
-    }
-}
--- a/crates/jaylock-share/src/recent_crashes.rs
+++ b/crates/jaylock-share/src/recent_crashes.rs
@@ -4,8 +4,8 @@
 use jaylock_rpc::v1::{Ask, Crash, End};
 
 use crate::causes::Causes;
-use crate::client_state::HeldSlot;
 use crate::crash_causes::SUSPECT_CRASHES;
+use crate::held_slot::HeldSlot;
 
 /// Time for which a router remembers a crash.
 const CRASH_MEMORY: Duration = Duration::from_mins(10);
@@ -32,7 +32,7 @@
     pub fn record(&mut self, held: &HeldSlot, end: &End, now: Instant) {
         match end.outcome() {
             Outcome::Crashed if !end.answered => self.add(held, now),
-            Outcome::Complete if end.answered => self.clear(held.causes()),
+            Outcome::Complete if end.answered => self.clear(&held.causes),
             _ => {}
         }
     }
@@ -67,7 +67,7 @@
         }
         let crash = Crash {
             backend: held.backend.as_str().into(),
-            causes: held.causes().iter().collect(),
+            causes: held.causes.iter().collect(),
             age_ms: 0,
         };
         self.list.push(RecentCrash { crash, at: now });
--- /dev/null
+++ b/crates/jaylock-share/src/recent_reports.rs
@@ -0,0 +1,55 @@
+use std::time::{Duration, Instant};
+
+use jaylock_rpc::v1::BackendReport;
+
+use crate::division::without_events;
+
+/// Newest report of each backend server that announced itself to a router, for a new scheduler.
+#[derive(Debug, Default)]
+pub struct RecentReports {
+    // Sorted by name.
+    list: Vec<TimedReport>,
+}
+
+/// A report and when it was received.
+#[derive(Debug)]
+struct TimedReport {
+    report: BackendReport,
+    received_at: Instant,
+}
+
+impl RecentReports {
+    /// Records a report, and drops those that are older than `retention`.
+    ///
+    /// Cache events are sent once; a resent report contains none.
+    pub fn record(&mut self, report: &BackendReport, retention: Duration, now: Instant) {
+        self.list
+            .retain(|known| now.saturating_duration_since(known.received_at) < retention);
+        let search = self
+            .list
+            .binary_search_by(|known| known.report.id.cmp(&report.id));
+        let timed = TimedReport {
+            report: without_events(report),
+            received_at: now,
+        };
+        match search {
+            Ok(index) => self.list[index] = timed,
+            Err(index) => self.list.insert(index, timed),
+        }
+    }
+
+    /// All reports with their ages.
+    pub fn list(&self, now: Instant) -> Vec<BackendReport> {
+        self.list.iter().map(|timed| timed.with_age(now)).collect()
+    }
+}
+
+impl TimedReport {
+    fn with_age(&self, now: Instant) -> BackendReport {
+        let age = now.saturating_duration_since(self.received_at).as_millis();
+        BackendReport {
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            ..self.report.clone()
+        }
+    }
+}
--- a/crates/jaylock-tests/tests/share/fleet.rs
+++ b/crates/jaylock-tests/tests/share/fleet.rs
@@ -139,10 +139,19 @@
 
 /// A router that has lost its scheduler and may use the slots of these backend servers.
 pub fn detached_router(backends: &[&str], now: Instant) -> ClientState {
+    let reports = backends.iter().map(|id| engine_report(id, 64));
+    detached_router_of(reports, now)
+}
+
+/// A router that has lost its scheduler and may use the slots of the backend servers with these reports.
+pub fn detached_router_of(
+    reports: impl Iterator<Item = BackendReport>,
+    now: Instant,
+) -> ClientState {
     let mut router = ClientState::new(SchedulerClientSettings::default());
     router.first_frame(Hello::default(), now);
-    let slots = backends.iter().map(|id| FallbackSlots {
-        backend: Some(engine_report(id, 64)),
+    let slots = reports.map(|report| FallbackSlots {
+        backend: Some(report),
         slots: 64,
     });
     let fallback = Fallback {
--- a/crates/jaylock-tests/tests/share/stream_origins.rs
+++ b/crates/jaylock-tests/tests/share/stream_origins.rs
@@ -6,15 +6,13 @@
 use googletest::prelude::*;
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::refusal::Reason;
-use jaylock_rpc::v1::{
-    Ask, BackendReport, Configuration, Fallback, FallbackSlots, Hello, SchedulerFrame, StreamOrigin,
-};
-use jaylock_share::{AskResult, ClientState, SchedulerClientSettings};
+use jaylock_rpc::v1::{Ask, BackendReport, Configuration, Hello, StreamOrigin};
+use jaylock_share::{AskResult, ClientState};
 use jaylock_tests::cases;
 use jaylock_types::StreamId;
 
 use crate::fixture::Fixture;
-use crate::fleet::{ask, end, engine_report};
+use crate::fleet::{ask, detached_router_of, end, engine_report};
 
 /// Time in which all backend servers have reported to a new scheduler, and all routers are attached.
 const SETTLING_TIME: Duration = Duration::from_secs(4);
@@ -80,24 +78,9 @@
 
 /// A router that has lost its scheduler and may use a backend server for each of these versions.
 fn detached_router(versions: &[&str], now: Instant) -> ClientState {
-    let mut router = ClientState::new(SchedulerClientSettings::default());
-    router.first_frame(Hello::default(), now);
     let numbered = versions.iter().enumerate();
-    let slots = numbered.map(|(n, software)| FallbackSlots {
-        backend: Some(report(&format!("b{n}"), software)),
-        slots: 64,
-    });
-    let fallback = Fallback {
-        backends: slots.collect(),
-    };
-    let frame = SchedulerFrame {
-        epoch: 1,
-        fallback: Some(fallback),
-        ..SchedulerFrame::default()
-    };
-    router.apply_frame(frame, now);
-    router.detach(now);
-    router
+    let reports = numbered.map(|(n, software)| report(&format!("b{n}"), software));
+    detached_router_of(reports, now)
 }
 
 /// Asks a router without a scheduler; returns the result, if there is one already.
