A stream of a route with several services goes on at the service that began it

Found by asking of where else a stream may have begun: a route may divide its requests between services, and a request that takes a stream up was sent to one of them at random. There its stream is unknown: it was refused where two versions serve, and went on at the other service's software where one does.

Change: a request that names its stream's first request asks the services of its route one after the other until one knows the stream, and a service of such a route takes no stream for its own because only one version is there.

Ruled out: asking all schedulers for origins first (one more round trip for each stream).

The new test (two services of two versions each) failed before with 503 for the second of eight streams that it took up; all go on now, at their service and version.

--- a/crates/jaylock-router/src/route/admission.rs
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -10,7 +10,7 @@
 use super::context::RouteContext;
 use super::headers::RouteHeaders;
 use super::prompt::Prompt;
-use super::request::RouteRequest;
+use super::request::{RouteRequest, ServiceTarget};
 use super::table;
 use crate::body;
 use crate::memory::BodyReservation;
@@ -40,13 +40,15 @@
     let requested = requested_timeout(&head.headers, names)?;
     let timeout = Duration::from_millis(route.timeout_ms.into());
     let service = table::pick_service(&route.targets, rand::random()).unwrap_or_default();
-    let found = configuration.services.iter().find(|s| s.id == service);
-    let event_tokens = found.and_then(|s| s.engine).map_or(1, |e| e.event_tokens);
-    let pool = service.parse().map_err(|_| no_route())?;
+    let target = service_target(&configuration, service).ok_or_else(no_route)?;
     let last_event = single_value(&head.headers, "last-event-id")?;
     let last_event = last_event.and_then(|v| v.to_str().ok()?.parse().ok());
     let resumed = single_value(&head.headers, names.resumed_request)?;
     let resumed = resumed.and_then(|v| v.to_str().ok()?.parse().ok());
+    let other_targets = match resumed {
+        Some(_) => other_targets(&configuration, route, service),
+        None => Vec::new(),
+    };
     let organisation = authenticated.clone().unwrap_or_else(public_organisation);
     let deadline = arrived_at + requested.unwrap_or(timeout).min(timeout);
     let reading = read_body(context, &configuration, &organisation, incoming);
@@ -58,7 +60,8 @@
         id: id.unwrap_or_else(RequestId::random),
         caller_id: caller_id.clone(),
         route: route.clone(),
-        pool,
+        target,
+        other_targets,
         is_authenticated: authenticated.is_some(),
         organisation,
         arrived_at,
@@ -67,7 +70,6 @@
         digest,
         _reservation: reservation,
         prompt: Prompt::parse(&head.headers, names),
-        event_tokens,
         last_event: last_event.unwrap_or(0),
         resumed,
         head,
@@ -85,6 +87,24 @@
     table::find(configuration, &name, head.uri.path()).ok_or_else(no_route)
 }
 
+/// Describes a service by its name.
+fn service_target(configuration: &Configuration, service: &str) -> Option<ServiceTarget> {
+    let found = configuration.services.iter().find(|s| s.id == service);
+    let engine = found.and_then(|s| s.engine);
+    Some(ServiceTarget {
+        pool: service.parse().ok()?,
+        event_tokens: engine.map_or(1, |e| e.event_tokens),
+    })
+}
+
+/// Returns the services of a route that may serve requests, except one.
+fn other_targets(configuration: &Configuration, route: &Route, except: &str) -> Vec<ServiceTarget> {
+    let targets = route.targets.iter();
+    let others = targets.filter(|target| target.weight > 0 && target.service != except);
+    let described = others.map(|target| service_target(configuration, &target.service));
+    described.flatten().collect()
+}
+
 /// Returns the organisation of the key, or `None` where no key is required.
 fn authenticate(
     configuration: &Configuration,
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -5,9 +5,10 @@
 use compact_str::{CompactString, format_compact};
 use http::StatusCode;
 use jaylock_observe::{RequestKind, RunStatus};
-use jaylock_rpc::v1::Ask;
 use jaylock_rpc::v1::end::Outcome;
+use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::route::Kind;
+use jaylock_rpc::v1::{Ask, Grant, Refusal};
 
 use super::context::RouteContext;
 use super::prompt::Prompt;
@@ -45,7 +46,7 @@
     /// Creates the state before the first attempt and credits the retry budget.
     pub fn new(context: Rc<RouteContext>, request: RouteRequest) -> Self {
         context.budget.update(&context.view.current());
-        context.budget.deposit(request.pool.as_str());
+        context.budget.deposit(request.target.pool.as_str());
         let kind = match request.prompt {
             Some(_) => RequestKind::Model,
             None => RequestKind::Service,
@@ -56,7 +57,7 @@
             &request.id,
             &request.organisation,
             request.arrived_at,
-            (request.pool.clone(), kind),
+            (request.target.pool.clone(), kind),
         );
         Self {
             context,
@@ -89,7 +90,23 @@
     /// # Errors
     /// The scheduler's refusal, or that the deadline has passed.
     pub async fn acquire_slot(&mut self, served: u64) -> Result<(SocketAddr, Slot), ErrorResponse> {
-        self.check_quarantine()?;
+        loop {
+            self.check_quarantine()?;
+            let refusal = match self.request_slot(served).await? {
+                Ok(grant) => return self.use_grant(grant),
+                Err(refusal) => refusal,
+            };
+            let is_unknown = refusal.reason() == Reason::UnknownStream;
+            if !is_unknown || !self.request.use_next_target() {
+                let error = ErrorResponse::from_scheduler(&refusal);
+                return Err(self.with_capped_delay(error.with_run_status(self.run_status)));
+            }
+            self.tracker.record.pool = self.request.target.pool.clone();
+        }
+    }
+
+    /// Requests a slot from the scheduler of the service, and waits until the deadline.
+    async fn request_slot(&mut self, served: u64) -> Result<Result<Grant, Refusal>, ErrorResponse> {
         let remaining = self.request.remaining();
         let started = Instant::now();
         let mut waited = started.saturating_duration_since(self.request.arrived_at);
@@ -108,7 +125,7 @@
             patience_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
             ..self.request.slot_request()
         };
-        let pool = &self.request.pool;
+        let pool = &self.request.target.pool;
         let waiting = self.context.schedulers.request_slot(pool, ask);
         let waiting = compio::time::timeout(remaining, waiting);
         let outcome = if self.run_status == RunStatus::NotRun {
@@ -120,19 +137,15 @@
             Some(waiting.await)
         };
         self.tracker.record.wait_time += started.elapsed();
-        let Some(outcome) = outcome else {
-            return Err(self.context.leaving());
-        };
-        let Ok(outcome) = outcome else {
-            return Err(self.deadline_exceeded());
-        };
-        let grant = outcome.map_err(|refusal| {
-            self.with_capped_delay(
-                ErrorResponse::from_scheduler(&refusal).with_run_status(self.run_status),
-            )
-        })?;
+        let outcome = outcome.ok_or_else(|| self.context.leaving())?;
+        outcome.map_err(|_| self.deadline_exceeded())
+    }
+
+    /// Counts the attempt for which a slot was granted.
+    fn use_grant(&mut self, grant: Grant) -> Result<(SocketAddr, Slot), ErrorResponse> {
         let address = grant.address.parse();
-        let slot = Slot::new(self.context.schedulers.clone(), pool.clone(), grant);
+        let pool = self.request.target.pool.clone();
+        let slot = Slot::new(self.context.schedulers.clone(), pool, grant);
         let Ok(address) = address else {
             slot.release(Outcome::NotRun);
             return Err(self.give_up("the backend server's address is malformed"));
@@ -196,7 +209,11 @@
         if self.count >= self.request.route.attempts.max(1) {
             return Err(self.give_up("the attempts that the route allows have failed"));
         }
-        if !self.context.budget.try_withdraw(self.request.pool.as_str()) {
+        if !self
+            .context
+            .budget
+            .try_withdraw(self.request.target.pool.as_str())
+        {
             return Err(self.give_up("the attempt failed and the retry budget is spent"));
         }
         Ok(())
@@ -229,7 +246,11 @@
     /// Whether the route and the retry budget allow another attempt.
     fn has_attempts_left(&self) -> bool {
         let max_attempts = self.request.route.attempts.max(1);
-        self.count < max_attempts && self.context.budget.can_withdraw(self.request.pool.as_str())
+        self.count < max_attempts
+            && self
+                .context
+                .budget
+                .can_withdraw(self.request.target.pool.as_str())
     }
 
     /// Whether the request may be retried after an attempt that may have run.
--- a/crates/jaylock-router/src/route/request.rs
+++ b/crates/jaylock-router/src/route/request.rs
@@ -26,8 +26,10 @@
     pub caller_id: HeaderValue,
     /// Route of the request.
     pub route: Route,
-    /// Pool of the route's service.
-    pub pool: PoolId,
+    /// Service to which the request is sent.
+    pub target: ServiceTarget,
+    /// Other services of the route, one of which may have begun a stream that this request takes up.
+    pub other_targets: Vec<ServiceTarget>,
     /// Organisation of the caller, or the public one.
     pub organisation: OrganisationId,
     /// Whether the organisation was identified by a key.
@@ -46,15 +48,31 @@
     pub _reservation: BodyReservation,
     /// Description of the prompt, if the caller sent one.
     pub prompt: Option<Prompt>,
-    /// Number of tokens in one event of the response stream.
-    pub event_tokens: u32,
     /// Number of the last event that the caller received before.
     pub last_event: u64,
     /// Identifier of the request that brought the first event of a stream that this request resumes.
     pub resumed: Option<RequestId>,
 }
 
+/// A service that may serve a request.
+pub struct ServiceTarget {
+    /// Pool of the service.
+    pub pool: PoolId,
+    /// Number of tokens in one event of a stream.
+    pub event_tokens: u32,
+}
+
 impl RouteRequest {
+    /// Goes on with another service of the route; returns false if none is left.
+    pub fn use_next_target(&mut self) -> bool {
+        let next = self.other_targets.pop();
+        let has_next = next.is_some();
+        if let Some(next) = next {
+            self.target = next;
+        }
+        has_next
+    }
+
     /// Time remaining until the deadline.
     pub fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -85,6 +103,7 @@
             objective_ms: self.route.objective_ms,
             digest: self.digest,
             begun_stream: self.begun_stream().map(|stream| stream.0),
+            may_be_elsewhere: self.route.targets.iter().filter(|t| t.weight > 0).count() > 1,
             ..Ask::default()
         }
     }
@@ -118,6 +137,6 @@
     /// Service in tokens after `events`: prompt tokens count once, generated tokens twice.
     pub fn service_tokens(&self, events: u64) -> u64 {
         let input_tokens = self.prompt.as_ref().map_or(0, |p| p.input_tokens);
-        u64::from(input_tokens) + 2 * events * u64::from(self.event_tokens.max(1))
+        u64::from(input_tokens) + 2 * events * u64::from(self.target.event_tokens.max(1))
     }
 }
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -277,7 +277,7 @@
                 .connections
                 .put_back(active.connection);
         }
-        let tokens = self.count * u64::from(self.attempts.request.event_tokens);
+        let tokens = self.count * u64::from(self.attempts.request.target.event_tokens);
         let tracker = &mut self.attempts.tracker;
         tracker.record.tokens = Tokens(tokens);
         tracker.record.is_complete = true;
--- a/crates/jaylock-share/src/resumption.rs
+++ b/crates/jaylock-share/src/resumption.rs
@@ -42,8 +42,9 @@
         if now < self.ready_at + SETTLING_TIME {
             return Origin::Awaited;
         }
+        let began_here = !ask.may_be_elsewhere && self.knows_all_streams(now);
         match self.sole_version(now) {
-            Some(software) if stream == StreamId::UNNAMED || self.knows_all_streams(now) => {
+            Some(software) if stream == StreamId::UNNAMED || began_here => {
                 ask.software = Some(software.as_str().into());
                 Origin::Resolved
             }
--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -15,7 +15,7 @@
 /// Size of a block of a reply without end.
 const ENDLESS_BLOCK: usize = 16 << 10;
 
-/// A fake backend server of the service `app` whose replies a test defines.
+/// A fake backend server whose replies a test defines, of the service `app` unless the test names another.
 pub struct FakeBackend {
     /// Identifier of the backend server.
     pub id: String,
@@ -24,6 +24,7 @@
 
 struct Shared {
     id: String,
+    service: String,
     software: String,
     address: SocketAddr,
     incarnation: u64,
@@ -74,19 +75,20 @@
         id: &str,
         reply: impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
     ) -> Self {
-        Self::start_version(fleet, id, "v1", reply)
+        Self::start_version(fleet, id, ("app", "v1"), reply)
     }
 
-    /// Starts a backend server that runs this version of its software.
+    /// Starts a backend server of a service, with this version of its software.
     pub fn start_version(
         fleet: &TestFleet,
         id: &str,
-        software: &str,
+        (service, software): (&str, &str),
         reply: impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
         let shared = Arc::new(Shared {
             id: id.into(),
+            service: service.into(),
             software: software.into(),
             address: listener.local_addr().expect("an address"),
             incarnation: 1,
@@ -156,6 +158,11 @@
         &self.shared.software
     }
 
+    /// Service that it belongs to.
+    pub fn service(&self) -> &str {
+        &self.shared.service
+    }
+
     /// Number of requests whose replies are being sent.
     pub fn active_count(&self) -> usize {
         self.shared.active_count.load(Ordering::Relaxed)
@@ -182,6 +189,7 @@
     fn send_heartbeat(&self, control: SocketAddr, state: &str) -> Option<HttpResponse> {
         let Self {
             id,
+            service,
             software,
             address,
             incarnation,
@@ -190,7 +198,7 @@
         let slots = FakeBackend::SLOTS;
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let body = format!(
-            r#"{{"service":"app","address":"{address}","zone":"d0","version":"{software}","slots":{slots},
+            r#"{{"service":"{service}","address":"{address}","zone":"d0","version":"{software}","slots":{slots},
             "state":"{state}","cold_left_ms":0,"seq":{sequence},"born":{incarnation},"unknown":[]}}"#
         );
         send_call(control, "PUT", &format!("/-/replicas/{id}"), &body)
--- a/crates/jaylock-tests/tests/platform/software_versions.rs
+++ b/crates/jaylock-tests/tests/platform/software_versions.rs
@@ -5,6 +5,7 @@
 
 use googletest::prelude::*;
 use jaylock_tests::cases;
+use serde_json::{Value, json};
 
 use crate::harness::{
     Caller, CallerResponse, FakeBackend, ReceivedRequest, Reply, TestFleet, document, wait_until,
@@ -26,9 +27,10 @@
     reply: fn(&ReceivedRequest) -> Reply,
 ) -> Vec<FakeBackend> {
     let numbered = versions.iter().enumerate();
-    numbered
-        .map(|(n, version)| FakeBackend::start_version(fleet, &format!("b{n}"), version, reply))
-        .collect()
+    let start = |(n, version): (usize, &&str)| {
+        FakeBackend::start_version(fleet, &format!("b{n}"), ("app", version), reply)
+    };
+    numbered.map(start).collect()
 }
 
 /// Breaks off in the fourth event, unless the stream is resumed.
@@ -47,12 +49,13 @@
     }
 }
 
-/// Streams that reached backend servers of more than one version.
+/// Streams that reached backend servers of more than one version or service.
 fn mixed_streams(backends: &[FakeBackend]) -> Vec<String> {
-    let mut runs: Vec<(String, &str)> = Vec::new();
+    let mut runs: Vec<(String, (&str, &str))> = Vec::new();
     for backend in backends {
+        let kind = (backend.service(), backend.software());
         let received = backend.received().into_iter();
-        runs.extend(received.map(|request| (stream_id(&request), backend.software())));
+        runs.extend(received.map(|request| (stream_id(&request), kind)));
     }
     runs.sort();
     runs.dedup();
@@ -128,4 +131,30 @@
         }
         assert_that!(mixed_streams(&backends), is_empty());
     };
+    taken_up_stream_goes_on_at_another_service_of_its_route => {
+        let mut fleet = TestFleet::start(1, 2);
+        fleet.configure(&split_document());
+        let kinds = [("app", "v1"), ("app", "v2"), ("other", "v1"), ("other", "v2")];
+        let backends = kinds.map(|kind| FakeBackend::start_version(&fleet, &format!("{}-{}", kind.0, kind.1), kind, slow));
+        let streams = begin_streams(&fleet, 1, &backends);
+        fleet.kill(1);
+        for (stream, begun) in (0..).zip(streams) {
+            let resumed = take_up(&fleet, 2, stream, &begun.join().expect("a caller"));
+            assert_that!((resumed.status(), resumed.is_complete), eq((200, true)));
+        }
+        assert_that!(mixed_streams(&backends), is_empty());
+    };
+}
+
+/// A document in which two services share the streams of a route.
+fn split_document() -> Value {
+    let mut document = document(1);
+    let other = json!({"name": "other", "health_path": "/health", "max_conns": 100, "tls": false});
+    let services = document["services"].as_array_mut().expect("a list");
+    services.push(other);
+    let route = document["routes"][3].as_object_mut().expect("a route");
+    route.remove("service");
+    let split = json!([{"service": "app", "weight": 50}, {"service": "other", "weight": 50}]);
+    route.insert("split".into(), split);
+    document
 }
