A taken-up stream gets the next slot at its version before new streams

Found by asking of what it does under load: a request that continues a stream may run only on the backend servers of one version, and the queue for any version was served first, so that new streams took each slot at that version, and the taken-up one was refused as overdue after half of its objective.

Change: within an organisation, requests that need a version come first. Which organisation is next is decided as before.

The new test failed before: of two slots that became free, one at each version, both went to new streams.

--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -53,7 +53,10 @@
         ranking: &EngineRanking,
         now: Instant,
     ) -> Option<usize> {
-        let requirements: Vec<_> = self.accounts.get(account).queue.requirements().collect();
+        let requirements = self.accounts.get(account).queue.requirements();
+        let mut requirements: Vec<_> = requirements.collect();
+        // Only few backend servers can continue a stream, and any other can take a new one.
+        requirements.sort_by_key(|key| !self.requirements.needs_software(*key));
         for requirement in requirements {
             let eligible = self.requirements.backends(requirement);
             if !eligible.overlaps(self.backends.available()) {
--- a/crates/jaylock-share/src/requirement.rs
+++ b/crates/jaylock-share/src/requirement.rs
@@ -111,6 +111,11 @@
         &self.list[key.0 as usize].1
     }
 
+    /// Whether a requirement names a version of the software.
+    pub fn needs_software(&self, key: RequirementKey) -> bool {
+        self.list[key.0 as usize].0.software.is_some()
+    }
+
     /// Updates whether a backend server meets each requirement.
     pub fn update(&mut self, index: usize, report: &BackendReport) {
         for (requirement, set) in &mut self.list {
--- a/crates/jaylock-tests/tests/share/stream_origins.rs
+++ b/crates/jaylock-tests/tests/share/stream_origins.rs
@@ -120,6 +120,23 @@
         assert_that!(second, not(eq(&first)));
         assert_that!(send(&mut pool, take_up("retried")), ok(eq(&second)));
     };
+    new_streams_take_each_slot_that_a_taken_up_stream_could_use => {
+        let mut pool = Fixture::new();
+        pool.now += SETTLING_TIME;
+        pool.report(BackendReport { slots: 1, ..report("b0", "v1") });
+        pool.report(BackendReport { slots: 1, ..report("b1", "v2") });
+        for stream in ["one", "two"] {
+            send(&mut pool, begin(stream)).expect("a grant");
+        }
+        let waiting = (0..STREAM_COUNT).map(|n| begin(&format!("new-{n}")));
+        pool.ask(waiting);
+        let ticket = pool.ask([take_up("one")])[0];
+        assert_that!(pool.decide_all().0, is_empty());
+        pool.end(1);
+        pool.end(2);
+        let granted: Vec<u64> = pool.decide_all().0.iter().map(|grant| grant.ticket).collect();
+        assert_that!(granted, contains(eq(&ticket)));
+    };
     stream_waits_when_the_last_backend_server_of_its_version_has_left => {
         let mut pool = start_pool(&["v1", "v2"]);
         let begun = send(&mut pool, begin("stream")).expect("a grant");
