A router without a scheduler refuses at once what streams it can't continue

Found by a test with processes: with control killed, a router that had never been attached to the pool let a taken-up stream wait until its deadline (3 s, bound: refused as unknown-stream), as it knew of no versions and so took the pool for one without; and a router that knew a stream's version but had no backend server of it among its own slots did the same.

Change: a router that knows no backend server of the pool assumes that there are versions, and streams of a version that stands neither among its own slots nor among those it holds are refused.

Also tests with processes: a new scheduler learns where streams began, and two unit tests of the router alone; the simulated pool stands in a module of its own.

--- a/crates/jaylock-share/src/connection.rs
+++ b/crates/jaylock-share/src/connection.rs
@@ -252,12 +252,16 @@
     fn grant_locally(&self) {
         let configuration = self.context.view.current();
         let now = Instant::now();
-        let unknown = {
+        let (unknown, lost) = {
             let mut state = self.state.borrow_mut();
             state.grant_locally(&configuration, now);
-            state.take_unknown_streams(now)
+            (
+                state.take_unknown_streams(now),
+                state.take_lost_streams(now),
+            )
         };
         refuse(unknown, Reason::UnknownStream);
+        refuse(lost, Reason::NoBackend);
     }
 
     fn refuse_expired(&self) {
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -34,13 +34,31 @@
 
     /// Takes the requests that take up streams which this router, without a scheduler, has not begun.
     pub fn take_unknown_streams(&mut self, now: Instant) -> Vec<(u64, oneshot::Sender<AskResult>)> {
-        if !self.decides_alone(now) || !self.has_versions() {
+        if !self.decides_alone(now) || !self.may_have_versions() {
             return Vec::new();
         }
         let unknown = self.pending.extract_if(.., |p| p.has_unknown_origin());
         unknown.map(PendingRequest::into_reply).collect()
     }
 
+    /// Takes the requests that continue streams whose version this router has no backend server of.
+    pub fn take_lost_streams(&mut self, now: Instant) -> Vec<(u64, oneshot::Sender<AskResult>)> {
+        if !self.decides_alone(now) {
+            return Vec::new();
+        }
+        let reports = self.fallback.iter().filter_map(|f| f.backend.as_ref());
+        let reported = reports.map(|report| report.software.as_str());
+        let held = self.held.iter().map(|held| held.software.as_str());
+        let spare = self.spare.iter().map(|spare| spare.software.as_str());
+        let versions: Vec<&str> = reported.chain(held).chain(spare).collect();
+        let is_lost = |pending: &mut PendingRequest| {
+            let software = pending.ask.software.as_deref();
+            software.is_some_and(|software| !versions.contains(&software))
+        };
+        let lost = self.pending.extract_if(.., is_lost);
+        lost.map(PendingRequest::into_reply).collect()
+    }
+
     /// Whether no scheduler has been attached for so long that the router grants its own slots.
     fn decides_alone(&self, now: Instant) -> bool {
         let wait = self.settings.fallback_delay;
@@ -48,19 +66,19 @@
         !self.is_attached && self.detached_at.is_some_and(is_over)
     }
 
-    /// Whether the pool's backend servers name versions of their software.
-    fn has_versions(&self) -> bool {
+    /// Whether the pool's backend servers may name versions of their software, as far as this router knows.
+    fn may_have_versions(&self) -> bool {
         let reports = self.fallback.iter().filter_map(|f| f.backend.as_ref());
         let reported = reports.map(|report| report.software.as_str());
         let begun = self.origins.versions().map(CompactString::as_str);
-        reported.chain(begun).any(|software| !software.is_empty())
+        self.fallback.is_empty() || reported.chain(begun).any(|software| !software.is_empty())
     }
 
     /// The next local grant.
     fn next_local_grant(&mut self, configuration: &Configuration, now: Instant) -> Option<Grant> {
-        let has_versions = self.has_versions();
+        let may_have_versions = self.may_have_versions();
         let is_allowed = |pending: &&PendingRequest| {
-            let is_unknown = has_versions && pending.has_unknown_origin();
+            let is_unknown = may_have_versions && pending.has_unknown_origin();
             !is_unknown && !pending.ask.alone && !self.crashes.is_suspect(&pending.ask)
         };
         let mut order: Vec<(u64, u64)> = self
--- a/crates/jaylock-tests/tests/platform/harness/caller.rs
+++ b/crates/jaylock-tests/tests/platform/harness/caller.rs
@@ -131,6 +131,11 @@
 }
 
 impl CallerResponse {
+    /// Whether it is a complete response with success.
+    pub fn is_complete_stream(&self) -> bool {
+        self.is_complete && self.status() == 200
+    }
+
     /// HTTP status.
     pub fn status(&self) -> u16 {
         self.answer.status
--- a/crates/jaylock-tests/tests/platform/software_versions.rs
+++ b/crates/jaylock-tests/tests/platform/software_versions.rs
@@ -8,7 +8,8 @@
 use serde_json::{Value, json};
 
 use crate::harness::{
-    Caller, CallerResponse, FakeBackend, ReceivedRequest, Reply, TestFleet, document, wait_until,
+    Caller, CallerResponse, FakeBackend, FleetSettings, ReceivedRequest, Reply, TestFleet,
+    document, wait_until,
 };
 
 /// Streams that a test begins.
@@ -17,6 +18,8 @@
 const EVENT_COUNT: u64 = 30;
 /// Time between two events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(50);
+/// Lease that outlasts a test.
+const LONG_LEASE: Duration = Duration::from_mins(1);
 /// Part of an event, after which the connection ends.
 const BROKEN_EVENT: &str = "20\r\nid: 4\ndata: pie";
 
@@ -102,9 +105,13 @@
 
 /// Takes a stream up after its last event, at another instance.
 fn take_up(fleet: &TestFleet, at: usize, stream: u64, begun: &CallerResponse) -> CallerResponse {
-    let events = begun.body.matches("\n\n").count();
+    take_up_after(fleet, at, stream, begun.body.matches("\n\n").count())
+}
+
+/// Takes a stream up after this event, at another instance.
+fn take_up_after(fleet: &TestFleet, at: usize, stream: u64, event: usize) -> CallerResponse {
     caller(fleet, at, &format!("aaaa{stream:012x}"))
-        .with("Last-Event-Id", &events.to_string())
+        .with("Last-Event-Id", &event.to_string())
         .with("Resumes", &id_of(stream))
         .send()
 }
@@ -131,6 +138,46 @@
         }
         assert_that!(mixed_streams(&backends), is_empty());
     };
+    new_scheduler_lets_streams_go_on_at_another_software_version => {
+        let mut fleet = TestFleet::start(3, 2);
+        fleet.configure(&document(1));
+        let backends = start_backends(&fleet, &["v1", "v2", "v1", "v2"], slow);
+        let streams = begin_streams(&fleet, 3, &backends);
+        let begun: Vec<CallerResponse> = streams.into_iter().map(|s| s.join().expect("a caller")).collect();
+        let has_scheduler = |fleet: &TestFleet, at: usize, epoch| {
+            fleet.log(at).contains(&format!("started the scheduler of pool app at epoch {epoch}"))
+        };
+        // The first instance gets the heartbeats.
+        let first = (0..3).find(|at| has_scheduler(&fleet, *at, 1)).expect("a scheduler");
+        fleet.kill(first);
+        wait_until("another scheduler has started", || (0..3).any(|at| has_scheduler(&fleet, at, 2)));
+        fleet.start_instance(first, false);
+        for (stream, _) in (0..).zip(begun) {
+            wait_until("a stream goes on", || take_up_after(&fleet, 4, stream, 3).is_complete_stream());
+        }
+        assert_that!(mixed_streams(&backends), is_empty());
+    };
+    router_without_a_scheduler_guesses_the_version_of_a_stream => {
+        let mut fleet = TestFleet::start_with(FleetSettings {
+            router_count: 2,
+            lease: LONG_LEASE,
+            ..FleetSettings::default()
+        });
+        fleet.configure(&document(1));
+        let backends = start_backends(&fleet, &["v1", "v2"], slow);
+        let streams = begin_streams(&fleet, 1, &backends);
+        for stream in streams {
+            stream.join().expect("a caller");
+        }
+        fleet.kill(0);
+        for stream in 0..STREAM_COUNT {
+            let elsewhere = take_up_after(&fleet, 2, stream, 3);
+            assert_that!((elsewhere.status(), elsewhere.body.contains("unknown-stream")), eq((503, true)));
+            let own = take_up_after(&fleet, 1, stream, 3);
+            assert_that!(own.is_complete_stream() || own.body.contains("no-backend"), eq(true));
+        }
+        assert_that!(mixed_streams(&backends), is_empty());
+    };
     taken_up_stream_goes_on_at_another_service_of_its_route => {
         let mut fleet = TestFleet::start(1, 2);
         fleet.configure(&split_document());
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -16,3 +16,4 @@
 mod stream;
 mod stream_origins;
 mod version_faults;
+mod version_world;
--- a/crates/jaylock-tests/tests/share/stream_origins.rs
+++ b/crates/jaylock-tests/tests/share/stream_origins.rs
@@ -7,7 +7,7 @@
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{Ask, BackendReport, Configuration, Hello, StreamOrigin};
-use jaylock_share::{AskResult, ClientState};
+use jaylock_share::{AskResult, ClientState, SchedulerClientSettings};
 use jaylock_tests::cases;
 use jaylock_types::StreamId;
 
@@ -257,6 +257,29 @@
         }
         assert_that!(router.take_unknown_streams(now), len(eq(2)));
     };
+    router_without_a_scheduler_keeps_streams_waiting_for_a_version_that_it_has_not => {
+        let now = Instant::now();
+        let mut router = detached_router(&["v1"], now);
+        let now = now + Duration::from_secs(1);
+        let resumed = |ticket, software: &str| Ask {
+            ticket,
+            served: 100,
+            software: Some(software.into()),
+            ..begin("stream")
+        };
+        assert_that!(ask_locally(&mut router, resumed(1, "v1"), now), some(ok(anything())));
+        assert_that!(ask_locally(&mut router, resumed(2, "v2"), now), none());
+        let lost = router.take_lost_streams(now);
+        assert_that!(lost.iter().map(|(ticket, _)| *ticket).collect::<Vec<_>>(), eq(&vec![2]));
+    };
+    router_that_never_had_a_scheduler_keeps_taken_up_streams_waiting => {
+        let now = Instant::now();
+        let mut router = ClientState::new(SchedulerClientSettings::default());
+        router.detach(now);
+        let now = now + Duration::from_secs(1);
+        assert_that!(ask_locally(&mut router, take_up("elsewhere"), now), none());
+        assert_that!(router.take_unknown_streams(now), len(eq(1)));
+    };
     router_without_a_scheduler_refuses_streams_of_servers_without_versions => {
         let now = Instant::now();
         let mut router = detached_router(&["", ""], now);
