Requests are refused at once when the last backend server of a service has left

They are refused at once now, by a scheduler that has all reports, with the time to return as before. A backend server that only crashed, or is out of reach, is waited for as before.

The test (the last of two servers has ended) failed before: no refusal at the first decision; its counterpart for a crash passed before and after.

--- a/crates/jaylock-share/src/admission.rs
+++ b/crates/jaylock-share/src/admission.rs
@@ -151,12 +151,14 @@
         }
         let max_wait = self.settings.max_backend_wait;
         for account in self.accounts.backlogged_keys().collect::<Vec<_>>() {
-            let (requirements, usable) = (&self.requirements, self.backends.usable());
+            let (requirements, backends) = (&self.requirements, &self.backends);
             let is_unservable = |waiting: &WaitingRequest| {
-                let waited = now.saturating_duration_since(waiting.arrived_at);
+                let has_waited = now.saturating_duration_since(waiting.arrived_at) >= max_wait;
+                let eligible = requirements.backends(waiting.requirement);
                 // A version that is gone doesn't return for a stream that it began.
-                let has_waited = waited >= max_wait || waiting.ask.software.is_some();
-                has_waited && !requirements.backends(waiting.requirement).overlaps(usable)
+                let waits_in_vain =
+                    || waiting.ask.software.is_some() || backends.have_left(eligible);
+                !eligible.overlaps(backends.usable()) && (has_waited || waits_in_vain())
             };
             let removed = self.accounts.get_mut(account).queue.drain(is_unservable);
             self.accounts.leave_backlog_if_empty(account);
--- a/crates/jaylock-share/src/arrival.rs
+++ b/crates/jaylock-share/src/arrival.rs
@@ -81,11 +81,13 @@
                 cause: "it is in quarantine",
             });
         }
-        if ask.software.is_some() && self.is_unservable(ask, requirement, now) {
+        let eligible = self.requirements.backends(requirement);
+        let waits_in_vain = || ask.software.is_some() || self.backends.have_left(eligible);
+        if self.is_unservable(ask, requirement, now) && waits_in_vain() {
             return Some(ArrivalRefusal {
                 reason: Reason::NoBackend,
                 retry_delay: NO_BACKEND_RETRY_DELAY,
-                cause: "no backend server has the version that began its stream",
+                cause: "no backend server that could run it is left",
             });
         }
         let refusal = self.load_refusal(account, ask, now)?;
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Whether this start has ended or said that it leaves, so that it takes no requests any more.
+    pub fn has_left(&self) -> bool {
+        self.report.gone || self.report.leaving || self.has_said_to_leave()
+    }
+
     /// Reason why the backend server gets no new requests; empty if it may get some.
     pub fn unusable_reason(&self, now: Instant, lease: Duration) -> &'static str {
         if self.report.gone {
--- a/crates/jaylock-share/src/backends.rs
+++ b/crates/jaylock-share/src/backends.rs
@@ -167,6 +167,12 @@
         &self.usable
     }
 
+    /// Whether all backend servers of a set, which is not empty, have ended or said that they leave.
+    pub fn have_left(&self, backends: &BackendSet) -> bool {
+        let mut indices = backends.common(backends);
+        !backends.is_empty() && indices.all(|index| self.list[index].has_left())
+    }
+
     /// Taken and total slots of the usable backend servers.
     pub fn slots(&self) -> (u32, u32) {
         let usable = self
--- a/crates/jaylock-tests/tests/share/exclusions.rs
+++ b/crates/jaylock-tests/tests/share/exclusions.rs
@@ -4,6 +4,7 @@
 
 use futures_channel::oneshot;
 use googletest::prelude::*;
+use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{Ask, BackendReport, Exclusion, Grant, Hello, RouterFrame, SchedulerFrame};
 use jaylock_share::{ClientState, RouterKey, SchedulerClientSettings};
@@ -16,6 +17,9 @@
 /// Pause that a backend server asks for.
 const PAUSE: Duration = Duration::from_secs(2);
 
+/// Time in which all backend servers have reported to a new scheduler.
+const SETTLING_TIME: Duration = Duration::from_secs(4);
+
 const LEAVING: Notice = Notice {
     limit: None,
     is_leaving: true,
@@ -166,6 +170,31 @@
         let pauses: Vec<_> = excluded.iter().map(|e| e.pause_ms).collect();
         assert_that!(pauses, elements_are![none(), some(eq(&1500))]);
     };
+    request_waits_although_the_last_backend_server_has_left => {
+        let mut fixture = Fixture::new();
+        fixture.now += SETTLING_TIME;
+        for id in ["e1", "e2"] {
+            fixture.report(engine_report(id, 4));
+        }
+        fixture.report(BackendReport { leaving: true, sequence: 1, ..engine_report("e1", 4) });
+        fixture.ask([numbered_ask(1)]);
+        assert_that!(fixture.decide_all().0, len(eq(1)));
+        fixture.report(BackendReport { gone: true, ..engine_report("e2", 4) });
+        fixture.ask([numbered_ask(2)]);
+        let reasons: Vec<Reason> = fixture.decide_all().1.iter().map(jaylock_rpc::v1::Refusal::reason).collect();
+        assert_that!(reasons, eq(&vec![Reason::NoBackend]));
+    };
+    request_is_refused_at_once_although_its_backend_server_has_only_crashed => {
+        let mut fixture = Fixture::new();
+        fixture.now += SETTLING_TIME;
+        fixture.report(engine_report("e1", 4));
+        let ticket = fixture.ask([numbered_ask(1)])[0];
+        fixture.decide_all();
+        fixture.end_as(ticket, Outcome::Crashed);
+        fixture.ask([numbered_ask(2)]);
+        let (grants, refusals) = fixture.decide_all();
+        assert_that!((grants.len(), refusals.len()), eq((0, 0)));
+    };
     pause_ends_the_exclusion_of_a_leaving_backend_server => {
         let now = Instant::now();
         let mut router = detached_router(&["e1"], now);
