--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -105,7 +105,7 @@
         }
     }
 
-    /// Requests a slot from the scheduler of the service, and waits until the deadline.
+    /// Requests a slot from the scheduler of the service, and waits for its reply until the deadline.
     async fn request_slot(&mut self, served: u64) -> Result<Result<Grant, Refusal>, ErrorResponse> {
         let remaining = self.request.remaining();
         let started = Instant::now();
