A response that has begun waits for the next scheduler at its version

Read before the landing: without a scheduler, a stream within its response was refused at once if the router had no own slot at its version, though the next scheduler may come within the pause that its caller bears, and all other requests wait for it. Only callers that take a stream up, and may find a slot at another router, are refused at once now.

--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -41,7 +41,9 @@
         unknown.map(PendingRequest::into_reply).collect()
     }
 
-    /// Takes the requests that continue streams whose version this router has no backend server of.
+    /// Takes the requests that take up streams whose version this router has no backend server of.
+    ///
+    /// Their callers may find one at another router; a response that has begun waits for the next scheduler.
     pub fn take_lost_streams(&mut self, now: Instant) -> Vec<(u64, oneshot::Sender<AskResult>)> {
         if !self.decides_alone(now) {
             return Vec::new();
@@ -53,7 +55,8 @@
         let versions: Vec<&str> = reported.chain(held).chain(spare).collect();
         let is_lost = |pending: &mut PendingRequest| {
             let software = pending.ask.software.as_deref();
-            software.is_some_and(|software| !versions.contains(&software))
+            let is_missing = software.is_some_and(|software| !versions.contains(&software));
+            is_missing && pending.ask.served == 0
         };
         let lost = self.pending.extract_if(.., is_lost);
         lost.map(PendingRequest::into_reply).collect()
