--- a/crates/jaylock-tests/tests/share/version_world.rs
+++ b/crates/jaylock-tests/tests/share/version_world.rs
@@ -17,22 +17,29 @@
 
 /// Step of the virtual clock.
 const STEP: Duration = Duration::from_millis(10);
-/// Time between two ticks of the scheduler, and between two reports of a backend server.
+/// Time between two ticks of the scheduler.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two reports of a backend server.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-/// Time between two streams, between two faults, and from a grant to the first event.
+/// Time between two new streams.
 const STREAM_INTERVAL: Duration = Duration::from_millis(40);
+/// Time between two faults.
 const FAULT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time from a grant to the first event.
 const PREFILL_TIME: Duration = Duration::from_millis(80);
-/// Time after a failure until a caller connects to another router, and for which it tries.
+/// Time after a failure until a caller connects to another router.
 const RECONNECT_TIME: Duration = Duration::from_millis(50);
+/// Time for which a caller wants its stream.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(15);
 /// Longest run of a stream.
 const MAX_RUN_TIME: Duration = Duration::from_secs(5);
 /// Time after a disturbance in which requests need not be served.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Routers of the pool.
 const ROUTER_COUNT: usize = 6;
+/// Backend servers at the start.
 const BACKEND_COUNT: usize = 8;
+/// Length of a simulation.
 const RUN_TIME: Duration = Duration::from_mins(1);
 
 /// Routers, a scheduler, backend servers and callers that take their streams up anywhere.
@@ -318,7 +325,7 @@
             .map(|_| StreamId::new("bench", &stream.request).0);
         let request = Ask {
             request: match begun_stream {
-                Some(_) => format!("{}-{}", stream.request, now_id(&mut self.next_id)),
+                Some(_) => format!("{}-{}", stream.request, take_number(&mut self.next_id)),
                 None => stream.request.clone(),
             },
             begun_stream,
@@ -329,7 +336,7 @@
 
     fn ask(&mut self, index: usize, request: Ask, is_counted: bool) {
         let is_retry = request.served > 0;
-        let ticket = now_id(&mut self.next_id);
+        let ticket = take_number(&mut self.next_id);
         let stream = &mut self.streams[index];
         let (sender, reply) = oneshot::channel();
         let request = Ask {
@@ -528,6 +535,7 @@
     }
 }
 
+/// Whether something that repeats is due; moves on to its next time if so.
 fn due(next: &mut Instant, interval: Duration, now: Instant) -> bool {
     let is_due = now >= *next;
     if is_due {
@@ -536,7 +544,8 @@
     is_due
 }
 
-fn now_id(next: &mut u64) -> u64 {
+/// Returns a number that was not returned before.
+fn take_number(next: &mut u64) -> u64 {
     *next += 1;
     *next
 }
