One copy of pinned versions, avoided servers and vain waits

Written twice by the change: the version that a response is pinned to (chat and routes, PinnedSoftware now serves both), the record of a stream's version (scheduler and router, StreamOrigins::record takes what has no identifier), whether a wait is vain (on arrival and at each tick), the stream of a message. Whether a request avoids a backend server stood in three places, two of them older; all call placement::is_avoided.

--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -27,6 +27,7 @@
 mod lifecycle;
 mod memory;
 mod organisation;
+mod pinned;
 mod port;
 mod proposal;
 mod quarantine;
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use compact_str::{CompactString, format_compact};
+use compact_str::format_compact;
 use futures_util::future::{self, Either};
 use http::StatusCode;
 use jaylock_observe::RunStatus;
@@ -16,6 +16,7 @@
 use crate::connection::{self, Probe};
 use crate::context::Context;
 use crate::error::AttemptError;
+use crate::pinned::PinnedSoftware;
 use crate::quarantine::{self, CrashTracker};
 use crate::response::ErrorResponse;
 use crate::slot::Slot;
@@ -40,8 +41,7 @@
     previous_status: RunStatus,
     attempts: u32,
     avoid: Vec<String>,
-    /// Version of the backend servers' software that began the response, at which alone it may go on.
-    software: Option<CompactString>,
+    software: PinnedSoftware,
     /// Backend server of the current attempt, until the attempt succeeds or fails.
     running: Option<RunningAttempt>,
 }
@@ -72,7 +72,7 @@
             previous_status: RunStatus::NotRun,
             attempts: 0,
             avoid: Vec::new(),
-            software: None,
+            software: PinnedSoftware::default(),
             running: None,
         }
     }
@@ -89,9 +89,7 @@
 
     /// Lets the response go on only at this version of the backend servers' software.
     pub fn pin_software(&mut self, software: &str) {
-        if self.software.is_none() {
-            self.software = Some(software.into());
-        }
+        self.software.pin(software);
     }
 
     /// Whether the request is suspected of crashing backend servers.
@@ -283,7 +281,7 @@
         let mut ask = Ask {
             organisation: self.crash_tracker.organisation.to_string(),
             avoid: self.avoid.clone(),
-            software: self.software.as_deref().map(Into::into),
+            software: self.software.required(),
             alone: self.crash_tracker.is_suspect(),
             waited_ms: u32::try_from(waited).unwrap_or(u32::MAX),
             request: self.crash_tracker.request.to_string(),
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use compact_str::{CompactString, format_compact};
+use compact_str::format_compact;
 use http::StatusCode;
 use jaylock_observe::{RequestKind, RunStatus};
 use jaylock_rpc::v1::end::Outcome;
@@ -16,6 +16,7 @@
 use super::request::RouteRequest;
 use crate::connection::{self, Probe};
 use crate::error::AttemptError;
+use crate::pinned::PinnedSoftware;
 use crate::response::{ErrorResponse, QUARANTINED};
 use crate::slot::Slot;
 use crate::tracker::RequestTracker;
@@ -38,15 +39,14 @@
     /// Number of attempts made.
     count: u32,
     avoid: Vec<String>,
-    /// Version of the backend servers' software that began the response, at which alone it may go on.
-    software: Option<CompactString>,
+    software: PinnedSoftware,
 }
 
 impl Attempts {
     /// Creates the state before the first attempt and credits the retry budget.
     pub fn new(context: Rc<RouteContext>, request: RouteRequest) -> Self {
         context.budget.update(&context.view.current());
-        context.budget.deposit(request.target.pool.as_str());
+        context.budget.deposit(request.pool().as_str());
         let kind = match request.prompt {
             Some(_) => RequestKind::Model,
             None => RequestKind::Service,
@@ -57,7 +57,7 @@
             &request.id,
             &request.organisation,
             request.arrived_at,
-            (request.target.pool.clone(), kind),
+            (request.pool().clone(), kind),
         );
         Self {
             context,
@@ -66,7 +66,7 @@
             run_status: RunStatus::NotRun,
             count: 0,
             avoid: Vec::new(),
-            software: None,
+            software: PinnedSoftware::default(),
         }
     }
 
@@ -78,9 +78,7 @@
 
     /// Lets the response go on only at this version of the backend servers' software.
     pub fn pin_software(&mut self, software: &str) {
-        if self.software.is_none() {
-            self.software = Some(software.into());
-        }
+        self.software.pin(software);
     }
 
     /// Waits for a slot until the deadline.
@@ -101,7 +99,7 @@
                 let error = ErrorResponse::from_scheduler(&refusal);
                 return Err(self.with_capped_delay(error.with_run_status(self.run_status)));
             }
-            self.tracker.record.pool = self.request.target.pool.clone();
+            self.tracker.record.pool = self.request.pool().clone();
         }
     }
 
@@ -121,11 +119,11 @@
             served,
             avoid: self.avoid.clone(),
             waited_ms: u32::try_from(waited.as_millis()).unwrap_or(u32::MAX),
-            software: self.software.as_deref().map(Into::into),
+            software: self.software.required(),
             patience_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
             ..self.request.slot_request()
         };
-        let pool = &self.request.target.pool;
+        let pool = self.request.pool();
         let waiting = self.context.schedulers.request_slot(pool, ask);
         let waiting = compio::time::timeout(remaining, waiting);
         let outcome = if self.run_status == RunStatus::NotRun {
@@ -144,7 +142,7 @@
     /// Counts the attempt for which a slot was granted.
     fn use_grant(&mut self, grant: Grant) -> Result<(SocketAddr, Slot), ErrorResponse> {
         let address = grant.address.parse();
-        let pool = self.request.target.pool.clone();
+        let pool = self.request.pool().clone();
         let slot = Slot::new(self.context.schedulers.clone(), pool, grant);
         let Ok(address) = address else {
             slot.release(Outcome::NotRun);
@@ -212,7 +210,7 @@
         if !self
             .context
             .budget
-            .try_withdraw(self.request.target.pool.as_str())
+            .try_withdraw(self.request.pool().as_str())
         {
             return Err(self.give_up("the attempt failed and the retry budget is spent"));
         }
@@ -250,7 +248,7 @@
             && self
                 .context
                 .budget
-                .can_withdraw(self.request.target.pool.as_str())
+                .can_withdraw(self.request.pool().as_str())
     }
 
     /// Whether the request may be retried after an attempt that may have run.
--- a/crates/jaylock-router/src/route/quarantine.rs
+++ b/crates/jaylock-router/src/route/quarantine.rs
@@ -12,7 +12,7 @@
     }
     let parts = request.prompt.iter().flat_map(|prompt| &prompt.parts);
     let hashes = parts.map(|part| part.hash).chain([request.digest]);
-    let pool = request.target.pool.as_str();
+    let pool = request.pool().as_str();
     let causes = hashes.filter_map(|hash| find(&configuration.crash_causes, pool, hash));
     let end_ms = causes.map(|cause| cause.until_ms).max()?;
     let remaining = Duration::from_millis(end_ms.saturating_sub(unix_ms()));
--- a/crates/jaylock-router/src/route/request.rs
+++ b/crates/jaylock-router/src/route/request.rs
@@ -63,6 +63,11 @@
 }
 
 impl RouteRequest {
+    /// Pool of the service to which the request is sent.
+    pub fn pool(&self) -> &PoolId {
+        &self.target.pool
+    }
+
     /// Goes on with another service of the route; returns false if none is left.
     pub fn use_next_target(&mut self) -> bool {
         let next = self.other_targets.pop();
@@ -93,6 +98,7 @@
     /// Slot request to the scheduler, without the fields that change with each attempt.
     pub fn slot_request(&self) -> Ask {
         let prompt = self.prompt.as_ref();
+        let begun_stream = self.begun_stream();
         Ask {
             organisation: self.organisation.to_string(),
             model: prompt.map_or_else(String::new, |p| p.model.to_string()),
@@ -102,12 +108,18 @@
             request: self.id.to_string(),
             objective_ms: self.route.objective_ms,
             digest: self.digest,
-            begun_stream: self.begun_stream().map(|stream| stream.0),
-            may_be_elsewhere: self.route.targets.iter().filter(|t| t.weight > 0).count() > 1,
+            begun_stream: begun_stream.map(|stream| stream.0),
+            may_be_elsewhere: begun_stream.is_some() && self.has_several_targets(),
             ..Ask::default()
         }
     }
 
+    /// Whether the route divides its requests between services.
+    fn has_several_targets(&self) -> bool {
+        let targets = self.route.targets.iter();
+        targets.filter(|target| target.weight > 0).count() > 1
+    }
+
     /// The stream that this request takes up, if its caller received a part of it before.
     fn begun_stream(&self) -> Option<StreamId> {
         let is_resumed = self.last_event > 0 || self.resumed.is_some();
--- a/crates/jaylock-share/src/admission.rs
+++ b/crates/jaylock-share/src/admission.rs
@@ -155,10 +155,8 @@
             let is_unservable = |waiting: &WaitingRequest| {
                 let has_waited = now.saturating_duration_since(waiting.arrived_at) >= max_wait;
                 let eligible = requirements.backends(waiting.requirement);
-                // A version that is gone doesn't return for a stream that it began.
-                let waits_in_vain =
-                    || waiting.ask.software.is_some() || backends.have_left(eligible);
-                !eligible.overlaps(backends.usable()) && (has_waited || waits_in_vain())
+                !eligible.overlaps(backends.usable())
+                    && (has_waited || backends.wait_is_vain(&waiting.ask, eligible))
             };
             let removed = self.accounts.get_mut(account).queue.drain(is_unservable);
             self.accounts.leave_backlog_if_empty(account);
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -259,7 +259,7 @@
             .and_then(|r| r.remove_run(end.ticket));
         let Some(mut run) = run else { return };
         self.record_outcome(&run, end, now);
-        self.record_origin(&run, now);
+        self.origins.record(run.stream, &run.software, now);
         let cost = cost_of(end);
         if end.unreached {
             let router_count = self.routers.attached_count();
--- a/crates/jaylock-share/src/arrival.rs
+++ b/crates/jaylock-share/src/arrival.rs
@@ -82,8 +82,8 @@
             });
         }
         let eligible = self.requirements.backends(requirement);
-        let waits_in_vain = || ask.software.is_some() || self.backends.have_left(eligible);
-        if self.is_unservable(ask, requirement, now) && waits_in_vain() {
+        let is_unservable = self.is_unservable(ask, requirement, now);
+        if is_unservable && self.backends.wait_is_vain(ask, eligible) {
             return Some(ArrivalRefusal {
                 reason: Reason::NoBackend,
                 retry_delay: NO_BACKEND_RETRY_DELAY,
--- a/crates/jaylock-share/src/attachment.rs
+++ b/crates/jaylock-share/src/attachment.rs
@@ -103,10 +103,10 @@
             load: None,
             granted_at: now,
             prefill_ahead: 0,
-            stream: (running.stream != 0).then_some(StreamId(running.stream)),
+            stream: StreamId::from_message(running.stream),
             software: running.software.as_str().into(),
         };
-        self.record_origin(&run, now);
+        self.origins.record(run.stream, &run.software, now);
         if let Some(router) = self.routers.get_mut(key) {
             router.add_run(run);
         }
--- a/crates/jaylock-share/src/backends.rs
+++ b/crates/jaylock-share/src/backends.rs
@@ -167,10 +167,12 @@
         &self.usable
     }
 
-    /// Whether all backend servers of a set, which is not empty, have ended or said that they leave.
-    pub fn have_left(&self, backends: &BackendSet) -> bool {
-        let mut indices = backends.common(backends);
-        !backends.is_empty() && indices.all(|index| self.list[index].has_left())
+    /// Whether a request waits in vain for unusable backend servers: all that were eligible have left, or a version
+    /// that is gone does not return for a stream that it began.
+    pub fn wait_is_vain(&self, ask: &Ask, eligible: &BackendSet) -> bool {
+        let mut indices = eligible.common(eligible);
+        let mut have_left = || indices.all(|index| self.list[index].has_left());
+        ask.software.is_some() || (!eligible.is_empty() && have_left())
     }
 
     /// Taken and total slots of the usable backend servers.
--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -148,7 +148,7 @@
             return;
         };
         let held = self.held.remove(index);
-        self.record_origin(&held, now);
+        self.origins.record(held.stream, &held.software, now);
         let cost = cost_of(&end);
         self.add_unreported(&held.organisation, if self.is_attached { 0 } else { cost });
         if let Ok(index) = self.search_total(&held.organisation) {
@@ -339,7 +339,7 @@
             return;
         };
         let held = HeldSlot::new(&pending.ask, &grant);
-        self.record_origin(&held, now);
+        self.origins.record(held.stream, &held.software, now);
         let index = self
             .held
             .partition_point(|other| other.ticket < held.ticket);
@@ -370,12 +370,6 @@
         ask.software = software.map(|software| software.as_str().into());
     }
 
-    fn record_origin(&mut self, held: &HeldSlot, now: Instant) {
-        if let Some(stream) = held.stream {
-            self.origins.record(stream, &held.software, now);
-        }
-    }
-
     fn take_pending(&mut self, ticket: u64) -> Option<PendingRequest> {
         let index = self
             .pending
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -177,7 +177,7 @@
             && front.is_some_and(|(_, waiting)| {
                 let eligible = self.requirements.backends(waiting.requirement);
                 allowed_backends(self.routers.get(waiting.router), eligible).contains(index)
-                    && !waiting.ask.avoid.contains(&backend.report.id)
+                    && !placement::is_avoided(&waiting.ask, &backend.report.id)
                     && self.crash_history.admits(&waiting.ask, index)
             })
     }
@@ -254,7 +254,7 @@
             stream: stream_of(ask),
             software: grant.software.as_str().into(),
         };
-        self.record_origin(&run, now);
+        self.origins.record(run.stream, &run.software, now);
         if let Some(router) = self.routers.get_mut(waiting.router) {
             router.remove_waiting(ask.ticket);
             router.add_run(run);
--- a/crates/jaylock-share/src/pending_request.rs
+++ b/crates/jaylock-share/src/pending_request.rs
@@ -4,6 +4,7 @@
 use jaylock_rpc::v1::{Ask, Grant, Refusal};
 
 use crate::encoding::encode_request_id;
+use crate::placement;
 
 /// Result of a request for a slot.
 pub type AskResult = Result<Grant, Refusal>;
@@ -39,6 +40,6 @@
 
     /// Whether it must not run on a backend server.
     pub fn avoids(&self, backend: &str) -> bool {
-        self.ask.avoid.iter().any(|avoided| avoided == backend)
+        placement::is_avoided(&self.ask, backend)
     }
 }
--- a/crates/jaylock-share/src/resumption.rs
+++ b/crates/jaylock-share/src/resumption.rs
@@ -7,7 +7,7 @@
 
 use crate::allocator::Allocator;
 use crate::encoding::request_id;
-use crate::router::{RouterKey, Run};
+use crate::router::RouterKey;
 use crate::stream_origins::RETENTION;
 
 /// Time after the start of a scheduler in which routers attach and list the streams that they began.
@@ -74,13 +74,6 @@
         );
     }
 
-    /// Records the version that runs a stream's newest attempt.
-    pub(crate) fn record_origin(&mut self, run: &Run, now: Instant) {
-        if let Some(stream) = run.stream {
-            self.origins.record(stream, &run.software, now);
-        }
-    }
-
     /// The only version that the pool's backend servers had lately; `None` if there were several or none.
     fn sole_version(&self, now: Instant) -> Option<CompactString> {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < RETENTION;
--- a/crates/jaylock-share/src/stream_origins.rs
+++ b/crates/jaylock-share/src/stream_origins.rs
@@ -27,10 +27,11 @@
 }
 
 impl StreamOrigins {
-    /// Records the version that runs the newest attempt of a stream.
+    /// Records the version that runs the newest attempt of a stream, if its request has an identifier.
     ///
     /// An attempt at another version begins the stream anew, as an earlier one brought no event.
-    pub fn record(&mut self, stream: StreamId, software: &str, now: Instant) {
+    pub fn record(&mut self, stream: Option<StreamId>, software: &str, now: Instant) {
+        let Some(stream) = stream else { return };
         let is_open = self.generations.back().is_some_and(|g| g.is_open(now));
         if !is_open {
             self.push(Generation::new(now), now);
@@ -204,7 +205,7 @@
 /// The stream that a request begins or takes up; `None` if it has no identifier.
 pub fn stream_of(ask: &Ask) -> Option<StreamId> {
     if let Some(stream) = ask.begun_stream {
-        return Some(StreamId(stream)).filter(|stream| *stream != StreamId::UNNAMED);
+        return StreamId::from_message(stream);
     }
     let request = request_id(ask);
     (!request.is_empty()).then(|| StreamId::new(&ask.organisation, &request))
--- a/crates/jaylock-types/src/stream.rs
+++ b/crates/jaylock-types/src/stream.rs
@@ -13,6 +13,12 @@
     /// A stream of which nobody says which request began it.
     pub const UNNAMED: Self = Self(0);
 
+    /// Returns the stream of a message, in which 0 stands for none.
+    #[must_use]
+    pub fn from_message(value: u64) -> Option<Self> {
+        Some(Self(value)).filter(|stream| *stream != Self::UNNAMED)
+    }
+
     /// Identifies the stream that an organisation's request begins.
     #[must_use]
     pub fn new(organisation: &str, request: &str) -> Self {
