--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -320,6 +320,8 @@
 impl Reply {
     /// The last chunk of a chunked body.
     pub const LAST_CHUNK: &str = "0\r\n\r\n";
+    /// The beginning of a fourth event, in the middle of which a stream breaks off.
+    pub const BROKEN_EVENT: &str = "20\r\nid: 4\ndata: pie";
 
     /// A reply after which the connection stays open.
     pub fn from_text(text: &str) -> Self {
--- a/crates/jaylock-tests/tests/platform/software_versions.rs
+++ b/crates/jaylock-tests/tests/platform/software_versions.rs
@@ -20,8 +20,6 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(50);
 /// Lease that outlasts a test.
 const LONG_LEASE: Duration = Duration::from_mins(1);
-/// Part of an event, after which the connection ends.
-const BROKEN_EVENT: &str = "20\r\nid: 4\ndata: pie";
 
 /// Starts a backend server for each of these versions.
 fn start_backends(
@@ -39,7 +37,7 @@
 /// Breaks off in the fourth event, unless the stream is resumed.
 fn broken_once(request: &ReceivedRequest) -> Reply {
     match request.header("last-event-id") {
-        "" => request.events(1..=3, BROKEN_EVENT),
+        "" => request.events(1..=3, Reply::BROKEN_EVENT),
         _ => request.events(4..=6, Reply::LAST_CHUNK),
     }
 }
@@ -103,13 +101,25 @@
     streams
 }
 
-/// Takes a stream up after its last event, at another instance.
-fn take_up(fleet: &TestFleet, at: usize, stream: u64, begun: &CallerResponse) -> CallerResponse {
-    take_up_after(fleet, at, stream, begun.body.matches("\n\n").count())
+/// Takes all streams up after their last events, at another instance, and checks that they go on to their ends.
+fn check_all_go_on(fleet: &TestFleet, at: usize, streams: Vec<JoinHandle<CallerResponse>>) {
+    for (stream, begun) in (0..).zip(streams) {
+        let begun = begun.join().expect("a caller");
+        let last_event = begun.body.matches("\n\n").count();
+        let resumed = take_up(fleet, at, stream, last_event);
+        assert_that!((resumed.status(), resumed.is_complete), eq((200, true)));
+    }
+}
+
+/// Waits until the callers of all streams have their responses.
+fn finish(streams: Vec<JoinHandle<CallerResponse>>) {
+    for stream in streams {
+        stream.join().expect("a caller");
+    }
 }
 
 /// Takes a stream up after this event, at another instance.
-fn take_up_after(fleet: &TestFleet, at: usize, stream: u64, event: usize) -> CallerResponse {
+fn take_up(fleet: &TestFleet, at: usize, stream: u64, event: usize) -> CallerResponse {
     caller(fleet, at, &format!("aaaa{stream:012x}"))
         .with("Last-Event-Id", &event.to_string())
         .with("Resumes", &id_of(stream))
@@ -131,11 +141,7 @@
         let backends = start_backends(&fleet, &["v1", "v2", "v1", "v2"], slow);
         let streams = begin_streams(&fleet, 1, &backends);
         fleet.kill(1);
-        for (stream, begun) in (0..).zip(streams) {
-            let begun = begun.join().expect("a caller");
-            let resumed = take_up(&fleet, 2, stream, &begun);
-            assert_that!((resumed.status(), resumed.is_complete), eq((200, true)));
-        }
+        check_all_go_on(&fleet, 2, streams);
         assert_that!(mixed_streams(&backends), is_empty());
     };
     new_scheduler_lets_streams_go_on_at_another_software_version => {
@@ -143,17 +149,17 @@
         fleet.configure(&document(1));
         let backends = start_backends(&fleet, &["v1", "v2", "v1", "v2"], slow);
         let streams = begin_streams(&fleet, 3, &backends);
-        let begun: Vec<CallerResponse> = streams.into_iter().map(|s| s.join().expect("a caller")).collect();
+        finish(streams);
         let has_scheduler = |fleet: &TestFleet, at: usize, epoch| {
             fleet.log(at).contains(&format!("started the scheduler of pool app at epoch {epoch}"))
         };
-        // The first instance gets the heartbeats.
         let first = (0..3).find(|at| has_scheduler(&fleet, *at, 1)).expect("a scheduler");
         fleet.kill(first);
         wait_until("another scheduler has started", || (0..3).any(|at| has_scheduler(&fleet, at, 2)));
+        // The first instance, which may be the killed one, gets the heartbeats.
         fleet.start_instance(first, false);
-        for (stream, _) in (0..).zip(begun) {
-            wait_until("a stream goes on", || take_up_after(&fleet, 4, stream, 3).is_complete_stream());
+        for stream in 0..STREAM_COUNT {
+            wait_until("a stream goes on", || take_up(&fleet, 4, stream, 3).is_complete_stream());
         }
         assert_that!(mixed_streams(&backends), is_empty());
     };
@@ -166,14 +172,12 @@
         fleet.configure(&document(1));
         let backends = start_backends(&fleet, &["v1", "v2"], slow);
         let streams = begin_streams(&fleet, 1, &backends);
-        for stream in streams {
-            stream.join().expect("a caller");
-        }
+        finish(streams);
         fleet.kill(0);
         for stream in 0..STREAM_COUNT {
-            let elsewhere = take_up_after(&fleet, 2, stream, 3);
+            let elsewhere = take_up(&fleet, 2, stream, 3);
             assert_that!((elsewhere.status(), elsewhere.body.contains("unknown-stream")), eq((503, true)));
-            let own = take_up_after(&fleet, 1, stream, 3);
+            let own = take_up(&fleet, 1, stream, 3);
             assert_that!(own.is_complete_stream() || own.body.contains("no-backend"), eq(true));
         }
         assert_that!(mixed_streams(&backends), is_empty());
@@ -185,10 +189,7 @@
         let backends = kinds.map(|kind| FakeBackend::start_version(&fleet, &format!("{}-{}", kind.0, kind.1), kind, slow));
         let streams = begin_streams(&fleet, 1, &backends);
         fleet.kill(1);
-        for (stream, begun) in (0..).zip(streams) {
-            let resumed = take_up(&fleet, 2, stream, &begun.join().expect("a caller"));
-            assert_that!((resumed.status(), resumed.is_complete), eq((200, true)));
-        }
+        check_all_go_on(&fleet, 2, streams);
         assert_that!(mixed_streams(&backends), is_empty());
     };
 }
--- a/crates/jaylock-tests/tests/platform/streams.rs
+++ b/crates/jaylock-tests/tests/platform/streams.rs
@@ -13,8 +13,6 @@
 /// Events of a stream that keeps a slot longer than the objective, and the time between two.
 const BUSY_EVENTS: u64 = 16;
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
-/// Part of an event, after which the connection ends.
-const BROKEN_EVENT: &str = "20\r\nid: 4\ndata: pie";
 
 /// Returns the events with these identifiers as a caller reads them.
 fn events(ids: std::ops::RangeInclusive<u64>) -> String {
@@ -34,7 +32,7 @@
     resumes_a_broken_stream_at_another_backend_server => {
         let fleet = TestFleet::minimal();
         let reply = |r: &ReceivedRequest| match r.header("last-event-id") {
-            "" => r.events(1..=3, "20\r\nid: 4\ndata: pie"),
+            "" => r.events(1..=3, Reply::BROKEN_EVENT),
             _ => r.events(4..=6, Reply::LAST_CHUNK),
         };
         let one = FakeBackend::start(&fleet, "b1", reply);
@@ -54,7 +52,7 @@
         let fleet = TestFleet::minimal();
         let reply = |r: &ReceivedRequest| match (r.request_line.contains("/draft/"), r.header("last-event-id")) {
             (false, _) => r.paced_events(BUSY_EVENTS, EVENT_INTERVAL),
-            (true, "") => Reply { later: vec![(OBJECTIVE, BROKEN_EVENT.into())], ..r.events(1..=3, "") },
+            (true, "") => Reply { later: vec![(OBJECTIVE, Reply::BROKEN_EVENT.into())], ..r.events(1..=3, "") },
             (true, _) => r.events(4..=6, Reply::LAST_CHUNK),
         };
         let backends = ["b1", "b2"].map(|id| FakeBackend::start(&fleet, id, reply));
@@ -90,8 +88,8 @@
     };
     truncates_a_broken_stream_that_is_not_resumable => {
         let fleet = TestFleet::minimal();
-        let one = FakeBackend::start(&fleet, "b1", |r| r.events(1..=3, "20\r\nid: 4\ndata: pie"));
-        let two = FakeBackend::start(&fleet, "b2", |r| r.events(1..=3, "20\r\nid: 4\ndata: pie"));
+        let one = FakeBackend::start(&fleet, "b1", |r| r.events(1..=3, Reply::BROKEN_EVENT));
+        let two = FakeBackend::start(&fleet, "b2", |r| r.events(1..=3, Reply::BROKEN_EVENT));
         let response = fleet.caller().request("POST", "/stream/1").send();
         assert_that!((response.status(), response.is_complete), eq((200, false)));
         assert_that!(response.body, eq(&events(1..=3)));
--- a/crates/jaylock-tests/tests/share/crashing_requests.rs
+++ b/crates/jaylock-tests/tests/share/crashing_requests.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use jaylock_rpc::v1::Configuration;
 use jaylock_tests::{cases, seeded_config};
-use proptest::{prop_assert, proptest};
+use proptest::proptest;
 
 use crate::pool::{FATAL_PART as FATAL_CALL, MAX_LATER_RUNS, Pool, STEP};
 
@@ -50,11 +50,7 @@
             let calls: Vec<u64> = (FATAL_CALL..FATAL_CALL + fatal_calls).collect();
             let mut pool = Pool::of_calls(backends, &calls);
             pool.interval = Duration::from_millis(interval_ms);
-            pool.run(Duration::from_secs(80), |time| time >= Duration::from_secs(first_s));
-            for call in calls {
-                prop_assert!(pool.late_grants(call) <= MAX_LATER_RUNS);
-            }
-            prop_assert!(pool.sound_granted * 2 >= pool.sound_sent, "{} of {}", pool.sound_granted, pool.sound_sent);
+            pool.check_bounds(Duration::from_secs(80), Duration::from_secs(first_s))?;
         });
     };
 }
--- a/crates/jaylock-tests/tests/share/pool.rs
+++ b/crates/jaylock-tests/tests/share/pool.rs
@@ -5,6 +5,9 @@
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{Ask, Crash, End, Hello, PromptPart, Running};
 
+use proptest::prop_assert;
+use proptest::test_runner::TestCaseError;
+
 use crate::fixture::Fixture;
 use crate::fleet::{ask, end, engine_report};
 
@@ -287,6 +290,21 @@
         }
     }
 
+    /// Runs the pool with its fatal causes from `first` on, and checks the bounds of late runs and refused sound requests.
+    pub fn check_bounds(
+        mut self,
+        time: Duration,
+        first: Duration,
+    ) -> std::result::Result<(), TestCaseError> {
+        self.run(time, |elapsed| elapsed >= first);
+        for part in &self.fatal_parts {
+            prop_assert!(self.late_grants(*part) <= MAX_LATER_RUNS);
+        }
+        let (granted, sent) = (self.sound_granted, self.sound_sent);
+        prop_assert!(granted * 2 >= sent, "{granted} of {sent}");
+        Ok(())
+    }
+
     /// Number of grants to requests with a fatal part that came too late after its last allowed crash.
     pub fn late_grants(&self, part: u64) -> usize {
         let crashes = self.crashes.iter();
--- a/crates/jaylock-tests/tests/share/prompt_parts.rs
+++ b/crates/jaylock-tests/tests/share/prompt_parts.rs
@@ -6,7 +6,7 @@
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{Ask, Configuration, End, PromptPart};
 use jaylock_tests::{cases, seeded_config};
-use proptest::{prop_assert, proptest};
+use proptest::proptest;
 
 use crate::fleet::{ask, detached_router, end, grant_locally};
 use crate::pool::{FATAL_PART, MAX_LATER_RUNS, Pool, SHARED_PART, STEP};
@@ -97,11 +97,7 @@
             let parts: Vec<u64> = (FATAL_PART..FATAL_PART + fatal_parts).collect();
             let mut pool = Pool::new(engines, &parts);
             pool.interval = Duration::from_millis(interval_ms);
-            pool.run(Duration::from_secs(40), |time| time >= Duration::from_secs(first_s));
-            for part in parts {
-                prop_assert!(pool.late_grants(part) <= MAX_LATER_RUNS);
-            }
-            prop_assert!(pool.sound_granted * 2 >= pool.sound_sent, "{} of {}", pool.sound_granted, pool.sound_sent);
+            pool.check_bounds(Duration::from_secs(40), Duration::from_secs(first_s))?;
         });
     };
     one_crash_under_two_prompts_blocks_their_part_without_a_scheduler => {
