Routers report the ends of runs in time for the pool's free slots

Cause: a grant of a pool with a tenth of its slots free let its router hold back the end of the run for up to a second (50 ms otherwise), to send it with other messages. With 85 routers each has two calls of the plain service a second, so nothing else takes the ends along: 171 calls a second of 30 ms work on 5 slots, and ends that wait for half a second take 85 more of 18. The scheduler then refuses calls while the servers idle. On 6 routers the next ask takes the ends along.

Change: each grant says how long its end may be held back, from the rate of grants and the free slots (share::report_delay). The two fixed windows and the mark "spare" are gone.

Test, seen failing: share plain_calls, in virtual time.

--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -16,6 +16,7 @@
 use crate::encoding::decode_names;
 use crate::engine::PrefillRate;
 use crate::queue::WaitingRequest;
+use crate::report_delay::ReportDelay;
 use crate::requirement::Requirements;
 use crate::router::{RouterKey, Routers, Run};
 use crate::stream_origins::StreamOrigins;
@@ -39,8 +40,7 @@
     pub(crate) ready_at: Instant,
     pub(crate) usage: Usage,
     pub(crate) waiting_count: usize,
-    // Whether the pool had spare slots when the last decision began.
-    pub(crate) has_spare_slots: bool,
+    pub(crate) report_delay: ReportDelay,
     pub(crate) division: Division,
     pub(crate) crash_history: CrashHistory,
     // Versions at which the streams of all routers began.
@@ -73,7 +73,7 @@
             decisions: VecDeque::new(),
             usage: Usage::new(now),
             waiting_count: 0,
-            has_spare_slots: false,
+            report_delay: ReportDelay::default(),
             crash_history: CrashHistory::default(),
             origins: StreamOrigins::default(),
             unresolved: Vec::new(),
--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -130,10 +130,8 @@
             };
             let interval = if is_first {
                 Duration::ZERO
-            } else if held.is_spare {
-                self.settings.spare_batch_window
             } else {
-                self.settings.min_progress_interval
+                self.settings.min_progress_interval.max(held.report_delay)
             };
             self.batch.add_progress(progress, interval, now);
         }
@@ -158,10 +156,8 @@
         if self.is_attached {
             let batch_window = if end.outcome() == Outcome::Crashed {
                 Duration::ZERO
-            } else if held.is_spare {
-                self.settings.spare_batch_window
             } else {
-                self.settings.end_batch_window
+                self.settings.batch_window.max(held.report_delay)
             };
             self.batch
                 .add_end(held.organisation, end, now + batch_window);
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -202,6 +202,7 @@
         let service_gap = self.accounts.service_gap(account);
         self.waiting_count -= 1;
         self.accounts.record_grant(account, now);
+        self.report_delay.record_grant(now);
         self.accounts.charge(account, charged_tokens);
         let owner = self.accounts.get_mut(account);
         owner.running += 1;
@@ -217,12 +218,13 @@
         let load = (!ask.parts.is_empty()).then(|| self.backends.add_request(backend_index, ask));
         let backend = self.backends.get(backend_index);
         let prefill_ahead = backend.engine.pending_prefill();
+        let report_delay = self.report_delay.current();
         let grant = Grant {
             ticket: ask.ticket,
             backend: backend.report.id.clone(),
             address: backend.report.address.clone(),
             epoch: self.epoch,
-            spare: self.has_spare_slots,
+            report_delay_ms: u32::try_from(report_delay.as_millis()).unwrap_or(u32::MAX),
             incarnation: backend.report.incarnation,
             software: backend.report.software.clone(),
         };
@@ -282,9 +284,7 @@
 
     fn record_usage(&mut self, now: Instant) {
         let (used, slots) = self.backends.slots();
-        let free = u64::from(slots - used) * 100;
-        self.has_spare_slots =
-            free >= u64::from(slots) * u64::from(self.settings.spare_slots_percent);
+        self.report_delay.update(used, slots - used, now);
         self.usage
             .add(now, self.accounts.has_backlog(), used, slots);
     }
--- a/crates/jaylock-share/src/held_slot.rs
+++ b/crates/jaylock-share/src/held_slot.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use compact_str::CompactString;
 use jaylock_rpc::v1::{Ask, Grant, Running};
 use jaylock_types::StreamId;
@@ -20,7 +22,8 @@
     /// Service so far, in tokens.
     pub tokens: u64,
     pub is_isolated: bool,
-    pub is_spare: bool,
+    /// Time for which the end of the run may be held back.
+    pub report_delay: Duration,
     /// Whether the request lists the parts of its prompt, so that the scheduler expects a first progress report.
     pub has_prompt_parts: bool,
     pub reported_tokens: u64,
@@ -43,7 +46,7 @@
             requirement: Requirement::from_ask(ask),
             tokens: 0,
             is_isolated: ask.alone,
-            is_spare: grant.spare,
+            report_delay: Duration::from_millis(grant.report_delay_ms.into()),
             has_prompt_parts: !ask.parts.is_empty(),
             reported_tokens: 0,
             causes: Causes::from_ask(ask),
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -38,6 +38,7 @@
 mod reachability;
 mod recent_crashes;
 mod recent_reports;
+mod report_delay;
 mod reports;
 mod requirement;
 mod resumption;
--- a/crates/jaylock-share/src/settings.rs
+++ b/crates/jaylock-share/src/settings.rs
@@ -5,8 +5,6 @@
 pub struct SchedulerSettings {
     /// Requests of one organisation that may wait in a pool, if the organisation's own limit is 0.
     pub queue_limit: u32,
-    /// Share of free slots, in percent, from which grants are marked as spare.
-    pub spare_slots_percent: u32,
     /// Requests that may wait in a pool before each organisation is limited to an equal share.
     pub max_pool_waiting: usize,
     /// Time without a report after which a backend server gets no new requests.
@@ -46,7 +44,6 @@
     fn default() -> Self {
         Self {
             queue_limit: 256,
-            spare_slots_percent: 10,
             max_pool_waiting: 20_000,
             backend_lease: Duration::from_secs(3),
             router_lease: Duration::from_secs(3),
@@ -72,10 +69,6 @@
 pub struct SchedulerClientSettings {
     /// Time over which messages are batched after a frame.
     pub batch_window: Duration,
-    /// Time over which ends are batched while the router has no waiting requests.
-    pub end_batch_window: Duration,
-    /// Time over which ends and progress are batched for runs with spare slots.
-    pub spare_batch_window: Duration,
     /// Shortest time between two reports of progress.
     pub min_progress_interval: Duration,
     /// Tokens since the last progress report below which progress is not reported.
@@ -98,8 +91,6 @@
     fn default() -> Self {
         Self {
             batch_window: Duration::from_millis(3),
-            end_batch_window: Duration::from_millis(50),
-            spare_batch_window: Duration::from_secs(1),
             min_progress_interval: Duration::from_millis(250),
             min_progress_tokens: 128,
             reconnect_delay: Duration::from_millis(200),
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -8,6 +8,7 @@
 mod failure;
 mod fixture;
 mod fleet;
+mod plain_calls;
 mod pool;
 mod prefill;
 mod prompt_parts;
