Lost voters are removed, so that a group outlives the replacement of all its machines

Cause: a group of five that aims at nine voters made each successor of a machine that is gone a voter beside its predecessor, and removed a lost voter only in exchange for a learner in a group of nine. After four replacements five of nine voters live; the fifth leaves no majority, for good.

Ruled out: finding the fleet (the successors had joined and were voters), the time until a replica counts as lost alone (with 300 ms in the test the old rule still never removes one).

--- a/crates/jaylock-control/src/members.rs
+++ b/crates/jaylock-control/src/members.rs
@@ -75,21 +75,31 @@
         .peers
         .iter()
         .find(|p| is_caught_up(shared, &core, p, now));
-    let voters = core.voters().count();
-    match (learner, lost) {
-        // The lost replica is removed before the learner votes, so that the majority doesn't grow.
-        (Some(_), Some(lost)) if voters >= shared.settings.voters => {
-            Some(Body::RemoveMember(lost.member.instance.clone()))
-        }
-        (Some(learner), _) => Some(Body::PutMember(Member {
+    // The lost replica is removed before the learner votes, so that the majority doesn't grow.
+    if let Some(lost) = lost
+        && (learner.is_some() || may_remove(shared, &core, lost))
+    {
+        return Some(Body::RemoveMember(lost.member.instance.clone()));
+    }
+    learner.map(|learner| {
+        Body::PutMember(Member {
             voter: true,
             ..learner.member.clone()
-        })),
-        (None, Some(lost)) if !is_voter(&core, lost) => {
-            Some(Body::RemoveMember(lost.member.instance.clone()))
-        }
-        _ => None,
-    }
+        })
+    })
+}
+
+/// Whether the group loses nothing without a lost replica that nothing replaces.
+///
+/// A lost voter counts for the majority without being part of it, so the group is safer without it. But with too few
+/// voters, the tolerated losses could take all the disks that hold a change.
+fn may_remove(shared: &Shared, core: &Core, lost: &Progress) -> bool {
+    !is_voter(core, lost) || core.voters().count() > min_voters(shared.settings.tolerated_losses)
+}
+
+/// The fewest voters of which so many may be lost while a majority remains.
+fn min_voters(tolerated_losses: usize) -> usize {
+    2 * tolerated_losses.max(1) + 1
 }
 
 fn time_since_contact(progress: &Progress, since: Instant, now: Instant) -> std::time::Duration {
--- a/crates/jaylock-control/src/settings.rs
+++ b/crates/jaylock-control/src/settings.rs
@@ -21,6 +21,8 @@
     pub reply_timeout: Duration,
     /// Number of voting replicas that the group maintains.
     pub voters: usize,
+    /// Number of replicas whose disks may be lost at the same time.
+    pub tolerated_losses: usize,
     /// Time without contact after which a replica is replaced by one on a spare instance.
     pub replace_after: Duration,
     /// How long the lease of an instance is valid after its renewal was sent.
@@ -42,6 +44,7 @@
             leader_lease: Duration::from_millis(400),
             reply_timeout: Duration::from_millis(400),
             voters: 3,
+            tolerated_losses: 1,
             replace_after: Duration::from_secs(30),
             instance_lease: Duration::from_secs(3),
             snapshot_entries: 4096,
--- a/crates/jaylock-daemon/src/context.rs
+++ b/crates/jaylock-daemon/src/context.rs
@@ -220,6 +220,7 @@
             // The leader's lease must end before another leader may be elected.
             leader_lease: control.election * 4 / 5,
             voters: control.replicas.len().max(control.voters),
+            tolerated_losses: control.tolerated_losses,
             replace_after: control.replace_after,
             instance_lease: control.lease,
             snapshot_entries: control.snapshot_entries,
--- a/crates/jaylock-settings/src/control.rs
+++ b/crates/jaylock-settings/src/control.rs
@@ -27,6 +27,8 @@
     pub election: Duration,
     /// Duration of an instance's lease after its last renewal.
     pub lease: Duration,
+    /// Number of replicas whose disks may be lost at the same time; the group keeps enough voters for it.
+    pub tolerated_losses: usize,
     /// How long a replica may be unreachable before a spare instance replaces it.
     pub replace_after: Duration,
     /// Number of log entries after which a snapshot is taken.
@@ -41,6 +43,7 @@
             seed_port: None,
             first_start: false,
             voters: 3,
+            tolerated_losses: 1,
             heartbeat: Duration::from_millis(100),
             election: Duration::from_millis(500),
             lease: Duration::from_secs(3),
@@ -78,6 +81,9 @@
             parsed(v).map(|flag| s.first_start = flag)
         }),
         Key::optional("voters", COUNT, |s, v| count(v).map(|n| s.voters = n)),
+        Key::optional("tolerated_losses", NUMBER, |s, v| {
+            parsed(v).map(|n| s.tolerated_losses = n)
+        }),
         Key::optional("heartbeat", DURATION, |s, v| {
             duration(v).map(|d| s.heartbeat = d)
         }),
@@ -151,6 +157,9 @@
 /// Form of a port, for errors.
 const PORT: &str = "a port from 1 to 65535";
 
+/// Form of a number that may be zero, for errors.
+const NUMBER: &str = "an integer of at least 0";
+
 /// Form of a flag, for errors.
 const FLAG: &str = "true or false";
 
--- a/crates/jaylock-tests/tests/control/failures.rs
+++ b/crates/jaylock-tests/tests/control/failures.rs
@@ -13,17 +13,17 @@
 use crate::commands::create_organisation;
 use crate::group::Group;
 
-fn is_voter(configuration: &Configuration, instance: &str) -> bool {
+pub fn is_voter(configuration: &Configuration, instance: &str) -> bool {
     let voters = configuration.members.iter().filter(|m| m.voter);
     voters.into_iter().any(|m| m.instance == instance)
 }
 
-fn voters(configuration: &Configuration) -> usize {
+pub fn voters(configuration: &Configuration) -> usize {
     configuration.members.iter().filter(|m| m.voter).count()
 }
 
 /// Renews the leases of the instances on all running machines.
-async fn renew_leases(group: &Group) {
+pub async fn renew_leases(group: &Group) {
     loop {
         for machine in group.machines() {
             if machine.replica().is_none() || machine.is_isolated.get() {
@@ -46,7 +46,7 @@
 }
 
 /// Runs a test while every running machine renews its lease.
-async fn while_renewing_leases(group: &Group, test: impl Future<Output = ()>) {
+pub async fn while_renewing_leases(group: &Group, test: impl Future<Output = ()>) {
     futures_util::future::select(std::pin::pin!(renew_leases(group)), std::pin::pin!(test)).await;
 }
 
--- a/crates/jaylock-tests/tests/control/fault_schedules.rs
+++ b/crates/jaylock-tests/tests/control/fault_schedules.rs
@@ -17,7 +17,10 @@
 use crate::group::{Group, TIMEOUT};
 use crate::history::History;
 
+/// Machines that are there at the same time.
 const MACHINES: usize = 4;
+/// Machines that are there one after the other, so that each can be replaced twice.
+const ALL_MACHINES: usize = 12;
 const REPLICAS: usize = 3;
 const POOL: &str = "pool";
 /// Number of calls that must succeed after all faults are repaired.
@@ -31,6 +34,8 @@
     Suspend,
     Repair,
     Wipe,
+    /// Removes the machine for good and adds an empty one at another address.
+    Replace,
     StepDown,
     SuspendInstance,
 }
@@ -46,6 +51,7 @@
         2 => Just(Fault::Suspend),
         4 => Just(Fault::Repair),
         1 => Just(Fault::Wipe),
+        2 => Just(Fault::Replace),
         1 => Just(Fault::StepDown),
         2 => Just(Fault::SuspendInstance),
     ];
@@ -57,6 +63,9 @@
     group: Group,
     history: History,
     instances: Vec<FollowerState>,
+    // Machines that are there.
+    present: RefCell<Vec<usize>>,
+    // The replica that the last lost disk held or its successor holds, and the generation that is lost.
     wiped: RefCell<Option<(String, u64)>>,
     stop: Cell<bool>,
 }
@@ -74,7 +83,8 @@
             sleep(Duration::from_millis(*pause)).await;
             self.inject_fault(*at, *fault).await;
         }
-        for at in 0..MACHINES {
+        let present = self.present.borrow().clone();
+        for at in present {
             self.repair(at).await;
         }
         self.recover().await;
@@ -97,7 +107,8 @@
         }
     }
 
-    async fn inject_fault(&self, at: usize, fault: Fault) {
+    async fn inject_fault(&self, position: usize, fault: Fault) {
+        let at = self.present.borrow()[position];
         let machine = self.group.machine(at);
         match fault {
             Fault::Kill => machine.kill(),
@@ -105,7 +116,8 @@
             Fault::Isolate => machine.is_isolated.set(true),
             Fault::Suspend => machine.disk.is_suspended.set(true),
             Fault::Repair => self.repair(at).await,
-            Fault::Wipe => self.wipe(at).await,
+            Fault::Wipe => self.lose_disk(position, false).await,
+            Fault::Replace => self.lose_disk(position, true).await,
             Fault::SuspendInstance => {
                 let is_suspended = &self.instances[at].is_suspended;
                 is_suspended.set(!is_suspended.get());
@@ -126,36 +138,54 @@
         self.group.start(at).await.expect("a replica");
     }
 
-    /// Wipes a disk if the previous wipe is repaired, as two lost disks may lose a majority.
-    async fn wipe(&self, at: usize) {
-        for other in 0..MACHINES {
+    /// Loses a disk if the previous loss is repaired, as two lost disks may lose a majority.
+    async fn lose_disk(&self, position: usize, is_replaced: bool) {
+        for other in 0..ALL_MACHINES {
             if let Some(configuration) = self.group.read_from(other).await {
-                return self.wipe_if_repaired(at, &configuration).await;
+                if self.is_repaired(&configuration) {
+                    self.wipe(position, is_replaced, &configuration).await;
+                }
+                return;
             }
         }
     }
 
-    async fn wipe_if_repaired(&self, at: usize, configuration: &Configuration) {
+    fn is_repaired(&self, configuration: &Configuration) -> bool {
         let voters = configuration.members.iter().filter(|m| m.voter);
-        let is_repaired = match &*self.wiped.borrow() {
+        let is_back = match &*self.wiped.borrow() {
             Some((name, old)) => {
                 let has_new_generation =
-                    |m: &&jaylock_rpc::v1::Member| m.instance == *name && m.generation != *old;
-                voters.clone().any(|m| has_new_generation(&m))
+                    |m: &jaylock_rpc::v1::Member| m.instance == *name && m.generation != *old;
+                voters.clone().any(has_new_generation)
             }
             None => true,
         };
+        is_back && voters.count() == REPLICAS
+    }
+
+    async fn wipe(&self, position: usize, is_replaced: bool, configuration: &Configuration) {
+        let at = self.present.borrow()[position];
         let machine = self.group.machine(at);
         let name = &machine.member.instance;
-        let Some(member) = voters.clone().find(|m| m.instance == *name) else {
+        let mut voters = configuration.members.iter().filter(|m| m.voter);
+        let Some(member) = voters.find(|m| m.instance == *name) else {
             return;
         };
-        if is_repaired && voters.count() == REPLICAS {
+        if !is_replaced {
             *self.wiped.borrow_mut() = Some((name.clone(), member.generation));
             machine.kill();
             machine.disk.wipe();
             self.group.start(at).await.expect("a replica");
+            return;
         }
+        let successor = self.present.borrow().iter().max().expect("a machine") + 1;
+        if successor == ALL_MACHINES {
+            return;
+        }
+        *self.wiped.borrow_mut() = Some((self.group.machine(successor).member.instance.clone(), 0));
+        machine.remove();
+        self.present.borrow_mut()[position] = successor;
+        self.group.add(successor).await;
     }
 
     async fn write(&self, name: &str) {
@@ -182,7 +212,7 @@
     /// Reads from one machine after another, so that a stale leader is read too.
     async fn read(&self) {
         while !self.stop.get() {
-            for at in 0..MACHINES {
+            for at in 0..ALL_MACHINES {
                 let start = self.history.tick();
                 if let Some(configuration) = self.group.read_from(at).await {
                     self.history.record_read(start, &configuration);
@@ -199,7 +229,7 @@
                 return;
             }
             sleep(Duration::from_millis(10)).await;
-            let Some(replica) = self.group.machine(turn % MACHINES).replica() else {
+            let Some(replica) = self.group.machine(turn % ALL_MACHINES).replica() else {
                 continue;
             };
             let index = follower.view.index().0;
@@ -243,10 +273,11 @@
         };
         while !self.stop.get() {
             sleep(Duration::from_millis(20)).await;
-            if self.instances[at].is_suspended.get() {
+            let is_absent = self.group.machine(at).is_absent.get();
+            if is_absent || self.instances[at].is_suspended.get() {
                 continue;
             }
-            for machine in 0..MACHINES {
+            for machine in 0..ALL_MACHINES {
                 let sent = Instant::now();
                 let renewed = self.group.renew_at(machine, &instance, &[POOL]).await;
                 if let Some(reply) = renewed {
@@ -291,7 +322,7 @@
                         .get()
                         .is_some_and(|end| Instant::now() < end)
             };
-            let holders: Vec<usize> = (0..MACHINES).filter(holds_pool).collect();
+            let holders: Vec<usize> = (0..ALL_MACHINES).filter(holds_pool).collect();
             if holders.len() > 1 {
                 self.history.add_violation(format!(
                     "instances {holders:?} hold the pool at the same time"
@@ -302,8 +333,8 @@
     }
 
     async fn run(&self, steps: &[Step]) {
-        let followers = (0..MACHINES).map(|at| self.follow(at));
-        let renewals = (0..MACHINES).map(|at| self.renew(at));
+        let followers = (0..ALL_MACHINES).map(|at| self.follow(at));
+        let renewals = (0..ALL_MACHINES).map(|at| self.renew(at));
         futures_util::join!(
             self.inject_faults(steps),
             self.check_exclusivity(),
@@ -318,12 +349,18 @@
 }
 
 async fn violations(steps: &[Step]) -> Vec<String> {
-    let mut group = Group::new(MACHINES, REPLICAS).await;
+    let mut group = Group::absent(ALL_MACHINES, REPLICAS);
     group.settings.snapshot_entries = 60;
+    for at in 0..MACHINES {
+        group.add(at).await;
+    }
     let run = Run {
         group,
         history: History::default(),
-        instances: (0..MACHINES).map(|_| FollowerState::default()).collect(),
+        instances: (0..ALL_MACHINES)
+            .map(|_| FollowerState::default())
+            .collect(),
+        present: RefCell::new((0..MACHINES).collect()),
         wiped: RefCell::default(),
         stop: Cell::new(false),
     };
@@ -378,10 +415,16 @@
         }
     };
     stays_consistent_under_kills_and_lost_disks => {
-        check_schedules(6, |fault| !matches!(fault, Fault::Isolate | Fault::Suspend | Fault::SuspendInstance));
+        check_schedules(6, |fault| !matches!(
+            fault,
+            Fault::Isolate | Fault::Suspend | Fault::SuspendInstance | Fault::Replace
+        ));
     };
     stays_consistent_under_isolation_and_suspensions => {
-        check_schedules(6, |fault| !matches!(fault, Fault::Kill | Fault::Wipe));
+        check_schedules(6, |fault| !matches!(fault, Fault::Kill | Fault::Wipe | Fault::Replace));
+    };
+    stays_consistent_while_machines_are_replaced => {
+        check_schedules(8, |fault| !matches!(fault, Fault::Wipe | Fault::SuspendInstance));
     };
     stays_consistent_under_all_faults => {
         check_schedules(8, |_| true);
--- a/crates/jaylock-tests/tests/control/group.rs
+++ b/crates/jaylock-tests/tests/control/group.rs
@@ -37,6 +37,8 @@
     running: RefCell<Option<RunningReplica>>,
     /// Whether messages to and from the machine are lost.
     pub is_isolated: Cell<bool>,
+    /// Whether the machine is gone for good or not there yet, so that it can't be started.
+    pub is_absent: Cell<bool>,
 }
 
 struct RunningReplica {
@@ -60,6 +62,13 @@
         self.running.take();
     }
 
+    /// Removes the machine and its disk for good.
+    pub fn remove(&self) {
+        self.kill();
+        self.disk.wipe();
+        self.is_absent.set(true);
+    }
+
     /// Waits while the machine is suspended, and forever if it is isolated; fails if it is down.
     async fn reach(&self) -> Result<Replica, Status> {
         compio::time::sleep(Duration::from_micros(rand::random_range(20..800))).await;
@@ -138,6 +147,15 @@
 impl Group {
     /// Starts `size` machines, the first `replicas` of which form a group.
     pub async fn new(size: usize, replicas: usize) -> Self {
+        let group = Self::absent(size, replicas);
+        for at in 0..size {
+            group.add(at).await;
+        }
+        group
+    }
+
+    /// Creates machines that are not there yet, the first `replicas` of which will form a group.
+    pub fn absent(size: usize, replicas: usize) -> Self {
         let machine = |at: usize| Machine {
             member: Member {
                 instance: format!("r{at}"),
@@ -148,10 +166,11 @@
             disk: Rc::default(),
             running: RefCell::default(),
             is_isolated: Cell::default(),
+            is_absent: Cell::new(true),
         };
         let machines: Vec<Machine> = (0..size).map(machine).collect();
         let first = machines.iter().take(replicas);
-        let group = Self {
+        Self {
             bootstrap: first.map(|m| m.member.clone()).collect(),
             machines: Rc::new(machines),
             settings: ReplicaSettings {
@@ -161,11 +180,13 @@
                 retained_entries: 10,
                 ..settings()
             },
-        };
-        for at in 0..size {
-            group.start(at).await.expect("a replica");
         }
-        group
+    }
+
+    /// Adds a machine with an empty disk and starts its process.
+    pub async fn add(&self, at: usize) {
+        self.machines[at].is_absent.set(false);
+        self.start(at).await.expect("a replica");
     }
 
     pub fn machine(&self, at: usize) -> &Machine {
@@ -179,7 +200,7 @@
     /// Starts the process of a machine unless it is running.
     pub async fn start(&self, at: usize) -> jaylock_control::Result<()> {
         let machine = &self.machines[at];
-        if machine.replica().is_some() {
+        if machine.replica().is_some() || machine.is_absent.get() {
             return Ok(());
         }
         let transport = MemoryTransport {
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -12,3 +12,4 @@
 mod history;
 mod invariants;
 mod nodes;
+mod replacements;
