A router without processor time refuses what it can't serve in time

Cause: callers of one organisation bring 500 requests a second to one router with 0.12 of a core. The pool has room, so nearly all are granted; a stream costs some 2 ms, so 60 a second are possible. The router began all of them: each event and each new request waited for seconds, callers left and came again, and connections piled up to their bound (the others were refused without an answer).

Ruled out: the lists of addresses (a trial that left this router out of all lists changed nothing), the scheduler (0.08 of a core), descriptors and memory (they follow from the waiting requests).

Change: overload::OverloadGuard limits the requests in progress while the event loop is late: on a rising delay the limit falls, on a short one it grows slowly and ends. Only organisations above their max-min share of it are refused, before their body is read, with a time to return; connections end with their responses meanwhile.

Test, seen failing with the guard off: router overload, a router of 0.12 of a core under 300 requests a second of one organisation, in virtual time.

Conclusion: callers at other organisations are served; what the flood itself gets is bound by the processor for events.

--- a/crates/jaylock-router/src/api.rs
+++ b/crates/jaylock-router/src/api.rs
@@ -32,6 +32,10 @@
         outcome.unwrap_or_else(|error| error.to_response(&id))
     }
 
+    fn is_overloaded(&self) -> bool {
+        self.context.overload.is_overloaded()
+    }
+
     fn cancelled_response(&self) -> Response<Body> {
         ErrorResponse::cancelled().to_response(&RequestId::random())
     }
@@ -81,6 +85,7 @@
 pub async fn run_maintenance(context: Rc<Context>) {
     let background_context = context.clone();
     let _worker = compio::runtime::spawn(async move { background_context.background.run().await });
+    let _guard = compio::runtime::spawn(context.overload.clone().run());
     loop {
         compio::time::sleep(PRUNE_INTERVAL).await;
         context.connections.prune(context.settings.max_idle);
--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -13,6 +13,7 @@
 use crate::body;
 use crate::context::Context;
 use crate::memory::BodyReservation;
+use crate::overload::{self, RequestPermit};
 use crate::quarantine::{self, Fingerprint};
 use crate::response::ErrorResponse;
 use crate::tracker::RequestTracker;
@@ -42,6 +43,8 @@
     /// Identifies the request if it crashes backend servers.
     pub fingerprint: Fingerprint,
     _reservation: BodyReservation,
+    /// Place among the requests in progress until the request has ended.
+    _permit: RequestPermit,
 }
 
 impl Call {
@@ -61,6 +64,8 @@
         // Memory for a body of unknown length is reserved after reading it.
         let announced = incoming.size_hint().exact().unwrap_or(0);
         let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+        let permit = context.overload.admit(&organisation);
+        let permit = permit.ok_or_else(|| overloaded(context))?;
         let mut reservation = reserve_body(context, &organisation, announced)?;
         let deadline = arrived_at + timeout;
         let reading = read(context, incoming);
@@ -80,6 +85,7 @@
             body,
             fingerprint,
             _reservation: reservation,
+            _permit: permit,
         };
         quarantine::check(context, &call.fingerprint, &call.request)?;
         Ok(call)
@@ -175,6 +181,18 @@
         .with_routers(address::others(context))
 }
 
+/// Error for a request that did not run because this instance has no processor time for it.
+fn overloaded(context: &Context) -> ErrorResponse {
+    ErrorResponse::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "router-overloaded",
+        "this instance has more requests in progress than it can serve in time",
+        "ask one of the other addresses",
+    )
+    .with_retry_after(overload::retry_delay())
+    .with_routers(address::others(context))
+}
+
 /// Reserves memory for a body, up to the maximum size of one body.
 fn reserve_body(
     context: &Context,
--- a/crates/jaylock-router/src/connection.rs
+++ b/crates/jaylock-router/src/connection.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use compact_str::format_compact;
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -16,6 +15,7 @@
 
 use crate::bounded_head::{BoundedHead, HeadBudget};
 use crate::error::AttemptError;
+use crate::socket::{self, SocketStream};
 
 /// Maximum number of idle connections per address.
 const MAX_IDLE_CONNECTIONS: usize = 16;
@@ -58,12 +58,12 @@
     /// # Errors
     /// No connection could be opened within `timeout`.
     pub async fn open(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
-        let connected = compio::time::timeout(timeout, TcpStream::connect(address)).await;
+        let connected = compio::time::timeout(timeout, socket::connect(address)).await;
         let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         enable_keepalive(&stream, ACKNOWLEDGE_TIMEOUT)?;
         let head_budget = HeadBudget::default();
-        let io = BoundedHead::new(HyperStream::new_plain(stream.clone()), head_budget.clone());
+        let io = BoundedHead::new(SocketStream::new(stream.clone()), head_budget.clone());
         let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
         compio::runtime::spawn(async move {
             if let Err(error) = connection.await {
@@ -157,7 +157,7 @@
 /// Opens a connection to an address after a moment, in which a crashing process may still accept connections.
 pub async fn probe(address: SocketAddr, timeout: Duration) -> Probe {
     compio::time::sleep(PROBE_DELAY).await;
-    match compio::time::timeout(timeout, TcpStream::connect(address)).await {
+    match compio::time::timeout(timeout, socket::connect(address)).await {
         Ok(Ok(_)) => Probe::Accepted,
         Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Probe::Refused,
         Ok(Err(_)) | Err(_) => Probe::Silent,
--- a/crates/jaylock-router/src/context.rs
+++ b/crates/jaylock-router/src/context.rs
@@ -10,6 +10,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::memory::BodyMemory;
 use crate::organisation::Organisations;
+use crate::overload::OverloadGuard;
 use crate::port::{CommandLog, Schedulers};
 use crate::settings::{RouterIdentity, RouterSettings};
 
@@ -37,6 +38,8 @@
     pub backends: Backends,
     /// Memory budget for the bodies of requests.
     pub memory: BodyMemory,
+    /// Limit on the requests in progress while the processor is overloaded.
+    pub overload: OverloadGuard,
     /// Retry budget of each organisation.
     pub budget: RetryBudget,
     /// Progress of a graceful shutdown.
--- /dev/null
+++ b/crates/jaylock-router/src/overload.rs
@@ -0,0 +1,202 @@
+//! Keeps a router responsive when callers bring more work than its processor can do.
+//!
+//! The load that this answers: the callers of one organisation, or of a whole failure domain, all connect to one router.
+//! Without a limit, all their requests are begun, each gets a sliver of the processor, and all of them are late.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use jaylock_types::OrganisationId;
+
+/// Time between two measurements of the delay of the event loop.
+const MEASURE_INTERVAL: Duration = Duration::from_millis(10);
+/// Time over which the delay is averaged, so that a pause of the whole process doesn't count as overload.
+const AVERAGE_TIME: Duration = Duration::from_millis(200);
+/// Longest delay that is counted, as a process that was suspended is not overloaded.
+const MAX_MEASURED_DELAY: Duration = Duration::from_millis(200);
+/// Time between two changes of the limit, in which requests can end.
+const ADJUST_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay of the event loop from which the limit falls. A request passes the loop several times before it is sent on.
+const MAX_DELAY: Duration = Duration::from_millis(25);
+/// Factor by which the limit falls.
+const DECREASE: f64 = 0.85;
+/// Factor by which the limit grows while the delay is short.
+const INCREASE: f64 = 1.05;
+/// The fewest requests that are in progress before any is refused.
+const MIN_LIMIT: f64 = 16.0;
+/// The limit ends once it is so many times the requests in progress.
+const END_FACTOR: f64 = 2.0;
+
+/// Shortest delay after which a refused caller should return. Another router can serve it at once.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Longest such delay; callers who return at different times don't meet again.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Limits the requests in progress while the event loop is late; clones share the state.
+///
+/// Only organisations with more than their max-min share of the limit are refused.
+#[derive(Debug, Clone, Default)]
+pub struct OverloadGuard(Rc<RefCell<State>>);
+
+#[derive(Debug, Default)]
+struct State {
+    // Requests in progress of each organisation, sorted by identifier.
+    in_progress: Vec<(OrganisationId, usize)>,
+    total: usize,
+    // Mean delay of the event loop, in seconds.
+    delay: f64,
+    // Requests that may be in progress; unset while the delay is short.
+    limit: Option<f64>,
+    adjusted_at: Option<Instant>,
+    // Delay when the limit was last adjusted.
+    adjusted_delay: f64,
+    refused: u64,
+}
+
+/// A request in progress, until it is dropped.
+#[derive(Debug)]
+pub struct RequestPermit {
+    guard: OverloadGuard,
+    organisation: OrganisationId,
+}
+
+impl OverloadGuard {
+    /// Measures the delay of the event loop until the future is dropped.
+    pub async fn run(self) {
+        loop {
+            let due = Instant::now() + MEASURE_INTERVAL;
+            compio::time::sleep_until(due).await;
+            let now = Instant::now();
+            self.record_delay(now.saturating_duration_since(due), now);
+        }
+    }
+
+    /// Admits a request; `None` if it is to be refused.
+    #[must_use]
+    pub fn admit(&self, organisation: &OrganisationId) -> Option<RequestPermit> {
+        let mut state = self.0.borrow_mut();
+        if !state.has_room(organisation) {
+            state.refused += 1;
+            return None;
+        }
+        state.total += 1;
+        match state.search(organisation) {
+            Ok(index) => state.in_progress[index].1 += 1,
+            Err(index) => state.in_progress.insert(index, (organisation.clone(), 1)),
+        }
+        Some(RequestPermit {
+            guard: self.clone(),
+            organisation: organisation.clone(),
+        })
+    }
+
+    /// Whether requests are refused, so that connections should end for callers to choose other routers.
+    #[must_use]
+    pub fn is_overloaded(&self) -> bool {
+        let state = self.0.borrow();
+        state
+            .limit
+            .is_some_and(|limit| to_f64(state.total) >= limit)
+    }
+
+    /// Adds a measured delay of the event loop and adjusts the limit.
+    pub fn record_delay(&self, delay: Duration, now: Instant) {
+        let mut state = self.0.borrow_mut();
+        let delay = delay.min(MAX_MEASURED_DELAY);
+        let span = MEASURE_INTERVAL + delay;
+        let weight = (span.as_secs_f64() / AVERAGE_TIME.as_secs_f64()).min(1.0);
+        state.delay += (delay.as_secs_f64() - state.delay) * weight;
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= ADJUST_INTERVAL;
+        if state.adjusted_at.is_none_or(is_due) {
+            state.adjusted_at = Some(now);
+            state.adjust();
+        }
+    }
+}
+
+impl State {
+    fn has_room(&self, organisation: &OrganisationId) -> bool {
+        let Some(limit) = self.limit else {
+            return true;
+        };
+        let search = self.search(organisation);
+        let own = search.map_or(0, |index| self.in_progress[index].1);
+        to_f64(self.total) < limit || to_f64(own) < self.max_min_share(limit)
+    }
+
+    /// Requests that an organisation may have in progress while the others leave so much of the limit.
+    fn max_min_share(&self, limit: f64) -> f64 {
+        let mut counts: Vec<usize> = self.in_progress.iter().map(|(_, count)| *count).collect();
+        counts.sort_unstable();
+        let mut left = limit;
+        for (index, count) in counts.iter().enumerate() {
+            let share = left / to_f64(counts.len() - index);
+            if to_f64(*count) >= share {
+                return share;
+            }
+            left -= to_f64(*count);
+        }
+        limit
+    }
+
+    fn adjust(&mut self) {
+        let total = to_f64(self.total);
+        if self.delay > MAX_DELAY.as_secs_f64() {
+            if self.limit.is_none() {
+                log::warn!(
+                    target: "router",
+                    in_progress = self.total, delay_ms = self.delay * 1e3;
+                    "the processor is overloaded: requests are refused"
+                );
+            }
+            let is_rising = self.delay >= self.adjusted_delay;
+            let limit = self.limit.map_or(total, |limit| limit.min(total));
+            if is_rising || self.limit.is_none() {
+                self.limit = Some((limit * DECREASE).max(MIN_LIMIT));
+            }
+            self.adjusted_delay = self.delay;
+            return;
+        }
+        self.adjusted_delay = self.delay;
+        let Some(limit) = self.limit else { return };
+        let grown = limit * INCREASE + 1.0;
+        self.limit = (grown < total.max(MIN_LIMIT) * END_FACTOR).then_some(grown);
+        if self.limit.is_none() {
+            let refused = std::mem::take(&mut self.refused);
+            log::info!(
+                target: "router",
+                in_progress = self.total, refused = refused;
+                "the processor is no longer overloaded"
+            );
+        }
+    }
+
+    fn search(&self, organisation: &OrganisationId) -> Result<usize, usize> {
+        self.in_progress
+            .binary_search_by(|(id, _)| id.cmp(organisation))
+    }
+}
+
+impl Drop for RequestPermit {
+    fn drop(&mut self) {
+        let mut state = self.guard.0.borrow_mut();
+        state.total -= 1;
+        if let Ok(index) = state.search(&self.organisation) {
+            state.in_progress[index].1 -= 1;
+            if state.in_progress[index].1 == 0 {
+                state.in_progress.remove(index);
+            }
+        }
+    }
+}
+
+/// Delay after which a refused caller should return, spread at random.
+pub fn retry_delay() -> Duration {
+    rand::random_range(MIN_RETRY_DELAY..MAX_RETRY_DELAY)
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn to_f64(count: usize) -> f64 {
+    count as f64
+}
--- a/crates/jaylock-router/src/route/admission.rs
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -50,6 +50,8 @@
         None => Vec::new(),
     };
     let organisation = authenticated.clone().unwrap_or_else(public_organisation);
+    let permit = context.overload.admit(&organisation);
+    let permit = permit.ok_or_else(|| context.overloaded())?;
     let deadline = arrived_at + requested.unwrap_or(timeout).min(timeout);
     let reading = read_body(context, &configuration, &organisation, incoming);
     let body = context.lifecycle.wait_to_start(deadline, reading).await;
@@ -69,6 +71,7 @@
         body,
         digest,
         _reservation: reservation,
+        _permit: permit,
         prompt: Prompt::parse(&head.headers, names),
         last_event: last_event.unwrap_or(0),
         resumed,
--- a/crates/jaylock-router/src/route/context.rs
+++ b/crates/jaylock-router/src/route/context.rs
@@ -12,6 +12,7 @@
 use crate::connection::ConnectionPool;
 use crate::lifecycle::Lifecycle;
 use crate::memory::BodyMemory;
+use crate::overload::{self, OverloadGuard};
 use crate::port::Schedulers;
 use crate::response::ErrorResponse;
 
@@ -31,6 +32,8 @@
     pub budget: FleetBudget,
     /// Memory budget for the bodies of requests in progress.
     pub memory: BodyMemory,
+    /// Limit on the requests in progress while the processor is overloaded.
+    pub overload: OverloadGuard,
     /// Records metrics, logs and traces.
     pub observer: Observer,
     /// Names of the headers.
@@ -76,6 +79,13 @@
         self.unavailable("leaving", "this instance is stopping")
     }
 
+    /// Error for a request that did not run because this instance has no processor time for it.
+    pub fn overloaded(&self) -> ErrorResponse {
+        let message = "this instance has more requests in progress than it can serve in time";
+        self.unavailable("router-overloaded", message)
+            .with_retry_after(overload::retry_delay())
+    }
+
     /// Error for a request that did not run because this instance can't serve it now.
     pub fn unavailable(&self, kind: &'static str, message: &'static str) -> ErrorResponse {
         ErrorResponse::new(
--- a/crates/jaylock-router/src/route/mod.rs
+++ b/crates/jaylock-router/src/route/mod.rs
@@ -57,6 +57,10 @@
         outcome.unwrap_or_else(|error| response::error_response(&error))
     }
 
+    fn is_overloaded(&self) -> bool {
+        self.context.overload.is_overloaded()
+    }
+
     fn cancelled_response(&self) -> Response<Body> {
         response::error_response(&ErrorResponse::cancelled())
     }
--- a/crates/jaylock-router/src/route/request.rs
+++ b/crates/jaylock-router/src/route/request.rs
@@ -10,6 +10,7 @@
 
 use super::prompt::Prompt;
 use crate::memory::BodyReservation;
+use crate::overload::RequestPermit;
 
 /// Shortest time without a response head after which a prompt is sent to another engine.
 const MIN_PROMPT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -46,6 +47,8 @@
     pub digest: u64,
     /// Memory reserved for the body until the request has ended.
     pub _reservation: BodyReservation,
+    /// Place among the requests in progress until the request has ended.
+    pub _permit: RequestPermit,
     /// Description of the prompt, if the caller sent one.
     pub prompt: Option<Prompt>,
     /// Number of the last event that the caller received before.
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -13,6 +13,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::memory::BodyMemory;
 use crate::organisation::Organisations;
+use crate::overload::OverloadGuard;
 use crate::port::{CommandLog, Schedulers};
 use crate::route::{RouteContext, RouteHandler, RouteHeaders};
 use crate::server::{self, ServerLimits};
@@ -50,6 +51,7 @@
             organisations: Organisations::default(),
             backends: Backends::default(),
             memory,
+            overload: OverloadGuard::default(),
             budget,
             lifecycle: Rc::default(),
             background: Background::default(),
@@ -141,6 +143,7 @@
             connections: context.connections.clone(),
             budget: context.settings.route_budget(),
             memory: context.memory.clone(),
+            overload: context.overload.clone(),
             observer: context.observer.clone(),
             names,
             limits: context.settings.route_limits(),
--- a/crates/jaylock-router/src/server.rs
+++ b/crates/jaylock-router/src/server.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use futures_util::future::{Either, select};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -18,6 +18,7 @@
 use crate::head_validator::ValidatedStream;
 use crate::lifecycle::Lifecycle;
 use crate::response::set_header;
+use crate::socket::SocketStream;
 
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -50,6 +51,11 @@
     /// Responds to a request; dropping the future cancels the work.
     fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Response<Body>>;
 
+    /// Whether connections close after each response, so that callers choose other instances.
+    fn is_overloaded(&self) -> bool {
+        false
+    }
+
     /// Responds to a request whose work was cancelled because the instance stops.
     fn cancelled_response(&self) -> Response<Body>;
 }
@@ -119,7 +125,7 @@
             let server = server.clone();
             async move { Ok::<_, Infallible>(server.respond(request).await) }
         });
-        let stream = ValidatedStream::new(HyperStream::new_plain(stream), max_head_bytes);
+        let stream = ValidatedStream::new(SocketStream::new(stream), max_head_bytes);
         let mut connection = pin!(builder.serve_connection(stream, service));
         if self.lifecycle.closed.is_set() {
             // One request is refused, and the response closes the connection.
@@ -143,7 +149,8 @@
             Either::Left((response, cancelled)) => (response, Some(cancelled)),
             Either::Right(_) => (self.handler.cancelled_response(), None),
         };
-        if self.lifecycle.is_shutting_down() || self.is_crowded() {
+        let is_overloaded = self.is_crowded() || self.handler.is_overloaded();
+        if self.lifecycle.is_shutting_down() || is_overloaded {
             set_header(response.headers_mut(), "connection", "close");
         }
         response.map(|body| ResponseBody::new(body, cancelled, request_token))
--- a/crates/jaylock-tests/tests/router/main.rs
+++ b/crates/jaylock-tests/tests/router/main.rs
@@ -9,6 +9,7 @@
 mod heads;
 mod history;
 mod limits;
+mod overload;
 mod properties;
 mod quarantine;
 mod shutdown;
--- /dev/null
+++ b/crates/jaylock-tests/tests/router/overload.rs
@@ -0,0 +1,254 @@
+//! A router with a fraction of a core whose callers bring more work than it can do, in virtual time.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use jaylock_router::{OverloadGuard, RequestPermit};
+use jaylock_types::OrganisationId;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Part of a core that the router may use.
+const CPU_SHARE: f64 = 0.12;
+/// Processor time for accepting and refusing a request.
+const REFUSAL_COST: Duration = Duration::from_micros(150);
+/// Processor time for the head of a request that is admitted.
+const START_COST: Duration = Duration::from_micros(500);
+/// Processor time for one event of a stream.
+const EVENT_COST: Duration = Duration::from_micros(35);
+/// Events of a stream, and the time between two.
+const EVENTS: u32 = 40;
+const EVENT_INTERVAL: Duration = Duration::from_millis(25);
+/// Time between two measurements of the guard.
+const MEASURE_INTERVAL: Duration = Duration::from_millis(10);
+/// Step of the virtual clock.
+const STEP: Duration = Duration::from_millis(1);
+/// Requests a second of each calm organisation.
+const CALM_RATE: f64 = 2.0;
+const CALM_ORGANISATIONS: usize = 6;
+/// Objective of a request, which most of the time of its first event must leave to the backend server.
+const MAX_START_DELAY: Duration = Duration::from_millis(200);
+
+/// A piece of work that waits for the processor.
+struct Work {
+    cost: Duration,
+    queued_at: Instant,
+    kind: Kind,
+}
+
+enum Kind {
+    Arrival(usize),
+    Event {
+        organisation: usize,
+        left: u32,
+        permit: Option<RequestPermit>,
+    },
+    Measurement {
+        due: Instant,
+    },
+}
+
+/// What the callers of each organisation got; the last organisation floods.
+#[derive(Debug, Default)]
+struct Outcome {
+    admitted: Vec<usize>,
+    refused: Vec<usize>,
+    // Delays from arrival to admission, and of events.
+    start_delays: Vec<Duration>,
+    event_delays: Vec<Duration>,
+    most_in_progress: usize,
+}
+
+/// A router and its callers.
+struct Play {
+    guard: OverloadGuard,
+    is_guarded: bool,
+    rng: SmallRng,
+    now: Instant,
+    /// What waits for the processor, in the order of arrival.
+    queue: VecDeque<Work>,
+    timers: Vec<(Instant, Kind)>,
+    in_progress: usize,
+    /// Processor time that is left, in seconds; negative after long work.
+    budget: f64,
+    outcome: Outcome,
+}
+
+impl Play {
+    fn new(is_guarded: bool) -> Self {
+        let now = Instant::now();
+        Self {
+            guard: OverloadGuard::default(),
+            is_guarded,
+            rng: SmallRng::seed_from_u64(7),
+            now,
+            queue: VecDeque::new(),
+            timers: vec![(now, Kind::Measurement { due: now })],
+            in_progress: 0,
+            budget: 0.0,
+            outcome: Outcome {
+                admitted: vec![0; CALM_ORGANISATIONS + 1],
+                refused: vec![0; CALM_ORGANISATIONS + 1],
+                ..Outcome::default()
+            },
+        }
+    }
+
+    /// Plays twenty seconds, from the fifth of which on one organisation sends `flood` requests a second.
+    fn run(mut self, flood: f64) -> Outcome {
+        let started = self.now;
+        while self.now < started + Duration::from_secs(20) {
+            self.now += STEP;
+            for organisation in 0..CALM_ORGANISATIONS {
+                self.arrive(organisation, CALM_RATE);
+            }
+            if self.now > started + Duration::from_secs(5) {
+                self.arrive(CALM_ORGANISATIONS, flood);
+            }
+            self.wake_timers();
+            self.work();
+        }
+        self.outcome
+    }
+
+    fn arrive(&mut self, organisation: usize, rate: f64) {
+        let expected = rate * STEP.as_secs_f64();
+        if self.rng.random_bool(expected.min(1.0)) {
+            self.queue.push_back(Work {
+                cost: REFUSAL_COST,
+                queued_at: self.now,
+                kind: Kind::Arrival(organisation),
+            });
+        }
+    }
+
+    fn wake_timers(&mut self) {
+        let now = self.now;
+        let due = self.timers.extract_if(.., |(at, _)| *at <= now);
+        for (queued_at, kind) in due {
+            let is_event = matches!(kind, Kind::Event { .. });
+            let cost = if is_event { EVENT_COST } else { Duration::ZERO };
+            self.queue.push_back(Work {
+                cost,
+                queued_at,
+                kind,
+            });
+        }
+    }
+
+    /// Works until the processor time of this step is over.
+    fn work(&mut self) {
+        self.budget += STEP.as_secs_f64() * CPU_SHARE;
+        while self.budget > 0.0 {
+            let Some(work) = self.queue.pop_front() else {
+                self.budget = 0.0;
+                return;
+            };
+            self.budget -= work.cost.as_secs_f64();
+            let delay = self.now - work.queued_at;
+            match work.kind {
+                Kind::Arrival(organisation) => self.admit(organisation, delay),
+                Kind::Event {
+                    organisation,
+                    left,
+                    permit,
+                } => self.forward_event(organisation, left, permit, delay),
+                Kind::Measurement { due } => {
+                    self.guard.record_delay(self.now - due, self.now);
+                    let due = self.now + MEASURE_INTERVAL;
+                    self.timers.push((due, Kind::Measurement { due }));
+                }
+            }
+        }
+    }
+
+    fn admit(&mut self, organisation: usize, delay: Duration) {
+        let id: OrganisationId = format!("o{organisation}").parse().expect("a name");
+        let permit = self.is_guarded.then(|| self.guard.admit(&id));
+        if let Some(None) = permit {
+            self.outcome.refused[organisation] += 1;
+            return;
+        }
+        self.budget -= START_COST.as_secs_f64();
+        self.in_progress += 1;
+        let outcome = &mut self.outcome;
+        outcome.admitted[organisation] += 1;
+        outcome.most_in_progress = outcome.most_in_progress.max(self.in_progress);
+        if organisation < CALM_ORGANISATIONS {
+            outcome.start_delays.push(delay);
+        }
+        self.schedule_event(organisation, EVENTS, permit.flatten());
+    }
+
+    fn forward_event(
+        &mut self,
+        organisation: usize,
+        left: u32,
+        permit: Option<RequestPermit>,
+        delay: Duration,
+    ) {
+        if organisation < CALM_ORGANISATIONS {
+            self.outcome.event_delays.push(delay);
+        }
+        if left > 1 {
+            self.schedule_event(organisation, left - 1, permit);
+        } else {
+            self.in_progress -= 1;
+        }
+    }
+
+    fn schedule_event(&mut self, organisation: usize, left: u32, permit: Option<RequestPermit>) {
+        let event = Kind::Event {
+            organisation,
+            left,
+            permit,
+        };
+        self.timers.push((self.now + EVENT_INTERVAL, event));
+    }
+}
+
+fn p99(mut delays: Vec<Duration>) -> Duration {
+    delays.sort_unstable();
+    delays[delays.len() * 99 / 100]
+}
+
+jaylock_tests::cases! {
+    calm_organisations_are_served_in_time_beside_one_that_floods => {
+        let outcome = Play::new(true).run(300.0);
+        let calm = CALM_ORGANISATIONS;
+        expect_that!(outcome.refused[..calm].iter().sum::<usize>(), eq(0));
+        expect_that!(p99(outcome.start_delays), le(MAX_START_DELAY));
+        expect_that!(p99(outcome.event_delays), le(MAX_START_DELAY));
+        // The organisation that floods gets what is left: at least three tenths of what the processor could do alone.
+        let possible = CPU_SHARE * 15.0 / (START_COST + EVENT_COST * EVENTS).as_secs_f64();
+        #[allow(clippy::cast_precision_loss)]
+        let admitted = outcome.admitted[calm] as f64;
+        expect_that!(admitted, ge(possible * 0.3));
+        expect_that!(outcome.most_in_progress, le(200));
+    };
+
+    requests_are_late_without_the_guard => {
+        let outcome = Play::new(false).run(300.0);
+        expect_that!(p99(outcome.start_delays), gt(MAX_START_DELAY * 10));
+    };
+
+    no_request_is_refused_while_the_processor_has_time => {
+        let outcome = Play::new(true).run(20.0);
+        expect_that!(outcome.refused.iter().sum::<usize>(), eq(0));
+    };
+
+    suspended_process_refuses_no_request_a_second_later => {
+        let guard = OverloadGuard::default();
+        let organisation: OrganisationId = "bench".parse().expect("a name");
+        let permits: Vec<_> = (0..30).map(|_| guard.admit(&organisation)).collect();
+        let mut now = Instant::now();
+        guard.record_delay(Duration::from_secs(5), now);
+        for _ in 0..100 {
+            now += MEASURE_INTERVAL;
+            guard.record_delay(Duration::ZERO, now);
+        }
+        expect_that!(guard.admit(&organisation).is_some(), eq(true));
+        drop(permits);
+    };
+}
