Callers are tested while all instances with disks are replaced

The test replaces three instances with disks, one after the other, by empty ones at other addresses, under a stream each time, filings and look-ups: streams are whole, each filing that is answered 200 ran once and no other ran, nine tenths of the look-ups are served and none is blank, a removed key and a backend server that left stay gone, and the newest document is read back.

--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -27,6 +27,8 @@
     service: String,
     software: String,
     address: SocketAddr,
+    /// Where heartbeats are sent.
+    control: Mutex<SocketAddr>,
     incarnation: u64,
     sequence: AtomicU64,
     sends_heartbeats: AtomicBool,
@@ -91,6 +93,7 @@
             service: service.into(),
             software: software.into(),
             address: listener.local_addr().expect("an address"),
+            control: Mutex::new(fleet.control_address(0)),
             incarnation: 1,
             sequence: AtomicU64::new(0),
             sends_heartbeats: AtomicBool::new(true),
@@ -113,17 +116,16 @@
             id: id.into(),
             shared: shared.clone(),
         };
-        let control = fleet.control_address(0);
         wait_until("the backend server is registered", || {
             shared
-                .send_heartbeat(control, "ready")
+                .send_heartbeat(shared.control(), "ready")
                 .is_some_and(|a| a.status == 200)
         });
         thread::spawn(move || {
             while shared.sends_heartbeats.load(Ordering::Relaxed) {
                 thread::sleep(HEARTBEAT_INTERVAL);
                 if shared.sends_heartbeats.load(Ordering::Relaxed) {
-                    shared.send_heartbeat(control, "ready");
+                    shared.send_heartbeat(shared.control(), "ready");
                 }
             }
         });
@@ -146,6 +148,12 @@
         send_call(fleet.control_address(0), "DELETE", &path, "").map_or(0, |a| a.status)
     }
 
+    /// Sends further heartbeats to another instance.
+    pub fn redirect_heartbeats(&self, control: SocketAddr) {
+        let lock = self.shared.control.lock();
+        *lock.unwrap_or_else(PoisonError::into_inner) = control;
+    }
+
     /// Sends a heartbeat with a lower sequence number than the last one.
     pub fn send_late_heartbeat(&self, fleet: &TestFleet) {
         self.shared.sequence.store(0, Ordering::Relaxed);
@@ -186,6 +194,10 @@
 }
 
 impl Shared {
+    fn control(&self) -> SocketAddr {
+        *self.control.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn send_heartbeat(&self, control: SocketAddr, state: &str) -> Option<HttpResponse> {
         let Self {
             id,
--- a/crates/jaylock-tests/tests/platform/harness/mod.rs
+++ b/crates/jaylock-tests/tests/platform/harness/mod.rs
@@ -38,6 +38,8 @@
     pub lease: Duration,
     /// How long a heartbeat of a backend server is valid.
     pub backend_lease: Duration,
+    /// How long an instance with a disk may be lost before another one takes its place.
+    pub replace_after: Duration,
 }
 
 impl Default for FleetSettings {
@@ -49,6 +51,7 @@
             keep: Duration::from_secs(1),
             lease: Duration::from_secs(3),
             backend_lease: Duration::from_secs(4),
+            replace_after: Duration::from_secs(30),
         }
     }
 }
@@ -167,6 +170,19 @@
             .expect("a running process")
     }
 
+    /// Removes an instance for good and starts an empty one in its place, under another name and at other addresses.
+    pub fn replace_instance(&mut self, at: usize) {
+        self.kill(at);
+        self.lose_disk(at);
+        let name = format!("{}-successor", self.instances[at].name);
+        self.instances[at] = Instance {
+            name,
+            process: None,
+            addresses: Addresses::allocate(),
+        };
+        self.start_instance(at, false);
+    }
+
     /// Deletes the data folder of a stopped instance.
     pub fn lose_disk(&self, at: usize) {
         let data = self
@@ -251,10 +267,12 @@
             keep,
             lease,
             backend_lease,
+            replace_after,
             ..
         } = &self.settings;
-        let [stop, keep, lease, backend_lease] =
-            [stop, keep, lease, backend_lease].map(|time| format!("{}ms", time.as_millis()));
+        let [stop, keep, lease, backend_lease, replace_after] =
+            [stop, keep, lease, backend_lease, replace_after]
+                .map(|time| format!("{}ms", time.as_millis()));
         let seeds = self.instances[..self.settings.control_count].iter().take(3);
         let seeds: Vec<String> = seeds.map(|n| n.addresses.peer.to_string()).collect();
         let seeds = seeds.join(",");
@@ -269,6 +287,7 @@
             "[instance]\nid = {name}\ndomain = d{at}\npeer_address = {peer}\n\
              metrics_address = {metrics}\n{own}\n\
              [control]\nseeds = {seeds}\nfirst_start = {is_first}\nvoters = 9\nlease = {lease}\n\
+             replace_after = {replace_after}\n\
              [security]\npeer_secret = instances-of-a-test\noperator_secret = operators-of-a-test\n\
              [limits]\nbody = 4MiB\nheaders = 32KiB\n[timeouts]\nbackend = {backend_lease}\nstop = {stop}\n\
              [addresses]\nkeep = {keep}\n[log]\nlevel = debug\n[platform]\n{calls}\n"
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod lifecycle;
 mod rate_limits;
 mod refusals;
+mod replacements;
 mod requests;
 mod shutdown;
 mod software_versions;
