Address lists name different routers when there are more than they hold

Cause: a list held the first 64 routers in the order of their identifiers, the same for all callers, so that with more routers in a failure domain the others got no callers.

Change: address::select_routers, a window on a ring of routers that moves by one router in the time for which lists are kept, and begins elsewhere at each instance. All routers are named equally often, and callers keep their connections but one in 64.

Test: router addresses (191 routers, 64 in a list).

--- a/crates/jaylock-daemon/src/api.rs
+++ b/crates/jaylock-daemon/src/api.rs
@@ -6,7 +6,7 @@
 use compact_str::{CompactString, ToCompactString, format_compact};
 use futures_util::future::LocalBoxFuture;
 use jaylock_control::{ConfigView, ControlClient, Error};
-use jaylock_router::{Lifecycle, Router, new_command, routers_for};
+use jaylock_router::{Lifecycle, Router, new_command, routers_for, select_routers};
 use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::backend_report::Kind;
 use jaylock_rpc::v1::command::Body;
@@ -31,6 +31,8 @@
     pub(crate) view: ConfigView,
     pub(crate) schedulers: SchedulerClient,
     pub(crate) router: Rc<Router>,
+    /// Where the address lists of this instance begin among all routers; differs between instances.
+    pub(crate) list_offset: u64,
     /// How long callers may cache a list of addresses.
     pub(crate) address_ttl: Duration,
     /// Port to the engines' lists of cached prompt parts; when unset, no engine is queried.
@@ -123,10 +125,11 @@
         if routers.is_empty() {
             return Err(ApiError::Unavailable("no router is known yet".into()));
         }
-        let addresses = routers
-            .iter()
-            .take(max_count)
-            .map(|i| i.caller_address.clone());
+        let lists =
+            unix_ms() / u64::try_from(self.address_ttl.as_millis()).map_or(1, |ms| ms.max(1));
+        let position = self.list_offset.wrapping_add(lists);
+        let routers = select_routers(routers, max_count, position);
+        let addresses = routers.iter().map(|i| i.caller_address.clone());
         Ok(AddressList {
             addresses: addresses.collect(),
             ttl: self.address_ttl,
--- a/crates/jaylock-daemon/src/components.rs
+++ b/crates/jaylock-daemon/src/components.rs
@@ -3,7 +3,7 @@
 
 use compio::runtime::JoinHandle;
 use jaylock_control::{FollowerHandle, Replica};
-use jaylock_router::Router;
+use jaylock_router::{Router, id_hash};
 use jaylock_rpc::v1::operator_server::OperatorServer;
 use jaylock_rpc::v1::peer_server::PeerServer;
 use jaylock_rpc::{Access, Routes};
@@ -102,6 +102,7 @@
             view: self.context.view.clone(),
             schedulers: self.schedulers.clone(),
             router: self.router.clone(),
+            list_offset: id_hash(self.settings().instance.id.as_str()),
             address_ttl: self.settings().addresses.keep,
             inventory: None,
             queried_engines: Rc::default(),
--- a/crates/jaylock-router/src/address.rs
+++ b/crates/jaylock-router/src/address.rs
@@ -1,7 +1,9 @@
+use std::hash::Hasher;
+
 use http::{Response, StatusCode};
 use jaylock_observe::RunStatus;
 use jaylock_rpc::v1::{Configuration, Instance};
-use jaylock_types::RequestId;
+use jaylock_types::{Fnv, RequestId};
 use serde::Serialize;
 
 use crate::body::Body;
@@ -35,6 +37,35 @@
     routers
 }
 
+/// Chooses at most `max_count` of the routers: those after `position` on a ring in the order of their hashes.
+///
+/// The load that this answers: more routers than a list holds. Lists of different positions spread callers over all
+/// routers, and with the next position only one router of a list changes, so that callers keep their connections.
+#[must_use]
+pub fn select_routers(
+    mut routers: Vec<&Instance>,
+    max_count: usize,
+    position: u64,
+) -> Vec<&Instance> {
+    if routers.is_empty() {
+        return routers;
+    }
+    routers.sort_by_cached_key(|router| id_hash(&router.id));
+    let count = u64::try_from(routers.len()).unwrap_or(u64::MAX);
+    let start = usize::try_from(position % count).unwrap_or_default();
+    routers.rotate_left(start);
+    routers.truncate(max_count);
+    routers
+}
+
+/// Hash of an instance's identifier, by which the lists of different instances differ.
+#[must_use]
+pub fn id_hash(id: &str) -> u64 {
+    let mut hasher = Fnv::default();
+    hasher.write(id.as_bytes());
+    hasher.finish()
+}
+
 /// Responds with the addresses that callers may use, and for how long they may cache them.
 ///
 /// `query` may contain the caller's failure domain, as `domain=ID`.
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -43,7 +43,7 @@
 mod socket;
 mod tracker;
 
-pub use self::address::routers_for;
+pub use self::address::{id_hash, routers_for, select_routers};
 pub use self::body::{Body, Interrupted, ReadError, read as read_body};
 pub use self::budget::{FleetBudget, RetryBudget};
 pub use self::chunk::{Chunk, ChunkCheck, ChunkValidator};
--- /dev/null
+++ b/crates/jaylock-tests/tests/router/addresses.rs
@@ -0,0 +1,50 @@
+//! Lists of addresses of more routers than a list holds.
+
+use googletest::prelude::*;
+use jaylock_router::select_routers;
+use jaylock_rpc::v1::Instance;
+
+/// Addresses in a list.
+const MAX_COUNT: usize = 64;
+
+fn routers(count: usize) -> Vec<Instance> {
+    let router = |index| Instance {
+        id: format!("edge-{index}"),
+        ..Instance::default()
+    };
+    (0..count).map(router).collect()
+}
+
+fn list(routers: &[Instance], position: u64) -> Vec<&str> {
+    let selected = select_routers(routers.iter().collect(), MAX_COUNT, position);
+    selected
+        .into_iter()
+        .map(|router| router.id.as_str())
+        .collect()
+}
+
+jaylock_tests::cases! {
+    lists_of_all_positions_name_each_router_equally_often => {
+        let routers = routers(191);
+        let mut named: Vec<&str> = (0..191).flat_map(|position| list(&routers, position)).collect();
+        named.sort_unstable();
+        for names in named.chunk_by(|a, b| a == b) {
+            expect_that!(names.len(), eq(MAX_COUNT));
+        }
+        expect_that!(named.len(), eq(191 * MAX_COUNT));
+    };
+
+    next_list_keeps_all_routers_but_one => {
+        let routers = routers(191);
+        for position in 0..191 {
+            let (list, next) = (list(&routers, position), list(&routers, position + 1));
+            expect_that!(list.iter().filter(|id| next.contains(id)).count(), eq(MAX_COUNT - 1));
+        }
+    };
+
+    few_routers_are_all_named => {
+        let routers = routers(3);
+        expect_that!(list(&routers, u64::MAX).len(), eq(3));
+        expect_that!(list(&[], 5).len(), eq(0));
+    };
+}
--- a/crates/jaylock-tests/tests/router/main.rs
+++ b/crates/jaylock-tests/tests/router/main.rs
@@ -1,5 +1,6 @@
 //! Router of an instance, against fakes of its ports and scripted backend servers.
 
+mod addresses;
 mod api;
 mod backend;
 mod claims;
