A successor votes before the lost replica is removed; a free slot is granted before a refusal

Cause: a lost voter was removed before the learner was promoted, so a group of three had two voters for a moment. If one of them then lost its disk for good, the other one could commit nothing, also after the silent replica had returned. One lost disk and a replica that is down for a while are within what is promised. Change: promotion first. Test, seen failing: control replacements successor_votes_before_the_lost_replica_is_removed (2 voters, now 3).

Platform, retries_an_idempotent_request_when_a_backend_server_does_not_respond: 502 "overloaded" with free slots. Cause: a retry whose first attempt took longer than half of its objective was refused as overdue when the scheduler's tick came between its arrival and the next decision. Change: the tick decides before it refuses. Test, seen failing: share decision request_that_waited_elsewhere_is_granted_a_free_slot.

--- a/crates/jaylock-control/src/members.rs
+++ b/crates/jaylock-control/src/members.rs
@@ -75,21 +75,19 @@
         .peers
         .iter()
         .find(|p| is_caught_up(shared, &core, p, now));
-    // The lost replica is removed before the learner votes, so that the majority doesn't grow.
-    if let Some(lost) = lost
-        && (learner.is_some() || may_remove(shared, &core, lost))
-    {
-        return Some(Body::RemoveMember(lost.member.instance.clone()));
-    }
-    learner.map(|learner| {
-        Body::PutMember(Member {
+    // The learner votes before the lost replica is removed: that one may return with its disk, while another disk is
+    // lost. With the learner, those that are left then are a majority.
+    if let Some(learner) = learner {
+        return Some(Body::PutMember(Member {
             voter: true,
             ..learner.member.clone()
-        })
-    })
+        }));
+    }
+    let lost = lost.filter(|lost| may_remove(shared, &core, lost))?;
+    Some(Body::RemoveMember(lost.member.instance.clone()))
 }
 
-/// Whether the group loses nothing without a lost replica that nothing replaces.
+/// Whether the group loses nothing without a lost replica.
 ///
 /// A lost voter counts for the majority without being part of it, so the group is safer without it. But with too few
 /// voters, the tolerated losses could take all the disks that hold a change.
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -163,6 +163,8 @@
         self.refuse_unservable(now);
         self.refuse_paused(now);
         self.refuse_quarantined(now);
+        // What has waited too long elsewhere may still get a slot that is free now.
+        self.decide(now);
         self.refuse_overdue(now);
         self.resolve_waiting(now);
         self.divide();
--- a/crates/jaylock-tests/tests/control/fault_schedules.rs
+++ b/crates/jaylock-tests/tests/control/fault_schedules.rs
@@ -408,7 +408,33 @@
     (14, 0, Fault::Kill),
 ];
 
+/// A voter is replaced while another one is down, and its successor or the spare is about to vote.
+const REPLACED_WHILE_DOWN_SCHEDULE: [Step; 17] = [
+    (12, 1, Fault::Suspend),
+    (19, 0, Fault::Replace),
+    (53, 0, Fault::StepDown),
+    (18, 3, Fault::Kill),
+    (65, 2, Fault::Replace),
+    (22, 2, Fault::Repair),
+    (31, 0, Fault::Repair),
+    (60, 1, Fault::Start),
+    (131, 1, Fault::Kill),
+    (98, 1, Fault::Suspend),
+    (44, 2, Fault::Repair),
+    (109, 3, Fault::Replace),
+    (37, 2, Fault::StepDown),
+    (75, 1, Fault::Isolate),
+    (105, 3, Fault::Kill),
+    (92, 2, Fault::Kill),
+    (134, 2, Fault::Suspend),
+];
+
 jaylock_tests::cases! {
+    async group_survives_a_replacement_while_a_replica_is_down => {
+        for _ in 0..4 {
+            expect_that!(violations(&REPLACED_WHILE_DOWN_SCHEDULE).await, is_empty());
+        }
+    };
     async new_generation_receives_the_initial_members => {
         for _ in 0..4 {
             expect_that!(violations(&NEW_GENERATION_SCHEDULE).await, is_empty());
--- a/crates/jaylock-tests/tests/control/replacements.rs
+++ b/crates/jaylock-tests/tests/control/replacements.rs
@@ -97,6 +97,32 @@
         }).await;
     };
 
+    // The lost replica may return, while another disk is lost: two voters would be too few for that.
+    async successor_votes_before_the_lost_replica_is_removed => {
+        let mut group = Group::absent(4, 3);
+        group.settings.replace_after = REPLACE_AFTER;
+        for at in 0..4 {
+            group.add(at).await;
+        }
+        while_renewing_leases(&group, async {
+            let mut revision = 0;
+            commit(&group, &mut revision, 5).await;
+            let leader = group.leader().await;
+            let lost = (0..3).find(|at| *at != leader).expect("a follower");
+            group.machine(lost).is_isolated.set(true);
+            let mut fewest = 3;
+            loop {
+                compio::time::sleep(Duration::from_millis(2)).await;
+                let Some(newest) = group.read_from(leader).await else { continue };
+                fewest = fewest.min(voters(&newest));
+                if !has_member(&newest, lost) && is_voter(&newest, "r3") {
+                    break;
+                }
+            }
+            expect_that!(fewest, eq(3));
+        }).await;
+    };
+
     // With fewer replicas, the loss of as many disks as are tolerated could lose changes.
     async lost_voters_stay_members_while_the_group_would_be_too_small => {
         let group = group(5, 5, 2).await;
--- a/crates/jaylock-tests/tests/share/decision.rs
+++ b/crates/jaylock-tests/tests/share/decision.rs
@@ -6,6 +6,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::TestRunner;
 
+use crate::fixture::Fixture;
+use crate::fleet::{ask, engine_report};
 use crate::simulation::{STEP, Simulation};
 
 /// Largest cost of a request, in tokens.
@@ -54,6 +56,16 @@
 }
 
 cases! {
+    // Its first attempt took longer than its objective; slots are free.
+    request_that_waited_elsewhere_is_granted_a_free_slot => {
+        let mut fixture = Fixture::new();
+        fixture.report(engine_report("e1", 1));
+        let retry = Ask { objective_ms: 1000, waited_ms: 2000, ..ask("bench") };
+        fixture.ask([retry]);
+        let (grants, refusals) = fixture.decide_all();
+        expect_that!((grants.len(), refusals.len()), eq((1, 0)));
+    };
+
     service_gap_between_backlogged_organisations_is_bounded => {
         let inputs = (prop::collection::vec(1_u32..4, 2..9), 1_usize..13, 1_u32..9, costs());
         check(32, inputs, |(weights, engines, slots, costs)| {
