--- a/crates/jaylock-tests/tests/control/group.rs
+++ b/crates/jaylock-tests/tests/control/group.rs
@@ -357,10 +357,10 @@
                 None if machine.is_absent.get() => "absent",
                 None => "down",
             };
-            let disk = if !machine.disk.has_vote() {
-                "empty"
-            } else {
+            let disk = if machine.disk.has_vote() {
                 "kept"
+            } else {
+                "empty"
             };
             format!("{} {state}, its disk {disk}", machine.member.instance)
         });
