--- a/crates/jaylock-tests/tests/share/plain_calls.rs
+++ b/crates/jaylock-tests/tests/share/plain_calls.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use compact_str::{CompactString, ToCompactString};
+use compact_str::{CompactString, format_compact};
 use futures_channel::oneshot;
 use googletest::prelude::*;
 use jaylock_rpc::v1::{Ask, BackendReport, End, Grant, Hello, RouterFrame, SchedulerFrame};
@@ -264,17 +264,17 @@
 }
 
 fn backend_id(index: usize) -> CompactString {
-    format!("b{index}").to_compact_string()
+    format_compact!("b{index}")
 }
 
 /// Plays a load and checks that no call is refused or waits long while slots are free.
 macro_rules! serves_calls {
     ($($name:ident: $load:expr;)*) => {
         $(
-            #[googletest::test]
+            #[gtest]
             fn $name() {
                 let outcome = Fleet::new($load).run();
-                println!("{outcome:?}", outcome = Summary::of(&outcome));
+                println!("{:?}", Summary::of(&outcome));
                 expect_that!(outcome.refused_idle, eq(0));
                 expect_that!(outcome.refused * 100, le(outcome.granted));
                 expect_that!(outcome.wait_p99(), le(MAX_WAIT_P99));
