One copy of the overload error; address lists are not sorted at each look-up

The refusal of an overloaded router stood twice, word for word, beside the error that both could call. Each look-up of addresses hashed and sorted all routers, though the configuration's order serves as a ring as well.

Change: both refusals use `unavailable` with the constants of overload; select_routers only rotates and cuts; the condition stands with the others that a loss requires. All assertions are kept, and so is what a list guarantees (all routers named equally often, one changes at a time).

--- a/crates/jaylock-router/src/address.rs
+++ b/crates/jaylock-router/src/address.rs
@@ -37,7 +37,7 @@
     routers
 }
 
-/// Chooses at most `max_count` of the routers: those after `position` on a ring in the order of their hashes.
+/// Chooses at most `max_count` of the routers: those after `position` on the ring of all.
 ///
 /// The load that this answers: more routers than a list holds. Lists of different positions spread callers over all
 /// routers, and with the next position only one router of a list changes, so that callers keep their connections.
@@ -50,7 +50,6 @@
     if routers.is_empty() {
         return routers;
     }
-    routers.sort_by_cached_key(|router| id_hash(&router.id));
     let count = u64::try_from(routers.len()).unwrap_or(u64::MAX);
     let start = usize::try_from(position % count).unwrap_or_default();
     routers.rotate_left(start);
--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -183,14 +183,8 @@
 
 /// Error for a request that did not run because this instance has no processor time for it.
 fn overloaded(context: &Context) -> ErrorResponse {
-    ErrorResponse::new(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "router-overloaded",
-        "this instance has more requests in progress than it can serve in time",
-        "ask one of the other addresses",
-    )
-    .with_retry_after(overload::retry_delay())
-    .with_routers(address::others(context))
+    unavailable(context, overload::ERROR_KIND, overload::ERROR_MESSAGE)
+        .with_retry_after(overload::retry_delay())
 }
 
 /// Reserves memory for a body, up to the maximum size of one body.
--- a/crates/jaylock-router/src/overload.rs
+++ b/crates/jaylock-router/src/overload.rs
@@ -41,6 +41,12 @@
 /// Longest such delay; callers who return at different times don't meet again.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Error code of requests that are refused because the processor is overloaded.
+pub const ERROR_KIND: &str = "router-overloaded";
+/// Reason that their callers are told.
+pub const ERROR_MESSAGE: &str =
+    "this instance has more requests in progress than it can serve in time";
+
 /// Limits the requests in progress while the event loop is late; clones share the state.
 ///
 /// Only organisations with more than their max-min share of the limit are refused.
--- a/crates/jaylock-router/src/route/context.rs
+++ b/crates/jaylock-router/src/route/context.rs
@@ -81,8 +81,7 @@
 
     /// Error for a request that did not run because this instance has no processor time for it.
     pub fn overloaded(&self) -> ErrorResponse {
-        let message = "this instance has more requests in progress than it can serve in time";
-        self.unavailable("router-overloaded", message)
+        self.unavailable(overload::ERROR_KIND, overload::ERROR_MESSAGE)
             .with_retry_after(overload::retry_delay())
     }
 
--- a/crates/jaylock-tests/tests/control/failures.rs
+++ b/crates/jaylock-tests/tests/control/failures.rs
@@ -23,7 +23,7 @@
 }
 
 /// Renews the leases of the instances on all running machines.
-pub async fn renew_leases(group: &Group) {
+async fn renew_leases(group: &Group) {
     loop {
         for machine in group.machines() {
             if machine.replica().is_none() || machine.is_isolated.get() {
--- a/crates/jaylock-tests/tests/control/fault_schedules.rs
+++ b/crates/jaylock-tests/tests/control/fault_schedules.rs
@@ -8,7 +8,7 @@
 use googletest::prelude::*;
 use jaylock_control::ConfigView;
 use jaylock_rpc::v1::control_server::Control;
-use jaylock_rpc::v1::{Configuration, Instance, WatchRequest};
+use jaylock_rpc::v1::{Configuration, Instance, Member, WatchRequest};
 use jaylock_tests::seeded_config;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestError, TestRunner};
@@ -154,13 +154,21 @@
         let voters = configuration.members.iter().filter(|m| m.voter);
         let is_back = match &*self.wiped.borrow() {
             Some((name, old)) => {
-                let has_new_generation =
-                    |m: &jaylock_rpc::v1::Member| m.instance == *name && m.generation != *old;
+                let has_new_generation = |m: &Member| m.instance == *name && m.generation != *old;
                 voters.clone().any(has_new_generation)
             }
             None => true,
         };
-        is_back && voters.count() == REPLICAS
+        is_back && voters.clone().count() == REPLICAS && voters.clone().all(|m| self.has_vote(m))
+    }
+
+    /// Whether the disk of a voter holds its vote.
+    ///
+    /// A first member that was killed before it had stored its vote has lost its disk, too.
+    fn has_vote(&self, member: &Member) -> bool {
+        let mut machines = self.group.machines().iter();
+        let found = machines.find(|machine| machine.member.instance == member.instance);
+        found.is_some_and(|machine| machine.disk.has_vote())
     }
 
     async fn wipe(&self, position: usize, is_replaced: bool, configuration: &Configuration) {
@@ -168,17 +176,6 @@
         let machine = self.group.machine(at);
         let name = &machine.member.instance;
         let mut voters = configuration.members.iter().filter(|m| m.voter);
-        // A first member that was killed before it had stored its vote has lost its disk, too.
-        let has_vote = |m: &jaylock_rpc::v1::Member| {
-            let machines = self.group.machines();
-            let mut found = machines
-                .iter()
-                .filter(|machine| machine.member.instance == m.instance);
-            found.all(|machine| machine.disk.has_vote())
-        };
-        if !voters.clone().all(has_vote) {
-            return;
-        }
         let Some(member) = voters.find(|m| m.instance == *name) else {
             return;
         };
