--- a/crates/jaylock-share/src/admission.rs
+++ b/crates/jaylock-share/src/admission.rs
@@ -12,6 +12,7 @@
 use crate::ranking::EngineRanking;
 use crate::requirement::RequirementKey;
 use crate::router::{Router, RouterKey};
+use crate::service_log::AskOutcome;
 
 /// Retry delay for a request that no backend server can run.
 pub const NO_BACKEND_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -65,7 +66,14 @@
             let removed = self.accounts.get_mut(account).queue.drain(is_overdue);
             self.accounts.leave_backlog_if_empty(account);
             let interval = self.accounts.expected_grant_interval();
+            let gap = self.accounts.service_gap(account);
             for waiting in removed {
+                self.service_log.record(
+                    account,
+                    AskOutcome::Overdue,
+                    waiting.ask.prompt_tokens,
+                    gap,
+                );
                 if log::log_enabled!(target: "share", log::Level::Debug) {
                     self.log_refusal(account, &waiting.ask, self.wait_reason(account, &waiting));
                 }
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -19,6 +19,7 @@
 use crate::report_delay::ReportDelay;
 use crate::requirement::Requirements;
 use crate::router::{RouterKey, Routers, Run};
+use crate::service_log::ServiceLog;
 use crate::stream_origins::StreamOrigins;
 use crate::usage::Usage;
 
@@ -39,6 +40,7 @@
     pub(crate) decisions: VecDeque<Decision>,
     pub(crate) ready_at: Instant,
     pub(crate) usage: Usage,
+    pub(crate) service_log: ServiceLog,
     pub(crate) waiting_count: usize,
     pub(crate) report_delay: ReportDelay,
     pub(crate) division: Division,
@@ -72,6 +74,7 @@
             reservation: None,
             decisions: VecDeque::new(),
             usage: Usage::new(now),
+            service_log: ServiceLog::default(),
             waiting_count: 0,
             report_delay: ReportDelay::default(),
             crash_history: CrashHistory::default(),
@@ -168,6 +171,7 @@
         self.refuse_overdue(now);
         self.resolve_waiting(now);
         self.divide();
+        self.log_service(now);
     }
 
     /// Takes the messages that are due to the attached routers.
--- a/crates/jaylock-share/src/arrival.rs
+++ b/crates/jaylock-share/src/arrival.rs
@@ -11,6 +11,7 @@
 use crate::requirement::RequirementKey;
 use crate::resumption::Origin;
 use crate::router::RouterKey;
+use crate::service_log::AskOutcome;
 
 /// Why a request is refused on its arrival, and when its caller may return.
 struct ArrivalRefusal {
@@ -36,6 +37,9 @@
         let account = self.accounts.intern(&ask.organisation);
         let requirement = self.requirement(&ask);
         if let Some(refusal) = self.arrival_refusal(account, requirement, &ask, now) {
+            let gap = self.accounts.service_gap(account);
+            self.service_log
+                .record(account, AskOutcome::Declined, ask.prompt_tokens, gap);
             self.log_refusal(account, &ask, refusal.cause);
             self.refuse(router, ask.ticket, refusal.reason, refusal.retry_delay);
             return;
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -14,6 +14,7 @@
 use crate::queue::WaitingRequest;
 use crate::ranking::EngineRanking;
 use crate::router::{Router, Run};
+use crate::service_log::AskOutcome;
 use crate::stream_origins::stream_of;
 
 impl Allocator {
@@ -202,6 +203,8 @@
         let service_gap = self.accounts.service_gap(account);
         self.waiting_count -= 1;
         self.accounts.record_grant(account, now);
+        self.service_log
+            .record(account, AskOutcome::Granted, ask.prompt_tokens, service_gap);
         self.report_delay.record_grant(now);
         self.accounts.charge(account, charged_tokens);
         let owner = self.accounts.get_mut(account);
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -44,6 +44,7 @@
 mod resumption;
 mod router;
 mod scheduler;
+mod service_log;
 mod settings;
 mod stream_origins;
 mod usage;
