A test that fails: an overloaded router serves less than half of what it could while its limit falls

In virtual time, a router with 0.12 of a core under a flood of one organisation: of 380 requests a second it admits 169 in the six seconds at the start of the flood, where its processor could do 379; with streams of 86 events 102 of 205.

--- a/crates/jaylock-tests/tests/router/overload.rs
+++ b/crates/jaylock-tests/tests/router/overload.rs
@@ -26,6 +26,13 @@
 const BACKLOG: usize = 512;
 /// Time after which a caller whose connection is not accepted chooses another router.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Events of a long stream.
+const MANY_EVENTS: u32 = 86;
+/// Length of a play, and when its flood starts.
+const PLAY_TIME: Duration = Duration::from_secs(20);
+const FLOOD_START: Duration = Duration::from_secs(5);
+/// Time in which an organisation that always waits must get at least half of what it could.
+const FAIRNESS_WINDOW: Duration = Duration::from_secs(6);
 /// Step of the virtual clock.
 const STEP: Duration = Duration::from_millis(1);
 /// Requests a second of each calm organisation.
@@ -58,17 +65,34 @@
 struct Outcome {
     admitted: Vec<usize>,
     refused: Vec<usize>,
+    /// Times from the start at which requests were admitted.
+    admitted_at: Vec<Duration>,
     // Delays from arrival to admission, and of events.
     start_delays: Vec<Duration>,
     event_delays: Vec<Duration>,
     most_in_progress: usize,
 }
 
+impl Outcome {
+    /// The fewest requests that were admitted in a `FAIRNESS_WINDOW` of the flood.
+    fn fewest_admitted(&self) -> usize {
+        let windows = (5..=14).map(Duration::from_secs);
+        let count = |start: Duration| {
+            let is_in = |at: &&Duration| **at >= start && **at < start + FAIRNESS_WINDOW;
+            self.admitted_at.iter().filter(is_in).count()
+        };
+        windows.map(count).min().unwrap_or(0)
+    }
+}
+
 /// A router and its callers.
 struct Play {
     guard: OverloadGuard,
     is_guarded: bool,
+    /// Events of each stream.
+    events: u32,
     rng: SmallRng,
+    started: Instant,
     now: Instant,
     /// What waits for the processor, in the order of arrival.
     queue: VecDeque<Work>,
@@ -87,7 +111,9 @@
         Self {
             guard: OverloadGuard::default(),
             is_guarded,
+            events: EVENTS,
             rng: SmallRng::seed_from_u64(7),
+            started: now,
             now,
             queue: VecDeque::new(),
             backlog: VecDeque::new(),
@@ -102,15 +128,14 @@
         }
     }
 
-    /// Plays twenty seconds, from the fifth of which on one organisation sends `flood` requests a second.
+    /// Plays `PLAY_TIME`; from `FLOOD_START` on, one organisation sends `flood` requests a second.
     fn run(mut self, flood: f64) -> Outcome {
-        let started = self.now;
-        while self.now < started + Duration::from_secs(20) {
+        while self.now < self.started + PLAY_TIME {
             self.now += STEP;
             for organisation in 0..CALM_ORGANISATIONS {
                 self.arrive(organisation, CALM_RATE);
             }
-            if self.now > started + Duration::from_secs(5) {
+            if self.now > self.started + FLOOD_START {
                 self.arrive(CALM_ORGANISATIONS, flood);
             }
             self.wake_timers();
@@ -205,11 +230,12 @@
         self.in_progress += 1;
         let outcome = &mut self.outcome;
         outcome.admitted[organisation] += 1;
+        outcome.admitted_at.push(self.now - self.started);
         outcome.most_in_progress = outcome.most_in_progress.max(self.in_progress);
         if organisation < CALM_ORGANISATIONS {
             outcome.start_delays.push(delay);
         }
-        self.schedule_event(organisation, EVENTS, permit.flatten());
+        self.schedule_event(organisation, self.events, permit.flatten());
     }
 
     fn forward_event(
@@ -271,6 +297,19 @@
         }
     };
 
+    router_serves_less_than_half_of_what_it_could_while_its_limit_falls => {
+        for flood in [180.0, 380.0] {
+            for events in [EVENTS, MANY_EVENTS] {
+                let outcome = Play { events, ..Play::new(true) }.run(flood);
+                let stream_cost = (START_COST + EVENT_COST * events).as_secs_f64();
+                let possible = CPU_SHARE * FAIRNESS_WINDOW.as_secs_f64() / stream_cost;
+                #[allow(clippy::cast_precision_loss)]
+                let fewest = outcome.fewest_admitted() as f64;
+                expect_that!(fewest, ge(possible * 0.5), "{flood} requests a second, {events} events");
+            }
+        }
+    };
+
     requests_are_late_without_the_guard => {
         let outcome = Play::new(false).run(300.0);
         expect_that!(p99(outcome.start_delays), gt(MAX_START_DELAY * 10));
