The limit of an overloaded router falls once for each effect

Cause: the limit on requests in progress fell every 100 ms while the event loop was late, but a lower limit shows its effect only as requests end, which takes one to two seconds. It fell several times for one overload, down to a fraction of what the processor can serve, just when the flood began. Ruled out: the scheduler, which refused the organisation 0.02 M of 1.7 M tokens in the same second.

Change: the limit doesn't fall again before the requests in progress have fallen to it.

--- a/crates/jaylock-router/src/overload.rs
+++ b/crates/jaylock-router/src/overload.rs
@@ -183,11 +183,12 @@
                 );
             }
             let is_rising = self.delay >= self.adjusted_delay;
-            let limit = self.limit.map_or(total, |limit| limit.min(total));
-            if is_rising || self.limit.is_none() {
-                self.limit = Some((limit * DECREASE).max(MIN_LIMIT));
-            }
             self.adjusted_delay = self.delay;
+            match self.limit {
+                // The last decrease shows no effect before so many requests have ended.
+                Some(limit) if total > limit || !is_rising => {}
+                _ => self.limit = Some((total * DECREASE).max(MIN_LIMIT)),
+            }
             return;
         }
         self.adjusted_delay = self.delay;
