Events of streams are forwarded together while a router is short of processor time

Change: while the event loop is late, a stream waits half of the longest delay of an event (setting event; on the platform from its bound) and forwards what has arrived in one write. Nothing waits while the processor has time. Reading events is a module of its own. An overload is logged once a second with what was admitted and refused, which showed this.

In virtual time router_serves_less_than_half_of_what_it_could_while_its_limit_falls passes; before it failed (174 of 379). Its model of streams changed with the code: events that are forwarded together cost one write.

--- a/crates/jaylock-daemon/src/context.rs
+++ b/crates/jaylock-daemon/src/context.rs
@@ -245,6 +245,7 @@
             route_burst: limits.retries,
             first_byte_timeout: timeouts.first_byte,
             idle_timeout: timeouts.silence,
+            event_timeout: timeouts.event,
             default_timeout: timeouts.deadline,
             address_ttl_ms: millis(addresses.keep),
             lease_ms: millis(timeouts.backend),
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -56,7 +56,7 @@
 pub use self::overload::{OverloadGuard, RequestPermit};
 pub use self::port::{CommandLog, ProposeError, Schedulers};
 pub use self::proposal::new_command;
-pub use self::route::{RouteHeaders, prompt_part};
+pub use self::route::{EventSource, Events, RouteHeaders, prompt_part};
 pub use self::router::Router;
 pub use self::server::{Handler, ServerLimits, serve};
 pub use self::settings::{RouterIdentity, RouterSettings};
--- a/crates/jaylock-router/src/overload.rs
+++ b/crates/jaylock-router/src/overload.rs
@@ -17,6 +17,8 @@
 const MAX_MEASURED_DELAY: Duration = Duration::from_millis(200);
 /// Time between two changes of the limit, in which requests can end.
 const ADJUST_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two lines about an overload that lasts.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay of the event loop from which the limit falls. A request passes the loop several times before it is sent on.
 const MAX_DELAY: Duration = Duration::from_millis(25);
 /// Factor by which the limit falls.
@@ -36,6 +38,13 @@
 /// The limit ends once it is so many times the requests in progress.
 const END_FACTOR: f64 = 2.0;
 
+/// Part of the longest delay of an event for which a stream collects events; the rest is for the way to the caller.
+///
+/// Each write and each wakeup costs more than the events in it.
+const EVENT_DIVISOR: u32 = 2;
+/// Delay of the event loop from which events are forwarded together.
+const MAX_EVENT_DELAY: Duration = Duration::from_millis(10);
+
 /// Shortest delay after which a refused caller should return. Another router can serve it at once.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Longest such delay; callers who return at different times don't meet again.
@@ -50,11 +59,13 @@
 /// Limits the requests in progress while the event loop is late; clones share the state.
 ///
 /// Only organisations with more than their max-min share of the limit are refused.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct OverloadGuard(Rc<RefCell<State>>);
 
 #[derive(Debug, Default)]
 struct State {
+    // Longest time for which an event of a stream may be delayed.
+    event_timeout: Duration,
     // Requests in progress of each organisation, sorted by identifier.
     in_progress: Vec<(OrganisationId, usize)>,
     total: usize,
@@ -65,7 +76,10 @@
     adjusted_at: Option<Instant>,
     // Delay when the limit was last adjusted.
     adjusted_delay: f64,
+    // Requests since the last line about the overload.
+    admitted: u64,
     refused: u64,
+    logged_at: Option<Instant>,
     // Refusals that may follow before connections wait.
     refusal_credit: f64,
 }
@@ -78,6 +92,16 @@
 }
 
 impl OverloadGuard {
+    /// Creates a guard under which events of streams are delayed for at most `event_timeout`.
+    #[must_use]
+    pub fn new(event_timeout: Duration) -> Self {
+        let state = State {
+            event_timeout,
+            ..State::default()
+        };
+        Self(Rc::new(RefCell::new(state)))
+    }
+
     /// Measures the delay of the event loop until the future is dropped.
     pub async fn run(self) {
         loop {
@@ -98,6 +122,7 @@
             return None;
         }
         state.total += 1;
+        state.admitted += 1;
         state.add_credit(REFUSALS_PER_REQUEST);
         match state.search(organisation) {
             Ok(index) => state.in_progress[index].1 += 1,
@@ -127,6 +152,17 @@
         state.limit.is_some() && state.refusal_credit < 1.0
     }
 
+    /// Time for which a stream waits after it forwarded events; zero while the processor has time.
+    #[must_use]
+    pub fn event_interval(&self) -> Duration {
+        let state = self.0.borrow();
+        if state.limit.is_some() || state.delay > MAX_EVENT_DELAY.as_secs_f64() {
+            state.event_timeout / EVENT_DIVISOR
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Adds a measured delay of the event loop and adjusts the limit.
     pub fn record_delay(&self, delay: Duration, now: Instant) {
         let mut state = self.0.borrow_mut();
@@ -139,6 +175,7 @@
         if state.adjusted_at.is_none_or(is_due) {
             state.adjusted_at = Some(now);
             state.adjust();
+            state.log_overload(now);
         }
     }
 }
@@ -175,13 +212,6 @@
     fn adjust(&mut self) {
         let total = to_f64(self.total);
         if self.delay > MAX_DELAY.as_secs_f64() {
-            if self.limit.is_none() {
-                log::warn!(
-                    target: "router",
-                    in_progress = self.total, delay_ms = self.delay * 1e3;
-                    "the processor is overloaded: requests are refused"
-                );
-            }
             let is_rising = self.delay >= self.adjusted_delay;
             self.adjusted_delay = self.delay;
             match self.limit {
@@ -195,14 +225,30 @@
         let Some(limit) = self.limit else { return };
         let grown = limit * INCREASE + 1.0;
         self.limit = (grown < total.max(MIN_LIMIT) * END_FACTOR).then_some(grown);
-        if self.limit.is_none() {
-            let refused = std::mem::take(&mut self.refused);
+    }
+
+    /// Logs the state of an overload once a `LOG_INTERVAL`, and its end.
+    fn log_overload(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < LOG_INTERVAL;
+        if self.limit.is_some() && self.logged_at.is_some_and(is_recent) {
+            return;
+        }
+        if let Some(limit) = self.limit {
+            log::warn!(
+                target: "router",
+                in_progress = self.total, limit = limit.round(), delay_ms = (self.delay * 1e3).round(),
+                admitted = self.admitted, refused = self.refused;
+                "the processor is overloaded: requests are refused"
+            );
+            self.logged_at = Some(now);
+        } else if self.logged_at.take().is_some() {
             log::info!(
                 target: "router",
-                in_progress = self.total, refused = refused;
+                in_progress = self.total, admitted = self.admitted, refused = self.refused;
                 "the processor is no longer overloaded"
             );
         }
+        (self.admitted, self.refused) = (0, 0);
     }
 
     fn search(&self, organisation: &OrganisationId) -> Result<usize, usize> {
--- a/crates/jaylock-router/src/route/mod.rs
+++ b/crates/jaylock-router/src/route/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod buffered;
 mod context;
+mod event_source;
 mod headers;
 mod notice;
 mod prompt;
@@ -25,6 +26,7 @@
 use crate::server::Handler;
 
 pub use self::context::{RouteContext, RouteLimits};
+pub use self::event_source::{EventSource, Events};
 pub use self::headers::RouteHeaders;
 pub use self::prompt::prompt_part;
 
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -1,11 +1,10 @@
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use compact_str::format_compact;
 use futures_util::{StreamExt, stream};
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use jaylock_observe::RunStatus;
 use jaylock_rpc::v1::end::Outcome;
@@ -14,6 +13,7 @@
 use super::attempts::Attempts;
 use super::buffered::read_body;
 use super::context::RouteContext;
+use super::event_source::EventSource;
 use super::request::RouteRequest;
 use super::response::{buffered, forwarded};
 use super::send::{Destination, send};
@@ -21,13 +21,9 @@
 use crate::buffered_response::BufferedResponse;
 use crate::connection::Connection;
 use crate::error::{AttemptError, with_timeout};
-use crate::event::EventParser;
 use crate::response::ErrorResponse;
 use crate::slot::Slot;
 
-/// Largest event.
-const MAX_EVENT_BYTES: usize = 256 << 10;
-
 /// Responds with a stream of events, each forwarded as soon as it is complete.
 pub async fn respond(
     context: Rc<RouteContext>,
@@ -88,8 +84,7 @@
 struct ActiveAttempt {
     connection: Connection,
     slot: Slot,
-    body: Incoming,
-    parser: EventParser,
+    events: EventSource<Incoming>,
 }
 
 impl EventStream {
@@ -211,8 +206,7 @@
         self.active = Some(ActiveAttempt {
             connection,
             slot,
-            body: response.into_body(),
-            parser: EventParser::default(),
+            events: EventSource::new(response.into_body()),
         });
     }
 
@@ -231,42 +225,37 @@
 
     /// Waits for at least one event and returns all complete ones; `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, AttemptError> {
-        loop {
-            let Some(active) = &mut self.active else {
-                return Err(AttemptError::TimedOut);
-            };
-            let (ready, count) = take_ready(&mut active.parser, &mut self.last_event);
-            if count > 0 {
-                self.count += count;
-                self.attempts.mark_ran();
-                self.attempts.pin_software(active.slot.software());
-                active
-                    .slot
-                    .record_tokens(self.attempts.request.service_tokens(self.count));
-                return Ok(Some(ready));
-            }
-            if active.parser.pending() > MAX_EVENT_BYTES {
-                return Err(AttemptError::Invalid("an event is too long".into()));
-            }
-            let remaining = self.attempts.request.remaining();
-            match with_timeout(remaining, active.body.frame()).await? {
-                Some(Ok(frame)) => {
-                    if let Some(data) = frame.data_ref() {
-                        active.parser.feed(data);
-                    }
-                }
-                Some(Err(error)) => return Err(AttemptError::Lost(format_compact!("{error}"))),
-                None if active.parser.pending() > 0 => {
-                    return Err(AttemptError::Lost(
-                        "the stream ended within an event".into(),
-                    ));
-                }
-                None => {
-                    self.finish();
-                    return Ok(None);
-                }
-            }
+        let interval = self.event_interval();
+        let Some(active) = &mut self.active else {
+            return Err(AttemptError::TimedOut);
+        };
+        if !interval.is_zero() {
+            compio::time::sleep(interval).await;
+            active.events.read_arrived().await;
+        }
+        let remaining = self.attempts.request.remaining();
+        let next = active.events.next(&mut self.last_event);
+        let Some(events) = with_timeout(remaining, next).await?? else {
+            self.finish();
+            return Ok(None);
+        };
+        self.count += events.count;
+        self.attempts.mark_ran();
+        self.attempts.pin_software(active.slot.software());
+        active
+            .slot
+            .record_tokens(self.attempts.request.service_tokens(self.count));
+        Ok(Some(events.text))
+    }
+
+    /// Time for which events are collected, after the first one was forwarded.
+    fn event_interval(&self) -> Duration {
+        if self.count == 0 {
+            return Duration::ZERO;
         }
+        let attempts = &self.attempts;
+        let interval = attempts.context.overload.event_interval();
+        interval.min(attempts.request.remaining())
     }
 
     fn finish(&mut self) {
@@ -300,18 +289,3 @@
         })
     }
 }
-
-/// Takes and counts the complete events after `last_event`, discarding repeated ones.
-fn take_ready(parser: &mut EventParser, last_event: &mut u64) -> (Bytes, u64) {
-    let mut ready = BytesMut::new();
-    let mut count = 0;
-    while let Some((id, event)) = parser.next_raw_event() {
-        if id.is_some_and(|id| id <= *last_event) {
-            continue;
-        }
-        *last_event = id.unwrap_or(*last_event);
-        ready.extend_from_slice(&event);
-        count += 1;
-    }
-    (ready.freeze(), count)
-}
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -39,6 +39,7 @@
     ) -> Self {
         let memory = BodyMemory::new(settings.max_body_memory);
         let budget = RetryBudget::new(settings.retry_burst, settings.retry_permille);
+        let overload = OverloadGuard::new(settings.event_timeout);
         let context = Context {
             identity,
             view,
@@ -51,7 +52,7 @@
             organisations: Organisations::default(),
             backends: Backends::default(),
             memory,
-            overload: OverloadGuard::default(),
+            overload,
             budget,
             lifecycle: Rc::default(),
             background: Background::default(),
--- a/crates/jaylock-router/src/settings.rs
+++ b/crates/jaylock-router/src/settings.rs
@@ -41,6 +41,8 @@
     pub first_byte_timeout: Duration,
     /// Longest time without a byte within a backend server's response.
     pub idle_timeout: Duration,
+    /// Longest time for which an event of a stream may be delayed.
+    pub event_timeout: Duration,
     /// Longest run of a non-idempotent request.
     pub once_timeout: Duration,
     /// Idle time up to which a connection is reused for a non-idempotent request.
@@ -115,6 +117,7 @@
             connect_timeout: Duration::from_secs(1),
             first_byte_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(3),
+            event_timeout: Duration::from_millis(120),
             once_timeout: Duration::from_mins(1),
             max_idle_once: Duration::from_secs(1),
             max_idle: Duration::from_secs(3),
--- a/crates/jaylock-settings/src/timeouts.rs
+++ b/crates/jaylock-settings/src/timeouts.rs
@@ -16,6 +16,8 @@
     pub stop: Duration,
     /// How long a backend server counts as alive after its last report.
     pub backend: Duration,
+    /// Longest time from the arrival of a stream's event at a router to its end at the caller.
+    pub event: Duration,
 }
 
 impl Default for TimeoutSettings {
@@ -26,6 +28,7 @@
             deadline: Duration::from_mins(2),
             stop: Duration::from_mins(5),
             backend: Duration::from_secs(3),
+            event: Duration::from_millis(120),
         }
     }
 }
@@ -46,6 +49,7 @@
         Key::optional("backend", DURATION, |s, v| {
             duration(v).map(|d| s.backend = d)
         }),
+        Key::optional("event", DURATION, |s, v| duration(v).map(|d| s.event = d)),
     ];
 }
 
--- a/crates/jaylock-tests/tests/router/main.rs
+++ b/crates/jaylock-tests/tests/router/main.rs
@@ -5,6 +5,7 @@
 mod backend;
 mod claims;
 mod connection;
+mod events;
 mod fakes;
 mod harness;
 mod heads;
--- a/crates/jaylock-tests/tests/router/overload.rs
+++ b/crates/jaylock-tests/tests/router/overload.rs
@@ -15,11 +15,14 @@
 const REFUSAL_COST: Duration = Duration::from_micros(150);
 /// Processor time for the head of a request that is admitted.
 const START_COST: Duration = Duration::from_micros(500);
-/// Processor time for one event of a stream.
+/// Processor time for one event of a stream, and for each further one that is forwarded with it.
 const EVENT_COST: Duration = Duration::from_micros(35);
+const FURTHER_EVENT_COST: Duration = Duration::from_micros(8);
 /// Events of a stream, and the time between two.
 const EVENTS: u32 = 40;
 const EVENT_INTERVAL: Duration = Duration::from_millis(25);
+/// Longest delay of an event.
+const EVENT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Time between two measurements of the guard.
 const MEASURE_INTERVAL: Duration = Duration::from_millis(10);
 /// Connections that wait to be accepted.
@@ -50,8 +53,9 @@
 
 enum Kind {
     Arrival(usize),
-    Event {
+    Events {
         organisation: usize,
+        count: u32,
         left: u32,
         permit: Option<RequestPermit>,
     },
@@ -109,7 +113,7 @@
     fn new(is_guarded: bool) -> Self {
         let now = Instant::now();
         Self {
-            guard: OverloadGuard::default(),
+            guard: OverloadGuard::new(EVENT_TIMEOUT),
             is_guarded,
             events: EVENTS,
             rng: SmallRng::seed_from_u64(7),
@@ -182,8 +186,10 @@
         let now = self.now;
         let due = self.timers.extract_if(.., |(at, _)| *at <= now);
         for (queued_at, kind) in due {
-            let is_event = matches!(kind, Kind::Event { .. });
-            let cost = if is_event { EVENT_COST } else { Duration::ZERO };
+            let cost = match kind {
+                Kind::Events { count, .. } => EVENT_COST + FURTHER_EVENT_COST * (count - 1),
+                Kind::Arrival(_) | Kind::Measurement { .. } => Duration::ZERO,
+            };
             self.queue.push_back(Work {
                 cost,
                 queued_at,
@@ -205,11 +211,12 @@
             let delay = self.now - work.queued_at;
             match work.kind {
                 Kind::Arrival(organisation) => self.admit(organisation, delay),
-                Kind::Event {
+                Kind::Events {
                     organisation,
                     left,
                     permit,
-                } => self.forward_event(organisation, left, permit, delay),
+                    ..
+                } => self.forward_events(organisation, left, permit, delay),
                 Kind::Measurement { due } => {
                     self.guard.record_delay(self.now - due, self.now);
                     let due = self.now + MEASURE_INTERVAL;
@@ -235,10 +242,10 @@
         if organisation < CALM_ORGANISATIONS {
             outcome.start_delays.push(delay);
         }
-        self.schedule_event(organisation, self.events, permit.flatten());
+        self.schedule_events(organisation, self.events, permit.flatten());
     }
 
-    fn forward_event(
+    fn forward_events(
         &mut self,
         organisation: usize,
         left: u32,
@@ -248,20 +255,27 @@
         if organisation < CALM_ORGANISATIONS {
             self.outcome.event_delays.push(delay);
         }
-        if left > 1 {
-            self.schedule_event(organisation, left - 1, permit);
+        if left > 0 {
+            self.schedule_events(organisation, left, permit);
         } else {
             self.in_progress -= 1;
         }
     }
 
-    fn schedule_event(&mut self, organisation: usize, left: u32, permit: Option<RequestPermit>) {
-        let event = Kind::Event {
+    /// Schedules the next event of a stream, with those that are forwarded together with it.
+    fn schedule_events(&mut self, organisation: usize, left: u32, permit: Option<RequestPermit>) {
+        let interval = self.guard.event_interval().max(EVENT_INTERVAL);
+        let count = interval.div_duration_f64(EVENT_INTERVAL).ceil();
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let count = (count as u32).min(left);
+        let events = Kind::Events {
             organisation,
-            left,
+            count,
+            left: left - count,
             permit,
         };
-        self.timers.push((self.now + EVENT_INTERVAL, event));
+        self.timers
+            .push((self.now + EVENT_INTERVAL * count, events));
     }
 }
 
@@ -321,7 +335,7 @@
     };
 
     suspended_process_refuses_no_request_a_second_later => {
-        let guard = OverloadGuard::default();
+        let guard = OverloadGuard::new(EVENT_TIMEOUT);
         let organisation: OrganisationId = "bench".parse().expect("a name");
         let permits: Vec<_> = (0..30).map(|_| guard.admit(&organisation)).collect();
         let mut now = Instant::now();
