Connections whose requests are refused later count as refusals when they are accepted

The model of the tests accepted one connection at a time, so it missed this.

Change: an accepted connection counts as a refusal until its request is admitted.

--- a/crates/jaylock-router/src/overload.rs
+++ b/crates/jaylock-router/src/overload.rs
@@ -33,7 +33,7 @@
 const REFUSALS_PER_REQUEST: f64 = 2.0;
 /// Further refusals a second, so that connections are always accepted.
 const REFUSALS_PER_SECOND: f64 = 250.0;
-/// Largest number of refusals in a row, and of those that connections make up for by waiting.
+/// Largest number of refusals in a row.
 const MAX_REFUSAL_CREDIT: f64 = 50.0;
 /// The limit ends once it is so many times the requests in progress.
 const END_FACTOR: f64 = 2.0;
@@ -118,12 +118,11 @@
         let mut state = self.0.borrow_mut();
         if !state.has_room(organisation) {
             state.refused += 1;
-            state.refusal_credit = (state.refusal_credit - 1.0).max(-MAX_REFUSAL_CREDIT);
             return None;
         }
         state.total += 1;
         state.admitted += 1;
-        state.add_credit(REFUSALS_PER_REQUEST);
+        state.add_credit(REFUSALS_PER_REQUEST + 1.0);
         match state.search(organisation) {
             Ok(index) => state.in_progress[index].1 += 1,
             Err(index) => state.in_progress.insert(index, (organisation.clone(), 1)),
@@ -163,6 +162,16 @@
         }
     }
 
+    /// Counts an accepted connection as a refusal until its request is admitted.
+    ///
+    /// All connections that wait are accepted at once, long before their requests are refused.
+    pub fn record_connection(&self) {
+        let mut state = self.0.borrow_mut();
+        if state.limit.is_some() {
+            state.refusal_credit -= 1.0;
+        }
+    }
+
     /// Adds a measured delay of the event loop and adjusts the limit.
     pub fn record_delay(&self, delay: Duration, now: Instant) {
         let mut state = self.0.borrow_mut();
--- a/crates/jaylock-router/src/route/mod.rs
+++ b/crates/jaylock-router/src/route/mod.rs
@@ -67,6 +67,10 @@
         self.context.overload.defers_connections()
     }
 
+    fn record_connection(&self) {
+        self.context.overload.record_connection();
+    }
+
     fn cancelled_response(&self) -> Response<Body> {
         response::error_response(&ErrorResponse::cancelled())
     }
--- a/crates/jaylock-router/src/server.rs
+++ b/crates/jaylock-router/src/server.rs
@@ -63,6 +63,9 @@
         false
     }
 
+    /// Records that a connection was accepted.
+    fn record_connection(&self) {}
+
     /// Responds to a request whose work was cancelled because the instance stops.
     fn cancelled_response(&self) -> Response<Body>;
 }
@@ -96,6 +99,7 @@
             log::warn!(target: "router", "refused connection from {peer}: the maximum number of connections is reached");
             continue;
         }
+        server.handler.record_connection();
         let (server, open) = (server.clone(), server.open.clone());
         compio::runtime::spawn(async move {
             if let Err(error) = server.serve_connection(stream).await {
--- a/crates/jaylock-tests/tests/router/overload.rs
+++ b/crates/jaylock-tests/tests/router/overload.rs
@@ -167,13 +167,13 @@
         }
     }
 
-    /// Accepts connections as the server does, one at a time.
+    /// Accepts connections as the server does: all that wait, unless they are deferred.
     fn accept(&mut self) {
-        let is_deferred = self.is_guarded && self.guard.defers_connections();
-        if is_deferred {
-            return;
-        }
-        if let Some((queued_at, organisation)) = self.backlog.pop_front() {
+        while !(self.is_guarded && self.guard.defers_connections()) {
+            let Some((queued_at, organisation)) = self.backlog.pop_front() else {
+                return;
+            };
+            self.guard.record_connection();
             self.queue.push_back(Work {
                 cost: REFUSAL_COST,
                 queued_at,
@@ -324,6 +324,16 @@
         }
     };
 
+    connections_that_are_refused_later_are_accepted_beyond_the_bound_of_refusals => {
+        for flood in [570.0, 1500.0, 3000.0] {
+            let outcome = Play::new(true).run(flood);
+            let admitted = outcome.admitted.iter().sum::<usize>();
+            let refused = outcome.refused.iter().sum::<usize>();
+            // Two for each admitted request and 250 a second, with those of one second at once.
+            expect_that!(refused, le(2 * admitted + 250 * 16), "{flood} requests a second");
+        }
+    };
+
     requests_are_late_without_the_guard => {
         let outcome = Play::new(false).run(300.0);
         expect_that!(p99(outcome.start_delays), gt(MAX_START_DELAY * 10));
