--- a/crates/jaylock-tests/tests/share/exclusions.rs
+++ b/crates/jaylock-tests/tests/share/exclusions.rs
@@ -20,6 +20,12 @@
 /// Time in which all backend servers have reported to a new scheduler.
 const SETTLING_TIME: Duration = Duration::from_secs(4);
 
+/// A shorter pause, which the same backend server asks for in a later response.
+const SHORT_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time for which a router remembers that a backend server leaves, and longer.
+const FORGOTTEN: Duration = Duration::from_mins(11);
+
 const LEAVING: Notice = Notice {
     limit: None,
     is_leaving: true,
@@ -32,6 +38,12 @@
     pause: Some(PAUSE),
 };
 
+const PAUSED_SHORTLY: Notice = Notice {
+    limit: None,
+    is_leaving: false,
+    pause: Some(SHORT_PAUSE),
+};
+
 /// Applies what a backend server told a router.
 fn exclude(fixture: &mut Fixture, router: RouterKey, backend: &str, pause: Option<Duration>) {
     let pause_ms = pause.map(|pause| u32::try_from(pause.as_millis()).expect("a short pause"));
@@ -202,4 +214,59 @@
         router.report_notice("e1", 1, &PAUSED, 1.0, now);
         assert_that!(grant_locally(&mut router, numbered_ask(1), now + PAUSE * 2), eq(false));
     };
+    later_refusal_with_a_shorter_time_ends_the_pause_of_a_router => {
+        let now = Instant::now();
+        let mut router = detached_router(&["e1"], now);
+        router.report_notice("e1", 1, &PAUSED, 1.0, now);
+        router.report_notice("e1", 1, &PAUSED_SHORTLY, 1.0, now);
+        assert_that!(grant_locally(&mut router, numbered_ask(1), now + PAUSE / 2), eq(false));
+        assert_that!(grant_locally(&mut router, numbered_ask(2), now + PAUSE), eq(true));
+    };
+    later_refusal_with_a_shorter_time_shortens_what_a_new_scheduler_is_told => {
+        let now = Instant::now();
+        let mut router = ClientState::new(SchedulerClientSettings::default());
+        router.report_notice("e1", 1, &PAUSED, 1.0, now);
+        router.report_notice("e1", 1, &PAUSED_SHORTLY, 1.0, now);
+        let excluded = router.first_frame(Hello::default(), now + PAUSE / 2).exclusions;
+        let pauses: Vec<_> = excluded.iter().map(|e| e.pause_ms).collect();
+        assert_that!(pauses, elements_are![some(eq(&1000))]);
+    };
+    later_refusal_with_a_shorter_time_ends_the_pause_at_the_scheduler => {
+        let mut fixture = Fixture::new();
+        fixture.report(engine_report("e1", 4));
+        fixture.report(engine_report("e2", 4));
+        let router = fixture.router;
+        exclude(&mut fixture, router, "e1", Some(PAUSE));
+        exclude(&mut fixture, router, "e1", Some(SHORT_PAUSE));
+        fixture.now += PAUSE / 2;
+        fixture.report(engine_report("e1", 4));
+        fixture.report(engine_report("e2", 4));
+        for _ in 0..4 {
+            assert_that!(fixture.ask_and_decide(ask("bench")), some(eq("e2")));
+        }
+    };
+    pause_of_an_earlier_start_excludes_the_next_one_at_the_scheduler => {
+        let mut fixture = Fixture::new();
+        fixture.report(engine_report("e1", 4));
+        let router = fixture.router;
+        exclude(&mut fixture, router, "e1", Some(PAUSE));
+        fixture.report(BackendReport { incarnation: 2, ..engine_report("e1", 4) });
+        assert_that!(fixture.ask_and_decide(ask("bench")), some(eq("e1")));
+    };
+    pause_is_ignored_after_a_forgotten_exclusion => {
+        let now = Instant::now();
+        let mut router = detached_router(&["e1"], now);
+        router.report_notice("e1", 1, &LEAVING, 1.0, now);
+        let later = now + FORGOTTEN;
+        router.report_notice("e1", 1, &PAUSED, 1.0, later);
+        assert_that!(grant_locally(&mut router, numbered_ask(1), later), eq(false));
+    };
+    exclusions_of_backend_servers_that_are_gone_are_kept_for_ever => {
+        let now = Instant::now();
+        let mut router = ClientState::new(SchedulerClientSettings::default());
+        for n in 0..100 {
+            router.report_notice(&format!("e{n}"), 1, &PAUSED, 1.0, now + PAUSE * n);
+        }
+        assert_that!(format!("{router:?}").matches("Paused").count(), le(1));
+    };
 }
