A pause that a backend server asks for holds to its end, whatever later responses ask for

What callers saw: more requests than allowed at a backend server that had asked a router for rest (BUDGET); each of them was refused once more and tried elsewhere.

Cause: one pause was kept for each backend server, and the newest replaced it, also where it ended sooner; in the router (Exclusions::record), in its state at the scheduler (Router::pause), and so in what a new scheduler is told.

Change: the later end of two pauses of one start counts. A pause at the scheduler names the start that asked for it and ends with the next one. A router drops exclusions that are over when it records another, so that their number is bounded by those of the last ten minutes, and one that is over no longer outranks a new pause.

--- a/crates/jaylock-share/src/admission.rs
+++ b/crates/jaylock-share/src/admission.rs
@@ -125,8 +125,8 @@
         let pauses = router
             .pauses
             .iter()
-            .filter(|(index, _)| usable.contains(*index));
-        pauses.map(|(_, until)| *until).min()
+            .filter(|pause| usable.contains(pause.index));
+        pauses.map(|pause| pause.until).min()
     }
 
     /// Refuses the waiting requests that are in quarantine.
--- a/crates/jaylock-share/src/client.rs
+++ b/crates/jaylock-share/src/client.rs
@@ -127,6 +127,13 @@
         connection.report_notice(backend, incarnation, notice);
     }
 
+    /// Whether a start of a backend server told this router in a response to send it nothing now.
+    #[must_use]
+    pub fn is_excluded(&self, pool: &PoolId, backend: &str, incarnation: u64) -> bool {
+        let connection = self.connection(pool.as_str());
+        connection.is_excluded(backend, incarnation)
+    }
+
     /// Forwards an announcement or report of a backend server.
     pub fn report_backend(&self, report: BackendReport) {
         self.connection(&report.pool).report_backend(report);
--- a/crates/jaylock-share/src/connection.rs
+++ b/crates/jaylock-share/src/connection.rs
@@ -96,6 +96,13 @@
         self.notify();
     }
 
+    pub fn is_excluded(&self, backend: &str, incarnation: u64) -> bool {
+        let state = self.state.borrow();
+        state
+            .exclusions
+            .contains(backend, incarnation, Instant::now())
+    }
+
     pub fn report_backend(&self, report: BackendReport) {
         self.state
             .borrow_mut()
--- a/crates/jaylock-share/src/exclusions.rs
+++ b/crates/jaylock-share/src/exclusions.rs
@@ -31,6 +31,8 @@
 
 impl Exclusions {
     /// Records what a response tells; returns the report that is due to the scheduler.
+    ///
+    /// Each pause holds to its own end, whatever later responses ask for.
     pub fn record(
         &mut self,
         backend: &str,
@@ -44,17 +46,23 @@
             let pause = notice.pause?.min(MAX_PAUSE);
             Reason::Paused { until: now + pause }
         };
+        self.expire(now);
         let excluded = Excluded {
             backend: backend.into(),
             incarnation,
             reason,
         };
-        match self.search(backend) {
+        let position = match self.search(backend) {
             Ok(position) if self.list[position].outranks(&excluded) => return None,
-            Ok(position) => self.list[position] = excluded,
-            Err(position) => self.list.insert(position, excluded),
-        }
-        let position = self.search(backend).ok()?;
+            Ok(position) => {
+                self.list[position] = excluded;
+                position
+            }
+            Err(position) => {
+                self.list.insert(position, excluded);
+                position
+            }
+        };
         self.list[position].report(now)
     }
 
@@ -69,10 +77,14 @@
 
     /// All exclusions that still count, for a new scheduler.
     pub fn reports(&mut self, now: Instant) -> Vec<Exclusion> {
-        self.list.retain(|excluded| excluded.is_active(now));
+        self.expire(now);
         self.list.iter().filter_map(|e| e.report(now)).collect()
     }
 
+    fn expire(&mut self, now: Instant) {
+        self.list.retain(|excluded| excluded.is_active(now));
+    }
+
     fn search(&self, backend: &str) -> Result<usize, usize> {
         self.list
             .binary_search_by(|excluded| excluded.backend.as_str().cmp(backend))
@@ -82,8 +94,14 @@
 impl Excluded {
     /// Whether another exclusion of the same backend server changes nothing.
     fn outranks(&self, other: &Self) -> bool {
-        let leaves = matches!(self.reason, Reason::Leaving { .. });
-        self.incarnation > other.incarnation || (self.incarnation == other.incarnation && leaves)
+        if self.incarnation != other.incarnation {
+            return self.incarnation > other.incarnation;
+        }
+        match (self.reason, other.reason) {
+            (Reason::Leaving { .. }, _) => true,
+            (Reason::Paused { .. }, Reason::Leaving { .. }) => false,
+            (Reason::Paused { until: own }, Reason::Paused { until: other }) => own >= other,
+        }
     }
 
     fn is_active(&self, now: Instant) -> bool {
--- a/crates/jaylock-share/src/reports.rs
+++ b/crates/jaylock-share/src/reports.rs
@@ -4,7 +4,7 @@
 use jaylock_types::RequestRate;
 
 use crate::allocator::Allocator;
-use crate::router::RouterKey;
+use crate::router::{Pause, RouterKey};
 
 impl Allocator {
     /// Applies the limit that a router read in a response.
@@ -30,8 +30,13 @@
         match exclusion.pause_ms {
             None => backend.left_incarnation = exclusion.incarnation,
             Some(ms) => {
+                let pause = Pause {
+                    index,
+                    incarnation: exclusion.incarnation,
+                    until: now + Duration::from_millis(ms.into()),
+                };
                 if let Some(router) = self.routers.get_mut(key) {
-                    router.pause(index, now + Duration::from_millis(ms.into()));
+                    router.add_pause(pause);
                 }
             }
         }
@@ -72,6 +77,13 @@
                     || previous.models != report.models
                     || previous.software != report.software
             };
+            let has_restarted =
+                |previous: &BackendReport| report.incarnation > previous.incarnation;
+            if previous_report.as_ref().is_some_and(has_restarted) {
+                for (_, router) in self.routers.iter_mut() {
+                    router.end_pauses_before(index, report.incarnation);
+                }
+            }
             if previous_report.is_none_or(has_changed) {
                 self.requirements.update(index, report);
             }
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -52,6 +52,15 @@
     pub software: CompactString,
 }
 
+/// Time for which a start of a backend server wants nothing from a router.
+#[derive(Debug, Clone, Copy)]
+pub struct Pause {
+    /// Index of the backend server.
+    pub index: usize,
+    pub incarnation: u64,
+    pub until: Instant,
+}
+
 /// The scheduler's state of one router.
 #[derive(Debug)]
 pub struct Router {
@@ -64,8 +73,8 @@
     pub last_sent: Instant,
     /// Indices of the backend servers that the router may use without a scheduler, with slots.
     pub fallback: Vec<(usize, u32)>,
-    /// Backend servers that want nothing from this router, with the end of the pause.
-    pub pauses: Vec<(usize, Instant)>,
+    /// Backend servers that want nothing from this router for a time.
+    pub pauses: Vec<Pause>,
     /// The next message to the router.
     pub frame: SchedulerFrame,
     addresses: AddressTable,
@@ -92,24 +101,36 @@
         self.fallback = Vec::new();
     }
 
-    /// Sets the end of a backend server's pause, in place of an earlier one.
-    pub fn pause(&mut self, index: usize, until: Instant) {
-        self.pauses.retain(|(other, _)| *other != index);
-        self.pauses.push((index, until));
+    /// Adds a pause; a longer one of the same start of the backend server stays as it is.
+    pub fn add_pause(&mut self, pause: Pause) {
+        let same = self.pauses.iter_mut().find(|p| p.index == pause.index);
+        match same {
+            Some(known) if known.incarnation == pause.incarnation => {
+                known.until = known.until.max(pause.until);
+            }
+            Some(known) => *known = pause,
+            None => self.pauses.push(pause),
+        }
     }
 
     /// Indices of the backend servers that want nothing from this router.
     pub fn paused(&self) -> BackendSet {
         let mut paused = BackendSet::default();
-        for (index, _) in &self.pauses {
-            paused.set(*index, true);
+        for pause in &self.pauses {
+            paused.set(pause.index, true);
         }
         paused
     }
 
+    /// Ends the pauses of earlier starts of a backend server.
+    pub fn end_pauses_before(&mut self, index: usize, incarnation: u64) {
+        self.pauses
+            .retain(|pause| pause.index != index || pause.incarnation >= incarnation);
+    }
+
     /// Removes the pauses that are over.
     pub fn end_pauses(&mut self, now: Instant) {
-        self.pauses.retain(|(_, until)| *until > now);
+        self.pauses.retain(|pause| pause.until > now);
     }
 
     /// Adds a grant to the next message.
