A request that waited for a connection is not sent to a backend server that excluded it meanwhile

Cause: whether a backend server wants requests was asked when a slot was granted. Opening a connection may take up to a second after that (packets of new connections are dropped while a server is busy, just when it sheds load), in which another response may ask for a pause or say that the server leaves; the request was then sent all the same.

Change: the exclusion is asked once more before the first byte leaves, over an idle connection, a new one, and a new one after an idle one had closed. Such a request was no attempt: it costs neither an attempt nor the retry budget, its slot is given back, and it is placed anew. Test: request_is_sent_to_a_backend_server_that_excluded_it_while_a_connection_was_opened (it could not be written before, as nothing asked).

--- a/crates/jaylock-daemon/src/ports.rs
+++ b/crates/jaylock-daemon/src/ports.rs
@@ -39,6 +39,10 @@
         self.0.report_notice(pool, backend, incarnation, notice);
     }
 
+    fn is_excluded(&self, pool: &PoolId, backend: &str, incarnation: u64) -> bool {
+        self.0.is_excluded(pool, backend, incarnation)
+    }
+
     fn report_backend(&self, report: BackendReport) {
         self.0.report_backend(report);
     }
--- a/crates/jaylock-router/src/attempt.rs
+++ b/crates/jaylock-router/src/attempt.rs
@@ -62,7 +62,7 @@
         remaining: Duration,
     ) -> Result<Self, AttemptError> {
         let id = RequestId::random();
-        let request = || chat_request(chat, &id, address, position, remaining);
+        let request = || Some(chat_request(chat, &id, address, position, remaining));
         let timeout = context.settings.first_byte_timeout;
         let settings = &context.settings;
         let connect_timeout = settings.connect_timeout;
--- a/crates/jaylock-router/src/connection.rs
+++ b/crates/jaylock-router/src/connection.rs
@@ -191,16 +191,21 @@
     /// Sends a request over a connection that has been idle for at most `max_idle`, or over a new one.
     ///
     /// The request is never sent twice: after an idle connection fails, a new one is used only if no
-    /// byte of the request was sent.
+    /// byte of the request was sent. Opening a connection may take longer than the backend server's wish for the
+    /// request lasts: `request` is called last of all, and nothing is sent if it returns `None`.
+    ///
+    /// # Errors
+    /// [`AttemptError::Excluded`] if there was no request to send any more.
     pub async fn send(
         &self,
         address: SocketAddr,
         max_idle: Duration,
         connect_timeout: Duration,
-        request: impl Fn() -> Request<Full<Bytes>>,
+        request: impl Fn() -> Option<Request<Full<Bytes>>>,
     ) -> Result<(Connection, Response<Incoming>), AttemptError> {
         if let Some(mut connection) = self.take_idle(address, max_idle) {
-            match connection.send(request()).await {
+            let request = request().ok_or(AttemptError::Excluded)?;
+            match connection.send(request).await {
                 Ok(response) => return Ok((connection, response)),
                 Err(SendError::NotSent) => {}
                 Err(error) => return Err(AttemptError::Lost(format_compact!("{error}"))),
@@ -209,7 +214,8 @@
         let opened = Connection::open(address, connect_timeout).await;
         let mut connection =
             opened.map_err(|e| AttemptError::Unreachable(format_compact!("{e}")))?;
-        match connection.send(request()).await {
+        let request = request().ok_or(AttemptError::Excluded)?;
+        match connection.send(request).await {
             Ok(response) => Ok((connection, response)),
             Err(SendError::NotSent) => {
                 Err(AttemptError::Unreachable("the connection closed".into()))
--- a/crates/jaylock-router/src/error.rs
+++ b/crates/jaylock-router/src/error.rs
@@ -16,6 +16,9 @@
     /// The backend server reported that it did not run the request.
     #[error("the backend server declined the request")]
     Declined,
+    /// The backend server excluded the request while it waited for a connection, so no byte was sent.
+    #[error("the backend server wants no requests now")]
+    Excluded,
     /// The connection was lost before the response was complete.
     #[error("the connection broke: {0}")]
     Lost(CompactString),
@@ -33,7 +36,7 @@
 impl AttemptError {
     /// Whether the request certainly did not run in this attempt.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::Unreachable(_) | Self::Declined)
+        matches!(self, Self::Unreachable(_) | Self::Declined | Self::Excluded)
     }
 }
 
--- a/crates/jaylock-router/src/port.rs
+++ b/crates/jaylock-router/src/port.rs
@@ -29,6 +29,9 @@
     /// Reports what a start of a backend server tells in a response.
     fn report_notice(&self, pool: &PoolId, backend: &str, incarnation: u64, notice: &Notice);
 
+    /// Whether a start of a backend server told this router in a response to send it nothing now.
+    fn is_excluded(&self, pool: &PoolId, backend: &str, incarnation: u64) -> bool;
+
     /// Forwards a backend server's report to the schedulers.
     fn report_backend(&self, report: BackendReport);
 
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -181,6 +181,12 @@
         let backend = slot.backend().to_owned();
         self.tracker
             .record_step(format_compact!("attempt at {backend} failed: {error}"));
+        if matches!(error, AttemptError::Excluded) {
+            // Nothing was sent, so that this was no attempt.
+            self.count -= 1;
+            slot.release(Outcome::NotRun);
+            return Ok(());
+        }
         self.avoid.push(backend);
         if matches!(error, AttemptError::Unreachable(_)) {
             slot.release_unreached();
--- a/crates/jaylock-router/src/route/send.rs
+++ b/crates/jaylock-router/src/route/send.rs
@@ -29,7 +29,7 @@
 /// Sends a request and waits for the head of its response, at most for `timeout`.
 ///
 /// # Errors
-/// [`AttemptError::Declined`] and [`AttemptError::Unreachable`] mean that the request did not run.
+/// [`AttemptError::Declined`], [`AttemptError::Unreachable`] and [`AttemptError::Excluded`] mean that the request did not run.
 pub async fn send(
     context: &RouteContext,
     request: &RouteRequest,
@@ -43,7 +43,10 @@
     } else {
         limits.max_idle_once
     };
-    let outgoing = || outgoing_request(context, request, to);
+    let outgoing = || {
+        let may_send = !to.slot.is_excluded();
+        may_send.then(|| outgoing_request(context, request, to))
+    };
     let sending = context
         .connections
         .send(to.address, max_idle, limits.connect_timeout, outgoing);
--- a/crates/jaylock-router/src/service.rs
+++ b/crates/jaylock-router/src/service.rs
@@ -189,7 +189,7 @@
         timeout: Duration,
     ) -> Result<BufferedResponse, AttemptError> {
         let id = RequestId::random();
-        let request = || self.request(&id, address);
+        let request = || Some(self.request(&id, address));
         let connect_timeout = self.context.settings.connect_timeout;
         let sending = self
             .context
--- a/crates/jaylock-router/src/slot.rs
+++ b/crates/jaylock-router/src/slot.rs
@@ -58,6 +58,13 @@
             .report_notice(&self.pool, self.backend(), incarnation, notice);
     }
 
+    /// Whether the backend server has told this router, since the grant, to send it nothing.
+    pub fn is_excluded(&self) -> bool {
+        let incarnation = self.grant.incarnation;
+        self.schedulers
+            .is_excluded(&self.pool, self.backend(), incarnation)
+    }
+
     /// Sets the service of this attempt so far, in tokens, and reports progress.
     pub fn record_tokens(&mut self, tokens: u64) {
         self.is_answered = true;
--- a/crates/jaylock-tests/tests/router/connection.rs
+++ b/crates/jaylock-tests/tests/router/connection.rs
@@ -8,7 +8,7 @@
 use googletest::prelude::*;
 use http::Request;
 use http_body_util::Full;
-use jaylock_router::Connection;
+use jaylock_router::{AttemptError, Connection, ConnectionPool};
 use jaylock_tests::cases;
 
 /// Timeout for bytes that were sent before.
@@ -32,4 +32,13 @@
         let closed = peer.read_to_end(&mut received);
         assert_that!(closed, ok(gt(&0)));
     };
+    async request_is_sent_to_a_backend_server_that_excluded_it_while_a_connection_was_opened => {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let sent = ConnectionPool::default().send(address, READ_TIMEOUT, READ_TIMEOUT, || None).await;
+        assert_that!(matches!(sent, Err(AttemptError::Excluded)), eq(true));
+        let (mut peer, _) = listener.accept().expect("a connection");
+        let mut received = Vec::new();
+        assert_that!(peer.read_to_end(&mut received), ok(eq(&0)));
+    };
 }
--- a/crates/jaylock-tests/tests/router/fakes.rs
+++ b/crates/jaylock-tests/tests/router/fakes.rs
@@ -96,6 +96,10 @@
 
     fn report_notice(&self, _: &PoolId, _: &str, _: u64, _: &Notice) {}
 
+    fn is_excluded(&self, _: &PoolId, _: &str, _: u64) -> bool {
+        false
+    }
+
     fn release_slot(&self, _: &PoolId, end: End) {
         self.0.released.borrow_mut().push(end);
     }
