--- a/crates/jaylock-tests/tests/share/stream_origins.rs
+++ b/crates/jaylock-tests/tests/share/stream_origins.rs
@@ -18,6 +18,8 @@
 const SETTLING_TIME: Duration = Duration::from_secs(4);
 /// Time for which callers take streams up.
 const RETENTION: Duration = Duration::from_mins(1);
+/// Time after which a scheduler forgets a router that is not attached, and longer.
+const ROUTER_LEASE: Duration = Duration::from_secs(5);
 /// Streams that a test begins.
 const STREAM_COUNT: usize = 16;
 
@@ -66,6 +68,19 @@
     }
 }
 
+/// Starts the only router again, which remembers nothing, after it was away for this time.
+fn restart_router(pool: &mut Fixture, away: Duration) {
+    pool.allocator.detach(pool.router, pool.now);
+    pool.now += away;
+    pool.allocator.tick(pool.now);
+    let hello = Hello {
+        router: "r1".into(),
+        incarnation: 2,
+        ..Hello::default()
+    };
+    pool.router = pool.allocator.attach(&hello, pool.now);
+}
+
 /// Sends a request; returns the backend server that is granted, or why none is.
 fn send(fixture: &mut Fixture, request: Ask) -> std::result::Result<String, Option<Reason>> {
     fixture.ask([request]);
@@ -306,4 +321,32 @@
         now += RETENTION * 2;
         assert_that!(listed(&mut router, now), eq(0));
     };
+    streams_are_joined_from_two_versions_after_all_routers_were_killed => {
+        for away in [Duration::from_millis(900), ROUTER_LEASE * 2] {
+            let mut pool = start_pool(&["v1", "v2"]);
+            let begun: Vec<String> = (0..STREAM_COUNT)
+                .map(|n| send(&mut pool, begin(&format!("stream-{n}"))).expect("a grant"))
+                .collect();
+            restart_router(&mut pool, away);
+            report_backends(&mut pool, &["v1", "v2"]);
+            for (n, backend) in begun.iter().enumerate() {
+                assert_that!(send(&mut pool, take_up(&format!("stream-{n}"))), ok(eq(backend)));
+            }
+        }
+    };
+    streams_go_on_at_the_new_version_after_the_old_one_has_left_and_all_routers_were_killed => {
+        for away in [Duration::from_millis(900), ROUTER_LEASE * 2] {
+            let mut pool = start_pool(&["v1"]);
+            send(&mut pool, begin("stream")).expect("a grant");
+            pool.report(BackendReport { gone: true, ..report("b0", "v1") });
+            restart_router(&mut pool, away);
+            pool.report(report("b1", "v2"));
+            assert_that!(send(&mut pool, take_up("stream")), eq(&Err(Some(Reason::NoBackend))));
+            assert_that!(send(&mut pool, begin("new")), ok(eq("b1")));
+            pool.replace_scheduler(&Hello { router: "r1".into(), incarnation: 2, ..Hello::default() });
+            pool.now += SETTLING_TIME;
+            pool.report(report("b1", "v2"));
+            assert_that!(send(&mut pool, take_up("stream")), eq(&Err(Some(Reason::UnknownStream))));
+        }
+    };
 }
