--- a/crates/jaylock-router/src/connection.rs
+++ b/crates/jaylock-router/src/connection.rs
@@ -191,8 +191,8 @@
     /// Sends a request over a connection that has been idle for at most `max_idle`, or over a new one.
     ///
     /// The request is never sent twice: after an idle connection fails, a new one is used only if no
-    /// byte of the request was sent. Opening a connection may take longer than the backend server's wish for the
-    /// request lasts: `request` is called last of all, and nothing is sent if it returns `None`.
+    /// byte of the request was sent. `request` is called right before the first byte is sent, as the backend server may
+    /// exclude the request while a connection is opened; it then returns `None`, and nothing is sent.
     ///
     /// # Errors
     /// [`AttemptError::Excluded`] if there was no request to send any more.
--- a/crates/jaylock-router/src/overload.rs
+++ b/crates/jaylock-router/src/overload.rs
@@ -64,7 +64,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    // Longest time for which an event of a stream may be delayed.
+    // Longest time that an event of a stream may take to its caller.
     event_timeout: Duration,
     // Requests in progress of each organisation, sorted by identifier.
     in_progress: Vec<(OrganisationId, usize)>,
--- a/crates/jaylock-router/src/route/event_source.rs
+++ b/crates/jaylock-router/src/route/event_source.rs
@@ -4,8 +4,7 @@
 use bytes::{Bytes, BytesMut};
 use compact_str::format_compact;
 use futures_util::FutureExt;
-use http_body::Body;
-use http_body::Frame;
+use http_body::{Body, Frame};
 use http_body_util::BodyExt;
 
 use crate::error::AttemptError;
--- a/crates/jaylock-settings/src/timeouts.rs
+++ b/crates/jaylock-settings/src/timeouts.rs
@@ -16,7 +16,7 @@
     pub stop: Duration,
     /// How long a backend server counts as alive after its last report.
     pub backend: Duration,
-    /// Longest time from the arrival of a stream's event at a router to its end at the caller.
+    /// Longest time that an event of a stream may take through a router to its caller.
     pub event: Duration,
 }
 
