Service is recorded, and the fall of the limit decided, in one place each

Read once more; no behaviour, bound or assertion is changed. Cause: the change computed an organisation's service gap at three places to record it; retry.rs listed again which errors mean that a request did not run, which AttemptError::is_not_run says; the guard kept its last delay in two branches and hid when the limit falls in a match; a test wrote its windows as numbers beside the constants they follow from, and two engines reported by hand at five places. Ruled out: one reader of events for chat and routes, which differ in timeouts, limits and what an end means; the check of pauses by start in Router::paused, which would need the backend servers at each choice.

--- a/crates/jaylock-router/src/overload.rs
+++ b/crates/jaylock-router/src/overload.rs
@@ -220,17 +220,16 @@
 
     fn adjust(&mut self) {
         let total = to_f64(self.total);
+        let is_rising = self.delay >= self.adjusted_delay;
+        self.adjusted_delay = self.delay;
         if self.delay > MAX_DELAY.as_secs_f64() {
-            let is_rising = self.delay >= self.adjusted_delay;
-            self.adjusted_delay = self.delay;
-            match self.limit {
-                // The last decrease shows no effect before so many requests have ended.
-                Some(limit) if total > limit || !is_rising => {}
-                _ => self.limit = Some((total * DECREASE).max(MIN_LIMIT)),
+            // The last decrease shows no effect before so many requests have ended.
+            let may_fall = |limit| is_rising && total <= limit;
+            if self.limit.is_none_or(may_fall) {
+                self.limit = Some((total * DECREASE).max(MIN_LIMIT));
             }
             return;
         }
-        self.adjusted_delay = self.delay;
         let Some(limit) = self.limit else { return };
         let grown = limit * INCREASE + 1.0;
         self.limit = (grown < total.max(MIN_LIMIT) * END_FACTOR).then_some(grown);
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -352,13 +352,9 @@
 
 fn outcome(error: &AttemptError) -> Outcome {
     match error {
-        AttemptError::Unreachable(_) | AttemptError::Declined | AttemptError::Excluded => {
-            Outcome::NotRun
-        }
         AttemptError::ErrorStatus(..) => Outcome::Complete,
-        AttemptError::Lost(_) | AttemptError::TimedOut | AttemptError::Invalid(_) => {
-            Outcome::Broken
-        }
+        error if error.is_not_run() => Outcome::NotRun,
+        _ => Outcome::Broken,
     }
 }
 
--- a/crates/jaylock-router/src/route/event_source.rs
+++ b/crates/jaylock-router/src/route/event_source.rs
@@ -125,12 +125,11 @@
 
 /// Lets the other tasks that are ready run first.
 async fn yield_once() {
-    let mut has_yielded = false;
+    let mut is_first = true;
     poll_fn(|context| {
-        if has_yielded {
+        if !std::mem::take(&mut is_first) {
             return Poll::Ready(());
         }
-        has_yielded = true;
         context.waker().wake_by_ref();
         Poll::Pending
     })
--- a/crates/jaylock-share/src/admission.rs
+++ b/crates/jaylock-share/src/admission.rs
@@ -66,14 +66,8 @@
             let removed = self.accounts.get_mut(account).queue.drain(is_overdue);
             self.accounts.leave_backlog_if_empty(account);
             let interval = self.accounts.expected_grant_interval();
-            let gap = self.accounts.service_gap(account);
             for waiting in removed {
-                self.service_log.record(
-                    account,
-                    AskOutcome::Overdue,
-                    waiting.ask.prompt_tokens,
-                    gap,
-                );
+                self.record_service(account, AskOutcome::Overdue, &waiting.ask);
                 if log::log_enabled!(target: "share", log::Level::Debug) {
                     self.log_refusal(account, &waiting.ask, self.wait_reason(account, &waiting));
                 }
--- a/crates/jaylock-share/src/arrival.rs
+++ b/crates/jaylock-share/src/arrival.rs
@@ -37,9 +37,7 @@
         let account = self.accounts.intern(&ask.organisation);
         let requirement = self.requirement(&ask);
         if let Some(refusal) = self.arrival_refusal(account, requirement, &ask, now) {
-            let gap = self.accounts.service_gap(account);
-            self.service_log
-                .record(account, AskOutcome::Declined, ask.prompt_tokens, gap);
+            self.record_service(account, AskOutcome::Declined, &ask);
             self.log_refusal(account, &ask, refusal.cause);
             self.refuse(router, ask.ticket, refusal.reason, refusal.retry_delay);
             return;
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -203,8 +203,7 @@
         let service_gap = self.accounts.service_gap(account);
         self.waiting_count -= 1;
         self.accounts.record_grant(account, now);
-        self.service_log
-            .record(account, AskOutcome::Granted, ask.prompt_tokens, service_gap);
+        self.record_service(account, AskOutcome::Granted, ask);
         self.report_delay.record_grant(now);
         self.accounts.charge(account, charged_tokens);
         let owner = self.accounts.get_mut(account);
--- a/crates/jaylock-share/src/service_log.rs
+++ b/crates/jaylock-share/src/service_log.rs
@@ -1,5 +1,7 @@
 use std::time::{Duration, Instant};
 
+use jaylock_rpc::v1::Ask;
+
 use crate::account::AccountKey;
 use crate::allocator::Allocator;
 
@@ -44,8 +46,8 @@
 }
 
 impl ServiceLog {
-    /// Records what became of a request for this many prompt tokens; `gap` is its organisation's service gap.
-    pub fn record(&mut self, account: AccountKey, outcome: AskOutcome, tokens: u32, gap: u64) {
+    /// Adds a request with this many prompt tokens; `gap` is its organisation's service gap.
+    fn add(&mut self, account: AccountKey, outcome: AskOutcome, tokens: u32, gap: u64) {
         let service = self.find_or_add(account);
         let sum = match outcome {
             AskOutcome::Granted => &mut service.granted,
@@ -81,6 +83,13 @@
 }
 
 impl Allocator {
+    /// Records what became of an organisation's request.
+    pub(crate) fn record_service(&mut self, account: AccountKey, outcome: AskOutcome, ask: &Ask) {
+        let gap = self.accounts.service_gap(account);
+        self.service_log
+            .add(account, outcome, ask.prompt_tokens, gap);
+    }
+
     /// Logs what the organisations with refused requests got in the last interval, so that their shares can be compared.
     pub(crate) fn log_service(&mut self, now: Instant) {
         for (account, service) in self.service_log.take(now) {
--- a/crates/jaylock-tests/tests/router/overload.rs
+++ b/crates/jaylock-tests/tests/router/overload.rs
@@ -80,7 +80,8 @@
 impl Outcome {
     /// The fewest requests that were admitted in a `FAIRNESS_WINDOW` of the flood.
     fn fewest_admitted(&self) -> usize {
-        let windows = (5..=14).map(Duration::from_secs);
+        let starts = (0..).map(|n| FLOOD_START + Duration::from_secs(n));
+        let windows = starts.take_while(|start| *start + FAIRNESS_WINDOW <= PLAY_TIME);
         let count = |start: Duration| {
             let is_in = |at: &&Duration| **at >= start && **at < start + FAIRNESS_WINDOW;
             self.admitted_at.iter().filter(is_in).count()
--- a/crates/jaylock-tests/tests/share/exclusions.rs
+++ b/crates/jaylock-tests/tests/share/exclusions.rs
@@ -59,6 +59,13 @@
     fixture.allocator.apply(router, frame, fixture.now);
 }
 
+/// Lets two engines report, which are named e1 and e2.
+fn report_two(fixture: &mut Fixture) {
+    for id in ["e1", "e2"] {
+        fixture.report(engine_report(id, 4));
+    }
+}
+
 /// A router that waits for a grant under its scheduler, with the receiver of the grant.
 fn waiting_router(now: Instant) -> (ClientState, oneshot::Receiver<jaylock_share::AskResult>) {
     let mut router = ClientState::new(SchedulerClientSettings::default());
@@ -114,16 +121,14 @@
     };
     router_gets_slots_at_a_backend_server_that_asked_it_for_a_pause => {
         let mut fixture = Fixture::new();
-        fixture.report(engine_report("e1", 4));
-        fixture.report(engine_report("e2", 4));
+        report_two(&mut fixture);
         let router = fixture.router;
         exclude(&mut fixture, router, "e1", Some(PAUSE));
         for _ in 0..4 {
             assert_that!(fixture.ask_and_decide(ask("bench")), some(eq("e2")));
         }
         fixture.now += PAUSE;
-        fixture.report(engine_report("e1", 4));
-        fixture.report(engine_report("e2", 4));
+        report_two(&mut fixture);
         assert_that!(fixture.ask_and_decide(ask("bench")), some(eq("e1")));
     };
     pause_for_one_router_excludes_the_others => {
@@ -185,9 +190,7 @@
     request_waits_although_the_last_backend_server_has_left => {
         let mut fixture = Fixture::new();
         fixture.now += SETTLING_TIME;
-        for id in ["e1", "e2"] {
-            fixture.report(engine_report(id, 4));
-        }
+        report_two(&mut fixture);
         fixture.report(BackendReport { leaving: true, sequence: 1, ..engine_report("e1", 4) });
         fixture.ask([numbered_ask(1)]);
         assert_that!(fixture.decide_all().0, len(eq(1)));
@@ -233,14 +236,12 @@
     };
     later_refusal_with_a_shorter_time_ends_the_pause_at_the_scheduler => {
         let mut fixture = Fixture::new();
-        fixture.report(engine_report("e1", 4));
-        fixture.report(engine_report("e2", 4));
+        report_two(&mut fixture);
         let router = fixture.router;
         exclude(&mut fixture, router, "e1", Some(PAUSE));
         exclude(&mut fixture, router, "e1", Some(SHORT_PAUSE));
         fixture.now += PAUSE / 2;
-        fixture.report(engine_report("e1", 4));
-        fixture.report(engine_report("e2", 4));
+        report_two(&mut fixture);
         for _ in 0..4 {
             assert_that!(fixture.ask_and_decide(ask("bench")), some(eq("e2")));
         }
