A response that names no request is not trusted on a kept connection

Callers could be told that a request did not run while a backend server ran it, or it ran at a second one. Cause: the connection was taken for proof. A response without the request's identifier counted as the response to whatever was sent last, also when it was a refusal: a backend server that writes an earlier refusal once more, after it has read the next request, thereby "refuses" a request that it runs. The same held for 421, 429 and 400 marked as not run, for an error without an identifier (forwarded as this request's), for the notices in such a refusal (a pause, leaving), for two identifiers of which the first one is right, and, on calls of plain services, which need not name their call, for an earlier success.

Ruled out: bytes on an idle connection. A refusal that names an earlier request was already rejected, and so was a status line alone. After a refusal the connection is closed, so that a router never sends a request again over the connection on which it was refused.

Change: one place, ExpectedOrigin::check, decides for routes, chats and calls whether a response belongs to a request and whether it is a promise. All identifiers must be the request's own. Without one, a response is trusted only on a connection that has carried no other request, and that connection isn't used again. What can't be trusted counts as "may have run", and the connection is closed.

The ordinary refusal still is a promise on a kept connection and on a new one (refusal_on_a_..._is_no_promise).

--- a/crates/jaylock-router/src/attempt.rs
+++ b/crates/jaylock-router/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::context::Context;
 use crate::error::{AttemptError, with_timeout};
 use crate::event::EventParser;
+use crate::origin::ExpectedOrigin;
 use crate::response::{REQUEST_ID_HEADER, set_header};
 
 /// Header by which a backend server reports that a request did not run.
@@ -70,8 +71,9 @@
             context
                 .connections
                 .send(address, settings.max_idle, connect_timeout, request);
-        let (connection, response) = with_timeout(timeout, sending).await??;
-        let response = validate_head(response, &id, context).await?;
+        let (mut connection, response) = with_timeout(timeout, sending).await??;
+        check_origin(&mut connection, &response, &id)?;
+        let response = validate_status(response, context).await?;
         Ok(Self {
             context: context.clone(),
             connection,
@@ -145,21 +147,20 @@
     }
 }
 
-/// Whether the response carries another request's identifier.
-pub fn is_mismatched(response: &Response<Incoming>, id: &RequestId) -> bool {
-    let echoed = response.headers().get(REQUEST_ID_HEADER);
-    echoed.is_some_and(|e| e.as_bytes() != id.as_str().as_bytes())
-}
-
-/// Whether the backend server reports that it did not run this request.
-pub fn is_declined(response: &Response<Incoming>, id: &RequestId) -> bool {
-    let is_marked = response
-        .headers()
-        .get(NOT_RUN_HEADER)
-        .is_some_and(|v| v == "true");
-    response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && is_marked
-        && !is_mismatched(response, id)
+/// Checks that a response belongs to an attempt, and whether it says that the attempt did not run.
+pub fn check_origin(
+    connection: &mut Connection,
+    response: &Response<Incoming>,
+    id: &RequestId,
+) -> Result<(), AttemptError> {
+    let origin = ExpectedOrigin {
+        header: REQUEST_ID_HEADER,
+        id: id.as_str().as_bytes(),
+    };
+    let marked = response.headers().get(NOT_RUN_HEADER);
+    let is_refusal =
+        response.status() == StatusCode::SERVICE_UNAVAILABLE && marked.is_some_and(|v| v == "true");
+    origin.check(connection, response, is_refusal)
 }
 
 fn chat_request(
@@ -188,19 +189,10 @@
     request
 }
 
-async fn validate_head(
+async fn validate_status(
     response: Response<Incoming>,
-    id: &RequestId,
     context: &Context,
 ) -> Result<Response<Incoming>, AttemptError> {
-    if is_declined(&response, id) {
-        return Err(AttemptError::Declined);
-    }
-    if is_mismatched(&response, id) {
-        return Err(AttemptError::Invalid(
-            "the answer is another request's".into(),
-        ));
-    }
     let status = response.status();
     if status.is_client_error() && !TRANSIENT_CLIENT_ERRORS.contains(&status) {
         return Err(error_status(response, context).await);
--- a/crates/jaylock-router/src/connection.rs
+++ b/crates/jaylock-router/src/connection.rs
@@ -39,6 +39,10 @@
     last_used: Instant,
     /// Whether a request was sent whose response has not been read completely.
     is_busy: bool,
+    /// Whether it has carried a request before the current one.
+    is_kept: bool,
+    /// Whether no other request may be sent over it.
+    is_expired: bool,
 }
 
 /// Error of sending a request over a connection.
@@ -78,6 +82,8 @@
             head_budget,
             last_used: Instant::now(),
             is_busy: false,
+            is_kept: false,
+            is_expired: false,
         })
     }
 
@@ -108,10 +114,21 @@
         self.address
     }
 
+    /// Whether the connection has carried a request before the current one.
+    pub fn is_kept(&self) -> bool {
+        self.is_kept
+    }
+
+    /// Lets the connection carry no further request.
+    pub fn expire(&mut self) {
+        self.is_expired = true;
+    }
+
     /// Records that a complete response arrived, which starts the idle time.
     pub fn mark_used(&mut self) {
         self.last_used = Instant::now();
         self.is_busy = false;
+        self.is_kept = true;
     }
 }
 
@@ -224,10 +241,10 @@
         }
     }
 
-    /// Returns a connection to the pool after its last response was read completely.
+    /// Returns a connection to the pool after its last response was read completely, or closes an expired one.
     pub fn put_back(&self, mut connection: Connection) {
         connection.mark_used();
-        if connection.sender.is_closed() {
+        if connection.is_expired || connection.sender.is_closed() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -27,6 +27,7 @@
 mod lifecycle;
 mod memory;
 mod organisation;
+mod origin;
 mod overload;
 mod pinned;
 mod port;
--- /dev/null
+++ b/crates/jaylock-router/src/origin.rs
@@ -0,0 +1,51 @@
+use http::Response;
+
+use crate::connection::Connection;
+use crate::error::AttemptError;
+
+/// What the response to a request must name.
+pub struct ExpectedOrigin<'a> {
+    /// Header in which a response repeats the identifier of its request.
+    pub header: &'static str,
+    /// Identifier of the request, which was sent over this connection for the first time.
+    pub id: &'a [u8],
+}
+
+impl ExpectedOrigin<'_> {
+    /// Checks that a response belongs to this request, and whether it promises that the request did not run.
+    ///
+    /// A backend server may write an earlier response once more. A response that names no request is therefore
+    /// only trusted on a connection that has carried no other one, and the connection isn't used again.
+    ///
+    /// # Errors
+    /// [`AttemptError::Declined`] for a refusal of this request; [`AttemptError::Invalid`] for a response that may
+    /// belong to another one, after which it is unknown whether this one ran.
+    pub fn check<B>(
+        &self,
+        connection: &mut Connection,
+        response: &Response<B>,
+        is_refusal: bool,
+    ) -> Result<(), AttemptError> {
+        let mut named = response.headers().get_all(self.header).iter();
+        let is_named = response.headers().contains_key(self.header);
+        if named.any(|id| id.as_bytes() != self.id) {
+            return Err(invalid("the answer is another request's"));
+        }
+        if !is_named && connection.is_kept() {
+            return Err(invalid(
+                "the answer names no request, and may be an earlier one's",
+            ));
+        }
+        if !is_named {
+            connection.expire();
+        }
+        if is_refusal {
+            return Err(AttemptError::Declined);
+        }
+        Ok(())
+    }
+}
+
+fn invalid(reason: &'static str) -> AttemptError {
+    AttemptError::Invalid(reason.into())
+}
--- a/crates/jaylock-router/src/route/send.rs
+++ b/crates/jaylock-router/src/route/send.rs
@@ -13,6 +13,7 @@
 use super::request::RouteRequest;
 use crate::connection::Connection;
 use crate::error::{AttemptError, with_timeout};
+use crate::origin::ExpectedOrigin;
 use crate::response::set_header;
 use crate::slot::Slot;
 
@@ -50,13 +51,19 @@
     let sending = context
         .connections
         .send(to.address, max_idle, limits.connect_timeout, outgoing);
-    let (connection, response) = with_timeout(timeout, sending).await??;
-    let validated = validate_head(&response, request, &context.names);
-    if matches!(validated, Ok(()) | Err(AttemptError::Declined)) {
+    let (mut connection, response) = with_timeout(timeout, sending).await??;
+    let origin = ExpectedOrigin {
+        header: context.names.request_id,
+        id: request.caller_id.as_bytes(),
+    };
+    let is_refusal = is_refusal(&response, &context.names);
+    let belongs = origin.check(&mut connection, &response, is_refusal);
+    if matches!(belongs, Ok(()) | Err(AttemptError::Declined)) {
         to.slot
             .record_notice(&notice::parse(&response, &context.names));
     }
-    validated?;
+    belongs?;
+    validate_head(&response, &context.names)?;
     Ok((connection, response))
 }
 
@@ -105,30 +112,23 @@
     texts.flat_map(|t| t.split(',').map(str::trim)).collect()
 }
 
-/// Checks that a response belongs to this request and whether it reports that the request did not run.
-fn validate_head(
-    response: &Response<Incoming>,
-    request: &RouteRequest,
-    names: &RouteHeaders,
-) -> Result<(), AttemptError> {
+/// Whether a response says that its request did not run.
+fn is_refusal(response: &Response<Incoming>, names: &RouteHeaders) -> bool {
+    let status = response.status();
+    let is_marked = response.headers().contains_key(names.not_run);
+    status == StatusCode::MISDIRECTED_REQUEST || is_marked && !status.is_success()
+}
+
+/// Checks that a response is a backend server's own and can be forwarded as it is.
+fn validate_head(response: &Response<Incoming>, names: &RouteHeaders) -> Result<(), AttemptError> {
     let (status, headers) = (response.status(), response.headers());
-    let echoed = headers.get(names.request_id);
-    if echoed.is_some_and(|e| *e != request.caller_id) {
-        return Err(AttemptError::Invalid(
-            "the answer is another request's".into(),
-        ));
-    }
-    let is_declined = headers.contains_key(names.not_run) && !status.is_success();
-    if is_declined || status == StatusCode::MISDIRECTED_REQUEST {
-        return Err(AttemptError::Declined);
-    }
     if !headers.contains_key(names.seal) {
         return Err(AttemptError::Invalid("the answer has no seal".into()));
     }
     if headers.contains_key(header::CONTENT_ENCODING) {
         return Err(AttemptError::Invalid("the answer is encoded".into()));
     }
-    if echoed.is_none() && status.is_success() {
+    if !headers.contains_key(names.request_id) && status.is_success() {
         return Err(AttemptError::Invalid("the answer names no request".into()));
     }
     Ok(())
--- a/crates/jaylock-router/src/service.rs
+++ b/crates/jaylock-router/src/service.rs
@@ -195,15 +195,8 @@
             .context
             .connections
             .send(address, max_idle, connect_timeout, request);
-        let (connection, response) = with_timeout(timeout, sending).await??;
-        if attempt::is_declined(&response, &id) {
-            return Err(AttemptError::Declined);
-        }
-        if attempt::is_mismatched(&response, &id) {
-            return Err(AttemptError::Invalid(
-                "the answer is another request's".into(),
-            ));
-        }
+        let (mut connection, response) = with_timeout(timeout, sending).await??;
+        attempt::check_origin(&mut connection, &response, &id)?;
         if !has_end(&response) {
             return Err(AttemptError::Invalid("the answer tells no length".into()));
         }
--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -50,6 +50,8 @@
     pub body: String,
     /// When the head had arrived.
     pub arrived_at: Instant,
+    /// Number of the connection, from 1.
+    pub connection: usize,
 }
 
 /// The bytes that a backend server replies.
@@ -220,8 +222,11 @@
         let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
         let mut stream = stream;
         let handle = stream.try_clone().expect("a handle for a crash");
-        self.lock_connections().push(handle);
-        while let Some(received) = read_request(&mut reader) {
+        let mut connections = self.lock_connections();
+        connections.push(handle);
+        let number = connections.len();
+        drop(connections);
+        while let Some(received) = read_request(&mut reader, number) {
             self.lock_received().push(received.clone());
             self.active_count.fetch_add(1, Ordering::Relaxed);
             let reply = reply(&received);
@@ -367,7 +372,7 @@
     format!("{:x}\r\n{event}\r\n", event.len())
 }
 
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<ReceivedRequest> {
+fn read_request(reader: &mut BufReader<TcpStream>, connection: usize) -> Option<ReceivedRequest> {
     let mut line = String::new();
     reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
     let mut headers = Vec::new();
@@ -384,6 +389,7 @@
         headers,
         body: String::new(),
         arrived_at: Instant::now(),
+        connection,
     };
     let length = received.header("content-length").parse().unwrap_or(0);
     let mut body = vec![0; length];
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod lifecycle;
 mod rate_limits;
 mod refusals;
+mod repeated_refusals;
 mod replacements;
 mod requests;
 mod shutdown;
--- a/crates/jaylock-tests/tests/router/main.rs
+++ b/crates/jaylock-tests/tests/router/main.rs
@@ -14,5 +14,6 @@
 mod overload;
 mod properties;
 mod quarantine;
+mod repeated_refusals;
 mod shutdown;
 mod streams;
