A refusal that breaks off and is continued by a response is no promise

A backend server that repeats only the beginning of an earlier refusal, and then sends the response to the request that it ran, made the router believe that the request did not run. Cause: a head that breaks off in a header's value or in the reason of its status line runs into the next head. The status and the mark are then the earlier refusal's, the identifier is that of the request that ran, so that the identifier alone proves nothing.

Ruled out: a break at any other place.

Change: a response whose reason or whose header holds a status line is taken for two that ran into each other. It counts as "may have run".

--- a/crates/jaylock-router/src/origin.rs
+++ b/crates/jaylock-router/src/origin.rs
@@ -1,8 +1,12 @@
-use http::Response;
+use http::{HeaderValue, Response};
+use hyper::ext::ReasonPhrase;
 
 use crate::connection::Connection;
 use crate::error::AttemptError;
 
+/// Length of a status line up to its code, as in `HTTP/1.1 200`.
+const STATUS_LENGTH: usize = 12;
+
 /// What the response to a request must name.
 pub struct ExpectedOrigin<'a> {
     /// Header in which a response repeats the identifier of its request.
@@ -36,6 +40,9 @@
                 "the answer names no request, and may be an earlier one's",
             ));
         }
+        if is_spliced(response) {
+            return Err(invalid("the answer begins with a part of another one"));
+        }
         if !is_named {
             connection.expire();
         }
@@ -49,3 +56,19 @@
 fn invalid(reason: &'static str) -> AttemptError {
     AttemptError::Invalid(reason.into())
 }
+
+/// Whether a response that broke off was continued by another one, whose status line then stands in a header or in the reason.
+fn is_spliced<B>(response: &Response<B>) -> bool {
+    let reason = response.extensions().get::<ReasonPhrase>();
+    let values = response.headers().values().map(HeaderValue::as_bytes);
+    let mut texts = values.chain(reason.map(ReasonPhrase::as_bytes));
+    texts.any(|text| text.windows(STATUS_LENGTH).any(is_status))
+}
+
+/// Whether a text has the form `HTTP/1.1 200`.
+fn is_status(text: &[u8]) -> bool {
+    let [b'H', b'T', b'T', b'P', b'/', b'1', b'.', _, b' ', code @ ..] = text else {
+        return false;
+    };
+    code.iter().all(u8::is_ascii_digit)
+}
--- a/crates/jaylock-tests/tests/platform/repeated_refusals.rs
+++ b/crates/jaylock-tests/tests/platform/repeated_refusals.rs
@@ -119,6 +119,12 @@
     status_line_of_a_refusal_is_repeated_while_the_next_request_runs => {
         expect_unknown("HTTP/1.1 421 Misdirected Request\r\n");
     };
+    refusal_that_breaks_off_in_its_reason_is_continued_by_the_response => {
+        expect_unknown("HTTP/1.1 421 Misdir");
+    };
+    refusal_that_breaks_off_in_a_header_is_continued_by_the_response => {
+        expect_unknown("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nServer: ap");
+    };
     error_that_names_no_request_is_repeated_while_the_next_request_runs => {
         expect_unknown(
             "HTTP/1.1 500 Internal Server Error\r\nReplica-Seal: 3e1b.06\r\nContent-Length: 0\r\n\r\n",
--- a/crates/jaylock-tests/tests/router/repeated_refusals.rs
+++ b/crates/jaylock-tests/tests/router/repeated_refusals.rs
@@ -68,6 +68,9 @@
     async refusal_of_an_earlier_call_is_repeated_while_the_next_call_runs => {
         expect_unknown(&UNNAMED.replace("x-not", "x-request-id: earlier\r\nx-not")).await;
     };
+    async refusal_that_breaks_off_in_a_header_is_continued_by_the_response_to_a_call => {
+        expect_unknown("HTTP/1.1 503 X\r\nx-not-run: true\r\nserver: ap").await;
+    };
     async success_of_an_earlier_call_is_repeated_while_the_next_call_runs => {
         expect_unknown("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await;
     };
