A request is sent again to an address that refused it over a new connection only

A request that a backend server had refused could be refused once more, by a repetition of that refusal, after it had begun to run at the same address; its caller was told that it did not run. Cause: all attempts of a request for a route bear the caller's identifier, so the refusal of the first attempt names the second one too, and nothing tells a repetition from a new refusal on a connection that was kept.

When it happens: a backend server that refused a request doesn't get it again, but another one registered at the same address does, as after a restart under a new identifier while the earlier entry is still valid. Ruled out: chats and calls, whose attempts have identifiers of their own; and the connection of the refusal itself, which is closed.

Change: an attempt at an address to which this request was sent before goes over a new connection, where a response can only be to it. It costs a connection for such attempts alone; first attempts and those at other addresses use kept ones as before.

--- a/crates/jaylock-router/src/connection.rs
+++ b/crates/jaylock-router/src/connection.rs
@@ -205,7 +205,7 @@
         None
     }
 
-    /// Sends a request over a connection that has been idle for at most `max_idle`, or over a new one.
+    /// Sends a request over a connection that has been idle for at most `max_idle`, or over a new one, as always if it is 0.
     ///
     /// The request is never sent twice: after an idle connection fails, a new one is used only if no
     /// byte of the request was sent. `request` is called right before the first byte is sent, as the backend server may
@@ -220,7 +220,9 @@
         connect_timeout: Duration,
         request: impl Fn() -> Option<Request<Full<Bytes>>>,
     ) -> Result<(Connection, Response<Incoming>), AttemptError> {
-        if let Some(mut connection) = self.take_idle(address, max_idle) {
+        if !max_idle.is_zero()
+            && let Some(mut connection) = self.take_idle(address, max_idle)
+        {
             let request = request().ok_or(AttemptError::Excluded)?;
             match connection.send(request).await {
                 Ok(response) => return Ok((connection, response)),
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -39,6 +39,8 @@
     /// Number of attempts made.
     count: u32,
     avoid: Vec<String>,
+    /// Addresses that earlier attempts were sent to.
+    addresses: Vec<SocketAddr>,
     software: PinnedSoftware,
 }
 
@@ -66,6 +68,7 @@
             run_status: RunStatus::NotRun,
             count: 0,
             avoid: Vec::new(),
+            addresses: Vec::new(),
             software: PinnedSoftware::default(),
         }
     }
@@ -76,6 +79,11 @@
         self.tracker.record.run = RunStatus::Ran;
     }
 
+    /// Whether the request was sent to this address before, for this or another backend server.
+    pub fn has_tried(&self, address: SocketAddr) -> bool {
+        self.addresses.contains(&address)
+    }
+
     /// Lets the response go on only at this version of the backend servers' software.
     pub fn pin_software(&mut self, software: &str) {
         self.software.pin(software);
@@ -188,6 +196,7 @@
             return Ok(());
         }
         self.avoid.push(backend);
+        self.addresses.push(address);
         if matches!(error, AttemptError::Unreachable(_)) {
             slot.release_unreached();
         } else if error.is_not_run() {
--- a/crates/jaylock-router/src/route/buffered.rs
+++ b/crates/jaylock-router/src/route/buffered.rs
@@ -79,6 +79,7 @@
     let to = Destination {
         address,
         slot,
+        is_tried: attempts.has_tried(address),
         last_event: 0,
     };
     let sent = Instant::now();
--- a/crates/jaylock-router/src/route/send.rs
+++ b/crates/jaylock-router/src/route/send.rs
@@ -23,6 +23,8 @@
     pub address: SocketAddr,
     /// Slot at the backend server; no other one at this address may run the request.
     pub slot: &'a Slot,
+    /// Whether the request was sent to this address before.
+    pub is_tried: bool,
     /// Number of the last event that was forwarded, for a resumed stream.
     pub last_event: u64,
 }
@@ -38,11 +40,11 @@
     timeout: Duration,
 ) -> Result<(Connection, Response<Incoming>), AttemptError> {
     let limits = &context.limits;
-    let is_idempotent = request.route.kind() == Kind::Repeatable;
-    let max_idle = if is_idempotent {
-        limits.max_idle
-    } else {
-        limits.max_idle_once
+    let max_idle = match request.route.kind() {
+        // A response to the attempt before names this request too.
+        _ if to.is_tried => Duration::ZERO,
+        Kind::Repeatable => limits.max_idle,
+        Kind::Once | Kind::Stream => limits.max_idle_once,
     };
     let outgoing = || {
         let may_send = !to.slot.is_excluded();
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -173,6 +173,7 @@
             let to = Destination {
                 address,
                 slot: &slot,
+                is_tried: self.attempts.has_tried(address),
                 last_event: self.last_event,
             };
             let (context, request) = (&self.attempts.context, &self.attempts.request);
--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -150,6 +150,13 @@
         send_call(fleet.control_address(0), "DELETE", &path, "").map_or(0, |a| a.status)
     }
 
+    /// Registers another backend server at the address of this one.
+    pub fn register_at_address(&self, id: &str) -> u16 {
+        let shared = &self.shared;
+        let answer = shared.send_heartbeat_as(id, shared.control(), "ready");
+        answer.map_or(0, |a| a.status)
+    }
+
     /// Sends further heartbeats to another instance.
     pub fn redirect_heartbeats(&self, control: SocketAddr) {
         let lock = self.shared.control.lock();
@@ -201,8 +208,16 @@
     }
 
     fn send_heartbeat(&self, control: SocketAddr, state: &str) -> Option<HttpResponse> {
+        self.send_heartbeat_as(&self.id, control, state)
+    }
+
+    fn send_heartbeat_as(
+        &self,
+        id: &str,
+        control: SocketAddr,
+        state: &str,
+    ) -> Option<HttpResponse> {
         let Self {
-            id,
             service,
             software,
             address,
--- a/crates/jaylock-tests/tests/platform/repeated_refusals.rs
+++ b/crates/jaylock-tests/tests/platform/repeated_refusals.rs
@@ -173,4 +173,26 @@
         let used: Vec<_> = backend.received().iter().map(|r| r.connection).collect();
         assert_that!(used, elements_are![eq(&1), eq(&1)]);
     };
+    refusal_of_the_same_request_is_repeated_on_another_connection => {
+        let fleet = TestFleet::minimal();
+        let count = AtomicUsize::new(0);
+        let backend = FakeBackend::start(&fleet, "b1", move |r| {
+            let reply = r.respond("200 OK", "done");
+            match count.fetch_add(1, Ordering::Relaxed) {
+                0..3 => thread::sleep(4 * IDLE),
+                3 => return r.not_run(),
+                _ if r.connection <= 3 => return Reply { bytes: [r.not_run().bytes, reply.bytes].concat(), ..reply },
+                _ => {}
+            }
+            reply
+        });
+        // Only to another backend server is a request sent again.
+        assert_that!(backend.register_at_address("b2"), eq(200));
+        let first = ["e1", "e2", "e3"].map(|id| fleet.caller().request("POST", "/once/first").with("Attempt-Id", id));
+        let first = first.map(|caller| thread::spawn(move || caller.send().status()));
+        assert_that!(first.map(|f| f.join().expect("a status")), eq([200; 3]));
+        assert_that!(fleet.caller().request("POST", "/once/next").send().status(), eq(200));
+        let used: Vec<_> = backend.received().iter().map(|r| r.connection).collect();
+        assert_that!(used[3..], elements_are![le(&3), eq(&4)]);
+    };
 }
