An error of a backend server that ran a request is not forwarded as a promise

A backend server's own 408, 429 or 503, without the mark that the request did not run, was forwarded with its status. To a caller these statuses say that the request did not run and never will, which the backend server hadn't said: it may have run it.

Ruled out: 421, which every backend server uses only for requests that it doesn't run; 500, 502 and 504, which promise nothing; plain services called by the product's own interface, where x-run tells the caller that the call ran.

Change: such a response counts as an attempt that may have run, so the caller gets 502 (or the response of another attempt, if the request may be repeated). The 502 bears no seal, as it is the router's.

--- a/crates/jaylock-router/src/route/send.rs
+++ b/crates/jaylock-router/src/route/send.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::format_compact;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -17,6 +18,13 @@
 use crate::response::set_header;
 use crate::slot::Slot;
 
+/// Statuses by which a router promises that a request did not run.
+const PROMISES: [StatusCode; 3] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Destination of one attempt.
 pub struct Destination<'a> {
     /// Address of the backend server.
@@ -127,6 +135,10 @@
     if !headers.contains_key(names.seal) {
         return Err(AttemptError::Invalid("the answer has no seal".into()));
     }
+    if PROMISES.contains(&status) {
+        let reason = format_compact!("the answer is {status}, but does not say that it is not run");
+        return Err(AttemptError::Invalid(reason));
+    }
     if headers.contains_key(header::CONTENT_ENCODING) {
         return Err(AttemptError::Invalid("the answer is encoded".into()));
     }
--- a/crates/jaylock-tests/tests/platform/requests.rs
+++ b/crates/jaylock-tests/tests/platform/requests.rs
@@ -62,6 +62,15 @@
         assert_that!(response.answer.header("replica-seal"), some(eq("3e1b.07")));
         assert_that!(backend.received(), len(eq(1)));
     };
+    error_of_a_backend_server_that_ran_a_request_is_forwarded_as_a_promise => {
+        let fleet = TestFleet::minimal();
+        let backend = FakeBackend::start(&fleet, "b1", |r| r.respond(r.header("x-own"), "no"));
+        for status in ["408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"] {
+            let response = fleet.caller().request("POST", "/once/1").with("X-Own", status).send();
+            assert_that!((response.status(), response.answer.header("replica-seal")), eq((502, None)), "{status}");
+        }
+        assert_that!(backend.received(), len(eq(3)));
+    };
     retries_a_declined_request_at_another_backend_server => {
         let fleet = TestFleet::minimal();
         // Each backend server declines the requests whose `X-Own` field names it.
