The property test of calls repeats refusals and responses that name no call

The test of calls with a key knew responses that name another call, but none without an identifier, so it could not find what mended. Its service now also writes, on a kept connection, a refusal or a response that names no call before its own.

Seen failing on the logic of: "k1 ran 2 times" with the refusals alone, "k0 got earlier" with both. Passes on the present code.

--- a/crates/jaylock-tests/tests/router/history.rs
+++ b/crates/jaylock-tests/tests/router/history.rs
@@ -24,6 +24,10 @@
     Truncate,
     Stall,
     Mismatch,
+    /// Writes a refusal that names no call once more on a kept connection, before the response.
+    RepeatRefusal,
+    /// Writes a response that names no call once more on a kept connection, before the response.
+    RepeatResponse,
 }
 
 /// One call, which may be a retry with the same key.
@@ -45,6 +49,8 @@
         1 => Just(Behaviour::Truncate),
         1 => Just(Behaviour::Stall),
         1 => Just(Behaviour::Mismatch),
+        1 => Just(Behaviour::RepeatRefusal),
+        1 => Just(Behaviour::RepeatResponse),
     ]
 }
 
@@ -74,7 +80,7 @@
     response: CallerResponse,
 }
 
-fn steps(behaviour: Behaviour, received: &Received, runs: &Runs) -> Vec<Step> {
+fn steps(behaviour: Behaviour, received: &Received, is_kept: bool, runs: &Runs) -> Vec<Step> {
     if behaviour == Behaviour::Decline {
         let head = "HTTP/1.1 503 X\r\nx-not-run: true\r\ncontent-length: 0\r\n";
         return vec![Step::Send(format!(
@@ -91,7 +97,18 @@
     };
     let pause = Step::Wait(Duration::from_millis(5));
     match behaviour {
-        Behaviour::Respond | Behaviour::Decline => vec![pause, Step::Send(complete)],
+        Behaviour::RepeatRefusal if is_kept => {
+            let refusal = "HTTP/1.1 503 X\r\nx-not-run: true\r\ncontent-length: 0\r\n\r\n";
+            vec![Step::Send(refusal.to_owned()), pause, Step::Send(complete)]
+        }
+        Behaviour::RepeatResponse if is_kept => {
+            let earlier = "HTTP/1.1 200 X\r\ncontent-length: 7\r\n\r\nearlier";
+            vec![Step::Send(earlier.to_owned()), pause, Step::Send(complete)]
+        }
+        Behaviour::Respond
+        | Behaviour::Decline
+        | Behaviour::RepeatRefusal
+        | Behaviour::RepeatResponse => vec![pause, Step::Send(complete)],
         Behaviour::Disconnect => vec![pause, Step::Close],
         Behaviour::Truncate => vec![
             pause,
@@ -112,9 +129,12 @@
 async fn run(behaviours: Vec<Behaviour>, calls: Vec<Call>) -> Result<(), TestCaseError> {
     let runs = Runs::default();
     let (service_runs, cycle) = (runs.clone(), RefCell::new(behaviours.into_iter().cycle()));
+    let used = RefCell::new(Vec::new());
     let service = Backend::start(move |received| {
         let behaviour = cycle.borrow_mut().next().unwrap_or(Behaviour::Respond);
-        steps(behaviour, received, &service_runs)
+        let is_kept = used.borrow().contains(&received.connection);
+        used.borrow_mut().push(received.connection);
+        steps(behaviour, received, is_kept, &service_runs)
     })
     .await;
     let settings = RouterSettings {
