The line about an overloaded router names the organisation that fills it, and for how long connections waited

After an organisation got less than half of what it asked, this line told that the router refused, but neither whose requests filled it nor whether connections waited unaccepted, of which callers see "no connection" only. Three hypotheses (held back by the scheduler; callers that keep a router; a load balancer that keeps them there) could be told apart only with a line for each request.

It has `organisation` and `of_organisation`, the one with the most requests in progress and their number, and `deferred_ms`. Still at most one line a second for each overloaded router. No decision changes: `router` `overload::*` passes as before.

--- a/crates/jaylock-router/src/overload.rs
+++ b/crates/jaylock-router/src/overload.rs
@@ -79,6 +79,8 @@
     // Requests since the last line about the overload.
     admitted: u64,
     refused: u64,
+    // Time since that line in which connections waited.
+    deferred: Duration,
     logged_at: Option<Instant>,
     // Refusals that may follow before connections wait.
     refusal_credit: f64,
@@ -147,8 +149,7 @@
     /// Callers whose connections are not accepted soon choose another router.
     #[must_use]
     pub fn defers_connections(&self) -> bool {
-        let state = self.0.borrow();
-        state.limit.is_some() && state.refusal_credit < 1.0
+        self.0.borrow().defers_connections()
     }
 
     /// Time for which a stream waits after it forwarded events; zero while the processor has time.
@@ -177,6 +178,9 @@
         let mut state = self.0.borrow_mut();
         let delay = delay.min(MAX_MEASURED_DELAY);
         let span = MEASURE_INTERVAL + delay;
+        if state.defers_connections() {
+            state.deferred += span;
+        }
         state.add_credit(span.as_secs_f64() * REFUSALS_PER_SECOND);
         let weight = (span.as_secs_f64() / AVERAGE_TIME.as_secs_f64()).min(1.0);
         state.delay += (delay.as_secs_f64() - state.delay) * weight;
@@ -190,6 +194,10 @@
 }
 
 impl State {
+    fn defers_connections(&self) -> bool {
+        self.limit.is_some() && self.refusal_credit < 1.0
+    }
+
     fn has_room(&self, organisation: &OrganisationId) -> bool {
         let Some(limit) = self.limit else {
             return true;
@@ -242,10 +250,13 @@
             return;
         }
         if let Some(limit) = self.limit {
+            let most = self.in_progress.iter().max_by_key(|(_, count)| *count);
             log::warn!(
                 target: "router",
                 in_progress = self.total, limit = limit.round(), delay_ms = (self.delay * 1e3).round(),
-                admitted = self.admitted, refused = self.refused;
+                admitted = self.admitted, refused = self.refused, deferred_ms = self.deferred.as_millis(),
+                organisation:% = most.map_or("none", |(id, _)| id.as_str()),
+                of_organisation = most.map_or(0, |(_, count)| *count);
                 "the processor is overloaded: requests are refused"
             );
             self.logged_at = Some(now);
@@ -257,6 +268,7 @@
             );
         }
         (self.admitted, self.refused) = (0, 0);
+        self.deferred = Duration::ZERO;
     }
 
     fn search(&self, organisation: &OrganisationId) -> Result<usize, usize> {
