An overloaded router sends its callers to others, if the leader allows it

Cause: an overloaded router said that it was ready. The balancer chooses a router for each such organisation by the readiness, asked once a second, and by nothing else; a refusal, a closed connection and an address list change nothing. So the bound at the router held, and the organisation's share over the fleet didn't: no part of the fleet could send its callers elsewhere.

Change: while its processor is overloaded and for 4 s after, a router asks the leader with the renewal of its lease whether it may withdraw. The leader allows an eighth of the instances that serve callers at a time, never the last one of a failure domain, in memory and for 2.5 s at a time. A withdrawn router is not ready and ends connections after responses; what comes all the same is served as before. Refused callers are told to return after 1 to 2.5 s, when the balancer has moved them, and a third of their time at most. As a withdrawn router is rid of its load in 2 s, its event loop may be 60 ms late before the limit falls, in place of 25 ms. Cut off from the leader, a router stays ready.

Their model asks the guard for readiness and the time to return now; its bounds are as they were. New: withdrawals (200 overloaded routers at once, the last of a failure domain, a recovered, a lost router, a restarted leader), two cases of overload.

--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -27,6 +27,8 @@
     watch_lagging: Signal,
     /// Whether the lease is not renewed any more.
     is_stopped: Cell<bool>,
+    /// Whether the instance asks to send its callers to others.
+    is_overloaded: Cell<bool>,
     /// Notified when control must know at once what this instance reports.
     renewal_due: Signal,
 }
@@ -35,6 +37,7 @@
 #[derive(Clone, Default)]
 pub struct InstanceLease {
     end: Rc<Cell<Option<Instant>>>,
+    withdrawal_end: Rc<Cell<Option<Instant>>>,
 }
 
 impl InstanceLease {
@@ -58,6 +61,18 @@
         self.end.get().is_some_and(|end| time < end)
     }
 
+    /// Whether an overloaded instance may send its callers to others now.
+    #[must_use]
+    pub fn allows_withdrawal(&self) -> bool {
+        let end = self.withdrawal_end.get();
+        end.is_some_and(|end| boottime_now() < end)
+    }
+
+    /// Lets an overloaded instance send its callers to others until `end`.
+    pub fn allow_withdrawal(&self, end: Instant) {
+        self.withdrawal_end.set(Some(end));
+    }
+
     fn extend(&self, end: Instant) {
         self.end.set(self.end.get().max(Some(end)));
     }
@@ -76,6 +91,14 @@
         self.shared.renewal_due.notify();
     }
 
+    /// Sets whether the instance asks to send its callers to others; control is told at once when it begins to ask.
+    pub fn set_overloaded(&self, is_overloaded: bool) {
+        let was_overloaded = self.shared.is_overloaded.replace(is_overloaded);
+        if is_overloaded && !was_overloaded {
+            self.shared.renewal_due.notify();
+        }
+    }
+
     /// Ends the renewals, as one after the deregistration would register the instance again.
     pub fn stop_renewing(&self) {
         self.shared.is_stopped.set(true);
@@ -102,6 +125,7 @@
             unserved_pools: Vec::new().into(),
             watch_lagging: Signal::default(),
             is_stopped: Cell::new(false),
+            is_overloaded: Cell::new(false),
             renewal_due: Signal::default(),
         };
         Self {
@@ -231,9 +255,14 @@
                     .iter()
                     .map(ToString::to_string)
                     .collect(),
+                overloaded: self.shared.is_overloaded.get(),
             };
             match self.client.renew_timed(request).await {
-                Ok((reply, sent_at)) => self.extend_lease(&reply, sent_at),
+                Ok((reply, sent_at)) => {
+                    let withdrawal = Duration::from_millis(reply.withdrawal_ms.into());
+                    self.shared.lease.allow_withdrawal(sent_at + withdrawal);
+                    self.extend_lease(&reply, sent_at);
+                }
                 Err(error) => log::warn!(target: "control", "the lease was not renewed: {error}"),
             }
             let delay = self
--- a/crates/jaylock-control/src/leases.rs
+++ b/crates/jaylock-control/src/leases.rs
@@ -9,6 +9,7 @@
 
 use crate::replica::{RequestError, Shared};
 use crate::state::find_instance;
+use crate::withdrawals::{WITHDRAWAL_TIME, Withdrawals};
 
 /// The leases of instances, which only the leader tracks, in memory.
 ///
@@ -20,6 +21,7 @@
     renewals: Vec<Renewal>,
     /// Pools without a scheduler, sorted.
     unserved_pools: Vec<CompactString>,
+    withdrawals: Withdrawals,
 }
 
 #[derive(Debug)]
@@ -36,6 +38,7 @@
     pub fn reset(&mut self) {
         self.renewals.clear();
         self.unserved_pools.clear();
+        self.withdrawals.reset();
     }
 
     /// The active configuration of each instance.
@@ -77,6 +80,26 @@
         }
     }
 
+    /// Time for which an instance may send its callers to others, if it asks for that; zero if it may not.
+    fn withdraw(
+        &mut self,
+        request: &RenewRequest,
+        configuration: &Configuration,
+        id: &str,
+        now: Instant,
+    ) -> Duration {
+        if !request.overloaded {
+            self.withdrawals.end(id);
+            return Duration::ZERO;
+        }
+        let is_allowed = self.withdrawals.allow(configuration, id, now);
+        if is_allowed {
+            WITHDRAWAL_TIME
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Removes instances that are not in the configuration, and counts those in the configuration
     /// without a renewal as renewed now.
     fn sync_with(&mut self, configuration: &Configuration, now: Instant) {
@@ -131,15 +154,21 @@
     let now = shared.now();
     shared.leases.borrow_mut().renew(&request, instance, now);
     // The renewal is valid only if this replica is still the leader.
-    let index = shared.read_configuration()?.index;
-    let lease_ms = shared.settings.instance_lease.as_millis();
+    let configuration = shared.read_configuration()?;
+    let mut leases = shared.leases.borrow_mut();
+    let withdrawal = leases.withdraw(&request, &configuration, &instance.id, now);
     Ok(RenewReply {
-        lease_ms: u32::try_from(lease_ms).unwrap_or(u32::MAX),
+        lease_ms: millis(shared.settings.instance_lease),
         leader_address: None,
-        index,
+        index: configuration.index,
+        withdrawal_ms: millis(withdrawal),
     })
 }
 
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Removes instances whose leases have ended and assigns their pools to others.
 pub async fn run(shared: Rc<Shared>) {
     loop {
--- a/crates/jaylock-control/src/lib.rs
+++ b/crates/jaylock-control/src/lib.rs
@@ -15,6 +15,7 @@
 mod storage;
 mod transport;
 mod view;
+mod withdrawals;
 
 pub use self::client::ControlClient;
 pub use self::error::{Error, Result};
--- /dev/null
+++ b/crates/jaylock-control/src/withdrawals.rs
@@ -0,0 +1,77 @@
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use jaylock_rpc::v1::{Configuration, Instance};
+
+use crate::state::find_instance;
+
+/// Time for which a withdrawal is allowed; an instance that is still overloaded asks again before it ends.
+pub const WITHDRAWAL_TIME: Duration = Duration::from_millis(2500);
+/// Part of the instances that serve callers which may be withdrawn at a time, rounded up.
+const MAX_WITHDRAWN_DIVISOR: usize = 8;
+
+/// The overloaded instances that send callers to others, which only the leader tracks, in memory.
+///
+/// The load that this answers: many instances are overloaded at once. If all of them sent their callers elsewhere, none
+/// would be left to serve them.
+#[derive(Debug, Default)]
+pub struct Withdrawals {
+    /// Sorted by instance.
+    allowed: Vec<Withdrawal>,
+}
+
+#[derive(Debug)]
+struct Withdrawal {
+    instance: CompactString,
+    until: Instant,
+}
+
+impl Withdrawals {
+    /// Forgets all withdrawals.
+    pub fn reset(&mut self) {
+        self.allowed.clear();
+    }
+
+    /// Allows an instance to send its callers to others for [`WITHDRAWAL_TIME`], unless too many others do.
+    pub fn allow(&mut self, configuration: &Configuration, id: &str, now: Instant) -> bool {
+        self.allowed.retain(|w| w.until > now);
+        if !self.has_room(configuration, id) {
+            return false;
+        }
+        let withdrawal = Withdrawal {
+            instance: id.into(),
+            until: now + WITHDRAWAL_TIME,
+        };
+        match self.position(id) {
+            Ok(index) => self.allowed[index] = withdrawal,
+            Err(index) => self.allowed.insert(index, withdrawal),
+        }
+        true
+    }
+
+    /// Ends the withdrawal of an instance.
+    pub fn end(&mut self, id: &str) {
+        if let Ok(index) = self.position(id) {
+            self.allowed.remove(index);
+        }
+    }
+
+    /// Whether an instance may withdraw beside the others, and leaves one in its failure domain.
+    fn has_room(&self, configuration: &Configuration, id: &str) -> bool {
+        let Some(own) = find_instance(configuration, id) else {
+            return false;
+        };
+        let serves = |i: &&Instance| !i.leaving && !i.caller_address.is_empty();
+        let serving = configuration.instances.iter().filter(serves);
+        let (withdrawn, present): (Vec<&Instance>, Vec<&Instance>) = serving
+            .filter(|i| i.id != id)
+            .partition(|i| self.position(&i.id).is_ok());
+        let max = (withdrawn.len() + present.len() + 1).div_ceil(MAX_WITHDRAWN_DIVISOR);
+        withdrawn.len() < max && present.iter().any(|i| i.domain == own.domain)
+    }
+
+    fn position(&self, id: &str) -> Result<usize, usize> {
+        self.allowed
+            .binary_search_by(|w| w.instance.as_str().cmp(id))
+    }
+}
--- a/crates/jaylock-daemon/src/components.rs
+++ b/crates/jaylock-daemon/src/components.rs
@@ -14,8 +14,8 @@
 use crate::context::InstanceContext;
 use crate::exposition::serve_metrics;
 
-/// Time between two checks for pools without a scheduler.
-const UNSERVED_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two reports of this instance's state to its follower.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The components of an instance, connected through their ports.
 pub struct Components {
@@ -78,7 +78,7 @@
         Ok((components, services))
     }
 
-    /// Starts the replica, the metrics and the reports of pools without a scheduler.
+    /// Starts the replica, the metrics and the reports of what control must know of this instance.
     ///
     /// # Errors
     /// The address of the metrics can't be bound.
@@ -89,9 +89,10 @@
         if let Some(address) = self.settings().instance.metrics_address {
             serve_metrics(address, self.context.observer.clone()).await?;
         }
-        let (schedulers, follower) = (self.schedulers.clone(), self.follower.clone());
+        let (schedulers, router) = (self.schedulers.clone(), self.router.clone());
+        let follower = self.follower.clone();
         self.tasks
-            .push(spawn(report_unserved_pools(schedulers, follower)));
+            .push(spawn(report_state(schedulers, router, follower)));
         Ok(())
     }
 
@@ -130,9 +131,25 @@
     compio::runtime::spawn(task)
 }
 
-async fn report_unserved_pools(schedulers: SchedulerClient, follower: FollowerHandle) {
+/// Reports pools without a scheduler and an overload, and logs when callers are sent to other instances.
+async fn report_state(schedulers: SchedulerClient, router: Rc<Router>, follower: FollowerHandle) {
+    let mut was_withdrawn = false;
     loop {
         follower.set_unserved_pools(schedulers.unserved_pools());
-        compio::time::sleep(UNSERVED_POLL_INTERVAL).await;
+        follower.set_overloaded(router.wants_withdrawal());
+        let is_withdrawn = router.is_withdrawn();
+        if is_withdrawn != was_withdrawn {
+            log_withdrawal(is_withdrawn);
+            was_withdrawn = is_withdrawn;
+        }
+        compio::time::sleep(REPORT_INTERVAL).await;
+    }
+}
+
+fn log_withdrawal(is_withdrawn: bool) {
+    if is_withdrawn {
+        log::warn!(target: "daemon", "not ready: the processor is overloaded, and callers are sent to other instances");
+    } else {
+        log::info!(target: "daemon", "callers are no longer sent to other instances");
     }
 }
--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -184,7 +184,7 @@
 /// Error for a request that did not run because this instance has no processor time for it.
 fn overloaded(context: &Context) -> ErrorResponse {
     unavailable(context, overload::ERROR_KIND, overload::ERROR_MESSAGE)
-        .with_retry_after(overload::retry_delay())
+        .with_retry_after(overload::retry_delay(context.is_withdrawn()))
 }
 
 /// Reserves memory for a body, up to the maximum size of one body.
--- a/crates/jaylock-router/src/context.rs
+++ b/crates/jaylock-router/src/context.rs
@@ -49,9 +49,16 @@
 }
 
 impl Context {
-    /// Whether callers are accepted: the instance has a configuration and a lease, and is not leaving.
+    /// Whether callers are accepted: the instance has a configuration and a lease, is not leaving, and does not send its
+    /// callers to others because its processor is overloaded.
     pub fn is_ready(&self) -> bool {
         let has_configuration = self.view.revision().0 > 0;
-        has_configuration && self.lease.is_valid() && !self.lifecycle.is_shutting_down()
+        let is_serving = has_configuration && self.lease.is_valid();
+        is_serving && !self.lifecycle.is_shutting_down() && !self.is_withdrawn()
+    }
+
+    /// Whether callers are sent to other instances, as the processor is overloaded.
+    pub fn is_withdrawn(&self) -> bool {
+        self.overload.is_withdrawn(&self.lease)
     }
 }
--- a/crates/jaylock-router/src/overload.rs
+++ b/crates/jaylock-router/src/overload.rs
@@ -4,9 +4,11 @@
 //! Without a limit, all their requests are begun, each gets little of the processor, and all of them are late.
 
 use std::cell::RefCell;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use jaylock_control::InstanceLease;
 use jaylock_types::OrganisationId;
 
 /// Time between two measurements of the delay of the event loop.
@@ -21,6 +23,8 @@
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay of the event loop from which the limit falls. A request passes the loop several times before it is sent on.
 const MAX_DELAY: Duration = Duration::from_millis(25);
+/// Such a delay while callers should choose other routers, as what is begun now can end once they have.
+const MAX_WITHDRAWN_DELAY: Duration = Duration::from_millis(60);
 /// Factor by which the limit falls.
 const DECREASE: f64 = 0.92;
 /// Factor by which the limit grows while the delay is short.
@@ -45,10 +49,14 @@
 /// Delay of the event loop from which events are forwarded together.
 const MAX_EVENT_DELAY: Duration = Duration::from_millis(10);
 
-/// Shortest delay after which a refused caller should return. Another router can serve it at once.
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Longest such delay; callers who return at different times don't meet again.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Delays after which a refused caller should return. Another router can serve it at once, and callers who return at
+/// different times don't meet again.
+const RETRY_DELAYS: Range<Duration> = Duration::from_millis(100)..Duration::from_millis(500);
+/// Such delays while callers are sent to other routers, which balancers notice after one or two seconds.
+const WITHDRAWN_RETRY_DELAYS: Range<Duration> =
+    Duration::from_millis(1000)..Duration::from_millis(2500);
+/// Time after an overload for which callers should choose other routers, so that requests in progress can end.
+const WITHDRAWAL_REST: Duration = Duration::from_secs(4);
 
 /// Error code of requests that are refused because the processor is overloaded.
 pub const ERROR_KIND: &str = "router-overloaded";
@@ -76,6 +84,8 @@
     adjusted_at: Option<Instant>,
     // Delay when the limit was last adjusted.
     adjusted_delay: f64,
+    // Until when callers should choose other routers.
+    withdrawn_until: Option<Instant>,
     // Requests since the last line about the overload.
     admitted: u64,
     refused: u64,
@@ -152,6 +162,18 @@
         self.0.borrow().defers_connections()
     }
 
+    /// Whether callers should choose other routers, as the processor is or was a moment ago overloaded.
+    #[must_use]
+    pub fn wants_withdrawal(&self, now: Instant) -> bool {
+        self.0.borrow().wants_withdrawal(now)
+    }
+
+    /// Whether callers are sent to other routers, which control must allow.
+    #[must_use]
+    pub fn is_withdrawn(&self, lease: &InstanceLease) -> bool {
+        self.wants_withdrawal(Instant::now()) && lease.allows_withdrawal()
+    }
+
     /// Time for which a stream waits after it forwarded events; zero while the processor has time.
     #[must_use]
     pub fn event_interval(&self) -> Duration {
@@ -187,7 +209,10 @@
         let is_due = |at: Instant| now.saturating_duration_since(at) >= ADJUST_INTERVAL;
         if state.adjusted_at.is_none_or(is_due) {
             state.adjusted_at = Some(now);
-            state.adjust();
+            state.adjust(now);
+            if state.limit.is_some() {
+                state.withdrawn_until = Some(now + WITHDRAWAL_REST);
+            }
             state.log_overload(now);
         }
     }
@@ -226,11 +251,20 @@
         self.refusal_credit = (self.refusal_credit + refusals).min(MAX_REFUSAL_CREDIT);
     }
 
-    fn adjust(&mut self) {
+    fn wants_withdrawal(&self, now: Instant) -> bool {
+        self.withdrawn_until.is_some_and(|until| now < until)
+    }
+
+    fn adjust(&mut self, now: Instant) {
         let total = to_f64(self.total);
         let is_rising = self.delay >= self.adjusted_delay;
         self.adjusted_delay = self.delay;
-        if self.delay > MAX_DELAY.as_secs_f64() {
+        let max_delay = if self.wants_withdrawal(now) {
+            MAX_WITHDRAWN_DELAY
+        } else {
+            MAX_DELAY
+        };
+        if self.delay > max_delay.as_secs_f64() {
             // The last decrease shows no effect before so many requests have ended.
             let may_fall = |limit| is_rising && total <= limit;
             if self.limit.is_none_or(may_fall) {
@@ -291,8 +325,13 @@
 }
 
 /// Delay after which a refused caller should return, spread at random.
-pub fn retry_delay() -> Duration {
-    rand::random_range(MIN_RETRY_DELAY..MAX_RETRY_DELAY)
+pub fn retry_delay(is_withdrawn: bool) -> Duration {
+    let delays = if is_withdrawn {
+        WITHDRAWN_RETRY_DELAYS
+    } else {
+        RETRY_DELAYS
+    };
+    rand::random_range(delays)
 }
 
 #[allow(clippy::cast_precision_loss)]
--- a/crates/jaylock-router/src/route/admission.rs
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -7,6 +7,7 @@
 use jaylock_rpc::v1::{Configuration, Route};
 use jaylock_types::{ByteSize, KeyHash, OrganisationId, RequestId};
 
+use super::attempts::MAX_DELAY_DIVISOR;
 use super::context::RouteContext;
 use super::headers::RouteHeaders;
 use super::prompt::Prompt;
@@ -51,8 +52,9 @@
     };
     let organisation = authenticated.clone().unwrap_or_else(public_organisation);
     let permit = context.overload.admit(&organisation);
-    let permit = permit.ok_or_else(|| context.overloaded())?;
-    let deadline = arrived_at + requested.unwrap_or(timeout).min(timeout);
+    let allowed = requested.unwrap_or(timeout).min(timeout);
+    let permit = permit.ok_or_else(|| context.overloaded(allowed / MAX_DELAY_DIVISOR))?;
+    let deadline = arrived_at + allowed;
     let reading = read_body(context, &configuration, &organisation, incoming);
     let body = context.lifecycle.wait_to_start(deadline, reading).await;
     let (body, reservation) = body.ok_or_else(|| context.leaving())??;
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -22,7 +22,7 @@
 use crate::tracker::RequestTracker;
 
 /// Divisor of the remaining time that caps the delay in `retry-after`.
-const MAX_DELAY_DIVISOR: u32 = 3;
+pub const MAX_DELAY_DIVISOR: u32 = 3;
 
 /// Time for which a connection is tried, after one was lost, to see whether the backend server crashed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/jaylock-router/src/route/context.rs
+++ b/crates/jaylock-router/src/route/context.rs
@@ -79,10 +79,18 @@
         self.unavailable("leaving", "this instance is stopping")
     }
 
+    /// Whether callers are sent to other instances, as the processor is overloaded.
+    pub fn is_withdrawn(&self) -> bool {
+        self.overload.is_withdrawn(&self.lease)
+    }
+
     /// Error for a request that did not run because this instance has no processor time for it.
-    pub fn overloaded(&self) -> ErrorResponse {
+    ///
+    /// The caller can still return within `max_delay`.
+    pub fn overloaded(&self, max_delay: Duration) -> ErrorResponse {
+        let delay = overload::retry_delay(self.is_withdrawn()).min(max_delay);
         self.unavailable(overload::ERROR_KIND, overload::ERROR_MESSAGE)
-            .with_retry_after(overload::retry_delay())
+            .with_retry_after(delay)
     }
 
     /// Error for a request that did not run because this instance can't serve it now.
--- a/crates/jaylock-router/src/route/mod.rs
+++ b/crates/jaylock-router/src/route/mod.rs
@@ -60,7 +60,7 @@
     }
 
     fn is_overloaded(&self) -> bool {
-        self.context.overload.is_overloaded()
+        self.context.overload.is_overloaded() || self.context.is_withdrawn()
     }
 
     fn defers_connections(&self) -> bool {
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -101,12 +101,25 @@
         .detach();
     }
 
-    /// Whether callers are accepted: the instance has a configuration and a lease, and is not leaving.
+    /// Whether callers are accepted: the instance has a configuration and a lease, is not leaving, and does not send its
+    /// callers to others because its processor is overloaded.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         self.context.is_ready()
     }
 
+    /// Whether callers should choose other instances, as the processor is or was a moment ago overloaded.
+    #[must_use]
+    pub fn wants_withdrawal(&self) -> bool {
+        self.context.overload.wants_withdrawal(Instant::now())
+    }
+
+    /// Whether callers are sent to other instances, as the processor is overloaded and control allows it.
+    #[must_use]
+    pub fn is_withdrawn(&self) -> bool {
+        self.context.is_withdrawn()
+    }
+
     /// Progress of the graceful shutdown, for other listeners of the instance.
     #[must_use]
     pub fn lifecycle(&self) -> Rc<Lifecycle> {
--- a/crates/jaylock-tests/tests/control/group.rs
+++ b/crates/jaylock-tests/tests/control/group.rs
@@ -278,6 +278,11 @@
             pools: pools.iter().map(ToString::to_string).collect(),
             ..RenewRequest::default()
         };
+        self.renew_with(at, request).await
+    }
+
+    /// Sends a renewal to one machine; `None` if it doesn't reply or isn't the leader.
+    pub async fn renew_with(&self, at: usize, request: RenewRequest) -> Option<RenewReply> {
         let call = rpc!(self.machines, at, at, control_service, renew, request);
         let reply: Result<_, Status> = compio::time::timeout(self.call_timeout(), call)
             .await
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -13,3 +13,4 @@
 mod invariants;
 mod nodes;
 mod replacements;
+mod withdrawals;
--- a/crates/jaylock-tests/tests/router/fairness.rs
+++ b/crates/jaylock-tests/tests/router/fairness.rs
@@ -45,6 +45,8 @@
 /// Tries of a request that is refused, and the delay between two, in milliseconds.
 const REFUSED_TRIES: u32 = 2;
 const REFUSED_DELAY_MS: std::ops::Range<u64> = 100..500;
+/// The same while the router sends its callers to others.
+const WITHDRAWN_DELAY_MS: std::ops::Range<u64> = 1000..2500;
 
 /// An organisation, and what its callers got.
 struct Organisation {
@@ -97,7 +99,7 @@
 impl Play {
     /// Creates a fleet with calm organisations, one whose callers use all routers, and one for each flood, in requests a
     /// second; all but the second kind keep to one router, the floods and half of the calm ones to the same.
-    fn new(floods: &[f64], deferral: Deferral) -> Self {
+    fn new(floods: &[f64], behaviour: Behaviour) -> Self {
         let now = Instant::now();
         let mut rng = SmallRng::seed_from_u64(7);
         let mut order = |first: Option<usize>| {
@@ -118,11 +120,10 @@
             organisations.push(Organisation::new(CALM_RATE, *flood, order(Some(0))));
         }
         let behaviour = Behaviour {
-            deferral,
             events: EVENTS,
             event_interval: EVENT_INTERVAL,
             costs: COSTS,
-            ..Behaviour::default()
+            ..behaviour
         };
         let mut checked = || Checked {
             router: Router::new(now, behaviour),
@@ -161,7 +162,7 @@
                 continue;
             }
             checked.check_at += CHECK_INTERVAL;
-            if checked.router.closes_connections() {
+            if checked.router.closes_connections() || checked.router.wants_withdrawal() {
                 checked.failed_checks += 1;
             } else {
                 checked.failed_checks = 0;
@@ -232,7 +233,13 @@
                 return;
             }
             Outcome::Refused => {
-                let delay = self.rng.random_range(REFUSED_DELAY_MS);
+                let is_withdrawn = self.routers[router].router.wants_withdrawal();
+                let delays = if is_withdrawn {
+                    WITHDRAWN_DELAY_MS
+                } else {
+                    REFUSED_DELAY_MS
+                };
+                let delay = self.rng.random_range(delays);
                 (REFUSED_TRIES, Duration::from_millis(delay))
             }
             Outcome::Closed | Outcome::Lost => (UNREAD_TRIES, UNREAD_DELAY),
@@ -280,16 +287,21 @@
 
 jaylock_tests::cases! {
     organisation_whose_callers_keep_one_router_gets_less_than_half_of_what_it_asks => {
-        expect_fair(&Play::new(&[320.0], Deferral::Wait).run());
+        expect_fair(&Play::new(&[320.0], Behaviour::default()).run());
     };
 
     two_organisations_that_keep_one_router_get_less_than_half_of_what_they_ask => {
-        expect_fair(&Play::new(&[320.0, 320.0], Deferral::Wait).run());
+        expect_fair(&Play::new(&[320.0, 320.0], Behaviour::default()).run());
     };
 
     organisation_stays_at_one_router_until_two_checks_in_a_row_fail => {
         let routers = |deferral| {
-            let play = Play::new(&[2000.0], deferral).run();
+            let behaviour = Behaviour {
+                withdraws: false,
+                deferral,
+                ..Behaviour::default()
+            };
+            let play = Play::new(&[2000.0], behaviour).run();
             play.organisations[CALM_ORGANISATIONS + 1].routers.clone()
         };
         expect_that!(routers(Deferral::Wait), elements_are![eq(&0)]);
--- a/crates/jaylock-tests/tests/router/overload.rs
+++ b/crates/jaylock-tests/tests/router/overload.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
+use jaylock_control::InstanceLease;
 use jaylock_router::OverloadGuard;
 use jaylock_types::OrganisationId;
 use rand::SeedableRng;
@@ -189,6 +190,29 @@
         expect_that!(outcome.refused.iter().sum::<usize>(), eq(0));
     };
 
+    overloaded_router_sends_callers_away_without_permission_of_control => {
+        let guard = OverloadGuard::new(EVENT_TIMEOUT);
+        let lease = InstanceLease::default();
+        let started = Instant::now();
+        expect_that!(guard.wants_withdrawal(started), eq(false));
+        guard.record_delay(Duration::from_millis(200), started);
+        expect_that!(guard.wants_withdrawal(started), eq(true));
+        expect_that!(guard.is_withdrawn(&lease), eq(false));
+        lease.allow_withdrawal(started + Duration::from_secs(60));
+        expect_that!(guard.is_withdrawn(&lease), eq(true));
+    };
+
+    router_that_recovered_goes_on_to_send_callers_away => {
+        let guard = OverloadGuard::new(EVENT_TIMEOUT);
+        let mut now = Instant::now();
+        guard.record_delay(Duration::from_millis(200), now);
+        for _ in 0..1000 {
+            now += MEASURE_INTERVAL;
+            guard.record_delay(Duration::ZERO, now);
+        }
+        expect_that!(guard.wants_withdrawal(now), eq(false));
+    };
+
     suspended_process_refuses_no_request_a_second_later => {
         let guard = OverloadGuard::new(EVENT_TIMEOUT);
         let organisation: OrganisationId = "bench".parse().expect("a name");
--- a/crates/jaylock-tests/tests/router/router_model.rs
+++ b/crates/jaylock-tests/tests/router/router_model.rs
@@ -127,6 +127,8 @@
 pub struct Behaviour {
     /// Whether it uses its guard.
     pub is_guarded: bool,
+    /// Whether it sends callers to other routers when its guard asks for that.
+    pub withdraws: bool,
     /// What it does with deferred connections.
     pub deferral: Deferral,
     /// Events of each stream, and the time between two.
@@ -139,6 +141,7 @@
     fn default() -> Self {
         Self {
             is_guarded: true,
+            withdraws: true,
             deferral: Deferral::Wait,
             events: EVENTS,
             event_interval: Duration::from_millis(25),
@@ -198,6 +201,11 @@
         self.behaviour.deferral == Deferral::Close && self.is_deferring()
     }
 
+    /// Whether callers should choose other routers.
+    pub fn wants_withdrawal(&self) -> bool {
+        self.behaviour.withdraws && self.guard.wants_withdrawal(self.now)
+    }
+
     /// Works for one `STEP` that ends now; returns what happened since the last call.
     pub fn work(&mut self, now: Instant) -> Vec<Report> {
         self.now = now;
