Cut and paused routers beside a scheduler in virtual time; two cases that can't happen

The two plainest readings can't happen here; the tests that show it pass on the logic as it was: - a router that is cut off and knows one version refuses such a stream at once (16 of 16, with a time to return), and lets 16 of 16 go on at the new version once it is attached again; - a router that stood still for 3 s asks the scheduler, which knows the version: 16 of 16 go on.

--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -13,6 +13,7 @@
 mod prefill;
 mod prompt_parts;
 mod rate_limits;
+mod router_out_of_step;
 mod simulation;
 mod stream;
 mod stream_origins;
--- /dev/null
+++ b/crates/jaylock-tests/tests/share/router_out_of_step.rs
@@ -0,0 +1,71 @@
+//! Tests of routers that are cut off or stand still while backend servers of new software versions join.
+
+mod cut_pool;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jaylock_rpc::v1::refusal::Reason;
+use jaylock_rpc::v1::{Ask, Grant};
+use jaylock_tests::cases;
+
+use self::cut_pool::CutPool;
+use crate::stream_origins::{STREAM_COUNT, begin, report, take_up};
+
+/// Time after which a router without a scheduler grants its own slots, and longer.
+const ALONE: Duration = Duration::from_secs(1);
+/// Time for which a router stands still.
+const PAUSE: Duration = Duration::from_secs(3);
+/// The router that gets out of step.
+const CUT: usize = 0;
+/// A router that is in touch all the time.
+const OTHER: usize = 1;
+
+/// Version at which a request runs, or why it is refused; `None` while it waits.
+type Outcomes = Option<std::result::Result<String, Reason>>;
+
+fn version(result: Option<std::result::Result<Grant, Reason>>) -> Outcomes {
+    result.map(|granted| granted.map(|grant| grant.software))
+}
+
+cases! {
+    stream_of_a_new_version_goes_on_at_the_only_version_that_a_cut_router_knows => {
+        let mut pool = CutPool::new();
+        pool.start(OTHER, report("b0", "v1"));
+        pool.wait(ALONE);
+        pool.cut(CUT);
+        pool.start(OTHER, report("b1", "v2"));
+        pool.wait(ALONE);
+        for n in 0..STREAM_COUNT {
+            let request = format!("stream-{n}");
+            let avoid = vec!["b0".into()];
+            let begun = pool.ask(OTHER, Ask { avoid, ..begin(&request) });
+            assert_that!(version(begun), some(ok(eq("v2"))));
+            let resumed = pool.ask(CUT, take_up(&request));
+            assert_that!(version(resumed), some(err(eq(&Reason::UnknownStream))));
+        }
+        pool.reconnect(CUT);
+        for n in 0..STREAM_COUNT {
+            let resumed = pool.ask(CUT, take_up(&format!("stream-{n}")));
+            assert_that!(version(resumed), some(ok(eq("v2"))));
+        }
+    };
+    router_in_step_again_after_a_pause_refuses_the_streams_of_a_new_version => {
+        let mut pool = CutPool::new();
+        pool.start(OTHER, report("b0", "v1"));
+        pool.wait(ALONE);
+        pool.pause(CUT);
+        pool.start(OTHER, report("b1", "v2"));
+        pool.wait(PAUSE);
+        for n in 0..STREAM_COUNT {
+            let avoid = vec!["b0".into()];
+            let begun = pool.ask(OTHER, Ask { avoid, ..begin(&format!("stream-{n}")) });
+            assert_that!(version(begun), some(ok(eq("v2"))));
+        }
+        pool.resume(CUT);
+        for n in 0..STREAM_COUNT {
+            let resumed = pool.ask(CUT, take_up(&format!("stream-{n}")));
+            assert_that!(version(resumed), some(ok(eq("v2"))));
+        }
+    };
+}
--- a/crates/jaylock-tests/tests/share/stream_origins.rs
+++ b/crates/jaylock-tests/tests/share/stream_origins.rs
@@ -21,7 +21,7 @@
 /// Time after which a scheduler forgets a router that is not attached, and longer.
 const ROUTER_LEASE: Duration = Duration::from_secs(5);
 /// Streams that a test begins.
-const STREAM_COUNT: usize = 16;
+pub const STREAM_COUNT: usize = 16;
 
 /// A pool with a backend server for each of these versions, named `b0`, `b1` and so on.
 fn start_pool(versions: &[&str]) -> Fixture {
@@ -37,7 +37,7 @@
     }
 }
 
-fn report(id: &str, software: &str) -> BackendReport {
+pub fn report(id: &str, software: &str) -> BackendReport {
     BackendReport {
         software: software.into(),
         ..engine_report(id, 64)
@@ -45,7 +45,7 @@
 }
 
 /// A request that begins a stream.
-fn begin(request: &str) -> Ask {
+pub fn begin(request: &str) -> Ask {
     Ask {
         request: request.into(),
         ..ask("bench")
@@ -53,7 +53,7 @@
 }
 
 /// A request that takes up the stream which another one began.
-fn take_up(begun_by: &str) -> Ask {
+pub fn take_up(begun_by: &str) -> Ask {
     Ask {
         begun_stream: Some(StreamId::new("bench", begun_by).0),
         ..begin(&format!("after-{begun_by}"))
@@ -61,7 +61,7 @@
 }
 
 /// A request that takes up a stream without naming the request that began it.
-fn take_up_unnamed() -> Ask {
+pub fn take_up_unnamed() -> Ask {
     Ask {
         begun_stream: Some(StreamId::UNNAMED.0),
         ..begin("unnamed")
