Routers are told of a newer start of a backend server whose slots they may grant alone

Seen: the fallback list of a router, with which it grants its own slots while it has no scheduler, kept the address and the software version of an earlier start when a backend server started again under its name within its lease of 3 s. A router in touch that then lost its scheduler began streams there under the old version (and took streams of the old version up).

Cause: the scheduler sends a share again when the pairs (backend server, slots) change; a newer start changes neither. Ruled out: a lost message (the share is not sent at all).

Change: a share names the start (incarnation). Only the routers that hold slots of the backend server get a message for it, so control traffic stays as it was but for that.

Test: router_keeps_the_version_of_an_earlier_start_for_the_time_without_a_scheduler, before: "Expected: v2, Actual: Some(Ok("v1"))"; passes now.

--- a/crates/jaylock-share/src/backends.rs
+++ b/crates/jaylock-share/src/backends.rs
@@ -6,6 +6,7 @@
 use crate::backend::{Backend, report_time};
 use crate::backend_set::BackendSet;
 use crate::cache_index::CacheIndex;
+use crate::division::SlotShare;
 use crate::engine::RequestLoad;
 
 /// The backend servers of a pool, each under a lease that its reports renew.
@@ -188,11 +189,17 @@
     }
 
     /// The usable backend servers with their slots.
-    pub fn usable_slots(&self) -> Vec<(usize, u32)> {
+    pub fn usable_slots(&self) -> Vec<SlotShare> {
         let usable = self.usable.common(&self.usable);
-        usable
-            .map(|index| (index, self.list[index].report.slots))
-            .collect()
+        let share = |index: usize| {
+            let report = &self.list[index].report;
+            SlotShare {
+                index,
+                incarnation: report.incarnation,
+                slots: report.slots,
+            }
+        };
+        usable.map(share).collect()
     }
 
     /// The newest report of each backend server.
--- a/crates/jaylock-share/src/division.rs
+++ b/crates/jaylock-share/src/division.rs
@@ -8,18 +8,22 @@
 pub struct Division {
     // Sorted by key.
     routers: Vec<RouterKey>,
-    // Indices of the backend servers, with their slots.
-    backends: Vec<(usize, u32)>,
+    backends: Vec<SlotShare>,
+}
+
+/// Slots at one start of a backend server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SlotShare {
+    /// Index of the backend server.
+    pub index: usize,
+    pub incarnation: u64,
+    pub slots: u32,
 }
 
 impl Division {
     /// Slots of the router at this rank: an equal range of the sequence of all slots.
-    fn share(&self, rank: usize) -> Vec<(usize, u32)> {
-        let total: u64 = self
-            .backends
-            .iter()
-            .map(|(_, slots)| u64::from(*slots))
-            .sum();
+    fn share(&self, rank: usize) -> Vec<SlotShare> {
+        let total: u64 = self.backends.iter().map(|b| u64::from(b.slots)).sum();
         let count = self.routers.len() as u64;
         let (from, to) = (
             rank as u64 * total / count,
@@ -27,11 +31,15 @@
         );
         let mut start = 0;
         let mut share = Vec::new();
-        for (index, slots) in &self.backends {
-            let end = start + u64::from(*slots);
+        for backend in &self.backends {
+            let end = start + u64::from(backend.slots);
             let common = to.min(end).saturating_sub(from.max(start));
             if common > 0 {
-                share.push((*index, u32::try_from(common).unwrap_or(u32::MAX)));
+                let slots = u32::try_from(common).unwrap_or(u32::MAX);
+                share.push(SlotShare {
+                    slots,
+                    ..backend.clone()
+                });
             }
             start = end;
         }
@@ -61,9 +69,9 @@
                 continue;
             };
             if router.fallback != share {
-                let slots = share.iter().map(|(index, slots)| FallbackSlots {
-                    backend: Some(without_events(&self.backends.get(*index).report)),
-                    slots: *slots,
+                let slots = share.iter().map(|own| FallbackSlots {
+                    backend: Some(without_events(&self.backends.get(own.index).report)),
+                    slots: own.slots,
                 });
                 router.frame.fallback = Some(Fallback {
                     backends: slots.collect(),
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -8,6 +8,7 @@
 use crate::backend_set::BackendSet;
 use crate::causes::Causes;
 use crate::cost::SizeClass;
+use crate::division::SlotShare;
 use crate::encoding::AddressTable;
 use crate::engine::RequestLoad;
 
@@ -71,8 +72,8 @@
     pub detached_at: Option<Instant>,
     /// When the last message was sent to the router.
     pub last_sent: Instant,
-    /// Indices of the backend servers that the router may use without a scheduler, with slots.
-    pub fallback: Vec<(usize, u32)>,
+    /// Slots that the router may use without a scheduler.
+    pub fallback: Vec<SlotShare>,
     /// Backend servers that want nothing from this router for a time.
     pub pauses: Vec<Pause>,
     /// The next message to the router.
--- a/crates/jaylock-tests/tests/share/router_out_of_step.rs
+++ b/crates/jaylock-tests/tests/share/router_out_of_step.rs
@@ -50,6 +50,16 @@
             assert_that!(version(resumed), some(ok(eq("v2"))));
         }
     };
+    router_keeps_the_version_of_an_earlier_start_for_the_time_without_a_scheduler => {
+        let mut pool = CutPool::new();
+        pool.start(OTHER, report("b0", "v1"));
+        pool.wait(ALONE);
+        pool.restart(OTHER, report("b0", "v2"));
+        pool.wait(ALONE);
+        pool.cut(CUT);
+        pool.wait(ALONE);
+        assert_that!(version(pool.ask(CUT, begin("stream"))), some(ok(eq("v2"))));
+    };
     router_in_step_again_after_a_pause_refuses_the_streams_of_a_new_version => {
         let mut pool = CutPool::new();
         pool.start(OTHER, report("b0", "v1"));
