A router that attaches again at once is told which slots it may grant alone

Seen: a router whose stream was lost and opened again between two ticks of the scheduler (100 ms) was never told its share if the message with it was lost with the stream; without the scheduler it then granted nothing. The same way it could keep an older share, with versions that had left.

Cause: the division is only told if it differs from the one before, and after a detachment and an attachment between two ticks it doesn't, although the new stream has been told nothing. A router whose new share is empty was also told nothing and kept what an earlier stream had told it.

Change: an attachment lets the next tick divide anew, and "told nothing yet" is no longer the same as "told that it has no slots". Work: one division at the tick after an attachment, as before.

Test: router_that_attaches_again_at_once_never_learns_its_own_slots, before: no reply at all ("Actual: None"); passes now.

--- a/crates/jaylock-share/src/attachment.rs
+++ b/crates/jaylock-share/src/attachment.rs
@@ -7,6 +7,7 @@
 use crate::allocator::Allocator;
 use crate::causes::Causes;
 use crate::cost::SizeClass;
+use crate::division::Division;
 use crate::router::{RouterKey, Run};
 
 impl Allocator {
@@ -30,6 +31,7 @@
             router.detached_at = None;
             router.reset_stream();
         }
+        self.division = Division::default();
         self.origins.restore(&hello.streams, now);
         self.reconcile(key, &hello.running, now);
         for crash in &hello.crashes {
--- a/crates/jaylock-share/src/division.rs
+++ b/crates/jaylock-share/src/division.rs
@@ -68,7 +68,7 @@
             let Some(router) = self.routers.get_mut(*key) else {
                 continue;
             };
-            if router.fallback != share {
+            if router.fallback.as_ref() != Some(&share) {
                 let slots = share.iter().map(|own| FallbackSlots {
                     backend: Some(without_events(&self.backends.get(own.index).report)),
                     slots: own.slots,
@@ -76,7 +76,7 @@
                 router.frame.fallback = Some(Fallback {
                     backends: slots.collect(),
                 });
-                router.fallback = share;
+                router.fallback = Some(share);
             }
         }
         self.division = division;
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -72,8 +72,8 @@
     pub detached_at: Option<Instant>,
     /// When the last message was sent to the router.
     pub last_sent: Instant,
-    /// Slots that the router may use without a scheduler.
-    pub fallback: Vec<SlotShare>,
+    /// Slots that the router may use without a scheduler; `None` until its stream has told it.
+    pub fallback: Option<Vec<SlotShare>>,
     /// Backend servers that want nothing from this router for a time.
     pub pauses: Vec<Pause>,
     /// The next message to the router.
@@ -99,7 +99,7 @@
         self.frame = SchedulerFrame::default();
         self.addresses = AddressTable::default();
         self.names = Vec::new();
-        self.fallback = Vec::new();
+        self.fallback = None;
     }
 
     /// Adds a pause; a longer one of the same start of the backend server stays as it is.
@@ -233,7 +233,7 @@
             domain: hello.domain.as_str().into(),
             detached_at: None,
             last_sent: now,
-            fallback: Vec::new(),
+            fallback: None,
             pauses: Vec::new(),
             frame: SchedulerFrame::default(),
             addresses: AddressTable::default(),
--- a/crates/jaylock-tests/tests/share/router_out_of_step.rs
+++ b/crates/jaylock-tests/tests/share/router_out_of_step.rs
@@ -60,6 +60,15 @@
         pool.wait(ALONE);
         assert_that!(version(pool.ask(CUT, begin("stream"))), some(ok(eq("v2"))));
     };
+    router_that_attaches_again_at_once_never_learns_its_own_slots => {
+        let mut pool = CutPool::new();
+        pool.start(OTHER, report("b0", "v1"));
+        pool.lose_frames(CUT);
+        pool.wait(ALONE);
+        pool.cut(CUT);
+        pool.wait(ALONE);
+        assert_that!(version(pool.ask(CUT, begin("stream"))), some(ok(eq("v1"))));
+    };
     router_in_step_again_after_a_pause_refuses_the_streams_of_a_new_version => {
         let mut pool = CutPool::new();
         pool.start(OTHER, report("b0", "v1"));
