A router without a scheduler uses the newer starts that announced themselves to it

Seen: a router that was cut off from its scheduler let a stream of its own go on at a backend server that had started again under its name with another software version, although that start had sent its heartbeat to this very router. Both ways did it: a slot of the share, and one that an ended run had left.

Cause: while a router has no scheduler, it looks only at what the scheduler told it last; what backend servers report to it is kept for the next scheduler and was not looked at.

Change: of both reports the one of the newer start holds (address, models and software version), and free slots of earlier starts are dropped. Streams whose version has no other backend server are refused at once, with a time to return, as for a version that has left.

Tests, before: cut_router_continues_a_stream_at_a_newer_start_that_announced_itself_to_it and cut_router_continues_a_stream_in_a_slot_of_an_earlier_start, both "Expected: NoBackend, Actual: Some(Ok("v1"))" at a start of v2. Both pass; so do the tests of stream_origins, failure, version_faults.

--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -34,7 +34,7 @@
     // Sorted by ticket.
     pub(crate) held: Vec<HeldSlot>,
     batch: Batch,
-    reports: RecentReports,
+    pub(crate) reports: RecentReports,
     // Sorted by name of the backend server.
     verdicts: Vec<BackendVerdict>,
     // Sorted by organisation.
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -2,10 +2,11 @@
 
 use compact_str::CompactString;
 use futures_channel::oneshot;
-use jaylock_rpc::v1::{Configuration, Grant};
+use jaylock_rpc::v1::{BackendReport, Configuration, FallbackSlots, Grant};
 
 use crate::client_state::ClientState;
 use crate::pending_request::{AskResult, PendingRequest};
+use crate::recent_reports::RecentReports;
 use crate::requirement::Requirement;
 
 /// A slot that became free while no scheduler responded.
@@ -26,6 +27,7 @@
         if !self.decides_alone(now) {
             return;
         }
+        self.drop_earlier_starts();
         while let Some(grant) = self.next_local_grant(configuration, now) {
             self.limits.record_grant(&grant.backend, now);
             self.grant(grant, now);
@@ -48,14 +50,20 @@
         if !self.decides_alone(now) {
             return Vec::new();
         }
-        let reports = self.fallback.iter().filter_map(|f| f.backend.as_ref());
-        let reported = reports.map(|report| report.software.as_str());
-        let held = self.held.iter().map(|held| held.software.as_str());
+        let reported =
+            newest_slots(&self.fallback, &self.reports).map(|(report, _)| report.software.as_str());
+        let held = self
+            .held
+            .iter()
+            .filter(|h| self.is_newest_start(&h.backend, h.incarnation));
+        let held = held.map(|held| held.software.as_str());
         let spare = self.spare.iter().map(|spare| spare.software.as_str());
-        let versions: Vec<&str> = reported.chain(held).chain(spare).collect();
+        let versions = reported.chain(held).chain(spare);
+        let versions: Vec<CompactString> = versions.map(CompactString::from).collect();
         let is_lost = |pending: &mut PendingRequest| {
             let software = pending.ask.software.as_deref();
-            let is_missing = software.is_some_and(|software| !versions.contains(&software));
+            let is_missing =
+                software.is_some_and(|software| !versions.iter().any(|v| v == software));
             is_missing && pending.ask.served == 0
         };
         let lost = self.pending.extract_if(.., is_lost);
@@ -136,13 +144,11 @@
         if self.held.len() + self.spare.len() >= total as usize {
             return None;
         }
-        let report = self.fallback.iter().find_map(|share| {
-            let report = share.backend.as_ref()?;
+        let (report, _) = newest_slots(&self.fallback, &self.reports).find(|(report, slots)| {
             let held = self.held.iter().filter(|held| held.backend == report.id);
-            let fits = requirement.is_met(report)
-                && held.count() < share.slots as usize
-                && admits(&report.id, report.incarnation);
-            fits.then_some(report)
+            requirement.is_met(report)
+                && held.count() < *slots as usize
+                && admits(&report.id, report.incarnation)
         })?;
         Some(Grant {
             backend: report.id.clone(),
@@ -153,6 +159,19 @@
         })
     }
 
+    /// Whether no newer start of a backend server has reported to this router.
+    fn is_newest_start(&self, backend: &str, incarnation: u64) -> bool {
+        let own = self.reports.find(backend);
+        own.is_none_or(|own| own.incarnation <= incarnation)
+    }
+
+    /// Drops the free slots of earlier starts of backend servers.
+    fn drop_earlier_starts(&mut self) {
+        let mut spare = std::mem::take(&mut self.spare);
+        spare.retain(|spare| self.is_newest_start(&spare.backend, spare.incarnation));
+        self.spare = spare;
+    }
+
     /// Weighted service of an organisation since the scheduler was lost, including its running requests,
     /// in thousandths of a token per unit of weight.
     fn weighted_millitokens(&self, organisation: &str, configuration: &Configuration) -> u64 {
@@ -172,3 +191,16 @@
         (unreported + running) * 1000 / u64::from(weight)
     }
 }
+
+/// The slots that a scheduler told a router, each with the report of the newest start that is known.
+fn newest_slots<'a>(
+    told: &'a [FallbackSlots],
+    reports: &'a RecentReports,
+) -> impl Iterator<Item = (&'a BackendReport, u32)> {
+    told.iter().filter_map(|share| {
+        let told = share.backend.as_ref()?;
+        let own = reports.find(&told.id);
+        let newer = own.filter(|own| own.incarnation > told.incarnation);
+        Some((newer.unwrap_or(told), share.slots))
+    })
+}
--- a/crates/jaylock-share/src/recent_reports.rs
+++ b/crates/jaylock-share/src/recent_reports.rs
@@ -38,6 +38,14 @@
         }
     }
 
+    /// The newest report of a backend server.
+    pub fn find(&self, id: &str) -> Option<&BackendReport> {
+        let search = self
+            .list
+            .binary_search_by(|known| known.report.id.as_str().cmp(id));
+        search.ok().map(|index| &self.list[index].report)
+    }
+
     /// All reports with their ages.
     pub fn list(&self, now: Instant) -> Vec<BackendReport> {
         self.list.iter().map(|timed| timed.with_age(now)).collect()
--- a/crates/jaylock-tests/tests/share/router_out_of_step.rs
+++ b/crates/jaylock-tests/tests/share/router_out_of_step.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{Ask, Grant};
 use jaylock_tests::cases;
@@ -69,6 +70,28 @@
         pool.wait(ALONE);
         assert_that!(version(pool.ask(CUT, begin("stream"))), some(ok(eq("v1"))));
     };
+    cut_router_continues_a_stream_at_a_newer_start_that_announced_itself_to_it => {
+        let mut pool = CutPool::new();
+        pool.start(OTHER, report("b0", "v1"));
+        pool.wait(ALONE);
+        assert_that!(version(pool.ask(CUT, begin("stream"))), some(ok(eq("v1"))));
+        pool.cut(CUT);
+        pool.restart(CUT, report("b0", "v2"));
+        pool.wait(ALONE);
+        assert_that!(version(pool.ask(CUT, take_up("stream"))), some(err(eq(&Reason::NoBackend))));
+        assert_that!(version(pool.ask(CUT, begin("new"))), some(ok(eq("v2"))));
+    };
+    cut_router_continues_a_stream_in_a_slot_of_an_earlier_start => {
+        let mut pool = CutPool::new();
+        pool.start(OTHER, report("b0", "v1"));
+        pool.wait(ALONE);
+        let begun = pool.ask(CUT, begin("stream")).expect("a reply").expect("a grant");
+        pool.cut(CUT);
+        pool.end(CUT, &begun, Outcome::Broken);
+        pool.restart(CUT, report("b0", "v2"));
+        pool.wait(ALONE);
+        assert_that!(version(pool.ask(CUT, take_up("stream"))), some(err(eq(&Reason::NoBackend))));
+    };
     router_in_step_again_after_a_pause_refuses_the_streams_of_a_new_version => {
         let mut pool = CutPool::new();
         pool.start(OTHER, report("b0", "v1"));
