A router without a scheduler no longer uses the slots of backend servers that it saw crash

Seen: a router that was cut off saw the backend server of its streams crash, and let them go on at that name and address, where a start with another software version listened meanwhile. Its heartbeat had reached other routers only, and the name of the expected server doesn't tell starts apart.

Cause: the slot of a crashed run became a free slot like any other, and the share of the router isn't changed by a crash while there is no scheduler. (With one, a crash excludes the backend server until its next report.)

A wrong suspicion costs the slots of one backend server for the time without a scheduler.

Test: cut_router_continues_a_stream_at_the_address_of_a_server_that_crashed, before: "Expected: NoBackend, Actual: Some(Ok("v1"))" at a start of v2; passes now.

--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -13,6 +13,7 @@
 use crate::batch::Batch;
 use crate::connection::not_run;
 use crate::cost::cost_of;
+use crate::crashed_starts::CrashedStarts;
 use crate::encoding::AddressTable;
 use crate::exclusions::Exclusions;
 use crate::fallback::SpareSlot;
@@ -48,6 +49,8 @@
     pub(crate) limits: NamedLimits,
     // Crashes under own runs, for a new scheduler.
     pub(crate) crashes: RecentCrashes,
+    // Starts of backend servers that ended under own runs.
+    pub(crate) crashed_starts: CrashedStarts,
     // Versions at which own streams began, for a new scheduler.
     pub(crate) origins: StreamOrigins,
     // Slots that became free while no scheduler responded.
@@ -76,6 +79,7 @@
             exclusions: Exclusions::default(),
             limits: NamedLimits::default(),
             crashes: RecentCrashes::default(),
+            crashed_starts: CrashedStarts::default(),
             origins: StreamOrigins::default(),
             spare: Vec::new(),
             detached_at: None,
@@ -153,6 +157,9 @@
             self.totals[index].tokens += cost;
         }
         self.crashes.record(&held, &end, now);
+        if end.outcome() == Outcome::Crashed {
+            self.crashed_starts.record(&held.backend, held.incarnation);
+        }
         if self.is_attached {
             let batch_window = if end.outcome() == Outcome::Crashed {
                 Duration::ZERO
@@ -276,6 +283,9 @@
         }
         if let Some(fallback) = frame.fallback {
             self.fallback = fallback.backends;
+            for report in self.fallback.iter().filter_map(|f| f.backend.as_ref()) {
+                self.crashed_starts.forget(&report.id);
+            }
         }
         for refusal in frame.refusals {
             if let Some(pending) = self.take_pending(refusal.ticket) {
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -5,6 +5,7 @@
 use jaylock_rpc::v1::{BackendReport, Configuration, FallbackSlots, Grant};
 
 use crate::client_state::ClientState;
+use crate::crashed_starts::CrashedStarts;
 use crate::pending_request::{AskResult, PendingRequest};
 use crate::recent_reports::RecentReports;
 use crate::requirement::Requirement;
@@ -50,8 +51,8 @@
         if !self.decides_alone(now) {
             return Vec::new();
         }
-        let reported =
-            newest_slots(&self.fallback, &self.reports).map(|(report, _)| report.software.as_str());
+        let reported = newest_slots(&self.fallback, &self.reports, &self.crashed_starts)
+            .map(|(report, _)| report.software.as_str());
         let held = self
             .held
             .iter()
@@ -144,12 +145,14 @@
         if self.held.len() + self.spare.len() >= total as usize {
             return None;
         }
-        let (report, _) = newest_slots(&self.fallback, &self.reports).find(|(report, slots)| {
-            let held = self.held.iter().filter(|held| held.backend == report.id);
-            requirement.is_met(report)
-                && held.count() < *slots as usize
-                && admits(&report.id, report.incarnation)
-        })?;
+        let (report, _) = newest_slots(&self.fallback, &self.reports, &self.crashed_starts).find(
+            |(report, slots)| {
+                let held = self.held.iter().filter(|held| held.backend == report.id);
+                requirement.is_met(report)
+                    && held.count() < *slots as usize
+                    && admits(&report.id, report.incarnation)
+            },
+        )?;
         Some(Grant {
             backend: report.id.clone(),
             address: report.address.clone(),
@@ -159,10 +162,11 @@
         })
     }
 
-    /// Whether no newer start of a backend server has reported to this router.
+    /// Whether this router knows neither of the end of a start nor of a newer one.
     fn is_newest_start(&self, backend: &str, incarnation: u64) -> bool {
         let own = self.reports.find(backend);
-        own.is_none_or(|own| own.incarnation <= incarnation)
+        let has_newer = own.is_some_and(|own| own.incarnation > incarnation);
+        !has_newer && !self.crashed_starts.contains(backend, incarnation)
     }
 
     /// Drops the free slots of earlier starts of backend servers.
@@ -192,15 +196,18 @@
     }
 }
 
-/// The slots that a scheduler told a router, each with the report of the newest start that is known.
+/// The slots that a scheduler told a router, each with the report of the newest start, unless that has crashed.
 fn newest_slots<'a>(
     told: &'a [FallbackSlots],
     reports: &'a RecentReports,
+    crashed: &'a CrashedStarts,
 ) -> impl Iterator<Item = (&'a BackendReport, u32)> {
     told.iter().filter_map(|share| {
         let told = share.backend.as_ref()?;
         let own = reports.find(&told.id);
         let newer = own.filter(|own| own.incarnation > told.incarnation);
-        Some((newer.unwrap_or(told), share.slots))
+        let newest = newer.unwrap_or(told);
+        let has_crashed = crashed.contains(&newest.id, newest.incarnation);
+        (!has_crashed).then_some((newest, share.slots))
     })
 }
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -18,6 +18,7 @@
 mod cost;
 mod crash_causes;
 mod crash_history;
+mod crashed_starts;
 mod decision;
 mod description;
 mod division;
--- a/crates/jaylock-tests/tests/share/router_out_of_step.rs
+++ b/crates/jaylock-tests/tests/share/router_out_of_step.rs
@@ -81,6 +81,17 @@
         assert_that!(version(pool.ask(CUT, take_up("stream"))), some(err(eq(&Reason::NoBackend))));
         assert_that!(version(pool.ask(CUT, begin("new"))), some(ok(eq("v2"))));
     };
+    cut_router_continues_a_stream_at_the_address_of_a_server_that_crashed => {
+        let mut pool = CutPool::new();
+        pool.start(OTHER, report("b0", "v1"));
+        pool.wait(ALONE);
+        let begun = pool.ask(CUT, begin("stream")).expect("a reply").expect("a grant");
+        pool.cut(CUT);
+        pool.end(CUT, &begun, Outcome::Crashed);
+        pool.restart(OTHER, report("b0", "v2"));
+        pool.wait(ALONE);
+        assert_that!(version(pool.ask(CUT, take_up("stream"))), some(err(eq(&Reason::NoBackend))));
+    };
     cut_router_continues_a_stream_in_a_slot_of_an_earlier_start => {
         let mut pool = CutPool::new();
         pool.start(OTHER, report("b0", "v1"));
