A late heartbeat no longer hides a newer start in a router's list for a new scheduler

Seen: a heartbeat of an earlier start that arrived late at a router replaced the report of the newer start in the list that the router sends to a new scheduler. That one knew only the earlier start, believed its software version, and let streams of that version go on at the newer start. The scheduler before had refused the late heartbeat.

Cause: the list kept the report that arrived last, not the newest one.

Change: a report of an earlier start, or one with a lower number of the same start, doesn't replace a newer one. The end of a backend server, which is reported without its start, still replaces all, and any later report replaces it, as before.

Test: late_heartbeat_hides_a_newer_start_from_a_new_scheduler, before: the stream of v1 was granted ("Actual: Some(Ok("v1"))") at a start of v2; passes now.

--- a/crates/jaylock-share/src/recent_reports.rs
+++ b/crates/jaylock-share/src/recent_reports.rs
@@ -19,7 +19,7 @@
 }
 
 impl RecentReports {
-    /// Records a report, and drops those that are older than `retention`.
+    /// Records a report unless a newer one is known, and drops those that are older than `retention`.
     ///
     /// Cache events are sent once; a resent report contains none.
     pub fn record(&mut self, report: &BackendReport, retention: Duration, now: Instant) {
@@ -33,6 +33,7 @@
             received_at: now,
         };
         match search {
+            Ok(index) if is_late(report, &self.list[index].report) => {}
             Ok(index) => self.list[index] = timed,
             Err(index) => self.list.insert(index, timed),
         }
@@ -61,3 +62,10 @@
         }
     }
 }
+
+/// Whether a report was sent before a known one.
+fn is_late(report: &BackendReport, known: &BackendReport) -> bool {
+    let sent = (report.incarnation, report.sequence);
+    // The end of a backend server is reported without its start.
+    !report.gone && !known.gone && sent < (known.incarnation, known.sequence)
+}
--- a/crates/jaylock-tests/tests/share/router_out_of_step.rs
+++ b/crates/jaylock-tests/tests/share/router_out_of_step.rs
@@ -103,6 +103,19 @@
         pool.wait(ALONE);
         assert_that!(version(pool.ask(CUT, take_up("stream"))), some(err(eq(&Reason::NoBackend))));
     };
+    late_heartbeat_hides_a_newer_start_from_a_new_scheduler => {
+        let mut pool = CutPool::new();
+        pool.start(OTHER, report("b0", "v1"));
+        pool.wait(ALONE);
+        assert_that!(version(pool.ask(CUT, begin("stream"))), some(ok(eq("v1"))));
+        pool.restart(OTHER, report("b0", "v2"));
+        pool.deliver_late(OTHER, report("b0", "v1"));
+        pool.stop_heartbeats();
+        pool.replace_scheduler(&[CUT, OTHER]);
+        pool.wait(ALONE);
+        assert_that!(version(pool.ask(CUT, take_up("stream"))), not(some(ok(anything()))));
+        assert_that!(version(pool.ask(OTHER, begin("new"))), some(ok(eq("v2"))));
+    };
     router_in_step_again_after_a_pause_refuses_the_streams_of_a_new_version => {
         let mut pool = CutPool::new();
         pool.start(OTHER, report("b0", "v1"));
