A router without a scheduler refuses streams of others also where it knows no version

Seen: a router that was cut off and knew only backend servers that named no version took the pool for one without versions, and let a stream go on there that had begun at a backend server of a named version. That one had joined during the cut, and its heartbeat had reached other routers.

Cause: the absence of versions was concluded from a list that nobody keeps current any more. A router without a scheduler can know no time after its last contact in which nothing joined: a backend server needs less than the half second until the router grants alone.

Change: it lets only streams go on that it began itself; the others are refused at once with a time to return. The cost is that in pools without versions streams which began at other routers are refused while there is no scheduler; before, they went on.

--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -37,7 +37,7 @@
 
     /// Takes the requests that take up streams which this router, without a scheduler, has not begun.
     pub fn take_unknown_streams(&mut self, now: Instant) -> Vec<(u64, oneshot::Sender<AskResult>)> {
-        if !self.decides_alone(now) || !self.may_have_versions() {
+        if !self.decides_alone(now) {
             return Vec::new();
         }
         let unknown = self.pending.extract_if(.., |p| p.has_unknown_origin());
@@ -78,20 +78,12 @@
         !self.is_attached && self.detached_at.is_some_and(is_over)
     }
 
-    /// Whether the pool's backend servers may name versions of their software, as far as this router knows.
-    fn may_have_versions(&self) -> bool {
-        let reports = self.fallback.iter().filter_map(|f| f.backend.as_ref());
-        let reported = reports.map(|report| report.software.as_str());
-        let begun = self.origins.versions().map(CompactString::as_str);
-        self.fallback.is_empty() || reported.chain(begun).any(|software| !software.is_empty())
-    }
-
     /// The next local grant.
     fn next_local_grant(&mut self, configuration: &Configuration, now: Instant) -> Option<Grant> {
-        let may_have_versions = self.may_have_versions();
         let is_allowed = |pending: &&PendingRequest| {
-            let is_unknown = may_have_versions && pending.has_unknown_origin();
-            !is_unknown && !pending.ask.alone && !self.crashes.is_suspect(&pending.ask)
+            !pending.has_unknown_origin()
+                && !pending.ask.alone
+                && !self.crashes.is_suspect(&pending.ask)
         };
         let mut order: Vec<(u64, u64)> = self
             .pending
--- a/crates/jaylock-tests/tests/share/router_out_of_step.rs
+++ b/crates/jaylock-tests/tests/share/router_out_of_step.rs
@@ -11,7 +11,7 @@
 use jaylock_tests::cases;
 
 use self::cut_pool::CutPool;
-use crate::stream_origins::{STREAM_COUNT, begin, report, take_up};
+use crate::stream_origins::{STREAM_COUNT, begin, report, take_up, take_up_unnamed};
 
 /// Time after which a router without a scheduler grants its own slots, and longer.
 const ALONE: Duration = Duration::from_secs(1);
@@ -51,6 +51,20 @@
             assert_that!(version(resumed), some(ok(eq("v2"))));
         }
     };
+    cut_router_takes_servers_that_named_no_version_for_all_servers => {
+        let mut pool = CutPool::new();
+        pool.start(OTHER, report("b0", ""));
+        pool.wait(ALONE);
+        pool.cut(CUT);
+        pool.start(OTHER, report("b1", "v2"));
+        pool.wait(ALONE);
+        let avoid = vec!["b0".into()];
+        let begun = pool.ask(OTHER, Ask { avoid, ..begin("stream") });
+        assert_that!(version(begun), some(ok(eq("v2"))));
+        for request in [take_up("stream"), take_up_unnamed()] {
+            assert_that!(version(pool.ask(CUT, request)), some(err(eq(&Reason::UnknownStream))));
+        }
+    };
     router_keeps_the_version_of_an_earlier_start_for_the_time_without_a_scheduler => {
         let mut pool = CutPool::new();
         pool.start(OTHER, report("b0", "v1"));
--- a/crates/jaylock-tests/tests/share/stream_origins.rs
+++ b/crates/jaylock-tests/tests/share/stream_origins.rs
@@ -297,12 +297,14 @@
         assert_that!(ask_locally(&mut router, take_up("elsewhere"), now), none());
         assert_that!(router.take_unknown_streams(now), len(eq(1)));
     };
-    router_without_a_scheduler_refuses_streams_of_servers_without_versions => {
+    router_without_a_scheduler_refuses_own_streams_of_servers_without_versions => {
         let now = Instant::now();
         let mut router = detached_router(&["", ""], now);
         let now = now + Duration::from_secs(1);
-        let request = Ask { ticket: 1, ..take_up("elsewhere") };
-        assert_that!(ask_locally(&mut router, request, now), some(ok(anything())));
+        let own = Ask { ticket: 1, ..begin("own") };
+        assert_that!(ask_locally(&mut router, own, now), some(ok(anything())));
+        let resumed = Ask { ticket: 2, ..take_up("own") };
+        assert_that!(ask_locally(&mut router, resumed, now), some(ok(anything())));
         assert_that!(router.take_unknown_streams(now), is_empty());
     };
     router_lists_streams_that_nobody_takes_up_any_more => {
