A scheduler guesses a stream's version from what it ever saw, not from what it knows now

Seen, for streams that had begun at a router without a scheduler and were taken up at a router in touch: - a backend server started again under its name with another version; the scheduler, which knew no other version any more, let the stream go on there; - a scheduler that had run for a minute, and that the router had never reached, let the stream go on at the only version that it knew, while the cut router still served the earlier one; - an unnamed stream went on at the only version whose heartbeat had reached a new scheduler so far.

Cause: "the only version" was taken from the newest reports of the moment, and "knows all streams" from the time that a scheduler had run. Neither holds for what a router begins with an older list.

Change: a scheduler remembers the two versions that it saw last, whoever reports, lists or runs them (`SeenVersions`, constant memory). A named stream that is not known goes on only if the pool has its first scheduler and that ever saw one version, so that no router can have been told another one; an unnamed stream, if one version was seen in the last minute and all backend servers had time to report.

Cost: with a second scheduler, streams that nobody knows are refused also after its first minute.

--- a/crates/jaylock-share/src/admission.rs
+++ b/crates/jaylock-share/src/admission.rs
@@ -193,7 +193,7 @@
     }
 
     /// Whether all backend servers had time to report to this scheduler.
-    fn has_all_reports(&self, now: Instant) -> bool {
+    pub(crate) fn has_all_reports(&self, now: Instant) -> bool {
         now >= self.ready_at + self.settings.backend_lease
     }
 
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -200,6 +200,8 @@
         let newer = own.filter(|own| own.incarnation > told.incarnation);
         let newest = newer.unwrap_or(told);
         let has_crashed = crashed.contains(&newest.id, newest.incarnation);
-        (!has_crashed).then_some((newest, share.slots))
+        // The scheduler must know all versions at which streams may begin.
+        let is_known = newest.software == told.software;
+        (is_known && !has_crashed).then_some((newest, share.slots))
     })
 }
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -45,6 +45,7 @@
 mod resumption;
 mod router;
 mod scheduler;
+mod seen_versions;
 mod service_log;
 mod settings;
 mod stream_origins;
--- a/crates/jaylock-share/src/reports.rs
+++ b/crates/jaylock-share/src/reports.rs
@@ -4,6 +4,7 @@
 use jaylock_types::RequestRate;
 
 use crate::allocator::Allocator;
+use crate::backend::report_time;
 use crate::router::{Pause, RouterKey};
 
 impl Allocator {
@@ -61,6 +62,10 @@
             }
             return;
         }
+        if report.slots > 0 {
+            let seen = &mut self.origins.seen;
+            seen.record(&report.software, report_time(&report, now));
+        }
         let previous_report = self
             .backends
             .find(&id)
--- a/crates/jaylock-share/src/resumption.rs
+++ b/crates/jaylock-share/src/resumption.rs
@@ -42,14 +42,16 @@
         if now < self.ready_at + SETTLING_TIME {
             return Origin::Awaited;
         }
-        let began_here = !ask.may_be_elsewhere && self.knows_all_streams(now);
-        match self.sole_version(now) {
-            Some(software) if stream == StreamId::UNNAMED || began_here => {
-                ask.software = Some(software.as_str().into());
-                Origin::Resolved
-            }
-            _ => Origin::Unknown,
-        }
+        let software = if stream == StreamId::UNNAMED {
+            self.sole_recent_version(now)
+        } else {
+            self.sole_version().filter(|_| !ask.may_be_elsewhere)
+        };
+        let Some(software) = software else {
+            return Origin::Unknown;
+        };
+        ask.software = Some(software.as_str().into());
+        Origin::Resolved
     }
 
     /// Decides again on the requests whose streams were of unknown origin.
@@ -74,22 +76,18 @@
         );
     }
 
-    /// The only version that the pool's backend servers had lately; `None` if there were several or none.
-    fn sole_version(&self, now: Instant) -> Option<CompactString> {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < RETENTION;
-        let recent = self
-            .backends
-            .iter()
-            .filter(|b| is_recent(b.last_report) && b.report.slots > 0);
-        let reported = recent.map(|backend| backend.report.software.as_str());
-        let begun = self.origins.versions().map(CompactString::as_str);
-        let mut versions = reported.chain(begun);
-        let first = versions.next()?;
-        versions.all(|other| other == first).then(|| first.into())
+    /// The only version that the pool ever had; `None` if it had several or none, or an earlier scheduler.
+    ///
+    /// A stream that is not known began at a router without a scheduler, where the list of an earlier one may hold on.
+    fn sole_version(&self) -> Option<&CompactString> {
+        let is_first = self.epoch == FIRST_EPOCH;
+        self.origins.seen.sole().filter(|_| is_first)
     }
 
-    /// Whether this scheduler has granted all slots of the pool for as long as a stream may be taken up.
-    fn knows_all_streams(&self, now: Instant) -> bool {
-        self.epoch == FIRST_EPOCH || now.saturating_duration_since(self.ready_at) >= RETENTION
+    /// The only version that the pool had while callers may still take streams up; `None` if it had several.
+    fn sole_recent_version(&self, now: Instant) -> Option<&CompactString> {
+        let since = now.checked_sub(RETENTION).unwrap_or(now);
+        let seen = &self.origins.seen;
+        seen.sole_since(since).filter(|_| self.has_all_reports(now))
     }
 }
--- a/crates/jaylock-share/src/stream_origins.rs
+++ b/crates/jaylock-share/src/stream_origins.rs
@@ -6,6 +6,7 @@
 use jaylock_types::StreamId;
 
 use crate::encoding::request_id;
+use crate::seen_versions::SeenVersions;
 
 /// Time for which a stream may be taken up after its last attempt was granted or ended.
 ///
@@ -24,6 +25,8 @@
     // Oldest first.
     generations: VecDeque<Generation>,
     len: usize,
+    /// Versions at which streams began or may begin.
+    pub seen: SeenVersions,
 }
 
 impl StreamOrigins {
@@ -32,6 +35,7 @@
     /// An attempt at another version begins the stream anew, as an earlier one brought no event.
     pub fn record(&mut self, stream: Option<StreamId>, software: &str, now: Instant) {
         let Some(stream) = stream else { return };
+        self.seen.record(software, now);
         let is_open = self.generations.back().is_some_and(|g| g.is_open(now));
         if !is_open {
             self.push(Generation::new(now), now);
@@ -48,11 +52,6 @@
             .map(|group| &group.software)
     }
 
-    /// The versions at which streams began.
-    pub fn versions(&self) -> impl Iterator<Item = &CompactString> {
-        self.newest_groups().map(|group| &group.software)
-    }
-
     /// All streams by version, for a new scheduler.
     pub fn list(&mut self, now: Instant) -> Vec<v1::StreamOrigin> {
         self.expire(now);
@@ -82,6 +81,7 @@
         }
         let mut generation = Generation::new(now);
         for origin in listed {
+            self.seen.record(&origin.software, now);
             let group = find_or_add(&mut generation.groups, &origin.software);
             group
                 .streams
