A router that stood still doesn't use what the scheduler told it before

Seen: a router that stood still for 3 s (suspended process) read grants after it that the scheduler had sent before; a backend server that had started again under its name with another version meanwhile got the request under the version of its earlier start. If the router had lost its scheduler meanwhile too, it let its own streams go on by the list of backend servers from before.

Cause: a router took each message for current as it reads it, and its list too, whatever time had passed. A stream to a scheduler that is silent for 1.5 s while requests wait is closed, but after a pause the messages are read before that is looked at.

Change: the router notices a pause of over 1.5 s (the same bound) by its own activity every 200 ms. After one the stream to the scheduler is opened anew before a message of it counts, so that the scheduler, which learns which grants arrived, grants again; and until a scheduler has told the list anew, streams that need a version are refused at once while the router decides alone (a response that has begun waits for the scheduler). New requests are served as before, so that a pause in a long time without schedulers costs little. A pause by overload costs one new stream, at most once in 1.5 s.

Pauses are now looked for only once that work has begun.

--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -19,6 +19,7 @@
 use crate::fallback::SpareSlot;
 use crate::held_slot::HeldSlot;
 use crate::named_limits::NamedLimits;
+use crate::pauses::Pauses;
 use crate::pending_request::{AskResult, PendingRequest};
 use crate::recent_crashes::RecentCrashes;
 use crate::recent_reports::RecentReports;
@@ -57,6 +58,7 @@
     pub(crate) spare: Vec<SpareSlot>,
     pub(crate) detached_at: Option<Instant>,
     last_frame: Option<Instant>,
+    pub(crate) pauses: Pauses,
     addresses: AddressTable,
 }
 
@@ -84,6 +86,7 @@
             spare: Vec::new(),
             detached_at: None,
             last_frame: None,
+            pauses: Pauses::default(),
             addresses: AddressTable::default(),
         }
     }
@@ -215,6 +218,8 @@
     /// The first message of a new stream, with all the state that the scheduler needs.
     pub fn first_frame(&mut self, mut hello: Hello, now: Instant) -> RouterFrame {
         self.is_attached = true;
+        self.observe_pause(now);
+        self.pauses.open_stream();
         self.last_frame = Some(now);
         self.addresses = AddressTable::default();
         hello.epoch = self.epoch;
@@ -262,9 +267,12 @@
         now.saturating_duration_since(since) >= self.settings.idle_timeout
     }
 
-    /// Applies a message of the scheduler; returns false if its epoch is outdated.
+    /// Applies a message of the scheduler; returns false if it is outdated, so that the stream must be opened anew.
+    ///
+    /// A message is outdated if it has an older epoch, or may have been sent before the router stood still.
     pub fn apply_frame(&mut self, frame: SchedulerFrame, now: Instant) -> bool {
-        if frame.epoch < self.epoch {
+        self.observe_pause(now);
+        if frame.epoch < self.epoch || self.pauses.is_stream_outdated() {
             return false;
         }
         self.epoch = frame.epoch;
@@ -283,6 +291,7 @@
         }
         if let Some(fallback) = frame.fallback {
             self.fallback = fallback.backends;
+            self.pauses.renew_list();
             for report in self.fallback.iter().filter_map(|f| f.backend.as_ref()) {
                 self.crashed_starts.forget(&report.id);
             }
@@ -299,6 +308,25 @@
         true
     }
 
+    /// Whether the scheduler may have sent what is still to be read before the router stood still.
+    #[must_use]
+    pub fn is_stream_outdated(&self) -> bool {
+        self.is_attached && self.pauses.is_stream_outdated()
+    }
+
+    /// Notices if the router has stood still since it was last active.
+    pub(crate) fn observe_pause(&mut self, now: Instant) {
+        let max_pause = self.settings.idle_timeout;
+        if let Some(pause) = self.pauses.observe(now, max_pause) {
+            let pause_ms = pause.as_millis();
+            log::info!(
+                target: "share",
+                pause_ms:? = pause_ms, attached = self.is_attached;
+                "the router stood still, so that what the scheduler told it may be outdated"
+            );
+        }
+    }
+
     /// When the next message is due.
     #[must_use]
     pub fn due(&self, now: Instant) -> Option<Instant> {
--- a/crates/jaylock-share/src/connection.rs
+++ b/crates/jaylock-share/src/connection.rs
@@ -200,7 +200,7 @@
         while let Some(frame) = inbound.message().await? {
             if !self.state.borrow_mut().apply_frame(frame, Instant::now()) {
                 return Err(Status::aborted(
-                    "the scheduler has an older epoch than one seen before",
+                    "the scheduler has an older epoch than one seen before, or this router stood still",
                 ));
             }
             self.notify();
@@ -250,6 +250,9 @@
             {
                 return "the scheduler sends no messages although requests wait";
             }
+            if self.state.borrow().is_stream_outdated() {
+                return "this router stood still, and what was sent meanwhile may be outdated";
+            }
             let changed = self.context.view.wait_newer_than(index);
             let _ = compio::time::timeout(self.context.settings.reconnect_delay, changed).await;
         }
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -25,6 +25,8 @@
     ///
     /// Does nothing while a scheduler is attached or was lost less than the fallback delay ago.
     pub fn grant_locally(&mut self, configuration: &Configuration, now: Instant) {
+        self.pauses.watch(now);
+        self.observe_pause(now);
         if !self.decides_alone(now) {
             return;
         }
@@ -61,11 +63,11 @@
         let spare = self.spare.iter().map(|spare| spare.software.as_str());
         let versions = reported.chain(held).chain(spare);
         let versions: Vec<CompactString> = versions.map(CompactString::from).collect();
+        let is_outdated = self.pauses.is_list_outdated();
         let is_lost = |pending: &mut PendingRequest| {
             let software = pending.ask.software.as_deref();
-            let is_missing =
-                software.is_some_and(|software| !versions.iter().any(|v| v == software));
-            is_missing && pending.ask.served == 0
+            let is_missing = |software| is_outdated || !versions.iter().any(|v| v == software);
+            software.is_some_and(is_missing) && pending.ask.served == 0
         };
         let lost = self.pending.extract_if(.., is_lost);
         lost.map(PendingRequest::into_reply).collect()
@@ -80,10 +82,14 @@
 
     /// The next local grant.
     fn next_local_grant(&mut self, configuration: &Configuration, now: Instant) -> Option<Grant> {
+        let is_outdated = self.pauses.is_list_outdated();
         let is_allowed = |pending: &&PendingRequest| {
-            !pending.has_unknown_origin()
-                && !pending.ask.alone
-                && !self.crashes.is_suspect(&pending.ask)
+            let ask = &pending.ask;
+            let has_origin = match ask.software {
+                Some(_) => !is_outdated,
+                None => !pending.has_unknown_origin(),
+            };
+            has_origin && !ask.alone && !self.crashes.is_suspect(ask)
         };
         let mut order: Vec<(u64, u64)> = self
             .pending
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -30,6 +30,7 @@
 mod held_slot;
 mod host;
 mod named_limits;
+mod pauses;
 mod pending_request;
 mod placement;
 mod proven_causes;
--- a/crates/jaylock-tests/tests/share/router_out_of_step.rs
+++ b/crates/jaylock-tests/tests/share/router_out_of_step.rs
@@ -179,6 +179,32 @@
         pool.wait(ALONE);
         assert_that!(version(pool.ask(OTHER, take_up_unnamed())), some(err(eq(&Reason::UnknownStream))));
     };
+    grant_from_before_a_pause_of_the_router_is_used_after_it => {
+        let mut pool = CutPool::new();
+        pool.start(OTHER, report("b0", "v1"));
+        pool.wait(ALONE);
+        pool.pause(CUT);
+        let waiting = pool.send(CUT, begin("stream"));
+        pool.wait(ALONE);
+        pool.restart(OTHER, report("b0", "v2"));
+        pool.wait(PAUSE);
+        pool.resume(CUT);
+        pool.wait(ALONE);
+        assert_that!(version(pool.reply(waiting)), some(ok(eq("v2"))));
+    };
+    router_continues_streams_alone_at_the_versions_from_before_its_pause => {
+        let mut pool = CutPool::new();
+        pool.start(OTHER, report("b0", "v1"));
+        pool.wait(ALONE);
+        assert_that!(version(pool.ask(CUT, begin("stream"))), some(ok(eq("v1"))));
+        pool.pause(CUT);
+        pool.cut(CUT);
+        pool.restart(OTHER, report("b0", "v2"));
+        pool.wait(PAUSE);
+        pool.resume(CUT);
+        pool.wait(ALONE);
+        assert_that!(version(pool.ask(CUT, take_up("stream"))), some(err(eq(&Reason::NoBackend))));
+    };
     router_in_step_again_after_a_pause_refuses_the_streams_of_a_new_version => {
         let mut pool = CutPool::new();
         pool.start(OTHER, report("b0", "v1"));
