Schedulers and their clients read the clock that also runs while the machine is suspended

Cause: `Instant::now` stops while a machine is suspended. A router that was suspended for half a minute would take the reports of backend servers, which it lists with their ages to a new scheduler, for as old as before, the last message of its scheduler for a new one, and would not notice the pause itself; a scheduler would not see that the leases of backend servers have ended. Leases of instances read the boot clock already.

Change: the tasks of a router's stream and of a scheduler read `boottime_now`, and wait for times, not until instants of another clock. The state machines take the time as an argument, as before.

A process that is stopped by a signal was never concerned: both clocks go on then.

--- a/crates/jaylock-share/src/connection.rs
+++ b/crates/jaylock-share/src/connection.rs
@@ -1,7 +1,6 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
 
 use compact_str::CompactString;
 use futures_channel::{mpsc, oneshot};
@@ -15,7 +14,7 @@
     RouterFrame, SchedulerFrame,
 };
 use jaylock_rpc::with_timeout;
-use jaylock_types::{Index, Notice};
+use jaylock_types::{Index, Notice, boottime_now};
 use tonic::{Status, Streaming};
 
 use crate::client::RouterContext;
@@ -58,7 +57,7 @@
     pub fn request_slot(&self, ask: Ask, reply: oneshot::Sender<AskResult>) {
         self.state
             .borrow_mut()
-            .request_slot(ask, reply, Instant::now());
+            .request_slot(ask, reply, boottime_now());
         self.grant_locally();
         self.notify();
     }
@@ -71,12 +70,12 @@
     pub fn report_progress(&self, progress: Progress) {
         self.state
             .borrow_mut()
-            .report_progress(progress, Instant::now());
+            .report_progress(progress, boottime_now());
         self.notify();
     }
 
     pub fn release_slot(&self, end: End) {
-        self.state.borrow_mut().release_slot(end, Instant::now());
+        self.state.borrow_mut().release_slot(end, boottime_now());
         self.grant_locally();
         self.notify();
     }
@@ -92,7 +91,7 @@
         let share = 1.0 / routers.count().max(1) as f64;
         self.state
             .borrow_mut()
-            .report_notice(backend, incarnation, notice, share, Instant::now());
+            .report_notice(backend, incarnation, notice, share, boottime_now());
         self.notify();
     }
 
@@ -100,13 +99,13 @@
         let state = self.state.borrow();
         state
             .exclusions
-            .contains(backend, incarnation, Instant::now())
+            .contains(backend, incarnation, boottime_now())
     }
 
     pub fn report_backend(&self, report: BackendReport) {
         self.state
             .borrow_mut()
-            .report_backend(report, Instant::now());
+            .report_backend(report, boottime_now());
         self.notify();
     }
 
@@ -133,7 +132,7 @@
         loop {
             if let Some((lease, address)) = self.scheduler() {
                 let outcome = self.serve(&lease, address, &mut wakeups).await;
-                self.state.borrow_mut().detach(Instant::now());
+                self.state.borrow_mut().detach(boottime_now());
                 if let Err(status) = outcome {
                     let reason = status.message();
                     log::info!(target: "share", "no stream to the scheduler of pool {}: {reason}", self.pool);
@@ -193,12 +192,12 @@
             domain: self.context.domain.as_str().into(),
             ..Hello::default()
         };
-        state.first_frame(hello, Instant::now())
+        state.first_frame(hello, boottime_now())
     }
 
     async fn read_frames(&self, mut inbound: Streaming<SchedulerFrame>) -> Result<(), Status> {
         while let Some(frame) = inbound.message().await? {
-            if !self.state.borrow_mut().apply_frame(frame, Instant::now()) {
+            if !self.state.borrow_mut().apply_frame(frame, boottime_now()) {
                 return Err(Status::aborted(
                     "the scheduler has an older epoch than one seen before, or this router stood still",
                 ));
@@ -214,7 +213,7 @@
         wakeups: &mut mpsc::Receiver<()>,
     ) {
         loop {
-            let now = Instant::now();
+            let now = boottime_now();
             let due = self.state.borrow().due(now);
             match due {
                 Some(due) if due <= now => {
@@ -224,7 +223,7 @@
                     }
                 }
                 Some(due) => {
-                    let _ = compio::time::timeout_at(due, wakeups.next()).await;
+                    let _ = compio::time::timeout(due - now, wakeups.next()).await;
                 }
                 None => {
                     wakeups.next().await;
@@ -246,7 +245,7 @@
             if self
                 .state
                 .borrow()
-                .is_scheduler_unresponsive(Instant::now())
+                .is_scheduler_unresponsive(boottime_now())
             {
                 return "the scheduler sends no messages although requests wait";
             }
@@ -261,7 +260,7 @@
     /// Grants the router's own slots, and refuses what needs a scheduler, while there is none.
     fn grant_locally(&self) {
         let configuration = self.context.view.current();
-        let now = Instant::now();
+        let now = boottime_now();
         let (unknown, lost) = {
             let mut state = self.state.borrow_mut();
             state.grant_locally(&configuration, now);
@@ -276,7 +275,7 @@
 
     fn refuse_expired(&self) {
         let max_wait = self.context.settings.max_scheduler_wait;
-        let now = Instant::now();
+        let now = boottime_now();
         let expired = self.state.borrow_mut().take_expired(now, max_wait);
         refuse(expired, Reason::NoBackend);
     }
--- a/crates/jaylock-share/src/scheduler.rs
+++ b/crates/jaylock-share/src/scheduler.rs
@@ -5,7 +5,7 @@
 use futures_util::StreamExt;
 use jaylock_control::ConfigView;
 use jaylock_rpc::v1::{Hello, PoolReport, RouterFrame, SchedulerFrame};
-use jaylock_types::{Index, InstanceId};
+use jaylock_types::{Index, InstanceId, boottime_now};
 use tonic::Status;
 
 use crate::SchedulerSettings;
@@ -73,7 +73,7 @@
     ) -> Self {
         let settings = context.settings.clone();
         Self {
-            allocator: Allocator::new(pool, epoch, settings, Instant::now()),
+            allocator: Allocator::new(pool, epoch, settings, boottime_now()),
             context,
             events,
             sessions: Vec::new(),
@@ -83,14 +83,15 @@
 
     /// Serves the pool until the host closes the event channel.
     pub async fn run(mut self) {
-        let mut next_tick = Instant::now();
+        let mut next_tick = boottime_now();
         loop {
-            match compio::time::timeout_at(next_tick, self.events.next()).await {
+            let time = next_tick.saturating_duration_since(boottime_now());
+            match compio::time::timeout(time, self.events.next()).await {
                 Ok(Some(event)) => self.handle_ready_events(event),
                 Ok(None) => return,
                 Err(_) => {}
             }
-            let now = Instant::now();
+            let now = boottime_now();
             if now >= next_tick {
                 self.tick(now);
                 next_tick = now + TICK_INTERVAL;
@@ -112,7 +113,7 @@
     }
 
     fn handle_event(&mut self, event: Event) {
-        let now = Instant::now();
+        let now = boottime_now();
         match event {
             Event::Attach {
                 session,
