A stream's version is recorded with its first event, not with the grant of a slot

Seen: a scheduler granted a new stream a slot at a backend server of v2, and the message was lost, as the link to the router was cut. The router, without a scheduler, ran the stream at its own slot of v1. When the stream broke and its caller took it up at a router in touch, the scheduler let it go on at v2.

Cause: schedulers and routers recorded the version of each attempt that was granted, the newest one holding. A grant isn't a run: it may not arrive, or end before its first event, while another attempt elsewhere brings it.

Ruled out: to trust grants for a short time only (a router may decide alone when the grant is issued); to let a router not run what it asked a scheduler for before (all that waits when a scheduler ends would be refused).

Change: the version counts from the first report of the router that has an event: its progress, the end of a run with tokens, a run with tokens or a list in its first message. Once a stream has an event, all further attempts have its version, so that a record never changes. The first progress of each stream is sent at once; for prompts with parts it was already, and streams without parts send one more message of some 20 bytes each.

Tests: grant_that_was_lost_on_its_way_tells_where_a_stream_began, before: "Expected: UnknownStream, Actual: Some(Ok("v2"))".

--- a/crates/jaylock-router/src/slot.rs
+++ b/crates/jaylock-router/src/slot.rs
@@ -70,7 +70,8 @@
         self.is_answered = true;
         self.first_token.get_or_insert(self.started.elapsed());
         self.tokens = tokens.max(self.tokens);
-        if self.tokens >= self.reported_tokens + PROGRESS_TOKENS {
+        let is_first = self.reported_tokens == 0;
+        if is_first || self.tokens >= self.reported_tokens + PROGRESS_TOKENS {
             self.reported_tokens = self.tokens;
             let progress = Progress {
                 ticket: self.grant.ticket,
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -240,6 +240,7 @@
         run.charged_tokens += new_tokens;
         let (account, backend_index, granted_at) = (run.account, run.backend_index, run.granted_at);
         run.began_at.get_or_insert(now);
+        self.origins.record(run.stream, &run.software, now);
         let proven = run.prove(now).then(|| run.causes.clone());
         if let Some(load) = run.load.as_mut().filter(|load| load.is_prefill_pending()) {
             self.backends
@@ -265,7 +266,9 @@
             .and_then(|r| r.remove_run(end.ticket));
         let Some(mut run) = run else { return };
         self.record_outcome(&run, end, now);
-        self.origins.record(run.stream, &run.software, now);
+        if end.tokens > 0 {
+            self.origins.record(run.stream, &run.software, now);
+        }
         let cost = cost_of(end);
         if end.unreached {
             let router_count = self.routers.attached_count();
--- a/crates/jaylock-share/src/attachment.rs
+++ b/crates/jaylock-share/src/attachment.rs
@@ -108,7 +108,9 @@
             stream: StreamId::from_message(running.stream),
             software: running.software.as_str().into(),
         };
-        self.origins.record(run.stream, &run.software, now);
+        if run.began_at.is_some() {
+            self.origins.record(run.stream, &run.software, now);
+        }
         if let Some(router) = self.routers.get_mut(key) {
             router.add_run(run);
         }
--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -127,8 +127,11 @@
         };
         let held = &mut self.held[index];
         held.tokens = held.tokens.max(progress.tokens);
-        let is_first = held.reported_tokens == 0 && held.has_prompt_parts;
+        let is_first = held.reported_tokens == 0;
         let has_grown = held.tokens >= held.reported_tokens + self.settings.min_progress_tokens;
+        if is_first || has_grown {
+            self.origins.record(held.stream, &held.software, now);
+        }
         if self.is_attached && (is_first || has_grown) {
             held.reported_tokens = held.tokens;
             let progress = Progress {
@@ -153,7 +156,9 @@
             return;
         };
         let held = self.held.remove(index);
-        self.origins.record(held.stream, &held.software, now);
+        if end.tokens > 0 {
+            self.origins.record(held.stream, &held.software, now);
+        }
         let cost = cost_of(&end);
         self.add_unreported(&held.organisation, if self.is_attached { 0 } else { cost });
         if let Ok(index) = self.search_total(&held.organisation) {
@@ -373,7 +378,6 @@
             return;
         };
         let held = HeldSlot::new(&pending.ask, &grant);
-        self.origins.record(held.stream, &held.software, now);
         let index = self
             .held
             .partition_point(|other| other.ticket < held.ticket);
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -258,7 +258,6 @@
             stream: stream_of(ask),
             software: grant.software.as_str().into(),
         };
-        self.origins.record(run.stream, &run.software, now);
         if let Some(router) = self.routers.get_mut(waiting.router) {
             router.remove_waiting(ask.ticket);
             router.add_run(run);
--- a/crates/jaylock-share/src/held_slot.rs
+++ b/crates/jaylock-share/src/held_slot.rs
@@ -24,8 +24,6 @@
     pub is_isolated: bool,
     /// Time for which the end of the run may be held back.
     pub report_delay: Duration,
-    /// Whether the request lists the parts of its prompt, so that the scheduler expects a first progress report.
-    pub has_prompt_parts: bool,
     pub reported_tokens: u64,
     /// What the request shares with others and may crash backend servers.
     pub causes: Causes,
@@ -47,7 +45,6 @@
             tokens: 0,
             is_isolated: ask.alone,
             report_delay: Duration::from_millis(grant.report_delay_ms.into()),
-            has_prompt_parts: !ask.parts.is_empty(),
             reported_tokens: 0,
             causes: Causes::from_ask(ask),
             stream: stream_of(ask),
--- a/crates/jaylock-tests/tests/share/router_out_of_step.rs
+++ b/crates/jaylock-tests/tests/share/router_out_of_step.rs
@@ -15,6 +15,10 @@
 
 /// Time after which a router without a scheduler grants its own slots, and longer.
 const ALONE: Duration = Duration::from_secs(1);
+/// Time in which a message arrives.
+const MESSAGE_TIME: Duration = Duration::from_millis(200);
+/// Slots of each backend server.
+const SLOTS: usize = 64;
 /// Time for which a router stands still.
 const PAUSE: Duration = Duration::from_secs(3);
 /// Time for which callers take streams up, and longer.
@@ -31,6 +35,31 @@
     result.map(|granted| granted.map(|grant| grant.software))
 }
 
+/// A pool whose scheduler granted a stream a slot of v2, which its router did not learn, so that it runs at v1.
+fn pool_with_a_lost_grant() -> (CutPool, Grant) {
+    let mut pool = CutPool::new();
+    pool.start(OTHER, report("b0", "v1"));
+    pool.start(OTHER, report("b1", "v2"));
+    pool.wait(ALONE);
+    let mut fillers = Vec::new();
+    for n in 0..SLOTS {
+        let avoid = vec!["b1".into()];
+        let request = begin(&format!("filler-{n}"));
+        let filler = pool.ask(OTHER, Ask { avoid, ..request });
+        fillers.push(filler.expect("a reply").expect("a grant"));
+    }
+    let waiting = pool.send(CUT, begin("stream"));
+    pool.pause(CUT);
+    pool.wait(MESSAGE_TIME);
+    pool.cut(CUT);
+    pool.resume(CUT);
+    pool.wait(ALONE);
+    pool.end(OTHER, &fillers[0], Outcome::Complete);
+    let begun = pool.reply(waiting).expect("a reply").expect("a grant");
+    assert_that!(begun.software, eq("v1"));
+    (pool, begun)
+}
+
 cases! {
     stream_of_a_new_version_goes_on_at_the_only_version_that_a_cut_router_knows => {
         let mut pool = CutPool::new();
@@ -179,6 +208,13 @@
         pool.wait(ALONE);
         assert_that!(version(pool.ask(OTHER, take_up_unnamed())), some(err(eq(&Reason::UnknownStream))));
     };
+    grant_that_was_lost_on_its_way_tells_where_a_stream_began => {
+        let (mut pool, begun) = pool_with_a_lost_grant();
+        pool.bring_event(CUT, &begun);
+        assert_that!(version(pool.ask(OTHER, take_up("stream"))), some(err(eq(&Reason::UnknownStream))));
+        pool.reconnect(CUT);
+        assert_that!(version(pool.ask(OTHER, take_up("stream"))), some(ok(eq("v1"))));
+    };
     grant_from_before_a_pause_of_the_router_is_used_after_it => {
         let mut pool = CutPool::new();
         pool.start(OTHER, report("b0", "v1"));
--- a/crates/jaylock-tests/tests/share/router_out_of_step/cut_pool.rs
+++ b/crates/jaylock-tests/tests/share/router_out_of_step/cut_pool.rs
@@ -6,13 +6,14 @@
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{
-    Ask, BackendReport, Configuration, End, Grant, Hello, Refusal, SchedulerFrame,
+    Ask, BackendReport, Configuration, End, Grant, Hello, Progress, Refusal, SchedulerFrame,
 };
 use jaylock_share::{
     Allocator, AskResult, ClientState, RouterKey, SchedulerClientSettings, SchedulerSettings,
 };
 
 use crate::fleet::end;
+use crate::stream_origins::FIRST_EVENT;
 
 /// Step of the virtual clock.
 const STEP: Duration = Duration::from_millis(100);
@@ -98,8 +99,9 @@
         self.exchange();
     }
 
-    /// Cuts a router off from the scheduler.
+    /// Cuts a router off from the scheduler; what is on the way is lost.
     pub fn cut(&mut self, router: usize) {
+        self.routers[router].unread.clear();
         if let Some(key) = self.routers[router].key.take() {
             self.scheduler.detach(key, self.now);
         }
@@ -166,7 +168,7 @@
         self.backends.clear();
     }
 
-    /// Asks a router for a slot; returns the reply, if there is one soon.
+    /// Asks a router for a run that brings an event; returns the reply, if there is one soon.
     pub fn ask(
         &mut self,
         router: usize,
@@ -174,7 +176,18 @@
     ) -> Option<std::result::Result<Grant, Reason>> {
         let waiting = self.send(router, request);
         self.exchange();
-        self.reply(waiting)
+        let reply = self.reply(waiting);
+        if let Some(Ok(grant)) = &reply {
+            self.bring_event(router, grant);
+        }
+        reply
+    }
+
+    /// Lets the run of a grant bring its first event.
+    pub fn bring_event(&mut self, router: usize, grant: &Grant) {
+        let (ticket, tokens) = (grant.ticket, FIRST_EVENT.0);
+        let client = &mut self.routers[router].client;
+        client.report_progress(Progress { ticket, tokens }, self.now);
     }
 
     /// Sends a request without waiting for its reply; a router that stands still has sent it just before.
--- a/crates/jaylock-tests/tests/share/stream_origins.rs
+++ b/crates/jaylock-tests/tests/share/stream_origins.rs
@@ -6,10 +6,10 @@
 use googletest::prelude::*;
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::refusal::Reason;
-use jaylock_rpc::v1::{Ask, BackendReport, Configuration, Hello, StreamOrigin};
+use jaylock_rpc::v1::{Ask, BackendReport, Configuration, Hello, Progress, StreamOrigin};
 use jaylock_share::{AskResult, ClientState, SchedulerClientSettings};
 use jaylock_tests::cases;
-use jaylock_types::StreamId;
+use jaylock_types::{StreamId, Tokens};
 
 use crate::fixture::Fixture;
 use crate::fleet::{ask, detached_router_of, end, engine_report};
@@ -20,6 +20,8 @@
 const RETENTION: Duration = Duration::from_mins(1);
 /// Time after which a scheduler forgets a router that is not attached, and longer.
 const ROUTER_LEASE: Duration = Duration::from_secs(5);
+/// Service of a run after its first event.
+pub const FIRST_EVENT: Tokens = Tokens(2);
 /// Streams that a test begins.
 pub const STREAM_COUNT: usize = 16;
 
@@ -81,12 +83,15 @@
     pool.router = pool.allocator.attach(&hello, pool.now);
 }
 
-/// Sends a request; returns the backend server that is granted, or why none is.
+/// Sends a request, whose run brings an event; returns the backend server that is granted, or why none is.
 fn send(fixture: &mut Fixture, request: Ask) -> std::result::Result<String, Option<Reason>> {
     fixture.ask([request]);
     let (grants, refusals) = fixture.decide_all();
     match grants.into_iter().next() {
-        Some(grant) => Ok(grant.backend),
+        Some(grant) => {
+            fixture.report_progress(grant.ticket, FIRST_EVENT.0);
+            Ok(grant.backend)
+        }
         None => Err(refusals.first().map(jaylock_rpc::v1::Refusal::reason)),
     }
 }
@@ -98,12 +103,17 @@
     detached_router_of(reports, now)
 }
 
-/// Asks a router without a scheduler; returns the result, if there is one already.
+/// Asks a router without a scheduler for a run that brings an event; returns the result, if there is one already.
 fn ask_locally(router: &mut ClientState, request: Ask, now: Instant) -> Option<AskResult> {
     let (sender, mut receiver) = oneshot::channel();
     router.request_slot(request, sender, now);
     router.grant_locally(&Configuration::default(), now);
-    receiver.try_recv().expect("an open channel")
+    let result = receiver.try_recv().expect("an open channel");
+    if let Some(Ok(grant)) = &result {
+        let (ticket, tokens) = (grant.ticket, FIRST_EVENT.0);
+        router.report_progress(Progress { ticket, tokens }, now);
+    }
+    result
 }
 
 cases! {
--- a/crates/jaylock-tests/tests/share/version_world/callers.rs
+++ b/crates/jaylock-tests/tests/share/version_world/callers.rs
@@ -4,12 +4,13 @@
 
 use futures_channel::oneshot;
 use jaylock_rpc::v1::end::Outcome;
-use jaylock_rpc::v1::{Ask, End, Grant};
+use jaylock_rpc::v1::{Ask, End, Grant, Progress};
 use rand::Rng;
 
 use super::members::{SimBackend, StreamState};
 use super::{CONTACT_TIME, World};
 use crate::fleet::end;
+use crate::stream_origins::FIRST_EVENT;
 
 /// Time from a grant to the first event.
 const PREFILL_TIME: Duration = Duration::from_millis(80);
@@ -153,6 +154,8 @@
             let began = stream
                 .software
                 .get_or_insert_with(|| backend.software.clone());
+            let tokens = FIRST_EVENT.0;
+            client.report_progress(Progress { ticket, tokens }, now);
             if *began != backend.software {
                 self.mixed.push(stream.request.clone());
             }
