A run that a router reports elsewhere replaces the grant that it never learned of

Seen: after a grant was lost, the router ran the request in a slot of its own at another backend server and attached to the scheduler again. The scheduler kept its own grant for that ticket, with another backend server and version, and recorded the router's progress and the end of the run there: a stream of v1 that was taken up went on at v2, and slots were counted at the wrong backend server.

Cause: the runs in a router's first message were compared with the known ones by ticket alone.

Change: a known run stays if the backend server and version are the same as well; otherwise it is ended and the reported one is adopted.

--- a/crates/jaylock-share/src/attachment.rs
+++ b/crates/jaylock-share/src/attachment.rs
@@ -52,23 +52,31 @@
     }
 
     /// Replaces the known runs of a router by those that it reports.
+    ///
+    /// A run that it reports elsewhere than it is known took a slot of the router while a grant was lost.
     pub(crate) fn reconcile(&mut self, key: RouterKey, running: &[Running], now: Instant) {
+        let backends = &self.backends;
         let Some(router) = self.routers.get_mut(key) else {
             return;
         };
-        let is_reported = |ticket: &u64| running.iter().any(|run| run.ticket == *ticket);
-        let tickets = router.run_tickets();
-        let ended: Vec<Run> = tickets
-            .iter()
-            .filter(|ticket| !is_reported(ticket))
-            .filter_map(|ticket| router.remove_run(*ticket))
-            .collect();
+        let is_reported = |run: &Run| {
+            let backend = backends.get(run.backend_index).report.id.as_str();
+            let mut reported = running.iter();
+            reported.any(|r| {
+                r.ticket == run.ticket && r.backend == backend && r.software == run.software
+            })
+        };
+        let (kept, ended): (Vec<&Run>, Vec<&Run>) = router.runs().partition(|run| is_reported(run));
+        let kept: Vec<u64> = kept.iter().map(|run| run.ticket).collect();
+        let ended: Vec<u64> = ended.iter().map(|run| run.ticket).collect();
+        let ended = ended.iter().filter_map(|ticket| router.remove_run(*ticket));
+        let ended: Vec<Run> = ended.collect();
         for mut run in ended {
             // The tokens since the last progress report arrive with the router's totals.
             let tokens = run.tokens;
             self.close_run(&mut run, tokens, now);
         }
-        for run in running.iter().filter(|run| !tickets.contains(&run.ticket)) {
+        for run in running.iter().filter(|run| !kept.contains(&run.ticket)) {
             self.adopt(key, run, now);
         }
     }
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -167,11 +167,6 @@
         self.runs.iter()
     }
 
-    /// Tickets of the router's granted slots.
-    pub fn run_tickets(&self) -> Vec<u64> {
-        self.runs.iter().map(|run| run.ticket).collect()
-    }
-
     /// Records the account in whose queue a ticket waits; returns false if the ticket waits already.
     pub fn add_waiting(&mut self, ticket: u64, account: AccountKey) -> bool {
         match self
--- a/crates/jaylock-tests/tests/share/router_out_of_step.rs
+++ b/crates/jaylock-tests/tests/share/router_out_of_step.rs
@@ -54,7 +54,9 @@
     pool.cut(CUT);
     pool.resume(CUT);
     pool.wait(ALONE);
-    pool.end(OTHER, &fillers[0], Outcome::Complete);
+    for filler in &fillers[..2] {
+        pool.end(OTHER, filler, Outcome::Complete);
+    }
     let begun = pool.reply(waiting).expect("a reply").expect("a grant");
     assert_that!(begun.software, eq("v1"));
     (pool, begun)
@@ -215,6 +217,13 @@
         pool.reconnect(CUT);
         assert_that!(version(pool.ask(OTHER, take_up("stream"))), some(ok(eq("v1"))));
     };
+    scheduler_keeps_a_lost_grant_for_the_run_that_its_router_reports => {
+        let (mut pool, begun) = pool_with_a_lost_grant();
+        pool.reconnect(CUT);
+        pool.end(CUT, &begun, Outcome::Broken);
+        pool.wait(MESSAGE_TIME);
+        assert_that!(version(pool.ask(OTHER, take_up("stream"))), some(ok(eq("v1"))));
+    };
     grant_from_before_a_pause_of_the_router_is_used_after_it => {
         let mut pool = CutPool::new();
         pool.start(OTHER, report("b0", "v1"));
