Random schedules with routers out of step while new versions join

version_faults gets a second kind of world: beside the faults of before, routers stand still for 3 s (half of their callers leave, half wait for them), or hear nothing of the scheduler, or are not heard by it, for 3 s; meanwhile backend servers of a new version join, and others crash and start again a second later under their names with the newest version. A router reads what arrived while it stood still, watches for its own pauses, and gives up a silent scheduler, as the tasks of a stream do. Heartbeats go from router to router until one that believes itself attached takes them.

--- a/crates/jaylock-tests/tests/share/version_world/callers.rs
+++ b/crates/jaylock-tests/tests/share/version_world/callers.rs
@@ -26,6 +26,9 @@
             self.give_up(index);
             return;
         }
+        if self.routers[stream.router].is_paused(now) && !stream.is_away() {
+            return;
+        }
         match &mut stream.state {
             StreamState::Away { until } if now >= *until => self.connect(index),
             StreamState::Asking {
@@ -44,6 +47,11 @@
     /// Lets the caller of a stream connect to any router.
     fn connect(&mut self, index: usize) {
         let router = self.rng.random_range(0..self.routers.len());
+        let router = self.streams[index].destination.take().unwrap_or(router);
+        if self.routers[router].is_paused(self.now) {
+            self.hold_on(index, router);
+            return;
+        }
         let is_counted = self.is_calm(router) && self.is_servable(index);
         let number = self.take_number();
         let stream = &mut self.streams[index];
@@ -65,6 +73,38 @@
         self.ask(index, request, is_counted);
     }
 
+    /// Lets a caller wait for a router that stands still, or look for another one.
+    fn hold_on(&mut self, index: usize, router: usize) {
+        let holds_on = self.rng.random_bool(0.5);
+        let stream = &mut self.streams[index];
+        if !holds_on {
+            stream.leave(self.now);
+            return;
+        }
+        stream.destination = Some(router);
+        stream.state = StreamState::Away {
+            until: self.routers[router].is_paused_until,
+        };
+    }
+
+    /// Lets callers leave a router that stands still, which learns it later.
+    pub fn leave_paused(&mut self, router: usize) {
+        for index in 0..self.streams.len() {
+            let leaves = self.rng.random_bool(0.5);
+            let stream = &mut self.streams[index];
+            if stream.router != router || !leaves {
+                continue;
+            }
+            let ticket = match &stream.state {
+                StreamState::Asking { ticket, .. } => *ticket,
+                StreamState::Running { grant, .. } => grant.ticket,
+                StreamState::Away { .. } | StreamState::Ended => continue,
+            };
+            self.routers[router].left.push(ticket);
+            stream.leave(self.now);
+        }
+    }
+
     fn ask(&mut self, index: usize, request: Ask, is_counted: bool) {
         let is_retry = request.served > 0;
         let ticket = self.take_number();
@@ -106,6 +146,8 @@
 
     fn start(&mut self, index: usize, grant: Grant) {
         let run_time = self.rng.random_range(PREFILL_TIME..MAX_RUN_TIME);
+        let backend = self.backends.iter().find(|b| b.id == grant.backend);
+        let incarnation = backend.expect("a known backend server").incarnation;
         let stream = &mut self.streams[index];
         let is_counted = matches!(
             stream.state,
@@ -116,6 +158,7 @@
         );
         stream.state = StreamState::Running {
             grant,
+            incarnation,
             begins_at: self.now + PREFILL_TIME,
             ends_at: self.now + run_time,
             is_counted,
@@ -127,6 +170,7 @@
         let stream = &mut self.streams[index];
         let StreamState::Running {
             grant,
+            incarnation,
             begins_at,
             ends_at,
             is_counted,
@@ -138,7 +182,7 @@
         let backend = backend.expect("a known backend server");
         let client = &mut self.routers[stream.router].client;
         let ticket = grant.ticket;
-        if !backend.is_alive {
+        if !backend.is_alive || backend.incarnation != *incarnation {
             let crashed = backend.id.clone();
             client.release_slot(
                 End {
@@ -192,7 +236,7 @@
     fn is_calm(&self, router: usize) -> bool {
         let router = &self.routers[router];
         let last = router.disturbed_at.max(self.disturbed_at);
-        router.key.is_some() && self.now > last + CONTACT_TIME
+        router.is_attached && self.now > last + CONTACT_TIME
     }
 
     /// Whether two backend servers that have been there for a while may run a stream.
--- a/crates/jaylock-tests/tests/share/version_world/mod.rs
+++ b/crates/jaylock-tests/tests/share/version_world/mod.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use jaylock_rpc::v1::Configuration;
 use jaylock_share::{Allocator, SchedulerSettings};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
@@ -26,6 +27,12 @@
 const CALLER_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time after a disturbance in which requests need not be served.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time in which a backend server starts again.
+const RESTART_TIME: Duration = Duration::from_secs(1);
+/// Kinds of faults in which each router is either in step or cut off from the scheduler.
+const CUT_FAULTS: u32 = 8;
+/// All kinds of faults, some of which put a router out of step.
+const ALL_FAULTS: u32 = 14;
 /// Routers of the pool.
 const ROUTER_COUNT: usize = 6;
 /// Backend servers at the start.
@@ -47,6 +54,7 @@
     streams: Vec<SimStream>,
     next_id: u64,
     next_version: u64,
+    fault_count: u32,
     /// Streams with events of two versions.
     pub mixed: Vec<String>,
     pub begun: Share,
@@ -76,6 +84,7 @@
             streams: Vec::new(),
             next_id: 0,
             next_version: 1,
+            fault_count: CUT_FAULTS,
             mixed: Vec::new(),
             begun: Share::default(),
             resumed: Share::default(),
@@ -89,6 +98,14 @@
         world
     }
 
+    /// A pool in which routers also stand still, hear only one side, and servers come back as another version.
+    pub fn out_of_step(seed: u64) -> Self {
+        Self {
+            fault_count: ALL_FAULTS,
+            ..Self::new(seed)
+        }
+    }
+
     pub fn run(mut self) -> Self {
         let (mut next_tick, mut next_report) = (self.now, self.now);
         let (mut next_stream, mut next_fault) =
@@ -103,6 +120,7 @@
             if due(&mut next_fault, FAULT_INTERVAL, self.now) {
                 self.disturb();
             }
+            self.restart_backends();
             self.exchange_frames(due(&mut next_tick, TICK_INTERVAL, self.now));
             for index in 0..self.streams.len() {
                 self.advance(index);
@@ -124,17 +142,52 @@
         self.backends.push(SimBackend {
             id,
             software: software.into(),
+            incarnation: 1,
             started_at: self.now,
+            restarts_at: None,
             is_alive: true,
             leaves: false,
         });
     }
 
     fn report_backends(&mut self) {
-        for backend in self.backends.iter().filter(|b| b.is_alive) {
-            let router = self.rng.random_range(0..self.routers.len());
-            let client = &mut self.routers[router].client;
-            client.report_backend(backend.report(), self.now);
+        for index in 0..self.backends.len() {
+            if self.backends[index].is_alive {
+                self.report_backend(index);
+            }
+        }
+    }
+
+    /// Sends a heartbeat to one router after the other until one reaches the scheduler.
+    fn report_backend(&mut self, index: usize) {
+        let report = self.backends[index].report();
+        let first = self.rng.random_range(0..self.routers.len());
+        for offset in 0..self.routers.len() {
+            let router = (first + offset) % self.routers.len();
+            let router = &mut self.routers[router];
+            if router.is_paused(self.now) {
+                continue;
+            }
+            router.client.report_backend(report.clone(), self.now);
+            if router.is_attached {
+                return;
+            }
+        }
+    }
+
+    /// Starts backend servers again under their names, with the newest version.
+    fn restart_backends(&mut self) {
+        for index in 0..self.backends.len() {
+            let backend = &mut self.backends[index];
+            if backend.restarts_at.is_none_or(|at| self.now < at) {
+                continue;
+            }
+            backend.restarts_at = None;
+            backend.software = format!("v{}", self.next_version);
+            backend.incarnation += 1;
+            backend.started_at = self.now;
+            backend.is_alive = true;
+            self.report_backend(index);
         }
     }
 
@@ -145,6 +198,7 @@
             router: 0,
             state: StreamState::Away { until: self.now },
             software: None,
+            destination: None,
             deadline: self.now + CALLER_TIMEOUT,
         });
     }
@@ -152,7 +206,7 @@
     /// Causes one fault, or a step of a release.
     fn disturb(&mut self) {
         let router = self.rng.random_range(0..self.routers.len());
-        match self.rng.random_range(0..8) {
+        match self.rng.random_range(0..self.fault_count) {
             0 => self.crash_backends(2),
             1 => self.crash_backends(1),
             2 => self.kill_router(router),
@@ -162,7 +216,17 @@
             }
             4 => self.replace_scheduler(),
             5 => self.next_version += 1,
-            _ => self.release_backend(),
+            6 | 7 => self.release_backend(),
+            8 | 9 => self.pause_router(router),
+            10 => {
+                self.routers[router].is_deaf_until = self.now + CONTACT_TIME;
+                self.routers[router].disturbed_at = self.now + CONTACT_TIME;
+            }
+            11 => {
+                self.routers[router].is_mute_until = self.now + CONTACT_TIME;
+                self.routers[router].disturbed_at = self.now + CONTACT_TIME;
+            }
+            _ => self.crash_backend_for_release(),
         }
     }
 
@@ -193,6 +257,33 @@
         }
     }
 
+    /// Lets a backend server crash that starts again under its name, with the newest version.
+    fn crash_backend_for_release(&mut self) {
+        let alive: Vec<usize> = (0..self.backends.len())
+            .filter(|b| self.backends[*b].is_alive && !self.backends[*b].leaves)
+            .collect();
+        let Some(index) = alive.choose(&mut self.rng).copied() else {
+            return;
+        };
+        let backend = &mut self.backends[index];
+        backend.is_alive = false;
+        backend.restarts_at = Some(self.now + RESTART_TIME);
+    }
+
+    /// Lets a router stand still, and releases a backend server meanwhile.
+    fn pause_router(&mut self, index: usize) {
+        let router = &mut self.routers[index];
+        if router.is_paused(self.now) {
+            return;
+        }
+        router.is_paused_until = self.now + CONTACT_TIME;
+        router.disturbed_at = router.is_paused_until;
+        self.leave_paused(index);
+        self.next_version += 1;
+        self.release_backend();
+        self.crash_backend_for_release();
+    }
+
     /// Replaces the process of a router by a new one.
     fn kill_router(&mut self, index: usize) {
         if let Some(key) = self.routers[index].key {
@@ -210,20 +301,29 @@
         let settings = SchedulerSettings::default();
         self.scheduler = Allocator::new("chat", self.epoch, settings, self.now);
         for router in &mut self.routers {
-            router.detach(self.now);
+            router.key = None;
         }
     }
 
     fn exchange_frames(&mut self, is_tick: bool) {
         let now = self.now;
         for (index, router) in self.routers.iter_mut().enumerate() {
+            if router.is_paused(now) {
+                continue;
+            }
+            router.read(now);
+            router.end_left(now);
+            router.check_stream(now);
             let Some(key) = router.key else {
                 router.act_alone(index, &mut self.scheduler, now);
                 continue;
             };
-            if router.client.due(now).is_some_and(|due| due <= now) {
-                self.scheduler
-                    .apply(key, router.client.next_frame(now), now);
+            // A router watches for its own pauses.
+            router.client.grant_locally(&Configuration::default(), now);
+            let is_due = router.client.due(now).is_some_and(|due| due <= now);
+            if is_due && now >= router.is_mute_until {
+                let frame = router.client.next_frame(now);
+                self.scheduler.apply(key, frame, now);
             }
         }
         if is_tick {
@@ -233,7 +333,8 @@
         for (key, frame) in self.scheduler.frames(now) {
             let router = self.routers.iter_mut().find(|r| r.key == Some(key));
             if let Some(router) = router {
-                router.client.apply_frame(frame, now);
+                router.unread.push(frame);
+                router.read(now);
             }
         }
     }
