--- a/crates/jaylock-share/src/stream_origins.rs
+++ b/crates/jaylock-share/src/stream_origins.rs
@@ -8,7 +8,7 @@
 use crate::encoding::request_id;
 use crate::seen_versions::SeenVersions;
 
-/// Time for which a stream may be taken up after its last attempt was granted or ended.
+/// Time for which a stream may be taken up after its last progress or end.
 ///
 /// Callers take a stream up within the time that they gave its first request.
 pub const RETENTION: Duration = Duration::from_mins(1);
@@ -30,9 +30,9 @@
 }
 
 impl StreamOrigins {
-    /// Records the version that runs the newest attempt of a stream, if its request has an identifier.
+    /// Records the version at which a stream has brought an event, if its request has an identifier.
     ///
-    /// An attempt at another version begins the stream anew, as an earlier one brought no event.
+    /// A grant doesn't count: it may be lost on its way while another attempt brings the first event.
     pub fn record(&mut self, stream: Option<StreamId>, software: &str, now: Instant) {
         let Some(stream) = stream else { return };
         self.seen.record(software, now);
@@ -116,7 +116,7 @@
     }
 }
 
-/// Streams of which an attempt was granted or ended at about the same time.
+/// Streams that progressed or ended at about the same time.
 #[derive(Debug)]
 struct Generation {
     started: Instant,
--- a/crates/jaylock-tests/tests/share/router_out_of_step.rs
+++ b/crates/jaylock-tests/tests/share/router_out_of_step.rs
@@ -57,7 +57,7 @@
     for filler in &fillers[..2] {
         pool.end(OTHER, filler, Outcome::Complete);
     }
-    let begun = pool.reply(waiting).expect("a reply").expect("a grant");
+    let begun = waiting.reply().expect("a reply").expect("a grant");
     assert_that!(begun.software, eq("v1"));
     (pool, begun)
 }
@@ -235,7 +235,7 @@
         pool.wait(PAUSE);
         pool.resume(CUT);
         pool.wait(ALONE);
-        assert_that!(version(pool.reply(waiting)), some(ok(eq("v2"))));
+        assert_that!(version(waiting.reply()), some(ok(eq("v2"))));
     };
     router_continues_streams_alone_at_the_versions_from_before_its_pause => {
         let mut pool = CutPool::new();
--- a/crates/jaylock-tests/tests/share/router_out_of_step/cut_pool.rs
+++ b/crates/jaylock-tests/tests/share/router_out_of_step/cut_pool.rs
@@ -46,6 +46,14 @@
     reply: oneshot::Receiver<AskResult>,
 }
 
+impl Waiting {
+    /// The reply, if there is one already.
+    pub fn reply(mut self) -> Option<std::result::Result<Grant, Reason>> {
+        let reply = self.reply.try_recv().expect("an open channel")?;
+        Some(reply.map_err(|refusal| refusal.reason()))
+    }
+}
+
 impl CutPool {
     pub fn new() -> Self {
         let now = Instant::now();
@@ -176,7 +184,7 @@
     ) -> Option<std::result::Result<Grant, Reason>> {
         let waiting = self.send(router, request);
         self.exchange();
-        let reply = self.reply(waiting);
+        let reply = waiting.reply();
         if let Some(Ok(grant)) = &reply {
             self.bring_event(router, grant);
         }
@@ -204,11 +212,6 @@
         Waiting { reply }
     }
 
-    pub fn reply(&self, mut waiting: Waiting) -> Option<std::result::Result<Grant, Reason>> {
-        let reply = waiting.reply.try_recv().expect("an open channel")?;
-        Some(reply.map_err(|refusal| refusal.reason()))
-    }
-
     /// Ends the run of a grant.
     pub fn end(&mut self, router: usize, grant: &Grant, outcome: Outcome) {
         let end = End {
