--- a/crates/jaylock-share/src/attachment.rs
+++ b/crates/jaylock-share/src/attachment.rs
@@ -7,6 +7,7 @@
 use crate::allocator::Allocator;
 use crate::causes::Causes;
 use crate::cost::SizeClass;
+use crate::division::Division;
 use crate::router::{RouterKey, Run};
 
 impl Allocator {
@@ -30,6 +31,7 @@
             router.detached_at = None;
             router.reset_stream();
         }
+        self.division = Division::default();
         self.origins.restore(&hello.streams, now);
         self.reconcile(key, &hello.running, now);
         for crash in &hello.crashes {
@@ -50,23 +52,31 @@
     }
 
     /// Replaces the known runs of a router by those that it reports.
+    ///
+    /// A run that it reports elsewhere than it is known took a slot of the router while a grant was lost.
     pub(crate) fn reconcile(&mut self, key: RouterKey, running: &[Running], now: Instant) {
+        let backends = &self.backends;
         let Some(router) = self.routers.get_mut(key) else {
             return;
         };
-        let is_reported = |ticket: &u64| running.iter().any(|run| run.ticket == *ticket);
-        let tickets = router.run_tickets();
-        let ended: Vec<Run> = tickets
-            .iter()
-            .filter(|ticket| !is_reported(ticket))
-            .filter_map(|ticket| router.remove_run(*ticket))
-            .collect();
+        let is_reported = |run: &Run| {
+            let backend = backends.get(run.backend_index).report.id.as_str();
+            let mut reported = running.iter();
+            reported.any(|r| {
+                r.ticket == run.ticket && r.backend == backend && r.software == run.software
+            })
+        };
+        let (kept, ended): (Vec<&Run>, Vec<&Run>) = router.runs().partition(|run| is_reported(run));
+        let kept: Vec<u64> = kept.iter().map(|run| run.ticket).collect();
+        let ended: Vec<u64> = ended.iter().map(|run| run.ticket).collect();
+        let ended = ended.iter().filter_map(|ticket| router.remove_run(*ticket));
+        let ended: Vec<Run> = ended.collect();
         for mut run in ended {
             // The tokens since the last progress report arrive with the router's totals.
             let tokens = run.tokens;
             self.close_run(&mut run, tokens, now);
         }
-        for run in running.iter().filter(|run| !tickets.contains(&run.ticket)) {
+        for run in running.iter().filter(|run| !kept.contains(&run.ticket)) {
             self.adopt(key, run, now);
         }
     }
@@ -106,7 +116,9 @@
             stream: StreamId::from_message(running.stream),
             software: running.software.as_str().into(),
         };
-        self.origins.record(run.stream, &run.software, now);
+        if run.began_at.is_some() {
+            self.origins.record(run.stream, &run.software, now);
+        }
         if let Some(router) = self.routers.get_mut(key) {
             router.add_run(run);
         }
--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -13,11 +13,13 @@
 use crate::batch::Batch;
 use crate::connection::not_run;
 use crate::cost::cost_of;
+use crate::crashed_starts::CrashedStarts;
 use crate::encoding::AddressTable;
 use crate::exclusions::Exclusions;
 use crate::fallback::SpareSlot;
 use crate::held_slot::HeldSlot;
 use crate::named_limits::NamedLimits;
+use crate::pauses::Pauses;
 use crate::pending_request::{AskResult, PendingRequest};
 use crate::recent_crashes::RecentCrashes;
 use crate::recent_reports::RecentReports;
@@ -34,7 +36,7 @@
     // Sorted by ticket.
     pub(crate) held: Vec<HeldSlot>,
     batch: Batch,
-    reports: RecentReports,
+    pub(crate) reports: RecentReports,
     // Sorted by name of the backend server.
     verdicts: Vec<BackendVerdict>,
     // Sorted by organisation.
@@ -48,12 +50,15 @@
     pub(crate) limits: NamedLimits,
     // Crashes under own runs, for a new scheduler.
     pub(crate) crashes: RecentCrashes,
+    // Starts of backend servers that ended under own runs.
+    pub(crate) crashed_starts: CrashedStarts,
     // Versions at which own streams began, for a new scheduler.
     pub(crate) origins: StreamOrigins,
     // Slots that became free while no scheduler responded.
     pub(crate) spare: Vec<SpareSlot>,
     pub(crate) detached_at: Option<Instant>,
     last_frame: Option<Instant>,
+    pub(crate) pauses: Pauses,
     addresses: AddressTable,
 }
 
@@ -76,10 +81,12 @@
             exclusions: Exclusions::default(),
             limits: NamedLimits::default(),
             crashes: RecentCrashes::default(),
+            crashed_starts: CrashedStarts::default(),
             origins: StreamOrigins::default(),
             spare: Vec::new(),
             detached_at: None,
             last_frame: None,
+            pauses: Pauses::default(),
             addresses: AddressTable::default(),
         }
     }
@@ -120,8 +127,11 @@
         };
         let held = &mut self.held[index];
         held.tokens = held.tokens.max(progress.tokens);
-        let is_first = held.reported_tokens == 0 && held.has_prompt_parts;
+        let is_first = held.reported_tokens == 0;
         let has_grown = held.tokens >= held.reported_tokens + self.settings.min_progress_tokens;
+        if is_first || has_grown {
+            self.origins.record(held.stream, &held.software, now);
+        }
         if self.is_attached && (is_first || has_grown) {
             held.reported_tokens = held.tokens;
             let progress = Progress {
@@ -146,13 +156,18 @@
             return;
         };
         let held = self.held.remove(index);
-        self.origins.record(held.stream, &held.software, now);
+        if end.tokens > 0 {
+            self.origins.record(held.stream, &held.software, now);
+        }
         let cost = cost_of(&end);
         self.add_unreported(&held.organisation, if self.is_attached { 0 } else { cost });
         if let Ok(index) = self.search_total(&held.organisation) {
             self.totals[index].tokens += cost;
         }
         self.crashes.record(&held, &end, now);
+        if end.outcome() == Outcome::Crashed {
+            self.crashed_starts.record(&held.backend, held.incarnation);
+        }
         if self.is_attached {
             let batch_window = if end.outcome() == Outcome::Crashed {
                 Duration::ZERO
@@ -208,6 +223,8 @@
     /// The first message of a new stream, with all the state that the scheduler needs.
     pub fn first_frame(&mut self, mut hello: Hello, now: Instant) -> RouterFrame {
         self.is_attached = true;
+        self.observe_pause(now);
+        self.pauses.open_stream();
         self.last_frame = Some(now);
         self.addresses = AddressTable::default();
         hello.epoch = self.epoch;
@@ -255,9 +272,12 @@
         now.saturating_duration_since(since) >= self.settings.idle_timeout
     }
 
-    /// Applies a message of the scheduler; returns false if its epoch is outdated.
+    /// Applies a message of the scheduler; returns false if it is outdated, so that the stream must be opened anew.
+    ///
+    /// A message is outdated if it has an older epoch, or may have been sent before the router stood still.
     pub fn apply_frame(&mut self, frame: SchedulerFrame, now: Instant) -> bool {
-        if frame.epoch < self.epoch {
+        self.observe_pause(now);
+        if frame.epoch < self.epoch || self.pauses.is_stream_outdated() {
             return false;
         }
         self.epoch = frame.epoch;
@@ -276,6 +296,10 @@
         }
         if let Some(fallback) = frame.fallback {
             self.fallback = fallback.backends;
+            self.pauses.renew_list();
+            for report in self.fallback.iter().filter_map(|f| f.backend.as_ref()) {
+                self.crashed_starts.forget(&report.id);
+            }
         }
         for refusal in frame.refusals {
             if let Some(pending) = self.take_pending(refusal.ticket) {
@@ -289,6 +313,25 @@
         true
     }
 
+    /// Whether the scheduler may have sent what is still to be read before the router stood still.
+    #[must_use]
+    pub fn is_stream_outdated(&self) -> bool {
+        self.is_attached && self.pauses.is_stream_outdated()
+    }
+
+    /// Notices if the router has stood still since it was last active.
+    pub(crate) fn observe_pause(&mut self, now: Instant) {
+        let max_pause = self.settings.idle_timeout;
+        if let Some(pause) = self.pauses.observe(now, max_pause) {
+            let pause_ms = pause.as_millis();
+            log::info!(
+                target: "share",
+                pause_ms:? = pause_ms, attached = self.is_attached;
+                "the router stood still, so that what the scheduler told it may be outdated"
+            );
+        }
+    }
+
     /// When the next message is due.
     #[must_use]
     pub fn due(&self, now: Instant) -> Option<Instant> {
@@ -335,7 +378,6 @@
             return;
         };
         let held = HeldSlot::new(&pending.ask, &grant);
-        self.origins.record(held.stream, &held.software, now);
         let index = self
             .held
             .partition_point(|other| other.ticket < held.ticket);
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -2,10 +2,12 @@
 
 use compact_str::CompactString;
 use futures_channel::oneshot;
-use jaylock_rpc::v1::{Configuration, Grant};
+use jaylock_rpc::v1::{BackendReport, Configuration, FallbackSlots, Grant};
 
 use crate::client_state::ClientState;
+use crate::crashed_starts::CrashedStarts;
 use crate::pending_request::{AskResult, PendingRequest};
+use crate::recent_reports::RecentReports;
 use crate::requirement::Requirement;
 
 /// A slot that became free while no scheduler responded.
@@ -23,9 +25,12 @@
     ///
     /// Does nothing while a scheduler is attached or was lost less than the fallback delay ago.
     pub fn grant_locally(&mut self, configuration: &Configuration, now: Instant) {
+        self.pauses.watch(now);
+        self.observe_pause(now);
         if !self.decides_alone(now) {
             return;
         }
+        self.drop_earlier_starts();
         while let Some(grant) = self.next_local_grant(configuration, now) {
             self.limits.record_grant(&grant.backend, now);
             self.grant(grant, now);
@@ -34,7 +39,7 @@
 
     /// Takes the requests that take up streams which this router, without a scheduler, has not begun.
     pub fn take_unknown_streams(&mut self, now: Instant) -> Vec<(u64, oneshot::Sender<AskResult>)> {
-        if !self.decides_alone(now) || !self.may_have_versions() {
+        if !self.decides_alone(now) {
             return Vec::new();
         }
         let unknown = self.pending.extract_if(.., |p| p.has_unknown_origin());
@@ -48,15 +53,21 @@
         if !self.decides_alone(now) {
             return Vec::new();
         }
-        let reports = self.fallback.iter().filter_map(|f| f.backend.as_ref());
-        let reported = reports.map(|report| report.software.as_str());
-        let held = self.held.iter().map(|held| held.software.as_str());
+        let reported = newest_slots(&self.fallback, &self.reports, &self.crashed_starts)
+            .map(|(report, _)| report.software.as_str());
+        let held = self
+            .held
+            .iter()
+            .filter(|h| self.is_newest_start(&h.backend, h.incarnation));
+        let held = held.map(|held| held.software.as_str());
         let spare = self.spare.iter().map(|spare| spare.software.as_str());
-        let versions: Vec<&str> = reported.chain(held).chain(spare).collect();
+        let versions = reported.chain(held).chain(spare);
+        let versions: Vec<CompactString> = versions.map(CompactString::from).collect();
+        let is_outdated = self.pauses.is_list_outdated();
         let is_lost = |pending: &mut PendingRequest| {
             let software = pending.ask.software.as_deref();
-            let is_missing = software.is_some_and(|software| !versions.contains(&software));
-            is_missing && pending.ask.served == 0
+            let is_missing = |software| is_outdated || !versions.iter().any(|v| v == software);
+            software.is_some_and(is_missing) && pending.ask.served == 0
         };
         let lost = self.pending.extract_if(.., is_lost);
         lost.map(PendingRequest::into_reply).collect()
@@ -69,20 +80,16 @@
         !self.is_attached && self.detached_at.is_some_and(is_over)
     }
 
-    /// Whether the pool's backend servers may name versions of their software, as far as this router knows.
-    fn may_have_versions(&self) -> bool {
-        let reports = self.fallback.iter().filter_map(|f| f.backend.as_ref());
-        let reported = reports.map(|report| report.software.as_str());
-        let begun = self.origins.versions().map(CompactString::as_str);
-        self.fallback.is_empty() || reported.chain(begun).any(|software| !software.is_empty())
-    }
-
     /// The next local grant.
     fn next_local_grant(&mut self, configuration: &Configuration, now: Instant) -> Option<Grant> {
-        let may_have_versions = self.may_have_versions();
+        let is_outdated = self.pauses.is_list_outdated();
         let is_allowed = |pending: &&PendingRequest| {
-            let is_unknown = may_have_versions && pending.has_unknown_origin();
-            !is_unknown && !pending.ask.alone && !self.crashes.is_suspect(&pending.ask)
+            let ask = &pending.ask;
+            let has_origin = match ask.software {
+                Some(_) => !is_outdated,
+                None => !pending.has_unknown_origin(),
+            };
+            has_origin && !ask.alone && !self.crashes.is_suspect(ask)
         };
         let mut order: Vec<(u64, u64)> = self
             .pending
@@ -136,14 +143,14 @@
         if self.held.len() + self.spare.len() >= total as usize {
             return None;
         }
-        let report = self.fallback.iter().find_map(|share| {
-            let report = share.backend.as_ref()?;
-            let held = self.held.iter().filter(|held| held.backend == report.id);
-            let fits = requirement.is_met(report)
-                && held.count() < share.slots as usize
-                && admits(&report.id, report.incarnation);
-            fits.then_some(report)
-        })?;
+        let (report, _) = newest_slots(&self.fallback, &self.reports, &self.crashed_starts).find(
+            |(report, slots)| {
+                let held = self.held.iter().filter(|held| held.backend == report.id);
+                requirement.is_met(report)
+                    && held.count() < *slots as usize
+                    && admits(&report.id, report.incarnation)
+            },
+        )?;
         Some(Grant {
             backend: report.id.clone(),
             address: report.address.clone(),
@@ -153,6 +160,20 @@
         })
     }
 
+    /// Whether this router knows neither of the end of a start nor of a newer one.
+    fn is_newest_start(&self, backend: &str, incarnation: u64) -> bool {
+        let own = self.reports.find(backend);
+        let has_newer = own.is_some_and(|own| own.incarnation > incarnation);
+        !has_newer && !self.crashed_starts.contains(backend, incarnation)
+    }
+
+    /// Drops the free slots of earlier starts of backend servers.
+    fn drop_earlier_starts(&mut self) {
+        let mut spare = std::mem::take(&mut self.spare);
+        spare.retain(|spare| self.is_newest_start(&spare.backend, spare.incarnation));
+        self.spare = spare;
+    }
+
     /// Weighted service of an organisation since the scheduler was lost, including its running requests,
     /// in thousandths of a token per unit of weight.
     fn weighted_millitokens(&self, organisation: &str, configuration: &Configuration) -> u64 {
@@ -172,3 +193,21 @@
         (unreported + running) * 1000 / u64::from(weight)
     }
 }
+
+/// The slots that a scheduler told a router, each with the report of the newest start, unless that has crashed.
+fn newest_slots<'a>(
+    told: &'a [FallbackSlots],
+    reports: &'a RecentReports,
+    crashed: &'a CrashedStarts,
+) -> impl Iterator<Item = (&'a BackendReport, u32)> {
+    told.iter().filter_map(|share| {
+        let told = share.backend.as_ref()?;
+        let own = reports.find(&told.id);
+        let newer = own.filter(|own| own.incarnation > told.incarnation);
+        let newest = newer.unwrap_or(told);
+        let has_crashed = crashed.contains(&newest.id, newest.incarnation);
+        // The scheduler must know all versions at which streams may begin.
+        let is_known = newest.software == told.software;
+        (is_known && !has_crashed).then_some((newest, share.slots))
+    })
+}
--- a/crates/jaylock-share/src/router.rs
+++ b/crates/jaylock-share/src/router.rs
@@ -8,6 +8,7 @@
 use crate::backend_set::BackendSet;
 use crate::causes::Causes;
 use crate::cost::SizeClass;
+use crate::division::SlotShare;
 use crate::encoding::AddressTable;
 use crate::engine::RequestLoad;
 
@@ -71,8 +72,8 @@
     pub detached_at: Option<Instant>,
     /// When the last message was sent to the router.
     pub last_sent: Instant,
-    /// Indices of the backend servers that the router may use without a scheduler, with slots.
-    pub fallback: Vec<(usize, u32)>,
+    /// Slots that the router may use without a scheduler; `None` until its stream has told it.
+    pub fallback: Option<Vec<SlotShare>>,
     /// Backend servers that want nothing from this router for a time.
     pub pauses: Vec<Pause>,
     /// The next message to the router.
@@ -98,7 +99,7 @@
         self.frame = SchedulerFrame::default();
         self.addresses = AddressTable::default();
         self.names = Vec::new();
-        self.fallback = Vec::new();
+        self.fallback = None;
     }
 
     /// Adds a pause; a longer one of the same start of the backend server stays as it is.
@@ -166,11 +167,6 @@
         self.runs.iter()
     }
 
-    /// Tickets of the router's granted slots.
-    pub fn run_tickets(&self) -> Vec<u64> {
-        self.runs.iter().map(|run| run.ticket).collect()
-    }
-
     /// Records the account in whose queue a ticket waits; returns false if the ticket waits already.
     pub fn add_waiting(&mut self, ticket: u64, account: AccountKey) -> bool {
         match self
@@ -232,7 +228,7 @@
             domain: hello.domain.as_str().into(),
             detached_at: None,
             last_sent: now,
-            fallback: Vec::new(),
+            fallback: None,
             pauses: Vec::new(),
             frame: SchedulerFrame::default(),
             addresses: AddressTable::default(),
