An entry of megabytes no longer keeps an instance off the scheduler of a pool

Seen by callers: 503 for each request, although a sound backend server sends its heartbeats.

Cause: the version, models and adapters of a heartbeat had no bound but that of the body (16 MiB). The instance that took the entry passed it on to the pool's scheduler, whose messages may have 4 MiB. The stream closed, the next stream's first message repeated the entry, as reports of the last 10 s are repeated, and so on: the reports of all backend servers that use this instance were lost until their leases ended. Class: bytes that are passed on first and found unreadable later, by a process that can't leave them out.

Evidence: entry_of_megabytes_keeps_an_instance_off_the_scheduler on: 503 in place of 200; the log of the instance repeats "no stream to the scheduler of pool app: Error, decoded message length too large: found 5243013 bytes, the limit is: 4194304 bytes" every 220 ms. Without the bounds the table accepts "long version", "version with a zero byte", "many models", "many adapters" and "long name of a model"; the router's API accepted an announcement of 1 MiB (api::entry_that_fills_messages_between_instances_is_accepted: 200).

Ruled out: the parser. It has a depth limit and refuses numbers out of range; the 45 malformed entries of the table were refused on the old code as well (malformed_entry_is_accepted passed on it).

Change: check_report, called where a heartbeat or announcement becomes a report: names of at most 256 bytes without control characters, 32 KiB together, slots as before; lists of prefixes of at most 16,384 entries. What is left out is logged, at most once a second with the number of entries. A heartbeat of the router's API that is refused leaves the report as it was.

--- a/crates/jaylock-daemon/src/api.rs
+++ b/crates/jaylock-daemon/src/api.rs
@@ -15,6 +15,8 @@
 use jaylock_types::{BackendId, InvalidId, PoolId, boottime_now, unix_ms};
 use thiserror::Error as ThisError;
 
+use crate::left_out::LeftOutLog;
+
 /// Longest wait for control to commit or confirm an operation.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Longest wait for a scheduler's verdict on a backend server's report.
@@ -39,6 +41,8 @@
     pub(crate) inventory: Option<Rc<dyn Inventory>>,
     /// Engines that were queried, sorted by identifier, each with its pool's epoch at that time.
     pub(crate) queried_engines: Rc<RefCell<Vec<(CompactString, u64)>>>,
+    /// Log of entries that are left out.
+    pub(crate) left_out: Rc<LeftOutLog>,
 }
 
 /// Port to the lists of prompt parts that engines have cached.
@@ -170,6 +174,11 @@
         .await
     }
 
+    /// Records that an entry among those of the backend servers is left out, because it can't be decoded.
+    pub fn record_left_out(&self, id: &BackendId, reason: &str) {
+        self.left_out.record(id, reason, Instant::now());
+    }
+
     /// Refuses an operation that may not end before this instance does, as another instance can carry it out.
     fn check_running(&self) -> Result<()> {
         if self.lifecycle().closed.is_set() {
--- a/crates/jaylock-daemon/src/components.rs
+++ b/crates/jaylock-daemon/src/components.rs
@@ -106,6 +106,7 @@
             address_ttl: self.settings().addresses.keep,
             inventory: None,
             queried_engines: Rc::default(),
+            left_out: Rc::default(),
         }
     }
 
--- a/crates/jaylock-daemon/src/lib.rs
+++ b/crates/jaylock-daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod context;
 mod exposition;
 mod instance;
+mod left_out;
 mod minute_replicator;
 mod observability;
 mod peer;
--- a/crates/jaylock-router/src/announce.rs
+++ b/crates/jaylock-router/src/announce.rs
@@ -15,10 +15,13 @@
 use crate::body::Body;
 use crate::call;
 use crate::context::Context;
+use crate::report::check_report;
 use crate::response::{ErrorResponse, json_response};
 
 /// Maximum number of concurrent requests that a backend server may announce.
 const MAX_SLOTS: u32 = 4096;
+/// Maximum number of added or evicted prompt prefixes in one heartbeat.
+const MAX_PREFIXES: usize = 16_384;
 /// Longest wait for a scheduler's verdict on an announcement.
 const VERDICT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between two checks for a scheduler's verdict.
@@ -93,6 +96,7 @@
         return Err(malformed("slots is over 4096"));
     }
     let report = announcement.into_report();
+    check_report(&report).map_err(|e| malformed(&format_compact!("{e}")))?;
     let lease = Duration::from_millis(context.settings.lease_ms.into());
     if !context.backends.accept(&report, lease) {
         return Err(identity_held(&report.id));
@@ -112,7 +116,8 @@
     let (id, incarnation) = (heartbeat.id.clone(), heartbeat.incarnation);
     let updated = context
         .backends
-        .update(id.as_str(), incarnation, |report| heartbeat.apply(report));
+        .update(id.as_str(), incarnation, |report| heartbeat.apply(report))
+        .map_err(|e| malformed(&format_compact!("{e}")))?;
     let report = BackendReport {
         cached,
         evicted,
@@ -246,6 +251,9 @@
 }
 
 fn prefixes(texts: &[CompactString]) -> Result<Vec<u64>, ErrorResponse> {
+    if texts.len() > MAX_PREFIXES {
+        return Err(malformed("a list of prefixes has over 16384 entries"));
+    }
     let parsed = texts.iter().map(|t| u64::from_str_radix(t, 16));
     let parsed: Result<Vec<u64>, _> = parsed.collect();
     parsed.map_err(|_| malformed("a prefix is not 16 hexadecimal digits"))
--- a/crates/jaylock-router/src/backends.rs
+++ b/crates/jaylock-router/src/backends.rs
@@ -3,6 +3,8 @@
 
 use jaylock_rpc::v1::BackendReport;
 
+use crate::report::{InvalidReport, check_report};
+
 /// Backend servers that announced themselves to this router, sorted by identifier.
 #[derive(Default)]
 pub struct Backends {
@@ -35,18 +37,27 @@
     /// Changes the report of a backend server and returns it.
     ///
     /// Returns `None` when the backend server has not announced this incarnation.
+    ///
+    /// # Errors
+    /// The changed report is invalid; the report stays as it was.
     pub fn update(
         &self,
         id: &str,
         incarnation: u64,
         change: impl FnOnce(&mut BackendReport),
-    ) -> Option<BackendReport> {
+    ) -> Result<Option<BackendReport>, InvalidReport> {
         let mut entries = self.entries.borrow_mut();
-        let index = position(&entries, id, incarnation)?;
-        let entry = &mut entries[index];
-        entry.last_report = Instant::now();
-        change(&mut entry.report);
-        Some(entry.report.clone())
+        let Some(index) = position(&entries, id, incarnation) else {
+            return Ok(None);
+        };
+        let mut report = entries[index].report.clone();
+        change(&mut report);
+        check_report(&report)?;
+        entries[index] = Entry {
+            report: report.clone(),
+            last_report: Instant::now(),
+        };
+        Ok(Some(report))
     }
 
     /// Removes a backend server that leaves and returns its report.
--- a/crates/jaylock-tests/tests/router/api.rs
+++ b/crates/jaylock-tests/tests/router/api.rs
@@ -194,4 +194,22 @@
         assert_that!((reports[1].running, reports[1].fence), eq((2, 3)));
         assert_that!(reports[2].leaving, eq(true));
     };
+    async entry_that_fills_messages_between_instances_is_accepted => {
+        let router = router().await;
+        let post = async |path: &str, body: &str| router.send("POST", path, &[], body).await.status;
+        let version = format!("\"software\":\"{}\",\"slots\":8", "v".repeat(1 << 20));
+        let long = ANNOUNCEMENT.replace("\"slots\":8", &version);
+        assert_that!(post("/v1/backends/announce", &long).await, eq(400));
+        assert_that!(post("/v1/backends/announce", ANNOUNCEMENT).await, eq(200));
+        let adapters = vec!["\"adapter\""; 10_000].join(",");
+        let models = format!(r#""models":[{{"model":"m","version":"1","adapters":[{adapters}]}}]"#);
+        let cached = format!(r#""cached":[{}]"#, vec!["\"f\""; 100_000].join(","));
+        for field in [models, cached] {
+            let heartbeat = format!(r#"{{"id":"e1","incarnation":1,{field}}}"#);
+            assert_that!(post("/v1/backends/heartbeat", &heartbeat).await, eq(400));
+        }
+        assert_that!(post("/v1/backends/heartbeat", r#"{"id":"e1","incarnation":1}"#).await, eq(200));
+        let reports = router.schedulers.0.reports.borrow();
+        assert_that!(reports.iter().map(|r| r.models[0].adapters.len()).max(), some(eq(0)));
+    };
 }
