An entry with port 0 or an address of no single machine names no backend server

Seen: none yet by callers; found on reading. Requests would be granted slots at a server to which no connection leads, two of which use up the attempts of a request.

Cause: an address was accepted if it could be parsed, so also port 0, 0.0.0.0, [::], multicast and broadcast addresses. Ports of 65536 or below 0, host names and empty texts were refused before. Class: a value that is well-formed and impossible.

Evidence: entry_to_which_no_connection_leads_is_accepted on accepts all six rows, and good_backend_server_is_lost_beside_odd_entries the same six from a running instance.

Ruled out: a stricter rule (loopback, private or link-local addresses), as fleets use all of them.

Change: check_report refuses them, for heartbeats of the platform and announcements of the router's API alike.

--- a/crates/jaylock-router/src/report.rs
+++ b/crates/jaylock-router/src/report.rs
@@ -1,3 +1,6 @@
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use compact_str::CompactString;
 use jaylock_rpc::v1::{BackendReport, LoadedModel};
 use thiserror::Error;
 
@@ -20,6 +23,9 @@
     /// The names are too long together.
     #[error("the names of models and adapters have {0} bytes: use at most {MAX_NAMES_BYTES}")]
     Names(usize),
+    /// No connection leads to the address.
+    #[error("no connection leads to \"{0}\": announce the IP:PORT at which requests are taken")]
+    Address(CompactString),
 }
 
 /// Checks a report of a backend server that any other program may have sent.
@@ -30,9 +36,22 @@
     if report.slots == 0 || report.slots > MAX_SLOTS {
         return Err(InvalidReport::Slots(report.slots));
     }
+    if !is_reachable(&report.address) {
+        return Err(InvalidReport::Address(report.address.as_str().into()));
+    }
     check_names(report)
 }
 
+/// Whether an address can be that of one process.
+fn is_reachable(text: &str) -> bool {
+    let Ok(address) = text.parse::<SocketAddr>() else {
+        return false;
+    };
+    let ip = address.ip();
+    let is_broadcast = ip == IpAddr::V4(Ipv4Addr::BROADCAST);
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+}
+
 fn check_names(report: &BackendReport) -> Result<(), InvalidReport> {
     let mut sum = 0;
     let models = report.models.iter().flat_map(model_names);
--- a/crates/jaylock-tests/tests/platform/odd_entries.rs
+++ b/crates/jaylock-tests/tests/platform/odd_entries.rs
@@ -123,9 +123,22 @@
     ])
 }
 
+/// Entries with addresses to which no connection leads.
+fn unreachable_entries() -> Entries {
+    replaced(vec![
+        ("port of 0", "address", "\"127.0.0.1:0\"".into()),
+        ("no machine", "address", "\"0.0.0.0:80\"".into()),
+        ("no machine, IPv6", "address", "\"[::]:80\"".into()),
+        ("many machines", "address", "\"224.0.0.1:80\"".into()),
+        ("many machines, IPv6", "address", "\"[ff02::1]:80\"".into()),
+        ("all machines", "address", "\"255.255.255.255:80\"".into()),
+    ])
+}
+
 fn odd_entries() -> Entries {
     let mut entries = malformed_entries();
     entries.extend(long_entries());
+    entries.extend(unreachable_entries());
     entries
 }
 
@@ -185,6 +198,9 @@
     entry_that_fills_messages_between_instances_is_accepted => {
         assert_that!(accepted(long_entries()), is_empty());
     };
+    entry_to_which_no_connection_leads_is_accepted => {
+        assert_that!(accepted(unreachable_entries()), is_empty());
+    };
     proper_entry_beside_odd_ones_is_refused => {
         assert!(decode(entry().to_string().as_bytes()).is_ok());
         for (field, text) in [
