--- a/crates/jaylock-tests/tests/platform/odd_entries.rs
+++ b/crates/jaylock-tests/tests/platform/odd_entries.rs
@@ -135,10 +135,21 @@
     ])
 }
 
+/// Entries with unknown fields that other readers can't read.
+fn unreadable_entries() -> Entries {
+    let model = format!("[{{\"name\":\"m\",\"extra\":{}}}]", deep("[", "]"));
+    replaced(vec![
+        ("deep unknown field of a model", "models", model),
+        ("deep unknown field", "extra", deep("[", "]")),
+        ("unknown number out of any range", "extra", "1e400".into()),
+    ])
+}
+
 fn odd_entries() -> Entries {
     let mut entries = malformed_entries();
     entries.extend(long_entries());
     entries.extend(unreachable_entries());
+    entries.extend(unreadable_entries());
     entries
 }
 
@@ -201,6 +212,9 @@
     entry_to_which_no_connection_leads_is_accepted => {
         assert_that!(accepted(unreachable_entries()), is_empty());
     };
+    entry_that_other_readers_cannot_read_is_accepted => {
+        assert_that!(accepted(unreadable_entries()), is_empty());
+    };
     proper_entry_beside_odd_ones_is_refused => {
         assert!(decode(entry().to_string().as_bytes()).is_ok());
         for (field, text) in [
