Services that no document names get no schedulers

Seen: nothing by callers yet; found on reading, shown with processes. An entry with an invented service is stored for good, handed to all instances and acted on by each.

Cause: an instance opened a stream for each service that any entry named, and asked for a scheduler for it. The leader wrote a lease for it into the replicated log, where no command removes leases, and an instance started its scheduler, after each restart again. The leader assigns one pool in each round, in order of names, so real pools waited behind invented ones, also when their instance was lost. Class: bytes that are persisted before anything checks them.

Ruled out: refusing such entries at once, as an instance may know a new document later than the servers of a new service; a check by the leader alone, as older instances go on asking and the streams stay.

Change: a pool needs a scheduler if the configuration names it (or names none yet, before the first document); reports of unnamed pools are kept for 64 pools and else refused and logged, as a later document may name them. As the first entry of a new service no longer has its scheduler before the document, a pool that is newly without one is reported to control at once and not with the next renewal (up to 1 s).

--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -81,9 +81,13 @@
         self.shared.is_stopped.set(true);
     }
 
-    /// Sets the pools announced at this instance that no scheduler serves.
+    /// Sets the pools announced at this instance that no scheduler serves; new ones are reported at once.
     pub fn set_unserved_pools(&self, pools: Vec<PoolId>) {
-        *self.shared.unserved_pools.borrow_mut() = pools;
+        let known = self.shared.unserved_pools.replace(pools);
+        let current = self.shared.unserved_pools.borrow();
+        if current.iter().any(|pool| !known.contains(pool)) {
+            self.shared.renewal_due.notify();
+        }
     }
 }
 
--- a/crates/jaylock-daemon/src/api.rs
+++ b/crates/jaylock-daemon/src/api.rs
@@ -160,8 +160,13 @@
     pub async fn report_backend(&self, report: BackendReport) -> Result<()> {
         self.check_running()?;
         let pool = report.pool.parse().map_err(|e| invalid(&e))?;
-        self.query_cached_parts(&report);
         let (id, incarnation, sequence) = (report.id.clone(), report.incarnation, report.sequence);
+        if !self.schedulers.accepts_reports(&report.pool) {
+            let reason = format_compact!("no document names service {pool}");
+            self.record_left_out(&id, &reason);
+            return Err(ApiError::Unavailable(reason));
+        }
+        self.query_cached_parts(&report);
         self.schedulers.report_backend(report);
         self.wait_for_verdict(
             &pool,
@@ -174,8 +179,8 @@
         .await
     }
 
-    /// Records that an entry among those of the backend servers is left out, because it can't be decoded.
-    pub fn record_left_out(&self, id: &BackendId, reason: &str) {
+    /// Records that an entry among those of the backend servers is left out.
+    pub fn record_left_out(&self, id: &str, reason: &str) {
         self.left_out.record(id, reason, Instant::now());
     }
 
--- a/crates/jaylock-daemon/src/left_out.rs
+++ b/crates/jaylock-daemon/src/left_out.rs
@@ -1,8 +1,6 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
-use jaylock_types::BackendId;
-
 /// Time between two lines about entries that are left out.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -16,7 +14,7 @@
 
 impl LeftOutLog {
     /// Counts an entry, and logs it with the number of those since the last line if one is due.
-    pub fn record(&self, id: &BackendId, reason: &str, now: Instant) {
+    pub fn record(&self, id: &str, reason: &str, now: Instant) {
         self.count.set(self.count.get() + 1);
         let is_recent = |at: Instant| now.saturating_duration_since(at) < LOG_INTERVAL;
         if self.logged_at.get().is_some_and(is_recent) {
@@ -24,7 +22,7 @@
         }
         log::warn!(
             target: "operator",
-            backend = id.as_str(), entries = self.count.take(), reason = reason;
+            backend = id, entries = self.count.take(), reason = reason;
             "an entry names no backend server to use and is left out: look for its writer"
         );
         self.logged_at.set(Some(now));
--- a/crates/jaylock-share/src/client.rs
+++ b/crates/jaylock-share/src/client.rs
@@ -5,13 +5,17 @@
 use futures_channel::oneshot;
 use jaylock_control::ConfigView;
 use jaylock_rpc::v1::refusal::Reason;
-use jaylock_rpc::v1::{Ask, BackendReport, BackendVerdict, End, Grant, Progress, Refusal};
+use jaylock_rpc::v1::{
+    Ask, BackendReport, BackendVerdict, Configuration, End, Grant, Progress, Refusal,
+};
 use jaylock_rpc::{Channel, ChannelSettings};
 use jaylock_types::{DomainId, Incarnation, InstanceId, Notice, PoolId};
 
 use crate::SchedulerClientSettings;
 use crate::connection::{SchedulerConnection, not_run};
 
+/// Pools without a name in the configuration for which reports are kept, as a later one may name them.
+const MAX_UNNAMED_POOLS: usize = 64;
 /// Retry delay, in ms, for a request that is refused because the router itself stops.
 const STOPPED_RETRY_MS: u32 = 1000;
 
@@ -134,9 +138,24 @@
         connection.is_excluded(backend, incarnation)
     }
 
+    /// Whether reports of a pool's backend servers are forwarded.
+    ///
+    /// Those of a pool that the configuration doesn't name are not, if too many such pools were reported before.
+    #[must_use]
+    pub fn accepts_reports(&self, pool: &str) -> bool {
+        self.find(pool).is_some()
+            || names_pool(&self.shared.context.view.current(), pool)
+            || self.count_unnamed() < MAX_UNNAMED_POOLS
+    }
+
     /// Forwards an announcement or report of a backend server.
     pub fn report_backend(&self, report: BackendReport) {
-        self.connection(&report.pool).report_backend(report);
+        if self.accepts_reports(&report.pool) {
+            self.connection(&report.pool).report_backend(report);
+        } else {
+            let (backend, pool) = (report.id.as_str(), report.pool.as_str());
+            log::info!(target: "share", backend = backend, pool = pool; "a report is dropped: the configuration does not name its pool");
+        }
     }
 
     /// The latest verdict of any scheduler on a backend server that announced itself to this router.
@@ -151,21 +170,42 @@
     /// The latest verdict of a pool's scheduler on a backend server.
     #[must_use]
     pub fn pool_verdict(&self, pool: &PoolId, backend: &str) -> Option<BackendVerdict> {
-        self.connection(pool.as_str()).backend_verdict(backend)
+        self.find(pool.as_str())?.backend_verdict(backend)
     }
 
     /// Pools that this router uses and that have no scheduler in the configuration.
+    ///
+    /// A pool that the configuration doesn't name needs none, unless it names no pool yet.
     #[must_use]
     pub fn unserved_pools(&self) -> Vec<PoolId> {
+        let configuration = self.shared.context.view.current();
+        let is_empty = configuration.services.is_empty() && configuration.models.is_empty();
         let connections = self.shared.connections.borrow();
-        let unserved = connections
-            .iter()
-            .filter(|connection| connection.scheduler().is_none());
+        let unserved = connections.iter().filter(|connection| {
+            let is_named = is_empty || names_pool(&configuration, connection.pool());
+            is_named && connection.scheduler().is_none()
+        });
         unserved
             .filter_map(|connection| connection.pool().parse().ok())
             .collect()
     }
 
+    fn find(&self, pool: &str) -> Option<Rc<SchedulerConnection>> {
+        let connections = self.shared.connections.borrow();
+        let index = connections.binary_search_by(|connection| connection.pool().cmp(pool));
+        index.ok().map(|index| connections[index].clone())
+    }
+
+    /// Number of pools in use that the configuration doesn't name.
+    fn count_unnamed(&self) -> usize {
+        let configuration = self.shared.context.view.current();
+        let connections = self.shared.connections.borrow();
+        let pools = connections.iter().map(|connection| connection.pool());
+        pools
+            .filter(|pool| !names_pool(&configuration, pool))
+            .count()
+    }
+
     fn connection(&self, pool: &str) -> Rc<SchedulerConnection> {
         let mut connections = self.shared.connections.borrow_mut();
         match connections.binary_search_by(|connection| connection.pool().cmp(pool)) {
@@ -179,6 +219,12 @@
     }
 }
 
+/// Whether a configuration names a pool: that of a service or of a model.
+fn names_pool(configuration: &Configuration, pool: &str) -> bool {
+    let mut models = configuration.models.iter();
+    configuration.services.iter().any(|s| s.id == pool) || models.any(|m| m.pool == pool)
+}
+
 /// A request that waits for its reply; dropping it cancels the request and returns an unread grant.
 struct WaitingRequest {
     connection: Rc<SchedulerConnection>,
--- a/crates/jaylock-tests/tests/platform/odd_entries.rs
+++ b/crates/jaylock-tests/tests/platform/odd_entries.rs
@@ -1,5 +1,6 @@
 //! Entries that another writer leaves among those of the backend servers.
 
+use std::thread;
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
@@ -15,6 +16,10 @@
 const DEEP: usize = 100_000;
 /// Requests that must succeed beside the odd entries.
 const REQUESTS: usize = 20;
+/// Services that no document names.
+const UNNAMED_SERVICES: usize = 100;
+/// Time in which the services that no document names must get no schedulers.
+const QUIET_PERIOD: Duration = Duration::from_secs(3);
 /// How long a heartbeat is valid.
 const BACKEND_LEASE: Duration = Duration::from_secs(2);
 
@@ -195,6 +200,25 @@
         .count()
 }
 
+/// Sends an entry of each of many services that no document names, all at once.
+fn send_unnamed_services(fleet: &TestFleet) {
+    thread::scope(|scope| {
+        for number in 0..UNNAMED_SERVICES {
+            scope.spawn(move || {
+                let body = entry_with("service", &format!("\"unnamed-{number}\""));
+                send_entry(fleet, &format!("odd-{number}"), &body)
+            });
+        }
+    });
+}
+
+fn count_unnamed_schedulers(fleet: &TestFleet) -> usize {
+    fleet
+        .log(0)
+        .matches("started the scheduler of pool unnamed")
+        .count()
+}
+
 fn expect_running(fleet: &mut TestFleet) {
     for at in 0..2 {
         assert!(!fleet.process(at).has_ended(), "instance {at} has ended");
@@ -251,4 +275,25 @@
         }
         assert_that!(fleet.log(0), not(contains_substring("no stream to the scheduler")));
     };
+    services_that_no_document_names_get_schedulers_for_good => {
+        let mut fleet = TestFleet::minimal();
+        let _backend = FakeBackend::start(&fleet, "b1", |r| r.respond("200 OK", "done"));
+        send_unnamed_services(&fleet);
+        thread::sleep(QUIET_PERIOD);
+        assert_that!(count_unnamed_schedulers(&fleet), eq(0));
+        assert_that!(count_served(&fleet), eq(REQUESTS));
+        fleet.kill(0);
+        fleet.start_instance(0, false);
+        wait_until("requests are served again", || fleet.caller().send().status() == 200);
+        assert_that!(count_unnamed_schedulers(&fleet), eq(0));
+    };
+    service_that_a_later_document_names_is_never_scheduled => {
+        let fleet = TestFleet::minimal();
+        let _backend = FakeBackend::start(&fleet, "b1", |r| r.respond("200 OK", "done"));
+        send_unnamed_services(&fleet);
+        let text = document(2).to_string().replace("\"app\"", "\"later\"");
+        assert_that!(fleet.put_text(0, &text), eq(200));
+        let _later = FakeBackend::start_version(&fleet, "b2", ("later", "v1"), |r| r.respond("200 OK", "later"));
+        wait_until("the new service is used", || fleet.caller().send().body == "later");
+    };
 }
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -8,6 +8,7 @@
 mod failure;
 mod fixture;
 mod fleet;
+mod odd_entries;
 mod plain_calls;
 mod pool;
 mod prefill;
