Messages between routers and schedulers have a bounded size

Seen by callers: refusals for lack of a scheduler, although it runs, while many long entries or many long requests are known.

Cause: the first message of a router's stream held all waiting requests and all reports of the last 10 s, a batch all that had come since the last one, and a scheduler's division of slots all reports. A receiver takes 4 MiB. A first message above it closes the stream, and the next one is as long.

Ruled out: a larger limit at the receiver, which only moves the number.

--- a/crates/jaylock-share/src/batch.rs
+++ b/crates/jaylock-share/src/batch.rs
@@ -5,6 +5,7 @@
 
 use crate::SchedulerClientSettings;
 use crate::encoding::{NameTable, encode_request_id};
+use crate::frame_size::take_within;
 
 /// Messages of a router that are batched into one frame.
 #[derive(Debug, Default)]
@@ -98,7 +99,7 @@
         [urgent, self.end_due, progress].into_iter().flatten().min()
     }
 
-    /// Takes all messages as one frame.
+    /// Takes all messages as one frame; requests and reports that don't fit stay for the next one.
     pub fn take_frame(&mut self, now: Instant) -> RouterFrame {
         self.last_frame = Some(now);
         self.end_due = None;
@@ -109,9 +110,9 @@
         let ends = std::mem::take(&mut self.ends);
         RouterFrame {
             names: self.names.take_new(),
-            asks: std::mem::take(&mut self.asks),
+            asks: take_within(&mut self.asks),
             cancels: std::mem::take(&mut self.cancels),
-            backends: std::mem::take(&mut self.backends),
+            backends: take_within(&mut self.backends),
             limits: std::mem::take(&mut self.limits),
             exclusions: std::mem::take(&mut self.exclusions),
             ends: ends.into_iter().map(|(_, end)| end).collect(),
--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -16,6 +16,7 @@
 use crate::encoding::AddressTable;
 use crate::exclusions::Exclusions;
 use crate::fallback::SpareSlot;
+use crate::frame_size::take_within;
 use crate::held_slot::HeldSlot;
 use crate::named_limits::NamedLimits;
 use crate::pending_request::{AskResult, PendingRequest};
@@ -205,7 +206,9 @@
         index.ok().map(|index| self.verdicts[index].clone())
     }
 
-    /// The first message of a new stream, with all the state that the scheduler needs.
+    /// The first message of a new stream, with the state that the scheduler needs.
+    ///
+    /// Requests and reports that don't fit follow in the next messages.
     pub fn first_frame(&mut self, mut hello: Hello, now: Instant) -> RouterFrame {
         self.is_attached = true;
         self.last_frame = Some(now);
@@ -220,10 +223,16 @@
             total.unheard = 0;
         }
         let asks = self.pending.iter().map(|pending| pending.updated_ask(now));
+        let (mut asks, mut reports) = (asks.collect(), self.reports.list(now));
+        let (first_asks, first_reports) = (take_within(&mut asks), take_within(&mut reports));
+        asks.into_iter().for_each(|ask| self.batch.add_ask(ask));
+        reports
+            .into_iter()
+            .for_each(|report| self.batch.add_report(report));
         RouterFrame {
             hello: Some(hello),
-            asks: asks.collect(),
-            backends: self.reports.list(now),
+            asks: first_asks,
+            backends: first_reports,
             totals: self.unconfirmed.clone(),
             limits: self.limits.reports(now),
             exclusions: self.exclusions.reports(now),
--- a/crates/jaylock-share/src/division.rs
+++ b/crates/jaylock-share/src/division.rs
@@ -1,6 +1,7 @@
 use jaylock_rpc::v1::{BackendReport, Fallback, FallbackSlots};
 
 use crate::allocator::Allocator;
+use crate::frame_size::keep_within;
 use crate::router::RouterKey;
 
 /// The routers and backend servers over which the slots were last divided.
@@ -65,8 +66,9 @@
                     backend: Some(without_events(&self.backends.get(*index).report)),
                     slots: *slots,
                 });
+                // What doesn't fit into a message is not granted locally.
                 router.frame.fallback = Some(Fallback {
-                    backends: slots.collect(),
+                    backends: keep_within(slots.collect()),
                 });
                 router.fallback = share;
             }
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -26,6 +26,7 @@
 mod engine;
 mod exclusions;
 mod fallback;
+mod frame_size;
 mod held_slot;
 mod host;
 mod named_limits;
--- a/crates/jaylock-tests/tests/share/odd_entries.rs
+++ b/crates/jaylock-tests/tests/share/odd_entries.rs
@@ -1,17 +1,57 @@
 //! Reports that stand for entries of another writer, beside those of sound backend servers.
 
+use std::time::{Duration, Instant};
+
+use compio::time::timeout;
+use futures_channel::oneshot;
 use googletest::prelude::*;
 use jaylock_control::ConfigView;
-use jaylock_rpc::v1::{BackendReport, Configuration, Service};
+use jaylock_rpc::v1::{Ask, BackendReport, Configuration, Hello, PromptPart, Service};
+use jaylock_share::{ClientState, SchedulerClientSettings, SchedulerSettings};
 use jaylock_tests::cases;
+use prost::Message;
 
-use crate::fleet::{engine_report, router};
+use crate::fleet::{Host, LIVENESS_TIMEOUT, ask, configuration, engine_report, pool, router};
 
 /// Pools that no configuration names.
 const UNNAMED_POOLS: usize = 1000;
 /// The most of them whose reports may be kept.
 const MAX_KEPT: usize = 64;
 
+/// Reports that are longer than one message together.
+const LONG_REPORTS: usize = 200;
+/// Names of adapters in a long report.
+const ADAPTERS: usize = 120;
+/// Requests that are longer than one message together.
+const LONG_ASKS: u64 = 20_000;
+/// Longest message that a receiver takes.
+const MAX_MESSAGE_BYTES: usize = 4 << 20;
+
+/// A report of an engine with many adapters.
+fn long_report(id: &str) -> BackendReport {
+    let mut report = engine_report(id, 1);
+    report.models[0].adapters = (0..ADAPTERS).map(|n| format!("{n:0>250}")).collect();
+    report
+}
+
+fn odd_names(last_round: usize) -> Vec<String> {
+    let rounds = 0..=last_round;
+    let names = rounds.flat_map(|round| (0..LONG_REPORTS).map(move |n| format!("odd-{round}-{n}")));
+    names.collect()
+}
+
+fn long_ask(ticket: u64) -> Ask {
+    let parts = (0..32).map(|hash| PromptPart {
+        hash: hash << 56,
+        tokens: 1 << 20,
+    });
+    Ask {
+        ticket,
+        parts: parts.collect(),
+        ..ask("till")
+    }
+}
+
 /// A configuration that names the pool "chat".
 fn configuration_of_chat(index: u64) -> Configuration {
     let chat = Service {
@@ -41,4 +81,34 @@
         let unserved = client.unserved_pools();
         assert_that!(unserved.iter().map(ToString::to_string).collect::<Vec<_>>(), elements_are![eq("chat")]);
     };
+    async reports_that_fill_a_message_keep_a_router_off_its_scheduler => {
+        let view = ConfigView::default();
+        let host = Host::start("i1", &view, SchedulerSettings::default()).await;
+        assert!(view.update(configuration(1, 1, &host)));
+        let client = router("r1", &view);
+        for round in 0..2 {
+            for number in 0..LONG_REPORTS {
+                client.report_backend(long_report(&format!("odd-{round}-{number}")));
+            }
+            client.report_backend(engine_report("e1", 8));
+            let request = Ask { avoid: odd_names(round), ..ask("till") };
+            let reply = timeout(LIVENESS_TIMEOUT, client.request_slot(&pool(), request)).await;
+            assert_that!(reply.expect("a reply in time").map(|grant| grant.backend), ok(eq("e1")));
+        }
+    };
+    waiting_requests_that_fill_a_message_keep_a_router_off_its_scheduler => {
+        let now = Instant::now();
+        let mut router = ClientState::new(SchedulerClientSettings::default());
+        for ticket in 1..=LONG_ASKS {
+            router.request_slot(long_ask(ticket), oneshot::channel().0, now);
+        }
+        let mut frames = vec![router.first_frame(Hello::default(), now)];
+        while router.due(now + Duration::from_secs(1)).is_some() {
+            frames.push(router.next_frame(now));
+        }
+        let tickets = frames.iter().flat_map(|frame| frame.asks.iter().map(|ask| ask.ticket));
+        assert!(tickets.eq(1..=LONG_ASKS));
+        let longest = frames.iter().map(Message::encoded_len).max();
+        assert_that!(longest, some(le(MAX_MESSAGE_BYTES)));
+    };
 }
