Long names of models are sent with their requests, which bounds a message

Seen: nothing by callers; found while the messages were bounded, same effect.

Cause: names that a stream numbers are all sent with the message after them; the name of a model is what the caller wrote in a header, up to the limit of a head.

Evidence: long_names_of_models_keep_a_router_off_its_scheduler, 400 requests with names of 16,000 bytes in one batch: 6405353 bytes in place of at most 4194304.

Ruled out: refusing or cutting such names: a request must be forwarded with the header as it came.

Result: the case passes; odd_entries, stream and stream_origins of share pass.

--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -225,10 +225,12 @@
         let asks = self.pending.iter().map(|pending| pending.updated_ask(now));
         let (mut asks, mut reports) = (asks.collect(), self.reports.list(now));
         let (first_asks, first_reports) = (take_within(&mut asks), take_within(&mut reports));
-        asks.into_iter().for_each(|ask| self.batch.add_ask(ask));
-        reports
-            .into_iter()
-            .for_each(|report| self.batch.add_report(report));
+        for ask in asks {
+            self.batch.add_ask(ask);
+        }
+        for report in reports {
+            self.batch.add_report(report);
+        }
         RouterFrame {
             hello: Some(hello),
             asks: first_asks,
--- a/crates/jaylock-share/src/encoding.rs
+++ b/crates/jaylock-share/src/encoding.rs
@@ -5,6 +5,8 @@
 const REQUEST_ID_DIGITS: usize = 32;
 /// Names that one stream may number.
 const MAX_NAMES: u32 = 4096;
+/// Longest name that gets a number, in bytes.
+const MAX_NAME_BYTES: usize = 64;
 
 /// Encodes a request id as bytes if it is a hexadecimal number.
 pub fn encode_request_id(ask: &mut Ask) {
@@ -107,8 +109,11 @@
 
     /// Returns the number of a name and clears the name.
     ///
-    /// Returns 0 and leaves the name as it is if the name is empty or the table is full.
+    /// Returns 0 and leaves the name as it is if the name is empty or too long, or the table is full.
     fn number(&mut self, name: &mut String) -> u32 {
+        if name.is_empty() || name.len() > MAX_NAME_BYTES {
+            return 0;
+        }
         let search = self
             .list
             .binary_search_by(|(known, _)| known.as_str().cmp(name));
@@ -116,7 +121,7 @@
             Ok(index) => self.list[index].1,
             Err(index) => {
                 let count = u32::try_from(self.list.len()).unwrap_or(u32::MAX);
-                if count >= MAX_NAMES || name.is_empty() {
+                if count >= MAX_NAMES {
                     return 0;
                 }
                 self.list.insert(index, (name.as_str().into(), count + 1));
--- a/crates/jaylock-tests/tests/share/odd_entries.rs
+++ b/crates/jaylock-tests/tests/share/odd_entries.rs
@@ -24,6 +24,8 @@
 const ADAPTERS: usize = 120;
 /// Requests that are longer than one message together.
 const LONG_ASKS: u64 = 20_000;
+/// Requests whose models have names that are longer than one message together.
+const LONG_MODELS: u64 = 400;
 /// Longest message that a receiver takes.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
@@ -111,4 +113,18 @@
         let longest = frames.iter().map(Message::encoded_len).max();
         assert_that!(longest, some(le(MAX_MESSAGE_BYTES)));
     };
+    long_names_of_models_keep_a_router_off_its_scheduler => {
+        let now = Instant::now();
+        let mut router = ClientState::new(SchedulerClientSettings::default());
+        router.first_frame(Hello::default(), now);
+        for ticket in 1..=LONG_MODELS {
+            let model = format!("{ticket:0>16000}");
+            router.request_slot(Ask { ticket, model, ..ask("till") }, oneshot::channel().0, now);
+        }
+        let mut longest = 0;
+        while router.due(now + Duration::from_secs(1)).is_some() {
+            longest = longest.max(router.next_frame(now).encoded_len());
+        }
+        assert_that!(longest, all!(gt(0), le(MAX_MESSAGE_BYTES)));
+    };
 }
