A long list of cached parts no longer stops the scheduler that takes it

Seen: nothing by callers; found on reading. An instance that takes such a list stands still, with all that it does, and ends its leases; the next scheduler asks for the list again.

Cause: a list of parts may have 4 MiB, some 200,000 parts. All were added in order, each a move of the rest, and then evicted one by one down to 4096, each after a search of all. Class: work that grows with the square of what others send.

Ruled out: a faster eviction, as the parts beyond 4096 aren't tracked in any case.

Change: an engine's estimate takes no more parts than it tracks, and an instance reports no more of a list, which bounds its message as well. Which parts are kept if a list is longer is as arbitrary as before.

--- a/crates/jaylock-daemon/src/api.rs
+++ b/crates/jaylock-daemon/src/api.rs
@@ -21,6 +21,8 @@
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Longest wait for a scheduler's verdict on a backend server's report.
 const VERDICT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Most cached prompt parts of an engine that are reported.
+const MAX_LISTED_PARTS: usize = 4096;
 /// Time between two checks for that verdict.
 const VERDICT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -209,11 +211,12 @@
         }
         let (schedulers, report) = (self.schedulers.clone(), report.clone());
         compio::runtime::spawn(async move {
-            let Some(parts) = inventory.cached_parts(address).await else {
+            let Some(mut parts) = inventory.cached_parts(address).await else {
                 log::info!(target: "share", backend = report.id.as_str(); "engine did not list its cached prompt parts");
                 return;
             };
             log::info!(target: "share", backend = report.id.as_str(), parts = parts.len(); "engine listed its cached prompt parts");
+            parts.truncate(MAX_LISTED_PARTS);
             schedulers.report_backend(BackendReport { kept: parts, ..report });
         })
         .detach();
--- a/crates/jaylock-share/src/engine.rs
+++ b/crates/jaylock-share/src/engine.rs
@@ -131,9 +131,12 @@
         }
     }
 
-    /// Adds parts that the engine reports as cached and that are not known yet.
+    /// Adds parts that the engine reports as cached and that are not known yet, as many as are tracked.
     pub fn add_cached_parts(&mut self, parts: &[PromptPart]) {
         for part in parts {
+            if self.parts.len() >= MAX_PARTS {
+                break;
+            }
             if let Err(index) = self.find(part.hash) {
                 let part = CachedPart {
                     hash: part.hash,
--- a/crates/jaylock-tests/tests/share/odd_entries.rs
+++ b/crates/jaylock-tests/tests/share/odd_entries.rs
@@ -11,6 +11,7 @@
 use jaylock_tests::cases;
 use prost::Message;
 
+use crate::fixture::Fixture;
 use crate::fleet::{Host, LIVENESS_TIMEOUT, ask, configuration, engine_report, pool, router};
 
 /// Pools that no configuration names.
@@ -26,6 +27,10 @@
 const LONG_ASKS: u64 = 20_000;
 /// Requests whose models have names that are longer than one message together.
 const LONG_MODELS: u64 = 400;
+/// Parts in a list of 4 MiB, about.
+const LISTED_PARTS: u64 = 200_000;
+/// Longest time for which a scheduler may be busy with one report.
+const MAX_STANDSTILL: Duration = Duration::from_secs(1);
 /// Longest message that a receiver takes.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
@@ -127,4 +132,13 @@
         }
         assert_that!(longest, all!(gt(0), le(MAX_MESSAGE_BYTES)));
     };
+    long_list_of_cached_parts_stops_a_scheduler => {
+        let mut fixture = Fixture::new();
+        let parts = (0..LISTED_PARTS).map(|hash| PromptPart { hash, tokens: 1 });
+        let report = BackendReport { kept: parts.collect(), ..engine_report("odd", 8) };
+        fixture.report(engine_report("odd", 8));
+        let started = Instant::now();
+        fixture.report(report);
+        assert_that!(started.elapsed(), le(MAX_STANDSTILL));
+    };
 }
