A size of memory out of any range no longer ends a scheduler

Seen: nothing by callers; found on reading.

Cause: 90 % of kv_capacity, a number that an operator's document sets, was computed as number * 90 / 100. From 2^64 / 90 on the product exceeds its type: a debug build panics inside the scheduler's task, which ends without being started again, as its lease goes on; a release build, without overflow checks, goes on with a wrong size (for 2^63 none, so that an engine runs one request at once). The document is replicated, so each new scheduler meets it. Class:: stored first, computed with later.

Evidence: memory_size_out_of_any_range_stops_a_scheduler on the commit before: "attempt to multiply with overflow" at engine.rs:110.

Ruled out: refusing the document: its form is valid, and members of a group must agree on what they refuse; the other products of numbers of documents, callers and entries, which are of u32 in u64 or saturate.

Change: the product saturates.

Result: the case passes, with a size of 1 token as the other end of the range; odd_entries and prefill of share pass.

--- a/crates/jaylock-share/src/engine.rs
+++ b/crates/jaylock-share/src/engine.rs
@@ -107,7 +107,7 @@
         let new = ask.parts.iter().filter(|p| is_unused(p.hash));
         let new: u64 = new.map(|p| u64::from(p.tokens)).sum();
         let required = self.used_tokens + self.private_tokens + new + u64::from(ask.limit);
-        required <= self.memory_tokens * MAX_MEMORY_PERCENT / 100
+        required <= self.memory_tokens.saturating_mul(MAX_MEMORY_PERCENT) / 100
     }
 
     /// Adds a request that is sent to the engine.
--- a/crates/jaylock-tests/tests/share/odd_entries.rs
+++ b/crates/jaylock-tests/tests/share/odd_entries.rs
@@ -6,7 +6,7 @@
 use futures_channel::oneshot;
 use googletest::prelude::*;
 use jaylock_control::ConfigView;
-use jaylock_rpc::v1::{Ask, BackendReport, Configuration, Hello, PromptPart, Service};
+use jaylock_rpc::v1::{Ask, BackendReport, Configuration, Engine, Hello, PromptPart, Service};
 use jaylock_share::{ClientState, SchedulerClientSettings, SchedulerSettings};
 use jaylock_tests::cases;
 use prost::Message;
@@ -59,6 +59,17 @@
     }
 }
 
+/// A configuration in which the engines of the pool "chat" have this memory.
+fn configuration_of_engines(memory_tokens: u64) -> Configuration {
+    let mut configuration = configuration_of_chat(1);
+    configuration.services[0].engine = Some(Engine {
+        slots: 8,
+        memory_tokens,
+        event_tokens: 1,
+    });
+    configuration
+}
+
 /// A configuration that names the pool "chat".
 fn configuration_of_chat(index: u64) -> Configuration {
     let chat = Service {
@@ -141,4 +152,17 @@
         fixture.report(report);
         assert_that!(started.elapsed(), le(MAX_STANDSTILL));
     };
+    memory_size_out_of_any_range_stops_a_scheduler => {
+        for memory_tokens in [u64::MAX, u64::MAX / 2, 1 << 63, u64::MAX / 90 + 1, 1] {
+            let mut fixture = Fixture::new();
+            fixture.allocator.configure(&configuration_of_engines(memory_tokens), fixture.now);
+            fixture.report(engine_report("e1", 8));
+            let part = PromptPart { hash: 1, tokens: 1000 };
+            let prompt = Ask { prompt_tokens: 1000, limit: 10, parts: vec![part], ..ask("till") };
+            assert_that!(fixture.ask_and_decide(prompt.clone()), some(eq("e1")), "{memory_tokens}");
+            fixture.report_progress(1, 1010);
+            let granted = fixture.ask_and_decide(prompt);
+            assert_that!(granted.is_some(), eq(memory_tokens > 1), "{memory_tokens}");
+        }
+    };
 }
