Tests of odd entries, documents, headers and responses beside sound ones

Cause: tests of the decoding asked only that it doesn't panic, with short texts, and none had a sound backend server beside an odd entry. Added: a property over entries in which one field has any value near the form (type, range, length, depth) or that are cut: what is accepted can be passed on and connected to; 21 documents that must be refused with 4xx and leave the active one in force; the largest valid values of a document, with a restart; numbers out of range in headers of requests and of responses. The line about entries that are left out comes at most once a second.

Evidence: the property fails with check_report disabled ("minimal failing input: field = "version"", after 578 cases). The cases of odd_documents passed at once, on 4 processes each; they guard what held and show no fault.

--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod harness;
 mod inventory;
 mod lifecycle;
+mod odd_documents;
 mod odd_entries;
 mod rate_limits;
 mod refusals;
--- a/crates/jaylock-tests/tests/platform/odd_entries.rs
+++ b/crates/jaylock-tests/tests/platform/odd_entries.rs
@@ -1,13 +1,15 @@
 //! Entries that another writer leaves among those of the backend servers.
 
+use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use jaylock_platform::decode_heartbeat;
 use jaylock_rpc::v1::BackendReport;
-use jaylock_tests::cases;
 use jaylock_tests::fleet::send_raw;
+use jaylock_tests::{cases, seeded_config};
+use proptest::prelude::*;
 use serde_json::{Value, json};
 
 use crate::harness::{FakeBackend, FleetSettings, TestFleet, document, wait_until};
@@ -23,6 +25,21 @@
 /// How long a heartbeat is valid.
 const BACKEND_LEASE: Duration = Duration::from_secs(2);
 
+/// Fields of an entry, and one that is unknown.
+const FIELDS: [&str; 11] = [
+    "service",
+    "address",
+    "zone",
+    "version",
+    "slots",
+    "state",
+    "cold_left_ms",
+    "seq",
+    "born",
+    "models",
+    "extra",
+];
+
 /// An entry of the service `app` at an address where nothing listens.
 fn entry() -> Value {
     json!({
@@ -226,6 +243,57 @@
     }
 }
 
+/// Whether requests can be sent to the backend server, and its report to other instances.
+fn is_usable(report: &BackendReport) -> bool {
+    let address: Option<SocketAddr> = report.address.parse().ok();
+    let names: usize = report
+        .models
+        .iter()
+        .flat_map(|m| m.adapters.iter().chain([&m.model]))
+        .map(String::len)
+        .sum();
+    address.is_some_and(|a| a.port() > 0)
+        && (1..=65_536).contains(&report.slots)
+        && report.software.len() <= 256
+        && names <= 32 << 10
+}
+
+/// Values near those of an entry: of any type, out of range, long or deep.
+fn odd_value() -> impl Strategy<Value = String> {
+    prop_oneof![
+        any::<u64>().prop_map(|n| n.to_string()),
+        any::<i64>().prop_map(|n| n.to_string()),
+        any::<f64>().prop_map(|n| json!(n).to_string()),
+        (0..500_u32, any::<bool>())
+            .prop_map(|(e, minus)| format!("{}1e{e}", if minus { "-" } else { "" })),
+        "[0-9a-f:.\\[\\]%]{0,24}:[0-9]{1,6}".prop_map(|text| json!(text).to_string()),
+        ".{0,40}".prop_map(|text| json!(text).to_string()),
+        (0..70_000_usize).prop_map(long_text),
+        (0..300_usize).prop_map(|depth| "[".repeat(depth) + &"]".repeat(depth)),
+        prop::collection::vec(".{0,300}", 0..200)
+            .prop_map(|names| json!([{"name": "m", "adapters": names}]).to_string()),
+        Just("null".to_owned()),
+        Just("{}".to_owned()),
+    ]
+}
+
+proptest! {
+    #![proptest_config(seeded_config(1024))]
+
+    #[test]
+    fn entry_near_the_form_is_accepted_though_it_names_no_backend_server(
+        field in prop::sample::select(&FIELDS[..]),
+        value in odd_value(),
+        cut in prop::option::of(0..400_usize),
+    ) {
+        let mut body = entry_with(field, &value);
+        body.truncate(cut.unwrap_or(body.len()));
+        if let Ok(report) = decode(&body) {
+            prop_assert!(is_usable(&report), "{}", String::from_utf8_lossy(&body));
+        }
+    }
+}
+
 cases! {
     malformed_entry_is_accepted => {
         assert_that!(accepted(malformed_entries()), is_empty());
@@ -251,7 +319,11 @@
     good_backend_server_is_lost_beside_odd_entries => {
         let mut fleet = TestFleet::minimal();
         let backend = FakeBackend::start(&fleet, "b1", |r| r.respond("200 OK", "done"));
+        let started = Instant::now();
         assert_that!(send_odd_entries(&fleet), is_empty());
+        let lines = fleet.log(0).matches("is left out").count();
+        let seconds = usize::try_from(started.elapsed().as_secs()).expect("a short time");
+        assert_that!(lines, all!(ge(1), le(seconds + 1)));
         assert_that!(count_served(&fleet), eq(REQUESTS));
         expect_running(&mut fleet);
         fleet.kill(0);
