--- a/crates/jaylock-daemon/src/api.rs
+++ b/crates/jaylock-daemon/src/api.rs
@@ -15,10 +15,14 @@
 use jaylock_types::{BackendId, InvalidId, PoolId, boottime_now, unix_ms};
 use thiserror::Error as ThisError;
 
+use crate::left_out::LeftOutLog;
+
 /// Longest wait for control to commit or confirm an operation.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Longest wait for a scheduler's verdict on a backend server's report.
 const VERDICT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Most cached prompt parts of an engine that are reported.
+const MAX_LISTED_PARTS: usize = 4096;
 /// Time between two checks for that verdict.
 const VERDICT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -39,6 +43,8 @@
     pub(crate) inventory: Option<Rc<dyn Inventory>>,
     /// Engines that were queried, sorted by identifier, each with its pool's epoch at that time.
     pub(crate) queried_engines: Rc<RefCell<Vec<(CompactString, u64)>>>,
+    /// Log of entries that are left out.
+    pub(crate) left_out: Rc<LeftOutLog>,
 }
 
 /// Port to the lists of prompt parts that engines have cached.
@@ -156,8 +162,13 @@
     pub async fn report_backend(&self, report: BackendReport) -> Result<()> {
         self.check_running()?;
         let pool = report.pool.parse().map_err(|e| invalid(&e))?;
-        self.query_cached_parts(&report);
         let (id, incarnation, sequence) = (report.id.clone(), report.incarnation, report.sequence);
+        if !self.schedulers.accepts_reports(&report.pool) {
+            let reason = format_compact!("no document names service {pool}");
+            self.record_left_out(&id, &reason);
+            return Err(ApiError::Unavailable(reason));
+        }
+        self.query_cached_parts(&report);
         self.schedulers.report_backend(report);
         self.wait_for_verdict(
             &pool,
@@ -170,6 +181,11 @@
         .await
     }
 
+    /// Records that an entry among those of the backend servers is left out.
+    pub fn record_left_out(&self, id: &str, reason: &str) {
+        self.left_out.record(id, reason, Instant::now());
+    }
+
     /// Refuses an operation that may not end before this instance does, as another instance can carry it out.
     fn check_running(&self) -> Result<()> {
         if self.lifecycle().closed.is_set() {
@@ -195,11 +211,12 @@
         }
         let (schedulers, report) = (self.schedulers.clone(), report.clone());
         compio::runtime::spawn(async move {
-            let Some(parts) = inventory.cached_parts(address).await else {
+            let Some(mut parts) = inventory.cached_parts(address).await else {
                 log::info!(target: "share", backend = report.id.as_str(); "engine did not list its cached prompt parts");
                 return;
             };
             log::info!(target: "share", backend = report.id.as_str(), parts = parts.len(); "engine listed its cached prompt parts");
+            parts.truncate(MAX_LISTED_PARTS);
             schedulers.report_backend(BackendReport { kept: parts, ..report });
         })
         .detach();
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -8,6 +8,8 @@
 mod harness;
 mod inventory;
 mod lifecycle;
+mod odd_documents;
+mod odd_entries;
 mod rate_limits;
 mod refusals;
 mod repeated_refusals;
