List other failure domains where a domain has lost most of its routers

Cause: a caller's list named only its own domain's routers as soon as there were two of them. With 2 of 19 left (a part of a domain killed, or its lease lost) the callers of that domain, all its organisations, meet at two routers of 59, and each of these has nine times its usual load while the others are idle. Ruled out: the selection by position (select_routers) spreads evenly, but only over what is passed to it. Change: a domain's routers are listed alone only if they are at least 60 % of its even share of all routers. A domain of three that loses one still keeps its own. Test: addresses callers_of_a_domain_meet_at_the_few_routers_that_it_has_left failed before with 2 in place of 59 routers for domains of 2, 19, 19 and 19 routers.

--- a/crates/jaylock-router/src/address.rs
+++ b/crates/jaylock-router/src/address.rs
@@ -24,6 +24,10 @@
 
 /// Smallest number of routers in a caller's failure domain for which other domains are left out.
 const MIN_NEARBY: usize = 2;
+/// Smallest part of a domain's even share of all routers for which other domains are left out, in percent.
+///
+/// Callers of a domain that has lost most of its routers would otherwise all meet at the few that are left.
+const MIN_NEARBY_PERCENT: usize = 60;
 
 /// Returns the routers for a caller in a failure domain, only those of that domain if there are enough.
 #[must_use]
@@ -31,12 +35,20 @@
     let is_serving = |i: &&Instance| !i.leaving && !i.caller_address.is_empty();
     let mut routers: Vec<&Instance> = configuration.instances.iter().filter(is_serving).collect();
     let nearby = routers.iter().filter(|i| i.domain == domain).count();
-    if nearby >= MIN_NEARBY {
+    let is_even = nearby * count_domains(&routers) * 100 >= routers.len() * MIN_NEARBY_PERCENT;
+    if nearby >= MIN_NEARBY && is_even {
         routers.retain(|i| i.domain == domain);
     }
     routers
 }
 
+fn count_domains(routers: &[&Instance]) -> usize {
+    let mut domains: Vec<&str> = routers.iter().map(|i| i.domain.as_str()).collect();
+    domains.sort_unstable();
+    domains.dedup();
+    domains.len()
+}
+
 /// Chooses at most `max_count` of the routers: those after `position` on the ring of all.
 ///
 /// The load that this answers: more routers than a list holds. Lists of different positions spread callers over all
--- a/crates/jaylock-tests/tests/router/addresses.rs
+++ b/crates/jaylock-tests/tests/router/addresses.rs
@@ -1,8 +1,8 @@
 //! Lists of addresses of more routers than a list holds.
 
 use googletest::prelude::*;
-use jaylock_router::select_routers;
-use jaylock_rpc::v1::Instance;
+use jaylock_router::{routers_for, select_routers};
+use jaylock_rpc::v1::{Configuration, Instance};
 
 /// Addresses in a list.
 const MAX_COUNT: usize = 64;
@@ -23,7 +23,32 @@
         .collect()
 }
 
+/// Number of routers listed for callers in domain 0, of four domains with this many routers each.
+fn count_listed(domains: [usize; 4]) -> usize {
+    let routers = domains.iter().enumerate().flat_map(|(domain, count)| {
+        (0..*count).map(move |index| Instance {
+            id: format!("edge-{domain}-{index}"),
+            domain: domain.to_string(),
+            caller_address: "127.0.0.1:1".into(),
+            ..Instance::default()
+        })
+    });
+    let configuration = Configuration {
+        instances: routers.collect(),
+        ..Configuration::default()
+    };
+    routers_for(&configuration, "0").len()
+}
+
 jaylock_tests::cases! {
+    callers_of_a_domain_meet_at_the_few_routers_that_it_has_left => {
+        expect_that!(count_listed([19, 19, 19, 19]), eq(19));
+        expect_that!(count_listed([15, 19, 19, 19]), eq(15));
+        expect_that!(count_listed([2, 19, 19, 19]), eq(59));
+        expect_that!(count_listed([2, 3, 3, 3]), eq(2));
+        expect_that!(count_listed([0, 3, 3, 3]), eq(9));
+    };
+
     lists_of_all_positions_name_each_router_equally_often => {
         let routers = routers(191);
         let mut named: Vec<&str> = (0..191).flat_map(|position| list(&routers, position)).collect();
