Reserve the memory of bodies of unknown length as they arrive

Cause: the memory of a body without a length was reserved after the whole body had been read. Bodies that arrive slowly were bounded by nothing but their number: one organisation with 1,000 chunked bodies of up to 4 MiB in progress could take all memory of a router, whatever its quarter of the limit, and end the process for all organisations. Ruled out: bodies with a length are reserved before they are read, in both kinds of requests, and so are long responses. Change: one function reads the bodies of requests for routes, chat and services, and reserves what arrives beyond the announced length frame by frame. It shares its loop with the reader of responses. A refusal is the same 503 as before. Test: limits body_of_unknown_length_takes_memory_beyond_the_limit_while_it_arrives failed before: 408 after the time limit in place of 503 for a body of 384 bytes that was over the organisation's 200.

--- a/crates/jaylock-router/src/body.rs
+++ b/crates/jaylock-router/src/body.rs
@@ -7,7 +7,7 @@
 use futures_channel::oneshot;
 use futures_util::Stream;
 use futures_util::stream::LocalBoxStream;
-use http_body::Frame;
+use http_body::{Body as _, Frame};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use jaylock_types::{ByteSize, OrganisationId};
@@ -186,15 +186,56 @@
     outcome.map_err(|_| ReadError::TooSlow)?
 }
 
+/// Reads the body of a request like [`read`]; its memory is reserved before it is read.
+///
+/// A body of unknown length is reserved as it arrives.
+///
+/// # Errors
+/// Why the body was not read.
+pub async fn read_request(
+    body: Incoming,
+    max_size: ByteSize,
+    timeout: Duration,
+    memory: &BodyMemory,
+    organisation: &OrganisationId,
+) -> Result<(Bytes, BodyReservation), ReadError> {
+    let announced = body.size_hint().exact().unwrap_or(0);
+    let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+    let allowed = announced.min(max_size.0);
+    let reservation = memory.reserve(organisation, allowed);
+    let reservation = reservation.ok_or(ReadError::NoMemory)?;
+    let reading = read_growing(body, max_size, reservation, (allowed, 0));
+    let outcome = compio::time::timeout(timeout, reading).await;
+    let (bytes, reservation) = outcome.map_err(|_| ReadError::TooSlow)??;
+    Ok((bytes.freeze(), reservation))
+}
+
 async fn read_reserved(
-    mut body: Incoming,
+    body: Incoming,
     max_size: ByteSize,
     memory: &BodyMemory,
     organisation: &OrganisationId,
 ) -> Result<Bytes, ReadError> {
+    let reservation = memory.reserve(organisation, 0).ok_or(ReadError::NoMemory)?;
+    let steps = (FREE_RESPONSE_BYTES, RESERVED_STEP);
+    let (bytes, reservation) = read_growing(body, max_size, reservation, steps).await?;
+    if bytes.len() <= FREE_RESPONSE_BYTES {
+        return Ok(bytes.freeze());
+    }
+    Ok(Bytes::from_owner(ReservedBytes {
+        bytes,
+        _reservation: SendWrapper::new(reservation),
+    }))
+}
+
+/// Reads a body, of which `allowed` bytes need no further reservation; further ones are reserved in steps.
+async fn read_growing(
+    mut body: Incoming,
+    max_size: ByteSize,
+    mut reservation: BodyReservation,
+    (mut allowed, step): (usize, usize),
+) -> Result<(BytesMut, BodyReservation), ReadError> {
     let mut bytes = BytesMut::new();
-    let mut reservation = memory.reserve(organisation, 0).ok_or(ReadError::NoMemory)?;
-    let mut allowed = FREE_RESPONSE_BYTES;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| ReadError::Broken)?;
         let Some(data) = frame.data_ref() else {
@@ -205,7 +246,7 @@
             return Err(ReadError::TooLong);
         }
         if length > allowed {
-            let missing = (length - allowed).max(RESERVED_STEP);
+            let missing = (length - allowed).max(step);
             if !reservation.grow(missing) {
                 return Err(ReadError::NoMemory);
             }
@@ -213,13 +254,7 @@
         }
         bytes.extend_from_slice(data);
     }
-    if bytes.len() <= FREE_RESPONSE_BYTES {
-        return Ok(bytes.freeze());
-    }
-    Ok(Bytes::from_owner(ReservedBytes {
-        bytes,
-        _reservation: SendWrapper::new(reservation),
-    }))
+    Ok((bytes, reservation))
 }
 
 /// Bytes whose memory is reserved until they are dropped.
--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -3,14 +3,13 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
-use http_body::Body as _;
 use hyper::body::Incoming;
 use jaylock_observe::{RequestKind, RunStatus};
 use jaylock_types::{Index, OrganisationId, PoolId, RequestId};
 use sha2::{Digest, Sha256};
 
 use crate::address;
-use crate::body;
+use crate::body::{self, ReadError};
 use crate::context::Context;
 use crate::memory::BodyReservation;
 use crate::overload::{self, RequestPermit};
@@ -61,19 +60,12 @@
         let organisation = authenticate(context, &head.headers)?;
         let requested = requested_timeout(&head.headers)?;
         let timeout = requested.unwrap_or(context.settings.default_timeout);
-        // Memory for a body of unknown length is reserved after reading it.
-        let announced = incoming.size_hint().exact().unwrap_or(0);
-        let announced = usize::try_from(announced).unwrap_or(usize::MAX);
         let permit = context.overload.admit(&organisation);
         let permit = permit.ok_or_else(|| overloaded(context))?;
-        let mut reservation = reserve_body(context, &organisation, announced)?;
         let deadline = arrived_at + timeout;
-        let reading = read(context, incoming);
+        let reading = read_reserved(context, &organisation, incoming);
         let body = context.lifecycle.wait_to_start(deadline, reading).await;
-        let body = body.ok_or_else(|| leaving(context))??;
-        if body.len() > announced {
-            reservation = reserve_body(context, &organisation, body.len())?;
-        }
+        let (body, reservation) = body.ok_or_else(|| leaving(context))??;
         let fingerprint = fingerprint(&organisation, &head, &body);
         let call = Self {
             request,
@@ -187,22 +179,27 @@
         .with_retry_after(overload::retry_delay())
 }
 
-/// Reserves memory for a body, up to the maximum size of one body.
-fn reserve_body(
+/// Reads a body within the memory that its organisation may use.
+async fn read_reserved(
     context: &Context,
     organisation: &OrganisationId,
-    bytes: usize,
-) -> Result<BodyReservation, ErrorResponse> {
-    let bytes = bytes.min(context.settings.max_body.0);
-    context.memory.reserve(organisation, bytes).ok_or_else(|| {
-        ErrorResponse::new(
+    incoming: Incoming,
+) -> Result<(Bytes, BodyReservation), ErrorResponse> {
+    let Context {
+        settings, memory, ..
+    } = context;
+    let (max_body, timeout) = (settings.max_body, settings.sender_timeout);
+    let read = body::read_request(incoming, max_body, timeout, memory, organisation).await;
+    read.map_err(|error| match error {
+        ReadError::NoMemory => ErrorResponse::new(
             StatusCode::SERVICE_UNAVAILABLE,
             "bodies-full",
             "the bodies of requests in progress are at their bound",
             "ask again after the time in retry-after, or another address",
         )
-        .with_retry_after(context.settings.retry_after)
-        .with_routers(address::others(context))
+        .with_retry_after(settings.retry_after)
+        .with_routers(address::others(context)),
+        error => error.into(),
     })
 }
 
--- a/crates/jaylock-router/src/route/admission.rs
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use jaylock_rpc::v1::{Configuration, Route};
 use jaylock_types::{ByteSize, KeyHash, OrganisationId, RequestId};
 
@@ -12,7 +12,7 @@
 use super::prompt::Prompt;
 use super::request::{RouteRequest, ServiceTarget};
 use super::table;
-use crate::body;
+use crate::body::{self, ReadError};
 use crate::memory::BodyReservation;
 use crate::response::ErrorResponse;
 
@@ -164,7 +164,7 @@
     timeout.map(Some).ok_or_else(invalid)
 }
 
-/// Reads a body; memory is reserved before, or after reading when the length is unknown.
+/// Reads a body within the memory that its organisation may use.
 async fn read_body(
     context: &RouteContext,
     configuration: &Configuration,
@@ -178,23 +178,15 @@
     } else {
         limits.max_body
     };
-    let reserve = |bytes| {
-        let reservation = context.memory.reserve(organisation, bytes);
-        let message = "the bodies of requests in progress are at their bound";
-        reservation.ok_or_else(|| context.unavailable("bodies-full", message))
-    };
-    let length = incoming.size_hint().exact();
-    let length = length.and_then(|bytes| usize::try_from(bytes).ok());
-    let reservation = match length.filter(|bytes| *bytes <= max_body.0) {
-        Some(bytes) => Some(reserve(bytes)?),
-        None => None,
-    };
-    let body = body::read(incoming, max_body, limits.sender_timeout).await?;
-    let reservation = match reservation {
-        Some(reservation) => reservation,
-        None => reserve(body.len())?,
-    };
-    Ok((body, reservation))
+    let (timeout, memory) = (limits.sender_timeout, &context.memory);
+    let read = body::read_request(incoming, max_body, timeout, memory, organisation).await;
+    read.map_err(|error| match error {
+        ReadError::NoMemory => {
+            let message = "the bodies of requests in progress are at their bound";
+            context.unavailable("bodies-full", message)
+        }
+        error => error.into(),
+    })
 }
 
 fn no_route() -> ErrorResponse {
--- a/crates/jaylock-tests/tests/router/limits.rs
+++ b/crates/jaylock-tests/tests/router/limits.rs
@@ -85,6 +85,15 @@
         compio::time::sleep(Duration::from_millis(50)).await;
         assert_that!(router.chat(&long).await.status, eq(200));
     };
+    async body_of_unknown_length_takes_memory_beyond_the_limit_while_it_arrives => {
+        let settings = RouterSettings { max_body_memory: ByteSize(800), ..strict_limits() };
+        let router = TestRouter::start(&[], settings).await;
+        let chunk = "x".repeat(0x180);
+        let begun = format!("{CHAT_HEAD}transfer-encoding: chunked\r\n\r\n180\r\n{chunk}\r\n");
+        let response = router.send_raw(&begun).await;
+        assert_that!(response, starts_with("HTTP/1.1 503"));
+        assert_that!(response, contains_substring("x-run: not-run"));
+    };
     async closes_connections_before_the_maximum_is_reached => {
         // Under overload, callers open a new connection for each retry and leave the previous one idle.
         let engine = Backend::start(|r| complete_stream(r, 3)).await;
