A test of how long calm organisations wait for an accept; known red

Cause: while refusals take too much of a router's processor, it accepts no connections. Those that wait stand in one queue in the order of arrival, before their organisation is known, so that one organisation's flood fills it and every caller waits. The tests so far counted the requests that were refused after an accept, of which calm organisations have none, but not the connections that were never accepted.

--- a/crates/jaylock-tests/tests/router/overload.rs
+++ b/crates/jaylock-tests/tests/router/overload.rs
@@ -71,6 +71,8 @@
     refused: Vec<usize>,
     /// Times from the start at which requests were admitted.
     admitted_at: Vec<Duration>,
+    /// Times for which callers of calm organisations waited until their connections were accepted, or gave up.
+    accept_delays: Vec<Duration>,
     // Delays from arrival to admission, and of events.
     start_delays: Vec<Duration>,
     event_delays: Vec<Duration>,
@@ -78,6 +80,12 @@
 }
 
 impl Outcome {
+    fn record_accept(&mut self, organisation: usize, delay: Duration) {
+        if organisation < CALM_ORGANISATIONS {
+            self.accept_delays.push(delay);
+        }
+    }
+
     /// The fewest requests that were admitted in a `FAIRNESS_WINDOW` of the flood.
     fn fewest_admitted(&self) -> usize {
         let starts = (0..).map(|n| FLOOD_START + Duration::from_secs(n));
@@ -157,13 +165,14 @@
             arrived += 1.0;
             self.backlog.push_back((self.now, organisation));
         }
-        self.backlog.truncate(BACKLOG);
+        for (_, organisation) in self.backlog.drain(BACKLOG.min(self.backlog.len())..) {
+            self.outcome.record_accept(organisation, CONNECT_TIMEOUT);
+        }
         // Callers leave when their connections are not accepted in time.
-        while self
-            .backlog
-            .front()
-            .is_some_and(|(at, _)| self.now - *at > CONNECT_TIMEOUT)
+        while let Some((at, organisation)) = self.backlog.front()
+            && self.now - *at > CONNECT_TIMEOUT
         {
+            self.outcome.record_accept(*organisation, CONNECT_TIMEOUT);
             self.backlog.pop_front();
         }
     }
@@ -174,6 +183,8 @@
             let Some((queued_at, organisation)) = self.backlog.pop_front() else {
                 return;
             };
+            self.outcome
+                .record_accept(organisation, self.now - queued_at);
             self.guard.record_connection();
             self.queue.push_back(Work {
                 cost: REFUSAL_COST,
@@ -335,6 +346,13 @@
         }
     };
 
+    callers_of_calm_organisations_wait_for_an_accept_behind_a_flood => {
+        for flood in [300.0, 570.0, 1500.0, 3000.0] {
+            let outcome = Play::new(true).run(flood);
+            expect_that!(p99(outcome.accept_delays), le(MAX_START_DELAY), "{flood} requests a second");
+        }
+    };
+
     requests_are_late_without_the_guard => {
         let outcome = Play::new(false).run(300.0);
         expect_that!(p99(outcome.start_delays), gt(MAX_START_DELAY * 10));
