Bound what organisations below the smallest share may do together

Cause: while a router is overloaded, an organisation with fewer than 16 requests in progress is never refused, so that one which floods can't push the others out. With 40 organisations that are all below it the limit of 24 and more has no effect: 640 requests are begun. This happens where all organisations of a failure domain meet at one router (after a kill, in a rolling stop, when callers move), without any organisation that floods. Ruled out: the max-min share alone refuses calm organisations beside a flood when they send two requests more than usual, so the smallest share stays while the limit is kept. Change: the smallest share falls from 16 to 0 as the requests in progress grow from the limit to twice the limit; every organisation with none in progress may still begin one. Test: overload organisations_below_the_smallest_share_overload_a_router_together failed before with 640 requests in progress, 16 of each of 40 organisations; now at most 80. After: the other tests of overload pass as before.

--- a/crates/jaylock-router/src/overload.rs
+++ b/crates/jaylock-router/src/overload.rs
@@ -27,8 +27,10 @@
 const INCREASE: f64 = 1.1;
 /// The fewest requests that are in progress before any is refused.
 const MIN_LIMIT: f64 = 24.0;
-/// Requests in progress below which no organisation is refused.
+/// Requests in progress below which no organisation is refused while the limit is not exceeded.
 const MIN_SHARE: f64 = 16.0;
+/// Factor by which the limit may be exceeded until organisations have no more than their max-min share.
+const MAX_EXCESS: f64 = 2.0;
 /// Refusals for each request that is admitted while the processor is overloaded; they take about a third of the time.
 const REFUSALS_PER_REQUEST: f64 = 2.0;
 /// Further refusals a second, so that connections are always accepted.
@@ -196,7 +198,16 @@
         };
         let search = self.search(organisation);
         let own = search.map_or(0, |index| self.in_progress[index].1);
-        to_f64(self.total) < limit || to_f64(own) < self.max_min_share(limit).max(MIN_SHARE)
+        let share = || self.max_min_share(limit).max(self.min_share(limit));
+        to_f64(self.total) < limit || to_f64(own) < share()
+    }
+
+    /// Requests that every organisation may have in progress; fewer the more the limit is exceeded.
+    ///
+    /// Many organisations with so few requests each would otherwise overload the router together.
+    fn min_share(&self, limit: f64) -> f64 {
+        let excess = (to_f64(self.total) / limit - 1.0) / (MAX_EXCESS - 1.0);
+        MIN_SHARE * (1.0 - excess).clamp(0.0, 1.0)
     }
 
     /// Requests that an organisation may have in progress while the others leave so much of the limit.
--- a/crates/jaylock-tests/tests/router/overload.rs
+++ b/crates/jaylock-tests/tests/router/overload.rs
@@ -353,6 +353,20 @@
         }
     };
 
+    organisations_below_the_smallest_share_overload_a_router_together => {
+        let guard = OverloadGuard::new(EVENT_TIMEOUT);
+        let names = (0..40).map(|n| format!("o{n}").parse().expect("a name"));
+        let names: Vec<OrganisationId> = names.collect();
+        let (mut now, mut permits) = (Instant::now(), Vec::new());
+        for _ in 0..100 {
+            permits.extend(names.iter().filter_map(|name| guard.admit(name)));
+            now += FLOOD_START;
+            guard.record_delay(MAX_START_DELAY, now);
+        }
+        // Once each, while the limit is unknown, and up to twice the limit after that.
+        expect_that!(permits.len(), le(80));
+    };
+
     requests_are_late_without_the_guard => {
         let outcome = Play::new(false).run(300.0);
         expect_that!(p99(outcome.start_delays), gt(MAX_START_DELAY * 10));
