Divide the slots for a lost scheduler among instances that serve callers

Cause: while a pool has no scheduler, each attached router uses an equal part of the slots. Instances without a caller address attach too, as they forward the reports of backend servers, and got a part that no caller can use: 5 of 13 parts, 38 % of the pool, in a fleet of 8 routers and 5 control instances. Ruled out: named limits are divided among instances with a caller address already. Change: instances whose configuration names no caller address get no part. An instance that the configuration doesn't know yet still gets one, as a new router may attach before the scheduler's view names it. Test: share slots_without_a_scheduler_are_divided_among_instances_without_callers failed before: six parts of 2 slots in place of three of 4.

--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -51,6 +51,8 @@
     pub(crate) unresolved: Vec<(RouterKey, Ask)>,
     residual: Residual,
     pub(crate) prefill_rate: PrefillRate,
+    // Instances that serve no callers; sorted.
+    pub(crate) callerless: Vec<CompactString>,
     // Memory of each engine of the pool in tokens; 0 if unknown.
     pub(crate) memory_tokens: u64,
 }
@@ -64,6 +66,7 @@
             epoch,
             ready_at: now + settings.startup_delay,
             prefill_rate: PrefillRate::new(settings.initial_prefill_rate),
+            callerless: Vec::new(),
             memory_tokens: 0,
             settings,
             accounts: Accounts::default(),
@@ -85,7 +88,7 @@
         }
     }
 
-    /// Applies the weights, queue limits, drains and engine memory of a configuration.
+    /// Applies the weights, queue limits, instances, drains and engine memory of a configuration.
     pub fn configure(&mut self, configuration: &Configuration, now: Instant) {
         for organisation in &configuration.organisations {
             let key = self.accounts.intern(&organisation.id);
@@ -93,6 +96,10 @@
             account.weight = organisation.weight.max(1);
             account.queue_limit = organisation.queue_limit;
         }
+        let instances = configuration.instances.iter();
+        let callerless = instances.filter(|i| i.caller_address.is_empty());
+        self.callerless = callerless.map(|i| i.id.as_str().into()).collect();
+        self.callerless.sort_unstable();
         let service = configuration.services.iter().find(|s| self.pool == s.id);
         self.memory_tokens = service
             .and_then(|s| s.engine)
--- a/crates/jaylock-share/src/division.rs
+++ b/crates/jaylock-share/src/division.rs
@@ -42,12 +42,14 @@
 impl Allocator {
     /// Divides all slots over the attached routers, for local grants while no scheduler responds.
     ///
+    /// Instances without callers attach to forward reports and need no slots.
     /// Only routers whose share has changed get a message.
     pub(crate) fn divide(&mut self) {
         let attached = self
             .routers
             .iter()
-            .filter(|(_, router)| router.detached_at.is_none());
+            .filter(|(_, router)| router.detached_at.is_none())
+            .filter(|(_, router)| self.callerless.binary_search(&router.id).is_err());
         let division = Division {
             routers: attached.map(|(key, _)| key).collect(),
             backends: self.backends.usable_slots(),
--- a/crates/jaylock-tests/tests/share/backend.rs
+++ b/crates/jaylock-tests/tests/share/backend.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use jaylock_rpc::v1::end::Outcome;
-use jaylock_rpc::v1::{Ask, BackendReport, Configuration, Drain, Hello, Running};
+use jaylock_rpc::v1::{Ask, BackendReport, Configuration, Drain, Hello, Instance, Running};
 use jaylock_tests::cases;
 
 use crate::fixture::Fixture;
@@ -275,4 +275,27 @@
         fixture.report(BackendReport { age_ms: 700, ..engine_report("e1", 4) });
         assert_that!(fixture.ask_and_decide(ask("bench")), none());
     };
+
+    slots_without_a_scheduler_are_divided_among_instances_without_callers => {
+        let mut fixture = Fixture::new();
+        for instance in ["r2", "r3", "c1", "c2", "c3"] {
+            let hello = Hello { router: instance.into(), ..Hello::default() };
+            fixture.allocator.attach(&hello, fixture.now);
+        }
+        let instance = |id: &str| Instance {
+            id: id.into(),
+            caller_address: if id.starts_with('r') { "127.0.0.1:1".into() } else { String::new() },
+            ..Instance::default()
+        };
+        let instances = ["c1", "c2", "c3", "r1", "r2"].map(instance).to_vec();
+        let configuration = Configuration { instances, ..Configuration::default() };
+        fixture.allocator.configure(&configuration, fixture.now);
+        fixture.report(engine_report("e1", 12));
+        fixture.allocator.tick(fixture.now);
+        let frames = fixture.allocator.frames(fixture.now);
+        let shares = frames.into_iter().filter_map(|(_, frame)| frame.fallback);
+        let slots: Vec<u32> = shares.map(|share| share.backends.iter().map(|b| b.slots).sum()).collect();
+        // The third router is not known to the configuration yet.
+        assert_that!(slots, elements_are![eq(&4), eq(&4), eq(&4)]);
+    };
 }
