Charge prompts whose callers leave before the first event

Cause: the end of a run corrects its charge to the tokens that its router counted, and a router counts none before the first event. A prompt whose caller left while the engine prefilled it was therefore refunded whole. An organisation whose callers leave early stays the least served one for ever, so that each of its requests goes before all others: 295 grants to 3. Ruled out: refunds of requests that were refused by the engine or never sent stay, as nothing was prefilled; those of runs that broke off stay, as the engine failed. Change: a cancelled run is charged the part of its prompt that the engine has probably prefilled since the grant, after what was pending before it, at the pool's prefill rate. Test: prefill organisation_whose_callers_leave_before_the_first_event_takes_the_engine failed before with 295 grants for the organisation whose callers leave 60 ms after each grant and 3 for the other one; now 154 and 144.

--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -273,7 +273,7 @@
         let Some(mut run) = run else { return };
         self.record_outcome(&run, end, now);
         self.origins.record(run.stream, &run.software, now);
-        let cost = cost_of(end);
+        let cost = cost_of(end).max(self.abandoned_tokens(&run, end, now));
         if end.unreached {
             let router_count = self.routers.attached_count();
             let backend = self.backends.get_mut(run.backend_index);
@@ -294,6 +294,19 @@
         self.close_run(&mut run, cost, now);
     }
 
+    /// Tokens that an engine has probably prefilled for a caller who left before the first event.
+    ///
+    /// Otherwise an organisation whose callers leave would never be charged, and be served before all others.
+    fn abandoned_tokens(&self, run: &Run, end: &End, now: Instant) -> u64 {
+        let is_abandoned = end.outcome() == Outcome::Cancelled;
+        let load = run.load.as_ref().filter(|_| is_abandoned);
+        let time = now.saturating_duration_since(run.granted_at);
+        let done = self.prefill_rate.tokens_in(time);
+        load.map_or(0, |load| {
+            load.prefilled_tokens(run.tokens, done, run.prefill_ahead)
+        })
+    }
+
     /// Corrects the charge of an ended run to its actual cost and frees its slot.
     pub(crate) fn close_run(&mut self, run: &mut Run, cost: u64, now: Instant) {
         if cost >= run.charged_tokens {
--- a/crates/jaylock-share/src/engine.rs
+++ b/crates/jaylock-share/src/engine.rs
@@ -64,6 +64,14 @@
     pub fn is_prefill_pending(&self) -> bool {
         self.pending_prefill > 0
     }
+
+    /// Part of a prompt of `tokens` that was prefilled by the time that the engine had prefilled `done` tokens of
+    /// the `ahead` that were pending at the grant, including this prompt's.
+    pub fn prefilled_tokens(&self, tokens: u64, done: u64, ahead: u64) -> u64 {
+        let others = ahead.saturating_sub(self.pending_prefill);
+        let own = done.saturating_sub(others).min(self.pending_prefill);
+        tokens * own / self.pending_prefill.max(1)
+    }
 }
 
 impl EngineEstimate {
--- a/crates/jaylock-tests/tests/share/prefill.rs
+++ b/crates/jaylock-tests/tests/share/prefill.rs
@@ -251,6 +251,36 @@
     true
 }
 
+/// Grants for organisations "leaving", whose callers leave 60 ms after each grant, and "calm", both more than one engine's share.
+fn run_leaving_callers() -> [usize; 2] {
+    let mut fixture = Fixture::new();
+    let mut granted = [0; 2];
+    for step in 0..100 {
+        let organisations = ["leaving", "calm"].repeat(3).into_iter();
+        let prompts = organisations.zip(6 * step..).map(|(id, own)| Ask {
+            objective_ms: 0,
+            ..shared_prompt(id, 1, own)
+        });
+        fixture.report(engine_report("e0", 128));
+        fixture.ask(prompts);
+        for grant in fixture.decide_all().0 {
+            fixture.now += Duration::from_millis(60);
+            let is_calm = grant.ticket % 2 == 0;
+            granted[usize::from(is_calm)] += 1;
+            if is_calm {
+                fixture.report_progress(grant.ticket, 17_020);
+                fixture.end_with(crate::fleet::end(grant.ticket, 17_260));
+            } else {
+                fixture.end_with(End {
+                    outcome: end::Outcome::Cancelled.into(),
+                    ..crate::fleet::end(grant.ticket, 0)
+                });
+            }
+        }
+    }
+    granted
+}
+
 /// Simulates requests of eight organisations for prompts with `subjects` different shared parts.
 ///
 /// Measures after `warm_up` seconds, in which the engines prefill the shared parts for the first time.
@@ -419,6 +449,10 @@
             assert_that!(small * 2, ge(flood), "{crashes} crashes: flood {flood}, small {small}");
         }
     };
+    organisation_whose_callers_leave_before_the_first_event_takes_the_engine => {
+        let [leaving, calm] = run_leaving_callers();
+        assert_that!(calm * 2, ge(leaving), "leaving {leaving}, calm {calm}");
+    };
     engines_that_crash_cost_few_requests => {
         let outcome = run_flood_beside_crashes(2);
         let started: u64 = outcome.started.iter().map(|(_, tokens)| tokens).sum();
