--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -51,6 +51,8 @@
     pub(crate) unresolved: Vec<(RouterKey, Ask)>,
     residual: Residual,
     pub(crate) prefill_rate: PrefillRate,
+    // Instances that serve no callers; sorted.
+    pub(crate) callerless: Vec<CompactString>,
     // Memory of each engine of the pool in tokens; 0 if unknown.
     pub(crate) memory_tokens: u64,
 }
@@ -64,6 +66,7 @@
             epoch,
             ready_at: now + settings.startup_delay,
             prefill_rate: PrefillRate::new(settings.initial_prefill_rate),
+            callerless: Vec::new(),
             memory_tokens: 0,
             settings,
             accounts: Accounts::default(),
@@ -85,7 +88,7 @@
         }
     }
 
-    /// Applies the weights, queue limits, drains and engine memory of a configuration.
+    /// Applies the weights, queue limits, instances, drains and engine memory of a configuration.
     pub fn configure(&mut self, configuration: &Configuration, now: Instant) {
         for organisation in &configuration.organisations {
             let key = self.accounts.intern(&organisation.id);
@@ -93,6 +96,10 @@
             account.weight = organisation.weight.max(1);
             account.queue_limit = organisation.queue_limit;
         }
+        let instances = configuration.instances.iter();
+        let callerless = instances.filter(|i| i.caller_address.is_empty());
+        self.callerless = callerless.map(|i| i.id.as_str().into()).collect();
+        self.callerless.sort_unstable();
         let service = configuration.services.iter().find(|s| self.pool == s.id);
         self.memory_tokens = service
             .and_then(|s| s.engine)
@@ -269,7 +276,7 @@
         if end.tokens > 0 {
             self.origins.record(run.stream, &run.software, now);
         }
-        let cost = cost_of(end);
+        let cost = cost_of(end).max(self.abandoned_tokens(&run, end, now));
         if end.unreached {
             let router_count = self.routers.attached_count();
             let backend = self.backends.get_mut(run.backend_index);
@@ -290,6 +297,19 @@
         self.close_run(&mut run, cost, now);
     }
 
+    /// Tokens that an engine has probably prefilled for a caller who left before the first event.
+    ///
+    /// Otherwise an organisation whose callers leave would never be charged, and be served before all others.
+    fn abandoned_tokens(&self, run: &Run, end: &End, now: Instant) -> u64 {
+        let is_abandoned = end.outcome() == Outcome::Cancelled;
+        let load = run.load.as_ref().filter(|_| is_abandoned);
+        let time = now.saturating_duration_since(run.granted_at);
+        let done = self.prefill_rate.tokens_in(time);
+        load.map_or(0, |load| {
+            load.prefilled_tokens(run.tokens, done, run.prefill_ahead)
+        })
+    }
+
     /// Corrects the charge of an ended run to its actual cost and frees its slot.
     pub(crate) fn close_run(&mut self, run: &mut Run, cost: u64, now: Instant) {
         if cost >= run.charged_tokens {
--- a/crates/jaylock-tests/tests/router/fairness.rs
+++ b/crates/jaylock-tests/tests/router/fairness.rs
@@ -223,7 +223,7 @@
             ..report.connection
         };
         let (most_tries, delay) = match report.outcome {
-            Outcome::Forwarded => return,
+            Outcome::Accepted | Outcome::Forwarded => return,
             Outcome::Admitted => {
                 let organisation = &mut self.organisations[connection.organisation];
                 organisation.admitted_at.push(self.now - self.started);
--- a/crates/jaylock-tests/tests/router/overload.rs
+++ b/crates/jaylock-tests/tests/router/overload.rs
@@ -10,8 +10,8 @@
 use rand::rngs::SmallRng;
 
 use crate::router_model::{
-    Behaviour, CPU_SHARE, Connection, Costs, EVENT_TIMEOUT, EVENTS, MEASURE_INTERVAL,
-    Outcome as Answer, Report, Router, STEP, arrivals,
+    Behaviour, CONNECT_TIMEOUT, CPU_SHARE, Connection, Costs, EVENT_TIMEOUT, EVENTS,
+    MEASURE_INTERVAL, Outcome as Answer, Report, Router, STEP, arrivals,
 };
 
 /// Events of a long stream.
@@ -34,6 +34,8 @@
     refused: Vec<usize>,
     /// Times from the start at which requests were admitted.
     admitted_at: Vec<Duration>,
+    /// Times for which callers of calm organisations waited until their connections were accepted, or gave up.
+    accept_delays: Vec<Duration>,
     // Delays from arrival to admission, and of events.
     start_delays: Vec<Duration>,
     event_delays: Vec<Duration>,
@@ -41,6 +43,12 @@
 }
 
 impl Outcome {
+    fn record_accept(&mut self, organisation: usize, delay: Duration) {
+        if organisation < CALM_ORGANISATIONS {
+            self.accept_delays.push(delay);
+        }
+    }
+
     /// The fewest requests that were admitted in a `FAIRNESS_WINDOW` of the flood.
     fn fewest_admitted(&self) -> usize {
         let starts = (0..).map(|n| FLOOD_START + Duration::from_secs(n));
@@ -119,7 +127,9 @@
             }
             Answer::Refused => outcome.refused[organisation] += 1,
             Answer::Forwarded if is_calm => outcome.event_delays.push(report.delay),
-            Answer::Forwarded | Answer::Closed | Answer::Lost => {}
+            Answer::Accepted => outcome.record_accept(organisation, report.delay),
+            Answer::Lost => outcome.record_accept(organisation, CONNECT_TIMEOUT),
+            Answer::Forwarded | Answer::Closed => {}
         }
         outcome.most_in_progress = outcome.most_in_progress.max(self.router.in_progress());
     }
@@ -180,6 +190,27 @@
         }
     };
 
+    callers_of_calm_organisations_wait_for_an_accept_behind_a_flood => {
+        for flood in [300.0, 570.0, 1500.0, 3000.0] {
+            let outcome = Play::new(Behaviour::default()).run(flood);
+            expect_that!(p99(outcome.accept_delays), le(MAX_START_DELAY), "{flood} requests a second");
+        }
+    };
+
+    organisations_below_the_smallest_share_overload_a_router_together => {
+        let guard = OverloadGuard::new(EVENT_TIMEOUT);
+        let names = (0..40).map(|n| format!("o{n}").parse().expect("a name"));
+        let names: Vec<OrganisationId> = names.collect();
+        let (mut now, mut permits) = (Instant::now(), Vec::new());
+        for _ in 0..100 {
+            permits.extend(names.iter().filter_map(|name| guard.admit(name)));
+            now += FLOOD_START;
+            guard.record_delay(MAX_START_DELAY, now);
+        }
+        // Once each, while the limit is unknown, and up to twice the limit after that.
+        expect_that!(permits.len(), le(80));
+    };
+
     requests_are_late_without_the_guard => {
         let outcome = Play::new(Behaviour { is_guarded: false, ..Behaviour::default() }).run(300.0);
         expect_that!(p99(outcome.start_delays), gt(MAX_START_DELAY * 10));
--- a/crates/jaylock-tests/tests/router/router_model.rs
+++ b/crates/jaylock-tests/tests/router/router_model.rs
@@ -19,7 +19,7 @@
 /// Connections that wait to be accepted.
 const BACKLOG: usize = 512;
 /// Time after which a caller whose connection is not accepted leaves.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Step of the virtual clock.
 pub const STEP: Duration = Duration::from_millis(1);
 
@@ -37,6 +37,8 @@
 /// What happened to a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
+    /// It was accepted.
+    Accepted,
     /// Its request was admitted.
     Admitted,
     /// Its request was refused.
@@ -266,6 +268,8 @@
                 self.report(connection, Outcome::Closed, delay);
                 continue;
             }
+            let delay = self.now - connection.opened_at;
+            self.report(connection, Outcome::Accepted, delay);
             self.guard.record_connection();
             self.queue.push_back(Work {
                 cost: self.behaviour.costs.refusal,
