--- a/crates/jaylock-router/src/overload.rs
+++ b/crates/jaylock-router/src/overload.rs
@@ -55,8 +55,7 @@
 /// different times don't meet again.
 const RETRY_DELAYS: Range<Duration> = Duration::from_millis(100)..Duration::from_millis(500);
 /// Such delays while callers are sent to other routers, which balancers notice after one or two seconds.
-const WITHDRAWN_RETRY_DELAYS: Range<Duration> =
-    Duration::from_millis(1000)..Duration::from_millis(2500);
+const WITHDRAWN_RETRY_DELAYS: Range<Duration> = Duration::from_secs(1)..Duration::from_millis(2500);
 /// Time after an overload for which callers should choose other routers, so that requests in progress can end.
 const WITHDRAWAL_REST: Duration = Duration::from_secs(4);
 
--- a/crates/jaylock-tests/tests/control/withdrawals.rs
+++ b/crates/jaylock-tests/tests/control/withdrawals.rs
@@ -11,7 +11,7 @@
 const WITHDRAWAL_TIMEOUT: Duration = Duration::from_millis(2600);
 
 /// Longer than a test.
-const INSTANCE_LEASE: Duration = Duration::from_secs(600);
+const INSTANCE_LEASE: Duration = Duration::from_mins(10);
 
 /// A group of one replica and the routers of a fleet.
 struct Fleet {
--- a/crates/jaylock-tests/tests/following/stuck_watch.rs
+++ b/crates/jaylock-tests/tests/following/stuck_watch.rs
@@ -61,8 +61,8 @@
     async fn renew(&self, _: Request<RenewRequest>) -> RpcResult<RenewReply> {
         Ok(Response::new(RenewReply {
             lease_ms: 3000,
-            leader_address: None,
             index: self.newest().index,
+            ..RenewReply::default()
         }))
     }
 
--- a/crates/jaylock-tests/tests/router/overload.rs
+++ b/crates/jaylock-tests/tests/router/overload.rs
@@ -229,7 +229,7 @@
         guard.record_delay(Duration::from_millis(200), started);
         expect_that!(guard.wants_withdrawal(started), eq(true));
         expect_that!(guard.is_withdrawn(&lease), eq(false));
-        lease.allow_withdrawal(started + Duration::from_secs(60));
+        lease.allow_withdrawal(started + Duration::from_mins(1));
         expect_that!(guard.is_withdrawn(&lease), eq(true));
     };
 
