Unnamed streams go on at the only version that a pool's first scheduler ever saw

Cause: callers that take a stream up without naming its request got 503 unknown-stream for the first 4 s of a pool's first scheduler. Ruled out: load; the backend server's report, which had arrived. Change: the rule of named streams holds for unnamed ones, too, before the one about the last minute.

--- a/crates/jaylock-share/src/resumption.rs
+++ b/crates/jaylock-share/src/resumption.rs
@@ -42,10 +42,10 @@
         if now < self.ready_at + SETTLING_TIME {
             return Origin::Awaited;
         }
-        let software = if stream == StreamId::UNNAMED {
-            self.sole_recent_version(now)
-        } else {
-            self.sole_version().filter(|_| !ask.may_be_elsewhere)
+        let only = self.sole_version().filter(|_| !ask.may_be_elsewhere);
+        let software = match stream {
+            StreamId::UNNAMED => only.or_else(|| self.sole_recent_version(now)),
+            _ => only,
         };
         let Some(software) = software else {
             return Origin::Unknown;
