--- a/crates/jaylock-tests/tests/router/fairness.rs
+++ b/crates/jaylock-tests/tests/router/fairness.rs
@@ -15,7 +15,7 @@
 /// Events of a stream, and the time between two.
 const EVENTS: u32 = 30;
 const EVENT_INTERVAL: Duration = Duration::from_millis(80);
-/// With them, a router under 320 requests a second admits and refuses about as many as one in service did: 105 and 490 a second.
+/// With them, a router under 320 requests a second admits and refuses about as many as one in a play did: 113 and 486 a second.
 const COSTS: Costs = Costs {
     close: Duration::from_micros(40),
     refusal: Duration::from_micros(80),
