An instance without callers is not allowed to withdraw

Cause: the room for withdrawals was counted over the instances that serve callers, but the instance that asks was not among those that were checked. A scheduler or control replica without a caller address, whose event loop is late, was allowed, said "not ready", and was entered beside the routers.

Ruled out: that it took a place from a router, as only serving instances are counted as withdrawn.

Change: the instance that asks must itself serve callers. This also covers one that is leaving, whose callers are sent away anyway.

Test: instance_without_callers_withdraws_in_place_of_a_router failed on the unchanged logic (allowed: true).

--- a/crates/jaylock-control/src/withdrawals.rs
+++ b/crates/jaylock-control/src/withdrawals.rs
@@ -58,10 +58,10 @@
 
     /// Whether an instance may withdraw beside the others, and leaves one in its failure domain.
     fn has_room(&self, configuration: &Configuration, id: &str) -> bool {
-        let Some(own) = find_instance(configuration, id) else {
+        let serves = |i: &&Instance| !i.leaving && !i.caller_address.is_empty();
+        let Some(own) = find_instance(configuration, id).filter(serves) else {
             return false;
         };
-        let serves = |i: &&Instance| !i.leaving && !i.caller_address.is_empty();
         let serving = configuration.instances.iter().filter(serves);
         let (withdrawn, present): (Vec<&Instance>, Vec<&Instance>) = serving
             .filter(|i| i.id != id)
--- a/crates/jaylock-tests/tests/control/withdrawals.rs
+++ b/crates/jaylock-tests/tests/control/withdrawals.rs
@@ -85,6 +85,14 @@
         expect_that!(pair.count_allowed().await, eq(1));
     };
 
+    async instance_without_callers_withdraws_in_place_of_a_router => {
+        let mut fleet = Fleet::new(&[4, 4]).await;
+        let scheduler = Instance { id: "s".into(), caller_address: String::new(), ..router(0, 0) };
+        fleet.routers.push(scheduler);
+        expect_that!(fleet.asks(8, true).await, eq(false));
+        expect_that!(fleet.asks(0, true).await, eq(true));
+    };
+
     async router_that_is_no_longer_overloaded_keeps_others_from_withdrawing => {
         let fleet = Fleet::new(&[4, 4]).await;
         expect_that!(fleet.asks(0, true).await, eq(true));
