Tests of withdrawals wait until the new leader serves renewals

Ruled out: the timeout of the call, as the tests failed within 3 s in all; the logic of withdrawals, as they failed at different renewals, each the first after a start.

Change: the tests wait until the leader serves reads. What they expect is unchanged.

--- a/crates/jaylock-tests/tests/control/withdrawals.rs
+++ b/crates/jaylock-tests/tests/control/withdrawals.rs
@@ -1,11 +1,11 @@
 //! Overloaded routers that ask to send their callers to others.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use jaylock_rpc::v1::{Instance, RenewRequest};
 
-use crate::group::Group;
+use crate::group::{Group, TIMEOUT};
 
 /// Time after which a withdrawal that was not asked for again has ended.
 const WITHDRAWAL_TIMEOUT: Duration = Duration::from_millis(2600);
@@ -25,7 +25,7 @@
         let mut group = Group::absent(1, 1);
         group.settings.instance_lease = INSTANCE_LEASE;
         group.add(0).await;
-        group.leader().await;
+        wait_for_leader(&group).await;
         let mut routers = Vec::new();
         for (domain, count) in domains.iter().enumerate() {
             routers.extend((0..*count).map(|at| router(domain, at)));
@@ -58,6 +58,19 @@
     }
 }
 
+/// Waits until the leader has committed the first entry of its term, before which it refuses renewals.
+async fn wait_for_leader(group: &Group) {
+    let leader = group.leader().await;
+    let started = Instant::now();
+    while group.read_from(leader).await.is_none() {
+        assert!(
+            started.elapsed() < TIMEOUT,
+            "the leader serves no reads within {TIMEOUT:?}"
+        );
+        compio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 fn router(domain: usize, at: usize) -> Instance {
     Instance {
         id: format!("d{domain}-{at}"),
@@ -113,7 +126,7 @@
         expect_that!(fleet.asks(0, true).await, eq(true));
         fleet.group.machine(0).kill();
         fleet.group.start(0).await.expect("a replica");
-        fleet.group.leader().await;
+        wait_for_leader(&fleet.group).await;
         expect_that!(fleet.asks(0, true).await, eq(true));
         expect_that!(fleet.asks(4, true).await, eq(false));
     };
