The last live router of a failure domain is not allowed to withdraw beside killed ones

Cause: the leader counted every instance of the configuration as able to take callers over. An instance that was killed or cut off stays there until its lease ends, 3 s. In that time its callers overload the routers that are left in its failure domain; the last of them asked, and was allowed, as the killed one still counted as present.

Ruled out: the leases themselves; an earlier removal would move pools on each short pause.

Change: only instances whose last renewal is at most 1.5 s old (they renew once a second) count, for the number of places too. An instance that a new leader has no renewal of yet counts as live. Permissions that were given count until they end, whether or not their instance is silent or leaving.

Conclusion: a short time is left, as a kill is noticed after up to 1.5 s; a permission given in it isn't renewed.

--- a/crates/jaylock-control/src/leases.rs
+++ b/crates/jaylock-control/src/leases.rs
@@ -11,6 +11,10 @@
 use crate::state::find_instance;
 use crate::withdrawals::{WITHDRAWAL_TIME, Withdrawals};
 
+/// Time since its last renewal, which followers send once a second, for which an instance counts as able to serve the
+/// callers of one that withdraws.
+const MAX_RENEWAL_AGE: Duration = Duration::from_millis(1500);
+
 /// The leases of instances, which only the leader tracks, in memory.
 ///
 /// A new leader counts every known instance as renewed when its term begins, so that no instance is
@@ -92,7 +96,10 @@
             self.withdrawals.end(id);
             return Duration::ZERO;
         }
-        let is_allowed = self.withdrawals.allow(configuration, id, now);
+        let serves = |i: &&Instance| !i.leaving && !i.caller_address.is_empty();
+        let instances = configuration.instances.iter().filter(serves);
+        let serving: Vec<&Instance> = instances.filter(|i| !self.is_silent(&i.id, now)).collect();
+        let is_allowed = self.withdrawals.allow(&serving, id, now);
         if is_allowed {
             WITHDRAWAL_TIME
         } else {
@@ -100,6 +107,13 @@
         }
     }
 
+    /// Whether an instance is late with its renewal, so that it may have been killed or disconnected.
+    fn is_silent(&self, instance: &str, now: Instant) -> bool {
+        let renewal = self.position(instance).map(|index| &self.renewals[index]);
+        // A new leader has no renewals yet of instances that it knows.
+        renewal.is_ok_and(|r| now.saturating_duration_since(r.renewed_at) > MAX_RENEWAL_AGE)
+    }
+
     /// Removes instances that are not in the configuration, and counts those in the configuration
     /// without a renewal as renewed now.
     fn sync_with(&mut self, configuration: &Configuration, now: Instant) {
--- a/crates/jaylock-control/src/withdrawals.rs
+++ b/crates/jaylock-control/src/withdrawals.rs
@@ -1,9 +1,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use jaylock_rpc::v1::{Configuration, Instance};
-
-use crate::state::find_instance;
+use jaylock_rpc::v1::Instance;
 
 /// Time for which a withdrawal is allowed; an instance that is still overloaded asks again before it ends.
 pub const WITHDRAWAL_TIME: Duration = Duration::from_millis(2500);
@@ -32,10 +30,11 @@
         self.allowed.clear();
     }
 
-    /// Allows an instance to send its callers to others for [`WITHDRAWAL_TIME`], unless too many others do.
-    pub fn allow(&mut self, configuration: &Configuration, id: &str, now: Instant) -> bool {
+    /// Allows an instance to send its callers to others for [`WITHDRAWAL_TIME`], unless too many of those that serve
+    /// callers do.
+    pub fn allow(&mut self, serving: &[&Instance], id: &str, now: Instant) -> bool {
         self.allowed.retain(|w| w.until > now);
-        if !self.has_room(configuration, id) {
+        if !self.has_room(serving, id) {
             return false;
         }
         let withdrawal = Withdrawal {
@@ -57,17 +56,16 @@
     }
 
     /// Whether an instance may withdraw beside the others, and leaves one in its failure domain.
-    fn has_room(&self, configuration: &Configuration, id: &str) -> bool {
-        let serves = |i: &&Instance| !i.leaving && !i.caller_address.is_empty();
-        let Some(own) = find_instance(configuration, id).filter(serves) else {
+    fn has_room(&self, serving: &[&Instance], id: &str) -> bool {
+        let Some(own) = serving.iter().find(|i| i.id == id) else {
             return false;
         };
-        let serving = configuration.instances.iter().filter(serves);
-        let (withdrawn, present): (Vec<&Instance>, Vec<&Instance>) = serving
-            .filter(|i| i.id != id)
-            .partition(|i| self.position(&i.id).is_ok());
-        let max = (withdrawn.len() + present.len() + 1).div_ceil(MAX_WITHDRAWN_DIVISOR);
-        withdrawn.len() < max && present.iter().any(|i| i.domain == own.domain)
+        // One that is silent or leaving may still be withdrawn.
+        let withdrawn = self.allowed.iter().filter(|w| w.instance != id).count();
+        let is_present = |i: &&&Instance| i.id != id && self.position(&i.id).is_err();
+        let mut present = serving.iter().filter(is_present);
+        let max = serving.len().div_ceil(MAX_WITHDRAWN_DIVISOR);
+        withdrawn < max && present.any(|i| i.domain == own.domain)
     }
 
     fn position(&self, id: &str) -> Result<usize, usize> {
--- a/crates/jaylock-tests/tests/control/withdrawals.rs
+++ b/crates/jaylock-tests/tests/control/withdrawals.rs
@@ -10,6 +10,9 @@
 /// Time after which a withdrawal that was not asked for again has ended.
 const WITHDRAWAL_TIMEOUT: Duration = Duration::from_millis(2600);
 
+/// Time after which a router without a renewal may be lost.
+const SILENCE: Duration = Duration::from_millis(1600);
+
 /// Longer than a test.
 const INSTANCE_LEASE: Duration = Duration::from_mins(10);
 
@@ -98,6 +101,17 @@
         expect_that!(pair.count_allowed().await, eq(1));
     };
 
+    async last_router_of_a_failure_domain_withdraws_beside_one_that_was_killed => {
+        let fleet = Fleet::new(&[2, 16]).await;
+        compio::time::sleep(SILENCE).await;
+        for at in 2..fleet.routers.len() {
+            fleet.asks(at, false).await;
+        }
+        expect_that!(fleet.asks(0, true).await, eq(false));
+        fleet.asks(1, false).await;
+        expect_that!(fleet.asks(0, true).await, eq(true));
+    };
+
     async instance_without_callers_withdraws_in_place_of_a_router => {
         let mut fleet = Fleet::new(&[4, 4]).await;
         let scheduler = Instance { id: "s".into(), caller_address: String::new(), ..router(0, 0) };
@@ -118,6 +132,9 @@
         let fleet = Fleet::new(&[4, 4]).await;
         expect_that!(fleet.asks(0, true).await, eq(true));
         compio::time::sleep(WITHDRAWAL_TIMEOUT).await;
+        for at in 1..fleet.routers.len() {
+            fleet.asks(at, false).await;
+        }
         expect_that!(fleet.asks(4, true).await, eq(true));
     };
 
