A pause of a process that has little to do does not send its callers away

Cause: OverloadGuard asked to withdraw for as long as its limit was set and 4 s longer. One late step of the event loop sets the limit (a suspended process, a start that reads much, a busy machine), also with nothing in progress, as it is 24 at least; nobody is refused, but the router asked for some 5 s, and took a place of the eighth that may withdraw.

Change: it asks once the requests in progress have reached the limit, and then as before.

Conclusion: a pause with 24 requests or more in progress still asks.

--- a/crates/jaylock-router/src/overload.rs
+++ b/crates/jaylock-router/src/overload.rs
@@ -85,6 +85,8 @@
     adjusted_at: Option<Instant>,
     // Delay when the limit was last adjusted.
     adjusted_delay: f64,
+    // Whether the requests in progress have reached the limit since it was set.
+    was_at_limit: bool,
     // Until when callers should choose other routers.
     withdrawn_until: Option<Instant>,
     // Requests since the last line about the overload.
@@ -211,9 +213,7 @@
         if state.adjusted_at.is_none_or(is_due) {
             state.adjusted_at = Some(now);
             state.adjust(now);
-            if state.limit.is_some() {
-                state.withdrawn_until = Some(now + WITHDRAWAL_REST);
-            }
+            state.update_withdrawal(now);
             state.log_overload(now);
         }
     }
@@ -287,6 +287,19 @@
         self.limit = (grown < total.max(MIN_LIMIT) * END_FACTOR).then_some(grown);
     }
 
+    /// Asks for callers to choose other routers once the limit was reached, which it isn't after a pause of a process that
+    /// has little to do.
+    fn update_withdrawal(&mut self, now: Instant) {
+        let Some(limit) = self.limit else {
+            self.was_at_limit = false;
+            return;
+        };
+        self.was_at_limit |= to_f64(self.total) >= limit;
+        if self.was_at_limit || self.defers_connections() {
+            self.withdrawn_until = Some(now + WITHDRAWAL_REST);
+        }
+    }
+
     /// Logs the state of an overload once a `LOG_INTERVAL`, and its end.
     fn log_overload(&mut self, now: Instant) {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < LOG_INTERVAL;
