Tests: what a follower does with an overload and with the permission to withdraw

The path from FollowerHandle::set_overloaded over a renewal to InstanceLease::allows_withdrawal had no test; the tests of withdrawals call the leader, those of the guard set the permission by hand.

The loop of the daemon that calls set_overloaded is still untested.

--- a/crates/jaylock-tests/tests/following/main.rs
+++ b/crates/jaylock-tests/tests/following/main.rs
@@ -5,13 +5,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::net::TcpListener;
 use googletest::prelude::*;
 use jaylock_control::{
     ClientSettings, ConfigView, ControlClient, FileDisk, Follower, FollowerHandle,
-    FollowerSettings, Replica, ReplicaSettings,
+    FollowerSettings, InstanceLease, Replica, ReplicaSettings,
 };
 use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::peer_server::PeerServer;
@@ -32,6 +32,8 @@
 const SEED: u64 = 4;
 /// Number of names that random commands use for each kind of item.
 const NAMES_PER_KIND: u32 = 12;
+/// Time for which control allows a withdrawal that is not asked for again.
+const WITHDRAWAL_TIME: Duration = Duration::from_millis(2500);
 /// Maximum time for followers to catch up.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -86,6 +88,45 @@
         handle.set_leaving();
         wait_until(|| state() == Some(true)).await;
     };
+
+    async overloaded_instance_asks_to_withdraw_only_when_its_next_renewal_is_due => {
+        let group = Group::start().await;
+        let _other = group.follow("other");
+        let settings = FollowerSettings { renew_interval: TIMEOUT * 2, ..FollowerSettings::default() };
+        let (view, handle, lease) = group.follow_leased("overloaded", settings);
+        wait_until(|| view.current().instances.len() == 2).await;
+        expect_that!(lease.allows_withdrawal(), eq(false));
+        handle.set_overloaded(true);
+        wait_until(|| lease.allows_withdrawal()).await;
+    };
+
+    async withdrawal_ends_while_the_instance_is_overloaded => {
+        let group = Group::start().await;
+        let _other = group.follow("other");
+        let (view, handle, lease) = group.follow_leased("overloaded", FollowerSettings::default());
+        wait_until(|| view.current().instances.len() == 2).await;
+        handle.set_overloaded(true);
+        wait_until(|| lease.allows_withdrawal()).await;
+        let started = Instant::now();
+        while started.elapsed() < WITHDRAWAL_TIME * 2 {
+            assert!(lease.allows_withdrawal(), "ended after {:?}", started.elapsed());
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+        handle.set_overloaded(false);
+        wait_until(|| !lease.allows_withdrawal()).await;
+    };
+
+    async instance_without_control_stays_withdrawn => {
+        let group = Group::start().await;
+        let _other = group.follow("other");
+        let (view, handle, lease) = group.follow_leased("overloaded", FollowerSettings::default());
+        wait_until(|| view.current().instances.len() == 2).await;
+        handle.set_overloaded(true);
+        wait_until(|| lease.allows_withdrawal()).await;
+        group.replica.clone().close().await;
+        compio::time::sleep(WITHDRAWAL_TIME).await;
+        expect_that!(lease.allows_withdrawal(), eq(false));
+    };
 }
 
 /// Waits until a condition holds.
@@ -105,6 +146,7 @@
     exchanges: Arc<AtomicU32>,
     address: SocketAddr,
     client: ControlClient,
+    replica: Replica,
     _folder: tempfile::TempDir,
 }
 
@@ -144,11 +186,12 @@
             ..Default::default()
         };
         compio::runtime::spawn(serve(listener, routes, settings)).detach();
-        compio::runtime::spawn(replica.run()).detach();
+        compio::runtime::spawn(replica.clone().run()).detach();
         Self {
             exchanges,
             address,
             client: client(address),
+            replica,
             _folder: folder,
         }
     }
@@ -158,6 +201,15 @@
     }
 
     fn follow_with(&self, name: &str, settings: FollowerSettings) -> (ConfigView, FollowerHandle) {
+        let (view, handle, _) = self.follow_leased(name, settings);
+        (view, handle)
+    }
+
+    fn follow_leased(
+        &self,
+        name: &str,
+        settings: FollowerSettings,
+    ) -> (ConfigView, FollowerHandle, InstanceLease) {
         let view = ConfigView::default();
         let instance = Instance {
             id: name.into(),
@@ -168,9 +220,9 @@
             ..Default::default()
         };
         let follower = Follower::new(client(self.address), view.clone(), instance, settings);
-        let handle = follower.handle();
+        let (handle, lease) = (follower.handle(), follower.lease());
         compio::runtime::spawn(follower.run()).detach();
-        (view, handle)
+        (view, handle, lease)
     }
 
     async fn propose(&self, number: u32, body: Body) {
