Comments: when a router is ready, and what a new leader doesn't know of withdrawals

The readiness call's comment listed the conditions without the withdrawal; it now refers to Context::is_ready. The comment on Withdrawals says that a new leader starts without them. Comments only; both crates were checked, no test was run.

--- a/crates/jaylock-control/src/withdrawals.rs
+++ b/crates/jaylock-control/src/withdrawals.rs
@@ -8,7 +8,8 @@
 /// Part of the instances that serve callers which may be withdrawn at a time, rounded up.
 const MAX_WITHDRAWN_DIVISOR: usize = 8;
 
-/// The overloaded instances that send callers to others, which only the leader tracks, in memory.
+/// The overloaded instances that send callers to others, which only the leader tracks, in memory. A new leader starts
+/// without them, so that for [`WITHDRAWAL_TIME`] twice as many may be withdrawn.
 ///
 /// The load that this answers: many instances are overloaded at once. If all of them sent their callers elsewhere, none
 /// would be left to serve them.
--- a/crates/jaylock-router/src/api.rs
+++ b/crates/jaylock-router/src/api.rs
@@ -101,7 +101,7 @@
     path.starts_with("/v1/") || path.starts_with(SERVICES_PATH)
 }
 
-/// Responds whether this instance accepts callers: it has a configuration and a lease, and is not leaving.
+/// Responds whether this instance accepts callers, see [`Context::is_ready`].
 fn readiness(context: &Context, id: &RequestId) -> Result<Response<Body>, ErrorResponse> {
     if context.is_ready() {
         return Ok(json_response(id, StatusCode::OK, RunStatus::NotRun, "{}"));
