Test programs that run at the same time use loopback addresses of their own

Cause: free_address looks for a port that nothing listens at, but doesn't hold it. Two test programs that ran beside each other began at ports that depend on their process ids, and the second one could reach those of the first: a run of software_versions failed with "peer_address can't be bound: Address already in use". Ruled out: ports of one process, which are counted; the ephemeral range, which lies above. Change: the address has the process id in its second to fourth number, so that no two processes share one. No test of its own: the fault needs two processes.

--- a/crates/jaylock-tests/src/fleet/ports.rs
+++ b/crates/jaylock-tests/src/fleet/ports.rs
@@ -14,12 +14,11 @@
 /// When all ports are in use.
 #[must_use]
 pub fn free_address() -> SocketAddr {
-    // Test programs that run at the same time start at different ports.
-    let start = u16::try_from(std::process::id() * 97 % u32::from(PORT_COUNT)).unwrap_or_default();
+    let host = own_host();
     for _ in 0..PORT_COUNT {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (start.wrapping_add(step) % PORT_COUNT);
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let port = FIRST_PORT + step % PORT_COUNT;
+        let address = SocketAddr::from((host, port));
         if TcpListener::bind(address).is_ok() {
             return address;
         }
@@ -29,3 +28,9 @@
         FIRST_PORT + PORT_COUNT
     );
 }
+
+/// Loopback address of this process, as test programs that run at the same time would choose the same ports of one.
+fn own_host() -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, high.saturating_add(1), middle, low)
+}
