The test of an overloaded instance's first question waits until a new leader allows withdrawals

Since a leader allows no withdrawal in the first 2.5 s of its term; the instance of this test asks within them, and its next renewal is due after 40 s. Ruled out: a fault of the product: with its interval of 1 s an instance asks again a second later. Change: the test waits for 2.5 s before the instance is overloaded. What it expects is unchanged: the permission long before the next renewal is due.

--- a/crates/jaylock-tests/tests/following/main.rs
+++ b/crates/jaylock-tests/tests/following/main.rs
@@ -95,6 +95,8 @@
         let settings = FollowerSettings { renew_interval: TIMEOUT * 2, ..FollowerSettings::default() };
         let (view, handle, lease) = group.follow_leased("overloaded", settings);
         wait_until(|| view.current().instances.len() == 2).await;
+        // A new leader allows no withdrawal for so long.
+        compio::time::sleep(WITHDRAWAL_TIME).await;
         expect_that!(lease.allows_withdrawal(), eq(false));
         handle.set_overloaded(true);
         wait_until(|| lease.allows_withdrawal()).await;
