--- a/review/common/harness.rs
+++ b/review/common/harness.rs
@@ -92,6 +92,8 @@
     internal: u16,
     folder: PathBuf,
     template: String,
+    /// Whether no process may be started any more.
+    is_stopped: Mutex<bool>,
 }
 
 impl Cluster {
@@ -138,6 +140,7 @@
             internal: ports[4],
             folder,
             template,
+            is_stopped: Mutex::new(false),
         })
     }
 
@@ -158,6 +161,10 @@
 
     /// Starts the process of a machine with the settings that the template gives.
     pub fn start(&self, node: &Node, bootstrap: bool) {
+        let is_stopped = self.is_stopped.lock().unwrap();
+        if *is_stopped {
+            return;
+        }
         let settings = node.folder.join("node.ini");
         fs::write(&settings, self.settings(node, bootstrap)).expect("settings can be written");
         let log = File::options()
@@ -212,6 +219,7 @@
 
     /// Ends all processes that this deployment started.
     pub fn stop(&self) {
+        *self.is_stopped.lock().unwrap() = true;
         for node in &self.nodes {
             node.kill();
         }
