--- a/review/common/harness.rs
+++ b/review/common/harness.rs
@@ -21,8 +21,6 @@
 pub const CORE_MEMORY_MB: u64 = 256;
 /// `memory_mb` of a machine without one, as on the sheet.
 pub const EDGE_MEMORY_MB: u64 = 260;
-/// Time from the start of a replica until it serves; its service manager holds the listening socket meanwhile.
-const START_TIME_MS: u64 = 200;
 /// Time between two pings of a replica (`heartbeat_ms`).
 pub const HEARTBEAT: Duration = Duration::from_millis(1200);
 
@@ -508,34 +506,48 @@
             }),
             channels: Mutex::default(),
         });
-        let accepting = replica.clone();
+        replica.clone().accept(listener);
+        replica
+            .clone()
+            .send_pings(cluster.clone(), 1, Duration::ZERO);
+        replica
+    }
+
+    /// Accepts channels until the process ends.
+    fn accept(self: Arc<Self>, listener: TcpListener) {
+        let number = self.boot().number;
+        listener
+            .set_nonblocking(true)
+            .expect("a socket that doesn't block");
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let replica = accepting.clone();
+            while self.boot().number == number {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
                 if let Ok(channel) = stream.try_clone() {
-                    replica.channels.lock().unwrap().push(channel);
+                    self.channels.lock().unwrap().push(channel);
                 }
+                let replica = self.clone();
                 thread::spawn(move || {
                     let _ = replica.serve(stream);
                 });
             }
         });
-        replica
-            .clone()
-            .send_pings(cluster.clone(), 1, Duration::ZERO);
-        replica
     }
 
     pub fn boot(&self) -> Boot {
         self.boot.lock().unwrap().clone()
     }
 
-    /// Ends the process, which closes its channels, and starts it again under its id, with another version of its
-    /// software. Its listening socket stays open. The first ping is sent after `first_ping`.
+    /// Ends the process, which closes its channels and its listening socket, and starts it again after `down_time` under
+    /// its id, with another version of its software. The first ping is sent `first_ping` after the start.
     pub fn start_again(
         self: &Arc<Self>,
         cluster: &Arc<Cluster>,
         version: &str,
+        down_time: Duration,
         first_ping: Duration,
     ) {
         let number = {
@@ -543,16 +555,25 @@
             *boot = Boot {
                 number: boot.number + 1,
                 version: version.into(),
-                born: unix_ms(),
+                born: unix_ms() + down_time.as_millis() as u64,
             };
             boot.number
         };
         for channel in self.channels.lock().unwrap().drain(..) {
             let _ = channel.shutdown(std::net::Shutdown::Both);
         }
-        self.record
-            .line(&format!("{} started again with version {version}", self.id));
-        self.clone().send_pings(cluster.clone(), number, first_ping);
+        self.record.line(&format!("{} ends", self.id));
+        let (replica, cluster, version) = (self.clone(), cluster.clone(), version.to_owned());
+        thread::spawn(move || {
+            thread::sleep(down_time);
+            let listener = TcpListener::bind(replica.address).expect("the address is free again");
+            replica.clone().accept(listener);
+            replica.record.line(&format!(
+                "{} starts again with version {version}",
+                replica.id
+            ));
+            replica.send_pings(cluster, number, first_ping);
+        });
     }
 
     fn send_pings(self: Arc<Self>, cluster: Arc<Cluster>, number: u64, first_ping: Duration) {
@@ -603,8 +624,6 @@
 
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        let started = unix_ms().saturating_sub(self.boot().born);
-        thread::sleep(Duration::from_millis(START_TIME_MS.saturating_sub(started)));
         let mut reader = BufReader::with_capacity(1 << 16, stream.try_clone()?);
         while let Some(head) = Head::read(&mut reader)? {
             if head.first.starts_with("GET /health ") {
