--- a/crates/jaylock-control/src/client.rs
+++ b/crates/jaylock-control/src/client.rs
@@ -228,6 +228,11 @@
                 Err(status) if is_permanent(&status) => {
                     return Err(Error::Refused(status.message().into()));
                 }
+                Err(status) if status.code() == Code::ResourceExhausted => {
+                    reason = status.message().into();
+                    compio::time::sleep(shared.settings.busy_delay).await;
+                    continue;
+                }
                 Err(status) => reason = status.message().into(),
             }
             *shared.leader.borrow_mut() = None;
--- a/crates/jaylock-control/src/lib.rs
+++ b/crates/jaylock-control/src/lib.rs
@@ -21,7 +21,7 @@
 pub use self::error::{Error, Result};
 pub use self::follower::{Follower, FollowerHandle, InstanceLease};
 pub use self::gossip::PeerService;
-pub use self::replica::{Bootstrap, Environment, Replica};
+pub use self::replica::{Bootstrap, Environment, Replica, ReplicaMemory};
 pub use self::rescue::rescue;
 pub use self::service::{ControlService, ReplicaService};
 pub use self::settings::{ClientSettings, FollowerSettings, ReplicaSettings};
--- a/crates/jaylock-control/src/replica/core.rs
+++ b/crates/jaylock-control/src/replica/core.rs
@@ -11,7 +11,7 @@
 use super::log::Log;
 use super::progress::Progress;
 use crate::state::{State, put_member, remove_member};
-use crate::storage::HardState;
+use crate::storage::{EncodedEntry, HardState};
 
 /// In-memory state of a replica.
 pub struct Core {
@@ -166,13 +166,17 @@
     pub fn rebuild_members(&mut self) {
         self.members = self.state.configuration().members.clone();
         self.members_index = 0;
-        for entry in self.log.entries_after(self.state.index()) {
+        let later = self.log.entries_after(self.state.index());
+        let changes = later.filter(|e| e.changes_members());
+        for entry in changes.cloned().collect::<Vec<_>>() {
             self.apply_member_change(&entry);
         }
     }
 
-    pub fn push(&mut self, entry: Entry) {
-        self.apply_member_change(&entry);
+    pub fn push(&mut self, entry: EncodedEntry) {
+        if entry.changes_members() {
+            self.apply_member_change(&entry);
+        }
         self.log.push(entry);
     }
 
@@ -187,16 +191,15 @@
     /// Appends a command as a new entry of the current term and returns its index.
     pub fn append_command(&mut self, command: Command) -> u64 {
         let before = self.log.get(self.log.last_index());
-        let earliest = before.map_or(self.state.at_ms(), |e| e.at_ms);
+        let earliest = before.map_or(self.state.at_ms(), EncodedEntry::at_ms);
         let entry = Entry {
             index: self.log.last_index() + 1,
             term: self.term(),
             command: Some(command),
             at_ms: unix_ms().max(earliest),
         };
-        let index = entry.index;
-        self.push(entry);
-        index
+        self.push(EncodedEntry::encode(&entry));
+        entry.index
     }
 
     /// Applies the committed entries and returns whether the configuration changed.
@@ -207,8 +210,8 @@
                 break;
             };
             // `applied` of a retry has the index of the first try, so take the index of this entry.
-            let index = entry.index;
-            let applied = self.state.apply(entry);
+            let index = entry.index();
+            let applied = self.state.apply(&entry.decode());
             while self.pending.front().is_some_and(|p| p.index < index) {
                 self.pending.pop_front();
             }
@@ -268,13 +271,13 @@
         self.pending.clear();
     }
 
-    fn apply_member_change(&mut self, entry: &Entry) {
-        let body = entry.command.as_ref().and_then(|c| c.body.as_ref());
-        match body {
+    fn apply_member_change(&mut self, entry: &EncodedEntry) {
+        let command = entry.decode().command;
+        match command.as_ref().and_then(|c| c.body.as_ref()) {
             Some(Body::PutMember(member)) => put_member(&mut self.members, member),
             Some(Body::RemoveMember(instance)) => remove_member(&mut self.members, instance),
             _ => return,
         }
-        self.members_index = entry.index;
+        self.members_index = entry.index();
     }
 }
--- a/crates/jaylock-control/src/replica/handlers.rs
+++ b/crates/jaylock-control/src/replica/handlers.rs
@@ -14,7 +14,7 @@
 use super::join::FIRST_GENERATION;
 use super::log::Log;
 use crate::state::State;
-use crate::storage::{HardState, Snapshot};
+use crate::storage::{EncodedEntry, HardState, Snapshot};
 
 /// Runs a handler to completion even if its caller disconnects, so that no write stops half-way.
 pub async fn run_to_completion<T: 'static>(
@@ -177,13 +177,15 @@
 }
 
 async fn write_entries(shared: &Shared, entries: Vec<Entry>) -> Result<(), Status> {
-    let new_entries: Vec<Entry> = {
+    let new_entries: Vec<EncodedEntry> = {
         let core = shared.core.borrow();
         let is_known =
-            |e: &Entry| e.index <= core.log.base_index() || core.log.term(e.index) == Some(e.term);
-        entries.into_iter().skip_while(is_known).collect()
+            |e: &&Entry| e.index <= core.log.base_index() || core.log.term(e.index) == Some(e.term);
+        let new = entries.iter().skip_while(is_known);
+        new.map(EncodedEntry::encode).collect()
     };
-    let Some(first) = new_entries.first().map(|e| e.index) else {
+    drop(entries);
+    let Some(first) = new_entries.first().map(EncodedEntry::index) else {
         return Ok(());
     };
     if first <= shared.core.borrow().commit_index {
@@ -191,7 +193,7 @@
             "the leader would replace committed entries",
         ));
     }
-    if let Err(error) = shared.store.append(new_entries.clone()).await {
+    if let Err(error) = shared.store.append(&new_entries).await {
         shared.halt(&error);
         return Err(Status::unavailable(error.to_string()));
     }
@@ -270,7 +272,7 @@
     let (index, term) = (snapshot.index, snapshot.term);
     let write = async {
         shared.store.write_snapshot(&snapshot).await?;
-        shared.store.rewrite(Vec::new()).await
+        shared.store.rewrite(&[]).await
     };
     if let Err(error) = write.await {
         shared.halt(&error);
--- a/crates/jaylock-control/src/replica/log.rs
+++ b/crates/jaylock-control/src/replica/log.rs
@@ -1,47 +1,65 @@
 use std::collections::VecDeque;
 
-use jaylock_rpc::v1::Entry;
+use crate::storage::EncodedEntry;
 
 /// Maximum number of entries in one message.
 const MAX_BATCH_ENTRIES: usize = 512;
 
 /// Size of the entries after which no further entry is added to a message.
-const BATCH_TARGET_BYTES: usize = 1 << 20;
+const BATCH_TARGET_BYTES: u64 = 1 << 20;
 
 /// Log entries in memory, which follow a base entry that is part of a snapshot.
 #[derive(Debug, Default)]
 pub struct Log {
     base_index: u64,
     base_term: u64,
-    entries: VecDeque<Entry>,
+    /// Where the entries begin among all bytes ever counted.
+    base_offset: u64,
+    entries: VecDeque<LogEntry>,
     /// Index of the last entry synced to the disk.
     synced: u64,
 }
 
+/// An entry, and where it ends among all bytes ever counted.
+#[derive(Debug)]
+struct LogEntry {
+    entry: EncodedEntry,
+    end_offset: u64,
+}
+
+/// How much of the log is kept before its last applied entry, for replicas that are slightly behind.
+#[derive(Debug, Clone, Copy)]
+pub struct Retention {
+    /// Maximum number of entries.
+    pub entries: u64,
+    /// Maximum size of the entries in bytes.
+    pub bytes: u64,
+}
+
 impl Log {
     /// An empty log whose base is an entry that is already on the disk in a snapshot.
     pub fn starting_after(index: u64, term: u64) -> Self {
         Self {
             base_index: index,
             base_term: term,
-            entries: VecDeque::new(),
             synced: index,
+            ..Self::default()
         }
     }
 
     /// Builds a log from entries read from the disk, in the order in which they were written.
     ///
     /// Returns `None` when an entry is missing.
-    pub fn restore(index: u64, term: u64, entries: Vec<Entry>) -> Option<Self> {
+    pub fn restore(index: u64, term: u64, entries: Vec<EncodedEntry>) -> Option<Self> {
         let mut log = Self::starting_after(index, term);
         for entry in entries {
-            if entry.index <= log.base_index {
+            if entry.index() <= log.base_index {
                 continue;
             }
-            if entry.index > log.last_index() + 1 {
+            if entry.index() > log.last_index() + 1 {
                 return None;
             }
-            log.truncate(entry.index - 1);
+            log.truncate(entry.index() - 1);
             log.push(entry);
         }
         log.synced = log.last_index();
@@ -57,7 +75,9 @@
     }
 
     pub fn last_term(&self) -> u64 {
-        self.entries.back().map_or(self.base_term, |e| e.term)
+        self.entries
+            .back()
+            .map_or(self.base_term, |e| e.entry.term())
     }
 
     pub fn synced(&self) -> u64 {
@@ -73,54 +93,101 @@
         if index == self.base_index {
             return Some(self.base_term);
         }
-        self.get(index).map(|e| e.term)
+        self.get(index).map(EncodedEntry::term)
     }
 
-    pub fn get(&self, index: u64) -> Option<&Entry> {
+    pub fn get(&self, index: u64) -> Option<&EncodedEntry> {
         let offset = index.checked_sub(self.base_index + 1)?;
-        self.entries.get(usize::try_from(offset).ok()?)
+        let found = self.entries.get(usize::try_from(offset).ok()?)?;
+        Some(&found.entry)
+    }
+
+    /// Size of all entries in bytes.
+    pub fn bytes(&self) -> u64 {
+        self.end_offset(self.last_index()) - self.base_offset
     }
 
-    pub fn push(&mut self, entry: Entry) {
-        debug_assert_eq!(entry.index, self.last_index() + 1);
-        self.entries.push_back(entry);
+    /// Size of the entries up to an index in bytes.
+    pub fn bytes_until(&self, index: u64) -> u64 {
+        self.end_offset(index) - self.base_offset
+    }
+
+    /// Size of the entries after an index in bytes.
+    pub fn bytes_after(&self, index: u64) -> u64 {
+        self.end_offset(self.last_index()) - self.end_offset(index)
+    }
+
+    pub fn push(&mut self, entry: EncodedEntry) {
+        debug_assert_eq!(entry.index(), self.last_index() + 1);
+        let end_offset = self.end_offset(self.last_index()) + entry.bytes().len() as u64;
+        self.entries.push_back(LogEntry { entry, end_offset });
     }
 
     /// Removes the entries after `index`.
     pub fn truncate(&mut self, index: u64) {
-        let count = index.saturating_sub(self.base_index);
-        self.entries
-            .truncate(usize::try_from(count).unwrap_or(usize::MAX));
+        self.entries.truncate(self.position_after(index));
         self.synced = self.synced.min(self.last_index());
     }
 
     /// Removes the entries up to `index` and moves the base there.
     pub fn compact(&mut self, index: u64) {
         while self.base_index < index {
-            let Some(entry) = self.entries.pop_front() else {
+            let Some(removed) = self.entries.pop_front() else {
                 return;
             };
-            self.base_index = entry.index;
-            self.base_term = entry.term;
+            self.base_index = removed.entry.index();
+            self.base_term = removed.entry.term();
+            self.base_offset = removed.end_offset;
         }
     }
 
-    /// The entries after an index that fit in one message.
-    pub fn batch(&self, after: u64) -> Vec<Entry> {
-        let mut bytes = 0;
-        let skipped = usize::try_from(after.saturating_sub(self.base_index)).unwrap_or(usize::MAX);
-        let fits = |entry: &&Entry| {
-            let before = bytes;
-            bytes += prost::Message::encoded_len(*entry);
-            before < BATCH_TARGET_BYTES
+    /// The index up to which entries may be removed once those up to `applied` are in a snapshot.
+    pub fn compaction_index(&self, applied: u64, retention: Retention) -> u64 {
+        let end = self.end_offset(applied);
+        let is_removable = |e: &LogEntry| {
+            let index = e.entry.index();
+            let is_too_old = index + retention.entries <= applied;
+            index <= applied && (is_too_old || end - e.start_offset() > retention.bytes)
         };
-        let candidates = self.entries.iter().skip(skipped).take(MAX_BATCH_ENTRIES);
-        candidates.take_while(fits).cloned().collect()
+        self.base_index + self.entries.partition_point(is_removable) as u64
+    }
+
+    /// The entries after an index that fit in one message.
+    pub fn batch(&self, after: u64) -> Vec<EncodedEntry> {
+        let start = self.end_offset(after);
+        let fits = |e: &&LogEntry| e.start_offset() - start < BATCH_TARGET_BYTES;
+        let candidates = self.iter_after(after).take(MAX_BATCH_ENTRIES);
+        candidates
+            .take_while(fits)
+            .map(|e| e.entry.clone())
+            .collect()
     }
 
     /// All entries after an index.
-    pub fn entries_after(&self, after: u64) -> Vec<Entry> {
-        let skipped = usize::try_from(after.saturating_sub(self.base_index)).unwrap_or(usize::MAX);
-        self.entries.iter().skip(skipped).cloned().collect()
+    pub fn entries_after(&self, after: u64) -> impl Iterator<Item = &EncodedEntry> {
+        self.iter_after(after).map(|e| &e.entry)
+    }
+
+    fn iter_after(&self, after: u64) -> impl Iterator<Item = &LogEntry> {
+        self.entries.iter().skip(self.position_after(after))
+    }
+
+    /// Position of the first entry after an index.
+    fn position_after(&self, index: u64) -> usize {
+        let count = index.saturating_sub(self.base_index);
+        usize::try_from(count).unwrap_or(usize::MAX)
+    }
+
+    /// Where the entries up to an index end among all bytes ever counted.
+    fn end_offset(&self, index: u64) -> u64 {
+        let count = self.position_after(index).min(self.entries.len());
+        let last = count.checked_sub(1).map(|at| &self.entries[at]);
+        last.map_or(self.base_offset, |e| e.end_offset)
+    }
+}
+
+impl LogEntry {
+    fn start_offset(&self) -> u64 {
+        self.end_offset - self.entry.bytes().len() as u64
     }
 }
--- a/crates/jaylock-control/src/replica/mod.rs
+++ b/crates/jaylock-control/src/replica/mod.rs
@@ -11,6 +11,7 @@
 mod recovery;
 mod replication;
 mod shared;
+mod snapshot_transfer;
 mod transfer;
 mod writer;
 
@@ -46,6 +47,15 @@
     pub clock: Rc<dyn Clock>,
 }
 
+/// What a replica keeps in memory that grows with the size and rate of the changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReplicaMemory {
+    /// Size of the log entries in bytes.
+    pub log_bytes: u64,
+    /// Size of the changes kept for watchers in bytes of their encoding.
+    pub change_bytes: u64,
+}
+
 impl Replica {
     /// Loads the replica from its disk; other replicas are called by gRPC.
     ///
@@ -134,6 +144,16 @@
         self.shared.holds_lease()
     }
 
+    /// Bytes that the replica keeps of the log and for watchers.
+    #[must_use]
+    pub fn memory(&self) -> ReplicaMemory {
+        let core = self.shared.core.borrow();
+        ReplicaMemory {
+            log_bytes: core.log.bytes(),
+            change_bytes: core.state.change_bytes() as u64,
+        }
+    }
+
     /// Why the replica is halted: it was shut down or its disk failed.
     #[must_use]
     pub fn halt_reason(&self) -> Option<String> {
--- a/crates/jaylock-control/src/replica/replication.rs
+++ b/crates/jaylock-control/src/replica/replication.rs
@@ -1,17 +1,12 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use jaylock_rpc::v1::{AppendReply, AppendRequest, InstallRequest, Member};
-use prost::Message;
+use jaylock_rpc::v1::{AppendReply, AppendRequest, Member};
 
 use super::Shared;
 use super::progress::is_same_replica;
-
-/// Size of one chunk of a snapshot.
-const SNAPSHOT_CHUNK_BYTES: usize = 256 << 10;
-
-/// Reply timeouts allowed for one chunk of a snapshot.
-const CHUNK_TIMEOUT_FACTOR: u32 = 10;
+use super::snapshot_transfer::send_snapshot;
+use crate::storage::EncodedEntry;
 
 /// Replicates the log to one other replica for as long as this one leads.
 pub async fn replicate(shared: Rc<Shared>, member: Member) {
@@ -92,7 +87,12 @@
         prev_index,
         prev_term: core.log.term(prev_index)?,
         commit: core.commit_index,
-        entries: core.log.batch(prev_index),
+        entries: core
+            .log
+            .batch(prev_index)
+            .iter()
+            .map(EncodedEntry::decode)
+            .collect(),
         generation: member.generation,
         campaign: false,
     })
@@ -133,50 +133,6 @@
         progress.next_index <= base || (reply.synced == 0 && member.generation > 1);
 }
 
-async fn send_snapshot(shared: &Shared, member: &Member) -> bool {
-    let snapshot = shared.core.borrow().state.snapshot();
-    let bytes = snapshot.encode_to_vec();
-    let chunk_timeout = shared.settings.reply_timeout * CHUNK_TIMEOUT_FACTOR;
-    let mut offset = 0;
-    while offset < bytes.len() {
-        let end = bytes.len().min(offset + SNAPSHOT_CHUNK_BYTES);
-        let request = InstallRequest {
-            term: shared.core.borrow().term(),
-            leader: shared.identity.instance.clone(),
-            last_index: snapshot.index,
-            last_term: snapshot.term,
-            offset: offset as u64,
-            chunk: bytes[offset..end].to_vec(),
-            last: end == bytes.len(),
-            generation: member.generation,
-        };
-        let sent_at = shared.now();
-        let call = shared.transport.install(member, request);
-        let Ok(reply) = jaylock_rpc::with_timeout(chunk_timeout, call).await else {
-            return false;
-        };
-        shared.observe_term(reply.term);
-        let mut core = shared.core.borrow_mut();
-        let term = core.term();
-        let Some(progress) = core.leader_state_mut().and_then(|l| l.progress_mut(member)) else {
-            return false;
-        };
-        progress.generation = reply.generation;
-        if reply.generation != member.generation || reply.term != term {
-            return false;
-        }
-        progress.last_contact = progress.last_contact.max(Some(sent_at));
-        offset = end;
-    }
-    let mut core = shared.core.borrow_mut();
-    if let Some(progress) = core.leader_state_mut().and_then(|l| l.progress_mut(member)) {
-        progress.needs_snapshot = false;
-        progress.match_index = progress.match_index.max(snapshot.index);
-        progress.next_index = progress.match_index + 1;
-    }
-    true
-}
-
 /// Members other than this replica that have no replication task yet.
 pub fn new_peers(shared: &Shared, known: &[Member]) -> Vec<Member> {
     let core = shared.core.borrow();
--- a/crates/jaylock-control/src/replica/shared.rs
+++ b/crates/jaylock-control/src/replica/shared.rs
@@ -1,5 +1,5 @@
 use std::cell::RefCell;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 use compact_str::format_compact;
@@ -14,9 +14,10 @@
 use super::Environment;
 use super::core::{Core, Halt, Pending, Role};
 use super::log::Log;
+use super::snapshot_transfer::OutgoingSnapshot;
 use crate::leases::Leases;
 use crate::signal::Signal;
-use crate::state::State;
+use crate::state::{State, is_operator_change};
 use crate::storage::{DiskContents, HardState, Store};
 use crate::transport::Transport;
 use crate::{Error, ReplicaSettings, Result};
@@ -37,6 +38,8 @@
     /// Notified when the configuration changes or the replica stops following a leader.
     pub config_changed: Signal,
     pub leases: RefCell<Leases>,
+    /// The newest snapshot that is being sent to other replicas.
+    pub outgoing_snapshot: RefCell<Weak<OutgoingSnapshot>>,
 }
 
 /// Why a replica does not serve a request.
@@ -71,6 +74,7 @@
             activity: Signal::default(),
             config_changed: Signal::default(),
             leases: RefCell::default(),
+            outgoing_snapshot: RefCell::default(),
         })
     }
 
@@ -121,30 +125,41 @@
 
     /// Commits a command and returns its result.
     pub async fn submit(&self, command: Command) -> Result<Applied, RequestError> {
-        if !self.holds_lease() {
-            return Err(self.not_leader());
+        let waiting_bytes = {
+            let core = self.core.borrow();
+            core.log.bytes_after(core.commit_index)
+        };
+        if self.holds_lease() && waiting_bytes >= self.max_waiting_bytes(&command) {
+            return Err(too_many_commands());
         }
-        let receiver = self.enqueue(command)?;
-        self.activity.notify();
-        receiver.await.map_err(|_| self.not_leader())
+        self.submit_unbounded(command).await
     }
 
     /// Commits a command that the leader itself creates.
+    ///
+    /// It is not refused for the size of the entries that wait: they may do so for a command of the new leader's term.
     pub async fn submit_body(&self, body: Body) -> Result<Applied, RequestError> {
         let command = Command {
             id: uuid::Uuid::now_v7().simple().to_string(),
             expected_revision: None,
             body: Some(body),
         };
-        self.submit(command).await
+        self.submit_unbounded(command).await
+    }
+
+    async fn submit_unbounded(&self, command: Command) -> Result<Applied, RequestError> {
+        if !self.holds_lease() {
+            return Err(self.not_leader());
+        }
+        let receiver = self.enqueue(command)?;
+        self.activity.notify();
+        receiver.await.map_err(|_| self.not_leader())
     }
 
     fn enqueue(&self, command: Command) -> Result<oneshot::Receiver<Applied>, RequestError> {
         let mut core = self.core.borrow_mut();
         if core.pending.len() >= self.settings.max_pending_commands {
-            return Err(RequestError::Failed(Status::resource_exhausted(
-                "too many commands wait for the disks: ask again in a second",
-            )));
+            return Err(too_many_commands());
         }
         let index = core.append_command(command);
         let (sender, receiver) = oneshot::channel();
@@ -152,6 +167,13 @@
         Ok(receiver)
     }
 
+    /// Size in bytes of the uncommitted entries at which a command is refused.
+    fn max_waiting_bytes(&self, command: &Command) -> u64 {
+        let max = self.settings.max_pending_bytes;
+        let is_operators = command.body.as_ref().is_some_and(is_operator_change);
+        if is_operators { max / 2 } else { max }
+    }
+
     /// Error that names the current leader, or the reason why this replica is halted.
     pub fn not_leader(&self) -> RequestError {
         let core = self.core.borrow();
@@ -195,7 +217,7 @@
     pub async fn recover(&self) -> Result<()> {
         let _disk_guard = self.disk_lock.lock().await;
         let contents = self.store.load().await?;
-        self.store.rewrite(contents.entries.clone()).await?;
+        self.store.rewrite(&contents.entries).await?;
         if let Some(hard_state) = &contents.hard_state {
             self.store.write_hard_state(hard_state).await?;
         }
@@ -281,6 +303,12 @@
     }
 }
 
+fn too_many_commands() -> RequestError {
+    RequestError::Failed(Status::resource_exhausted(
+        "too many commands wait for the disks: ask again in a second",
+    ))
+}
+
 /// Builds the in-memory state from the contents of the disk.
 fn restore(identity: &Member, store: &Store, contents: DiskContents, now: Instant) -> Result<Core> {
     let state = State::restore(contents.snapshot.unwrap_or_default());
--- a/crates/jaylock-control/src/replica/transfer.rs
+++ b/crates/jaylock-control/src/replica/transfer.rs
@@ -1,6 +1,7 @@
 use jaylock_rpc::v1::{AppendRequest, Member};
 
 use super::Shared;
+use crate::storage::EncodedEntry;
 
 /// Steps down and asks the voter with the longest log to start an election.
 pub async fn transfer_leadership(shared: &Shared) {
@@ -30,7 +31,12 @@
         prev_index,
         prev_term: core.log.term(prev_index)?,
         commit: core.commit_index.min(prev_index),
-        entries: core.log.batch(prev_index),
+        entries: core
+            .log
+            .batch(prev_index)
+            .iter()
+            .map(EncodedEntry::decode)
+            .collect(),
         generation: best.member.generation,
         campaign: true,
     };
--- a/crates/jaylock-control/src/replica/writer.rs
+++ b/crates/jaylock-control/src/replica/writer.rs
@@ -1,6 +1,8 @@
 use std::rc::Rc;
 
 use super::Shared;
+use super::log::Retention;
+use crate::storage::EncodedEntry;
 use crate::{Error, Result};
 
 /// Syncs the new entries of a leader in batches, and writes snapshots.
@@ -41,10 +43,10 @@
         let core = shared.core.borrow();
         core.log.batch(core.log.synced())
     };
-    let Some(last) = entries.last().map(|e| e.index) else {
+    let Some(last) = entries.last().map(EncodedEntry::index) else {
         return Ok(());
     };
-    shared.store.append(entries).await?;
+    shared.store.append(&entries).await?;
     shared.core.borrow_mut().log.set_synced(last);
     shared.advance_commit();
     Ok(())
@@ -52,29 +54,50 @@
 
 fn wants_snapshot(shared: &Shared) -> bool {
     let core = shared.core.borrow();
-    let applied = core.state.index().saturating_sub(core.log.base_index());
-    applied >= shared.settings.snapshot_entries + shared.settings.retained_entries
+    let index = core.state.index();
+    let (entries, bytes) = (
+        index.saturating_sub(core.log.base_index()),
+        core.log.bytes_until(index),
+    );
+    let settings = &shared.settings;
+    entries >= settings.snapshot_entries + settings.retained_entries
+        || bytes >= settings.snapshot_bytes + settings.retained_bytes
 }
 
 /// Writes a snapshot and removes the entries before it, except for the newest ones.
 ///
 /// The caller holds `disk_lock`.
 async fn write_snapshot(shared: &Shared) -> Result<(), Error> {
-    let (snapshot, rest, compact_index) = {
+    let (snapshot, rest, compaction_index) = {
         let core = shared.core.borrow();
         let index = core.state.index();
-        let compact_index = index.saturating_sub(shared.settings.retained_entries);
-        let mut rest = core.log.entries_after(index);
         // Entries that are not synced yet are written by `sync_entries`.
-        rest.retain(|e| e.index <= core.log.synced());
-        (core.state.snapshot(), rest, compact_index)
+        let synced = core.log.synced();
+        let rest = core.log.entries_after(index);
+        let rest: Vec<EncodedEntry> = rest.take_while(|e| e.index() <= synced).cloned().collect();
+        let compaction_index = core.log.compaction_index(index, retention(shared));
+        (core.state.snapshot(), rest, compaction_index)
     };
-    log::info!(target: "control", "writing a snapshot at index {}", snapshot.index);
+    let index = snapshot.index;
     shared.store.write_snapshot(&snapshot).await?;
-    shared.store.rewrite(rest).await?;
+    shared.store.rewrite(&rest).await?;
     let mut core = shared.core.borrow_mut();
-    let synced = core.log.synced().max(snapshot.index);
+    let synced = core.log.synced().max(index);
     core.log.set_synced(synced);
-    core.log.compact(compact_index);
+    let before = core.log.bytes();
+    core.log.compact(compaction_index);
+    let after = core.log.bytes();
+    log::info!(
+        target: "control",
+        index, log_bytes_before = before, log_bytes = after, change_bytes = core.state.change_bytes();
+        "wrote a snapshot"
+    );
     Ok(())
 }
+
+fn retention(shared: &Shared) -> Retention {
+    Retention {
+        entries: shared.settings.retained_entries,
+        bytes: shared.settings.retained_bytes,
+    }
+}
--- a/crates/jaylock-control/src/rescue.rs
+++ b/crates/jaylock-control/src/rescue.rs
@@ -34,7 +34,7 @@
     let log = Log::restore(state.index(), state.term(), contents.entries)
         .ok_or_else(|| store.missing_entries_error())?;
     for entry in log.entries_after(state.index()) {
-        state.apply(&entry);
+        state.apply(&entry.decode());
     }
     let mut snapshot = state.snapshot();
     snapshot.index += INDEX_OFFSET;
@@ -47,7 +47,7 @@
         }];
     }
     store.write_snapshot(&snapshot).await?;
-    store.rewrite(Vec::new()).await?;
+    store.rewrite(&[]).await?;
     let hard_state = HardState {
         term: hard_state.term + 1,
         voted_for: String::new(),
--- a/crates/jaylock-control/src/service.rs
+++ b/crates/jaylock-control/src/service.rs
@@ -12,15 +12,20 @@
     WatchRequest,
 };
 use jaylock_rpc::{local_future, local_value};
+use prost::Message;
 use send_wrapper::SendWrapper;
 use tonic::{Request, Response, Status};
 
 use crate::leases;
 use crate::replica::{RequestError, Shared, handlers};
+use crate::transport::MAX_MESSAGE_BYTES;
 
 /// Maximum length of a command id.
 const MAX_ID_BYTES: usize = 64;
 
+/// Maximum size of a command; a batch that ends with such an entry fits in one message to a replica.
+const MAX_COMMAND_BYTES: usize = MAX_MESSAGE_BYTES / 2;
+
 /// Result of a gRPC call.
 type RpcResult<T> = Result<Response<T>, Status>;
 
@@ -246,5 +251,11 @@
             "only the leader itself makes this change",
         ));
     }
+    let bytes = command.encoded_len();
+    if bytes > MAX_COMMAND_BYTES {
+        return Err(Status::invalid_argument(format!(
+            "the command has {bytes} bytes, and {MAX_COMMAND_BYTES} are allowed: send less at once"
+        )));
+    }
     Ok(())
 }
--- a/crates/jaylock-control/src/settings.rs
+++ b/crates/jaylock-control/src/settings.rs
@@ -31,8 +31,16 @@
     pub snapshot_entries: u64,
     /// Number of entries retained before a snapshot, for replicas that are slightly behind.
     pub retained_entries: u64,
+    /// Size of the entries in bytes after which a snapshot is written.
+    pub snapshot_bytes: u64,
+    /// Size of the entries in bytes that are retained before a snapshot.
+    pub retained_bytes: u64,
     /// Maximum number of commands that wait to be committed.
     pub max_pending_commands: usize,
+    /// Size in bytes of the commands that wait to be committed at which a further one is refused.
+    ///
+    /// Changes by operators are refused at half of it, so that the fleet's own commands go on.
+    pub max_pending_bytes: u64,
 }
 
 impl Default for ReplicaSettings {
@@ -49,7 +57,10 @@
             instance_lease: Duration::from_secs(3),
             snapshot_entries: 4096,
             retained_entries: 1024,
+            snapshot_bytes: 8 << 20,
+            retained_bytes: 4 << 20,
             max_pending_commands: 4096,
+            max_pending_bytes: 4 << 20,
         }
     }
 }
@@ -63,6 +74,8 @@
     pub reply_timeout: Duration,
     /// Delay before a retry after calls to all replicas failed.
     pub retry_delay: Duration,
+    /// Delay before a retry after the leader had too many commands.
+    pub busy_delay: Duration,
 }
 
 impl Default for ClientSettings {
@@ -71,6 +84,7 @@
             timeout: Duration::from_secs(10),
             reply_timeout: Duration::from_secs(2),
             retry_delay: Duration::from_millis(50),
+            busy_delay: Duration::from_millis(200),
         }
     }
 }
--- a/crates/jaylock-control/src/state/mod.rs
+++ b/crates/jaylock-control/src/state/mod.rs
@@ -122,6 +122,11 @@
         self.recent_changes.after(index)
     }
 
+    /// Size of the changes kept for watchers, in bytes of their encoding.
+    pub fn change_bytes(&self) -> usize {
+        self.recent_changes.bytes()
+    }
+
     /// The newest `max` events, oldest first.
     pub fn events(&self, max: u32) -> Vec<Event> {
         self.events.newest(max)
--- a/crates/jaylock-control/src/state/recent.rs
+++ b/crates/jaylock-control/src/state/recent.rs
@@ -3,22 +3,37 @@
 use std::collections::VecDeque;
 
 use jaylock_rpc::v1::Change;
+use prost::Message;
 
 /// Maximum number of changes kept; a watcher that is further behind gets the whole configuration.
 const MAX_CHANGES: usize = 256;
 
+/// Maximum size of the changes kept, in bytes of their encoding.
+const MAX_BYTES: usize = 512 << 10;
+
 /// The newest changes without gaps: each applies to the result of the one before it.
 #[derive(Debug, Default)]
 pub struct RecentChanges {
     changes: VecDeque<Change>,
+    /// Size of the changes in their encoding.
+    bytes: usize,
 }
 
 impl RecentChanges {
     pub fn push(&mut self, change: Change) {
-        if self.changes.len() == MAX_CHANGES {
-            self.changes.pop_front();
-        }
+        self.bytes += change.encoded_len();
         self.changes.push_back(change);
+        while self.changes.len() > MAX_CHANGES || self.bytes > MAX_BYTES {
+            let Some(oldest) = self.changes.pop_front() else {
+                return;
+            };
+            self.bytes -= oldest.encoded_len();
+        }
+    }
+
+    /// Size of the changes in their encoding.
+    pub fn bytes(&self) -> usize {
+        self.bytes
     }
 
     /// All changes since the configuration with `index`, unless they are no longer kept.
--- a/crates/jaylock-control/src/storage/disk.rs
+++ b/crates/jaylock-control/src/storage/disk.rs
@@ -37,6 +37,17 @@
     /// Reads a whole file; `None` when there is none.
     fn read(&self, file: FileName) -> LocalBoxFuture<'_, io::Result<Option<Vec<u8>>>>;
 
+    /// Reads up to `max_bytes` of a file from an offset on; nothing at its end and when there is none.
+    fn read_at(
+        &self,
+        file: FileName,
+        offset: u64,
+        max_bytes: usize,
+    ) -> LocalBoxFuture<'_, io::Result<Vec<u8>>>;
+
+    /// Removes the bytes of a file from an offset on and syncs it.
+    fn truncate(&self, file: FileName, length: u64) -> LocalBoxFuture<'_, io::Result<()>>;
+
     /// Appends bytes to a file, which is created if missing, and syncs them.
     fn append(&self, file: FileName, bytes: Vec<u8>) -> LocalBoxFuture<'_, io::Result<()>>;
 
--- a/crates/jaylock-control/src/storage/files.rs
+++ b/crates/jaylock-control/src/storage/files.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use compio::fs::{File, OpenOptions};
-use compio::io::AsyncWriteAtExt;
+use compio::io::{AsyncReadAt, AsyncWriteAtExt};
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 
@@ -79,6 +79,33 @@
         Ok(LogTail { file, length })
     }
 
+    async fn read_bytes_at(
+        &self,
+        file: FileName,
+        offset: u64,
+        max_bytes: usize,
+    ) -> io::Result<Vec<u8>> {
+        let input = match File::open(self.path(file)).await {
+            Ok(input) => input,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(Vec::new()),
+            Err(error) => return Err(error),
+        };
+        let (outcome, bytes) = input
+            .read_at(Vec::with_capacity(max_bytes), offset)
+            .await
+            .into();
+        outcome.map(|_| bytes)
+    }
+
+    async fn truncate_file(&self, file: FileName, length: u64) -> io::Result<()> {
+        if file == FileName::Log {
+            self.log.take();
+        }
+        let output = OpenOptions::new().write(true).open(self.path(file)).await?;
+        output.set_len(length).await?;
+        output.sync_all().await
+    }
+
     async fn append_bytes(&self, file: FileName, bytes: Vec<u8>) -> io::Result<()> {
         let mut log_tail = self.log_tail(file).await?;
         // After a failed write the length is read again, as some of the bytes may have been written.
@@ -117,6 +144,19 @@
         .boxed_local()
     }
 
+    fn read_at(
+        &self,
+        file: FileName,
+        offset: u64,
+        max_bytes: usize,
+    ) -> LocalBoxFuture<'_, io::Result<Vec<u8>>> {
+        self.read_bytes_at(file, offset, max_bytes).boxed_local()
+    }
+
+    fn truncate(&self, file: FileName, length: u64) -> LocalBoxFuture<'_, io::Result<()>> {
+        self.truncate_file(file, length).boxed_local()
+    }
+
     fn append(&self, file: FileName, bytes: Vec<u8>) -> LocalBoxFuture<'_, io::Result<()>> {
         self.append_bytes(file, bytes).boxed_local()
     }
--- a/crates/jaylock-control/src/storage/records.rs
+++ b/crates/jaylock-control/src/storage/records.rs
@@ -1,11 +1,13 @@
-use jaylock_rpc::v1::{Applied, Configuration, Entry, Event};
+use bytes::Bytes;
+use jaylock_rpc::v1::{Applied, Configuration, Event};
 use prost::Message;
 
 /// Entries that were written and synced together.
 #[derive(Clone, PartialEq, Message)]
 pub struct EntryBatch {
-    #[prost(message, repeated, tag = "1")]
-    pub entries: Vec<Entry>,
+    /// Each entry in its encoding.
+    #[prost(bytes = "bytes", repeated, tag = "1")]
+    pub entries: Vec<Bytes>,
 }
 
 /// Generation, term and vote of a replica.
--- a/crates/jaylock-control/src/storage/store.rs
+++ b/crates/jaylock-control/src/storage/store.rs
@@ -1,12 +1,16 @@
 use std::io;
 use std::rc::Rc;
 
-use jaylock_rpc::v1::Entry;
 use prost::Message;
 
-use crate::storage::{Disk, EntryBatch, FileName, HardState, Snapshot, frame};
+use crate::storage::{Disk, EncodedEntry, EntryBatch, FileName, HardState, Snapshot, frame};
 use crate::{Error, Result};
 
+/// Size of the pieces in which the log is read.
+const PIECE_BYTES: usize = 1 << 20;
+/// Size of the entries after which no further entry is added to a frame.
+const FRAME_TARGET_BYTES: usize = 1 << 20;
+
 /// Reads and writes the records of a replica.
 #[derive(Clone)]
 pub struct Store {
@@ -21,7 +25,7 @@
     pub snapshot: Option<Snapshot>,
     /// Entries in the order in which they were written; an entry replaces all earlier ones from its
     /// index on.
-    pub entries: Vec<Entry>,
+    pub entries: Vec<EncodedEntry>,
 }
 
 impl Store {
@@ -50,16 +54,21 @@
     }
 
     /// Appends entries to the log.
-    pub async fn append(&self, entries: Vec<Entry>) -> Result<()> {
-        let bytes = frame::encode(&EntryBatch { entries }.encode_to_vec());
-        let outcome = self.disk.append(FileName::Log, bytes).await;
+    pub async fn append(&self, entries: &[EncodedEntry]) -> Result<()> {
+        let outcome = self
+            .disk
+            .append(FileName::Log, encode_entries(entries))
+            .await;
         outcome.map_err(|source| self.disk_error(FileName::Log, source))
     }
 
     /// Replaces the whole log.
-    pub async fn rewrite(&self, entries: Vec<Entry>) -> Result<()> {
-        self.write_record(FileName::Log, &EntryBatch { entries })
-            .await
+    pub async fn rewrite(&self, entries: &[EncodedEntry]) -> Result<()> {
+        let outcome = self
+            .disk
+            .replace(FileName::Log, encode_entries(entries))
+            .await;
+        outcome.map_err(|source| self.disk_error(FileName::Log, source))
     }
 
     /// Path of a file for messages.
@@ -72,44 +81,71 @@
         self.corrupt_error(FileName::Log, 0)
     }
 
-    async fn read_log(&self) -> Result<Vec<Entry>> {
-        let Some(bytes) = self.read(FileName::Log).await? else {
-            return Ok(Vec::new());
-        };
-        let frames =
-            frame::decode(&bytes).map_err(|offset| self.corrupt_error(FileName::Log, offset))?;
+    /// Reads the log in pieces, as a long one exceeds the memory that the file and its entries would take together.
+    async fn read_log(&self) -> Result<Vec<EncodedEntry>> {
         let mut entries = Vec::new();
-        for payload in frames.payloads {
-            let start = payload.start;
-            let batch = EntryBatch::decode(&bytes[payload])
-                .map_err(|_| self.corrupt_error(FileName::Log, start))?;
-            entries.extend(batch.entries);
+        let mut unread = Vec::new();
+        let (mut offset, mut valid_bytes) = (0, 0);
+        loop {
+            let piece = self.disk.read_at(FileName::Log, offset, PIECE_BYTES).await;
+            let piece = piece.map_err(|source| self.disk_error(FileName::Log, source))?;
+            if piece.is_empty() {
+                break;
+            }
+            offset += piece.len() as u64;
+            unread.extend_from_slice(&piece);
+            let taken = self.take_frames(&unread, valid_bytes, &mut entries)?;
+            unread.drain(..taken);
+            valid_bytes += taken;
+        }
+        if frame::has_later_frame(&unread) {
+            return Err(self.corrupt_error(FileName::Log, valid_bytes));
         }
-        if frames.valid_bytes < bytes.len() {
-            let torn = bytes.len() - frames.valid_bytes;
-            log::warn!(target: "control", "removed {torn} bytes of a torn write from {}", self.disk.file_path(FileName::Log));
-            let valid = bytes[..frames.valid_bytes].to_vec();
-            let outcome = self.disk.replace(FileName::Log, valid).await;
-            outcome.map_err(|source| self.disk_error(FileName::Log, source))?;
+        if !unread.is_empty() {
+            self.remove_torn_write(valid_bytes, unread.len()).await?;
         }
         Ok(entries)
     }
 
+    /// Decodes the complete frames at the start of `bytes`, which begin at `offset` in the log; returns their size.
+    fn take_frames(
+        &self,
+        bytes: &[u8],
+        offset: usize,
+        entries: &mut Vec<EncodedEntry>,
+    ) -> Result<usize> {
+        let mut taken = 0;
+        while let Some(payload) = frame::frame_at(bytes, taken) {
+            taken = payload.end;
+            let start = offset + payload.start;
+            let corrupt = |_| self.corrupt_error(FileName::Log, start);
+            let batch = EntryBatch::decode(&bytes[payload]).map_err(corrupt)?;
+            for encoding in batch.entries {
+                entries.push(EncodedEntry::from_bytes(encoding).map_err(corrupt)?);
+            }
+        }
+        Ok(taken)
+    }
+
+    async fn remove_torn_write(&self, valid_bytes: usize, torn_bytes: usize) -> Result<()> {
+        let file = self.file_path(FileName::Log);
+        log::warn!(target: "control", "removed {torn_bytes} bytes of a torn write from {file}");
+        let outcome = self.disk.truncate(FileName::Log, valid_bytes as u64).await;
+        outcome.map_err(|source| self.disk_error(FileName::Log, source))
+    }
+
     async fn read_record<M: Message + Default>(&self, file: FileName) -> Result<Option<M>> {
         let Some(bytes) = self.read(file).await? else {
             return Ok(None);
         };
-        let frames = frame::decode(&bytes).map_err(|offset| self.corrupt_error(file, offset))?;
-        let [payload] = frames.payloads.as_slice() else {
-            return Err(self.corrupt_error(file, frames.valid_bytes));
-        };
-        let record = M::decode(&bytes[payload.clone()]).map_err(|_| self.corrupt_error(file, 0))?;
+        let payload = frame::frame_at(&bytes, 0).filter(|payload| payload.end == bytes.len());
+        let payload = payload.ok_or_else(|| self.corrupt_error(file, 0))?;
+        let record = M::decode(&bytes[payload]).map_err(|_| self.corrupt_error(file, 0))?;
         Ok(Some(record))
     }
 
     async fn write_record(&self, file: FileName, record: &impl Message) -> Result<()> {
-        let bytes = frame::encode(&record.encode_to_vec());
-        let outcome = self.disk.replace(file, bytes).await;
+        let outcome = self.disk.replace(file, frame::encode(record)).await;
         outcome.map_err(|source| self.disk_error(file, source))
     }
 
@@ -128,3 +164,22 @@
         Error::Corrupt { file, offset }
     }
 }
+
+/// Encodes entries in frames of limited size, so that they can be read piece by piece.
+fn encode_entries(entries: &[EncodedEntry]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let mut batch = EntryBatch::default();
+    let mut batch_bytes = 0;
+    for entry in entries {
+        if batch_bytes >= FRAME_TARGET_BYTES {
+            bytes.extend_from_slice(&frame::encode(&std::mem::take(&mut batch)));
+            batch_bytes = 0;
+        }
+        batch_bytes += entry.bytes().len();
+        batch.entries.push(entry.bytes().clone());
+    }
+    if !batch.entries.is_empty() {
+        bytes.extend_from_slice(&frame::encode(&batch));
+    }
+    bytes
+}
--- a/crates/jaylock-daemon/src/api.rs
+++ b/crates/jaylock-daemon/src/api.rs
@@ -6,19 +6,23 @@
 use compact_str::{CompactString, ToCompactString, format_compact};
 use futures_util::future::LocalBoxFuture;
 use jaylock_control::{ConfigView, ControlClient, Error};
-use jaylock_router::{Lifecycle, Router, new_command, routers_for, select_routers};
+use jaylock_router::{BodyMemory, Lifecycle, Router, new_command, routers_for, select_routers};
 use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::backend_report::Kind;
 use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::{BackendReport, BackendVerdict, Document, DocumentReply, PromptPart};
 use jaylock_share::SchedulerClient;
-use jaylock_types::{BackendId, InvalidId, PoolId, boottime_now, unix_ms};
+use jaylock_types::{BackendId, ByteSize, InvalidId, PoolId, boottime_now, unix_ms};
 use thiserror::Error as ThisError;
 
 use crate::left_out::LeftOutLog;
 
 /// Longest wait for control to commit or confirm an operation.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Largest configuration document.
+pub const MAX_DOCUMENT: ByteSize = ByteSize(4 << 20);
+/// Memory of the documents that wait for control in one instance, which holds each several times meanwhile.
+pub(crate) const DOCUMENT_MEMORY: ByteSize = ByteSize(8 << 20);
 /// Longest wait for a scheduler's verdict on a backend server's report.
 const VERDICT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Most cached prompt parts of an engine that are reported.
@@ -45,6 +49,8 @@
     pub(crate) queried_engines: Rc<RefCell<Vec<(CompactString, u64)>>>,
     /// Log of entries that are left out.
     pub(crate) left_out: Rc<LeftOutLog>,
+    /// Memory of the documents that wait for control.
+    pub(crate) documents: BodyMemory,
 }
 
 /// Port to the lists of prompt parts that engines have cached.
@@ -86,6 +92,12 @@
         }
     }
 
+    /// Memory to reserve for a document before it is read, until control has answered.
+    #[must_use]
+    pub fn document_memory(&self) -> &BodyMemory {
+        &self.documents
+    }
+
     /// Replaces the configuration document unless the same or a higher version is active.
     ///
     /// # Errors
--- a/crates/jaylock-daemon/src/components.rs
+++ b/crates/jaylock-daemon/src/components.rs
@@ -3,19 +3,22 @@
 
 use compio::runtime::JoinHandle;
 use jaylock_control::{FollowerHandle, Replica};
-use jaylock_router::{Router, id_hash};
+use jaylock_observe::{MemoryUse, Observer};
+use jaylock_router::{BodyMemory, Router, id_hash};
 use jaylock_rpc::v1::operator_server::OperatorServer;
 use jaylock_rpc::v1::peer_server::PeerServer;
 use jaylock_rpc::{Access, Routes};
 use jaylock_settings::Settings;
 use jaylock_share::SchedulerClient;
 
-use crate::api::ControlApi;
+use crate::api::{ControlApi, DOCUMENT_MEMORY};
 use crate::context::InstanceContext;
 use crate::exposition::serve_metrics;
 
 /// Time between two reports of this instance's state to its follower.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two records of what memory is used for.
+const MEMORY_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The components of an instance, connected through their ports.
 pub struct Components {
@@ -28,6 +31,7 @@
     /// Router that serves callers and backend servers.
     pub router: Rc<Router>,
     schedulers: SchedulerClient,
+    documents: BodyMemory,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -73,6 +77,7 @@
             replica,
             router,
             schedulers,
+            documents: BodyMemory::with_share(DOCUMENT_MEMORY, DOCUMENT_MEMORY),
             tasks,
         };
         Ok((components, services))
@@ -93,6 +98,12 @@
         let follower = self.follower.clone();
         self.tasks
             .push(spawn(report_state(schedulers, router, follower)));
+        self.tasks.push(spawn(record_memory(
+            self.context.observer.clone(),
+            self.replica.clone(),
+            self.router.clone(),
+            self.documents.clone(),
+        )));
         Ok(())
     }
 
@@ -108,6 +119,7 @@
             inventory: None,
             queried_engines: Rc::default(),
             left_out: Rc::default(),
+            documents: self.documents.clone(),
         }
     }
 
@@ -147,6 +159,24 @@
     }
 }
 
+/// Records in the metrics what memory is used for.
+async fn record_memory(
+    observer: Observer,
+    replica: Option<Replica>,
+    router: Rc<Router>,
+    documents: BodyMemory,
+) {
+    loop {
+        if let Some(memory) = replica.as_ref().map(Replica::memory) {
+            observer.record_memory(MemoryUse::Log, memory.log_bytes);
+            observer.record_memory(MemoryUse::Changes, memory.change_bytes);
+        }
+        observer.record_memory(MemoryUse::Bodies, router.used_body_memory().0 as u64);
+        observer.record_memory(MemoryUse::Documents, documents.used().0 as u64);
+        compio::time::sleep(MEMORY_INTERVAL).await;
+    }
+}
+
 fn log_withdrawal(is_withdrawn: bool) {
     if is_withdrawn {
         log::warn!(target: "daemon", "not ready: the processor is overloaded, and callers are sent to other instances");
--- a/crates/jaylock-daemon/src/lib.rs
+++ b/crates/jaylock-daemon/src/lib.rs
@@ -17,7 +17,7 @@
 mod shutdown;
 mod signals;
 
-pub use self::api::{AddressList, ApiError, ControlApi, Inventory};
+pub use self::api::{AddressList, ApiError, ControlApi, Inventory, MAX_DOCUMENT};
 pub use self::arguments::settings_path;
 pub use self::instance::{Instance, Opened, Serving};
 pub use self::observability::log_settings;
--- a/crates/jaylock-observe/src/metrics.rs
+++ b/crates/jaylock-observe/src/metrics.rs
@@ -3,10 +3,11 @@
 
 use compact_str::CompactString;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use crate::memory_use::MemoryUse;
 use crate::objective::ObjectiveResult;
 use crate::process::{cpu_seconds, resident_bytes};
 use crate::{RequestKind, RequestRecord, RunStatus};
@@ -32,6 +33,7 @@
     wait: Histogram<f64>,
     head: Histogram<f64>,
     duration: Histogram<f64>,
+    memory: Gauge<u64>,
     /// Organisations with a separate series, sorted.
     organisations: RefCell<Vec<CompactString>>,
     max_organisations: usize,
@@ -74,6 +76,10 @@
                 "jaylock_request_duration_seconds",
                 "Time from arrival to end.",
             ),
+            memory: meter
+                .u64_gauge("jaylock_memory_bytes")
+                .with_description("Bytes kept, by what they are kept for.")
+                .build(),
             organisations: RefCell::default(),
             max_organisations,
             _provider: provider,
@@ -117,6 +123,12 @@
         self.objectives.add(1, &labels);
     }
 
+    /// Sets how many bytes are kept for a use.
+    pub fn record_memory(&self, used_for: MemoryUse, bytes: u64) {
+        let label = KeyValue::new("use", used_for.label());
+        self.memory.record(bytes, &[label]);
+    }
+
     /// All series in the text exposition format of Prometheus.
     pub fn exposition(&self) -> String {
         let text = TextEncoder::new().encode_to_string(&self.registry.gather());
--- a/crates/jaylock-observe/src/observer.rs
+++ b/crates/jaylock-observe/src/observer.rs
@@ -8,6 +8,7 @@
 use log::Level;
 
 use crate::clock::{Minute, WallClock};
+use crate::memory_use::MemoryUse;
 use crate::metrics::Metrics;
 use crate::minutes::MinuteStore;
 use crate::objective::{Objective, Objectives};
@@ -108,6 +109,11 @@
         self.shared.traces.borrow().steps(request)
     }
 
+    /// Sets in the metrics how many bytes are kept for a use.
+    pub fn record_memory(&self, used_for: MemoryUse, bytes: u64) {
+        self.shared.metrics.record_memory(used_for, bytes);
+    }
+
     /// All metrics in the text exposition format of Prometheus.
     #[must_use]
     pub fn exposition(&self) -> String {
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -46,7 +46,7 @@
 mod tracker;
 
 pub use self::address::{id_hash, routers_for, select_routers};
-pub use self::body::{Body, Interrupted, ReadError, read as read_body};
+pub use self::body::{Body, Interrupted, ReadError, read as read_body, read_request};
 pub use self::budget::{FleetBudget, RetryBudget};
 pub use self::chunk::{Chunk, ChunkCheck, ChunkValidator};
 pub use self::connection::{Connection, ConnectionPool};
--- a/crates/jaylock-router/src/memory.rs
+++ b/crates/jaylock-router/src/memory.rs
@@ -3,15 +3,17 @@
 
 use jaylock_types::{ByteSize, OrganisationId};
 
-/// Divisor of the memory that one organisation may use.
+/// Divisor of the memory that one organisation may use unless another share is set.
 const ORGANISATION_DIVISOR: usize = 4;
 
 /// Limits the memory for the bodies of requests in progress; clones share the limit.
 ///
-/// One organisation may use a quarter at most, so that its overload leaves memory for the others.
+/// One organisation may use a part at most, so that its overload leaves memory for the others.
 #[derive(Debug, Clone)]
 pub struct BodyMemory {
     max_bytes: usize,
+    /// What one organisation may use of it.
+    max_share: usize,
     /// Reserved bytes of each organisation, sorted by identifier.
     reserved: Rc<RefCell<Vec<(OrganisationId, usize)>>>,
 }
@@ -28,21 +30,33 @@
     /// Allows `max_size` over all organisations.
     #[must_use]
     pub fn new(max_size: ByteSize) -> Self {
-        let reserved = Rc::default();
+        Self::with_share(max_size, ByteSize(max_size.0 / ORGANISATION_DIVISOR))
+    }
+
+    /// Allows `max_size` over all organisations and `max_share` for each.
+    #[must_use]
+    pub fn with_share(max_size: ByteSize, max_share: ByteSize) -> Self {
         Self {
             max_bytes: max_size.0,
-            reserved,
+            max_share: max_share.0,
+            reserved: Rc::default(),
         }
     }
 
+    /// Memory that is reserved at the moment.
+    #[must_use]
+    pub fn used(&self) -> ByteSize {
+        ByteSize(self.reserved.borrow().iter().map(|r| r.1).sum())
+    }
+
     /// Reserves memory for a body; returns `None` when the organisation or the router is at the limit.
     #[must_use]
     pub fn reserve(&self, organisation: &OrganisationId, bytes: usize) -> Option<BodyReservation> {
+        let total = self.used().0;
         let mut reserved = self.reserved.borrow_mut();
-        let total: usize = reserved.iter().map(|r| r.1).sum();
         let search = reserved.binary_search_by(|r| r.0.cmp(organisation));
         let held = search.map_or(0, |index| reserved[index].1);
-        if total + bytes > self.max_bytes || held + bytes > self.max_bytes / ORGANISATION_DIVISOR {
+        if total + bytes > self.max_bytes || held + bytes > self.max_share {
             return None;
         }
         match search {
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -4,6 +4,7 @@
 use compio::net::TcpListener;
 use jaylock_control::{ConfigView, InstanceLease};
 use jaylock_observe::Observer;
+use jaylock_types::ByteSize;
 
 use crate::api::{self, ApiHandler};
 use crate::backends::Backends;
@@ -120,6 +121,12 @@
         self.context.is_withdrawn()
     }
 
+    /// Memory reserved for the bodies of requests and responses in progress.
+    #[must_use]
+    pub fn used_body_memory(&self) -> ByteSize {
+        self.context.memory.used()
+    }
+
     /// Progress of the graceful shutdown, for other listeners of the instance.
     #[must_use]
     pub fn lifecycle(&self) -> Rc<Lifecycle> {
--- a/crates/jaylock-tests/tests/control/commands.rs
+++ b/crates/jaylock-tests/tests/control/commands.rs
@@ -24,7 +24,7 @@
     }
 }
 
-fn command(body: Body) -> Command {
+pub fn command(body: Body) -> Command {
     Command {
         id: uuid::Uuid::now_v7().to_string(),
         expected_revision: None,
--- a/crates/jaylock-tests/tests/control/disk.rs
+++ b/crates/jaylock-tests/tests/control/disk.rs
@@ -17,6 +17,8 @@
     epoch: Cell<u64>,
     /// Whether writes fail for lack of space.
     pub is_full: Cell<bool>,
+    /// Size of the largest part of a file that was read at once.
+    pub largest_read: Cell<usize>,
     /// Additional duration of each write.
     pub write_delay_ms: Cell<u64>,
     /// Whether the machine is suspended, so that its writes and messages wait.
@@ -55,6 +57,17 @@
         self.files.borrow()[FileName::Vote as usize].is_some()
     }
 
+    /// Size of a file in bytes.
+    pub fn size(&self, file: FileName) -> usize {
+        self.files.borrow()[file as usize]
+            .as_ref()
+            .map_or(0, Vec::len)
+    }
+
+    fn record_read(&self, bytes: usize) {
+        self.largest_read.set(self.largest_read.get().max(bytes));
+    }
+
     /// Modifies a file directly.
     pub fn edit(&self, file: FileName, change: impl FnOnce(&mut Vec<u8>)) {
         let mut files = self.files.borrow_mut();
@@ -89,9 +102,38 @@
 impl Disk for DiskHandle {
     fn read(&self, file: FileName) -> LocalBoxFuture<'_, io::Result<Option<Vec<u8>>>> {
         let found = self.disk.files.borrow()[file as usize].clone();
+        self.disk.record_read(found.as_ref().map_or(0, Vec::len));
+        async move { Ok(found) }.boxed_local()
+    }
+
+    fn read_at(
+        &self,
+        file: FileName,
+        offset: u64,
+        max_bytes: usize,
+    ) -> LocalBoxFuture<'_, io::Result<Vec<u8>>> {
+        let files = self.disk.files.borrow();
+        let bytes = files[file as usize].as_deref().unwrap_or_default();
+        let start = usize::try_from(offset)
+            .unwrap_or(usize::MAX)
+            .min(bytes.len());
+        let end = bytes.len().min(start + max_bytes);
+        let found = bytes[start..end].to_vec();
+        self.disk.record_read(found.len());
         async move { Ok(found) }.boxed_local()
     }
 
+    fn truncate(&self, file: FileName, length: u64) -> LocalBoxFuture<'_, io::Result<()>> {
+        async move {
+            self.simulate_write(&[], file).await?;
+            self.disk.edit(file, |old| {
+                old.truncate(usize::try_from(length).unwrap_or(usize::MAX));
+            });
+            Ok(())
+        }
+        .boxed_local()
+    }
+
     fn append(&self, file: FileName, bytes: Vec<u8>) -> LocalBoxFuture<'_, io::Result<()>> {
         async move {
             self.simulate_write(&bytes, file).await?;
