A stream's first event may have the number 0

Cause: `last_event` was 0 for "no event yet", and an event whose number is at most `last_event` is dropped as one that came before. The same two meanings stood in the request (`Last-Event-Id: 0` made a new stream of one that a caller takes up), in what is sent to the next backend server (no `last-event-id` after event 0, so a second run from the start) and in the log of resumptions.

Ruled out: the parser (it hands event 0 over), and numbers that begin elsewhere or have gaps (a test of them passes on both codes).

Change: the number is optional everywhere. On related paths: a stream whose events have no numbers goes on at no other backend server once one was forwarded, as nothing tells which of them the caller has (it came twice before); a comment is no such event. A chat engine that numbers from 0 has its response refused with the reason, instead of its first piece dropped as a stray one.

Conclusion: a number that may be absent is an `Option` from the header to the log line.

--- a/crates/jaylock-router/src/chunk.rs
+++ b/crates/jaylock-router/src/chunk.rs
@@ -88,6 +88,9 @@
         let Some(number) = event.id else {
             return ChunkCheck::Invalid("a piece has no number");
         };
+        if number == 0 {
+            return ChunkCheck::Invalid("a piece has the number 0, but the first one has 1");
+        }
         if number <= self.last_chunk {
             return self.discard_stray("pieces came again and again");
         }
--- a/crates/jaylock-router/src/event.rs
+++ b/crates/jaylock-router/src/event.rs
@@ -11,6 +11,17 @@
     pub data: Bytes,
 }
 
+/// A server-sent event as it was sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RawEvent {
+    /// Number after which a stream can be resumed; unset if the event has none.
+    pub id: Option<u64>,
+    /// Whether the event has data, which a comment has not.
+    pub has_data: bool,
+    /// Text of the event with the blank line after it.
+    pub text: Bytes,
+}
+
 /// Splits a byte stream into server-sent events, for input in chunks of any size.
 #[derive(Debug, Default)]
 pub struct EventParser {
@@ -35,14 +46,15 @@
         }
     }
 
-    /// Returns the next complete event as it was sent, with the number if it has one.
-    pub fn next_raw_event(&mut self) -> Option<(Option<u64>, Bytes)> {
+    /// Returns the next complete event as it was sent.
+    pub fn next_raw_event(&mut self) -> Option<RawEvent> {
         let (offset, length) = self.find_block()?;
-        let block = self.buffer.split_to(offset + length).freeze();
-        let mut lines = block.split(|b| *b == b'\n');
-        let id = lines.find_map(|line| line.strip_prefix(b"id:"));
+        let text = self.buffer.split_to(offset + length).freeze();
+        let lines = || text.split(|b| *b == b'\n');
+        let id = lines().find_map(|line| line.strip_prefix(b"id:"));
         let id = id.and_then(|text| std::str::from_utf8(text).ok()?.trim().parse().ok());
-        Some((id, block))
+        let has_data = lines().any(|line| line.starts_with(b"data"));
+        Some(RawEvent { id, has_data, text })
     }
 
     /// Number of buffered bytes of an incomplete event.
--- a/crates/jaylock-router/src/route/admission.rs
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -75,7 +75,7 @@
         _reservation: reservation,
         _permit: permit,
         prompt: Prompt::parse(&head.headers, names),
-        last_event: last_event.unwrap_or(0),
+        last_event,
         resumed,
         head,
     })
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -42,6 +42,8 @@
     /// Addresses that earlier attempts were sent to.
     addresses: Vec<SocketAddr>,
     software: PinnedSoftware,
+    /// Whether no attempt may follow one that may have run, whatever the route allows.
+    is_final: bool,
 }
 
 impl Attempts {
@@ -70,6 +72,7 @@
             avoid: Vec::new(),
             addresses: Vec::new(),
             software: PinnedSoftware::default(),
+            is_final: false,
         }
     }
 
@@ -89,6 +92,11 @@
         self.software.pin(software);
     }
 
+    /// Makes the attempt in progress the last one that may run.
+    pub fn forbid_retries(&mut self) {
+        self.is_final = true;
+    }
+
     /// Waits for a slot until the deadline.
     ///
     /// `served` is the service in tokens that earlier attempts provided.
@@ -269,11 +277,12 @@
     /// Whether the request may be retried after an attempt that may have run.
     pub fn may_retry(&self) -> bool {
         let route = &self.request.route;
-        match route.kind() {
+        let allows_retries = match route.kind() {
             Kind::Repeatable => true,
             Kind::Stream => route.resumable,
             Kind::Once => false,
-        }
+        };
+        allows_retries && !self.is_final
     }
 
     /// Error for a request whose deadline has passed.
--- a/crates/jaylock-router/src/route/buffered.rs
+++ b/crates/jaylock-router/src/route/buffered.rs
@@ -80,7 +80,7 @@
         address,
         slot,
         is_tried: attempts.has_tried(address),
-        last_event: 0,
+        last_event: None,
     };
     let sent = Instant::now();
     let (connection, response) = send(context, request, &to, attempts.head_timeout()).await?;
--- a/crates/jaylock-router/src/route/event_source.rs
+++ b/crates/jaylock-router/src/route/event_source.rs
@@ -28,6 +28,8 @@
     pub text: Bytes,
     /// Number of events.
     pub count: u64,
+    /// Whether each event with data has a number, after which another run of the request can go on.
+    pub is_numbered: bool,
 }
 
 impl<B> EventSource<B>
@@ -46,9 +48,14 @@
 
     /// Waits for at least one event after `last_event`, which is updated; `None` at the end of the stream.
     ///
+    /// Without a last event, any number begins the stream, also 0.
+    ///
     /// # Errors
     /// The body broke off or ended within an event, or an event is too long.
-    pub async fn next(&mut self, last_event: &mut u64) -> Result<Option<Events>, AttemptError> {
+    pub async fn next(
+        &mut self,
+        last_event: &mut Option<u64>,
+    ) -> Result<Option<Events>, AttemptError> {
         loop {
             let ready = self.take_ready(last_event);
             if ready.count > 0 {
@@ -105,20 +112,24 @@
     }
 
     /// Takes the complete events after `last_event`, discarding repeated ones.
-    fn take_ready(&mut self, last_event: &mut u64) -> Events {
+    fn take_ready(&mut self, last_event: &mut Option<u64>) -> Events {
         let mut text = BytesMut::new();
         let mut count = 0;
-        while let Some((id, event)) = self.parser.next_raw_event() {
-            if id.is_some_and(|id| id <= *last_event) {
+        let mut is_numbered = true;
+        while let Some(event) = self.parser.next_raw_event() {
+            let is_repeated = event.id.is_some() && event.id <= *last_event;
+            if is_repeated {
                 continue;
             }
-            *last_event = id.unwrap_or(*last_event);
-            text.extend_from_slice(&event);
+            *last_event = event.id.or(*last_event);
+            is_numbered &= event.id.is_some() || !event.has_data;
+            text.extend_from_slice(&event.text);
             count += 1;
         }
         Events {
             text: text.freeze(),
             count,
+            is_numbered,
         }
     }
 }
--- a/crates/jaylock-router/src/route/request.rs
+++ b/crates/jaylock-router/src/route/request.rs
@@ -51,8 +51,8 @@
     pub _permit: RequestPermit,
     /// Description of the prompt, if the caller sent one.
     pub prompt: Option<Prompt>,
-    /// Number of the last event that the caller received before.
-    pub last_event: u64,
+    /// Number of the last event that the caller received before; unset if it has none.
+    pub last_event: Option<u64>,
     /// Identifier of the request that brought the first event of a stream that this request resumes.
     pub resumed: Option<RequestId>,
 }
@@ -125,7 +125,7 @@
 
     /// The stream that this request takes up, if its caller received a part of it before.
     fn begun_stream(&self) -> Option<StreamId> {
-        let is_resumed = self.last_event > 0 || self.resumed.is_some();
+        let is_resumed = self.last_event.is_some() || self.resumed.is_some();
         if self.route.kind() != Kind::Stream || !is_resumed {
             return None;
         }
--- a/crates/jaylock-router/src/route/send.rs
+++ b/crates/jaylock-router/src/route/send.rs
@@ -33,8 +33,8 @@
     pub slot: &'a Slot,
     /// Whether the request was sent to this address before.
     pub is_tried: bool,
-    /// Number of the last event that was forwarded, for a resumed stream.
-    pub last_event: u64,
+    /// Number of the last event that the caller has; unset for a new stream.
+    pub last_event: Option<u64>,
 }
 
 /// Sends a request and waits for the head of its response, at most for `timeout`.
@@ -103,8 +103,8 @@
     if request.is_authenticated {
         set_header(headers, names.organisation, request.organisation.as_str());
     }
-    if to.last_event > 0 {
-        set_header(headers, "last-event-id", &to.last_event.to_string());
+    if let Some(last_event) = to.last_event {
+        set_header(headers, "last-event-id", &last_event.to_string());
     }
     if !request.body.is_empty() {
         headers.insert(
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -74,8 +74,8 @@
     /// Dropped first, so that the backend server is told before the request is recorded.
     active: Option<ActiveAttempt>,
     attempts: Attempts,
-    /// Number of the last forwarded event.
-    last_event: u64,
+    /// Number of the last event that the caller has, from this request or from before.
+    last_event: Option<u64>,
     /// Count of forwarded events.
     count: u64,
 }
@@ -181,8 +181,8 @@
             match send(context, request, &to, self.attempts.head_timeout()).await {
                 Ok((connection, response)) => {
                     self.attempts.tracker.record.head_time = Some(sent.elapsed());
-                    if self.last_event > 0 {
-                        self.log_resumption(&slot);
+                    if let Some(event) = self.last_event {
+                        self.log_resumption(event, &slot);
                     }
                     return Ok((connection, slot, response));
                 }
@@ -192,12 +192,12 @@
     }
 
     /// Logs where a stream goes on, so that its software versions can be compared.
-    fn log_resumption(&self, slot: &Slot) {
+    fn log_resumption(&self, event: u64, slot: &Slot) {
         let request = &self.attempts.request;
         let begun_by = request.resumed.as_ref().unwrap_or(&request.id);
         log::info!(
             target: "router",
-            request = request.id.as_str(), begun_by = begun_by.as_str(), event = self.last_event,
+            request = request.id.as_str(), begun_by = begun_by.as_str(), event,
             backend = slot.backend(), software = slot.software();
             "a stream goes on"
         );
@@ -243,6 +243,10 @@
         self.count += events.count;
         self.attempts.mark_ran();
         self.attempts.pin_software(active.slot.software());
+        if !events.is_numbered {
+            // Another run could not tell which of them the caller has.
+            self.attempts.forbid_retries();
+        }
         active
             .slot
             .record_tokens(self.attempts.request.service_tokens(self.count));
--- a/crates/jaylock-tests/tests/platform/streams.rs
+++ b/crates/jaylock-tests/tests/platform/streams.rs
@@ -109,4 +109,41 @@
         });
         assert_that!(fleet.caller().request("POST", "/stream/1").send().status(), eq(502));
     };
+    // Guards against a stream that looks complete without its first event, where the backend server counts from 0.
+    forwards_a_stream_whose_first_event_has_the_number_0 => {
+        let fleet = TestFleet::minimal();
+        let _backend = FakeBackend::start(&fleet, "b1", |r| r.events(0..=5, Reply::LAST_CHUNK));
+        let response = fleet.caller().request("POST", "/stream/1").send();
+        assert_that!((response.is_complete, response.body.as_str()), eq((true, events(0..=5).as_str())));
+    };
+    resumes_a_stream_that_broke_off_after_event_0 => {
+        let fleet = TestFleet::minimal();
+        let reply = |r: &ReceivedRequest| match r.header("last-event-id") {
+            "" => r.events(0..=0, Reply::BROKEN_EVENT),
+            "0" => r.events(1..=3, Reply::LAST_CHUNK),
+            _ => Reply::empty(),
+        };
+        let _both = ["b1", "b2"].map(|id| FakeBackend::start(&fleet, id, reply));
+        let response = fleet.caller().request("POST", "/draft/1").send();
+        assert_that!((response.is_complete, response.body.as_str()), eq((true, events(0..=3).as_str())));
+    };
+    resumes_a_stream_for_a_caller_that_has_event_0 => {
+        let fleet = TestFleet::minimal();
+        let backend = FakeBackend::start(&fleet, "b1", |r| r.events(0..=3, Reply::LAST_CHUNK));
+        let response = fleet.caller().request("POST", "/draft/1").with("Last-Event-Id", "0").send();
+        assert_that!((response.is_complete, response.body.as_str()), eq((true, events(1..=3).as_str())));
+        assert_that!(backend.received()[0].header("last-event-id"), eq("0"));
+    };
+    truncates_a_broken_stream_of_events_without_numbers => {
+        let fleet = TestFleet::minimal();
+        let reply = |r: &ReceivedRequest| Reply {
+            closes_connection: true,
+            ..r.sealed("200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nd\r\ndata: piece\n\n\r\n")
+        };
+        let both = ["b1", "b2"].map(|id| FakeBackend::start(&fleet, id, reply));
+        let response = fleet.caller().request("POST", "/draft/1").send();
+        assert_that!((response.status(), response.is_complete), eq((200, false)));
+        assert_that!(response.body, eq("data: piece\n\n"));
+        assert_that!(both.iter().map(|b| b.received().len()).sum::<usize>(), eq(1));
+    };
 }
