An empty list of organisations requires keys, unlike an absent one

Cause: a document without a list of organisations needs no keys, one with an empty list needs keys that nobody has; both decoded to the same empty list, and the router took an empty list for "no key is required".

Ruled out: the propagation of the change (the version was in force, and read back, when the requests ran).

`null` for the list stays invalid. It is unset in what an earlier release wrote; then keys are required where there are organisations, as before the update, so that an update opens or closes nothing. An emptied list that an earlier release accepted therefore stays open until the next document. On related paths: the removal of the last organisation by its own command leaves keys required; operators' own documents without organisations must say which they mean; `config show` tells it. An organisation whose last key is removed stays in the list and was no such case.

Conclusion: presence is part of what an operator says and has to be a field of its own.

--- a/crates/jaylock-control/src/state/changes.rs
+++ b/crates/jaylock-control/src/state/changes.rs
@@ -48,6 +48,8 @@
         Body::RemoveOrganisation(id) => {
             let found = sorted::remove(&mut next.organisations, id, |o| &o.id);
             ensure_found(found, "organisation", id)?;
+            // The removal of the last one must not open the routes to callers without a key.
+            next.key_required = Some(true);
         }
         Body::PutModel(model) => put_model(next, model)?,
         Body::RemoveModel(id) => {
--- a/crates/jaylock-control/src/state/document.rs
+++ b/crates/jaylock-control/src/state/document.rs
@@ -10,6 +10,15 @@
     document.version <= current.document_version
 }
 
+/// Whether callers of routes that are not public need a key.
+///
+/// A configuration of an earlier release doesn't say so; it needs one if there are organisations.
+#[must_use]
+pub fn is_key_required(configuration: &Configuration) -> bool {
+    let has_organisations = !configuration.organisations.is_empty();
+    configuration.key_required.unwrap_or(has_organisations)
+}
+
 /// Checks that a document can become active; the error says why not.
 pub fn validate(document: &Document) -> Result<(), String> {
     if document.version == 0 {
@@ -49,6 +58,7 @@
     next.routes.clone_from(&document.routes);
     next.routes.sort_by(|a, b| route_key(a).cmp(&route_key(b)));
     next.limits = document.limits;
+    next.key_required = document.key_required;
     next.document_version = document.version;
     Ok(())
 }
--- a/crates/jaylock-operator/src/bin/jaylock/config.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/config.rs
@@ -1,6 +1,7 @@
 use std::time::{Duration, Instant};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
+use jaylock_control::is_key_required;
 use jaylock_rpc::v1;
 
 use crate::error::{Error, Result};
@@ -71,7 +72,8 @@
 fn show(configuration: &v1::Configuration) -> Output {
     let head = Record::new()
         .with("revision", configuration.revision)
-        .with("index", configuration.index);
+        .with("index", configuration.index)
+        .with("key-required", is_key_required(configuration));
     Output::Parts(vec![
         ("configuration", Output::Record(head)),
         (
--- a/crates/jaylock-operator/src/command_check.rs
+++ b/crates/jaylock-operator/src/command_check.rs
@@ -1,5 +1,6 @@
 use jaylock_control::is_operator_change;
 use jaylock_rpc::v1;
+use jaylock_rpc::v1::command::Body;
 use thiserror::Error;
 
 /// Result of checking a command.
@@ -19,6 +20,11 @@
         "the command's id must have 1 to 64 bytes: choose a random one and keep it for resends"
     )]
     InvalidId,
+    /// A document without organisations does not say whether callers need a key.
+    #[error(
+        "the document names no organisations and does not say whether callers need a key: set key_required"
+    )]
+    AmbiguousKeys,
     /// Only the fleet itself may send the command.
     #[error(
         "only the fleet itself may send this command: use one that changes organisations, models, adapters, services, routes, documents or drains"
@@ -34,10 +40,16 @@
     }
     match &command.body {
         None => Err(Error::NoBody),
+        Some(Body::PutDocument(document)) if is_ambiguous(document) => Err(Error::AmbiguousKeys),
         Some(body) if is_operator_change(body) => Ok(command),
         Some(_) => Err(Error::NotPermitted),
     }
 }
 
+/// Whether "no key is needed" and "no key is valid" can't be told apart in a document.
+fn is_ambiguous(document: &v1::Document) -> bool {
+    document.organisations.is_empty() && document.key_required.is_none()
+}
+
 /// Maximum length of a command id.
 const MAX_ID_BYTES: usize = 64;
--- a/crates/jaylock-router/src/route/admission.rs
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -4,6 +4,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use hyper::body::Incoming;
+use jaylock_control::is_key_required;
 use jaylock_rpc::v1::{Configuration, Route};
 use jaylock_types::{ByteSize, KeyHash, OrganisationId, RequestId};
 
@@ -117,7 +118,7 @@
     headers: &HeaderMap,
     names: &RouteHeaders,
 ) -> Result<Option<OrganisationId>, ErrorResponse> {
-    if route.public || configuration.organisations.is_empty() {
+    if route.public || !is_key_required(configuration) {
         return Ok(None);
     }
     let value = single_value(headers, names.key)?.and_then(|v| v.to_str().ok());
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -11,6 +11,7 @@
 mod group;
 mod history;
 mod invariants;
+mod key_requirement;
 mod large_documents;
 mod nodes;
 mod replacements;
--- a/crates/jaylock-tests/tests/platform/documents.rs
+++ b/crates/jaylock-tests/tests/platform/documents.rs
@@ -82,6 +82,31 @@
         wait_until("the key is refused", || fleet.caller().with("Key", KEY).send().status() == 401);
         assert_that!(fleet.caller().with("Key", OTHER_KEY).send().status(), eq(200));
     };
+    // Guards against routes that are open to everybody once the last key was taken away.
+    refuses_every_key_under_an_empty_list_of_organisations => {
+        let fleet = TestFleet::minimal();
+        let _backend = FakeBackend::start(&fleet, "b1", |r| r.respond("200 OK", "done"));
+        assert_that!(fleet.caller().send().status(), eq(200));
+        let mut none = document(2);
+        none["tenants"] = json!([]);
+        fleet.configure(&none);
+        wait_until("the key is refused", || fleet.caller().send().status() == 401);
+        assert_that!(fleet.caller().with("Key", "key-of-nobody").send().status(), eq(401));
+        assert_that!(fleet.caller().without("Key").send().status(), eq(401));
+        assert_that!(read(&fleet, 0), some(eq(&none)));
+        let mut null = document(3);
+        null["tenants"] = Value::Null;
+        assert_that!(fleet.put_document(0, &null), eq(400));
+    };
+    requires_no_key_under_a_document_without_a_list_of_organisations => {
+        let fleet = TestFleet::minimal();
+        let _backend = FakeBackend::start(&fleet, "b1", |r| r.respond("200 OK", "done"));
+        let mut absent = document(2);
+        absent.as_object_mut().expect("an object").remove("tenants");
+        fleet.configure(&absent);
+        wait_until("no key is required", || fleet.caller().without("Key").send().status() == 200);
+        assert_that!(fleet.caller().send().status(), eq(200));
+    };
     sends_requests_of_a_split_route_to_both_services => {
         let fleet = TestFleet::minimal();
         let backend = FakeBackend::start(&fleet, "b1", |r| r.respond("200 OK", "done"));
--- a/crates/jaylock-tests/tests/product/service.rs
+++ b/crates/jaylock-tests/tests/product/service.rs
@@ -164,6 +164,15 @@
         assert_that!(send_command(&"c".repeat(65), body()).await, eq(Code::InvalidArgument));
         assert_that!(send_command("c1", None).await, eq(Code::InvalidArgument));
     };
+    async refuses_a_document_that_leaves_open_whether_keys_are_required => {
+        let document = |key_required| {
+            let document = v1::Document { version: 1, key_required, ..v1::Document::default() };
+            Some(Body::PutDocument(document))
+        };
+        assert_that!(send_command("c1", document(None)).await, eq(Code::InvalidArgument));
+        assert_that!(send_command("c2", document(Some(true))).await, eq(Code::Unavailable));
+        assert_that!(send_command("c3", document(Some(false))).await, eq(Code::Unavailable));
+    };
     async collects_burn_minutes_and_names_unresponsive_instances => {
         let mut client = start_fleet().await;
         let reply = client.report_burn(v1::BurnRequest::default()).await.expect("a report");
