Only events after the last one continue a stream that broke off

Cause: any success of the next backend server was taken for the stream's continuation, whatever its status and media type; any text up to a blank line was an event; and a body that ended before its first event made the stream complete.

Ruled out: statuses of 400 and above (with a length, in chunks, ended by the connection: the stream goes on elsewhere or is cut, on both codes), and text of the broken attempt left in the next one's reader (each attempt has its own).

Change: a stream goes on with a 200 that is an event stream or names no media type, also where a caller takes it up at another router. Text with no field of an event and no comment is invalid and ends the attempt, in each stream. Within one response, an attempt that brings no event with data does not complete the stream: nothing shows that it was at its end. A caller that takes up a stream at its end still gets the backend server's empty, whole response.

Conclusion: a stream is complete only where the run that brought its last event ended it.

--- a/crates/jaylock-router/src/event.rs
+++ b/crates/jaylock-router/src/event.rs
@@ -18,6 +18,8 @@
     pub id: Option<u64>,
     /// Whether the event has data, which a comment has not.
     pub has_data: bool,
+    /// Whether the text has a field of an event or is a comment; any other text, such as an error, is no event.
+    pub is_event: bool,
     /// Text of the event with the blank line after it.
     pub text: Bytes,
 }
@@ -53,8 +55,12 @@
         let lines = || text.split(|b| *b == b'\n');
         let id = lines().find_map(|line| line.strip_prefix(b"id:"));
         let id = id.and_then(|text| std::str::from_utf8(text).ok()?.trim().parse().ok());
-        let has_data = lines().any(|line| line.starts_with(b"data"));
-        Some(RawEvent { id, has_data, text })
+        Some(RawEvent {
+            id,
+            has_data: lines().any(|line| field_name(line) == b"data"),
+            is_event: lines().any(|line| EVENT_FIELDS.contains(&field_name(line))),
+            text,
+        })
     }
 
     /// Number of buffered bytes of an incomplete event.
@@ -82,6 +88,19 @@
     }
 }
 
+/// Names of the fields that an event has at least one of; the empty one begins a comment.
+const EVENT_FIELDS: [&[u8]; 5] = [b"id", b"data", b"event", b"retry", b""];
+
+/// Name of the field in a line; a blank line has none that an event may have.
+fn field_name(line: &[u8]) -> &[u8] {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    match line.iter().position(|b| *b == b':') {
+        Some(colon) => &line[..colon],
+        None if line.is_empty() => b"\n",
+        None => line,
+    }
+}
+
 fn find_end(buffer: &[u8], start: usize) -> Option<(usize, usize)> {
     for (offset, _) in buffer
         .iter()
--- a/crates/jaylock-router/src/route/event_source.rs
+++ b/crates/jaylock-router/src/route/event_source.rs
@@ -19,6 +19,8 @@
     parser: EventParser,
     /// End of the body; an error if it broke off.
     end: Option<Result<(), B::Error>>,
+    /// Whether text came that is no event, at which the stream ends.
+    is_invalid: bool,
 }
 
 /// Complete events as they were sent.
@@ -28,6 +30,8 @@
     pub text: Bytes,
     /// Number of events.
     pub count: u64,
+    /// Whether an event has data; comments have none.
+    pub has_data: bool,
     /// Whether each event with data has a number, after which another run of the request can go on.
     pub is_numbered: bool,
 }
@@ -43,6 +47,7 @@
             body,
             parser: EventParser::default(),
             end: None,
+            is_invalid: false,
         }
     }
 
@@ -51,7 +56,7 @@
     /// Without a last event, any number begins the stream, also 0.
     ///
     /// # Errors
-    /// The body broke off or ended within an event, or an event is too long.
+    /// The body broke off or ended within an event, an event is too long, or text came that is none.
     pub async fn next(
         &mut self,
         last_event: &mut Option<u64>,
@@ -61,6 +66,10 @@
             if ready.count > 0 {
                 return Ok(Some(ready));
             }
+            if self.is_invalid {
+                let reason = "text came that is no event";
+                return Err(AttemptError::Invalid(reason.into()));
+            }
             if self.parser.pending() > MAX_EVENT_BYTES {
                 return Err(AttemptError::Invalid("an event is too long".into()));
             }
@@ -115,13 +124,21 @@
     fn take_ready(&mut self, last_event: &mut Option<u64>) -> Events {
         let mut text = BytesMut::new();
         let mut count = 0;
+        let mut has_data = false;
         let mut is_numbered = true;
-        while let Some(event) = self.parser.next_raw_event() {
+        while !self.is_invalid
+            && let Some(event) = self.parser.next_raw_event()
+        {
+            if !event.is_event {
+                self.is_invalid = true;
+                break;
+            }
             let is_repeated = event.id.is_some() && event.id <= *last_event;
             if is_repeated {
                 continue;
             }
             *last_event = event.id.or(*last_event);
+            has_data |= event.has_data;
             is_numbered &= event.id.is_some() || !event.has_data;
             text.extend_from_slice(&event.text);
             count += 1;
@@ -129,6 +146,7 @@
         Events {
             text: text.freeze(),
             count,
+            has_data,
             is_numbered,
         }
     }
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use compact_str::format_compact;
 use futures_util::{StreamExt, stream};
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode, header};
 use hyper::body::Incoming;
 use jaylock_observe::RunStatus;
 use jaylock_rpc::v1::end::Outcome;
@@ -24,6 +24,13 @@
 use crate::response::ErrorResponse;
 use crate::slot::Slot;
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+/// Why a response does not continue a stream.
+const NO_CONTINUATION: &str = "the response does not continue the stream";
+/// Why a response without an event does not complete a stream.
+const NO_EVENT: &str = "the response ended before its first event";
+
 /// Responds with a stream of events, each forwarded as soon as it is complete.
 pub async fn respond(
     context: Rc<RouteContext>,
@@ -85,6 +92,8 @@
     connection: Connection,
     slot: Slot,
     events: EventSource<Incoming>,
+    /// Whether an event with data has come.
+    has_data: bool,
 }
 
 impl EventStream {
@@ -104,15 +113,18 @@
             let (connection, slot, response) = self.start().await?;
             let (status, headers) = (response.status(), response.headers().clone());
             if status.is_success() {
+                let is_taken_up = self.last_event.is_some();
+                let fault = (is_taken_up && !may_continue(&response)).then_some(NO_CONTINUATION);
                 self.attach(connection, slot, response);
-                match self.next().await {
-                    Ok(first) => {
-                        self.attempts.tracker.record_first_token();
-                        let first = first.unwrap_or_default();
-                        return Ok(Opening::Stream(status, headers, first));
-                    }
-                    Err(error) => self.end_attempt(&error).await?,
-                }
+                let next = match fault {
+                    Some(reason) => Err(AttemptError::Invalid(reason.into())),
+                    None => self.next().await,
+                };
+                let error = match next {
+                    Ok(first) => return Ok(self.opened(status, headers, first)),
+                    Err(error) => error,
+                };
+                self.end_attempt(&error).await?;
                 continue;
             }
             match self.read_buffered(response).await {
@@ -129,11 +141,27 @@
         }
     }
 
+    fn opened(&mut self, status: StatusCode, headers: HeaderMap, first: Option<Bytes>) -> Opening {
+        self.attempts.tracker.record_first_token();
+        if first.is_none() {
+            self.finish();
+        }
+        Opening::Stream(status, headers, first.unwrap_or_default())
+    }
+
     /// Returns the next events, resuming at another backend server after a failure; `None` at the end.
     async fn next_or_resume(&mut self) -> Option<Result<Bytes, Interrupted>> {
         loop {
             let error = match self.next().await {
-                Ok(next) => return next.map(Ok),
+                Ok(Some(events)) => return Some(Ok(events)),
+                // Nothing shows that the stream was complete before it broke off.
+                Ok(None) if self.has_gone_on_without_event() => {
+                    AttemptError::Invalid(NO_EVENT.into())
+                }
+                Ok(None) => {
+                    self.finish();
+                    return None;
+                }
                 Err(error) => error,
             };
             if let Err(error) = self.resume(&error).await {
@@ -151,11 +179,11 @@
         loop {
             let (connection, slot, response) = self.start().await?;
             let status = response.status();
-            if status.is_success() {
+            if may_continue(&response) {
                 self.attach(connection, slot, response);
                 return Ok(());
             }
-            let reason = format_compact!("the backend server answered {status}");
+            let reason = format_compact!("{NO_CONTINUATION}: the answer is {status}");
             let error = AttemptError::Invalid(reason);
             let address = connection.address();
             self.attempts.record_failure(&error, address, slot).await?;
@@ -208,9 +236,16 @@
             connection,
             slot,
             events: EventSource::new(response.into_body()),
+            has_data: false,
         });
     }
 
+    /// Whether the stream goes on at another backend server that has sent no event.
+    fn has_gone_on_without_event(&self) -> bool {
+        let has_data = self.active.as_ref().is_some_and(|a| a.has_data);
+        self.count > 0 && !has_data
+    }
+
     /// Ends the active attempt after a failure and checks that another one may be made.
     async fn end_attempt(&mut self, error: &AttemptError) -> Result<(), ErrorResponse> {
         match self.active.take() {
@@ -237,10 +272,10 @@
         let remaining = self.attempts.request.remaining();
         let next = active.events.next(&mut self.last_event);
         let Some(events) = with_timeout(remaining, next).await?? else {
-            self.finish();
             return Ok(None);
         };
         self.count += events.count;
+        active.has_data |= events.has_data;
         self.attempts.mark_ran();
         self.attempts.pin_software(active.slot.software());
         if !events.is_numbered {
@@ -294,3 +329,14 @@
         })
     }
 }
+
+/// Whether a response may go on with a stream that the caller has a part of: another success may be an error in its text.
+fn may_continue(response: &Response<Incoming>) -> bool {
+    let media_type = response.headers().get(header::CONTENT_TYPE);
+    let is_event_stream = media_type.is_none_or(|value| {
+        let text = value.to_str().unwrap_or_default();
+        let name = text.split(';').next().unwrap_or_default();
+        name.trim().eq_ignore_ascii_case(EVENT_STREAM)
+    });
+    response.status() == StatusCode::OK && is_event_stream
+}
--- a/crates/jaylock-tests/tests/router/events.rs
+++ b/crates/jaylock-tests/tests/router/events.rs
@@ -46,7 +46,7 @@
         let mut last_event = None;
         let events = source.next(&mut last_event).now_or_never().expect("events that have arrived");
         let text: String = (1..=4).map(event).collect();
-        assert_that!(events.expect("a sound body"), some(eq(&Events { text: text.into(), count: 4, is_numbered: true })));
+        assert_that!(events.expect("a sound body"), some(eq(&Events { text: text.into(), count: 4, has_data: true, is_numbered: true })));
         assert_that!(last_event, some(eq(4)));
     };
     event_of_which_a_part_has_arrived_is_forwarded_incomplete => {
@@ -86,7 +86,7 @@
         let mut last_event = None;
         let events = source.next(&mut last_event).now_or_never().expect("events").expect("a sound body");
         let text: String = (0..=2).map(event).collect();
-        assert_that!(events, some(eq(&Events { text: text.into(), count: 3, is_numbered: true })));
+        assert_that!(events, some(eq(&Events { text: text.into(), count: 3, has_data: true, is_numbered: true })));
         assert_that!(last_event, some(eq(2)));
     };
     event_0_is_repeated_for_a_caller_that_has_it => {
@@ -94,7 +94,7 @@
         source.read_arrived().now_or_never();
         let events = source.next(&mut Some(0)).now_or_never().expect("events").expect("a sound body");
         let text: String = (1..=2).map(event).collect();
-        assert_that!(events, some(eq(&Events { text: text.into(), count: 2, is_numbered: true })));
+        assert_that!(events, some(eq(&Events { text: text.into(), count: 2, has_data: true, is_numbered: true })));
     };
     numbers_may_begin_anywhere_and_have_gaps => {
         let (_sender, mut source) = source([7, 9, 40].map(|id| Ok(frame(&event(id)))).into());
