A stream that ends with its connection before its first event is an error

Cause: a response with neither a length nor chunks ends with its connection, and a stream without an event was complete.

Ruled out by a test that passes on both codes: a head that breaks off at any of its bytes (for streams and other responses, over new connections and over those used before) is refused by the HTTP library, and a body shorter than its length is an error.

Change: such a stream is a failed attempt. One that states its end (a length, chunks, or a status without content) and is empty stays the backend server's whole response.

--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -115,12 +115,15 @@
             if status.is_success() {
                 let is_taken_up = self.last_event.is_some();
                 let fault = (is_taken_up && !may_continue(&response)).then_some(NO_CONTINUATION);
+                let is_framed = is_framed(status, &headers);
                 self.attach(connection, slot, response);
                 let next = match fault {
                     Some(reason) => Err(AttemptError::Invalid(reason.into())),
                     None => self.next().await,
                 };
                 let error = match next {
+                    // The connection may have ended right after the head.
+                    Ok(None) if !is_framed => AttemptError::Lost(NO_EVENT.into()),
                     Ok(first) => return Ok(self.opened(status, headers, first)),
                     Err(error) => error,
                 };
@@ -340,3 +343,10 @@
     });
     response.status() == StatusCode::OK && is_event_stream
 }
+
+/// Whether the end of a body shows, other than by the end of the connection.
+fn is_framed(status: StatusCode, headers: &HeaderMap) -> bool {
+    status == StatusCode::NO_CONTENT
+        || headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+}
--- a/crates/jaylock-tests/tests/platform/broken_responses.rs
+++ b/crates/jaylock-tests/tests/platform/broken_responses.rs
@@ -9,6 +9,10 @@
 
 use crate::harness::{CallerResponse, FakeBackend, ReceivedRequest, Reply, TestFleet, document};
 
+/// Head of a response, in whose place a part of it is sent.
+const HEAD: &str =
+    "HTTP/1.1 200 OK\r\nAttempt-Id: ATTEMPT\r\nReplica-Seal: 3e1b.07\r\nContent-Length: 12\r\n";
+
 /// Returns the events with these identifiers as a caller reads them.
 fn events(ids: std::ops::RangeInclusive<u64>) -> String {
     let events = ids.map(|n| format!("id: {n}\ndata: piece {n}\n\n"));
@@ -107,6 +111,44 @@
         let response = fleet.caller().request("POST", "/draft/1").send();
         assert_that!((response.is_complete, response.body.as_str()), eq((true, events(1..=6).as_str())));
     };
+    // Guards against a head that broke off and reached the caller as a whole response with an empty or short body.
+    head_that_breaks_off_reaches_no_caller_as_a_success => {
+        let fleet = TestFleet::minimal();
+        let backend = FakeBackend::start(&fleet, "b1", |r| {
+            let cut: Option<usize> = r.request_line.split(['/', ' ']).find_map(|part| part.parse().ok());
+            let head = HEAD.replace("ATTEMPT", r.header("attempt-id"));
+            match cut {
+                Some(length) => closing(Reply::from_text(&head[..length.min(head.len())])),
+                None => r.respond("200 OK", "whole answer"),
+            }
+        });
+        let longest = HEAD.len() + 16;
+        for prefix in ["/once/", "/stream/"] {
+            for length in 0..longest {
+                // Each head that breaks off comes over a connection that was used before, and every other one over a new one.
+                if length % 2 == 0 {
+                    assert_that!(fleet.caller().request("POST", "/once/whole").send().status(), any!(eq(200), eq(503)));
+                }
+                let path = format!("{prefix}{length}");
+                let response = fleet.caller().request("POST", &path).send();
+                assert_that!(response.status(), any!(eq(502), eq(503)), "{path}");
+            }
+        }
+        let cut = backend.received().iter().filter(|r| !r.request_line.contains("whole")).count();
+        assert_that!(cut, ge(longest));
+    };
+    body_that_is_shorter_than_its_length_reaches_no_caller_as_a_success => {
+        let fleet = TestFleet::minimal();
+        let _backend = FakeBackend::start(&fleet, "b1", |r| closing(r.sealed("200 OK", "Content-Length: 12\r\n\r\nwhole")));
+        assert_that!(fleet.caller().request("POST", "/once/1").send().status(), eq(502));
+        let streamed = fleet.caller().request("POST", "/stream/1").send();
+        assert_that!((streamed.status() == 200, streamed.is_complete), not(eq((true, true))));
+    };
+    connection_that_ends_after_the_head_of_a_new_stream_is_an_error => {
+        let fleet = TestFleet::minimal();
+        let _backend = FakeBackend::start(&fleet, "b1", |r| closing(r.sealed("200 OK", "Content-Type: text/event-stream\r\n\r\n")));
+        assert_that!(fleet.caller().request("POST", "/stream/1").send().status(), eq(502));
+    };
     error_where_a_caller_takes_up_a_stream_is_forwarded_as_an_error => {
         let fleet = TestFleet::minimal();
         let _backend = FakeBackend::start(&fleet, "b1", |r| r.respond("500 Internal Server Error", "error"));
