A stopping router begins nothing that may not be repeated and could be cut

Cause: until new requests are refused (2.5 of 8 s) any request was sent, also one whose deadline lies beyond the end of the drain time; only one that still waited was refused then.

Ruled out: requests taken later than that (refused, on kept and new connections, with bodies still being read and with a core that doesn't confirm: six tests that pass on both codes).

Change: from the signal on, a request that may not be repeated is refused as not run if neither its deadline nor the longest recent run of its route ends before the drain time does. Where no run is known, a stream may begin, as its caller sees how far it got; a call counts as endless. What may be repeated or resumed is taken as before: its caller goes on elsewhere.

Before: `platform` `refuses_a_request_at_once_that_may_not_be_repeated_and_could_be_cut` failed (502 after the run). After: it passes, with the 9 tests of `platform` shutdown and 5 of `router` run_times.

Conclusion: shown and mended for calls and for streams that can't be resumed. Left: a resumable stream that is longer than the rest of the drain time is cut and goes on elsewhere; a call of the product's own interface with a claim ends with an outcome to ask for under its key.

--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -11,6 +11,7 @@
 use crate::address;
 use crate::body::{self, ReadError};
 use crate::context::Context;
+use crate::lifecycle::RunPlan;
 use crate::memory::BodyReservation;
 use crate::overload::{self, RequestPermit};
 use crate::quarantine::{self, Fingerprint};
@@ -64,7 +65,11 @@
         let permit = permit.ok_or_else(|| overloaded(context))?;
         let deadline = arrived_at + timeout;
         let reading = read_reserved(context, &organisation, incoming);
-        let body = context.lifecycle.wait_to_start(deadline, reading).await;
+        let plan = RunPlan {
+            deadline,
+            needed: None,
+        };
+        let body = context.lifecycle.wait_to_start(plan, reading).await;
         let (body, reservation) = body.ok_or_else(|| leaving(context))??;
         let fingerprint = fingerprint(&organisation, &head, &body);
         let call = Self {
--- a/crates/jaylock-router/src/lifecycle.rs
+++ b/crates/jaylock-router/src/lifecycle.rs
@@ -10,9 +10,20 @@
 /// Time between two checks whether the last request has ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// What is known of the end of a request that has not been sent yet.
+#[derive(Debug, Clone, Copy)]
+pub struct RunPlan {
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+    /// Time that the request needs once it is sent; unset if it may be repeated, so that an end in its middle does less harm.
+    pub needed: Option<Duration>,
+}
+
 /// Progress of a graceful shutdown and the requests and connections that are still open.
 #[derive(Default)]
 pub struct Lifecycle {
+    /// Set when a graceful shutdown begins.
+    stopping: Latch,
     /// Set when new requests are refused because the instance stops.
     pub closed: Latch,
     /// Set when the requests still in progress are cancelled because the instance stops.
@@ -30,6 +41,7 @@
     /// `drain_end`.
     pub fn begin_shutdown(&self, drain_end: Instant) {
         self.drain_end.set(Some(drain_end));
+        self.stopping.set();
     }
 
     /// Starts to refuse new requests.
@@ -49,18 +61,19 @@
 
     /// Runs a wait of a request that has not been sent to a backend server yet.
     ///
-    /// Once new requests are refused, returns `None` unless the request's deadline passes before the
-    /// requests in progress are cancelled.
+    /// Returns `None` once new requests are refused, and for one that may not be repeated once it could not end any
+    /// more before the requests in progress are cancelled; but not if its deadline passes before that.
     pub async fn wait_to_start<T>(
         &self,
-        deadline: Instant,
+        plan: RunPlan,
         waiting: impl Future<Output = T>,
     ) -> Option<T> {
         let refused = async {
-            self.closed.wait().await;
-            if !self.ends_too_late(deadline) {
+            self.stopping.wait().await;
+            if !self.ends_too_late(plan.deadline) {
                 std::future::pending::<()>().await;
             }
+            select(pin!(self.closed.wait()), pin!(self.leaves_too_little(plan))).await;
         };
         match select(pin!(refused), pin!(waiting)).await {
             Either::Left(_) => None,
@@ -68,6 +81,15 @@
         }
     }
 
+    /// Waits until a request that may not be repeated could not end any more before it is cancelled.
+    async fn leaves_too_little(&self, plan: RunPlan) {
+        let (Some(drain_end), Some(needed)) = (self.drain_end.get(), plan.needed) else {
+            return std::future::pending().await;
+        };
+        let left = drain_end.saturating_duration_since(Instant::now());
+        compio::time::sleep(left.saturating_sub(needed)).await;
+    }
+
     /// Whether a request with this deadline may still run when the requests in progress are cancelled.
     fn ends_too_late(&self, deadline: Instant) -> bool {
         self.drain_end.get().is_some_and(|end| deadline > end)
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -16,6 +16,7 @@
 use crate::connection::{self, Probe};
 use crate::context::Context;
 use crate::error::AttemptError;
+use crate::lifecycle::RunPlan;
 use crate::pinned::PinnedSoftware;
 use crate::quarantine::{self, CrashTracker};
 use crate::response::ErrorResponse;
@@ -254,9 +255,13 @@
         if self.run_status != RunStatus::NotRun {
             return self.request_slot_unless_quarantined(ask).await;
         }
-        let (context, deadline) = (self.context.clone(), self.deadline);
+        let context = self.context.clone();
+        let plan = RunPlan {
+            deadline: self.deadline,
+            needed: None,
+        };
         let waiting = self.request_slot_unless_quarantined(ask);
-        let outcome = context.lifecycle.wait_to_start(deadline, waiting).await;
+        let outcome = context.lifecycle.wait_to_start(plan, waiting).await;
         outcome.unwrap_or_else(|| Err(call::leaving(&context)))
     }
 
--- a/crates/jaylock-router/src/route/admission.rs
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -57,7 +57,8 @@
     let permit = permit.ok_or_else(|| context.overloaded(allowed / MAX_DELAY_DIVISOR))?;
     let deadline = arrived_at + allowed;
     let reading = read_body(context, &configuration, &organisation, incoming);
-    let body = context.lifecycle.wait_to_start(deadline, reading).await;
+    let plan = context.run_plan(route, deadline);
+    let body = context.lifecycle.wait_to_start(plan, reading).await;
     let (body, reservation) = body.ok_or_else(|| context.leaving())??;
     let id = caller_id.to_str().ok().and_then(|text| text.parse().ok());
     let digest = RouteRequest::hash(&organisation, &head, &body);
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -42,6 +42,8 @@
     /// Addresses that earlier attempts were sent to.
     addresses: Vec<SocketAddr>,
     software: PinnedSoftware,
+    /// When the first slot was granted.
+    first_grant: Option<Instant>,
     /// Whether no attempt may follow one that may have run, whatever the route allows.
     is_final: bool,
 }
@@ -72,10 +74,20 @@
             avoid: Vec::new(),
             addresses: Vec::new(),
             software: PinnedSoftware::default(),
+            first_grant: None,
             is_final: false,
         }
     }
 
+    /// Records that the response is complete.
+    pub fn record_complete(&self) {
+        if let Some(granted) = self.first_grant {
+            let (route, now) = (&self.request.route.id, Instant::now());
+            let duration = now.saturating_duration_since(granted);
+            self.context.run_times.record(route, duration, now);
+        }
+    }
+
     /// Records that a part of the response arrived, so the request ran.
     pub fn mark_ran(&mut self) {
         self.run_status = RunStatus::Ran;
@@ -143,10 +155,9 @@
         let waiting = self.context.schedulers.request_slot(pool, ask);
         let waiting = compio::time::timeout(remaining, waiting);
         let outcome = if self.run_status == RunStatus::NotRun {
-            let lifecycle = &self.context.lifecycle;
-            lifecycle
-                .wait_to_start(self.request.deadline, waiting)
-                .await
+            let (route, deadline) = (&self.request.route, self.request.deadline);
+            let plan = self.context.run_plan(route, deadline);
+            self.context.lifecycle.wait_to_start(plan, waiting).await
         } else {
             Some(waiting.await)
         };
@@ -164,6 +175,7 @@
             slot.release(Outcome::NotRun);
             return Err(self.give_up("the backend server's address is malformed"));
         };
+        self.first_grant.get_or_insert_with(Instant::now);
         self.count += 1;
         self.tracker.record.attempts = self.count;
         self.tracker.record_step(format_compact!(
--- a/crates/jaylock-router/src/route/buffered.rs
+++ b/crates/jaylock-router/src/route/buffered.rs
@@ -27,6 +27,7 @@
     let mut attempts = Attempts::new(context, request);
     match run(&mut attempts).await {
         Ok(buffered) => {
+            attempts.record_complete();
             attempts.tracker.record_first_token();
             attempts.tracker.record.is_complete = true;
             attempts
--- a/crates/jaylock-router/src/route/context.rs
+++ b/crates/jaylock-router/src/route/context.rs
@@ -1,20 +1,22 @@
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 use jaylock_control::{ConfigView, InstanceLease};
 use jaylock_observe::Observer;
-use jaylock_rpc::v1::Configuration;
+use jaylock_rpc::v1::route::Kind;
+use jaylock_rpc::v1::{Configuration, Route};
 use jaylock_types::ByteSize;
 
 use super::headers::RouteHeaders;
 use crate::budget::FleetBudget;
 use crate::connection::ConnectionPool;
-use crate::lifecycle::Lifecycle;
+use crate::lifecycle::{Lifecycle, RunPlan};
 use crate::memory::BodyMemory;
 use crate::overload::{self, OverloadGuard};
 use crate::port::Schedulers;
 use crate::response::ErrorResponse;
+use crate::run_times::RunTimes;
 
 /// State shared by the requests for routes.
 pub struct RouteContext {
@@ -30,6 +32,8 @@
     pub connections: Rc<ConnectionPool>,
     /// Retry budget of each service.
     pub budget: FleetBudget,
+    /// Longest recent runs of each route.
+    pub run_times: RunTimes,
     /// Memory budget for the bodies of requests in progress.
     pub memory: BodyMemory,
     /// Limit on the requests in progress while the processor is overloaded.
@@ -74,6 +78,21 @@
         (current.revision > 0).then_some(current)
     }
 
+    /// What is known of the end of a request for a route.
+    ///
+    /// A request that may not be repeated needs as long as the longest recent one. Where none is known, a stream may
+    /// begin, as its caller sees how far it got; any other one counts as endless.
+    pub fn run_plan(&self, route: &Route, deadline: Instant) -> RunPlan {
+        let longest = || self.run_times.longest(&route.id, Instant::now());
+        let needed = match route.kind() {
+            Kind::Repeatable => None,
+            Kind::Stream if route.resumable => None,
+            Kind::Stream => Some(longest().unwrap_or(Duration::ZERO)),
+            Kind::Once => Some(longest().unwrap_or(Duration::MAX)),
+        };
+        RunPlan { deadline, needed }
+    }
+
     /// Error for a request that did not run because this instance stops.
     pub fn leaving(&self) -> ErrorResponse {
         self.unavailable("leaving", "this instance is stopping")
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -302,6 +302,7 @@
     }
 
     fn finish(&mut self) {
+        self.attempts.record_complete();
         if let Some(active) = self.active.take() {
             active.slot.release(Outcome::Complete);
             self.attempts
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -17,6 +17,7 @@
 use crate::overload::OverloadGuard;
 use crate::port::{CommandLog, Schedulers};
 use crate::route::{RouteContext, RouteHandler, RouteHeaders};
+use crate::run_times::RunTimes;
 use crate::server::{self, ServerLimits};
 use crate::settings::{RouterIdentity, RouterSettings};
 
@@ -163,6 +164,7 @@
             lifecycle: context.lifecycle.clone(),
             connections: context.connections.clone(),
             budget: context.settings.route_budget(),
+            run_times: RunTimes::default(),
             memory: context.memory.clone(),
             overload: context.overload.clone(),
             observer: context.observer.clone(),
--- a/crates/jaylock-tests/tests/platform/shutdown.rs
+++ b/crates/jaylock-tests/tests/platform/shutdown.rs
@@ -235,6 +235,34 @@
         assert_that!(backend.received(), len(eq(SLOTS)));
         assert_that!(running.into_iter().map(status).collect::<Vec<_>>(), each(eq(&200)));
     };
+    // Guards against a request that is sent late in a planned stop and cut at its end, so that nobody knows whether it ran.
+    refuses_a_request_at_once_that_may_not_be_repeated_and_could_be_cut => {
+        let mut fleet = TestFleet::start(1, 1);
+        fleet.configure(&patient_document());
+        let backend = FakeBackend::start(&fleet, "b1", |_| loop { thread::park() });
+        fleet.process(1).request_shutdown();
+        wait_until("the shutdown has begun", || !fleet.is_ready(1));
+        let caller = fleet.caller().request("POST", "/once/1").with("Time-Budget", "15000");
+        let response = caller.try_send().map(|r| (r.status(), r.is_complete));
+        assert_that!(response.ok(), some(eq((503, true))));
+        assert_that!(backend.received(), is_empty());
+    };
+    answers_a_request_that_ends_before_the_stop => {
+        let mut fleet = TestFleet::start(1, 1);
+        fleet.configure(&patient_document());
+        let backend = FakeBackend::start(&fleet, "b1", |r| r.respond("200 OK", "done"));
+        assert_that!(fleet.caller().request("POST", "/once/before").send().status(), eq(200));
+        fleet.process(1).request_shutdown();
+        wait_until("the shutdown has begun", || !fleet.is_ready(1));
+        let send = |path: &str, budget: &str| {
+            let caller = fleet.caller().request("POST", path).with("Time-Budget", budget);
+            caller.try_send().map_or(0, |r| r.status())
+        };
+        // Either its deadline comes first, or the route's requests are known to be short.
+        assert_that!(send("/once/deadline", "3000"), eq(200));
+        assert_that!(send("/once/short", "15000"), eq(200));
+        assert_that!(backend.received(), len(eq(3)));
+    };
     answers_a_request_explicitly_whose_backend_server_is_silent_when_it_ends => {
         let stop = Duration::from_secs(4);
         let mut fleet = TestFleet::start_with(FleetSettings { stop, ..FleetSettings::default() });
--- a/crates/jaylock-tests/tests/router/main.rs
+++ b/crates/jaylock-tests/tests/router/main.rs
@@ -17,5 +17,6 @@
 mod quarantine;
 mod repeated_refusals;
 mod router_model;
+mod run_times;
 mod shutdown;
 mod streams;
