--- a/crates/jaylock-observe/src/process.rs
+++ b/crates/jaylock-observe/src/process.rs
@@ -1,8 +1,9 @@
 use std::fs;
 
+use rustix::param::page_size;
+
 /// Clock ticks per second (`USER_HZ`), the unit of processor times in `/proc`.
 const TICKS_PER_SECOND: f64 = 100.0;
-const PAGE_BYTES: u64 = 4096;
 /// Index of the user time in `stat`, counted after the program name; the system time follows.
 const USER_TIME_INDEX: usize = 11;
 /// Index of the number of resident pages in `statm`.
@@ -28,5 +29,5 @@
     pages
         .and_then(|p| p.parse::<u64>().ok())
         .unwrap_or_default()
-        * PAGE_BYTES
+        * page_size() as u64
 }
