Proposals, the continuation of streams and reports of backend servers in modules of their own

The message with entries was made in two places, and a buffered response read in two; each is one function now.

--- a/crates/jaylock-control/src/replica/core.rs
+++ b/crates/jaylock-control/src/replica/core.rs
@@ -4,7 +4,7 @@
 use compact_str::CompactString;
 use futures_channel::oneshot;
 use jaylock_rpc::v1::command::Body;
-use jaylock_rpc::v1::{Applied, Command, Entry, Member};
+use jaylock_rpc::v1::{AppendRequest, Applied, Command, Entry, Member};
 use jaylock_types::unix_ms;
 use thiserror::Error;
 
@@ -188,6 +188,21 @@
         }
     }
 
+    /// The message with the entries after an index, for a replica with this generation; `None` before the base of the log.
+    pub fn append_request(&self, prev_index: u64, generation: u64) -> Option<AppendRequest> {
+        let entries = self.log.batch(prev_index);
+        Some(AppendRequest {
+            term: self.term(),
+            leader: self.instance.to_string(),
+            prev_index,
+            prev_term: self.log.term(prev_index)?,
+            commit: self.commit_index,
+            entries: entries.iter().map(EncodedEntry::decode).collect(),
+            generation,
+            campaign: false,
+        })
+    }
+
     /// Appends a command as a new entry of the current term and returns its index.
     pub fn append_command(&mut self, command: Command) -> u64 {
         let before = self.log.get(self.log.last_index());
--- a/crates/jaylock-control/src/replica/mod.rs
+++ b/crates/jaylock-control/src/replica/mod.rs
@@ -8,6 +8,7 @@
 mod leader;
 mod log;
 mod progress;
+mod proposals;
 mod recovery;
 mod replication;
 mod shared;
--- a/crates/jaylock-control/src/replica/replication.rs
+++ b/crates/jaylock-control/src/replica/replication.rs
@@ -6,7 +6,6 @@
 use super::Shared;
 use super::progress::is_same_replica;
 use super::snapshot_transfer::send_snapshot;
-use crate::storage::EncodedEntry;
 
 /// Replicates the log to one other replica for as long as this one leads.
 pub async fn replicate(shared: Rc<Shared>, member: Member) {
@@ -80,22 +79,7 @@
 fn append_request(shared: &Shared, member: &Member) -> Option<AppendRequest> {
     let core = shared.core.borrow();
     let progress = core.leader_state()?.progress(member)?;
-    let prev_index = progress.next_index - 1;
-    Some(AppendRequest {
-        term: core.term(),
-        leader: shared.identity.instance.clone(),
-        prev_index,
-        prev_term: core.log.term(prev_index)?,
-        commit: core.commit_index,
-        entries: core
-            .log
-            .batch(prev_index)
-            .iter()
-            .map(EncodedEntry::decode)
-            .collect(),
-        generation: member.generation,
-        campaign: false,
-    })
+    core.append_request(progress.next_index - 1, member.generation)
 }
 
 fn record_reply(
--- a/crates/jaylock-control/src/replica/shared.rs
+++ b/crates/jaylock-control/src/replica/shared.rs
@@ -3,21 +3,19 @@
 use std::time::{Duration, Instant};
 
 use compact_str::format_compact;
-use futures_channel::oneshot;
 use futures_util::lock::Mutex;
-use jaylock_rpc::v1::command::Body;
-use jaylock_rpc::v1::{Applied, Command, Configuration, Member};
+use jaylock_rpc::v1::{Configuration, Member};
 use jaylock_types::Clock;
 use tonic::Status;
 
 use super::Bootstrap;
 use super::Environment;
-use super::core::{Core, Halt, Pending, Role};
+use super::core::{Core, Halt, Role};
 use super::log::Log;
 use super::snapshot_transfer::OutgoingSnapshot;
 use crate::leases::Leases;
 use crate::signal::Signal;
-use crate::state::{State, is_operator_change};
+use crate::state::State;
 use crate::storage::{DiskContents, HardState, Store};
 use crate::transport::Transport;
 use crate::{Error, ReplicaSettings, Result};
@@ -123,57 +121,6 @@
         Ok(self.core.borrow().state.configuration().clone())
     }
 
-    /// Commits a command and returns its result.
-    pub async fn submit(&self, command: Command) -> Result<Applied, RequestError> {
-        let waiting_bytes = {
-            let core = self.core.borrow();
-            core.log.bytes_after(core.commit_index)
-        };
-        if self.holds_lease() && waiting_bytes >= self.max_waiting_bytes(&command) {
-            return Err(too_many_commands());
-        }
-        self.submit_unbounded(command).await
-    }
-
-    /// Commits a command that the leader itself creates.
-    ///
-    /// It is not refused for the size of the entries that wait: they may do so for a command of the new leader's term.
-    pub async fn submit_body(&self, body: Body) -> Result<Applied, RequestError> {
-        let command = Command {
-            id: uuid::Uuid::now_v7().simple().to_string(),
-            expected_revision: None,
-            body: Some(body),
-        };
-        self.submit_unbounded(command).await
-    }
-
-    async fn submit_unbounded(&self, command: Command) -> Result<Applied, RequestError> {
-        if !self.holds_lease() {
-            return Err(self.not_leader());
-        }
-        let receiver = self.enqueue(command)?;
-        self.activity.notify();
-        receiver.await.map_err(|_| self.not_leader())
-    }
-
-    fn enqueue(&self, command: Command) -> Result<oneshot::Receiver<Applied>, RequestError> {
-        let mut core = self.core.borrow_mut();
-        if core.pending.len() >= self.settings.max_pending_commands {
-            return Err(too_many_commands());
-        }
-        let index = core.append_command(command);
-        let (sender, receiver) = oneshot::channel();
-        core.pending.push_back(Pending { index, sender });
-        Ok(receiver)
-    }
-
-    /// Size in bytes of the uncommitted entries at which a command is refused.
-    fn max_waiting_bytes(&self, command: &Command) -> u64 {
-        let max = self.settings.max_pending_bytes;
-        let is_operators = command.body.as_ref().is_some_and(is_operator_change);
-        if is_operators { max / 2 } else { max }
-    }
-
     /// Error that names the current leader, or the reason why this replica is halted.
     pub fn not_leader(&self) -> RequestError {
         let core = self.core.borrow();
@@ -303,12 +250,6 @@
     }
 }
 
-fn too_many_commands() -> RequestError {
-    RequestError::Failed(Status::resource_exhausted(
-        "too many commands wait for the disks: ask again in a second",
-    ))
-}
-
 /// Builds the in-memory state from the contents of the disk.
 fn restore(identity: &Member, store: &Store, contents: DiskContents, now: Instant) -> Result<Core> {
     let state = State::restore(contents.snapshot.unwrap_or_default());
--- a/crates/jaylock-control/src/replica/transfer.rs
+++ b/crates/jaylock-control/src/replica/transfer.rs
@@ -1,7 +1,6 @@
 use jaylock_rpc::v1::{AppendRequest, Member};
 
 use super::Shared;
-use crate::storage::EncodedEntry;
 
 /// Steps down and asks the voter with the longest log to start an election.
 pub async fn transfer_leadership(shared: &Shared) {
@@ -24,21 +23,10 @@
         voter.is_some_and(|m| m.voter && m.generation == p.member.generation)
     });
     let best = voters.max_by_key(|p| (p.match_index, p.last_contact))?;
-    let prev_index = best.match_index;
+    let request = core.append_request(best.match_index, best.member.generation)?;
     let request = AppendRequest {
-        term: core.term(),
-        leader: shared.identity.instance.clone(),
-        prev_index,
-        prev_term: core.log.term(prev_index)?,
-        commit: core.commit_index.min(prev_index),
-        entries: core
-            .log
-            .batch(prev_index)
-            .iter()
-            .map(EncodedEntry::decode)
-            .collect(),
-        generation: best.member.generation,
         campaign: true,
+        ..request
     };
     Some((best.member.clone(), request))
 }
--- a/crates/jaylock-daemon/src/lib.rs
+++ b/crates/jaylock-daemon/src/lib.rs
@@ -3,6 +3,7 @@
 mod api;
 /// Command line shared by all programs that run an instance.
 pub mod arguments;
+mod backend_reports;
 mod components;
 mod context;
 mod exposition;
--- a/crates/jaylock-router/src/route/buffered.rs
+++ b/crates/jaylock-router/src/route/buffered.rs
@@ -86,10 +86,19 @@
     let sent = Instant::now();
     let (connection, response) = send(context, request, &to, attempts.head_timeout()).await?;
     attempts.tracker.record.head_time = Some(sent.elapsed());
+    let buffered = read(attempts, response).await?;
+    attempts.context.connections.put_back(connection);
+    Ok(buffered)
+}
+
+/// Reads a response completely.
+pub async fn read(
+    attempts: &Attempts,
+    response: Response<Incoming>,
+) -> Result<BufferedResponse, AttemptError> {
     let (context, request) = (&attempts.context, &attempts.request);
     let (status, headers) = (response.status(), response.headers().clone());
     let body = read_body(context, request, response.into_body()).await?;
-    context.connections.put_back(connection);
     Ok(BufferedResponse {
         status,
         headers,
@@ -98,7 +107,7 @@
 }
 
 /// Reads the body of a response for a request.
-pub async fn read_body(
+async fn read_body(
     context: &RouteContext,
     request: &RouteRequest,
     body: Incoming,
--- a/crates/jaylock-router/src/route/mod.rs
+++ b/crates/jaylock-router/src/route/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod buffered;
 mod context;
+mod continuation;
 mod event_source;
 mod headers;
 mod notice;
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -4,18 +4,19 @@
 use bytes::Bytes;
 use compact_str::format_compact;
 use futures_util::{StreamExt, stream};
-use http::{HeaderMap, Response, StatusCode, header};
+use http::{HeaderMap, Response, StatusCode};
 use hyper::body::Incoming;
 use jaylock_observe::RunStatus;
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_types::Tokens;
 
 use super::attempts::Attempts;
-use super::buffered::read_body;
+use super::buffered;
 use super::context::RouteContext;
+use super::continuation::{NO_CONTINUATION, NO_EVENT, is_framed, may_continue};
 use super::event_source::EventSource;
 use super::request::RouteRequest;
-use super::response::{buffered, forwarded};
+use super::response;
 use super::send::{Destination, send};
 use crate::body::{Body, Interrupted};
 use crate::buffered_response::BufferedResponse;
@@ -24,13 +25,6 @@
 use crate::response::ErrorResponse;
 use crate::slot::Slot;
 
-/// Media type of a stream of events.
-const EVENT_STREAM: &str = "text/event-stream";
-/// Why a response does not continue a stream.
-const NO_CONTINUATION: &str = "the response does not continue the stream";
-/// Why a response without an event does not complete a stream.
-const NO_EVENT: &str = "the response ended before its first event";
-
 /// Responds with a stream of events, each forwarded as soon as it is complete.
 pub async fn respond(
     context: Rc<RouteContext>,
@@ -40,14 +34,14 @@
     match stream.open().await {
         Ok(Opening::Stream(status, headers, first)) => {
             let parts = stream::unfold((Some(first), stream), next_part).boxed_local();
-            Ok(forwarded(status, &headers, Body::Fallible(parts)))
+            Ok(response::forwarded(status, &headers, Body::Fallible(parts)))
         }
         Ok(Opening::Buffered(response)) => {
             stream
                 .attempts
                 .tracker
                 .record_response(response.status, RunStatus::Ran);
-            Ok(buffered(response))
+            Ok(response::buffered(response))
         }
         Err(error) => {
             let tracker = &mut stream.attempts.tracker;
@@ -111,26 +105,14 @@
     async fn open(&mut self) -> Result<Opening, ErrorResponse> {
         loop {
             let (connection, slot, response) = self.start().await?;
-            let (status, headers) = (response.status(), response.headers().clone());
-            if status.is_success() {
-                let is_taken_up = self.last_event.is_some();
-                let fault = (is_taken_up && !may_continue(&response)).then_some(NO_CONTINUATION);
-                let is_framed = is_framed(status, &headers);
-                self.attach(connection, slot, response);
-                let next = match fault {
-                    Some(reason) => Err(AttemptError::Invalid(reason.into())),
-                    None => self.next().await,
-                };
-                let error = match next {
-                    // The connection may have ended right after the head.
-                    Ok(None) if !is_framed => AttemptError::Lost(NO_EVENT.into()),
-                    Ok(first) => return Ok(self.opened(status, headers, first)),
-                    Err(error) => error,
-                };
-                self.end_attempt(&error).await?;
+            if response.status().is_success() {
+                match self.begin(connection, slot, response).await {
+                    Ok(opening) => return Ok(opening),
+                    Err(error) => self.end_attempt(&error).await?,
+                }
                 continue;
             }
-            match self.read_buffered(response).await {
+            match buffered::read(&self.attempts, response).await {
                 Ok(buffered) => {
                     slot.release(Outcome::Complete);
                     self.attempts.context.connections.put_back(connection);
@@ -144,12 +126,29 @@
         }
     }
 
-    fn opened(&mut self, status: StatusCode, headers: HeaderMap, first: Option<Bytes>) -> Opening {
-        self.attempts.tracker.record_first_token();
+    /// Reads the first events of a response with success.
+    async fn begin(
+        &mut self,
+        connection: Connection,
+        slot: Slot,
+        response: Response<Incoming>,
+    ) -> Result<Opening, AttemptError> {
+        let (status, headers) = (response.status(), response.headers().clone());
+        let is_expected = self.last_event.is_none() || may_continue(&response);
+        self.attach(connection, slot, response);
+        if !is_expected {
+            return Err(AttemptError::Invalid(NO_CONTINUATION.into()));
+        }
+        let first = self.next().await?;
         if first.is_none() {
+            // The connection may have ended right after the head.
+            if !is_framed(status, &headers) {
+                return Err(AttemptError::Lost(NO_EVENT.into()));
+            }
             self.finish();
         }
-        Opening::Stream(status, headers, first.unwrap_or_default())
+        self.attempts.tracker.record_first_token();
+        Ok(Opening::Stream(status, headers, first.unwrap_or_default()))
     }
 
     /// Returns the next events, resuming at another backend server after a failure; `None` at the end.
@@ -316,38 +315,4 @@
         tracker.record.is_complete = true;
         tracker.record_response(StatusCode::OK, RunStatus::Ran);
     }
-
-    async fn read_buffered(
-        &self,
-        response: Response<Incoming>,
-    ) -> Result<BufferedResponse, AttemptError> {
-        let (status, headers) = (response.status(), response.headers().clone());
-        let Attempts {
-            context, request, ..
-        } = &self.attempts;
-        let body = read_body(context, request, response.into_body()).await?;
-        Ok(BufferedResponse {
-            status,
-            headers,
-            body,
-        })
-    }
-}
-
-/// Whether a response may go on with a stream that the caller has a part of: another success may be an error in its text.
-fn may_continue(response: &Response<Incoming>) -> bool {
-    let media_type = response.headers().get(header::CONTENT_TYPE);
-    let is_event_stream = media_type.is_none_or(|value| {
-        let text = value.to_str().unwrap_or_default();
-        let name = text.split(';').next().unwrap_or_default();
-        name.trim().eq_ignore_ascii_case(EVENT_STREAM)
-    });
-    response.status() == StatusCode::OK && is_event_stream
-}
-
-/// Whether the end of a body shows, other than by the end of the connection.
-fn is_framed(status: StatusCode, headers: &HeaderMap) -> bool {
-    status == StatusCode::NO_CONTENT
-        || headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING)
 }
