--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -4,8 +4,7 @@
 use futures_channel::oneshot;
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{
-    Ask, BackendReport, BackendVerdict, End, FallbackSlots, Grant, Hello, Progress, RouterFrame,
-    SchedulerFrame, Total,
+    Ask, BackendReport, BackendVerdict, End, FallbackSlots, Grant, Progress, Total,
 };
 use jaylock_types::{Notice, StreamId};
 
@@ -17,7 +16,6 @@
 use crate::encoding::AddressTable;
 use crate::exclusions::Exclusions;
 use crate::fallback::SpareSlot;
-use crate::frame_size::take_within;
 use crate::held_slot::HeldSlot;
 use crate::named_limits::NamedLimits;
 use crate::pauses::Pauses;
@@ -36,14 +34,14 @@
     pub(crate) pending: Vec<PendingRequest>,
     // Sorted by ticket.
     pub(crate) held: Vec<HeldSlot>,
-    batch: Batch,
+    pub(crate) batch: Batch,
     pub(crate) reports: RecentReports,
     // Sorted by name of the backend server.
-    verdicts: Vec<BackendVerdict>,
+    pub(crate) verdicts: Vec<BackendVerdict>,
     // Sorted by organisation.
     pub(crate) totals: Vec<Total>,
     // Part of the totals that the stream's first message reported and the scheduler has not confirmed.
-    unconfirmed: Vec<Total>,
+    pub(crate) unconfirmed: Vec<Total>,
     pub(crate) fallback: Vec<FallbackSlots>,
     // Backend servers that told this router to send them nothing.
     pub(crate) exclusions: Exclusions,
@@ -58,9 +56,9 @@
     // Slots that became free while no scheduler responded.
     pub(crate) spare: Vec<SpareSlot>,
     pub(crate) detached_at: Option<Instant>,
-    last_frame: Option<Instant>,
+    pub(crate) last_frame: Option<Instant>,
     pub(crate) pauses: Pauses,
-    addresses: AddressTable,
+    pub(crate) addresses: AddressTable,
 }
 
 impl ClientState {
@@ -221,140 +219,6 @@
         index.ok().map(|index| self.verdicts[index].clone())
     }
 
-    /// The first message of a new stream, with the state that the scheduler needs.
-    ///
-    /// Requests and reports that don't fit follow in the next messages.
-    pub fn first_frame(&mut self, mut hello: Hello, now: Instant) -> RouterFrame {
-        self.is_attached = true;
-        self.observe_pause(now);
-        self.pauses.open_stream();
-        self.last_frame = Some(now);
-        self.addresses = AddressTable::default();
-        hello.epoch = self.epoch;
-        hello.running = self.held.iter().map(HeldSlot::running).collect();
-        hello.crashes = self.crashes.list(now);
-        hello.streams = self.origins.list(now);
-        let unreported = self.totals.iter().filter(|total| total.unheard > 0);
-        self.unconfirmed = unreported.cloned().collect();
-        for total in &mut self.totals {
-            total.unheard = 0;
-        }
-        let asks = self.pending.iter().map(|pending| pending.updated_ask(now));
-        let (mut asks, mut reports) = (asks.collect(), self.reports.list(now));
-        let (first_asks, first_reports) = (take_within(&mut asks), take_within(&mut reports));
-        for ask in asks {
-            self.batch.add_ask(ask);
-        }
-        for report in reports {
-            self.batch.add_report(report);
-        }
-        RouterFrame {
-            hello: Some(hello),
-            asks: first_asks,
-            backends: first_reports,
-            totals: self.unconfirmed.clone(),
-            limits: self.limits.reports(now),
-            exclusions: self.exclusions.reports(now),
-            ..RouterFrame::default()
-        }
-    }
-
-    /// Records that the stream is lost.
-    pub fn detach(&mut self, now: Instant) {
-        self.is_attached = false;
-        self.detached_at.get_or_insert(now);
-        for total in std::mem::take(&mut self.unconfirmed) {
-            self.add_unreported(&total.organisation, total.unheard);
-        }
-        for (organisation, end) in self.batch.clear() {
-            self.add_unreported(&organisation, cost_of(&end));
-        }
-    }
-
-    /// Whether the scheduler has sent nothing for too long although requests wait.
-    #[must_use]
-    pub fn is_scheduler_unresponsive(&self, now: Instant) -> bool {
-        let Some(first) = self.pending.first() else {
-            return false;
-        };
-        let since = self
-            .last_frame
-            .map_or(first.queued_at, |last| last.max(first.queued_at));
-        now.saturating_duration_since(since) >= self.settings.idle_timeout
-    }
-
-    /// Applies a message of the scheduler; returns false if it is outdated, so that the stream must be opened anew.
-    ///
-    /// A message is outdated if it has an older epoch, or may have been sent before the router stood still.
-    pub fn apply_frame(&mut self, frame: SchedulerFrame, now: Instant) -> bool {
-        self.observe_pause(now);
-        if frame.epoch < self.epoch || self.pauses.is_stream_outdated() {
-            return false;
-        }
-        self.epoch = frame.epoch;
-        self.last_frame = Some(now);
-        self.detached_at = None;
-        self.spare.clear();
-        self.unconfirmed.clear();
-        for verdict in frame.verdicts {
-            match self
-                .verdicts
-                .binary_search_by(|v| v.backend.cmp(&verdict.backend))
-            {
-                Ok(index) => self.verdicts[index] = verdict,
-                Err(index) => self.verdicts.insert(index, verdict),
-            }
-        }
-        if let Some(fallback) = frame.fallback {
-            self.fallback = fallback.backends;
-            self.pauses.renew_list();
-            for report in self.fallback.iter().filter_map(|f| f.backend.as_ref()) {
-                self.crashed_starts.forget(&report.id);
-            }
-        }
-        for refusal in frame.refusals {
-            if let Some(pending) = self.take_pending(refusal.ticket) {
-                let _ = pending.reply.send(Err(refusal));
-            }
-        }
-        for mut grant in frame.grants {
-            self.addresses.restore(&mut grant);
-            self.grant(grant, now);
-        }
-        true
-    }
-
-    /// Whether the scheduler may have sent what is still to be read before the router stood still.
-    #[must_use]
-    pub fn is_stream_outdated(&self) -> bool {
-        self.is_attached && self.pauses.is_stream_outdated()
-    }
-
-    /// Notices if the router has stood still since it was last active.
-    pub(crate) fn observe_pause(&mut self, now: Instant) {
-        let max_pause = self.settings.idle_timeout;
-        if let Some(pause) = self.pauses.observe(now, max_pause) {
-            let pause_ms = pause.as_millis();
-            log::info!(
-                target: "share",
-                pause_ms:? = pause_ms, attached = self.is_attached;
-                "the router stood still, so that what the scheduler told it may be outdated"
-            );
-        }
-    }
-
-    /// When the next message is due.
-    #[must_use]
-    pub fn due(&self, now: Instant) -> Option<Instant> {
-        self.batch
-            .due(&self.settings, !self.pending.is_empty(), now)
-    }
-
-    /// Takes the next message.
-    pub fn next_frame(&mut self, now: Instant) -> RouterFrame {
-        self.batch.take_frame(now)
-    }
-
     /// Takes the requests that have waited for `max_wait` without a scheduler.
     pub fn take_expired(
         &mut self,
@@ -419,7 +283,7 @@
         ask.software = software.map(|software| software.as_str().into());
     }
 
-    fn take_pending(&mut self, ticket: u64) -> Option<PendingRequest> {
+    pub(crate) fn take_pending(&mut self, ticket: u64) -> Option<PendingRequest> {
         let index = self
             .pending
             .binary_search_by_key(&ticket, |pending| pending.ask.ticket)
@@ -427,7 +291,7 @@
         Some(self.pending.remove(index))
     }
 
-    fn add_unreported(&mut self, organisation: &str, tokens: u64) {
+    pub(crate) fn add_unreported(&mut self, organisation: &str, tokens: u64) {
         let index = self.search_total(organisation).unwrap_or_else(|index| {
             let total = Total {
                 organisation: organisation.into(),
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -13,6 +13,7 @@
 mod cause_log;
 mod causes;
 mod client;
+mod client_frames;
 mod client_state;
 mod connection;
 mod cost;
