The leader renews no lease that a change on its way takes away

Cause: between the decision to remove an instance, or to move its pool, and the application of that change, the leader renewed the instance's lease under the configuration without the change. Likewise where the instance was removed, came back, and the assignment was decided before its return was applied.

Ruled out: a change of the leader (a new one renews nothing before the changes of earlier terms are applied).

Change: renewals of the instance that loses by the change on its way are answered with "ask again" until it is applied.

Conclusion: a right is granted only under a configuration that includes every change which was decided before.

--- a/crates/jaylock-control/src/leases.rs
+++ b/crates/jaylock-control/src/leases.rs
@@ -26,6 +26,17 @@
     /// Pools without a scheduler, sorted.
     unserved_pools: Vec<CompactString>,
     withdrawals: Withdrawals,
+    /// Instance whose lease or pool a change takes away that is not applied yet.
+    ///
+    /// A renewal meanwhile would hold under a configuration without that change, beside the next holder of its pool.
+    losing: Option<CompactString>,
+}
+
+/// A change that the leader makes as leases have ended.
+struct LeaseChange {
+    body: Body,
+    /// Instance that loses its lease or a pool by the change.
+    losing: Option<CompactString>,
 }
 
 #[derive(Debug)]
@@ -43,6 +54,7 @@
         self.renewals.clear();
         self.unserved_pools.clear();
         self.withdrawals.reset(now);
+        self.losing = None;
     }
 
     /// The active configuration of each instance.
@@ -165,6 +177,11 @@
             return Err(RequestError::Failed(Status::failed_precondition(reason)));
         }
     }
+    if shared.leases.borrow().losing.as_deref() == Some(&instance.id) {
+        return Err(RequestError::Failed(Status::unavailable(
+            "the lease or a pool of this instance is being taken away: ask again",
+        )));
+    }
     let now = shared.now();
     shared.leases.borrow_mut().renew(&request, instance, now);
     // The renewal is valid only if this replica is still the leader.
@@ -192,25 +209,35 @@
         };
         let now = shared.now();
         shared.leases.borrow_mut().sync_with(&configuration, now);
-        let Some(body) = next_change(&shared, &configuration, now) else {
+        let Some(change) = next_change(&shared, &configuration, now) else {
             continue;
         };
-        if let Err(error) = shared.submit_body(body).await {
+        shared.leases.borrow_mut().losing = change.losing;
+        if let Err(error) = shared.submit_body(change.body).await {
             log::debug!(target: "control", "the leases were not updated: {error:?}");
         }
+        shared.leases.borrow_mut().losing = None;
     }
 }
 
-fn next_change(shared: &Shared, configuration: &Configuration, now: Instant) -> Option<Body> {
+fn next_change(
+    shared: &Shared,
+    configuration: &Configuration,
+    now: Instant,
+) -> Option<LeaseChange> {
     let leases = shared.leases.borrow();
     let lease_duration = shared.settings.instance_lease;
     let is_expired = |r: &&Renewal| now.duration_since(r.renewed_at) > lease_duration;
     if let Some(renewal) = leases.renewals.iter().find(is_expired) {
-        return Some(Body::RemoveInstance(InstanceGone {
+        let body = Body::RemoveInstance(InstanceGone {
             id: renewal.instance.clone().into(),
             incarnation: renewal.incarnation,
             reason: format!("its lease of {lease_duration:?} has ended"),
-        }));
+        });
+        return Some(LeaseChange {
+            body,
+            losing: Some(renewal.instance.clone()),
+        });
     }
     let orphaned_pool = configuration
         .pools
@@ -222,12 +249,14 @@
         None => leases.unserved_pools.first()?,
     };
     let holder = choose_scheduler(configuration)?;
-    Some(Body::AssignPool(PoolLease {
+    let body = Body::AssignPool(PoolLease {
         pool: pool.into(),
         instance: holder.id.clone(),
         incarnation: holder.incarnation,
         epoch,
-    }))
+    });
+    let losing = orphaned_pool.map(|p| p.instance.as_str().into());
+    Some(LeaseChange { body, losing })
 }
 
 /// Whether the instance that schedules a pool is live and not leaving.
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -14,5 +14,6 @@
 mod key_requirement;
 mod large_documents;
 mod nodes;
+mod pool_holders;
 mod replacements;
 mod withdrawals;
