--- a/crates/jaylock-router/src/event.rs
+++ b/crates/jaylock-router/src/event.rs
@@ -53,12 +53,13 @@
         let (offset, length) = self.find_block()?;
         let text = self.buffer.split_to(offset + length).freeze();
         let lines = || text.split(|b| *b == b'\n');
+        let fields = || lines().filter_map(field_name);
         let id = lines().find_map(|line| line.strip_prefix(b"id:"));
         let id = id.and_then(|text| std::str::from_utf8(text).ok()?.trim().parse().ok());
         Some(RawEvent {
             id,
-            has_data: lines().any(|line| field_name(line) == b"data"),
-            is_event: lines().any(|line| EVENT_FIELDS.contains(&field_name(line))),
+            has_data: fields().any(|name| name == b"data"),
+            is_event: fields().any(|name| EVENT_FIELDS.contains(&name)),
             text,
         })
     }
@@ -91,14 +92,12 @@
 /// Names of the fields that an event has at least one of; the empty one begins a comment.
 const EVENT_FIELDS: [&[u8]; 5] = [b"id", b"data", b"event", b"retry", b""];
 
-/// Name of the field in a line; a blank line has none that an event may have.
-fn field_name(line: &[u8]) -> &[u8] {
+/// Name of the field in a line, which is the whole line without a colon; `None` for a blank line.
+fn field_name(line: &[u8]) -> Option<&[u8]> {
     let line = line.strip_suffix(b"\r").unwrap_or(line);
-    match line.iter().position(|b| *b == b':') {
-        Some(colon) => &line[..colon],
-        None if line.is_empty() => b"\n",
-        None => line,
-    }
+    let colon = line.iter().position(|b| *b == b':');
+    let name = &line[..colon.unwrap_or(line.len())];
+    (!line.is_empty()).then_some(name)
 }
 
 fn find_end(buffer: &[u8], start: usize) -> Option<(usize, usize)> {
--- a/crates/jaylock-router/src/lifecycle.rs
+++ b/crates/jaylock-router/src/lifecycle.rs
@@ -15,7 +15,7 @@
 pub struct RunPlan {
     /// When the caller stops waiting.
     pub deadline: Instant,
-    /// Time that the request needs once it is sent; unset if it may be repeated, so that an end in its middle does less harm.
+    /// Time that the request needs once it is sent; unset if it may be repeated, so that its caller can go on elsewhere.
     pub needed: Option<Duration>,
 }
 
--- a/crates/jaylock-router/src/run_times.rs
+++ b/crates/jaylock-router/src/run_times.rs
@@ -6,7 +6,7 @@
 /// Time after which a longest run is forgotten at the earliest; after twice this time it is at the latest.
 const WINDOW: Duration = Duration::from_mins(1);
 
-/// The longest recent runs of each route, from sending a request to the end of its response.
+/// The longest recent runs of each route, from the grant of the first slot to the end of the response.
 #[derive(Debug, Default)]
 pub struct RunTimes {
     /// Sorted by route.
