Callers need keys wherever there are organisations

What callers saw: nothing yet; found in reading this landing's change once more. After a document without a list of organisations, an organisation created by its own command left the routes open to callers without a key, which did not.

Cause: let the document's word that no key is needed go before the organisations that exist now.

Change: keys are needed where there are organisations, or where the document or the removal of the last one says so. One rule for states of this and of earlier releases.

--- a/crates/jaylock-control/src/state/document.rs
+++ b/crates/jaylock-control/src/state/document.rs
@@ -12,11 +12,10 @@
 
 /// Whether callers of routes that are not public need a key.
 ///
-/// A configuration of an earlier release doesn't say so; it needs one if there are organisations.
+/// They always need one where there are organisations, whatever the last document says.
 #[must_use]
 pub fn is_key_required(configuration: &Configuration) -> bool {
-    let has_organisations = !configuration.organisations.is_empty();
-    configuration.key_required.unwrap_or(has_organisations)
+    !configuration.organisations.is_empty() || configuration.key_required == Some(true)
 }
 
 /// Checks that a document can become active; the error says why not.
--- a/crates/jaylock-tests/tests/control/key_requirement.rs
+++ b/crates/jaylock-tests/tests/control/key_requirement.rs
@@ -42,6 +42,13 @@
         expect_that!(requires_keys(&group, vec![document(2, Some(false))]).await, eq(false));
     };
 
+    // Guards against routes that stay open although an organisation was created after a document without organisations.
+    async organisation_created_after_a_document_without_keys_requires_them => {
+        let group = Group::new(1, 1).await;
+        let commands = vec![document(1, Some(false)), create_organisation("first", None)];
+        expect_that!(requires_keys(&group, commands).await, eq(true));
+    };
+
     async document_of_an_earlier_release_requires_keys_where_it_has_organisations => {
         let group = Group::new(1, 1).await;
         expect_that!(requires_keys(&group, vec![document(1, None)]).await, eq(false));
