A batch of the log and a frame on the disk share their target size

Cause: two constants of 1 MiB had to agree, as an append must be one frame, or a torn append of two could pass for a damaged log. Change: the batch's is derived from the frame's; no value changes. Result: clippy passes; 13 control tests (disk_faults, large_documents) pass.

--- a/crates/jaylock-control/src/replica/log.rs
+++ b/crates/jaylock-control/src/replica/log.rs
@@ -1,12 +1,12 @@
 use std::collections::VecDeque;
 
-use crate::storage::EncodedEntry;
+use crate::storage::{EncodedEntry, FRAME_TARGET_BYTES};
 
 /// Maximum number of entries in one message.
 const MAX_BATCH_ENTRIES: usize = 512;
 
 /// Size of the entries after which no further entry is added to a message.
-const BATCH_TARGET_BYTES: u64 = 1 << 20;
+const BATCH_TARGET_BYTES: u64 = FRAME_TARGET_BYTES as u64;
 
 /// Log entries in memory, which follow a base entry that is part of a snapshot.
 #[derive(Debug, Default)]
--- a/crates/jaylock-control/src/storage/mod.rs
+++ b/crates/jaylock-control/src/storage/mod.rs
@@ -13,4 +13,4 @@
 pub(crate) use self::records::{
     ClaimOutcome, ClaimRecord, EntryBatch, HardState, Snapshot, StoredResult,
 };
-pub(crate) use self::store::{DiskContents, Store};
+pub(crate) use self::store::{DiskContents, FRAME_TARGET_BYTES, Store};
--- a/crates/jaylock-control/src/storage/store.rs
+++ b/crates/jaylock-control/src/storage/store.rs
@@ -9,7 +9,9 @@
 /// Size of the pieces in which the log is read.
 const PIECE_BYTES: usize = 1 << 20;
 /// Size of the entries after which no further entry is added to a frame.
-const FRAME_TARGET_BYTES: usize = 1 << 20;
+///
+/// A batch of the log ends at the same size, so that what is appended at once is one frame: only the last frame can be torn.
+pub const FRAME_TARGET_BYTES: usize = 1 << 20;
 
 /// Reads and writes the records of a replica.
 #[derive(Clone)]
