One copy of the conversion of durations, and of which routes may be repeated

Ruled out: a change of behaviour; each place saturated, but for the lists of addresses, where a lifetime beyond 64 bits of ms counted as 1 ms and now as the largest. Change: millis and long_millis in jaylock-types, is_repeatable in route/context.rs.

--- a/crates/jaylock-control/src/leases.rs
+++ b/crates/jaylock-control/src/leases.rs
@@ -5,6 +5,7 @@
 use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::{Configuration, Instance, InstanceGone, InstanceLag, PoolLease};
 use jaylock_rpc::v1::{RenewReply, RenewRequest};
+use jaylock_types::millis;
 use tonic::Status;
 
 use crate::replica::{RequestError, Shared};
@@ -196,10 +197,6 @@
     })
 }
 
-fn millis(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
-
 /// Removes instances whose leases have ended and assigns their pools to others.
 pub async fn run(shared: Rc<Shared>) {
     loop {
--- a/crates/jaylock-daemon/src/api.rs
+++ b/crates/jaylock-daemon/src/api.rs
@@ -11,7 +11,7 @@
 use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::{Document, DocumentReply, PromptPart};
 use jaylock_share::SchedulerClient;
-use jaylock_types::{ByteSize, boottime_now, unix_ms};
+use jaylock_types::{ByteSize, boottime_now, long_millis, unix_ms};
 use thiserror::Error as ThisError;
 
 use crate::left_out::LeftOutLog;
@@ -136,8 +136,7 @@
         if routers.is_empty() {
             return Err(ApiError::Unavailable("no router is known yet".into()));
         }
-        let lists =
-            unix_ms() / u64::try_from(self.address_ttl.as_millis()).map_or(1, |ms| ms.max(1));
+        let lists = unix_ms() / long_millis(self.address_ttl).max(1);
         let position = self.list_offset.wrapping_add(lists);
         let routers = select_routers(routers, max_count, position);
         let addresses = routers.iter().map(|i| i.caller_address.clone());
--- a/crates/jaylock-daemon/src/context.rs
+++ b/crates/jaylock-daemon/src/context.rs
@@ -15,7 +15,7 @@
 use jaylock_rpc::{Channel, ChannelSettings};
 use jaylock_settings::{ReplicaAddress, Settings};
 use jaylock_share::{SchedulerClient, SchedulerClientSettings, SchedulerHost, SchedulerSettings};
-use jaylock_types::{Incarnation, unix_ms};
+use jaylock_types::{Incarnation, millis, unix_ms};
 
 use crate::minute_replicator::MinuteReplicator;
 use crate::observability::{objectives, observer};
@@ -254,10 +254,6 @@
     }
 }
 
-fn millis(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
-
 /// Identity of the replica that the instance may hold.
 pub fn identity(settings: &Settings) -> Member {
     let instance = &settings.instance;
--- a/crates/jaylock-daemon/src/observability.rs
+++ b/crates/jaylock-daemon/src/observability.rs
@@ -1,7 +1,7 @@
 use jaylock_observe::{LogSettings, Objective, Objectives, Observer, ObserverSettings};
 use jaylock_rpc::v1;
 use jaylock_settings::Settings;
-use jaylock_types::Incarnation;
+use jaylock_types::{Incarnation, long_millis};
 
 /// Returns the log settings of an instance.
 #[must_use]
@@ -43,7 +43,7 @@
     let message = |o: Objective| v1::Objective {
         name: o.name.into(),
         target_ppm: o.target_ppm,
-        threshold_ms: u64::try_from(o.threshold.as_millis()).unwrap_or(u64::MAX),
+        threshold_ms: long_millis(o.threshold),
     };
     observer.objectives().into_iter().map(message).collect()
 }
--- a/crates/jaylock-daemon/src/shutdown.rs
+++ b/crates/jaylock-daemon/src/shutdown.rs
@@ -1,6 +1,7 @@
 use std::time::{Duration, Instant};
 
 use jaylock_router::Router;
+use jaylock_types::long_millis;
 
 /// Longest time planned for control's confirmation that this instance is leaving, or gone.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(5);
@@ -61,7 +62,7 @@
 
     /// Logs a phase with the time since the start and the connections in use.
     pub fn log_phase(&self, phase: &str, router: &Router) {
-        let after_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let after_ms = long_millis(self.started.elapsed());
         let connections = router.used_connections();
         log::info!(target: "daemon", after_ms, connections; "{phase}");
     }
--- a/crates/jaylock-observe/src/tally.rs
+++ b/crates/jaylock-observe/src/tally.rs
@@ -2,6 +2,7 @@
 
 use hdrhistogram::Histogram;
 use hdrhistogram::serialization::{Deserializer, Serializer, V2Serializer};
+use jaylock_types::long_millis;
 
 /// Longest time in a histogram; longer times are recorded as this one.
 const MAX_TIME_MS: u64 = 3_600_000;
@@ -60,7 +61,7 @@
         } else {
             self.bad += 1;
         }
-        let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let ms = long_millis(time);
         if let Some(times) = &mut self.times {
             times.saturating_record(ms);
         }
--- a/crates/jaylock-router/src/quarantine.rs
+++ b/crates/jaylock-router/src/quarantine.rs
@@ -5,7 +5,7 @@
 use jaylock_observe::RunStatus;
 use jaylock_rpc::v1::Quarantine;
 use jaylock_rpc::v1::command::Body;
-use jaylock_types::{Index, OrganisationId, RequestId, unix_ms};
+use jaylock_types::{Index, OrganisationId, RequestId, long_millis, unix_ms};
 
 use crate::context::Context;
 use crate::proposal;
@@ -189,8 +189,7 @@
     }
 
     fn command(&self, backend: &str, duration: Duration, is_suspect: bool) -> Body {
-        let (duration, at_ms) = (u64::try_from(duration.as_millis()), unix_ms());
-        let duration = duration.unwrap_or(u64::MAX);
+        let (duration, at_ms) = (long_millis(duration), unix_ms());
         let until_ms = if duration == 0 {
             0
         } else {
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -10,7 +10,7 @@
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{self, Ask};
-use jaylock_types::PoolId;
+use jaylock_types::{PoolId, millis};
 
 use crate::call::{self, Call};
 use crate::connection::{self, Probe};
@@ -282,13 +282,12 @@
 
     /// Requests a slot; backend servers that failed are avoided for at most `avoid_timeout`.
     async fn request_slot(&mut self, base: Ask) -> Result<(SocketAddr, Slot), ErrorResponse> {
-        let waited = self.arrived_at.elapsed().as_millis();
         let mut ask = Ask {
             organisation: self.crash_tracker.organisation.to_string(),
             avoid: self.avoid.clone(),
             software: self.software.required(),
             alone: self.crash_tracker.is_suspect(),
-            waited_ms: u32::try_from(waited).unwrap_or(u32::MAX),
+            waited_ms: millis(self.arrived_at.elapsed()),
             request: self.crash_tracker.request.to_string(),
             fingerprint: self.crash_tracker.short_fingerprint(),
             ..base
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -7,10 +7,10 @@
 use jaylock_observe::{RequestKind, RunStatus};
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::refusal::Reason;
-use jaylock_rpc::v1::route::Kind;
 use jaylock_rpc::v1::{Ask, Grant, Refusal};
+use jaylock_types::millis;
 
-use super::context::RouteContext;
+use super::context::{RouteContext, is_repeatable};
 use super::prompt::Prompt;
 use super::quarantine::quarantine_time;
 use super::request::RouteRequest;
@@ -146,9 +146,9 @@
         let ask = Ask {
             served,
             avoid: self.avoid.clone(),
-            waited_ms: u32::try_from(waited.as_millis()).unwrap_or(u32::MAX),
+            waited_ms: millis(waited),
             software: self.software.required(),
-            patience_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
+            patience_ms: millis(remaining),
             ..self.request.slot_request()
         };
         let pool = self.request.pool();
@@ -288,13 +288,7 @@
 
     /// Whether the request may be retried after an attempt that may have run.
     pub fn may_retry(&self) -> bool {
-        let route = &self.request.route;
-        let allows_retries = match route.kind() {
-            Kind::Repeatable => true,
-            Kind::Stream => route.resumable,
-            Kind::Once => false,
-        };
-        allows_retries && !self.is_final
+        is_repeatable(&self.request.route) && !self.is_final
     }
 
     /// Error for a request whose deadline has passed.
--- a/crates/jaylock-router/src/route/context.rs
+++ b/crates/jaylock-router/src/route/context.rs
@@ -83,16 +83,19 @@
     /// A request that may not be repeated needs as long as the longest recent one. Where none is known, a stream may
     /// begin, as its caller sees how far it got; any other one counts as endless.
     pub fn run_plan(&self, route: &Route, deadline: Instant) -> RunPlan {
-        let longest = || self.run_times.longest(&route.id, Instant::now());
-        let needed = match route.kind() {
-            Kind::Repeatable => None,
-            Kind::Stream if route.resumable => None,
-            Kind::Stream => Some(longest().unwrap_or(Duration::ZERO)),
-            Kind::Once => Some(longest().unwrap_or(Duration::MAX)),
-        };
+        let needed = (!is_repeatable(route)).then(|| self.time_needed(route));
         RunPlan { deadline, needed }
     }
 
+    fn time_needed(&self, route: &Route) -> Duration {
+        let unknown = match route.kind() {
+            Kind::Stream => Duration::ZERO,
+            Kind::Once | Kind::Repeatable => Duration::MAX,
+        };
+        let longest = self.run_times.longest(&route.id, Instant::now());
+        longest.unwrap_or(unknown)
+    }
+
     /// Error for a request that did not run because this instance stops.
     pub fn leaving(&self) -> ErrorResponse {
         self.unavailable("leaving", "this instance is stopping")
@@ -123,3 +126,12 @@
         .with_retry_after(self.limits.retry_after)
     }
 }
+
+/// Whether a request for a route may be sent again after an attempt that may have run.
+pub fn is_repeatable(route: &Route) -> bool {
+    match route.kind() {
+        Kind::Repeatable => true,
+        Kind::Stream => route.resumable,
+        Kind::Once => false,
+    }
+}
--- a/crates/jaylock-router/src/slot.rs
+++ b/crates/jaylock-router/src/slot.rs
@@ -3,7 +3,7 @@
 
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{End, Grant, Progress};
-use jaylock_types::{Notice, PoolId};
+use jaylock_types::{Notice, PoolId, millis};
 
 use crate::port::Schedulers;
 
@@ -100,11 +100,10 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let first_token = self.first_token.unwrap_or_default().as_millis();
         let mut end = End {
             ticket: self.grant.ticket,
             tokens: self.tokens,
-            first_token_ms: u32::try_from(first_token).unwrap_or(u32::MAX),
+            first_token_ms: millis(self.first_token.unwrap_or_default()),
             unreached: self.is_unreached,
             answered: self.is_answered,
             ..End::default()
--- a/crates/jaylock-share/src/account.rs
+++ b/crates/jaylock-share/src/account.rs
@@ -2,6 +2,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use jaylock_types::millis;
 
 use crate::cost::{CostModel, Mean};
 use crate::queue::Queue;
@@ -52,8 +53,7 @@
         if self.waits.len() == MAX_WAITS {
             self.waits.pop_front();
         }
-        self.waits
-            .push_back(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
+        self.waits.push_back(millis(wait));
     }
 
     /// Delay after which a refused caller should find a free position in the queue.
--- a/crates/jaylock-share/src/admission.rs
+++ b/crates/jaylock-share/src/admission.rs
@@ -3,6 +3,7 @@
 
 use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{Ask, Refusal};
+use jaylock_types::millis;
 
 use crate::account::AccountKey;
 use crate::allocator::Allocator;
@@ -251,9 +252,7 @@
         reason: Reason,
         retry_delay: Duration,
     ) {
-        let retry_after_ms = u32::try_from(retry_delay.as_millis())
-            .unwrap_or(u32::MAX)
-            .max(1);
+        let retry_after_ms = millis(retry_delay).max(1);
         if let Some(router) = self.routers.get_mut(router) {
             let refusal = Refusal {
                 ticket,
--- a/crates/jaylock-share/src/crash_causes.rs
+++ b/crates/jaylock-share/src/crash_causes.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 use jaylock_rpc::v1::{Ask, Configuration, CrashCause};
-use jaylock_types::unix_ms;
+use jaylock_types::{long_millis, unix_ms};
 
 use crate::causes::{Causes, shared_causes};
 use crate::proven_causes::ProvenCauses;
@@ -238,11 +238,11 @@
                 continue;
             };
             entry.last_recording = Some(now);
-            let remaining = end.saturating_duration_since(now).as_millis();
+            let remaining = end.saturating_duration_since(now);
             changes.push(CrashCause {
                 pool: pool.into(),
                 hash: entry.hash,
-                until_ms: unix_ms().saturating_add(u64::try_from(remaining).unwrap_or(u64::MAX)),
+                until_ms: unix_ms().saturating_add(long_millis(remaining)),
                 quarantines: entry.quarantines,
                 backend: entry
                     .backends
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -2,7 +2,7 @@
 use std::time::Instant;
 
 use jaylock_rpc::v1::{Decision, Grant};
-use jaylock_types::unix_ms;
+use jaylock_types::{millis, unix_ms};
 
 use crate::account::AccountKey;
 use crate::allocator::Allocator;
@@ -226,7 +226,7 @@
             backend: backend.report.id.clone(),
             address: backend.report.address.clone(),
             epoch: self.epoch,
-            report_delay_ms: u32::try_from(report_delay.as_millis()).unwrap_or(u32::MAX),
+            report_delay_ms: millis(report_delay),
             incarnation: backend.report.incarnation,
             software: backend.report.software.clone(),
         };
@@ -234,7 +234,7 @@
             request: request_id(ask),
             organisation: ask.organisation.clone(),
             backend: grant.backend.clone(),
-            waited_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            waited_ms: millis(wait),
             reason: reason.into(),
             at_ms: unix_ms(),
         };
--- a/crates/jaylock-share/src/description.rs
+++ b/crates/jaylock-share/src/description.rs
@@ -1,6 +1,7 @@
 use std::time::Instant;
 
 use jaylock_rpc::v1::{BackendState, OrganisationShare, PoolReport};
+use jaylock_types::millis;
 
 use crate::account::Account;
 use crate::allocator::Allocator;
@@ -26,14 +27,12 @@
     }
 
     fn backend_state(&self, backend: &Backend, now: Instant) -> BackendState {
-        let report_age = now
-            .saturating_duration_since(backend.last_report)
-            .as_millis();
+        let report_age = now.saturating_duration_since(backend.last_report);
         let state = backend.unusable_reason(now, self.settings.backend_lease);
         BackendState {
             report: Some(backend.report.clone()),
             granted: backend.granted,
-            heard_ms_ago: u32::try_from(report_age).unwrap_or(u32::MAX),
+            heard_ms_ago: millis(report_age),
             state: if state.is_empty() { "ready" } else { state }.into(),
         }
     }
--- a/crates/jaylock-share/src/exclusions.rs
+++ b/crates/jaylock-share/src/exclusions.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 use jaylock_rpc::v1::Exclusion;
-use jaylock_types::Notice;
+use jaylock_types::{Notice, millis};
 
 /// Longest pause, so that a backend server can't exclude itself for ever by mistake.
 const MAX_PAUSE: Duration = Duration::from_mins(10);
@@ -116,7 +116,7 @@
             Reason::Leaving { .. } => None,
             Reason::Paused { until } => Some(until.checked_duration_since(now)?),
         };
-        let pause_ms = pause.map(|p| u32::try_from(p.as_millis()).unwrap_or(u32::MAX));
+        let pause_ms = pause.map(millis);
         Some(Exclusion {
             backend: self.backend.to_string(),
             incarnation: self.incarnation,
--- a/crates/jaylock-share/src/pending_request.rs
+++ b/crates/jaylock-share/src/pending_request.rs
@@ -2,6 +2,7 @@
 
 use futures_channel::oneshot;
 use jaylock_rpc::v1::{Ask, Grant, Refusal};
+use jaylock_types::millis;
 
 use crate::encoding::encode_request_id;
 use crate::placement;
@@ -25,8 +26,7 @@
 
     /// The request with the time that it has waited by now.
     pub fn updated_ask(&self, now: Instant) -> Ask {
-        let waited = now.saturating_duration_since(self.queued_at).as_millis();
-        let waited = u32::try_from(waited).unwrap_or(u32::MAX);
+        let waited = millis(now.saturating_duration_since(self.queued_at));
         let mut ask = self.ask.clone();
         ask.waited_ms = ask.waited_ms.saturating_add(waited);
         encode_request_id(&mut ask);
--- a/crates/jaylock-share/src/recent_crashes.rs
+++ b/crates/jaylock-share/src/recent_crashes.rs
@@ -2,6 +2,7 @@
 
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{Ask, Crash, End};
+use jaylock_types::millis;
 
 use crate::causes::Causes;
 use crate::crash_causes::SUSPECT_CRASHES;
@@ -42,7 +43,7 @@
         let age = |at: Instant| now.saturating_duration_since(at);
         self.list.retain(|recent| age(recent.at) < CRASH_MEMORY);
         let crashes = self.list.iter().map(|recent| Crash {
-            age_ms: u32::try_from(age(recent.at).as_millis()).unwrap_or(u32::MAX),
+            age_ms: millis(age(recent.at)),
             ..recent.crash.clone()
         });
         crashes.collect()
--- a/crates/jaylock-share/src/recent_reports.rs
+++ b/crates/jaylock-share/src/recent_reports.rs
@@ -1,6 +1,7 @@
 use std::time::{Duration, Instant};
 
 use jaylock_rpc::v1::BackendReport;
+use jaylock_types::millis;
 
 use crate::division::without_events;
 
@@ -55,9 +56,9 @@
 
 impl TimedReport {
     fn with_age(&self, now: Instant) -> BackendReport {
-        let age = now.saturating_duration_since(self.received_at).as_millis();
+        let age = now.saturating_duration_since(self.received_at);
         BackendReport {
-            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            age_ms: millis(age),
             ..self.report.clone()
         }
     }
--- a/crates/jaylock-types/src/clock.rs
+++ b/crates/jaylock-types/src/clock.rs
@@ -45,5 +45,17 @@
     let elapsed = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or(Duration::ZERO);
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    long_millis(elapsed)
+}
+
+/// Whole milliseconds of a duration, for a 32-bit field; a longer duration saturates it.
+#[must_use]
+pub fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Whole milliseconds of a duration, for a 64-bit field; a longer duration saturates it.
+#[must_use]
+pub fn long_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/jaylock-types/src/lib.rs
+++ b/crates/jaylock-types/src/lib.rs
@@ -8,7 +8,7 @@
 mod secret;
 mod stream;
 
-pub use self::clock::{Clock, SystemClock, boottime_now, unix_ms};
+pub use self::clock::{Clock, SystemClock, boottime_now, long_millis, millis, unix_ms};
 pub use self::hash::Fnv;
 pub use self::identifier::{
     AdapterId, BackendId, DomainId, InstanceId, InvalidId, ModelId, OrganisationId, PoolId,
