The test of streams that break off late no longer ends on the bound

Cause, traced earlier: the scheduler refuses what has waited half of the objective, 500 ms; the 15 streams that keep all slots lasted 1,500 ms and the stream breaks off after 1,000, so that it had to wait for exactly what is allowed. The test was wrong, not the router. Ruled out: a weaker check. Change: the busy streams last 1,200 ms, less than half of the objective longer than the broken one.

--- a/crates/jaylock-tests/tests/platform/streams.rs
+++ b/crates/jaylock-tests/tests/platform/streams.rs
@@ -10,8 +10,8 @@
 
 /// Time to the first event that the route promises.
 const OBJECTIVE: Duration = Duration::from_secs(1);
-/// Events of a stream that keeps a slot longer than the objective, and the time between two.
-const BUSY_EVENTS: u64 = 16;
+/// Events of a stream that keeps a slot longer than the objective, by less than half of it, and the time between two.
+const BUSY_EVENTS: u64 = 13;
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Returns the events with these identifiers as a caller reads them.
