No signal but a fault or an explicit request ends or stops an instance

What callers saw: an instance under a limit on file size (RLIMIT_FSIZE, from the start or set on the running process) ended with status 153 (SIGXFSZ) at the first append beyond it, without a line in its log, and again at each start. In three instances with disks one after the other no group is left: no change is confirmed and none can be read.

Cause: the default action. Handlers were installed for SIGTERM, SIGINT and SIGHUP only, and only when the event loop ran. Of the 60 signals sent to a running jaylockd, 46 ended and 3 stopped it (SIGXFSZ, SIGXCPU, SIGUSR1, SIGUSR2, SIGALRM, all real-time signals, ...). Those three handlers notified wakers from inside the handler, too, where nothing may be locked or allocated.

Change: the first statement of each main blocks all signals, for all threads, except faults and explicit requests, and the event loop reads them from a signalfd. So nothing runs in a handler, no call returns EINTR, and a signal that comes during the start is kept. Per signal: - SIGXFSZ: the write fails with EFBIG and counts as a full disk: the replica halts and resumes when there is room. - SIGTERM, SIGINT: graceful shutdown, also during the start, and when the parent ignored them (as shells do for background jobs). - SIGHUP: reload, also during the start. - SIGXCPU: the soft limit on processor time is a notice; the hard one still ends the process. - SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGSTKFLT, real-time signals: nothing here sets a timer or asks for one, and an operator's script for another daemon must not end this one. SIGPIPE was ignored by the standard library already. - SIGTTIN, SIGTTOU: a job in the background of a terminal goes on. A handler with SA_RESTART would repeat the write for ever; a blocked signal lets it through. - SIGQUIT, SIGABRT, SIGILL, SIGTRAP, SIGBUS, SIGFPE, SIGSEGV, SIGSYS keep their action: faults, and dumps on request. SIGTSTP is the user's wish at a terminal; SIGKILL and SIGSTOP can't be blocked.

The crate nix, used through compio's signals before, does it without unsafe code. A blocked set is inherited by programs that a process starts; ours start none.

--- a/crates/jaylock-daemon/src/main.rs
+++ b/crates/jaylock-daemon/src/main.rs
@@ -2,10 +2,11 @@
 
 use anyhow::Context;
 use clap::{Arg, ArgAction, ArgMatches, Command};
-use jaylock_daemon::{Instance, Signals, arguments, settings_path};
+use jaylock_daemon::{BlockedSignals, Instance, arguments, settings_path};
 use jaylock_settings::Settings;
 
 fn main() -> anyhow::Result<()> {
+    let signals = BlockedSignals::block().context("can't block signals")?;
     let matches = command().get_matches();
     let settings = read_settings(&matches)?;
     if matches.get_flag(arguments::CHECK) {
@@ -20,7 +21,7 @@
         return Ok(());
     }
     runtime.block_on(async {
-        let mut signals = Signals::register();
+        let mut signals = signals.listen().context("can't wait for signals")?;
         let Some(instance) = signals.interrupt(Instance::open(settings)).await else {
             return Ok(());
         };
--- a/crates/jaylock-daemon/src/signals.rs
+++ b/crates/jaylock-daemon/src/signals.rs
@@ -1,19 +1,65 @@
 use std::io;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 
-use compio::signal::unix::signal;
+use compio::runtime::fd::PollFd;
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures_util::StreamExt;
 use futures_util::future::{Either, select};
-use futures_util::{FutureExt, StreamExt};
+use nix::sys::signal::{SigSet, Signal};
+use nix::sys::signalfd::{SfdFlags, SignalFd};
 
 /// Signal with which service managers request a graceful shutdown.
-const SIGTERM: i32 = 15;
+const SIGTERM: i32 = Signal::SIGTERM as i32;
 /// Signal that requests a reload of the settings.
-const SIGHUP: i32 = 1;
+const SIGHUP: i32 = Signal::SIGHUP as i32;
 /// Signal that a terminal sends on Ctrl-C.
-const SIGINT: i32 = 2;
+const SIGINT: i32 = Signal::SIGINT as i32;
 
-type Listener = Pin<Box<dyn Future<Output = io::Result<()>>>>;
+/// Signals with their default action: faults of the program, and explicit requests to dump or suspend it.
+const UNBLOCKED: [Signal; 9] = [
+    Signal::SIGABRT,
+    Signal::SIGBUS,
+    Signal::SIGFPE,
+    Signal::SIGILL,
+    Signal::SIGQUIT,
+    Signal::SIGSEGV,
+    Signal::SIGSYS,
+    Signal::SIGTRAP,
+    Signal::SIGTSTP,
+];
+
+/// Signals that are kept until [`BlockedSignals::listen`], so that none ends or stops the process.
+///
+/// A write beyond the limit on file sizes then fails instead, like one to a full disk.
+pub struct BlockedSignals(SignalFd);
+
+impl BlockedSignals {
+    /// Blocks the signals, for this thread and those that it starts later.
+    ///
+    /// # Errors
+    /// The system refuses a file descriptor for the signals.
+    pub fn block() -> io::Result<Self> {
+        let mut signals = SigSet::all();
+        for signal in UNBLOCKED {
+            signals.remove(signal);
+        }
+        signals.thread_block()?;
+        let flags = SfdFlags::SFD_CLOEXEC | SfdFlags::SFD_NONBLOCK;
+        Ok(Self(SignalFd::with_flags(&signals, flags)?))
+    }
+
+    /// Starts to handle the signals, and first those that arrived since they were blocked.
+    ///
+    /// # Errors
+    /// The runtime can't wait for signals.
+    pub fn listen(self) -> io::Result<Signals> {
+        let (shutdown_sender, shutdown) = unbounded();
+        let (reload_sender, reload) = unbounded();
+        let source = PollFd::new(self.0)?;
+        compio::runtime::spawn(forward(source, shutdown_sender, reload_sender)).detach();
+        Ok(Signals { shutdown, reload })
+    }
+}
 
 /// The signals that the process handles.
 ///
@@ -24,17 +70,6 @@
 }
 
 impl Signals {
-    /// Starts to handle the signals, each of which would otherwise end the process at once.
-    #[must_use]
-    pub fn register() -> Self {
-        let (shutdown_sender, shutdown) = unbounded();
-        let (reload_sender, reload) = unbounded();
-        forward(SIGTERM, shutdown_sender.clone());
-        forward(SIGINT, shutdown_sender);
-        forward(SIGHUP, reload_sender);
-        Self { shutdown, reload }
-    }
-
     /// Runs work unless a shutdown signal arrives first; returns `None` in that case.
     pub async fn interrupt<T>(&mut self, work: impl Future<Output = T>) -> Option<T> {
         match select(self.shutdown.next(), pin!(work)).await {
@@ -56,26 +91,32 @@
     }
 }
 
-/// Sends an item for each arrival of a signal from now on.
-fn forward(number: i32, sender: UnboundedSender<()>) {
-    let mut current = listener(number);
-    let mut next = listener(number);
-    // The next listener registers before the current one ends.
-    let forwarding = async move {
-        while current.await.is_ok() {
-            let _ = sender.unbounded_send(());
-            current = next;
-            next = listener(number);
-        }
-    };
-    compio::runtime::spawn(forwarding).detach();
+/// Sends an item for each signal that requests something; all others are discarded.
+async fn forward(
+    source: PollFd<SignalFd>,
+    shutdown: UnboundedSender<()>,
+    reload: UnboundedSender<()>,
+) {
+    loop {
+        let sender = match next_signal(&source).await {
+            Ok(SIGTERM | SIGINT) => &shutdown,
+            Ok(SIGHUP) => &reload,
+            Ok(_) => continue,
+            Err(error) => {
+                log::error!(target: "daemon", "signals can't be read: {error}");
+                return;
+            }
+        };
+        let _ = sender.unbounded_send(());
+    }
 }
 
-fn listener(number: i32) -> Listener {
-    let mut listener: Listener = Box::pin(signal(number));
-    // The first poll registers the listener.
-    match listener.as_mut().now_or_never() {
-        Some(outcome) => Box::pin(std::future::ready(outcome)),
-        None => listener,
+/// Waits for the number of the next signal.
+async fn next_signal(source: &PollFd<SignalFd>) -> io::Result<i32> {
+    loop {
+        if let Some(signal) = source.read_signal()? {
+            return Ok(signal.ssi_signo.cast_signed());
+        }
+        source.read_ready().await?;
     }
 }
--- a/crates/jaylock-tests/src/process.rs
+++ b/crates/jaylock-tests/src/process.rs
@@ -3,7 +3,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, kill_process, prlimit};
 
 use crate::program_path;
 
@@ -66,6 +66,28 @@
         self.send(Signal::TERM);
     }
 
+    /// Sets the largest size of a file that the process can write, in bytes, or lifts the limit.
+    ///
+    /// # Panics
+    /// When the process has ended, or the limit can't be set.
+    pub fn limit_files(&self, bytes: Option<u64>) {
+        let limit = Rlimit {
+            current: bytes,
+            ..getrlimit(Resource::Fsize)
+        };
+        prlimit(self.raw_pid(), Resource::Fsize, limit).expect("the limit is set");
+    }
+
+    /// Sends a signal to the process.
+    ///
+    /// # Panics
+    /// When the process has ended.
+    pub fn send(&self, signal: Signal) {
+        let pid = self.raw_pid().expect("a process id");
+        let result = kill_process(pid, signal);
+        assert!(result.is_ok(), "sending {signal:?} failed");
+    }
+
     /// Kills the process.
     pub fn kill(mut self) {
         let _ = self.child.kill();
@@ -101,10 +123,9 @@
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
-    fn send(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
-        let result = pid.map(|pid| kill_process(pid, signal));
-        assert!(matches!(result, Some(Ok(()))), "sending {signal:?} failed");
+    fn raw_pid(&self) -> Option<Pid> {
+        let pid = i32::try_from(self.child.id()).ok();
+        pid.and_then(Pid::from_raw)
     }
 }
 
--- a/crates/jaylock-tests/tests/platform/harness/mod.rs
+++ b/crates/jaylock-tests/tests/platform/harness/mod.rs
@@ -3,13 +3,16 @@
 mod backend;
 mod caller;
 mod document;
+mod stalled;
 
 pub use self::backend::{FakeBackend, ReceivedRequest, Reply};
 pub use self::caller::{Caller, CallerResponse};
 pub use self::document::{KEY, OTHER_KEY, document};
+pub use self::stalled::StalledStart;
 
 use std::fs;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -137,21 +140,46 @@
     /// Starts an instance; `is_first` marks the first start of the whole fleet.
     pub fn start_instance(&mut self, at: usize, is_first: bool) {
         let text = self.settings_text(at, is_first);
+        fs::write(self.settings_path(at), text).expect("the settings are written");
+        self.start_process(at);
+    }
+
+    /// Starts an instance again that then waits for the content of its settings file.
+    pub fn start_stalled(&mut self, at: usize) -> StalledStart {
+        let text = self.settings_text(at, false);
+        let mut start = StalledStart::new(&self.settings_path(at), text);
+        self.start_process(at);
+        start.wait_until_opened();
+        start
+    }
+
+    fn start_process(&mut self, at: usize) {
         let name = self.instances[at].name.clone();
-        let path = self.folder.path().join(format!("{name}.ini"));
-        fs::write(path, text).expect("the settings are written");
         let arguments = ["--settings".into(), format!("{name}.ini")];
         let log = format!("{name}.log");
         let process = Process::start("jaylock-node", &arguments, self.folder.path(), &log);
         self.instances[at].process = Some(process);
     }
 
+    /// Starts an instance whose files are limited in size from the beginning.
+    pub fn start_limited(&mut self, at: usize, is_first: bool, file_bytes: u64) {
+        self.start_instance(at, is_first);
+        self.process(at).limit_files(Some(file_bytes));
+    }
+
+    /// Time in which an instance must end after SIGTERM.
+    pub fn stop_time(&self) -> Duration {
+        self.settings.stop
+    }
+
+    /// Number of instances that serve control.
+    pub fn control_count(&self) -> usize {
+        self.settings.control_count
+    }
+
     /// Edits the settings file of an instance, which may be running.
     pub fn edit_settings(&self, at: usize, change: impl FnOnce(String) -> String) {
-        let path = self
-            .folder
-            .path()
-            .join(format!("{}.ini", self.instances[at].name));
+        let path = self.settings_path(at);
         let text = fs::read_to_string(&path).expect("a settings file");
         fs::write(path, change(text)).expect("the settings are written");
     }
@@ -259,6 +287,11 @@
         self.instances[at].addresses.metrics
     }
 
+    fn settings_path(&self, at: usize) -> PathBuf {
+        let name = &self.instances[at].name;
+        self.folder.path().join(format!("{name}.ini"))
+    }
+
     fn settings_text(&self, at: usize, is_first: bool) -> String {
         let Instance {
             name, addresses, ..
