A start waits for an address or a data folder that another process still has

Operators saw "did not start": the process ended with status 1 within its first second when one of its addresses was still in use, was not on the machine yet, or when the process before it, in its graceful stop of up to 8 s, had the data folder. Where nobody starts it again, it stays away. Class: a start that gives up where waiting would do. Ruled out: that the socket lacks SO_REUSEADDR (the runtime sets it, a port in TIME_WAIT is bound at once); that a metrics address is harmless (it ended the start as well). Change: a Binding tries once, fails at once for what waiting can't mend (permission, an invalid address), and else tries every 100 ms with a warning a minute that names the setting and the address. The lock of the folder likewise. Life cycle: Prepared (nothing held or sent), Opened (folder, peer and caller addresses held), Serving; the follower, which announces the instance, started before the addresses for calls were bound and starts now with the rest. The platform's calls and the metrics are bound beside: readiness answers 503 meanwhile, metrics keep nobody waiting. A shutdown signal ends the wait with status 0. Tests: platform starts::*, 16 cases with real processes. What it guards against, an instance that answers nobody without saying so, is now in starts::restart_waits_for_an_occupied_address_for_operators (the log names the address, the process runs, and it serves once the address is free) and starts::start_ends_when_waiting_can_not_mend_an_address (the end and the message, for what can't be mended).

--- a/crates/jaylock-daemon/src/components.rs
+++ b/crates/jaylock-daemon/src/components.rs
@@ -2,31 +2,40 @@
 use std::time::Duration;
 
 use compio::runtime::JoinHandle;
-use jaylock_control::{FollowerHandle, Replica};
+use jaylock_control::{Follower, FollowerHandle, Replica};
 use jaylock_observe::{MemoryUse, Observer};
+use jaylock_orders::{HttpEngineClient, OrderReconciler};
 use jaylock_router::{BodyMemory, Router, id_hash};
 use jaylock_rpc::v1::operator_server::OperatorServer;
 use jaylock_rpc::v1::peer_server::PeerServer;
 use jaylock_rpc::{Access, Routes};
 use jaylock_settings::Settings;
-use jaylock_share::SchedulerClient;
+use jaylock_share::{SchedulerClient, SchedulerHost};
 
 use crate::api::{ControlApi, DOCUMENT_MEMORY};
 use crate::context::InstanceContext;
 use crate::exposition::serve_metrics;
+use crate::ports::{ControlLog, LocalPools};
 
 /// Time between two reports of this instance's state to its follower.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two records of what memory is used for.
 const MEMORY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Components that make calls of their own once the instance serves.
+pub struct Workers {
+    follower: Follower,
+    host: SchedulerHost,
+    reconciler: OrderReconciler<ControlLog, LocalPools, HttpEngineClient>,
+}
+
 /// The components of an instance, connected through their ports.
 pub struct Components {
     /// Settings and state that the components share.
     pub context: InstanceContext,
     /// Handle through which the instance reports its state to control.
     pub follower: FollowerHandle,
-    /// Replica of the log; unset without a data folder.
+    /// Replica of the log; unset without a data folder and before that is opened.
     pub replica: Option<Replica>,
     /// Router that serves callers and backend servers.
     pub router: Rc<Router>,
@@ -36,64 +45,78 @@
 }
 
 impl Components {
-    /// Creates the components, starts those that only make calls, and returns the gRPC services.
+    /// Creates the components, of which the workers are not started yet.
     ///
     /// # Errors
-    /// The data folder can't be read, or the HTTP client can't be created.
-    pub async fn assemble(settings: Settings) -> anyhow::Result<(Self, Routes)> {
+    /// The HTTP client can't be created.
+    pub fn new(settings: Settings) -> anyhow::Result<(Self, Workers)> {
         let context = InstanceContext::new(settings);
-        let replica = context.open_replica().await?;
         let follower = context.follower();
         let (lease, handle) = (follower.lease(), follower.handle());
         let schedulers = context.scheduler_client();
         let host = context.scheduler_host(lease.clone());
         let reconciler = context.order_reconciler(lease.clone())?;
-        let mut services = Routes::default()
-            .with(Access::Instances, host.service())
-            .with(
-                Access::Instances,
-                PeerServer::new(context.peer_endpoint(lease.clone())),
-            )
-            .with(
-                Access::Operators,
-                OperatorServer::new(context.operator_service()),
-            );
-        if let Some(replica) = &replica {
-            let (log, control) = replica.services();
-            services = services
-                .with(Access::Instances, log)
-                .with(Access::Instances, control);
-        }
-        let tasks = vec![
-            spawn(follower.run()),
-            spawn(host.run()),
-            spawn(reconciler.run()),
-            spawn(context.minute_replicator().run()),
-        ];
         let router = context.router(&schedulers, lease);
         let components = Self {
             context,
             follower: handle,
-            replica,
+            replica: None,
             router,
             schedulers,
             documents: BodyMemory::with_share(DOCUMENT_MEMORY, DOCUMENT_MEMORY),
-            tasks,
+            tasks: Vec::new(),
         };
-        Ok((components, services))
+        let workers = Workers {
+            follower,
+            host,
+            reconciler,
+        };
+        Ok((components, workers))
     }
 
-    /// Starts the replica, the metrics and the reports of what control must know of this instance.
+    /// Opens the replica of the log if the instance has a data folder.
     ///
     /// # Errors
-    /// The address of the metrics can't be bound.
-    pub async fn start(&mut self) -> anyhow::Result<()> {
-        if let Some(replica) = self.replica.clone() {
-            self.tasks.push(spawn(replica.run()));
-        }
+    /// The data folder can't be read.
+    pub async fn open_replica(&mut self) -> anyhow::Result<()> {
+        self.replica = self.context.open_replica().await?;
+        Ok(())
+    }
+
+    /// The gRPC services of the instance.
+    pub fn services(&self, workers: &Workers) -> Routes {
+        let peers = self.context.peer_endpoint(workers.follower.lease());
+        let operators = self.context.operator_service();
+        let routes = Routes::default()
+            .with(Access::Instances, workers.host.service())
+            .with(Access::Instances, PeerServer::new(peers))
+            .with(Access::Operators, OperatorServer::new(operators));
+        let Some(replica) = &self.replica else {
+            return routes;
+        };
+        let (log, control) = replica.services();
+        routes
+            .with(Access::Instances, log)
+            .with(Access::Instances, control)
+    }
+
+    /// Starts the metrics, the replica, the workers and the reports of what control must know of this instance.
+    ///
+    /// # Errors
+    /// Waiting can't make the address of the metrics available.
+    pub async fn start(&mut self, workers: Workers) -> anyhow::Result<()> {
         if let Some(address) = self.settings().instance.metrics_address {
             serve_metrics(address, self.context.observer.clone()).await?;
         }
+        if let Some(replica) = self.replica.clone() {
+            self.tasks.push(spawn(replica.run()));
+        }
+        self.tasks.extend([
+            spawn(workers.follower.run()),
+            spawn(workers.host.run()),
+            spawn(workers.reconciler.run()),
+            spawn(self.context.minute_replicator().run()),
+        ]);
         let (schedulers, router) = (self.schedulers.clone(), self.router.clone());
         let follower = self.follower.clone();
         self.tasks
--- a/crates/jaylock-daemon/src/context.rs
+++ b/crates/jaylock-daemon/src/context.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use jaylock_control::{
-    Bootstrap, ClientSettings, ConfigView, ControlClient, FileDisk, Follower, FollowerSettings,
+    Bootstrap, ClientSettings, ConfigView, ControlClient, Follower, FollowerSettings,
     InstanceLease, PeerService, Replica, ReplicaSettings,
 };
 use jaylock_observe::Observer;
@@ -19,6 +19,7 @@
 
 use crate::minute_replicator::MinuteReplicator;
 use crate::observability::{objectives, observer};
+use crate::occupied::open_folder;
 use crate::peer::PeerEndpoint;
 use crate::ports::{ControlLog, LocalPools, SchedulerPort};
 
@@ -61,7 +62,7 @@
         }
     }
 
-    /// Opens the replica of the log if the instance has a data folder.
+    /// Opens the replica of the log if the instance has a data folder, and waits while another process uses it.
     ///
     /// # Errors
     /// The folder can't be read.
@@ -69,7 +70,7 @@
         let Some(folder) = &self.settings.instance.data else {
             return Ok(None);
         };
-        let disk = FileDisk::open(Path::new(folder)).await?;
+        let disk = open_folder(Path::new(folder)).await?;
         let identity = identity(&self.settings);
         let bootstrap = self.bootstrap();
         let replica = Replica::open(identity, bootstrap, disk, self.replica_settings()).await?;
--- a/crates/jaylock-daemon/src/exposition.rs
+++ b/crates/jaylock-daemon/src/exposition.rs
@@ -1,9 +1,8 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 
-use anyhow::Context;
 use bytes::Bytes;
-use compio::net::{TcpListener, TcpStream};
+use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use http::{Method, Response, StatusCode, header};
 use http_body_util::Full;
@@ -12,18 +11,19 @@
 use jaylock_observe::Observer;
 use jaylock_rpc::local_future;
 
+use crate::occupied::Binding;
+
 /// Media type of the text format of the metrics.
 const MEDIA_TYPE: &str = "text/plain; version=0.0.4";
 
-/// Serves `GET /metrics` on `address` until the process ends.
+/// Serves `GET /metrics` on `address` until the process ends, once the address is free.
 ///
 /// # Errors
-/// The address can't be bound.
+/// Waiting can't make the address available.
 pub async fn serve_metrics(address: SocketAddr, observer: Observer) -> anyhow::Result<()> {
-    let listener = TcpListener::bind(address)
-        .await
-        .with_context(|| format!("metrics_address {address} can't be bound: choose a free one"))?;
+    let binding = Binding::begin("metrics_address", address).await?;
     compio::runtime::spawn(async move {
+        let listener = binding.complete().await;
         while let Ok((stream, _)) = listener.accept().await {
             compio::runtime::spawn(serve_connection(stream, observer.clone())).detach();
         }
--- a/crates/jaylock-daemon/src/instance.rs
+++ b/crates/jaylock-daemon/src/instance.rs
@@ -1,18 +1,17 @@
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use anyhow::Context;
 use compio::net::TcpListener;
 use compio::runtime::JoinHandle;
 use compio::time::timeout_at;
 use jaylock_router::{RouteHeaders, Router, new_command};
+use jaylock_rpc::ServerSettings;
 use jaylock_rpc::v1::InstanceGone;
 use jaylock_rpc::v1::command::Body;
-use jaylock_rpc::{Routes, ServerSettings};
 use jaylock_settings::Settings;
 
 use crate::api::ControlApi;
-use crate::components::{Components, spawn};
+use crate::components::{Components, Workers, spawn};
+use crate::occupied::Binding;
 use crate::reload::follow_settings;
 use crate::shutdown::{PROPAGATION_TIME, ShutdownSchedule};
 use crate::signals::Signals;
@@ -26,13 +25,18 @@
     state: S,
 }
 
-/// State of an instance that has bound its addresses but does not serve yet.
+/// State of an instance that holds nothing yet and is unknown to the others.
+pub struct Prepared {
+    headers: Option<RouteHeaders>,
+    workers: Workers,
+}
+
+/// State of an instance that holds its data folder and its addresses but does not serve yet.
 pub struct Opened {
     callers: Option<TcpListener>,
     headers: Option<RouteHeaders>,
     peers: TcpListener,
-    routes: Routes,
-    server: ServerSettings,
+    workers: Workers,
 }
 
 /// State of an instance that is serving.
@@ -40,64 +44,83 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
-impl Instance<Opened> {
-    /// Binds the addresses and opens the data folder.
+impl Instance<Prepared> {
+    /// Creates an instance; nothing is bound, opened or sent yet.
     ///
     /// # Errors
-    /// An address can't be bound, or the data folder can't be read.
-    pub async fn open(settings: Settings) -> anyhow::Result<Self> {
-        Self::open_with(settings, None).await
+    /// The HTTP client can't be created.
+    pub fn new(settings: Settings) -> anyhow::Result<Self> {
+        Self::with_headers(settings, None)
     }
 
-    /// Opens an instance that serves only routes to callers, with custom header names.
+    /// Creates an instance that serves only routes to callers, with custom header names.
     ///
     /// # Errors
-    /// The same as for [`Instance::open`].
-    pub async fn open_routes(settings: Settings, headers: RouteHeaders) -> anyhow::Result<Self> {
-        Self::open_with(settings, Some(headers)).await
+    /// The same as for [`Instance::new`].
+    pub fn for_routes(settings: Settings, headers: RouteHeaders) -> anyhow::Result<Self> {
+        Self::with_headers(settings, Some(headers))
     }
 
-    async fn open_with(settings: Settings, headers: Option<RouteHeaders>) -> anyhow::Result<Self> {
-        let callers = match settings.instance.caller_listen() {
-            Some(address) => Some(bind(address, "caller_address").await?),
+    fn with_headers(settings: Settings, headers: Option<RouteHeaders>) -> anyhow::Result<Self> {
+        let (components, workers) = Components::new(settings)?;
+        let state = Prepared { headers, workers };
+        Ok(Self { components, state })
+    }
+
+    /// Operations for operators, backend servers and callers that look up routers.
+    #[must_use]
+    pub fn api(&self) -> ControlApi {
+        self.components.api()
+    }
+
+    /// Opens the data folder and binds the addresses, and waits while another process has one of them.
+    ///
+    /// # Errors
+    /// The data folder can't be read, or waiting can't make an address available.
+    pub async fn open(mut self) -> anyhow::Result<Instance<Opened>> {
+        // The folder first, as no one should connect to an address whose owner waits.
+        self.components.open_replica().await?;
+        let instance = &self.components.settings().instance;
+        let peers = Binding::begin("peer_address", instance.peer_listen()).await?;
+        let callers = match instance.caller_listen() {
+            Some(address) => Some(Binding::begin("caller_address", address).await?),
             None => None,
         };
-        let peers = bind(settings.instance.peer_listen(), "peer_address").await?;
-        let server = ServerSettings {
-            peer_secret: settings.security.peer_secret.clone(),
-            operator_secret: settings.security.operator_secret.clone(),
-            ..ServerSettings::default()
+        let peers = peers.complete().await;
+        let callers = match callers {
+            Some(binding) => Some(binding.complete().await),
+            None => None,
         };
-        let (components, routes) = Components::assemble(settings).await?;
+        let Prepared { headers, workers } = self.state;
         let state = Opened {
             callers,
             headers,
             peers,
-            routes,
-            server,
+            workers,
         };
-        Ok(Self { components, state })
-    }
-
-    /// Operations for operators, backend servers and callers that look up routers.
-    #[must_use]
-    pub fn api(&self) -> ControlApi {
-        self.components.api()
+        Ok(Instance {
+            components: self.components,
+            state,
+        })
     }
+}
 
+impl Instance<Opened> {
     /// Starts all tasks of the instance.
     ///
     /// # Errors
-    /// The address of the metrics can't be bound.
+    /// Waiting can't make the address of the metrics available.
     pub async fn start(mut self) -> anyhow::Result<Instance<Serving>> {
         let Opened {
             callers,
             headers,
             peers,
-            routes,
-            server,
+            workers,
         } = self.state;
-        let mut tasks = vec![spawn(jaylock_rpc::serve(peers, routes, server))];
+        let services = self.components.services(&workers);
+        let server = server_settings(self.components.settings());
+        self.components.start(workers).await?;
+        let mut tasks = vec![spawn(jaylock_rpc::serve(peers, services, server))];
         let router = self.components.router.clone();
         if let Some(callers) = callers {
             tasks.push(spawn(async move {
@@ -107,7 +130,6 @@
                 }
             }));
         }
-        self.components.start().await?;
         log::info!(target: "daemon", "instance {} is serving", self.components.settings().instance.id);
         Ok(Instance {
             components: self.components,
@@ -225,8 +247,10 @@
     }
 }
 
-async fn bind(address: SocketAddr, key: &str) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("{key} {address} can't be bound: choose a free one"))
+fn server_settings(settings: &Settings) -> ServerSettings {
+    ServerSettings {
+        peer_secret: settings.security.peer_secret.clone(),
+        operator_secret: settings.security.operator_secret.clone(),
+        ..ServerSettings::default()
+    }
 }
--- a/crates/jaylock-daemon/src/lib.rs
+++ b/crates/jaylock-daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod left_out;
 mod minute_replicator;
 mod observability;
+mod occupied;
 mod peer;
 mod ports;
 mod reload;
@@ -20,8 +21,9 @@
 
 pub use self::api::{AddressList, ApiError, ControlApi, Inventory, MAX_DOCUMENT};
 pub use self::arguments::settings_path;
-pub use self::instance::{Instance, Opened, Serving};
+pub use self::instance::{Instance, Opened, Prepared, Serving};
 pub use self::observability::log_settings;
+pub use self::occupied::Binding;
 pub use self::peer::PeerEndpoint;
 pub use self::rescue::rescue;
 pub use self::signals::Signals;
--- a/crates/jaylock-daemon/src/main.rs
+++ b/crates/jaylock-daemon/src/main.rs
@@ -21,11 +21,13 @@
     }
     runtime.block_on(async {
         let mut signals = Signals::register();
-        let Some(instance) = signals.interrupt(Instance::open(settings)).await else {
+        let starting = async { Instance::new(settings)?.open().await?.start().await };
+        let Some(instance) = signals.interrupt(Box::pin(starting)).await else {
             return Ok(());
         };
-        let instance = instance?.start().await?;
-        instance.run(signals, move || read_settings(&matches)).await;
+        instance?
+            .run(signals, move || read_settings(&matches))
+            .await;
         Ok(())
     })
 }
--- a/crates/jaylock-tests/tests/platform/harness/mod.rs
+++ b/crates/jaylock-tests/tests/platform/harness/mod.rs
@@ -56,6 +56,17 @@
     }
 }
 
+/// An address of an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Endpoint {
+    Peer,
+    Caller,
+    Ready,
+    Control,
+    Directory,
+    Metrics,
+}
+
 /// Fleet of instances: first those that serve control, then those that serve callers.
 pub struct TestFleet {
     folder: TempDir,
@@ -137,6 +148,11 @@
     /// Starts an instance; `is_first` marks the first start of the whole fleet.
     pub fn start_instance(&mut self, at: usize, is_first: bool) {
         let text = self.settings_text(at, is_first);
+        self.start_with_text(at, &text);
+    }
+
+    /// Starts an instance with the given text as its settings file.
+    pub fn start_with_text(&mut self, at: usize, text: &str) {
         let name = self.instances[at].name.clone();
         let path = self.folder.path().join(format!("{name}.ini"));
         fs::write(path, text).expect("the settings are written");
@@ -146,6 +162,11 @@
         self.instances[at].process = Some(process);
     }
 
+    /// Returns the settings with which an instance is started again.
+    pub fn settings_of(&self, at: usize) -> String {
+        self.settings_text(at, false)
+    }
+
     /// Edits the settings file of an instance, which may be running.
     pub fn edit_settings(&self, at: usize, change: impl FnOnce(String) -> String) {
         let path = self
@@ -259,6 +280,19 @@
         self.instances[at].addresses.metrics
     }
 
+    /// Address of an instance.
+    pub fn address(&self, at: usize, endpoint: Endpoint) -> SocketAddr {
+        let addresses = &self.instances[at].addresses;
+        match endpoint {
+            Endpoint::Peer => addresses.peer,
+            Endpoint::Caller => addresses.caller,
+            Endpoint::Ready => addresses.ready,
+            Endpoint::Control => addresses.control,
+            Endpoint::Directory => addresses.directory,
+            Endpoint::Metrics => addresses.metrics,
+        }
+    }
+
     fn settings_text(&self, at: usize, is_first: bool) -> String {
         let Instance {
             name, addresses, ..
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -19,4 +19,5 @@
 mod requests;
 mod shutdown;
 mod software_versions;
+mod starts;
 mod streams;
