--- a/crates/jaylock-tests/tests/platform/harness/mod.rs
+++ b/crates/jaylock-tests/tests/platform/harness/mod.rs
@@ -59,6 +59,17 @@
     }
 }
 
+/// An address of an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Endpoint {
+    Peer,
+    Caller,
+    Ready,
+    Control,
+    Directory,
+    Metrics,
+}
+
 /// Fleet of instances: first those that serve control, then those that serve callers.
 pub struct TestFleet {
     folder: TempDir,
@@ -140,8 +151,7 @@
     /// Starts an instance; `is_first` marks the first start of the whole fleet.
     pub fn start_instance(&mut self, at: usize, is_first: bool) {
         let text = self.settings_text(at, is_first);
-        fs::write(self.settings_path(at), text).expect("the settings are written");
-        self.start_process(at);
+        self.start_with_text(at, &text);
     }
 
     /// Starts an instance again that then waits for the content of its settings file.
@@ -153,6 +163,12 @@
         start
     }
 
+    /// Starts an instance with the given text as its settings file.
+    pub fn start_with_text(&mut self, at: usize, text: &str) {
+        fs::write(self.settings_path(at), text).expect("the settings are written");
+        self.start_process(at);
+    }
+
     fn start_process(&mut self, at: usize) {
         let name = self.instances[at].name.clone();
         let arguments = ["--settings".into(), format!("{name}.ini")];
@@ -161,6 +177,11 @@
         self.instances[at].process = Some(process);
     }
 
+    /// Returns the settings with which an instance is started again.
+    pub fn settings_of(&self, at: usize) -> String {
+        self.settings_text(at, false)
+    }
+
     /// Starts an instance whose files are limited in size from the beginning.
     pub fn start_limited(&mut self, at: usize, is_first: bool, file_bytes: u64) {
         self.start_instance(at, is_first);
@@ -287,6 +308,19 @@
         self.instances[at].addresses.metrics
     }
 
+    /// Address of an instance.
+    pub fn address(&self, at: usize, endpoint: Endpoint) -> SocketAddr {
+        let addresses = &self.instances[at].addresses;
+        match endpoint {
+            Endpoint::Peer => addresses.peer,
+            Endpoint::Caller => addresses.caller,
+            Endpoint::Ready => addresses.ready,
+            Endpoint::Control => addresses.control,
+            Endpoint::Directory => addresses.directory,
+            Endpoint::Metrics => addresses.metrics,
+        }
+    }
+
     fn settings_path(&self, at: usize) -> PathBuf {
         let name = &self.instances[at].name;
         self.folder.path().join(format!("{name}.ini"))
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -21,4 +21,5 @@
 mod shutdown;
 mod signals;
 mod software_versions;
+mod starts;
 mod streams;
