A replica that halts during its election does not lead

Callers saw: changes are refused without end while all processes run. A replica whose disk failed while it collected votes became leader although it was halted. It then sent heartbeats, so nobody else was elected; it answered each change with the error of its disk; and as it led, it never came to the step that retries the disk.

Cause: only the handlers of calls looked again whether the replica is halted after they had the lock of the disk. An election did not, neither before its own vote nor when it had the votes.

Change: a halted replica casts no vote for itself and takes no leadership.

--- a/crates/jaylock-control/src/replica/election.rs
+++ b/crates/jaylock-control/src/replica/election.rs
@@ -75,11 +75,12 @@
     votes.len() + 1 >= quorum && since_contact >= shared.settings.election_timeout
 }
 
-/// Votes for this replica in a new term and returns the term.
+/// Votes for this replica in a new term and returns the term; `None` if this replica is halted or its disk fails.
 ///
 /// Removes entries that this replica appended as a leader but has not synced.
 async fn vote_for_self(shared: &Shared) -> Option<u64> {
     let _disk_guard = shared.disk_lock.lock().await;
+    shared.ensure_running().ok()?;
     let hard_state = {
         let mut core = shared.core.borrow_mut();
         let synced = core.log.synced();
--- a/crates/jaylock-control/src/replica/shared.rs
+++ b/crates/jaylock-control/src/replica/shared.rs
@@ -242,9 +242,12 @@
         }
     }
 
-    /// Becomes leader in the current term.
+    /// Becomes leader in the current term, unless this replica was halted while it collected the votes.
     pub fn become_leader(&self, leader_state: super::core::LeaderState) {
         let mut core = self.core.borrow_mut();
+        if core.halted.is_some() {
+            return;
+        }
         core.leader = self.identity.instance.as_str().into();
         core.role = Role::Leader(leader_state);
     }
--- a/crates/jaylock-tests/tests/control/disk_faults.rs
+++ b/crates/jaylock-tests/tests/control/disk_faults.rs
@@ -1,10 +1,19 @@
 //! Disks that are full, corrupt or have torn writes.
 
+use std::time::{Duration, Instant};
+
 use googletest::prelude::*;
 use jaylock_control::{Error, FileName};
+use jaylock_rpc::v1::replica_server::Replica;
+use jaylock_rpc::v1::{VoteReply, VoteRequest};
+use tonic::{Request, Status};
 
 use crate::commands::create_organisation;
-use crate::group::Group;
+use crate::disk::FailingStep;
+use crate::group::{Group, TIMEOUT};
+
+/// Duration of a write on a slow disk, in ms.
+const SLOW_WRITE_MS: u64 = 30;
 
 async fn group_with_entries() -> Group {
     let group = Group::new(1, 1).await;
@@ -17,6 +26,48 @@
     group
 }
 
+async fn ask_vote(group: &Group, at: usize, request: VoteRequest) -> Result<VoteReply, Status> {
+    let replica = group.machine(at).replica().expect("a replica");
+    let reply = replica.replica_service().vote(Request::new(request)).await;
+    reply.map(tonic::Response::into_inner)
+}
+
+/// The term of a replica: a pre-vote for term 0 is never granted.
+async fn term(group: &Group, at: usize) -> u64 {
+    let request = VoteRequest {
+        poll: true,
+        ..VoteRequest::default()
+    };
+    ask_vote(group, at, request).await.expect("a reply").term
+}
+
+/// Transfers leadership, and returns when the successor has voted for itself.
+async fn start_transfer(group: &Group, leader: usize, successor: usize) {
+    let before = term(group, successor).await;
+    group
+        .machine(leader)
+        .replica()
+        .expect("a replica")
+        .step_down()
+        .await;
+    while term(group, successor).await == before {
+        compio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Whether a replica that was halted resumes in time.
+async fn resumes(group: &Group, at: usize) -> bool {
+    let started = Instant::now();
+    while started.elapsed() < TIMEOUT {
+        let replica = group.machine(at).replica().expect("a replica");
+        if replica.halt_reason().is_none() {
+            return true;
+        }
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+    false
+}
+
 jaylock_tests::cases! {
     async removes_a_torn_write_at_the_end_of_the_log => {
         let group = group_with_entries().await;
@@ -112,4 +163,37 @@
         expect_that!(group.leader().await, not(eq(leader)));
         expect_that!(group.read().await.revision, eq(1));
     };
+
+    // Guards against a replica that leads while it is halted: it answers no change, and never retries its disk.
+    async replica_that_halts_during_its_election_does_not_lead => {
+        let mut group = Group::absent(3, 3);
+        group.settings.reply_timeout = TIMEOUT;
+        group.settings.election_timeout *= 6;
+        group.settings.leader_lease *= 6;
+        for at in 0..3 {
+            group.add(at).await;
+        }
+        group.propose(create_organisation("before", None)).await;
+        let leader = group.leader().await;
+        let (candidate, other) = ((leader + 1) % 3, (leader + 2) % 3);
+        group.machine(other).kill();
+        group.propose(create_organisation("second", None)).await;
+        group.machine(leader).disk.write_delay_ms.set(SLOW_WRITE_MS);
+        start_transfer(&group, leader, candidate).await;
+        let disk = &group.machine(candidate).disk;
+        disk.fail(FileName::Vote, FailingStep::Write);
+        let request = VoteRequest {
+            term: 1000,
+            candidate: "x".into(),
+            handover: true,
+            ..VoteRequest::default()
+        };
+        expect_that!(ask_vote(&group, candidate, request).await.is_err(), eq(true));
+        disk.repair();
+        group.machine(leader).disk.write_delay_ms.set(0);
+        compio::time::sleep(group.settings.election_timeout).await;
+        group.start(other).await.expect("a replica");
+        group.propose(create_organisation("after", None)).await;
+        expect_that!(resumes(&group, candidate).await, eq(true));
+    };
 }
