A leader whose disk lags follows again after it steps down

Callers saw: none of its own, but each replica that this happens to counts as lost until it is started again: it refuses every message of the leader with "the leader would replace committed entries". With two of three voters so, changes stay unanswered while all processes run.

Cause: a leader commits what a majority of the others has synced, though its own disk may lack it. When it steps down it drops the entries that are not on its disk, but not its commit index. The next leader sends the dropped entries again, and they were taken for other entries in the place of committed ones.

Change: what would be replaced is only what the log still holds. A change of the members that the state has is not applied a second time.

Ruled out: to keep the dropped entries in memory, as a follower reports each entry that it holds as synced.

--- a/crates/jaylock-control/src/replica/core.rs
+++ b/crates/jaylock-control/src/replica/core.rs
@@ -174,7 +174,7 @@
     }
 
     pub fn push(&mut self, entry: EncodedEntry) {
-        if entry.changes_members() {
+        if entry.changes_members() && entry.index() > self.state.index() {
             self.apply_member_change(&entry);
         }
         self.log.push(entry);
--- a/crates/jaylock-control/src/replica/handlers.rs
+++ b/crates/jaylock-control/src/replica/handlers.rs
@@ -188,7 +188,7 @@
     let Some(first) = new_entries.first().map(EncodedEntry::index) else {
         return Ok(());
     };
-    if first <= shared.core.borrow().commit_index {
+    if replaces_committed(shared, first) {
         return Err(Status::data_loss(
             "the leader would replace committed entries",
         ));
@@ -207,6 +207,14 @@
     Ok(())
 }
 
+/// Whether an entry would replace a committed one.
+///
+/// A leader may step down while its disk lacks entries that the others have committed; it takes them again as a follower.
+fn replaces_committed(shared: &Shared, index: u64) -> bool {
+    let core = shared.core.borrow();
+    index <= core.commit_index.min(core.log.last_index())
+}
+
 fn set_commit(shared: &Shared, index: u64) {
     let mut core = shared.core.borrow_mut();
     if index <= core.commit_index {
@@ -242,7 +250,7 @@
         .map_err(|_| Status::invalid_argument("the snapshot can't be read: send it again"))?;
     let is_newer = {
         let core = shared.core.borrow();
-        snapshot.index > core.commit_index || !core.has_base()
+        snapshot.index > core.commit_index.min(core.log.last_index()) || !core.has_base()
     };
     if is_newer {
         install_snapshot(&shared, snapshot).await?;
@@ -281,8 +289,10 @@
     log::info!(target: "control", "installed a snapshot at index {index}");
     let mut core = shared.core.borrow_mut();
     core.log = Log::starting_after(index, term);
-    core.state = State::restore(snapshot);
-    core.commit_index = index;
+    if index > core.state.index() || !core.has_base() {
+        core.state = State::restore(snapshot);
+        core.commit_index = index;
+    }
     core.rebuild_members();
     drop(core);
     shared.config_changed.notify();
--- a/crates/jaylock-tests/tests/control/disk_faults.rs
+++ b/crates/jaylock-tests/tests/control/disk_faults.rs
@@ -196,4 +196,24 @@
         group.propose(create_organisation("after", None)).await;
         expect_that!(resumes(&group, candidate).await, eq(true));
     };
+
+    // Guards against a replica that refuses all entries, as it has dropped committed ones that its own disk lacked.
+    async leader_with_a_slow_disk_follows_after_it_steps_down => {
+        let group = Group::new(3, 3).await;
+        group.propose(create_organisation("before", None)).await;
+        let leader = group.leader().await;
+        group.machine(leader).disk.write_delay_ms.set(SLOW_WRITE_MS * 10);
+        for at in 0..5 {
+            let change = create_organisation(&format!("a{at}"), None);
+            expect_that!(group.propose_to(leader, change).await, some(anything()));
+        }
+        group.machine(leader).replica().expect("a replica").step_down().await;
+        group.machine(leader).disk.write_delay_ms.set(0);
+        let successor = group.leader().await;
+        expect_that!(successor, not(eq(leader)));
+        let third = (0..3).find(|at| *at != leader && *at != successor).expect("a machine");
+        group.machine(third).kill();
+        group.propose(create_organisation("after", None)).await;
+        expect_that!(group.read().await.revision, eq(7));
+    };
 }
