--- a/crates/jaylock-control/src/replica/shared.rs
+++ b/crates/jaylock-control/src/replica/shared.rs
@@ -164,6 +164,9 @@
     pub async fn recover(&self) -> Result<()> {
         let _disk_guard = self.disk_lock.lock().await;
         let contents = self.store.load().await?;
+        if let Some(snapshot) = &contents.snapshot {
+            self.store.write_snapshot(snapshot).await?;
+        }
         self.store.rewrite(&contents.entries).await?;
         if let Some(hard_state) = &contents.hard_state {
             self.store.write_hard_state(hard_state).await?;
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -4,6 +4,7 @@
 mod commands;
 mod disk;
 mod disk_faults;
+mod disk_steps;
 mod end_to_end;
 mod failures;
 mod fault_schedules;
