--- a/crates/jaylock-control/src/replica/shared.rs
+++ b/crates/jaylock-control/src/replica/shared.rs
@@ -164,6 +164,9 @@
     pub async fn recover(&self) -> Result<()> {
         let _disk_guard = self.disk_lock.lock().await;
         let contents = self.store.load().await?;
+        if let Some(snapshot) = &contents.snapshot {
+            self.store.write_snapshot(snapshot).await?;
+        }
         self.store.rewrite(&contents.entries).await?;
         if let Some(hard_state) = &contents.hard_state {
             self.store.write_hard_state(hard_state).await?;
@@ -242,9 +245,12 @@
         }
     }
 
-    /// Becomes leader in the current term.
+    /// Becomes leader in the current term, unless this replica was halted while it collected the votes.
     pub fn become_leader(&self, leader_state: super::core::LeaderState) {
         let mut core = self.core.borrow_mut();
+        if core.halted.is_some() {
+            return;
+        }
         core.leader = self.identity.instance.as_str().into();
         core.role = Role::Leader(leader_state);
     }
