An array in place of an object of a document is refused

Seen (trial with one control instance and one router as real processes): `[2,[],[]]` as the body of a change was acknowledged with 200, took all routes and keys out of force, and was read back as it stands. Routes, services, engines, parts of a split, organisations and limits were taken as arrays as well, seven of seven forms. Rule: what can't be read in full is invalid, and what is invalid is neither acknowledged nor in force.

Cause: serde's derived readers take a struct from an object or from an array of its fields in their order, and fields with a default may be left out. Ruled out: the checks of the replicated state, which see a decoded document only. Heartbeats are not concerned, as their rest of unknown fields makes their readers take objects only.

--- a/crates/jaylock-tests/tests/platform/decoding.rs
+++ b/crates/jaylock-tests/tests/platform/decoding.rs
@@ -8,7 +8,7 @@
 use jaylock_router::prompt_part;
 use jaylock_tests::{cases, seeded_config};
 use proptest::prelude::*;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::harness;
 
@@ -51,6 +51,15 @@
     }
 }
 
+/// The text of a document whose field has this JSON text as its value.
+fn with_field(name: &str, value: &str) -> String {
+    let mut document = harness::document(9);
+    document[name] = "value of the field".into();
+    document
+        .to_string()
+        .replace("\"value of the field\"", value)
+}
+
 proptest! {
     #![proptest_config(seeded_config(512))]
 
@@ -108,6 +117,26 @@
             assert!(decode_cached_parts(body.as_bytes()).is_err(), "{body}");
         }
     };
+    // Guards against a document without routes that `[9,[],[]]` puts in force.
+    array_is_taken_for_an_object_of_a_document => {
+        let route = r#"["r","app.example","/look/","idempotent",4000,0,0,0,"app"]"#;
+        let mut split = harness::document(9);
+        split["routes"][0]["service"] = Value::Null;
+        split["routes"][0]["split"] = json!([["app", 1]]);
+        let texts = [
+            "[9,[],[]]".to_owned(),
+            split.to_string(),
+            with_field("routes", &format!("[{route}]")),
+            with_field("services", r#"[["app"]]"#),
+            with_field("services", r#"[{"name":"app","engine":[8,1000]}]"#),
+            with_field("limits", "[]"),
+            with_field("tenants", r#"[["zarqa",["key-of-zarqa"]]]"#),
+        ];
+        for text in texts {
+            assert!(decode_document(text.as_bytes()).is_err(), "{text}");
+        }
+        assert!(decode_document(with_field("limits", "{}").as_bytes()).is_ok());
+    };
     ignores_unknown_fields => {
         let id = "b1".parse().expect("an identifier");
         let body = br#"{"service":"app","address":"10.1.0.9:80","zone":"a","version":"v1","slots":8,
