A document with a value that can't be read is refused, also in unknown fields

Seen (trial with real processes): a document with a byte that is no UTF-8 in the text of an unknown field was acknowledged with 200, and what was read back was no JSON to its reader. An unpaired surrogate, `1e999` and 100,000 levels of arrays in an unknown field were taken as well. Rule: what can't be read in full is invalid; the document is read back at the end.

Cause: serde skips the values of unknown fields: it looks for the end of a text or number and reads neither. Fields of the page that this code doesn't use (`tls`, `protocol`, parts of `engine`) are skipped alike, so that one damaged byte there was enough. Heartbeats have read unknown fields in full before.

--- a/crates/jaylock-tests/tests/platform/decoding.rs
+++ b/crates/jaylock-tests/tests/platform/decoding.rs
@@ -137,6 +137,19 @@
         }
         assert!(decode_document(with_field("limits", "{}").as_bytes()).is_ok());
     };
+    // Guards against a document in force that operators can't read back.
+    unknown_field_that_can_not_be_read_is_taken => {
+        let deep = "[".repeat(1000) + &"]".repeat(1000);
+        let values = [b"\"\xff\"", &b"\"\\ud800\""[..], b"1e400", b"{\"\xff\":1}", b"[\"a\",\"\xc3\"]", deep.as_bytes()];
+        for value in values {
+            let document = with_field("unknown", "@").into_bytes();
+            let at = document.iter().position(|byte| *byte == b'@').expect("the field");
+            let bytes = [&document[..at], value, &document[at + 1..]].concat();
+            assert!(decode_document(&bytes).is_err(), "{}", String::from_utf8_lossy(value));
+        }
+        let readable = r#"[null,true,-1,1.5,"\u00e9",{"a":{"b":[]}}]"#;
+        assert!(decode_document(with_field("unknown", readable).as_bytes()).is_ok());
+    };
     ignores_unknown_fields => {
         let id = "b1".parse().expect("an identifier");
         let body = br#"{"service":"app","address":"10.1.0.9:80","zone":"a","version":"v1","slots":8,
