Two entries of one organisation in a document may not share a key

Seen (trial with real processes): a document with two entries of the name `a`, both with the key `k`, was acknowledged and in force. Rule: a document is invalid if two of its organisations share a key; what is invalid is neither acknowledged nor in force.

Cause: the check of keys leaves out the organisations with the name of the one that is checked. That is right for an organisation that replaces itself, and wrong in a document, where two entries may have one name.

The check isn't added to that of the replicated state: a log of an earlier release may hold such a document, which would then vanish at a restart, and replicas of two releases would differ.

--- a/crates/jaylock-control/src/state/document.rs
+++ b/crates/jaylock-control/src/state/document.rs
@@ -44,6 +44,28 @@
     }
 }
 
+/// Checks that no two organisations of a document have a key in common.
+///
+/// Not part of [`validate`], as the logs of earlier releases may hold documents that break it.
+pub fn check_shared_keys(document: &Document) -> Result<(), String> {
+    let mut keys = Vec::new();
+    for (at, organisation) in document.organisations.iter().enumerate() {
+        keys.extend(organisation.key_hashes.iter().map(|hash| (hash, at)));
+    }
+    keys.sort_unstable();
+    let shared = keys.windows(2).find(|pair| {
+        let [(hash, at), (next_hash, next_at)] = [pair[0], pair[1]];
+        hash == next_hash && at != next_at
+    });
+    match shared {
+        Some(pair) => Err(format!(
+            "organisations {} and {} have a key in common: give each its own",
+            document.organisations[pair[0].1].id, document.organisations[pair[1].1].id
+        )),
+        None => Ok(()),
+    }
+}
+
 /// Replaces all organisations, services and routes by those of a document.
 pub fn put_document(next: &mut Configuration, document: &Document) -> Result<(), String> {
     validate(document)?;
--- a/crates/jaylock-control/src/state/mod.rs
+++ b/crates/jaylock-control/src/state/mod.rs
@@ -21,6 +21,7 @@
 use self::results::Results;
 use crate::storage::Snapshot;
 
+pub(crate) use self::document::check_shared_keys;
 pub use self::document::is_key_required;
 pub(crate) use self::fleet::{find_instance, put_member, remove_member};
 
--- a/crates/jaylock-tests/tests/platform/documents.rs
+++ b/crates/jaylock-tests/tests/platform/documents.rs
@@ -59,6 +59,9 @@
             changed(&|d| d["tenants"] = json!([
                 {"name": "one", "api_keys": ["same"]}, {"name": "two", "api_keys": ["same"]},
             ])),
+            changed(&|d| d["tenants"] = json!([
+                {"name": "one", "api_keys": ["same"]}, {"name": "one", "api_keys": ["other", "same"]},
+            ])),
             changed(&|d| d["version"] = "9".into()),
             changed(&|d| d["services"] = Value::Null),
         ];
@@ -73,6 +76,18 @@
         assert_that!(fleet.put_document(0, &old), eq(400));
         assert_that!(read(&fleet, 0), some(eq(&document(1))));
     };
+    key_that_one_organisation_lists_twice_is_refused => {
+        let fleet = TestFleet::minimal();
+        let _backend = FakeBackend::start(&fleet, "b1", |r| r.respond("200 OK", "done"));
+        let mut document = document(2);
+        document["tenants"] = json!([
+            {"name": "one", "api_keys": [OTHER_KEY, OTHER_KEY]}, {"name": "one", "api_keys": [KEY]},
+        ]);
+        fleet.configure(&document);
+        for key in [KEY, OTHER_KEY] {
+            wait_until("the key is valid", || fleet.caller().with("Key", key).send().status() == 200);
+        }
+    };
     refuses_a_removed_key => {
         let fleet = TestFleet::minimal();
         let _backend = FakeBackend::start(&fleet, "b1", |r| r.respond("200 OK", "done"));
