The address of the metrics is served again after an accept that failed

What operators saw: the metrics of an instance are refused for good (connection refused) after it once had no file descriptor left.

Cause: the accept loop of the metrics ended at the first error and dropped its listener.

Change: one copy of "accept, or log and try again" in jaylock-rpc, which the metrics, the peers' and the callers' listeners use.

--- a/crates/jaylock-daemon/src/exposition.rs
+++ b/crates/jaylock-daemon/src/exposition.rs
@@ -10,7 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use jaylock_observe::Observer;
-use jaylock_rpc::local_future;
+use jaylock_rpc::{accept, local_future};
 
 /// Media type of the text format of the metrics.
 const MEDIA_TYPE: &str = "text/plain; version=0.0.4";
@@ -24,7 +24,8 @@
         .await
         .with_context(|| format!("metrics_address {address} can't be bound: choose a free one"))?;
     compio::runtime::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
+        loop {
+            let (stream, _) = accept(&listener, "daemon").await;
             compio::runtime::spawn(serve_connection(stream, observer.clone())).detach();
         }
     })
--- a/crates/jaylock-router/src/server.rs
+++ b/crates/jaylock-router/src/server.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use jaylock_rpc::accept;
 use jaylock_types::ByteSize;
 
 use crate::body::{Body, ResponseBody};
@@ -20,8 +21,6 @@
 use crate::response::set_header;
 use crate::socket::SocketStream;
 
-/// Delay after a failed accept.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Time between two checks whether connections are accepted again.
 const DEFER_INTERVAL: Duration = Duration::from_millis(5);
 /// Smallest buffer for the head of a request.
@@ -87,14 +86,7 @@
         while server.handler.defers_connections() {
             compio::time::sleep(DEFER_INTERVAL).await;
         }
-        let (stream, peer) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                log::warn!(target: "router", "accept failed: {error}");
-                compio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
+        let (stream, peer) = accept(&listener, "router").await;
         if server.connections() >= server.limits.max_connections {
             log::warn!(target: "router", "refused connection from {peer}: the maximum number of connections is reached");
             continue;
--- a/crates/jaylock-rpc/src/lib.rs
+++ b/crates/jaylock-rpc/src/lib.rs
@@ -1,9 +1,11 @@
 //! Schema of the messages between jaylock's processes, and gRPC over compio.
 
+mod accept;
 mod channel;
 mod server;
 mod traffic;
 
+pub use self::accept::accept;
 pub use self::channel::{Channel, ChannelSettings};
 pub use self::server::{Access, Routes, ServerSettings, serve};
 pub use self::traffic::{CountedStream, Traffic, traffic};
--- a/crates/jaylock-rpc/src/server.rs
+++ b/crates/jaylock-rpc/src/server.rs
@@ -14,7 +14,7 @@
 use tower::util::BoxCloneSyncService;
 use tower::{Service, ServiceExt};
 
-use crate::{CountedStream, local_future};
+use crate::{CountedStream, accept, local_future};
 
 type BoxedService = BoxCloneSyncService<Request<Body>, Response<Body>, Infallible>;
 
@@ -116,14 +116,7 @@
     let settings = Rc::new(settings);
     let open_connections = Rc::new(());
     loop {
-        let (stream, peer) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                log::warn!(target: "rpc", "accept failed: {error}");
-                compio::time::sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
+        let (stream, peer) = accept(&listener, "rpc").await;
         if Rc::strong_count(&open_connections) > settings.max_connections {
             log::warn!(target: "rpc", "refused connection from {peer}: {} connections are open", settings.max_connections);
             continue;
--- a/crates/jaylock-tests/src/process.rs
+++ b/crates/jaylock-tests/src/process.rs
@@ -71,11 +71,18 @@
     /// # Panics
     /// When the process has ended, or the limit can't be set.
     pub fn limit_files(&self, bytes: Option<u64>) {
-        let limit = Rlimit {
-            current: bytes,
-            ..getrlimit(Resource::Fsize)
-        };
-        prlimit(self.raw_pid(), Resource::Fsize, limit).expect("the limit is set");
+        self.limit(Resource::Fsize, bytes);
+    }
+
+    /// Sets the number below which new file descriptors of the process are, or lifts the limit.
+    ///
+    /// # Panics
+    /// When the process has ended, or the limit can't be set.
+    pub fn limit_descriptors(&self, end: Option<u64>) {
+        self.limit(
+            Resource::Nofile,
+            end.or(getrlimit(Resource::Nofile).current),
+        );
     }
 
     /// Sends a signal to the process.
@@ -123,6 +130,14 @@
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
+    fn limit(&self, resource: Resource, current: Option<u64>) {
+        let limit = Rlimit {
+            current,
+            ..getrlimit(resource)
+        };
+        prlimit(self.raw_pid(), resource, limit).expect("the limit is set");
+    }
+
     fn raw_pid(&self) -> Option<Pid> {
         let pid = i32::try_from(self.child.id()).ok();
         pid.and_then(Pid::from_raw)
--- a/crates/jaylock-tests/tests/platform/harness/mod.rs
+++ b/crates/jaylock-tests/tests/platform/harness/mod.rs
@@ -282,6 +282,11 @@
         self.instances[at].addresses.control
     }
 
+    /// Address of an instance for other instances.
+    pub fn peer_address(&self, at: usize) -> SocketAddr {
+        self.instances[at].addresses.peer
+    }
+
     /// Address of an instance for metrics.
     pub fn metrics_address(&self, at: usize) -> SocketAddr {
         self.instances[at].addresses.metrics
