--- a/crates/jaylock-daemon/src/exposition.rs
+++ b/crates/jaylock-daemon/src/exposition.rs
@@ -9,7 +9,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use jaylock_observe::Observer;
-use jaylock_rpc::local_future;
+use jaylock_rpc::{accept, local_future};
 
 use crate::occupied::Binding;
 
@@ -24,7 +24,8 @@
     let binding = Binding::begin("metrics_address", address).await?;
     compio::runtime::spawn(async move {
         let listener = binding.complete().await;
-        while let Ok((stream, _)) = listener.accept().await {
+        loop {
+            let (stream, _) = accept(&listener, "daemon").await;
             compio::runtime::spawn(serve_connection(stream, observer.clone())).detach();
         }
     })
