--- a/crates/jaylock-control/src/replica/log.rs
+++ b/crates/jaylock-control/src/replica/log.rs
@@ -49,11 +49,13 @@
 
     /// Builds a log from entries read from the disk, in the order in which they were written.
     ///
+    /// Those of an earlier term than the base can't follow it: they are what the log held before a snapshot was installed.
     /// Returns `None` when an entry is missing.
     pub fn restore(index: u64, term: u64, entries: Vec<EncodedEntry>) -> Option<Self> {
         let mut log = Self::starting_after(index, term);
         for entry in entries {
-            if entry.index() <= log.base_index {
+            if entry.index() <= log.base_index || entry.term() < log.base_term {
+                log.truncate(log.base_index);
                 continue;
             }
             if entry.index() > log.last_index() + 1 {
--- a/crates/jaylock-tests/tests/control/disk.rs
+++ b/crates/jaylock-tests/tests/control/disk.rs
@@ -130,6 +130,12 @@
         self.files.borrow()[file as usize].size()
     }
 
+    /// The bytes of a file.
+    pub fn content(&self, file: FileName) -> Vec<u8> {
+        let files = self.files.borrow();
+        files[file as usize].content.clone().unwrap_or_default()
+    }
+
     fn used_bytes(&self) -> usize {
         self.files.borrow().iter().map(SimulatedFile::size).sum()
     }
--- a/crates/jaylock-tests/tests/control/disk_faults.rs
+++ b/crates/jaylock-tests/tests/control/disk_faults.rs
@@ -4,8 +4,9 @@
 
 use googletest::prelude::*;
 use jaylock_control::{Error, FileName};
+use jaylock_rpc::v1::control_server::Control;
 use jaylock_rpc::v1::replica_server::Replica;
-use jaylock_rpc::v1::{VoteReply, VoteRequest};
+use jaylock_rpc::v1::{ProposeRequest, VoteReply, VoteRequest};
 use tonic::{Request, Status};
 
 use crate::commands::create_organisation;
@@ -216,4 +217,41 @@
         group.propose(create_organisation("after", None)).await;
         expect_that!(group.read().await.revision, eq(7));
     };
+
+    // Guards against a vote for a replica that lacks committed entries, given for the remains of a log that a snapshot has replaced.
+    async replica_with_an_installed_snapshot_elects_none_that_lacks_it => {
+        let group = Group::new(3, 3).await;
+        group.propose(create_organisation("before", None)).await;
+        let lagging = group.leader().await;
+        let old_term = term(&group, lagging).await;
+        let machine = group.machine(lagging);
+        machine.is_isolated.set(true);
+        let service = machine.replica().expect("a replica").control_service();
+        let lost = (0..200).map(|at| {
+            let command = Some(create_organisation(&format!("lost{at}"), None));
+            service.propose(Request::new(ProposeRequest { command }))
+        });
+        futures_util::future::join_all(lost).await;
+        machine.kill();
+        machine.is_isolated.set(false);
+        for at in 0..60 {
+            group.propose(create_organisation(&format!("kept{at}"), None)).await;
+        }
+        // As the installation leaves the disk that fails between the snapshot and the log.
+        let snapshot = group.machine((lagging + 1) % 3).disk.content(FileName::Snapshot);
+        machine.disk.edit(FileName::Snapshot, |bytes| *bytes = snapshot);
+        machine.is_isolated.set(true);
+        group.start(lagging).await.expect("a replica");
+        compio::time::sleep(group.settings.election_timeout * 2).await;
+        let request = VoteRequest {
+            term: 1000,
+            candidate: "x".into(),
+            last_index: 1000,
+            last_term: old_term,
+            poll: true,
+            ..VoteRequest::default()
+        };
+        let reply = ask_vote(&group, lagging, request).await.expect("a reply");
+        expect_that!(reply.granted, eq(false));
+    };
 }
