Requests by signal come through a pipe, and real-time signals are left to who uses them

Change: only the signals without a meaning are blocked, by name: SIGALRM, SIGIO, SIGPROF, SIGPWR, SIGSTKFLT, SIGTTIN, SIGTTOU, SIGUSR1, SIGUSR2, SIGVTALRM, SIGXCPU, SIGXFSZ. The event loop reads the pipes. Real-time signals keep their default action: nobody sends them by habit, and who loads a library that uses them needs them.

--- a/crates/jaylock-daemon/src/lib.rs
+++ b/crates/jaylock-daemon/src/lib.rs
@@ -24,4 +24,4 @@
 pub use self::observability::log_settings;
 pub use self::peer::PeerEndpoint;
 pub use self::rescue::rescue;
-pub use self::signals::{BlockedSignals, Signals};
+pub use self::signals::{KeptSignals, Signals};
--- a/crates/jaylock-daemon/src/main.rs
+++ b/crates/jaylock-daemon/src/main.rs
@@ -2,11 +2,11 @@
 
 use anyhow::Context;
 use clap::{Arg, ArgAction, ArgMatches, Command};
-use jaylock_daemon::{BlockedSignals, Instance, arguments, settings_path};
+use jaylock_daemon::{Instance, KeptSignals, arguments, settings_path};
 use jaylock_settings::Settings;
 
 fn main() -> anyhow::Result<()> {
-    let signals = BlockedSignals::block().context("can't block signals")?;
+    let signals = KeptSignals::register().context("can't register signals")?;
     let matches = command().get_matches();
     let settings = read_settings(&matches)?;
     if matches.get_flag(arguments::CHECK) {
--- a/crates/jaylock-daemon/src/signals.rs
+++ b/crates/jaylock-daemon/src/signals.rs
@@ -1,4 +1,5 @@
-use std::io;
+use std::future::poll_fn;
+use std::io::{self, PipeReader, pipe};
 use std::pin::pin;
 
 use compio::runtime::fd::PollFd;
@@ -6,58 +7,62 @@
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
 use nix::sys::signal::{SigSet, Signal};
-use nix::sys::signalfd::{SfdFlags, SignalFd};
+use signal_hook::low_level::pipe::register;
 
-/// Signal with which service managers request a graceful shutdown.
-const SIGTERM: i32 = Signal::SIGTERM as i32;
-/// Signal that requests a reload of the settings.
-const SIGHUP: i32 = Signal::SIGHUP as i32;
-/// Signal that a terminal sends on Ctrl-C.
-const SIGINT: i32 = Signal::SIGINT as i32;
+/// Signals that request a graceful shutdown: of a service manager, and of a terminal on Ctrl-C.
+const SHUTDOWN: [Signal; 2] = [Signal::SIGTERM, Signal::SIGINT];
+/// Signals that request a reload of the settings.
+const RELOAD: [Signal; 1] = [Signal::SIGHUP];
 
-/// Signals with their default action: faults of the program, and explicit requests to dump or suspend it.
-const UNBLOCKED: [Signal; 9] = [
-    Signal::SIGABRT,
-    Signal::SIGBUS,
-    Signal::SIGFPE,
-    Signal::SIGILL,
-    Signal::SIGQUIT,
-    Signal::SIGSEGV,
-    Signal::SIGSYS,
-    Signal::SIGTRAP,
-    Signal::SIGTSTP,
+/// Signals whose default action would end or stop the process, though they request neither.
+const MEANINGLESS: [Signal; 12] = [
+    Signal::SIGALRM,
+    Signal::SIGIO,
+    Signal::SIGPROF,
+    Signal::SIGPWR,
+    Signal::SIGSTKFLT,
+    Signal::SIGTTIN,
+    Signal::SIGTTOU,
+    Signal::SIGUSR1,
+    Signal::SIGUSR2,
+    Signal::SIGVTALRM,
+    Signal::SIGXCPU,
+    Signal::SIGXFSZ,
 ];
 
-/// Signals that are kept until [`BlockedSignals::listen`], so that none ends or stops the process.
-///
-/// A write beyond the limit on file sizes then fails instead, like one to a full disk.
-pub struct BlockedSignals(SignalFd);
+/// Bytes that are read at once, each for a signal that has arrived.
+const READ_BYTES: usize = 64;
+
+/// Signals that are kept until [`KeptSignals::listen`], and none of which ends or stops the process.
+pub struct KeptSignals {
+    shutdown: PipeReader,
+    reload: PipeReader,
+}
 
-impl BlockedSignals {
-    /// Blocks the signals, for this thread and those that it starts later.
+impl KeptSignals {
+    /// Keeps the requests, and blocks meaningless signals for this thread and those that it starts later.
+    ///
+    /// A write beyond the limit on file sizes then fails, like one to a full disk.
     ///
     /// # Errors
-    /// The system refuses a file descriptor for the signals.
-    pub fn block() -> io::Result<Self> {
-        let mut signals = SigSet::all();
-        for signal in UNBLOCKED {
-            signals.remove(signal);
-        }
-        signals.thread_block()?;
-        let flags = SfdFlags::SFD_CLOEXEC | SfdFlags::SFD_NONBLOCK;
-        Ok(Self(SignalFd::with_flags(&signals, flags)?))
+    /// The system refuses a pipe or a handler.
+    pub fn register() -> io::Result<Self> {
+        SigSet::from_iter(MEANINGLESS).thread_block()?;
+        Ok(Self {
+            shutdown: keep(&SHUTDOWN)?,
+            reload: keep(&RELOAD)?,
+        })
     }
 
-    /// Starts to handle the signals, and first those that arrived since they were blocked.
+    /// Starts to handle the signals, and first those that were kept.
     ///
     /// # Errors
     /// The runtime can't wait for signals.
     pub fn listen(self) -> io::Result<Signals> {
-        let (shutdown_sender, shutdown) = unbounded();
-        let (reload_sender, reload) = unbounded();
-        let source = PollFd::new(self.0)?;
-        compio::runtime::spawn(forward(source, shutdown_sender, reload_sender)).detach();
-        Ok(Signals { shutdown, reload })
+        Ok(Signals {
+            shutdown: forward(self.shutdown)?,
+            reload: forward(self.reload)?,
+        })
     }
 }
 
@@ -91,32 +96,36 @@
     }
 }
 
-/// Sends an item for each signal that requests something; all others are discarded.
-async fn forward(
-    source: PollFd<SignalFd>,
-    shutdown: UnboundedSender<()>,
-    reload: UnboundedSender<()>,
-) {
-    loop {
-        let sender = match next_signal(&source).await {
-            Ok(SIGTERM | SIGINT) => &shutdown,
-            Ok(SIGHUP) => &reload,
-            Ok(_) => continue,
-            Err(error) => {
-                log::error!(target: "daemon", "signals can't be read: {error}");
-                return;
-            }
-        };
-        let _ = sender.unbounded_send(());
+/// Writes a byte to the returned pipe for each of the signals, as long as it has room.
+fn keep(signals: &[Signal]) -> io::Result<PipeReader> {
+    let (reader, writer) = pipe()?;
+    rustix::io::ioctl_fionbio(&reader, true)?;
+    for signal in signals {
+        register(*signal as i32, writer.try_clone()?)?;
     }
+    // The parent may have blocked them.
+    let requests: SigSet = signals.iter().copied().collect();
+    requests.thread_unblock()?;
+    Ok(reader)
 }
 
-/// Waits for the number of the next signal.
-async fn next_signal(source: &PollFd<SignalFd>) -> io::Result<i32> {
-    loop {
-        if let Some(signal) = source.read_signal()? {
-            return Ok(signal.ssi_signo.cast_signed());
+/// Sends an item whenever signals have arrived.
+fn forward(signals: PipeReader) -> io::Result<UnboundedReceiver<()>> {
+    let (sender, receiver) = unbounded();
+    let signals = PollFd::new(signals)?;
+    compio::runtime::spawn(async move {
+        if let Err(error) = forward_all(&signals, &sender).await {
+            log::error!(target: "daemon", "signals can't be read: {error}");
         }
-        source.read_ready().await?;
+    })
+    .detach();
+    Ok(receiver)
+}
+
+async fn forward_all(signals: &PollFd<PipeReader>, sender: &UnboundedSender<()>) -> io::Result<()> {
+    let mut buffer = [0; READ_BYTES];
+    while poll_fn(|context| signals.poll_read(context, &mut buffer)).await? > 0 {
+        let _ = sender.unbounded_send(());
     }
+    Ok(())
 }
