--- a/crates/jaylock-daemon/src/lib.rs
+++ b/crates/jaylock-daemon/src/lib.rs
@@ -26,4 +26,4 @@
 pub use self::occupied::Binding;
 pub use self::peer::PeerEndpoint;
 pub use self::rescue::rescue;
-pub use self::signals::{BlockedSignals, Signals};
+pub use self::signals::{KeptSignals, Signals};
