--- a/crates/jaylock-control/src/error.rs
+++ b/crates/jaylock-control/src/error.rs
@@ -8,7 +8,7 @@
 pub enum Error {
     /// A disk operation failed.
     #[error(
-        "{file} can't be read or written: {source}; free space or replace the disk, then start the instance again"
+        "{file} can't be read or written: {source}; free space or replace the disk: the instance tries it again by itself"
     )]
     Disk {
         /// Path of the file.
