A data folder opens once its disk can, and keeps no temporary files

Callers saw: a process whose data folder can't be created or locked, as the disk is full or fails, ends at its start with status 1.

Cause 1: FileDisk::open gave up. A folder that another process has locked is an error as before. Cause 2: a replacement that fails, and one whose process ends, left its temporary file, which takes the room that the next attempt needs until a file of the same name is replaced. It is removed, at the start too.

--- a/crates/jaylock-control/src/storage/files.rs
+++ b/crates/jaylock-control/src/storage/files.rs
@@ -11,12 +11,15 @@
 use crate::storage::{Disk, FileName};
 use crate::{Error, Result};
 
+/// Name of the file in the data folder that is locked while a process uses the folder.
+const LOCK_FILE: &str = "lock";
+
 /// A replica's files in one data folder.
 pub struct FileDisk {
     folder: PathBuf,
     log: RefCell<Option<LogTail>>,
-    // Locked for as long as this process uses the folder.
-    _lock: std::fs::File,
+    /// Locked for as long as this process uses the folder; `None` until the folder could be created.
+    lock: RefCell<Option<std::fs::File>>,
 }
 
 /// The open log file and its length.
@@ -29,31 +32,49 @@
 impl FileDisk {
     /// Opens a data folder, which is created if missing.
     ///
+    /// If the disk fails, the folder is opened by the first read that succeeds.
+    ///
     /// # Errors
-    /// [`Error::Locked`] if another process uses the folder, [`Error::Disk`] if it can't be created.
+    /// [`Error::Locked`] if another process uses the folder.
     pub async fn open(folder: &Path) -> Result<Self> {
-        let disk_error = |source| Error::Disk {
-            file: folder.display().to_string(),
-            source,
+        let disk = Self {
+            folder: folder.into(),
+            log: RefCell::default(),
+            lock: RefCell::default(),
         };
-        compio::fs::create_dir_all(folder)
-            .await
-            .map_err(disk_error)?;
-        let path = folder.join("lock");
-        let lock = std::fs::File::create(&path).map_err(disk_error)?;
-        match lock.try_lock() {
-            Ok(()) => {}
-            Err(TryLockError::WouldBlock) => {
-                let file = path.display().to_string();
-                return Err(Error::Locked { file });
+        match disk.open_folder().await {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                let file = folder.join(LOCK_FILE).display().to_string();
+                Err(Error::Locked { file })
+            }
+            Err(error) => {
+                log::warn!(target: "control", "{} can't be opened: {error}", folder.display());
+                Ok(disk)
             }
-            Err(TryLockError::Error(error)) => return Err(disk_error(error)),
+            Ok(()) => Ok(disk),
         }
-        Ok(Self {
-            folder: folder.into(),
-            log: RefCell::default(),
-            _lock: lock,
-        })
+    }
+
+    /// Creates and locks the folder and removes what an ended process has left; fails with `WouldBlock` if it is locked.
+    async fn open_folder(&self) -> io::Result<()> {
+        if self.lock.borrow().is_some() {
+            return Ok(());
+        }
+        compio::fs::create_dir_all(&self.folder).await?;
+        let lock = std::fs::File::create(self.folder.join(LOCK_FILE))?;
+        lock.try_lock().map_err(|error| match error {
+            TryLockError::WouldBlock => io::ErrorKind::WouldBlock.into(),
+            TryLockError::Error(error) => error,
+        })?;
+        for file in FileName::ALL {
+            remove_if_present(&self.temporary(file)).await?;
+        }
+        self.lock.replace(Some(lock));
+        Ok(())
+    }
+
+    fn temporary(&self, file: FileName) -> PathBuf {
+        self.path(file).with_extension("new")
     }
 
     fn path(&self, file: FileName) -> PathBuf {
@@ -122,19 +143,40 @@
         if file == FileName::Log {
             self.log.take();
         }
-        let path = self.path(file);
-        let temporary = path.with_extension("new");
-        let mut output = File::create(&temporary).await?;
+        let temporary = self.temporary(file);
+        let outcome = self.move_into_place(&temporary, file, bytes).await;
+        if outcome.is_err() {
+            // It takes the space that the next attempt needs.
+            remove_if_present(&temporary).await?;
+        }
+        outcome
+    }
+
+    async fn move_into_place(
+        &self,
+        temporary: &Path,
+        file: FileName,
+        bytes: Vec<u8>,
+    ) -> io::Result<()> {
+        let mut output = File::create(temporary).await?;
         output.write_all_at(bytes, 0).await.0?;
         output.sync_all().await?;
-        compio::fs::rename(&temporary, &path).await?;
+        compio::fs::rename(temporary, self.path(file)).await?;
         self.sync_folder().await
     }
 }
 
+async fn remove_if_present(path: &Path) -> io::Result<()> {
+    match compio::fs::remove_file(path).await {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+        _ => Ok(()),
+    }
+}
+
 impl Disk for FileDisk {
     fn read(&self, file: FileName) -> LocalBoxFuture<'_, io::Result<Option<Vec<u8>>>> {
         async move {
+            self.open_folder().await?;
             match compio::fs::read(self.path(file)).await {
                 Ok(bytes) => Ok(Some(bytes)),
                 Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
