A replica whose disk fails at its start resumes later

Callers saw: a process whose disk is full or fails when it starts ends with status 1, and again at each start until there is room. A group of three listed members does not form at all while one disk is full at the first start.

Cause: the disk was loaded before the replica ran, and an error ended the process, while the same error later only halts it. A full disk is enough: a torn write at the end of the log has to be removed. At the first start, the replicas that form a group wait for the word of the others that they hold nothing, and a halted one said nothing.

Change: a replica whose disk can't be read or written starts halted and loads its state when the disk can. As nothing is known of what that disk holds, it doesn't greet (a group might form beside the one that it has on its disk). A replica that has read its disk and found it empty says so, though it is halted. A corrupt disk is an error as before.

Evidence: the five tests at the end of disk_faults.rs failed before (1 of 1 run each), pass after (2 of 2, the one of the first start 1 of 1: its first version expected a replica with a new generation to vote at once). The whole folder: 88 of 88 in one run.

--- a/crates/jaylock-control/src/replica/core.rs
+++ b/crates/jaylock-control/src/replica/core.rs
@@ -49,6 +49,9 @@
     /// The disk failed; the replica keeps retrying it.
     #[error("{0}")]
     Disk(CompactString),
+    /// As `Disk`, but before the disk was read, so that nothing is known of what it holds.
+    #[error("{0}")]
+    Unread(CompactString),
     /// The replica was shut down permanently.
     #[error("this replica is closed: ask another")]
     Closed,
@@ -112,6 +115,12 @@
         self.halted == Some(Halt::Closed)
     }
 
+    /// Whether the disk was read and holds no vote and no entries.
+    pub fn is_empty(&self) -> bool {
+        let is_read = !matches!(self.halted, Some(Halt::Unread(_) | Halt::Closed));
+        is_read && self.hard_state.generation == 0 && self.log.last_index() == 0
+    }
+
     /// Whether the state that the first entry applies to is present.
     ///
     /// A new generation receives this state as a snapshot.
--- a/crates/jaylock-control/src/replica/handlers.rs
+++ b/crates/jaylock-control/src/replica/handlers.rs
@@ -11,6 +11,7 @@
 use tonic::Status;
 
 use super::Shared;
+use super::core::Halt;
 use super::join::FIRST_GENERATION;
 use super::log::Log;
 use crate::state::State;
@@ -30,24 +31,27 @@
 }
 
 /// Returns the member record of this instance and whether it has joined a group.
-pub fn greet(shared: &Shared) -> GreetReply {
+pub fn greet(shared: &Shared) -> Result<GreetReply, Status> {
     let core = shared.core.borrow();
+    if let Some(reason @ Halt::Unread(_)) = &core.halted {
+        return Err(Status::unavailable(reason.to_string()));
+    }
     let generation = core.hard_state.generation;
-    GreetReply {
+    Ok(GreetReply {
         member: Some(Member {
             generation,
             ..shared.identity.clone()
         }),
         first_start: shared.bootstrap.is_first_start(),
         joined: core.log.last_index() > 0 || generation > FIRST_GENERATION,
-    }
+    })
 }
 
 /// Handles a vote or pre-vote request.
 pub async fn vote(shared: Rc<Shared>, request: VoteRequest) -> Result<VoteReply, Status> {
-    shared.ensure_running()?;
+    ensure_voting(&shared, &request)?;
     let _disk_guard = shared.disk_lock.lock().await;
-    shared.ensure_running()?;
+    ensure_voting(&shared, &request)?;
     let granted = match request {
         VoteRequest { poll: true, .. } => would_grant_vote(&shared, &request),
         _ => grant_vote(&shared, &request).await?,
@@ -61,6 +65,14 @@
     })
 }
 
+/// Fails if the replica is halted; but one with an empty disk says so, as the others wait for that to form a group.
+fn ensure_voting(shared: &Shared, request: &VoteRequest) -> Result<(), Status> {
+    if request.poll && shared.core.borrow().is_empty() {
+        return Ok(());
+    }
+    shared.ensure_running()
+}
+
 fn would_grant_vote(shared: &Shared, request: &VoteRequest) -> bool {
     let core = shared.core.borrow();
     let since_contact = shared.now().duration_since(core.last_contact);
--- a/crates/jaylock-control/src/replica/mod.rs
+++ b/crates/jaylock-control/src/replica/mod.rs
@@ -63,8 +63,10 @@
     /// `identity` has the instance, its address and failure domain; the generation is read from the
     /// disk. `bootstrap` says how a new group is formed.
     ///
+    /// If the disk fails, the replica is halted until it can be read and written.
+    ///
     /// # Errors
-    /// [`Error::Disk`](crate::Error::Disk) and [`Error::Corrupt`](crate::Error::Corrupt).
+    /// [`Error::Corrupt`](crate::Error::Corrupt).
     pub async fn open(
         identity: Member,
         bootstrap: impl Into<Bootstrap>,
--- a/crates/jaylock-control/src/replica/shared.rs
+++ b/crates/jaylock-control/src/replica/shared.rs
@@ -50,7 +50,7 @@
 }
 
 impl Shared {
-    /// Loads the state from the disk.
+    /// Loads the state from the disk; the replica is halted if it can't be read or written.
     pub async fn load(
         identity: Member,
         bootstrap: Bootstrap,
@@ -58,10 +58,15 @@
         environment: Environment,
         settings: ReplicaSettings,
     ) -> Result<Self> {
-        let contents = store.load().await?;
         let now = environment.clock.now();
+        let (contents, halted) = match store.load().await {
+            Err(error @ Error::Disk { .. }) => (DiskContents::default(), Some(unread(&error))),
+            outcome => (outcome?, None),
+        };
+        let mut core = restore(&identity, &store, contents, now)?;
+        core.halted = halted;
         Ok(Self {
-            core: RefCell::new(restore(&identity, &store, contents, now)?),
+            core: RefCell::new(core),
             identity,
             bootstrap,
             settings,
@@ -148,7 +153,7 @@
 
     /// Halts the replica until its disk, which has failed, is writable again.
     pub fn halt(&self, error: &Error) {
-        log::error!(target: "control", "the replica halts until its disk is writable: {error}");
+        log_halt(error);
         self.stop(Halt::Disk(format_compact!("{error}")));
     }
 
@@ -256,6 +261,16 @@
     }
 }
 
+fn log_halt(error: &Error) {
+    log::error!(target: "control", "the replica halts until its disk is writable: {error}");
+}
+
+/// The halt of a replica whose disk fails at its start.
+fn unread(error: &Error) -> Halt {
+    log_halt(error);
+    Halt::Unread(format_compact!("{error}"))
+}
+
 /// Builds the in-memory state from the contents of the disk.
 fn restore(identity: &Member, store: &Store, contents: DiskContents, now: Instant) -> Result<Core> {
     let state = State::restore(contents.snapshot.unwrap_or_default());
--- a/crates/jaylock-control/src/service.rs
+++ b/crates/jaylock-control/src/service.rs
@@ -67,7 +67,7 @@
     }
 
     async fn greet(&self, _: Request<GreetRequest>) -> RpcResult<GreetReply> {
-        Ok(Response::new(handlers::greet(&self.shared)))
+        handlers::greet(&self.shared).map(Response::new)
     }
 }
 
--- a/crates/jaylock-tests/tests/control/disk_faults.rs
+++ b/crates/jaylock-tests/tests/control/disk_faults.rs
@@ -3,15 +3,16 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use jaylock_control::{Error, FileName};
+use jaylock_control::{Disk, Error, FileDisk, FileName};
 use jaylock_rpc::v1::control_server::Control;
 use jaylock_rpc::v1::replica_server::Replica;
-use jaylock_rpc::v1::{ProposeRequest, VoteReply, VoteRequest};
+use jaylock_rpc::v1::{Configuration, ProposeRequest, VoteReply, VoteRequest};
 use tonic::{Request, Status};
 
 use crate::commands::create_organisation;
 use crate::disk::FailingStep;
 use crate::group::{Group, TIMEOUT};
+use crate::nodes::{listeners, members, start};
 
 /// Duration of a write on a slow disk, in ms.
 const SLOW_WRITE_MS: u64 = 30;
@@ -254,4 +255,82 @@
         let reply = ask_vote(&group, lagging, request).await.expect("a reply");
         expect_that!(reply.granted, eq(false));
     };
+
+    // Guards against a process that ends as its disk fails when it starts.
+    async replica_resumes_whose_disk_fails_at_its_start => {
+        let group = Group::new(3, 3).await;
+        group.propose(create_organisation("before", None)).await;
+        let leader = group.leader().await;
+        for file in FileName::ALL {
+            let machine = group.machine(leader);
+            machine.kill();
+            machine.disk.fail(file, FailingStep::Open);
+            group.start(leader).await.expect("a replica");
+            expect_that!(machine.replica().expect("a replica").halt_reason(), some(anything()));
+            group.propose(create_organisation(&format!("{file}"), None)).await;
+            machine.disk.repair();
+            expect_that!(resumes(&group, leader).await, eq(true));
+        }
+        expect_that!(group.read().await.revision, eq(4));
+    };
+
+    async replica_resumes_that_can_not_remove_a_torn_write_at_its_start => {
+        let group = group_with_entries().await;
+        let disk = &group.machine(0).disk;
+        disk.edit(FileName::Log, |bytes| {
+            let torn = bytes[..40].to_vec();
+            bytes.extend(torn);
+        });
+        disk.is_full.set(true);
+        group.start(0).await.expect("a replica");
+        disk.repair();
+        expect_that!(resumes(&group, 0).await, eq(true));
+        expect_that!(group.read().await.revision, eq(20));
+    };
+
+    async group_forms_while_one_disk_is_full_at_the_first_start => {
+        for at in 0..3 {
+            let group = Group::absent(3, 3);
+            group.machine(at).disk.is_full.set(true);
+            for machine in 0..3 {
+                group.add(machine).await;
+            }
+            group.propose(create_organisation("before", None)).await;
+            group.machine(at).disk.repair();
+            let name = format!("r{at}");
+            let votes = |c: &Configuration| c.members.iter().any(|m| m.instance == name && m.voter && m.generation > 1);
+            group.wait_until("the last replica votes", votes).await;
+            group.machine((at + 1) % 3).kill();
+            group.propose(create_organisation("after", None)).await;
+        }
+    };
+
+    async replica_resumes_whose_data_folder_can_not_be_created_at_its_start => {
+        let folder = tempfile::tempdir().expect("a folder");
+        let blocked = folder.path().join("data");
+        std::fs::write(&blocked, "a file in place of the folder").expect("a file");
+        let listener = listeners(1).await.remove(0);
+        let member = members(std::slice::from_ref(&listener)).remove(0);
+        let node = start(listener, member.clone(), &[member], &blocked).await;
+        expect_that!(node.replica.halt_reason(), some(anything()));
+        std::fs::remove_file(&blocked).expect("no file");
+        let started = Instant::now();
+        while !node.replica.is_leader() {
+            assert!(started.elapsed() < TIMEOUT, "the replica doesn't resume");
+            compio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+
+    async failed_replacement_leaves_no_temporary_file => {
+        let folder = tempfile::tempdir().expect("a folder");
+        std::fs::write(folder.path().join("log.new"), "a process ended here").expect("a file");
+        let disk = FileDisk::open(folder.path()).await.expect("a disk");
+        // A file can't replace a folder.
+        std::fs::create_dir(folder.path().join("snapshot")).expect("a folder");
+        let outcome = disk.replace(FileName::Snapshot, vec![1; 9]).await;
+        expect_that!(outcome.is_err(), eq(true));
+        let files = std::fs::read_dir(folder.path()).expect("files");
+        let names = files.map(|f| f.expect("a file").file_name().into_string().expect("text"));
+        expect_that!(names.collect::<Vec<_>>(), unordered_elements_are![eq("lock"), eq("snapshot")]);
+    };
 }
