Random schedules of disks that are full, fail or are slow

Groups of three, five (of nine wanted, with lost voters removed soon) and nine replicas; a disk has room for some bytes, fails at a step of a file, is slow, or loses power without what was not synced; one at a time, a minority, or most of them. After the last repair changes are confirmed again, no replica is halted, and nothing confirmed is lost or older.

--- a/crates/jaylock-tests/tests/control/disk.rs
+++ b/crates/jaylock-tests/tests/control/disk.rs
@@ -118,6 +118,11 @@
         self.fault.set(None);
     }
 
+    /// Whether writes may fail.
+    pub fn is_faulty(&self) -> bool {
+        self.is_full.get() || self.capacity.get().is_some() || self.fault.get().is_some()
+    }
+
     /// Whether the disk holds a vote, without which its replica starts as one that has lost its disk.
     pub fn has_vote(&self) -> bool {
         self.files.borrow()[FileName::Vote as usize]
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -9,6 +9,7 @@
 mod failures;
 mod fault_schedules;
 mod followers;
+mod full_disks;
 mod group;
 mod history;
 mod invariants;
