Tests of disks that are full one after the other

What operators reported: three, five (of nine wanted) and nine replicas, the leader's disk first and a leader's once more last, for less and for more than replace_after, twice in a row each; with changes all the time. Long after, 20 changes are confirmed, all replicas vote and none is halted.

They do not show the report: that needs the coincidence of an election or of a slow disk (the commits on a replica that halts during its election, and on a leader whose disk lags).

--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -10,6 +10,7 @@
 mod fault_schedules;
 mod followers;
 mod full_disks;
+mod full_in_turn;
 mod group;
 mod history;
 mod invariants;
