--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -9,6 +9,8 @@
 mod failures;
 mod fault_schedules;
 mod followers;
+mod full_disks;
+mod full_in_turn;
 mod group;
 mod history;
 mod invariants;
