--- a/crates/jaylock-tests/tests/platform/documents.rs
+++ b/crates/jaylock-tests/tests/platform/documents.rs
@@ -137,6 +137,25 @@
         });
         assert_that!(backend.received(), not(is_empty()));
     };
+    route_whose_host_has_a_port_is_never_found => {
+        let fleet = TestFleet::minimal();
+        let _backend = FakeBackend::start(&fleet, "b1", |r| r.respond("200 OK", "done"));
+        let mut document = document(2);
+        for route in document["routes"].as_array_mut().expect("routes") {
+            route["kind"] = "idempotent".into();
+        }
+        document["routes"][0]["host"] = "App.example:8080".into();
+        document["routes"][2]["host"] = "[::1]:8080".into();
+        document["routes"][3]["host"] = "[::1]".into();
+        fleet.configure(&document);
+        let status = |host, path| fleet.caller().request("POST", path).with("Host", host).send().status();
+        wait_until("the route is active", || status("app.example:8080", "/once/1") == 200);
+        assert_that!(status("[::1]:8080", "/stream/1"), eq(200));
+        assert_that!(status("[::1]:9090", "/draft/1"), eq(200));
+        assert_that!(status("APP.example:9090", "/look/1"), eq(200));
+        assert_that!(status("app.example", "/once/1"), eq(404));
+        assert_that!(status("app.example:9090", "/once/1"), eq(404));
+    };
     selects_the_route_with_the_longest_prefix => {
         let fleet = TestFleet::minimal();
         let backend = FakeBackend::start(&fleet, "b1", |r| r.respond("200 OK", "done"));
