--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod decoding;
 mod descriptors;
+mod document_histories;
 mod documents;
 mod endless;
 mod exclusions;
