--- a/crates/jaylock-tests/src/fleet/http.rs
+++ b/crates/jaylock-tests/src/fleet/http.rs
@@ -47,8 +47,32 @@
     between: impl FnOnce(),
     second: &[u8],
 ) -> io::Result<HttpResponse> {
-    let mut stream = TcpStream::connect_timeout(&address, TIMEOUT)?;
+    let stream = TcpStream::connect_timeout(&address, TIMEOUT)?;
     stream.set_read_timeout(Some(TIMEOUT))?;
+    exchange(stream, first, between, second)
+}
+
+/// Sends bytes like [`send_raw`], with another timeout of connecting, of each write and of each read.
+///
+/// # Errors
+/// When the connection fails or no byte is received.
+pub fn send_raw_within(
+    address: SocketAddr,
+    bytes: &[u8],
+    timeout: Duration,
+) -> io::Result<HttpResponse> {
+    let stream = TcpStream::connect_timeout(&address, timeout)?;
+    stream.set_read_timeout(Some(timeout))?;
+    stream.set_write_timeout(Some(timeout))?;
+    exchange(stream, bytes, || (), &[])
+}
+
+fn exchange(
+    mut stream: TcpStream,
+    first: &[u8],
+    between: impl FnOnce(),
+    second: &[u8],
+) -> io::Result<HttpResponse> {
     // The server may refuse the request and close before reading everything.
     let _ = stream.write_all(first);
     between();
--- a/crates/jaylock-tests/src/fleet/mod.rs
+++ b/crates/jaylock-tests/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 mod tool;
 
 pub use self::backends::ORGANISATIONS;
-pub use self::http::{HttpResponse, get, post, send_in_parts, send_raw};
+pub use self::http::{HttpResponse, get, post, send_in_parts, send_raw, send_raw_within};
 pub use self::ports::free_address;
 pub use self::tool::{ToolOutput, run_tool};
 
--- a/crates/jaylock-tests/src/process.rs
+++ b/crates/jaylock-tests/src/process.rs
@@ -3,7 +3,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, kill_process, prlimit};
 
 use crate::program_path;
 
@@ -98,13 +98,37 @@
 
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
+        self.exit_status().is_some()
     }
 
-    fn send(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
-        let result = pid.map(|pid| kill_process(pid, signal));
-        assert!(matches!(result, Some(Ok(()))), "sending {signal:?} failed");
+    /// Returns the status with which the process has ended; `None` while it runs.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Limits the size in bytes of the files that the running process writes; `None` lifts the limit.
+    ///
+    /// # Panics
+    /// When the limit can't be set.
+    pub fn limit_file_size(&self, size: Option<u64>) {
+        let maximum = getrlimit(Resource::Fsize).maximum;
+        let current = size.or(maximum);
+        let limit = Rlimit { current, maximum };
+        prlimit(Some(self.raw_pid()), Resource::Fsize, limit).expect("a limit");
+    }
+
+    /// Sends a signal to the process.
+    ///
+    /// # Panics
+    /// When the process has ended and its status was read.
+    pub fn send(&self, signal: Signal) {
+        let result = kill_process(self.raw_pid(), signal);
+        assert!(result.is_ok(), "sending {signal:?} failed");
+    }
+
+    fn raw_pid(&self) -> Pid {
+        let pid = i32::try_from(self.child.id()).ok();
+        pid.and_then(Pid::from_raw).expect("a process id")
     }
 }
 
--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -7,11 +7,14 @@
 
 use jaylock_tests::fleet::HttpResponse;
 
-use super::{TestFleet, send_call, wait_until};
+use super::{TestFleet, send_call, send_call_within, wait_until};
 
 /// Time between two heartbeats of a backend server.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time after which a heartbeat counts as lost.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Size of a block of a reply without end.
 const ENDLESS_BLOCK: usize = 16 << 10;
 
@@ -27,8 +30,8 @@
     service: String,
     software: String,
     address: SocketAddr,
-    /// Where heartbeats are sent.
-    control: Mutex<SocketAddr>,
+    /// Where heartbeats are sent, in turn.
+    controls: Mutex<Vec<SocketAddr>>,
     incarnation: u64,
     sequence: AtomicU64,
     sends_heartbeats: AtomicBool,
@@ -95,7 +98,7 @@
             service: service.into(),
             software: software.into(),
             address: listener.local_addr().expect("an address"),
-            control: Mutex::new(fleet.control_address(0)),
+            controls: Mutex::new(vec![fleet.control_address(0)]),
             incarnation: 1,
             sequence: AtomicU64::new(0),
             sends_heartbeats: AtomicBool::new(true),
@@ -127,7 +130,8 @@
             while shared.sends_heartbeats.load(Ordering::Relaxed) {
                 thread::sleep(HEARTBEAT_INTERVAL);
                 if shared.sends_heartbeats.load(Ordering::Relaxed) {
-                    shared.send_heartbeat(shared.control(), "ready");
+                    let (path, body) = shared.heartbeat(&shared.id, "ready");
+                    send_call_within(shared.control(), "PUT", &path, &body, HEARTBEAT_TIMEOUT);
                 }
             }
         });
@@ -159,8 +163,13 @@
 
     /// Sends further heartbeats to another instance.
     pub fn redirect_heartbeats(&self, control: SocketAddr) {
-        let lock = self.shared.control.lock();
-        *lock.unwrap_or_else(PoisonError::into_inner) = control;
+        self.rotate_heartbeats(vec![control]);
+    }
+
+    /// Sends further heartbeats to these instances in turn.
+    pub fn rotate_heartbeats(&self, controls: Vec<SocketAddr>) {
+        let lock = self.shared.controls.lock();
+        *lock.unwrap_or_else(PoisonError::into_inner) = controls;
     }
 
     /// Sends a heartbeat with a lower sequence number than the last one.
@@ -204,7 +213,10 @@
 
 impl Shared {
     fn control(&self) -> SocketAddr {
-        *self.control.lock().unwrap_or_else(PoisonError::into_inner)
+        let controls = self.controls.lock();
+        let controls = controls.unwrap_or_else(PoisonError::into_inner);
+        let sequence = usize::try_from(self.sequence.load(Ordering::Relaxed)).unwrap_or(0);
+        controls[sequence % controls.len()]
     }
 
     fn send_heartbeat(&self, control: SocketAddr, state: &str) -> Option<HttpResponse> {
@@ -217,6 +229,12 @@
         control: SocketAddr,
         state: &str,
     ) -> Option<HttpResponse> {
+        let (path, body) = self.heartbeat(id, state);
+        send_call(control, "PUT", &path, &body)
+    }
+
+    /// Returns the path and the body of the next heartbeat.
+    fn heartbeat(&self, id: &str, state: &str) -> (String, String) {
         let Self {
             service,
             software,
@@ -230,7 +248,7 @@
             r#"{{"service":"{service}","address":"{address}","zone":"d0","version":"{software}","slots":{slots},
             "state":"{state}","cold_left_ms":0,"seq":{sequence},"born":{incarnation},"unknown":[]}}"#
         );
-        send_call(control, "PUT", &format!("/-/replicas/{id}"), &body)
+        (format!("/-/replicas/{id}"), body)
     }
 
     fn serve(&self, stream: TcpStream, reply: &dyn Fn(&ReceivedRequest) -> Reply) {
--- a/crates/jaylock-tests/tests/platform/harness/caller.rs
+++ b/crates/jaylock-tests/tests/platform/harness/caller.rs
@@ -1,7 +1,8 @@
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use jaylock_tests::fleet::{HttpResponse, send_in_parts, send_raw};
+use jaylock_tests::fleet::{HttpResponse, send_in_parts, send_raw, send_raw_within};
 
 use super::KEY;
 
@@ -88,6 +89,15 @@
         send_raw(self.address, self.text().as_bytes()).map(CallerResponse::from)
     }
 
+    /// Sends the request like [`Caller::try_send`], with another timeout.
+    ///
+    /// # Errors
+    /// When the connection fails before a byte of a response.
+    pub fn try_send_within(&self, timeout: Duration) -> io::Result<CallerResponse> {
+        let text = self.text();
+        send_raw_within(self.address, text.as_bytes(), timeout).map(CallerResponse::from)
+    }
+
     /// Sends the request like [`Caller::send`], and calls a function before the last byte.
     ///
     /// # Errors
--- a/crates/jaylock-tests/tests/platform/harness/mod.rs
+++ b/crates/jaylock-tests/tests/platform/harness/mod.rs
@@ -10,11 +10,12 @@
 
 use std::fs;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use jaylock_tests::Process;
-use jaylock_tests::fleet::{HttpResponse, free_address, get, send_raw};
+use jaylock_tests::fleet::{HttpResponse, free_address, get, send_raw, send_raw_within};
 use serde_json::Value;
 use tempfile::TempDir;
 
@@ -239,6 +240,17 @@
         get(ready, "/-/readiness").is_ok_and(|answer| answer.status == 200)
     }
 
+    /// Folder of the settings, the logs and the data.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Keeps the folder after the end of the fleet.
+    pub fn keep_folder(&mut self) {
+        self.folder.disable_cleanup(true);
+        eprintln!("the logs are in {}", self.folder.path().display());
+    }
+
     /// Creates a caller of the first router.
     pub fn caller(&self) -> Caller {
         Caller::new(self.caller_address(self.settings.control_count))
@@ -307,8 +319,7 @@
 impl Drop for TestFleet {
     fn drop(&mut self) {
         if thread::panicking() {
-            self.folder.disable_cleanup(true);
-            eprintln!("the logs are in {}", self.folder.path().display());
+            self.keep_folder();
         }
     }
 }
@@ -333,12 +344,27 @@
     path: &str,
     body: &str,
 ) -> Option<HttpResponse> {
+    send_raw(address, call_text(address, method, path, body).as_bytes()).ok()
+}
+
+/// Sends a call like [`send_call`], with another timeout.
+pub fn send_call_within(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    timeout: Duration,
+) -> Option<HttpResponse> {
+    let text = call_text(address, method, path, body);
+    send_raw_within(address, text.as_bytes(), timeout).ok()
+}
+
+fn call_text(address: SocketAddr, method: &str, path: &str, body: &str) -> String {
     let length = body.len();
-    let text = format!(
+    format!(
         "{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n\
          Content-Length: {length}\r\nConnection: close\r\n\r\n{body}"
-    );
-    send_raw(address, text.as_bytes()).ok()
+    )
 }
 
 /// Waits until a condition holds.
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod odd_documents;
 mod odd_entries;
 mod rate_limits;
+mod real_process_soak;
 mod refusals;
 mod repeated_refusals;
 mod replacements;
