Heartbeats and votes no longer wait for slow disks

Cause: contact and disk were one thing. A replica answered heartbeats, polls before an election and votes under the lock of its disk, so behind a write. With syncs of 0.2 s a vote (two writes of a file and its folder) outlasts the reply timeout of 0.4 s; the candidate asks again in a higher term, for which all have to write again. A leader that was elected lost its lease (0.4 s) while its followers wrote its first entry. Ruled out: a leader without a majority in reach (all answered), and losses (the logs agree once writes are quick).

A follower confirms a heartbeat of its leader at once, unless a newer term or a vote is being written; polls likewise. While a replica writes what it was sent, the leader contacts it with empty messages. A vote is one write. A candidate asks again in the same term for as long as nobody refuses, and a vote that was given is confirmed again. A leader steps down no earlier than a lease after its election. Reads need the lease as before. A replica is replaced when it takes no more of the log, as before, not when it stops answering heartbeats.

Safety: the lease rests on voters that are in contact and give no vote for 500 ms. A vote checks this under the lock and marks the term as pending before its write, and from then on no heartbeat of the older leader is confirmed. A candidate checks it again once it has the lock: before, it voted for itself also if a heartbeat had been answered while it waited. A term in which a replica has led is never reused.

--- a/crates/jaylock-control/src/members.rs
+++ b/crates/jaylock-control/src/members.rs
@@ -69,7 +69,7 @@
     }
     let elected_at = leader_state.elected_at;
     let is_lost =
-        |p: &&Progress| time_since_contact(p, elected_at, now) >= shared.settings.replace_after;
+        |p: &&Progress| time_since_transfer(p, elected_at, now) >= shared.settings.replace_after;
     let lost = leader_state.peers.iter().find(is_lost);
     let learner = leader_state
         .peers
@@ -100,8 +100,8 @@
     2 * tolerated_losses.max(1) + 1
 }
 
-fn time_since_contact(progress: &Progress, since: Instant, now: Instant) -> std::time::Duration {
-    now.duration_since(progress.last_contact.unwrap_or(since))
+fn time_since_transfer(progress: &Progress, since: Instant, now: Instant) -> std::time::Duration {
+    now.duration_since(progress.last_transfer.unwrap_or(since))
 }
 
 fn is_voter(core: &Core, progress: &Progress) -> bool {
@@ -113,8 +113,8 @@
 fn is_caught_up(shared: &Shared, core: &Core, progress: &Progress, now: Instant) -> bool {
     let contact_timeout = shared.settings.reply_timeout * LEARNER_CONTACT_TIMEOUTS;
     let has_contact = progress
-        .last_contact
-        .is_some_and(|last_contact| now.duration_since(last_contact) < contact_timeout);
+        .last_transfer
+        .is_some_and(|sent_at| now.duration_since(sent_at) < contact_timeout);
     !is_voter(core, progress) && has_contact && progress.match_index >= core.commit_index
 }
 
@@ -150,7 +150,7 @@
             .iter()
             .find(|p| p.member.instance == instance);
         lost.is_some_and(|p| {
-            time_since_contact(p, leader_state.elected_at, now) >= shared.settings.replace_after
+            time_since_transfer(p, leader_state.elected_at, now) >= shared.settings.replace_after
         })
     };
     let remaining = core.members.iter().filter(|m| !is_lost(&m.instance));
--- a/crates/jaylock-control/src/replica/core.rs
+++ b/crates/jaylock-control/src/replica/core.rs
@@ -24,6 +24,10 @@
     pub leader: CompactString,
     /// When a leader last sent a message or this replica last granted a vote.
     pub last_contact: Instant,
+    /// Whether a newer term or a vote is being written.
+    pub is_term_pending: bool,
+    /// Last term in which this replica voted for itself, until it is elected, is refused a vote or follows a leader.
+    pub open_election: Option<u64>,
     /// Whether the leader transfers leadership to this replica.
     pub is_election_requested: bool,
     /// Highest term seen in any message.
@@ -89,6 +93,8 @@
             role: Role::Follower,
             leader: CompactString::default(),
             last_contact: now,
+            is_term_pending: false,
+            open_election: None,
             is_election_requested: false,
             commit_index: state.index(),
             log,
@@ -141,6 +147,20 @@
         self.members.iter().filter(|m| m.voter)
     }
 
+    /// How long this replica is bound to no leader and no candidate.
+    pub fn time_since_contact(&self, now: Instant) -> Duration {
+        if self.is_term_pending {
+            return Duration::ZERO;
+        }
+        now.duration_since(self.last_contact)
+    }
+
+    /// Term of an election of this replica that is neither won nor lost.
+    pub fn open_election(&self) -> Option<u64> {
+        let is_newest = |term: &u64| *term == self.term() && *term == self.highest_term;
+        self.open_election.filter(is_newest)
+    }
+
     /// Whether a member record is of this replica with its current disk.
     pub fn is_self(&self, member: &Member) -> bool {
         member.instance == self.instance.as_str() && member.generation == self.hard_state.generation
@@ -283,6 +303,7 @@
             log::info!(target: "control", "stepped down in term {}", self.term());
         }
         self.role = Role::Follower;
+        self.open_election = None;
         self.leader = leader.into();
         self.pending.clear();
     }
--- a/crates/jaylock-control/src/replica/election.rs
+++ b/crates/jaylock-control/src/replica/election.rs
@@ -15,6 +15,16 @@
     sent_at: Instant,
 }
 
+/// A voter has refused its vote.
+struct Refused;
+
+/// Replies to a vote request.
+struct Ballot {
+    votes: Vec<Vote>,
+    /// Whether a voter has refused its vote.
+    is_refused: bool,
+}
+
 /// Runs as a follower until this replica becomes leader or halts.
 pub async fn run_follower(shared: &Rc<Shared>) {
     let mut election_timeout = shared.random_election_timeout();
@@ -23,7 +33,7 @@
         let (since_contact, is_transfer) = {
             let core = shared.core.borrow();
             (
-                shared.now().duration_since(core.last_contact),
+                core.time_since_contact(shared.now()),
                 core.is_election_requested,
             )
         };
@@ -48,14 +58,14 @@
     if !shared.core.borrow().is_voter() {
         return;
     }
-    if !is_transfer && !wins_pre_vote(shared).await {
-        return;
-    }
-    let Some(term) = vote_for_self(shared).await else {
+    let Some(term) = begin_term(shared, is_transfer).await else {
         return;
     };
-    log::info!(target: "control", "starting an election in term {term}");
-    let votes = collect_votes(shared, vote_request(shared, term, false, is_transfer)).await;
+    let request = vote_request(shared, term, false, is_transfer);
+    let Ballot { votes, is_refused } = collect_votes(shared, request).await;
+    if is_refused {
+        shared.core.borrow_mut().open_election = None;
+    }
     let quorum = shared.core.borrow().quorum();
     // A newer term may have begun while the votes were collected.
     if votes.len() + 1 >= quorum && shared.core.borrow().term() == term {
@@ -63,23 +73,46 @@
     }
 }
 
+/// Returns the term of the open election, or begins a new one.
+///
+/// The voters of an open election may still be writing their votes.
+async fn begin_term(shared: &Shared, is_transfer: bool) -> Option<u64> {
+    let open_election = shared.core.borrow().open_election();
+    if open_election.is_some() {
+        return open_election;
+    }
+    if !is_transfer && !wins_pre_vote(shared).await {
+        return None;
+    }
+    let term = vote_for_self(shared, is_transfer).await?;
+    log::info!(target: "control", "starting an election in term {term}");
+    Some(term)
+}
+
 async fn wins_pre_vote(shared: &Shared) -> bool {
     let (term, quorum) = {
         let core = shared.core.borrow();
         (core.highest_term + 1, core.quorum())
     };
-    let votes = collect_votes(shared, vote_request(shared, term, true, false)).await;
-    let since_contact = shared
-        .now()
-        .duration_since(shared.core.borrow().last_contact);
-    votes.len() + 1 >= quorum && since_contact >= shared.settings.election_timeout
+    let request = vote_request(shared, term, true, false);
+    let Ballot { votes, .. } = collect_votes(shared, request).await;
+    votes.len() + 1 >= quorum && may_vote_for_self(shared)
+}
+
+fn may_vote_for_self(shared: &Shared) -> bool {
+    let since_contact = shared.core.borrow().time_since_contact(shared.now());
+    since_contact >= shared.settings.election_timeout
 }
 
 /// Votes for this replica in a new term and returns the term.
 ///
 /// Removes entries that this replica appended as a leader but has not synced.
-async fn vote_for_self(shared: &Shared) -> Option<u64> {
+async fn vote_for_self(shared: &Shared, is_transfer: bool) -> Option<u64> {
     let _disk_guard = shared.disk_lock.lock().await;
+    // A heartbeat may have been answered in the meantime, and the leader relies on it.
+    if !is_transfer && !may_vote_for_self(shared) {
+        return None;
+    }
     let hard_state = {
         let mut core = shared.core.borrow_mut();
         let synced = core.log.synced();
@@ -92,6 +125,7 @@
     };
     let term = hard_state.term;
     shared.save_hard_state(hard_state).await.ok()?;
+    shared.core.borrow_mut().open_election = Some(term);
     Some(term)
 }
 
@@ -109,7 +143,7 @@
 }
 
 /// Requests votes from all other voters and returns once they form a majority with this replica.
-async fn collect_votes(shared: &Shared, request: VoteRequest) -> Vec<Vote> {
+async fn collect_votes(shared: &Shared, request: VoteRequest) -> Ballot {
     let (members, needed) = {
         let core = shared.core.borrow();
         let others = core.voters().filter(|m| !core.is_self(m));
@@ -120,17 +154,27 @@
         .into_iter()
         .map(|m| request_vote(shared, m, request.clone()));
     let mut replies: FuturesUnordered<_> = calls.collect();
-    let mut votes = Vec::new();
-    while votes.len() < needed {
-        let Some(vote) = replies.next().await else {
-            break;
-        };
-        votes.extend(vote);
+    let mut ballot = Ballot {
+        votes: Vec::new(),
+        is_refused: false,
+    };
+    while ballot.votes.len() < needed {
+        match replies.next().await {
+            Some(Some(Ok(vote))) => ballot.votes.push(vote),
+            Some(Some(Err(Refused))) => ballot.is_refused = true,
+            Some(None) => {}
+            None => break,
+        }
     }
-    votes
+    ballot
 }
 
-async fn request_vote(shared: &Shared, member: Member, request: VoteRequest) -> Option<Vote> {
+/// Requests a vote; returns `None` without a reply.
+async fn request_vote(
+    shared: &Shared,
+    member: Member,
+    request: VoteRequest,
+) -> Option<Result<Vote, Refused>> {
     let sent_at = shared.now();
     let call = shared.transport.vote(&member, request);
     let reply = jaylock_rpc::with_timeout(shared.settings.reply_timeout, call);
@@ -143,7 +187,7 @@
     shared.observe_term(term);
     // A voter that lost its disk may have lost the record of an earlier vote.
     let counts = granted && generation == member.generation;
-    counts.then_some(Vote { member, sent_at })
+    Some(counts.then_some(Vote { member, sent_at }).ok_or(Refused))
 }
 
 fn become_leader(shared: &Shared, votes: Vec<Vote>) {
--- a/crates/jaylock-control/src/replica/handlers.rs
+++ b/crates/jaylock-control/src/replica/handlers.rs
@@ -46,11 +46,12 @@
 /// Handles a vote or pre-vote request.
 pub async fn vote(shared: Rc<Shared>, request: VoteRequest) -> Result<VoteReply, Status> {
     shared.ensure_running()?;
-    let _disk_guard = shared.disk_lock.lock().await;
-    shared.ensure_running()?;
-    let granted = match request {
-        VoteRequest { poll: true, .. } => would_grant_vote(&shared, &request),
-        _ => grant_vote(&shared, &request).await?,
+    let granted = if request.poll {
+        would_grant_vote(&shared, &request)
+    } else {
+        let _disk_guard = shared.disk_lock.lock().await;
+        shared.ensure_running()?;
+        grant_vote(&shared, &request).await?
     };
     let core = shared.core.borrow();
     Ok(VoteReply {
@@ -63,21 +64,24 @@
 
 fn would_grant_vote(shared: &Shared, request: &VoteRequest) -> bool {
     let core = shared.core.borrow();
-    let since_contact = shared.now().duration_since(core.last_contact);
     core.hard_state.generation > 0
         && request.term > core.term()
-        && since_contact >= shared.settings.election_timeout
+        && core.time_since_contact(shared.now()) >= shared.settings.election_timeout
         && core.leader_state().is_none()
         && is_up_to_date(shared, request)
 }
 
 async fn grant_vote(shared: &Shared, request: &VoteRequest) -> Result<bool, Status> {
-    let (hard_state, last_contact) = {
+    let (hard_state, since_contact) = {
         let core = shared.core.borrow();
-        (core.hard_state.clone(), core.last_contact)
+        let since_contact = core.time_since_contact(shared.now());
+        (core.hard_state.clone(), since_contact)
     };
+    if request.term == hard_state.term && request.candidate == hard_state.voted_for {
+        shared.core.borrow_mut().last_contact = shared.now();
+        return Ok(true);
+    }
     // The leader lease relies on this: a replica in contact with a leader votes for no other one.
-    let since_contact = shared.now().duration_since(last_contact);
     let is_bound = since_contact < shared.settings.election_timeout || shared.holds_lease();
     if hard_state.generation == 0
         || (is_bound && !request.handover)
@@ -85,12 +89,14 @@
     {
         return Ok(false);
     }
-    if request.term > hard_state.term {
-        shared.enter_term(request.term).await?;
+    let is_new_term = request.term > hard_state.term;
+    if !is_up_to_date(shared, request) {
+        if is_new_term {
+            shared.enter_term(request.term).await?;
+        }
+        return Ok(false);
     }
-    let voted_for = shared.core.borrow().hard_state.voted_for.clone();
-    if !(voted_for.is_empty() || voted_for == request.candidate) || !is_up_to_date(shared, request)
-    {
+    if !is_new_term && !hard_state.voted_for.is_empty() {
         return Ok(false);
     }
     let hard_state = HardState {
@@ -112,6 +118,9 @@
 /// Handles entries from the leader: appends and syncs them.
 pub async fn append(shared: Rc<Shared>, request: AppendRequest) -> Result<AppendReply, Status> {
     shared.ensure_running()?;
+    if let Some(reply) = confirm_contact(&shared, &request) {
+        return Ok(reply);
+    }
     let _disk_guard = shared.disk_lock.lock().await;
     shared.ensure_running()?;
     let generation = shared.core.borrow().hard_state.generation;
@@ -139,6 +148,27 @@
     Ok(append_reply(&shared, true, last_verified))
 }
 
+/// Replies to a heartbeat of the leader that this replica follows without waiting for the disk.
+fn confirm_contact(shared: &Shared, request: &AppendRequest) -> Option<AppendReply> {
+    let is_confirmed = {
+        let core = shared.core.borrow();
+        request.entries.is_empty()
+            && !request.campaign
+            && !core.is_term_pending
+            && core.leader_state().is_none()
+            && core.leader == request.leader
+            && core.term() == request.term
+            && core.hard_state.generation == request.generation
+            && request.prev_index <= core.log.synced()
+    };
+    if !is_confirmed || !log_matches(shared, request) {
+        return None;
+    }
+    shared.core.borrow_mut().last_contact = shared.now();
+    set_commit(shared, request.commit.min(request.prev_index));
+    Some(append_reply(shared, true, request.prev_index))
+}
+
 fn append_reply(shared: &Shared, is_success: bool, synced: u64) -> AppendReply {
     let core = shared.core.borrow();
     AppendReply {
--- a/crates/jaylock-control/src/replica/leader.rs
+++ b/crates/jaylock-control/src/replica/leader.rs
@@ -43,7 +43,12 @@
     if core.leader_state().is_none() || core.term() != term {
         return false;
     }
-    let end = core.lease_end(shared.settings.leader_lease, now);
+    let lease = shared.settings.leader_lease;
+    let elected_at = core.leader_state().map(|l| l.elected_at);
+    // The votes may be older than the lease, as they are written to disks.
+    let end = core
+        .lease_end(lease, now)
+        .max(elected_at.map(|at| at + lease));
     if end.is_none_or(|end| end <= now) {
         log::warn!(target: "control", "stepping down: no reply from a majority within the leader lease");
         core.become_follower("");
--- a/crates/jaylock-control/src/replica/progress.rs
+++ b/crates/jaylock-control/src/replica/progress.rs
@@ -16,6 +16,8 @@
     pub sent_commit: u64,
     /// When the newest message that got a reply was sent.
     pub last_contact: Option<Instant>,
+    /// When the newest part of the log or of a snapshot that got a reply was sent.
+    pub last_transfer: Option<Instant>,
     /// Generation in the last reply; differs from the member record after a lost disk.
     pub generation: u64,
     /// Whether the replica needs a snapshot.
@@ -31,9 +33,16 @@
             match_index: 0,
             sent_commit: 0,
             last_contact: None,
+            last_transfer: None,
             needs_snapshot: false,
         }
     }
+
+    /// Records the reply to a part of the log or of a snapshot.
+    pub fn record_transfer(&mut self, sent_at: Instant) {
+        self.last_contact = self.last_contact.max(Some(sent_at));
+        self.last_transfer = self.last_transfer.max(Some(sent_at));
+    }
 }
 
 impl LeaderState {
--- a/crates/jaylock-control/src/replica/replication.rs
+++ b/crates/jaylock-control/src/replica/replication.rs
@@ -1,6 +1,8 @@
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Instant;
 
+use futures_util::future::{Either, select};
 use jaylock_rpc::v1::{AppendReply, AppendRequest, Member};
 
 use super::Shared;
@@ -68,14 +70,44 @@
     };
     let (sent_at, commit) = (shared.now(), request.commit);
     let call = shared.transport.append(member, request);
-    let reply = jaylock_rpc::with_timeout(shared.settings.reply_timeout, call).await;
-    let Ok(reply) = reply else {
+    let reply = jaylock_rpc::with_timeout(shared.settings.reply_timeout, call);
+    let contacts = keep_contact(shared, member);
+    let Either::Left((Ok(reply), _)) = select(pin!(reply), pin!(contacts)).await else {
         return false;
     };
     record_reply(shared, member, sent_at, commit, &reply);
     true
 }
 
+/// Keeps contact with a replica whose disk may take long to write what it was sent.
+async fn keep_contact(shared: &Shared, member: &Member) {
+    while shared.core.borrow().leader_state().is_some() {
+        compio::time::sleep(shared.settings.heartbeat_interval).await;
+        let request = AppendRequest {
+            term: shared.core.borrow().term(),
+            leader: shared.identity.instance.clone(),
+            generation: member.generation,
+            ..AppendRequest::default()
+        };
+        let sent_at = shared.now();
+        let call = shared.transport.append(member, request);
+        let reply = jaylock_rpc::with_timeout(shared.settings.reply_timeout, call).await;
+        if let Ok(reply) = reply {
+            record_contact(shared, member, sent_at, &reply);
+        }
+    }
+}
+
+fn record_contact(shared: &Shared, member: &Member, sent_at: Instant, reply: &AppendReply) {
+    shared.observe_term(reply.term);
+    let mut core = shared.core.borrow_mut();
+    let is_same = reply.term == core.term() && reply.generation == member.generation;
+    let progress = core.leader_state_mut().and_then(|l| l.progress_mut(member));
+    if let Some(progress) = progress.filter(|_| is_same) {
+        progress.last_contact = progress.last_contact.max(Some(sent_at));
+    }
+}
+
 fn append_request(shared: &Shared, member: &Member) -> Option<AppendRequest> {
     let core = shared.core.borrow();
     let progress = core.leader_state()?.progress(member)?;
@@ -100,7 +132,7 @@
     if reply.generation != member.generation || reply.term != term {
         return;
     }
-    progress.last_contact = progress.last_contact.max(Some(sent_at));
+    progress.record_transfer(sent_at);
     if reply.success {
         progress.match_index = progress.match_index.max(reply.synced);
         progress.next_index = progress.match_index + 1;
--- a/crates/jaylock-control/src/replica/shared.rs
+++ b/crates/jaylock-control/src/replica/shared.rs
@@ -208,7 +208,10 @@
     ///
     /// The caller holds `disk_lock`.
     pub async fn save_hard_state(&self, hard_state: HardState) -> Result<(), Status> {
-        if let Err(error) = self.store.write_hard_state(&hard_state).await {
+        self.core.borrow_mut().is_term_pending = true;
+        let outcome = self.store.write_hard_state(&hard_state).await;
+        self.core.borrow_mut().is_term_pending = false;
+        if let Err(error) = outcome {
             self.halt(&error);
             return Err(Status::unavailable(error.to_string()));
         }
@@ -246,6 +249,7 @@
     pub fn become_leader(&self, leader_state: super::core::LeaderState) {
         let mut core = self.core.borrow_mut();
         core.leader = self.identity.instance.as_str().into();
+        core.open_election = None;
         core.role = Role::Leader(leader_state);
     }
 }
--- a/crates/jaylock-control/src/replica/snapshot_transfer.rs
+++ b/crates/jaylock-control/src/replica/snapshot_transfer.rs
@@ -95,6 +95,6 @@
     if reply.generation != member.generation || reply.term != term {
         return false;
     }
-    progress.last_contact = progress.last_contact.max(Some(sent_at));
+    progress.record_transfer(sent_at);
     true
 }
--- a/crates/jaylock-tests/tests/control/fault_schedules.rs
+++ b/crates/jaylock-tests/tests/control/fault_schedules.rs
@@ -22,6 +22,8 @@
 /// Machines that are there one after the other, so that each can be replaced twice.
 const ALL_MACHINES: usize = 12;
 const REPLICAS: usize = 3;
+/// Duration of a write to a slow disk, longer than the leader lease and a reply timeout of the group.
+const SLOW_WRITE_MS: u64 = 200;
 const POOL: &str = "pool";
 /// Number of calls that must succeed after all faults are repaired.
 const RECOVERY_REPLIES: usize = 30;
@@ -38,6 +40,8 @@
     Replace,
     StepDown,
     SuspendInstance,
+    /// Makes each write last longer than the leader lease.
+    SlowDisk,
 }
 
 /// The pause before a fault in ms, the machine, and the fault.
@@ -54,6 +58,7 @@
         2 => Just(Fault::Replace),
         1 => Just(Fault::StepDown),
         2 => Just(Fault::SuspendInstance),
+        3 => Just(Fault::SlowDisk),
     ];
     prop::collection::vec((5_u64..140, 0..MACHINES, fault), 10..25)
 }
@@ -115,6 +120,7 @@
             Fault::Start => self.group.start(at).await.expect("a replica"),
             Fault::Isolate => machine.is_isolated.set(true),
             Fault::Suspend => machine.disk.is_suspended.set(true),
+            Fault::SlowDisk => machine.disk.write_delay_ms.set(SLOW_WRITE_MS),
             Fault::Repair => self.repair(at).await,
             Fault::Wipe => self.lose_disk(position, false).await,
             Fault::Replace => self.lose_disk(position, true).await,
@@ -134,6 +140,7 @@
         let machine = self.group.machine(at);
         machine.is_isolated.set(false);
         machine.disk.is_suspended.set(false);
+        machine.disk.write_delay_ms.set(0);
         self.instances[at].is_suspended.set(false);
         self.group.start(at).await.expect("a replica");
     }
