--- a/crates/jaylock-tests/src/process.rs
+++ b/crates/jaylock-tests/src/process.rs
@@ -127,7 +127,12 @@
 
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
+        self.exit_status().is_some()
+    }
+
+    /// Returns the status with which the process has ended; `None` while it runs.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
     }
 
     fn limit(&self, resource: Resource, current: Option<u64>) {
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -19,4 +19,5 @@
 mod nodes;
 mod pool_holders;
 mod replacements;
+mod slow_disks;
 mod withdrawals;
