The operators' tool says when its output could not be written

Cause: the error of the write was dropped, and clap_complete panics where its writer fails.

Change: one function prints; a failure ends with the new code 6, which says that the command itself succeeded. A closed pipe is no error, as before.

--- a/crates/jaylock-operator/src/bin/jaylock/command_line.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/command_line.rs
@@ -1,5 +1,3 @@
-use std::io;
-
 use clap::{Arg, ArgMatches, Command, value_parser};
 use clap_complete::Shell;
 use jaylock_rpc::v1::{Adapter, Model};
@@ -37,11 +35,13 @@
         .subcommand(completions())
 }
 
-/// Writes the completion script of a shell to standard output.
-pub fn print_completions(matches: &ArgMatches) {
+/// Returns the completion script of a shell.
+pub fn completion_script(matches: &ArgMatches) -> Vec<u8> {
     let shell = matches.get_one::<Shell>("shell").copied();
     let shell = shell.unwrap_or(Shell::Bash);
-    clap_complete::generate(shell, &mut command(), "jaylock", &mut io::stdout());
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut command(), "jaylock", &mut script);
+    script
 }
 
 fn completions() -> Command {
@@ -61,4 +61,5 @@
   2  invalid command line
   3  another change came first; nothing was changed
   4  no response; a change may have been made: repeat the command with the printed --command-id
-  5  the revision was not active on every instance in time";
+  5  the revision was not active on every instance in time
+  6  success, but the output could not be written";
--- a/crates/jaylock-operator/src/bin/jaylock/error.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/error.rs
@@ -1,3 +1,5 @@
+use std::io;
+
 use serde_json::json;
 use thiserror::Error;
 use tonic::{Code, Status};
@@ -46,6 +48,9 @@
         /// Instances that lag behind, with their revisions.
         lagging: String,
     },
+    /// The output of a command that succeeded can't be written.
+    #[error("the output can't be written: {0}; the command itself succeeded")]
+    Unwritten(io::Error),
     /// A local operation failed.
     #[error("{0}")]
     Local(String),
@@ -60,6 +65,7 @@
             Self::Conflict { .. } => 3,
             Self::NotReached { .. } | Self::Unknown { .. } => 4,
             Self::NotActive { .. } => 5,
+            Self::Unwritten(_) => 6,
         }
     }
 
@@ -77,6 +83,7 @@
             Self::NotReached { .. } => "not-reached",
             Self::Unknown { .. } => "unknown",
             Self::NotActive { .. } => "not-in-force",
+            Self::Unwritten(_) => "unwritten",
             Self::Local(_) => "local",
         }
     }
--- a/crates/jaylock-operator/src/bin/jaylock/main.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/main.rs
@@ -36,8 +36,7 @@
 fn main() -> ExitCode {
     let matches = command_line::command().get_matches();
     if let Some((command_line::COMPLETIONS, submatches)) = matches.subcommand() {
-        command_line::print_completions(submatches);
-        return ExitCode::SUCCESS;
+        return print(&command_line::completion_script(submatches));
     }
     let as_json = matches.get_flag(arguments::JSON);
     let outcome = compio::runtime::Runtime::new()
@@ -82,9 +81,7 @@
             } else {
                 output.text()
             };
-            // A closed pipe, as in `jaylock ... | head`, is not an error.
-            let _ = io::stdout().write_all(text.as_bytes());
-            ExitCode::SUCCESS
+            print(text.as_bytes())
         }
         Err(error) => {
             let text = if as_json {
@@ -97,3 +94,18 @@
         }
     }
 }
+
+/// Writes to standard output and returns the exit code for it.
+fn print(output: &[u8]) -> ExitCode {
+    let mut stdout = io::stdout();
+    let written = stdout.write_all(output).and_then(|()| stdout.flush());
+    match written {
+        // A closed pipe, as in `jaylock ... | head`, is not an error.
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => {
+            let error = Error::Unwritten(error);
+            let _ = io::stderr().write_all(format!("jaylock: {error}\n").as_bytes());
+            ExitCode::from(error.exit_code())
+        }
+        _ => ExitCode::SUCCESS,
+    }
+}
--- a/crates/jaylock-tests/tests/product/tool.rs
+++ b/crates/jaylock-tests/tests/product/tool.rs
@@ -1,12 +1,15 @@
+use std::fs::File;
+use std::io::pipe;
 use std::net::SocketAddr;
+use std::process::Command;
 
 use googletest::prelude::*;
 use jaylock_rpc::v1;
 use jaylock_rpc::v1::applied::Result as Applied;
 use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::route::Kind;
-use jaylock_tests::cases;
 use jaylock_tests::fleet::ToolOutput;
+use jaylock_tests::{cases, program_path};
 use jaylock_types::KeyHash;
 
 use crate::fake::{FakeService, FakeState, Reply, run};
@@ -253,4 +256,20 @@
         assert_that!(outcome.exit_code, eq(0));
         assert_that!(outcome.stdout, contains_substring("organisation"));
     };
+    // Guards against a success whose output, as a generated key, is lost on a full disk.
+    reports_output_that_a_full_disk_refuses => {
+        let full = File::options().write(true).open("/dev/full").expect("a full device");
+        let command = || {
+            let mut command = Command::new(program_path("jaylock"));
+            command.args(["completions", "bash"]);
+            command
+        };
+        let refused = ToolOutput::from(command().stdout(full).output().expect("an output"));
+        assert_that!(refused.exit_code, eq(6));
+        assert_that!(refused.stderr, starts_with("jaylock: the output can't be written"));
+        let (reader, writer) = pipe().expect("a pipe");
+        drop(reader);
+        let closed = ToolOutput::from(command().stdout(writer).output().expect("an output"));
+        assert_that!((closed.exit_code, closed.stderr.as_str()), eq((0, "")));
+    };
 }
