A first start that is interrupted still forms the group

Cause: a seed that ended before the group was formed and came back with first_start = false said so when the others asked. They took that for an existing group, joined as new generations, and all three waited for a leader for ever. The same with a seed whose replica had just formed the group, with all seeds, and with one seed alone. Class: a decision that is made once by the settings of a process, though the disk outlives the process. Found beside it: seeds with different lists formed two groups. Change: a seed of a first start stores the list of seeds with its vote before anything else. A disk with that record has acknowledged nothing before it holds the first members, so its replica is a first member like any other, whatever the others say meanwhile: all must only have the same first members. Hence it needs each seed's member record (or the members that another seed has formed the group with), no seed with another list, and a majority of seeds in contact with such a record. Any seed that holds entries still sends it to join as a new generation. A restart without the record joins as before, and its mere new generation is no sign of a group any more. The wait is logged: "no group is formed yet: REASON", every 10 s. Why no second group can form: first members are the seeds of one list; each forms generation 1 once on an intact disk, with one vote a term, so any two majorities share a voter that remembers. Limits, as before: a seed that was never heard keeps the group from forming; an instance whose lost disk starts with first_start = true relies on the others' entries.

--- a/crates/jaylock-control/src/replica/bootstrap.rs
+++ b/crates/jaylock-control/src/replica/bootstrap.rs
@@ -23,15 +23,31 @@
 }
 
 impl Bootstrap {
-    /// Whether the settings declare that the whole fleet starts for the first time.
+    /// The sorted addresses of the seeds if the fleet starts for the first time and this instance is one of them.
     #[must_use]
-    pub fn is_first_start(&self) -> bool {
-        matches!(
-            self,
-            Self::Seeds {
-                is_first_start: true,
-                ..
-            }
-        )
+    pub fn first_seeds(&self, own_address: &str) -> Vec<String> {
+        let Self::Seeds {
+            addresses,
+            is_first_start: true,
+        } = self
+        else {
+            return Vec::new();
+        };
+        let mut seeds: Vec<String> = addresses.iter().map(ToString::to_string).collect();
+        seeds.sort_unstable();
+        seeds.dedup();
+        if !seeds.iter().any(|seed| seed == own_address) {
+            seeds.clear();
+        }
+        seeds
+    }
+
+    /// The addresses that may know a group.
+    #[must_use]
+    pub fn seeds(&self) -> &[SocketAddr] {
+        match self {
+            Self::Seeds { addresses, .. } => addresses,
+            Self::Members(_) => &[],
+        }
     }
 }
--- a/crates/jaylock-control/src/replica/election.rs
+++ b/crates/jaylock-control/src/replica/election.rs
@@ -85,9 +85,9 @@
         let synced = core.log.synced();
         core.truncate(synced);
         HardState {
-            generation: core.hard_state.generation,
             term: core.highest_term + 1,
             voted_for: shared.identity.instance.clone(),
+            ..core.hard_state.clone()
         }
     };
     let term = hard_state.term;
--- a/crates/jaylock-control/src/replica/handlers.rs
+++ b/crates/jaylock-control/src/replica/handlers.rs
@@ -29,17 +29,23 @@
     receiver.await.map_err(stopped)?
 }
 
-/// Returns the member record of this instance and whether it has joined a group.
+/// Returns the member record of this instance and what its disk holds.
 pub fn greet(shared: &Shared) -> GreetReply {
     let core = shared.core.borrow();
-    let generation = core.hard_state.generation;
+    let joined = core.log.last_index() > 0;
+    let is_founder = core.hard_state.generation == FIRST_GENERATION && !joined;
     GreetReply {
         member: Some(Member {
-            generation,
+            generation: core.hard_state.generation,
             ..shared.identity.clone()
         }),
-        first_start: shared.bootstrap.is_first_start(),
-        joined: core.log.last_index() > 0 || generation > FIRST_GENERATION,
+        joined,
+        seeds: core.hard_state.first_seeds.clone(),
+        members: if is_founder {
+            core.members.clone()
+        } else {
+            Vec::new()
+        },
     }
 }
 
@@ -94,9 +100,9 @@
         return Ok(false);
     }
     let hard_state = HardState {
-        generation: hard_state.generation,
         term: request.term,
         voted_for: request.candidate.clone(),
+        ..hard_state
     };
     shared.save_hard_state(hard_state).await?;
     shared.core.borrow_mut().last_contact = shared.now();
--- a/crates/jaylock-control/src/replica/join.rs
+++ b/crates/jaylock-control/src/replica/join.rs
@@ -1,10 +1,10 @@
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use futures_util::future::join_all;
-use jaylock_rpc::v1::{GreetReply, Member, VoteReply, VoteRequest};
+use jaylock_rpc::v1::{Member, VoteReply, VoteRequest};
 use jaylock_types::unix_ms;
 
+use super::founders::{self, Founders};
 use super::{Bootstrap, Shared};
 use crate::state::State;
 use crate::storage::HardState;
@@ -13,10 +13,10 @@
 pub const FIRST_GENERATION: u64 = 1;
 
 /// Whether a group exists, according to the replies of the other replicas.
-enum GroupStatus {
+pub enum GroupStatus {
     /// A group exists, or this instance may not form one.
     Exists,
-    /// Too few replicas replied.
+    /// Too little is known of the other replicas.
     Unknown,
     /// Nothing was ever committed: the initial members, and the highest term they know.
     New(Vec<Member>, u64),
@@ -26,13 +26,14 @@
 ///
 /// In an existing group the replica is a new generation and gets its state from the leader.
 pub async fn join(shared: &Rc<Shared>) {
+    if founders::record_first_start(shared).await.is_err() {
+        return;
+    }
+    let mut founders = Founders::default();
     while shared.core.borrow().hard_state.generation == 0 && !shared.is_halted() {
         let group = match &shared.bootstrap {
             Bootstrap::Members(members) => query_members(shared, members).await,
-            Bootstrap::Seeds {
-                addresses,
-                is_first_start,
-            } => query_seeds(shared, addresses, *is_first_start).await,
+            Bootstrap::Seeds { .. } => founders.query(shared).await,
         };
         let outcome = match group {
             GroupStatus::Exists => join_as_new_generation(shared).await,
@@ -86,6 +87,7 @@
         generation: FIRST_GENERATION,
         term,
         voted_for: voted_for.into(),
+        ..shared.core.borrow().hard_state.clone()
     };
     shared.save_hard_state(hard_state).await
 }
@@ -115,37 +117,6 @@
     GroupStatus::New(members.to_vec(), term)
 }
 
-/// Queries the seeds, all of which must report that the fleet starts for the first time.
-///
-/// Otherwise an empty disk joins the existing group, so that a lost disk never forms a second one.
-async fn query_seeds(shared: &Shared, seeds: &[SocketAddr], is_first_start: bool) -> GroupStatus {
-    let own_address: Option<SocketAddr> = shared.identity.peer_address.parse().ok();
-    let is_seed = seeds.iter().any(|seed| Some(*seed) == own_address);
-    if !is_first_start || !is_seed {
-        return GroupStatus::Exists;
-    }
-    let others = seeds.iter().filter(|seed| Some(**seed) != own_address);
-    let replies = join_all(others.map(|seed| greet(shared, *seed))).await;
-    if replies.iter().flatten().any(|r| r.joined || !r.first_start) {
-        return GroupStatus::Exists;
-    }
-    let members: Option<Vec<Member>> = replies.into_iter().map(|r| r?.member).collect();
-    match members {
-        Some(mut members) => {
-            members.push(shared.identity.clone());
-            GroupStatus::New(members, 0)
-        }
-        None => GroupStatus::Unknown,
-    }
-}
-
-async fn greet(shared: &Shared, seed: SocketAddr) -> Option<GreetReply> {
-    let call = shared.transport.greet(seed);
-    jaylock_rpc::with_timeout(shared.settings.reply_timeout, call)
-        .await
-        .ok()
-}
-
 /// Queries the generation, term and last index of a member.
 ///
 /// The query is a pre-vote for term 0, which is never granted.
--- a/crates/jaylock-control/src/replica/mod.rs
+++ b/crates/jaylock-control/src/replica/mod.rs
@@ -3,6 +3,7 @@
 mod bootstrap;
 mod core;
 mod election;
+mod founders;
 pub(crate) mod handlers;
 mod join;
 mod leader;
--- a/crates/jaylock-control/src/storage/records.rs
+++ b/crates/jaylock-control/src/storage/records.rs
@@ -21,6 +21,9 @@
     /// Candidate that got the vote in this term; empty if no vote was given.
     #[prost(string, tag = "3")]
     pub voted_for: String,
+    /// Sorted addresses of the seeds, if the disk is in use since the first start of the fleet and belongs to one of them.
+    #[prost(string, repeated, tag = "4")]
+    pub first_seeds: Vec<String>,
 }
 
 /// The state after an entry, as it is stored and sent to other replicas.
--- a/crates/jaylock-tests/tests/control/group.rs
+++ b/crates/jaylock-tests/tests/control/group.rs
@@ -1,18 +1,19 @@
 //! Replicas in one process with simulated disks and a simulated network.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compio::runtime::JoinHandle;
 use futures_util::FutureExt;
-use jaylock_control::{Environment, Replica, ReplicaSettings, ReplyFuture, Transport};
+use jaylock_control::{Bootstrap, Environment, Replica, ReplicaSettings, ReplyFuture, Transport};
 use jaylock_rpc::v1::control_server::Control;
 use jaylock_rpc::v1::replica_server::Replica as Peer;
 use jaylock_rpc::v1::{
-    AppendReply, AppendRequest, Applied, Command, Configuration, EventsRequest, InstallReply,
-    InstallRequest, Instance, Member, ProposeRequest, ReadRequest, RenewReply, RenewRequest,
-    VoteReply, VoteRequest,
+    AppendReply, AppendRequest, Applied, Command, Configuration, EventsRequest, GreetReply,
+    GreetRequest, InstallReply, InstallRequest, Instance, Member, ProposeRequest, ReadRequest,
+    RenewReply, RenewRequest, VoteReply, VoteRequest,
 };
 use jaylock_types::SystemClock;
 use tonic::{Request, Status};
@@ -142,6 +143,20 @@
             request
         )
     }
+
+    fn greet(&self, to: SocketAddr) -> ReplyFuture<GreetReply> {
+        let address = to.to_string();
+        let mut machines = self.machines.iter();
+        let index = machines.position(|m| m.member.peer_address == address);
+        rpc!(
+            self.machines,
+            self.from,
+            index.expect("a machine"),
+            replica_service,
+            greet,
+            GreetRequest {}
+        )
+    }
 }
 
 impl Group {
@@ -199,6 +214,15 @@
 
     /// Starts the process of a machine unless it is running.
     pub async fn start(&self, at: usize) -> jaylock_control::Result<()> {
+        self.start_as(at, self.bootstrap.clone()).await
+    }
+
+    /// Starts the process of a machine with other settings of the first members, unless it is running.
+    pub async fn start_as(
+        &self,
+        at: usize,
+        bootstrap: impl Into<Bootstrap>,
+    ) -> jaylock_control::Result<()> {
         let machine = &self.machines[at];
         if machine.replica().is_some() || machine.is_absent.get() {
             return Ok(());
@@ -213,7 +237,7 @@
         };
         let replica = Replica::open_with(
             machine.member.clone(),
-            self.bootstrap.clone(),
+            bootstrap,
             machine.disk.open(),
             environment,
             self.settings.clone(),
--- a/crates/jaylock-tests/tests/platform/harness/mod.rs
+++ b/crates/jaylock-tests/tests/platform/harness/mod.rs
@@ -10,6 +10,7 @@
 
 use std::fs;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -102,21 +103,26 @@
 
     /// Starts a new fleet with other settings.
     pub fn start_with(settings: FleetSettings) -> Self {
+        let mut fleet = Self::stopped(settings);
+        for at in 0..fleet.instances.len() {
+            fleet.start_instance(at, true);
+        }
+        fleet
+    }
+
+    /// Creates a fleet none of whose instances has been started.
+    pub fn stopped(settings: FleetSettings) -> Self {
         let count = settings.control_count + settings.router_count;
         let instances = (0..count).map(|at| Instance {
             name: format!("n{at}"),
             process: None,
             addresses: Addresses::allocate(),
         });
-        let mut fleet = Self {
+        Self {
             folder: tempfile::tempdir().expect("a folder"),
             instances: instances.collect(),
             settings,
-        };
-        for at in 0..fleet.instances.len() {
-            fleet.start_instance(at, true);
         }
-        fleet
     }
 
     /// Starts one instance of each kind and submits the first document.
@@ -215,12 +221,13 @@
 
     /// Deletes the data folder of a stopped instance.
     pub fn lose_disk(&self, at: usize) {
-        let data = self
-            .folder
-            .path()
-            .join("data")
-            .join(&self.instances[at].name);
-        fs::remove_dir_all(data).expect("a data folder");
+        fs::remove_dir_all(self.data_folder(at)).expect("a data folder");
+    }
+
+    /// Returns the data folder of an instance.
+    pub fn data_folder(&self, at: usize) -> PathBuf {
+        let folder = self.folder.path().join("data");
+        folder.join(&self.instances[at].name)
     }
 
     /// Returns the log of an instance.
--- a/crates/jaylock-tests/tests/platform/starts.rs
+++ b/crates/jaylock-tests/tests/platform/starts.rs
@@ -8,7 +8,7 @@
 use jaylock_tests::fleet::get;
 use socket2::{Domain, Socket, Type};
 
-use crate::harness::{Endpoint, FakeBackend, TestFleet, document, wait_until};
+use crate::harness::{Endpoint, FakeBackend, FleetSettings, TestFleet, document, wait_until};
 
 /// Instance that serves control.
 const CONTROL: usize = 0;
@@ -88,6 +88,22 @@
     assert_that!(fleet.process(at).has_ended(), eq(false));
 }
 
+/// Creates a fleet of three control instances and a router, none of which has been started.
+fn stopped_fleet() -> TestFleet {
+    TestFleet::stopped(FleetSettings {
+        control_count: 3,
+        ..FleetSettings::default()
+    })
+}
+
+/// Starts an instance for the first time and kills it before it has met the others.
+fn interrupt_first_start(fleet: &mut TestFleet, at: usize) {
+    fleet.start_instance(at, true);
+    let vote = fleet.data_folder(at).join("vote");
+    wait_until("the first start is recorded", || vote.exists());
+    fleet.kill(at);
+}
+
 /// Starts an instance with an altered line of its settings.
 fn start_with(fleet: &mut TestFleet, at: usize, line: &str, altered: &str) {
     fleet.kill(at);
@@ -174,6 +190,38 @@
         let status = runtime.block_on(process.terminate(STOP_TIMEOUT));
         assert_that!(status.success(), eq(true));
     };
+    fleet_forms_after_a_seed_was_killed_in_its_first_start => {
+        let mut fleet = stopped_fleet();
+        interrupt_first_start(&mut fleet, 2);
+        fleet.start_instance(2, false);
+        for at in [0, 1, 3] {
+            fleet.start_instance(at, true);
+        }
+        fleet.configure(&document(1));
+    };
+    fleet_forms_after_all_seeds_were_killed_in_their_first_start => {
+        let mut fleet = stopped_fleet();
+        (0..3).for_each(|at| interrupt_first_start(&mut fleet, at));
+        (0..4).for_each(|at| fleet.start_instance(at, false));
+        fleet.configure(&document(1));
+    };
+    fleet_forms_although_a_seed_was_killed_before_it_wrote_anything => {
+        let mut fleet = stopped_fleet();
+        fleet.start_instance(1, false);
+        wait_until("the seed runs", || fleet.log(1).contains("is serving"));
+        for at in [0, 2, 3] {
+            fleet.start_instance(at, true);
+        }
+        fleet.configure(&document(1));
+    };
+    fleet_forms_once_the_address_of_a_seed_is_free => {
+        let mut fleet = stopped_fleet();
+        let occupant = TcpListener::bind(fleet.address(0, Endpoint::Peer)).expect("the address is free");
+        (0..4).for_each(|at| fleet.start_instance(at, true));
+        wait_until("the occupied address is logged", || fleet.log(0).contains("can't be bound yet"));
+        drop(occupant);
+        fleet.configure(&document(1));
+    };
     start_ends_when_waiting_can_not_mend_an_address => {
         let mut fleet = TestFleet::start(1, 0);
         let control = fleet.address(0, Endpoint::Control);
