A replica syncs its log when it loads it

Callers would see: a confirmed change is gone after a power loss.

Cause: a process that ends between the write of an entry and its sync leaves the entry in the file, not on the disk. Started again, its replica took all entries of the file for synced and said so to the leader, which confirmed the change with it. If the leader's disk is then lost and the machine loses power before the next append, no disk holds the change.

Change: the log is synced after it was read.

The simulated disk now leaves a process' last write whole in half of the ends, not on the disk until a sync.

--- a/crates/jaylock-control/src/storage/store.rs
+++ b/crates/jaylock-control/src/storage/store.rs
@@ -35,11 +35,15 @@
         Self { disk }
     }
 
-    /// Reads all files and removes a torn write at the end of the log.
+    /// Reads all files, removes a torn write at the end of the log, and syncs the log.
     pub async fn load(&self) -> Result<DiskContents> {
         let hard_state = self.read_record(FileName::Vote).await?;
         let snapshot = self.read_record(FileName::Snapshot).await?;
         let entries = self.read_log().await?;
+        if !entries.is_empty() {
+            // A process that ended between write and sync leaves entries that the next power loss would take.
+            self.append(&[]).await?;
+        }
         Ok(DiskContents {
             hard_state,
             snapshot,
--- a/crates/jaylock-tests/tests/control/disk.rs
+++ b/crates/jaylock-tests/tests/control/disk.rs
@@ -25,6 +25,8 @@
     pub largest_read: Cell<usize>,
     /// Additional duration of each write.
     pub write_delay_ms: Cell<u64>,
+    /// Whether the last write of a process that ends has reached the file as a whole, but not the disk.
+    pub ends_before_sync: Cell<bool>,
     /// Whether the machine is suspended, so that its writes and messages wait.
     pub is_suspended: Cell<bool>,
 }
@@ -160,6 +162,17 @@
         change(files[file as usize].content.get_or_insert_default());
     }
 
+    /// Adds bytes that the next power loss takes, unless they are synced before.
+    fn write_unsynced(&self, file: FileName, bytes: &[u8]) {
+        let target = &mut self.files.borrow_mut()[file as usize];
+        let before = target.size();
+        target
+            .content
+            .get_or_insert_default()
+            .extend_from_slice(bytes);
+        target.unsync(before, false);
+    }
+
     fn fails_at(&self, file: FileName, step: FailingStep) -> bool {
         self.fault.get() == Some(DiskFault { file, step })
     }
@@ -271,11 +284,12 @@
             return Err(io::ErrorKind::StorageFull.into());
         }
         if self.disk.epoch.get() != self.epoch {
-            // The first bytes of the last write may have reached the disk.
+            // The first or all bytes of the last write may have reached the file, but not the disk.
             if self.disk.epoch.get() == self.epoch + 1 && file == FileName::Log {
-                let written = rand::random_range(0..=bytes.len());
-                let torn = &bytes[..written.min(bytes.len().saturating_sub(1))];
-                self.disk.edit(file, |old| old.extend_from_slice(torn));
+                let is_whole = self.disk.ends_before_sync.get() || rand::random();
+                let written = rand::random_range(0..bytes.len().max(1));
+                let stored = if is_whole { bytes.len() } else { written };
+                self.disk.write_unsynced(file, &bytes[..stored]);
             }
             std::future::pending::<()>().await;
         }
--- a/crates/jaylock-tests/tests/control/disk_faults.rs
+++ b/crates/jaylock-tests/tests/control/disk_faults.rs
@@ -333,4 +333,38 @@
         let names = files.map(|f| f.expect("a file").file_name().into_string().expect("text"));
         expect_that!(names.collect::<Vec<_>>(), unordered_elements_are![eq("lock"), eq("snapshot")]);
     };
+
+    // Guards against a confirmed change that is gone after a power loss, as a process ended between write and sync.
+    async change_that_a_restarted_replica_confirms_outlives_a_power_loss => {
+        for _ in 0..3 {
+            let mut group = Group::absent(3, 3);
+            group.settings.election_timeout *= 3;
+            group.settings.leader_lease *= 3;
+            for at in 0..3 {
+                group.add(at).await;
+            }
+            group.propose(create_organisation("before", None)).await;
+            let leader = group.leader().await;
+            let (restarted, third) = ((leader + 1) % 3, (leader + 2) % 3);
+            group.machine(third).kill();
+            let machine = group.machine(restarted);
+            machine.disk.write_delay_ms.set(SLOW_WRITE_MS);
+            machine.disk.ends_before_sync.set(true);
+            let restart = async {
+                compio::time::sleep(Duration::from_millis(SLOW_WRITE_MS / 2)).await;
+                machine.kill();
+                compio::time::sleep(Duration::from_millis(SLOW_WRITE_MS * 2)).await;
+                machine.disk.write_delay_ms.set(0);
+                group.start(restarted).await.expect("a replica");
+            };
+            futures_util::join!(group.propose(create_organisation("a", None)), restart);
+            group.machine(leader).kill();
+            machine.kill();
+            machine.disk.lose_power();
+            for at in [restarted, third] {
+                group.start(at).await.expect("a replica");
+            }
+            expect_that!(group.read().await.revision, eq(2));
+        }
+    };
 }
