A disk operation that gets no thread is an error of the disk, and no end of the writer

What callers saw: after the system had once refused a thread (a limit on processes, RLIMIT_NPROC here), every change at the leader stayed unanswered for good, also long after the limit was lifted, while the process ran, led and served. Only standard error told of a panic.

Cause: the runtime runs each operation on a file in a pool whose threads end after a minute without work. The next operation starts one, and the runtime panics where the system refuses it. The panic ended the task that writes the leader's entries; nobody waits for that task before the replica halts, so nothing noticed and nothing was written again.

Change: the replica's disk turns a panic of one of its operations into an error. The replica then halts as for a full disk, tells its caller, another one can lead, and it resumes when the operation succeeds. The message of the panic still goes to standard error.

Ruled out: a limit on address space does not show it, as the C library keeps the stacks of ended threads (two trials). What remains: a start under such a limit ends at once with the panic (status 101), and a panic of another core task (follower, scheduler host, replica) is still noticed by nobody.

--- a/crates/jaylock-control/src/storage/files.rs
+++ b/crates/jaylock-control/src/storage/files.rs
@@ -1,6 +1,7 @@
 use std::cell::RefCell;
 use std::fs::TryLockError;
 use std::io;
+use std::panic::AssertUnwindSafe;
 use std::path::{Path, PathBuf};
 
 use compio::fs::{File, OpenOptions};
@@ -11,6 +12,10 @@
 use crate::storage::{Disk, FileName};
 use crate::{Error, Result};
 
+/// Error of an operation that panicked.
+const PANICKED: &str =
+    "the operation panicked, as when the system starts no thread: see standard error";
+
 /// A replica's files in one data folder.
 pub struct FileDisk {
     folder: PathBuf,
@@ -79,6 +84,14 @@
         Ok(LogTail { file, length })
     }
 
+    async fn read_bytes(&self, file: FileName) -> io::Result<Option<Vec<u8>>> {
+        match compio::fs::read(self.path(file)).await {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
     async fn read_bytes_at(
         &self,
         file: FileName,
@@ -134,14 +147,7 @@
 
 impl Disk for FileDisk {
     fn read(&self, file: FileName) -> LocalBoxFuture<'_, io::Result<Option<Vec<u8>>>> {
-        async move {
-            match compio::fs::read(self.path(file)).await {
-                Ok(bytes) => Ok(Some(bytes)),
-                Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
-                Err(error) => Err(error),
-            }
-        }
-        .boxed_local()
+        without_panic(self.read_bytes(file))
     }
 
     fn read_at(
@@ -150,22 +156,34 @@
         offset: u64,
         max_bytes: usize,
     ) -> LocalBoxFuture<'_, io::Result<Vec<u8>>> {
-        self.read_bytes_at(file, offset, max_bytes).boxed_local()
+        without_panic(self.read_bytes_at(file, offset, max_bytes))
     }
 
     fn truncate(&self, file: FileName, length: u64) -> LocalBoxFuture<'_, io::Result<()>> {
-        self.truncate_file(file, length).boxed_local()
+        without_panic(self.truncate_file(file, length))
     }
 
     fn append(&self, file: FileName, bytes: Vec<u8>) -> LocalBoxFuture<'_, io::Result<()>> {
-        self.append_bytes(file, bytes).boxed_local()
+        without_panic(self.append_bytes(file, bytes))
     }
 
     fn replace(&self, file: FileName, bytes: Vec<u8>) -> LocalBoxFuture<'_, io::Result<()>> {
-        self.replace_bytes(file, bytes).boxed_local()
+        without_panic(self.replace_bytes(file, bytes))
     }
 
     fn file_path(&self, file: FileName) -> String {
         self.path(file).display().to_string()
     }
 }
+
+/// Turns a panic of an operation into an error.
+///
+/// The runtime panics when the system refuses the thread on which the operation would run.
+fn without_panic<'a, T>(
+    operation: impl Future<Output = io::Result<T>> + 'a,
+) -> LocalBoxFuture<'a, io::Result<T>> {
+    let caught = AssertUnwindSafe(operation).catch_unwind();
+    caught
+        .map(|outcome| outcome.unwrap_or_else(|_| Err(io::Error::other(PANICKED))))
+        .boxed_local()
+}
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -7,6 +7,7 @@
 mod end_to_end;
 mod failures;
 mod fault_schedules;
+mod file_disk;
 mod followers;
 mod group;
 mod history;
