--- a/crates/jaylock-control/src/storage/files.rs
+++ b/crates/jaylock-control/src/storage/files.rs
@@ -1,6 +1,7 @@
 use std::cell::RefCell;
 use std::fs::TryLockError;
 use std::io;
+use std::panic::AssertUnwindSafe;
 use std::path::{Path, PathBuf};
 
 use compio::fs::{File, OpenOptions};
@@ -13,6 +14,9 @@
 
 /// Name of the file in the data folder that is locked while a process uses the folder.
 const LOCK_FILE: &str = "lock";
+/// Error of an operation that panicked.
+const PANICKED: &str =
+    "the operation panicked, as when the system starts no thread: see standard error";
 
 /// A replica's files in one data folder.
 pub struct FileDisk {
@@ -35,18 +39,23 @@
     /// If the disk fails, the folder is opened by the first read that succeeds.
     ///
     /// # Errors
-    /// [`Error::Locked`] if another process uses the folder.
+    /// [`Error::Locked`] if another process uses the folder; [`Error::Disk`] if it can't become one, however long the
+    /// instance waits.
     pub async fn open(folder: &Path) -> Result<Self> {
         let disk = Self {
             folder: folder.into(),
             log: RefCell::default(),
             lock: RefCell::default(),
         };
-        match disk.open_folder().await {
+        match without_panic(disk.open_folder()).await {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                 let file = folder.join(LOCK_FILE).display().to_string();
                 Err(Error::Locked { file })
             }
+            Err(source) if is_permanent(&source) => {
+                let file = folder.display().to_string();
+                Err(Error::Disk { file, source })
+            }
             Err(error) => {
                 log::warn!(target: "control", "{} can't be opened: {error}", folder.display());
                 Ok(disk)
@@ -100,6 +109,15 @@
         Ok(LogTail { file, length })
     }
 
+    async fn read_bytes(&self, file: FileName) -> io::Result<Option<Vec<u8>>> {
+        self.open_folder().await?;
+        match compio::fs::read(self.path(file)).await {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
     async fn read_bytes_at(
         &self,
         file: FileName,
@@ -166,6 +184,17 @@
     }
 }
 
+/// Whether a folder can't be opened because of its path or its owner, and not because its disk fails.
+fn is_permanent(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::NotADirectory
+            | io::ErrorKind::PermissionDenied
+            | io::ErrorKind::InvalidInput
+            | io::ErrorKind::InvalidFilename
+    )
+}
+
 async fn remove_if_present(path: &Path) -> io::Result<()> {
     match compio::fs::remove_file(path).await {
         Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
@@ -175,15 +204,7 @@
 
 impl Disk for FileDisk {
     fn read(&self, file: FileName) -> LocalBoxFuture<'_, io::Result<Option<Vec<u8>>>> {
-        async move {
-            self.open_folder().await?;
-            match compio::fs::read(self.path(file)).await {
-                Ok(bytes) => Ok(Some(bytes)),
-                Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
-                Err(error) => Err(error),
-            }
-        }
-        .boxed_local()
+        without_panic(self.read_bytes(file))
     }
 
     fn read_at(
@@ -192,22 +213,34 @@
         offset: u64,
         max_bytes: usize,
     ) -> LocalBoxFuture<'_, io::Result<Vec<u8>>> {
-        self.read_bytes_at(file, offset, max_bytes).boxed_local()
+        without_panic(self.read_bytes_at(file, offset, max_bytes))
     }
 
     fn truncate(&self, file: FileName, length: u64) -> LocalBoxFuture<'_, io::Result<()>> {
-        self.truncate_file(file, length).boxed_local()
+        without_panic(self.truncate_file(file, length))
     }
 
     fn append(&self, file: FileName, bytes: Vec<u8>) -> LocalBoxFuture<'_, io::Result<()>> {
-        self.append_bytes(file, bytes).boxed_local()
+        without_panic(self.append_bytes(file, bytes))
     }
 
     fn replace(&self, file: FileName, bytes: Vec<u8>) -> LocalBoxFuture<'_, io::Result<()>> {
-        self.replace_bytes(file, bytes).boxed_local()
+        without_panic(self.replace_bytes(file, bytes))
     }
 
     fn file_path(&self, file: FileName) -> String {
         self.path(file).display().to_string()
     }
 }
+
+/// Turns a panic of an operation into an error.
+///
+/// The runtime panics when the system refuses the thread on which the operation would run.
+fn without_panic<'a, T>(
+    operation: impl Future<Output = io::Result<T>> + 'a,
+) -> LocalBoxFuture<'a, io::Result<T>> {
+    let caught = AssertUnwindSafe(operation).catch_unwind();
+    caught
+        .map(|outcome| outcome.unwrap_or_else(|_| Err(io::Error::other(PANICKED))))
+        .boxed_local()
+}
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -8,6 +8,7 @@
 mod end_to_end;
 mod failures;
 mod fault_schedules;
+mod file_disk;
 mod first_starts;
 mod followers;
 mod full_disks;
