--- a/crates/jaylock-control/src/replica/mod.rs
+++ b/crates/jaylock-control/src/replica/mod.rs
@@ -92,6 +92,8 @@
     ) -> Result<Self> {
         let store = Store::new(Rc::new(disk));
         let shared = Shared::load(identity, bootstrap.into(), store, environment, settings).await?;
+        // Before the instance waits for an address; a disk that fails is tried again by `run`.
+        let _ = founders::record_first_start(&shared).await;
         Ok(Self {
             shared: Rc::new(shared),
         })
--- a/crates/jaylock-tests/tests/control/interrupted_starts.rs
+++ b/crates/jaylock-tests/tests/control/interrupted_starts.rs
@@ -104,6 +104,10 @@
     }
 
     async fn start(&self, at: usize, is_told: bool, has_other_seeds: bool) {
+        // No process starts on a suspended machine.
+        if self.group.machine(at).disk.is_suspended.get() {
+            return;
+        }
         let was_started = self.was_started[at].replace(true);
         let has_written = self.group.machine(at).disk.has_vote();
         let is_later = was_started && is_told && (has_written || self.may_lose(at))
--- a/crates/jaylock-tests/tests/platform/starts.rs
+++ b/crates/jaylock-tests/tests/platform/starts.rs
@@ -205,6 +205,17 @@
         (0..4).for_each(|at| fleet.start_instance(at, false));
         fleet.configure(&document(1));
     };
+    fleet_forms_after_all_seeds_were_killed_while_they_waited_for_their_addresses => {
+        let mut fleet = stopped_fleet();
+        for at in 0..3 {
+            let _occupant = TcpListener::bind(fleet.address(at, Endpoint::Peer)).expect("the address is free");
+            fleet.start_instance(at, true);
+            wait_until("the occupied address is logged", || fleet.log(at).contains("can't be bound yet"));
+            fleet.kill(at);
+        }
+        (0..4).for_each(|at| fleet.start_instance(at, false));
+        fleet.configure(&document(1));
+    };
     fleet_forms_although_a_seed_was_killed_before_it_wrote_anything => {
         let mut fleet = stopped_fleet();
         fleet.start_instance(1, false);
