A leader outlasts its lease, so that slow replies leave the group a leader

Cause: a leader stepped down the moment its lease ended, before the first entry of its term was committed, though only reads and new changes need the lease. A reply that takes half of the lease is enough. Also, the entry that opens a term was given up for good if the lease had lapsed just then. Class: liveness tied to one duration (as the writes of slow disks). Change: a leader leads on for two election timeouts without contact to a majority, but serves reads and takes changes only with its lease, as before. The entry that opens its term waits for no lease. A leader without its lease grants a poll before an election, so that it doesn't hold up a successor that it alone hears. Safety: a leader without a lease does nothing that a Raft leader may not do; what it appends in an older term is never committed, as voters answer with the newer one.

--- a/crates/jaylock-control/src/replica/handlers.rs
+++ b/crates/jaylock-control/src/replica/handlers.rs
@@ -85,7 +85,7 @@
     core.hard_state.generation > 0
         && request.term > core.term()
         && core.time_since_contact(shared.now()) >= shared.settings.election_timeout
-        && core.leader_state().is_none()
+        && !shared.holds_lease()
         && is_up_to_date(shared, request)
 }
 
--- a/crates/jaylock-control/src/replica/leader.rs
+++ b/crates/jaylock-control/src/replica/leader.rs
@@ -2,19 +2,24 @@
 
 use compio::runtime::JoinHandle;
 use jaylock_rpc::v1::command::Body;
-use jaylock_rpc::v1::{Event, Member, Noop};
+use jaylock_rpc::v1::{Event, Member};
 
 use super::progress::is_same_replica;
 use super::{Progress, Shared, replication};
 use crate::{leases, members};
 
+/// Election timeouts without contact to a majority after which a leader steps down.
+///
+/// Without its lease a leader serves nothing, but its messages still reach those whose replies are slow.
+const STEP_DOWN_TIMEOUTS: u32 = 2;
+
 /// A task that replicates to one other replica; dropping this value cancels the task.
 struct PeerTask {
     member: Member,
     _task: JoinHandle<()>,
 }
 
-/// Runs as leader until a newer term begins, the leader lease ends, or the disk fails.
+/// Runs as leader until a newer term begins, a majority stays without contact, or the disk fails.
 pub async fn run_leader(shared: &Rc<Shared>) {
     if shared.core.borrow().leader_state().is_none() {
         return;
@@ -36,21 +41,21 @@
     shared.config_changed.notify();
 }
 
-/// Whether this replica is still the leader; steps down when the leader lease has ended.
+/// Whether this replica is still the leader; steps down after some time without contact to a majority.
 fn is_still_leader(shared: &Shared, term: u64) -> bool {
     let now = shared.now();
     let mut core = shared.core.borrow_mut();
     if core.leader_state().is_none() || core.term() != term {
         return false;
     }
-    let lease = shared.settings.leader_lease;
+    let timeout = shared.settings.election_timeout * STEP_DOWN_TIMEOUTS;
     let elected_at = core.leader_state().map(|l| l.elected_at);
-    // The votes may be older than the lease, as they are written to disks.
+    // The votes may be old, as they are written to disks.
     let end = core
-        .lease_end(lease, now)
-        .max(elected_at.map(|at| at + lease));
+        .lease_end(timeout, now)
+        .max(elected_at.map(|at| at + timeout));
     if end.is_none_or(|end| end <= now) {
-        log::warn!(target: "control", "stepping down: no reply from a majority within the leader lease");
+        log::warn!(target: "control", "stepping down: no reply from a majority within {timeout:?}");
         core.become_follower("");
         return false;
     }
@@ -88,7 +93,7 @@
 
 /// Commits an entry of the new term, which commits all entries before it.
 async fn commit_first_entry(shared: Rc<Shared>) {
-    if shared.submit_body(Body::Noop(Noop {})).await.is_err() {
+    if shared.open_term().await.is_err() {
         return;
     }
     let event = Event {
--- a/crates/jaylock-control/src/replica/proposals.rs
+++ b/crates/jaylock-control/src/replica/proposals.rs
@@ -1,6 +1,6 @@
 use futures_channel::oneshot;
 use jaylock_rpc::v1::command::Body;
-use jaylock_rpc::v1::{Applied, Command};
+use jaylock_rpc::v1::{Applied, Command, Noop};
 use tonic::Status;
 
 use super::core::Pending;
@@ -24,18 +24,22 @@
     ///
     /// It is not refused for the size of the entries that wait: they may do so for a command of the new leader's term.
     pub async fn submit_body(&self, body: Body) -> Result<Applied, RequestError> {
-        let command = Command {
-            id: uuid::Uuid::now_v7().simple().to_string(),
-            expected_revision: None,
-            body: Some(body),
-        };
-        self.submit_unbounded(command).await
+        self.submit_unbounded(own_command(body)).await
+    }
+
+    /// Commits the first entry of a leader's term, also while the leader lease has lapsed.
+    pub async fn open_term(&self) -> Result<Applied, RequestError> {
+        self.commit(own_command(Body::Noop(Noop {}))).await
     }
 
     async fn submit_unbounded(&self, command: Command) -> Result<Applied, RequestError> {
         if !self.holds_lease() {
             return Err(self.not_leader());
         }
+        self.commit(command).await
+    }
+
+    async fn commit(&self, command: Command) -> Result<Applied, RequestError> {
         let receiver = self.enqueue(command)?;
         self.activity.notify();
         receiver.await.map_err(|_| self.not_leader())
@@ -60,6 +64,14 @@
     }
 }
 
+fn own_command(body: Body) -> Command {
+    Command {
+        id: uuid::Uuid::now_v7().simple().to_string(),
+        expected_revision: None,
+        body: Some(body),
+    }
+}
+
 fn too_many_commands() -> RequestError {
     RequestError::Failed(Status::resource_exhausted(
         "too many commands wait for the disks: ask again in a second",
--- a/crates/jaylock-tests/tests/control/group.rs
+++ b/crates/jaylock-tests/tests/control/group.rs
@@ -36,6 +36,8 @@
     pub member: Member,
     pub disk: Rc<SimulatedDisk>,
     running: RefCell<Option<RunningReplica>>,
+    /// Additional time that a message to the machine takes, and its reply as well, in ms.
+    pub message_delay_ms: Cell<u64>,
     /// Whether messages to and from the machine are lost.
     pub is_isolated: Cell<bool>,
     /// Whether the machine is gone for good or not there yet, so that it can't be started.
@@ -70,6 +72,10 @@
         self.is_absent.set(true);
     }
 
+    async fn delay_message(&self) {
+        compio::time::sleep(Duration::from_millis(self.message_delay_ms.get())).await;
+    }
+
     /// Waits while the machine is suspended, and forever if it is isolated; fails if it is down.
     async fn reach(&self) -> Result<Replica, Status> {
         compio::time::sleep(Duration::from_micros(rand::random_range(20..800))).await;
@@ -90,8 +96,10 @@
         let request = $request;
         async move {
             machines[from].reach().await?;
+            machines[to].delay_message().await;
             let service = machines[to].reach().await?.$service();
             let reply = service.$method(Request::new(request)).await?;
+            machines[to].delay_message().await;
             machines[to].reach().await?;
             machines[from].reach().await?;
             Ok(reply.into_inner())
@@ -180,6 +188,7 @@
             },
             disk: Rc::default(),
             running: RefCell::default(),
+            message_delay_ms: Cell::default(),
             is_isolated: Cell::default(),
             is_absent: Cell::new(true),
         };
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -23,4 +23,5 @@
 mod pool_holders;
 mod replacements;
 mod slow_disks;
+mod slow_links;
 mod withdrawals;
