The record of a first start is not written over a disk that was not read

Callers would see: after a restart of the whole fleet with first_start = true, while the disks can't be read for a moment, no change is ever answered again though all disks are intact.

Cause: a replica that starts halted (Unread) has generation 0 in memory. The record of the first seeds took that for an empty disk and replaced the vote, term and generation that the disk holds. Where the write failed, too, Unread became Disk, and the replica told the others that it is empty.

Change: a halted replica writes no record; it does after it has read its disk.

--- a/crates/jaylock-control/src/replica/founders.rs
+++ b/crates/jaylock-control/src/replica/founders.rs
@@ -25,10 +25,12 @@
 /// Stores that the disk is in use since the first start of the fleet, which a restart with other settings must know.
 ///
 /// # Errors
-/// The disk can't be written; the replica is halted then.
+/// The replica is halted, or its disk can't be written; it is halted then.
 pub async fn record_first_start(shared: &Shared) -> Result<(), Status> {
     let first_seeds = shared.bootstrap.first_seeds(&shared.identity.peer_address);
     let _disk_guard = shared.disk_lock.lock().await;
+    // What the disk holds is unknown as long as it could not be read.
+    shared.ensure_running()?;
     let hard_state = shared.core.borrow().hard_state.clone();
     let is_recorded = first_seeds.is_empty() || hard_state.first_seeds == first_seeds;
     if hard_state.generation > 0 || is_recorded {
--- a/crates/jaylock-tests/tests/control/first_starts.rs
+++ b/crates/jaylock-tests/tests/control/first_starts.rs
@@ -6,8 +6,12 @@
 use compio::time::sleep;
 use googletest::prelude::*;
 use jaylock_control::{Bootstrap, FileName};
+use jaylock_rpc::v1::replica_server::Replica;
+use jaylock_rpc::v1::{GreetRequest, VoteRequest};
+use tonic::Request;
 
 use crate::commands::create_organisation;
+use crate::disk::FailingStep;
 use crate::failures::{voters, while_renewing_leases};
 use crate::group::Group;
 
@@ -61,6 +65,49 @@
 }
 
 jaylock_tests::cases! {
+    // Guards against a vote and generation that are replaced by the record of a first start before the disk was read.
+    async restart_as_a_first_start_keeps_the_votes_of_disks_that_can_not_be_read_yet => {
+        let group = stopped_group(3);
+        for at in SEEDS {
+            start(&group, at, first_start(&SEEDS)).await;
+        }
+        expect_whole_group(&group).await;
+        for at in SEEDS {
+            group.machine(at).kill();
+            group.machine(at).disk.fail(FileName::Log, FailingStep::Open);
+        }
+        let votes = SEEDS.map(|at| group.machine(at).disk.content(FileName::Vote));
+        for at in SEEDS {
+            start(&group, at, first_start(&SEEDS)).await;
+        }
+        sleep(PAUSE).await;
+        expect_that!(SEEDS.map(|at| group.machine(at).disk.content(FileName::Vote)), eq(&votes));
+        for at in SEEDS {
+            group.machine(at).disk.repair();
+        }
+        expect_whole_group(&group).await;
+    };
+    // Guards against a seed with entries on a disk that fails that tells the others that it is empty.
+    async restart_as_a_first_start_on_a_disk_that_fails_does_not_say_that_it_is_empty => {
+        let group = stopped_group(3);
+        for at in SEEDS {
+            start(&group, at, first_start(&SEEDS)).await;
+        }
+        expect_whole_group(&group).await;
+        group.machine(0).kill();
+        group.machine(0).disk.fail(FileName::Vote, FailingStep::Open);
+        start(&group, 0, first_start(&SEEDS)).await;
+        sleep(PAUSE).await;
+        let service = group.machine(0).replica().expect("a replica").replica_service();
+        expect_that!(service.greet(Request::new(GreetRequest {})).await, err(anything()));
+        let poll = VoteRequest {
+            poll: true,
+            ..VoteRequest::default()
+        };
+        expect_that!(service.vote(Request::new(poll)).await, err(anything()));
+        group.machine(0).disk.repair();
+        expect_whole_group(&group).await;
+    };
     async seed_killed_and_restarted_before_the_others_start_keeps_no_group_from_forming => {
         let group = stopped_group(3);
         start(&group, 2, first_start(&SEEDS)).await;
