A candidate that can't win binds no voter again and again

Callers would see: changes unanswered for as long as a candidate lacks links to some voters, though a majority has links to each other.

Cause: a candidate repeats the requests of its open election, and each repeated grant renewed the voter's bond for an election timeout, so that the voter neither stood itself nor granted a poll. A candidate without replies from the others is refused by nobody and goes on for ever.

Change: a repeated grant leaves the bond as it is. The leader lease of a candidate that wins begins when its election was opened, not with the request that got the grant, so that the first bond covers it.

--- a/crates/jaylock-control/src/replica/core.rs
+++ b/crates/jaylock-control/src/replica/core.rs
@@ -26,8 +26,8 @@
     pub last_contact: Instant,
     /// Whether a newer term or a vote is being written.
     pub is_term_pending: bool,
-    /// Last term in which this replica voted for itself, until it is elected, is refused a vote or follows a leader.
-    pub open_election: Option<u64>,
+    /// The last election of this replica, until it is elected, is refused a vote or follows a leader.
+    pub open_election: Option<OpenElection>,
     /// Whether the leader transfers leadership to this replica.
     pub is_election_requested: bool,
     /// Highest term seen in any message.
@@ -67,6 +67,14 @@
     Leader(LeaderState),
 }
 
+/// An election in which this replica has voted for itself.
+#[derive(Debug, Clone, Copy)]
+pub struct OpenElection {
+    pub term: u64,
+    /// When the first votes were requested, or before.
+    pub opened_at: Instant,
+}
+
 /// State that only a leader has.
 pub struct LeaderState {
     /// Index of the first entry of this term; once it is committed, so are all entries before it.
@@ -164,10 +172,11 @@
         now.duration_since(self.last_contact)
     }
 
-    /// Term of an election of this replica that is neither won nor lost.
-    pub fn open_election(&self) -> Option<u64> {
-        let is_newest = |term: &u64| *term == self.term() && *term == self.highest_term;
-        self.open_election.filter(is_newest)
+    /// The election of this replica that is neither won nor lost.
+    pub fn open_election(&self) -> Option<OpenElection> {
+        let newest = (self.term(), self.term());
+        self.open_election
+            .filter(|election| (election.term, self.highest_term) == newest)
     }
 
     /// Whether a member record is of this replica with its current disk.
--- a/crates/jaylock-control/src/replica/election.rs
+++ b/crates/jaylock-control/src/replica/election.rs
@@ -1,26 +1,20 @@
 use std::rc::Rc;
-use std::time::Instant;
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use jaylock_rpc::v1::{Member, VoteReply, VoteRequest};
 
-use super::core::LeaderState;
+use super::core::{LeaderState, OpenElection};
 use super::{Progress, Shared};
 use crate::storage::HardState;
 
-/// A vote granted by a voter that still has the disk of its member record.
-struct Vote {
-    member: Member,
-    sent_at: Instant,
-}
-
 /// A voter has refused its vote.
 struct Refused;
 
 /// Replies to a vote request.
 struct Ballot {
-    votes: Vec<Vote>,
+    /// Voters that grant their votes and still have the disks of their member records.
+    votes: Vec<Member>,
     /// Whether a voter has refused its vote.
     is_refused: bool,
 }
@@ -58,9 +52,10 @@
     if !shared.core.borrow().is_voter() {
         return;
     }
-    let Some(term) = begin_term(shared, is_transfer).await else {
+    let Some(election) = begin_term(shared, is_transfer).await else {
         return;
     };
+    let term = election.term;
     let request = vote_request(shared, term, false, is_transfer);
     let Ballot { votes, is_refused } = collect_votes(shared, request).await;
     if is_refused {
@@ -69,14 +64,14 @@
     let quorum = shared.core.borrow().quorum();
     // A newer term may have begun while the votes were collected.
     if votes.len() + 1 >= quorum && shared.core.borrow().term() == term {
-        become_leader(shared, votes);
+        become_leader(shared, &votes, election);
     }
 }
 
-/// Returns the term of the open election, or begins a new one.
+/// Returns the open election, or begins one in a new term.
 ///
 /// The voters of an open election may still be writing their votes.
-async fn begin_term(shared: &Shared, is_transfer: bool) -> Option<u64> {
+async fn begin_term(shared: &Shared, is_transfer: bool) -> Option<OpenElection> {
     let open_election = shared.core.borrow().open_election();
     if open_election.is_some() {
         return open_election;
@@ -84,9 +79,9 @@
     if !is_transfer && !wins_pre_vote(shared).await {
         return None;
     }
-    let term = vote_for_self(shared, is_transfer).await?;
-    log::info!(target: "control", "starting an election in term {term}");
-    Some(term)
+    let election = vote_for_self(shared, is_transfer).await?;
+    log::info!(target: "control", "starting an election in term {}", election.term);
+    Some(election)
 }
 
 async fn wins_pre_vote(shared: &Shared) -> bool {
@@ -104,10 +99,10 @@
     since_contact >= shared.settings.election_timeout
 }
 
-/// Votes for this replica in a new term and returns the term; `None` if this replica is halted or its disk fails.
+/// Votes for this replica in a new term and returns the election; `None` if this replica is halted or its disk fails.
 ///
 /// Removes entries that this replica appended as a leader but has not synced.
-async fn vote_for_self(shared: &Shared, is_transfer: bool) -> Option<u64> {
+async fn vote_for_self(shared: &Shared, is_transfer: bool) -> Option<OpenElection> {
     let _disk_guard = shared.disk_lock.lock().await;
     shared.ensure_running().ok()?;
     // A heartbeat may have been answered in the meantime, and the leader relies on it.
@@ -126,8 +121,12 @@
     };
     let term = hard_state.term;
     shared.save_hard_state(hard_state).await.ok()?;
-    shared.core.borrow_mut().open_election = Some(term);
-    Some(term)
+    let election = OpenElection {
+        term,
+        opened_at: shared.now(),
+    };
+    shared.core.borrow_mut().open_election = Some(election);
+    Some(election)
 }
 
 fn vote_request(shared: &Shared, term: u64, is_pre_vote: bool, is_transfer: bool) -> VoteRequest {
@@ -175,8 +174,7 @@
     shared: &Shared,
     member: Member,
     request: VoteRequest,
-) -> Option<Result<Vote, Refused>> {
-    let sent_at = shared.now();
+) -> Option<Result<Member, Refused>> {
     let call = shared.transport.vote(&member, request);
     let reply = jaylock_rpc::with_timeout(shared.settings.reply_timeout, call);
     let VoteReply {
@@ -188,10 +186,10 @@
     shared.observe_term(term);
     // A voter that lost its disk may have lost the record of an earlier vote.
     let counts = granted && generation == member.generation;
-    Some(counts.then_some(Vote { member, sent_at }).ok_or(Refused))
+    Some(counts.then_some(member).ok_or(Refused))
 }
 
-fn become_leader(shared: &Shared, votes: Vec<Vote>) {
+fn become_leader(shared: &Shared, votes: &[Member], election: OpenElection) {
     let now = shared.now();
     let (next, others) = {
         let core = shared.core.borrow();
@@ -204,10 +202,10 @@
         elected_at: now,
         peers: others.into_iter().map(|m| Progress::new(m, next)).collect(),
     };
-    // A voter grants no other vote within the election timeout, so its vote counts as a contact.
-    for vote in votes {
-        if let Some(progress) = leader_state.progress_mut(&vote.member) {
-            progress.last_contact = Some(vote.sent_at);
+    // A voter grants no other vote within the election timeout, so its first grant counts as a contact.
+    for voter in votes {
+        if let Some(progress) = leader_state.progress_mut(voter) {
+            progress.last_contact = Some(election.opened_at);
         }
     }
     shared.become_leader(leader_state);
--- a/crates/jaylock-control/src/replica/handlers.rs
+++ b/crates/jaylock-control/src/replica/handlers.rs
@@ -95,8 +95,8 @@
         let since_contact = core.time_since_contact(shared.now());
         (core.hard_state.clone(), since_contact)
     };
+    // A repeated grant binds no longer than the first, as a candidate that can't win repeats its requests.
     if request.term == hard_state.term && request.candidate == hard_state.voted_for {
-        shared.core.borrow_mut().last_contact = shared.now();
         return Ok(true);
     }
     // The leader lease relies on this: a replica in contact with a leader votes for no other one.
--- a/crates/jaylock-tests/tests/control/group.rs
+++ b/crates/jaylock-tests/tests/control/group.rs
@@ -38,6 +38,8 @@
     running: RefCell<Option<RunningReplica>>,
     /// Whether messages to and from the machine are lost.
     pub is_isolated: Cell<bool>,
+    /// Machines that messages of this one don't reach, and the reverse.
+    cut_from: RefCell<Vec<usize>>,
     /// Whether the machine is gone for good or not there yet, so that it can't be started.
     pub is_absent: Cell<bool>,
 }
@@ -70,6 +72,15 @@
         self.is_absent.set(true);
     }
 
+    /// Cuts the links to other machines; an empty list restores them.
+    pub fn cut_from(&self, others: &[usize]) {
+        self.cut_from.replace(others.to_vec());
+    }
+
+    fn is_cut_from(&self, other: usize) -> bool {
+        self.cut_from.borrow().contains(&other)
+    }
+
     /// Waits while the machine is suspended, and forever if it is isolated; fails if it is down.
     async fn reach(&self) -> Result<Replica, Status> {
         compio::time::sleep(Duration::from_micros(rand::random_range(20..800))).await;
@@ -90,6 +101,9 @@
         let request = $request;
         async move {
             machines[from].reach().await?;
+            if machines[from].is_cut_from(to) || machines[to].is_cut_from(from) {
+                return std::future::pending().await;
+            }
             let service = machines[to].reach().await?.$service();
             let reply = service.$method(Request::new(request)).await?;
             machines[to].reach().await?;
@@ -181,6 +195,7 @@
             disk: Rc::default(),
             running: RefCell::default(),
             is_isolated: Cell::default(),
+            cut_from: RefCell::default(),
             is_absent: Cell::new(true),
         };
         let machines: Vec<Machine> = (0..size).map(machine).collect();
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 mod claim_releases;
 mod commands;
+mod cut_links;
 mod disk;
 mod disk_faults;
 mod disk_steps;
