--- a/crates/jaylock-tests/tests/control/group.rs
+++ b/crates/jaylock-tests/tests/control/group.rs
@@ -40,6 +40,8 @@
     pub message_delay_ms: Cell<u64>,
     /// Whether messages to and from the machine are lost.
     pub is_isolated: Cell<bool>,
+    /// Machines that messages of this one don't reach, and the reverse.
+    cut_from: RefCell<Vec<usize>>,
     /// Whether the machine is gone for good or not there yet, so that it can't be started.
     pub is_absent: Cell<bool>,
 }
@@ -76,6 +78,15 @@
         compio::time::sleep(Duration::from_millis(self.message_delay_ms.get())).await;
     }
 
+    /// Cuts the links to other machines; an empty list restores them.
+    pub fn cut_from(&self, others: &[usize]) {
+        self.cut_from.replace(others.to_vec());
+    }
+
+    fn is_cut_from(&self, other: usize) -> bool {
+        self.cut_from.borrow().contains(&other)
+    }
+
     /// Waits while the machine is suspended, and forever if it is isolated; fails if it is down.
     async fn reach(&self) -> Result<Replica, Status> {
         compio::time::sleep(Duration::from_micros(rand::random_range(20..800))).await;
@@ -96,6 +107,9 @@
         let request = $request;
         async move {
             machines[from].reach().await?;
+            if machines[from].is_cut_from(to) || machines[to].is_cut_from(from) {
+                return std::future::pending().await;
+            }
             machines[to].delay_message().await;
             let service = machines[to].reach().await?.$service();
             let reply = service.$method(Request::new(request)).await?;
@@ -190,6 +204,7 @@
             running: RefCell::default(),
             message_delay_ms: Cell::default(),
             is_isolated: Cell::default(),
+            cut_from: RefCell::default(),
             is_absent: Cell::new(true),
         };
         let machines: Vec<Machine> = (0..size).map(machine).collect();
@@ -233,7 +248,9 @@
         bootstrap: impl Into<Bootstrap>,
     ) -> jaylock_control::Result<()> {
         let machine = &self.machines[at];
-        if machine.replica().is_some() || machine.is_absent.get() {
+        // A process that is started on a suspended machine waits for its disk; who resumes the machine starts it.
+        let is_waiting = machine.disk.is_suspended.get();
+        if machine.replica().is_some() || machine.is_absent.get() || is_waiting {
             return Ok(());
         }
         let transport = MemoryTransport {
