A vote is one write, so that groups on slow disks find a leader

Seen: in a whole run of the folder `platform` (load 34 to 53), replacements::callers_notice_nothing_while_all_instances_with_disks_are_replaced waited 20 s for a document that was never read back. Its logs: after the leader was killed, two live voters needed 3.7 s and five elections; the next leader was killed before the successor of the first one voted, so that two of three disks were gone. Why those elections took so long is not shown (a replacement of a small file took 5 ms at the median and 18 ms at most in 60 tries on this machine, later and at load 53). The search for what delays a vote led to this:

Trial (simulated disks, three replicas, default settings, all disks slow at once; five changes, then the leader killed): with writes of 20 to 190 ms, 5 of 5 changes each and a leader after 0.9 to 1.7 s; with 210, 250, 300, 350, 390, 410, 500 and 700 ms, no leader in 12 s in any, and one change of forty. All processes run, and the group confirms and serves nothing (CONFIG, Acks).

Cause: a voter wrote a newer term and then its vote, two replacements of a file, and the candidate waits 400 ms for the reply. A vote that is late isn't counted, the next try has a newer term and takes two writes again: so it never ends. Where the disks of all replicas are slow at the same moment, as several processes on one disk of one machine are, no later try succeeds. Ruled out for this range: appends and heartbeats, which take one write and end within the 400 ms.

Change: term and vote are written as one record. A refused vote still writes the newer term. What is promised by a reply is on the disk before it, as before; the log is compared before the write, under the lock of the disk, under which no entries arrive.

Test: slow_disks::vote_on_slow_disks_never_arrives_in_time (writes of 250 ms) failed on the code before (no leader within 20 s), and passes 5 of 5; all of `control` passes (70 of 70). Open: from writes of some 400 ms on, votes and appends miss the reply's time, and a leader its lease, by the same mechanism.

--- a/crates/jaylock-control/src/replica/handlers.rs
+++ b/crates/jaylock-control/src/replica/handlers.rs
@@ -85,14 +85,16 @@
     {
         return Ok(false);
     }
-    if request.term > hard_state.term {
-        shared.enter_term(request.term).await?;
-    }
-    let voted_for = shared.core.borrow().hard_state.voted_for.clone();
-    if !(voted_for.is_empty() || voted_for == request.candidate) || !is_up_to_date(shared, request)
-    {
+    let is_newer_term = request.term > hard_state.term;
+    let voted_for = &hard_state.voted_for;
+    let may_vote = is_newer_term || voted_for.is_empty() || *voted_for == request.candidate;
+    if !may_vote || !is_up_to_date(shared, request) {
+        if is_newer_term {
+            shared.enter_term(request.term).await?;
+        }
         return Ok(false);
     }
+    // Term and vote are one write, as the candidate waits for it.
     let hard_state = HardState {
         generation: hard_state.generation,
         term: request.term,
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -16,4 +16,5 @@
 mod nodes;
 mod pool_holders;
 mod replacements;
+mod slow_disks;
 mod withdrawals;
