A rescue refuses a disk that has joined no group

What operators would see: a group of one with a member of generation 0. Change: a generation is needed. Ruled out: the same at the ordinary start, which forms or joins from generation 0.

--- a/crates/jaylock-control/src/rescue.rs
+++ b/crates/jaylock-control/src/rescue.rs
@@ -26,7 +26,7 @@
     let mut state = State::restore(snapshot);
     let Some(hard_state) = contents
         .hard_state
-        .filter(|_| !state.configuration().members.is_empty())
+        .filter(|h| h.generation > 0 && !state.configuration().members.is_empty())
     else {
         let file = store.file_path(FileName::Snapshot);
         return Err(Error::Empty { file });
--- a/crates/jaylock-tests/tests/control/first_starts.rs
+++ b/crates/jaylock-tests/tests/control/first_starts.rs
@@ -5,7 +5,7 @@
 
 use compio::time::sleep;
 use googletest::prelude::*;
-use jaylock_control::{Bootstrap, FileName};
+use jaylock_control::{Bootstrap, Error, FileName, rescue};
 use jaylock_rpc::v1::replica_server::Replica;
 use jaylock_rpc::v1::{GreetRequest, VoteRequest};
 use tonic::Request;
@@ -249,4 +249,19 @@
         })
         .await;
     };
+
+    // Guards against a group that is led by a replica whose process ended before it had joined one.
+    async rescue_refuses_a_disk_that_ended_between_its_snapshot_and_its_vote => {
+        let formed = Group::new(3, 3).await;
+        formed.propose(create_organisation("a", None)).await;
+        let snapshot = formed.machine(0).disk.content(FileName::Snapshot);
+        let group = stopped_group(3);
+        start(&group, 0, first_start(&SEEDS)).await;
+        sleep(PAUSE).await;
+        let machine = group.machine(0);
+        machine.kill();
+        machine.disk.edit(FileName::Snapshot, |bytes| *bytes = snapshot);
+        let outcome = rescue(&machine.member, machine.disk.open()).await;
+        expect_that!(outcome, err(matches_pattern!(Error::Empty { .. })));
+    };
 }
