--- a/crates/jaylock-tests/tests/platform/real_process_soak/plan.rs
+++ b/crates/jaylock-tests/tests/platform/real_process_soak/plan.rs
@@ -52,9 +52,9 @@
 }
 
 impl FaultKinds {
-    /// Reads from `JAYLOCK_FAULTS` which further kinds are drawn, such as `limits,signals`.
+    /// Reads from `JAYLOCK_FAULTS` which further kinds are drawn; `limits,signals` if it isn't set.
     pub fn from_environment() -> Self {
-        let names = std::env::var("JAYLOCK_FAULTS").unwrap_or_default();
+        let names = std::env::var("JAYLOCK_FAULTS").unwrap_or_else(|_| "limits,signals".into());
         Self {
             file_limits: names.contains("limits"),
             stray_signals: names.contains("signals"),
