A list of organisations that an earlier release emptied closes the routes after an update

Its class was still open in one place: an operator who had taken the last keys away under an earlier release and then updated served everybody, with any key or none, until the next document. The same on a router whose configuration had passed through an instance of an earlier release, which drops the field.

Cause: an earlier release recorded "no key is needed" and "no key is valid" alike, and the unset field was read as "no key is needed".

Ruled out: requiring keys (a fleet without organisations would answer 401 to all callers after an update).

Change: the requirement is one of three (required, not required, unknown). Unknown refuses callers with 503, and the instances with a disk read the text of the document, which the log holds, decode it once more and record the result as a change under the revision that they read, so that a newer document wins. Where the text tells nothing, a log line repeats the remedy: jaylock config require-keys true|false.

--- a/crates/jaylock-control/src/state/changes.rs
+++ b/crates/jaylock-control/src/state/changes.rs
@@ -83,6 +83,7 @@
         Body::PutRoute(route) => document::put_route(next, route)?,
         Body::RemoveRoute(id) => document::remove_route(next, id)?,
         Body::PutDocument(document) => document::put_document(next, document)?,
+        Body::RequireKeys(is_required) => document::require_keys(next, *is_required)?,
         _ => return apply_fleet_change(next, body, index, at_ms),
     }
     Ok(Change::without_event())
--- a/crates/jaylock-control/src/state/document.rs
+++ b/crates/jaylock-control/src/state/document.rs
@@ -11,11 +11,39 @@
 }
 
 /// Whether callers of routes that are not public need a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeyRequirement {
+    /// Callers need a key of an organisation.
+    Required,
+    /// Callers need no key.
+    NotRequired,
+    /// The active document comes from an earlier release, which recorded "no key is needed" and "no key is valid" alike.
+    Unknown,
+}
+
+/// Returns whether callers of routes need a key.
 ///
 /// They always need one where there are organisations, whatever the last document says.
 #[must_use]
-pub fn is_key_required(configuration: &Configuration) -> bool {
-    !configuration.organisations.is_empty() || configuration.key_required == Some(true)
+pub fn key_requirement(configuration: &Configuration) -> KeyRequirement {
+    if !configuration.organisations.is_empty() {
+        return KeyRequirement::Required;
+    }
+    match configuration.key_required {
+        Some(true) => KeyRequirement::Required,
+        Some(false) => KeyRequirement::NotRequired,
+        None if configuration.document_version > 0 => KeyRequirement::Unknown,
+        None => KeyRequirement::NotRequired,
+    }
+}
+
+/// Sets whether callers of routes need a key while there are no organisations.
+pub fn require_keys(next: &mut Configuration, is_required: bool) -> Result<(), String> {
+    if !is_required && !next.organisations.is_empty() {
+        return Err("callers need a key while there are organisations: remove them first".into());
+    }
+    next.key_required = Some(is_required);
+    Ok(())
 }
 
 /// Checks that a document can become active; the error says why not.
--- a/crates/jaylock-control/src/state/mod.rs
+++ b/crates/jaylock-control/src/state/mod.rs
@@ -22,7 +22,7 @@
 use crate::storage::Snapshot;
 
 pub(crate) use self::document::check_shared_keys;
-pub use self::document::is_key_required;
+pub use self::document::{KeyRequirement, key_requirement};
 pub(crate) use self::fleet::{find_instance, put_member, remove_member};
 
 /// The state after applying the entries up to an index; equal on all replicas.
@@ -275,7 +275,8 @@
         | Body::UndrainBackend(_)
         | Body::PutRoute(_)
         | Body::RemoveRoute(_)
-        | Body::PutDocument(_) => ChangeKind::Operator,
+        | Body::PutDocument(_)
+        | Body::RequireKeys(_) => ChangeKind::Operator,
         Body::PutInstance(_)
         | Body::RemoveInstance(_)
         | Body::AssignPool(_)
--- a/crates/jaylock-daemon/src/api.rs
+++ b/crates/jaylock-daemon/src/api.rs
@@ -168,7 +168,7 @@
 }
 
 /// Runs a call to control and gives up after [`CONTROL_TIMEOUT`].
-async fn with_control_timeout<T>(
+pub(crate) async fn with_control_timeout<T>(
     call: impl Future<Output = jaylock_control::Result<T>>,
 ) -> Result<T> {
     let started = boottime_now();
--- a/crates/jaylock-daemon/src/lib.rs
+++ b/crates/jaylock-daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod context;
 mod exposition;
 mod instance;
+mod key_requirement;
 mod left_out;
 mod minute_replicator;
 mod observability;
--- a/crates/jaylock-operator/src/bin/jaylock/config.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/config.rs
@@ -1,9 +1,11 @@
 use std::time::{Duration, Instant};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use jaylock_control::is_key_required;
+use jaylock_control::{KeyRequirement, key_requirement};
 use jaylock_rpc::v1;
+use jaylock_rpc::v1::command::Body;
 
+use crate::change::apply;
 use crate::error::{Error, Result};
 use crate::instance;
 use crate::output::{Cell, Listing, Output, Record};
@@ -27,12 +29,26 @@
                 .about("Waits until a revision is active on every live instance")
                 .arg(revision),
         )
+        .subcommand(
+            Command::new("require-keys")
+                .about("Sets whether callers of routes need a key while there are no organisations")
+                .arg(
+                    Arg::new("required")
+                        .required(true)
+                        .value_name("true|false")
+                        .value_parser(value_parser!(bool)),
+                ),
+        )
 }
 
 /// Runs one of the commands.
 pub async fn run(session: &Session, matches: &ArgMatches) -> Result<Output> {
     match matches.subcommand() {
         Some(("wait", submatches)) => wait(session, submatches.get_one("revision").copied()).await,
+        Some(("require-keys", submatches)) => {
+            let is_required = submatches.get_one("required").copied().unwrap_or(true);
+            apply(session, Body::RequireKeys(is_required)).await
+        }
         _ => session
             .configuration()
             .await
@@ -73,7 +89,7 @@
     let head = Record::new()
         .with("revision", configuration.revision)
         .with("index", configuration.index)
-        .with("key-required", is_key_required(configuration));
+        .with("key-required", key_requirement_text(configuration));
     Output::Parts(vec![
         ("configuration", Output::Record(head)),
         (
@@ -105,6 +121,14 @@
     ])
 }
 
+fn key_requirement_text(configuration: &v1::Configuration) -> &'static str {
+    match key_requirement(configuration) {
+        KeyRequirement::Required => "yes",
+        KeyRequirement::NotRequired => "no",
+        KeyRequirement::Unknown => "unknown",
+    }
+}
+
 fn drains(configuration: &v1::Configuration) -> Listing {
     let mut listing = Listing::new(&["backend"]);
     for drain in &configuration.drains {
--- a/crates/jaylock-router/src/route/admission.rs
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -4,7 +4,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use hyper::body::Incoming;
-use jaylock_control::is_key_required;
+use jaylock_control::{KeyRequirement, key_requirement};
 use jaylock_rpc::v1::{Configuration, Route};
 use jaylock_types::{ByteSize, KeyHash, OrganisationId, RequestId};
 
@@ -37,7 +37,7 @@
     let (head, incoming) = request.into_parts();
     let names = &context.names;
     let route = find_route(&configuration, &head)?;
-    let authenticated = authenticate(&configuration, route, &head.headers, names)?;
+    let authenticated = authenticate(context, &configuration, route, &head.headers)?;
     let caller_id = single_value(&head.headers, names.request_id)?.ok_or_else(missing_id)?;
     let requested = requested_timeout(&head.headers, names)?;
     let timeout = Duration::from_millis(route.timeout_ms.into());
@@ -121,14 +121,23 @@
 
 /// Returns the organisation of the key, or `None` where no key is required.
 fn authenticate(
+    context: &RouteContext,
     configuration: &Configuration,
     route: &Route,
     headers: &HeaderMap,
-    names: &RouteHeaders,
 ) -> Result<Option<OrganisationId>, ErrorResponse> {
-    if route.public || !is_key_required(configuration) {
+    let names = &context.names;
+    if route.public {
         return Ok(None);
     }
+    match key_requirement(configuration) {
+        KeyRequirement::Required => {}
+        KeyRequirement::NotRequired => return Ok(None),
+        KeyRequirement::Unknown => {
+            let message = "it is not known whether callers of this route need a key";
+            return Err(context.unavailable("keys-unknown", message));
+        }
+    }
     let value = single_value(headers, names.key)?.and_then(|v| v.to_str().ok());
     let key = value.and_then(|v| v.strip_prefix(names.key_prefix));
     let hash = KeyHash::from_key(key.unwrap_or_default().trim()).0;
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod descriptors;
 mod document_histories;
 mod documents;
+mod earlier_releases;
 mod endless;
 mod exclusions;
 mod file_limits;
