--- a/crates/jaylock-control/src/state/mod.rs
+++ b/crates/jaylock-control/src/state/mod.rs
@@ -279,6 +279,7 @@
         | Body::RequireKeys(_) => ChangeKind::Operator,
         Body::PutInstance(_)
         | Body::RemoveInstance(_)
+        | Body::SetEvacuation(_)
         | Body::AssignPool(_)
         | Body::PutQuarantine(_)
         | Body::PutCrashCause(_)
--- a/crates/jaylock-daemon/src/context.rs
+++ b/crates/jaylock-daemon/src/context.rs
@@ -102,6 +102,7 @@
             peer_address: own.peer_address.to_string(),
             disk: own.data.is_some(),
             leaving: false,
+            ..Instance::default()
         };
         let settings = FollowerSettings::default();
         Follower::new(self.client.clone(), self.view.clone(), instance, settings)
--- a/crates/jaylock-measure/src/followers.rs
+++ b/crates/jaylock-measure/src/followers.rs
@@ -111,6 +111,7 @@
         peer_address: address.to_string(),
         disk: false,
         leaving: false,
+        capacity: 0,
     }
 }
 
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -229,6 +229,7 @@
             report_delay_ms: millis(report_delay),
             incarnation: backend.report.incarnation,
             software: backend.report.software.clone(),
+            domain: backend.report.domain.clone(),
         };
         let decision = Decision {
             request: request_id(ask),
--- a/crates/jaylock-share/src/encoding.rs
+++ b/crates/jaylock-share/src/encoding.rs
@@ -26,7 +26,7 @@
     }
 }
 
-/// Addresses and software versions of backend servers that earlier grants of the stream contained.
+/// Addresses, software versions and failure domains of backend servers that earlier grants of the stream contained.
 #[derive(Debug, Default)]
 pub struct AddressTable {
     // Sorted by name.
@@ -38,6 +38,7 @@
     name: String,
     address: String,
     software: String,
+    domain: String,
 }
 
 impl AddressTable {
@@ -48,6 +49,7 @@
                 let known = &self.list[index];
                 grant.address.clone_from(&known.address);
                 grant.software.clone_from(&known.software);
+                grant.domain.clone_from(&known.domain);
             }
             Ok(index) => self.list[index] = KnownBackend::from_grant(grant),
             Err(index) => self.list.insert(index, KnownBackend::from_grant(grant)),
@@ -60,6 +62,7 @@
             Ok(index) if self.list[index].matches(grant) => {
                 grant.address.clear();
                 grant.software.clear();
+                grant.domain.clear();
             }
             Ok(index) => self.list[index] = KnownBackend::from_grant(grant),
             Err(index) => self.list.insert(index, KnownBackend::from_grant(grant)),
@@ -78,11 +81,13 @@
             name: grant.backend.clone(),
             address: grant.address.clone(),
             software: grant.software.clone(),
+            domain: grant.domain.clone(),
         }
     }
 
     fn matches(&self, grant: &Grant) -> bool {
-        self.address == grant.address && self.software == grant.software
+        let known = (&self.address, &self.software, &self.domain);
+        known == (&grant.address, &grant.software, &grant.domain)
     }
 }
 
