Prompts go where they begin first, also while engines are idle or their organisation is far behind

Change: both rules that sent a prompt elsewhere at once (a quarter of the engines idle; its organisation far behind) compare the times to the first event at all engines, with uncached tokens at their own weight. While engines are idle, a prompt then waits for its engine, if that begins it first; one of an organisation far behind is granted there at once. Otherwise it goes to the other engine as before.

Tests: share prefill::prompt_waits_for_the_engine_that_begins_it_first_while_others_are_idle and prefill::organisation_far_behind_gets_the_engine_that_begins_its_prompt_first failed before (granted e1) and pass; the whole folder passes.

--- a/crates/jaylock-share/src/placement.rs
+++ b/crates/jaylock-share/src/placement.rs
@@ -42,9 +42,9 @@
     ///
     /// This is for loads in which prompts share most of their parts and prefill is the bottleneck:
     /// computing a part again then delays other requests, so uncached tokens weigh more, and a request
-    /// waits while the best engine has enough pending prefill. While engines are idle, or if its
-    /// organisation is far behind, a request goes to another engine at once, so that popular parts are
-    /// soon cached by several engines.
+    /// waits while the best engine has enough pending prefill. While engines are idle, uncached tokens weigh no
+    /// more than pending ones, so that popular parts are cached by several engines once one is too busy. If its
+    /// organisation is far behind, a request doesn't wait at all.
     pub fn choose(&self, eligible: &BackendSet, ask: &Ask, domain: &str) -> Option<usize> {
         self.select(eligible, ask, domain).ok()
     }
@@ -60,12 +60,12 @@
         if first.is_none_or(|(_, index)| !self.accepts_prefill(index)) {
             return Err("waited for any engine: all have enough pending prefill");
         }
-        let is_eager = self.is_far_behind || self.has_idle_engines(eligible);
-        let weight = if is_eager { 1 } else { UNCACHED_WEIGHT };
-        let candidates = self.candidates(eligible, ask, domain, is_eager);
+        let delays_others = !self.is_far_behind && !self.has_idle_engines(eligible);
+        let weight = if delays_others { UNCACHED_WEIGHT } else { 1 };
+        let candidates = self.candidates(eligible, ask, domain);
         let best = candidates.min_by_key(|index| self.prefill_time(*index, ask, domain, weight));
         let best = best.ok_or("waited for a free slot or memory")?;
-        if self.accepts_prefill(best) {
+        if self.is_far_behind || self.accepts_prefill(best) {
             Ok(best)
         } else {
             Err("waited for the best engine: it has enough pending prefill")
@@ -81,7 +81,6 @@
         eligible: &BackendSet,
         ask: &'s Ask,
         domain: &'s str,
-        is_eager: bool,
     ) -> impl Iterator<Item = usize> + 's {
         let mut candidate_sets = vec![eligible.intersection(self.backends.available())];
         for part in shared_parts(ask) {
@@ -95,7 +94,7 @@
             candidate_sets.push(candidates);
         }
         let least_pending =
-            move |candidates: BackendSet| self.least_pending(&candidates, ask, domain, is_eager);
+            move |candidates: BackendSet| self.least_pending(&candidates, ask, domain);
         candidate_sets.into_iter().flat_map(least_pending)
     }
 
@@ -106,13 +105,12 @@
         engines: &BackendSet,
         ask: &Ask,
         domain: &str,
-        is_eager: bool,
     ) -> impl Iterator<Item = usize> + use<> {
         let remote_tokens = self.prefill_rate.tokens_in(REMOTE_DOMAIN_DELAY);
         let mut found: [Option<usize>; 2] = [None; 2];
         let mut max_pending = u64::MAX;
         for (pending, index) in self.ranking.order() {
-            if pending > max_pending || (is_eager && !self.accepts_prefill(index)) {
+            if pending > max_pending {
                 break;
             }
             if !engines.contains(index) || !self.admits(index, ask) {
--- a/crates/jaylock-tests/tests/share/prefill.rs
+++ b/crates/jaylock-tests/tests/share/prefill.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use jaylock_rpc::v1::{Ask, BackendReport, End, PromptPart, end};
+use jaylock_rpc::v1::{Ask, BackendReport, End, PromptPart, RouterFrame, Total, end};
 use jaylock_tests::cases;
 
 use crate::fixture::Fixture;
@@ -305,6 +305,62 @@
     simulation.outcome
 }
 
+/// A prompt of one part that no other one shares.
+fn private_prompt(subject: u64, tokens: u32) -> Ask {
+    let mut ask = shared_prompt("irbid", subject, subject);
+    ask.prompt_tokens = tokens;
+    ask.parts[0].tokens = tokens;
+    ask.parts.truncate(1);
+    ask
+}
+
+/// Engine e0, which caches the part of subject 1 and has `pending` tokens of prefill.
+fn busy_caching_engine(pending: u32) -> Fixture {
+    let mut fixture = Fixture::new();
+    fixture.report(engine_report("e0", 128));
+    fixture.ask_and_decide(shared_prompt("zarqa", 1, 1));
+    fixture.report_progress(1, 17_020);
+    fixture.ask_and_decide(private_prompt(2, pending));
+    fixture
+}
+
+/// Engine e0 as above and others without prefill.
+fn busy_caching_engine_among_idle(pending: u32) -> Fixture {
+    let mut fixture = busy_caching_engine(pending);
+    for at in 1..4 {
+        fixture.report(engine_report(&engine_id(at), 128));
+    }
+    fixture
+}
+
+/// The engine that gets a prompt of subject 1 of an organisation that is far behind, beside an idle engine e1.
+fn engine_for_organisation_far_behind(pending: u32) -> Option<String> {
+    let mut fixture = busy_caching_engine(pending);
+    fixture.report(engine_report("e1", 128));
+    // Both organisations wait while e1 has prefill pending, and the flood is served a million tokens meanwhile.
+    assert_that!(
+        fixture.ask_and_decide(private_prompt(3, pending)),
+        some(eq("e1"))
+    );
+    let small = fixture.ask([shared_prompt("small", 1, 4)])[0];
+    fixture.ask([shared_prompt("flood", 5, 5)]);
+    assert_that!(fixture.decide_all().0, is_empty());
+    let total = Total {
+        organisation: "flood".into(),
+        unheard: 1_000_000,
+        ..Total::default()
+    };
+    let frame = RouterFrame {
+        totals: vec![total],
+        ..RouterFrame::default()
+    };
+    fixture.allocator.apply(fixture.router, frame, fixture.now);
+    fixture.report_progress(3, u64::from(pending));
+    let grants = fixture.decide_all().0;
+    let grant = grants.into_iter().find(|grant| grant.ticket == small);
+    grant.map(|grant| grant.backend)
+}
+
 /// Simulates a flood and an organisation that sends a third as much, both more than their shares of eight engines.
 ///
 /// Measures for two seconds after `crashes` of the engines have crashed.
@@ -453,6 +509,20 @@
         let [leaving, calm] = run_leaving_callers();
         assert_that!(calm * 2, ge(leaving), "leaving {leaving}, calm {calm}");
     };
+    // Guards against prompts that are computed again at an idle engine, later than their own engine would have begun them.
+    prompt_waits_for_the_engine_that_begins_it_first_while_others_are_idle => {
+        // e0 begins the prompt after (10,000 + 3,720) tokens, the others after 17,020.
+        let mut fixture = busy_caching_engine_among_idle(10_000);
+        assert_that!(fixture.ask_and_decide(shared_prompt("zarqa", 1, 3)), none());
+        let mut fixture = busy_caching_engine_among_idle(20_000);
+        assert_that!(fixture.ask_and_decide(shared_prompt("zarqa", 1, 3)), some(not(eq("e0"))));
+    };
+    // Guards against shared parts that are computed again for an organisation far behind, later than their own engine would have
+    // begun its prompts: under overload that was most of the prefill of shared parts.
+    organisation_far_behind_gets_the_engine_that_begins_its_prompt_first => {
+        assert_that!(engine_for_organisation_far_behind(10_000), some(eq("e0")));
+        assert_that!(engine_for_organisation_far_behind(20_000), some(eq("e1")));
+    };
     engines_that_crash_cost_few_requests => {
         let outcome = run_flood_beside_crashes(2);
         let started: u64 = outcome.started.iter().map(|(_, tokens)| tokens).sum();
