The log records evacuations of failure domains

Cause: an operator's order to send nothing more to a failure domain must outlast the losses that the fleet tolerates, and an order that was held back in a suspended instance must not undo what was acknowledged meanwhile.

Change: SetEvacuation changes the domain's entry in the configuration if it is based on the newest one; otherwise it conflicts. An order for the state that holds succeeds without a change.

--- a/crates/jaylock-control/src/client.rs
+++ b/crates/jaylock-control/src/client.rs
@@ -69,6 +69,29 @@
         self.call_leader(call).await
     }
 
+    /// Commits a command like [`propose`](Self::propose), but sends it only until `last_sending`.
+    ///
+    /// # Errors
+    /// The same as for `propose`, with [`Error::NoLeader`] also when the time is over.
+    pub async fn propose_until(&self, command: Command, last_sending: Instant) -> Result<Applied> {
+        let started = Instant::now();
+        let call = async |mut stub: Stub<Channel>| {
+            if boottime_now() > last_sending {
+                return Ok(Reply::Success(None));
+            }
+            let request = ProposeRequest {
+                command: Some(command.clone()),
+            };
+            let reply = stub.propose(request).await?.into_inner();
+            Ok(to_reply(reply.applied.map(Some), reply.leader_address))
+        };
+        let applied = self.call_leader(call).await?;
+        applied.ok_or_else(|| Error::NoLeader {
+            waited: started.elapsed(),
+            reason: "the command is too old to be sent again".into(),
+        })
+    }
+
     /// Reads the newest configuration.
     ///
     /// # Errors
--- a/crates/jaylock-control/src/lib.rs
+++ b/crates/jaylock-control/src/lib.rs
@@ -25,7 +25,10 @@
 pub use self::rescue::rescue;
 pub use self::service::{ControlService, ReplicaService};
 pub use self::settings::{ClientSettings, FollowerSettings, ReplicaSettings};
-pub use self::state::{KeyRequirement, is_operator_change, key_requirement};
+pub use self::state::{
+    KeyRequirement, find_evacuation, is_evacuated, is_known_domain, is_operator_change,
+    key_requirement,
+};
 pub use self::storage::{Disk, FileDisk, FileName};
 pub use self::transport::{ReplyFuture, RpcTransport, Transport};
 pub use self::view::ConfigView;
--- a/crates/jaylock-control/src/state/changes.rs
+++ b/crates/jaylock-control/src/state/changes.rs
@@ -8,7 +8,7 @@
 };
 use jaylock_types::{AdapterId, BackendId, ModelId, OrganisationId, PoolId, ServiceId, VersionId};
 
-use super::{document, fleet, sorted};
+use super::{document, evacuations, fleet, sorted};
 
 /// Size of the SHA-256 hash of a caller's key.
 const KEY_HASH_BYTES: usize = 32;
@@ -98,8 +98,13 @@
     match body {
         Body::PutInstance(instance) => {
             fleet::put_instance(next, instance)?;
+            evacuations::put_domain(next, &instance.domain);
             Ok(Change::without_event())
         }
+        Body::SetEvacuation(order) => {
+            evacuations::set_evacuation(next, order, index, at_ms)?;
+            Ok(Change::with_event(evacuations::evacuation_event(order)))
+        }
         Body::RemoveInstance(gone) => {
             fleet::remove_instance(next, gone)?;
             Ok(Change::with_event(format!(
--- a/crates/jaylock-control/src/state/mod.rs
+++ b/crates/jaylock-control/src/state/mod.rs
@@ -3,6 +3,7 @@
 mod changes;
 mod claims;
 mod document;
+mod evacuations;
 mod events;
 mod fleet;
 mod recent;
@@ -23,6 +24,7 @@
 
 pub(crate) use self::document::check_shared_keys;
 pub use self::document::{KeyRequirement, key_requirement};
+pub use self::evacuations::{find_evacuation, is_evacuated, is_known_domain};
 pub(crate) use self::fleet::{find_instance, put_member, remove_member};
 
 /// The state after applying the entries up to an index; equal on all replicas.
@@ -70,7 +72,9 @@
             index: snapshot.index,
             term: snapshot.term,
             at_ms: snapshot.at_ms,
-            configuration: Rc::new(snapshot.configuration.unwrap_or_default()),
+            configuration: Rc::new(evacuations::derive_domains(
+                snapshot.configuration.unwrap_or_default(),
+            )),
             results: Results::restore(snapshot.results, snapshot.evicted_ms),
             claims: Claims::restore(snapshot.claims, snapshot.last_sweep_ms),
             events: EventLog::restore(snapshot.events),
@@ -198,6 +202,12 @@
                     return Ok(Outcome::Done(Done {}));
                 }
             }
+            Body::SetEvacuation(order) => {
+                let unchanged = evacuations::result_without_change(&self.configuration, order)?;
+                if let Some(outcome) = unchanged {
+                    return Ok(outcome);
+                }
+            }
             _ => {}
         }
         // The change is applied to a copy, so that a refused change has no effect.
@@ -304,7 +314,8 @@
     is_operator_change(body)
         || matches!(
             body,
-            Body::PutQuarantine(_)
+            Body::SetEvacuation(_)
+                | Body::PutQuarantine(_)
                 | Body::PutCrashCause(_)
                 | Body::IssueOrder(_)
                 | Body::RecordEvent(_)
--- a/crates/jaylock-tests/tests/control/group.rs
+++ b/crates/jaylock-tests/tests/control/group.rs
@@ -342,15 +342,19 @@
 
     /// Number of member changes in the event log.
     pub async fn count_member_changes(&self) -> usize {
+        let events = self.events().await;
+        let is_change = |text: &&String| text.starts_with("replica on");
+        events.iter().filter(is_change).count()
+    }
+
+    /// Texts of the event log, oldest first.
+    pub async fn events(&self) -> Vec<String> {
         let at = self.leader().await;
         let replica = self.machines[at].replica().expect("a replica");
         let request = Request::new(EventsRequest { most: u32::MAX });
         let reply = replica.control_service().events(request).await;
         let events = reply.expect("events").into_inner().events;
-        events
-            .iter()
-            .filter(|e| e.text.starts_with("replica on"))
-            .count()
+        events.into_iter().map(|e| e.text).collect()
     }
 
     /// Sends a command to one machine after another until one has committed it.
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -7,6 +7,7 @@
 mod disk_faults;
 mod disk_steps;
 mod end_to_end;
+mod evacuations;
 mod failures;
 mod fault_schedules;
 mod file_disk;
