Platform calls evacuate and restore failure domains

Cause: operators of the platform have no way yet to send an evacuation, and nothing shows which instance follows it.

A call that is read after a pause of the process is refused with 503, as its caller may have sent the opposite to another instance. Each instance logs a line for each change and sets jaylock_domain_evacuated.

--- a/crates/jaylock-daemon/src/api.rs
+++ b/crates/jaylock-daemon/src/api.rs
@@ -15,6 +15,7 @@
 use thiserror::Error as ThisError;
 
 use crate::left_out::LeftOutLog;
+use crate::pause_monitor::PauseMonitor;
 
 /// Longest wait for control to commit or confirm an operation.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -44,6 +45,8 @@
     pub(crate) left_out: Rc<LeftOutLog>,
     /// Memory of the documents that wait for control.
     pub(crate) documents: BodyMemory,
+    /// Pauses of this process.
+    pub(crate) pauses: Rc<PauseMonitor>,
 }
 
 /// Port to the lists of prompt parts that engines have cached.
--- a/crates/jaylock-daemon/src/components.rs
+++ b/crates/jaylock-daemon/src/components.rs
@@ -11,13 +11,16 @@
 use jaylock_rpc::{Access, Routes};
 use jaylock_settings::Settings;
 use jaylock_share::{SchedulerClient, SchedulerHost};
+use jaylock_types::boottime_now;
 
 use crate::api::{ControlApi, DOCUMENT_MEMORY};
 use crate::context::InstanceContext;
+use crate::evacuations::report_evacuations;
 use crate::exposition::serve_metrics;
+use crate::pause_monitor::PauseMonitor;
 use crate::ports::{ControlLog, LocalPools};
 
-/// Time between two reports of this instance's state to its follower.
+/// Time between two reports of this instance's state to its follower, and between two observations of pauses.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two records of what memory is used for.
 const MEMORY_INTERVAL: Duration = Duration::from_secs(1);
@@ -41,6 +44,7 @@
     pub router: Rc<Router>,
     schedulers: SchedulerClient,
     documents: BodyMemory,
+    pauses: Rc<PauseMonitor>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -64,6 +68,7 @@
             router,
             schedulers,
             documents: BodyMemory::with_share(DOCUMENT_MEMORY, DOCUMENT_MEMORY),
+            pauses: Rc::default(),
             tasks: Vec::new(),
         };
         let workers = Workers {
@@ -116,6 +121,11 @@
             spawn(workers.host.run()),
             spawn(workers.reconciler.run()),
             spawn(self.context.minute_replicator().run()),
+            spawn(observe_pauses(self.pauses.clone())),
+            spawn(report_evacuations(
+                self.context.view.clone(),
+                self.context.observer.clone(),
+            )),
         ]);
         let (schedulers, router) = (self.schedulers.clone(), self.router.clone());
         let follower = self.follower.clone();
@@ -143,6 +153,7 @@
             queried_engines: Rc::default(),
             left_out: Rc::default(),
             documents: self.documents.clone(),
+            pauses: self.pauses.clone(),
         }
     }
 
@@ -182,6 +193,14 @@
     }
 }
 
+/// Lets the monitor notice pauses of this process.
+async fn observe_pauses(pauses: Rc<PauseMonitor>) {
+    loop {
+        pauses.observe(boottime_now());
+        compio::time::sleep(REPORT_INTERVAL).await;
+    }
+}
+
 /// Records in the metrics what memory is used for.
 async fn record_memory(
     observer: Observer,
--- a/crates/jaylock-observe/src/metrics.rs
+++ b/crates/jaylock-observe/src/metrics.rs
@@ -34,6 +34,7 @@
     head: Histogram<f64>,
     duration: Histogram<f64>,
     memory: Gauge<u64>,
+    evacuated: Gauge<u64>,
     /// Organisations with a separate series, sorted.
     organisations: RefCell<Vec<CompactString>>,
     max_organisations: usize,
@@ -80,6 +81,12 @@
                 .u64_gauge("jaylock_memory_bytes")
                 .with_description("Bytes kept, by what they are kept for.")
                 .build(),
+            evacuated: meter
+                .u64_gauge("jaylock_domain_evacuated")
+                .with_description(
+                    "1 for each failure domain that is evacuated, 0 for a restored one.",
+                )
+                .build(),
             organisations: RefCell::default(),
             max_organisations,
             _provider: provider,
@@ -129,6 +136,12 @@
         self.memory.record(bytes, &[label]);
     }
 
+    /// Sets whether a failure domain is evacuated.
+    pub fn record_evacuation(&self, domain: &str, is_evacuated: bool) {
+        let label = KeyValue::new("domain", domain.to_owned());
+        self.evacuated.record(is_evacuated.into(), &[label]);
+    }
+
     /// All series in the text exposition format of Prometheus.
     pub fn exposition(&self) -> String {
         let text = TextEncoder::new().encode_to_string(&self.registry.gather());
--- a/crates/jaylock-observe/src/observer.rs
+++ b/crates/jaylock-observe/src/observer.rs
@@ -114,6 +114,11 @@
         self.shared.metrics.record_memory(used_for, bytes);
     }
 
+    /// Sets in the metrics whether a failure domain is evacuated in the active configuration.
+    pub fn record_evacuation(&self, domain: &str, is_evacuated: bool) {
+        self.shared.metrics.record_evacuation(domain, is_evacuated);
+    }
+
     /// All metrics in the text exposition format of Prometheus.
     #[must_use]
     pub fn exposition(&self) -> String {
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod documents;
 mod earlier_releases;
 mod endless;
+mod evacuations;
 mod exclusions;
 mod file_limits;
 mod harness;
