jaylock domain evacuates, restores and lists failure domains

Cause: operators of the product need the orders too, and must see who has them and what still runs in the domain.

Change: the commands domain evacuate, restore and list; config show lists the evacuations; the operators' service accepts SetEvacuation.

--- a/crates/jaylock-operator/src/bin/jaylock/change.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/change.rs
@@ -38,6 +38,25 @@
     session: &Session,
     compute: impl Fn(&v1::Configuration) -> Result<Edit>,
     extra: &[(&'static str, Cell)],
+) -> Result<Output> {
+    edit_at(session, compute, extra, |revision| Some(revision)).await
+}
+
+/// Like [`edit`], for a change that itself holds what it is based on, so that it needs no revision.
+pub async fn edit_entry(
+    session: &Session,
+    compute: impl Fn(&v1::Configuration) -> Result<Edit>,
+    extra: &[(&'static str, Cell)],
+) -> Result<Output> {
+    edit_at(session, compute, extra, |_| None).await
+}
+
+/// Makes a change like [`edit`]; `expected` returns the revision that it needs, given that of the configuration.
+async fn edit_at(
+    session: &Session,
+    compute: impl Fn(&v1::Configuration) -> Result<Edit>,
+    extra: &[(&'static str, Cell)],
+    expected: impl Fn(u64) -> Option<u64>,
 ) -> Result<Output> {
     let base = base_id(session);
     let mut last_conflict = 0;
@@ -49,12 +68,14 @@
         }
         // A retry may be refused because the first attempt succeeded. Only the stored reply to the
         // first attempt distinguishes that case from a conflict.
-        let expected = match refusal {
-            Some(_) => UNREACHABLE_REVISION,
-            None => session.expected_revision.unwrap_or(configuration.revision),
+        let expected_revision = match refusal {
+            Some(_) => Some(UNREACHABLE_REVISION),
+            None => session
+                .expected_revision
+                .or_else(|| expected(configuration.revision)),
         };
         let id = attempt_id(&base, attempt);
-        match propose(session, &id, Some(expected), body).await? {
+        match propose(session, &id, expected_revision, body).await? {
             ProposeOutcome::Done(applied) => return Ok(success_output(&applied, extra)),
             ProposeOutcome::Conflict(revision) if session.expected_revision.is_some() => {
                 return Err(Error::Conflict { revision });
--- a/crates/jaylock-operator/src/bin/jaylock/command_line.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/command_line.rs
@@ -4,8 +4,8 @@
 
 use crate::arguments::global_options;
 use crate::{
-    backend, config, document, explain, instance, loadable, organisation, pool, report, route,
-    service,
+    backend, config, document, domain, explain, instance, loadable, organisation, pool, report,
+    route, service,
 };
 
 /// Name of the command that prints shell completions.
@@ -27,6 +27,7 @@
         .subcommand(route::command())
         .subcommand(document::command())
         .subcommand(backend::command())
+        .subcommand(domain::command())
         .subcommand(instance::command())
         .subcommand(pool::command())
         .subcommand(config::command())
--- a/crates/jaylock-operator/src/bin/jaylock/config.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/config.rs
@@ -9,6 +9,7 @@
 use crate::error::{Error, Result};
 use crate::instance;
 use crate::output::{Cell, Listing, Output, Record};
+use crate::report;
 use crate::resource::listing;
 use crate::session::Session;
 
@@ -109,6 +110,7 @@
             Output::Listing(listing::<v1::Service>(configuration)),
         ),
         ("drains", Output::Listing(drains(configuration))),
+        ("evacuations", Output::Listing(evacuations(configuration))),
         (
             "instances",
             Output::Listing(instance::listing(configuration, &[])),
@@ -137,6 +139,26 @@
     listing
 }
 
+fn evacuations(configuration: &v1::Configuration) -> Listing {
+    let mut listing = Listing::new(&["domain", "index", "since", "restored"]);
+    let time_text = |ms: u64| {
+        if ms > 0 {
+            report::time(ms)
+        } else {
+            String::new()
+        }
+    };
+    for evacuation in &configuration.evacuations {
+        listing.push(vec![
+            evacuation.domain.as_str().into(),
+            evacuation.index.into(),
+            time_text(evacuation.since_ms).into(),
+            time_text(evacuation.restored_ms).into(),
+        ]);
+    }
+    listing
+}
+
 fn pools(configuration: &v1::Configuration) -> Listing {
     let mut listing = Listing::new(&["pool", "scheduler", "incarnation", "epoch"]);
     for lease in &configuration.pools {
--- a/crates/jaylock-operator/src/bin/jaylock/instance.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/instance.rs
@@ -19,14 +19,19 @@
 /// Lists the live instances and the active revision of each.
 pub async fn list(session: &Session) -> Result<Output> {
     let configuration = session.configuration().await?;
+    let lags = lags(session).await?;
+    Ok(Output::Listing(listing(&configuration, &lags)))
+}
+
+/// The revision and index that each live instance reported.
+pub async fn lags(session: &Session) -> Result<Vec<v1::InstanceLag>> {
     // No instance reaches the maximum revision, so the reply lists all instances and revisions.
     let request = v1::WaitRequest {
         revision: u64::MAX,
         timeout_ms: 0,
     };
     let call = session.call(async |mut client| client.wait_revision(request).await);
-    let lags = call.await?.lagging;
-    Ok(Output::Listing(listing(&configuration, &lags)))
+    Ok(call.await?.lagging)
 }
 
 /// The live instances of a configuration, with the revision that each one reported.
--- a/crates/jaylock-operator/src/bin/jaylock/main.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/main.rs
@@ -7,6 +7,7 @@
 mod command_line;
 mod config;
 mod document;
+mod domain;
 mod error;
 mod events;
 mod explain;
@@ -63,6 +64,7 @@
         }
         Some((document::NAME, _)) => document::show(&session).await,
         Some((backend::NAME, submatches)) => backend::run(&session, submatches).await,
+        Some((domain::NAME, submatches)) => domain::run(&session, submatches).await,
         Some((instance::NAME, _)) => instance::list(&session).await,
         Some((pool::NAME, submatches)) => pool::run(&session, submatches).await,
         Some((config::NAME, submatches)) => config::run(&session, submatches).await,
--- a/crates/jaylock-operator/src/command_check.rs
+++ b/crates/jaylock-operator/src/command_check.rs
@@ -13,7 +13,7 @@
     #[error("the request holds no command: set the field command")]
     NoCommand,
     /// The command has no body.
-    #[error("the command has no body: set one of put_organisation to put_document")]
+    #[error("the command has no body: set one of put_organisation to set_evacuation")]
     NoBody,
     /// The id of the command has an invalid length.
     #[error(
@@ -27,7 +27,7 @@
     AmbiguousKeys,
     /// Only the fleet itself may send the command.
     #[error(
-        "only the fleet itself may send this command: use one that changes organisations, models, adapters, services, routes, documents or drains"
+        "only the fleet itself may send this command: use one that changes organisations, models, adapters, services, routes, documents, drains or evacuations"
     )]
     NotPermitted,
 }
@@ -41,6 +41,7 @@
     match &command.body {
         None => Err(Error::NoBody),
         Some(Body::PutDocument(document)) if is_ambiguous(document) => Err(Error::AmbiguousKeys),
+        Some(Body::SetEvacuation(_)) => Ok(command),
         Some(body) if is_operator_change(body) => Ok(command),
         Some(_) => Err(Error::NotPermitted),
     }
--- a/crates/jaylock-tests/tests/product/fake.rs
+++ b/crates/jaylock-tests/tests/product/fake.rs
@@ -30,6 +30,7 @@
     pub replies: Vec<Reply>,
     pub commands: Vec<v1::Command>,
     pub lagging: Vec<v1::InstanceLag>,
+    pub backends: Vec<v1::BackendState>,
 }
 
 /// An operators' service without a fleet.
@@ -142,7 +143,7 @@
         let unheard = vec![String::from("jaylock-pool")];
         Ok(Response::new(v1::ListBackendsReply {
             unheard,
-            ..Default::default()
+            backends: self.state.lock().expect("a lock").backends.clone(),
         }))
     }
 
--- a/crates/jaylock-tests/tests/product/service.rs
+++ b/crates/jaylock-tests/tests/product/service.rs
@@ -134,8 +134,14 @@
 
 cases! {
     async forwards_commands_that_operators_may_send => {
-        let body = Body::DrainBackend("engine-1".into());
-        assert_that!(send_command("c1", Some(body)).await, eq(Code::Unavailable));
+        let bodies = [
+            Body::DrainBackend("engine-1".into()),
+            Body::SetEvacuation(v1::SetEvacuation::default()),
+        ];
+        for body in bodies {
+            let text = format!("{body:?}");
+            assert_that!(send_command("c1", Some(body)).await, eq(Code::Unavailable), "{text}");
+        }
     };
     async refuses_commands_that_only_the_fleet_may_send => {
         let bodies = [
--- a/crates/jaylock-tests/tests/product/tool.rs
+++ b/crates/jaylock-tests/tests/product/tool.rs
@@ -37,6 +37,56 @@
     }
 }
 
+/// A service with two domains, of which `east` was evacuated at index 8 and `north` never.
+fn state_with_domains() -> FakeState {
+    let backend = |domain: &str, state: &str, running, granted| v1::BackendState {
+        report: Some(v1::BackendReport {
+            domain: domain.into(),
+            running,
+            ..Default::default()
+        }),
+        granted,
+        state: state.into(),
+        ..Default::default()
+    };
+    let lag = |index| v1::InstanceLag {
+        index,
+        ..Default::default()
+    };
+    let evacuation = v1::Evacuation {
+        domain: "east".into(),
+        index: 8,
+        since_ms: 1000,
+        restored_ms: 0,
+    };
+    let config = v1::Configuration {
+        domains: vec!["east".into(), "north".into()],
+        evacuations: vec![evacuation],
+        ..state().config
+    };
+    FakeState {
+        config,
+        lagging: vec![lag(7), lag(8), lag(9)],
+        backends: vec![
+            backend("east", "evacuated", 2, 1),
+            backend("east", "ready", 0, 3),
+            backend("north", "ready", 1, 1),
+        ],
+        ..state()
+    }
+}
+
+/// Orders for failure domains that the service received.
+fn received_orders(service: &FakeService) -> Vec<v1::SetEvacuation> {
+    let state = service.state.lock().expect("a lock");
+    let bodies = state.commands.iter().map(|c| c.body.clone());
+    let orders = bodies.filter_map(|body| match body {
+        Some(Body::SetEvacuation(order)) => Some(order),
+        _ => None,
+    });
+    orders.collect()
+}
+
 fn start_with_replies(replies: Vec<Reply>) -> FakeService {
     FakeService::start(FakeState { replies, ..state() })
 }
@@ -251,6 +301,58 @@
         let outcome = service.run(&["backend", "list"]);
         assert_that!(outcome.stdout, contains_substring("no response from: jaylock-pool"));
     };
+    // Guards against orders that don't say what they are based on, or that need a revision they have nothing to do with.
+    orders_name_the_entry_that_they_are_based_on => {
+        let service = FakeService::start(state_with_domains());
+        for (command, domain, prior_index) in [("restore", "east", 8), ("evacuate", "north", 0)] {
+            let outcome = service.run(&["domain", command, domain]);
+            assert_that!(outcome.exit_code, eq(0), "{}", outcome.stderr);
+            let evacuated = command == "evacuate";
+            let order = v1::SetEvacuation { domain: domain.into(), evacuated, prior_index };
+            assert_that!(received_orders(&service).last(), some(eq(&order)));
+        }
+        assert!(received_changes(&service).iter().all(|(_, revision)| revision.is_none()));
+    };
+    // Guards against an operator whose order is dropped because another one was faster.
+    order_is_based_on_the_newest_entry_after_a_conflict => {
+        let replies = vec![Reply::Applied(Applied::Conflict(4))];
+        let service = FakeService::start(FakeState { replies, ..state_with_domains() });
+        let outcome = service.run(&["--command-id", "c1", "domain", "evacuate", "north"]);
+        assert_that!(outcome.exit_code, eq(0));
+        let ids: Vec<_> = received_changes(&service).into_iter().map(|(id, _)| id).collect();
+        assert_that!(ids, elements_are![eq("c1"), eq("c1~1")]);
+    };
+    // Guards against a misspelt name that reaches the log.
+    refuses_unknown_domains => {
+        let service = FakeService::start(state_with_domains());
+        let outcome = service.run(&["domain", "evacuate", "west"]);
+        assert_that!((outcome.exit_code, service.run(&["domain", "restore", "no/slash"]).exit_code), eq((1, 2)));
+        assert_that!(outcome.stderr, contains_substring("jaylock domain list"));
+        assert_that!(received_changes(&service), is_empty());
+    };
+    // Guards against a domain that seems empty while slots are granted, or informed while an instance lags.
+    lists_who_has_the_order_and_what_still_runs => {
+        let service = FakeService::start(state_with_domains());
+        let outcome = service.run(&["--json", "domain", "list"]);
+        let listed: serde_json::Value = serde_json::from_str(&outcome.stdout).expect("JSON");
+        let expected = serde_json::json!([
+            {"domain": "east", "state": "evacuated", "since": "1970-01-01T00:00:01.000Z",
+             "informed": 2, "instances": 3, "running": 5, "usable": 1, "backends": 2},
+            {"domain": "north", "state": "in use", "since": "",
+             "informed": 3, "instances": 3, "running": 1, "usable": 1, "backends": 1},
+        ]);
+        assert_that!(listed["result"], eq(&expected));
+        assert_that!(listed["unheard"][0].as_str(), some(eq("jaylock-pool")));
+    };
+    shows_the_evacuations => {
+        let service = FakeService::start(state_with_domains());
+        let outcome = service.run(&["--json", "config", "show"]);
+        let shown: serde_json::Value = serde_json::from_str(&outcome.stdout).expect("JSON");
+        let expected = serde_json::json!([
+            {"domain": "east", "index": 8, "since": "1970-01-01T00:00:01.000Z", "restored": ""},
+        ]);
+        assert_that!(shown["evacuations"], eq(&expected));
+    };
     prints_completions_without_a_fleet => {
         let outcome = run(&[UNREACHABLE], &["completions", "bash"]);
         assert_that!(outcome.exit_code, eq(0));
