Merge equal match arms, and box two proposals

Cause: cargo clippy -- -D warnings refuses both places on with the installed toolchain.

Change: no change of behaviour.

--- a/crates/jaylock-control/src/state/document.rs
+++ b/crates/jaylock-control/src/state/document.rs
@@ -31,9 +31,8 @@
     }
     match configuration.key_required {
         Some(true) => KeyRequirement::Required,
-        Some(false) => KeyRequirement::NotRequired,
         None if configuration.document_version > 0 => KeyRequirement::Unknown,
-        None => KeyRequirement::NotRequired,
+        Some(false) | None => KeyRequirement::NotRequired,
     }
 }
 
--- a/crates/jaylock-daemon/src/key_requirement.rs
+++ b/crates/jaylock-daemon/src/key_requirement.rs
@@ -56,7 +56,7 @@
             expected_revision: Some(configuration.revision),
             ..new_command(Body::RequireKeys(is_required))
         };
-        let applied = with_control_timeout(self.client.propose(command)).await?;
+        let applied = with_control_timeout(Box::pin(self.client.propose(command))).await?;
         if let Some(Outcome::Done(_)) = applied.result {
             log::info!(
                 target: "operator",
