Tests of evacuations: callers that have gone, and the list of a real fleet

Cause: an instance must not carry out a call whose caller has closed the connection during a short pause, and nothing checked the list of domains against instances that lag.

Change: a test with real processes for each; lints in the tests and the tool.

--- a/crates/jaylock-control/src/state/evacuations.rs
+++ b/crates/jaylock-control/src/state/evacuations.rs
@@ -59,9 +59,10 @@
     let restored_ms = find_evacuation(next, &order.domain).map_or(0, |e| e.restored_ms);
     // A time of 0 stands for none.
     let at_ms = at_ms.max(1);
-    let (since_ms, restored_ms) = match order.evacuated {
-        true => (at_ms, restored_ms),
-        false => (0, at_ms),
+    let (since_ms, restored_ms) = if order.evacuated {
+        (at_ms, restored_ms)
+    } else {
+        (0, at_ms)
     };
     let entry = Evacuation {
         domain: order.domain.clone(),
--- a/crates/jaylock-operator/src/bin/jaylock/change.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/change.rs
@@ -39,7 +39,7 @@
     compute: impl Fn(&v1::Configuration) -> Result<Edit>,
     extra: &[(&'static str, Cell)],
 ) -> Result<Output> {
-    edit_at(session, compute, extra, |revision| Some(revision)).await
+    edit_at(session, compute, extra, Some).await
 }
 
 /// Like [`edit`], for a change that itself holds what it is based on, so that it needs no revision.
--- a/crates/jaylock-tests/tests/control/evacuations.rs
+++ b/crates/jaylock-tests/tests/control/evacuations.rs
@@ -15,7 +15,7 @@
 use tonic::Request;
 
 use crate::commands::command;
-use crate::group::Group;
+use crate::group::{Group, Machine};
 
 const DOMAIN: &str = "east";
 
@@ -229,7 +229,7 @@
             group.propose(command(Body::DrainBackend(format!("b{at}")))).await;
         }
         let before = entry(&group.read().await);
-        group.machines().iter().for_each(|m| m.kill());
+        group.machines().iter().for_each(Machine::kill);
         for at in 0..3 {
             group.start(at).await.expect("a replica");
         }
--- a/crates/jaylock-tests/tests/fleet/operators.rs
+++ b/crates/jaylock-tests/tests/fleet/operators.rs
@@ -2,7 +2,9 @@
 
 use googletest::prelude::*;
 use jaylock_tests::cases;
+use jaylock_tests::fleet::wait_until;
 use jaylock_tests::{Fleet, FleetSettings};
+use serde_json::json;
 
 use crate::{create_organisation, organisations, revision};
 
@@ -56,6 +58,25 @@
         assert_that!(fleet.run_tool(&removal).exit_code, eq(0));
         assert_that!(organisations(&fleet), elements_are![eq("irbid"), eq("zarqa")]);
     };
+    // Guards against a list that counts an instance as informed which does not have the order.
+    domain_list_counts_the_instances_that_have_the_order => {
+        let fleet = Fleet::start_empty(&FleetSettings::default());
+        fleet.wait_until_ready();
+        let row = || {
+            let listed = fleet.run_tool_at(&[0, 1, 2], &["--json", "domain", "list"]).json();
+            let field = |name: &str| listed[1][name].clone();
+            (field("domain"), field("state"), field("informed"), field("instances"))
+        };
+        let informed = |state: &str, count: u32| (json!("d1"), json!(state), json!(count), json!(4));
+        wait_until("all instances are listed", || row() == informed("in use", 4));
+        fleet.suspend(3);
+        assert_that!(fleet.run_tool_at(&[0], &["domain", "evacuate", "d1"]).exit_code, eq(0));
+        wait_until("three instances have the order", || row() == informed("evacuated", 3));
+        fleet.resume(3);
+        wait_until("all instances have the order", || row() == informed("evacuated", 4));
+        assert_that!(fleet.run_tool(&["domain", "restore", "d1"]).exit_code, eq(0));
+        wait_until("the domain is in use", || row() == informed("in use", 4));
+    };
     config_wait_names_instances_without_the_revision => {
         let fleet = Fleet::start_empty(&FleetSettings::default());
         fleet.wait_until_ready();
--- a/crates/jaylock-tests/tests/platform/evacuations.rs
+++ b/crates/jaylock-tests/tests/platform/evacuations.rs
@@ -13,6 +13,8 @@
 
 /// Time for which a call is sent to a suspended instance before its caller asks another one.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Time of a pause that is too short for an instance to count as suspended.
+const SHORT_PAUSE: Duration = Duration::from_millis(200);
 /// Time after which a resumed instance has carried out what it read.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
@@ -153,4 +155,21 @@
         assert_that!(evacuate(&fleet, 2, "d1"), eq(200));
         wait_until_active(&fleet, 4, "d1", true);
     };
+
+    // Guards against calls that are carried out after their callers have gone, perhaps to withdraw them elsewhere.
+    call_whose_caller_has_gone_before_it_is_read_changes_nothing => {
+        let mut fleet = TestFleet::start(3, 1);
+        fleet.configure(&document(1));
+        wait_until("another instance takes orders", || restore(&fleet, 0, "d1") == 200);
+        for _ in 0..5 {
+            // Too short for the instance to notice.
+            fleet.process(2).suspend();
+            let address = fleet.control_address(2);
+            send_call_within(address, "POST", "/-/evacuation/d1", "", SHORT_PAUSE);
+            fleet.process(2).resume();
+            thread::sleep(SHORT_PAUSE);
+        }
+        thread::sleep(SETTLE_TIME);
+        expect_that!(metric(&fleet, 0, "d1"), none());
+    };
 }
