Schedulers and routers send nothing to the backend servers of an evacuated failure domain

Cause: orders to evacuate a domain are in the configuration, but nothing obeyed them. Change: the scheduler regards a backend server whose report names an evacuated domain as unusable, also one that reports for the first time, and refuses requests at once whose backend servers have all left or are evacuated; if all domains are, it doesn't wait for first reports. A router checks the domain of a grant when it arrives and before the first byte, for chat and plain services too; it returns the grant, and the request asks again without that backend server. Without a scheduler it uses neither its share of the slots nor freed slots there. Instances don't query the cached parts of engines there until the domain is restored.

--- a/crates/jaylock-daemon/src/backend_reports.rs
+++ b/crates/jaylock-daemon/src/backend_reports.rs
@@ -5,6 +5,7 @@
 use compact_str::{ToCompactString, format_compact};
 use jaylock_rpc::v1::backend_report::Kind;
 use jaylock_rpc::v1::{BackendReport, BackendVerdict};
+use jaylock_share::is_evacuated;
 use jaylock_types::{BackendId, InvalidId, PoolId, unix_ms};
 
 use crate::api::{ApiError, ControlApi, Result};
@@ -61,6 +62,10 @@
         let Ok(address) = report.address.parse() else {
             return;
         };
+        // After a restoration the query is made then.
+        if is_evacuated(&configuration, &report.domain) {
+            return;
+        }
         if report.kind() != Kind::Engine || !self.mark_queried(&report.id, lease.epoch) {
             return;
         }
--- a/crates/jaylock-daemon/src/ports.rs
+++ b/crates/jaylock-daemon/src/ports.rs
@@ -39,8 +39,8 @@
         self.0.report_notice(pool, backend, incarnation, notice);
     }
 
-    fn is_excluded(&self, pool: &PoolId, backend: &str, incarnation: u64) -> bool {
-        self.0.is_excluded(pool, backend, incarnation)
+    fn is_excluded(&self, pool: &PoolId, grant: &Grant) -> bool {
+        self.0.is_excluded(pool, grant)
     }
 
     fn report_backend(&self, report: BackendReport) {
--- a/crates/jaylock-router/src/attempt.rs
+++ b/crates/jaylock-router/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::event::EventParser;
 use crate::origin::ExpectedOrigin;
 use crate::response::{REQUEST_ID_HEADER, set_header};
+use crate::slot::Slot;
 
 /// Header by which a backend server reports that a request did not run.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
@@ -58,12 +59,15 @@
     pub async fn start(
         context: &Rc<Context>,
         chat: &Chat,
-        address: SocketAddr,
+        (address, slot): (SocketAddr, &Slot),
         position: Position,
         remaining: Duration,
     ) -> Result<Self, AttemptError> {
         let id = RequestId::random();
-        let request = || Some(chat_request(chat, &id, address, position, remaining));
+        let request = || {
+            let may_send = !slot.is_excluded();
+            may_send.then(|| chat_request(chat, &id, address, position, remaining))
+        };
         let timeout = context.settings.first_byte_timeout;
         let settings = &context.settings;
         let connect_timeout = settings.connect_timeout;
--- a/crates/jaylock-router/src/generation.rs
+++ b/crates/jaylock-router/src/generation.rs
@@ -135,7 +135,8 @@
         } else {
             self.context.settings.default_timeout
         };
-        match Attempt::start(&self.context, &self.chat, address, self.position, remaining).await {
+        let (context, chat, to) = (&self.context, &self.chat, (address, &slot));
+        match Attempt::start(context, chat, to, self.position, remaining).await {
             Ok(attempt) => {
                 let previous_tokens = self.tokens;
                 self.active = Some(ActiveAttempt {
--- a/crates/jaylock-router/src/port.rs
+++ b/crates/jaylock-router/src/port.rs
@@ -29,8 +29,9 @@
     /// Reports what a start of a backend server tells in a response.
     fn report_notice(&self, pool: &PoolId, backend: &str, incarnation: u64, notice: &Notice);
 
-    /// Whether a start of a backend server told this router in a response to send it nothing now.
-    fn is_excluded(&self, pool: &PoolId, backend: &str, incarnation: u64) -> bool;
+    /// Whether nothing may be sent under a grant any more: the backend server told this router so in a response, or an
+    /// operator has evacuated its failure domain.
+    fn is_excluded(&self, pool: &PoolId, grant: &Grant) -> bool;
 
     /// Forwards a backend server's report to the schedulers.
     fn report_backend(&self, report: BackendReport);
--- a/crates/jaylock-router/src/service.rs
+++ b/crates/jaylock-router/src/service.rs
@@ -117,7 +117,7 @@
                     return Err(self.fail(error));
                 }
             };
-            let error = match self.send(address, max_idle, timeout).await {
+            let error = match self.send((address, &slot), max_idle, timeout).await {
                 Ok(response) => {
                     self.retry.record_success(slot);
                     claim.settle(Some(&response)).await;
@@ -161,7 +161,7 @@
         );
         loop {
             let (address, slot) = self.acquire_slot().await?;
-            let error = match self.send(address, max_idle, timeout).await {
+            let error = match self.send((address, &slot), max_idle, timeout).await {
                 Ok(response) => {
                     self.retry.record_success(slot);
                     return Ok(response);
@@ -184,12 +184,15 @@
 
     async fn send(
         &self,
-        address: SocketAddr,
+        (address, slot): (SocketAddr, &Slot),
         max_idle: Duration,
         timeout: Duration,
     ) -> Result<BufferedResponse, AttemptError> {
         let id = RequestId::random();
-        let request = || Some(self.request(&id, address));
+        let request = || {
+            let may_send = !slot.is_excluded();
+            may_send.then(|| self.request(&id, address))
+        };
         let connect_timeout = self.context.settings.connect_timeout;
         let sending = self
             .context
--- a/crates/jaylock-router/src/slot.rs
+++ b/crates/jaylock-router/src/slot.rs
@@ -58,11 +58,9 @@
             .report_notice(&self.pool, self.backend(), incarnation, notice);
     }
 
-    /// Whether the backend server has told this router, since the grant, to send it nothing.
+    /// Whether nothing may be sent to the backend server any more, as was decided or told since the grant.
     pub fn is_excluded(&self) -> bool {
-        let incarnation = self.grant.incarnation;
-        self.schedulers
-            .is_excluded(&self.pool, self.backend(), incarnation)
+        self.schedulers.is_excluded(&self.pool, &self.grant)
     }
 
     /// Sets the service of this attempt so far, in tokens, and reports progress.
--- a/crates/jaylock-share/src/admission.rs
+++ b/crates/jaylock-share/src/admission.rs
@@ -149,7 +149,7 @@
 
     /// Refuses requests that no backend server can run, after all had time to report to this scheduler.
     pub(crate) fn refuse_unservable(&mut self, now: Instant) {
-        if !self.has_all_reports(now) {
+        if !self.knows_usable(now) {
             return;
         }
         let max_wait = self.settings.max_backend_wait;
@@ -171,7 +171,8 @@
         for (account, waiting) in std::mem::take(&mut self.isolated) {
             let has_waited = now.saturating_duration_since(waiting.arrived_at) >= max_wait;
             let eligible = self.requirements.backends(waiting.requirement);
-            if has_waited && !eligible.overlaps(self.backends.usable()) {
+            let is_vain = has_waited || self.backends.are_evacuated(eligible);
+            if is_vain && !eligible.overlaps(self.backends.usable()) {
                 self.refuse_waiting(&waiting, Reason::NoBackend, NO_BACKEND_RETRY_DELAY);
             } else {
                 remaining.push_back((account, waiting));
@@ -190,7 +191,12 @@
         let eligible = self.requirements.backends(requirement);
         let mut able = eligible.common(self.backends.usable());
         let is_avoided = |index| placement::is_avoided(ask, &self.backends.get(index).report.id);
-        self.has_all_reports(now) && able.all(is_avoided)
+        self.knows_usable(now) && able.all(is_avoided)
+    }
+
+    /// Whether it is known which backend servers may be used: all had time to report, or none may be used anyway.
+    fn knows_usable(&self, now: Instant) -> bool {
+        self.has_all_reports(now) || self.backends.is_evacuated()
     }
 
     /// Whether all backend servers had time to report to this scheduler.
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -88,7 +88,7 @@
         }
     }
 
-    /// Applies the weights, queue limits, instances, drains and engine memory of a configuration.
+    /// Applies the weights, queue limits, instances, drains, evacuations and engine memory of a configuration.
     pub fn configure(&mut self, configuration: &Configuration, now: Instant) {
         for organisation in &configuration.organisations {
             let key = self.accounts.intern(&organisation.id);
@@ -109,6 +109,7 @@
         let drains = configuration.drains.iter();
         let drains = drains.map(|drain| drain.backend.as_str().into()).collect();
         self.backends.set_drains(drains);
+        self.backends.set_evacuations(configuration);
         for index in 0..self.backends.len() {
             self.refresh(index, now);
         }
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -22,7 +22,7 @@
     pub report: BackendReport,
     pub last_report: Instant,
     pub granted: u32,
-    pub is_drained: bool,
+    pub orders: OperatorOrders,
     /// Estimated prefill and cache, for requests that list the parts of their prompts.
     pub engine: EngineEstimate,
     /// Whether an isolated request runs there or waits for the backend server to become idle.
@@ -48,6 +48,14 @@
     cached_prefixes: Vec<u64>,
 }
 
+/// What operators have ordered about a backend server.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct OperatorOrders {
+    pub is_drained: bool,
+    /// Whether its failure domain is evacuated.
+    pub is_evacuated: bool,
+}
+
 /// The rate of requests that a backend server takes from all routers together.
 #[derive(Debug)]
 struct Limit {
@@ -63,7 +71,7 @@
             last_report: report_time(&report, now),
             report,
             granted: 0,
-            is_drained: false,
+            orders: OperatorOrders::default(),
             engine: EngineEstimate::default(),
             is_reserved: false,
             external_load: 0,
@@ -90,8 +98,10 @@
             "gone"
         } else if self.report.leaving || self.has_said_to_leave() {
             "leaving"
-        } else if self.is_drained {
+        } else if self.orders.is_drained {
             "drained"
+        } else if self.orders.is_evacuated {
+            "evacuated"
         } else if now.saturating_duration_since(self.last_report) >= lease {
             "lost"
         } else if self.reachability.is_lost() {
--- a/crates/jaylock-share/src/backends.rs
+++ b/crates/jaylock-share/src/backends.rs
@@ -1,13 +1,14 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use jaylock_rpc::v1::{Ask, BackendReport};
+use jaylock_rpc::v1::{Ask, BackendReport, Configuration};
 
 use crate::backend::{Backend, report_time};
 use crate::backend_set::BackendSet;
 use crate::cache_index::CacheIndex;
 use crate::division::SlotShare;
 use crate::engine::RequestLoad;
+use crate::evacuations::Evacuations;
 
 /// The backend servers of a pool, each under a lease that its reports renew.
 #[derive(Debug, Default)]
@@ -17,6 +18,7 @@
     indices_by_id: Vec<(CompactString, usize)>,
     // Names of drained backend servers, announced or not; sorted.
     drains: Vec<CompactString>,
+    evacuations: Evacuations,
     // Backend servers that would take another request.
     available: BackendSet,
     // Backend servers that may take requests, full or not.
@@ -108,6 +110,7 @@
             return Ok(index);
         }
         backend.renew(report, now, max_prefixes);
+        backend.orders.is_evacuated = self.evacuations.contains(&backend.report.domain);
         self.refresh(index, now, lease);
         Ok(index)
     }
@@ -168,12 +171,27 @@
         &self.usable
     }
 
-    /// Whether a request waits in vain for unusable backend servers: all that were eligible have left, or a version
-    /// that is gone does not return for a stream that it began.
+    /// Whether a request waits in vain for unusable backend servers: all that were eligible have left or are evacuated,
+    /// or a version that is gone does not return for a stream that it began.
     pub fn wait_is_vain(&self, ask: &Ask, eligible: &BackendSet) -> bool {
         let mut indices = eligible.common(eligible);
         let mut have_left = || indices.all(|index| self.list[index].has_left());
-        ask.software.is_some() || (!eligible.is_empty() && have_left())
+        ask.software.is_some()
+            || (!eligible.is_empty() && have_left())
+            || self.are_evacuated(eligible)
+    }
+
+    /// Whether a request must not be sent to any of the eligible backend servers that have not left.
+    pub fn are_evacuated(&self, eligible: &BackendSet) -> bool {
+        let remaining = eligible.common(eligible).map(|index| &self.list[index]);
+        let mut remaining = remaining.filter(|backend| !backend.has_left()).peekable();
+        let is_any_left = remaining.peek().is_some();
+        self.is_evacuated() || (is_any_left && remaining.all(|backend| backend.orders.is_evacuated))
+    }
+
+    /// Whether all failure domains are evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.evacuations.is_total()
     }
 
     /// Taken and total slots of the usable backend servers.
@@ -224,11 +242,19 @@
         drains.sort_unstable();
         for backend in &mut self.list {
             let id = CompactString::from(backend.report.id.as_str());
-            backend.is_drained = drains.binary_search(&id).is_ok();
+            backend.orders.is_drained = drains.binary_search(&id).is_ok();
         }
         self.drains = drains;
     }
 
+    /// Applies the evacuations of a configuration, also to backend servers that report later.
+    pub fn set_evacuations(&mut self, configuration: &Configuration) {
+        self.evacuations = Evacuations::new(configuration);
+        for backend in &mut self.list {
+            backend.orders.is_evacuated = self.evacuations.contains(&backend.report.domain);
+        }
+    }
+
     fn add(&mut self, report: BackendReport, now: Instant) -> usize {
         let index = self.list.len();
         let name = CompactString::from(report.id.as_str());
@@ -236,7 +262,8 @@
             .indices_by_id
             .partition_point(|(other, _)| *other < name);
         let mut backend = Backend::new(report, now);
-        backend.is_drained = self.drains.binary_search(&name).is_ok();
+        backend.orders.is_drained = self.drains.binary_search(&name).is_ok();
+        backend.orders.is_evacuated = self.evacuations.contains(&backend.report.domain);
         self.indices_by_id.insert(position, (name, index));
         self.list.push(backend);
         index
--- a/crates/jaylock-share/src/client.rs
+++ b/crates/jaylock-share/src/client.rs
@@ -133,9 +133,9 @@
 
     /// Whether a start of a backend server told this router in a response to send it nothing now.
     #[must_use]
-    pub fn is_excluded(&self, pool: &PoolId, backend: &str, incarnation: u64) -> bool {
+    pub fn is_excluded(&self, pool: &PoolId, grant: &Grant) -> bool {
         let connection = self.connection(pool.as_str());
-        connection.is_excluded(backend, incarnation)
+        connection.is_excluded(grant)
     }
 
     /// Whether reports of a pool's backend servers are forwarded.
--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -4,7 +4,7 @@
 use futures_channel::oneshot;
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{
-    Ask, BackendReport, BackendVerdict, End, FallbackSlots, Grant, Progress, Total,
+    Ask, BackendReport, BackendVerdict, Configuration, End, FallbackSlots, Grant, Progress, Total,
 };
 use jaylock_types::{Notice, StreamId};
 
@@ -14,6 +14,7 @@
 use crate::cost::cost_of;
 use crate::crashed_starts::CrashedStarts;
 use crate::encoding::AddressTable;
+use crate::evacuations::Evacuations;
 use crate::exclusions::Exclusions;
 use crate::fallback::SpareSlot;
 use crate::held_slot::HeldSlot;
@@ -45,6 +46,8 @@
     pub(crate) fallback: Vec<FallbackSlots>,
     // Backend servers that told this router to send them nothing.
     pub(crate) exclusions: Exclusions,
+    // Failure domains to whose backend servers this router sends nothing.
+    pub(crate) evacuations: Evacuations,
     // Limits that backend servers named to this router.
     pub(crate) limits: NamedLimits,
     // Crashes under own runs, for a new scheduler.
@@ -78,6 +81,7 @@
             unconfirmed: Vec::new(),
             fallback: Vec::new(),
             exclusions: Exclusions::default(),
+            evacuations: Evacuations::default(),
             limits: NamedLimits::default(),
             crashes: RecentCrashes::default(),
             crashed_starts: CrashedStarts::default(),
@@ -90,6 +94,11 @@
         }
     }
 
+    /// Applies the evacuations of the active configuration.
+    pub fn configure(&mut self, configuration: &Configuration) {
+        self.evacuations = Evacuations::new(configuration);
+    }
+
     /// Adds a request that waits; the result is sent to `reply`.
     pub fn request_slot(&mut self, mut ask: Ask, reply: oneshot::Sender<AskResult>, now: Instant) {
         self.resolve_origin(&mut ask);
@@ -237,12 +246,18 @@
         expired.map(PendingRequest::into_reply).collect()
     }
 
+    /// Whether nothing may be sent under a grant: the backend server told this router so, or its domain is evacuated.
+    #[must_use]
+    pub fn is_excluded(&self, grant: &Grant, now: Instant) -> bool {
+        self.evacuations.contains(&grant.domain)
+            || self
+                .exclusions
+                .contains(&grant.backend, grant.incarnation, now)
+    }
+
     /// Passes a granted slot to the waiting request.
     pub(crate) fn grant(&mut self, grant: Grant, now: Instant) {
-        if self
-            .exclusions
-            .contains(&grant.backend, grant.incarnation, now)
-        {
+        if self.is_excluded(&grant, now) {
             self.return_grant(&grant, now);
             return;
         }
@@ -263,12 +278,19 @@
         }
     }
 
-    /// Gives back a slot at a backend server that wants nothing from this router, and asks for another one.
+    /// Gives back a slot at a backend server to which this router sends nothing, and asks for another one.
     fn return_grant(&mut self, grant: &Grant, now: Instant) {
         self.batch
             .add_end(CompactString::default(), not_run(grant), now);
-        let pending = self.pending.iter().find(|p| p.ask.ticket == grant.ticket);
-        if let Some(pending) = pending.filter(|_| self.is_attached) {
+        let mut pending = self.pending.iter_mut();
+        let Some(pending) = pending.find(|p| p.ask.ticket == grant.ticket) else {
+            return;
+        };
+        // A scheduler that doesn't know of the evacuation yet would grant the same slot again at once.
+        if self.evacuations.contains(&grant.domain) {
+            pending.ask.avoid.push(grant.backend.clone());
+        }
+        if self.is_attached {
             self.batch.add_ask(pending.updated_ask(now));
         }
     }
--- a/crates/jaylock-share/src/connection.rs
+++ b/crates/jaylock-share/src/connection.rs
@@ -95,11 +95,11 @@
         self.notify();
     }
 
-    pub fn is_excluded(&self, backend: &str, incarnation: u64) -> bool {
-        let state = self.state.borrow();
-        state
-            .exclusions
-            .contains(backend, incarnation, boottime_now())
+    /// Whether nothing may be sent under a grant any more.
+    pub fn is_excluded(&self, grant: &Grant) -> bool {
+        let mut state = self.state.borrow_mut();
+        state.configure(&self.context.view.current());
+        state.is_excluded(grant, boottime_now())
     }
 
     pub fn report_backend(&self, report: BackendReport) {
@@ -197,7 +197,7 @@
 
     async fn read_frames(&self, mut inbound: Streaming<SchedulerFrame>) -> Result<(), Status> {
         while let Some(frame) = inbound.message().await? {
-            if !self.state.borrow_mut().apply_frame(frame, boottime_now()) {
+            if !self.apply_frame(frame) {
                 return Err(Status::aborted(
                     "the scheduler has an older epoch than one seen before, or this router stood still",
                 ));
@@ -207,6 +207,13 @@
         Err(Status::unavailable("the scheduler closed the stream"))
     }
 
+    /// Applies a message under the active configuration; returns false if it is outdated.
+    fn apply_frame(&self, frame: SchedulerFrame) -> bool {
+        let mut state = self.state.borrow_mut();
+        state.configure(&self.context.view.current());
+        state.apply_frame(frame, boottime_now())
+    }
+
     async fn write_frames(
         &self,
         mut frames: mpsc::Sender<RouterFrame>,
@@ -261,14 +268,16 @@
     fn grant_locally(&self) {
         let configuration = self.context.view.current();
         let now = boottime_now();
-        let (unknown, lost) = {
+        let (evacuated, unknown, lost) = {
             let mut state = self.state.borrow_mut();
             state.grant_locally(&configuration, now);
             (
+                state.take_evacuated(),
                 state.take_unknown_streams(now),
                 state.take_lost_streams(now),
             )
         };
+        refuse(evacuated, Reason::NoBackend);
         refuse(unknown, Reason::UnknownStream);
         refuse(lost, Reason::NoBackend);
     }
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -17,6 +17,7 @@
     pub address: CompactString,
     pub incarnation: u64,
     pub software: CompactString,
+    pub domain: CompactString,
     pub requirement: Requirement,
 }
 
@@ -27,6 +28,7 @@
     pub fn grant_locally(&mut self, configuration: &Configuration, now: Instant) {
         self.pauses.watch(now);
         self.observe_pause(now);
+        self.configure(configuration);
         if !self.decides_alone(now) {
             return;
         }
@@ -53,14 +55,18 @@
         if !self.decides_alone(now) {
             return Vec::new();
         }
+        let is_evacuated = |domain: &str| self.evacuations.contains(domain);
         let reported = newest_slots(&self.fallback, &self.reports, &self.crashed_starts)
+            .filter(|(report, _)| !is_evacuated(&report.domain))
             .map(|(report, _)| report.software.as_str());
         let held = self
             .held
             .iter()
-            .filter(|h| self.is_newest_start(&h.backend, h.incarnation));
+            .filter(|h| self.is_newest_start(&h.backend, h.incarnation))
+            .filter(|h| !is_evacuated(&h.domain));
         let held = held.map(|held| held.software.as_str());
-        let spare = self.spare.iter().map(|spare| spare.software.as_str());
+        let spare = self.spare.iter().filter(|s| !is_evacuated(&s.domain));
+        let spare = spare.map(|spare| spare.software.as_str());
         let versions = reported.chain(held).chain(spare);
         let versions: Vec<CompactString> = versions.map(CompactString::from).collect();
         let is_outdated = self.pauses.is_list_outdated();
@@ -73,6 +79,15 @@
         lost.map(PendingRequest::into_reply).collect()
     }
 
+    /// Takes all requests while no scheduler is attached and no backend server of the fleet may be used.
+    pub fn take_evacuated(&mut self) -> Vec<(u64, oneshot::Sender<AskResult>)> {
+        if self.is_attached || !self.evacuations.is_total() {
+            return Vec::new();
+        }
+        let pending = self.pending.drain(..);
+        pending.map(PendingRequest::into_reply).collect()
+    }
+
     /// Whether no scheduler has been attached for so long that the router grants its own slots.
     fn decides_alone(&self, now: Instant) -> bool {
         let wait = self.settings.fallback_delay;
@@ -115,8 +130,10 @@
             .find(|pending| pending.ask.ticket == ticket)?;
         let requirement = Requirement::from_ask(&pending.ask);
         let (limits, exclusions) = (&mut self.limits, &self.exclusions);
-        let mut admits = |backend: &str, incarnation: u64| {
+        let evacuations = &self.evacuations;
+        let mut admits = |backend: &str, incarnation: u64, domain: &str| {
             !pending.avoids(backend)
+                && !evacuations.contains(domain)
                 && !exclusions.contains(backend, incarnation, now)
                 && limits.admits(backend, now)
         };
@@ -127,7 +144,7 @@
         };
         let spare = self.spare.iter().position(|spare| {
             requirement.is_met_by_slot(&spare.requirement, &spare.software)
-                && admits(&spare.backend, spare.incarnation)
+                && admits(&spare.backend, spare.incarnation, &spare.domain)
         });
         if let Some(index) = spare {
             let spare = self.spare.swap_remove(index);
@@ -136,6 +153,7 @@
                 address: spare.address.into(),
                 incarnation: spare.incarnation,
                 software: spare.software.into(),
+                domain: spare.domain.into(),
                 ..grant
             });
         }
@@ -148,7 +166,7 @@
                 let held = self.held.iter().filter(|held| held.backend == report.id);
                 requirement.is_met(report)
                     && held.count() < *slots as usize
-                    && admits(&report.id, report.incarnation)
+                    && admits(&report.id, report.incarnation, &report.domain)
             },
         )?;
         Some(Grant {
@@ -156,6 +174,7 @@
             address: report.address.clone(),
             incarnation: report.incarnation,
             software: report.software.clone(),
+            domain: report.domain.clone(),
             ..grant
         })
     }
--- a/crates/jaylock-share/src/held_slot.rs
+++ b/crates/jaylock-share/src/held_slot.rs
@@ -18,6 +18,8 @@
     pub address: CompactString,
     pub incarnation: u64,
     pub software: CompactString,
+    /// Failure domain of the backend server.
+    pub domain: CompactString,
     pub requirement: Requirement,
     /// Service so far, in tokens.
     pub tokens: u64,
@@ -41,6 +43,7 @@
             address: grant.address.as_str().into(),
             incarnation: grant.incarnation,
             software: grant.software.as_str().into(),
+            domain: grant.domain.as_str().into(),
             requirement: Requirement::from_ask(ask),
             tokens: 0,
             is_isolated: ask.alone,
@@ -72,6 +75,7 @@
             address: self.address,
             incarnation: self.incarnation,
             software: self.software,
+            domain: self.domain,
             requirement: self.requirement,
         }
     }
--- a/crates/jaylock-tests/tests/router/fakes.rs
+++ b/crates/jaylock-tests/tests/router/fakes.rs
@@ -96,7 +96,7 @@
 
     fn report_notice(&self, _: &PoolId, _: &str, _: u64, _: &Notice) {}
 
-    fn is_excluded(&self, _: &PoolId, _: &str, _: u64) -> bool {
+    fn is_excluded(&self, _: &PoolId, _: &Grant) -> bool {
         false
     }
 
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod crashing_requests;
 mod decision;
+mod evacuations;
 mod exclusions;
 mod failure;
 mod fixture;
