Cold backend servers are limited over the whole fleet

Cause: a backend server that has just started takes only a few requests a second and crashes above that, but it looked idle and got most of the load; so did a whole domain after an evacuation or an outage. The scheduler limits a cold server by a token bucket and by the grants whose requests are not known to have arrived, so that at most 1.5 x rate + 5 requests reach it in any second however late they are sent; after the cold time the limit doubles three times and ends. Routers don't use a grant that is a second old, and without a scheduler only servers that it told as warm. The cached parts of a server that turns cold are forgotten. Services without the settings are as before.

--- a/crates/jaylock-operator/src/bin/jaylock/service.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/service.rs
@@ -1,7 +1,7 @@
 use clap::builder::ValueParser;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use jaylock_rpc::v1::{RepeatableRoute, Service};
-use jaylock_types::ServiceId;
+use jaylock_types::{RequestRate, ServiceId};
 
 use crate::output::Cell;
 use crate::resource::{self, Resource, config_field};
@@ -12,14 +12,16 @@
         .long("none-repeatable")
         .action(ArgAction::SetTrue)
         .help("Removes all calls that may be repeated");
-    resource::command::<Service>([repeatable_option()], [repeatable_option(), none])
+    let [cold_time, cold_rate] = cold_options();
+    let added = [repeatable_option(), cold_time.clone(), cold_rate.clone()];
+    resource::command::<Service>(added, [repeatable_option(), none, cold_time, cold_rate])
 }
 
 impl Resource for Service {
     type Id = ServiceId;
     const NAME: &'static str = "service";
     const ABOUT: &'static str = "Plain services, reached under /services/ID/";
-    const COLUMNS: &'static [&'static str] = &["id", "repeatable"];
+    const COLUMNS: &'static [&'static str] = &["id", "repeatable", "cold_ms", "cold_rate"];
 
     config_field!(services, PutService, RemoveService);
 
@@ -38,12 +40,27 @@
             None if is_cleared => Vec::new(),
             None => self.repeatable,
         };
-        Self { repeatable, ..self }
+        let cold_ms = matches.get_one("cold-ms").copied();
+        let cold_rate = matches.get_one::<RequestRate>("cold-rate");
+        Self {
+            repeatable,
+            cold_ms: cold_ms.unwrap_or(self.cold_ms),
+            cold_rate_milli: cold_rate.map_or(self.cold_rate_milli, |rate| rate.milli),
+            ..self
+        }
     }
 
     fn row(&self) -> Vec<Cell> {
         let routes = self.repeatable.iter().map(format_route);
-        vec![self.id.as_str().into(), Cell::List(routes.collect())]
+        let cold_rate = RequestRate {
+            milli: self.cold_rate_milli,
+        };
+        vec![
+            self.id.as_str().into(),
+            Cell::List(routes.collect()),
+            u64::from(self.cold_ms).into(),
+            cold_rate.to_string().into(),
+        ]
     }
 }
 
@@ -58,6 +75,21 @@
         )
 }
 
+/// Options for how long a backend server is cold and what it takes meanwhile.
+fn cold_options() -> [Arg; 2] {
+    let time = Arg::new("cold-ms")
+        .long("cold-ms")
+        .value_name("MS")
+        .value_parser(clap::value_parser!(u32).range(0..=MAX_COLD_MS))
+        .help("Time for which a backend server is cold after its start, in ms; 0 if it never is");
+    let rate = Arg::new("cold-rate")
+        .long("cold-rate")
+        .value_name("RATE")
+        .value_parser(clap::value_parser!(RequestRate))
+        .help("Requests a second that a cold backend server takes from all routers together; 0 for no limit");
+    [time, rate]
+}
+
 fn parse_route(text: &str) -> Result<RepeatableRoute, String> {
     let usage = || String::from("write METHOD:PREFIX such as GET:/cases/, or * for each method");
     let (method, prefix) = text.split_once(':').ok_or_else(usage)?;
@@ -80,6 +112,9 @@
     format!("{method}:{}", route.prefix)
 }
 
+/// Longest cold time, in ms.
+const MAX_COLD_MS: i64 = 600_000;
+
 /// Matches every method.
 const ANY_METHOD: &str = "*";
 
--- a/crates/jaylock-router/src/announce.rs
+++ b/crates/jaylock-router/src/announce.rs
@@ -46,6 +46,8 @@
     models: Vec<AnnouncedModel>,
     #[serde(default)]
     fence: u64,
+    /// Time for which the backend server is still cold; unset if it doesn't say.
+    cold_ms: Option<u32>,
 }
 
 #[derive(Deserialize, Clone, Copy)]
@@ -80,6 +82,8 @@
     evicted: Vec<CompactString>,
     models: Option<Vec<AnnouncedModel>>,
     fence: Option<u64>,
+    /// Time for which the backend server is still cold; unset if it doesn't say.
+    cold_ms: Option<u32>,
 }
 
 #[derive(Deserialize)]
@@ -149,6 +153,7 @@
         report.sequence = self.count;
         report.running = self.running;
         report.waiting = self.waiting;
+        report.cold_ms = self.cold_ms;
         if let Some(models) = self.models {
             report.models = models
                 .into_iter()
@@ -177,6 +182,7 @@
             fence: self.fence,
             pool: self.pool.into(),
             software: self.software.into(),
+            cold_ms: self.cold_ms,
             ..BackendReport::default()
         };
         report.set_kind(match self.kind {
--- a/crates/jaylock-router/src/route/headers.rs
+++ b/crates/jaylock-router/src/route/headers.rs
@@ -21,6 +21,8 @@
     pub limit: &'static str,
     /// Tells with the value 1 that a backend server leaves, in its responses.
     pub leaving: &'static str,
+    /// Time in ms for which a backend server is still cold, in its responses.
+    pub cold: &'static str,
     /// Identifier of the request that brought the first event of the stream that this one resumes.
     pub resumed_request: &'static str,
     /// Model of a prompt.
@@ -46,6 +48,7 @@
             seal: "x-seal",
             limit: "x-rate-limit",
             leaving: "x-leaving",
+            cold: "x-cold-ms",
             resumed_request: "x-resumes",
             model: "x-model",
             tokens: "x-tokens",
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -6,10 +6,12 @@
 use jaylock_rpc::v1::{
     Ask, Configuration, CrashCause, Decision, End, Progress, RouterFrame, SchedulerFrame,
 };
+use jaylock_types::unix_ms;
 
 use crate::SchedulerSettings;
 use crate::account::{AccountKey, Accounts};
 use crate::backends::Backends;
+use crate::cold::{ColdSettings, MAX_GRANT_AGE};
 use crate::cost::{Residual, SizeClass, cost_of};
 use crate::crash_history::CrashHistory;
 use crate::division::Division;
@@ -61,17 +63,20 @@
     /// Creates the state of a pool that is empty and grants nothing before the startup delay is over.
     #[must_use]
     pub fn new(pool: &str, epoch: u64, settings: SchedulerSettings, now: Instant) -> Self {
+        let ready_at = now + settings.startup_delay;
+        let mut backends = Backends::default();
+        backends.hold_cold_until(ready_at + MAX_GRANT_AGE);
         Self {
             pool: pool.into(),
             epoch,
-            ready_at: now + settings.startup_delay,
+            ready_at,
             prefill_rate: PrefillRate::new(settings.initial_prefill_rate),
             callerless: Vec::new(),
             memory_tokens: 0,
             settings,
             accounts: Accounts::default(),
             requirements: Requirements::default(),
-            backends: Backends::default(),
+            backends,
             routers: Routers::default(),
             isolated: VecDeque::new(),
             reservation: None,
@@ -88,7 +93,7 @@
         }
     }
 
-    /// Applies the weights, queue limits, instances, drains, evacuations and engine memory of a configuration.
+    /// Applies the weights, queue limits, instances, drains, evacuations, cold times and engine memory of a configuration.
     pub fn configure(&mut self, configuration: &Configuration, now: Instant) {
         for organisation in &configuration.organisations {
             let key = self.accounts.intern(&organisation.id);
@@ -109,7 +114,9 @@
         let drains = configuration.drains.iter();
         let drains = drains.map(|drain| drain.backend.as_str().into()).collect();
         self.backends.set_drains(drains);
-        self.backends.set_evacuations(configuration);
+        self.backends.set_evacuations(configuration, unix_ms(), now);
+        self.backends
+            .set_cold(ColdSettings::of_pool(configuration, &self.pool));
         for index in 0..self.backends.len() {
             self.refresh(index, now);
         }
@@ -128,6 +135,9 @@
         for limit in frame.limits {
             self.apply_limit(&limit, now);
         }
+        for notice in frame.cold_notices {
+            self.apply_cold_notice(&notice, now);
+        }
         for exclusion in frame.exclusions {
             self.apply_exclusion(key, &exclusion, now);
         }
@@ -247,7 +257,7 @@
         run.tokens += new_tokens;
         run.charged_tokens += new_tokens;
         let (account, backend_index, granted_at) = (run.account, run.backend_index, run.granted_at);
-        run.began_at.get_or_insert(now);
+        let is_first = run.began_at.replace(run.began_at.unwrap_or(now)).is_none();
         self.origins.record(run.stream, &run.software, now);
         let proven = run.prove(now).then(|| run.causes.clone());
         if let Some(load) = run.load.as_mut().filter(|load| load.is_prefill_pending()) {
@@ -262,6 +272,10 @@
         self.accounts.get_mut(account).tokens += new_tokens;
         let backend = self.backends.get_mut(backend_index);
         backend.record_response(granted_at);
+        if is_first {
+            backend.confirm_grant();
+            self.refresh(backend_index, now);
+        }
         if let Some(causes) = proven {
             self.crash_history.causes.record_success(&causes, now);
         }
@@ -328,6 +342,9 @@
         }
         let backend = self.backends.get_mut(run.backend_index);
         backend.remove_grant();
+        if run.began_at.is_none() {
+            backend.confirm_grant();
+        }
         if let Some(load) = run.load.take() {
             backend.engine.remove_request(load);
         }
--- a/crates/jaylock-share/src/attachment.rs
+++ b/crates/jaylock-share/src/attachment.rs
@@ -92,6 +92,9 @@
         let backend = self.backends.get_mut(backend_index);
         backend.add_grant(now);
         backend.is_reserved |= running.alone;
+        if running.tokens > 0 {
+            backend.confirm_grant();
+        }
         self.refresh(backend_index, now);
         let run = Run {
             ticket: running.ticket,
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -3,6 +3,7 @@
 use jaylock_rpc::v1::BackendReport;
 use jaylock_types::RequestRate;
 
+use crate::cold::{ColdChange, ColdPolicy, ColdState};
 use crate::engine::EngineEstimate;
 use crate::rate_limit::RateLimiter;
 use crate::reachability::Reachability;
@@ -38,7 +39,10 @@
     /// Latest start that told a router in a response that it leaves; 0 if none did.
     pub left_incarnation: u64,
     limit: Option<Limit>,
-    /// Whether its limit admits no request now.
+    pub cold: ColdState,
+    // Grants whose requests are not known to have arrived or ended.
+    unconfirmed: u32,
+    /// Whether it takes no request now, for its limit or as it is cold.
     pub is_limited: bool,
     // When its last crash became known.
     last_crash: Option<Instant>,
@@ -80,6 +84,8 @@
             ended_at: None,
             left_incarnation: 0,
             limit: None,
+            cold: ColdState::new(now),
+            unconfirmed: 0,
             is_limited: false,
             last_crash: None,
             reachability: Reachability::default(),
@@ -178,8 +184,37 @@
         }
     }
 
-    /// Updates whether the limit admits a request now.
-    pub fn update_limit(&mut self, now: Instant) {
+    /// Updates whether the server is cold and whether it takes a request now; returns whether its cache is lost.
+    pub fn update_limits(&mut self, policy: &ColdPolicy, now: Instant) -> bool {
+        let change = self.cold.update(policy.settings, now);
+        if let Some(change) = change {
+            self.log_cold(change, policy);
+        }
+        let is_cold_limited = self.cold.is_limited(policy, self.unconfirmed, now);
+        self.is_limited = !self.limit_admits(now) || is_cold_limited;
+        let has_turned_cold = change == Some(ColdChange::TurnedCold);
+        if has_turned_cold {
+            self.cached_prefixes.clear();
+            self.engine.forget_unused_parts();
+        }
+        has_turned_cold
+    }
+
+    fn log_cold(&self, change: ColdChange, policy: &ColdPolicy) {
+        let (backend, incarnation) = (self.report.id.as_str(), self.report.incarnation);
+        let rate = policy.settings.map_or(0.0, |s| s.rate.per_second());
+        match change {
+            ColdChange::TurnedCold => {
+                log::info!(target: "share", backend = backend, incarnation = incarnation, rate = rate; "a backend server is cold");
+            }
+            ColdChange::TurnedWarm => {
+                log::info!(target: "share", backend = backend, incarnation = incarnation; "a backend server is warm again");
+            }
+        }
+    }
+
+    /// Whether the limit that it names admits a request now.
+    fn limit_admits(&mut self, now: Instant) -> bool {
         let is_over = |at: Instant| now.saturating_duration_since(at) >= LIFT_DELAY;
         if self
             .limit
@@ -190,7 +225,7 @@
             self.limit = None;
         }
         let limit = self.limit.as_mut();
-        self.is_limited = limit.is_some_and(|limit| !limit.limiter.admits(now));
+        limit.is_none_or(|limit| limit.limiter.admits(now))
     }
 
     /// Counts a grant.
@@ -198,6 +233,8 @@
         if let Some(limit) = &mut self.limit {
             limit.limiter.record(now);
         }
+        self.cold.record_grant(now);
+        self.unconfirmed += 1;
         self.granted += 1;
         self.peak_grants[0] = self.peak_grants[0].max(self.granted);
     }
@@ -225,6 +262,11 @@
         self.last_crash.is_none_or(|crash| granted_at > crash)
     }
 
+    /// Records that the request under a grant has arrived, or won't.
+    pub fn confirm_grant(&mut self) {
+        self.unconfirmed = self.unconfirmed.saturating_sub(1);
+    }
+
     /// Counts the end of a grant.
     pub fn remove_grant(&mut self) {
         self.granted = self.granted.saturating_sub(1);
@@ -249,6 +291,7 @@
         if self.report.incarnation > 0 {
             self.limit = None;
         }
+        self.cold = ColdState::new(now);
         self.reachability.record_response();
         self.last_report = now.checked_sub(lease).unwrap_or(now);
     }
@@ -257,6 +300,7 @@
     pub fn renew(&mut self, report: BackendReport, now: Instant, max_prefixes: usize) {
         let report_time = report_time(&report, now);
         self.reachability.record_report(report_time);
+        self.cold.apply_report(report.cold_ms, report_time);
         self.last_report = self.last_report.max(report_time);
         // Reports lag behind grants: only load above the recent peak of grants is external.
         let reported = report.running.saturating_add(report.waiting);
--- a/crates/jaylock-share/src/backends.rs
+++ b/crates/jaylock-share/src/backends.rs
@@ -1,14 +1,16 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use jaylock_rpc::v1::{Ask, BackendReport, Configuration};
+use jaylock_rpc::v1::{Ask, BackendReport, ColdNotice, Configuration};
 
 use crate::backend::{Backend, report_time};
 use crate::backend_set::BackendSet;
 use crate::cache_index::CacheIndex;
+use crate::cold::{ColdPolicy, ColdSettings};
 use crate::division::SlotShare;
 use crate::engine::RequestLoad;
 use crate::evacuations::Evacuations;
+use crate::restorations::Restorations;
 
 /// The backend servers of a pool, each under a lease that its reports renew.
 #[derive(Debug, Default)]
@@ -19,6 +21,8 @@
     // Names of drained backend servers, announced or not; sorted.
     drains: Vec<CompactString>,
     evacuations: Evacuations,
+    restorations: Restorations,
+    cold_policy: ColdPolicy,
     // Backend servers that would take another request.
     available: BackendSet,
     // Backend servers that may take requests, full or not.
@@ -157,13 +161,16 @@
     /// Recomputes whether a backend server may take requests and would take another one.
     pub fn refresh(&mut self, index: usize, now: Instant, lease: Duration) {
         let backend = &mut self.list[index];
-        backend.update_limit(now);
+        let has_lost_cache = backend.update_limits(&self.cold_policy, now);
         let is_usable = backend.unusable_reason(now, lease).is_empty();
         let has_free_slot = backend.free_slots() > 0 || backend.may_probe(now);
         let takes_requests = has_free_slot && !backend.is_limited;
         let is_available = is_usable && !backend.is_reserved && takes_requests;
         self.usable.set(index, is_usable);
         self.available.set(index, is_available);
+        if has_lost_cache {
+            self.update_cache_index(index);
+        }
     }
 
     /// Backend servers that may take requests, full or not.
@@ -206,15 +213,18 @@
         })
     }
 
-    /// The usable backend servers with their slots.
+    /// The usable backend servers with their slots, without those that are cold or were lately.
     pub fn usable_slots(&self) -> Vec<SlotShare> {
         let usable = self.usable.common(&self.usable);
+        let usable = usable.filter(|index| self.list[*index].cold.is_warm());
+        let is_cold_limited = self.cold_policy.settings.is_some();
         let share = |index: usize| {
             let report = &self.list[index].report;
             SlotShare {
                 index,
                 incarnation: report.incarnation,
                 slots: report.slots,
+                is_warm: is_cold_limited,
             }
         };
         usable.map(share).collect()
@@ -247,11 +257,37 @@
         self.drains = drains;
     }
 
-    /// Applies the evacuations of a configuration, also to backend servers that report later.
-    pub fn set_evacuations(&mut self, configuration: &Configuration) {
+    /// Applies the evacuations of a configuration at some Unix time, also to backend servers that report later.
+    pub fn set_evacuations(&mut self, configuration: &Configuration, unix_ms: u64, now: Instant) {
         self.evacuations = Evacuations::new(configuration);
+        let restored = self.restorations.update(configuration, unix_ms, now);
         for backend in &mut self.list {
-            backend.orders.is_evacuated = self.evacuations.contains(&backend.report.domain);
+            let domain = backend.report.domain.as_str();
+            backend.orders.is_evacuated = self.evacuations.contains(domain);
+            if restored.iter().any(|known| known == domain) {
+                backend.cold.restore(now);
+            }
+        }
+    }
+
+    /// Sets how long the backend servers of the pool are cold after a start, and what they take meanwhile.
+    pub fn set_cold(&mut self, settings: Option<ColdSettings>) {
+        self.cold_policy.settings = settings;
+    }
+
+    /// Grants nothing at cold backend servers before this time.
+    pub fn hold_cold_until(&mut self, time: Instant) {
+        self.cold_policy.grants_from = Some(time);
+    }
+
+    /// Applies the remaining cold time that a start of a backend server named in a response.
+    pub fn apply_cold_notice(&mut self, notice: &ColdNotice, now: Instant) {
+        let Some(index) = self.find(&notice.backend) else {
+            return;
+        };
+        let backend = &mut self.list[index];
+        if backend.report.incarnation == notice.incarnation {
+            backend.cold.apply_notice(notice.cold_ms, now);
         }
     }
 
@@ -263,7 +299,11 @@
             .partition_point(|(other, _)| *other < name);
         let mut backend = Backend::new(report, now);
         backend.orders.is_drained = self.drains.binary_search(&name).is_ok();
-        backend.orders.is_evacuated = self.evacuations.contains(&backend.report.domain);
+        let domain = backend.report.domain.as_str();
+        backend.orders.is_evacuated = self.evacuations.contains(domain);
+        if let Some(restored_at) = self.restorations.find(domain) {
+            backend.cold.restore(restored_at);
+        }
         self.indices_by_id.insert(position, (name, index));
         self.list.push(backend);
         index
--- a/crates/jaylock-share/src/batch.rs
+++ b/crates/jaylock-share/src/batch.rs
@@ -1,7 +1,9 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use jaylock_rpc::v1::{Ask, BackendReport, End, Exclusion, Progress, RateLimit, RouterFrame};
+use jaylock_rpc::v1::{
+    Ask, BackendReport, ColdNotice, End, Exclusion, Progress, RateLimit, RouterFrame,
+};
 
 use crate::SchedulerClientSettings;
 use crate::encoding::{NameTable, encode_request_id};
@@ -16,6 +18,7 @@
     backends: Vec<BackendReport>,
     limits: Vec<RateLimit>,
     exclusions: Vec<Exclusion>,
+    cold_notices: Vec<ColdNotice>,
     // Ends with their organisations.
     ends: Vec<(CompactString, End)>,
     // Sorted by ticket.
@@ -60,6 +63,13 @@
         self.exclusions.push(exclusion);
     }
 
+    /// Adds a remaining cold time, in place of an older one of the same backend server.
+    pub fn add_cold_notice(&mut self, notice: ColdNotice) {
+        self.cold_notices
+            .retain(|other| other.backend != notice.backend);
+        self.cold_notices.push(notice);
+    }
+
     pub fn add_end(&mut self, organisation: CompactString, end: End, due: Instant) {
         if let Ok(index) = self.search_progress(end.ticket) {
             self.progress.remove(index);
@@ -92,6 +102,7 @@
             || !self.backends.is_empty()
             || !self.limits.is_empty()
             || !self.exclusions.is_empty()
+            || !self.cold_notices.is_empty()
             || (has_waiting_requests && !self.ends.is_empty());
         let batched = self.last_frame.map(|last| last + settings.batch_window);
         let urgent = is_urgent.then(|| batched.unwrap_or(now));
@@ -115,6 +126,7 @@
             backends: take_within(&mut self.backends),
             limits: std::mem::take(&mut self.limits),
             exclusions: std::mem::take(&mut self.exclusions),
+            cold_notices: std::mem::take(&mut self.cold_notices),
             ends: ends.into_iter().map(|(_, end)| end).collect(),
             progress: std::mem::take(&mut self.progress),
             ..RouterFrame::default()
--- a/crates/jaylock-share/src/client_frames.rs
+++ b/crates/jaylock-share/src/client_frames.rs
@@ -16,6 +16,7 @@
     /// Requests and reports that don't fit follow in the next messages.
     pub fn first_frame(&mut self, mut hello: Hello, now: Instant) -> RouterFrame {
         self.is_attached = true;
+        self.pool = hello.pool.as_str().into();
         self.observe_pause(now);
         self.pauses.open_stream();
         self.last_frame = Some(now);
@@ -45,6 +46,7 @@
             totals: self.unconfirmed.clone(),
             limits: self.limits.reports(now),
             exclusions: self.exclusions.reports(now),
+            cold_notices: self.cold_notices.reports(now),
             ..RouterFrame::default()
         }
     }
--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -10,6 +10,8 @@
 
 use crate::SchedulerClientSettings;
 use crate::batch::Batch;
+use crate::cold::{ColdSettings, MAX_GRANT_AGE};
+use crate::cold_notices::ColdNotices;
 use crate::connection::not_run;
 use crate::cost::cost_of;
 use crate::crashed_starts::CrashedStarts;
@@ -29,6 +31,8 @@
 #[derive(Debug)]
 pub struct ClientState {
     pub(crate) settings: SchedulerClientSettings,
+    // Empty until the first stream.
+    pub(crate) pool: CompactString,
     pub(crate) epoch: u64,
     pub(crate) is_attached: bool,
     // Sorted by ticket and thus by age.
@@ -48,6 +52,10 @@
     pub(crate) exclusions: Exclusions,
     // Failure domains to whose backend servers this router sends nothing.
     pub(crate) evacuations: Evacuations,
+    // Backend servers that told this router that they are cold.
+    pub(crate) cold_notices: ColdNotices,
+    // Whether the configuration says that backend servers of the pool may be cold.
+    pub(crate) has_cold_servers: bool,
     // Limits that backend servers named to this router.
     pub(crate) limits: NamedLimits,
     // Crashes under own runs, for a new scheduler.
@@ -70,6 +78,7 @@
     pub fn new(settings: SchedulerClientSettings) -> Self {
         Self {
             settings,
+            pool: CompactString::default(),
             epoch: 0,
             is_attached: false,
             pending: Vec::new(),
@@ -82,6 +91,8 @@
             fallback: Vec::new(),
             exclusions: Exclusions::default(),
             evacuations: Evacuations::default(),
+            cold_notices: ColdNotices::default(),
+            has_cold_servers: false,
             limits: NamedLimits::default(),
             crashes: RecentCrashes::default(),
             crashed_starts: CrashedStarts::default(),
@@ -94,9 +105,24 @@
         }
     }
 
-    /// Applies the evacuations of the active configuration.
+    /// Applies the evacuations and the cold times of the active configuration.
     pub fn configure(&mut self, configuration: &Configuration) {
-        self.evacuations = Evacuations::new(configuration);
+        let earlier = std::mem::replace(&mut self.evacuations, Evacuations::new(configuration));
+        self.has_cold_servers = ColdSettings::of_pool(configuration, &self.pool).is_some();
+        for report in self.fallback.iter_mut().filter_map(|f| f.backend.as_mut()) {
+            let domain = report.domain.as_str();
+            if earlier.index(domain) != self.evacuations.index(domain) {
+                report.cold_ms = None;
+            }
+        }
+    }
+
+    /// Uses no slot of a backend server without a scheduler until the next one tells that it is warm.
+    fn mark_cold(&mut self, backend: &str) {
+        let reports = self.fallback.iter_mut().filter_map(|f| f.backend.as_mut());
+        for report in reports.filter(|report| report.id == backend) {
+            report.cold_ms = None;
+        }
     }
 
     /// Adds a request that waits; the result is sent to `reply`.
@@ -208,12 +234,24 @@
         if let Some(exclusion) = exclusion.filter(|_| self.is_attached) {
             self.batch.add_exclusion(exclusion);
         }
+        let cold = self
+            .cold_notices
+            .record(backend, incarnation, notice.cold, now);
+        if let Some(cold) = cold {
+            self.mark_cold(backend);
+            if self.is_attached {
+                self.batch.add_cold_notice(cold);
+            }
+        }
     }
 
     /// Records what a backend server announced or reported to this router.
     pub fn report_backend(&mut self, report: BackendReport, now: Instant) {
         self.reports
             .record(&report, self.settings.report_retention, now);
+        if report.cold_ms.is_some_and(|ms| ms > 0) {
+            self.mark_cold(&report.id);
+        }
         if self.is_attached {
             self.batch.add_report(report);
         }
@@ -246,15 +284,25 @@
         expired.map(PendingRequest::into_reply).collect()
     }
 
-    /// Whether nothing may be sent under a grant: the backend server told this router so, or its domain is evacuated.
+    /// Whether nothing may be sent under a grant: the backend server told this router so, its domain is evacuated, or the
+    /// grant is so old that a cold backend server may meanwhile have got other requests in its place.
     #[must_use]
     pub fn is_excluded(&self, grant: &Grant, now: Instant) -> bool {
         self.evacuations.contains(&grant.domain)
+            || self.is_outdated(grant, now)
             || self
                 .exclusions
                 .contains(&grant.backend, grant.incarnation, now)
     }
 
+    fn is_outdated(&self, grant: &Grant, now: Instant) -> bool {
+        let search = self
+            .held
+            .binary_search_by_key(&grant.ticket, |held| held.ticket);
+        let age = |held: &HeldSlot| now.saturating_duration_since(held.granted_at);
+        self.has_cold_servers && search.is_ok_and(|index| age(&self.held[index]) >= MAX_GRANT_AGE)
+    }
+
     /// Passes a granted slot to the waiting request.
     pub(crate) fn grant(&mut self, grant: Grant, now: Instant) {
         if self.is_excluded(&grant, now) {
@@ -267,7 +315,7 @@
                 .add_end(CompactString::default(), not_run(&grant), now);
             return;
         };
-        let held = HeldSlot::new(&pending.ask, &grant);
+        let held = HeldSlot::new(&pending.ask, &grant, now);
         let index = self
             .held
             .partition_point(|other| other.ticket < held.ticket);
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -1,5 +1,5 @@
 use std::borrow::Cow;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use jaylock_rpc::v1::{Decision, Grant};
 use jaylock_types::{millis, unix_ms};
@@ -220,7 +220,12 @@
         let load = (!ask.parts.is_empty()).then(|| self.backends.add_request(backend_index, ask));
         let backend = self.backends.get(backend_index);
         let prefill_ahead = backend.engine.pending_prefill();
-        let report_delay = self.report_delay.current();
+        // The end frees a cold backend server for the next request.
+        let report_delay = if backend.cold.is_cold() {
+            Duration::ZERO
+        } else {
+            self.report_delay.current()
+        };
         let grant = Grant {
             ticket: ask.ticket,
             backend: backend.report.id.clone(),
--- a/crates/jaylock-share/src/description.rs
+++ b/crates/jaylock-share/src/description.rs
@@ -28,12 +28,17 @@
 
     fn backend_state(&self, backend: &Backend, now: Instant) -> BackendState {
         let report_age = now.saturating_duration_since(backend.last_report);
-        let state = backend.unusable_reason(now, self.settings.backend_lease);
+        let reason = backend.unusable_reason(now, self.settings.backend_lease);
+        let state = match reason {
+            "" if backend.cold.is_cold() => "cold",
+            "" => "ready",
+            reason => reason,
+        };
         BackendState {
             report: Some(backend.report.clone()),
             granted: backend.granted,
             heard_ms_ago: millis(report_age),
-            state: if state.is_empty() { "ready" } else { state }.into(),
+            state: state.into(),
         }
     }
 }
--- a/crates/jaylock-share/src/division.rs
+++ b/crates/jaylock-share/src/division.rs
@@ -19,6 +19,8 @@
     pub index: usize,
     pub incarnation: u64,
     pub slots: u32,
+    /// Whether it may be cold at other times and is warm now.
+    pub is_warm: bool,
 }
 
 impl Division {
@@ -73,7 +75,11 @@
             };
             if router.fallback.as_ref() != Some(&share) {
                 let slots = share.iter().map(|own| FallbackSlots {
-                    backend: Some(without_events(&self.backends.get(own.index).report)),
+                    backend: Some(BackendReport {
+                        // Of backend servers that may be cold, a router without a scheduler only uses those told as warm.
+                        cold_ms: own.is_warm.then_some(0),
+                        ..without_events(&self.backends.get(own.index).report)
+                    }),
                     slots: own.slots,
                 });
                 // What doesn't fit into a message is not granted locally.
--- a/crates/jaylock-share/src/engine.rs
+++ b/crates/jaylock-share/src/engine.rs
@@ -181,6 +181,18 @@
         }
     }
 
+    /// Discards the cached parts that no running request uses, as those of an engine that has turned cold.
+    pub fn forget_unused_parts(&mut self) {
+        let unused = self.parts.extract_if(.., |part| part.users == 0);
+        for part in unused {
+            self.cached_tokens = self.cached_tokens.saturating_sub(part.tokens.into());
+            self.changes.push(CacheChange {
+                hash: part.hash,
+                is_cached: false,
+            });
+        }
+    }
+
     /// Discards the estimate of an engine that has restarted.
     pub fn restart(&mut self) {
         let mut changes = std::mem::take(&mut self.changes);
--- a/crates/jaylock-share/src/evacuations.rs
+++ b/crates/jaylock-share/src/evacuations.rs
@@ -12,35 +12,55 @@
 /// The failure domains to whose backend servers nothing is sent.
 #[derive(Debug, Default)]
 pub struct Evacuations {
-    // Sorted.
-    domains: Vec<CompactString>,
+    // Sorted by domain.
+    orders: Vec<Order>,
     is_total: bool,
 }
 
+/// The last order about a failure domain.
+#[derive(Debug)]
+struct Order {
+    domain: CompactString,
+    // Log index.
+    index: u64,
+    is_evacuated: bool,
+}
+
 impl Evacuations {
-    /// The evacuated domains of a configuration.
+    /// The orders of a configuration.
     pub fn new(configuration: &Configuration) -> Self {
-        let entries = configuration.evacuations.iter();
-        let evacuated = entries.filter(|entry| entry.since_ms > 0);
-        let domains = &configuration.domains;
+        let orders = configuration.evacuations.iter().map(|entry| Order {
+            domain: entry.domain.as_str().into(),
+            index: entry.index,
+            is_evacuated: entry.since_ms > 0,
+        });
+        let mut domains = configuration.domains.iter();
         Self {
-            domains: evacuated
-                .map(|entry| entry.domain.as_str().into())
-                .collect(),
-            is_total: !domains.is_empty() && domains.iter().all(|d| is_evacuated(configuration, d)),
+            orders: orders.collect(),
+            is_total: !configuration.domains.is_empty()
+                && domains.all(|domain| is_evacuated(configuration, domain)),
         }
     }
 
     /// Whether a failure domain is evacuated.
     pub fn contains(&self, domain: &str) -> bool {
-        let search = self
-            .domains
-            .binary_search_by(|known| known.as_str().cmp(domain));
-        search.is_ok()
+        self.find(domain).is_some_and(|order| order.is_evacuated)
+    }
+
+    /// Log index of the last order about a failure domain; `None` if there was none.
+    pub fn index(&self, domain: &str) -> Option<u64> {
+        self.find(domain).map(|order| order.index)
     }
 
     /// Whether all failure domains of the fleet are evacuated, so that no backend server may be used.
     pub fn is_total(&self) -> bool {
         self.is_total
     }
+
+    fn find(&self, domain: &str) -> Option<&Order> {
+        let search = self
+            .orders
+            .binary_search_by(|order| order.domain.as_str().cmp(domain));
+        search.ok().map(|position| &self.orders[position])
+    }
 }
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -130,10 +130,15 @@
             .find(|pending| pending.ask.ticket == ticket)?;
         let requirement = Requirement::from_ask(&pending.ask);
         let (limits, exclusions) = (&mut self.limits, &self.exclusions);
-        let evacuations = &self.evacuations;
+        let (evacuations, fallback) = (&self.evacuations, &self.fallback);
+        let is_warm = |backend: &str, incarnation: u64| {
+            let is_told = !self.pauses.is_list_outdated();
+            !self.has_cold_servers || (is_told && is_told_warm(fallback, backend, incarnation))
+        };
         let mut admits = |backend: &str, incarnation: u64, domain: &str| {
             !pending.avoids(backend)
                 && !evacuations.contains(domain)
+                && is_warm(backend, incarnation)
                 && !exclusions.contains(backend, incarnation, now)
                 && limits.admits(backend, now)
         };
@@ -213,6 +218,12 @@
     }
 }
 
+/// Whether a scheduler told a router that this start of a backend server is warm, and nothing has said otherwise since.
+fn is_told_warm(told: &[FallbackSlots], backend: &str, incarnation: u64) -> bool {
+    let mut reports = told.iter().filter_map(|share| share.backend.as_ref());
+    reports.any(|r| r.id == backend && r.incarnation == incarnation && r.cold_ms == Some(0))
+}
+
 /// The slots that a scheduler told a router, each with the report of the newest start, unless that has crashed.
 fn newest_slots<'a>(
     told: &'a [FallbackSlots],
--- a/crates/jaylock-share/src/held_slot.rs
+++ b/crates/jaylock-share/src/held_slot.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use jaylock_rpc::v1::{Ask, Grant, Running};
@@ -17,6 +17,8 @@
     pub backend: CompactString,
     pub address: CompactString,
     pub incarnation: u64,
+    /// When the grant arrived.
+    pub granted_at: Instant,
     pub software: CompactString,
     /// Failure domain of the backend server.
     pub domain: CompactString,
@@ -35,13 +37,14 @@
 
 impl HeldSlot {
     /// The slot that is granted to a request.
-    pub fn new(ask: &Ask, grant: &Grant) -> Self {
+    pub fn new(ask: &Ask, grant: &Grant, now: Instant) -> Self {
         Self {
             ticket: grant.ticket,
             organisation: ask.organisation.as_str().into(),
             backend: grant.backend.as_str().into(),
             address: grant.address.as_str().into(),
             incarnation: grant.incarnation,
+            granted_at: now,
             software: grant.software.as_str().into(),
             domain: grant.domain.as_str().into(),
             requirement: Requirement::from_ask(ask),
--- a/crates/jaylock-share/src/reports.rs
+++ b/crates/jaylock-share/src/reports.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use jaylock_rpc::v1::{BackendReport, BackendVerdict, Exclusion, RateLimit};
+use jaylock_rpc::v1::{BackendReport, BackendVerdict, ColdNotice, Exclusion, RateLimit};
 use jaylock_types::RequestRate;
 
 use crate::allocator::Allocator;
@@ -16,6 +16,14 @@
         self.refresh(index, now);
     }
 
+    /// Applies the remaining cold time that a router read in a response.
+    pub(crate) fn apply_cold_notice(&mut self, notice: &ColdNotice, now: Instant) {
+        self.backends.apply_cold_notice(notice, now);
+        if let Some(index) = self.backends.find(&notice.backend) {
+            self.refresh(index, now);
+        }
+    }
+
     /// Applies what a backend server told a router in a response: to send nothing, for a time or for good.
     pub(crate) fn apply_exclusion(&mut self, key: RouterKey, exclusion: &Exclusion, now: Instant) {
         let index = self.backends.find_or_add(&exclusion.backend, now);
--- a/crates/jaylock-tests/tests/platform/rate_limits.rs
+++ b/crates/jaylock-tests/tests/platform/rate_limits.rs
@@ -72,4 +72,24 @@
         flood(&fleet);
         assert_that!(max_arrivals(&backend), le(MAX_ARRIVALS));
     };
+    // Guards against a cold time that a response names and nobody regards, while heartbeats say that there is none.
+    backend_server_that_says_in_responses_that_it_is_cold_gets_more_requests_than_it_takes => {
+        let fleet = TestFleet::start_with(FleetSettings {
+            router_count: ROUTER_COUNT,
+            ..FleetSettings::default()
+        });
+        let mut document = document(1);
+        for service in document["services"].as_array_mut().expect("services") {
+            service["cold_s"] = 1.into();
+            service["cold_per_s"] = LIMIT.into();
+        }
+        fleet.configure(&document);
+        let reply = |r: &ReceivedRequest| {
+            r.sealed("200 OK", "Cold-Remaining: 2000\r\nContent-Length: 2\r\n\r\nok")
+        };
+        let backend = FakeBackend::start(&fleet, "b1", reply);
+        flood(&fleet);
+        assert_that!(max_arrivals(&backend), le(MAX_ARRIVALS));
+        assert_that!(backend.received().len(), ge(20));
+    };
 }
--- a/crates/jaylock-tests/tests/share/exclusions.rs
+++ b/crates/jaylock-tests/tests/share/exclusions.rs
@@ -30,18 +30,21 @@
     limit: None,
     is_leaving: true,
     pause: None,
+    cold: Duration::ZERO,
 };
 
 const PAUSED: Notice = Notice {
     limit: None,
     is_leaving: false,
     pause: Some(PAUSE),
+    cold: Duration::ZERO,
 };
 
 const PAUSED_SHORTLY: Notice = Notice {
     limit: None,
     is_leaving: false,
     pause: Some(SHORT_PAUSE),
+    cold: Duration::ZERO,
 };
 
 /// Applies what a backend server told a router.
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the sharing of model capacity.
 
 mod backend;
+mod cold;
+mod cold_world;
 mod crashes;
 mod crashing_requests;
 mod decision;
--- a/crates/jaylock-types/src/notice.rs
+++ b/crates/jaylock-types/src/notice.rs
@@ -11,4 +11,6 @@
     pub is_leaving: bool,
     /// Time for which it wants no request from this router.
     pub pause: Option<Duration>,
+    /// Time for which it is still cold; 0 if it is not or doesn't say.
+    pub cold: Duration,
 }
