--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -3,6 +3,7 @@
 use jaylock_rpc::v1::BackendReport;
 use jaylock_types::RequestRate;
 
+use crate::cold::{ColdChange, ColdPolicy, ColdState};
 use crate::engine::EngineEstimate;
 use crate::rate_limit::RateLimiter;
 use crate::reachability::Reachability;
@@ -22,7 +23,7 @@
     pub report: BackendReport,
     pub last_report: Instant,
     pub granted: u32,
-    pub is_drained: bool,
+    pub orders: OperatorOrders,
     /// Estimated prefill and cache, for requests that list the parts of their prompts.
     pub engine: EngineEstimate,
     /// Whether an isolated request runs there or waits for the backend server to become idle.
@@ -38,7 +39,10 @@
     /// Latest start that told a router in a response that it leaves; 0 if none did.
     pub left_incarnation: u64,
     limit: Option<Limit>,
-    /// Whether its limit admits no request now.
+    pub cold: ColdState,
+    // Grants whose requests are not known to have arrived or ended.
+    unconfirmed: u32,
+    /// Whether it takes no request now, for its limit or as it is cold.
     pub is_limited: bool,
     // When its last crash became known.
     last_crash: Option<Instant>,
@@ -48,6 +52,14 @@
     cached_prefixes: Vec<u64>,
 }
 
+/// What operators have ordered about a backend server.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct OperatorOrders {
+    pub is_drained: bool,
+    /// Whether its failure domain is evacuated.
+    pub is_evacuated: bool,
+}
+
 /// The rate of requests that a backend server takes from all routers together.
 #[derive(Debug)]
 struct Limit {
@@ -63,7 +75,7 @@
             last_report: report_time(&report, now),
             report,
             granted: 0,
-            is_drained: false,
+            orders: OperatorOrders::default(),
             engine: EngineEstimate::default(),
             is_reserved: false,
             external_load: 0,
@@ -72,6 +84,8 @@
             ended_at: None,
             left_incarnation: 0,
             limit: None,
+            cold: ColdState::new(now),
+            unconfirmed: 0,
             is_limited: false,
             last_crash: None,
             reachability: Reachability::default(),
@@ -90,8 +104,10 @@
             "gone"
         } else if self.report.leaving || self.has_said_to_leave() {
             "leaving"
-        } else if self.is_drained {
+        } else if self.orders.is_drained {
             "drained"
+        } else if self.orders.is_evacuated {
+            "evacuated"
         } else if now.saturating_duration_since(self.last_report) >= lease {
             "lost"
         } else if self.reachability.is_lost() {
@@ -168,8 +184,37 @@
         }
     }
 
-    /// Updates whether the limit admits a request now.
-    pub fn update_limit(&mut self, now: Instant) {
+    /// Updates whether the server is cold and whether it takes a request now; returns whether its cache is lost.
+    pub fn update_limits(&mut self, policy: &ColdPolicy, now: Instant) -> bool {
+        let change = self.cold.update(policy.settings, now);
+        if let Some(change) = change {
+            self.log_cold(change, policy);
+        }
+        let is_cold_limited = self.cold.is_limited(policy, self.unconfirmed, now);
+        self.is_limited = !self.limit_admits(now) || is_cold_limited;
+        let has_turned_cold = change == Some(ColdChange::TurnedCold);
+        if has_turned_cold {
+            self.cached_prefixes.clear();
+            self.engine.forget_unused_parts();
+        }
+        has_turned_cold
+    }
+
+    fn log_cold(&self, change: ColdChange, policy: &ColdPolicy) {
+        let (backend, incarnation) = (self.report.id.as_str(), self.report.incarnation);
+        let rate = policy.settings.map_or(0.0, |s| s.rate.per_second());
+        match change {
+            ColdChange::TurnedCold => {
+                log::info!(target: "share", backend = backend, incarnation = incarnation, rate = rate; "a backend server is cold");
+            }
+            ColdChange::TurnedWarm => {
+                log::info!(target: "share", backend = backend, incarnation = incarnation; "a backend server is warm again");
+            }
+        }
+    }
+
+    /// Whether the limit that it names admits a request now.
+    fn limit_admits(&mut self, now: Instant) -> bool {
         let is_over = |at: Instant| now.saturating_duration_since(at) >= LIFT_DELAY;
         if self
             .limit
@@ -180,7 +225,7 @@
             self.limit = None;
         }
         let limit = self.limit.as_mut();
-        self.is_limited = limit.is_some_and(|limit| !limit.limiter.admits(now));
+        limit.is_none_or(|limit| limit.limiter.admits(now))
     }
 
     /// Counts a grant.
@@ -188,6 +233,8 @@
         if let Some(limit) = &mut self.limit {
             limit.limiter.record(now);
         }
+        self.cold.record_grant(now);
+        self.unconfirmed += 1;
         self.granted += 1;
         self.peak_grants[0] = self.peak_grants[0].max(self.granted);
     }
@@ -215,6 +262,11 @@
         self.last_crash.is_none_or(|crash| granted_at > crash)
     }
 
+    /// Records that the request under a grant has arrived, or won't.
+    pub fn confirm_grant(&mut self) {
+        self.unconfirmed = self.unconfirmed.saturating_sub(1);
+    }
+
     /// Counts the end of a grant.
     pub fn remove_grant(&mut self) {
         self.granted = self.granted.saturating_sub(1);
@@ -239,6 +291,7 @@
         if self.report.incarnation > 0 {
             self.limit = None;
         }
+        self.cold = ColdState::new(now);
         self.reachability.record_response();
         self.last_report = now.checked_sub(lease).unwrap_or(now);
     }
@@ -247,6 +300,7 @@
     pub fn renew(&mut self, report: BackendReport, now: Instant, max_prefixes: usize) {
         let report_time = report_time(&report, now);
         self.reachability.record_report(report_time);
+        self.cold.apply_report(report.cold_ms, report_time);
         self.last_report = self.last_report.max(report_time);
         // Reports lag behind grants: only load above the recent peak of grants is external.
         let reported = report.running.saturating_add(report.waiting);
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -1,9 +1,12 @@
 //! Tests of the sharing of model capacity.
 
 mod backend;
+mod cold;
+mod cold_world;
 mod crashes;
 mod crashing_requests;
 mod decision;
+mod evacuations;
 mod exclusions;
 mod failure;
 mod fixture;
