--- a/crates/jaylock-daemon/src/backend_reports.rs
+++ b/crates/jaylock-daemon/src/backend_reports.rs
@@ -3,9 +3,9 @@
 use std::time::{Duration, Instant};
 
 use compact_str::{ToCompactString, format_compact};
+use jaylock_control::is_evacuated;
 use jaylock_rpc::v1::backend_report::Kind;
 use jaylock_rpc::v1::{BackendReport, BackendVerdict};
-use jaylock_share::is_evacuated;
 use jaylock_types::{BackendId, InvalidId, PoolId, unix_ms};
 
 use crate::api::{ApiError, ControlApi, Result};
--- a/crates/jaylock-share/src/evacuations.rs
+++ b/crates/jaylock-share/src/evacuations.rs
@@ -1,14 +1,7 @@
 use compact_str::CompactString;
+use jaylock_control::is_evacuated;
 use jaylock_rpc::v1::Configuration;
 
-/// Whether an operator has ordered that nothing is sent to the backend servers of a failure domain.
-#[must_use]
-pub fn is_evacuated(configuration: &Configuration, domain: &str) -> bool {
-    let entries = &configuration.evacuations;
-    let search = entries.binary_search_by(|entry| entry.domain.as_str().cmp(domain));
-    search.is_ok_and(|position| entries[position].since_ms > 0)
-}
-
 /// The failure domains to whose backend servers nothing is sent.
 #[derive(Debug, Default)]
 pub struct Evacuations {
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -62,7 +62,6 @@
 pub use self::cause_log::CauseLog;
 pub use self::client::SchedulerClient;
 pub use self::client_state::ClientState;
-pub use self::evacuations::is_evacuated;
 pub use self::host::{PoolService, SchedulerHost};
 pub use self::pending_request::AskResult;
 pub use self::router::RouterKey;
