Tests of evacuations wait for what they depend on

Cause: call_that_waited_in_a_suspended_instance_changes_nothing failed in 4 of 11 runs: evacuation and restoration reached an instance together, which logs them as one change. order_without_a_majority_is_not_confirmed failed in 1 of 8 runs with 400: the instance of the domain was killed before it had registered.

Change: the first waits for the line before the withdrawal, the second names the domain of the router, which is ready and so has registered. The index of events says that changes that arrive together are one line. A clearer reason for 503.

One earlier run, before this change, failed in all 6 tests: no fleet in it had a leader for 20 s, not even groups of one, whose vote.new was written and not yet renamed, so its sync was pending (the disk of the machine, as it seems); not seen again in 22 further runs.

--- a/crates/jaylock-daemon/src/evacuations.rs
+++ b/crates/jaylock-daemon/src/evacuations.rs
@@ -88,7 +88,7 @@
 
 fn too_old() -> ApiError {
     ApiError::Unavailable(
-        "this instance can't tell whether the call is new enough: send it again".into(),
+        "the call may be over a second old, and its caller may have asked another instance: send it again".into(),
     )
 }
 
--- a/crates/jaylock-tests/tests/platform/evacuations.rs
+++ b/crates/jaylock-tests/tests/platform/evacuations.rs
@@ -122,7 +122,7 @@
         fleet.kill(0);
         fleet.kill(1);
         for method in ["POST", "DELETE"] {
-            assert_that!(call(&fleet, 2, method, "d0").0, eq(503));
+            assert_that!(call(&fleet, 2, method, "d3").0, eq(503));
         }
     };
 
@@ -139,6 +139,8 @@
             send_call_within(fleet.control_address(2), "POST", &path, "", CALL_TIMEOUT);
         }
         wait_until("the domain is evacuated", || evacuate(&fleet, 0, "d0") == 200);
+        // Changes that arrive together are logged as one.
+        wait_until("the change is logged", || lines(&fleet, 0, "evacuated", "d0") == 1);
         for domain in ["d0", "d1"] {
             wait_until("the withdrawal is acknowledged", || restore(&fleet, 0, domain) == 200);
         }
