The scheduler grants spare slots at once or refuses them

Cause: a second attempt beside a slow one must not delay other requests, so it may neither wait in a queue nor take the last free slots. A router without a scheduler refuses them at once, also those that wait for a reply when the stream is lost.

--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -49,6 +49,8 @@
     pub(crate) origins: StreamOrigins,
     // Requests that take up streams of which no attached router has told the origin yet.
     pub(crate) unresolved: Vec<(RouterKey, Ask)>,
+    // Requests for slots that no other request needs, until the next decision.
+    pub(crate) spare_asks: Vec<(RouterKey, Ask)>,
     residual: Residual,
     pub(crate) prefill_rate: PrefillRate,
     // Instances that serve no callers; sorted.
@@ -83,6 +85,7 @@
             crash_history: CrashHistory::default(),
             origins: StreamOrigins::default(),
             unresolved: Vec::new(),
+            spare_asks: Vec::new(),
             division: Division::default(),
             residual: Residual::default(),
         }
--- a/crates/jaylock-share/src/arrival.rs
+++ b/crates/jaylock-share/src/arrival.rs
@@ -23,6 +23,10 @@
 impl Allocator {
     /// Adds a router's request to a queue, or refuses it at once.
     pub(crate) fn add_ask(&mut self, router: RouterKey, mut ask: Ask, now: Instant) {
+        if ask.spare {
+            self.spare_asks.push((router, ask));
+            return;
+        }
         match self.resolve_origin(&mut ask, now) {
             Origin::Resolved => {}
             Origin::Awaited => {
@@ -50,8 +54,9 @@
 
     /// Gives up a request whose caller waits no longer.
     pub(crate) fn cancel(&mut self, router: RouterKey, ticket: u64) {
-        self.unresolved
-            .retain(|(key, ask)| *key != router || ask.ticket != ticket);
+        let is_other = |(key, ask): &(RouterKey, Ask)| *key != router || ask.ticket != ticket;
+        self.unresolved.retain(is_other);
+        self.spare_asks.retain(is_other);
         let account = self
             .routers
             .get_mut(router)
@@ -61,7 +66,7 @@
         }
     }
 
-    fn requirement(&mut self, ask: &Ask) -> RequirementKey {
+    pub(crate) fn requirement(&mut self, ask: &Ask) -> RequirementKey {
         match self.requirements.find(ask) {
             Some(requirement) => requirement,
             None => self.requirements.add(ask, self.backends.reports()),
--- a/crates/jaylock-share/src/attachment.rs
+++ b/crates/jaylock-share/src/attachment.rs
@@ -148,5 +148,6 @@
             self.drop_waiting(key, ticket, account);
         }
         self.unresolved.retain(|(router, _)| *router != key);
+        self.spare_asks.retain(|(router, _)| *router != key);
     }
 }
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -168,6 +168,11 @@
         }
     }
 
+    /// Whether the backend server names a limit, whether or not that admits a request now.
+    pub fn has_limit(&self) -> bool {
+        self.limit.is_some()
+    }
+
     /// Updates whether the limit admits a request now.
     pub fn update_limit(&mut self, now: Instant) {
         let is_over = |at: Instant| now.saturating_duration_since(at) >= LIFT_DELAY;
--- a/crates/jaylock-share/src/client_frames.rs
+++ b/crates/jaylock-share/src/client_frames.rs
@@ -53,6 +53,7 @@
     pub fn detach(&mut self, now: Instant) {
         self.is_attached = false;
         self.detached_at.get_or_insert(now);
+        self.refuse_spare();
         for total in std::mem::take(&mut self.unconfirmed) {
             self.add_unreported(&total.organisation, total.unheard);
         }
--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -3,8 +3,9 @@
 use compact_str::CompactString;
 use futures_channel::oneshot;
 use jaylock_rpc::v1::end::Outcome;
+use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{
-    Ask, BackendReport, BackendVerdict, End, FallbackSlots, Grant, Progress, Total,
+    Ask, BackendReport, BackendVerdict, End, FallbackSlots, Grant, Progress, Refusal, Total,
 };
 use jaylock_types::{Notice, StreamId};
 
@@ -92,6 +93,10 @@
 
     /// Adds a request that waits; the result is sent to `reply`.
     pub fn request_slot(&mut self, mut ask: Ask, reply: oneshot::Sender<AskResult>, now: Instant) {
+        if ask.spare && !self.is_attached {
+            let _ = reply.send(Err(no_spare_slot(ask.ticket)));
+            return;
+        }
         self.resolve_origin(&mut ask);
         if self.is_attached {
             self.batch.add_ask(ask.clone());
@@ -283,6 +288,14 @@
         ask.software = software.map(|software| software.as_str().into());
     }
 
+    /// Refuses the requests for spare slots, which only a scheduler grants.
+    pub(crate) fn refuse_spare(&mut self) {
+        let spare = self.pending.extract_if(.., |p| p.ask.spare);
+        for (ticket, reply) in spare.map(PendingRequest::into_reply) {
+            let _ = reply.send(Err(no_spare_slot(ticket)));
+        }
+    }
+
     pub(crate) fn take_pending(&mut self, ticket: u64) -> Option<PendingRequest> {
         let index = self
             .pending
@@ -309,3 +322,12 @@
             .binary_search_by(|total| total.organisation.as_str().cmp(organisation))
     }
 }
+
+/// Refusal of a spare slot while no scheduler is attached.
+fn no_spare_slot(ticket: u64) -> Refusal {
+    Refusal {
+        ticket,
+        reason: Reason::NoBackend.into(),
+        retry_after_ms: 1,
+    }
+}
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -24,9 +24,13 @@
     /// backlogged organisations that can't use any of them.
     pub fn decide(&mut self, now: Instant) {
         self.record_usage(now);
-        if now < self.ready_at {
-            return;
+        if now >= self.ready_at {
+            self.grant_waiting(now);
         }
+        self.decide_spare(now);
+    }
+
+    fn grant_waiting(&mut self, now: Instant) {
         self.grant_isolated(now);
         let mut position = 0;
         let mut ranking = EngineRanking::new(&self.backends);
@@ -183,7 +187,7 @@
             })
     }
 
-    fn grant(
+    pub(crate) fn grant(
         &mut self,
         account: AccountKey,
         waiting: &WaitingRequest,
@@ -202,7 +206,9 @@
         let wait = now.saturating_duration_since(waiting.arrived_at);
         let service_gap = self.accounts.service_gap(account);
         self.waiting_count -= 1;
-        self.accounts.record_grant(account, now);
+        if !ask.spare {
+            self.accounts.record_grant(account, now);
+        }
         self.record_service(account, AskOutcome::Granted, ask);
         self.report_delay.record_grant(now);
         self.accounts.charge(account, charged_tokens);
@@ -293,7 +299,10 @@
 }
 
 /// The backend servers of a set that take requests from a router.
-fn allowed_backends<'a>(router: Option<&Router>, eligible: &'a BackendSet) -> Cow<'a, BackendSet> {
+pub fn allowed_backends<'a>(
+    router: Option<&Router>,
+    eligible: &'a BackendSet,
+) -> Cow<'a, BackendSet> {
     match router.filter(|router| !router.pauses.is_empty()) {
         Some(router) => Cow::Owned(eligible.difference(&router.paused())),
         None => Cow::Borrowed(eligible),
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -51,6 +51,7 @@
 mod seen_versions;
 mod service_log;
 mod settings;
+mod spare;
 mod stream_origins;
 mod usage;
 
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -16,6 +16,7 @@
 mod rate_limits;
 mod router_out_of_step;
 mod simulation;
+mod spare;
 mod stream;
 mod stream_origins;
 mod version_faults;
