Setting for the share of hedged requests, and their metrics

Cause: operators decide how much extra work second attempts beside slow ones may cause, and must see what they bring. Change: [limits] hedges, whole per cent from 0 to 20, default 0; any other value is an error with line and remedy. Counters for hedges that were sent, won, over the limit or without a spare slot, and for the time of needless attempts. Nothing uses the setting yet.

--- a/crates/jaylock-observe/src/lib.rs
+++ b/crates/jaylock-observe/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod burn;
 mod clock;
+mod hedge_event;
 mod html;
 mod log_writer;
 mod logging;
@@ -20,6 +21,7 @@
 
 pub use self::burn::{Alert, BurnLine, BurnReport, Peak};
 pub use self::clock::{Minute, WallClock};
+pub use self::hedge_event::HedgeEvent;
 pub use self::log_writer::LogWriter;
 pub use self::logging::{LOG_TARGETS, LogSettings, setup_log};
 pub use self::memory_use::MemoryUse;
--- a/crates/jaylock-observe/src/metrics.rs
+++ b/crates/jaylock-observe/src/metrics.rs
@@ -7,6 +7,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use crate::hedge_event::HedgeEvent;
 use crate::memory_use::MemoryUse;
 use crate::objective::ObjectiveResult;
 use crate::process::{cpu_seconds, resident_bytes};
@@ -28,6 +29,8 @@
     attempts: Counter<u64>,
     tokens: Counter<u64>,
     objectives: Counter<u64>,
+    hedges: Counter<u64>,
+    hedge_waste: Counter<f64>,
     first_token: Histogram<f64>,
     admission: Histogram<f64>,
     wait: Histogram<f64>,
@@ -62,6 +65,14 @@
             attempts: counter("jaylock_attempts", "Attempts at backend servers."),
             tokens: counter("jaylock_tokens", "Tokens generated."),
             objectives: counter("jaylock_objective_requests", "Requests by objective kept."),
+            hedges: counter(
+                "jaylock_hedges",
+                "Second attempts beside slow ones, by event.",
+            ),
+            hedge_waste: meter
+                .f64_counter("jaylock_hedge_wasted_seconds")
+                .with_description("Time for which attempts ran that another one made needless.")
+                .build(),
             first_token: times("jaylock_first_token_seconds", "Time to the first token."),
             admission: times(
                 "jaylock_admission_seconds",
@@ -123,6 +134,16 @@
         self.objectives.add(1, &labels);
     }
 
+    /// Counts what happened to a second attempt beside a slow one.
+    pub fn record_hedge(&self, event: HedgeEvent) {
+        self.hedges.add(1, &[KeyValue::new("event", event.label())]);
+    }
+
+    /// Counts the time for which an attempt ran whose response was not needed.
+    pub fn record_hedge_waste(&self, time: Duration) {
+        self.hedge_waste.add(time.as_secs_f64(), &[]);
+    }
+
     /// Sets how many bytes are kept for a use.
     pub fn record_memory(&self, used_for: MemoryUse, bytes: u64) {
         let label = KeyValue::new("use", used_for.label());
--- a/crates/jaylock-observe/src/observer.rs
+++ b/crates/jaylock-observe/src/observer.rs
@@ -8,6 +8,7 @@
 use log::Level;
 
 use crate::clock::{Minute, WallClock};
+use crate::hedge_event::HedgeEvent;
 use crate::memory_use::MemoryUse;
 use crate::metrics::Metrics;
 use crate::minutes::MinuteStore;
@@ -114,6 +115,16 @@
         self.shared.metrics.record_memory(used_for, bytes);
     }
 
+    /// Counts what happened to a second attempt beside a slow one.
+    pub fn record_hedge(&self, event: HedgeEvent) {
+        self.shared.metrics.record_hedge(event);
+    }
+
+    /// Counts the time for which an attempt ran whose response was not needed.
+    pub fn record_hedge_waste(&self, time: Duration) {
+        self.shared.metrics.record_hedge_waste(time);
+    }
+
     /// All metrics in the text exposition format of Prometheus.
     #[must_use]
     pub fn exposition(&self) -> String {
--- a/crates/jaylock-settings/src/limits.rs
+++ b/crates/jaylock-settings/src/limits.rs
@@ -20,6 +20,8 @@
     pub queue: u32,
     /// Maximum number of retries that a service gets at once from all routers together.
     pub retries: u32,
+    /// Maximum number of second attempts beside slow ones, in per cent of a service's requests; 0 if none are sent.
+    pub hedges: u32,
     /// Maximum memory of the process; also limits connections and request bodies.
     pub memory: ByteSize,
     /// Maximum size of the stored copy of the response to a non-idempotent request.
@@ -35,6 +37,7 @@
             sender_timeout: Duration::from_secs(10),
             queue: 64,
             retries: 48,
+            hedges: 0,
             memory: ByteSize(1 << 30),
             answer_copy: ByteSize(16 << 10),
         }
@@ -81,6 +84,11 @@
         }),
         Key::optional("queue", COUNT, |s, v| count(v).map(|n| s.queue = n)),
         Key::optional("retries", COUNT, |s, v| count(v).map(|n| s.retries = n)),
+        Key::optional("hedges", HEDGE_PERCENT, |s, v| {
+            let percent = parsed(v.strip_suffix('%').unwrap_or(v));
+            let percent = percent.filter(|percent| *percent <= MAX_HEDGE_PERCENT);
+            percent.map(|percent| s.hedges = percent)
+        }),
         Key::optional("memory", SIZE, |s, v| parsed(v).map(|size| s.memory = size)),
         Key::optional("answer_copy", SIZE, |s, v| {
             parsed(v).map(|size| s.answer_copy = size)
@@ -93,3 +101,9 @@
 
 /// Form of the `headers` limit, for errors.
 const HEADER_SIZE: &str = "a size of at least 8KiB, such as 16KiB";
+
+/// Largest share of hedges; more would take as much work as the retries that the fleet allows.
+const MAX_HEDGE_PERCENT: u32 = 20;
+
+/// Form of the `hedges` limit, for errors.
+const HEDGE_PERCENT: &str = "a whole number of per cent from 0 to 20, such as 5%";
--- a/crates/jaylock-tests/tests/product/settings.rs
+++ b/crates/jaylock-tests/tests/product/settings.rs
@@ -72,6 +72,21 @@
              write an IP address with a port, such as 127.0.0.1:7080"
         ));
     };
+    // Guards against a share of hedges that is taken for another one, or beyond what the retry budget can bear.
+    hedges_are_a_share_of_at_most_a_fifth => {
+        let read = |value: &str| {
+            let text = format!("{MINIMAL}[limits]\nhedges = {value}\n");
+            Settings::parse(&text, "a.ini").map(|s| s.limits.hedges)
+        };
+        for (value, expected) in [("0", 0), ("0%", 0), ("5", 5), ("20%", 20)] {
+            assert_that!(read(value).expect("valid settings"), eq(expected));
+        }
+        for value in ["21", "-1", "1000000000", "4294967301", "2.5%", "%", "many", "5%%", ""] {
+            let error = read(value).expect_err(value).to_string();
+            assert_that!(error, starts_with("a.ini:13: key hedges of section [limits] can't be"));
+            assert_that!(error, contains_substring("a whole number of per cent from 0 to 20"));
+        }
+    };
     refuses_an_unknown_key => {
         let text = error_text("data = data/one", "data = data/one\ndate = x");
         assert_that!(text, starts_with("a.ini:7: section [instance] has no key date; its keys are id,"));
