A late request that may be repeated gets a second attempt beside the first one

Cause: a single slow backend server delays the requests that are sent to it, though others would respond at once. Change: Hedging (pure) plans the delay from the route's recent responses and keeps the allowance, a part of the fleet's for each router. For repeatable routes, hedged.rs runs the second attempt in a spare slot: the first good response wins, the other attempt is cancelled at once, and if one fails, the other goes on as its retry. The settling of a broken attempt moves to broken.rs, so that it can run beside the other attempt. With hedges = 0, the default, requests take the same path as before.

--- a/crates/jaylock-daemon/src/context.rs
+++ b/crates/jaylock-daemon/src/context.rs
@@ -245,6 +245,7 @@
             sender_timeout: limits.sender_timeout,
             max_recorded: limits.answer_copy,
             route_burst: limits.retries,
+            hedge_percent: limits.hedges,
             first_byte_timeout: timeouts.first_byte,
             idle_timeout: timeouts.silence,
             event_timeout: timeouts.event,
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -7,15 +7,17 @@
 use jaylock_observe::{RequestKind, RunStatus};
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::refusal::Reason;
+use jaylock_rpc::v1::route::Kind;
 use jaylock_rpc::v1::{Ask, Grant, Refusal};
 use jaylock_types::millis;
 
+use super::broken::BrokenAttempt;
 use super::context::{RouteContext, is_repeatable};
 use super::prompt::Prompt;
 use super::quarantine::quarantine_time;
 use super::request::RouteRequest;
-use crate::connection::{self, Probe};
 use crate::error::AttemptError;
+use crate::hedge::HedgePlan;
 use crate::pinned::PinnedSoftware;
 use crate::response::{ErrorResponse, QUARANTINED};
 use crate::slot::Slot;
@@ -24,28 +26,29 @@
 /// Divisor of the remaining time that caps the delay in `retry-after`.
 pub const MAX_DELAY_DIVISOR: u32 = 3;
 
-/// Time for which a connection is tried, after one was lost, to see whether the backend server crashed.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// State shared by the attempts of one request for a route, which decides about retries.
 pub struct Attempts {
     /// State shared by all requests.
     pub context: Rc<RouteContext>,
     /// Request that the attempts belong to.
-    pub request: RouteRequest,
+    pub request: Rc<RouteRequest>,
     /// Record of the request for metrics, logs and traces.
     pub tracker: RequestTracker,
     run_status: RunStatus,
     /// Number of attempts made.
     count: u32,
-    avoid: Vec<String>,
+    /// Backend servers at which earlier attempts failed.
+    pub avoid: Vec<String>,
     /// Addresses that earlier attempts were sent to.
     addresses: Vec<SocketAddr>,
-    software: PinnedSoftware,
+    /// Version of the software at which the response must go on.
+    pub software: PinnedSoftware,
     /// When the first slot was granted.
     first_grant: Option<Instant>,
     /// Whether no attempt may follow one that may have run, whatever the route allows.
     is_final: bool,
+    /// Whether a second attempt beside a slow one was asked for.
+    pub is_hedged: bool,
 }
 
 impl Attempts {
@@ -53,6 +56,9 @@
     pub fn new(context: Rc<RouteContext>, request: RouteRequest) -> Self {
         context.budget.update(&context.view.current());
         context.budget.deposit(request.pool().as_str());
+        context
+            .hedging
+            .record_request(request.pool().as_str(), &context.view.current());
         let kind = match request.prompt {
             Some(_) => RequestKind::Model,
             None => RequestKind::Service,
@@ -67,7 +73,7 @@
         );
         Self {
             context,
-            request,
+            request: Rc::new(request),
             tracker,
             run_status: RunStatus::NotRun,
             count: 0,
@@ -76,6 +82,7 @@
             software: PinnedSoftware::default(),
             first_grant: None,
             is_final: false,
+            is_hedged: false,
         }
     }
 
@@ -123,7 +130,9 @@
                 Err(refusal) => refusal,
             };
             let is_unknown = refusal.reason() == Reason::UnknownStream;
-            if !is_unknown || !self.request.use_next_target() {
+            // The request is shared only while an attempt runs.
+            let request = Rc::get_mut(&mut self.request);
+            if !is_unknown || !request.is_some_and(RouteRequest::use_next_target) {
                 let error = ErrorResponse::from_scheduler(&refusal);
                 return Err(self.with_capped_delay(error.with_run_status(self.run_status)));
             }
@@ -176,6 +185,12 @@
             return Err(self.give_up("the backend server's address is malformed"));
         };
         self.first_grant.get_or_insert_with(Instant::now);
+        self.count_attempt(&slot);
+        Ok((address, slot))
+    }
+
+    /// Counts an attempt for which a slot was granted.
+    pub fn count_attempt(&mut self, slot: &Slot) {
         self.count += 1;
         self.tracker.record.attempts = self.count;
         self.tracker.record_step(format_compact!(
@@ -183,11 +198,38 @@
             self.count,
             slot.backend()
         ));
-        Ok((address, slot))
+    }
+
+    /// Number of attempts made.
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
+    /// Records how long a successful response took, for the delay of later hedges.
+    pub fn record_response_time(&self, time: Duration) {
+        let route = &self.request.route;
+        if route.kind() == Kind::Repeatable {
+            let hedging = &self.context.hedging;
+            hedging.record_response(&route.id, time, Instant::now());
+        }
+    }
+
+    /// When the attempt that starts now gets a second one beside it; `None` if it never does.
+    ///
+    /// A request gets one at most, and none that may not be repeated.
+    pub fn hedge_plan(&self) -> Option<HedgePlan> {
+        let route = &self.request.route;
+        let may_hedge = route.kind() == Kind::Repeatable && self.may_retry() && !self.is_hedged;
+        if !may_hedge || self.count >= route.attempts.max(1) {
+            return None;
+        }
+        let plan = self.context.hedging.plan(&route.id, Instant::now())?;
+        let remaining = self.request.remaining().checked_sub(plan.delay)?;
+        plan.may_win(remaining).then_some(plan)
     }
 
     /// Refuses a request that is like others which crashed backend servers.
-    fn check_quarantine(&self) -> Result<(), ErrorResponse> {
+    pub fn check_quarantine(&self) -> Result<(), ErrorResponse> {
         let configuration = self.context.view.current();
         let Some(remaining) = quarantine_time(&configuration, &self.request) else {
             return Ok(());
@@ -206,33 +248,13 @@
         address: SocketAddr,
         slot: Slot,
     ) -> Result<(), ErrorResponse> {
-        let backend = slot.backend().to_owned();
-        self.tracker
-            .record_step(format_compact!("attempt at {backend} failed: {error}"));
+        let broken = self.record_end(error, address, slot, self.count);
+        if let Some(broken) = broken {
+            broken.settle().await;
+        }
         if matches!(error, AttemptError::Excluded) {
-            // Nothing was sent, so that this was no attempt.
-            self.count -= 1;
-            slot.release(Outcome::NotRun);
             return Ok(());
         }
-        self.avoid.push(backend);
-        self.addresses.push(address);
-        if matches!(error, AttemptError::Unreachable(_)) {
-            slot.release_unreached();
-        } else if error.is_not_run() {
-            slot.release(Outcome::NotRun);
-        } else {
-            let has_crashed = has_crashed(error, address).await;
-            self.log_broken(error, slot.backend(), has_crashed);
-            slot.release(if has_crashed {
-                Outcome::Crashed
-            } else {
-                Outcome::Broken
-            });
-            if self.run_status == RunStatus::NotRun {
-                self.run_status = RunStatus::Unknown;
-            }
-        }
         if !error.is_not_run() && !self.may_retry() {
             return Err(self.give_up("the attempt broke off and may not be repeated"));
         }
@@ -252,16 +274,62 @@
         Ok(())
     }
 
-    /// Logs what a broken attempt has in common with others that ended at the same backend server.
-    fn log_broken(&self, error: &AttemptError, backend: &str, has_crashed: bool) {
+    /// Records a failed attempt beside which another one runs, which may still complete the response.
+    pub fn record_failed_beside(
+        &mut self,
+        error: &AttemptError,
+        address: SocketAddr,
+        slot: Slot,
+        number: u32,
+    ) {
+        if let Some(broken) = self.record_end(error, address, slot, number) {
+            // The other attempt's response doesn't wait until it is known whether the backend server crashed.
+            compio::runtime::spawn(broken.settle()).detach();
+        }
+    }
+
+    /// Records the end of a failed attempt; returns one that may have run, whose slot is still to be released.
+    fn record_end(
+        &mut self,
+        error: &AttemptError,
+        address: SocketAddr,
+        slot: Slot,
+        number: u32,
+    ) -> Option<BrokenAttempt> {
+        let backend = slot.backend().to_owned();
+        self.tracker
+            .record_step(format_compact!("attempt at {backend} failed: {error}"));
+        if matches!(error, AttemptError::Excluded) {
+            // Nothing was sent, so that this was no attempt.
+            self.count -= 1;
+            slot.release(Outcome::NotRun);
+            return None;
+        }
+        self.avoid.push(backend);
+        self.addresses.push(address);
+        if matches!(error, AttemptError::Unreachable(_)) {
+            slot.release_unreached();
+            return None;
+        }
+        if error.is_not_run() {
+            slot.release(Outcome::NotRun);
+            return None;
+        }
         let parts = self.request.prompt.as_ref().map(Prompt::part_list);
-        log::info!(
-            target: "router",
-            request = self.request.id.as_str(), organisation = self.request.organisation.as_str(),
-            backend = backend, attempt = self.count, ran = self.run_status == RunStatus::Ran,
-            crashed = has_crashed, parts = parts.unwrap_or_default().as_str();
-            "an attempt broke off: {error}"
-        );
+        let broken = BrokenAttempt {
+            error: error.clone(),
+            address,
+            slot,
+            number,
+            request: self.request.id.clone(),
+            organisation: self.request.organisation.clone(),
+            has_run: self.run_status == RunStatus::Ran,
+            parts: parts.unwrap_or_default().into(),
+        };
+        if self.run_status == RunStatus::NotRun {
+            self.run_status = RunStatus::Unknown;
+        }
+        Some(broken)
     }
 
     /// Timeout for the head of this attempt's response.
@@ -334,9 +402,3 @@
         error
     }
 }
-
-/// Whether the backend server of an attempt crashed: the connection is lost, and none can be opened.
-async fn has_crashed(error: &AttemptError, address: SocketAddr) -> bool {
-    matches!(error, AttemptError::Lost(_))
-        && connection::probe(address, PROBE_TIMEOUT).await == Probe::Refused
-}
--- a/crates/jaylock-router/src/route/context.rs
+++ b/crates/jaylock-router/src/route/context.rs
@@ -11,6 +11,7 @@
 use super::headers::RouteHeaders;
 use crate::budget::FleetBudget;
 use crate::connection::ConnectionPool;
+use crate::hedge::Hedging;
 use crate::lifecycle::{Lifecycle, RunPlan};
 use crate::memory::BodyMemory;
 use crate::overload::{self, OverloadGuard};
@@ -32,6 +33,8 @@
     pub connections: Rc<ConnectionPool>,
     /// Retry budget of each service.
     pub budget: FleetBudget,
+    /// When requests get a second attempt beside a slow one.
+    pub hedging: Hedging,
     /// Longest recent runs of each route.
     pub run_times: RunTimes,
     /// Memory budget for the bodies of requests in progress.
--- a/crates/jaylock-router/src/route/mod.rs
+++ b/crates/jaylock-router/src/route/mod.rs
@@ -2,11 +2,14 @@
 
 mod admission;
 mod attempts;
+mod broken;
 mod buffered;
 mod context;
 mod continuation;
 mod event_source;
 mod headers;
+mod hedge_slot;
+mod hedged;
 mod notice;
 mod prompt;
 mod quarantine;
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -112,7 +112,7 @@
                 }
                 continue;
             }
-            match buffered::read(&self.attempts, response).await {
+            match buffered::read(&self.attempts.context, &self.attempts.request, response).await {
                 Ok(buffered) => {
                     slot.release(Outcome::Complete);
                     self.attempts.context.connections.put_back(connection);
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -11,6 +11,7 @@
 use crate::background::Background;
 use crate::budget::RetryBudget;
 use crate::context::Context;
+use crate::hedge::Hedging;
 use crate::lifecycle::Lifecycle;
 use crate::memory::BodyMemory;
 use crate::organisation::Organisations;
@@ -164,6 +165,7 @@
             lifecycle: context.lifecycle.clone(),
             connections: context.connections.clone(),
             budget: context.settings.route_budget(),
+            hedging: Hedging::new(context.settings.hedge_percent),
             run_times: RunTimes::default(),
             memory: context.memory.clone(),
             overload: context.overload.clone(),
--- a/crates/jaylock-router/src/settings.rs
+++ b/crates/jaylock-router/src/settings.rs
@@ -81,6 +81,8 @@
     pub route_burst: u32,
     /// Retries that each request for a service adds to the budget, in thousandths.
     pub route_permille: u32,
+    /// Second attempts beside slow ones that a service may receive, in per cent of its requests; 0 if none are sent.
+    pub hedge_percent: u32,
 }
 
 impl RouterSettings {
@@ -137,6 +139,7 @@
             keep_alive_timeout: Duration::from_secs(30),
             route_burst: 48,
             route_permille: 100,
+            hedge_percent: 0,
         }
     }
 }
--- a/crates/jaylock-tests/tests/router/fakes.rs
+++ b/crates/jaylock-tests/tests/router/fakes.rs
@@ -36,6 +36,8 @@
     /// Whether a slot request waits while it avoids every backend server.
     pub waits_for_others: Cell<bool>,
     pub never_grants: Cell<bool>,
+    /// Whether there is no slot to spare.
+    pub refuses_spare: Cell<bool>,
     /// Whether each slot request waits, until this is unset.
     pub delays_grants: Cell<bool>,
     pub slot_requests: RefCell<Vec<Ask>>,
@@ -48,13 +50,14 @@
     fn grant(&self, ask: Ask) -> Result<Grant, Refusal> {
         let ticket = self.slot_requests.borrow().len() as u64 + 1;
         let avoid = ask.avoid.clone();
+        let is_refused = ask.spare && self.refuses_spare.get();
         self.slot_requests.borrow_mut().push(ask);
         if let Some(refusal) = self.refusals.borrow_mut().pop_front() {
             return Err(refusal);
         }
         let backends = self.backends.borrow();
         let mut usable = backends.iter().map(SocketAddr::to_string);
-        let found = usable.find(|b| !avoid.contains(b));
+        let found = usable.find(|b| !is_refused && !avoid.contains(b));
         found
             .map(|address| Grant {
                 ticket,
--- a/crates/jaylock-tests/tests/router/harness.rs
+++ b/crates/jaylock-tests/tests/router/harness.rs
@@ -35,6 +35,7 @@
     pub view: ConfigView,
     pub schedulers: FakeSchedulers,
     pub command_log: FakeCommandLog,
+    pub observer: Observer,
     pub address: SocketAddr,
     client: cyper::Client,
     _serving: compio::runtime::JoinHandle<()>,
@@ -75,10 +76,8 @@
             incarnation: Incarnation(1),
             domain: "amman-a".parse().expect("a domain"),
         };
-        let (ports, observer) = (
-            (schedulers.clone(), command_log.clone()),
-            Observer::default(),
-        );
+        let ports = (schedulers.clone(), command_log.clone());
+        let observer = Observer::default();
         let lease = InstanceLease::until(Instant::now() + LEASE);
         let inner = Router::new(
             identity,
@@ -86,7 +85,7 @@
             lease,
             ports.0,
             ports.1,
-            observer,
+            observer.clone(),
             settings,
         );
         let serving = inner.clone();
@@ -97,6 +96,7 @@
             view,
             schedulers,
             command_log,
+            observer,
             address,
             client,
             _serving: serving,
--- a/crates/jaylock-tests/tests/router/main.rs
+++ b/crates/jaylock-tests/tests/router/main.rs
@@ -10,6 +10,7 @@
 mod fakes;
 mod harness;
 mod heads;
+mod hedging;
 mod history;
 mod limits;
 mod overload;
