--- a/crates/jaylock-tests/tests/share/spare.rs
+++ b/crates/jaylock-tests/tests/share/spare.rs
@@ -126,6 +126,22 @@
         // The slot is free again.
         assert_that!(report.backends[1].granted, eq(0));
     };
+    // Guards against a quarantine after one submission of a request: both attempts crash their servers, which counts once,
+    // so that two equal requests may still run at a time.
+    crashes_of_both_attempts_count_as_one => {
+        let mut pool = pool(0);
+        pool.report(engine_report("b3", 8));
+        let first = pool.ask([Ask { digest: 7, ..ask("o") }])[0];
+        let backend = pool.decide().expect("a grant");
+        let second = pool.ask([Ask { digest: 7, ..spare("o", &backend) }])[0];
+        assert_that!(pool.decide(), some(anything()));
+        pool.now += Duration::from_millis(50);
+        pool.end_as(first, Outcome::Crashed);
+        pool.now += Duration::from_millis(50);
+        pool.end_as(second, Outcome::Crashed);
+        pool.ask([1, 2].map(|_| Ask { digest: 7, ..ask("o") }));
+        assert_that!(pool.decide_all().0, len(eq(2)));
+    };
     // Guards against spare slots that a router grants itself, or that wait for the next scheduler.
     spare_slot_is_refused_at_once_without_a_scheduler => {
         let now = std::time::Instant::now();
