--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -213,6 +213,11 @@
         }
     }
 
+    /// Whether the backend server names a limit, whether or not that admits a request now.
+    pub fn has_limit(&self) -> bool {
+        self.limit.is_some()
+    }
+
     /// Whether the limit that it names admits a request now.
     fn limit_admits(&mut self, now: Instant) -> bool {
         let is_over = |at: Instant| now.saturating_duration_since(at) >= LIFT_DELAY;
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -55,6 +55,7 @@
 mod seen_versions;
 mod service_log;
 mod settings;
+mod spare;
 mod stream_origins;
 mod usage;
 
