Engines are ranked by the time to the first event at their own learned pace

Cause: the prefill rate is one figure for a pool, and engines are compared by tokens. In a pool of engines at 0.7, 0.7 and 1.7 of the mean the slowest third gets as many prompts as the fastest.

Change: pace.rs learns the prefill pace of each engine relative to the pool's mean. An observation is the time from the engine's previous first event, or from the grant if the engine was idle; the constant delay of a first event is fitted over the pool and subtracted. Paces from 0.8 to 1.25 count as 1.0, so that equal engines are ranked by the same integers as before. The ranking, the bound on pending prefill and the charge of prompts whose callers left use the engine's own rate. The additional weight of uncached tokens applies to tokens that another engine caches; the rest of it no longer depends on the engine, because otherwise prompts wait for fast engines while slow ones are idle. `backend list` shows the pace.

Equal engines: the same results with and without paces.

--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -15,6 +15,7 @@
 use crate::division::Division;
 use crate::encoding::decode_names;
 use crate::engine::PrefillRate;
+use crate::pace::FirstEvent;
 use crate::queue::WaitingRequest;
 use crate::report_delay::ReportDelay;
 use crate::requirement::Requirements;
@@ -153,6 +154,9 @@
     /// Expires leases of backend servers and routers, and refuses requests that can't be served in time.
     pub fn tick(&mut self, now: Instant) {
         self.crash_history.expire(now);
+        if self.settings.uses_own_paces {
+            self.backends.update_paces();
+        }
         for index in 0..self.backends.len() {
             self.refresh(index, now);
         }
@@ -250,12 +254,20 @@
         self.origins.record(run.stream, &run.software, now);
         let proven = run.prove(now).then(|| run.causes.clone());
         if let Some(load) = run.load.as_mut().filter(|load| load.is_prefill_pending()) {
-            self.backends
-                .get_mut(run.backend_index)
-                .engine
-                .finish_prefill(load);
-            let time = now.saturating_duration_since(run.granted_at);
-            self.prefill_rate.observe(run.prefill_ahead, time);
+            let event = FirstEvent {
+                granted_at: run.granted_at,
+                own_tokens: load.pending_prefill(),
+                ahead_tokens: run.prefill_ahead,
+                expected: self.prefill_rate.time_for(load.pending_prefill()),
+                delay: self.backends.first_event_delay(),
+            };
+            let backend = self.backends.get_mut(backend_index);
+            backend.engine.finish_prefill(load);
+            backend.pace.record_first_event(&event, now);
+            // The pool's rate is that of an engine with the pool's pace.
+            let ahead_tokens = backend.pace.slowness().scale(event.ahead_tokens);
+            let time = now.saturating_duration_since(event.granted_at);
+            self.prefill_rate.observe(ahead_tokens, time);
         }
         self.accounts.charge(account, new_tokens);
         self.accounts.get_mut(account).tokens += new_tokens;
@@ -304,7 +316,8 @@
         let is_abandoned = end.outcome() == Outcome::Cancelled;
         let load = run.load.as_ref().filter(|_| is_abandoned);
         let time = now.saturating_duration_since(run.granted_at);
-        let done = self.prefill_rate.tokens_in(time);
+        let slowness = self.backends.get(run.backend_index).pace.slowness();
+        let done = slowness.unscale(self.prefill_rate.tokens_in(time));
         load.map_or(0, |load| {
             load.prefilled_tokens(run.tokens, done, run.prefill_ahead)
         })
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -4,6 +4,7 @@
 use jaylock_types::RequestRate;
 
 use crate::engine::EngineEstimate;
+use crate::pace::ServerPace;
 use crate::rate_limit::RateLimiter;
 use crate::reachability::Reachability;
 
@@ -25,6 +26,8 @@
     pub is_drained: bool,
     /// Estimated prefill and cache, for requests that list the parts of their prompts.
     pub engine: EngineEstimate,
+    /// How fast it works, relative to the pool.
+    pub pace: ServerPace,
     /// Whether an isolated request runs there or waits for the backend server to become idle.
     pub is_reserved: bool,
     // Reported requests that this scheduler did not grant.
@@ -65,6 +68,7 @@
             granted: 0,
             is_drained: false,
             engine: EngineEstimate::default(),
+            pace: ServerPace::default(),
             is_reserved: false,
             external_load: 0,
             externally_full_since: None,
@@ -235,6 +239,7 @@
     pub fn restart(&mut self, now: Instant, lease: Duration) {
         self.cached_prefixes.clear();
         self.engine.restart();
+        self.pace.restart();
         // A router may name the limit of a backend server before the first report arrives.
         if self.report.incarnation > 0 {
             self.limit = None;
--- a/crates/jaylock-share/src/backends.rs
+++ b/crates/jaylock-share/src/backends.rs
@@ -8,6 +8,7 @@
 use crate::cache_index::CacheIndex;
 use crate::division::SlotShare;
 use crate::engine::RequestLoad;
+use crate::pace::{ServerPace, Slowness, update_paces};
 
 /// The backend servers of a pool, each under a lease that its reports renew.
 #[derive(Debug, Default)]
@@ -22,6 +23,8 @@
     // Backend servers that may take requests, full or not.
     usable: BackendSet,
     cache_index: CacheIndex,
+    /// Estimated delay of a first event besides prefill.
+    first_event_delay: Duration,
 }
 
 impl Backends {
@@ -163,6 +166,26 @@
         self.available.set(index, is_available);
     }
 
+    /// Slowness of each backend server, by index.
+    pub fn slowness(&self) -> Vec<Slowness> {
+        let paces = self.list.iter().map(|backend| &backend.pace);
+        paces.map(ServerPace::slowness).collect()
+    }
+
+    /// Estimated delay of a first event besides prefill.
+    pub fn first_event_delay(&self) -> Duration {
+        self.first_event_delay
+    }
+
+    /// Recomputes the paces of the usable backend servers.
+    pub fn update_paces(&mut self) {
+        let usable = &self.usable;
+        let list = self.list.iter_mut().enumerate();
+        let paces = list.filter(|(index, _)| usable.contains(*index));
+        let mut paces: Vec<_> = paces.map(|(_, backend)| &mut backend.pace).collect();
+        self.first_event_delay = update_paces(&mut paces);
+    }
+
     /// Backend servers that may take requests, full or not.
     pub fn usable(&self) -> &BackendSet {
         &self.usable
--- a/crates/jaylock-share/src/engine.rs
+++ b/crates/jaylock-share/src/engine.rs
@@ -65,6 +65,11 @@
         self.pending_prefill > 0
     }
 
+    /// Tokens whose prefill is not known to be finished.
+    pub fn pending_prefill(&self) -> u64 {
+        self.pending_prefill
+    }
+
     /// Part of a prompt of `tokens` that was prefilled by the time that the engine had prefilled `done` tokens of
     /// the `ahead` that were pending at the grant, including this prompt's.
     pub fn prefilled_tokens(&self, tokens: u64, done: u64, ahead: u64) -> u64 {
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -32,6 +32,7 @@
 mod held_slot;
 mod host;
 mod named_limits;
+mod pace;
 mod pauses;
 mod pending_request;
 mod placement;
--- a/crates/jaylock-share/src/placement.rs
+++ b/crates/jaylock-share/src/placement.rs
@@ -36,12 +36,12 @@
 }
 
 impl EngineSelector<'_> {
-    /// Chooses the engine that would finish the prompt's prefill first, after its pending prefill.
+    /// Chooses the engine that would finish the prompt's prefill first, after its pending prefill, each at its own pace.
     ///
     /// Returns `None` if the request should wait for the best engine.
     ///
     /// This is for loads in which prompts share most of their parts and prefill is the bottleneck:
-    /// computing a part again then delays other requests, so uncached tokens weigh more, and a request
+    /// computing a part again then delays other requests, so uncached tokens weigh more at any pace, and a request
     /// waits while the best engine has enough pending prefill. While engines are idle, or if its
     /// organisation is far behind, a request goes to another engine at once, so that popular parts are
     /// soon cached by several engines.
@@ -62,8 +62,16 @@
         }
         let is_eager = self.is_far_behind || self.has_idle_engines(eligible);
         let weight = if is_eager { 1 } else { UNCACHED_WEIGHT };
-        let candidates = self.candidates(eligible, ask, domain, is_eager);
-        let best = candidates.min_by_key(|index| self.prefill_time(*index, ask, domain, weight));
+        let (least_uncached, candidate_sets) = self.candidate_sets(eligible, ask);
+        let tokens = WeightedTokens {
+            weight,
+            least_uncached,
+        };
+        let candidates = candidate_sets.into_iter().flat_map(|(uncached, engines)| {
+            let tokens = tokens.of_engine(uncached);
+            self.soonest(&engines, ask, domain, tokens, is_eager)
+        });
+        let best = candidates.min_by_key(|index| self.prefill_time(*index, ask, domain, tokens));
         let best = best.ok_or("waited for a free slot or memory")?;
         if self.accepts_prefill(best) {
             Ok(best)
@@ -72,60 +80,67 @@
         }
     }
 
-    /// Engines with the least pending prefill among all available ones, those that cache the first part,
-    /// those that cache the first two parts, and so on.
+    /// All available engines, those that cache the first part, those that cache the first two parts, and so on,
+    /// each set with the uncached tokens of the prompt; and the least of these numbers.
     ///
-    /// These suffice: among engines that cache equally much of the prompt, the least pending prefill is best.
-    fn candidates<'s>(
-        &'s self,
-        eligible: &BackendSet,
-        ask: &'s Ask,
-        domain: &'s str,
-        is_eager: bool,
-    ) -> impl Iterator<Item = usize> + 's {
-        let mut candidate_sets = vec![eligible.intersection(self.backends.available())];
-        for part in shared_parts(ask) {
-            let Some(caching) = self.backends.cache_index().engines(part) else {
+    /// The soonest engine of each set suffices, as if all engines of a set cached equally much of the prompt.
+    fn candidate_sets(&self, eligible: &BackendSet, ask: &Ask) -> (u64, Vec<(u64, BackendSet)>) {
+        let mut uncached = u64::from(ask.prompt_tokens);
+        let mut engines = eligible.intersection(self.backends.available());
+        let mut sets = Vec::new();
+        for (part, hash) in ask.parts.iter().zip(shared_parts(ask)) {
+            let Some(caching) = self.backends.cache_index().engines(hash) else {
                 break;
             };
-            let candidates = candidate_sets[candidate_sets.len() - 1].intersection(caching);
-            if candidates.is_empty() {
+            let caching = engines.intersection(caching);
+            if caching.is_empty() {
                 break;
             }
-            candidate_sets.push(candidates);
+            sets.push((uncached, std::mem::replace(&mut engines, caching)));
+            uncached = uncached.saturating_sub(part.tokens.into());
         }
-        let least_pending =
-            move |candidates: BackendSet| self.least_pending(&candidates, ask, domain, is_eager);
-        candidate_sets.into_iter().flat_map(least_pending)
+        sets.push((uncached, engines));
+        (uncached, sets)
     }
 
-    /// The engine with the least pending prefill that admits the request, and the first one in the router's
-    /// failure domain if its pending prefill takes at most `REMOTE_DOMAIN_DELAY` longer.
-    fn least_pending(
+    /// The engine that admits the request and would be first to compute these tokens after its pending prefill,
+    /// and the first one in the router's failure domain if that takes at most `REMOTE_DOMAIN_DELAY` longer.
+    fn soonest(
         &self,
         engines: &BackendSet,
         ask: &Ask,
         domain: &str,
+        tokens: u64,
         is_eager: bool,
     ) -> impl Iterator<Item = usize> + use<> {
         let remote_tokens = self.prefill_rate.tokens_in(REMOTE_DOMAIN_DELAY);
-        let mut found: [Option<usize>; 2] = [None; 2];
-        let mut max_pending = u64::MAX;
+        let least_time = self.ranking.least_time(tokens);
+        let (mut best, mut local): (Option<(u64, usize)>, Option<(u64, usize)>) = (None, None);
+        let is_better = |time: u64, other: Option<(u64, usize)>| other.is_none_or(|o| time < o.0);
         for (pending, index) in self.ranking.order() {
-            if pending > max_pending || (is_eager && !self.accepts_prefill(index)) {
+            // All engines that follow have at least this much pending prefill.
+            let is_too_late = best.is_some_and(|b| pending + least_time > b.0 + remote_tokens);
+            let is_decided = local.is_some_and(|l| pending + least_time >= l.0);
+            if is_too_late || is_decided || (is_eager && !self.accepts(pending)) {
                 break;
             }
-            if !engines.contains(index) || !self.admits(index, ask) {
+            if !engines.contains(index) {
                 continue;
             }
-            max_pending = max_pending.min(pending + remote_tokens);
-            found[0] = found[0].or(Some(index));
-            if self.backends.get(index).report.domain == domain {
-                found[1] = Some(index);
-                break;
+            let time = pending + self.ranking.scale(index, tokens);
+            let is_local = self.backends.get(index).report.domain == domain;
+            let is_best_local = is_local && is_better(time, local);
+            if !(is_better(time, best) || is_best_local) || !self.admits(index, ask) {
+                continue;
+            }
+            if is_better(time, best) {
+                best = Some((time, index));
+            }
+            if is_best_local {
+                local = Some((time, index));
             }
         }
-        found.into_iter().flatten()
+        [best, local].into_iter().flatten().map(|(_, index)| index)
     }
 
     fn admits(&self, index: usize, ask: &Ask) -> bool {
@@ -143,15 +158,27 @@
 
     /// Whether the pending prefill of an engine is short enough for another request.
     fn accepts_prefill(&self, index: usize) -> bool {
-        self.prefill_rate
-            .time_for(self.backends.get(index).engine.pending_prefill())
-            <= self.max_pending_prefill
+        let pending = self.backends.get(index).engine.pending_prefill();
+        self.accepts(self.ranking.scale(index, pending))
     }
 
-    fn prefill_time(&self, index: usize, ask: &Ask, domain: &str, weight: u64) -> Duration {
+    /// Whether this pending prefill, in tokens at the pool's pace, is short enough for another request.
+    fn accepts(&self, pending: u64) -> bool {
+        self.prefill_rate.time_for(pending) <= self.max_pending_prefill
+    }
+
+    /// Time until an engine would finish the prompt's prefill, with the weight of uncached tokens.
+    fn prefill_time(
+        &self,
+        index: usize,
+        ask: &Ask,
+        domain: &str,
+        tokens: WeightedTokens,
+    ) -> Duration {
         let backend = self.backends.get(index);
-        let tokens =
-            backend.engine.pending_prefill() + backend.engine.uncached_tokens(ask) * weight;
+        let uncached = backend.engine.uncached_tokens(ask);
+        let at_engine = backend.engine.pending_prefill() + tokens.of_engine(uncached);
+        let tokens = self.ranking.scale(index, at_engine) + tokens.of_any(uncached);
         let is_local = backend.report.domain == domain;
         self.prefill_rate.time_for(tokens)
             + if is_local {
@@ -162,6 +189,31 @@
     }
 }
 
+/// Weight of a request's uncached tokens.
+///
+/// The weight above 1 stands for the delay of other requests by tokens that another engine caches. What any
+/// engine must compute of the prompt delays others at each of them, so that part of the weight depends on no
+/// pace: else requests would wait for the fast engines while slow ones have nothing to do.
+#[derive(Debug, Clone, Copy)]
+struct WeightedTokens {
+    weight: u64,
+    /// Uncached tokens at the engines that cache the most of the prompt.
+    least_uncached: u64,
+}
+
+impl WeightedTokens {
+    /// Weighted tokens whose time depends on the engine's pace.
+    fn of_engine(self, uncached: u64) -> u64 {
+        let repeated = uncached.saturating_sub(self.least_uncached);
+        uncached + repeated * (self.weight - 1)
+    }
+
+    /// Additional weight of the tokens that any engine must compute.
+    fn of_any(self, uncached: u64) -> u64 {
+        uncached.min(self.least_uncached) * (self.weight - 1)
+    }
+}
+
 /// Chooses an available backend server for a request among the eligible ones.
 ///
 /// Cached prefixes and the router's failure domain offset the load; a wrong guess costs time only.
--- a/crates/jaylock-share/src/ranking.rs
+++ b/crates/jaylock-share/src/ranking.rs
@@ -1,11 +1,18 @@
 use crate::backend_set::BackendSet;
 use crate::backends::Backends;
+use crate::pace::Slowness;
 
-/// The usable engines of a pool ranked by pending prefill, for one decision.
+/// The usable engines of a pool ranked by the time for their pending prefill, for one decision.
+///
+/// Times are in tokens that take as long at the pool's pace. So engines of equal pace are ranked by tokens.
 #[derive(Debug)]
 pub struct EngineRanking {
-    /// Pending prefill of each usable engine in tokens, with its index; the least first.
+    /// Time for the pending prefill of each usable engine, with its index; the least first.
     order: Vec<(u64, usize)>,
+    /// Slowness of each backend server, by index.
+    slowness: Vec<Slowness>,
+    /// Slowness of the fastest engine in the order.
+    least_slowness: Slowness,
     /// Usable engines without pending prefill.
     idle: BackendSet,
 }
@@ -16,9 +23,9 @@
         let usable = backends.usable();
         let indices = usable.common(usable);
         let indices = indices.filter(|index| !backends.get(*index).is_limited);
-        let mut order: Vec<_> = indices
-            .map(|index| (pending_prefill(backends, index), index))
-            .collect();
+        let slowness = backends.slowness();
+        let pending = |index: usize| slowness[index].scale(pending_prefill(backends, index));
+        let mut order: Vec<_> = indices.map(|index| (pending(index), index)).collect();
         order.sort_unstable();
         let mut idle = BackendSet::default();
         for (_, index) in order
@@ -27,7 +34,13 @@
         {
             idle.set(*index, true);
         }
-        Self { order, idle }
+        let fastest = order.iter().map(|(_, index)| slowness[*index]).min();
+        Self {
+            order,
+            least_slowness: fastest.unwrap_or(Slowness::USUAL),
+            slowness,
+            idle,
+        }
     }
 
     /// Updates the rank of an engine that was given a request.
@@ -36,13 +49,24 @@
             return;
         };
         self.order.remove(position);
-        let entry = (pending_prefill(backends, index), index);
+        let pending = self.scale(index, pending_prefill(backends, index));
+        let entry = (pending, index);
         let position = self.order.partition_point(|other| *other < entry);
         self.order.insert(position, entry);
         self.idle.set(index, entry.0 == 0);
     }
 
-    /// Pending prefill of each engine in tokens, with its index; the least first.
+    /// Time for these tokens at an engine, in tokens at the pool's pace.
+    pub fn scale(&self, index: usize, tokens: u64) -> u64 {
+        self.slowness[index].scale(tokens)
+    }
+
+    /// Time for these tokens at the fastest engine, in tokens at the pool's pace.
+    pub fn least_time(&self, tokens: u64) -> u64 {
+        self.least_slowness.scale(tokens)
+    }
+
+    /// Time for the pending prefill of each engine in tokens at the pool's pace, with its index; the least first.
     pub fn order(&self) -> impl Iterator<Item = (u64, usize)> + '_ {
         self.order.iter().copied()
     }
--- a/crates/jaylock-share/src/settings.rs
+++ b/crates/jaylock-share/src/settings.rs
@@ -38,6 +38,8 @@
     /// Weighted service, in tokens per backend server of the pool, by which an organisation may be behind
     /// while its requests wait for the engines that cache their prompts.
     pub max_service_gap: u64,
+    /// Whether backend servers of a pool are compared by their own paces instead of the pool's.
+    pub uses_own_paces: bool,
 }
 
 impl Default for SchedulerSettings {
@@ -60,6 +62,7 @@
             max_pending_prefill: Duration::from_millis(150),
             objective_wait_percent: 50,
             max_service_gap: 20_000,
+            uses_own_paces: true,
         }
     }
 }
--- a/crates/jaylock-tests/tests/share/fixture.rs
+++ b/crates/jaylock-tests/tests/share/fixture.rs
@@ -21,8 +21,12 @@
 impl Fixture {
     /// Creates a pool whose startup delay is over.
     pub fn new() -> Self {
+        Self::with_settings(SchedulerSettings::default())
+    }
+
+    /// Creates a pool with these settings whose startup delay is over.
+    pub fn with_settings(settings: SchedulerSettings) -> Self {
         let now = Instant::now();
-        let settings = SchedulerSettings::default();
         let mut allocator = Allocator::new("chat", 1, settings.clone(), now);
         let router = allocator.attach(
             &Hello {
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -9,6 +9,7 @@
 mod fixture;
 mod fleet;
 mod odd_entries;
+mod pace;
 mod plain_calls;
 mod pool;
 mod prefill;
--- /dev/null
+++ b/crates/jaylock-tests/tests/share/pace.rs
@@ -0,0 +1,422 @@
+//! Tests of pools whose backend servers differ in speed, in virtual time.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use jaylock_rpc::v1::{Ask, Hello, PromptPart};
+use jaylock_share::SchedulerSettings;
+use jaylock_tests::cases;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::fixture::Fixture;
+use crate::fleet::{ask, engine_report};
+
+/// Step of the virtual clock.
+const STEP: Duration = Duration::from_millis(5);
+/// Mean prefill rate of the engines, in tokens per ms.
+const PREFILL_TOKENS_PER_MS: f64 = 61.4;
+/// Time to the first event of a prompt besides its prefill.
+const FIRST_EVENT_DELAY: Duration = Duration::from_millis(40);
+/// Time from the first event of a response to its end.
+const GENERATION_TIME: Duration = Duration::from_secs(1);
+/// Time between two reports of an engine.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Duration of a slowdown, and how much longer work takes meanwhile.
+const SLOWDOWN: Duration = Duration::from_millis(600);
+const SLOWDOWN_FACTOR: f64 = 2.5;
+/// Speeds of the engines, in turn.
+const UNEVEN: [f64; 3] = [0.7, 0.7, 1.7];
+const EQUAL: [f64; 3] = [1.0; 3];
+
+/// A kind of prompt: shared and own tokens, prompts per second at 90 engines, and the objective.
+struct Kind {
+    shared: u32,
+    own: u32,
+    rate: f64,
+    objective_ms: u32,
+}
+
+const KINDS: [Kind; 3] = [
+    Kind {
+        shared: 13_300,
+        own: 3720,
+        rate: 281.0,
+        objective_ms: 1000,
+    },
+    Kind {
+        shared: 6300,
+        own: 2890,
+        rate: 227.0,
+        objective_ms: 800,
+    },
+    Kind {
+        shared: 350,
+        own: 1110,
+        rate: 317.0,
+        objective_ms: 800,
+    },
+];
+
+/// A load and the pool that serves it.
+#[derive(Debug, Clone)]
+struct Load {
+    engines: usize,
+    speeds: [f64; 3],
+    /// Load relative to that of the kinds.
+    factor: f64,
+    /// Part of the engines that is in a slowdown at any moment.
+    slowed: f64,
+    uses_own_paces: bool,
+    seed: u64,
+    warm_up: Duration,
+    duration: Duration,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            engines: 30,
+            speeds: UNEVEN,
+            factor: 1.0,
+            slowed: 0.0,
+            uses_own_paces: true,
+            seed: 1,
+            warm_up: Duration::from_secs(10),
+            duration: Duration::from_secs(10),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    speed: f64,
+    slow_until: Option<Instant>,
+    cached_parts: Vec<u64>,
+    /// Tickets with the tokens that are left to compute.
+    prefilling: VecDeque<(u64, f64)>,
+    starting: Vec<(Instant, u64)>,
+    generating: Vec<(Instant, u64)>,
+    prompts: usize,
+}
+
+/// What callers got.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+struct Outcome {
+    requests: usize,
+    in_time: usize,
+    late: usize,
+    refused: usize,
+    recomputed_tokens: u64,
+    /// Times to first events together, in ms.
+    first_event_ms: u128,
+}
+
+impl Outcome {
+    /// Prompts that did not begin within their objective.
+    fn missed(&self) -> usize {
+        self.late + self.refused
+    }
+}
+
+struct Play {
+    load: Load,
+    fixture: Fixture,
+    engines: Vec<Engine>,
+    /// Waiting and running requests by ticket.
+    active: Vec<(u64, Instant, Ask)>,
+    outcome: Outcome,
+    next_report: Instant,
+    due: [f64; 3],
+    rng: SmallRng,
+}
+
+impl Play {
+    fn new(load: Load) -> Self {
+        let settings = SchedulerSettings {
+            uses_own_paces: load.uses_own_paces,
+            ..SchedulerSettings::default()
+        };
+        let fixture = Fixture::with_settings(settings);
+        let engine = |at: usize| Engine {
+            speed: load.speeds[at % 3],
+            ..Engine::default()
+        };
+        Self {
+            engines: (0..load.engines).map(engine).collect(),
+            next_report: fixture.now,
+            fixture,
+            active: Vec::new(),
+            outcome: Outcome::default(),
+            due: [0.0; 3],
+            rng: SmallRng::seed_from_u64(load.seed),
+            load,
+        }
+    }
+
+    /// Plays a load and returns what callers got after the warm-up.
+    fn run(load: Load) -> Outcome {
+        let mut play = Self::new(load.clone());
+        play.advance(load.warm_up);
+        play.outcome = Outcome::default();
+        play.advance(load.duration);
+        play.outcome
+    }
+
+    fn advance(&mut self, time: Duration) {
+        let end = self.fixture.now + time;
+        while self.fixture.now < end {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.fixture.now += STEP;
+        let now = self.fixture.now;
+        if now >= self.next_report {
+            self.next_report += REPORT_INTERVAL;
+            self.report();
+        }
+        self.slow_engines(now);
+        for at in 0..self.engines.len() {
+            self.work(at, now);
+        }
+        let asks = self.arrivals();
+        self.outcome.requests += asks.len();
+        let tickets = self.fixture.ask(asks.clone()).into_iter().zip(asks);
+        self.active
+            .extend(tickets.map(|(ticket, ask)| (ticket, now, ask)));
+        let (grants, refusals) = self.fixture.decide_all();
+        for grant in grants {
+            self.start(grant.ticket, &grant.backend);
+        }
+        self.outcome.refused += refusals.len();
+        for refusal in refusals {
+            self.active.retain(|(other, ..)| *other != refusal.ticket);
+        }
+    }
+
+    fn arrivals(&mut self) -> Vec<Ask> {
+        #[allow(clippy::cast_precision_loss)]
+        let scale = self.load.factor * self.load.engines as f64 / 90.0 * STEP.as_secs_f64();
+        let mut asks = Vec::new();
+        for (at, kind) in (0_u32..).zip(&KINDS) {
+            self.due[at as usize] += kind.rate * scale;
+            while self.due[at as usize] >= 1.0 {
+                self.due[at as usize] -= 1.0;
+                let subject = u64::from(at) * 1000 + self.rng.random_range(0..60);
+                asks.push(prompt(kind, subject, &mut self.rng));
+            }
+        }
+        asks
+    }
+
+    fn report(&mut self) {
+        for at in 0..self.engines.len() {
+            let report = engine_report(&format!("e{at}"), 64);
+            self.fixture.report(report);
+        }
+    }
+
+    fn slow_engines(&mut self, now: Instant) {
+        let begins = self.load.slowed / (1.0 - self.load.slowed) * STEP.as_secs_f64()
+            / SLOWDOWN.as_secs_f64();
+        for engine in &mut self.engines {
+            if engine.slow_until.is_none_or(|until| until <= now) && self.rng.random_bool(begins) {
+                engine.slow_until = Some(now + SLOWDOWN);
+            }
+        }
+    }
+
+    fn start(&mut self, ticket: u64, backend: &str) {
+        let active = self.active.iter().find(|(other, ..)| *other == ticket);
+        let ask = &active.expect("a known request").2;
+        let (shared, own) = (ask.parts[0], ask.parts[1]);
+        let at: usize = backend[1..].parse().expect("a number");
+        let engine = &mut self.engines[at];
+        let mut tokens = own.tokens;
+        if !engine.cached_parts.contains(&shared.hash) {
+            engine.cached_parts.push(shared.hash);
+            tokens += shared.tokens;
+            self.outcome.recomputed_tokens += u64::from(shared.tokens);
+        }
+        engine.prompts += 1;
+        engine.prefilling.push_back((ticket, tokens.into()));
+    }
+
+    /// Computes prompts one after the other, and ends those that have generated.
+    fn work(&mut self, at: usize, now: Instant) {
+        let engine = &mut self.engines[at];
+        let is_slow = engine.slow_until.is_some_and(|until| until > now);
+        let factor = if is_slow { SLOWDOWN_FACTOR } else { 1.0 };
+        let mut tokens = STEP.as_secs_f64() * 1e3 * PREFILL_TOKENS_PER_MS * engine.speed / factor;
+        while let Some((ticket, left)) = engine.prefilling.front_mut() {
+            let computed = left.min(tokens);
+            *left -= computed;
+            tokens -= computed;
+            if *left > 0.0 {
+                break;
+            }
+            engine.starting.push((now + FIRST_EVENT_DELAY, *ticket));
+            engine.prefilling.pop_front();
+        }
+        let due = |entry: &mut (Instant, u64)| entry.0 <= now;
+        let started: Vec<_> = engine.starting.extract_if(.., due).collect();
+        let ended: Vec<_> = engine.generating.extract_if(.., due).collect();
+        let generating = started
+            .iter()
+            .map(|(at, ticket)| (*at + GENERATION_TIME, *ticket));
+        engine.generating.extend(generating);
+        for (_, ticket) in started {
+            self.record_first_event(ticket, now);
+        }
+        for (_, ticket) in ended {
+            self.fixture.end(ticket);
+            self.active.retain(|(other, ..)| *other != ticket);
+        }
+    }
+
+    fn record_first_event(&mut self, ticket: u64, now: Instant) {
+        let active = self.active.iter().find(|(other, ..)| *other == ticket);
+        let (_, arrived, ask) = active.expect("a known request");
+        self.outcome.first_event_ms += (now - *arrived).as_millis();
+        if (now - *arrived).as_millis() <= ask.objective_ms.into() {
+            self.outcome.in_time += 1;
+        } else {
+            self.outcome.late += 1;
+        }
+        let tokens = ask.prompt_tokens.into();
+        self.fixture.report_progress(ticket, tokens);
+    }
+
+    /// Replaces the scheduler by one that knows nothing of what was learned; all runs end.
+    fn replace_scheduler(&mut self) {
+        for engine in &mut self.engines {
+            (engine.prefilling, engine.starting) = Default::default();
+            engine.generating.clear();
+        }
+        self.active.clear();
+        let hello = Hello {
+            router: "r1".into(),
+            ..Hello::default()
+        };
+        self.fixture.replace_scheduler(&hello);
+        self.report();
+    }
+}
+
+fn prompt(kind: &Kind, subject: u64, rng: &mut SmallRng) -> Ask {
+    let part = |hash, tokens| PromptPart { hash, tokens };
+    let own = rng.random_range(1 << 32..u64::MAX);
+    Ask {
+        limit: 120,
+        prompt_tokens: kind.shared + kind.own,
+        parts: vec![part(subject, kind.shared), part(own, kind.own)],
+        objective_ms: kind.objective_ms,
+        ..ask(&format!("o{}", own % 30))
+    }
+}
+
+/// Plays a load with several seeds, with the pool's pace for all engines or with their own.
+fn run_seeds(load: &Load, uses_own_paces: bool) -> Outcome {
+    let outcomes = (1..=2).map(|seed| {
+        Play::run(Load {
+            seed,
+            uses_own_paces,
+            ..load.clone()
+        })
+    });
+    outcomes.fold(Outcome::default(), |sum, other| Outcome {
+        requests: sum.requests + other.requests,
+        in_time: sum.in_time + other.in_time,
+        late: sum.late + other.late,
+        refused: sum.refused + other.refused,
+        recomputed_tokens: sum.recomputed_tokens + other.recomputed_tokens,
+        first_event_ms: sum.first_event_ms + other.first_event_ms,
+    })
+}
+
+/// Paces of two equal engines, one of which gets only prompts of 3720 tokens and the other only of 17,020.
+fn paces_by_prompt_size() -> Vec<u32> {
+    let mut fixture = Fixture::new();
+    for n in 0..200 {
+        for id in ["e0", "e1"] {
+            fixture.report(engine_report(id, 64));
+        }
+        for (tokens, other) in [(3720, "e1"), (17_020, "e0")] {
+            let part = |hash, tokens| PromptPart { hash, tokens };
+            let prompt = Ask {
+                prompt_tokens: tokens,
+                parts: vec![part(10_000 * n + u64::from(tokens), tokens)],
+                avoid: vec![other.into()],
+                ..ask("zarqa")
+            };
+            let ticket = fixture.ask([prompt])[0];
+            assert_that!(fixture.decide_all().0, len(eq(1)));
+            let prefill = f64::from(tokens) / PREFILL_TOKENS_PER_MS / 1e3;
+            fixture.now += Duration::from_secs_f64(prefill) + FIRST_EVENT_DELAY;
+            fixture.report_progress(ticket, tokens.into());
+            fixture.end(ticket);
+        }
+    }
+    fixture.decide_all();
+    paces(&fixture)
+}
+
+/// Paces in percent of the pool's, as operators see them, by the number of the engine.
+fn paces(fixture: &Fixture) -> Vec<u32> {
+    let report = fixture.allocator.describe("i1", fixture.now);
+    let mut paces = vec![0; report.backends.len()];
+    for state in report.backends {
+        let id = state.report.unwrap_or_default().id;
+        paces[id[1..].parse::<usize>().expect("a number")] = state.pace_percent;
+    }
+    paces
+}
+
+cases! {
+    prompts_wait_at_slow_engines_or_for_fast_ones => {
+        // Guards against giving the slowest third as much as the fastest, and against waiting for the fast ones while
+        // slow ones are idle. The load is nine tenths of what the engines can prefill.
+        let load = Load { factor: 2.6, ..Load::default() };
+        let [before, after] = [false, true].map(|uses_own_paces| run_seeds(&load, uses_own_paces));
+        assert_that!(after.missed() * 4, le(before.missed() * 3), "{before:?} {after:?}");
+        assert_that!(after.first_event_ms * 10, le(before.first_event_ms * 9), "{before:?} {after:?}");
+    };
+    equal_engines_are_ranked_by_noise => {
+        // Guards against any change for a pool whose engines are equally fast: callers get exactly the same.
+        let load = Load { speeds: EQUAL, factor: 2.0, ..Load::default() };
+        let [before, after] = [false, true].map(|uses_own_paces| run_seeds(&load, uses_own_paces));
+        assert_that!(after, eq(before));
+    };
+    engines_that_get_short_prompts_count_as_slow => {
+        // Guards against taking the constant delay of a first event for prefill: it takes two fifths of a short prompt's time.
+        assert_that!(paces_by_prompt_size(), each(eq(&100)));
+    };
+    engine_without_history_gets_no_prompts => {
+        // Guards against a rank of a new engine, which has no pace of its own, behind all others.
+        let mut play = Play::new(Load { factor: 2.6, ..Load::default() });
+        play.advance(Duration::from_secs(5));
+        play.engines.push(Engine { speed: 1.7, ..Engine::default() });
+        play.advance(Duration::from_secs(5));
+        assert_that!(play.engines[30].prompts, ge(10));
+        // It has the pool's pace until it has computed prompts that are long enough to show its own.
+        assert_that!(paces(&play.fixture)[30], ge(100));
+    };
+    new_scheduler_never_learns_the_paces_again => {
+        // Guards against paces that a new scheduler takes over wrongly, or learns too slowly.
+        let mut play = Play::new(Load { factor: 2.0, ..Load::default() });
+        play.advance(Duration::from_secs(5));
+        play.replace_scheduler();
+        assert_that!(paces(&play.fixture), each(eq(&100)));
+        play.advance(Duration::from_secs(5));
+        let mut known = 0;
+        for (engine, pace) in play.engines.iter().zip(paces(&play.fixture)) {
+            let is_fast = engine.speed > 1.0;
+            expect_that!(if is_fast { pace >= 100 } else { pace <= 100 }, eq(true), "{pace}");
+            known += usize::from(pace != 100);
+        }
+        assert_that!(known, ge(25));
+    };
+}
