Times for work that responses name are reported to the scheduler and count for 600 ms

Cause: at any moment some engines take 2.5 times as long for about 0.6 s. The learned pace follows within seconds, so that a slowdown is over before the scheduler knows it. Responses name the time for work as the fourth figure of the load (`x-load`, `replica-load` on the platform), in percent of the usual time.

Change: a router reports the figure when it differs by a quarter from the one that it reported for this backend server within 600 ms (100 without one), and again each 200 ms while it is unusual, at most every 50 ms. The scheduler keeps the figure of the latest response, limits it to 25 to 400 percent, and lets its weight fall from full to none within 600 ms. Absurd figures are counted and logged once a second. The learned pace excludes what was named, so that a figure that is always wrong makes up for itself. `backend list` shows the figure with its present weight. The constants in share/exclusions.rs name the new field of `Notice`; nothing else changes there.

--- a/crates/jaylock-router/src/route/headers.rs
+++ b/crates/jaylock-router/src/route/headers.rs
@@ -21,6 +21,9 @@
     pub limit: &'static str,
     /// Tells with the value 1 that a backend server leaves, in its responses.
     pub leaving: &'static str,
+    /// Running and waiting requests, slots, and the time for work in percent of the usual time, separated by commas, in
+    /// a backend server's responses.
+    pub load: &'static str,
     /// Identifier of the request that brought the first event of the stream that this one resumes.
     pub resumed_request: &'static str,
     /// Model of a prompt.
@@ -46,6 +49,7 @@
             seal: "x-seal",
             limit: "x-rate-limit",
             leaving: "x-leaving",
+            load: "x-load",
             resumed_request: "x-resumes",
             model: "x-model",
             tokens: "x-tokens",
--- a/crates/jaylock-router/src/route/notice.rs
+++ b/crates/jaylock-router/src/route/notice.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use http::{HeaderName, HeaderValue, Response, StatusCode, header};
-use jaylock_types::Notice;
+use jaylock_types::{NamedWorkTime, Notice};
 
 use super::headers::RouteHeaders;
 
@@ -22,6 +22,7 @@
         limit,
         is_leaving: text(response, names.leaving) == Some("1"),
         pause: pause.and_then(parse_seconds),
+        work_time: text(response, names.load).and_then(NamedWorkTime::from_load),
     }
 }
 
--- a/crates/jaylock-share/src/admission.rs
+++ b/crates/jaylock-share/src/admission.rs
@@ -70,7 +70,11 @@
             for waiting in removed {
                 self.record_service(account, AskOutcome::Overdue, &waiting.ask);
                 if log::log_enabled!(target: "share", log::Level::Debug) {
-                    self.log_refusal(account, &waiting.ask, self.wait_reason(account, &waiting));
+                    self.log_refusal(
+                        account,
+                        &waiting.ask,
+                        self.wait_reason(account, &waiting, now),
+                    );
                 }
                 let retry_delay = self
                     .accounts
@@ -212,7 +216,12 @@
     }
 
     /// Why a waiting request can't be granted a slot now.
-    fn wait_reason(&self, account: AccountKey, waiting: &WaitingRequest) -> &'static str {
+    fn wait_reason(
+        &self,
+        account: AccountKey,
+        waiting: &WaitingRequest,
+        now: Instant,
+    ) -> &'static str {
         let eligible = self.requirements.backends(waiting.requirement);
         if waiting.ask.parts.is_empty() {
             return "waited too long for its turn";
@@ -221,7 +230,7 @@
         let selector = EngineSelector {
             backends: &self.backends,
             crash_history: &self.crash_history,
-            ranking: &EngineRanking::new(&self.backends),
+            ranking: &EngineRanking::new(&self.backends, now),
             prefill_rate: &self.prefill_rate,
             max_pending_prefill: self.settings.max_pending_prefill,
             is_far_behind: self.is_far_behind(account),
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -10,6 +10,7 @@
 use crate::SchedulerSettings;
 use crate::account::{AccountKey, Accounts};
 use crate::backends::Backends;
+use crate::bounded_log::BoundedLog;
 use crate::cost::{Residual, SizeClass, cost_of};
 use crate::crash_history::CrashHistory;
 use crate::division::Division;
@@ -52,6 +53,8 @@
     pub(crate) unresolved: Vec<(RouterKey, Ask)>,
     residual: Residual,
     pub(crate) prefill_rate: PrefillRate,
+    // Times for work that routers reported and that are absurd.
+    pub(crate) invalid_work_times: BoundedLog,
     // Instances that serve no callers; sorted.
     pub(crate) callerless: Vec<CompactString>,
     // Memory of each engine of the pool in tokens; 0 if unknown.
@@ -67,6 +70,7 @@
             epoch,
             ready_at: now + settings.startup_delay,
             prefill_rate: PrefillRate::new(settings.initial_prefill_rate),
+            invalid_work_times: BoundedLog::default(),
             callerless: Vec::new(),
             memory_tokens: 0,
             settings,
@@ -131,6 +135,11 @@
         for exclusion in frame.exclusions {
             self.apply_exclusion(key, &exclusion, now);
         }
+        if self.settings.uses_own_paces {
+            for work_time in frame.work_times {
+                self.apply_work_time(&work_time, now);
+            }
+        }
         for end in frame.ends {
             self.end_run(key, &end, now);
         }
@@ -265,7 +274,7 @@
             backend.engine.finish_prefill(load);
             backend.pace.record_first_event(&event, now);
             // The pool's rate is that of an engine with the pool's pace.
-            let ahead_tokens = backend.pace.slowness().scale(event.ahead_tokens);
+            let ahead_tokens = backend.pace.slowness(now).scale(event.ahead_tokens);
             let time = now.saturating_duration_since(event.granted_at);
             self.prefill_rate.observe(ahead_tokens, time);
         }
@@ -316,7 +325,7 @@
         let is_abandoned = end.outcome() == Outcome::Cancelled;
         let load = run.load.as_ref().filter(|_| is_abandoned);
         let time = now.saturating_duration_since(run.granted_at);
-        let slowness = self.backends.get(run.backend_index).pace.slowness();
+        let slowness = self.backends.get(run.backend_index).pace.slowness(now);
         let done = slowness.unscale(self.prefill_rate.tokens_in(time));
         load.map_or(0, |load| {
             load.prefilled_tokens(run.tokens, done, run.prefill_ahead)
--- a/crates/jaylock-share/src/backends.rs
+++ b/crates/jaylock-share/src/backends.rs
@@ -8,7 +8,7 @@
 use crate::cache_index::CacheIndex;
 use crate::division::SlotShare;
 use crate::engine::RequestLoad;
-use crate::pace::{ServerPace, Slowness, update_paces};
+use crate::pace::{Slowness, update_paces};
 
 /// The backend servers of a pool, each under a lease that its reports renew.
 #[derive(Debug, Default)]
@@ -166,10 +166,10 @@
         self.available.set(index, is_available);
     }
 
-    /// Slowness of each backend server, by index.
-    pub fn slowness(&self) -> Vec<Slowness> {
-        let paces = self.list.iter().map(|backend| &backend.pace);
-        paces.map(ServerPace::slowness).collect()
+    /// Slowness of each backend server now, by index.
+    pub fn slowness(&self, now: Instant) -> Vec<Slowness> {
+        let list = self.list.iter();
+        list.map(|backend| backend.pace.slowness(now)).collect()
     }
 
     /// Estimated delay of a first event besides prefill.
--- a/crates/jaylock-share/src/batch.rs
+++ b/crates/jaylock-share/src/batch.rs
@@ -1,7 +1,10 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use jaylock_rpc::v1::{Ask, BackendReport, End, Exclusion, Progress, RateLimit, RouterFrame};
+use jaylock_rpc::v1::{
+    Ask, BackendReport, End, Exclusion, Progress, RateLimit, RouterFrame, WorkTime,
+};
+use jaylock_types::millis;
 
 use crate::SchedulerClientSettings;
 use crate::encoding::{NameTable, encode_request_id};
@@ -16,6 +19,8 @@
     backends: Vec<BackendReport>,
     limits: Vec<RateLimit>,
     exclusions: Vec<Exclusion>,
+    // With the times of the responses.
+    work_times: Vec<(Instant, WorkTime)>,
     // Ends with their organisations.
     ends: Vec<(CompactString, End)>,
     // Sorted by ticket.
@@ -60,6 +65,13 @@
         self.exclusions.push(exclusion);
     }
 
+    /// Adds a time for work that a response names now, in place of an older one of the same backend server.
+    pub fn add_work_time(&mut self, work_time: WorkTime, now: Instant) {
+        self.work_times
+            .retain(|(_, other)| other.backend != work_time.backend);
+        self.work_times.push((now, work_time));
+    }
+
     pub fn add_end(&mut self, organisation: CompactString, end: End, due: Instant) {
         if let Ok(index) = self.search_progress(end.ticket) {
             self.progress.remove(index);
@@ -92,6 +104,7 @@
             || !self.backends.is_empty()
             || !self.limits.is_empty()
             || !self.exclusions.is_empty()
+            || !self.work_times.is_empty()
             || (has_waiting_requests && !self.ends.is_empty());
         let batched = self.last_frame.map(|last| last + settings.batch_window);
         let urgent = is_urgent.then(|| batched.unwrap_or(now));
@@ -108,6 +121,11 @@
             self.last_progress = Some(now);
         }
         let ends = std::mem::take(&mut self.ends);
+        let work_times = std::mem::take(&mut self.work_times).into_iter();
+        let work_times = work_times.map(|(at, work_time)| WorkTime {
+            age_ms: millis(now.saturating_duration_since(at)),
+            ..work_time
+        });
         RouterFrame {
             names: self.names.take_new(),
             asks: take_within(&mut self.asks),
@@ -115,6 +133,7 @@
             backends: take_within(&mut self.backends),
             limits: std::mem::take(&mut self.limits),
             exclusions: std::mem::take(&mut self.exclusions),
+            work_times: work_times.collect(),
             ends: ends.into_iter().map(|(_, end)| end).collect(),
             progress: std::mem::take(&mut self.progress),
             ..RouterFrame::default()
--- a/crates/jaylock-share/src/client_state.rs
+++ b/crates/jaylock-share/src/client_state.rs
@@ -18,6 +18,7 @@
 use crate::fallback::SpareSlot;
 use crate::held_slot::HeldSlot;
 use crate::named_limits::NamedLimits;
+use crate::named_work_times::NamedWorkTimes;
 use crate::pauses::Pauses;
 use crate::pending_request::{AskResult, PendingRequest};
 use crate::recent_crashes::RecentCrashes;
@@ -47,6 +48,8 @@
     pub(crate) exclusions: Exclusions,
     // Limits that backend servers named to this router.
     pub(crate) limits: NamedLimits,
+    // Times for work that backend servers named to this router.
+    pub(crate) work_times: NamedWorkTimes,
     // Crashes under own runs, for a new scheduler.
     pub(crate) crashes: RecentCrashes,
     // Starts of backend servers that ended under own runs.
@@ -79,6 +82,7 @@
             fallback: Vec::new(),
             exclusions: Exclusions::default(),
             limits: NamedLimits::default(),
+            work_times: NamedWorkTimes::default(),
             crashes: RecentCrashes::default(),
             crashed_starts: CrashedStarts::default(),
             origins: StreamOrigins::default(),
@@ -199,6 +203,12 @@
         if let Some(exclusion) = exclusion.filter(|_| self.is_attached) {
             self.batch.add_exclusion(exclusion);
         }
+        let named = notice.work_time.filter(|_| self.is_attached);
+        let work_times = &mut self.work_times;
+        let work_time = named.and_then(|n| work_times.record(backend, incarnation, n, now));
+        if let Some(work_time) = work_time {
+            self.batch.add_work_time(work_time, now);
+        }
     }
 
     /// Records what a backend server announced or reported to this router.
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -29,7 +29,7 @@
         }
         self.grant_isolated(now);
         let mut position = 0;
-        let mut ranking = EngineRanking::new(&self.backends);
+        let mut ranking = EngineRanking::new(&self.backends, now);
         while !self.backends.available().is_empty() {
             let Some(account) = self.accounts.backlogged(position) else {
                 break;
--- a/crates/jaylock-share/src/description.rs
+++ b/crates/jaylock-share/src/description.rs
@@ -34,8 +34,8 @@
             granted: backend.granted,
             heard_ms_ago: millis(report_age),
             state: if state.is_empty() { "ready" } else { state }.into(),
-            pace_percent: backend.pace.slowness().pace_percent(),
-            work_time_percent: 100,
+            pace_percent: backend.pace.learned().pace_percent(),
+            work_time_percent: backend.pace.work_time(now).percent(),
         }
     }
 }
--- a/crates/jaylock-share/src/pace.rs
+++ b/crates/jaylock-share/src/pace.rs
@@ -5,6 +5,14 @@
 
 use std::time::{Duration, Instant};
 
+use jaylock_types::WorkPercent;
+
+/// Time in which the weight of a time for work that a response named falls from full to none.
+///
+/// Slowdowns of the target deployment last 600 ms. One that is noticed at a random moment still lasts after a
+/// time t with the probability 1 - t / 600 ms, so that this weight gives the expected time.
+pub const WORK_TIME_LIFETIME: Duration = Duration::from_millis(600);
+
 /// Inverse weight of the newest observation: 900 prompts per second at 90 engines are 10 per second at each,
 /// so that a pace follows a lasting change within some 3 s and averages over slowdowns of 0.6 s.
 const WINDOW: f64 = 32.0;
@@ -55,11 +63,28 @@
         work.saturating_mul(u64::from(Self::USUAL.0)) / u64::from(self.0.max(1))
     }
 
+    /// The time in percent of the pool's.
+    pub fn percent(self) -> u32 {
+        self.0 * 100 / Self::USUAL.0
+    }
+
+    /// The time for work that takes longer by both factors.
+    fn times(self, other: Self) -> Self {
+        if other == Self::USUAL {
+            return self;
+        }
+        Self(self.0 * other.0 / Self::USUAL.0)
+    }
+
     /// The pace in percent of the pool's.
     pub fn pace_percent(self) -> u32 {
         100 * Self::USUAL.0 / self.0.max(1)
     }
 
+    fn factor(self) -> f64 {
+        f64::from(self.0.max(1)) / f64::from(Self::USUAL.0)
+    }
+
     /// Limits a pace and takes one that is nearly the pool's for the pool's.
     fn from_pace(pace: f64) -> Self {
         let [slowest, fastest] = PACE_LIMITS;
@@ -67,9 +92,13 @@
         if !pace.is_finite() || (lower..=upper).contains(&pace) {
             return Self::USUAL;
         }
-        let slowness = f64::from(Self::USUAL.0) / pace.clamp(slowest, fastest);
+        Self::from_factor(1.0 / pace.clamp(slowest, fastest))
+    }
+
+    /// The time for work that takes longer by this factor.
+    fn from_factor(factor: f64) -> Self {
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        Self(slowness.round() as u32)
+        Self((factor * f64::from(Self::USUAL.0)).round() as u32)
     }
 }
 
@@ -78,6 +107,7 @@
 pub struct ServerPace {
     observations: Observations,
     slowness: Slowness,
+    work_time: Option<NamedTime>,
     /// When the last first event was reported.
     last_first_event: Option<Instant>,
 }
@@ -87,11 +117,32 @@
         Self {
             observations: Observations::default(),
             slowness: Slowness::USUAL,
+            work_time: None,
             last_first_event: None,
         }
     }
 }
 
+/// Time for work that a response named.
+#[derive(Debug, Clone, Copy)]
+struct NamedTime {
+    slowness: Slowness,
+    /// When the response arrived.
+    at: Instant,
+}
+
+impl NamedTime {
+    /// Expected time now; that of a response from an instant ahead is as if it had arrived now.
+    fn slowness(self, now: Instant) -> Slowness {
+        let age = now.saturating_duration_since(self.at);
+        let left = WORK_TIME_LIFETIME.saturating_sub(age).as_millis();
+        let lifetime = WORK_TIME_LIFETIME.as_millis();
+        let (usual, named) = (u128::from(Slowness::USUAL.0), u128::from(self.slowness.0));
+        let mean = (named * left + usual * (lifetime - left)) / lifetime;
+        Slowness(u32::try_from(mean).unwrap_or(u32::MAX))
+    }
+}
+
 /// Prefill of a prompt whose first event was reported.
 #[derive(Debug, Clone, Copy)]
 pub struct FirstEvent {
@@ -124,14 +175,42 @@
 }
 
 impl ServerPace {
-    /// Time for work now, relative to the pool's mean.
-    pub fn slowness(&self) -> Slowness {
+    /// Expected time for work now, relative to the pool's mean.
+    pub fn slowness(&self, now: Instant) -> Slowness {
+        self.slowness.times(self.work_time(now))
+    }
+
+    /// Time for work that was learned from the responses of the last seconds, relative to the pool's mean.
+    pub fn learned(&self) -> Slowness {
         self.slowness
     }
 
+    /// Time for work that responses named lately, relative to the usual time of this backend server.
+    pub fn work_time(&self, now: Instant) -> Slowness {
+        let named = self.work_time.map(|named| named.slowness(now));
+        named.unwrap_or(Slowness::USUAL)
+    }
+
+    /// Sets the time for work that a response named, unless a later response is known.
+    ///
+    /// A figure beyond the limits of a pace is limited, as it may be forged.
+    pub fn set_work_time(&mut self, percent: WorkPercent, at: Instant) {
+        if self.work_time.is_some_and(|known| known.at > at) {
+            return;
+        }
+        let [slowest, fastest] = PACE_LIMITS;
+        let slowness = f64::from(percent.get()) / 100.0;
+        let slowness = slowness.clamp(1.0 / fastest, 1.0 / slowest);
+        self.work_time = Some(NamedTime {
+            slowness: Slowness::from_factor(slowness),
+            at,
+        });
+    }
+
     /// Discards what is known about the current work of an earlier start; the machine is taken to be the same.
     pub fn restart(&mut self) {
         self.last_first_event = None;
+        self.work_time = None;
     }
 
     /// Adds a first event as an observation of the prefill.
@@ -147,7 +226,10 @@
         let Some((begin, is_first)) = event.begin(previous) else {
             return;
         };
+        // What the backend server names as unusual is no part of its lasting pace. So a figure that is always
+        // wrong makes up for itself after some observations.
         let time = now.saturating_duration_since(begin);
+        let time = time.mul_f64(1.0 / self.work_time(now).factor());
         #[allow(clippy::cast_precision_loss)]
         let work = event.own_tokens as f64 / 1e3;
         let expected = event.expected.as_secs_f64() * 1e3;
--- a/crates/jaylock-share/src/ranking.rs
+++ b/crates/jaylock-share/src/ranking.rs
@@ -1,3 +1,5 @@
+use std::time::Instant;
+
 use crate::backend_set::BackendSet;
 use crate::backends::Backends;
 use crate::pace::Slowness;
@@ -19,11 +21,11 @@
 
 impl EngineRanking {
     /// Ranks all usable engines whose limits admit a request.
-    pub fn new(backends: &Backends) -> Self {
+    pub fn new(backends: &Backends, now: Instant) -> Self {
         let usable = backends.usable();
         let indices = usable.common(usable);
         let indices = indices.filter(|index| !backends.get(*index).is_limited);
-        let slowness = backends.slowness();
+        let slowness = backends.slowness(now);
         let pending = |index: usize| slowness[index].scale(pending_prefill(backends, index));
         let mut order: Vec<_> = indices.map(|index| (pending(index), index)).collect();
         order.sort_unstable();
--- a/crates/jaylock-share/src/reports.rs
+++ b/crates/jaylock-share/src/reports.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
-use jaylock_rpc::v1::{BackendReport, BackendVerdict, Exclusion, RateLimit};
-use jaylock_types::RequestRate;
+use jaylock_rpc::v1::{BackendReport, BackendVerdict, Exclusion, RateLimit, WorkTime};
+use jaylock_types::{RequestRate, WorkPercent};
 
 use crate::allocator::Allocator;
 use crate::backend::report_time;
@@ -44,6 +44,36 @@
         self.refresh(index, now);
     }
 
+    /// Applies the time for work that a router read in a response; one of an unknown start counts for nothing.
+    pub(crate) fn apply_work_time(&mut self, work_time: &WorkTime, now: Instant) {
+        let Some(percent) = WorkPercent::new(work_time.percent) else {
+            if let Some(reports) = self.invalid_work_times.record(now) {
+                log::warn!(
+                    target: "share",
+                    backend = work_time.backend.as_str(), percent = work_time.percent, reports = reports;
+                    "an absurd time for work is ignored"
+                );
+            }
+            return;
+        };
+        let Some(index) = self.backends.find(&work_time.backend) else {
+            return;
+        };
+        let backend = self.backends.get_mut(index);
+        if work_time.incarnation != backend.report.incarnation {
+            return;
+        }
+        let age = Duration::from_millis(work_time.age_ms.into());
+        let at = now.checked_sub(age).unwrap_or(now);
+        backend.pace.set_work_time(percent, at);
+        log::debug!(
+            target: "share",
+            backend = work_time.backend.as_str(), percent = percent.get(), age_ms = work_time.age_ms,
+            pace_percent = backend.pace.learned().pace_percent();
+            "a backend server names a time for work"
+        );
+    }
+
     /// Applies what a backend server announced to a router, and tells the router the verdict.
     pub(crate) fn apply_report(&mut self, key: RouterKey, report: BackendReport, now: Instant) {
         let (id, incarnation) = (report.id.clone(), report.incarnation);
--- a/crates/jaylock-tests/tests/share/exclusions.rs
+++ b/crates/jaylock-tests/tests/share/exclusions.rs
@@ -30,18 +30,21 @@
     limit: None,
     is_leaving: true,
     pause: None,
+    work_time: None,
 };
 
 const PAUSED: Notice = Notice {
     limit: None,
     is_leaving: false,
     pause: Some(PAUSE),
+    work_time: None,
 };
 
 const PAUSED_SHORTLY: Notice = Notice {
     limit: None,
     is_leaving: false,
     pause: Some(SHORT_PAUSE),
+    work_time: None,
 };
 
 /// Applies what a backend server told a router.
--- a/crates/jaylock-tests/tests/share/fixture.rs
+++ b/crates/jaylock-tests/tests/share/fixture.rs
@@ -3,7 +3,9 @@
 use std::time::Instant;
 
 use jaylock_rpc::v1::end::Outcome;
-use jaylock_rpc::v1::{Ask, BackendReport, End, Grant, Hello, Progress, Refusal, RouterFrame};
+use jaylock_rpc::v1::{
+    Ask, BackendReport, End, Grant, Hello, Progress, Refusal, RouterFrame, WorkTime,
+};
 use jaylock_share::{Allocator, RouterKey, SchedulerSettings};
 
 use crate::fleet::end;
@@ -76,6 +78,21 @@
             .refused
     }
 
+    /// Reports the time for work, in percent, that a backend server named in a response of this age.
+    pub fn name_work_time(&mut self, backend: &str, percent: u32, age_ms: u32) {
+        let work_time = WorkTime {
+            backend: backend.into(),
+            incarnation: 1,
+            percent,
+            age_ms,
+        };
+        let frame = RouterFrame {
+            work_times: vec![work_time],
+            ..RouterFrame::default()
+        };
+        self.allocator.apply(self.router, frame, self.now);
+    }
+
     /// Ends a run.
     pub fn end(&mut self, ticket: u64) {
         self.end_with(end(ticket, 20));
--- a/crates/jaylock-tests/tests/share/pace.rs
+++ b/crates/jaylock-tests/tests/share/pace.rs
@@ -4,9 +4,10 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use jaylock_rpc::v1::{Ask, Hello, PromptPart};
-use jaylock_share::SchedulerSettings;
+use jaylock_rpc::v1::{Ask, BackendReport, Hello, PromptPart, RouterFrame};
+use jaylock_share::{ClientState, SchedulerClientSettings, SchedulerSettings};
 use jaylock_tests::cases;
+use jaylock_types::{NamedWorkTime, Notice, WorkPercent};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -69,6 +70,8 @@
     /// Part of the engines that is in a slowdown at any moment.
     slowed: f64,
     uses_own_paces: bool,
+    /// Whether responses name the time for work.
+    names_work_times: bool,
     seed: u64,
     warm_up: Duration,
     duration: Duration,
@@ -82,6 +85,7 @@
             factor: 1.0,
             slowed: 0.0,
             uses_own_paces: true,
+            names_work_times: true,
             seed: 1,
             warm_up: Duration::from_secs(10),
             duration: Duration::from_secs(10),
@@ -129,6 +133,8 @@
     outcome: Outcome,
     next_report: Instant,
     due: [f64; 3],
+    /// An engine that always names this time for work.
+    forged: Option<(usize, u32)>,
     rng: SmallRng,
 }
 
@@ -150,6 +156,7 @@
             active: Vec::new(),
             outcome: Outcome::default(),
             due: [0.0; 3],
+            forged: None,
             rng: SmallRng::seed_from_u64(load.seed),
             load,
         }
@@ -268,6 +275,12 @@
             .iter()
             .map(|(at, ticket)| (*at + GENERATION_TIME, *ticket));
         engine.generating.extend(generating);
+        let slowdown = (is_slow && self.load.names_work_times).then_some(250);
+        let forged = self.forged.filter(|(forger, _)| *forger == at);
+        let named = forged.map(|(_, percent)| percent).or(slowdown);
+        if let Some(percent) = named.filter(|_| !started.is_empty()) {
+            self.fixture.name_work_time(&format!("e{at}"), percent, 0);
+        }
         for (_, ticket) in started {
             self.record_first_event(ticket, now);
         }
@@ -364,6 +377,12 @@
     paces(&fixture)
 }
 
+/// Time for work of the first backend server in percent, as operators see it.
+fn work_time(fixture: &Fixture) -> u32 {
+    let report = fixture.allocator.describe("i1", fixture.now);
+    report.backends[0].work_time_percent
+}
+
 /// Paces in percent of the pool's, as operators see them, by the number of the engine.
 fn paces(fixture: &Fixture) -> Vec<u32> {
     let report = fixture.allocator.describe("i1", fixture.now);
@@ -419,4 +438,112 @@
         }
         assert_that!(known, ge(25));
     };
+    slowdown_is_noticed_only_after_several_prompts => {
+        // Guards against prompts that are sent to engines while they take 2.5 times as long for 0.6 s.
+        let load = Load { factor: 2.0, slowed: 0.15, ..Load::default() };
+        let [before, after] = [false, true].map(|names_work_times| {
+            run_seeds(&Load { names_work_times, ..load.clone() }, true)
+        });
+        assert_that!(after.missed() * 4, le(before.missed() * 3), "{before:?} {after:?}");
+        assert_that!(after.first_event_ms * 20, le(before.first_event_ms * 19), "{before:?} {after:?}");
+    };
+    stale_work_time_counts_on => {
+        // Guards against an engine that is shunned for a slowdown that is over.
+        let mut fixture = Fixture::new();
+        fixture.report(engine_report("e0", 64));
+        fixture.name_work_time("e0", 250, 0);
+        let mut seen = vec![work_time(&fixture)];
+        for _ in 0..2 {
+            fixture.now += Duration::from_millis(300);
+            seen.push(work_time(&fixture));
+        }
+        assert_that!(seen, elements_are![eq(&250), eq(&175), eq(&100)]);
+        fixture.name_work_time("e0", 250, 700);
+        assert_that!(work_time(&fixture), eq(100));
+        fixture.name_work_time("e0", 100, 10);
+        fixture.name_work_time("e0", 250, 20);
+        assert_that!(work_time(&fixture), eq(100), "a later response is known");
+    };
+    absurd_work_times_decide => {
+        // Guards against figures that no backend server can mean, and those of an earlier start.
+        let mut fixture = Fixture::new();
+        fixture.report(engine_report("e0", 64));
+        for percent in [0, 9, 1001, u32::MAX] {
+            fixture.name_work_time("e0", percent, 0);
+            assert_that!(work_time(&fixture), eq(100));
+        }
+        fixture.name_work_time("e9", 250, 0);
+        fixture.name_work_time("e0", 1000, 0);
+        assert_that!(work_time(&fixture), eq(400));
+        fixture.report(BackendReport { incarnation: 2, ..engine_report("e0", 64) });
+        fixture.name_work_time("e0", 300, 0);
+        assert_that!(work_time(&fixture), eq(100));
+        for load in ["1,2,3", "", "0"] {
+            assert_that!(NamedWorkTime::from_load(load), none());
+        }
+        for load in ["1,2,3,", "1,2,3,0", "1,2,3,-5", "1,2,3,1e9", "1,2,3,x", "1,2,3,100,1"] {
+            assert_that!(NamedWorkTime::from_load(load), some(eq(NamedWorkTime::Invalid)), "{load}");
+        }
+        let usual = NamedWorkTime::Percent(WorkPercent::USUAL);
+        assert_that!(NamedWorkTime::from_load("3, 0, 64, 100"), some(eq(usual)));
+    };
+    forged_work_time_draws_the_load_to_one_engine_or_away => {
+        // Guards against an engine that always names a time that is wrong.
+        for percent in [25, 400] {
+            let mut play = Play::new(Load { speeds: EQUAL, factor: 2.0, ..Load::default() });
+            play.forged = Some((0, percent));
+            play.advance(Duration::from_secs(10));
+            let mut counts: Vec<_> = play.engines.iter().map(|engine| engine.prompts).collect();
+            let forger = counts[0];
+            counts.sort_unstable();
+            assert_that!(forger * 2, ge(counts[15]), "{percent}: {forger} {counts:?}");
+            assert_that!(forger, le(counts[15] * 2), "{percent}: {forger} {counts:?}");
+        }
+    };
+    routers_that_read_the_same_figure_choose_the_same_engine => {
+        // Guards against a herd: a hundred routers read that one of thirty engines is fast, and ask at once.
+        let mut fixture = Fixture::new();
+        for at in 0..30 {
+            fixture.report(engine_report(&format!("e{at}"), 64));
+        }
+        let hello = |at| Hello { router: format!("other{at}"), ..Hello::default() };
+        let routers: Vec<_> = (0..100).map(|at| fixture.allocator.attach(&hello(at), fixture.now)).collect();
+        let mut rng = SmallRng::seed_from_u64(1);
+        for (ticket, router) in (1..).zip(routers) {
+            fixture.router = router;
+            fixture.name_work_time("e0", 40, 0);
+            let ask = Ask { ticket, ..prompt(&KINDS[1], ticket, &mut rng) };
+            let frame = RouterFrame { asks: vec![ask], ..RouterFrame::default() };
+            fixture.allocator.apply(router, frame, fixture.now);
+        }
+        let grants = fixture.decide_all().0;
+        let at_fast = grants.iter().filter(|grant| grant.backend == "e0").count();
+        assert_that!(at_fast, ge(1));
+        assert_that!(at_fast * 8, le(grants.len()));
+    };
+    routers_report_every_figure_that_they_read => {
+        // Guards against a scheduler that spends its time on figures: 900 responses per second name one.
+        let mut now = Instant::now();
+        let mut router = ClientState::new(SchedulerClientSettings::default());
+        router.first_frame(Hello::default(), now);
+        let mut reported = |percent: u32, times: usize, interval: Duration| {
+            let mut reports = Vec::new();
+            for _ in 0..times {
+                now += interval;
+                let work_time = NamedWorkTime::from_load(&format!("1,0,64,{percent}"));
+                router.report_notice("e0", 1, &Notice { work_time, ..Notice::default() }, 1.0, now);
+                reports.extend(router.next_frame(now).work_times);
+            }
+            reports.len()
+        };
+        let step = Duration::from_millis(10);
+        assert_that!(reported(100, 50, step), eq(0), "the usual time");
+        assert_that!(reported(250, 20, step), eq(1), "a slowdown, for 0.2 s");
+        assert_that!(reported(250, 59, step), eq(3), "again while it lasts");
+        assert_that!(reported(255, 1, step), eq(0), "nearly the same");
+        assert_that!(reported(100, 50, step), eq(1), "its end");
+        assert_that!(reported(0, 50, step), eq(0), "an invalid figure");
+        let jumping: usize = (0..100).map(|n| reported(100 + 200 * (n % 2), 1, step)).sum();
+        assert_that!(jumping, le(20), "a figure that jumps for a second");
+    };
 }
--- a/crates/jaylock-types/src/lib.rs
+++ b/crates/jaylock-types/src/lib.rs
@@ -14,10 +14,10 @@
     AdapterId, BackendId, DomainId, InstanceId, InvalidId, ModelId, OrganisationId, PoolId,
     RequestId, RouteId, ServiceId, VersionId,
 };
-pub use self::notice::Notice;
+pub use self::notice::{NamedWorkTime, Notice};
 pub use self::number::{
     ByteSize, Epoch, Fence, Incarnation, Index, InvalidNumber, RequestRate, Revision, Term, Tokens,
-    Weight,
+    Weight, WorkPercent,
 };
 pub use self::secret::{KeyHash, Secret};
 pub use self::stream::StreamId;
--- a/crates/jaylock-types/src/number.rs
+++ b/crates/jaylock-types/src/number.rs
@@ -173,3 +173,42 @@
         Ok(Self::from_per_second(per_second))
     }
 }
+
+/// How long work takes at a backend server, in percent of the usual time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WorkPercent(u32);
+
+impl WorkPercent {
+    /// The usual time.
+    pub const USUAL: Self = Self(100);
+    /// Times beyond these are absurd: a backend server that works ten times as fast or as slowly as usual is broken,
+    /// or its figure is.
+    const LIMITS: [u32; 2] = [10, 1000];
+
+    /// Creates the time; `None` if it is absurd.
+    #[must_use]
+    pub fn new(percent: u32) -> Option<Self> {
+        let [least, most] = Self::LIMITS;
+        (least..=most).contains(&percent).then_some(Self(percent))
+    }
+
+    /// The time in percent.
+    #[must_use]
+    pub fn get(self) -> u32 {
+        self.0
+    }
+}
+
+impl FromStr for WorkPercent {
+    type Err = InvalidNumber;
+
+    fn from_str(text: &str) -> Result<Self, InvalidNumber> {
+        let invalid = || InvalidNumber {
+            kind: "time for work",
+            text: text.into(),
+            expected: "a whole number of percent from 10 to 1000",
+        };
+        let percent = text.trim().parse().map_err(|_| invalid())?;
+        Self::new(percent).ok_or_else(invalid)
+    }
+}
