Calls of plain services go to the backend server that is expected to complete them first

Cause: calls are spread by the taken share of the slots alone. With six slots and a third of them taken, a backend server at 0.7 of the mean gets a call whenever one at 1.7 runs one more.

Change: the router reports the time from the grant to the end of a call without tokens (`End.took_us`), because the scheduler hears of the end up to a second later. The scheduler learns the mean time for each backend server from complete, successful calls, and takes a pace for the pool's unless the mean differs from the pool's by three standard errors and by a fifth. `placement::choose` compares (100 + load in percent) x slowness; without paces this is the load. The frame in `scheduler::Event` is boxed, since its new fields exceed the size that clippy accepts beside the other variants.

--- a/crates/jaylock-router/src/slot.rs
+++ b/crates/jaylock-router/src/slot.rs
@@ -100,12 +100,18 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        let took = if self.tokens == 0 {
+            self.started.elapsed()
+        } else {
+            Duration::ZERO
+        };
         let mut end = End {
             ticket: self.grant.ticket,
             tokens: self.tokens,
             first_token_ms: millis(self.first_token.unwrap_or_default()),
             unreached: self.is_unreached,
             answered: self.is_answered,
+            took_us: u32::try_from(took.as_micros()).unwrap_or(u32::MAX),
             ..End::default()
         };
         end.set_outcome(self.outcome);
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -1,5 +1,5 @@
 use std::collections::VecDeque;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use jaylock_rpc::v1::end::Outcome;
@@ -308,6 +308,12 @@
             let backend = self.backends.get_mut(run.backend_index);
             backend.record_response(run.granted_at);
         }
+        let is_call = run.size_class == SizeClass::default() && end.tokens == 0 && end.answered;
+        if is_call && end.outcome() == Outcome::Complete && end.took_us > 0 {
+            let time = Duration::from_micros(end.took_us.into());
+            let backend = self.backends.get_mut(run.backend_index);
+            backend.pace.record_call(time, now);
+        }
         if matches!(end.outcome(), Outcome::Complete | Outcome::Cancelled) {
             self.accounts
                 .get_mut(run.account)
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -84,7 +84,14 @@
                     };
                     return selector.choose(eligible, &waiting.ask, domain);
                 }
-                placement::choose(backends, crash_history, eligible, &waiting.ask, domain)
+                placement::choose(
+                    backends,
+                    crash_history,
+                    ranking,
+                    eligible,
+                    &waiting.ask,
+                    domain,
+                )
             };
             let fits = |waiting: &WaitingRequest| choose(waiting).is_some();
             let max_wait = self.settings.starvation_wait;
--- a/crates/jaylock-share/src/host.rs
+++ b/crates/jaylock-share/src/host.rs
@@ -187,7 +187,7 @@
         };
         let frame = Event::Frame {
             session,
-            frame: first,
+            frame: Box::new(first),
         };
         if events.send(attach).await.is_ok() && events.send(frame).await.is_ok() {
             forward_frames(inbound, session, events).await;
@@ -259,6 +259,7 @@
     mut events: mpsc::Sender<Event>,
 ) {
     while let Ok(Some(frame)) = inbound.message().await {
+        let frame = Box::new(frame);
         if events.send(Event::Frame { session, frame }).await.is_err() {
             return;
         }
--- a/crates/jaylock-share/src/pace.rs
+++ b/crates/jaylock-share/src/pace.rs
@@ -39,6 +39,12 @@
 /// differ by up to some 15 %, and a choice between equal engines by noise would only scatter cached parts.
 const USUAL_PACES: [f64; 2] = [0.8, 1.25];
 
+/// Inverse weight of the newest call in the mean time of a backend server's calls.
+const CALL_WINDOW: u32 = 64;
+/// Standard errors by which the mean time of calls must differ from the pool's. The calls of one service may differ
+/// a lot, and equal backend servers are chosen by their load.
+const MIN_STANDARD_ERRORS: f64 = 3.0;
+
 /// Time that a backend server takes for work, in thousandths of the pool's mean time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Slowness(u32);
@@ -106,6 +112,7 @@
 #[derive(Debug)]
 pub struct ServerPace {
     observations: Observations,
+    calls: CallTimes,
     slowness: Slowness,
     work_time: Option<NamedTime>,
     /// When the last first event was reported.
@@ -116,6 +123,7 @@
     fn default() -> Self {
         Self {
             observations: Observations::default(),
+            calls: CallTimes::default(),
             slowness: Slowness::USUAL,
             work_time: None,
             last_first_event: None,
@@ -237,6 +245,12 @@
             .add(work, time.as_secs_f64() * 1e3, is_first, expected);
     }
 
+    /// Adds the time of a complete call of a plain service.
+    pub fn record_call(&mut self, time: Duration, now: Instant) {
+        self.calls
+            .add(time.as_secs_f64() * 1e3 / self.work_time(now).factor());
+    }
+
     /// Whether enough was observed for a pace.
     fn is_known(&self) -> bool {
         self.observations.count >= MIN_OBSERVATIONS
@@ -301,6 +315,49 @@
     }
 }
 
+/// Times of one backend server's calls, in ms.
+#[derive(Debug, Default)]
+struct CallTimes {
+    count: u32,
+    mean: f64,
+    mean_square: f64,
+}
+
+impl CallTimes {
+    fn add(&mut self, time: f64) {
+        let time = match self.known_mean() {
+            Some(mean) => time.min(mean * MAX_SAMPLE_FACTOR),
+            None => time,
+        };
+        self.count = self.count.saturating_add(1);
+        let weight = 1.0 / f64::from(self.count.min(CALL_WINDOW));
+        self.mean += (time - self.mean) * weight;
+        self.mean_square += (time * time - self.mean_square) * weight;
+    }
+
+    /// The mean, if enough calls were observed.
+    fn known_mean(&self) -> Option<f64> {
+        let is_known = self.count >= MIN_OBSERVATIONS && self.mean > 0.0;
+        is_known.then_some(self.mean)
+    }
+
+    /// The pace of a backend server if that of the pool's mean takes this time for a call.
+    fn pace(&self, pool_time: f64) -> Option<f64> {
+        let mean = self.known_mean()?;
+        let variance = (self.mean_square - mean * mean).max(0.0);
+        let standard_error = (variance / f64::from(self.count.min(CALL_WINDOW))).sqrt();
+        let is_significant = (mean - pool_time).abs() > standard_error * MIN_STANDARD_ERRORS;
+        is_significant.then_some(pool_time / mean)
+    }
+}
+
+/// Time of a call at the mean pace of the backend servers.
+fn mean_call_time<'a>(calls: impl Iterator<Item = &'a CallTimes>) -> f64 {
+    let rates = calls.filter_map(|calls| Some(1.0 / calls.known_mean()?));
+    let (sum, count) = rates.fold((0.0, 0.0), |(sum, count), rate| (sum + rate, count + 1.0));
+    count / sum
+}
+
 /// Delay of a first event besides prefill, which all backend servers of the pool have in common.
 ///
 /// It is fitted with a time per work for each backend server, or for the pool as a whole where that tells little.
@@ -335,11 +392,12 @@
     let (sum, count) = known
         .filter_map(rate)
         .fold((0.0, 0.0), |(sum, count), rate| (sum + rate, count + 1.0));
+    let call_time = mean_call_time(paces.iter().map(|pace| &pace.calls));
     for pace in paces {
-        let own = rate(pace).filter(|_| pace.is_known());
-        pace.slowness = own.map_or(Slowness::USUAL, |own| {
-            Slowness::from_pace(own * count / sum)
-        });
+        let prefill = rate(pace).filter(|_| pace.is_known());
+        let prefill = prefill.map(|own| own * count / sum);
+        let own = prefill.or_else(|| pace.calls.pace(call_time));
+        pace.slowness = own.map_or(Slowness::USUAL, Slowness::from_pace);
     }
     Duration::from_secs_f64(delay / 1e3)
 }
--- a/crates/jaylock-share/src/placement.rs
+++ b/crates/jaylock-share/src/placement.rs
@@ -115,7 +115,8 @@
     ) -> impl Iterator<Item = usize> + use<> {
         let remote_tokens = self.prefill_rate.tokens_in(REMOTE_DOMAIN_DELAY);
         let least_time = self.ranking.least_time(tokens);
-        let (mut best, mut local): (Option<(u64, usize)>, Option<(u64, usize)>) = (None, None);
+        let mut best: Option<(u64, usize)> = None;
+        let mut local: Option<(u64, usize)> = None;
         let is_better = |time: u64, other: Option<(u64, usize)>| other.is_none_or(|o| time < o.0);
         for (pending, index) in self.ranking.order() {
             // All engines that follow have at least this much pending prefill.
@@ -216,10 +217,14 @@
 
 /// Chooses an available backend server for a request among the eligible ones.
 ///
-/// Cached prefixes and the router's failure domain offset the load; a wrong guess costs time only.
+/// Cached prefixes and the router's failure domain offset the load; a wrong guess costs time only. The load counts
+/// as a time: a call takes up to twice as long at a backend server whose slots are all taken, times its own slowness.
+/// This is for plain services whose backend servers differ: with six slots each at half of their load or less, a
+/// slow one would get a call whenever the fast ones run one more.
 pub fn choose(
     backends: &Backends,
     crash_history: &CrashHistory,
+    ranking: &EngineRanking,
     eligible: &BackendSet,
     ask: &Ask,
     domain: &str,
@@ -239,7 +244,8 @@
         } else {
             0
         };
-        prefix_bonus + domain_bonus - i64::from(backend.load_percent())
+        let time = ranking.scale(*index, 100 + u64::from(backend.load_percent()));
+        prefix_bonus + domain_bonus - i64::try_from(time).unwrap_or(i64::MAX / 2)
     };
     eligible
         .common(backends.available())
--- a/crates/jaylock-share/src/scheduler.rs
+++ b/crates/jaylock-share/src/scheduler.rs
@@ -30,7 +30,10 @@
         frames: FrameSender,
     },
     /// A router sent a message.
-    Frame { session: u64, frame: RouterFrame },
+    Frame {
+        session: u64,
+        frame: Box<RouterFrame>,
+    },
     /// A router's stream ended.
     Detach { session: u64 },
     /// A report on the pool was requested.
@@ -123,7 +126,7 @@
             Event::Frame { session, frame } => {
                 let session = self.sessions.iter().find(|s| s.id == session);
                 if let Some(router) = session.map(|s| s.router) {
-                    self.allocator.apply(router, frame, now);
+                    self.allocator.apply(router, *frame, now);
                 }
             }
             Event::Detach { session } => self.close_session(session, now),
--- a/crates/jaylock-tests/tests/share/fixture.rs
+++ b/crates/jaylock-tests/tests/share/fixture.rs
@@ -23,11 +23,11 @@
 impl Fixture {
     /// Creates a pool whose startup delay is over.
     pub fn new() -> Self {
-        Self::with_settings(SchedulerSettings::default())
+        Self::with_settings(&SchedulerSettings::default())
     }
 
     /// Creates a pool with these settings whose startup delay is over.
-    pub fn with_settings(settings: SchedulerSettings) -> Self {
+    pub fn with_settings(settings: &SchedulerSettings) -> Self {
         let now = Instant::now();
         let mut allocator = Allocator::new("chat", 1, settings.clone(), now);
         let router = allocator.attach(
--- a/crates/jaylock-tests/tests/share/pace.rs
+++ b/crates/jaylock-tests/tests/share/pace.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use jaylock_rpc::v1::{Ask, BackendReport, Hello, PromptPart, RouterFrame};
+use jaylock_rpc::v1::{Ask, BackendReport, End, Hello, PromptPart, RouterFrame};
 use jaylock_share::{ClientState, SchedulerClientSettings, SchedulerSettings};
 use jaylock_tests::cases;
 use jaylock_types::{NamedWorkTime, Notice, WorkPercent};
@@ -65,6 +65,7 @@
 struct Load {
     engines: usize,
     speeds: [f64; 3],
+    seed: u64,
     /// Load relative to that of the kinds.
     factor: f64,
     /// Part of the engines that is in a slowdown at any moment.
@@ -72,7 +73,6 @@
     uses_own_paces: bool,
     /// Whether responses name the time for work.
     names_work_times: bool,
-    seed: u64,
     warm_up: Duration,
     duration: Duration,
 }
@@ -144,7 +144,7 @@
             uses_own_paces: load.uses_own_paces,
             ..SchedulerSettings::default()
         };
-        let fixture = Fixture::with_settings(settings);
+        let fixture = Fixture::with_settings(&settings);
         let engine = |at: usize| Engine {
             speed: load.speeds[at % 3],
             ..Engine::default()
@@ -164,10 +164,11 @@
 
     /// Plays a load and returns what callers got after the warm-up.
     fn run(load: Load) -> Outcome {
-        let mut play = Self::new(load.clone());
-        play.advance(load.warm_up);
+        let (warm_up, duration) = (load.warm_up, load.duration);
+        let mut play = Self::new(load);
+        play.advance(warm_up);
         play.outcome = Outcome::default();
-        play.advance(load.duration);
+        play.advance(duration);
         play.outcome
     }
 
@@ -377,6 +378,49 @@
     paces(&fixture)
 }
 
+/// Plays calls of a plain service for 20 s and returns the time of all calls together.
+///
+/// A call takes 5 to 25 ms at the mean pace.
+fn run_calls(speeds: [f64; 3], uses_own_paces: bool) -> Duration {
+    let mut fixture = Fixture::with_settings(&SchedulerSettings {
+        uses_own_paces,
+        ..SchedulerSettings::default()
+    });
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut running: Vec<(Instant, u64, Duration)> = Vec::new();
+    let mut sum = Duration::ZERO;
+    for ms in 0..20_000 {
+        fixture.now += Duration::from_millis(1);
+        let now = fixture.now;
+        if ms % 1000 == 0 {
+            for at in 0..4 {
+                fixture.report(engine_report(&format!("e{at}"), 6));
+            }
+        }
+        let due = running.extract_if(.., |(ends_at, ..)| *ends_at <= now);
+        for (_, ticket, time) in due.collect::<Vec<_>>() {
+            sum += time;
+            fixture.end_with(End {
+                ticket,
+                answered: true,
+                took_us: u32::try_from(time.as_micros()).expect("a short time"),
+                ..End::default()
+            });
+        }
+        if !rng.random_bool(0.121) {
+            continue;
+        }
+        let work = rng.random_range(0.005..0.025);
+        fixture.ask([ask("zarqa")]);
+        for grant in fixture.decide_all().0 {
+            let at: usize = grant.backend[1..].parse().expect("a number");
+            let time = Duration::from_secs_f64(work / speeds[at % 3]);
+            running.push((now + time, grant.ticket, time));
+        }
+    }
+    sum
+}
+
 /// Time for work of the first backend server in percent, as operators see it.
 fn work_time(fixture: &Fixture) -> u32 {
     let report = fixture.allocator.describe("i1", fixture.now);
@@ -546,4 +590,15 @@
         let jumping: usize = (0..100).map(|n| reported(100 + 200 * (n % 2), 1, step)).sum();
         assert_that!(jumping, le(20), "a figure that jumps for a second");
     };
+    calls_go_to_slow_backend_servers_while_fast_ones_are_free => {
+        // Guards against calls of a plain service that are spread by load alone: 121 calls of 15 ms per second meet
+        // four backend servers at 0.7, 0.7, 1.7 and 0.7 of the mean, with six slots each.
+        let [before, after] = [false, true].map(|uses_own_paces| run_calls(UNEVEN, uses_own_paces));
+        assert_that!(after.as_millis() * 4, le(before.as_millis() * 3), "{before:?} {after:?}");
+    };
+    equal_backend_servers_are_chosen_by_noise => {
+        // Guards against any change for a plain service whose backend servers are equally fast: calls take as long.
+        let [before, after] = [false, true].map(|uses_own_paces| run_calls(EQUAL, uses_own_paces));
+        assert_that!(after, eq(before));
+    };
 }
