--- a/crates/jaylock-tests/tests/share/pace.rs
+++ b/crates/jaylock-tests/tests/share/pace.rs
@@ -601,4 +601,17 @@
         let [before, after] = [false, true].map(|uses_own_paces| run_calls(EQUAL, uses_own_paces));
         assert_that!(after, eq(before));
     };
+    call_goes_to_a_backend_server_in_a_slowdown => {
+        // Guards against a plain service whose backend servers get calls while they take 2.5 times as long.
+        let mut fixture = Fixture::new();
+        for id in ["e0", "e1"] {
+            fixture.report(engine_report(id, 6));
+            fixture.name_work_time(id, 100, 0);
+        }
+        fixture.name_work_time("e1", 250, 0);
+        let chosen: Vec<_> = (0..6).map(|_| fixture.ask_and_decide(ask("zarqa"))).collect();
+        assert_that!(chosen, each(some(eq("e0"))));
+        fixture.now += Duration::from_millis(600);
+        assert_that!(fixture.ask_and_decide(ask("zarqa")), some(eq("e1")));
+    };
 }
