--- a/crates/jaylock-router/src/route/headers.rs
+++ b/crates/jaylock-router/src/route/headers.rs
@@ -23,6 +23,9 @@
     pub leaving: &'static str,
     /// Time in ms for which a backend server is still cold, in its responses.
     pub cold: &'static str,
+    /// Running and waiting requests, slots, and the time for work in percent of the usual time, separated by commas, in
+    /// a backend server's responses.
+    pub load: &'static str,
     /// Identifier of the request that brought the first event of the stream that this one resumes.
     pub resumed_request: &'static str,
     /// Model of a prompt.
@@ -49,6 +52,7 @@
             limit: "x-rate-limit",
             leaving: "x-leaving",
             cold: "x-cold-ms",
+            load: "x-load",
             resumed_request: "x-resumes",
             model: "x-model",
             tokens: "x-tokens",
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -1,5 +1,5 @@
 use std::collections::VecDeque;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use jaylock_rpc::v1::end::Outcome;
@@ -11,12 +11,14 @@
 use crate::SchedulerSettings;
 use crate::account::{AccountKey, Accounts};
 use crate::backends::Backends;
+use crate::bounded_log::BoundedLog;
 use crate::cold::{ColdSettings, MAX_GRANT_AGE};
 use crate::cost::{Residual, SizeClass, cost_of};
 use crate::crash_history::CrashHistory;
 use crate::division::Division;
 use crate::encoding::decode_names;
 use crate::engine::PrefillRate;
+use crate::pace::FirstEvent;
 use crate::queue::WaitingRequest;
 use crate::report_delay::ReportDelay;
 use crate::requirement::Requirements;
@@ -55,6 +57,8 @@
     pub(crate) spare_asks: Vec<(RouterKey, Ask)>,
     residual: Residual,
     pub(crate) prefill_rate: PrefillRate,
+    // Times for work that routers reported and that are absurd.
+    pub(crate) invalid_work_times: BoundedLog,
     // Instances that serve no callers; sorted.
     pub(crate) callerless: Vec<CompactString>,
     // Memory of each engine of the pool in tokens; 0 if unknown.
@@ -73,6 +77,7 @@
             epoch,
             ready_at,
             prefill_rate: PrefillRate::new(settings.initial_prefill_rate),
+            invalid_work_times: BoundedLog::default(),
             callerless: Vec::new(),
             memory_tokens: 0,
             settings,
@@ -144,6 +149,11 @@
         for exclusion in frame.exclusions {
             self.apply_exclusion(key, &exclusion, now);
         }
+        if self.settings.uses_own_paces {
+            for work_time in frame.work_times {
+                self.apply_work_time(&work_time, now);
+            }
+        }
         for end in frame.ends {
             self.end_run(key, &end, now);
         }
@@ -167,6 +177,9 @@
     /// Expires leases of backend servers and routers, and refuses requests that can't be served in time.
     pub fn tick(&mut self, now: Instant) {
         self.crash_history.expire(now);
+        if self.settings.uses_own_paces {
+            self.backends.update_paces();
+        }
         for index in 0..self.backends.len() {
             self.refresh(index, now);
         }
@@ -264,12 +277,20 @@
         self.origins.record(run.stream, &run.software, now);
         let proven = run.prove(now).then(|| run.causes.clone());
         if let Some(load) = run.load.as_mut().filter(|load| load.is_prefill_pending()) {
-            self.backends
-                .get_mut(run.backend_index)
-                .engine
-                .finish_prefill(load);
-            let time = now.saturating_duration_since(run.granted_at);
-            self.prefill_rate.observe(run.prefill_ahead, time);
+            let event = FirstEvent {
+                granted_at: run.granted_at,
+                own_tokens: load.pending_prefill(),
+                ahead_tokens: run.prefill_ahead,
+                expected: self.prefill_rate.time_for(load.pending_prefill()),
+                delay: self.backends.first_event_delay(),
+            };
+            let backend = self.backends.get_mut(backend_index);
+            backend.engine.finish_prefill(load);
+            backend.pace.record_first_event(&event, now);
+            // The pool's rate is that of an engine with the pool's pace.
+            let ahead_tokens = backend.pace.slowness(now).scale(event.ahead_tokens);
+            let time = now.saturating_duration_since(event.granted_at);
+            self.prefill_rate.observe(ahead_tokens, time);
         }
         self.accounts.charge(account, new_tokens);
         self.accounts.get_mut(account).tokens += new_tokens;
@@ -305,6 +326,12 @@
             let backend = self.backends.get_mut(run.backend_index);
             backend.record_response(run.granted_at);
         }
+        let is_call = run.size_class == SizeClass::default() && end.tokens == 0 && end.answered;
+        if is_call && end.outcome() == Outcome::Complete && end.took_us > 0 {
+            let time = Duration::from_micros(end.took_us.into());
+            let backend = self.backends.get_mut(run.backend_index);
+            backend.pace.record_call(time, now);
+        }
         if matches!(end.outcome(), Outcome::Complete | Outcome::Cancelled) {
             self.accounts
                 .get_mut(run.account)
@@ -322,7 +349,8 @@
         let is_abandoned = end.outcome() == Outcome::Cancelled;
         let load = run.load.as_ref().filter(|_| is_abandoned);
         let time = now.saturating_duration_since(run.granted_at);
-        let done = self.prefill_rate.tokens_in(time);
+        let slowness = self.backends.get(run.backend_index).pace.slowness(now);
+        let done = slowness.unscale(self.prefill_rate.tokens_in(time));
         load.map_or(0, |load| {
             load.prefilled_tokens(run.tokens, done, run.prefill_ahead)
         })
--- a/crates/jaylock-share/src/backend.rs
+++ b/crates/jaylock-share/src/backend.rs
@@ -5,6 +5,7 @@
 
 use crate::cold::{ColdChange, ColdPolicy, ColdState};
 use crate::engine::EngineEstimate;
+use crate::pace::ServerPace;
 use crate::rate_limit::RateLimiter;
 use crate::reachability::Reachability;
 
@@ -26,6 +27,8 @@
     pub orders: OperatorOrders,
     /// Estimated prefill and cache, for requests that list the parts of their prompts.
     pub engine: EngineEstimate,
+    /// How fast it works, relative to the pool.
+    pub pace: ServerPace,
     /// Whether an isolated request runs there or waits for the backend server to become idle.
     pub is_reserved: bool,
     // Reported requests that this scheduler did not grant.
@@ -77,6 +80,7 @@
             granted: 0,
             orders: OperatorOrders::default(),
             engine: EngineEstimate::default(),
+            pace: ServerPace::default(),
             is_reserved: false,
             external_load: 0,
             externally_full_since: None,
@@ -292,6 +296,7 @@
     pub fn restart(&mut self, now: Instant, lease: Duration) {
         self.cached_prefixes.clear();
         self.engine.restart();
+        self.pace.restart();
         // A router may name the limit of a backend server before the first report arrives.
         if self.report.incarnation > 0 {
             self.limit = None;
--- a/crates/jaylock-share/src/backends.rs
+++ b/crates/jaylock-share/src/backends.rs
@@ -10,6 +10,7 @@
 use crate::division::SlotShare;
 use crate::engine::RequestLoad;
 use crate::evacuations::Evacuations;
+use crate::pace::{Slowness, update_paces};
 use crate::restorations::Restorations;
 
 /// The backend servers of a pool, each under a lease that its reports renew.
@@ -28,6 +29,8 @@
     // Backend servers that may take requests, full or not.
     usable: BackendSet,
     cache_index: CacheIndex,
+    /// Estimated delay of a first event besides prefill.
+    first_event_delay: Duration,
 }
 
 impl Backends {
@@ -173,6 +176,26 @@
         }
     }
 
+    /// Slowness of each backend server now, by index.
+    pub fn slowness(&self, now: Instant) -> Vec<Slowness> {
+        let list = self.list.iter();
+        list.map(|backend| backend.pace.slowness(now)).collect()
+    }
+
+    /// Estimated delay of a first event besides prefill.
+    pub fn first_event_delay(&self) -> Duration {
+        self.first_event_delay
+    }
+
+    /// Recomputes the paces of the usable backend servers.
+    pub fn update_paces(&mut self) {
+        let usable = &self.usable;
+        let list = self.list.iter_mut().enumerate();
+        let paces = list.filter(|(index, _)| usable.contains(*index));
+        let mut paces: Vec<_> = paces.map(|(_, backend)| &mut backend.pace).collect();
+        self.first_event_delay = update_paces(&mut paces);
+    }
+
     /// Backend servers that may take requests, full or not.
     pub fn usable(&self) -> &BackendSet {
         &self.usable
--- a/crates/jaylock-share/src/batch.rs
+++ b/crates/jaylock-share/src/batch.rs
@@ -2,8 +2,9 @@
 
 use compact_str::CompactString;
 use jaylock_rpc::v1::{
-    Ask, BackendReport, ColdNotice, End, Exclusion, Progress, RateLimit, RouterFrame,
+    Ask, BackendReport, ColdNotice, End, Exclusion, Progress, RateLimit, RouterFrame, WorkTime,
 };
+use jaylock_types::millis;
 
 use crate::SchedulerClientSettings;
 use crate::encoding::{NameTable, encode_request_id};
@@ -19,6 +20,8 @@
     limits: Vec<RateLimit>,
     exclusions: Vec<Exclusion>,
     cold_notices: Vec<ColdNotice>,
+    // With the times of the responses.
+    work_times: Vec<(Instant, WorkTime)>,
     // Ends with their organisations.
     ends: Vec<(CompactString, End)>,
     // Sorted by ticket.
@@ -70,6 +73,13 @@
         self.cold_notices.push(notice);
     }
 
+    /// Adds a time for work that a response names now, in place of an older one of the same backend server.
+    pub fn add_work_time(&mut self, work_time: WorkTime, now: Instant) {
+        self.work_times
+            .retain(|(_, other)| other.backend != work_time.backend);
+        self.work_times.push((now, work_time));
+    }
+
     pub fn add_end(&mut self, organisation: CompactString, end: End, due: Instant) {
         if let Ok(index) = self.search_progress(end.ticket) {
             self.progress.remove(index);
@@ -103,6 +113,7 @@
             || !self.limits.is_empty()
             || !self.exclusions.is_empty()
             || !self.cold_notices.is_empty()
+            || !self.work_times.is_empty()
             || (has_waiting_requests && !self.ends.is_empty());
         let batched = self.last_frame.map(|last| last + settings.batch_window);
         let urgent = is_urgent.then(|| batched.unwrap_or(now));
@@ -119,6 +130,11 @@
             self.last_progress = Some(now);
         }
         let ends = std::mem::take(&mut self.ends);
+        let work_times = std::mem::take(&mut self.work_times).into_iter();
+        let work_times = work_times.map(|(at, work_time)| WorkTime {
+            age_ms: millis(now.saturating_duration_since(at)),
+            ..work_time
+        });
         RouterFrame {
             names: self.names.take_new(),
             asks: take_within(&mut self.asks),
@@ -127,6 +143,7 @@
             limits: std::mem::take(&mut self.limits),
             exclusions: std::mem::take(&mut self.exclusions),
             cold_notices: std::mem::take(&mut self.cold_notices),
+            work_times: work_times.collect(),
             ends: ends.into_iter().map(|(_, end)| end).collect(),
             progress: std::mem::take(&mut self.progress),
             ..RouterFrame::default()
--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -33,7 +33,7 @@
     fn grant_waiting(&mut self, now: Instant) {
         self.grant_isolated(now);
         let mut position = 0;
-        let mut ranking = EngineRanking::new(&self.backends);
+        let mut ranking = EngineRanking::new(&self.backends, now);
         while !self.backends.available().is_empty() {
             let Some(account) = self.accounts.backlogged(position) else {
                 break;
@@ -88,7 +88,14 @@
                     };
                     return selector.choose(eligible, &waiting.ask, domain);
                 }
-                placement::choose(backends, crash_history, eligible, &waiting.ask, domain)
+                placement::choose(
+                    backends,
+                    crash_history,
+                    ranking,
+                    eligible,
+                    &waiting.ask,
+                    domain,
+                )
             };
             let fits = |waiting: &WaitingRequest| choose(waiting).is_some();
             let max_wait = self.settings.starvation_wait;
--- a/crates/jaylock-share/src/description.rs
+++ b/crates/jaylock-share/src/description.rs
@@ -39,6 +39,8 @@
             granted: backend.granted,
             heard_ms_ago: millis(report_age),
             state: state.into(),
+            pace_percent: backend.pace.learned().pace_percent(),
+            work_time_percent: backend.pace.work_time(now).percent(),
         }
     }
 }
--- a/crates/jaylock-share/src/spare.rs
+++ b/crates/jaylock-share/src/spare.rs
@@ -11,6 +11,7 @@
 use crate::decision::allowed_backends;
 use crate::placement;
 use crate::queue::WaitingRequest;
+use crate::ranking::EngineRanking;
 use crate::requirement::RequirementKey;
 use crate::router::RouterKey;
 
@@ -73,7 +74,9 @@
             spare.set(index, has_spare_slot(self.backends.get(index), ask));
         }
         let domain = router.map_or("", |router| router.domain.as_str());
-        placement::choose(&self.backends, &self.crash_history, &spare, ask, domain)
+        let ranking = EngineRanking::new(&self.backends, now);
+        let (backends, crash_history) = (&self.backends, &self.crash_history);
+        placement::choose(backends, crash_history, &ranking, &spare, ask, domain)
             .ok_or("no backend server has slots to spare")
     }
 
--- a/crates/jaylock-tests/tests/share/exclusions.rs
+++ b/crates/jaylock-tests/tests/share/exclusions.rs
@@ -31,6 +31,7 @@
     is_leaving: true,
     pause: None,
     cold: Duration::ZERO,
+    work_time: None,
 };
 
 const PAUSED: Notice = Notice {
@@ -38,6 +39,7 @@
     is_leaving: false,
     pause: Some(PAUSE),
     cold: Duration::ZERO,
+    work_time: None,
 };
 
 const PAUSED_SHORTLY: Notice = Notice {
@@ -45,6 +47,7 @@
     is_leaving: false,
     pause: Some(SHORT_PAUSE),
     cold: Duration::ZERO,
+    work_time: None,
 };
 
 /// Applies what a backend server told a router.
--- /dev/null
+++ b/crates/jaylock-tests/tests/share/pace.rs
@@ -0,0 +1,617 @@
+//! Tests of pools whose backend servers differ in speed, in virtual time.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use jaylock_rpc::v1::{Ask, BackendReport, End, Hello, PromptPart, RouterFrame};
+use jaylock_share::{ClientState, SchedulerClientSettings, SchedulerSettings};
+use jaylock_tests::cases;
+use jaylock_types::{NamedWorkTime, Notice, WorkPercent};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::fixture::Fixture;
+use crate::fleet::{ask, engine_report};
+
+/// Step of the virtual clock.
+const STEP: Duration = Duration::from_millis(5);
+/// Mean prefill rate of the engines, in tokens per ms.
+const PREFILL_TOKENS_PER_MS: f64 = 61.4;
+/// Time to the first event of a prompt besides its prefill.
+const FIRST_EVENT_DELAY: Duration = Duration::from_millis(40);
+/// Time from the first event of a response to its end.
+const GENERATION_TIME: Duration = Duration::from_secs(1);
+/// Time between two reports of an engine.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Duration of a slowdown, and how much longer work takes meanwhile.
+const SLOWDOWN: Duration = Duration::from_millis(600);
+const SLOWDOWN_FACTOR: f64 = 2.5;
+/// Speeds of the engines, in turn.
+const UNEVEN: [f64; 3] = [0.7, 0.7, 1.7];
+const EQUAL: [f64; 3] = [1.0; 3];
+
+/// A kind of prompt: shared and own tokens, prompts per second at 90 engines, and the objective.
+struct Kind {
+    shared: u32,
+    own: u32,
+    rate: f64,
+    objective_ms: u32,
+}
+
+const KINDS: [Kind; 3] = [
+    Kind {
+        shared: 13_300,
+        own: 3720,
+        rate: 281.0,
+        objective_ms: 1000,
+    },
+    Kind {
+        shared: 6300,
+        own: 2890,
+        rate: 227.0,
+        objective_ms: 800,
+    },
+    Kind {
+        shared: 350,
+        own: 1110,
+        rate: 317.0,
+        objective_ms: 800,
+    },
+];
+
+/// A load and the pool that serves it.
+#[derive(Debug, Clone)]
+struct Load {
+    engines: usize,
+    speeds: [f64; 3],
+    seed: u64,
+    /// Load relative to that of the kinds.
+    factor: f64,
+    /// Part of the engines that is in a slowdown at any moment.
+    slowed: f64,
+    uses_own_paces: bool,
+    /// Whether responses name the time for work.
+    names_work_times: bool,
+    warm_up: Duration,
+    duration: Duration,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            engines: 30,
+            speeds: UNEVEN,
+            factor: 1.0,
+            slowed: 0.0,
+            uses_own_paces: true,
+            names_work_times: true,
+            seed: 1,
+            warm_up: Duration::from_secs(10),
+            duration: Duration::from_secs(10),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    speed: f64,
+    slow_until: Option<Instant>,
+    cached_parts: Vec<u64>,
+    /// Tickets with the tokens that are left to compute.
+    prefilling: VecDeque<(u64, f64)>,
+    starting: Vec<(Instant, u64)>,
+    generating: Vec<(Instant, u64)>,
+    prompts: usize,
+}
+
+/// What callers got.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+struct Outcome {
+    requests: usize,
+    in_time: usize,
+    late: usize,
+    refused: usize,
+    recomputed_tokens: u64,
+    /// Times to first events together, in ms.
+    first_event_ms: u128,
+}
+
+impl Outcome {
+    /// Prompts that did not begin within their objective.
+    fn missed(&self) -> usize {
+        self.late + self.refused
+    }
+}
+
+struct Play {
+    load: Load,
+    fixture: Fixture,
+    engines: Vec<Engine>,
+    /// Waiting and running requests by ticket.
+    active: Vec<(u64, Instant, Ask)>,
+    outcome: Outcome,
+    next_report: Instant,
+    due: [f64; 3],
+    /// An engine that always names this time for work.
+    forged: Option<(usize, u32)>,
+    rng: SmallRng,
+}
+
+impl Play {
+    fn new(load: Load) -> Self {
+        let settings = SchedulerSettings {
+            uses_own_paces: load.uses_own_paces,
+            ..SchedulerSettings::default()
+        };
+        let fixture = Fixture::with_settings(&settings);
+        let engine = |at: usize| Engine {
+            speed: load.speeds[at % 3],
+            ..Engine::default()
+        };
+        Self {
+            engines: (0..load.engines).map(engine).collect(),
+            next_report: fixture.now,
+            fixture,
+            active: Vec::new(),
+            outcome: Outcome::default(),
+            due: [0.0; 3],
+            forged: None,
+            rng: SmallRng::seed_from_u64(load.seed),
+            load,
+        }
+    }
+
+    /// Plays a load and returns what callers got after the warm-up.
+    fn run(load: Load) -> Outcome {
+        let (warm_up, duration) = (load.warm_up, load.duration);
+        let mut play = Self::new(load);
+        play.advance(warm_up);
+        play.outcome = Outcome::default();
+        play.advance(duration);
+        play.outcome
+    }
+
+    fn advance(&mut self, time: Duration) {
+        let end = self.fixture.now + time;
+        while self.fixture.now < end {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.fixture.now += STEP;
+        let now = self.fixture.now;
+        if now >= self.next_report {
+            self.next_report += REPORT_INTERVAL;
+            self.report();
+        }
+        self.slow_engines(now);
+        for at in 0..self.engines.len() {
+            self.work(at, now);
+        }
+        let asks = self.arrivals();
+        self.outcome.requests += asks.len();
+        let tickets = self.fixture.ask(asks.clone()).into_iter().zip(asks);
+        self.active
+            .extend(tickets.map(|(ticket, ask)| (ticket, now, ask)));
+        let (grants, refusals) = self.fixture.decide_all();
+        for grant in grants {
+            self.start(grant.ticket, &grant.backend);
+        }
+        self.outcome.refused += refusals.len();
+        for refusal in refusals {
+            self.active.retain(|(other, ..)| *other != refusal.ticket);
+        }
+    }
+
+    fn arrivals(&mut self) -> Vec<Ask> {
+        #[allow(clippy::cast_precision_loss)]
+        let scale = self.load.factor * self.load.engines as f64 / 90.0 * STEP.as_secs_f64();
+        let mut asks = Vec::new();
+        for (at, kind) in (0_u32..).zip(&KINDS) {
+            self.due[at as usize] += kind.rate * scale;
+            while self.due[at as usize] >= 1.0 {
+                self.due[at as usize] -= 1.0;
+                let subject = u64::from(at) * 1000 + self.rng.random_range(0..60);
+                asks.push(prompt(kind, subject, &mut self.rng));
+            }
+        }
+        asks
+    }
+
+    fn report(&mut self) {
+        for at in 0..self.engines.len() {
+            let report = engine_report(&format!("e{at}"), 64);
+            self.fixture.report(report);
+        }
+    }
+
+    fn slow_engines(&mut self, now: Instant) {
+        let begins = self.load.slowed / (1.0 - self.load.slowed) * STEP.as_secs_f64()
+            / SLOWDOWN.as_secs_f64();
+        for engine in &mut self.engines {
+            if engine.slow_until.is_none_or(|until| until <= now) && self.rng.random_bool(begins) {
+                engine.slow_until = Some(now + SLOWDOWN);
+            }
+        }
+    }
+
+    fn start(&mut self, ticket: u64, backend: &str) {
+        let active = self.active.iter().find(|(other, ..)| *other == ticket);
+        let ask = &active.expect("a known request").2;
+        let (shared, own) = (ask.parts[0], ask.parts[1]);
+        let at: usize = backend[1..].parse().expect("a number");
+        let engine = &mut self.engines[at];
+        let mut tokens = own.tokens;
+        if !engine.cached_parts.contains(&shared.hash) {
+            engine.cached_parts.push(shared.hash);
+            tokens += shared.tokens;
+            self.outcome.recomputed_tokens += u64::from(shared.tokens);
+        }
+        engine.prompts += 1;
+        engine.prefilling.push_back((ticket, tokens.into()));
+    }
+
+    /// Computes prompts one after the other, and ends those that have generated.
+    fn work(&mut self, at: usize, now: Instant) {
+        let engine = &mut self.engines[at];
+        let is_slow = engine.slow_until.is_some_and(|until| until > now);
+        let factor = if is_slow { SLOWDOWN_FACTOR } else { 1.0 };
+        let mut tokens = STEP.as_secs_f64() * 1e3 * PREFILL_TOKENS_PER_MS * engine.speed / factor;
+        while let Some((ticket, left)) = engine.prefilling.front_mut() {
+            let computed = left.min(tokens);
+            *left -= computed;
+            tokens -= computed;
+            if *left > 0.0 {
+                break;
+            }
+            engine.starting.push((now + FIRST_EVENT_DELAY, *ticket));
+            engine.prefilling.pop_front();
+        }
+        let due = |entry: &mut (Instant, u64)| entry.0 <= now;
+        let started: Vec<_> = engine.starting.extract_if(.., due).collect();
+        let ended: Vec<_> = engine.generating.extract_if(.., due).collect();
+        let generating = started
+            .iter()
+            .map(|(at, ticket)| (*at + GENERATION_TIME, *ticket));
+        engine.generating.extend(generating);
+        let slowdown = (is_slow && self.load.names_work_times).then_some(250);
+        let forged = self.forged.filter(|(forger, _)| *forger == at);
+        let named = forged.map(|(_, percent)| percent).or(slowdown);
+        if let Some(percent) = named.filter(|_| !started.is_empty()) {
+            self.fixture.name_work_time(&format!("e{at}"), percent, 0);
+        }
+        for (_, ticket) in started {
+            self.record_first_event(ticket, now);
+        }
+        for (_, ticket) in ended {
+            self.fixture.end(ticket);
+            self.active.retain(|(other, ..)| *other != ticket);
+        }
+    }
+
+    fn record_first_event(&mut self, ticket: u64, now: Instant) {
+        let active = self.active.iter().find(|(other, ..)| *other == ticket);
+        let (_, arrived, ask) = active.expect("a known request");
+        self.outcome.first_event_ms += (now - *arrived).as_millis();
+        if (now - *arrived).as_millis() <= ask.objective_ms.into() {
+            self.outcome.in_time += 1;
+        } else {
+            self.outcome.late += 1;
+        }
+        let tokens = ask.prompt_tokens.into();
+        self.fixture.report_progress(ticket, tokens);
+    }
+
+    /// Replaces the scheduler by one that knows nothing of what was learned; all runs end.
+    fn replace_scheduler(&mut self) {
+        for engine in &mut self.engines {
+            (engine.prefilling, engine.starting) = Default::default();
+            engine.generating.clear();
+        }
+        self.active.clear();
+        let hello = Hello {
+            router: "r1".into(),
+            ..Hello::default()
+        };
+        self.fixture.replace_scheduler(&hello);
+        self.report();
+    }
+}
+
+fn prompt(kind: &Kind, subject: u64, rng: &mut SmallRng) -> Ask {
+    let part = |hash, tokens| PromptPart { hash, tokens };
+    let own = rng.random_range(1 << 32..u64::MAX);
+    Ask {
+        limit: 120,
+        prompt_tokens: kind.shared + kind.own,
+        parts: vec![part(subject, kind.shared), part(own, kind.own)],
+        objective_ms: kind.objective_ms,
+        ..ask(&format!("o{}", own % 30))
+    }
+}
+
+/// Plays a load with several seeds, with the pool's pace for all engines or with their own.
+fn run_seeds(load: &Load, uses_own_paces: bool) -> Outcome {
+    let outcomes = (1..=2).map(|seed| {
+        Play::run(Load {
+            seed,
+            uses_own_paces,
+            ..load.clone()
+        })
+    });
+    outcomes.fold(Outcome::default(), |sum, other| Outcome {
+        requests: sum.requests + other.requests,
+        in_time: sum.in_time + other.in_time,
+        late: sum.late + other.late,
+        refused: sum.refused + other.refused,
+        recomputed_tokens: sum.recomputed_tokens + other.recomputed_tokens,
+        first_event_ms: sum.first_event_ms + other.first_event_ms,
+    })
+}
+
+/// Paces of two equal engines, one of which gets only prompts of 3720 tokens and the other only of 17,020.
+fn paces_by_prompt_size() -> Vec<u32> {
+    let mut fixture = Fixture::new();
+    for n in 0..200 {
+        for id in ["e0", "e1"] {
+            fixture.report(engine_report(id, 64));
+        }
+        for (tokens, other) in [(3720, "e1"), (17_020, "e0")] {
+            let part = |hash, tokens| PromptPart { hash, tokens };
+            let prompt = Ask {
+                prompt_tokens: tokens,
+                parts: vec![part(10_000 * n + u64::from(tokens), tokens)],
+                avoid: vec![other.into()],
+                ..ask("zarqa")
+            };
+            let ticket = fixture.ask([prompt])[0];
+            assert_that!(fixture.decide_all().0, len(eq(1)));
+            let prefill = f64::from(tokens) / PREFILL_TOKENS_PER_MS / 1e3;
+            fixture.now += Duration::from_secs_f64(prefill) + FIRST_EVENT_DELAY;
+            fixture.report_progress(ticket, tokens.into());
+            fixture.end(ticket);
+        }
+    }
+    fixture.decide_all();
+    paces(&fixture)
+}
+
+/// Plays calls of a plain service for 20 s and returns the time of all calls together.
+///
+/// A call takes 5 to 25 ms at the mean pace.
+fn run_calls(speeds: [f64; 3], uses_own_paces: bool) -> Duration {
+    let mut fixture = Fixture::with_settings(&SchedulerSettings {
+        uses_own_paces,
+        ..SchedulerSettings::default()
+    });
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut running: Vec<(Instant, u64, Duration)> = Vec::new();
+    let mut sum = Duration::ZERO;
+    for ms in 0..20_000 {
+        fixture.now += Duration::from_millis(1);
+        let now = fixture.now;
+        if ms % 1000 == 0 {
+            for at in 0..4 {
+                fixture.report(engine_report(&format!("e{at}"), 6));
+            }
+        }
+        let due = running.extract_if(.., |(ends_at, ..)| *ends_at <= now);
+        for (_, ticket, time) in due.collect::<Vec<_>>() {
+            sum += time;
+            fixture.end_with(End {
+                ticket,
+                answered: true,
+                took_us: u32::try_from(time.as_micros()).expect("a short time"),
+                ..End::default()
+            });
+        }
+        if !rng.random_bool(0.121) {
+            continue;
+        }
+        let work = rng.random_range(0.005..0.025);
+        fixture.ask([ask("zarqa")]);
+        for grant in fixture.decide_all().0 {
+            let at: usize = grant.backend[1..].parse().expect("a number");
+            let time = Duration::from_secs_f64(work / speeds[at % 3]);
+            running.push((now + time, grant.ticket, time));
+        }
+    }
+    sum
+}
+
+/// Time for work of the first backend server in percent, as operators see it.
+fn work_time(fixture: &Fixture) -> u32 {
+    let report = fixture.allocator.describe("i1", fixture.now);
+    report.backends[0].work_time_percent
+}
+
+/// Paces in percent of the pool's, as operators see them, by the number of the engine.
+fn paces(fixture: &Fixture) -> Vec<u32> {
+    let report = fixture.allocator.describe("i1", fixture.now);
+    let mut paces = vec![0; report.backends.len()];
+    for state in report.backends {
+        let id = state.report.unwrap_or_default().id;
+        paces[id[1..].parse::<usize>().expect("a number")] = state.pace_percent;
+    }
+    paces
+}
+
+cases! {
+    prompts_wait_at_slow_engines_or_for_fast_ones => {
+        // Guards against giving the slowest third as much as the fastest, and against waiting for the fast ones while
+        // slow ones are idle. The load is nine tenths of what the engines can prefill.
+        let load = Load { factor: 2.6, ..Load::default() };
+        let [before, after] = [false, true].map(|uses_own_paces| run_seeds(&load, uses_own_paces));
+        assert_that!(after.missed() * 4, le(before.missed() * 3), "{before:?} {after:?}");
+        assert_that!(after.first_event_ms * 10, le(before.first_event_ms * 9), "{before:?} {after:?}");
+    };
+    equal_engines_are_ranked_by_noise => {
+        // Guards against any change for a pool whose engines are equally fast: callers get exactly the same.
+        let load = Load { speeds: EQUAL, factor: 2.0, ..Load::default() };
+        let [before, after] = [false, true].map(|uses_own_paces| run_seeds(&load, uses_own_paces));
+        assert_that!(after, eq(before));
+    };
+    engines_that_get_short_prompts_count_as_slow => {
+        // Guards against taking the constant delay of a first event for prefill: it takes two fifths of a short prompt's time.
+        assert_that!(paces_by_prompt_size(), each(eq(&100)));
+    };
+    engine_without_history_gets_no_prompts => {
+        // Guards against a rank of a new engine, which has no pace of its own, behind all others.
+        let mut play = Play::new(Load { factor: 2.6, ..Load::default() });
+        play.advance(Duration::from_secs(5));
+        play.engines.push(Engine { speed: 1.7, ..Engine::default() });
+        play.advance(Duration::from_secs(5));
+        assert_that!(play.engines[30].prompts, ge(10));
+        // It has the pool's pace until it has computed prompts that are long enough to show its own.
+        assert_that!(paces(&play.fixture)[30], ge(100));
+    };
+    new_scheduler_never_learns_the_paces_again => {
+        // Guards against paces that a new scheduler takes over wrongly, or learns too slowly.
+        let mut play = Play::new(Load { factor: 2.0, ..Load::default() });
+        play.advance(Duration::from_secs(5));
+        play.replace_scheduler();
+        assert_that!(paces(&play.fixture), each(eq(&100)));
+        play.advance(Duration::from_secs(5));
+        let mut known = 0;
+        for (engine, pace) in play.engines.iter().zip(paces(&play.fixture)) {
+            let is_fast = engine.speed > 1.0;
+            expect_that!(if is_fast { pace >= 100 } else { pace <= 100 }, eq(true), "{pace}");
+            known += usize::from(pace != 100);
+        }
+        assert_that!(known, ge(25));
+    };
+    slowdown_is_noticed_only_after_several_prompts => {
+        // Guards against prompts that are sent to engines while they take 2.5 times as long for 0.6 s.
+        let load = Load { factor: 2.0, slowed: 0.15, ..Load::default() };
+        let [before, after] = [false, true].map(|names_work_times| {
+            run_seeds(&Load { names_work_times, ..load.clone() }, true)
+        });
+        assert_that!(after.missed() * 4, le(before.missed() * 3), "{before:?} {after:?}");
+        assert_that!(after.first_event_ms * 20, le(before.first_event_ms * 19), "{before:?} {after:?}");
+    };
+    stale_work_time_counts_on => {
+        // Guards against an engine that is shunned for a slowdown that is over.
+        let mut fixture = Fixture::new();
+        fixture.report(engine_report("e0", 64));
+        fixture.name_work_time("e0", 250, 0);
+        let mut seen = vec![work_time(&fixture)];
+        for _ in 0..2 {
+            fixture.now += Duration::from_millis(300);
+            seen.push(work_time(&fixture));
+        }
+        assert_that!(seen, elements_are![eq(&250), eq(&175), eq(&100)]);
+        fixture.name_work_time("e0", 250, 700);
+        assert_that!(work_time(&fixture), eq(100));
+        fixture.name_work_time("e0", 100, 10);
+        fixture.name_work_time("e0", 250, 20);
+        assert_that!(work_time(&fixture), eq(100), "a later response is known");
+    };
+    absurd_work_times_decide => {
+        // Guards against figures that no backend server can mean, and those of an earlier start.
+        let mut fixture = Fixture::new();
+        fixture.report(engine_report("e0", 64));
+        for percent in [0, 9, 1001, u32::MAX] {
+            fixture.name_work_time("e0", percent, 0);
+            assert_that!(work_time(&fixture), eq(100));
+        }
+        fixture.name_work_time("e9", 250, 0);
+        fixture.name_work_time("e0", 1000, 0);
+        assert_that!(work_time(&fixture), eq(400));
+        fixture.report(BackendReport { incarnation: 2, ..engine_report("e0", 64) });
+        fixture.name_work_time("e0", 300, 0);
+        assert_that!(work_time(&fixture), eq(100));
+        for load in ["1,2,3", "", "0"] {
+            assert_that!(NamedWorkTime::from_load(load), none());
+        }
+        for load in ["1,2,3,", "1,2,3,0", "1,2,3,-5", "1,2,3,1e9", "1,2,3,x", "1,2,3,100,1"] {
+            assert_that!(NamedWorkTime::from_load(load), some(eq(NamedWorkTime::Invalid)), "{load}");
+        }
+        let usual = NamedWorkTime::Percent(WorkPercent::USUAL);
+        assert_that!(NamedWorkTime::from_load("3, 0, 64, 100"), some(eq(usual)));
+    };
+    forged_work_time_draws_the_load_to_one_engine_or_away => {
+        // Guards against an engine that always names a time that is wrong.
+        for percent in [25, 400] {
+            let mut play = Play::new(Load { speeds: EQUAL, factor: 2.0, ..Load::default() });
+            play.forged = Some((0, percent));
+            play.advance(Duration::from_secs(10));
+            let mut counts: Vec<_> = play.engines.iter().map(|engine| engine.prompts).collect();
+            let forger = counts[0];
+            counts.sort_unstable();
+            assert_that!(forger * 2, ge(counts[15]), "{percent}: {forger} {counts:?}");
+            assert_that!(forger, le(counts[15] * 2), "{percent}: {forger} {counts:?}");
+        }
+    };
+    routers_that_read_the_same_figure_choose_the_same_engine => {
+        // Guards against a herd: a hundred routers read that one of thirty engines is fast, and ask at once.
+        let mut fixture = Fixture::new();
+        for at in 0..30 {
+            fixture.report(engine_report(&format!("e{at}"), 64));
+        }
+        let hello = |at| Hello { router: format!("other{at}"), ..Hello::default() };
+        let routers: Vec<_> = (0..100).map(|at| fixture.allocator.attach(&hello(at), fixture.now)).collect();
+        let mut rng = SmallRng::seed_from_u64(1);
+        for (ticket, router) in (1..).zip(routers) {
+            fixture.router = router;
+            fixture.name_work_time("e0", 40, 0);
+            let ask = Ask { ticket, ..prompt(&KINDS[1], ticket, &mut rng) };
+            let frame = RouterFrame { asks: vec![ask], ..RouterFrame::default() };
+            fixture.allocator.apply(router, frame, fixture.now);
+        }
+        let grants = fixture.decide_all().0;
+        let at_fast = grants.iter().filter(|grant| grant.backend == "e0").count();
+        assert_that!(at_fast, ge(1));
+        assert_that!(at_fast * 8, le(grants.len()));
+    };
+    routers_report_every_figure_that_they_read => {
+        // Guards against a scheduler that spends its time on figures: 900 responses per second name one.
+        let mut now = Instant::now();
+        let mut router = ClientState::new(SchedulerClientSettings::default());
+        router.first_frame(Hello::default(), now);
+        let mut reported = |percent: u32, times: usize, interval: Duration| {
+            let mut reports = Vec::new();
+            for _ in 0..times {
+                now += interval;
+                let work_time = NamedWorkTime::from_load(&format!("1,0,64,{percent}"));
+                router.report_notice("e0", 1, &Notice { work_time, ..Notice::default() }, 1.0, now);
+                reports.extend(router.next_frame(now).work_times);
+            }
+            reports.len()
+        };
+        let step = Duration::from_millis(10);
+        assert_that!(reported(100, 50, step), eq(0), "the usual time");
+        assert_that!(reported(250, 20, step), eq(1), "a slowdown, for 0.2 s");
+        assert_that!(reported(250, 59, step), eq(3), "again while it lasts");
+        assert_that!(reported(255, 1, step), eq(0), "nearly the same");
+        assert_that!(reported(100, 50, step), eq(1), "its end");
+        assert_that!(reported(0, 50, step), eq(0), "an invalid figure");
+        let jumping: usize = (0..100).map(|n| reported(100 + 200 * (n % 2), 1, step)).sum();
+        assert_that!(jumping, le(20), "a figure that jumps for a second");
+    };
+    calls_go_to_slow_backend_servers_while_fast_ones_are_free => {
+        // Guards against calls of a plain service that are spread by load alone: 121 calls of 15 ms per second meet
+        // four backend servers at 0.7, 0.7, 1.7 and 0.7 of the mean, with six slots each.
+        let [before, after] = [false, true].map(|uses_own_paces| run_calls(UNEVEN, uses_own_paces));
+        assert_that!(after.as_millis() * 4, le(before.as_millis() * 3), "{before:?} {after:?}");
+    };
+    equal_backend_servers_are_chosen_by_noise => {
+        // Guards against any change for a plain service whose backend servers are equally fast: calls take as long.
+        let [before, after] = [false, true].map(|uses_own_paces| run_calls(EQUAL, uses_own_paces));
+        assert_that!(after, eq(before));
+    };
+    call_goes_to_a_backend_server_in_a_slowdown => {
+        // Guards against a plain service whose backend servers get calls while they take 2.5 times as long.
+        let mut fixture = Fixture::new();
+        for id in ["e0", "e1"] {
+            fixture.report(engine_report(id, 6));
+            fixture.name_work_time(id, 100, 0);
+        }
+        fixture.name_work_time("e1", 250, 0);
+        let chosen: Vec<_> = (0..6).map(|_| fixture.ask_and_decide(ask("zarqa"))).collect();
+        assert_that!(chosen, each(some(eq("e0"))));
+        fixture.now += Duration::from_millis(600);
+        assert_that!(fixture.ask_and_decide(ask("zarqa")), some(eq("e1")));
+    };
+}
