--- a/crates/jaylock-share/src/spare.rs
+++ b/crates/jaylock-share/src/spare.rs
@@ -110,7 +110,8 @@
 ///
 /// One that is cold, or names a limit, has a rate that other requests need.
 fn has_spare_slot(backend: &Backend, ask: &Ask) -> bool {
-    if backend.has_limit() || !backend.cold.is_warm() {
+    let says_cold = backend.report.cold_ms.is_some_and(|time| time > 0);
+    if backend.has_limit() || says_cold || !backend.cold.is_warm() {
         return false;
     }
     let is_free = backend.is_idle() || keeps_reserve(backend.free_slots(), backend.report.slots);
