No orders to load models at engines of an evacuated domain

Cause: the reconciler sends model orders to engines itself, so an evacuated domain still got them. Change: the plan leaves engines of evacuated domains out, as drained ones; copies are loaded elsewhere meanwhile.

--- a/crates/jaylock-orders/src/plan.rs
+++ b/crates/jaylock-orders/src/plan.rs
@@ -47,7 +47,15 @@
     let drained = configuration
         .drains
         .binary_search_by(|d| d.backend.as_str().cmp(&engine.id));
-    engine.kind() == Kind::Engine && !engine.leaving && drained.is_err()
+    let is_evacuated = is_evacuated(configuration, &engine.domain);
+    engine.kind() == Kind::Engine && !engine.leaving && drained.is_err() && !is_evacuated
+}
+
+/// Whether nothing may be sent to the engines of a failure domain.
+fn is_evacuated(configuration: &Configuration, domain: &str) -> bool {
+    let entries = &configuration.evacuations;
+    let search = entries.binary_search_by(|entry| entry.domain.as_str().cmp(domain));
+    search.is_ok_and(|position| entries[position].since_ms > 0)
 }
 
 fn retry_order(configuration: &Configuration, engines: &[&BackendReport]) -> Option<Step> {
--- a/crates/jaylock-tests/tests/orders/plan.rs
+++ b/crates/jaylock-tests/tests/orders/plan.rs
@@ -1,6 +1,6 @@
 use googletest::prelude::*;
 use jaylock_orders::{Step, has_loaded, next_step};
-use jaylock_rpc::v1::{Adapter, BackendReport};
+use jaylock_rpc::v1::{Adapter, BackendReport, Configuration, Evacuation};
 use jaylock_tests::{cases, seeded_config};
 use jaylock_types::PoolId;
 use proptest::prelude::*;
@@ -29,6 +29,19 @@
         expect_that!(next_step(&fleet.view().current(), &pool(), &engines), none());
     };
 
+    // Guards against orders that are sent to engines of a domain to which nothing may be sent.
+    sends_an_order_to_an_engine_of_an_evacuated_domain => {
+        let fleet = FakeFleet::new(vec![FakeEngine::default()]);
+        fleet.configure(vec![model("dossier", "1", 1)], vec![]);
+        let entry = |since_ms| Evacuation { domain: fleet.reports()[0].domain.clone(), since_ms, ..Evacuation::default() };
+        let steps = [1, 0].map(|since_ms| {
+            let evacuations = vec![entry(since_ms)];
+            let configuration = Configuration { evacuations, ..(*fleet.view().current()).clone() };
+            next_step(&configuration, &pool(), &fleet.reports()).is_some()
+        });
+        expect_that!(steps, eq([false, true]));
+    };
+
     ignores_models_with_zero_copies => {
         let fleet = FakeFleet::new(vec![engine_with("dossier", "1")]);
         fleet.configure(vec![model("dossier", "2", 0)], vec![]);
