--- a/crates/jaylock-router/src/route/hedged.rs
+++ b/crates/jaylock-router/src/route/hedged.rs
@@ -131,6 +131,11 @@
         record_waste(attempts, this.started.elapsed());
     }
     attempts.record_failed_beside(error, ended.address, ended.slot, this.number);
+    attempts.tracker.record_step(format_compact!(
+        "attempt {} at {} goes on alone",
+        other.number,
+        other.backend
+    ));
     let ended = other.ending.await;
     let ended = accept(attempts, ended, server_error);
     if other.is_hedge && ended.outcome.is_ok() {
