A router without a scheduler refuses what waits too long for its objective

Cause: with its scheduler frozen or lost, a router keeps what its own slots don't serve for up to 5 s. The next scheduler counts the time that they waited, and refuses all of them.

Change: while a router decides alone, a request that has waited for half of its objective is refused at once, as the scheduler would; its caller is told to return when the next scheduler is expected, spread over a second. What has begun, and what has no objective, waits as before. Refused connections are counted in one line a second.

--- a/crates/jaylock-router/src/server.rs
+++ b/crates/jaylock-router/src/server.rs
@@ -2,7 +2,7 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::CompioTimer;
@@ -23,6 +23,8 @@
 
 /// Time between two checks whether connections are accepted again.
 const DEFER_INTERVAL: Duration = Duration::from_millis(5);
+/// Time between two lines about refused connections.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Smallest buffer for the head of a request.
 const MIN_HEAD_BYTES: usize = 8192;
 
@@ -82,13 +84,14 @@
         handler,
         open: Rc::default(),
     });
+    let mut refusals = RefusalLog::default();
     loop {
         while server.handler.defers_connections() {
             compio::time::sleep(DEFER_INTERVAL).await;
         }
         let (stream, peer) = accept(&listener, "router").await;
         if server.connections() >= server.limits.max_connections {
-            log::warn!(target: "router", "refused connection from {peer}: the maximum number of connections is reached");
+            refusals.record(Instant::now());
             continue;
         }
         server.handler.record_connection();
@@ -103,6 +106,29 @@
     }
 }
 
+/// Counts refused connections, as a line for each would take the time that the requests in progress need.
+#[derive(Default)]
+struct RefusalLog {
+    refused: u64,
+    logged_at: Option<Instant>,
+}
+
+impl RefusalLog {
+    fn record(&mut self, now: Instant) {
+        self.refused += 1;
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < LOG_INTERVAL;
+        if self.logged_at.is_some_and(is_recent) {
+            return;
+        }
+        log::warn!(
+            target: "router", refused = self.refused;
+            "refused connections: the maximum number of connections is reached"
+        );
+        self.refused = 0;
+        self.logged_at = Some(now);
+    }
+}
+
 /// State shared by the connections of one listener.
 struct Server<H> {
     limits: ServerLimits,
--- a/crates/jaylock-share/src/admission.rs
+++ b/crates/jaylock-share/src/admission.rs
@@ -280,7 +280,7 @@
 }
 
 /// How long a request may wait for a slot; `None` without an objective.
-fn max_objective_wait(ask: &Ask, percent: u32) -> Option<Duration> {
+pub fn max_objective_wait(ask: &Ask, percent: u32) -> Option<Duration> {
     let wait = u64::from(ask.objective_ms) * u64::from(percent) / 100;
     (wait > 0).then(|| Duration::from_millis(wait))
 }
--- a/crates/jaylock-share/src/connection.rs
+++ b/crates/jaylock-share/src/connection.rs
@@ -268,18 +268,23 @@
     fn grant_locally(&self) {
         let configuration = self.context.view.current();
         let now = boottime_now();
-        let (evacuated, unknown, lost) = {
+        let (evacuated, unknown, lost, overdue) = {
             let mut state = self.state.borrow_mut();
             state.grant_locally(&configuration, now);
             (
                 state.take_evacuated(),
                 state.take_unknown_streams(now),
                 state.take_lost_streams(now),
+                state.take_overdue(now),
             )
         };
         refuse(evacuated, Reason::NoBackend);
         refuse(unknown, Reason::UnknownStream);
         refuse(lost, Reason::NoBackend);
+        for (ticket, reply) in overdue {
+            let retry_after_ms = self.state.borrow().return_delay_ms(rand::random(), now);
+            send_refusal(ticket, reply, Reason::Overloaded, retry_after_ms);
+        }
     }
 
     fn refuse_expired(&self) {
@@ -298,15 +303,24 @@
 /// Refuses requests for lack of a scheduler.
 fn refuse(requests: Vec<(u64, oneshot::Sender<AskResult>)>, reason: Reason) {
     for (ticket, reply) in requests {
-        let refusal = Refusal {
-            ticket,
-            reason: reason.into(),
-            retry_after_ms: NO_SCHEDULER_RETRY_MS,
-        };
-        let _ = reply.send(Err(refusal));
+        send_refusal(ticket, reply, reason, NO_SCHEDULER_RETRY_MS);
     }
 }
 
+fn send_refusal(
+    ticket: u64,
+    reply: oneshot::Sender<AskResult>,
+    reason: Reason,
+    retry_after_ms: u32,
+) {
+    let refusal = Refusal {
+        ticket,
+        reason: reason.into(),
+        retry_after_ms,
+    };
+    let _ = reply.send(Err(refusal));
+}
+
 /// Returns the end of a run that never began.
 pub fn not_run(grant: &Grant) -> End {
     End {
--- a/crates/jaylock-share/src/fallback.rs
+++ b/crates/jaylock-share/src/fallback.rs
@@ -89,7 +89,7 @@
     }
 
     /// Whether no scheduler has been attached for so long that the router grants its own slots.
-    fn decides_alone(&self, now: Instant) -> bool {
+    pub(crate) fn decides_alone(&self, now: Instant) -> bool {
         let wait = self.settings.fallback_delay;
         let is_over = |at: Instant| now.saturating_duration_since(at) >= wait;
         !self.is_attached && self.detached_at.is_some_and(is_over)
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -37,6 +37,7 @@
 mod host;
 mod named_limits;
 mod named_work_times;
+mod overdue;
 mod pace;
 mod pauses;
 mod pending_request;
--- a/crates/jaylock-share/src/pending_request.rs
+++ b/crates/jaylock-share/src/pending_request.rs
@@ -1,4 +1,4 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use futures_channel::oneshot;
 use jaylock_rpc::v1::{Ask, Grant, Refusal};
@@ -24,11 +24,16 @@
         (self.ask.ticket, self.reply)
     }
 
+    /// Time that it has waited by now, here and before.
+    pub fn waited(&self, now: Instant) -> Duration {
+        let before = Duration::from_millis(self.ask.waited_ms.into());
+        before + now.saturating_duration_since(self.queued_at)
+    }
+
     /// The request with the time that it has waited by now.
     pub fn updated_ask(&self, now: Instant) -> Ask {
-        let waited = millis(now.saturating_duration_since(self.queued_at));
         let mut ask = self.ask.clone();
-        ask.waited_ms = ask.waited_ms.saturating_add(waited);
+        ask.waited_ms = millis(self.waited(now));
         encode_request_id(&mut ask);
         ask
     }
--- a/crates/jaylock-share/src/settings.rs
+++ b/crates/jaylock-share/src/settings.rs
@@ -84,6 +84,10 @@
     pub idle_timeout: Duration,
     /// Time without a scheduler after which the router grants its own slots.
     pub fallback_delay: Duration,
+    /// Time after the loss of a scheduler in which the next one is expected.
+    pub takeover_time: Duration,
+    /// Share of a request's objective for which it may wait for a slot without a scheduler, in percent.
+    pub objective_wait_percent: u32,
     /// Timeout for opening a stream.
     pub attach_timeout: Duration,
     /// Time for which reports of backend servers are kept for a new scheduler.
@@ -100,6 +104,8 @@
             max_scheduler_wait: Duration::from_secs(5),
             idle_timeout: Duration::from_millis(1500),
             fallback_delay: Duration::from_millis(500),
+            takeover_time: Duration::from_millis(2500),
+            objective_wait_percent: 50,
             attach_timeout: Duration::from_secs(2),
             report_retention: Duration::from_secs(10),
         }
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -12,6 +12,7 @@
 mod fixture;
 mod fleet;
 mod odd_entries;
+mod overdue;
 mod pace;
 mod plain_calls;
 mod pool;
