--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -377,6 +377,9 @@
             backend.confirm_grant();
         }
         if let Some(load) = run.load.take() {
+            if load.is_prefill_pending() {
+                backend.pace.record_interruption();
+            }
             backend.engine.remove_request(load);
         }
         if run.is_isolated {
