--- a/crates/jaylock-share/src/backends.rs
+++ b/crates/jaylock-share/src/backends.rs
@@ -8,7 +8,8 @@
 use crate::cache_index::CacheIndex;
 use crate::division::SlotShare;
 use crate::engine::RequestLoad;
-use crate::pace::{Slowness, update_paces};
+use crate::pace::update_paces;
+use crate::slowness::Slowness;
 
 /// The backend servers of a pool, each under a lease that its reports renew.
 #[derive(Debug, Default)]
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -34,6 +34,7 @@
 mod host;
 mod named_limits;
 mod named_work_times;
+mod observations;
 mod pace;
 mod pauses;
 mod pending_request;
@@ -54,6 +55,7 @@
 mod seen_versions;
 mod service_log;
 mod settings;
+mod slowness;
 mod stream_origins;
 mod usage;
 
--- a/crates/jaylock-share/src/ranking.rs
+++ b/crates/jaylock-share/src/ranking.rs
@@ -2,7 +2,7 @@
 
 use crate::backend_set::BackendSet;
 use crate::backends::Backends;
-use crate::pace::Slowness;
+use crate::slowness::Slowness;
 
 /// The usable engines of a pool ranked by the time for their pending prefill, for one decision.
 ///
