--- a/crates/jaylock-orders/src/plan.rs
+++ b/crates/jaylock-orders/src/plan.rs
@@ -1,5 +1,6 @@
 use std::cmp::Reverse;
 
+use jaylock_control::is_evacuated;
 use jaylock_rpc::v1::backend_report::Kind;
 use jaylock_rpc::v1::{BackendReport, Configuration, LoadedModel, Model, Order};
 use jaylock_types::PoolId;
@@ -51,13 +52,6 @@
     engine.kind() == Kind::Engine && !engine.leaving && drained.is_err() && !is_evacuated
 }
 
-/// Whether nothing may be sent to the engines of a failure domain.
-fn is_evacuated(configuration: &Configuration, domain: &str) -> bool {
-    let entries = &configuration.evacuations;
-    let search = entries.binary_search_by(|entry| entry.domain.as_str().cmp(domain));
-    search.is_ok_and(|position| entries[position].since_ms > 0)
-}
-
 fn retry_order(configuration: &Configuration, engines: &[&BackendReport]) -> Option<Step> {
     let is_outdated = |engine: &&&BackendReport| {
         newest_order(configuration, engine).is_some_and(|o| !matches_order(engine, o))
