One bounded log for the share and the router

Cause: the router's log of refused connections counted events and wrote at most one line per second with a type of its own, RefusalLog. The share crate already had BoundedLog, which does the same.

Change: BoundedLog moves from jaylock-share to jaylock-types, and the router calls it; RefusalLog and its constant are removed. The line and its interval stay as they were.

--- a/crates/jaylock-router/src/server.rs
+++ b/crates/jaylock-router/src/server.rs
@@ -12,7 +12,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use jaylock_rpc::accept;
-use jaylock_types::ByteSize;
+use jaylock_types::{BoundedLog, ByteSize};
 
 use crate::body::{Body, ResponseBody};
 use crate::connection;
@@ -23,8 +23,6 @@
 
 /// Time between two checks whether connections are accepted again.
 const DEFER_INTERVAL: Duration = Duration::from_millis(5);
-/// Time between two lines about refused connections.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Smallest buffer for the head of a request.
 const MIN_HEAD_BYTES: usize = 8192;
 
@@ -84,14 +82,20 @@
         handler,
         open: Rc::default(),
     });
-    let mut refusals = RefusalLog::default();
+    // A line for each refused connection would take the time that the requests in progress need.
+    let mut refusals = BoundedLog::default();
     loop {
         while server.handler.defers_connections() {
             compio::time::sleep(DEFER_INTERVAL).await;
         }
         let (stream, peer) = accept(&listener, "router").await;
         if server.connections() >= server.limits.max_connections {
-            refusals.record(Instant::now());
+            if let Some(refused) = refusals.record(Instant::now()) {
+                log::warn!(
+                    target: "router", refused;
+                    "refused connections: the maximum number of connections is reached"
+                );
+            }
             continue;
         }
         server.handler.record_connection();
@@ -106,29 +110,6 @@
     }
 }
 
-/// Counts refused connections, as a line for each would take the time that the requests in progress need.
-#[derive(Default)]
-struct RefusalLog {
-    refused: u64,
-    logged_at: Option<Instant>,
-}
-
-impl RefusalLog {
-    fn record(&mut self, now: Instant) {
-        self.refused += 1;
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < LOG_INTERVAL;
-        if self.logged_at.is_some_and(is_recent) {
-            return;
-        }
-        log::warn!(
-            target: "router", refused = self.refused;
-            "refused connections: the maximum number of connections is reached"
-        );
-        self.refused = 0;
-        self.logged_at = Some(now);
-    }
-}
-
 /// State shared by the connections of one listener.
 struct Server<H> {
     limits: ServerLimits,
--- a/crates/jaylock-share/src/allocator.rs
+++ b/crates/jaylock-share/src/allocator.rs
@@ -6,12 +6,11 @@
 use jaylock_rpc::v1::{
     Ask, Configuration, CrashCause, Decision, End, Progress, RouterFrame, SchedulerFrame,
 };
-use jaylock_types::unix_ms;
+use jaylock_types::{BoundedLog, unix_ms};
 
 use crate::SchedulerSettings;
 use crate::account::{AccountKey, Accounts};
 use crate::backends::Backends;
-use crate::bounded_log::BoundedLog;
 use crate::cold::{ColdSettings, MAX_GRANT_AGE};
 use crate::cost::{Residual, SizeClass, cost_of};
 use crate::crash_history::CrashHistory;
--- a/crates/jaylock-share/src/lib.rs
+++ b/crates/jaylock-share/src/lib.rs
@@ -9,7 +9,6 @@
 mod backend_set;
 mod backends;
 mod batch;
-mod bounded_log;
 mod cache_index;
 mod cause_log;
 mod causes;
--- a/crates/jaylock-share/src/named_work_times.rs
+++ b/crates/jaylock-share/src/named_work_times.rs
@@ -2,9 +2,8 @@
 
 use compact_str::CompactString;
 use jaylock_rpc::v1::WorkTime;
-use jaylock_types::{NamedWorkTime, WorkPercent};
+use jaylock_types::{BoundedLog, NamedWorkTime, WorkPercent};
 
-use crate::bounded_log::BoundedLog;
 use crate::pace::WORK_TIME_LIFETIME;
 
 /// Part of the reported time by which another one must differ to be reported. Smaller differences move an engine
--- a/crates/jaylock-types/src/lib.rs
+++ b/crates/jaylock-types/src/lib.rs
@@ -1,5 +1,6 @@
 //! Identifiers, numbers, clocks and secrets that all jaylock crates share.
 
+mod bounded_log;
 mod clock;
 mod hash;
 mod identifier;
@@ -8,6 +9,7 @@
 mod secret;
 mod stream;
 
+pub use self::bounded_log::BoundedLog;
 pub use self::clock::{Clock, SystemClock, boottime_now, long_millis, millis, unix_ms};
 pub use self::hash::Fnv;
 pub use self::identifier::{
