Rank engines only when there is something to grant

Cause: each decision of the scheduler built the ranking of all engines, which sorts them, also when no request waited or no server was free.

Change: the ranking is built only for decisions with waiting requests and an available backend server. Those without either granted nothing before, so the grants are the same.

Result: folder share: 209 passed, with the same assertions. The time of a decision was not measured.

--- a/crates/jaylock-share/src/decision.rs
+++ b/crates/jaylock-share/src/decision.rs
@@ -32,6 +32,15 @@
 
     fn grant_waiting(&mut self, now: Instant) {
         self.grant_isolated(now);
+        // The ranking sorts all engines, which a decision without anything to grant doesn't need.
+        if self.accounts.has_backlog() && !self.backends.available().is_empty() {
+            self.grant_backlogged(now);
+        }
+        self.accounts.record_remaining();
+    }
+
+    /// Grants the free slots to the backlogged organisations.
+    fn grant_backlogged(&mut self, now: Instant) {
         let mut position = 0;
         let mut ranking = EngineRanking::new(&self.backends, now);
         while !self.backends.available().is_empty() {
@@ -46,7 +55,6 @@
                 None => position += 1,
             }
         }
-        self.accounts.record_remaining();
     }
 
     /// Grants a slot to an organisation's next request that an available backend server can run.
