--- a/review/common-2/kit.rs
+++ b/review/common-2/kit.rs
@@ -6,6 +6,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -17,6 +18,7 @@
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, argument: u64, a: u64, b: u64, c: u64) -> i32;
+    fn connect(socket: i32, address: *const [u8; 16], length: u32) -> i32;
 }
 
 pub const SIGTERM: i32 = 15;
@@ -513,6 +515,7 @@
     pub born: u64,
     pub seq: Arc<AtomicU64>,
     stopped: Arc<AtomicBool>,
+    channels: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Replica {
@@ -537,6 +540,7 @@
             born: unix_ms(),
             seq: Arc::default(),
             stopped: Arc::default(),
+            channels: Arc::default(),
         };
         let own = replica.clone();
         thread::spawn(move || {
@@ -545,6 +549,7 @@
                     return;
                 }
                 let Ok(stream) = stream else { continue };
+                own.channels.lock().unwrap().extend(stream.try_clone());
                 let (own, serve) = (own.clone(), serve.clone());
                 thread::spawn(move || own.serve_channel(stream, &*serve));
             }
@@ -598,6 +603,20 @@
         let _ = stream.shutdown(Shutdown::Both);
     }
 
+    /// Crashes: its channels are reset, and nothing listens at its address any more.
+    pub fn crash(&self) {
+        self.stop();
+        // A socket that is connected to no address is reset at once, whoever else holds it.
+        for channel in self.channels.lock().unwrap().drain(..) {
+            unsafe { connect(channel.as_raw_fd(), &[0; 16], 16) };
+        }
+        record(&format!("{} has crashed", self.id));
+    }
+
+    pub fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::SeqCst)
+    }
+
     /// Answers nothing any more.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
