--- a/review/common-2/kit.rs
+++ b/review/common-2/kit.rs
@@ -515,7 +515,7 @@
     pub born: u64,
     pub seq: Arc<AtomicU64>,
     stopped: Arc<AtomicBool>,
-    channels: Arc<Mutex<Vec<TcpStream>>>,
+    channels: Arc<Mutex<HashMap<i32, TcpStream>>>,
 }
 
 impl Replica {
@@ -549,9 +549,14 @@
                     return;
                 }
                 let Ok(stream) = stream else { continue };
-                own.channels.lock().unwrap().extend(stream.try_clone());
+                let Ok(copy) = stream.try_clone() else { continue };
+                let number = copy.as_raw_fd();
+                own.channels.lock().unwrap().insert(number, copy);
                 let (own, serve) = (own.clone(), serve.clone());
-                thread::spawn(move || own.serve_channel(stream, &*serve));
+                thread::spawn(move || {
+                    own.serve_channel(stream, &*serve);
+                    own.channels.lock().unwrap().remove(&number);
+                });
             }
         });
         Ok(replica)
@@ -607,7 +612,7 @@
     pub fn crash(&self) {
         self.stop();
         // A socket that is connected to no address is reset at once, whoever else holds it.
-        for channel in self.channels.lock().unwrap().drain(..) {
+        for (_, channel) in self.channels.lock().unwrap().drain() {
             unsafe { connect(channel.as_raw_fd(), &[0; 16], 16) };
         }
         record(&format!("{} has crashed", self.id));
