--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,21 +1,19 @@
-//! A desired state with many keys stops all machines that serve control.
+//! An acknowledged departure of a replica is forgotten when the machine that acknowledged it is killed.
 
 #[path = "../common-2/kit.rs"]
 mod kit;
 
 use kit::*;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
+/// `drain_ms` of the site.
+const DRAIN_MS: u64 = 2000;
 /// `contact_ms` of the site.
 const CONTACT_MS: u64 = 3000;
-/// Tenants of the site.
-const TENANTS: usize = 16;
-/// Keys that each tenant gets by the second desired state, with and without the disruption.
-const KEYS: [usize; 2] = [4, 6000];
-/// How long the operator sends the second desired state.
-const SENDING_MS: u64 = 10_000;
+/// How late the last ping arrives.
+const LATE_MS: u64 = 4500;
 
 fn main() {
     open_record("review/7");
@@ -24,123 +22,131 @@
     if !fleet.configure(&document(1)) || !fleet.wait_until_ready() {
         cannot_run(&mut fleet, "the deployment did not get ready");
     }
-    let serve = Arc::new(|request: &Request, stream: &mut std::net::TcpStream| {
-        record(&format!("i-0 runs {}", request.header("attempt-id")));
-        answer(stream, request, "200 OK", "", "found")
-    });
-    let Ok(replica) = Replica::start("i-0", "caseapp", fleet.address(0, 8080), "zone-a", 6, "v1", serve) else {
-        cannot_run(&mut fleet, "an address is taken");
-    };
-    let nodes: Vec<_> = fleet.cores().iter().map(|at| fleet.control(*at)).collect();
+    let arrivals: Arc<Mutex<Vec<(u64, String, String)>>> = Arc::default();
+    let mut replicas = Vec::new();
+    let never = Arc::new(AtomicBool::new(false));
+    let leaves = Arc::new(AtomicBool::new(false));
+    let cores = fleet.cores();
+    let nodes: Vec<_> = cores.iter().map(|at| fleet.control(*at)).collect();
+    for number in 0..3 {
+        let id = format!("i-{number}");
+        let (own, list) = (id.clone(), arrivals.clone());
+        let serve = Arc::new(move |request: &Request, stream: &mut std::net::TcpStream| {
+            let attempt = request.header("attempt-id").to_owned();
+            record(&format!("{own} runs {attempt}"));
+            list.lock().unwrap().push((now_ms(), own.clone(), attempt));
+            sleep_ms(20);
+            answer(stream, request, "200 OK", "", "found")
+        });
+        let address = fleet.address(number, 8080);
+        let zone = format!("zone-{}", (b'a' + number as u8) as char);
+        let Ok(replica) = Replica::start(&id, "caseapp", address, &zone, 6, "v1", serve) else {
+            cannot_run(&mut fleet, "an address is taken");
+        };
+        replicas.push(replica);
+    }
+    for (number, replica) in replicas.iter().enumerate() {
+        let stop = if number == 0 { leaves.clone() } else { never.clone() };
+        replica.keep_pinging(nodes.clone(), number, stop);
+    }
+    // Clients: one request each 15 ms, at the edge machines in turn.
+    let fronts: Vec<_> = fleet.edges().iter().map(|at| fleet.front(*at)).collect();
     let ended = Arc::new(AtomicBool::new(false));
-    replica.keep_pinging(nodes.clone(), 0, ended.clone());
-    let answers: Arc<Mutex<Vec<(u64, u16)>>> = Arc::default();
-    for at in fleet.edges() {
-        let (front, ended, answers) = (fleet.front(at), ended.clone(), answers.clone());
+    let served = Arc::new(AtomicU64::new(0));
+    let sent: Arc<Mutex<Vec<(String, u64)>>> = Arc::default();
+    for client in 0..12 {
+        let (fronts, ended, served, sent) = (fronts.clone(), ended.clone(), served.clone(), sent.clone());
         thread::spawn(move || {
+            let mut turn = client;
             while !ended.load(Ordering::SeqCst) {
                 let id = attempt_id();
-                let text = request_text("GET", "/lookup/x", &id, 4000, "Connection: close\r\n", "");
-                let status = exchange(front, text.as_bytes(), 4500).map_or(0, |a| a.status);
-                record(&format!("client sent {id} to {front}: {status}"));
-                answers.lock().unwrap().push((now_ms(), status));
-                sleep_ms(200);
+                let path = format!("/lookup/{id}");
+                let text = request_text("GET", &path, &id, 4000, "Connection: close\r\n", "");
+                sent.lock().unwrap().push((id.clone(), now_ms()));
+                record(&format!("client sends {id} to {}", fronts[turn % fronts.len()]));
+                let status = exchange(fronts[turn % fronts.len()], text.as_bytes(), 4500).map_or(0, |a| a.status);
+                record(&format!("client gets {status} for {id}"));
+                served.fetch_add(u64::from(status == 200), Ordering::SeqCst);
+                turn += 1;
+                sleep_ms(150);
             }
         });
     }
+    if !wait_for(20, || served.load(Ordering::SeqCst) > 100) {
+        cannot_run(&mut fleet, "no request is served");
+    }
+    let runs = |from: u64| {
+        let list = arrivals.lock().unwrap();
+        list.iter().filter(|(at, id, _)| *at >= from && id == "i-0").count()
+    };
+    if !wait_for(5, || runs(0) > 5) {
+        cannot_run(&mut fleet, "the replica gets no requests");
+    }
+    let Some(host) = fleet.scheduler_of("caseapp") else {
+        cannot_run(&mut fleet, "no log names the machine that places the requests");
+    };
+    // All machines have run for longer than contact_ms.
     while now_ms() < 2 * CONTACT_MS {
         sleep_ms(50);
     }
-    let served = |from: u64, to: u64| {
-        let answers = answers.lock().unwrap();
-        let all: Vec<_> = answers.iter().filter(|(at, _)| (from..to).contains(at)).collect();
-        (all.iter().filter(|(_, status)| *status == 200).count(), all.len())
-    };
-    let (good, all) = served(0, now_ms());
-    say(&format!("before: {good} of {all} requests are served"));
-    if good == 0 {
-        cannot_run(&mut fleet, "no request is served");
+    // The last ping is on its way to another machine and gets no answer within a second.
+    leaves.store(true, Ordering::SeqCst);
+    sleep_ms(100);
+    let late = replicas[0].ping_body("ready");
+    let other = cores.iter().copied().find(|at| *at != host).unwrap_or(0);
+    let (to, path) = (fleet.control(other), replicas[0].path());
+    let name = fleet.machines[other].name.clone();
+    say(&format!("i-0 sends a ping to {name}; it will arrive {LATE_MS} ms later"));
+    thread::spawn(move || {
+        sleep_ms(LATE_MS);
+        let status = call(to, "PUT", &path, &late, 4000).map_or(0, |a| a.status);
+        say(&format!("the late ping of i-0 has arrived at {name}: {status}"));
+    });
+    sleep_ms(1000);
+    // So the next machine is called, with the departure.
+    let status = call(fleet.control(host), "DELETE", &replicas[0].path(), "", 1000).map_or(0, |a| a.status);
+    let acknowledged = now_ms();
+    let host_name = fleet.machines[host].name.clone();
+    say(&format!("i-0 tells {host_name} that it is gone: {status}"));
+    if status / 100 != 2 {
+        cannot_run(&mut fleet, "the departure is not acknowledged");
+    }
+    let mut disrupted = 0;
+    if has_trouble() {
+        sleep_ms(300);
+        fleet.kill(host);
+        sleep_ms(500);
+        fleet.start(host, false);
+        disrupted = now_ms();
+        say(&format!("{host_name} was killed and started again"));
     }
-    let keys = KEYS[usize::from(has_trouble())];
-    let text = with_keys(&document(2), keys);
-    say(&format!("the operator sends version 2: {} keys, {} bytes", TENANTS * keys, text.len()));
-    let (begun, mut turn, mut pause) = (now_ms(), 0, 100);
-    let mut acknowledged = false;
-    while now_ms() < begun + SENDING_MS && !acknowledged {
-        // The next node after a failure, with increasing backoff; more than a second for a large body.
-        let status = call(nodes[turn % nodes.len()], "PUT", "/-/config", &text, 4000).map_or(0, |a| a.status);
-        say(&format!("{} answers {status}", nodes[turn % nodes.len()]));
-        acknowledged = status == 200;
-        turn += 1;
-        sleep_ms(pause);
-        pause = (pause * 2).min(2000);
+    // The replica serves on for drain_ms and some seconds more, then exits.
+    let end = acknowledged + DRAIN_MS + 7000;
+    while now_ms() < end {
+        sleep_ms(50);
     }
-    // The end of the day: the operator reads the desired state back, repeatedly, for three times as long as it must.
-    let asked = now_ms();
-    let read: Arc<Mutex<Vec<u64>>> = Arc::default();
-    let readers: Vec<_> = nodes
-        .iter()
-        .map(|node| {
-            let (node, read) = (*node, read.clone());
-            thread::spawn(move || {
-                while now_ms() < asked + 3 * CONTACT_MS {
-                    let answer = call(node, "GET", "/-/config", "", 3000);
-                    let status = answer.as_ref().map_or(0, |a| a.status);
-                    let version = answer.filter(|a| a.status == 200 && a.is_complete).and_then(|a| version_of(&a.body));
-                    record(&format!("{node} answers the reading with {status}, version {version:?}"));
-                    read.lock().unwrap().extend(version);
-                    sleep_ms(100);
-                }
-            })
-        })
-        .collect();
-    for reader in readers {
-        let _ = reader.join();
+    replicas[0].stop();
+    say("i-0 exits");
+    ended.store(true, Ordering::SeqCst);
+    sleep_ms(500);
+    // The rule: requests that reach the replica later than drain_ms after the acknowledgement, sent by clients and sent on
+    // while all machines were in touch.
+    let calm = if has_trouble() { disrupted + CONTACT_MS } else { 0 };
+    let limit = (acknowledged + DRAIN_MS).max(calm);
+    let sent = sent.lock().unwrap();
+    let is_counted = |attempt: &str| sent.iter().any(|(id, at)| id == attempt && *at > limit);
+    let list = arrivals.lock().unwrap();
+    let late: Vec<_> = list.iter().filter(|(at, id, attempt)| id == "i-0" && *at > limit && is_counted(attempt)).collect();
+    let all = list.iter().filter(|(at, _, _)| *at > limit).count();
+    for (at, _, attempt) in late.iter().take(5) {
+        say(&format!("{attempt} reached i-0 at {at} ms, {} ms after the acknowledgement", at - acknowledged));
     }
-    let read = read.lock().unwrap();
-    let (good, all) = served(asked, now_ms());
-    say(&format!("meanwhile {good} of {all} requests are served"));
-    let least = if acknowledged { 2 } else { 1 };
-    let is_read = read.iter().any(|version| *version >= least);
     say(&format!(
-        "CONFIG: version 1 was acknowledged, version 2 {}; read back: {}",
-        if acknowledged { "too" } else { "not" },
-        read.last().map_or("nothing comes".into(), |version| format!("version {version}"))
+        "DRAIN: {} requests reached i-0 later than {DRAIN_MS} ms after its departure was acknowledged, of {all} that any replica ran then",
+        late.len()
     ));
-    ended.store(true, Ordering::SeqCst);
+    let is_broken = !late.is_empty();
+    drop(list);
     fleet.stop();
-    std::process::exit(i32::from(!is_read));
-}
-
-/// Gives the tenants of a desired state so many keys each.
-fn with_keys(document: &str, keys: usize) -> String {
-    let mut number: u64 = 88172645463325252;
-    let mut next_key = || {
-        let mut key = String::new();
-        for _ in 0..20 {
-            number ^= number << 13;
-            number ^= number >> 7;
-            number ^= number << 17;
-            key.push(b"abcdefghijklmnopqrstuvwxyz0123456789"[(number % 36) as usize] as char);
-        }
-        key
-    };
-    let mut tenants = String::new();
-    for tenant in 1..TENANTS {
-        let list: Vec<String> = (0..keys).map(|_| format!("\"{}\"", next_key())).collect();
-        tenants += &format!(r#"{{"name":"shop{tenant}","api_keys":[{}],"priority":1}},"#, list.join(","));
-    }
-    let list: Vec<String> = (0..keys).map(|_| format!("\"{}\"", next_key())).collect();
-    let own = format!(r#"{{"name":"adala","api_keys":["{KEY}",{}]"#, list.join(","));
-    let plain = format!(r#"{{"name":"adala","api_keys":["{KEY}"]"#);
-    assert!(document.contains(&plain));
-    document.replace(&plain, &format!("{tenants}{own}"))
-}
-
-/// The version of a desired state.
-fn version_of(body: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(body).ok()?;
-    let rest = text.split_once("\"version\":")?.1;
-    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
-    digits.parse().ok()
+    std::process::exit(i32::from(is_broken));
 }
