An answer whose connection is reset during the upload is never whole

What callers saw: a backend server answered a long upload with a 200 without length, sent a part and reset the connection; the caller got the part with status 200 and a length of its own, as whole. Error answers without length (500) were cut in the same way, and streams of events without length ended as complete.

Cause: Linux reports a reset once, to whichever of a read and a write asks first. When the write of the upload had met it, the next read returned what was left and then an end, as after an orderly close, which is the end of an answer without length. A router meets this order when it has more tasks to run than the 61 after which the runtime looks at its sockets: the head of the answer is read in one round, the write meets the reset in the next one, and the reader of the body asks for more only then. The same cause, the other way round: an answer that had arrived whole was dropped (502) when the HTTP library heard of the failed write before it had read the answer.

Ruled out: the framing by a length and by chunks, which the HTTP library checks (tests passed before); an answer after the whole upload was read, where no write is pending.

Change: OrderlyEnd, below the HTTP library on every connection to a backend server (routes, services, engines, documents), records a failed write and drops what is written after it. The read that would return the end returns the failure instead, except a broken pipe, which Linux reports for a reset after the peer's own orderly close: then all bytes have arrived. A connection on which a write failed carries no further request.

Tests: reset_answers, 32 cases with processes. The router is suspended while the answer, the reset and a byte of each of 200 other callers arrive, which brings the order about each time.

--- a/crates/jaylock-router/src/bounded_head.rs
+++ b/crates/jaylock-router/src/bounded_head.rs
@@ -11,8 +11,8 @@
 ///
 /// The HTTP library limits a single head, but reads informational responses without end and without a pause.
 const MAX_HEAD_BYTES: usize = 256 << 10;
-/// Bytes that are read at once while the head is incomplete.
-const CHUNK_BYTES: usize = 4 << 10;
+/// Bytes that are read at once.
+const CHUNK_BYTES: usize = 8 << 10;
 
 /// Bytes that may still be read before the head of a response is complete; unset while none is expected.
 #[derive(Debug, Clone, Default)]
@@ -43,25 +43,24 @@
     }
 }
 
-impl<S: Read + AsyncRead + Unpin> Read for BoundedHead<S> {
+impl<S: AsyncRead + Unpin> Read for BoundedHead<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let Some(left) = self.budget.0.get() else {
-            return Read::poll_read(Pin::new(&mut self.io), cx, buffer);
-        };
-        if left == 0 {
+        let left = self.budget.0.get();
+        if left == Some(0) {
             let message = "the head of the response does not end";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
         }
         let mut chunk = [0; CHUNK_BYTES];
-        let length = CHUNK_BYTES.min(left).min(buffer.remaining());
-        let reading = AsyncRead::poll_read(Pin::new(&mut self.io), cx, &mut chunk[..length]);
+        let allowed = left.unwrap_or(CHUNK_BYTES).min(CHUNK_BYTES);
+        let length = allowed.min(buffer.remaining());
+        let reading = Pin::new(&mut self.io).poll_read(cx, &mut chunk[..length]);
         let count = ready!(reading)?;
         buffer.put_slice(&chunk[..count]);
-        self.budget.0.set(Some(left - count));
+        self.budget.0.set(left.map(|left| left - count));
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/jaylock-router/src/connection.rs
+++ b/crates/jaylock-router/src/connection.rs
@@ -15,6 +15,7 @@
 
 use crate::bounded_head::{BoundedHead, HeadBudget};
 use crate::error::AttemptError;
+use crate::orderly_end::{OrderlyEnd, WriteFailure};
 use crate::socket::{self, SocketStream};
 
 /// Maximum number of idle connections per address.
@@ -36,6 +37,7 @@
     stream: TcpStream,
     sender: SendRequest<Full<Bytes>>,
     head_budget: HeadBudget,
+    write_failure: WriteFailure,
     last_used: Instant,
     /// Whether a request was sent whose response has not been read completely.
     is_busy: bool,
@@ -67,7 +69,9 @@
         stream.set_nodelay(true)?;
         enable_keepalive(&stream, ACKNOWLEDGE_TIMEOUT)?;
         let head_budget = HeadBudget::default();
-        let io = BoundedHead::new(SocketStream::new(stream.clone()), head_budget.clone());
+        let write_failure = WriteFailure::default();
+        let io = OrderlyEnd::new(SocketStream::new(stream.clone()), write_failure.clone());
+        let io = BoundedHead::new(io, head_budget.clone());
         let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
         compio::runtime::spawn(async move {
             if let Err(error) = connection.await {
@@ -80,6 +84,7 @@
             stream,
             sender,
             head_budget,
+            write_failure,
             last_used: Instant::now(),
             is_busy: false,
             is_kept: false,
@@ -124,6 +129,11 @@
         self.is_expired = true;
     }
 
+    /// Whether the connection can carry another request.
+    fn is_open(&self) -> bool {
+        !self.sender.is_closed() && !self.write_failure.is_set()
+    }
+
     /// Records that a complete response arrived, which starts the idle time.
     pub fn mark_used(&mut self) {
         self.last_used = Instant::now();
@@ -198,7 +208,7 @@
         let mut idle = self.idle.borrow_mut();
         let at = idle.binary_search_by_key(&address, |e| e.0).ok()?;
         while let Some(connection) = idle[at].1.pop() {
-            if !connection.sender.is_closed() && connection.last_used.elapsed() <= max_idle {
+            if connection.is_open() && connection.last_used.elapsed() <= max_idle {
                 return Some(connection);
             }
         }
@@ -246,7 +256,7 @@
     /// Returns a connection to the pool after its last response was read completely, or closes an expired one.
     pub fn put_back(&self, mut connection: Connection) {
         connection.mark_used();
-        if connection.is_expired || connection.sender.is_closed() {
+        if connection.is_expired || !connection.is_open() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
@@ -269,7 +279,7 @@
     pub fn prune(&self, max_idle: Duration) {
         let mut idle = self.idle.borrow_mut();
         for (_, connections) in idle.iter_mut() {
-            connections.retain(|c| !c.sender.is_closed() && c.last_used.elapsed() <= max_idle);
+            connections.retain(|c| c.is_open() && c.last_used.elapsed() <= max_idle);
         }
         idle.retain(|(_, connections)| !connections.is_empty());
     }
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -27,6 +27,7 @@
 mod latch;
 mod lifecycle;
 mod memory;
+mod orderly_end;
 mod organisation;
 mod origin;
 mod overload;
--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use jaylock_tests::fleet::HttpResponse;
+use socket2::SockRef;
 
 use super::{TestFleet, send_call, send_call_within, wait_until};
 
@@ -15,6 +16,13 @@
 /// Time after which a heartbeat counts as lost.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Size of the receive buffer of a backend server that replies before it has read a body, so that the sender has to wait.
+const SMALL_BUFFER: usize = 16 << 10;
+/// Time for what was sent to arrive before a reset, which drops what is still on its way.
+const ARRIVAL_TIME: Duration = Duration::from_millis(100);
+/// Largest segment that such a backend server takes, as the sender's buffer grows with it.
+const SMALL_SEGMENT: u32 = 1000;
+
 /// Size of a block of a reply without end.
 const ENDLESS_BLOCK: usize = 16 << 10;
 
@@ -37,6 +45,12 @@
     sends_heartbeats: AtomicBool,
     is_crashed: AtomicBool,
     active_count: AtomicUsize,
+    /// Connections that have been accepted.
+    connection_count: AtomicUsize,
+    /// Connections that were closed or reset after a reply that was sent whole.
+    end_count: AtomicUsize,
+    /// Most bytes of a body that are read before the reply; `None` for whole bodies.
+    body_limit: Option<usize>,
     received: Mutex<Vec<ReceivedRequest>>,
     /// Handles of all connections, so that a crash closes them.
     connections: Mutex<Vec<TcpStream>>,
@@ -49,7 +63,7 @@
     pub request_line: String,
     /// Header fields in order, with names in lower case.
     pub headers: Vec<(String, String)>,
-    /// Body.
+    /// Body, or the part of it that was read before the reply.
     pub body: String,
     /// When the head had arrived.
     pub arrived_at: Instant,
@@ -68,6 +82,8 @@
     pub endless: Vec<u8>,
     /// Whether the connection is closed after the reply.
     pub closes_connection: bool,
+    /// Whether the connection is reset after the reply, or after it was closed in an orderly way if that is set too.
+    pub resets_connection: bool,
     /// Whether the backend server crashes after the reply.
     pub crashes: bool,
 }
@@ -85,14 +101,41 @@
         Self::start_version(fleet, id, ("app", "v1"), reply)
     }
 
+    /// Starts a backend server that replies once it has read so many bytes of a body, and leaves the rest unread.
+    pub fn start_early(
+        fleet: &TestFleet,
+        id: &str,
+        body_limit: usize,
+        reply: impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_with(fleet, id, ("app", "v1"), Some(body_limit), reply)
+    }
+
     /// Starts a backend server of a service, with this version of its software.
     pub fn start_version(
+        fleet: &TestFleet,
+        id: &str,
+        kind: (&str, &str),
+        reply: impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_with(fleet, id, kind, None, reply)
+    }
+
+    fn start_with(
         fleet: &TestFleet,
         id: &str,
         (service, software): (&str, &str),
+        body_limit: Option<usize>,
         reply: impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        if body_limit.is_some() {
+            // Connections take both from their listener.
+            let socket = SockRef::from(&listener);
+            let resized = socket.set_recv_buffer_size(SMALL_BUFFER);
+            resized.expect("a small buffer");
+            socket.set_tcp_mss(SMALL_SEGMENT).expect("small segments");
+        }
         let shared = Arc::new(Shared {
             id: id.into(),
             service: service.into(),
@@ -104,6 +147,9 @@
             sends_heartbeats: AtomicBool::new(true),
             is_crashed: AtomicBool::new(false),
             active_count: AtomicUsize::new(0),
+            connection_count: AtomicUsize::new(0),
+            end_count: AtomicUsize::new(0),
+            body_limit,
             received: Mutex::default(),
             connections: Mutex::default(),
         });
@@ -194,6 +240,11 @@
         self.shared.active_count.load(Ordering::Relaxed)
     }
 
+    /// Number of connections that were closed or reset after a reply that was sent whole.
+    pub fn end_count(&self) -> usize {
+        self.shared.end_count.load(Ordering::Relaxed)
+    }
+
     /// Whether the backend server has crashed.
     pub fn has_crashed(&self) -> bool {
         self.shared.is_crashed.load(Ordering::Relaxed)
@@ -255,11 +306,10 @@
         let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
         let mut stream = stream;
         let handle = stream.try_clone().expect("a handle for a crash");
-        let mut connections = self.lock_connections();
-        connections.push(handle);
-        let number = connections.len();
-        drop(connections);
-        while let Some(received) = read_request(&mut reader, number) {
+        self.lock_connections().push(handle);
+        let number = self.connection_count.fetch_add(1, Ordering::Relaxed) + 1;
+        let limit = self.body_limit.unwrap_or(usize::MAX);
+        while let Some(received) = read_request(&mut reader, number, limit) {
             self.lock_received().push(received.clone());
             self.active_count.fetch_add(1, Ordering::Relaxed);
             let reply = reply(&received);
@@ -276,13 +326,33 @@
                 self.crash();
                 return;
             }
-            if !is_sent || reply.closes_connection {
+            if reply.resets_connection {
+                if reply.closes_connection {
+                    let _ = stream.shutdown(Shutdown::Write);
+                }
+                drop(reader);
+                self.reset(stream);
+            } else if !is_sent || reply.closes_connection {
                 let _ = stream.shutdown(Shutdown::Both);
-                return;
+            } else {
+                continue;
             }
+            self.end_count.fetch_add(is_sent.into(), Ordering::Relaxed);
+            return;
         }
     }
 
+    /// Closes the last handle of a connection so that its end is a reset.
+    fn reset(&self, stream: TcpStream) {
+        thread::sleep(ARRIVAL_TIME);
+        let peer = stream.peer_addr().ok();
+        self.lock_connections()
+            .retain(|c| c.peer_addr().ok() != peer);
+        let lingering = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        lingering.expect("a connection that can be reset");
+        drop(stream);
+    }
+
     /// Closes the listener and then all connections, as when the process ends.
     fn crash(&self) {
         self.sends_heartbeats.store(false, Ordering::Relaxed);
@@ -380,6 +450,7 @@
             later: Vec::new(),
             endless: Vec::new(),
             closes_connection: false,
+            resets_connection: false,
             crashes: false,
         }
     }
@@ -405,7 +476,12 @@
     format!("{:x}\r\n{event}\r\n", event.len())
 }
 
-fn read_request(reader: &mut BufReader<TcpStream>, connection: usize) -> Option<ReceivedRequest> {
+/// Reads a request with at most `body_limit` bytes of its body.
+fn read_request(
+    reader: &mut BufReader<TcpStream>,
+    connection: usize,
+    body_limit: usize,
+) -> Option<ReceivedRequest> {
     let mut line = String::new();
     reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
     let mut headers = Vec::new();
@@ -424,8 +500,8 @@
         arrived_at: Instant::now(),
         connection,
     };
-    let length = received.header("content-length").parse().unwrap_or(0);
-    let mut body = vec![0; length];
+    let length: usize = received.header("content-length").parse().unwrap_or(0);
+    let mut body = vec![0; length.min(body_limit)];
     reader.read_exact(&mut body).ok()?;
     received.body = String::from_utf8(body).ok()?;
     Some(received)
--- a/crates/jaylock-tests/tests/platform/harness/caller.rs
+++ b/crates/jaylock-tests/tests/platform/harness/caller.rs
@@ -14,6 +14,7 @@
     path: String,
     headers: Vec<(String, String)>,
     body: String,
+    is_chunked: bool,
 }
 
 /// A response as the caller received it.
@@ -41,6 +42,7 @@
                 ("Time-Budget".into(), "3000".into()),
             ],
             body: String::new(),
+            is_chunked: false,
         }
     }
 
@@ -76,6 +78,13 @@
         self
     }
 
+    /// Sets the body, which is sent in chunks.
+    pub fn chunked_body(mut self, text: &str) -> Self {
+        self.body = text.into();
+        self.is_chunked = true;
+        self
+    }
+
     /// Sends the request on a new connection and reads the response until the connection ends.
     pub fn send(&self) -> CallerResponse {
         self.try_send().expect("an answer")
@@ -115,11 +124,12 @@
         } = self;
         let headers = self.headers.iter().map(|(n, v)| format!("{n}: {v}\r\n"));
         let headers: String = headers.collect();
-        let length = body.len();
-        format!(
-            "{method} {path} HTTP/1.1\r\n{headers}Content-Length: {length}\r\n\
-             Connection: close\r\n\r\n{body}"
-        )
+        let (framing, body) = if self.is_chunked {
+            ("Transfer-Encoding: chunked".into(), encode_chunks(body))
+        } else {
+            (format!("Content-Length: {}", body.len()), body.clone())
+        };
+        format!("{method} {path} HTTP/1.1\r\n{headers}{framing}\r\nConnection: close\r\n\r\n{body}")
     }
 }
 
@@ -152,6 +162,13 @@
     }
 }
 
+/// Encodes a body in two chunks.
+fn encode_chunks(body: &str) -> String {
+    let (first, second) = body.split_at(body.len() / 2);
+    let [first, second] = [first, second].map(|chunk| format!("{:x}\r\n{chunk}\r\n", chunk.len()));
+    format!("{first}{second}0\r\n\r\n")
+}
+
 /// Decodes a chunked body; returns the body and whether the last chunk was present.
 fn decode_chunks(raw: &str) -> (String, bool) {
     let mut body = String::new();
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -23,6 +23,7 @@
 mod repeated_refusals;
 mod replacements;
 mod requests;
+mod reset_answers;
 mod shutdown;
 mod signals;
 mod software_versions;
--- /dev/null
+++ b/crates/jaylock-tests/tests/platform/reset_answers.rs
@@ -0,0 +1,303 @@
+//! Answers during an upload, after which the backend server resets or closes the connection.
+//!
+//! The router stands still while the answer, the reset and then bytes of many other callers arrive, as on a machine that is short of
+//! processor time. When it goes on, it reads a part of the answer, and looks at its sockets again before it has worked through
+//! what the others sent: so its write meets the reset, and its next read meets a plain end.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jaylock_tests::cases;
+use serde_json::json;
+
+use crate::harness::{
+    Caller, CallerResponse, FakeBackend, ReceivedRequest, Reply, TestFleet, document, wait_until,
+};
+
+/// Size of an upload, which the buffers of a connection don't hold.
+const UPLOAD_BYTES: usize = 3 << 20;
+/// The part of an upload that the backend server has read when it answers during the upload.
+const PART_BYTES: usize = 100_000;
+/// Text of an answer that one read takes.
+const FEW_BYTES: usize = 20;
+/// Text of an answer that takes several reads.
+const MANY_BYTES: usize = 40 << 10;
+/// Path of a route whose requests go over connections that were idle for longer.
+const KEPT: &str = "/look/upload";
+/// Other callers, which are more than the tasks that the router runs between two looks at its sockets.
+const OTHER_CALLERS: usize = 200;
+/// Time for the router to fill the buffers of a connection.
+const FILL_TIME: Duration = Duration::from_millis(50);
+
+/// How much of the upload the backend server has read when it answers.
+#[derive(Debug, Clone, Copy)]
+enum Moment {
+    Before,
+    During,
+    After,
+}
+
+impl Moment {
+    fn read_bytes(self) -> usize {
+        match self {
+            Self::Before => 0,
+            Self::During => PART_BYTES,
+            Self::After => UPLOAD_BYTES,
+        }
+    }
+}
+
+/// Where the backend server waits, before each answer to an upload, until the router stands still.
+#[derive(Default)]
+struct Gate {
+    arrived: AtomicUsize,
+    passed: AtomicUsize,
+}
+
+impl Gate {
+    fn pass(&self) {
+        let attempt = self.arrived.fetch_add(1, Ordering::Relaxed) + 1;
+        wait_until("the router stands still", || {
+            self.passed.load(Ordering::Relaxed) >= attempt
+        });
+    }
+
+    fn wait_for(&self, attempt: usize) {
+        wait_until("the backend server has the upload", || {
+            self.arrived.load(Ordering::Relaxed) >= attempt
+        });
+    }
+
+    fn open(&self, attempt: usize) {
+        self.passed.store(attempt, Ordering::Relaxed);
+    }
+}
+
+/// An upload and the answer to it.
+struct Upload {
+    path: &'static str,
+    moment: Moment,
+    is_chunked: bool,
+    /// Whether the connection carried a request before.
+    is_kept: bool,
+    /// Attempts that the router makes.
+    attempts: usize,
+    reply: fn(&ReceivedRequest) -> Reply,
+}
+
+impl Default for Upload {
+    fn default() -> Self {
+        Self {
+            path: "/once/upload",
+            moment: Moment::During,
+            is_chunked: false,
+            is_kept: false,
+            attempts: 1,
+            reply: cut_few,
+        }
+    }
+}
+
+impl Upload {
+    /// Sends the upload to a new fleet and returns what the caller gets.
+    fn play(&self) -> CallerResponse {
+        let mut fleet = TestFleet::minimal();
+        let mut large = document(2);
+        large["limits"]["max_body_bytes"] = json!(4 << 20);
+        fleet.configure(&large);
+        let gate = Arc::new(Gate::default());
+        let (opened, reply) = (gate.clone(), self.reply);
+        let backend = FakeBackend::start_early(&fleet, "b1", self.moment.read_bytes(), move |r| {
+            if r.request_line.contains("/sound") {
+                return r.respond("200 OK", "sound");
+            }
+            opened.pass();
+            reply(r)
+        });
+        let connect = || TcpStream::connect(fleet.caller_address(1)).expect("a connection");
+        let mut others: Vec<TcpStream> = (0..OTHER_CALLERS).map(|_| connect()).collect();
+        if self.is_kept {
+            let sound = fleet.caller().request("POST", "/look/sound").send();
+            assert_that!(sound.status(), eq(200));
+        }
+        let caller = self.caller(&fleet);
+        let sending = thread::spawn(move || caller.send());
+        for attempt in 1..=self.attempts {
+            gate.wait_for(attempt);
+            thread::sleep(FILL_TIME);
+            fleet.process(1).suspend();
+            gate.open(attempt);
+            wait_until("the answer was sent and the connection ended", || {
+                backend.end_count() == attempt
+            });
+            for other in &mut others {
+                other.write_all(b"G").expect("a byte is sent");
+            }
+            fleet.process(1).resume();
+        }
+        let response = sending.join().expect("a response");
+        self.check_received(&backend.received());
+        response
+    }
+
+    fn caller(&self, fleet: &TestFleet) -> Caller {
+        let caller = fleet.caller().request("POST", self.path);
+        let caller = caller.with("Time-Budget", "10000");
+        let body = "u".repeat(UPLOAD_BYTES);
+        if self.is_chunked {
+            caller.chunked_body(&body)
+        } else {
+            caller.body(&body)
+        }
+    }
+
+    /// Checks that the backend server got the upload as this case describes it.
+    fn check_received(&self, received: &[ReceivedRequest]) {
+        let uploads = received
+            .iter()
+            .filter(|r| r.request_line.contains(self.path));
+        let uploads: Vec<_> = uploads.collect();
+        assert_that!(uploads.len(), eq(self.attempts));
+        assert_that!(uploads[0].body.len(), eq(self.moment.read_bytes()));
+        assert_that!(
+            uploads[0].header("content-length"),
+            eq(&UPLOAD_BYTES.to_string())
+        );
+        let connection = uploads[0].connection;
+        let is_kept = received
+            .iter()
+            .filter(|r| r.connection == connection)
+            .count()
+            > 1;
+        assert_that!(is_kept, eq(self.is_kept));
+    }
+}
+
+fn resetting(reply: Reply) -> Reply {
+    Reply {
+        resets_connection: true,
+        ..reply
+    }
+}
+
+fn closing(reply: Reply) -> Reply {
+    Reply {
+        closes_connection: true,
+        ..reply
+    }
+}
+
+/// An answer that declares no length.
+fn unframed(request: &ReceivedRequest, bytes: usize) -> Reply {
+    request.sealed("200 OK", &format!("\r\n{}", "a".repeat(bytes)))
+}
+
+fn cut_few(request: &ReceivedRequest) -> Reply {
+    resetting(unframed(request, FEW_BYTES))
+}
+
+fn cut_many(request: &ReceivedRequest) -> Reply {
+    resetting(unframed(request, MANY_BYTES))
+}
+
+/// Defines cases in which a caller must not get an answer as complete.
+macro_rules! cut_answers {
+    ($($name:ident => $upload:expr;)*) => {
+        cases! {
+            $($name => {
+                let response = $upload.play();
+                assert_that!(response.status(), eq(502), "{:?}", response.answer);
+            };)*
+        }
+    };
+}
+
+cut_answers! {
+    cut_before_the_upload => Upload { moment: Moment::Before, ..Upload::default() };
+    cut_during_the_upload => Upload::default();
+    cut_after_the_upload => Upload { moment: Moment::After, ..Upload::default() };
+    large_part_cut_before_the_upload => Upload { moment: Moment::Before, reply: cut_many, ..Upload::default() };
+    large_part_cut_during_the_upload => Upload { reply: cut_many, ..Upload::default() };
+    large_part_cut_after_the_upload => Upload { moment: Moment::After, reply: cut_many, ..Upload::default() };
+    cut_on_a_kept_connection_before_the_upload => Upload { moment: Moment::Before, path: KEPT, is_kept: true, ..Upload::default() };
+    cut_on_a_kept_connection_during_the_upload => Upload { path: KEPT, is_kept: true, ..Upload::default() };
+    cut_on_a_kept_connection_after_the_upload => Upload { moment: Moment::After, path: KEPT, is_kept: true, ..Upload::default() };
+    large_part_cut_on_a_kept_connection => Upload { path: KEPT, is_kept: true, reply: cut_many, ..Upload::default() };
+    cut_before_an_upload_in_chunks => Upload { moment: Moment::Before, is_chunked: true, ..Upload::default() };
+    cut_during_an_upload_in_chunks => Upload { is_chunked: true, ..Upload::default() };
+    cut_after_an_upload_in_chunks => Upload { moment: Moment::After, is_chunked: true, ..Upload::default() };
+    large_part_cut_during_an_upload_in_chunks => Upload { is_chunked: true, reply: cut_many, ..Upload::default() };
+    cut_in_chunks_on_a_kept_connection => Upload { is_chunked: true, path: KEPT, is_kept: true, ..Upload::default() };
+    idempotent_request_cut => Upload { path: "/look/upload", ..Upload::default() };
+    error_cut => Upload { reply: |r| resetting(r.sealed("500 Internal Server Error", "\r\nbroken")), ..Upload::default() };
+    empty_body_cut => Upload { reply: |r| resetting(unframed(r, 0)), ..Upload::default() };
+    body_shorter_than_its_length_cut => Upload { reply: |r| resetting(r.sealed("200 OK", "Content-Length: 12\r\n\r\nwhole")), ..Upload::default() };
+    chunks_without_the_last_one_cut => Upload { reply: |r| resetting(r.sealed("200 OK", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n")), ..Upload::default() };
+    error_instead_of_a_stream_cut => Upload { path: "/stream/upload", reply: |r| resetting(r.sealed("500 Internal Server Error", "\r\nbroken")), ..Upload::default() };
+}
+
+/// A whole event of a stream that declares no length.
+fn unframed_event(request: &ReceivedRequest) -> Reply {
+    let event = "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: piece 1\n\n";
+    request.sealed("200 OK", event)
+}
+
+/// Plays an upload with this reply, whose text the caller must get whole.
+fn assert_whole(text: &str, upload: &Upload) {
+    let response = upload.play();
+    assert_that!(response.answer.head, starts_with("http/1.1 200"));
+    assert_that!(
+        (response.is_complete, response.body.as_str()),
+        eq((true, text))
+    );
+}
+
+cases! {
+    stream_cut_after_a_whole_event => {
+        let upload = Upload { path: "/stream/upload", reply: |r| resetting(unframed_event(r)), ..Upload::default() };
+        let response = upload.play();
+        assert_that!(response.is_complete_stream(), eq(false), "{:?}", response.answer);
+    };
+    resumable_stream_cut_after_a_whole_event => {
+        let upload = Upload { path: "/draft/upload", reply: |r| resetting(unframed_event(r)), ..Upload::default() };
+        let response = upload.play();
+        assert_that!(response.is_complete_stream(), eq(false), "{:?}", response.answer);
+    };
+    answer_with_a_length_before_a_reset_is_whole => {
+        assert_whole("whole", &Upload { reply: |r| resetting(r.respond("200 OK", "whole")), ..Upload::default() });
+    };
+    large_answer_with_a_length_before_a_reset_is_whole => {
+        let text = "a".repeat(MANY_BYTES);
+        assert_whole(&text, &Upload { reply: |r| resetting(r.respond("200 OK", &"a".repeat(MANY_BYTES))), ..Upload::default() });
+    };
+    large_answer_with_a_length_on_a_kept_connection_before_a_reset_is_whole => {
+        let text = "a".repeat(MANY_BYTES);
+        assert_whole(&text, &Upload { path: KEPT, is_kept: true, reply: |r| resetting(r.respond("200 OK", &"a".repeat(MANY_BYTES))), ..Upload::default() });
+    };
+    chunks_before_a_reset_are_whole => {
+        assert_whole("whole", &Upload { reply: |r| resetting(r.sealed("200 OK", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")), ..Upload::default() });
+    };
+    stream_with_its_last_chunk_before_a_reset_is_whole => {
+        let events = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
+        assert_whole(events, &Upload { path: "/stream/upload", reply: |r| resetting(r.events(1..=2, Reply::LAST_CHUNK)), ..Upload::default() });
+    };
+    answer_without_a_length_before_an_orderly_close_is_whole => {
+        assert_whole("whole", &Upload { reply: |r| closing(r.sealed("200 OK", "\r\nwhole")), ..Upload::default() });
+    };
+    large_answer_without_a_length_before_an_orderly_close_is_whole => {
+        let text = "a".repeat(MANY_BYTES);
+        assert_whole(&text, &Upload { reply: |r| closing(unframed(r, MANY_BYTES)), ..Upload::default() });
+    };
+    large_answer_without_a_length_before_an_orderly_close_and_a_reset_is_whole => {
+        let text = "a".repeat(MANY_BYTES);
+        assert_whole(&text, &Upload { reply: |r| resetting(closing(unframed(r, MANY_BYTES))), ..Upload::default() });
+    };
+    answer_without_a_length_after_the_upload_is_whole => {
+        assert_whole("whole", &Upload { moment: Moment::After, reply: |r| closing(r.sealed("200 OK", "\r\nwhole")), ..Upload::default() });
+    };
+}
