An answer in a transfer coding that was not asked for is no answer

What callers saw: an answer with "Transfer-Encoding: gzip", or "gzip, chunked", reached them with status 200, the coded bytes as its body and a length of its own. An unframed one with such a field also counted as framed for plain services.

Cause: the HTTP library reads a body whose last coding isn't chunks until the connection ends, and undoes chunks alone; the router then strips the field, as it concerns one connection.

Change: framing::check, in Connection::send, where the head of every answer arrives: any transfer coding but chunks alone is an invalid answer, whose request may have run. The two copies of is_framed are one; SendError converts into AttemptError in one place.

Tests: odd_answers plays each fault on routes of all kinds, over a new connection, a kept one and during an upload, and checks that the backend server got each request and sent each answer whole.

--- a/crates/jaylock-router/src/connection.rs
+++ b/crates/jaylock-router/src/connection.rs
@@ -15,6 +15,7 @@
 
 use crate::bounded_head::{BoundedHead, HeadBudget};
 use crate::error::AttemptError;
+use crate::framing;
 use crate::orderly_end::{OrderlyEnd, WriteFailure};
 use crate::socket::{self, SocketStream};
 
@@ -56,6 +57,19 @@
     /// The connection was lost and the request may have reached the backend server.
     #[error("the connection broke: {0}")]
     Lost(hyper::Error),
+    /// The response can't be read, and the request may have run.
+    #[error("{0}")]
+    Invalid(&'static str),
+}
+
+impl From<SendError> for AttemptError {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::NotSent => Self::Unreachable("the connection closed".into()),
+            SendError::Lost(error) => Self::Lost(format_compact!("{error}")),
+            SendError::Invalid(reason) => Self::Invalid(reason.into()),
+        }
+    }
 }
 
 impl Connection {
@@ -95,7 +109,7 @@
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
-    /// The connection closed before the request was sent or before the response began.
+    /// The connection closed before the request was sent or before the response began, or the response can't be read.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -105,13 +119,12 @@
         self.is_busy = true;
         let outcome = self.sender.try_send_request(request).await;
         self.head_budget.finish();
-        match outcome {
-            Ok(response) => Ok(response),
-            Err(mut error) => match error.take_message() {
-                Some(_) => Err(SendError::NotSent),
-                None => Err(SendError::Lost(error.into_error())),
-            },
-        }
+        let response = outcome.map_err(|mut error| match error.take_message() {
+            Some(_) => SendError::NotSent,
+            None => SendError::Lost(error.into_error()),
+        })?;
+        framing::check(&response).map_err(SendError::Invalid)?;
+        Ok(response)
     }
 
     /// Address of the backend server.
@@ -237,20 +250,15 @@
             match connection.send(request).await {
                 Ok(response) => return Ok((connection, response)),
                 Err(SendError::NotSent) => {}
-                Err(error) => return Err(AttemptError::Lost(format_compact!("{error}"))),
+                Err(error) => return Err(error.into()),
             }
         }
         let opened = Connection::open(address, connect_timeout).await;
         let mut connection =
             opened.map_err(|e| AttemptError::Unreachable(format_compact!("{e}")))?;
         let request = request().ok_or(AttemptError::Excluded)?;
-        match connection.send(request).await {
-            Ok(response) => Ok((connection, response)),
-            Err(SendError::NotSent) => {
-                Err(AttemptError::Unreachable("the connection closed".into()))
-            }
-            Err(error) => Err(AttemptError::Lost(format_compact!("{error}"))),
-        }
+        let response = connection.send(request).await?;
+        Ok((connection, response))
     }
 
     /// Returns a connection to the pool after its last response was read completely, or closes an expired one.
--- a/crates/jaylock-router/src/fetch.rs
+++ b/crates/jaylock-router/src/fetch.rs
@@ -27,8 +27,7 @@
     let opened = Connection::open(address, timeout).await;
     let mut connection = opened.map_err(|e| AttemptError::Unreachable(format_compact!("{e}")))?;
     let sending = connection.send(request(address, path)?);
-    let response = with_timeout(timeout, sending).await?;
-    let response = response.map_err(|e| AttemptError::Lost(format_compact!("{e}")))?;
+    let response = with_timeout(timeout, sending).await??;
     if response.status() != StatusCode::OK {
         return Err(AttemptError::ErrorStatus(response.status(), Bytes::new()));
     }
--- /dev/null
+++ b/crates/jaylock-router/src/framing.rs
@@ -0,0 +1,25 @@
+use http::{HeaderMap, Response, StatusCode, header};
+
+/// Checks that the body of a response is framed in a way that the router reads.
+///
+/// The router asks for no transfer coding but chunks. The HTTP library would take a response with another one for one that the end
+/// of its connection frames, with the coded bytes as its body.
+///
+/// # Errors
+/// What is wrong with the response.
+pub fn check<B>(response: &Response<B>) -> Result<(), &'static str> {
+    let mut codings = response.headers().get_all(header::TRANSFER_ENCODING).iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(()),
+        (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(()),
+        _ => Err("the answer has a transfer coding that was not asked for"),
+    }
+}
+
+/// Whether the end of a body shows, other than by the end of the connection.
+pub fn is_framed(status: StatusCode, headers: &HeaderMap) -> bool {
+    status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED
+        || headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+}
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -21,6 +21,7 @@
 mod error;
 mod event;
 mod fetch;
+mod framing;
 mod generation;
 mod head_validator;
 mod hedge;
--- a/crates/jaylock-router/src/route/continuation.rs
+++ b/crates/jaylock-router/src/route/continuation.rs
@@ -1,4 +1,4 @@
-use http::{HeaderMap, Response, StatusCode, header};
+use http::{Response, StatusCode, header};
 
 /// Media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -18,10 +18,3 @@
     });
     response.status() == StatusCode::OK && is_event_stream
 }
-
-/// Whether the end of a body shows, other than by the end of the connection.
-pub fn is_framed(status: StatusCode, headers: &HeaderMap) -> bool {
-    status == StatusCode::NO_CONTENT
-        || headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING)
-}
--- a/crates/jaylock-router/src/route/stream.rs
+++ b/crates/jaylock-router/src/route/stream.rs
@@ -13,7 +13,7 @@
 use super::attempts::Attempts;
 use super::buffered;
 use super::context::RouteContext;
-use super::continuation::{NO_CONTINUATION, NO_EVENT, is_framed, may_continue};
+use super::continuation::{NO_CONTINUATION, NO_EVENT, may_continue};
 use super::event_source::EventSource;
 use super::request::RouteRequest;
 use super::response;
@@ -22,6 +22,7 @@
 use crate::buffered_response::BufferedResponse;
 use crate::connection::Connection;
 use crate::error::{AttemptError, with_timeout};
+use crate::framing::is_framed;
 use crate::response::ErrorResponse;
 use crate::slot::Slot;
 
--- a/crates/jaylock-router/src/service.rs
+++ b/crates/jaylock-router/src/service.rs
@@ -5,9 +5,8 @@
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use futures_channel::oneshot;
-use http::{HeaderName, Request, Response, StatusCode, Uri, header};
+use http::{HeaderName, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use jaylock_observe::{RequestKind, RunStatus};
 use jaylock_rpc::v1::{Ask, Service, Settle};
 use jaylock_types::{PoolId, RequestId};
@@ -19,6 +18,7 @@
 use crate::claim::{ClaimOutcome, HeldClaim, recorded_response, unknown_outcome};
 use crate::context::Context;
 use crate::error::{AttemptError, with_timeout};
+use crate::framing::is_framed;
 use crate::response::{
     ErrorResponse, RECORDED_HEADER, REQUEST_ID_HEADER, RUN_HEADER, set_header, set_run_headers,
 };
@@ -200,7 +200,7 @@
             .send(address, max_idle, connect_timeout, request);
         let (mut connection, response) = with_timeout(timeout, sending).await??;
         attempt::check_origin(&mut connection, &response, &id)?;
-        if !has_end(&response) {
+        if !is_framed(response.status(), response.headers()) {
             return Err(AttemptError::Invalid("the answer tells no length".into()));
         }
         let status = response.status();
@@ -270,16 +270,6 @@
     }
 }
 
-/// Whether the end of a response is defined, so that a truncated one is detected.
-fn has_end(response: &Response<Incoming>) -> bool {
-    let headers = response.headers();
-    let status = response.status();
-    headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING)
-        || status == StatusCode::NO_CONTENT
-        || status == StatusCode::NOT_MODIFIED
-}
-
 fn is_stripped(name: &HeaderName) -> bool {
     STRIPPED_HEADERS.contains(&name.as_str())
 }
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -15,6 +15,7 @@
 mod harness;
 mod inventory;
 mod lifecycle;
+mod odd_answers;
 mod odd_documents;
 mod odd_entries;
 mod rate_limits;
