A change of protocol that was not asked for is no answer

What callers saw: a backend server's 101 reached them as the answer to their request, without a body and without its end.

Cause: the HTTP library returns a 101 like a final response, with an empty body, whether or not the request asked for another protocol; the routes forwarded every status below 500.

Change: framing::check refuses it where the head of every answer arrives; the request may have run.

Tests: odd_answers::unasked_change_of_protocol, on a new and a kept connection and during an upload.

--- a/crates/jaylock-router/src/framing.rs
+++ b/crates/jaylock-router/src/framing.rs
@@ -1,13 +1,17 @@
 use http::{HeaderMap, Response, StatusCode, header};
 
-/// Checks that the body of a response is framed in a way that the router reads.
+/// Checks that a response is final, and that its body is framed in a way that the router reads.
 ///
-/// The router asks for no transfer coding but chunks. The HTTP library would take a response with another one for one that the end
-/// of its connection frames, with the coded bytes as its body.
+/// The router asks for no other protocol and no transfer coding but chunks, so that a response with either is not meant for its
+/// request. The HTTP library would take the first for a response without a body, and the second for one that the end of its
+/// connection frames, with the coded bytes as its body.
 ///
 /// # Errors
 /// What is wrong with the response.
 pub fn check<B>(response: &Response<B>) -> Result<(), &'static str> {
+    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+        return Err("the answer changes the protocol, which was not asked for");
+    }
     let mut codings = response.headers().get_all(header::TRANSFER_ENCODING).iter();
     match (codings.next(), codings.next()) {
         (None, _) => Ok(()),
