--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -49,6 +49,8 @@
     connection_count: AtomicUsize,
     /// Connections that were closed or reset after a reply that was sent whole.
     end_count: AtomicUsize,
+    /// Bytes of replies without end that were sent.
+    endless_bytes: AtomicUsize,
     /// Most bytes of a body that are read before the reply; `None` for whole bodies.
     body_limit: Option<usize>,
     received: Mutex<Vec<ReceivedRequest>>,
@@ -149,6 +151,7 @@
             active_count: AtomicUsize::new(0),
             connection_count: AtomicUsize::new(0),
             end_count: AtomicUsize::new(0),
+            endless_bytes: AtomicUsize::new(0),
             body_limit,
             received: Mutex::default(),
             connections: Mutex::default(),
@@ -245,6 +248,11 @@
         self.shared.end_count.load(Ordering::Relaxed)
     }
 
+    /// Number of bytes of replies without end that were sent.
+    pub fn endless_bytes(&self) -> usize {
+        self.shared.endless_bytes.load(Ordering::Relaxed)
+    }
+
     /// Whether the backend server has crashed.
     pub fn has_crashed(&self) -> bool {
         self.shared.is_crashed.load(Ordering::Relaxed)
@@ -320,6 +328,8 @@
             }
             while is_sent && !reply.endless.is_empty() {
                 is_sent = stream.write_all(&reply.endless).is_ok();
+                let sent = reply.endless.len() * usize::from(is_sent);
+                self.endless_bytes.fetch_add(sent, Ordering::Relaxed);
             }
             self.active_count.fetch_sub(1, Ordering::Relaxed);
             if reply.crashes {
--- a/crates/jaylock-tests/tests/router/connection.rs
+++ b/crates/jaylock-tests/tests/router/connection.rs
@@ -1,19 +1,102 @@
 //! Tests of connections to backend servers.
 
-use std::io::Read;
-use std::net::TcpListener;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener};
 use std::time::Duration;
 
 use bytes::Bytes;
 use googletest::prelude::*;
 use http::Request;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use jaylock_router::{AttemptError, Connection, ConnectionPool};
 use jaylock_tests::cases;
+use socket2::SockRef;
 
 /// Timeout for bytes that were sent before.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Size of a request that the buffers of a connection don't hold, with segments of the size below.
+const UPLOAD_BYTES: usize = 3 << 20;
+/// Size of segments and of the receive buffer of a peer that reads nothing.
+const SMALL_SEGMENT: u32 = 1000;
+const SMALL_BUFFER: usize = 16 << 10;
+/// An answer of which one read takes everything.
+const UNFRAMED: &str = "HTTP/1.1 400 Bad Request\r\n\r\npart";
+
+/// How a peer ends a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Close,
+    Reset,
+    /// A reset after an orderly close.
+    CloseAndReset,
+}
+
+/// Sends a long request to a peer that answers and ends the connection before it has read anything; `None` for no whole answer.
+///
+/// The peer acts while no task of the runtime runs. So the runtime reads the answer, then its write meets the reset, and only then
+/// the body is read to its end.
+async fn read_early_answer(answer: &str, end: End) -> Option<Bytes> {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let socket = SockRef::from(&listener);
+    socket
+        .set_recv_buffer_size(SMALL_BUFFER)
+        .expect("a small buffer");
+    socket.set_tcp_mss(SMALL_SEGMENT).expect("small segments");
+    let address = listener.local_addr().expect("an address");
+    let mut connection = Connection::open(address, READ_TIMEOUT)
+        .await
+        .expect("a connection");
+    let (mut peer, _) = listener.accept().expect("a connection");
+    let request = Request::new(Full::new(Bytes::from(vec![0; UPLOAD_BYTES])));
+    let mut sending = Box::pin(connection.send(request));
+    let waiting = compio::time::timeout(READ_TIMEOUT / 10, &mut sending).await;
+    assert_that!(waiting.is_err(), eq(true));
+    peer.write_all(answer.as_bytes()).expect("an answer");
+    if end != End::Reset {
+        peer.shutdown(Shutdown::Write).expect("an orderly close");
+    }
+    if end != End::Close {
+        let lingering = SockRef::from(&peer).set_linger(Some(Duration::ZERO));
+        lingering.expect("a connection that can be reset");
+        drop(peer);
+    }
+    let reading = async { sending.await.ok()?.into_body().collect().await.ok() };
+    let body = compio::time::timeout(READ_TIMEOUT, reading).await;
+    body.expect("an end in time")
+        .map(http_body_util::Collected::to_bytes)
+}
+
+/// Defines cases of early answers; `None` if there is no whole one.
+macro_rules! early_answers {
+    ($($name:ident => ($answer:expr, $end:expr) => $expected:expr;)*) => {
+        cases! {
+            $(async $name => {
+                let body = read_early_answer($answer, $end).await;
+                let expected: Option<&str> = $expected;
+                assert_that!(body, eq(&expected.map(|text| Bytes::copy_from_slice(text.as_bytes()))));
+            };)*
+        }
+    };
+}
+
+early_answers! {
+    early_answer_without_a_length_is_reset => (UNFRAMED, End::Reset) => None;
+    early_answer_without_a_length_is_closed => (UNFRAMED, End::Close) => Some("part");
+    early_answer_without_a_length_is_closed_then_reset => (UNFRAMED, End::CloseAndReset) => Some("part");
+    early_answer_of_an_older_protocol_is_reset => ("HTTP/1.0 200 OK\r\n\r\npart", End::Reset) => None;
+    early_answer_of_an_older_protocol_is_closed => ("HTTP/1.0 200 OK\r\n\r\npart", End::Close) => Some("part");
+    early_answer_with_a_length_is_reset => ("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole", End::Reset) => Some("whole");
+    early_answer_without_a_body_is_reset => ("HTTP/1.1 204 No Content\r\n\r\n", End::Reset) => Some("");
+    early_answer_in_chunks_is_reset => ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", End::Reset) => Some("whole");
+    early_answer_with_more_to_come_is_reset => ("HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nwhole", End::Reset) => None;
+    early_answer_with_more_to_come_is_closed => ("HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nwhole", End::Close) => None;
+    early_answer_without_its_last_chunk_is_reset => ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n", End::Reset) => None;
+    early_answer_without_its_last_chunk_is_closed => ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n", End::Close) => None;
+    early_answer_is_reset_within_its_head => ("HTTP/1.1 200 OK\r\nx-f", End::Reset) => None;
+    early_answer_is_closed_within_its_head => ("HTTP/1.1 200 OK\r\nx-f", End::Close) => None;
+}
+
 cases! {
     async dropping_a_connection_closes_it_before_any_other_task_runs => {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
