An engine that answers an order with informational responses without end no longer stops the process

What callers saw (shown with a test, not reported from a fleet): an engine that answers an order with 103 after 103 kept the process of the scheduler busy for ever. It runs one thread, so that its requests and its control ended with it; the timeout of the order, 10 s later, had not ended the call either.

Cause: orders were sent through another HTTP client than requests, one without the bound on bytes before a head is complete. hyper reads informational responses in a loop, without a pause and without a bound; while the engine writes as fast as it is read, the loop never returns to the runtime, and no timer fires.

Change: request_once sends a request over one connection of the kind that requests use; orders and lists of cached prompt parts go through it, so all answers of backend servers are read in one place. An answer to an order has at most 64 KiB.

--- a/crates/jaylock-daemon/src/components.rs
+++ b/crates/jaylock-daemon/src/components.rs
@@ -50,16 +50,13 @@
 
 impl Components {
     /// Creates the components, of which the workers are not started yet.
-    ///
-    /// # Errors
-    /// The HTTP client can't be created.
-    pub fn new(settings: Settings) -> anyhow::Result<(Self, Workers)> {
+    pub fn new(settings: Settings) -> (Self, Workers) {
         let context = InstanceContext::new(settings);
         let follower = context.follower();
         let (lease, handle) = (follower.lease(), follower.handle());
         let schedulers = context.scheduler_client();
         let host = context.scheduler_host(lease.clone());
-        let reconciler = context.order_reconciler(lease.clone())?;
+        let reconciler = context.order_reconciler(lease.clone());
         let router = context.router(&schedulers, lease);
         let components = Self {
             context,
@@ -76,7 +73,7 @@
             host,
             reconciler,
         };
-        Ok((components, workers))
+        (components, workers)
     }
 
     /// Opens the replica of the log if the instance has a data folder.
--- a/crates/jaylock-daemon/src/context.rs
+++ b/crates/jaylock-daemon/src/context.rs
@@ -2,7 +2,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::Context;
 use jaylock_control::{
     Bootstrap, ClientSettings, ConfigView, ControlClient, Follower, FollowerSettings,
     InstanceLease, PeerService, Replica, ReplicaSettings,
@@ -164,13 +163,10 @@
     }
 
     /// Creates the reconciler for the engines of the pools that are scheduled here.
-    ///
-    /// # Errors
-    /// The HTTP client can't be created.
     pub fn order_reconciler(
         &self,
         lease: InstanceLease,
-    ) -> anyhow::Result<OrderReconciler<ControlLog, LocalPools, HttpEngineClient>> {
+    ) -> OrderReconciler<ControlLog, LocalPools, HttpEngineClient> {
         let pools = LocalPools {
             view: self.view.clone(),
             lease,
@@ -178,17 +174,10 @@
             incarnation: self.incarnation,
             schedulers: Channel::new(self.settings.instance.peer_address, self.channel.clone()),
         };
-        let engines = HttpEngineClient::new(ORDER_TIMEOUT)
-            .context("can't create the HTTP client for orders")?;
+        let engines = HttpEngineClient::new(ORDER_TIMEOUT);
         let log = ControlLog(self.client.clone());
         let settings = ReconcilerSettings::default();
-        Ok(OrderReconciler::new(
-            self.view.clone(),
-            log,
-            pools,
-            engines,
-            settings,
-        ))
+        OrderReconciler::new(self.view.clone(), log, pools, engines, settings)
     }
 
     /// Creates the gRPC service for operators.
--- a/crates/jaylock-daemon/src/instance.rs
+++ b/crates/jaylock-daemon/src/instance.rs
@@ -47,25 +47,21 @@
 
 impl Instance<Prepared> {
     /// Creates an instance; nothing is bound, opened or sent yet.
-    ///
-    /// # Errors
-    /// The HTTP client can't be created.
-    pub fn new(settings: Settings) -> anyhow::Result<Self> {
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
         Self::with_headers(settings, None)
     }
 
     /// Creates an instance that serves only routes to callers, with custom header names.
-    ///
-    /// # Errors
-    /// The same as for [`Instance::new`].
-    pub fn for_routes(settings: Settings, headers: RouteHeaders) -> anyhow::Result<Self> {
+    #[must_use]
+    pub fn for_routes(settings: Settings, headers: RouteHeaders) -> Self {
         Self::with_headers(settings, Some(headers))
     }
 
-    fn with_headers(settings: Settings, headers: Option<RouteHeaders>) -> anyhow::Result<Self> {
-        let (components, workers) = Components::new(settings)?;
+    fn with_headers(settings: Settings, headers: Option<RouteHeaders>) -> Self {
+        let (components, workers) = Components::new(settings);
         let state = Prepared { headers, workers };
-        Ok(Self { components, state })
+        Self { components, state }
     }
 
     /// Operations for operators, backend servers and callers that look up routers.
--- a/crates/jaylock-daemon/src/main.rs
+++ b/crates/jaylock-daemon/src/main.rs
@@ -22,7 +22,7 @@
     }
     runtime.block_on(async {
         let mut signals = signals.listen().context("can't wait for signals")?;
-        let starting = async { Instance::new(settings)?.open().await?.start().await };
+        let starting = async { Instance::new(settings).open().await?.start().await };
         let Some(instance) = signals.interrupt(Box::pin(starting)).await else {
             return Ok(());
         };
--- a/crates/jaylock-orders/src/engine.rs
+++ b/crates/jaylock-orders/src/engine.rs
@@ -2,15 +2,20 @@
 use std::time::Duration;
 
 use compact_str::{CompactString, ToCompactString, format_compact};
-use http::header;
+use http::{Request, header};
+use http_body_util::Full;
+use jaylock_router::request_once;
 use jaylock_rpc::v1::{LoadedModel, Order};
+use jaylock_types::ByteSize;
 use serde::Serialize;
 
 use crate::{EngineClient, OrderError, Result};
 
+/// Largest answer of an engine to an order.
+const MAX_ANSWER: ByteSize = ByteSize(64 << 10);
+
 /// Sends orders to engines by `POST /v1/orders`.
 pub struct HttpEngineClient {
-    client: cyper::Client,
     timeout: Duration,
 }
 
@@ -29,12 +34,9 @@
 
 impl HttpEngineClient {
     /// Creates a client that gives up on an engine after `timeout`.
-    ///
-    /// # Errors
-    /// The HTTP client can't be created.
-    pub fn new(timeout: Duration) -> cyper::Result<Self> {
-        let client = cyper::Client::new()?;
-        Ok(Self { client, timeout })
+    #[must_use]
+    pub fn new(timeout: Duration) -> Self {
+        Self { timeout }
     }
 
     async fn post(&self, address: SocketAddr, order: &Order) -> Result<u16, CompactString> {
@@ -43,13 +45,13 @@
             models: order.models.iter().map(model_body).collect(),
         };
         let body = serde_json::to_vec(&body).map_err(reason_of)?;
-        let request = self
-            .client
-            .post(format!("http://{address}/v1/orders"))
-            .and_then(|r| r.header(header::CONTENT_TYPE, "application/json"))
+        let request = Request::post("/v1/orders")
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::from(body))
             .map_err(reason_of)?;
-        let response = request.body(body).send().await.map_err(reason_of)?;
-        Ok(response.status().as_u16())
+        let answering = request_once(address, request, MAX_ANSWER, self.timeout);
+        let (status, _) = answering.await.map_err(reason_of)?;
+        Ok(status.as_u16())
     }
 }
 
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -57,7 +57,7 @@
 pub use self::connection::{Connection, ConnectionPool};
 pub use self::error::AttemptError;
 pub use self::event::{Event, EventParser};
-pub use self::fetch::fetch;
+pub use self::fetch::{fetch, request_once};
 pub use self::head_validator::HeadValidator;
 pub use self::hedge::Hedging;
 pub use self::lifecycle::{Lifecycle, RunPlan};
