A relay resets its caller's connection when the rest of a request meets the other router's reset

What callers saw (shown with a test, not reported from a fleet): a connection that is passed on ended in an orderly way though the other router had broken off its response. A response that its own framing ends is cut visibly all the same; one to a caller of HTTP/1.0, which the connection's end frames, looked complete.

A relay took the end of the requests, in whatever way, for the end of its caller. When the write of an upload met the reset first, it closed the caller's connection like one whose caller has left, and dropped what the other router had still sent.

Change: a failed write to the other router leaves the rest of the response to be passed on; the caller's connection is then reset, unless the other router had closed in an orderly way (orderly_end::is_orderly, as for backend servers).

Test: relays early_response_that_breaks_off_ends_with_a_reset, uploads of 150 to 400 kB in steps of 2 KiB, as the last bytes must be on their way when the reset comes.

--- a/crates/jaylock-router/src/orderly_end.rs
+++ b/crates/jaylock-router/src/orderly_end.rs
@@ -24,19 +24,24 @@
     }
 
     /// Checks at the end of the bytes that the peer ended them.
-    ///
-    /// A connection that is reset after the peer has closed it fails with a broken pipe; all that the peer sent has arrived then.
     fn check_end(&self) -> io::Result<()> {
         match self.0.get() {
-            None | Some(io::ErrorKind::BrokenPipe) => Ok(()),
-            Some(kind) => Err(io::Error::new(
+            Some(kind) if !is_orderly(kind) => Err(io::Error::new(
                 kind,
                 "the connection broke while the request was sent",
             )),
+            _ => Ok(()),
         }
     }
 }
 
+/// Whether the peer closed its connection in an orderly way before a write to it failed for the first time.
+///
+/// Linux reports a reset that follows such a close as a broken pipe; all that the peer sent has arrived then.
+pub fn is_orderly(failure: io::ErrorKind) -> bool {
+    failure == io::ErrorKind::BrokenPipe
+}
+
 /// A stream that ends only where its peer closed the connection in an orderly way.
 ///
 /// Linux reports a reset once, to whichever of a read and a write asks first. After a write has met it, reads return what has
--- a/crates/jaylock-router/src/relay/link.rs
+++ b/crates/jaylock-router/src/relay/link.rs
@@ -19,7 +19,7 @@
 
 use crate::connection::set_write_timeout;
 use crate::lifecycle::Lifecycle;
-use crate::socket;
+use crate::{orderly_end, socket};
 
 /// First bytes of a connection between routers.
 const MAGIC: [u8; 4] = *b"JLR1";
@@ -131,6 +131,15 @@
     Stopped,
 }
 
+/// Why bytes are not passed on any more.
+#[derive(Debug)]
+enum CopyError {
+    /// The source broke.
+    Read,
+    /// The target broke, or takes no more bytes.
+    Write(io::Error),
+}
+
 /// Passes bytes on in both directions until one side closes its connection or the instance stops.
 ///
 /// A request in progress delays the shutdown. Without a complete response, the caller's connection is reset, so that
@@ -144,13 +153,12 @@
             tokens.set(Some(held));
         }
     };
-    let requests = pin!(copy(caller.clone(), peer.clone(), begin));
-    let responses = pin!(copy(peer.clone(), caller.clone(), || ()));
+    let requests = copy(caller.clone(), peer.clone(), begin);
+    let responses = copy(peer.clone(), caller.clone(), || ());
+    let ended = pin!(wait_for_end(requests, responses));
     let stopped = pin!(wait_for_stop(lifecycle, &has_begun));
-    let end = match select(select(requests, responses), stopped).await {
-        Either::Left((Either::Left(_), _)) => End::Caller,
-        Either::Left((Either::Right((Ok(()), _)), _)) => End::Response,
-        Either::Left((Either::Right((Err(_), _)), _)) => End::Peer,
+    let end = match select(ended, stopped).await {
+        Either::Left((end, _)) => end,
         Either::Right(_) => End::Stopped,
     };
     // The other router notices this at once, and not only when the last task lets go of the socket.
@@ -162,18 +170,45 @@
     }
 }
 
+/// Waits until the caller or the other router ends the connection.
+///
+/// The other router may respond before it has read the whole request, and end its connection. Then a write of the request fails, and
+/// what is left of the response is passed on; after a reset, which only the write may have met, it is not complete.
+async fn wait_for_end(
+    requests: impl Future<Output = Result<(), CopyError>>,
+    responses: impl Future<Output = Result<(), CopyError>>,
+) -> End {
+    let (requests, responses) = (pin!(requests), pin!(responses));
+    let (ended, is_orderly) = match select(requests, responses).await {
+        Either::Left((Err(CopyError::Write(error)), responses)) => {
+            (responses.await, orderly_end::is_orderly(error.kind()))
+        }
+        Either::Left(_) => return End::Caller,
+        Either::Right((ended, _)) => (ended, true),
+    };
+    if ended.is_ok() && is_orderly {
+        End::Response
+    } else {
+        End::Peer
+    }
+}
+
 /// Copies bytes until the source ends; holds at most one buffer that the target has not taken.
-async fn copy(mut from: TcpStream, mut to: TcpStream, on_bytes: impl Fn()) -> io::Result<()> {
+async fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    on_bytes: impl Fn(),
+) -> Result<(), CopyError> {
     let mut buffer = Vec::with_capacity(BUFFER_BYTES);
     loop {
         buffer.clear();
         let BufResult(read, filled) = from.read(buffer).await;
-        if read? == 0 {
+        if read.map_err(|_| CopyError::Read)? == 0 {
             return Ok(());
         }
         on_bytes();
         let BufResult(written, emptied) = to.write_all(filled).await;
-        written?;
+        written.map_err(CopyError::Write)?;
         buffer = emptied;
     }
 }
--- a/crates/jaylock-tests/tests/router/relays.rs
+++ b/crates/jaylock-tests/tests/router/relays.rs
@@ -8,6 +8,7 @@
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
+use futures_util::future::join_all;
 use googletest::prelude::*;
 use jaylock_control::{ConfigView, InstanceLease};
 use jaylock_observe::Observer;
@@ -26,6 +27,18 @@
 /// Length of the bytes with which a connection between routers begins.
 const PREAMBLE_BYTES: usize = 36;
 
+/// Size of segments and of the receive buffer of a router that does not read.
+const SMALL_SEGMENT: u32 = 1000;
+const SMALL_BUFFER: usize = 16 << 10;
+/// Size of a response that the buffers of two connections don't hold.
+const LONG_RESPONSE_BYTES: usize = 16 << 20;
+/// Time for the buffers of two connections to fill.
+const FILL_TIME: Duration = Duration::from_millis(50);
+/// Sizes of uploads, from those that the buffers between two routers hold to those that they don't.
+const UPLOAD_SIZES: std::ops::Range<usize> = 150_000..400_000;
+/// Difference between the sizes of two uploads, a part of what a router holds in each direction.
+const UPLOAD_STEP: usize = 2 << 10;
+
 /// What a stand-in for another router does with a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Peer {
@@ -33,6 +46,8 @@
     Answers,
     /// It takes the connection, answers, and breaks off.
     Breaks,
+    /// It takes the connection, answers while it is being sent a request, and breaks off.
+    BreaksEarly,
     /// It takes the connection and only reads.
     Reads,
     Refuses,
@@ -52,6 +67,14 @@
 impl StandIn {
     async fn start(peer: Peer) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        if peer == Peer::BreaksEarly {
+            // Connections take both from their listener, and the sender's buffer grows with them.
+            let socket = SockRef::from(&listener);
+            socket
+                .set_recv_buffer_size(SMALL_BUFFER)
+                .expect("a small buffer");
+            socket.set_tcp_mss(SMALL_SEGMENT).expect("small segments");
+        }
         let stand_in = Self {
             address: listener.local_addr().expect("an address"),
             opened: Rc::default(),
@@ -81,6 +104,14 @@
         Peer::Answers | Peer::Breaks | Peer::Reads => {
             let _ = stream.write_all(vec![1]).await;
         }
+        Peer::BreaksEarly => {
+            let _ = stream.write_all(vec![1]).await;
+            // The response and the request fill the buffers, as neither side reads.
+            let sending = stream.write_all(vec![b'a'; LONG_RESPONSE_BYTES]);
+            let _ = compio::time::timeout(FILL_TIME, sending).await;
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            return;
+        }
     }
     let BufResult(read, _) = stream.read(Vec::with_capacity(64)).await;
     if peer == Peer::Reads {
@@ -155,7 +186,7 @@
     async fn read(&mut self) -> (String, bool) {
         let mut text = String::new();
         loop {
-            let reading = self.caller.read(Vec::with_capacity(64));
+            let reading = self.caller.read(Vec::with_capacity(4096));
             let reading = compio::time::timeout(TIMEOUT, reading).await;
             match reading.expect("bytes in time") {
                 BufResult(Ok(0), _) => return (text, false),
@@ -166,6 +197,15 @@
     }
 }
 
+/// Passes on an upload of this size; returns the size, the bytes of the response, and whether it ends by a reset.
+async fn upload_end(peer: SocketAddr, size: usize) -> (usize, usize, bool) {
+    let mut fixture = Fixture::new(peer).await;
+    let _passed_on = fixture.pass_on(&"u".repeat(size)).await;
+    compio::time::sleep(2 * FILL_TIME).await;
+    let (text, is_reset) = fixture.read().await;
+    (size, text.len(), is_reset)
+}
+
 fn proof(secret: &str) -> RelayProof {
     RelayProof::new(&Secret::new(secret))
 }
@@ -268,6 +308,19 @@
         assert_that!(fixture.read().await, (eq("answer"), eq(&true)));
     };
 
+    // Guards against a response that looks complete as the rest of the request met the reset of the other router.
+    async early_response_that_breaks_off_ends_with_a_reset => {
+        let peer = StandIn::start(Peer::BreaksEarly).await;
+        let sizes: Vec<usize> = UPLOAD_SIZES.step_by(UPLOAD_STEP).collect();
+        // The buffers of some are filled at a time.
+        for sizes in sizes.chunks(10) {
+            let ends = sizes.iter().map(|size| upload_end(peer.address, *size));
+            for end in join_all(ends).await {
+                expect_that!(end, (anything(), gt(0), eq(true)));
+            }
+        }
+    };
+
     // Guards against work that goes on for a caller who has left.
     async other_router_learns_that_the_caller_has_left => {
         let peer = StandIn::start(Peer::Reads).await;
