Broken answers of backend servers are counted, and all are logged in one line

jaylock_broken_answers_total counts attempts whose answer broke off or was none, by the kind of the request. Calls and chats log them as routes do ("an attempt broke off: REASON", with the backend server); before, an answer that was none left no line for them. A response for which the router itself has no memory is neither: it has an error of its own.

--- a/crates/jaylock-observe/src/metrics.rs
+++ b/crates/jaylock-observe/src/metrics.rs
@@ -28,6 +28,7 @@
     _provider: Option<SdkMeterProvider>,
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    broken_answers: Counter<u64>,
     tokens: Counter<u64>,
     objectives: Counter<u64>,
     hedges: Counter<u64>,
@@ -66,6 +67,10 @@
         Self {
             requests: counter("jaylock_requests", "Requests that ended."),
             attempts: counter("jaylock_attempts", "Attempts at backend servers."),
+            broken_answers: counter(
+                "jaylock_broken_answers",
+                "Attempts whose answer broke off or was none.",
+            ),
             tokens: counter("jaylock_tokens", "Tokens generated."),
             objectives: counter("jaylock_objective_requests", "Requests by objective kept."),
             hedges: counter(
@@ -137,6 +142,12 @@
         self.tokens.add(record.tokens.0, &[label]);
     }
 
+    /// Counts an attempt whose answer broke off or was none.
+    pub fn record_broken_answer(&self, kind: RequestKind) {
+        self.broken_answers
+            .add(1, &[KeyValue::new("kind", kind_label(kind))]);
+    }
+
     /// Counts the result of a request for an objective.
     pub fn record_result(&self, result: &ObjectiveResult) {
         let label = if result.is_good { "good" } else { "bad" };
--- a/crates/jaylock-observe/src/observer.rs
+++ b/crates/jaylock-observe/src/observer.rs
@@ -121,6 +121,11 @@
         self.shared.metrics.record_evacuation(domain, is_evacuated);
     }
 
+    /// Counts an attempt whose answer broke off or was none.
+    pub fn record_broken_answer(&self, kind: RequestKind) {
+        self.shared.metrics.record_broken_answer(kind);
+    }
+
     /// Counts what happened to a second attempt beside a slow one.
     pub fn record_hedge(&self, event: HedgeEvent) {
         self.shared.metrics.record_hedge(event);
--- a/crates/jaylock-router/src/error.rs
+++ b/crates/jaylock-router/src/error.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use compact_str::{CompactString, format_compact};
+use compact_str::CompactString;
 use http::StatusCode;
 use thiserror::Error;
 
@@ -28,6 +28,9 @@
     /// The response violates the protocol.
     #[error("{0}")]
     Invalid(CompactString),
+    /// The bodies of requests and responses in progress leave no memory for the response.
+    #[error("the bodies in progress are at their bound")]
+    NoMemory,
     /// The backend server returned an error status, to be forwarded to the caller.
     #[error("the backend server answered {0}")]
     ErrorStatus(StatusCode, Bytes),
@@ -38,13 +41,18 @@
     pub fn is_not_run(&self) -> bool {
         matches!(self, Self::Unreachable(_) | Self::Declined | Self::Excluded)
     }
+
+    /// Whether the backend server's answer broke off, or what it sent was none.
+    pub fn is_broken_answer(&self) -> bool {
+        matches!(self, Self::Lost(_) | Self::Invalid(_))
+    }
 }
 
 impl From<ReadError> for AttemptError {
     fn from(error: ReadError) -> Self {
         match error {
             ReadError::TooLong => Self::Invalid("the answer is over the bound".into()),
-            ReadError::NoMemory => Self::Invalid(format_compact!("{error}")),
+            ReadError::NoMemory => Self::NoMemory,
             ReadError::TooSlow => Self::TimedOut,
             ReadError::Broken => Self::Lost("the answer ended early".into()),
         }
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -160,8 +160,9 @@
         tracker.record_step(format_compact!("attempt failed: {error}"));
         let backend = slot.backend().to_owned();
         let has_crashed = is_crash(&self.context, error, address).await;
-        if matches!(error, AttemptError::Lost(_)) {
-            self.log_lost(&backend, has_crashed);
+        tracker.record_failure(error);
+        if error.is_broken_answer() {
+            self.log_broken(error, &backend, has_crashed);
         }
         if has_crashed {
             slot.release(Outcome::Crashed);
@@ -195,14 +196,14 @@
         Ok(())
     }
 
-    /// Logs a connection that a backend server lost, so that crashes of equal requests can be put in order.
-    fn log_lost(&self, backend: &str, has_crashed: bool) {
+    /// Logs an answer that broke off or was none, so that crashes of equal requests can be put in order.
+    fn log_broken(&self, error: &AttemptError, backend: &str, has_crashed: bool) {
         log::info!(
             target: "router",
             request = self.crash_tracker.request.as_str(), backend = backend,
             fingerprint = self.crash_tracker.short_fingerprint(), attempt = self.attempts,
             alone = self.is_suspect(), crashed = has_crashed;
-            "a backend server lost the connection of a request"
+            "an attempt broke off: {error}"
         );
     }
 
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -320,6 +320,7 @@
             slot.release(Outcome::NotRun);
             return None;
         }
+        self.tracker.record_failure(error);
         self.avoid.push(backend);
         self.addresses.push(address);
         if matches!(error, AttemptError::Unreachable(_)) {
--- a/crates/jaylock-router/src/tracker.rs
+++ b/crates/jaylock-router/src/tracker.rs
@@ -6,6 +6,7 @@
 use jaylock_observe::{Observer, RequestKind, RequestRecord, RunStatus};
 use jaylock_types::{OrganisationId, PoolId, RequestId, Tokens};
 
+use crate::error::AttemptError;
 use crate::lifecycle::Lifecycle;
 use crate::response::ErrorResponse;
 
@@ -67,6 +68,13 @@
         self.observer.record_step(&self.record.request, text);
     }
 
+    /// Counts a failed attempt whose answer broke off or was none.
+    pub fn record_failure(&self, error: &AttemptError) {
+        if error.is_broken_answer() {
+            self.observer.record_broken_answer(self.record.kind);
+        }
+    }
+
     /// Records the time of the first token or byte.
     pub fn record_first_token(&mut self) {
         let elapsed = self.arrived_at.elapsed();
--- a/crates/jaylock-tests/tests/platform/harness/mod.rs
+++ b/crates/jaylock-tests/tests/platform/harness/mod.rs
@@ -270,6 +270,17 @@
         fs::read_to_string(path).unwrap_or_default()
     }
 
+    /// Number of attempts whose answers an instance has counted as broken.
+    pub fn broken_answers(&self, at: usize) -> usize {
+        let metrics = get(self.metrics_address(at), "/metrics").expect("metrics");
+        let lines = metrics.body.lines();
+        let mut counts = lines.filter(|line| line.starts_with("jaylock_broken_answers_total{"));
+        let number = counts
+            .next()
+            .and_then(|line| line.rsplit(' ').next()?.parse().ok());
+        number.unwrap_or(0)
+    }
+
     /// Submits a document to an instance; returns the status, or 0 without a response.
     pub fn put_document(&self, at: usize, document: &Value) -> u16 {
         self.put_text(at, &document.to_string())
--- a/crates/jaylock-tests/tests/platform/odd_answers.rs
+++ b/crates/jaylock-tests/tests/platform/odd_answers.rs
@@ -59,6 +59,10 @@
     let odd = received.iter().filter(|r| number(r).is_some()).count();
     assert_that!(odd, eq(count * ROUTES.len()));
     assert_that!(backend.end_count(), eq(odd));
+    assert_that!(fleet.broken_answers(1), eq(odd));
+    let log = fleet.log(1);
+    let mut lines = log.lines();
+    assert!(lines.any(|line| line.contains("an attempt broke off") && line.contains("backend=b1")));
 }
 
 /// Number of the answer that a request asks for.
--- a/crates/jaylock-tests/tests/router/backend.rs
+++ b/crates/jaylock-tests/tests/router/backend.rs
@@ -10,6 +10,9 @@
 use compio::net::{TcpListener, TcpStream};
 use futures_util::FutureExt;
 
+/// Size of a block of text that is sent without end.
+const ENDLESS_BLOCK: usize = 16 << 10;
+
 /// A request as received by a backend server.
 #[derive(Debug, Clone, Default)]
 pub struct Received {
@@ -40,6 +43,8 @@
 #[derive(Debug, Clone)]
 pub enum Step {
     Send(String),
+    /// Sends this text again and again until the router closes the connection.
+    SendEndlessly(&'static str),
     Wait(Duration),
     /// Waits until the router closes the connection.
     AwaitDisconnect,
@@ -127,6 +132,11 @@
                             return Some(());
                         }
                     }
+                    Step::SendEndlessly(text) => {
+                        let block = text.repeat(ENDLESS_BLOCK / text.len());
+                        while stream.write_all(block.clone().into_bytes()).await.0.is_ok() {}
+                        return Some(());
+                    }
                     Step::Wait(time) => compio::time::sleep(time).await,
                     Step::AwaitDisconnect => {
                         let _ = stream.read(Vec::with_capacity(64)).await;
--- a/crates/jaylock-tests/tests/router/main.rs
+++ b/crates/jaylock-tests/tests/router/main.rs
@@ -13,6 +13,7 @@
 mod hedging;
 mod history;
 mod limits;
+mod odd_answers;
 mod overload;
 mod properties;
 mod quarantine;
