A stream that breaks off ends with a reset for callers of HTTP/1.0

What callers saw (shown with a test, not reported from a fleet): to a caller of HTTP/1.0, who reads until the connection ends, a stream that broke off and could not be resumed ended like a whole one.

Cause: the router told the HTTP library that the body had failed. The library leaves the last chunk out, which such a caller never gets, and the connection was then closed in an orderly way.

Change: such a connection is closed with a reset if it ends with an error. reset_on_close stands with the sockets now, for relays and for this.

Test: broken_responses::stream_to_a_caller_of_an_older_protocol_ends_with_its_connection, a whole stream and a broken one.

--- a/crates/jaylock-router/src/relay/link.rs
+++ b/crates/jaylock-router/src/relay/link.rs
@@ -166,7 +166,7 @@
     match end {
         End::Response => end_sending(&caller),
         End::Caller => {}
-        End::Peer | End::Stopped => reset_on_close(&caller),
+        End::Peer | End::Stopped => socket::reset_on_close(&caller),
     }
 }
 
@@ -231,10 +231,3 @@
     let mut buffer = [MaybeUninit::uninit(); 1024];
     while socket.recv(&mut buffer).is_ok_and(|bytes| bytes > 0) {}
 }
-
-/// Lets a connection end with a reset, which tells the caller that its response is not complete.
-fn reset_on_close(stream: &TcpStream) {
-    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
-        log::debug!(target: "router", "a caller's connection can't be reset: {error}");
-    }
-}
--- a/crates/jaylock-router/src/server.rs
+++ b/crates/jaylock-router/src/server.rs
@@ -9,7 +9,7 @@
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::CompioTimer;
 use futures_util::future::{Either, select};
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -22,7 +22,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::relay::Relay;
 use crate::response::set_header;
-use crate::socket::SocketStream;
+use crate::socket::{self, SocketStream};
 
 /// Time between two checks whether connections are accepted again.
 const DEFER_INTERVAL: Duration = Duration::from_millis(5);
@@ -206,6 +206,25 @@
         stream: TcpStream,
         peer: IpAddr,
         origin: Origin,
+    ) -> Result<(), hyper::Error> {
+        let socket = stream.clone();
+        let is_older = Rc::new(Cell::new(false));
+        let outcome = self
+            .exchange(stream, (peer, origin), is_older.clone())
+            .await;
+        if outcome.is_err() && is_older.get() {
+            // An orderly close would end the response.
+            socket::reset_on_close(&socket);
+        }
+        outcome
+    }
+
+    /// Serves the requests of a connection; `is_older` is set for a caller who knows no chunks, only the end of the connection.
+    async fn exchange(
+        self: Rc<Self>,
+        stream: TcpStream,
+        (peer, origin): (IpAddr, Origin),
+        is_older: Rc<Cell<bool>>,
     ) -> Result<(), hyper::Error> {
         let _ = stream.set_nodelay(true);
         if self.handler.is_overloaded() {
@@ -230,6 +249,7 @@
             if origin == Origin::Router {
                 request.extensions_mut().insert(Relayed);
             }
+            is_older.set(request.version() < Version::HTTP_11);
             token.set(Some(server.lifecycle.connection_token()));
             let server = server.clone();
             async move { Ok::<_, Infallible>(server.respond(request).await) }
--- a/crates/jaylock-router/src/socket.rs
+++ b/crates/jaylock-router/src/socket.rs
@@ -7,6 +7,7 @@
 use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use compio::net::{TcpSocket, TcpStream};
 use cyper_core::HyperStream;
@@ -35,6 +36,13 @@
         .await
 }
 
+/// Lets a caller's connection end with a reset, which tells the caller that its response is not complete.
+pub fn reset_on_close(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!(target: "router", "a caller's connection can't be reset: {error}");
+    }
+}
+
 /// A connection as the HTTP library reads and writes it.
 pub struct SocketStream {
     io: HyperStream<TcpStream>,
--- a/crates/jaylock-tests/tests/platform/broken_responses.rs
+++ b/crates/jaylock-tests/tests/platform/broken_responses.rs
@@ -1,5 +1,7 @@
 //! Responses that break off in their head, and errors where a stream should go on: callers never see them as complete.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -144,6 +146,25 @@
         let streamed = fleet.caller().request("POST", "/stream/1").send();
         assert_that!((streamed.status() == 200, streamed.is_complete), not(eq((true, true))));
     };
+    // Guards against a stream that broke off and looked complete to callers who read it until the connection ends.
+    stream_to_a_caller_of_an_older_protocol_ends_with_its_connection => {
+        let fleet = TestFleet::minimal();
+        let _backend = FakeBackend::start(&fleet, "b1", |r| match r.header("path") {
+            "whole" => r.events(1..=3, Reply::LAST_CHUNK),
+            _ => r.events(1..=3, Reply::BROKEN_EVENT),
+        });
+        for (path, is_whole) in [("whole", true), ("broken", false)] {
+            let caller = fleet.caller().request("POST", "/stream/1").with("Path", path);
+            let mut connection = TcpStream::connect(fleet.caller_address(1)).expect("a connection");
+            let request = caller.text().replace("HTTP/1.1", "HTTP/1.0");
+            connection.write_all(request.as_bytes()).expect("a request is sent");
+            let mut received = Vec::new();
+            let end = connection.read_to_end(&mut received);
+            let text = String::from_utf8_lossy(&received);
+            assert_that!(text, starts_with("HTTP/1.0 200"));
+            assert_that!((end.is_ok(), text.ends_with(&events(1..=3))), eq((is_whole, true)));
+        }
+    };
     connection_that_ends_after_the_head_of_a_new_stream_is_an_error => {
         let fleet = TestFleet::minimal();
         let _backend = FakeBackend::start(&fleet, "b1", |r| closing(r.sealed("200 OK", "Content-Type: text/event-stream\r\n\r\n")));
