The handle of a caller's connection has a name of its own

Cause: a local variable had the name of the module whose function it was handed to.

Change: renamed; nothing else.

--- a/crates/jaylock-router/src/server.rs
+++ b/crates/jaylock-router/src/server.rs
@@ -207,14 +207,14 @@
         peer: IpAddr,
         origin: Origin,
     ) -> Result<(), hyper::Error> {
-        let socket = stream.clone();
+        let handle = stream.clone();
         let is_older = Rc::new(Cell::new(false));
         let outcome = self
             .exchange(stream, (peer, origin), is_older.clone())
             .await;
         if outcome.is_err() && is_older.get() {
             // An orderly close would end the response.
-            socket::reset_on_close(&socket);
+            socket::reset_on_close(&handle);
         }
         outcome
     }
