A request is never taken by a connection whose write has failed

A connection drops what is written after a failed write. Between the end of a whole answer and the moment at which its task notices the reset, the pool may hold it; a request that got onto it would be dropped and then count as one that may have run. Connection::send checks this once the request before is off its hands, and the request goes over a new connection. Known by reasoning: the test of it passes with and without the check, as the HTTP library notices the reset first.

--- a/crates/jaylock-router/src/connection.rs
+++ b/crates/jaylock-router/src/connection.rs
@@ -115,6 +115,10 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         self.sender.ready().await.map_err(|_| SendError::NotSent)?;
+        if self.write_failure.is_set() {
+            // The rest of the request before was dropped, and this one would be too.
+            return Err(SendError::NotSent);
+        }
         self.head_budget.start();
         self.is_busy = true;
         let outcome = self.sender.try_send_request(request).await;
--- a/crates/jaylock-tests/tests/platform/odd_answers.rs
+++ b/crates/jaylock-tests/tests/platform/odd_answers.rs
@@ -59,6 +59,17 @@
     let odd = received.iter().filter(|r| number(r).is_some()).count();
     assert_that!(odd, eq(count * ROUTES.len()));
     assert_that!(backend.end_count(), eq(odd));
+    if connection == Connection::Kept {
+        let is_kept = |at: &usize| {
+            let earlier = &received[..*at];
+            earlier
+                .iter()
+                .any(|r| r.connection == received[*at].connection)
+        };
+        let kept = (0..received.len()).filter(is_kept);
+        // On a slow machine some have been idle for too long.
+        assert_that!(kept.count(), ge(odd / 2));
+    }
     assert_that!(fleet.broken_answers(1), eq(odd));
     let log = fleet.log(1);
     let mut lines = log.lines();
