--- a/crates/jaylock-router/src/orderly_end.rs
+++ b/crates/jaylock-router/src/orderly_end.rs
@@ -7,41 +7,6 @@
 use futures_util::AsyncRead;
 use hyper::rt::Write;
 
-/// Why a request could not be written completely; unset while it can.
-#[derive(Debug, Clone, Default)]
-pub struct WriteFailure(Rc<Cell<Option<io::ErrorKind>>>);
-
-impl WriteFailure {
-    /// Whether a write failed, after which the connection carries no further request.
-    pub fn is_set(&self) -> bool {
-        self.0.get().is_some()
-    }
-
-    /// Records a failure, of which only the first one tells how the connection ended.
-    fn record(&self, error: &io::Error) {
-        let first = self.0.get().unwrap_or(error.kind());
-        self.0.set(Some(first));
-    }
-
-    /// Checks at the end of the bytes that the peer ended them.
-    fn check_end(&self) -> io::Result<()> {
-        match self.0.get() {
-            Some(kind) if !is_orderly(kind) => Err(io::Error::new(
-                kind,
-                "the connection broke while the request was sent",
-            )),
-            _ => Ok(()),
-        }
-    }
-}
-
-/// Whether the peer closed its connection in an orderly way before a write to it failed for the first time.
-///
-/// Linux reports a reset that follows such a close as a broken pipe; all that the peer sent has arrived then.
-pub fn is_orderly(failure: io::ErrorKind) -> bool {
-    failure == io::ErrorKind::BrokenPipe
-}
-
 /// A stream that ends only where its peer closed the connection in an orderly way.
 ///
 /// Linux reports a reset once, to whichever of a read and a write asks first. After a write has met it, reads return what has
@@ -136,3 +101,38 @@
         Poll::Ready(Ok(self.recorded(outcome, length)))
     }
 }
+
+/// Why a request could not be written completely; unset while it can.
+#[derive(Debug, Clone, Default)]
+pub struct WriteFailure(Rc<Cell<Option<io::ErrorKind>>>);
+
+impl WriteFailure {
+    /// Whether a write failed, after which the connection carries no further request.
+    pub fn is_set(&self) -> bool {
+        self.0.get().is_some()
+    }
+
+    /// Records a failure, of which only the first one tells how the connection ended.
+    fn record(&self, error: &io::Error) {
+        let first = self.0.get().unwrap_or(error.kind());
+        self.0.set(Some(first));
+    }
+
+    /// Checks at the end of the bytes that the peer ended them.
+    fn check_end(&self) -> io::Result<()> {
+        match self.0.get() {
+            Some(kind) if !is_orderly(kind) => Err(io::Error::new(
+                kind,
+                "the connection broke while the request was sent",
+            )),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Whether the peer closed its connection in an orderly way before a write to it failed for the first time.
+///
+/// Linux reports a reset that follows such a close as a broken pipe; all that the peer sent has arrived then.
+pub fn is_orderly(failure: io::ErrorKind) -> bool {
+    failure == io::ErrorKind::BrokenPipe
+}
--- a/crates/jaylock-tests/tests/platform/reset_answers.rs
+++ b/crates/jaylock-tests/tests/platform/reset_answers.rs
@@ -25,9 +25,9 @@
 const UPLOAD_BYTES: usize = 3 << 20;
 /// The part of an upload that the backend server has read when it answers during the upload.
 const PART_BYTES: usize = 100_000;
-/// Text of an answer that one read takes.
+/// Size of a body that one read takes.
 const FEW_BYTES: usize = 20;
-/// Text of an answer that takes several reads.
+/// Size of a body that takes several reads.
 const MANY_BYTES: usize = 40 << 10;
 /// Path of a route whose requests go over connections that were idle for longer.
 const KEPT: &str = "/look/upload";
@@ -42,21 +42,6 @@
 /// Time for the router to fill the buffers of a connection.
 const FILL_TIME: Duration = Duration::from_millis(50);
 
-/// Sends uploads of random size, whose answers without a length are cut at random moments; returns how many came through as whole.
-fn cut_at_random(fleet: &TestFleet, count: usize, seed: u64) -> usize {
-    let mut random = SmallRng::seed_from_u64(seed);
-    let mut whole = 0;
-    for _ in 0..count {
-        let body = "u".repeat(random.random_range(UPLOAD_BYTES / 10..UPLOAD_BYTES));
-        let (part, delay) = (random.random_range(0..60_000), random.random_range(0..3000));
-        let caller = fleet.caller().request("POST", "/once/upload").body(&body);
-        let caller = caller.with("Part", &part.to_string());
-        let response = caller.with("Delay-Us", &delay.to_string()).try_send();
-        whole += usize::from(response.is_ok_and(|r| r.is_complete_stream()));
-    }
-    whole
-}
-
 /// How much of the upload the backend server has read when it answers.
 #[derive(Debug, Clone, Copy)]
 enum Moment {
@@ -286,6 +271,31 @@
     error_instead_of_a_stream_cut => Upload { path: "/stream/upload", reply: |r| resetting(r.sealed("500 Internal Server Error", "\r\nbroken")), ..Upload::default() };
 }
 
+/// An answer without a length, whose size and whose time to the reset, in microseconds, the request asks for.
+fn cut_as_asked(request: &ReceivedRequest) -> Reply {
+    let part = request.header("part").parse().unwrap_or(0);
+    let delay = request.header("delay-us").parse().unwrap_or(0);
+    Reply {
+        reset_after: Some(Duration::from_micros(delay)),
+        ..unframed(request, part)
+    }
+}
+
+/// Sends uploads of random size, whose answers without a length are cut at random moments; returns how many came through as whole.
+fn cut_at_random(fleet: &TestFleet, count: usize, seed: u64) -> usize {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut whole = 0;
+    for _ in 0..count {
+        let body = "u".repeat(random.random_range(UPLOAD_BYTES / 10..UPLOAD_BYTES));
+        let (part, delay) = (random.random_range(0..60_000), random.random_range(0..3000));
+        let caller = fleet.caller().request("POST", "/once/upload").body(&body);
+        let caller = caller.with("Part", &part.to_string());
+        let response = caller.with("Delay-Us", &delay.to_string()).try_send();
+        whole += usize::from(response.is_ok_and(|r| r.is_complete_stream()));
+    }
+    whole
+}
+
 /// A whole event of a stream that declares no length.
 fn unframed_event(request: &ReceivedRequest) -> Reply {
     let event = "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: piece 1\n\n";
@@ -315,15 +325,11 @@
         let uploads: usize = uploads.unwrap_or(RANDOM_UPLOADS);
         let fleet = TestFleet::minimal();
         fleet.configure(&large_document());
-        let backend = FakeBackend::start_early(&fleet, "b1", 0, |r| {
-            let number = |name: &str| r.header(name).parse().unwrap_or(0);
-            let (part, delay) = (usize::try_from(number("part")), Duration::from_micros(number("delay-us")));
-            Reply { reset_after: Some(delay), ..unframed(r, part.unwrap_or(0)) }
-        });
-        let count = uploads / RANDOM_CALLERS;
+        let backend = FakeBackend::start_early(&fleet, "b1", 0, cut_as_asked);
         let whole = thread::scope(|scope| {
-            let send = |seed: u64| { let fleet = &fleet; scope.spawn(move || cut_at_random(fleet, count, seed)) };
-            let callers: Vec<_> = (0..).map(send).take(RANDOM_CALLERS).collect();
+            let fleet = &fleet;
+            let send = |seed| scope.spawn(move || cut_at_random(fleet, uploads / RANDOM_CALLERS, seed));
+            let callers: Vec<_> = (0..RANDOM_CALLERS as u64).map(send).collect();
             callers.into_iter().map(|caller| caller.join().expect("a count")).sum::<usize>()
         });
         assert_that!(whole, eq(0));
