The set-up of small buffers stands once, and the fake backend server is three modules

Cause: three tests set the same receive buffer and segment size on a listener by hand, and the module of the fake backend server had grown to 516 lines with three jobs: serving connections, the requests that it reads, the replies that it sends. Found by reading the whole change again.

No assertion, bound or case is changed, and nothing of the product.

--- a/crates/jaylock-tests/src/lib.rs
+++ b/crates/jaylock-tests/src/lib.rs
@@ -5,11 +5,13 @@
 mod peer;
 mod process;
 mod program;
+mod small_buffers;
 
 pub use self::fleet::{Fleet, FleetSettings, ORGANISATIONS};
 pub use self::peer::SyncOnlyPeer;
 pub use self::process::Process;
 pub use self::program::program_path;
+pub use self::small_buffers::limit_buffers;
 
 use proptest::test_runner::{Config, RngSeed};
 
--- a/crates/jaylock-tests/tests/platform/harness/backend.rs
+++ b/crates/jaylock-tests/tests/platform/harness/backend.rs
@@ -1,13 +1,16 @@
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use jaylock_tests::fleet::HttpResponse;
+use jaylock_tests::limit_buffers;
 use socket2::SockRef;
 
+use super::reply::Reply;
+use super::request::{ReceivedRequest, read_request};
 use super::{TestFleet, send_call, send_call_within, wait_until};
 
 /// Time between two heartbeats of a backend server.
@@ -16,14 +19,6 @@
 /// Time after which a heartbeat counts as lost.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Size of the receive buffer of a backend server that replies before it has read a body, so that the sender has to wait.
-const SMALL_BUFFER: usize = 16 << 10;
-/// Largest segment that such a backend server takes, as the sender's buffer grows with it.
-const SMALL_SEGMENT: u32 = 1000;
-
-/// Size of a block of a reply without end.
-const ENDLESS_BLOCK: usize = 16 << 10;
-
 /// A fake backend server whose replies a test defines, of the service `app` unless the test names another.
 pub struct FakeBackend {
     /// Identifier of the backend server.
@@ -56,38 +51,6 @@
     connections: Mutex<Vec<TcpStream>>,
 }
 
-/// A request as the backend server received it.
-#[derive(Debug, Clone)]
-pub struct ReceivedRequest {
-    /// Request line.
-    pub request_line: String,
-    /// Header fields in order, with names in lower case.
-    pub headers: Vec<(String, String)>,
-    /// Body, or the part of it that was read before the reply.
-    pub body: String,
-    /// When the head had arrived.
-    pub arrived_at: Instant,
-    /// Number of the connection, from 1.
-    pub connection: usize,
-}
-
-/// The bytes that a backend server replies.
-#[derive(Debug, Clone)]
-pub struct Reply {
-    /// Bytes of the reply.
-    pub bytes: Vec<u8>,
-    /// Further bytes, each after a pause.
-    pub later: Vec<(Duration, Vec<u8>)>,
-    /// Bytes that are sent again and again after the others, until the connection is closed.
-    pub endless: Vec<u8>,
-    /// Whether the connection is closed after the reply.
-    pub closes_connection: bool,
-    /// How long after the reply the connection is reset; after it was closed in an orderly way, if that is set too.
-    pub reset_after: Option<Duration>,
-    /// Whether the backend server crashes after the reply.
-    pub crashes: bool,
-}
-
 impl FakeBackend {
     /// Requests that a backend server takes at once.
     pub const SLOTS: usize = 8;
@@ -130,11 +93,7 @@
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
         if body_limit.is_some() {
-            // Connections take both from their listener.
-            let socket = SockRef::from(&listener);
-            let resized = socket.set_recv_buffer_size(SMALL_BUFFER);
-            resized.expect("a small buffer");
-            socket.set_tcp_mss(SMALL_SEGMENT).expect("small segments");
+            limit_buffers(&listener);
         }
         let shared = Arc::new(Shared {
             id: id.into(),
@@ -384,133 +343,3 @@
         self.received.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl ReceivedRequest {
-    /// Returns the value of a header field; empty if it is missing.
-    pub fn header(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(known, _)| known == name);
-        found.map_or("", |(_, value)| value)
-    }
-
-    /// A complete response with a seal.
-    pub fn respond(&self, status: &str, body: &str) -> Reply {
-        let length = body.len();
-        self.sealed(status, &format!("Content-Length: {length}\r\n\r\n{body}"))
-    }
-
-    /// A stream of the events with these identifiers, followed by `tail`.
-    pub fn events(&self, ids: std::ops::RangeInclusive<u64>, tail: &str) -> Reply {
-        let events: String = ids.map(event_chunk).collect();
-        let head = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-        Reply {
-            closes_connection: tail != Reply::LAST_CHUNK,
-            ..self.sealed("200 OK", &format!("{head}{events}{tail}"))
-        }
-    }
-
-    /// A complete stream of `count` events with a pause before each but the first.
-    pub fn paced_events(&self, count: u64, pause: Duration) -> Reply {
-        let later = (2..=count).map(|n| (pause, event_chunk(n).into_bytes()));
-        let last_chunk = (Duration::ZERO, Reply::LAST_CHUNK.into());
-        Reply {
-            closes_connection: false,
-            later: later.chain([last_chunk]).collect(),
-            ..self.events(1..=1, "")
-        }
-    }
-
-    /// The head of a stream, after which the backend server crashes.
-    pub fn crash(&self) -> Reply {
-        Reply {
-            crashes: true,
-            ..self.sealed("200 OK", "Transfer-Encoding: chunked\r\n\r\n")
-        }
-    }
-
-    /// A response that declares the request as not run.
-    pub fn not_run(&self) -> Reply {
-        let id = self.header("attempt-id");
-        Reply::from_text(&format!(
-            "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n\
-             Content-Length: 0\r\n\r\n"
-        ))
-    }
-
-    /// A response head with a seal, followed by `rest`.
-    pub fn sealed(&self, status: &str, rest: &str) -> Reply {
-        let id = self.header("attempt-id");
-        Reply::from_text(&format!(
-            "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nReplica-Seal: 3e1b.07\r\n{rest}"
-        ))
-    }
-}
-
-impl Reply {
-    /// The last chunk of a chunked body.
-    pub const LAST_CHUNK: &str = "0\r\n\r\n";
-    /// The beginning of a fourth event, in the middle of which a stream breaks off.
-    pub const BROKEN_EVENT: &str = "20\r\nid: 4\ndata: pie";
-
-    /// A reply after which the connection stays open.
-    pub fn from_text(text: &str) -> Self {
-        Self {
-            bytes: text.as_bytes().to_vec(),
-            later: Vec::new(),
-            endless: Vec::new(),
-            closes_connection: false,
-            reset_after: None,
-            crashes: false,
-        }
-    }
-
-    /// Goes on with `filler` after this reply, until the connection is closed.
-    pub fn with_endless(mut self, filler: &str) -> Self {
-        self.endless = filler.repeat(ENDLESS_BLOCK / filler.len()).into();
-        self
-    }
-
-    /// A reply without a byte that closes the connection.
-    pub fn empty() -> Self {
-        Self {
-            closes_connection: true,
-            ..Self::from_text("")
-        }
-    }
-}
-
-/// An event of a stream as a chunk of a body.
-fn event_chunk(id: u64) -> String {
-    let event = format!("id: {id}\ndata: piece {id}\n\n");
-    format!("{:x}\r\n{event}\r\n", event.len())
-}
-
-/// Reads a request with at most `body_limit` bytes of its body.
-fn read_request(
-    reader: &mut BufReader<TcpStream>,
-    connection: usize,
-    body_limit: usize,
-) -> Option<ReceivedRequest> {
-    let mut line = String::new();
-    reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
-    let mut headers = Vec::new();
-    loop {
-        let mut text = String::new();
-        reader.read_line(&mut text).ok().filter(|read| *read > 0)?;
-        let Some((name, value)) = text.trim_end().split_once(':') else {
-            break;
-        };
-        headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
-    }
-    let mut received = ReceivedRequest {
-        request_line: line.trim_end().to_owned(),
-        headers,
-        body: String::new(),
-        arrived_at: Instant::now(),
-        connection,
-    };
-    let length: usize = received.header("content-length").parse().unwrap_or(0);
-    let mut body = vec![0; length.min(body_limit)];
-    reader.read_exact(&mut body).ok()?;
-    received.body = String::from_utf8(body).ok()?;
-    Some(received)
-}
--- a/crates/jaylock-tests/tests/platform/harness/mod.rs
+++ b/crates/jaylock-tests/tests/platform/harness/mod.rs
@@ -3,11 +3,15 @@
 mod backend;
 mod caller;
 mod document;
+mod reply;
+mod request;
 mod stalled;
 
-pub use self::backend::{FakeBackend, ReceivedRequest, Reply};
+pub use self::backend::FakeBackend;
 pub use self::caller::{Caller, CallerResponse};
 pub use self::document::{KEY, OTHER_KEY, document};
+pub use self::reply::Reply;
+pub use self::request::ReceivedRequest;
 pub use self::stalled::StalledStart;
 
 use std::fs;
--- a/crates/jaylock-tests/tests/router/connection.rs
+++ b/crates/jaylock-tests/tests/router/connection.rs
@@ -9,17 +9,14 @@
 use http::Request;
 use http_body_util::{BodyExt, Full};
 use jaylock_router::{AttemptError, Connection, ConnectionPool};
-use jaylock_tests::cases;
+use jaylock_tests::{cases, limit_buffers};
 use socket2::SockRef;
 
 /// Timeout for bytes that were sent before.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Size of a request that the buffers of a connection don't hold, with segments of the size below.
+/// Size of a request that the buffers of a connection don't hold.
 const UPLOAD_BYTES: usize = 3 << 20;
-/// Size of segments and of the receive buffer of a peer that reads nothing.
-const SMALL_SEGMENT: u32 = 1000;
-const SMALL_BUFFER: usize = 16 << 10;
 /// An answer of which one read takes everything.
 const UNFRAMED: &str = "HTTP/1.1 400 Bad Request\r\n\r\npart";
 
@@ -40,11 +37,7 @@
 /// the body is read to its end.
 async fn read_early_answer(answer: &str, end: End) -> (Connection, Option<Bytes>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let socket = SockRef::from(&listener);
-    socket
-        .set_recv_buffer_size(SMALL_BUFFER)
-        .expect("a small buffer");
-    socket.set_tcp_mss(SMALL_SEGMENT).expect("small segments");
+    limit_buffers(&listener);
     let address = listener.local_addr().expect("an address");
     let mut connection = Connection::open(address, READ_TIMEOUT)
         .await
--- a/crates/jaylock-tests/tests/router/relays.rs
+++ b/crates/jaylock-tests/tests/router/relays.rs
@@ -17,6 +17,7 @@
     RouterSettings,
 };
 use jaylock_rpc::v1::{Configuration, Instance};
+use jaylock_tests::limit_buffers;
 use jaylock_types::{Incarnation, Secret};
 use socket2::SockRef;
 
@@ -27,9 +28,6 @@
 /// Length of the bytes with which a connection between routers begins.
 const PREAMBLE_BYTES: usize = 36;
 
-/// Size of segments and of the receive buffer of a router that does not read.
-const SMALL_SEGMENT: u32 = 1000;
-const SMALL_BUFFER: usize = 16 << 10;
 /// Size of a response that the buffers of two connections don't hold.
 const LONG_RESPONSE_BYTES: usize = 16 << 20;
 /// Time for the buffers of two connections to fill.
@@ -68,12 +66,7 @@
     async fn start(peer: Peer) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         if peer == Peer::BreaksEarly {
-            // Connections take both from their listener, and the sender's buffer grows with them.
-            let socket = SockRef::from(&listener);
-            socket
-                .set_recv_buffer_size(SMALL_BUFFER)
-                .expect("a small buffer");
-            socket.set_tcp_mss(SMALL_SEGMENT).expect("small segments");
+            limit_buffers(&listener);
         }
         let stand_in = Self {
             address: listener.local_addr().expect("an address"),
