Nothing done with a document costs more than n log n of its entries

Services were searched for each route.

Tests: commits_a_document_filled_with_keys, commits_a_document_with_many_routes_and_services and document_in_force_is_acknowledged_without_an_entry failed on the code before (run there).

--- a/crates/jaylock-control/src/client.rs
+++ b/crates/jaylock-control/src/client.rs
@@ -1,7 +1,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use jaylock_rpc::v1::control_client::ControlClient as Stub;
 use jaylock_rpc::v1::{
@@ -10,6 +10,7 @@
 };
 use jaylock_rpc::{Channel, ChannelSettings};
 use jaylock_types::boottime_now;
+use prost::Message;
 use tonic::{Code, Status, Streaming};
 
 use crate::transport::{Channels, MAX_MESSAGE_BYTES};
@@ -59,6 +60,7 @@
     /// [`Error::NoLeader`] after the timeout: the command may or may not have been applied, and may
     /// be sent again under the same id. [`Error::Refused`] if the command is malformed.
     pub async fn propose(&self, command: Command) -> Result<Applied> {
+        let busy_delay = self.busy_delay(&command);
         let call = async |mut stub: Stub<Channel>| {
             let request = ProposeRequest {
                 command: Some(command.clone()),
@@ -66,7 +68,7 @@
             let reply = stub.propose(request).await?.into_inner();
             Ok(to_reply(reply.applied, reply.leader_address))
         };
-        self.call_leader(call).await
+        self.call_leader_patiently(busy_delay, call).await
     }
 
     /// Commits a command like [`propose`](Self::propose), but sends it only until `last_sending`.
@@ -219,10 +221,26 @@
             .into_inner())
     }
 
+    /// Delay before a command is sent to a busy leader again: longer for a large one, which costs the leader more.
+    fn busy_delay(&self, command: &Command) -> Duration {
+        let factor = 1 + command.encoded_len() / BYTES_PER_DELAY;
+        self.shared.settings.busy_delay * u32::try_from(factor).unwrap_or(u32::MAX)
+    }
+
     /// Calls one replica after another until the leader replies.
     async fn call_leader<T>(
         &self,
         call: impl AsyncFn(Stub<Channel>) -> Result<Reply<T>, Status>,
+    ) -> Result<T> {
+        let busy_delay = self.shared.settings.busy_delay;
+        self.call_leader_patiently(busy_delay, call).await
+    }
+
+    /// Calls one replica after another until the leader replies; a busy one again after a delay.
+    async fn call_leader_patiently<T>(
+        &self,
+        busy_delay: Duration,
+        call: impl AsyncFn(Stub<Channel>) -> Result<Reply<T>, Status>,
     ) -> Result<T> {
         let shared = &self.shared;
         let started = Instant::now();
@@ -253,7 +271,7 @@
                 }
                 Err(status) if status.code() == Code::ResourceExhausted => {
                     reason = status.message().into();
-                    compio::time::sleep(shared.settings.busy_delay).await;
+                    compio::time::sleep(busy_delay).await;
                     continue;
                 }
                 Err(status) => reason = status.message().into(),
@@ -270,6 +288,9 @@
     }
 }
 
+/// Size of a command for each further delay before it is sent to a busy leader again.
+const BYTES_PER_DELAY: usize = 1 << 20;
+
 /// Maximum number of consecutive redirects to another leader.
 const MAX_REDIRECTS: usize = 4;
 
--- a/crates/jaylock-control/src/lib.rs
+++ b/crates/jaylock-control/src/lib.rs
@@ -24,7 +24,7 @@
 pub use self::gossip::PeerService;
 pub use self::replica::{Bootstrap, Environment, Replica, ReplicaMemory};
 pub use self::rescue::rescue;
-pub use self::routes::find_route;
+pub use self::routes::{find_route, find_service};
 pub use self::service::{ControlService, ReplicaService};
 pub use self::settings::{ClientSettings, FollowerSettings, ReplicaSettings};
 pub use self::state::{
--- a/crates/jaylock-control/src/replica/core.rs
+++ b/crates/jaylock-control/src/replica/core.rs
@@ -236,7 +236,7 @@
             prev_index,
             prev_term,
             commit: self.commit_index,
-            entries: entries.iter().map(EncodedEntry::decode).collect(),
+            entries: entries.iter().map(|e| e.bytes().clone()).collect(),
             generation,
             campaign: false,
         })
--- a/crates/jaylock-control/src/replica/handlers.rs
+++ b/crates/jaylock-control/src/replica/handlers.rs
@@ -2,9 +2,10 @@
 
 use std::rc::Rc;
 
+use bytes::Bytes;
 use futures_channel::oneshot;
 use jaylock_rpc::v1::{
-    AppendReply, AppendRequest, Entry, GreetReply, InstallReply, InstallRequest, Member, VoteReply,
+    AppendReply, AppendRequest, GreetReply, InstallReply, InstallRequest, Member, VoteReply,
     VoteRequest,
 };
 use prost::Message;
@@ -224,15 +225,18 @@
     core.has_base() && base_matches
 }
 
-async fn write_entries(shared: &Shared, entries: Vec<Entry>) -> Result<(), Status> {
-    let new_entries: Vec<EncodedEntry> = {
+async fn write_entries(shared: &Shared, entries: Vec<Bytes>) -> Result<(), Status> {
+    let entries: Result<Vec<_>, _> = entries.into_iter().map(EncodedEntry::from_bytes).collect();
+    let mut new_entries =
+        entries.map_err(|_| Status::invalid_argument("an entry can't be read: send it again"))?;
+    {
         let core = shared.core.borrow();
-        let is_known =
-            |e: &&Entry| e.index <= core.log.base_index() || core.log.term(e.index) == Some(e.term);
-        let new = entries.iter().skip_while(is_known);
-        new.map(EncodedEntry::encode).collect()
-    };
-    drop(entries);
+        let is_known = |e: &EncodedEntry| {
+            e.index() <= core.log.base_index() || core.log.term(e.index()) == Some(e.term())
+        };
+        let known_count = new_entries.iter().take_while(|e| is_known(e)).count();
+        new_entries.drain(..known_count);
+    }
     let Some(first) = new_entries.first().map(EncodedEntry::index) else {
         return Ok(());
     };
--- a/crates/jaylock-control/src/replica/proposals.rs
+++ b/crates/jaylock-control/src/replica/proposals.rs
@@ -10,6 +10,9 @@
 impl Shared {
     /// Commits a command and returns its result.
     pub async fn submit(&self, command: Command) -> Result<Applied, RequestError> {
+        if let Some(applied) = self.known_result(&command) {
+            return Ok(applied);
+        }
         let waiting_bytes = {
             let core = self.core.borrow();
             core.log.bytes_after(core.commit_index)
@@ -20,6 +23,13 @@
         self.submit_unbounded(command).await
     }
 
+    fn known_result(&self, command: &Command) -> Option<Applied> {
+        if !self.can_serve_reads() {
+            return None;
+        }
+        self.core.borrow().state.known_result(command)
+    }
+
     /// Commits a command that the leader itself creates.
     ///
     /// It is not refused for the size of the entries that wait: they may do so for a command of the new leader's term.
--- a/crates/jaylock-control/src/routes.rs
+++ b/crates/jaylock-control/src/routes.rs
@@ -1,6 +1,15 @@
-//! Which route of the configuration a request belongs to.
+//! Which route of the configuration a request belongs to, and services by their names.
 
-use jaylock_rpc::v1::{Configuration, Route};
+use jaylock_rpc::v1::{Configuration, Route, Service};
+
+/// Finds a service by its name.
+#[must_use]
+pub fn find_service<'a>(configuration: &'a Configuration, id: &str) -> Option<&'a Service> {
+    let services = &configuration.services;
+    // A document may name one service twice; the first entry counts.
+    let first = services.partition_point(|service| service.id.as_str() < id);
+    services.get(first).filter(|service| service.id == id)
+}
 
 /// Finds the route of a host, with or without a port, whose prefix is the longest match for a path.
 #[must_use]
--- a/crates/jaylock-control/src/service.rs
+++ b/crates/jaylock-control/src/service.rs
@@ -125,7 +125,7 @@
         let reply = match self.shared.read_configuration() {
             Ok(configuration) => DocumentReply {
                 version: configuration.document_version,
-                source: self.shared.core.borrow().state.document_source().to_vec(),
+                source: self.shared.core.borrow().state.document_source().clone(),
                 leader_address: None,
             },
             Err(error) => DocumentReply {
--- a/crates/jaylock-control/src/state/changes.rs
+++ b/crates/jaylock-control/src/state/changes.rs
@@ -8,10 +8,7 @@
 };
 use jaylock_types::{AdapterId, BackendId, ModelId, OrganisationId, PoolId, ServiceId, VersionId};
 
-use super::{document, evacuations, fleet, sorted};
-
-/// Size of the SHA-256 hash of a caller's key.
-const KEY_HASH_BYTES: usize = 32;
+use super::{document, evacuations, fleet, keys, sorted};
 
 /// A change that was applied.
 pub struct Change {
@@ -36,7 +33,7 @@
     }
 }
 
-/// Applies a change; the error says why the change is refused.
+/// Applies a change; the error says why the change is refused, which then leaves everything as it is.
 pub fn apply_change(
     next: &mut Configuration,
     body: &Body,
@@ -82,7 +79,7 @@
         }
         Body::PutRoute(route) => document::put_route(next, route)?,
         Body::RemoveRoute(id) => document::remove_route(next, id)?,
-        Body::PutDocument(document) => document::put_document(next, document)?,
+        Body::PutDocument(document) => document::put_document(next, document),
         Body::RequireKeys(is_required) => document::require_keys(next, *is_required)?,
         _ => return apply_fleet_change(next, body, index, at_ms),
     }
@@ -189,27 +186,11 @@
     if organisation.weight == 0 {
         return Err("the weight of an organisation is at least 1".into());
     }
-    check_keys(organisation, &next.organisations)?;
+    keys::check_new_keys(organisation, &next.organisations)?;
     sorted::put(&mut next.organisations, organisation.clone(), |o| &o.id);
     Ok(())
 }
 
-/// Checks that the keys of an organisation are hashes that no other organisation has.
-pub fn check_keys(organisation: &Organisation, all: &[Organisation]) -> Result<(), String> {
-    let hashes = &organisation.key_hashes;
-    if hashes.iter().any(|h| h.len() != KEY_HASH_BYTES) {
-        return Err("a key hash has 32 bytes: send the SHA-256 of the key".into());
-    }
-    let mut others = all.iter().filter(|o| o.id != organisation.id);
-    match others.find(|o| o.key_hashes.iter().any(|h| hashes.contains(h))) {
-        Some(other) => Err(format!(
-            "organisation {} has this key: choose another",
-            other.id
-        )),
-        None => Ok(()),
-    }
-}
-
 fn put_model(next: &mut Configuration, model: &Model) -> Result<(), String> {
     check_id::<ModelId>(&model.id)?;
     check_id::<VersionId>(&model.version)?;
--- a/crates/jaylock-control/src/state/document.rs
+++ b/crates/jaylock-control/src/state/document.rs
@@ -1,9 +1,10 @@
 //! Routes, and documents that set all organisations, services and routes under one version.
 
-use jaylock_rpc::v1::{Command, Configuration, Document, Route, Service, command};
+use jaylock_rpc::v1::{Command, Configuration, Document, Route, command};
 use jaylock_types::{OrganisationId, ServiceId};
 
-use super::changes::{check_id, check_keys, ensure_found};
+use super::changes::{check_id, ensure_found};
+use super::{keys, sorted};
 
 /// Whether a document with this version or a higher one is already active.
 pub fn is_superseded(current: &Configuration, document: &Document) -> bool {
@@ -55,10 +56,12 @@
     }
     for organisation in &document.organisations {
         check_id::<OrganisationId>(&organisation.id)?;
-        check_keys(organisation, &document.organisations)?;
     }
+    keys::check_keys(&document.organisations)?;
+    let mut services: Vec<&str> = document.services.iter().map(|s| s.id.as_str()).collect();
+    services.sort_unstable();
     for route in &document.routes {
-        check_route(route, &document.services)?;
+        check_route(route, |id| services.binary_search(&id).is_ok())?;
     }
     let mut keys: Vec<(&str, &str)> = document.routes.iter().map(route_key).collect();
     keys.sort_unstable();
@@ -75,30 +78,11 @@
 ///
 /// Not part of [`validate`], as the logs of earlier releases may hold documents that break it.
 pub fn check_shared_keys(document: &Document) -> Result<(), String> {
-    let mut keys = Vec::new();
-    for (at, organisation) in document.organisations.iter().enumerate() {
-        keys.extend(organisation.key_hashes.iter().map(|hash| (hash, at)));
-    }
-    keys.sort_unstable();
-    let shared = keys.windows(2).find(|pair| {
-        let [(hash, at), (next_hash, next_at)] = [pair[0], pair[1]];
-        hash == next_hash && at != next_at
-    });
-    match shared {
-        Some(pair) => Err(format!(
-            "organisations {} and {} have a key in common: give each its own",
-            document.organisations[pair[0].1].id, document.organisations[pair[1].1].id
-        )),
-        None => Ok(()),
-    }
+    keys::check_distinct_keys(&document.organisations)
 }
 
-/// Replaces all organisations, services and routes by those of a document.
-pub fn put_document(next: &mut Configuration, document: &Document) -> Result<(), String> {
-    validate(document)?;
-    if is_superseded(next, document) {
-        return Err(format!("version {} is in force", next.document_version));
-    }
+/// Replaces all organisations, services and routes by those of a valid document that is newer.
+pub fn put_document(next: &mut Configuration, document: &Document) {
     next.organisations.clone_from(&document.organisations);
     next.organisations.sort_by(|a, b| a.id.cmp(&b.id));
     next.services.clone_from(&document.services);
@@ -108,12 +92,12 @@
     next.limits = document.limits;
     next.key_required = document.key_required;
     next.document_version = document.version;
-    Ok(())
 }
 
 /// Adds a route, or replaces the one with the same id.
 pub fn put_route(next: &mut Configuration, route: &Route) -> Result<(), String> {
-    check_route(route, &next.services)?;
+    let services = &next.services;
+    check_route(route, |id| sorted::find(services, id, |s| &s.id).is_some())?;
     let mut others = next.routes.iter().filter(|r| r.id != route.id);
     if let Some(other) = others.find(|r| route_key(r) == route_key(route)) {
         return Err(format!(
@@ -140,12 +124,12 @@
 pub fn without_source(command: &Command) -> Command {
     let mut command = command.clone();
     if let Some(command::Body::PutDocument(document)) = &mut command.body {
-        document.source = Vec::new();
+        document.source.clear();
     }
     command
 }
 
-fn check_route(route: &Route, services: &[Service]) -> Result<(), String> {
+fn check_route(route: &Route, is_service: impl Fn(&str) -> bool) -> Result<(), String> {
     let id = &route.id;
     if route.host.is_empty() {
         return Err(format!("route {id} has no host: name one"));
@@ -166,8 +150,7 @@
         ));
     }
     for target in &route.targets {
-        let found = services.iter().any(|s| s.id == target.service);
-        ensure_found(found, "service", &target.service)?;
+        ensure_found(is_service(&target.service), "service", &target.service)?;
     }
     Ok(())
 }
--- a/crates/jaylock-control/src/state/mod.rs
+++ b/crates/jaylock-control/src/state/mod.rs
@@ -6,15 +6,19 @@
 mod evacuations;
 mod events;
 mod fleet;
+mod keys;
 mod recent;
 mod results;
 mod sorted;
 
 use std::rc::Rc;
 
+use bytes::Bytes;
 use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::command::Body;
-use jaylock_rpc::v1::{Applied, Change, Command, Configuration, Done, Entry, Event, Member};
+use jaylock_rpc::v1::{
+    Applied, Change, Command, Configuration, Document, Done, Entry, Event, Member,
+};
 
 use self::claims::Claims;
 use self::events::EventLog;
@@ -39,7 +43,7 @@
     events: EventLog,
     recent_changes: RecentChanges,
     /// Source text of the active document.
-    document_source: Vec<u8>,
+    document_source: Bytes,
 }
 
 /// Who makes a kind of change to the configuration.
@@ -119,7 +123,7 @@
     }
 
     /// Source text of the active document; empty before the first one.
-    pub fn document_source(&self) -> &[u8] {
+    pub fn document_source(&self) -> &Bytes {
         &self.document_source
     }
 
@@ -196,11 +200,8 @@
                 return Ok(Outcome::Done(Done {}));
             }
             Body::Noop(_) => return Ok(Outcome::Done(Done {})),
-            Body::PutDocument(document) => {
-                document::validate(document)?;
-                if document::is_superseded(&self.configuration, document) {
-                    return Ok(Outcome::Done(Done {}));
-                }
+            Body::PutDocument(document) if self.is_superseded(document)? => {
+                return Ok(Outcome::Done(Done {}));
             }
             Body::SetEvacuation(order) => {
                 let unchanged = evacuations::result_without_change(&self.configuration, order)?;
@@ -210,21 +211,20 @@
             }
             _ => {}
         }
-        // The change is applied to a copy, so that a refused change has no effect.
-        let mut next = (*self.configuration).clone();
-        let change = changes::apply_change(&mut next, body, self.index, self.at_ms)?;
+        // A copy is made only while somebody reads the present one; a refused change has no effect on either.
+        let next = Rc::make_mut(&mut self.configuration);
+        let change = changes::apply_change(next, body, self.index, self.at_ms)?;
         if is_operator_change(body) {
             next.revision += 1;
         }
-        next.index = self.index;
         self.recent_changes.push(Change {
-            prior_index: self.configuration.index,
-            index: next.index,
+            prior_index: next.index,
+            index: self.index,
             revision: next.revision,
             at_ms: self.at_ms,
             command: Some(document::without_source(command)),
         });
-        self.configuration = Rc::new(next);
+        next.index = self.index;
         if let Body::PutDocument(document) = body {
             self.document_source.clone_from(&document.source);
         }
@@ -240,6 +240,38 @@
         Ok(change.outcome)
     }
 
+    /// The result of a command that is known without an entry: that of a document which a document in force replaces.
+    ///
+    /// A document has several megabytes, and whoever gets no answer in time sends it again.
+    pub fn known_result(&self, command: &Command) -> Option<Applied> {
+        let Some(Body::PutDocument(document)) = &command.body else {
+            return None;
+        };
+        if let Some(first) = self.results.find(&command.id) {
+            return Some(first.clone());
+        }
+        if command.expected_revision.is_some() {
+            return None;
+        }
+        match self.is_superseded(document) {
+            Ok(true) => Some(self.applied(Outcome::Done(Done {}))),
+            Ok(false) => None,
+            Err(reason) => Some(self.applied(Outcome::Refused(reason))),
+        }
+    }
+
+    /// Whether a document in force replaces a valid document; the error says why the document is invalid.
+    fn is_superseded(&self, document: &Document) -> Result<bool, String> {
+        let is_held = document.version == self.configuration.document_version
+            && !document.source.is_empty()
+            && document.source == self.document_source;
+        if is_held {
+            return Ok(true);
+        }
+        document::validate(document)?;
+        Ok(document::is_superseded(&self.configuration, document))
+    }
+
     fn record_event(&mut self, part: &str, text: String) {
         self.events.push(Event {
             index: self.index,
@@ -253,16 +285,16 @@
 /// Applies a committed change to the configuration that directly precedes it.
 ///
 /// Returns `None` if `current` is not that configuration, or if the kind of change is unknown.
-pub(crate) fn apply_change(current: &Configuration, change: &Change) -> Option<Configuration> {
+pub(crate) fn apply_change(current: &mut Rc<Configuration>, change: &Change) -> Option<()> {
     if change.prior_index != current.index {
         return None;
     }
     let body = change.command.as_ref()?.body.as_ref()?;
-    let mut next = current.clone();
-    changes::apply_change(&mut next, body, change.index, change.at_ms).ok()?;
+    let next = Rc::make_mut(current);
+    changes::apply_change(next, body, change.index, change.at_ms).ok()?;
     next.index = change.index;
     next.revision = change.revision;
-    Some(next)
+    Some(())
 }
 
 /// Whether a change is made by operators, not by the fleet itself.
--- a/crates/jaylock-control/src/storage/records.rs
+++ b/crates/jaylock-control/src/storage/records.rs
@@ -52,8 +52,8 @@
     #[prost(uint64, tag = "9")]
     pub last_sweep_ms: u64,
     /// Source text of the active document.
-    #[prost(bytes = "vec", tag = "10")]
-    pub document_source: Vec<u8>,
+    #[prost(bytes = "bytes", tag = "10")]
+    pub document_source: Bytes,
 }
 
 /// The result of a command, stored so that a retry gets the same result.
--- a/crates/jaylock-control/src/transport.rs
+++ b/crates/jaylock-control/src/transport.rs
@@ -59,7 +59,7 @@
 }
 
 /// Maximum size of a message between instances.
-pub(crate) const MAX_MESSAGE_BYTES: usize = 16 << 20;
+pub(crate) const MAX_MESSAGE_BYTES: usize = 64 << 20;
 
 macro_rules! call {
     ($client:expr, $method:ident, $request:expr) => {{
--- a/crates/jaylock-control/src/view.rs
+++ b/crates/jaylock-control/src/view.rs
@@ -50,10 +50,14 @@
             return false;
         }
         *self.shared.current.borrow_mut() = Rc::new(configuration);
+        self.wake_waiters();
+        true
+    }
+
+    fn wake_waiters(&self) {
         for waiter in self.shared.waiters.take() {
             let _ = waiter.send(());
         }
-        true
     }
 
     /// Applies the changes of a watch; returns false if a change doesn't fit the active configuration.
@@ -66,10 +70,11 @@
         }
         let newer = |c: &&Change| Index(c.index) > self.index();
         for change in reply.changes.iter().filter(newer) {
-            let Some(next) = state::apply_change(&self.current(), change) else {
+            let applied = state::apply_change(&mut self.shared.current.borrow_mut(), change);
+            if applied.is_none() {
                 return false;
-            };
-            let _ = self.update(next);
+            }
+            self.wake_waiters();
         }
         true
     }
--- a/crates/jaylock-operator/src/bin/jaylock/keys.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/keys.rs
@@ -1,5 +1,6 @@
 use std::fmt::Write;
 
+use bytes::Bytes;
 use jaylock_types::KeyHash;
 use rand::Rng;
 
@@ -9,8 +10,8 @@
 pub const NEW_KEY: &str = "new-key";
 
 /// The hash of a key, which is sent and stored instead of the key.
-pub fn hash(key: &str) -> Vec<u8> {
-    KeyHash::from_key(key).0.to_vec()
+pub fn hash(key: &str) -> Bytes {
+    Bytes::copy_from_slice(&KeyHash::from_key(key).0)
 }
 
 /// Generates a random key.
--- a/crates/jaylock-operator/src/bin/jaylock/organisation.rs
+++ b/crates/jaylock-operator/src/bin/jaylock/organisation.rs
@@ -1,3 +1,4 @@
+use bytes::Bytes;
 use clap::builder::ValueParser;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use jaylock_rpc::v1::command::Body;
@@ -82,13 +83,13 @@
 }
 
 /// Hashes of the keys in an option; none when the command has no such option.
-fn hashes(matches: &ArgMatches, option: &str) -> impl Iterator<Item = Vec<u8>> {
+fn hashes(matches: &ArgMatches, option: &str) -> impl Iterator<Item = Bytes> {
     let given = matches.try_get_many::<String>(option).ok().flatten();
     given.unwrap_or_default().map(|key| keys::hash(key))
 }
 
 /// Inserts a hash into a sorted list unless the list contains it.
-fn insert_sorted(hashes: &mut Vec<Vec<u8>>, hash: Vec<u8>) {
+fn insert_sorted(hashes: &mut Vec<Bytes>, hash: Bytes) {
     if let Err(index) = hashes.binary_search(&hash) {
         hashes.insert(index, hash);
     }
--- a/crates/jaylock-router/src/call.rs
+++ b/crates/jaylock-router/src/call.rs
@@ -133,7 +133,7 @@
 }
 
 fn authenticate(context: &Context, headers: &HeaderMap) -> Result<OrganisationId, ErrorResponse> {
-    let organisation = context.organisations.find(&context.view, headers);
+    let organisation = context.organisations.find(&context.view.current(), headers);
     organisation.ok_or_else(|| {
         ErrorResponse::new(
             StatusCode::UNAUTHORIZED,
--- a/crates/jaylock-router/src/context.rs
+++ b/crates/jaylock-router/src/context.rs
@@ -33,7 +33,7 @@
     /// Idle connections to backend servers.
     pub connections: Rc<ConnectionPool>,
     /// Organisations by key.
-    pub organisations: Organisations,
+    pub organisations: Rc<Organisations>,
     /// Backend servers that announced themselves to this router.
     pub backends: Backends,
     /// Memory budget for the bodies of requests.
--- a/crates/jaylock-router/src/organisation.rs
+++ b/crates/jaylock-router/src/organisation.rs
@@ -1,49 +1,66 @@
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
 
 use http::{HeaderMap, header};
-use jaylock_control::ConfigView;
 use jaylock_rpc::v1::Configuration;
-use jaylock_types::{Index, KeyHash, OrganisationId};
+use jaylock_types::{KeyHash, OrganisationId, Revision};
 
-/// Lookup table of organisations by key hash, rebuilt when the configuration changes.
+/// Lookup table of organisations by key hash, rebuilt when operators have changed the configuration.
 #[derive(Default)]
 pub struct Organisations {
-    /// Index of the configuration that the keys were built from.
-    built_index: Cell<Option<Index>>,
-    /// Key hashes in order, with their organisations.
-    keys: RefCell<Vec<(KeyHash, OrganisationId)>>,
+    /// Revision of the configuration that the keys were built from.
+    built_revision: Cell<Option<Revision>>,
+    table: RefCell<Table>,
+}
+
+#[derive(Default)]
+struct Table {
+    organisations: Vec<OrganisationId>,
+    /// Key hashes in order, with the indices of their organisations.
+    keys: Vec<(KeyHash, usize)>,
 }
 
 impl Organisations {
     /// Returns the organisation whose key is in the headers of a request.
-    pub fn find(&self, view: &ConfigView, headers: &HeaderMap) -> Option<OrganisationId> {
-        let key = bearer_token(headers)?;
-        self.rebuild_if_changed(view);
-        let keys = self.keys.borrow();
-        let position = keys
-            .binary_search_by_key(&KeyHash::from_key(key), |e| e.0)
-            .ok()?;
-        Some(keys[position].1.clone())
+    pub fn find(
+        &self,
+        configuration: &Configuration,
+        headers: &HeaderMap,
+    ) -> Option<OrganisationId> {
+        self.find_key(configuration, bearer_token(headers)?)
     }
 
-    fn rebuild_if_changed(&self, view: &ConfigView) {
-        if self.built_index.get() == Some(view.index()) {
-            return;
+    /// Returns the organisation that has a key.
+    pub fn find_key(&self, configuration: &Configuration, key: &str) -> Option<OrganisationId> {
+        let revision = Revision(configuration.revision);
+        if self.built_revision.get() != Some(revision) {
+            *self.table.borrow_mut() = Table::new(configuration);
+            self.built_revision.set(Some(revision));
         }
-        let current: Rc<Configuration> = view.current();
-        let mut keys = Vec::new();
-        for organisation in &current.organisations {
-            let Ok(id) = organisation.id.parse::<OrganisationId>() else {
+        self.table.borrow().find(KeyHash::from_key(key))
+    }
+}
+
+impl Table {
+    fn new(configuration: &Configuration) -> Self {
+        let mut table = Self::default();
+        for organisation in &configuration.organisations {
+            let Ok(id) = organisation.id.parse() else {
                 continue;
             };
+            let index = table.organisations.len();
+            table.organisations.push(id);
             let hashes = organisation.key_hashes.iter();
-            let hashes = hashes.filter_map(|h| <[u8; 32]>::try_from(h.as_slice()).ok());
-            keys.extend(hashes.map(|h| (KeyHash(h), id.clone())));
+            let hashes = hashes.filter_map(|hash| hash.as_ref().try_into().ok());
+            table.keys.extend(hashes.map(|hash| (KeyHash(hash), index)));
         }
-        keys.sort_unstable();
-        *self.keys.borrow_mut() = keys;
-        self.built_index.set(Some(Index(current.index)));
+        table.keys.sort_unstable();
+        table
+    }
+
+    fn find(&self, hash: KeyHash) -> Option<OrganisationId> {
+        let search = self.keys.binary_search_by_key(&hash, |(key, _)| *key);
+        let (_, index) = self.keys[search.ok()?];
+        Some(self.organisations[index].clone())
     }
 }
 
--- a/crates/jaylock-router/src/route/admission.rs
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use jaylock_control::{self as control, KeyRequirement, key_requirement};
 use jaylock_rpc::v1::{Configuration, Route};
-use jaylock_types::{ByteSize, KeyHash, OrganisationId, RequestId};
+use jaylock_types::{ByteSize, OrganisationId, RequestId};
 
 use super::attempts::MAX_DELAY_DIVISOR;
 use super::context::RouteContext;
@@ -94,7 +94,7 @@
 
 /// Describes a service by its name.
 fn service_target(configuration: &Configuration, service: &str) -> Option<ServiceTarget> {
-    let found = configuration.services.iter().find(|s| s.id == service);
+    let found = control::find_service(configuration, service);
     let engine = found.and_then(|s| s.engine);
     Some(ServiceTarget {
         pool: service.parse().ok()?,
@@ -131,11 +131,7 @@
     }
     let value = single_value(headers, names.key)?.and_then(|v| v.to_str().ok());
     let key = value.and_then(|v| v.strip_prefix(names.key_prefix));
-    let hash = KeyHash::from_key(key.unwrap_or_default().trim()).0;
-    let has_key = |hashes: &[Vec<u8>]| hashes.iter().any(|h| *h == hash);
-    let mut organisations = configuration.organisations.iter();
-    let found = organisations.find(|o| key.is_some() && has_key(&o.key_hashes));
-    let id = found.and_then(|o| o.id.parse().ok());
+    let id = key.and_then(|key| context.organisations.find_key(configuration, key.trim()));
     id.map(Some).ok_or_else(|| {
         ErrorResponse::new(
             StatusCode::UNAUTHORIZED,
--- a/crates/jaylock-router/src/route/context.rs
+++ b/crates/jaylock-router/src/route/context.rs
@@ -14,6 +14,7 @@
 use crate::hedge::Hedging;
 use crate::lifecycle::{Lifecycle, RunPlan};
 use crate::memory::BodyMemory;
+use crate::organisation::Organisations;
 use crate::overload::{self, OverloadGuard};
 use crate::port::Schedulers;
 use crate::response::ErrorResponse;
@@ -31,6 +32,8 @@
     pub lifecycle: Rc<Lifecycle>,
     /// Idle connections to backend servers.
     pub connections: Rc<ConnectionPool>,
+    /// Organisations by their keys.
+    pub organisations: Rc<Organisations>,
     /// Retry budget of each service.
     pub budget: FleetBudget,
     /// When requests get a second attempt beside a slow one.
--- a/crates/jaylock-router/src/router.rs
+++ b/crates/jaylock-router/src/router.rs
@@ -15,7 +15,6 @@
 use crate::hedge::Hedging;
 use crate::lifecycle::Lifecycle;
 use crate::memory::BodyMemory;
-use crate::organisation::Organisations;
 use crate::overload::OverloadGuard;
 use crate::port::{CommandLog, Schedulers};
 use crate::relay::{Relay, RelayContext};
@@ -55,7 +54,7 @@
             observer,
             settings,
             connections: Rc::default(),
-            organisations: Organisations::default(),
+            organisations: Rc::default(),
             backends: Backends::default(),
             memory,
             overload,
@@ -203,6 +202,7 @@
             schedulers: context.schedulers.clone(),
             lifecycle: context.lifecycle.clone(),
             connections: context.connections.clone(),
+            organisations: context.organisations.clone(),
             budget: context.settings.route_budget(),
             hedging: Hedging::new(context.settings.hedge_percent),
             run_times: RunTimes::default(),
--- a/crates/jaylock-share/src/admission/account.rs
+++ b/crates/jaylock-share/src/admission/account.rs
@@ -2,6 +2,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use jaylock_rpc::v1::Organisation;
 use jaylock_types::millis;
 
 use crate::admission::cost::CostModel;
@@ -123,6 +124,16 @@
         }
     }
 
+    /// Applies the weights and queue limits of organisations, which are sorted by id.
+    pub fn configure(&mut self, organisations: &[Organisation]) {
+        for organisation in organisations {
+            let key = self.intern(&organisation.id);
+            let account = self.get_mut(key);
+            account.weight = organisation.weight.max(1);
+            account.queue_limit = organisation.queue_limit;
+        }
+    }
+
     /// Finds the key of an organisation that is known.
     pub fn find(&self, id: &str) -> Option<AccountKey> {
         let index = self.search(id).ok()?;
--- a/crates/jaylock-share/src/backends/cold.rs
+++ b/crates/jaylock-share/src/backends/cold.rs
@@ -6,6 +6,7 @@
 
 use std::time::{Duration, Instant};
 
+use jaylock_control::find_service;
 use jaylock_rpc::v1::{Configuration, Service};
 use jaylock_types::RequestRate;
 
@@ -47,7 +48,7 @@
 
     /// The settings of the service with a pool's name.
     pub fn of_pool(configuration: &Configuration, pool: &str) -> Option<Self> {
-        let service = configuration.services.iter().find(|s| s.id == pool);
+        let service = find_service(configuration, pool);
         service.and_then(Self::from_service)
     }
 
--- a/crates/jaylock-share/src/client/fallback.rs
+++ b/crates/jaylock-share/src/client/fallback.rs
@@ -226,11 +226,9 @@
             .iter()
             .filter(|held| held.organisation == organisation);
         let running: u64 = own_slots.map(|held| held.tokens + 1).sum();
-        let configured = configuration
-            .organisations
-            .iter()
-            .find(|o| o.id == organisation);
-        let weight = configured.map_or(1, |o| o.weight.max(1));
+        let organisations = &configuration.organisations;
+        let search = organisations.binary_search_by(|o| o.id.as_str().cmp(organisation));
+        let weight = search.map_or(1, |index| organisations[index].weight.max(1));
         (unreported + running) * 1000 / u64::from(weight)
     }
 }
--- a/crates/jaylock-share/src/client/scheduler_client.rs
+++ b/crates/jaylock-share/src/client/scheduler_client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures_channel::oneshot;
-use jaylock_control::ConfigView;
+use jaylock_control::{ConfigView, find_service};
 use jaylock_rpc::v1::refusal::Reason;
 use jaylock_rpc::v1::{
     Ask, BackendReport, BackendVerdict, Configuration, End, Grant, Progress, Refusal,
@@ -249,7 +249,7 @@
 /// Whether a configuration names a pool: that of a service or of a model.
 fn names_pool(configuration: &Configuration, pool: &str) -> bool {
     let mut models = configuration.models.iter();
-    configuration.services.iter().any(|s| s.id == pool) || models.any(|m| m.pool == pool)
+    find_service(configuration, pool).is_some() || models.any(|m| m.pool == pool)
 }
 
 /// A request that waits for its reply; dropping it cancels the request and returns an unread grant.
--- a/crates/jaylock-share/src/scheduler/allocator.rs
+++ b/crates/jaylock-share/src/scheduler/allocator.rs
@@ -2,11 +2,12 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use jaylock_control::find_service;
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{
     Ask, Configuration, CrashCause, Decision, End, Progress, RouterFrame, SchedulerFrame,
 };
-use jaylock_types::{BoundedLog, unix_ms};
+use jaylock_types::{BoundedLog, Revision, unix_ms};
 
 use crate::SchedulerSettings;
 use crate::admission::account::{AccountKey, Accounts};
@@ -66,6 +67,8 @@
     pub(crate) callerless: Vec<CompactString>,
     // Memory of each engine of the pool in tokens; 0 if unknown.
     pub(crate) memory_tokens: u64,
+    // Revision of the configuration whose organisations were applied last.
+    configured_revision: Option<Revision>,
 }
 
 impl Allocator {
@@ -85,6 +88,7 @@
             invalid_work_times: BoundedLog::default(),
             callerless: Vec::new(),
             memory_tokens: 0,
+            configured_revision: None,
             settings,
             accounts: Accounts::default(),
             requirements: Requirements::default(),
@@ -108,17 +112,15 @@
 
     /// Applies the weights, queue limits, instances, drains, evacuations, cold times and engine memory of a configuration.
     pub fn configure(&mut self, configuration: &Configuration, now: Instant) {
-        for organisation in &configuration.organisations {
-            let key = self.accounts.intern(&organisation.id);
-            let account = self.accounts.get_mut(key);
-            account.weight = organisation.weight.max(1);
-            account.queue_limit = organisation.queue_limit;
+        if self.configured_revision != Some(Revision(configuration.revision)) {
+            self.configured_revision = Some(Revision(configuration.revision));
+            self.accounts.configure(&configuration.organisations);
         }
         let instances = configuration.instances.iter();
         let callerless = instances.filter(|i| i.caller_address.is_empty());
         self.callerless = callerless.map(|i| i.id.as_str().into()).collect();
         self.callerless.sort_unstable();
-        let service = configuration.services.iter().find(|s| self.pool == s.id);
+        let service = find_service(configuration, &self.pool);
         self.memory_tokens = service
             .and_then(|s| s.engine)
             .map_or(0, |e| e.memory_tokens);
--- a/crates/jaylock-tests/tests/control/main.rs
+++ b/crates/jaylock-tests/tests/control/main.rs
@@ -21,6 +21,7 @@
 mod invariants;
 mod key_requirement;
 mod large_documents;
+mod long_documents;
 mod nodes;
 mod pool_holders;
 mod replacements;
--- a/crates/jaylock-tests/tests/router/api.rs
+++ b/crates/jaylock-tests/tests/router/api.rs
@@ -135,6 +135,7 @@
         assert_that!(router.chat("{}").await.status, eq(400));
         let mut next = (*router.view.current()).clone();
         next.index += 1;
+        next.revision += 1;
         next.organisations.retain(|o| o.id != "shop");
         assert_that!(router.view.update(next), eq(true));
         assert_that!(router.chat("{}").await.status, eq(401));
--- a/tools/schema/src/main.rs
+++ b/tools/schema/src/main.rs
@@ -2,11 +2,22 @@
 
 use anyhow::Context;
 
+/// Fields whose values are parts of the message that was read, as there are many of them or they are large.
+const SHARED_BYTES: [&str; 4] = [
+    ".jaylock.v1.Organisation.key_hashes",
+    ".jaylock.v1.Document.source",
+    ".jaylock.v1.DocumentReply.source",
+    ".jaylock.v1.AppendRequest.entries",
+];
+
 fn main() -> anyhow::Result<()> {
     let target = std::env::args().nth(1).context("name the folder to write into")?;
     let files = protox::compile(["jaylock.proto"], ["proto"])?;
-    tonic_prost_build::configure()
-        .build_transport(false)
+    let mut builder = tonic_prost_build::configure().build_transport(false);
+    for field in SHARED_BYTES {
+        builder = builder.bytes(field);
+    }
+    builder
         .out_dir(target)
         .compile_fds(files)?;
     Ok(())
