A departure stands in the log before it is acknowledged

Cause: the departure was kept in the memories of the scheduler and of the instance that was told, here one process; the next scheduler hears only what routers know. Evidence: the new process tests end all processes; on the code before requests reached the backend server after its DELETE and after "draining". Ruled out as the whole cause: the late heartbeat that replaces a known end in the recent reports (a fault of its own, mended too), as no instance knew of the end.

Change: DELETE, "draining" and the product's own leave commit an entry (backend server, start, pool) before they are acknowledged; schedulers, new ones too, and routers, without a scheduler too, use no departed start. A late heartbeat of the same start doesn't replace a known end; an end that a router tells names its start and doesn't end a newer one; DELETE asks only pools that have a scheduler. Why this works: an acknowledgement now rests on a majority of disks, and whoever grants or sends decides by the configuration.

Tests seen failing on the code before: platform departures::* (2), share departures::late_heartbeat_does_not_replace_a_known_departure_at_a_router, ::late_heartbeat_of_an_unknown_start_does_not_replace_a_departure_at_a_router and ::end_of_an_earlier_start_does_not_end_the_newer_one, router api::leave_is_accepted_once_the_log_holds_it. The other tests of share departures need the new entry and can't run there.

--- a/crates/jaylock-control/src/state/changes.rs
+++ b/crates/jaylock-control/src/state/changes.rs
@@ -8,7 +8,7 @@
 };
 use jaylock_types::{AdapterId, BackendId, ModelId, OrganisationId, PoolId, ServiceId, VersionId};
 
-use super::{document, evacuations, fleet, keys, sorted};
+use super::{departures, document, evacuations, fleet, keys, sorted};
 
 /// A change that was applied.
 pub struct Change {
@@ -125,6 +125,11 @@
             fleet::put_crash_cause(next, cause, at_ms);
             Ok(Change::with_event(crash_cause_event(cause)))
         }
+        Body::PutDeparture(departure) => {
+            check_id::<BackendId>(&departure.backend)?;
+            departures::put_departure(next, departure, index, at_ms);
+            Ok(Change::with_event(departures::departure_event(departure)))
+        }
         Body::IssueOrder(order) => {
             fleet::issue_order(next, order, index);
             Ok(Change {
--- a/crates/jaylock-control/src/state/mod.rs
+++ b/crates/jaylock-control/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod claims;
+mod departures;
 mod document;
 mod evacuations;
 mod events;
@@ -26,6 +27,7 @@
 use self::results::Results;
 use crate::storage::Snapshot;
 
+pub use self::departures::{find_departure, has_departed};
 pub(crate) use self::document::check_shared_keys;
 pub use self::document::{KeyRequirement, key_requirement};
 pub use self::evacuations::{find_evacuation, is_evacuated, is_known_domain};
@@ -325,6 +327,7 @@
         | Body::AssignPool(_)
         | Body::PutQuarantine(_)
         | Body::PutCrashCause(_)
+        | Body::PutDeparture(_)
         | Body::IssueOrder(_)
         | Body::PutMember(_)
         | Body::RemoveMember(_) => ChangeKind::Fleet,
@@ -349,6 +352,7 @@
             Body::SetEvacuation(_)
                 | Body::PutQuarantine(_)
                 | Body::PutCrashCause(_)
+                | Body::PutDeparture(_)
                 | Body::IssueOrder(_)
                 | Body::RecordEvent(_)
         )
--- a/crates/jaylock-daemon/src/backend_reports.rs
+++ b/crates/jaylock-daemon/src/backend_reports.rs
@@ -3,12 +3,15 @@
 use std::time::{Duration, Instant};
 
 use compact_str::{ToCompactString, format_compact};
-use jaylock_control::is_evacuated;
+use jaylock_control::{find_service, has_departed, is_evacuated};
+use jaylock_router::new_command;
+use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::backend_report::Kind;
-use jaylock_rpc::v1::{BackendReport, BackendVerdict};
+use jaylock_rpc::v1::command::Body;
+use jaylock_rpc::v1::{BackendReport, BackendVerdict, Configuration, Departure};
 use jaylock_types::{BackendId, InvalidId, PoolId, unix_ms};
 
-use crate::api::{ApiError, ControlApi, Result};
+use crate::api::{ApiError, ControlApi, Result, with_control_timeout};
 
 /// Longest wait for a scheduler's verdict on a backend server's report.
 const VERDICT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -31,16 +34,18 @@
             return Err(ApiError::Unavailable(reason));
         }
         self.query_cached_parts(&report);
+        let is_leaving = report.leaving;
         self.schedulers.report_backend(report);
-        self.wait_for_verdict(
-            &pool,
-            |verdict| {
-                verdict.backend == id
-                    && (verdict.incarnation, verdict.sequence) >= (incarnation, sequence)
-            },
-            &id,
-        )
-        .await
+        let is_meant = |verdict: &BackendVerdict| {
+            verdict.backend == id
+                && (verdict.incarnation, verdict.sequence) >= (incarnation, sequence)
+        };
+        self.wait_for_verdict(&pool, is_meant, &id).await?;
+        if is_leaving {
+            self.record_departure(id.clone(), incarnation, pool.as_str())
+                .await?;
+        }
+        Ok(())
     }
 
     /// Records that an entry among those of the backend servers is left out.
@@ -92,16 +97,14 @@
         true
     }
 
-    /// Reports to every pool that a backend server has stopped, because its pool is not known.
+    /// Reports to the pools with schedulers that a backend server has stopped, because its pool is not known.
     ///
     /// # Errors
-    /// [`ApiError::Unavailable`] when a scheduler did not respond in time.
+    /// [`ApiError::Unavailable`] when a scheduler or control did not respond in time.
     pub async fn deregister_backend(&self, id: &BackendId) -> Result<()> {
         self.check_running()?;
         let sequence = unix_ms();
-        let configuration = self.view.current();
-        let pools = configuration.services.iter().map(|s| s.id.parse());
-        let pools: Vec<PoolId> = pools.collect::<Result<_, _>>().map_err(|e| invalid(&e))?;
+        let pools = scheduled_services(&self.view.current());
         for pool in &pools {
             self.schedulers.report_backend(BackendReport {
                 id: id.to_string(),
@@ -111,11 +114,53 @@
                 ..BackendReport::default()
             });
         }
+        let (mut incarnation, mut own_pool) = (0, "");
         for pool in &pools {
-            self.wait_for_verdict(pool, |v| v.sequence == sequence, id.as_str())
+            let verdict = self
+                .wait_for_verdict(pool, |v| v.sequence == sequence, id.as_str())
                 .await?;
+            if verdict.incarnation > incarnation {
+                (incarnation, own_pool) = (verdict.incarnation, pool.as_str());
+            }
+        }
+        self.record_departure(id.to_string(), incarnation, own_pool)
+            .await
+    }
+
+    /// Records in the log that a start of a backend server takes no requests any more, unless that is known.
+    ///
+    /// Only then may it be acknowledged: the scheduler and this instance, which know of it so far, may be one process, and the
+    /// backend server doesn't say it again.
+    async fn record_departure(&self, backend: String, incarnation: u64, pool: &str) -> Result<()> {
+        if incarnation > 0 && has_departed(&self.view.current(), &backend, incarnation) {
+            return Ok(());
+        }
+        let command = new_command(Body::PutDeparture(Departure {
+            backend: backend.clone(),
+            incarnation,
+            pool: pool.into(),
+            unknown: incarnation == 0,
+            ..Departure::default()
+        }));
+        let applied = with_control_timeout(Box::pin(self.client.propose(command))).await?;
+        match applied.result {
+            Some(Outcome::Done(_)) => {
+                log::info!(
+                    target: "share",
+                    backend = backend.as_str(), incarnation, index = applied.index;
+                    "the departure of a backend server is durable"
+                );
+                Ok(())
+            }
+            // A replica of an earlier release leads, which keeps none.
+            Some(Outcome::Refused(reason)) => {
+                log::warn!(target: "share", backend = backend.as_str(); "the departure of a backend server is not recorded: {reason}");
+                Ok(())
+            }
+            other => Err(ApiError::Unavailable(format_compact!(
+                "control answered {other:?}"
+            ))),
         }
-        Ok(())
     }
 
     /// Waits for the verdict of a pool's scheduler on a report.
@@ -124,14 +169,14 @@
         pool: &PoolId,
         matches: impl Fn(&BackendVerdict) -> bool,
         id: &str,
-    ) -> Result<()> {
+    ) -> Result<BackendVerdict> {
         let started = Instant::now();
         loop {
             // Before the check, so that no verdict is missed.
             let next = self.schedulers.next_verdict(pool, id);
             let verdict = self.schedulers.pool_verdict(pool, id);
             match verdict.filter(|v| matches(v)) {
-                Some(verdict) if verdict.refused.is_empty() => return Ok(()),
+                Some(verdict) if verdict.refused.is_empty() => return Ok(verdict),
                 Some(verdict) => return Err(ApiError::Invalid(verdict.refused.into())),
                 None => {}
             }
@@ -146,6 +191,13 @@
     }
 }
 
+/// Services whose pools have a scheduler, which alone may know their backend servers.
+fn scheduled_services(configuration: &Configuration) -> Vec<PoolId> {
+    let leases = configuration.pools.iter();
+    let named = leases.filter(|lease| find_service(configuration, &lease.pool).is_some());
+    named.filter_map(|lease| lease.pool.parse().ok()).collect()
+}
+
 fn invalid(error: &InvalidId) -> ApiError {
     ApiError::Invalid(error.to_compact_string())
 }
--- a/crates/jaylock-router/src/announce.rs
+++ b/crates/jaylock-router/src/announce.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -6,7 +7,8 @@
 use http::{Response, StatusCode};
 use jaylock_observe::RunStatus;
 use jaylock_rpc::v1::backend_report::Kind;
-use jaylock_rpc::v1::{BackendReport, LoadedModel};
+use jaylock_rpc::v1::command::Body::PutDeparture;
+use jaylock_rpc::v1::{BackendReport, Departure, LoadedModel};
 use jaylock_types::{
     AdapterId, BackendId, DomainId, KeyHash, ModelId, PoolId, RequestId, VersionId,
 };
@@ -15,6 +17,7 @@
 use crate::body::Body;
 use crate::call;
 use crate::context::Context;
+use crate::proposal;
 use crate::report::check_report;
 use crate::response::{ErrorResponse, json_response};
 
@@ -132,15 +135,24 @@
     refused.map_or_else(|| Ok(accepted(context)), Err)
 }
 
-/// Accepts a backend server's report that it is leaving.
-pub fn leave(context: &Context, body: &Bytes) -> Result<Response<Body>, ErrorResponse> {
+/// Accepts a backend server's report that it is leaving, once the log holds it: nobody says it again.
+pub async fn leave(context: &Rc<Context>, body: &Bytes) -> Result<Response<Body>, ErrorResponse> {
     let leave: Leave = parse(body)?;
     let removed = context
         .backends
         .remove(leave.id.as_str(), leave.incarnation);
     let report = removed.ok_or_else(|| unknown(&leave.id))?;
     log::info!(target: "router", "backend server {} is leaving", report.id);
+    let departure = Departure {
+        backend: report.id.clone(),
+        incarnation: report.incarnation,
+        pool: report.pool.clone(),
+        unknown: report.incarnation == 0,
+        ..Departure::default()
+    };
     context.schedulers.report_backend(report);
+    let committed = proposal::commit_with_timeout(context, PutDeparture(departure)).await;
+    committed.ok_or_else(|| unrecorded(context))?;
     Ok(accepted(context))
 }
 
@@ -256,6 +268,16 @@
     )
 }
 
+fn unrecorded(context: &Context) -> ErrorResponse {
+    ErrorResponse::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "unrecorded",
+        "control has not recorded the departure yet",
+        "serve on for a few seconds; no new request is granted meanwhile",
+    )
+    .with_retry_after(context.settings.retry_after)
+}
+
 fn prefixes(texts: &[CompactString]) -> Result<Vec<u64>, ErrorResponse> {
     if texts.len() > MAX_PREFIXES {
         return Err(malformed("a list of prefixes has over 16384 entries"));
--- a/crates/jaylock-router/src/api.rs
+++ b/crates/jaylock-router/src/api.rs
@@ -79,7 +79,7 @@
                 match path {
                     "/v1/backends/announce" => announce::announce(context, &body).await,
                     "/v1/backends/heartbeat" => announce::heartbeat(context, &body),
-                    "/v1/backends/leave" => announce::leave(context, &body),
+                    "/v1/backends/leave" => announce::leave(context, &body).await,
                     _ => Err(no_such_path()),
                 }
             }
--- a/crates/jaylock-share/src/backends/backend.rs
+++ b/crates/jaylock-share/src/backends/backend.rs
@@ -13,7 +13,7 @@
 const STUCK_LOAD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Longest time that a heartbeat may take to arrive.
-const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(10);
+pub const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(10);
 
 /// Time without any response that names a limit, after one without it, until the limit is lifted.
 const LIFT_DELAY: Duration = Duration::from_secs(1);
@@ -39,7 +39,7 @@
     peak_grants: [u32; 2],
     /// When the backend server announced its end; older reports are ignored.
     pub ended_at: Option<Instant>,
-    /// Latest start that told a router in a response that it leaves; 0 if none did.
+    /// Latest start that told a router in a response that it leaves, or whose departure was recorded; 0 if none did.
     pub left_incarnation: u64,
     limit: Option<Limit>,
     pub cold: ColdState,
@@ -121,7 +121,7 @@
         }
     }
 
-    /// Whether this start has told a router that it leaves, whatever its reports say.
+    /// Whether this start has said that it leaves, whatever its reports say.
     fn has_said_to_leave(&self) -> bool {
         self.left_incarnation > 0 && self.report.incarnation <= self.left_incarnation
     }
--- a/crates/jaylock-share/src/backends/list.rs
+++ b/crates/jaylock-share/src/backends/list.rs
@@ -3,9 +3,10 @@
 use compact_str::CompactString;
 use jaylock_rpc::v1::{Ask, BackendReport, ColdNotice, Configuration};
 
-use crate::backends::backend::{Backend, report_time};
+use crate::backends::backend::{Backend, MAX_HEARTBEAT_DELAY, report_time};
 use crate::backends::backend_set::BackendSet;
 use crate::backends::cold::{ColdPolicy, ColdSettings};
+use crate::backends::departures::Departures;
 use crate::backends::evacuations::Evacuations;
 use crate::backends::restorations::Restorations;
 use crate::placement::cache_index::CacheIndex;
@@ -29,6 +30,7 @@
     indices_by_id: Vec<(CompactString, usize)>,
     // Names of drained backend servers, announced or not; sorted.
     drains: Vec<CompactString>,
+    departures: Departures,
     evacuations: Evacuations,
     restorations: Restorations,
     cold_policy: ColdPolicy,
@@ -134,13 +136,52 @@
         Ok(index)
     }
 
-    /// Records that a backend server has ended, known or not.
-    pub fn mark_ended(&mut self, id: &str, now: Instant, lease: Duration) {
+    /// Records that a start of a backend server has ended, known or not; 0 stands for the newest start that is known.
+    ///
+    /// Returns which start has ended.
+    pub fn mark_ended(
+        &mut self,
+        id: &str,
+        incarnation: u64,
+        at: Instant,
+        now: Instant,
+        lease: Duration,
+    ) -> u64 {
         let index = self.find_or_add(id, now);
         let backend = &mut self.list[index];
+        // A report that came long after the end of an unknown start is one of a newer start.
+        let is_long_after =
+            backend.last_report.saturating_duration_since(at) >= MAX_HEARTBEAT_DELAY;
+        let is_newer_start = backend.report.incarnation > incarnation;
+        if is_newer_start && (incarnation > 0 || is_long_after) {
+            return incarnation;
+        }
+        backend.report.incarnation = backend.report.incarnation.max(incarnation);
         backend.report.gone = true;
-        backend.ended_at = Some(now);
+        backend.ended_at = Some(at);
+        let ended = backend.report.incarnation;
         self.refresh(index, now, lease);
+        ended
+    }
+
+    /// Applies the departures that the replicated log holds, also to backend servers that report later.
+    pub fn set_departures(
+        &mut self,
+        configuration: &Configuration,
+        pool: &str,
+        unix_ms: u64,
+        now: Instant,
+        lease: Duration,
+    ) {
+        let unknown = self.departures.new_unknown(configuration, pool, unix_ms);
+        self.departures = Departures::new(configuration, pool);
+        for backend in &mut self.list {
+            let departed = self.departures.newest(&backend.report.id);
+            backend.left_incarnation = backend.left_incarnation.max(departed);
+        }
+        for backend in unknown {
+            self.mark_ended(&backend, 0, now, now, lease);
+        }
     }
 
     pub fn find(&self, id: &str) -> Option<usize> {
@@ -347,6 +388,7 @@
             .partition_point(|(other, _)| *other < name);
         let mut backend = Backend::new(report, now);
         backend.orders.is_drained = self.drains.binary_search(&name).is_ok();
+        backend.left_incarnation = self.departures.newest(&name);
         let domain = backend.report.domain.as_str();
         backend.orders.is_evacuated = self.evacuations.contains(domain);
         if let Some(restored_at) = self.restorations.find(domain) {
--- a/crates/jaylock-share/src/backends/mod.rs
+++ b/crates/jaylock-share/src/backends/mod.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod backend_set;
 pub mod cold;
+pub mod departures;
 pub mod evacuations;
 pub mod list;
 pub mod rate_limit;
--- a/crates/jaylock-share/src/client/fallback.rs
+++ b/crates/jaylock-share/src/client/fallback.rs
@@ -57,8 +57,10 @@
             return Vec::new();
         }
         let is_evacuated = |domain: &str| self.evacuations.contains(domain);
+        let departures = &self.departures;
         let reported = newest_slots(&self.fallback, &self.reports, &self.crashed_starts)
             .filter(|(report, _)| !is_evacuated(&report.domain))
+            .filter(|(report, _)| !departures.contains(&report.id, report.incarnation))
             .map(|(report, _)| report.software.as_str());
         let held = self
             .held
@@ -132,6 +134,7 @@
         let requirement = Requirement::from_ask(&pending.ask);
         let (limits, exclusions) = (&mut self.limits, &self.exclusions);
         let (evacuations, fallback) = (&self.evacuations, &self.fallback);
+        let departures = &self.departures;
         let is_warm = |backend: &str, incarnation: u64| {
             let is_told = !self.pauses.is_list_outdated();
             !self.has_cold_servers || (is_told && is_told_warm(fallback, backend, incarnation))
@@ -147,6 +150,7 @@
             !pending.avoids(backend)
                 && admits_prompt(backend)
                 && !evacuations.contains(domain)
+                && !departures.contains(backend, incarnation)
                 && is_warm(backend, incarnation)
                 && !exclusions.contains(backend, incarnation, now)
                 && limits.admits(backend, now)
--- a/crates/jaylock-share/src/client/recent_reports.rs
+++ b/crates/jaylock-share/src/client/recent_reports.rs
@@ -3,6 +3,7 @@
 use jaylock_rpc::v1::BackendReport;
 use jaylock_types::millis;
 
+use crate::backends::backend::MAX_HEARTBEAT_DELAY;
 use crate::scheduler::division::without_events;
 
 /// Time between two removals of old reports.
@@ -38,13 +39,20 @@
         let search = self
             .list
             .binary_search_by(|known| known.report.id.cmp(&report.id));
-        let timed = TimedReport {
+        let mut timed = TimedReport {
             report: without_events(report),
             received_at: now,
         };
         match search {
-            Ok(index) if is_late(report, &self.list[index].report) => {}
-            Ok(index) => self.list[index] = timed,
+            Ok(index) if self.list[index].is_newer_than(report, now) => {}
+            Ok(index) => {
+                let known = &self.list[index].report;
+                if timed.report.gone && timed.report.incarnation == 0 {
+                    // The end of a backend server is reported without its start.
+                    timed.report.incarnation = known.incarnation;
+                }
+                self.list[index] = timed;
+            }
             Err(index) => self.list.insert(index, timed),
         }
     }
@@ -83,6 +91,22 @@
 }
 
 impl TimedReport {
+    /// Whether another report was sent before this one.
+    ///
+    /// After an end, only a newer start is reported; what the start was may not be known.
+    fn is_newer_than(&self, other: &BackendReport, now: Instant) -> bool {
+        let known = &self.report;
+        if other.gone {
+            return other.incarnation > 0 && other.incarnation < known.incarnation;
+        }
+        if !known.gone {
+            return (other.incarnation, other.sequence) < (known.incarnation, known.sequence);
+        }
+        let age = now.saturating_duration_since(self.received_at);
+        let may_precede_end = known.incarnation == 0 && age < MAX_HEARTBEAT_DELAY;
+        other.incarnation <= known.incarnation || may_precede_end
+    }
+
     fn with_age(&self, now: Instant) -> BackendReport {
         let age = now.saturating_duration_since(self.received_at);
         BackendReport {
@@ -91,10 +115,3 @@
         }
     }
 }
-
-/// Whether a report was sent before a known one.
-fn is_late(report: &BackendReport, known: &BackendReport) -> bool {
-    let sent = (report.incarnation, report.sequence);
-    // The end of a backend server is reported without its start.
-    !report.gone && !known.gone && sent < (known.incarnation, known.sequence)
-}
--- a/crates/jaylock-share/src/client/state.rs
+++ b/crates/jaylock-share/src/client/state.rs
@@ -13,6 +13,7 @@
 use crate::SchedulerClientSettings;
 use crate::admission::cost::cost_of;
 use crate::backends::cold::{ColdSettings, MAX_GRANT_AGE};
+use crate::backends::departures::Departures;
 use crate::backends::evacuations::Evacuations;
 use crate::client::batch::Batch;
 use crate::client::cold_notices::ColdNotices;
@@ -57,6 +58,8 @@
     pub(crate) local_prefill: LocalPrefill,
     // Backend servers that told this router to send them nothing.
     pub(crate) exclusions: Exclusions,
+    // Starts of backend servers that have departed.
+    pub(crate) departures: Departures,
     // Failure domains to whose backend servers this router sends nothing.
     pub(crate) evacuations: Evacuations,
     // Index of the configuration that was applied last; 0 if it must be applied again.
@@ -104,6 +107,7 @@
             fallback: Vec::new(),
             local_prefill: LocalPrefill::default(),
             exclusions: Exclusions::default(),
+            departures: Departures::default(),
             evacuations: Evacuations::default(),
             configured_index: 0,
             cold_notices: ColdNotices::default(),
@@ -122,13 +126,14 @@
         }
     }
 
-    /// Applies the evacuations and the cold times of the active configuration.
+    /// Applies the departures, the evacuations and the cold times of the active configuration.
     pub fn configure(&mut self, configuration: &Configuration) {
         let is_known = configuration.index == self.configured_index;
         if is_known && configuration.index > 0 {
             return;
         }
         self.configured_index = configuration.index;
+        self.departures = Departures::new(configuration, &self.pool);
         let earlier = std::mem::replace(&mut self.evacuations, Evacuations::new(configuration));
         self.has_cold_servers = ColdSettings::of_pool(configuration, &self.pool).is_some();
         for report in self.fallback.iter_mut().filter_map(|f| f.backend.as_mut()) {
@@ -342,11 +347,12 @@
         expired.map(PendingRequest::into_reply).collect()
     }
 
-    /// Whether nothing may be sent under a grant: the backend server told this router so, its domain is evacuated, or the
+    /// Whether nothing may be sent under a grant: the backend server said that it leaves or pauses, its domain is evacuated, or the
     /// grant is so old that a cold backend server may meanwhile have got other requests in its place.
     #[must_use]
     pub fn is_excluded(&self, grant: &Grant, now: Instant) -> bool {
         self.evacuations.contains(&grant.domain)
+            || self.departures.contains(&grant.backend, grant.incarnation)
             || self.is_outdated(grant, now)
             || self
                 .exclusions
--- a/crates/jaylock-share/src/scheduler/allocator.rs
+++ b/crates/jaylock-share/src/scheduler/allocator.rs
@@ -110,7 +110,7 @@
         }
     }
 
-    /// Applies the weights, queue limits, instances, drains, evacuations, cold times and engine memory of a configuration.
+    /// Applies the weights, queue limits, instances, drains, departures, evacuations, cold times and engine memory of a configuration.
     pub fn configure(&mut self, configuration: &Configuration, now: Instant) {
         if self.configured_revision != Some(Revision(configuration.revision)) {
             self.configured_revision = Some(Revision(configuration.revision));
@@ -129,6 +129,13 @@
         let drains = configuration.drains.iter();
         let drains = drains.map(|drain| drain.backend.as_str().into()).collect();
         self.backends.set_drains(drains);
+        self.backends.set_departures(
+            configuration,
+            &self.pool,
+            unix_ms(),
+            now,
+            self.settings.backend_lease,
+        );
         self.backends.set_evacuations(configuration, unix_ms(), now);
         self.backends
             .set_cold(ColdSettings::of_pool(configuration, &self.pool));
--- a/crates/jaylock-share/src/scheduler/reports.rs
+++ b/crates/jaylock-share/src/scheduler/reports.rs
@@ -87,11 +87,11 @@
         let (id, incarnation) = (report.id.clone(), report.incarnation);
         let sequence = report.sequence;
         if report.gone {
-            self.backends
-                .mark_ended(&id, now, self.settings.backend_lease);
+            let (at, lease) = (report_time(&report, now), self.settings.backend_lease);
+            let ended = self.backends.mark_ended(&id, incarnation, at, now, lease);
             let verdict = BackendVerdict {
                 backend: id,
-                incarnation,
+                incarnation: ended,
                 sequence,
                 ..BackendVerdict::default()
             };
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod broken_responses;
 mod crashes;
 mod decoding;
+mod departures;
 mod descriptors;
 mod document_histories;
 mod documents;
--- a/crates/jaylock-tests/tests/router/api.rs
+++ b/crates/jaylock-tests/tests/router/api.rs
@@ -195,6 +195,15 @@
         assert_that!((reports[1].running, reports[1].fence), eq((2, 3)));
         assert_that!(reports[2].leaving, eq(true));
     };
+    // Guards against a departure that is accepted while only one process knows of it.
+    async leave_is_accepted_once_the_log_holds_it => {
+        let router = router().await;
+        let post = async |path: &str, body: &str| router.send("POST", path, &[], body).await.status;
+        assert_that!(post("/v1/backends/announce", ANNOUNCEMENT).await, eq(200));
+        router.command_log.0.is_unreachable.set(true);
+        assert_that!(post("/v1/backends/leave", r#"{"id":"e1","incarnation":1}"#).await, eq(503));
+        expect_that!(router.schedulers.0.reports.borrow().last().is_some_and(|r| r.leaving), eq(true));
+    };
     async entry_that_fills_messages_between_instances_is_accepted => {
         let router = router().await;
         let post = async |path: &str, body: &str| router.send("POST", path, &[], body).await.status;
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod crashing_requests;
 mod decision;
+mod departures;
 mod evacuations;
 mod exclusions;
 mod failure;
