A run that was given up stays a suspect of the crash a moment later

Cause: the scheduler forgot a run as soon as its router ended it, and nobody told it of a crash where nothing else ran. Ruled out: the hash of the request (with callers that wait the same request is refused after three crashes).

Change: the scheduler keeps runs that were given up before they showed that they crash nothing (4,096 at most, 15 s) and suspects them of a crash up to 3 s later, told by another run, by a router's check or by the report of a newer start without a departure; a router checks the backend servers of its own such runs about a second later, at most eight a second; without a scheduler it counts them itself. The check stands in Slot, so it holds for routes, chats, streams, hedges, retries and deadlines. A caller who leaves while a lost connection is checked doesn't undo the check. Why this works: the run goes on at the backend server, and so does what is known of it. Sound requests: a run whose causes are proven is blamed only if nothing else ran there; a complete answer clears as before.

--- a/crates/jaylock-daemon/src/evacuations.rs
+++ b/crates/jaylock-daemon/src/evacuations.rs
@@ -30,7 +30,7 @@
         if self.pauses.may_read_old_calls(arrived_at) {
             return Err(too_old());
         }
-        let configuration = with_control_timeout(self.client.read()).await?;
+        let configuration = with_control_timeout(Box::pin(self.client.read())).await?;
         let Some(order) = needed_order(&configuration, domain, is_evacuated)? else {
             return Ok(());
         };
--- a/crates/jaylock-daemon/src/ports.rs
+++ b/crates/jaylock-daemon/src/ports.rs
@@ -37,6 +37,10 @@
         self.0.release_slot(pool, end);
     }
 
+    fn report_crash(&self, pool: &PoolId, ticket: u64) {
+        self.0.report_crash(pool, ticket);
+    }
+
     fn report_notice(&self, pool: &PoolId, backend: &str, incarnation: u64, notice: &Notice) {
         self.0.report_notice(pool, backend, incarnation, notice);
     }
--- a/crates/jaylock-router/src/api.rs
+++ b/crates/jaylock-router/src/api.rs
@@ -93,6 +93,7 @@
     let background_context = context.clone();
     let _worker = compio::runtime::spawn(async move { background_context.background.run().await });
     let _guard = compio::runtime::spawn(context.overload.clone().run());
+    let _checks = compio::runtime::spawn(context.crash_checks.clone().run());
     loop {
         compio::time::sleep(PRUNE_INTERVAL).await;
         context.connections.prune(context.settings.max_idle);
--- a/crates/jaylock-router/src/context.rs
+++ b/crates/jaylock-router/src/context.rs
@@ -7,6 +7,7 @@
 use crate::background::Background;
 use crate::budget::RetryBudget;
 use crate::connection::ConnectionPool;
+use crate::crash_check::CrashChecks;
 use crate::lifecycle::Lifecycle;
 use crate::memory::BodyMemory;
 use crate::organisation::Organisations;
@@ -32,6 +33,8 @@
     pub settings: RouterSettings,
     /// Idle connections to backend servers.
     pub connections: Rc<ConnectionPool>,
+    /// Checks of backend servers after requests were given up.
+    pub crash_checks: Rc<CrashChecks>,
     /// Organisations by key.
     pub organisations: Rc<Organisations>,
     /// Backend servers that announced themselves to this router.
--- a/crates/jaylock-router/src/lib.rs
+++ b/crates/jaylock-router/src/lib.rs
@@ -18,6 +18,7 @@
 mod completion;
 mod connection;
 mod context;
+mod crash_check;
 mod error;
 mod event;
 mod fetch;
--- a/crates/jaylock-router/src/port.rs
+++ b/crates/jaylock-router/src/port.rs
@@ -28,6 +28,9 @@
     /// Releases a slot.
     fn release_slot(&self, pool: &PoolId, end: End);
 
+    /// Reports that a backend server crashed after the slot of a run there was released.
+    fn report_crash(&self, pool: &PoolId, ticket: u64);
+
     /// Reports what a start of a backend server tells in a response.
     fn report_notice(&self, pool: &PoolId, backend: &str, incarnation: u64, notice: &Notice);
 
--- a/crates/jaylock-router/src/retry.rs
+++ b/crates/jaylock-router/src/retry.rs
@@ -156,10 +156,11 @@
         slot: Slot,
         tracker: &RequestTracker,
     ) -> Result<(), ErrorResponse> {
-        self.running = None;
         tracker.record_step(format_compact!("attempt failed: {error}"));
         let backend = slot.backend().to_owned();
         let has_crashed = is_crash(&self.context, error, address).await;
+        // Only now, as a caller who leaves meanwhile doesn't undo the crash.
+        self.running = None;
         tracker.record_failure(error);
         if error.is_broken_answer() {
             self.log_broken(error, &backend, has_crashed);
@@ -315,7 +316,11 @@
         let grant = outcome
             .map_err(|r| ErrorResponse::from_scheduler(&r).with_run_status(self.run_status))?;
         let address = grant.address.parse();
-        let slot = Slot::new(self.context.schedulers.clone(), self.pool.clone(), grant);
+        let (schedulers, checks) = (
+            self.context.schedulers.clone(),
+            self.context.crash_checks.clone(),
+        );
+        let slot = Slot::new(schedulers, checks, self.pool.clone(), grant);
         let Ok(address) = address else {
             slot.release(Outcome::NotRun);
             return Err(self.give_up("the backend server's address is malformed"));
--- a/crates/jaylock-router/src/route/attempts.rs
+++ b/crates/jaylock-router/src/route/attempts.rs
@@ -178,7 +178,11 @@
     fn use_grant(&mut self, grant: Grant) -> Result<(SocketAddr, Slot), ErrorResponse> {
         let address = grant.address.parse();
         let pool = self.request.pool().clone();
-        let slot = Slot::new(self.context.schedulers.clone(), pool, grant);
+        let (schedulers, checks) = (
+            self.context.schedulers.clone(),
+            self.context.crash_checks.clone(),
+        );
+        let slot = Slot::new(schedulers, checks, pool, grant);
         let Ok(address) = address else {
             slot.release(Outcome::NotRun);
             return Err(self.give_up("the backend server's address is malformed"));
@@ -265,7 +269,7 @@
     ) -> Result<(), ErrorResponse> {
         let broken = self.record_end(error, address, slot, self.count);
         if let Some(broken) = broken {
-            broken.settle().await;
+            broken.settle_to_the_end().await;
         }
         if matches!(error, AttemptError::Excluded) {
             return Ok(());
--- a/crates/jaylock-router/src/route/broken.rs
+++ b/crates/jaylock-router/src/route/broken.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use futures_channel::oneshot;
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_types::{OrganisationId, RequestId};
 
@@ -44,6 +45,17 @@
         });
     }
 
+    /// Settles the attempt even if its caller leaves meanwhile, who would otherwise undo the crash.
+    pub async fn settle_to_the_end(self) {
+        let (sender, settled) = oneshot::channel();
+        compio::runtime::spawn(async move {
+            self.settle().await;
+            let _ = sender.send(());
+        })
+        .detach();
+        let _ = settled.await;
+    }
+
     /// Logs what the attempt has in common with others that ended at the same backend server.
     fn log(&self, has_crashed: bool) {
         let error = &self.error;
--- a/crates/jaylock-router/src/route/context.rs
+++ b/crates/jaylock-router/src/route/context.rs
@@ -11,6 +11,7 @@
 use super::headers::RouteHeaders;
 use crate::budget::FleetBudget;
 use crate::connection::ConnectionPool;
+use crate::crash_check::CrashChecks;
 use crate::hedge::Hedging;
 use crate::lifecycle::{Lifecycle, RunPlan};
 use crate::memory::BodyMemory;
@@ -32,6 +33,8 @@
     pub lifecycle: Rc<Lifecycle>,
     /// Idle connections to backend servers.
     pub connections: Rc<ConnectionPool>,
+    /// Checks of backend servers after requests were given up.
+    pub crash_checks: Rc<CrashChecks>,
     /// Organisations by their keys.
     pub organisations: Rc<Organisations>,
     /// Retry budget of each service.
--- a/crates/jaylock-router/src/route/hedge_slot.rs
+++ b/crates/jaylock-router/src/route/hedge_slot.rs
@@ -63,7 +63,8 @@
 ) -> Option<(SocketAddr, Slot)> {
     let (context, pool) = (attempts.context.clone(), attempts.request.pool().clone());
     let address: Option<SocketAddr> = grant.address.parse().ok();
-    let slot = Slot::new(context.schedulers.clone(), pool.clone(), grant);
+    let (schedulers, checks) = (context.schedulers.clone(), context.crash_checks.clone());
+    let slot = Slot::new(schedulers, checks, pool.clone(), grant);
     let is_other = |address: &SocketAddr| *address != first.0 && slot.backend() != first.1;
     let Some(address) = address.filter(is_other) else {
         slot.release(Outcome::NotRun);
--- a/crates/jaylock-router/src/slot.rs
+++ b/crates/jaylock-router/src/slot.rs
@@ -5,14 +5,18 @@
 use jaylock_rpc::v1::{End, Grant, Progress};
 use jaylock_types::{Notice, PoolId, millis};
 
+use crate::crash_check::{CrashChecks, EndedRun};
 use crate::port::Schedulers;
 
+/// Time after the first token from which a run counts as one that crashes nothing.
+const PROVEN_AFTER: Duration = Duration::from_millis(500);
 /// Service between two progress reports, in tokens.
 const PROGRESS_TOKENS: u64 = 8;
 
 /// A slot at a backend server, released as cancelled on drop unless [`Slot::release`] is called.
 pub struct Slot {
     schedulers: Rc<dyn Schedulers>,
+    checks: Rc<CrashChecks>,
     pool: PoolId,
     grant: Grant,
     started: Instant,
@@ -26,9 +30,15 @@
 
 impl Slot {
     /// Wraps a slot that a scheduler granted.
-    pub fn new(schedulers: Rc<dyn Schedulers>, pool: PoolId, grant: Grant) -> Self {
+    pub fn new(
+        schedulers: Rc<dyn Schedulers>,
+        checks: Rc<CrashChecks>,
+        pool: PoolId,
+        grant: Grant,
+    ) -> Self {
         Self {
             schedulers,
+            checks,
             pool,
             grant,
             started: Instant::now(),
@@ -89,6 +99,13 @@
         self.outcome = outcome;
     }
 
+    /// Whether the run was given up before it showed that it crashes nothing, so that it may yet crash its backend server.
+    fn may_crash(&self) -> bool {
+        let is_given_up = matches!(self.outcome, Outcome::Cancelled | Outcome::Broken);
+        let is_recent = |first: Duration| self.started.elapsed() < first + PROVEN_AFTER;
+        is_given_up && self.first_token.map_or(!self.is_answered, is_recent)
+    }
+
     /// Releases the slot because no connection to the backend server could be opened.
     pub fn release_unreached(mut self) {
         self.outcome = Outcome::NotRun;
@@ -114,5 +131,14 @@
         };
         end.set_outcome(self.outcome);
         self.schedulers.release_slot(&self.pool, end);
+        if let Some(address) = self.grant.address.parse().ok().filter(|_| self.may_crash()) {
+            self.checks.add(EndedRun {
+                schedulers: self.schedulers.clone(),
+                pool: self.pool.clone(),
+                ticket: self.grant.ticket,
+                address,
+                ended_at: Instant::now(),
+            });
+        }
     }
 }
--- a/crates/jaylock-share/src/client/connection.rs
+++ b/crates/jaylock-share/src/client/connection.rs
@@ -84,6 +84,11 @@
         self.notify();
     }
 
+    pub fn report_crash(&self, ticket: u64) {
+        self.state.borrow_mut().report_crash(ticket, boottime_now());
+        self.notify();
+    }
+
     pub fn report_notice(&self, backend: &str, incarnation: u64, notice: &Notice) {
         if *notice == Notice::default() && self.state.borrow().limits.is_empty() {
             return;
--- a/crates/jaylock-share/src/client/mod.rs
+++ b/crates/jaylock-share/src/client/mod.rs
@@ -7,6 +7,7 @@
 pub mod exclusions;
 pub mod fallback;
 pub mod frames;
+pub mod given_up;
 pub mod held_slot;
 pub mod local_prefill;
 pub mod named_limits;
--- a/crates/jaylock-share/src/client/recent_crashes.rs
+++ b/crates/jaylock-share/src/client/recent_crashes.rs
@@ -32,7 +32,7 @@
     /// Records what the end of a run shows.
     pub fn record(&mut self, held: &HeldSlot, end: &End, now: Instant) {
         match end.outcome() {
-            Outcome::Crashed if !end.answered => self.add(held, now),
+            Outcome::Crashed if !end.answered => self.add(&held.backend, &held.causes, now),
             Outcome::Complete if end.answered => self.clear(&held.causes),
             _ => {}
         }
@@ -62,13 +62,14 @@
         !self.list.is_empty() && Causes::from_ask(ask).iter().any(is_frequent)
     }
 
-    fn add(&mut self, held: &HeldSlot, now: Instant) {
+    /// Records a crash under a run with these causes.
+    pub fn add(&mut self, backend: &str, causes: &Causes, now: Instant) {
         if self.list.len() >= MAX_CRASHES {
             self.list.remove(0);
         }
         let crash = Crash {
-            backend: held.backend.as_str().into(),
-            causes: held.causes.iter().collect(),
+            backend: backend.into(),
+            causes: causes.iter().collect(),
             age_ms: 0,
         };
         self.list.push(RecentCrash { crash, at: now });
--- a/crates/jaylock-share/src/client/scheduler_client.rs
+++ b/crates/jaylock-share/src/client/scheduler_client.rs
@@ -126,6 +126,11 @@
         self.connection(pool.as_str()).release_slot(end);
     }
 
+    /// Reports that a backend server crashed after a run there was given up.
+    pub fn report_crash(&self, pool: &PoolId, ticket: u64) {
+        self.connection(pool.as_str()).report_crash(ticket);
+    }
+
     /// Reports what a start of a backend server tells in a response.
     pub fn report_notice(&self, pool: &PoolId, backend: &str, incarnation: u64, notice: &Notice) {
         let connection = self.connection(pool.as_str());
--- a/crates/jaylock-share/src/client/state.rs
+++ b/crates/jaylock-share/src/client/state.rs
@@ -21,6 +21,7 @@
 use crate::client::crashed_starts::CrashedStarts;
 use crate::client::exclusions::Exclusions;
 use crate::client::fallback::SpareSlot;
+use crate::client::given_up::GivenUpRuns;
 use crate::client::held_slot::HeldSlot;
 use crate::client::local_prefill::LocalPrefill;
 use crate::client::named_limits::NamedLimits;
@@ -76,6 +77,8 @@
     pub(crate) responses: RouteResponses,
     // Crashes under own runs, for a new scheduler.
     pub(crate) crashes: RecentCrashes,
+    // Own runs that were given up.
+    pub(crate) given_up: GivenUpRuns,
     // Starts of backend servers that ended under own runs.
     pub(crate) crashed_starts: CrashedStarts,
     // Versions at which own streams began, for a new scheduler.
@@ -116,6 +119,7 @@
             work_times: NamedWorkTimes::default(),
             responses: RouteResponses::default(),
             crashes: RecentCrashes::default(),
+            given_up: GivenUpRuns::default(),
             crashed_starts: CrashedStarts::default(),
             origins: StreamOrigins::default(),
             spare: Vec::new(),
@@ -230,8 +234,15 @@
             self.totals[index].tokens += cost;
         }
         self.crashes.record(&held, &end, now);
-        if end.outcome() == Outcome::Crashed {
-            self.crashed_starts.record(&held.backend, held.incarnation);
+        match end.outcome() {
+            Outcome::Crashed => {
+                self.crashed_starts.record(&held.backend, held.incarnation);
+                for run in self.given_up.take_all(&held.backend) {
+                    self.crashes.add(&run.backend, &run.causes, now);
+                }
+            }
+            Outcome::Cancelled | Outcome::Broken if !end.answered => self.given_up.add(&held, now),
+            _ => {}
         }
         if self.is_attached {
             let batch_window = if end.outcome() == Outcome::Crashed {
@@ -246,6 +257,23 @@
         }
     }
 
+    /// Records that a backend server was found to have crashed after a run there was given up.
+    pub fn report_crash(&mut self, ticket: u64, now: Instant) {
+        let Some(run) = self.given_up.take(ticket) else {
+            return;
+        };
+        self.crashes.add(&run.backend, &run.causes, now);
+        self.crashed_starts.record(&run.backend, run.incarnation);
+        if self.is_attached {
+            let mut end = End {
+                ticket,
+                ..End::default()
+            };
+            end.set_outcome(Outcome::Crashed);
+            self.batch.add_end(CompactString::default(), end, now);
+        }
+    }
+
     /// Records what a start of a backend server tells in a response.
     ///
     /// `share` is the part of a limit that this router may use while no scheduler responds.
--- a/crates/jaylock-share/src/crashes/crash_causes.rs
+++ b/crates/jaylock-share/src/crashes/crash_causes.rs
@@ -71,13 +71,15 @@
     last_recording: Option<Instant>,
 }
 
-/// A run that had not begun to answer when its backend server crashed.
+/// A run that had not begun to answer when its backend server crashed, or was given up shortly before.
 #[derive(Debug)]
 pub struct Suspect<'a> {
     pub causes: &'a Causes,
     /// Whether it ran as a trial.
     pub is_trial: bool,
     pub granted_at: Instant,
+    /// Whether it was given up before the crash.
+    pub is_abandoned: bool,
 }
 
 impl CrashCauses {
@@ -286,7 +288,8 @@
     /// a trial has shown to be the cause.
     ///
     /// Suspected causes in runs that are no trials explain a crash, then those in a trial, then the causes that no
-    /// complete answer has shown to be harmless. If all of a run's were, any of them may have changed.
+    /// complete answer has shown to be harmless. If all of a run's were, any of them may have changed; those of a run that
+    /// was given up are blamed for that only if nothing else ran there.
     fn attribute(&self, suspects: &[Suspect], now: Instant) -> (Vec<(u64, Instant)>, Option<u64>) {
         let (trials, others): (Vec<_>, Vec<_>) = suspects.iter().partition(|s| s.is_trial);
         let tried = self.suspected_in(&trials);
@@ -297,14 +300,17 @@
             confirmed = tried.first().copied().filter(|_| tried.len() == 1);
             suspected = tried;
         }
+        let has_run_on = suspects.iter().any(|suspect| !suspect.is_abandoned);
         let mut attributed: Vec<(u64, Instant)> = Vec::new();
         for suspect in suspects {
             let shared = &suspect.causes.shared;
             let is_proven = |hash: u64| self.proven.contains(hash, now);
             let has_unproven = shared.iter().any(|hash| !is_proven(*hash));
+            let is_beside_others = suspect.is_abandoned && has_run_on;
+            let may_have_changed = !has_unproven && !is_beside_others;
             let is_attributed = |hash: &u64| {
                 if suspected.is_empty() {
-                    !has_unproven || !is_proven(*hash)
+                    may_have_changed || !is_proven(*hash)
                 } else {
                     suspected.contains(hash)
                 }
--- a/crates/jaylock-share/src/crashes/duplicates.rs
+++ b/crates/jaylock-share/src/crashes/duplicates.rs
@@ -90,6 +90,16 @@
         entry.last_crash = Some(now);
     }
 
+    /// Counts the crash of a backend server that was found after a run there had ended, unless it was counted before.
+    pub fn record_late_crash(&mut self, fingerprint: u64, backend: usize, era: u64, now: Instant) {
+        if fingerprint != 0 && self.search(fingerprint, backend).is_err() {
+            let era = self.add(fingerprint, backend);
+            self.record_crash(fingerprint, backend, era, now);
+            return;
+        }
+        self.record_crash(fingerprint, backend, era, now);
+    }
+
     /// Forgets the crashes under a fingerprint, as an isolated run has shown that it causes none.
     pub fn clear(&mut self, fingerprint: u64) {
         self.forget(|entry| entry.fingerprint == fingerprint);
--- a/crates/jaylock-share/src/crashes/mod.rs
+++ b/crates/jaylock-share/src/crashes/mod.rs
@@ -1,5 +1,6 @@
 //! Requests that crash backend servers.
 
+pub mod abandoned;
 pub mod cause_log;
 pub mod causes;
 pub mod crash_causes;
--- a/crates/jaylock-share/src/scheduler/allocator.rs
+++ b/crates/jaylock-share/src/scheduler/allocator.rs
@@ -332,8 +332,17 @@
             .routers
             .get_mut(router)
             .and_then(|r| r.remove_run(end.ticket));
-        let Some(mut run) = run else { return };
+        let Some(mut run) = run else {
+            if end.outcome() == Outcome::Crashed {
+                self.record_late_crash(router, end.ticket, now);
+            }
+            return;
+        };
         self.record_outcome(&run, end, now);
+        let is_given_up = matches!(end.outcome(), Outcome::Cancelled | Outcome::Broken);
+        if is_given_up && run.may_crash(now) {
+            self.abandon(router, &mut run, now);
+        }
         if end.tokens > 0 {
             self.origins.record(run.stream, &run.software, now);
         }
--- a/crates/jaylock-share/src/scheduler/decision.rs
+++ b/crates/jaylock-share/src/scheduler/decision.rs
@@ -273,7 +273,9 @@
         owner.running += 1;
         owner.tokens += prompt_tokens;
         owner.record_wait(wait);
-        let CrashHistory { duplicates, causes } = &mut self.crash_history;
+        let CrashHistory {
+            duplicates, causes, ..
+        } = &mut self.crash_history;
         let era = duplicates.add(ask.fingerprint, backend_index);
         let run_causes = Causes::from_ask(ask);
         let is_trial = causes.begin_run(&run_causes, backend_index);
--- a/crates/jaylock-share/src/scheduler/reports.rs
+++ b/crates/jaylock-share/src/scheduler/reports.rs
@@ -104,14 +104,17 @@
             let seen = &mut self.origins.seen;
             seen.record(&report.software, report_time(&report, now));
         }
-        let previous_report = self
-            .backends
-            .find(&id)
-            .map(|index| self.backends.get(index).report.clone());
+        let previous = self.backends.find(&id);
+        let previous = previous.map(|index| self.backends.get(index));
+        let previous_report = previous.map(|backend| backend.report.clone());
+        let last_sign = previous
+            .filter(|backend| backend.report.incarnation > 0 && !backend.has_left())
+            .map(|backend| backend.last_report);
         let lease = self.settings.backend_lease;
         let outcome = self
             .backends
             .apply_report(report, now, lease, self.settings.max_prefixes);
+        let mut restarted = None;
         if let Ok(index) = outcome {
             let report = &self.backends.get(index).report;
             // An entry without slots is a backend server that a router named before its first report arrived.
@@ -126,6 +129,9 @@
                 for (_, router) in self.routers.iter_mut() {
                     router.end_pauses_before(index, report.incarnation);
                 }
+                if let Some(last_sign) = last_sign {
+                    restarted = Some((index, last_sign));
+                }
             }
             if previous_report.is_none_or(has_changed) {
                 self.requirements.update(index, report);
@@ -136,6 +142,9 @@
                 .engine
                 .set_memory(memory_tokens);
         }
+        if let Some((index, last_sign)) = restarted {
+            self.record_restart(index, last_sign, now);
+        }
         let refused = outcome.err().unwrap_or_default().into();
         if let Some(router) = self.routers.get_mut(key) {
             let verdict = BackendVerdict {
--- a/crates/jaylock-tests/tests/platform/main.rs
+++ b/crates/jaylock-tests/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! The platform's calls and requests, tested with real processes on loopback.
 
+mod abandoned_requests;
 mod body_memory;
 mod broken_responses;
 mod crashes;
--- a/crates/jaylock-tests/tests/router/fakes.rs
+++ b/crates/jaylock-tests/tests/router/fakes.rs
@@ -42,6 +42,8 @@
     pub delays_grants: Cell<bool>,
     pub slot_requests: RefCell<Vec<Ask>>,
     pub released: RefCell<Vec<End>>,
+    /// Tickets of runs after whose ends the backend server was found to have crashed.
+    pub crashed: RefCell<Vec<u64>>,
     pub reports: RefCell<Vec<BackendReport>>,
     pub verdicts: RefCell<Vec<BackendVerdict>>,
     /// Response times with their routes, and the share that may be hedged in per cent.
@@ -101,6 +103,10 @@
 
     fn report_progress(&self, _: &PoolId, _: Progress) {}
 
+    fn report_crash(&self, _: &PoolId, ticket: u64) {
+        self.0.crashed.borrow_mut().push(ticket);
+    }
+
     fn report_notice(&self, _: &PoolId, _: &str, _: u64, _: &Notice) {}
 
     fn report_response(&self, _: &PoolId, route: &str, percent: u32, time: Duration) {
--- a/crates/jaylock-tests/tests/router/quarantine.rs
+++ b/crates/jaylock-tests/tests/router/quarantine.rs
@@ -50,6 +50,25 @@
         assert_that!(requests, eq(2));
         assert_that!(two.chat(&chat_body(false)).await.status, eq(200));
     };
+    // Guards against a crash that nobody tells the scheduler of, as the caller had left.
+    async crash_after_the_caller_has_left_is_reported_to_the_scheduler => {
+        let engine = Backend::start(|_| vec![Step::Wait(Duration::from_millis(300)), Step::Crash]).await;
+        let router = TestRouter::start(&[engine.address], RouterSettings::default()).await;
+        let caller = router.start_chat(&chat_body(false)).await;
+        router.wait_until("the request arrives", || engine.request_count() == 1).await;
+        drop(caller);
+        router.wait_until("the crash is reported", || *router.schedulers.0.crashed.borrow() == [1]).await;
+    };
+    async backend_server_that_outlives_a_request_whose_caller_has_left_is_not_reported => {
+        let engine = Backend::start(|r| [vec![Step::Wait(Duration::from_millis(300))], complete_stream(r, 3)].concat()).await;
+        let router = TestRouter::start(&[engine.address], RouterSettings::default()).await;
+        let caller = router.start_chat(&chat_body(false)).await;
+        router.wait_until("the request arrives", || engine.request_count() == 1).await;
+        drop(caller);
+        compio::time::sleep(Duration::from_secs(3)).await;
+        expect_that!(router.schedulers.0.released.borrow().len(), eq(1));
+        expect_that!(*router.schedulers.0.crashed.borrow(), is_empty());
+    };
     async clears_a_suspect_after_a_successful_isolated_run => {
         let crashed = Backend::start(|_| vec![Step::Crash]).await;
         let stable = Backend::start(|r| complete_stream(r, 3)).await;
--- a/crates/jaylock-tests/tests/share/main.rs
+++ b/crates/jaylock-tests/tests/share/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the sharing of model capacity.
 
+mod abandoned_runs;
 mod backend;
 mod cold;
 mod cold_world;
--- a/crates/jaylock-tests/tests/share/pool.rs
+++ b/crates/jaylock-tests/tests/share/pool.rs
@@ -81,6 +81,14 @@
     /// Time between two requests with the same fatal part, and between two sound ones.
     pub interval: Duration,
     pub step: Duration,
+    /// Time after which the callers of requests with fatal parts leave; unset if they wait.
+    pub patience: Option<Duration>,
+    /// Time after which routers find that a backend server crashed after its caller had left; unset if none does.
+    pub check_delay: Option<Duration>,
+    /// Whether sound requests come too.
+    pub sends_sound: bool,
+    /// Findings that are on their way, with their tickets.
+    findings: Vec<(Instant, u64)>,
 }
 
 struct PoolRun {
@@ -88,6 +96,7 @@
     engine: String,
     fatal_part: Option<u64>,
     has_begun: bool,
+    has_left: bool,
     granted_at: Instant,
 }
 
@@ -121,6 +130,10 @@
             next_engine: 0,
             interval: REQUEST_INTERVAL,
             step: STEP,
+            patience: None,
+            check_delay: None,
+            sends_sound: true,
+            findings: Vec::new(),
         };
         for _ in 0..engines {
             pool.start_engine();
@@ -146,8 +159,10 @@
             if now >= next_requests {
                 next_requests += self.interval;
                 self.report_engines();
-                self.request(&self.sound_parts.clone(), None);
-                self.sound_sent += 1;
+                if self.sends_sound {
+                    self.request(&self.sound_parts.clone(), None);
+                    self.sound_sent += 1;
+                }
                 if sends_fatal(now - self.started) {
                     for part in self.fatal_parts.clone() {
                         self.request(&[SHARED_PART], Some(part));
@@ -155,7 +170,9 @@
                 }
             }
             self.decide();
+            self.give_up_runs();
             self.advance_runs();
+            self.report_findings();
             self.fixture.now += self.step;
         }
     }
@@ -194,11 +211,35 @@
                 engine: grant.backend,
                 fatal_part,
                 has_begun: false,
+                has_left: false,
                 granted_at: now,
             });
         }
     }
 
+    /// Ends the runs whose callers have left; their backend servers go on.
+    fn give_up_runs(&mut self) {
+        let now = self.fixture.now;
+        let Some(patience) = self.patience else {
+            return;
+        };
+        let is_due = |run: &&mut PoolRun| {
+            run.fatal_part.is_some() && !run.has_left && now >= run.granted_at + patience
+        };
+        for run in self.runs.iter_mut().filter(is_due) {
+            run.has_left = true;
+            self.fixture.end_as(run.ticket, Outcome::Cancelled);
+        }
+    }
+
+    /// Tells the scheduler of the crashes that routers have found by now.
+    fn report_findings(&mut self) {
+        let now = self.fixture.now;
+        for (_, ticket) in self.findings.extract_if(.., |(at, _)| *at <= now) {
+            self.fixture.end_as(ticket, Outcome::Crashed);
+        }
+    }
+
     /// Lets runs begin, crash their engines or end.
     fn advance_runs(&mut self) {
         let now = self.fixture.now;
@@ -224,6 +265,16 @@
         }
     }
 
+    /// Sends a sound request with these parts whose caller leaves after a time.
+    pub fn give_up_sound(&mut self, parts: &[u64], patience: Duration) {
+        self.request(parts, None);
+        let (grants, _) = self.fixture.decide_all();
+        self.fixture.now += patience;
+        for grant in grants {
+            self.fixture.end_as(grant.ticket, Outcome::Cancelled);
+        }
+    }
+
     /// Ends an engine with all its runs; it starts again later.
     pub fn crash(&mut self, engine: &str, part: Option<u64>) {
         let now = self.fixture.now;
@@ -233,6 +284,11 @@
             .extract_if(.., |run| run.engine == engine)
             .collect::<Vec<_>>()
         {
+            if run.has_left {
+                let finding = self.check_delay.map(|delay| (now + delay, run.ticket));
+                self.findings.extend(finding);
+                continue;
+            }
             if let Some(part) = run.fatal_part {
                 self.noticed.push(Crash {
                     backend: engine.to_owned(),
