Every part of a prompt counts, wherever it stands in the head

Cause: the router kept the first 32 parts of a prompt, up to the first one that it couldn't read, for placing as well as for blaming and refusing. Evidence: in the 20th place the same part is refused after three crashes; the new process tests crash six engines on the code before, where five may. Ruled out: the scheduler's counting, which the same requests reach with the part in an earlier place.

Change: a request is still placed by its first 32 parts. The hashes of all others but its own last one, from every line of the header, after entries that can't be read and without readable token counts too, go to the scheduler as further causes of crashes, and each router looks for them among the quarantines. Chats name 16 KiB of prefixes. What is kept of causes is bounded by their sum (262,144 at a scheduler for runs given up, 65,536 at a router), harmless and suspected ones by 65,536 and 16,384, as a head of 32 KiB holds 8,192 parts; what compared each cause with each other one is sorted or looked up.

Tests seen failing on the code before: platform crashes::part_that_crashes_backend_servers_stands_late_in_its_prompts and ::part_that_crashes_backend_servers_stands_after_an_entry_that_cannot_be_read. prompt_parts::part_among_all_that_a_head_holds_crashes_one_engine_after_the_other needs the new field.

--- a/crates/jaylock-router/src/chat.rs
+++ b/crates/jaylock-router/src/chat.rs
@@ -11,8 +11,10 @@
 
 /// Difference in length between two successive prefixes of a prompt.
 const BLOCK_BYTES: usize = 256;
-/// Maximum number of prefixes that are sent to the scheduler.
+/// Maximum number of prefixes by which the scheduler places a request.
 const MAX_PREFIXES: usize = 16;
+/// Maximum number of further prefixes, which may crash engines as well: together 16 KiB of the prompt, as in a route's head.
+const MAX_FURTHER_PREFIXES: usize = 48;
 /// Estimated size of a token.
 const BYTES_PER_TOKEN: usize = 4;
 
@@ -45,13 +47,16 @@
         let is_streaming = boolean(&fields, "stream")?;
         let (model, adapter) = find_target(&fields, configuration)?;
         let prompt = prompt(&fields)?;
+        let mut prefixes = prefixes(&prompt);
+        let further_causes = prefixes.split_off(prefixes.len().min(MAX_PREFIXES));
         let ask = Ask {
             model: model.id.clone(),
             version: model.version.clone(),
             adapter: adapter.to_string(),
             limit: max_tokens(&fields)?,
             prompt_tokens: u32::try_from(prompt.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX),
-            prefixes: prefixes(&prompt),
+            prefixes,
+            further_causes,
             ..Ask::default()
         };
         fields.insert("model".into(), model.id.clone().into());
@@ -76,7 +81,7 @@
     let blocks = prompt
         .as_bytes()
         .chunks_exact(BLOCK_BYTES)
-        .take(MAX_PREFIXES);
+        .take(MAX_PREFIXES + MAX_FURTHER_PREFIXES);
     let chain = blocks.map(|block| {
         hasher.write(block);
         hasher.finish()
--- a/crates/jaylock-router/src/route/admission.rs
+++ b/crates/jaylock-router/src/route/admission.rs
@@ -11,7 +11,7 @@
 use super::attempts::MAX_DELAY_DIVISOR;
 use super::context::RouteContext;
 use super::headers::RouteHeaders;
-use super::prompt::Prompt;
+use super::prompt::{ListedParts, Prompt};
 use super::request::{RouteRequest, ServiceTarget};
 use super::table;
 use crate::body::{self, ReadError};
@@ -62,6 +62,12 @@
     let (body, reservation) = body.ok_or_else(|| context.leaving())??;
     let id = caller_id.to_str().ok().and_then(|text| text.parse().ok());
     let digest = RouteRequest::hash(&organisation, &head, &body);
+    let parts = ListedParts::parse(&head.headers, names);
+    let prompt = Prompt::parse(&head.headers, names, &parts.placed);
+    let further_causes = match prompt {
+        Some(_) => parts.further,
+        None => parts.shared().collect(),
+    };
     Ok(RouteRequest {
         id: id.unwrap_or_else(RequestId::random),
         caller_id: caller_id.clone(),
@@ -76,7 +82,8 @@
         digest,
         _reservation: reservation,
         _permit: permit,
-        prompt: Prompt::parse(&head.headers, names),
+        prompt,
+        further_causes,
         last_event,
         resumed,
         head,
--- a/crates/jaylock-router/src/route/quarantine.rs
+++ b/crates/jaylock-router/src/route/quarantine.rs
@@ -11,7 +11,9 @@
         return None;
     }
     let parts = request.prompt.iter().flat_map(|prompt| &prompt.parts);
-    let hashes = parts.map(|part| part.hash).chain([request.digest]);
+    let further = request.further_causes.iter().copied();
+    let hashes = parts.map(|part| part.hash).chain(further);
+    let hashes = hashes.chain([request.digest]);
     let pool = request.pool().as_str();
     let causes = hashes.filter_map(|hash| find(&configuration.crash_causes, pool, hash));
     let end_ms = causes.map(|cause| cause.until_ms).max()?;
--- a/crates/jaylock-router/src/route/request.rs
+++ b/crates/jaylock-router/src/route/request.rs
@@ -52,6 +52,8 @@
     pub _permit: RequestPermit,
     /// Description of the prompt, if the caller sent one.
     pub prompt: Option<Prompt>,
+    /// Hashes of what else the request shares with others, as it may crash backend servers.
+    pub further_causes: Vec<u64>,
     /// Number of the last event that the caller received before; unset if it has none.
     pub last_event: Option<u64>,
     /// Identifier of the request that brought the first event of a stream that this request resumes.
@@ -114,6 +116,7 @@
             limit: prompt.map_or(0, |p| p.max_tokens),
             prompt_tokens: prompt.map_or(0, |p| p.input_tokens),
             parts: prompt.map_or_else(Vec::new, |p| p.parts.clone()),
+            further_causes: self.further_causes.clone(),
             request: self.id.to_string(),
             objective_ms: self.route.objective_ms,
             digest: self.digest,
--- a/crates/jaylock-share/src/client/frames.rs
+++ b/crates/jaylock-share/src/client/frames.rs
@@ -2,14 +2,18 @@
 
 use std::time::Instant;
 
-use jaylock_rpc::v1::{BackendVerdict, Fallback, Hello, RouterFrame, SchedulerFrame};
+use jaylock_rpc::v1::{BackendVerdict, Fallback, Hello, RouterFrame, Running, SchedulerFrame};
 
 use crate::admission::cost::cost_of;
-use crate::client::held_slot::HeldSlot;
 use crate::client::state::ClientState;
 use crate::encoding::AddressTable;
 use crate::frame_size::take_within;
 
+/// Causes that the runs of a first message name together, 512 KiB.
+const MAX_HELLO_CAUSES: usize = 65_536;
+/// Causes that each run names in any case.
+const MIN_RUN_CAUSES: usize = 33;
+
 impl ClientState {
     /// The first message of a new stream, with the state that the scheduler needs.
     ///
@@ -27,7 +31,7 @@
         self.addresses = AddressTable::default();
         hello.epoch = self.epoch;
         hello.keeps_contact = true;
-        hello.running = self.held.iter().map(HeldSlot::running).collect();
+        hello.running = self.running();
         hello.crashes = self.crashes.list(now);
         hello.streams = self.origins.list(now);
         let unreported = self.totals.iter().filter(|total| total.unheard > 0);
@@ -56,6 +60,20 @@
         }
     }
 
+    /// The runs in progress; together they name no more causes than fit into a message, and the rest the first ones.
+    fn running(&self) -> Vec<Running> {
+        let mut room = MAX_HELLO_CAUSES;
+        let running = self.held.iter().map(|held| {
+            let mut running = held.running();
+            if running.causes.len() > MIN_RUN_CAUSES.max(room) {
+                running.causes.truncate(MIN_RUN_CAUSES);
+            }
+            room = room.saturating_sub(running.causes.len());
+            running
+        });
+        running.collect()
+    }
+
     /// Records that the stream is lost.
     pub fn detach(&mut self, now: Instant) {
         self.is_attached = false;
--- a/crates/jaylock-share/src/client/given_up.rs
+++ b/crates/jaylock-share/src/client/given_up.rs
@@ -10,6 +10,8 @@
 const MEMORY: Duration = Duration::from_secs(5);
 /// Runs that are kept; beyond this number the oldest gives way.
 const MAX_RUNS: usize = 256;
+/// Causes that all of them have together, 512 KiB; beyond this number the oldest run gives way too.
+const MAX_CAUSES: usize = 65_536;
 
 /// Own runs that a router gave up, and that may still crash their backend servers.
 #[derive(Debug, Default)]
@@ -35,8 +37,11 @@
         while self.list.front().is_some_and(|run| age(run) >= MEMORY) {
             self.list.pop_front();
         }
-        if self.list.len() >= MAX_RUNS {
-            self.list.pop_front();
+        let causes = held.causes.iter().count();
+        while self.list.len() >= MAX_RUNS || self.count_causes() + causes > MAX_CAUSES {
+            if self.list.pop_front().is_none() {
+                break;
+            }
         }
         self.list.push_back(GivenUpRun {
             backend: held.backend.clone(),
@@ -47,6 +52,11 @@
         });
     }
 
+    fn count_causes(&self) -> usize {
+        let causes = self.list.iter().map(|run| run.causes.shared.len() + 1);
+        causes.sum()
+    }
+
     /// Takes a run.
     pub fn take(&mut self, ticket: u64) -> Option<GivenUpRun> {
         let position = self.list.iter().position(|run| run.ticket == ticket)?;
--- a/crates/jaylock-share/src/crashes/abandoned.rs
+++ b/crates/jaylock-share/src/crashes/abandoned.rs
@@ -11,6 +11,8 @@
 const MEMORY: Duration = Duration::from_secs(15);
 /// Runs that are kept; beyond this number the oldest gives way.
 const MAX_ABANDONED: usize = 4096;
+/// Causes that all of them have together, 2 MiB; beyond this number the oldest run gives way too.
+const MAX_CAUSES: usize = 262_144;
 /// Time after its end for which a trial counts as running, in which a router checks the backend server.
 const TRIAL_HOLD: Duration = Duration::from_millis(1500);
 
@@ -20,6 +22,8 @@
 pub struct AbandonedRuns {
     // In the order in which they ended.
     list: VecDeque<AbandonedRun>,
+    // Causes that all of them have.
+    causes: usize,
 }
 
 /// A run that was given up.
@@ -39,18 +43,30 @@
 }
 
 impl AbandonedRuns {
-    /// Adds a run; returns the one that gives way.
-    pub fn add(&mut self, run: AbandonedRun) -> Option<AbandonedRun> {
+    /// Adds a run; returns those that give way.
+    pub fn add(&mut self, run: AbandonedRun) -> Vec<AbandonedRun> {
+        self.causes += run.causes.iter().count();
         self.list.push_back(run);
-        let is_over = self.list.len() > MAX_ABANDONED;
-        is_over.then(|| self.list.pop_front()).flatten()
+        let mut dropped = Vec::new();
+        while self.list.len() > MAX_ABANDONED || self.causes > MAX_CAUSES {
+            dropped.extend(self.pop_oldest());
+        }
+        dropped
+    }
+
+    fn pop_oldest(&mut self) -> Option<AbandonedRun> {
+        let oldest = self.list.pop_front()?;
+        self.causes -= oldest.causes.iter().count();
+        Some(oldest)
     }
 
     /// Takes a run of a router.
     pub fn take(&mut self, router: RouterKey, ticket: u64) -> Option<AbandonedRun> {
         let is_meant = |run: &AbandonedRun| run.router == router && run.ticket == ticket;
         let position = self.list.iter().position(is_meant)?;
-        self.list.remove(position)
+        let run = self.list.remove(position)?;
+        self.causes -= run.causes.iter().count();
+        Some(run)
     }
 
     /// Takes all runs at a backend server, first those that ended too long before `since` to have crashed it then or later.
@@ -63,6 +79,7 @@
         let mut kept = VecDeque::with_capacity(self.list.len());
         for run in self.list.drain(..) {
             if run.backend_index == backend_index {
+                self.causes -= run.causes.iter().count();
                 taken.push(run);
             } else {
                 kept.push_back(run);
@@ -78,7 +95,7 @@
     pub fn expire(&mut self, now: Instant) -> Vec<usize> {
         let age = |run: &AbandonedRun| now.saturating_duration_since(run.ended_at);
         while self.list.front().is_some_and(|run| age(run) >= MEMORY) {
-            self.list.pop_front();
+            self.pop_oldest();
         }
         let mut ended = Vec::new();
         let is_due = |run: &&mut AbandonedRun| {
--- a/crates/jaylock-share/src/crashes/causes.rs
+++ b/crates/jaylock-share/src/crashes/causes.rs
@@ -1,7 +1,5 @@
 use jaylock_rpc::v1::Ask;
 
-use crate::placement::cache_index::shared_parts;
-
 /// What a request shares with others and may crash backend servers.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Causes {
@@ -29,5 +27,10 @@
 
 /// Hashes of a prompt's parts or prefixes that others may share.
 pub fn shared_causes(ask: &Ask) -> impl Iterator<Item = u64> + '_ {
-    shared_parts(ask).chain(ask.prefixes.iter().copied())
+    let further = ask.further_causes.iter().copied();
+    // The last part is the request's own.
+    let own = usize::from(further.len() == 0 && ask.parts.len() > 1);
+    let parts = ask.parts.iter().take(ask.parts.len() - own);
+    let prefixes = ask.prefixes.iter().copied();
+    parts.map(|part| part.hash).chain(prefixes).chain(further)
 }
--- a/crates/jaylock-share/src/crashes/crash_causes.rs
+++ b/crates/jaylock-share/src/crashes/crash_causes.rs
@@ -1,3 +1,5 @@
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
@@ -16,8 +18,10 @@
 const JOINT_TRIAL_DELAY: Duration = Duration::from_secs(2);
 /// Time for which a crash counts.
 const CRASH_MEMORY: Duration = Duration::from_hours(1);
-/// Causes that are kept; beyond this number the least suspect ones are dropped.
-const MAX_ENTRIES: usize = 2048;
+/// Causes that are kept, more than any head can hold; beyond this number the least suspect ones are dropped.
+const MAX_ENTRIES: usize = 16_384;
+/// Causes of one crash that are logged.
+const MAX_LOGGED: usize = 32;
 /// Duration of a cause's first quarantine.
 const FIRST_QUARANTINE: Duration = Duration::from_mins(1);
 /// Ratio between a quarantine and the one before.
@@ -142,43 +146,50 @@
         if self.entries.is_empty() {
             return;
         }
-        for hash in causes.iter() {
-            let Ok(position) = self.search(hash) else {
-                continue;
-            };
-            let entry = self.entries.remove(position);
+        let mut harmless: Vec<u64> = causes.iter().collect();
+        harmless.retain(|hash| self.search(*hash).is_ok());
+        if harmless.is_empty() {
+            return;
+        }
+        harmless.sort_unstable();
+        let is_harmless = |entry: &mut Entry| harmless.binary_search(&entry.hash).is_ok();
+        for entry in self.entries.extract_if(.., is_harmless) {
             if entry.quarantines > 0 {
                 self.cleared.push(Cleared {
-                    hash,
+                    hash: entry.hash,
                     last_recording: None,
                 });
             }
             if entry.is_suspect() {
                 log::info!(
                     target: "share",
-                    cause = format!("{hash:016x}").as_str(), crashes = entry.crashes;
+                    cause = format!("{:016x}", entry.hash).as_str(), crashes = entry.crashes;
                     "a suspected cause of crashes is harmless"
                 );
-                self.update_suspected();
             }
         }
+        self.update_suspected();
     }
 
     /// Records the crash of a backend server under runs of which one may have caused it.
     pub fn record_crash(&mut self, suspects: &[Suspect], backend: &str, now: Instant) {
         let (attributed, confirmed) = self.attribute(suspects, now);
-        for (hash, granted_at) in attributed {
+        self.add_missing(attributed.keys().copied(), now);
+        let count = attributed.len();
+        for (number, (hash, granted_at)) in attributed.into_iter().enumerate() {
             let position = self.find_or_add(hash, now);
             let entry = &mut self.entries[position];
             if entry.crashes > 0 && granted_at <= entry.last_crash {
                 continue;
             }
             entry.add_crash(backend, now);
-            log::info!(
-                target: "share",
-                cause = format!("{hash:016x}").as_str(), backend = backend, crashes = entry.crashes;
-                "a backend server crashed under requests with this cause"
-            );
+            if number < MAX_LOGGED {
+                log::info!(
+                    target: "share",
+                    cause = format!("{hash:016x}").as_str(), backend = backend, crashes = entry.crashes, causes = count;
+                    "a backend server crashed under requests with this cause"
+                );
+            }
         }
         for entry in &mut self.entries {
             let is_due = confirmed == Some(entry.hash) || entry.crashes >= MAX_CRASHES;
@@ -192,6 +203,7 @@
 
     /// Adds a crash that a router noticed under an earlier scheduler; it leads to a trial at most.
     pub fn restore_crash(&mut self, hashes: &[u64], backend: &str, at: Instant) {
+        self.add_missing(hashes.iter().copied(), at);
         for hash in hashes {
             let position = self.find_or_add(*hash, at);
             let entry = &mut self.entries[position];
@@ -208,7 +220,7 @@
     pub fn configure(&mut self, configuration: &Configuration, pool: &str, now: Instant) {
         let recorded = configuration.crash_causes.iter();
         let recorded: Vec<&CrashCause> = recorded.filter(|c| c.pool == pool).collect();
-        let is_shown = |hash: u64| recorded.iter().any(|c| c.hash == hash);
+        let is_shown = |hash: u64| recorded.binary_search_by_key(&hash, |c| c.hash).is_ok();
         self.cleared.retain(|cleared| is_shown(cleared.hash));
         self.entries.retain(|e| !e.is_recorded || is_shown(e.hash));
         for cause in recorded {
@@ -290,18 +302,22 @@
     /// Suspected causes in runs that are no trials explain a crash, then those in a trial, then the causes that no
     /// complete answer has shown to be harmless. If all of a run's were, any of them may have changed; those of a run that
     /// was given up are blamed for that only if nothing else ran there.
-    fn attribute(&self, suspects: &[Suspect], now: Instant) -> (Vec<(u64, Instant)>, Option<u64>) {
+    fn attribute(
+        &self,
+        suspects: &[Suspect],
+        now: Instant,
+    ) -> (BTreeMap<u64, Instant>, Option<u64>) {
         let (trials, others): (Vec<_>, Vec<_>) = suspects.iter().partition(|s| s.is_trial);
         let tried = self.suspected_in(&trials);
         let mut suspected = self.suspected_in(&others);
-        suspected.retain(|hash| !tried.contains(hash));
+        suspected.retain(|hash| tried.binary_search(hash).is_err());
         let mut confirmed = None;
         if suspected.is_empty() {
             confirmed = tried.first().copied().filter(|_| tried.len() == 1);
             suspected = tried;
         }
         let has_run_on = suspects.iter().any(|suspect| !suspect.is_abandoned);
-        let mut attributed: Vec<(u64, Instant)> = Vec::new();
+        let mut attributed: BTreeMap<u64, Instant> = BTreeMap::new();
         for suspect in suspects {
             let shared = &suspect.causes.shared;
             let is_proven = |hash: u64| self.proven.contains(hash, now);
@@ -312,14 +328,12 @@
                 if suspected.is_empty() {
                     may_have_changed || !is_proven(*hash)
                 } else {
-                    suspected.contains(hash)
+                    suspected.binary_search(hash).is_ok()
                 }
             };
             for hash in suspect.causes.iter().filter(is_attributed) {
-                match attributed.iter_mut().find(|(known, _)| *known == hash) {
-                    Some((_, granted_at)) => *granted_at = suspect.granted_at.max(*granted_at),
-                    None => attributed.push((hash, suspect.granted_at)),
-                }
+                let granted_at = attributed.entry(hash).or_insert(suspect.granted_at);
+                *granted_at = suspect.granted_at.max(*granted_at);
             }
         }
         (attributed, confirmed)
@@ -348,12 +362,23 @@
 
     /// Drops the entries with the fewest and oldest crashes beyond the limit.
     fn drop_excess(&mut self) {
-        while self.entries.len() > MAX_ENTRIES {
-            let order = |(_, e): &(usize, &Entry)| (e.quarantines, e.crashes, e.last_crash);
-            let least = self.entries.iter().enumerate().min_by_key(order);
-            let position = least.map_or(0, |(position, _)| position);
-            self.entries.remove(position);
+        if self.entries.len() <= MAX_ENTRIES {
+            return;
         }
+        self.entries
+            .sort_unstable_by_key(|e| Reverse((e.quarantines, e.crashes, e.last_crash)));
+        self.entries.truncate(MAX_ENTRIES);
+        self.entries.sort_unstable_by_key(|entry| entry.hash);
+    }
+
+    /// Adds an entry for each hash that has none.
+    fn add_missing(&mut self, hashes: impl Iterator<Item = u64>, now: Instant) {
+        let missing = hashes.filter(|hash| self.search(*hash).is_err());
+        let mut missing: Vec<Entry> = missing.map(|hash| Entry::new(hash, now)).collect();
+        self.entries.append(&mut missing);
+        // Stable, which merges two sorted runs in linear time.
+        self.entries.sort_by_key(|entry| entry.hash);
+        self.entries.dedup_by_key(|entry| entry.hash);
     }
 
     fn find_or_add(&mut self, hash: u64, now: Instant) -> usize {
--- a/crates/jaylock-share/src/crashes/crash_history.rs
+++ b/crates/jaylock-share/src/crashes/crash_history.rs
@@ -40,8 +40,8 @@
 
     /// Adds a run that was given up.
     fn add_abandoned(&mut self, run: AbandonedRun) {
-        if let Some(oldest) = self.abandoned.add(run) {
-            self.end_trial_of(&oldest);
+        for dropped in self.abandoned.add(run) {
+            self.end_trial_of(&dropped);
         }
     }
 
--- a/crates/jaylock-share/src/crashes/proven_causes.rs
+++ b/crates/jaylock-share/src/crashes/proven_causes.rs
@@ -3,7 +3,7 @@
 /// Time for which a complete answer shows that a cause is harmless.
 const PROOF_MEMORY: Duration = Duration::from_hours(1);
 /// Causes that are kept; beyond this number the older half is dropped.
-const MAX_PROVEN: usize = 8192;
+const MAX_PROVEN: usize = 65_536;
 
 /// Causes under which requests were answered, with the time of the last answer.
 #[derive(Debug, Default)]
@@ -15,12 +15,19 @@
 impl ProvenCauses {
     /// Records an answer to a request with these causes.
     pub fn add(&mut self, causes: &[u64], now: Instant) {
+        let mut unknown = Vec::new();
         for hash in causes {
             match self.search(*hash) {
                 Ok(position) => self.list[position].1 = now,
-                Err(position) => self.list.insert(position, (*hash, now)),
+                Err(_) => unknown.push((*hash, now)),
             }
         }
+        if !unknown.is_empty() {
+            self.list.append(&mut unknown);
+            // Stable, which merges two sorted runs in linear time.
+            self.list.sort();
+            self.list.dedup_by_key(|(hash, _)| *hash);
+        }
         if self.list.len() > MAX_PROVEN {
             self.drop_older_half();
         }
--- a/crates/jaylock-tests/tests/platform/crashes.rs
+++ b/crates/jaylock-tests/tests/platform/crashes.rs
@@ -53,6 +53,31 @@
         .with("Prompt-Prefix", &parts)
 }
 
+/// Entries of so many parts.
+fn parts(name: &str, count: usize) -> String {
+    let entries = (0..count).map(|number| format!("{name}{number:x}:1"));
+    entries.collect::<Vec<_>>().join(",")
+}
+
+/// Checks that few backend servers crash from a part between these, and that requests without it are served.
+fn late_part_is_refused(before: &str, after: &str) {
+    let fleet = start_fleet();
+    let is_fatal = |r: &ReceivedRequest| r.header("prompt-prefix").contains("bad:");
+    let backends = start_backends(&fleet, is_fatal);
+    let with = |part: &str| [before, part, after].join(",").replace(",,", ",");
+    for own in 1..=REQUEST_COUNT {
+        let sound = prompt(&fleet, with("").trim_end_matches(','), 1000 + own);
+        assert_that!(send(&sound), eq(200), "after {} bytes", before.len());
+        send(&prompt(&fleet, with("bad:50").trim_end_matches(','), own));
+        assert_that!(
+            crash_count(&backends),
+            le(MAX_CRASHES),
+            "after {} bytes",
+            before.len()
+        );
+    }
+}
+
 /// Sends a request until it isn't declined because its backend servers were crashed already.
 fn send(caller: &Caller) -> u16 {
     let mut status = 0;
@@ -85,6 +110,15 @@
             assert_that!(send(&prompt(&fleet, "5c1e:100", 1000 + own)), eq(200));
         }
     };
+    // Guards against a part that is never blamed for a crash, as it stands after those that are kept, or after one that can't be read.
+    part_that_crashes_backend_servers_stands_late_in_its_prompts => {
+        for (before, after) in [(31, 0), (32, 0), (35, 4), (1500, 20)] {
+            late_part_is_refused(&parts("5c1e", before), &parts("9e2f", after));
+        }
+    };
+    part_that_crashes_backend_servers_stands_after_an_entry_that_cannot_be_read => {
+        late_part_is_refused("5c1e:100,odd,:,7", "9e2f:100");
+    };
     prompts_with_a_sound_part_are_refused_when_their_responses_are_no_streams => {
         let fleet = start_fleet();
         let is_fatal = |r: &ReceivedRequest| r.header("prompt-prefix").contains("bad:");
--- a/crates/jaylock-tests/tests/share/pool.rs
+++ b/crates/jaylock-tests/tests/share/pool.rs
@@ -15,6 +15,8 @@
 pub const SHARED_PART: u64 = 1;
 /// Part that crashes engines, or a request that does when it is sent again.
 pub const FATAL_PART: u64 = 2;
+/// First of the sound parts beyond those by which prompts are placed.
+const FURTHER_PART: u64 = 1 << 40;
 /// Time between two requests with the same fatal cause, and between two sound requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 /// Time from a grant to the first token, or to the crash.
@@ -85,6 +87,8 @@
     pub patience: Option<Duration>,
     /// Time after which routers find that a backend server crashed after its caller had left; unset if none does.
     pub check_delay: Option<Duration>,
+    /// Sound parts that all prompts share beyond those by which they are placed.
+    pub further_parts: u64,
     /// Whether sound requests come too.
     pub sends_sound: bool,
     /// Findings that are on their way, with their tickets.
@@ -132,6 +136,7 @@
             step: STEP,
             patience: None,
             check_delay: None,
+            further_parts: 0,
             sends_sound: true,
             findings: Vec::new(),
         };
@@ -188,6 +193,14 @@
             ..ask("bench")
         };
         let request = match self.workload {
+            Workload::Prompts if self.further_parts > 0 => {
+                let further = FURTHER_PART..FURTHER_PART + self.further_parts;
+                let request = prompt(request, parts.iter().copied());
+                Ask {
+                    further_causes: further.chain(fatal).collect(),
+                    ..request
+                }
+            }
             Workload::Prompts => prompt(request, parts.iter().copied().chain(fatal).chain([own])),
             Workload::Calls => Ask {
                 digest: fatal.unwrap_or(own),
--- a/crates/jaylock-tests/tests/share/prompt_parts.rs
+++ b/crates/jaylock-tests/tests/share/prompt_parts.rs
@@ -12,6 +12,17 @@
 use crate::pool::{FATAL_PART, MAX_LATER_RUNS, Pool, SHARED_PART, STEP};
 
 cases! {
+    // Guards against a bound on the parts of a prompt beyond which none is counted, cleared or refused.
+    part_among_all_that_a_head_holds_crashes_one_engine_after_the_other => {
+        for further_parts in [1, 40, 8000] {
+            let mut pool = Pool::new(6, &[FATAL_PART]);
+            pool.further_parts = further_parts;
+            pool.run(Duration::from_mins(1), |time| time > Duration::from_secs(5));
+            expect_that!(pool.crashes.len(), ge(3));
+            expect_that!(pool.late_grants(FATAL_PART), le(MAX_LATER_RUNS), "{} parts", further_parts);
+            expect_that!(pool.sound_granted * 100, ge(pool.sound_sent * 90), "{} parts", further_parts);
+        }
+    };
     part_of_prompts_that_crashes_engines_is_sent_to_one_engine_after_the_other => {
         let mut pool = Pool::new(12, &[FATAL_PART]);
         pool.run(Duration::from_mins(1), |time| time > Duration::from_secs(5));
