--- a/crates/jaylock-router/src/framing.rs
+++ b/crates/jaylock-router/src/framing.rs
@@ -1,6 +1,11 @@
+use std::ops::RangeInclusive;
+
 use http::{HeaderMap, Response, StatusCode, header};
 
-/// Checks that a response is final, and that its body is framed in a way that the router reads.
+/// Valid statuses (RFC 9110, section 15).
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
+/// Checks that a response has a valid status and is final, and that its body is framed in a way that the router reads.
 ///
 /// The router asks for no other protocol and no transfer coding but chunks, so that a response with either is not meant for its
 /// request. The HTTP library would take the first for a response without a body, and the second for one that the end of its
@@ -9,6 +14,9 @@
 /// # Errors
 /// What is wrong with the response.
 pub fn check<B>(response: &Response<B>) -> Result<(), &'static str> {
+    if !STATUSES.contains(&response.status().as_u16()) {
+        return Err("the answer has a status that HTTP knows no class of");
+    }
     if response.status() == StatusCode::SWITCHING_PROTOCOLS {
         return Err("the answer changes the protocol, which was not asked for");
     }
--- a/crates/jaylock-tests/tests/orders/odd_answers.rs
+++ b/crates/jaylock-tests/tests/orders/odd_answers.rs
@@ -77,6 +77,9 @@
     status_000_answers_an_order => {
         check_order("HTTP/1.1 000 OK\r\n\r\n", "filler");
     };
+    status_beyond_599_answers_an_order => {
+        check_order("HTTP/1.1 999 OK\r\n\r\n", "filler");
+    };
     change_of_protocol_answers_an_order => {
         check_order("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n", "filler");
     };
--- a/crates/jaylock-tests/tests/platform/odd_answers.rs
+++ b/crates/jaylock-tests/tests/platform/odd_answers.rs
@@ -117,6 +117,8 @@
 odd_answers! {
     status_000 => with_statuses(&["000", "000 OK", "000 "]);
     other_odd_status => with_statuses(&["099 X", "001 OK", "20", "20 OK", "2x0 OK", "-20 OK", "+20 OK", "1000 OK", "OK", ""]);
+    // Guards against three digits that HTTP knows no class of and that reach callers as a status.
+    status_beyond_599 => with_statuses(&["600 X", "600", "799 X", "999 OK"]);
     unasked_change_of_protocol => with_statuses(&["101 Switching Protocols", "101 X\r\nUpgrade: other\r\nConnection: upgrade"]);
     blank_in_the_name_of_a_field => with_lines(&["X Odd: 1", "X-Odd : 1", "X-Odd\t: 1", " X-Odd: 1", "\tX-Odd: 1", "X\tOdd: 1", "Content-Length : 3", "Transfer-Encoding : chunked", "Content- Length: 3"]);
     control_byte_in_the_name_of_a_field => with_lines(&["X\u{1}Odd: 1", "X-Odd\u{1f}: 1", "\u{8}X-Odd: 1", "X\0Odd: 1", "X\u{7f}Odd: 1", "X\u{b}Odd: 1", "X\rOdd: 1", "Content-Length\u{1}: 3"]);
