--- a/crates/jaylock-control/src/lib.rs
+++ b/crates/jaylock-control/src/lib.rs
@@ -28,7 +28,7 @@
 pub use self::service::{ControlService, ReplicaService};
 pub use self::settings::{ClientSettings, FollowerSettings, ReplicaSettings};
 pub use self::state::{
-    KeyRequirement, find_departure, find_evacuation, has_departed, is_evacuated, is_known_domain,
+    KeyRequirement, find_evacuation, has_departed, is_evacuated, is_known_domain,
     is_operator_change, key_requirement,
 };
 pub use self::storage::{Disk, FileDisk, FileName};
--- a/crates/jaylock-control/src/state/departures.rs
+++ b/crates/jaylock-control/src/state/departures.rs
@@ -7,22 +7,12 @@
 /// Departures that are kept; beyond this number the oldest gives way.
 const MAX_DEPARTURES: usize = 4096;
 
-/// Finds the last departure of a backend server.
-#[must_use]
-pub fn find_departure<'a>(
-    configuration: &'a Configuration,
-    backend: &str,
-) -> Option<&'a Departure> {
-    let list = &configuration.departures;
-    let search = list.binary_search_by(|known| known.backend.as_str().cmp(backend));
-    search.ok().map(|position| &list[position])
-}
-
 /// Whether a start of a backend server is known to have departed.
 #[must_use]
 pub fn has_departed(configuration: &Configuration, backend: &str, incarnation: u64) -> bool {
-    let found = find_departure(configuration, backend);
-    found.is_some_and(|departure| incarnation <= departure.incarnation)
+    let list = &configuration.departures;
+    let search = list.binary_search_by(|known| known.backend.as_str().cmp(backend));
+    search.is_ok_and(|position| incarnation <= list[position].incarnation)
 }
 
 /// Adds a departure, and drops those that are too old.
--- a/crates/jaylock-control/src/state/mod.rs
+++ b/crates/jaylock-control/src/state/mod.rs
@@ -27,7 +27,7 @@
 use self::results::Results;
 use crate::storage::Snapshot;
 
-pub use self::departures::{find_departure, has_departed};
+pub use self::departures::has_departed;
 pub(crate) use self::document::check_shared_keys;
 pub use self::document::{KeyRequirement, key_requirement};
 pub use self::evacuations::{find_evacuation, is_evacuated, is_known_domain};
