--- a/crates/jaylock-tests/tests/platform/reset_answers.rs
+++ b/crates/jaylock-tests/tests/platform/reset_answers.rs
@@ -268,9 +268,9 @@
     large_part_cut_during_an_upload_in_chunks => Upload { is_chunked: true, reply: cut_many, ..Upload::default() };
     cut_before_an_upload_in_chunks_on_a_kept_connection => Upload { moment: Moment::Before, is_chunked: true, path: KEPT, is_kept: true, ..Upload::default() };
     cut_after_an_upload_in_chunks_on_a_kept_connection => Upload { moment: Moment::After, is_chunked: true, path: KEPT, is_kept: true, ..Upload::default() };
-    large_part_cut_before_an_upload_in_chunks_on_a_kept_connection => Upload { moment: Moment::Before, is_chunked: true, path: KEPT, is_kept: true, reply: cut_many, ..Upload::default() };
+    large_part_cut_before_an_upload_in_chunks_on_a_kept_connection => Upload { moment: Moment::Before, is_chunked: true, path: KEPT, is_kept: true, reply: cut_many };
     large_part_cut_during_an_upload_in_chunks_on_a_kept_connection => Upload { is_chunked: true, path: KEPT, is_kept: true, reply: cut_many, ..Upload::default() };
-    large_part_cut_after_an_upload_in_chunks_on_a_kept_connection => Upload { moment: Moment::After, is_chunked: true, path: KEPT, is_kept: true, reply: cut_many, ..Upload::default() };
+    large_part_cut_after_an_upload_in_chunks_on_a_kept_connection => Upload { moment: Moment::After, is_chunked: true, path: KEPT, is_kept: true, reply: cut_many };
     cut_in_chunks_on_a_kept_connection => Upload { is_chunked: true, path: KEPT, is_kept: true, ..Upload::default() };
     idempotent_request_cut => Upload { path: "/look/upload", ..Upload::default() };
     error_cut => Upload { reply: |r| resetting(r.sealed("500 Internal Server Error", "\r\nbroken")), ..Upload::default() };
