A round of crash checks takes the backend servers whose runs ended first

Now a round takes the addresses in the order in which the runs ended, and the rest wait for the next round, up to 3 s after their end; a crash after that isn't blamed on a run by the scheduler either. Bounds are as before: eight checks a round, 256 runs that wait.

Test: router quarantine::crashes_of_many_backend_servers_after_their_callers_have_left_are_reported, 20 backend servers; on the code before it timed out waiting until all crashes are reported.

--- a/crates/jaylock-router/src/crash_check.rs
+++ b/crates/jaylock-router/src/crash_check.rs
@@ -15,6 +15,8 @@
 const MIN_AGE: Duration = Duration::from_millis(500);
 /// Time for which a connection is tried.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Most time between the end of a run and its check; a crash after that is not blamed on it.
+const MAX_AGE: Duration = Duration::from_secs(3);
 /// Backend servers that are checked in one round, as each check is a connection.
 const MAX_CHECKS: usize = 8;
 /// Runs that wait for a check; beyond this number none is added.
@@ -61,19 +63,31 @@
         }
     }
 
+    /// Takes the runs to check now: those at the backend servers whose runs ended first.
     fn take_due(&self) -> Vec<EndedRun> {
         let mut waiting = self.waiting.borrow_mut();
+        waiting.retain(|run| run.ended_at.elapsed() < MAX_AGE);
         let due = waiting.partition_point(|run| run.ended_at.elapsed() >= MIN_AGE);
-        waiting.drain(..due).collect()
+        let addresses = first_addresses(&waiting[..due]);
+        let is_checked = |run: &mut EndedRun| addresses.contains(&run.address);
+        waiting.extract_if(..due, is_checked).collect()
     }
 }
 
+/// The first distinct addresses of some runs, as many as one round checks.
+fn first_addresses(runs: &[EndedRun]) -> Vec<SocketAddr> {
+    let mut addresses = Vec::with_capacity(MAX_CHECKS);
+    for run in runs {
+        if addresses.len() < MAX_CHECKS && !addresses.contains(&run.address) {
+            addresses.push(run.address);
+        }
+    }
+    addresses
+}
+
 /// Checks the backend servers of some runs, each once, and reports those that refuse connections.
 async fn check(runs: &[EndedRun]) {
-    let mut addresses: Vec<SocketAddr> = runs.iter().map(|run| run.address).collect();
-    addresses.sort_unstable();
-    addresses.dedup();
-    addresses.truncate(MAX_CHECKS);
+    let addresses = first_addresses(runs);
     let probes = addresses
         .iter()
         .map(|address| connection::probe(*address, PROBE_TIMEOUT));
--- a/crates/jaylock-tests/tests/router/quarantine.rs
+++ b/crates/jaylock-tests/tests/router/quarantine.rs
@@ -59,6 +59,21 @@
         drop(caller);
         router.wait_until("the crash is reported", || *router.schedulers.0.crashed.borrow() == [1]).await;
     };
+    // Guards against checks that leave out backend servers for good when more of them are due than one round checks.
+    async crashes_of_many_backend_servers_after_their_callers_have_left_are_reported => {
+        let mut engines = Vec::new();
+        for _ in 0..20 {
+            engines.push(Backend::start(|_| vec![Step::Wait(Duration::from_millis(300)), Step::Crash]).await);
+        }
+        let router = TestRouter::start(&[], RouterSettings::default()).await;
+        for engine in &engines {
+            *router.schedulers.0.backends.borrow_mut() = vec![engine.address];
+            let caller = router.start_chat(&chat_body(false)).await;
+            router.wait_until("the request arrives", || engine.request_count() == 1).await;
+            drop(caller);
+        }
+        router.wait_until("all crashes are reported", || router.schedulers.0.crashed.borrow().len() == 20).await;
+    };
     async backend_server_that_outlives_a_request_whose_caller_has_left_is_not_reported => {
         let engine = Backend::start(|r| [vec![Step::Wait(Duration::from_millis(300))], complete_stream(r, 3)].concat()).await;
         let router = TestRouter::start(&[engine.address], RouterSettings::default()).await;
