A whole configuration is encoded once for all watchers and readers

Change: ReadReply and WatchReply carry encoded messages, on the wire as before (an embedded message and bytes are alike). The state makes the encoding of its configuration when the first watcher needs it and drops it with the next change; recent changes are kept in their encoding. A follower decodes once and copies nothing. A renewal names how many bytes the watch has to deliver, and the instance waits 0.4 s for each MiB before it reads from the leader, but at most half of its lease, so that a stuck watch still costs no lease.

Tests that read a configuration out of a reply decode it now; what they expect is the same.

--- a/crates/jaylock-control/src/client.rs
+++ b/crates/jaylock-control/src/client.rs
@@ -101,7 +101,9 @@
     pub async fn read(&self) -> Result<Configuration> {
         let call = async |mut stub: Stub<Channel>| {
             let reply = stub.read(ReadRequest {}).await?.into_inner();
-            Ok(to_reply(reply.configuration, reply.leader_address))
+            let configuration = reply.configuration.map(Configuration::decode).transpose();
+            let configuration = configuration.map_err(|e| Status::internal(e.to_string()))?;
+            Ok(to_reply(configuration, reply.leader_address))
         };
         let configuration = self.call_leader(call).await?;
         self.update_replicas(&configuration);
--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -206,7 +206,7 @@
                 Either::Left((Ok(Some(reply)), _)) => reply,
                 Either::Left(_) | Either::Right(_) => return true,
             };
-            if !self.view.apply_changes(&reply) {
+            if !self.view.apply_changes(reply) {
                 return false;
             }
             self.client.update_replicas(&self.view.current());
@@ -218,12 +218,13 @@
     ///
     /// A watch that does not deliver this configuration in time may be stuck at a replica that is
     /// disconnected from the leader. In that case, the configuration is read from the leader and the
-    /// watch moves to another replica.
+    /// watch moves to another replica. A large one may take longer, as all instances together would
+    /// otherwise ask the leader for the copies that the replicas are sending.
     fn extend_lease(&self, reply: &RenewReply, sent_at: Instant) {
         let end = sent_at + Duration::from_millis(reply.lease_ms.into());
         let before = Index(reply.index.saturating_sub(1));
         let (shared, view, client) = (self.shared.clone(), self.view.clone(), self.client.clone());
-        let max_delay = self.settings.max_watch_delay;
+        let max_delay = self.max_watch_delay(reply);
         let waiting = async move {
             let delivery = compio::time::timeout(max_delay, view.wait_newer_than(before));
             if delivery.await.is_err() {
@@ -244,6 +245,15 @@
         compio::runtime::spawn(waiting).detach();
     }
 
+    /// Time for a watch to deliver what a renewal has named, within which a read from the leader can still save the lease.
+    fn max_watch_delay(&self, reply: &RenewReply) -> Duration {
+        let megabytes = u32::try_from(reply.watch_bytes >> 20).unwrap_or(u32::MAX);
+        let delay = self.settings.max_watch_delay;
+        let longest = Duration::from_millis(reply.lease_ms.into()) / 2;
+        let by_size = delay.saturating_mul(megabytes.saturating_add(1));
+        by_size.min(longest.max(delay))
+    }
+
     async fn renew(&self) {
         while !self.shared.is_stopped.get() {
             let started = Instant::now();
--- a/crates/jaylock-control/src/leases.rs
+++ b/crates/jaylock-control/src/leases.rs
@@ -187,6 +187,7 @@
     shared.leases.borrow_mut().renew(&request, instance, now);
     // The renewal is valid only if this replica is still the leader.
     let configuration = shared.read_configuration()?;
+    let watch_bytes = shared.core.borrow().state.watch_bytes(request.index);
     let mut leases = shared.leases.borrow_mut();
     let withdrawal = leases.withdraw(&request, &configuration, &instance.id, now);
     Ok(RenewReply {
@@ -194,6 +195,7 @@
         leader_address: None,
         index: configuration.index,
         withdrawal_ms: millis(withdrawal),
+        watch_bytes: watch_bytes as u64,
     })
 }
 
--- a/crates/jaylock-control/src/service.rs
+++ b/crates/jaylock-control/src/service.rs
@@ -109,8 +109,8 @@
 
     async fn read(&self, _: Request<ReadRequest>) -> RpcResult<ReadReply> {
         let reply = match self.shared.read_configuration() {
-            Ok(configuration) => ReadReply {
-                configuration: Some((*configuration).clone()),
+            Ok(_) => ReadReply {
+                configuration: Some(self.shared.core.borrow().state.encoded_configuration()),
                 leader_address: None,
             },
             Err(error) => ReadReply {
@@ -187,9 +187,9 @@
 async fn next_watch_reply(shared: &Shared, index: u64) -> Option<(WatchReply, u64)> {
     loop {
         let seen = shared.config_changed.count();
-        let current = shared.core.borrow().state.configuration().clone();
-        if current.index > index {
-            return Some((changes_since(shared, index), current.index));
+        let newest = shared.core.borrow().state.configuration().index;
+        if newest > index {
+            return Some((shared.core.borrow().state.watch_reply(index), newest));
         }
         if shared.is_halted() || is_disconnected(shared) {
             return None;
@@ -199,25 +199,10 @@
     }
 }
 
-fn changes_since(shared: &Shared, index: u64) -> WatchReply {
-    let changes = shared.core.borrow().state.changes_after(index);
-    match changes {
-        Some(changes) => WatchReply {
-            whole: None,
-            changes,
-        },
-        None => full_configuration(shared).0,
-    }
-}
-
 /// The full configuration and its index.
 fn full_configuration(shared: &Shared) -> (WatchReply, u64) {
-    let configuration = shared.core.borrow().state.configuration().clone();
-    let reply = WatchReply {
-        whole: Some((*configuration).clone()),
-        changes: Vec::new(),
-    };
-    (reply, configuration.index)
+    let state = &shared.core.borrow().state;
+    (state.whole_reply(), state.configuration().index)
 }
 
 /// Election timeouts without contact to a leader after which a replica ends its watches.
--- a/crates/jaylock-control/src/state/mod.rs
+++ b/crates/jaylock-control/src/state/mod.rs
@@ -12,14 +12,16 @@
 mod results;
 mod sorted;
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::{
-    Applied, Change, Command, Configuration, Document, Done, Entry, Event, Member,
+    Applied, Change, Command, Configuration, Document, Done, Entry, Event, Member, WatchReply,
 };
+use prost::Message;
 
 use self::claims::Claims;
 use self::events::EventLog;
@@ -40,6 +42,8 @@
     term: u64,
     at_ms: u64,
     configuration: Rc<Configuration>,
+    /// Made for the first watcher or reader that needs it, and shared by the others.
+    encoded_configuration: OnceCell<Bytes>,
     results: Results,
     claims: Claims,
     events: EventLog,
@@ -81,6 +85,7 @@
             configuration: Rc::new(evacuations::derive_domains(
                 snapshot.configuration.unwrap_or_default(),
             )),
+            encoded_configuration: OnceCell::new(),
             results: Results::restore(snapshot.results, snapshot.evicted_ms),
             claims: Claims::restore(snapshot.claims, snapshot.last_sweep_ms),
             events: EventLog::restore(snapshot.events),
@@ -129,9 +134,39 @@
         &self.document_source
     }
 
-    /// The changes since the configuration with `index`, unless they are no longer kept.
-    pub fn changes_after(&self, index: u64) -> Option<Vec<Change>> {
-        self.recent_changes.after(index)
+    /// The configuration as it is sent.
+    pub fn encoded_configuration(&self) -> Bytes {
+        let encode = || self.configuration.encode_to_vec().into();
+        self.encoded_configuration.get_or_init(encode).clone()
+    }
+
+    /// What a watcher with the configuration of `index` needs: the changes since then, or the whole configuration if they
+    /// are no longer kept.
+    pub fn watch_reply(&self, index: u64) -> WatchReply {
+        match self.recent_changes.after(index) {
+            Some(changes) => WatchReply {
+                whole: None,
+                changes: changes.cloned().collect(),
+            },
+            None => self.whole_reply(),
+        }
+    }
+
+    /// What a watcher needs whose configuration is unknown.
+    pub fn whole_reply(&self) -> WatchReply {
+        WatchReply {
+            whole: Some(self.encoded_configuration()),
+            changes: Vec::new(),
+        }
+    }
+
+    /// Size of what a watcher with the configuration of `index` needs, in bytes.
+    pub fn watch_bytes(&self, index: u64) -> usize {
+        match self.recent_changes.after(index) {
+            Some(changes) => changes.map(Bytes::len).sum(),
+            None if index == self.configuration.index => 0,
+            None => self.encoded_configuration().len(),
+        }
     }
 
     /// Size of the changes kept for watchers, in bytes of their encoding.
@@ -219,13 +254,14 @@
         if is_operator_change(body) {
             next.revision += 1;
         }
-        self.recent_changes.push(Change {
+        self.recent_changes.push(&Change {
             prior_index: next.index,
             index: self.index,
             revision: next.revision,
             at_ms: self.at_ms,
             command: Some(document::without_source(command)),
         });
+        self.encoded_configuration.take();
         next.index = self.index;
         if let Body::PutDocument(document) = body {
             self.document_source.clone_from(&document.source);
--- a/crates/jaylock-control/src/state/recent.rs
+++ b/crates/jaylock-control/src/state/recent.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use bytes::Bytes;
 use jaylock_rpc::v1::Change;
 use prost::Message;
 
@@ -14,20 +15,35 @@
 /// The newest changes without gaps: each applies to the result of the one before it.
 #[derive(Debug, Default)]
 pub struct RecentChanges {
-    changes: VecDeque<Change>,
+    changes: VecDeque<RecentChange>,
     /// Size of the changes in their encoding.
     bytes: usize,
 }
 
+#[derive(Debug)]
+struct RecentChange {
+    prior_index: u64,
+    /// A message [`Change`].
+    encoding: Bytes,
+}
+
 impl RecentChanges {
-    pub fn push(&mut self, change: Change) {
-        self.bytes += change.encoded_len();
-        self.changes.push_back(change);
+    pub fn push(&mut self, change: &Change) {
+        let size = change.encoded_len();
+        if size > MAX_BYTES {
+            *self = Self::default();
+            return;
+        }
+        self.bytes += size;
+        self.changes.push_back(RecentChange {
+            prior_index: change.prior_index,
+            encoding: change.encode_to_vec().into(),
+        });
         while self.changes.len() > MAX_CHANGES || self.bytes > MAX_BYTES {
             let Some(oldest) = self.changes.pop_front() else {
                 return;
             };
-            self.bytes -= oldest.encoded_len();
+            self.bytes -= oldest.encoding.len();
         }
     }
 
@@ -36,11 +52,11 @@
         self.bytes
     }
 
-    /// All changes since the configuration with `index`, unless they are no longer kept.
+    /// Encodings of all changes since the configuration with `index`, unless they are no longer kept.
     ///
     /// Returns `None` for index 0: such a watcher also lacks the initial members, which are in no
     /// change.
-    pub fn after(&self, index: u64) -> Option<Vec<Change>> {
+    pub fn after(&self, index: u64) -> Option<impl Iterator<Item = &Bytes>> {
         if index == 0 {
             return None;
         }
@@ -48,6 +64,6 @@
             .changes
             .binary_search_by_key(&index, |c| c.prior_index)
             .ok()?;
-        Some(self.changes.range(first..).cloned().collect())
+        Some(self.changes.range(first..).map(|c| &c.encoding))
     }
 }
--- a/crates/jaylock-control/src/view.rs
+++ b/crates/jaylock-control/src/view.rs
@@ -2,9 +2,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use futures_channel::oneshot;
 use jaylock_rpc::v1::{Change, Configuration, WatchReply};
 use jaylock_types::{Index, Revision, boottime_now};
+use prost::Message;
 
 use crate::state;
 
@@ -60,23 +62,35 @@
         }
     }
 
-    /// Applies the changes of a watch; returns false if a change doesn't fit the active configuration.
+    /// Applies the changes of a watch; returns false if a change can't be read or doesn't fit the active configuration.
     ///
     /// Older changes are skipped, as another instance may have sent a newer configuration meanwhile.
     #[must_use = "after changes that don't fit, the full configuration must be requested"]
-    pub fn apply_changes(&self, reply: &WatchReply) -> bool {
-        if let Some(whole) = &reply.whole {
-            let _ = self.update(whole.clone());
-        }
-        let newer = |c: &&Change| Index(c.index) > self.index();
-        for change in reply.changes.iter().filter(newer) {
-            let applied = state::apply_change(&mut self.shared.current.borrow_mut(), change);
-            if applied.is_none() {
+    pub fn apply_changes(&self, reply: WatchReply) -> bool {
+        if let Some(whole) = reply.whole {
+            let Ok(configuration) = Configuration::decode(whole) else {
                 return false;
-            }
+            };
+            let _ = self.update(configuration);
+        }
+        reply
+            .changes
+            .into_iter()
+            .all(|change| self.apply_change(change))
+    }
+
+    fn apply_change(&self, encoding: Bytes) -> bool {
+        let Ok(change) = Change::decode(encoding) else {
+            return false;
+        };
+        if Index(change.index) <= self.index() {
+            return true;
+        }
+        let applied = state::apply_change(&mut self.shared.current.borrow_mut(), &change);
+        if applied.is_some() {
             self.wake_waiters();
         }
-        true
+        applied.is_some()
     }
 
     /// Waits until a configuration newer than `index` is active.
--- a/crates/jaylock-tests/src/fleet/control.rs
+++ b/crates/jaylock-tests/src/fleet/control.rs
@@ -5,6 +5,7 @@
 use jaylock_rpc::v1::control_client::ControlClient;
 use jaylock_rpc::{Channel, ChannelSettings, v1, with_timeout};
 use jaylock_types::Secret;
+use prost::Message;
 use tonic::{Response, Status};
 
 use super::{Fleet, PEER_SECRET};
@@ -32,7 +33,7 @@
         let reply = call(self.listen_address(index), async |mut client| {
             client.read(v1::ReadRequest {}).await
         });
-        reply?.configuration
+        v1::Configuration::decode(reply?.configuration?).ok()
     }
 
     /// Proposes a command to this instance alone; `None` without a reply or when another leads.
--- a/crates/jaylock-tests/tests/control/evacuations.rs
+++ b/crates/jaylock-tests/tests/control/evacuations.rs
@@ -269,17 +269,18 @@
     followers_apply_orders_and_domains => {
         let view = ConfigView::default();
         let start = Configuration { index: 1, ..Configuration::default() };
-        let mut reply = WatchReply { whole: Some(start), ..WatchReply::default() };
+        let mut reply = WatchReply { whole: Some(start.encode_to_vec().into()), ..WatchReply::default() };
         let commands = [registration(DOMAIN), order(true, 0), order(false, 3)];
         for (prior_index, command) in (1..).zip(commands) {
-            reply.changes.push(Change {
+            let change = Change {
                 prior_index,
                 index: prior_index + 1,
                 revision: 0,
                 at_ms: 100 + prior_index,
                 command: Some(command),
-            });
-            expect_that!(view.apply_changes(&reply), eq(true));
+            };
+            reply.changes.push(change.encode_to_vec().into());
+            expect_that!(view.apply_changes(reply.clone()), eq(true));
             expect_that!(is_evacuated(&view.current(), DOMAIN), eq(prior_index == 2));
         }
         let last = Evacuation { domain: DOMAIN.into(), index: 4, since_ms: 0, restored_ms: 103 };
--- a/crates/jaylock-tests/tests/control/fault_schedules.rs
+++ b/crates/jaylock-tests/tests/control/fault_schedules.rs
@@ -264,7 +264,7 @@
                     break;
                 }
                 let before = follower.view.revision();
-                if !follower.view.apply_changes(&reply) {
+                if !follower.view.apply_changes(reply) {
                     self.history
                         .add_violation(format!("changes don't fit index {index}"));
                 }
--- a/crates/jaylock-tests/tests/control/group.rs
+++ b/crates/jaylock-tests/tests/control/group.rs
@@ -16,6 +16,7 @@
     RenewReply, RenewRequest, VoteReply, VoteRequest,
 };
 use jaylock_types::SystemClock;
+use prost::Message;
 use tonic::{Request, Status};
 
 use crate::disk::SimulatedDisk;
@@ -313,7 +314,7 @@
         let reply: Result<_, Status> = compio::time::timeout(self.call_timeout(), call)
             .await
             .ok()?;
-        reply.ok()?.configuration
+        Configuration::decode(reply.ok()?.configuration?).ok()
     }
 
     /// Renews the lease of an instance at one machine.
--- a/crates/jaylock-tests/tests/control/large_documents.rs
+++ b/crates/jaylock-tests/tests/control/large_documents.rs
@@ -9,8 +9,10 @@
 use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::control_server::Control;
 use jaylock_rpc::v1::{
-    Applied, Command, Document, Organisation, ProposeRequest, WatchReply, WatchRequest,
+    Applied, Command, Configuration, Document, Organisation, ProposeRequest, ReadRequest,
+    WatchReply, WatchRequest,
 };
+use prost::Message;
 use tonic::{Code, Request, Status};
 
 use crate::commands::command;
@@ -184,12 +186,29 @@
         }
         let behind = watch_from(&group, indexes[0]).await;
         expect_that!(behind.changes, is_empty());
-        expect_that!(behind.whole.expect("a configuration").document_version, eq(12));
+        let whole = Configuration::decode(behind.whole.expect("a configuration"));
+        expect_that!(whole.expect("a configuration").document_version, eq(12));
         let near = watch_from(&group, indexes[9]).await;
         expect_that!(near.whole, none());
         expect_that!(near.changes, len(eq(2)));
     };
 
+    // Guards against a replica that encodes megabytes for each of hundreds of watchers and readers anew, on the thread of its heartbeats.
+    async watchers_and_readers_share_one_encoding_of_a_large_configuration => {
+        let group = default_group(1, 1).await;
+        put_documents(&group, 1..=1).await;
+        group.propose(document_of_organisations(2)).await;
+        let first = watch_from(&group, 0).await.whole.expect("a configuration");
+        let second = watch_from(&group, 0).await.whole.expect("a configuration");
+        let service = group.machine(0).replica().expect("a replica").control_service();
+        let read = service.read(Request::new(ReadRequest {})).await.expect("a reply").into_inner();
+        expect_that!(second.as_ptr(), eq(first.as_ptr()));
+        expect_that!(read.configuration.expect("a configuration").as_ptr(), eq(first.as_ptr()));
+        group.propose(document_of_organisations(3)).await;
+        let newer = watch_from(&group, 0).await.whole.expect("a configuration");
+        expect_that!(Configuration::decode(newer).expect("a configuration").document_version, eq(3));
+    };
+
     async brings_a_replica_up_to_date_while_documents_go_on => {
         let group = default_group(3, 3).await;
         put_documents(&group, 1..=1).await;
--- a/tools/schema/src/main.rs
+++ b/tools/schema/src/main.rs
@@ -3,11 +3,14 @@
 use anyhow::Context;
 
 /// Fields whose values are parts of the message that was read, as there are many of them or they are large.
-const SHARED_BYTES: [&str; 4] = [
+const SHARED_BYTES: [&str; 7] = [
     ".jaylock.v1.Organisation.key_hashes",
     ".jaylock.v1.Document.source",
     ".jaylock.v1.DocumentReply.source",
     ".jaylock.v1.AppendRequest.entries",
+    ".jaylock.v1.ReadReply.configuration",
+    ".jaylock.v1.WatchReply.whole",
+    ".jaylock.v1.WatchReply.changes",
 ];
 
 fn main() -> anyhow::Result<()> {
