A leader checks large documents beside its heartbeats, and only the leader does

Cause, from a build that logs how long each step takes: two checks of 20 ms each at the leader take 0.3 s there, without a heartbeat. Its lease of 0.4 s lapsed, so that it turned the document away; the client went on to the other replicas, each of which read and checked 10 MB before it said that another leads; meanwhile one of them was elected, and all began anew. The size of the messages alone does not explain it: a run without an election took 1 s.

Change: a replica that does not lead says so first. The leader checks a document from 64 KiB on on another thread, once in place of twice, one document after the other. If its lease has lapsed meanwhile, it waits until it holds the lease again or has stepped down. Whether hashes begin alike is decided by sorting their first eight bytes; all are compared only if some do.

Tests: control long_documents::leader_whose_lease_has_lapsed_commits_a_large_document_once_it_holds_it_again and ::replica_that_does_not_lead_passes_a_large_document_on_unchecked failed on the code before (no reply; InvalidArgument from a follower).

--- a/crates/jaylock-control/src/replica/proposals.rs
+++ b/crates/jaylock-control/src/replica/proposals.rs
@@ -1,16 +1,57 @@
+use std::time::Duration;
+
 use futures_channel::oneshot;
 use jaylock_rpc::v1::command::Body;
 use jaylock_rpc::v1::{Applied, Command, Noop};
+use prost::Message;
 use tonic::Status;
 
 use super::core::Pending;
 use super::{RequestError, Shared};
-use crate::state::is_operator_change;
+use crate::state::{check_shared_keys, is_operator_change, validate};
+
+/// Size of a command from which its document is checked on another thread.
+const LARGE_BYTES: usize = 64 << 10;
+/// Time between two looks whether the leader holds its lease again.
+const LEASE_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Whether the document of a command can become active; the error says why not.
+type Validity = Result<(), String>;
 
 impl Shared {
     /// Commits a command and returns its result.
+    ///
+    /// A large document is checked on another thread and only by the leader, as heartbeats and leases don't wait meanwhile.
     pub async fn submit(&self, command: Command) -> Result<Applied, RequestError> {
-        if let Some(applied) = self.known_result(&command) {
+        if !self.is_leader() {
+            return Err(self.not_leader());
+        }
+        if command.encoded_len() >= LARGE_BYTES {
+            return self.submit_large(command).await;
+        }
+        let (command, validity) = check(command);
+        self.submit_checked(command, validity).await
+    }
+
+    async fn submit_large(&self, command: Command) -> Result<Applied, RequestError> {
+        // One after the other, as who gets no answer in time sends a document again.
+        let check_guard = self.check_lock.lock().await;
+        if let Some(applied) = self.first_result(&command) {
+            return Ok(applied);
+        }
+        let (command, validity) = check_separately(command).await?;
+        drop(check_guard);
+        self.regain_lease().await;
+        self.submit_checked(command, validity).await
+    }
+
+    async fn submit_checked(
+        &self,
+        command: Command,
+        validity: Result<Validity, String>,
+    ) -> Result<Applied, RequestError> {
+        let validity = validity.map_err(|reason| invalid(&reason))?;
+        if let Some(applied) = self.known_result(&command, &validity) {
             return Ok(applied);
         }
         let waiting_bytes = {
@@ -23,11 +64,27 @@
         self.submit_unbounded(command).await
     }
 
-    fn known_result(&self, command: &Command) -> Option<Applied> {
-        if !self.can_serve_reads() {
-            return None;
+    fn is_leader(&self) -> bool {
+        self.core.borrow().leader_state().is_some()
+    }
+
+    /// Waits until a leader that was busy with a large document holds its lease again, or has stepped down.
+    async fn regain_lease(&self) {
+        while self.is_leader() && !self.holds_lease() {
+            compio::time::sleep(LEASE_POLL_INTERVAL).await;
         }
-        self.core.borrow().state.known_result(command)
+    }
+
+    fn first_result(&self, command: &Command) -> Option<Applied> {
+        let is_readable = self.can_serve_reads();
+        let first = || self.core.borrow().state.first_result(command);
+        is_readable.then(first).flatten()
+    }
+
+    fn known_result(&self, command: &Command, validity: &Validity) -> Option<Applied> {
+        let is_readable = self.can_serve_reads();
+        let known = || self.core.borrow().state.known_result(command, validity);
+        is_readable.then(known).flatten()
     }
 
     /// Commits a command that the leader itself creates.
@@ -74,6 +131,30 @@
     }
 }
 
+/// Checks the document of a command; the outer error of the result says why it must not come into the log at all.
+fn check(command: Command) -> (Command, Result<Validity, String>) {
+    let validity = match &command.body {
+        Some(Body::PutDocument(document)) => {
+            check_shared_keys(document).map(|()| validate(document))
+        }
+        _ => Ok(Ok(())),
+    };
+    (command, validity)
+}
+
+/// Checks the document of a command on another thread.
+async fn check_separately(
+    command: Command,
+) -> Result<(Command, Result<Validity, String>), RequestError> {
+    let checking = compio::runtime::spawn_blocking(move || check(command)).await;
+    let stopped = |_| Status::unavailable("the check of a document was stopped: send it again");
+    checking.map_err(stopped).map_err(RequestError::Failed)
+}
+
+fn invalid(reason: &str) -> RequestError {
+    RequestError::Failed(Status::invalid_argument(reason))
+}
+
 fn own_command(body: Body) -> Command {
     Command {
         id: uuid::Uuid::now_v7().simple().to_string(),
--- a/crates/jaylock-control/src/replica/shared.rs
+++ b/crates/jaylock-control/src/replica/shared.rs
@@ -31,6 +31,8 @@
     pub core: RefCell<Core>,
     /// Held during disk writes, so that records are written in the order of the decisions.
     pub disk_lock: Mutex<()>,
+    /// Held while a large command is checked.
+    pub check_lock: Mutex<()>,
     /// Notified when the log grows, the commit index rises or the role changes.
     pub activity: Signal,
     /// Notified when the configuration changes or the replica stops following a leader.
@@ -74,6 +76,7 @@
             transport: environment.transport,
             clock: environment.clock,
             disk_lock: Mutex::default(),
+            check_lock: Mutex::default(),
             activity: Signal::default(),
             config_changed: Signal::default(),
             leases: RefCell::default(),
--- a/crates/jaylock-control/src/service.rs
+++ b/crates/jaylock-control/src/service.rs
@@ -18,7 +18,6 @@
 
 use crate::leases;
 use crate::replica::{RequestError, Shared, handlers};
-use crate::state::check_shared_keys;
 use crate::transport::MAX_MESSAGE_BYTES;
 
 /// Maximum length of a command id.
@@ -237,9 +236,6 @@
             "only the leader itself makes this change",
         ));
     }
-    if let Some(Body::PutDocument(document)) = &command.body {
-        check_shared_keys(document).map_err(Status::invalid_argument)?;
-    }
     let bytes = command.encoded_len();
     if bytes > MAX_COMMAND_BYTES {
         return Err(Status::invalid_argument(format!(
--- a/crates/jaylock-control/src/state/keys.rs
+++ b/crates/jaylock-control/src/state/keys.rs
@@ -53,6 +53,9 @@
     organisations: &[Organisation],
     is_same: impl Fn(&Organisation, &Organisation) -> bool,
 ) -> Result<(), String> {
+    if !has_common_prefix(organisations) {
+        return Ok(());
+    }
     let keys = sorted_keys(organisations);
     for pair in keys.windows(2) {
         let (first, second) = (&pair[0], &pair[1]);
@@ -66,6 +69,14 @@
     Ok(())
 }
 
+/// Whether two hashes begin alike, as they hardly ever do unless a key stands twice.
+fn has_common_prefix(organisations: &[Organisation]) -> bool {
+    let hashes = organisations.iter().flat_map(|o| &o.key_hashes);
+    let mut prefixes: Vec<u64> = hashes.map(|hash| prefix(hash)).collect();
+    prefixes.sort_unstable();
+    prefixes.windows(2).any(|pair| pair[0] == pair[1])
+}
+
 /// The keys of organisations, sorted by hash and then by the name of their owner.
 fn sorted_keys(organisations: &[Organisation]) -> Vec<Key<'_>> {
     let count = organisations.iter().map(|o| o.key_hashes.len()).sum();
--- a/crates/jaylock-control/src/state/mod.rs
+++ b/crates/jaylock-control/src/state/mod.rs
@@ -30,8 +30,8 @@
 use crate::storage::Snapshot;
 
 pub use self::departures::has_departed;
-pub(crate) use self::document::check_shared_keys;
 pub use self::document::{KeyRequirement, key_requirement};
+pub(crate) use self::document::{check_shared_keys, validate};
 pub use self::evacuations::{find_evacuation, is_evacuated, is_known_domain};
 pub(crate) use self::fleet::{find_instance, put_member, remove_member};
 
@@ -278,32 +278,50 @@
         Ok(change.outcome)
     }
 
-    /// The result of a command that is known without an entry: that of a document which a document in force replaces.
-    ///
-    /// A document has several megabytes, and whoever gets no answer in time sends it again.
-    pub fn known_result(&self, command: &Command) -> Option<Applied> {
+    /// The result of a command that was sent before, or whose document is in force already.
+    pub fn first_result(&self, command: &Command) -> Option<Applied> {
         let Some(Body::PutDocument(document)) = &command.body else {
             return None;
         };
         if let Some(first) = self.results.find(&command.id) {
             return Some(first.clone());
         }
-        if command.expected_revision.is_some() {
+        let is_done = command.expected_revision.is_none() && self.is_in_force(document);
+        is_done.then(|| self.applied(Outcome::Done(Done {})))
+    }
+
+    /// The result of a command that is known without an entry: that of a document which a document in force replaces.
+    ///
+    /// A document has several megabytes, and whoever gets no answer in time sends it again.
+    pub fn known_result(
+        &self,
+        command: &Command,
+        validity: &Result<(), String>,
+    ) -> Option<Applied> {
+        let Some(Body::PutDocument(document)) = &command.body else {
             return None;
+        };
+        let first = self.first_result(command);
+        if first.is_some() || command.expected_revision.is_some() {
+            return first;
         }
-        match self.is_superseded(document) {
-            Ok(true) => Some(self.applied(Outcome::Done(Done {}))),
-            Ok(false) => None,
-            Err(reason) => Some(self.applied(Outcome::Refused(reason))),
+        if let Err(reason) = validity {
+            return Some(self.applied(Outcome::Refused(reason.clone())));
         }
+        let is_superseded = document::is_superseded(&self.configuration, document);
+        is_superseded.then(|| self.applied(Outcome::Done(Done {})))
+    }
+
+    /// Whether a document is the one in force, word for word.
+    fn is_in_force(&self, document: &Document) -> bool {
+        document.version == self.configuration.document_version
+            && !document.source.is_empty()
+            && document.source == self.document_source
     }
 
     /// Whether a document in force replaces a valid document; the error says why the document is invalid.
     fn is_superseded(&self, document: &Document) -> Result<bool, String> {
-        let is_held = document.version == self.configuration.document_version
-            && !document.source.is_empty()
-            && document.source == self.document_source;
-        if is_held {
+        if self.is_in_force(document) {
             return Ok(true);
         }
         document::validate(document)?;
--- a/crates/jaylock-tests/tests/control/long_documents.rs
+++ b/crates/jaylock-tests/tests/control/long_documents.rs
@@ -7,7 +7,11 @@
 use jaylock_platform::decode_document;
 use jaylock_rpc::v1::applied::Result as Outcome;
 use jaylock_rpc::v1::command::Body;
-use jaylock_rpc::v1::{Applied, Command, Document, Drain, Organisation, Route, Service, Target};
+use jaylock_rpc::v1::control_server::Control;
+use jaylock_rpc::v1::{
+    Applied, Command, Document, Drain, Organisation, ProposeRequest, Route, Service, Target,
+};
+use tonic::Request;
 
 use crate::commands::{command, create_organisation};
 use crate::group::Group;
@@ -109,6 +113,43 @@
 }
 
 jaylock_tests::cases! {
+    // Guards against a leader without time for heartbeats that turns a large document away, so that each replica in turn begins anew with it.
+    async leader_whose_lease_has_lapsed_commits_a_large_document_once_it_holds_it_again => {
+        let mut group = Group::absent(3, 3);
+        group.settings.election_timeout = Duration::from_secs(2);
+        group.settings.leader_lease = Duration::from_millis(200);
+        for at in 0..3 {
+            group.add(at).await;
+        }
+        group.propose(create_organisation("before", None)).await;
+        let leader = group.leader().await;
+        let others: Vec<usize> = (0..3).filter(|at| *at != leader).collect();
+        group.machine(leader).cut_from(&others);
+        compio::time::sleep(group.settings.leader_lease * 2).await;
+        let change = group.propose_to(leader, put(with_keys(1, 20_000)));
+        let reconnection = async {
+            compio::time::sleep(group.settings.leader_lease).await;
+            group.machine(leader).cut_from(&[]);
+        };
+        let (applied, ()) = futures_util::join!(change, reconnection);
+        let result = applied.and_then(|applied| applied.result);
+        expect_that!(result, some(matches_pattern!(Outcome::Done(_))));
+    };
+
+    // Guards against replicas that all check a large document for seconds before one of them says that another leads.
+    async replica_that_does_not_lead_passes_a_large_document_on_unchecked => {
+        let group = Group::new(3, 3).await;
+        let leader = group.leader().await;
+        let mut document = with_keys(1, 20_000);
+        let shared = document.organisations[0].key_hashes[0].clone();
+        document.organisations[1].key_hashes.push(shared);
+        let service = group.machine((leader + 1) % 3).replica().expect("a replica").control_service();
+        let request = ProposeRequest { command: Some(put(document)) };
+        let reply = service.propose(Request::new(request)).await.expect("a reply").into_inner();
+        expect_that!(reply.applied, none());
+        expect_that!(reply.leader_address, some(not(eq(""))));
+    };
+
     // Guards against a check of keys that compares each with each other one, so that control stands still for minutes.
     async commits_a_document_filled_with_keys => {
         let text_bytes = text_with_keys(1, MAX_KEYS).len();
