--- a/crates/jaylock-share/examples/sharing/scaling.rs
+++ b/crates/jaylock-share/examples/sharing/scaling.rs
@@ -19,6 +19,8 @@
     organisations: u64,
     routers: u64,
     backends: u64,
+    /// Parts of a prompt beyond those by which it is placed.
+    parts: u64,
 }
 
 pub fn print() {
@@ -26,12 +28,13 @@
         organisations: 82,
         routers: 400,
         backends: 76,
+        parts: 0,
     };
     print_memory();
     println!("one pool, {REQUESTS} requests, all organisations backlogged");
     println!(
-        "{:>14} {:>8} {:>9} {:>12} {:>14}",
-        "organisations", "routers", "backends", "us/request", "tick us"
+        "{:>14} {:>8} {:>9} {:>6} {:>12} {:>14}",
+        "organisations", "routers", "backends", "parts", "us/request", "tick us"
     );
     let mut sizes = vec![base];
     sizes.extend([16, 164, 328, 820].map(|organisations| Size {
@@ -40,13 +43,15 @@
     }));
     sizes.extend([9, 100, 200].map(|routers| Size { routers, ..base }));
     sizes.extend([12, 38, 152].map(|backends| Size { backends, ..base }));
+    sizes.extend([8, 100, 1000, 8000].map(|parts| Size { parts, ..base }));
     for size in sizes {
         let (request, tick) = measure(size);
         println!(
-            "{:>14} {:>8} {:>9} {:>12.2} {:>14.1}",
+            "{:>14} {:>8} {:>9} {:>6} {:>12.2} {:>14.1}",
             size.organisations,
             size.routers,
             size.backends,
+            size.parts,
             request.as_secs_f64() * 1e6,
             tick.as_secs_f64() * 1e6,
         );
@@ -59,6 +64,7 @@
         organisations: 820,
         routers: 400,
         backends: 76,
+        parts: 0,
     };
     let before = resident_bytes();
     let now = Instant::now();
@@ -171,6 +177,16 @@
         model: "dossier".into(),
         limit: 1 << (ticket % 12),
         request: format!("{ticket:032x}"),
+        // Half of them are in all prompts.
+        further_causes: (0..size.parts)
+            .map(|part| {
+                if part % 2 == 0 {
+                    part
+                } else {
+                    (ticket << 16) + part
+                }
+            })
+            .collect(),
         ..Ask::default()
     };
     (
