One rule for the time of large messages, one time that proves a run, and flat results of checks

- "As much time again for each MiB" stood three times (replies to entries, delay of a busy leader, patience with a watch), with two constants and a shift: transport::time_for.
- The time after which a run has shown that it crashes nothing stood in the router, which checks backend servers by it, and in the scheduler, which suspects by it: PROVEN_AFTER in jaylock-types.
- A check of a document gave a result within a result; what must not come into the log is an error of the call now.
- The causes to which a crash is attributed were kept in a map; they are a sorted vector, of equal ones the one with the newest grant.
- A router's given-up runs counted their causes anew for each run that gives way; the sum is kept, as at the scheduler, and Causes::count names it.

Left: the benches of control and of documents each run a replica, in crates that share no test code.

--- a/crates/jaylock-control/src/client.rs
+++ b/crates/jaylock-control/src/client.rs
@@ -13,7 +13,7 @@
 use prost::Message;
 use tonic::{Code, Status, Streaming};
 
-use crate::transport::{Channels, MAX_MESSAGE_BYTES};
+use crate::transport::{Channels, MAX_MESSAGE_BYTES, time_for};
 use crate::{ClientSettings, Error, Result};
 
 /// A client of the control replicas that finds the leader; clones share the known replicas.
@@ -60,7 +60,7 @@
     /// [`Error::NoLeader`] after the timeout: the command may or may not have been applied, and may
     /// be sent again under the same id. [`Error::Refused`] if the command is malformed.
     pub async fn propose(&self, command: Command) -> Result<Applied> {
-        let busy_delay = self.busy_delay(&command);
+        let busy_delay = time_for(self.shared.settings.busy_delay, command.encoded_len());
         let call = async |mut stub: Stub<Channel>| {
             let request = ProposeRequest {
                 command: Some(command.clone()),
@@ -223,12 +223,6 @@
             .into_inner())
     }
 
-    /// Delay before a command is sent to a busy leader again: longer for a large one, which costs the leader more.
-    fn busy_delay(&self, command: &Command) -> Duration {
-        let factor = 1 + command.encoded_len() / BYTES_PER_DELAY;
-        self.shared.settings.busy_delay * u32::try_from(factor).unwrap_or(u32::MAX)
-    }
-
     /// Calls one replica after another until the leader replies.
     async fn call_leader<T>(
         &self,
@@ -290,9 +284,6 @@
     }
 }
 
-/// Size of a command for each further delay before it is sent to a busy leader again.
-const BYTES_PER_DELAY: usize = 1 << 20;
-
 /// Maximum number of consecutive redirects to another leader.
 const MAX_REDIRECTS: usize = 4;
 
--- a/crates/jaylock-control/src/follower.rs
+++ b/crates/jaylock-control/src/follower.rs
@@ -9,6 +9,7 @@
 
 use crate::gossip::Gossip;
 use crate::signal::Signal;
+use crate::transport::time_for;
 use crate::{ConfigView, ControlClient, FollowerSettings};
 
 /// Keeps the configuration of an instance up to date and its lease renewed.
@@ -247,11 +248,10 @@
 
     /// Time for a watch to deliver what a renewal has named, within which a read from the leader can still save the lease.
     fn max_watch_delay(&self, reply: &RenewReply) -> Duration {
-        let megabytes = u32::try_from(reply.watch_bytes >> 20).unwrap_or(u32::MAX);
         let delay = self.settings.max_watch_delay;
         let longest = Duration::from_millis(reply.lease_ms.into()) / 2;
-        let by_size = delay.saturating_mul(megabytes.saturating_add(1));
-        by_size.min(longest.max(delay))
+        let bytes = usize::try_from(reply.watch_bytes).unwrap_or(usize::MAX);
+        time_for(delay, bytes).min(longest.max(delay))
     }
 
     async fn renew(&self) {
--- a/crates/jaylock-control/src/replica/proposals.rs
+++ b/crates/jaylock-control/src/replica/proposals.rs
@@ -29,7 +29,7 @@
         if command.encoded_len() >= LARGE_BYTES {
             return self.submit_large(command).await;
         }
-        let (command, validity) = check(command);
+        let (command, validity) = check(command)?;
         self.submit_checked(command, validity).await
     }
 
@@ -48,9 +48,8 @@
     async fn submit_checked(
         &self,
         command: Command,
-        validity: Result<Validity, String>,
+        validity: Validity,
     ) -> Result<Applied, RequestError> {
-        let validity = validity.map_err(|reason| invalid(&reason))?;
         if let Some(applied) = self.known_result(&command, &validity) {
             return Ok(applied);
         }
@@ -131,28 +130,22 @@
     }
 }
 
-/// Checks the document of a command; the outer error of the result says why it must not come into the log at all.
-fn check(command: Command) -> (Command, Result<Validity, String>) {
-    let validity = match &command.body {
-        Some(Body::PutDocument(document)) => {
-            check_shared_keys(document).map(|()| validate(document))
-        }
-        _ => Ok(Ok(())),
+/// Checks the document of a command; the error says why it must not come into the log at all.
+fn check(command: Command) -> Result<(Command, Validity), RequestError> {
+    let Some(Body::PutDocument(document)) = &command.body else {
+        return Ok((command, Ok(())));
     };
-    (command, validity)
+    let invalid = |reason| RequestError::Failed(Status::invalid_argument(reason));
+    check_shared_keys(document).map_err(invalid)?;
+    let validity = validate(document);
+    Ok((command, validity))
 }
 
 /// Checks the document of a command on another thread.
-async fn check_separately(
-    command: Command,
-) -> Result<(Command, Result<Validity, String>), RequestError> {
+async fn check_separately(command: Command) -> Result<(Command, Validity), RequestError> {
     let checking = compio::runtime::spawn_blocking(move || check(command)).await;
     let stopped = |_| Status::unavailable("the check of a document was stopped: send it again");
-    checking.map_err(stopped).map_err(RequestError::Failed)
-}
-
-fn invalid(reason: &str) -> RequestError {
-    RequestError::Failed(Status::invalid_argument(reason))
+    checking.map_err(stopped).map_err(RequestError::Failed)?
 }
 
 fn own_command(body: Body) -> Command {
--- a/crates/jaylock-control/src/replica/replication.rs
+++ b/crates/jaylock-control/src/replica/replication.rs
@@ -9,9 +9,7 @@
 use super::Shared;
 use super::progress::is_same_replica;
 use super::snapshot_transfer::send_snapshot;
-
-/// Size of the entries in a message for each further reply timeout that it may take.
-const BYTES_PER_TIMEOUT: usize = 1 << 20;
+use crate::transport::time_for;
 
 /// Replicates the log to one other replica for as long as this one leads.
 pub async fn replicate(shared: Rc<Shared>, member: Member) {
@@ -73,7 +71,9 @@
         return false;
     };
     let (sent_at, commit) = (shared.now(), request.commit);
-    let timeout = shared.settings.reply_timeout * size_factor(&request);
+    // A large document takes longer to send, to read and to write.
+    let bytes = request.entries.iter().map(Bytes::len).sum();
+    let timeout = time_for(shared.settings.reply_timeout, bytes);
     let call = shared.transport.append(member, request);
     let reply = jaylock_rpc::with_timeout(timeout, call);
     let contacts = keep_contact(shared, member);
@@ -84,12 +84,6 @@
     true
 }
 
-/// How many times the usual time a reply may take, as a large document takes longer to send, to read and to write.
-fn size_factor(request: &AppendRequest) -> u32 {
-    let bytes: usize = request.entries.iter().map(Bytes::len).sum();
-    u32::try_from(1 + bytes / BYTES_PER_TIMEOUT).unwrap_or(u32::MAX)
-}
-
 /// Keeps contact with a replica whose disk may take long to write what it was sent.
 async fn keep_contact(shared: &Shared, member: &Member) {
     while shared.core.borrow().leader_state().is_some() {
--- a/crates/jaylock-control/src/transport.rs
+++ b/crates/jaylock-control/src/transport.rs
@@ -1,5 +1,6 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
@@ -32,6 +33,15 @@
     }
 }
 
+/// Time for a message of some size, for which a small one has `base`: as much again for each MiB.
+pub fn time_for(base: Duration, bytes: usize) -> Duration {
+    let factor = 1 + bytes / BYTES_PER_TIME;
+    base.saturating_mul(u32::try_from(factor).unwrap_or(u32::MAX))
+}
+
+/// Size of a message for each further time that it may take.
+const BYTES_PER_TIME: usize = 1 << 20;
+
 /// Calls the other replicas by gRPC.
 pub struct RpcTransport {
     channels: Channels,
--- a/crates/jaylock-router/src/slot.rs
+++ b/crates/jaylock-router/src/slot.rs
@@ -3,13 +3,11 @@
 
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{End, Grant, Progress};
-use jaylock_types::{Notice, PoolId, millis};
+use jaylock_types::{Notice, PROVEN_AFTER, PoolId, millis};
 
 use crate::crash_check::{CrashChecks, EndedRun};
 use crate::port::Schedulers;
 
-/// Time after the first token from which a run counts as one that crashes nothing.
-const PROVEN_AFTER: Duration = Duration::from_millis(500);
 /// Service between two progress reports, in tokens.
 const PROGRESS_TOKENS: u64 = 8;
 
--- a/crates/jaylock-share/src/client/given_up.rs
+++ b/crates/jaylock-share/src/client/given_up.rs
@@ -18,6 +18,8 @@
 pub struct GivenUpRuns {
     // In the order in which they ended.
     list: VecDeque<GivenUpRun>,
+    // Causes that all of them have.
+    causes: usize,
 }
 
 /// A run that was given up.
@@ -35,14 +37,15 @@
     pub fn add(&mut self, held: &HeldSlot, now: Instant) {
         let age = |run: &GivenUpRun| now.saturating_duration_since(run.ended_at);
         while self.list.front().is_some_and(|run| age(run) >= MEMORY) {
-            self.list.pop_front();
+            self.remove(0);
         }
-        let causes = held.causes.iter().count();
-        while self.list.len() >= MAX_RUNS || self.count_causes() + causes > MAX_CAUSES {
-            if self.list.pop_front().is_none() {
+        let causes = held.causes.count();
+        while self.list.len() >= MAX_RUNS || self.causes + causes > MAX_CAUSES {
+            if self.remove(0).is_none() {
                 break;
             }
         }
+        self.causes += causes;
         self.list.push_back(GivenUpRun {
             backend: held.backend.clone(),
             incarnation: held.incarnation,
@@ -52,22 +55,25 @@
         });
     }
 
-    fn count_causes(&self) -> usize {
-        let causes = self.list.iter().map(|run| run.causes.shared.len() + 1);
-        causes.sum()
+    fn remove(&mut self, position: usize) -> Option<GivenUpRun> {
+        let run = self.list.remove(position)?;
+        self.causes -= run.causes.count();
+        Some(run)
     }
 
     /// Takes a run.
     pub fn take(&mut self, ticket: u64) -> Option<GivenUpRun> {
         let position = self.list.iter().position(|run| run.ticket == ticket)?;
-        self.list.remove(position)
+        self.remove(position)
     }
 
     /// Takes all runs at a backend server.
     pub fn take_all(&mut self, backend: &str) -> VecDeque<GivenUpRun> {
         let list = std::mem::take(&mut self.list);
-        let (taken, kept) = list.into_iter().partition(|run| run.backend == backend);
+        let is_there = |run: &GivenUpRun| run.backend == backend;
+        let (taken, kept): (VecDeque<_>, _) = list.into_iter().partition(is_there);
         self.list = kept;
+        self.causes -= taken.iter().map(|run| run.causes.count()).sum::<usize>();
         taken
     }
 }
--- a/crates/jaylock-share/src/crashes/abandoned.rs
+++ b/crates/jaylock-share/src/crashes/abandoned.rs
@@ -45,7 +45,7 @@
 impl AbandonedRuns {
     /// Adds a run; returns those that give way.
     pub fn add(&mut self, run: AbandonedRun) -> Vec<AbandonedRun> {
-        self.causes += run.causes.iter().count();
+        self.causes += run.causes.count();
         self.list.push_back(run);
         let mut dropped = Vec::new();
         while self.list.len() > MAX_ABANDONED || self.causes > MAX_CAUSES {
@@ -56,7 +56,7 @@
 
     fn pop_oldest(&mut self) -> Option<AbandonedRun> {
         let oldest = self.list.pop_front()?;
-        self.causes -= oldest.causes.iter().count();
+        self.causes -= oldest.causes.count();
         Some(oldest)
     }
 
@@ -65,7 +65,7 @@
         let is_meant = |run: &AbandonedRun| run.router == router && run.ticket == ticket;
         let position = self.list.iter().position(is_meant)?;
         let run = self.list.remove(position)?;
-        self.causes -= run.causes.iter().count();
+        self.causes -= run.causes.count();
         Some(run)
     }
 
@@ -79,7 +79,7 @@
         let mut kept = VecDeque::with_capacity(self.list.len());
         for run in self.list.drain(..) {
             if run.backend_index == backend_index {
-                self.causes -= run.causes.iter().count();
+                self.causes -= run.causes.count();
                 taken.push(run);
             } else {
                 kept.push_back(run);
--- a/crates/jaylock-share/src/crashes/causes.rs
+++ b/crates/jaylock-share/src/crashes/causes.rs
@@ -18,6 +18,11 @@
         }
     }
 
+    /// Number of hashes.
+    pub fn count(&self) -> usize {
+        self.shared.len() + usize::from(self.digest != 0)
+    }
+
     /// All hashes.
     pub fn iter(&self) -> impl Iterator<Item = u64> + '_ {
         let digest = (self.digest != 0).then_some(self.digest);
--- a/crates/jaylock-share/src/crashes/crash_causes.rs
+++ b/crates/jaylock-share/src/crashes/crash_causes.rs
@@ -1,5 +1,4 @@
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
@@ -174,7 +173,7 @@
     /// Records the crash of a backend server under runs of which one may have caused it.
     pub fn record_crash(&mut self, suspects: &[Suspect], backend: &str, now: Instant) {
         let (attributed, confirmed) = self.attribute(suspects, now);
-        self.add_missing(attributed.keys().copied(), now);
+        self.add_missing(attributed.iter().map(|(hash, _)| *hash), now);
         let count = attributed.len();
         for (number, (hash, granted_at)) in attributed.into_iter().enumerate() {
             let position = self.find_or_add(hash, now);
@@ -302,11 +301,7 @@
     /// Suspected causes in runs that are no trials explain a crash, then those in a trial, then the causes that no
     /// complete answer has shown to be harmless. If all of a run's were, any of them may have changed; those of a run that
     /// was given up are blamed for that only if nothing else ran there.
-    fn attribute(
-        &self,
-        suspects: &[Suspect],
-        now: Instant,
-    ) -> (BTreeMap<u64, Instant>, Option<u64>) {
+    fn attribute(&self, suspects: &[Suspect], now: Instant) -> (Vec<(u64, Instant)>, Option<u64>) {
         let (trials, others): (Vec<_>, Vec<_>) = suspects.iter().partition(|s| s.is_trial);
         let tried = self.suspected_in(&trials);
         let mut suspected = self.suspected_in(&others);
@@ -317,7 +312,7 @@
             suspected = tried;
         }
         let has_run_on = suspects.iter().any(|suspect| !suspect.is_abandoned);
-        let mut attributed: BTreeMap<u64, Instant> = BTreeMap::new();
+        let mut attributed = Vec::new();
         for suspect in suspects {
             let shared = &suspect.causes.shared;
             let is_proven = |hash: u64| self.proven.contains(hash, now);
@@ -331,11 +326,12 @@
                     suspected.binary_search(hash).is_ok()
                 }
             };
-            for hash in suspect.causes.iter().filter(is_attributed) {
-                let granted_at = attributed.entry(hash).or_insert(suspect.granted_at);
-                *granted_at = suspect.granted_at.max(*granted_at);
-            }
+            let hashes = suspect.causes.iter().filter(is_attributed);
+            attributed.extend(hashes.map(|hash| (hash, suspect.granted_at)));
         }
+        // Of equal causes, the one with the newest grant comes first and stays.
+        attributed.sort_unstable_by_key(|(hash, granted_at)| (*hash, Reverse(*granted_at)));
+        attributed.dedup_by_key(|(hash, _)| *hash);
         (attributed, confirmed)
     }
 
--- a/crates/jaylock-share/src/crashes/crash_history.rs
+++ b/crates/jaylock-share/src/crashes/crash_history.rs
@@ -1,7 +1,8 @@
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use jaylock_rpc::v1::end::Outcome;
 use jaylock_rpc::v1::{Ask, End};
+use jaylock_types::PROVEN_AFTER;
 
 use crate::crashes::abandoned::{AbandonedRun, AbandonedRuns};
 use crate::crashes::crash_causes::{CrashCauses, Suspect};
@@ -9,9 +10,6 @@
 use crate::scheduler::allocator::Allocator;
 use crate::scheduler::router::{RouterKey, Run};
 
-/// Time for which a run must outlast its first event to show that it crashes nothing.
-const PROVEN_AFTER: Duration = Duration::from_millis(500);
-
 /// What is known of the crashes of a pool's backend servers.
 #[derive(Debug, Default)]
 pub struct CrashHistory {
--- a/crates/jaylock-types/src/lib.rs
+++ b/crates/jaylock-types/src/lib.rs
@@ -7,6 +7,7 @@
 mod notice;
 mod number;
 mod response_times;
+mod run;
 mod secret;
 mod stream;
 
@@ -23,5 +24,6 @@
     Revision, Term, Tokens, Weight, WorkPercent,
 };
 pub use self::response_times::{HedgePlan, ResponseTimes};
+pub use self::run::PROVEN_AFTER;
 pub use self::secret::{KeyHash, Secret};
 pub use self::stream::StreamId;
